--- /dev/null
+++ b/daemons/control/control_context.h
@@ -0,0 +1,31 @@
+/// What the parts of a control process share.
+#pragma once
+
+#include "spindleweir/core/counters.h"
+#include "spindleweir/daemons/control_daemon.h"
+#include "spindleweir/daemons/entry_vms_file.h"
+#include "spindleweir/drivers/rpc_channel.h"
+#include "spindleweir/drivers/rpc_dispatcher.h"
+
+namespace spindleweir {
+
+/// The state of one control process. Single-threaded.
+struct ControlContext {
+  ControlContext(EventLoop& aLoop, ControlOptions aOptions)
+      : mLoop(aLoop),
+        mOptions(std::move(aOptions)),
+        mClient(aLoop),
+        mRpc(mClient, mOptions.mClusterKey),
+        mDispatcher(mOptions.mClusterKey),
+        mEntryVms(aLoop, mOptions.mEntryVms) {}
+
+  EventLoop& mLoop;
+  ControlOptions mOptions;
+  HttpClient mClient;
+  RpcChannel mRpc;
+  RpcDispatcher mDispatcher;
+  Counters mCounters;
+  EntryVmsFile mEntryVms;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/control/control_daemon.cpp
@@ -0,0 +1,89 @@
+#include "spindleweir/daemons/control_daemon.h"
+
+#include "daemons/control/operator_api.h"
+#include "spindleweir/core/json_codec.h"
+#include "spindleweir/core/log.h"
+#include "spindleweir/drivers/file_tools.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr std::size_t kMaximumRpcBytes = 64 * 1024 * 1024;
+
+/// Makes the data folder ready before any part opens a file in it.
+ControlOptions Prepared(ControlOptions aOptions) {
+  PrepareFolder(aOptions.mData);
+  return aOptions;
+}
+
+}  // namespace
+
+/// The parts of a control process, in the order in which they are made.
+struct ControlDaemon::Parts {
+  Parts(EventLoop& aLoop, ControlOptions aOptions)
+      : mContext(aLoop, Prepared(std::move(aOptions))),
+        mLog(mContext),
+        mClaims(mContext),
+        mReceipts(mContext),
+        mInventory(mContext,
+                   [this] { return mLog.Machine().Current().mVersion; }),
+        mApi(mContext, mLog, mInventory, mReceipts, mClaims),
+        mRpcServer(aLoop, {.mListen = mContext.mOptions.mRpcListen,
+                           .mMaximumBodyBytes = kMaximumRpcBytes,
+                           .mHandle =
+                               [this](std::shared_ptr<HttpExchange> aExchange) {
+                                 mContext.mDispatcher.Handle(*aExchange);
+                               }}),
+        mOperatorServer(
+            aLoop, {.mListen = mContext.mOptions.mOperatorListen,
+                    .mMaximumBodyBytes = kMaximumRpcBytes,
+                    .mHandle = [this](std::shared_ptr<HttpExchange> aExchange) {
+                      mApi.Handle(aExchange);
+                    }}) {}
+
+  ControlContext mContext;
+  ReplicatedConfiguration mLog;
+  ClaimService mClaims;
+  ReceiptService mReceipts;
+  Inventory mInventory;
+  OperatorApi mApi;
+  HttpServer mRpcServer;
+  HttpServer mOperatorServer;
+};
+
+ControlDaemon::ControlDaemon(EventLoop& aLoop, ControlOptions aOptions)
+    : mParts(std::make_unique<Parts>(aLoop, std::move(aOptions))) {
+  mParts->mContext.mEntryVms.Check();
+  const ControlOptions& options = mParts->mContext.mOptions;
+  if (!options.mPortFile.empty()) {
+    Json::Value ports(Json::objectValue);
+    ports["operator"] = OperatorAddress().Text();
+    ports["rpc"] = RpcAddress().Text();
+    ReplaceFile(options.mPortFile, DumpJson(ports));
+  }
+  LogLine(LogLevel::kInfo, "started")
+      .Add("zone", options.mZone)
+      .Add("operator", OperatorAddress().Text())
+      .Add("rpc", RpcAddress().Text())
+      .Add("version",
+           static_cast<Json::Int64>(mParts->mLog.Machine().Current().mVersion));
+}
+
+ControlDaemon::~ControlDaemon() = default;
+
+const Endpoint& ControlDaemon::OperatorAddress() const {
+  return mParts->mOperatorServer.Address();
+}
+
+const Endpoint& ControlDaemon::RpcAddress() const {
+  return mParts->mRpcServer.Address();
+}
+
+void ControlDaemon::Stop() {
+  // All that was promised is on the disk already.
+  LogLine(LogLevel::kInfo, "stopped");
+  mParts->mContext.mLoop.Stop();
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/control/inventory.cpp
@@ -0,0 +1,97 @@
+#include "daemons/control/inventory.h"
+
+#include "spindleweir/core/json_codec.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr Millis kAskPeriod = 1000;
+constexpr Millis kAskTimeout = 900;
+constexpr Millis kReportLifetime = 3000;
+
+}  // namespace
+
+Inventory::Inventory(ControlContext& aContext,
+                     std::function<std::int64_t()> aVersion)
+    : mContext(aContext),
+      mVersion(std::move(aVersion)),
+      mView({}),
+      mWatcher(
+          aContext.mLoop, aContext.mClient, mView,
+          {.mPlatform = aContext.mOptions.mPlatform, .mReportPeriod = 500}) {
+  mContext.mDispatcher.On(rpc_method::kPing,
+                          [this](const Json::Value& aMessage) {
+                            const auto state = FromJson<PeerState>(aMessage);
+                            for (const LeavingWord& word : state.mLeaving) {
+                              mWords.Add(word);
+                            }
+                            return ToJson(OwnState());
+                          });
+  mTimer = mContext.mLoop.Every(kAskPeriod, [this] { AskRouters(); });
+}
+
+PeerState Inventory::OwnState() const {
+  PeerState state;
+  state.mFrom = mContext.mOptions.mId;
+  state.mZone = mContext.mOptions.mZone;
+  state.mVersion = mVersion();
+  state.mReady = true;
+  state.mLeaving = mWords.Words();
+  return state;
+}
+
+void Inventory::AskRouters() {
+  for (const EntryVm& router :
+       mContext.mEntryVms.Current().OfRole(EntryRole::kRouter)) {
+    mContext.mRpc.Call(router.mAddress, rpc_method::kRouterState,
+                       Json::Value(Json::objectValue), kAskTimeout,
+                       [this, id = router.mId](const RpcResult& aResult) {
+                         if (aResult.mOk) {
+                           mRouters[id] = {aResult.mAnswer, SteadyNow()};
+                         }
+                       });
+  }
+  for (const EngineReport& report : Engines()) {
+    mWords.Seen(report.mEngine, report.mIncarnation);
+  }
+}
+
+std::vector<EngineReport> Inventory::Engines() const {
+  std::vector<EngineReport> reports;
+  const Millis now = SteadyNow();
+  for (const auto& [vm, upstream] : mView.All()) {
+    if (upstream.mService.empty() && upstream.mReportedAt >= 0 &&
+        now - upstream.mReportedAt < kReportLifetime) {
+      reports.push_back(upstream.mReport);
+    }
+  }
+  return reports;
+}
+
+Json::Value Inventory::State() const {
+  Json::Value state(Json::objectValue);
+  state["routers"] = Json::Value(Json::arrayValue);
+  for (const auto& [id, word] : mRouters) {
+    Json::Value item = word.mState;
+    item["heard_ms_ago"] =
+        static_cast<Json::Int64>(SteadyNow() - word.mHeardAt);
+    state["routers"].append(item);
+  }
+  state["upstreams"] = Json::Value(Json::arrayValue);
+  for (const auto& [vm, upstream] : mView.All()) {
+    Json::Value item(Json::objectValue);
+    item["vm"] = vm;
+    item["zone"] = upstream.mZone;
+    item["leaving"] = mView.IsLeaving(vm);
+    if (upstream.mService.empty()) {
+      item["report"] = ToJson(upstream.mReport);
+    } else {
+      item["service"] = upstream.mService;
+    }
+    state["upstreams"].append(item);
+  }
+  return state;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/control/inventory.h
@@ -0,0 +1,51 @@
+/// What a control process knows of engines, VMs and routers: for plans and
+/// for operators.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "daemons/control/control_context.h"
+#include "spindleweir/daemons/peer_messages.h"
+#include "spindleweir/daemons/upstream_watcher.h"
+
+namespace spindleweir {
+
+/// Polls the platform, the engines and the routers.
+class Inventory {
+ public:
+  /// aVersion gives the version of the configuration in force here.
+  Inventory(ControlContext& aContext, std::function<std::int64_t()> aVersion);
+
+  /// Reports that are not too old.
+  std::vector<EngineReport> Engines() const;
+  std::set<std::string> Leaving() const { return mView.KnownLeaving(); }
+  bool KnowsVm(const std::string& aVm) const {
+    return mView.Find(aVm) != nullptr;
+  }
+  /// The routers' own words and the upstreams, for /v1/state.
+  Json::Value State() const;
+
+ private:
+  /// The last word of a router.
+  struct RouterWord {
+    Json::Value mState;
+    Millis mHeardAt = 0;
+  };
+
+  PeerState OwnState() const;
+  void AskRouters();
+
+  ControlContext& mContext;
+  std::function<std::int64_t()> mVersion;
+  UpstreamView mView;
+  UpstreamWatcher mWatcher;
+  LeavingSet mWords;
+  std::map<std::string, RouterWord> mRouters;
+  std::unique_ptr<Timer> mTimer;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/control/receipt_service.cpp
@@ -0,0 +1,108 @@
+#include "daemons/control/receipt_service.h"
+
+#include "spindleweir/core/json_codec.h"
+#include "spindleweir/daemons/peer_messages.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr Millis kFindTimeout = 1000;
+
+/// A question to the other control processes.
+struct OpenSearch {
+  std::size_t mLeft;
+  std::function<void(const Receipt*)> mDone;
+};
+
+}  // namespace
+
+ReceiptService::ReceiptService(ControlContext& aContext)
+    : mContext(aContext), mBook(aContext.mOptions.mReceipts) {
+  mLog = std::make_unique<DiskLog>(
+      mContext.mOptions.mData + "/receipts.log",
+      [this](std::string_view aRecord) {
+        try {
+          mBook.Add(FromJson<Receipt>(ParseJson(aRecord)));
+          mRecords++;
+        } catch (const Error& error) {
+          throw Error(ResultCode::kDataCorrupt,
+                      std::string("receipts: ") + error.what());
+        }
+      });
+  mContext.mDispatcher.On(rpc_method::kStoreReceipts,
+                          [this](const Json::Value& aMessage) {
+                            const auto batch = FromJson<ReceiptBatch>(aMessage);
+                            for (const Receipt& receipt : batch.mReceipts) {
+                              mLog->Append(DumpJson(ToJson(receipt)));
+                            }
+                            mLog->Sync();
+                            for (const Receipt& receipt : batch.mReceipts) {
+                              mBook.Add(receipt);
+                              mRecords++;
+                            }
+                            CompactIfLarge();
+                            return Json::Value(Json::objectValue);
+                          });
+  mContext.mDispatcher.On(
+      rpc_method::kFindReceipt, [this](const Json::Value& aMessage) {
+        const auto asked = FromJson<ReceiptQuestion>(aMessage);
+        const Receipt* receipt = mBook.Find(asked.mRequest);
+        if (receipt == nullptr) {
+          throw Error(ResultCode::kReceiptNotFound, "not here");
+        }
+        return ToJson(*receipt);
+      });
+}
+
+void ReceiptService::CompactIfLarge() {
+  if (mRecords < 2 * mContext.mOptions.mReceipts) {
+    return;
+  }
+  mLog->Rewrite([this](DiskLog& aLog) {
+    for (const Receipt& receipt : mBook.All()) {
+      aLog.Append(DumpJson(ToJson(receipt)));
+    }
+  });
+  mRecords = mBook.Size();
+}
+
+void ReceiptService::Find(const std::string& aRequest,
+                          std::function<void(const Receipt*)> aDone) {
+  if (const Receipt* receipt = mBook.Find(aRequest)) {
+    aDone(receipt);
+    return;
+  }
+  std::vector<EntryVm> others =
+      mContext.mEntryVms.Current().OfRole(EntryRole::kControl);
+  std::erase_if(others, [this](const EntryVm& aVm) {
+    return aVm.mId == mContext.mOptions.mId;
+  });
+  if (others.empty()) {
+    aDone(nullptr);
+    return;
+  }
+  const auto search =
+      std::make_shared<OpenSearch>(OpenSearch{others.size(), std::move(aDone)});
+  for (const EntryVm& vm : others) {
+    mContext.mRpc.Call(vm.mAddress, rpc_method::kFindReceipt,
+                       ToJson(ReceiptQuestion{aRequest}), kFindTimeout,
+                       [search](const RpcResult& aResult) {
+                         search->mLeft--;
+                         if (!search->mDone) {
+                           return;
+                         }
+                         if (aResult.mOk) {
+                           const auto found =
+                               FromJson<Receipt>(aResult.mAnswer);
+                           const auto done = std::move(search->mDone);
+                           search->mDone = nullptr;
+                           done(&found);
+                         } else if (search->mLeft == 0) {
+                           search->mDone(nullptr);
+                         }
+                       });
+  }
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/control/replicated_configuration.cpp
@@ -0,0 +1,164 @@
+#include "daemons/control/replicated_configuration.h"
+
+#include "spindleweir/core/json_codec.h"
+#include "spindleweir/core/log.h"
+#include "spindleweir/daemons/peer_messages.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr Millis kTickPeriod = 20;
+constexpr Millis kRaftTimeout = 1000;
+constexpr Millis kPushTimeout = 1000;
+constexpr Millis kCommitTimeout = 4000;
+
+}  // namespace
+
+ReplicatedConfiguration::ReplicatedConfiguration(ControlContext& aContext)
+    : mContext(aContext), mStorage(aContext.mOptions.mData + "/raft.log") {
+  const ControlOptions& options = mContext.mOptions;
+  RaftOptions raft;
+  raft.mId = options.mId;
+  if (mStorage.Empty()) {
+    raft.mVoters = options.mInitialVoters;
+  }
+  raft.mElectionTimeout = options.mElectionTimeout;
+  raft.mSeed = static_cast<std::uint64_t>(WallNow()) ^
+               std::hash<std::string>()(options.mId);
+  raft.mStorage = &mStorage;
+  raft.mSend = [this](const RaftMessage& aMessage) { Send(aMessage); };
+  raft.mApply = [this](const LogEntry& aEntry) { Apply(aEntry); };
+  raft.mMakeSnapshot = [this] { return mMachine.Save(); };
+  raft.mInstallSnapshot = [this](const std::string& aData) {
+    mMachine.Restore(aData);
+  };
+  mRaft = std::make_unique<RaftNode>(std::move(raft), SteadyNow());
+  mContext.mDispatcher.On(
+      rpc_method::kRaft, [this](const Json::Value& aMessage) {
+        mRaft->Receive(FromJson<RaftMessage>(aMessage), SteadyNow());
+        return Json::Value(Json::objectValue);
+      });
+  mContext.mDispatcher.On(
+      rpc_method::kGetConfiguration,
+      [this](const Json::Value&) { return ToJson(mMachine.Current()); });
+  mMachine.SignalAccepted().connect([this](const Configuration&) {
+    // A restart applies many at once; only the newest is worth telling.
+    mSpreadTimer = mContext.mLoop.After(0, [this] { Spread(); });
+  });
+  mTimer = mContext.mLoop.Every(kTickPeriod, [this] { Tick(); });
+}
+
+void ReplicatedConfiguration::Send(const RaftMessage& aMessage) {
+  const EntryVm* peer = mContext.mEntryVms.Current().Find(aMessage.mTo);
+  if (peer != nullptr) {
+    mContext.mRpc.Call(peer->mAddress, rpc_method::kRaft, ToJson(aMessage),
+                       kRaftTimeout, nullptr);
+  }
+}
+
+void ReplicatedConfiguration::Tick() {
+  // Until the others can be reached an election would be for nothing.
+  if (mContext.mEntryVms.Current().All().empty()) {
+    return;
+  }
+  mRaft->Tick(SteadyNow());
+  if (mRaft->Failed() && !mFailureLogged) {
+    mFailureLogged = true;
+    mContext.mCounters.Set("storage_failed", 1);
+    LogLine(LogLevel::kError, "storage_failed")
+        .Add("code", static_cast<int>(ResultCode::kStorageFailed))
+        .Add("data", mContext.mOptions.mData);
+  }
+  if (mRaft->Leader() != mLoggedLeader) {
+    mLoggedLeader = mRaft->Leader();
+    LogLine(LogLevel::kInfo, "leader")
+        .Add("leader", mLoggedLeader)
+        .Add("term", static_cast<Json::Int64>(mRaft->Term()));
+  }
+  if (mRaft->Role() != RaftRole::kLeader) {
+    FailWaiting();
+    return;
+  }
+  const Millis now = SteadyNow();
+  for (auto it = mWaiting.begin(); it != mWaiting.end();) {
+    if (now - it->second.mSince < kCommitTimeout) {
+      ++it;
+      continue;
+    }
+    const Waiting late = std::move(it->second);
+    it = mWaiting.erase(it);
+    for (const CommandDone& done : late.mDone) {
+      done(nullptr);
+    }
+  }
+}
+
+void ReplicatedConfiguration::FailWaiting() {
+  const std::map<std::string, Waiting> waiting = std::move(mWaiting);
+  mWaiting.clear();
+  for (const auto& [id, item] : waiting) {
+    for (const CommandDone& done : item.mDone) {
+      done(nullptr);
+    }
+  }
+}
+
+void ReplicatedConfiguration::Submit(const Command& aCommand,
+                                     CommandDone aDone) {
+  Waiting& waiting = mWaiting[aCommand.mId];
+  waiting.mDone.push_back(std::move(aDone));
+  waiting.mSince = SteadyNow();
+  if (mRaft->Propose(DumpJson(ToJson(aCommand))) == 0) {
+    FailWaiting();
+  }
+}
+
+void ReplicatedConfiguration::Apply(const LogEntry& aEntry) {
+  const auto command = FromJson<Command>(ParseJson(aEntry.mPayload));
+  const std::int64_t before = mMachine.Current().mVersion;
+  const CommandResult result = mMachine.Apply(command);
+  LogLine(LogLevel::kInfo, "command")
+      .Add("command", command.mId)
+      .Add("index", static_cast<Json::Int64>(aEntry.mIndex))
+      .Add("code", result.mCode)
+      .Add("plan", result.mPlanId)
+      .Add("version", static_cast<Json::Int64>(result.mVersion))
+      .Add("accepted", mMachine.Current().mVersion > before);
+  const auto it = mWaiting.find(command.mId);
+  if (it == mWaiting.end()) {
+    return;
+  }
+  const Waiting waiting = std::move(it->second);
+  mWaiting.erase(it);
+  for (const CommandDone& done : waiting.mDone) {
+    done(&result);
+  }
+}
+
+void ReplicatedConfiguration::ConfirmRead(std::function<void(bool)> aDone) {
+  mRaft->ConfirmRead(std::move(aDone));
+}
+
+bool ReplicatedConfiguration::ChangeVoters(
+    const std::vector<std::string>& aVoters) {
+  return mRaft->ProposeVoters(aVoters) != 0;
+}
+
+void ReplicatedConfiguration::Spread() {
+  const Configuration& configuration = mMachine.Current();
+  mContext.mCounters.Set("configuration_version", configuration.mVersion);
+  const EntryVms& vms = mContext.mEntryVms.Current();
+  const bool leads = mRaft != nullptr && mRaft->Role() == RaftRole::kLeader;
+  const Json::Value message = ToJson(configuration);
+  for (const EntryVm& router : vms.OfRole(EntryRole::kRouter)) {
+    // Each zone is served by its own control; the leader, which knows first,
+    // tells all.
+    if (leads || router.mZone == mContext.mOptions.mZone) {
+      mContext.mRpc.Call(router.mAddress, rpc_method::kPushConfiguration,
+                         message, kPushTimeout, nullptr);
+    }
+  }
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/control/replicated_configuration.h
@@ -0,0 +1,63 @@
+/// The accepted configuration on a control process: the replicated log, the
+/// state it builds, the answers to those who wait for a commit, and the
+/// spreading of what was accepted.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "daemons/control/control_context.h"
+#include "spindleweir/drivers/raft_disk_storage.h"
+#include "spindleweir/servers/configuration/configuration_machine.h"
+#include "spindleweir/servers/consensus/raft_node.h"
+
+namespace spindleweir {
+
+/// Told what a command came to; nullptr where that is not known: no majority,
+/// or this process does not lead any more.
+using CommandDone = std::function<void(const CommandResult*)>;
+
+/// One voter with its state.
+class ReplicatedConfiguration {
+ public:
+  explicit ReplicatedConfiguration(ControlContext& aContext);
+
+  /// Proposes a command; aDone is called once.
+  void Submit(const Command& aCommand, CommandDone aDone);
+  /// Calls aDone(true) once the state here is proved to be the newest.
+  void ConfirmRead(std::function<void(bool)> aDone);
+  /// Replaces the voters by one; false where it cannot be now.
+  bool ChangeVoters(const std::vector<std::string>& aVoters);
+
+  const ConfigurationMachine& Machine() const { return mMachine; }
+  const RaftNode& Raft() const { return *mRaft; }
+  std::size_t DiskBytes() const { return mStorage.Bytes(); }
+
+ private:
+  struct Waiting {
+    std::vector<CommandDone> mDone;
+    Millis mSince = 0;
+  };
+
+  void Send(const RaftMessage& aMessage);
+  void Apply(const LogEntry& aEntry);
+  void Tick();
+  void FailWaiting();
+  void Spread();
+
+  ControlContext& mContext;
+  RaftDiskStorage mStorage;
+  ConfigurationMachine mMachine;
+  std::unique_ptr<RaftNode> mRaft;
+  std::map<std::string, Waiting> mWaiting;  ///< By command id.
+  std::string mLoggedLeader;
+  bool mStarted = false;
+  bool mFailureLogged = false;
+  std::unique_ptr<Timer> mTimer;
+  std::unique_ptr<Timer> mSpreadTimer;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/router/caller_api.cpp
@@ -0,0 +1,204 @@
+#include "daemons/router/caller_api.h"
+
+#include <charconv>
+
+#include "daemons/router/completion.h"
+#include "daemons/router/service_call.h"
+#include "spindleweir/core/digest.h"
+#include "spindleweir/core/log.h"
+#include "spindleweir/daemons/answers.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr const char* kTextType = "text/plain; charset=utf-8";
+constexpr std::string_view kServicePrefix = "/v1/services/";
+constexpr std::size_t kMaximumKeyLength = 255;
+constexpr Millis kMostDeadline = 3600 * 1000;
+constexpr int kMostPriority = 10;
+constexpr Millis kNotReadyRetryAfter = 1000;
+
+/// A whole number in a header, within bounds.
+std::int64_t NumberOf(std::string_view aText, const char* aHeader,
+                      std::int64_t aLeast, std::int64_t aMost) {
+  std::int64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [stop, ec] = std::from_chars(aText.data(), end, number);
+  if (ec != std::errc() || stop != end || number < aLeast || number > aMost) {
+    throw Error(ResultCode::kBadHeader,
+                std::string(aHeader) + " must be a whole number from " +
+                    std::to_string(aLeast) + " to " + std::to_string(aMost));
+  }
+  return number;
+}
+
+void RequireMethod(const HttpExchange& aExchange, const char* aMethod) {
+  if (aExchange.Method() != aMethod) {
+    throw Error(ResultCode::kMethodNotAllowed,
+                aExchange.Path() + " takes " + aMethod + " only");
+  }
+}
+
+void CheckKey(std::string_view aKey) {
+  const bool printable = std::all_of(
+      aKey.begin(), aKey.end(),
+      [](unsigned char aByte) { return aByte >= 0x20 && aByte < 0x7f; });
+  if (aKey.size() > kMaximumKeyLength || !printable) {
+    throw Error(ResultCode::kBadHeader,
+                "Idempotency-Key must be at most 255 printable characters");
+  }
+}
+
+}  // namespace
+
+CallerApi::CallerApi(RouterContext& aContext)
+    : mContext(aContext), mClaims(aContext) {}
+
+void CallerApi::Handle(const std::shared_ptr<HttpExchange>& aExchange) {
+  try {
+    Route(aExchange);
+  } catch (const Error& error) {
+    mContext.mCounters.Add(
+        "requests", "code=\"" + std::string(InfoOf(error.Code()).mName) + "\"");
+    const bool later = error.Code() == ResultCode::kNotReady ||
+                       error.Code() == ResultCode::kStopping;
+    ReplyError(*aExchange, {.mCode = error.Code(),
+                            .mMessage = error.what(),
+                            .mRetryAfter = later ? kNotReadyRetryAfter : 0});
+  }
+}
+
+void CallerApi::Route(const std::shared_ptr<HttpExchange>& aExchange) {
+  const std::string& path = aExchange->Path();
+  if (path == "/healthz") {
+    RequireMethod(*aExchange, "GET");
+    aExchange->Reply(kHttpOk, kTextType, "ok\n");
+  } else if (path == "/readyz") {
+    RequireMethod(*aExchange, "GET");
+    if (mContext.mStopping) {
+      throw Error(ResultCode::kStopping, "stopping");
+    }
+    if (!mContext.mReady) {
+      throw Error(ResultCode::kNotReady, "no accepted configuration yet");
+    }
+    aExchange->Reply(kHttpOk, kTextType, "ready\n");
+  } else if (path == "/metrics") {
+    RequireMethod(*aExchange, "GET");
+    mContext.mCounters.Set("open_requests", mContext.mOpenRequests);
+    mContext.mCounters.Set("queued_requests", static_cast<std::int64_t>(
+                                                  mContext.mLimiter.Queued()));
+    mContext.mCounters.Set("receipts_lost", mContext.mOutbox.Lost());
+    mContext.mCounters.Set("rpc_sent_bytes", mContext.mRpc.SentBytes());
+    aExchange->Reply(kHttpOk, "text/plain; version=0.0.4",
+                     mContext.mCounters.Text());
+  } else if (path == "/v1/models") {
+    RequireMethod(*aExchange, "GET");
+    ListModels(aExchange);
+  } else if (path == "/v1/chat/completions" || path == "/v1/completions") {
+    RequireMethod(*aExchange, "POST");
+    StartCompletion(aExchange, path == "/v1/chat/completions");
+  } else if (path.starts_with(kServicePrefix)) {
+    StartService(aExchange);
+  } else {
+    throw Error(ResultCode::kNotFound, "no path " + path);
+  }
+}
+
+CallerRequest CallerApi::Check(const std::shared_ptr<HttpExchange>& aExchange) {
+  if (mContext.mRefusing) {
+    throw Error(ResultCode::kStopping, "this router is stopping");
+  }
+  if (!mContext.mReady && !mContext.mStopping) {
+    throw Error(ResultCode::kNotReady, "no accepted configuration yet");
+  }
+  const WorkspaceSpec* workspace = FindWorkspaceByKey(
+      mContext.mConfiguration.mIntent, Sha256Hex(aExchange->BearerKey()));
+  if (workspace == nullptr) {
+    throw Error(ResultCode::kUnauthorized, "the bearer key is not known");
+  }
+  CallerRequest request;
+  request.mWorkspace = *workspace;
+  request.mExchange = aExchange;
+  request.mStarted = SteadyNow();
+  request.mIdempotencyKey = aExchange->Header("Idempotency-Key");
+  CheckKey(request.mIdempotencyKey);
+  const std::string_view deadline = aExchange->Header("X-Deadline-Ms");
+  if (!deadline.empty()) {
+    request.mDeadline = request.mStarted +
+                        NumberOf(deadline, "X-Deadline-Ms", 1, kMostDeadline);
+  }
+  const std::string_view priority = aExchange->Header("X-Priority");
+  if (!priority.empty()) {
+    request.mPriority = static_cast<int>(
+        NumberOf(priority, "X-Priority", -kMostPriority, kMostPriority));
+  }
+  request.mId = mContext.NextRequestId();
+  return request;
+}
+
+void CallerApi::StartCompletion(const std::shared_ptr<HttpExchange>& aExchange,
+                                bool aChat) {
+  CallerRequest request = Check(aExchange);
+  CompletionBody body = ReadCompletion(aExchange->Body(), aChat);
+  const ModelSpec* model =
+      FindModel(mContext.mConfiguration.mIntent, body.mModel);
+  if (model == nullptr) {
+    throw Error(ResultCode::kUnknownModel, "no model " + body.mModel);
+  }
+  if (!Allows(request.mWorkspace.mModels, body.mModel)) {
+    throw Error(ResultCode::kForbidden, "workspace " +
+                                            request.mWorkspace.mName +
+                                            " may not use " + body.mModel);
+  }
+  std::make_shared<Completion>(mContext, mClaims, std::move(request),
+                               std::move(body), *model)
+      ->Begin();
+}
+
+void CallerApi::StartService(const std::shared_ptr<HttpExchange>& aExchange) {
+  CallerRequest request = Check(aExchange);
+  const std::string_view rest =
+      std::string_view(aExchange->Path()).substr(kServicePrefix.size());
+  const std::size_t slash = std::min(rest.find('/'), rest.size());
+  const std::string name(rest.substr(0, slash));
+  const ServiceSpec* service =
+      FindService(mContext.mConfiguration.mIntent, name);
+  if (service == nullptr) {
+    throw Error(ResultCode::kNotFound, "no service " + name);
+  }
+  if (!Allows(request.mWorkspace.mServices, name)) {
+    throw Error(
+        ResultCode::kForbidden,
+        "workspace " + request.mWorkspace.mName + " may not use " + name);
+  }
+  std::string path(rest.substr(slash));
+  if (path.empty()) {
+    path = "/";
+  }
+  std::make_shared<ServiceCall>(mContext, mClaims, std::move(request), *service,
+                                std::move(path))
+      ->Begin();
+}
+
+void CallerApi::ListModels(const std::shared_ptr<HttpExchange>& aExchange) {
+  const CallerRequest request = Check(aExchange);
+  Json::Value list(Json::objectValue);
+  list["object"] = "list";
+  list["data"] = Json::Value(Json::arrayValue);
+  for (const ModelSpec& model : mContext.mConfiguration.mIntent.mModels) {
+    if (!Allows(request.mWorkspace.mModels, model.mName)) {
+      continue;
+    }
+    Json::Value item(Json::objectValue);
+    item["id"] = model.mName;
+    item["object"] = "model";
+    item["created"] = 0;
+    item["owned_by"] = "spindleweir";
+    list["data"].append(item);
+  }
+  ReplyJson(*aExchange, kHttpOk, list);
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/router/caller_api.h
@@ -0,0 +1,32 @@
+/// The paths that callers use, and the checks before a request starts.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "daemons/router/claim_gate.h"
+#include "daemons/router/request_base.h"
+#include "daemons/router/router_context.h"
+
+namespace spindleweir {
+
+/// Takes every request of the callers' port.
+class CallerApi {
+ public:
+  explicit CallerApi(RouterContext& aContext);
+
+  void Handle(const std::shared_ptr<HttpExchange>& aExchange);
+
+ private:
+  void Route(const std::shared_ptr<HttpExchange>& aExchange);
+  CallerRequest Check(const std::shared_ptr<HttpExchange>& aExchange);
+  void StartCompletion(const std::shared_ptr<HttpExchange>& aExchange,
+                       bool aChat);
+  void StartService(const std::shared_ptr<HttpExchange>& aExchange);
+  void ListModels(const std::shared_ptr<HttpExchange>& aExchange);
+
+  RouterContext& mContext;
+  ClaimGate mClaims;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/router/completion.h
@@ -0,0 +1,91 @@
+/// One completion on its way: admission, claim, chain, stream, resume, end.
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "daemons/router/claim_gate.h"
+#include "daemons/router/completion_body.h"
+#include "daemons/router/request_base.h"
+#include "daemons/router/router_context.h"
+#include "spindleweir/servers/routing/token_gate.h"
+
+namespace spindleweir {
+
+/// A typed state machine; it holds itself while anything of it is open.
+class Completion : public std::enable_shared_from_this<Completion> {
+ public:
+  Completion(RouterContext& aContext, ClaimGate& aClaims,
+             CallerRequest aRequest, CompletionBody aBody, ModelSpec aModel);
+  ~Completion();
+  Completion(const Completion&) = delete;
+  Completion& operator=(const Completion&) = delete;
+
+  void Begin();
+
+ private:
+  enum class Phase { kQueued, kClaiming, kRunning, kEnded };
+
+  void Admitted(const AdmissionOutcome& aOutcome);
+  void Claimed(const ClaimOutcome& aOutcome);
+  void ReplayStored(const StoredAnswer& aAnswer);
+
+  void Dispatch();
+  bool ChooseStages();
+  void LogRouting(const ChainChoice& aChoice,
+                  const std::vector<ChainCandidate>& aCandidates) const;
+  ChainJob MakeJob() const;
+  void HandleFrame(const TokenFrame& aFrame);
+  void HandleChainEnd(const HttpResult& aResult);
+  void EndAttempt(const char* aHow);
+  void Replace(const std::string& aWhy, const std::set<std::string>& aFailed);
+  void NoChain();
+
+  void WatchSilence();
+  void HandleSilence();
+  void ProbeStages();
+  void ProbesDone(const std::set<std::string>& aSilent);
+
+  void Deliver(const TokenFrame& aFrame);
+  void PushBack();
+  void FinishWhole();
+  void Fail(ResultCode aCode, const std::string& aMessage,
+            Millis aRetryAfter = 0);
+  void CallerLeft();
+  void End(ResultCode aCode, Ran aRan);
+  void SettleClaim(ResultCode aCode);
+  double ExpectedMillis() const;
+
+  RouterContext& mContext;
+  ClaimGate& mClaims;
+  CallerRequest mRequest;
+  CompletionBody mBody;
+  ModelSpec mModel;
+  CompletionReply mReply;
+  TokenGate mGate;
+  Phase mPhase = Phase::kQueued;
+  std::uint64_t mTicket = 0;
+  bool mPlaced = false;      ///< Holds a place of the limiter.
+  bool mDispatched = false;  ///< Something may have run.
+  bool mStreaming = false;   ///< The answer's head was sent.
+  ClaimRecord mClaim;
+  bool mClaimHeld = false;
+  std::vector<std::string> mTokens;  ///< Delivered, for a resume.
+  std::vector<StagePlacement> mStages;
+  double mChainCost = 0;
+  std::set<std::string> mExcluded;
+  int mSilences = 0;        ///< In a row, without a token.
+  int mChainWaits = 0;      ///< For any chain at all.
+  Millis mLostChainAt = 0;  ///< When no chain was left; 0: there is one.
+  std::unique_ptr<HttpCall> mCall;
+  std::unique_ptr<Timer> mSilenceTimer;
+  std::unique_ptr<Timer> mDeadlineTimer;
+  std::unique_ptr<Timer> mPushBackTimer;
+  std::unique_ptr<Timer> mRetryTimer;
+  Receipt mReceipt;
+  std::shared_ptr<Completion> mSelf;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/router/peer_link.cpp
@@ -0,0 +1,258 @@
+#include "daemons/router/peer_link.h"
+
+#include <algorithm>
+
+#include "spindleweir/core/json_codec.h"
+#include "spindleweir/core/log.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr Millis kTickPeriod = 50;
+constexpr Millis kReceiptPeriod = 200;
+constexpr Millis kProbeTimeout = 800;
+constexpr Millis kPullTimeout = 1000;
+constexpr Millis kReceiptTimeout = 2000;
+constexpr std::size_t kReceiptsPerBatch = 256;
+
+MemberTableOptions MakeMemberOptions(RouterContext& aContext) {
+  MemberTableOptions options;
+  options.mId = aContext.mOptions.mId;
+  options.mIncarnation = aContext.mIncarnation;
+  options.mSeed = static_cast<std::uint64_t>(aContext.mIncarnation);
+  return options;
+}
+
+}  // namespace
+
+PeerLink::PeerLink(RouterContext& aContext, RpcDispatcher& aDispatcher)
+    : mContext(aContext),
+      mMembers(
+          [this, &aContext] {
+            MemberTableOptions options = MakeMemberOptions(aContext);
+            options.mProbe = [this](const std::string& aTarget,
+                                    const std::string& aVia) {
+              Probe(aTarget, aVia);
+            };
+            options.mChanged = [this](const MemberUpdate& aUpdate) {
+              LogLine(LogLevel::kInfo, "member")
+                  .Add("id", aUpdate.mId)
+                  .Add("state", NameOf(aUpdate.mState));
+              mContext.mCounters.Add(
+                  "member_changes",
+                  "state=\"" + std::string(NameOf(aUpdate.mState)) + "\"");
+            };
+            return options;
+          }(),
+          SteadyNow()) {
+  RegisterMethods(aDispatcher);
+  mContext.mEntryVms.SignalChanged().connect(
+      [this](const EntryVms& aVms) { SetPeers(aVms); });
+  mTickTimer = mContext.mLoop.Every(kTickPeriod, [this] {
+    mMembers.Tick(SteadyNow());
+    UpdateReadiness();
+  });
+  mReceiptTimer =
+      mContext.mLoop.Every(kReceiptPeriod, [this] { HandReceiptsOver(); });
+}
+
+void PeerLink::RegisterMethods(RpcDispatcher& aDispatcher) {
+  aDispatcher.On(rpc_method::kPing, [this](const Json::Value& aMessage) {
+    Learn(FromJson<PeerState>(aMessage));
+    return ToJson(OwnState());
+  });
+  aDispatcher.On(rpc_method::kPingVia, [this](const Json::Value& aMessage) {
+    ProbeFor(FromJson<IndirectProbe>(aMessage));
+    return Json::Value(Json::objectValue);
+  });
+  aDispatcher.On(rpc_method::kAnswered, [this](const Json::Value& aMessage) {
+    mMembers.Answered(FromJson<IndirectProbe>(aMessage).mTarget, SteadyNow());
+    return Json::Value(Json::objectValue);
+  });
+  aDispatcher.On(rpc_method::kGetConfiguration, [this](const Json::Value&) {
+    return ToJson(mContext.mConfiguration);
+  });
+  aDispatcher.On(
+      rpc_method::kPushConfiguration, [this](const Json::Value& aMessage) {
+        const auto pushed = FromJson<Configuration>(aMessage);
+        mGreatestVersion = std::max(mGreatestVersion, pushed.mVersion);
+        mContext.Accept(pushed);
+        return Json::Value(Json::objectValue);
+      });
+  aDispatcher.On(rpc_method::kRouterState,
+                 [this](const Json::Value&) { return StateForOperators(); });
+}
+
+void PeerLink::SetPeers(const EntryVms& aVms) {
+  std::vector<std::string> ids;
+  for (const EntryVm& vm : aVms.All()) {
+    ids.push_back(vm.mId);
+  }
+  mMembers.SetMembers(ids, SteadyNow());
+  if (mContext.mReady) {
+    return;
+  }
+  // Before it serves, it hears each peer of its zone and each control once.
+  for (const EntryVm& vm : aVms.All()) {
+    const bool wanted =
+        vm.mZone == mContext.mOptions.mZone || vm.mRole == EntryRole::kControl;
+    if (wanted && vm.mId != mContext.mOptions.mId &&
+        mToAskFirst.insert(vm.mId).second) {
+      Probe(vm.mId, "");
+    }
+  }
+}
+
+PeerState PeerLink::OwnState() {
+  PeerState state;
+  state.mFrom = mContext.mOptions.mId;
+  state.mZone = mContext.mOptions.mZone;
+  state.mVersion = mContext.mConfiguration.mVersion;
+  state.mReady = mContext.mReady;
+  state.mUpdates = mMembers.Gossip();
+  state.mLeaving = mContext.mLeaving.Words();
+  return state;
+}
+
+void PeerLink::Learn(const PeerState& aState) {
+  mMembers.Learn(aState.mUpdates, SteadyNow());
+  for (const LeavingWord& word : aState.mLeaving) {
+    if (mContext.mLeaving.Add(word)) {
+      LogLine(LogLevel::kInfo, "upstream_leaving")
+          .Add("vm", word.mVm)
+          .Add("by", aState.mFrom);
+      mContext.RefreshLeaving();
+    }
+  }
+  mGreatestVersion = std::max(mGreatestVersion, aState.mVersion);
+  if (aState.mVersion > mContext.mConfiguration.mVersion) {
+    Pull(aState.mFrom);
+  }
+}
+
+void PeerLink::Probe(const std::string& aTarget, const std::string& aVia) {
+  const EntryVms& vms = mContext.mEntryVms.Current();
+  if (!aVia.empty()) {
+    if (const EntryVm* helper = vms.Find(aVia)) {
+      mContext.mRpc.Call(helper->mAddress, rpc_method::kPingVia,
+                         ToJson(IndirectProbe{mContext.mOptions.mId, aTarget}),
+                         kProbeTimeout, nullptr);
+    }
+    return;
+  }
+  const EntryVm* target = vms.Find(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  mContext.mRpc.Call(target->mAddress, rpc_method::kPing, ToJson(OwnState()),
+                     kProbeTimeout, [this, aTarget](const RpcResult& aResult) {
+                       mToAskFirst.erase(aTarget);
+                       if (aResult.mOk) {
+                         mMembers.Answered(aTarget, SteadyNow());
+                         Learn(FromJson<PeerState>(aResult.mAnswer));
+                       }
+                     });
+}
+
+void PeerLink::ProbeFor(const IndirectProbe& aAsked) {
+  const EntryVms& vms = mContext.mEntryVms.Current();
+  const EntryVm* target = vms.Find(aAsked.mTarget);
+  const EntryVm* asker = vms.Find(aAsked.mFrom);
+  if (target == nullptr || asker == nullptr) {
+    return;
+  }
+  mContext.mRpc.Call(
+      target->mAddress, rpc_method::kPing, ToJson(OwnState()), kProbeTimeout,
+      [this, aAsked, address = asker->mAddress](const RpcResult& aResult) {
+        if (aResult.mOk) {
+          mContext.mRpc.Call(address, rpc_method::kAnswered, ToJson(aAsked),
+                             kProbeTimeout, nullptr);
+        }
+      });
+}
+
+void PeerLink::Pull(const std::string& aFrom) {
+  const EntryVm* peer = mContext.mEntryVms.Current().Find(aFrom);
+  if (peer == nullptr || mPulling) {
+    return;
+  }
+  mPulling = true;
+  mContext.mRpc.Call(
+      peer->mAddress, rpc_method::kGetConfiguration,
+      Json::Value(Json::objectValue), kPullTimeout,
+      [this](const RpcResult& aResult) {
+        mPulling = false;
+        if (aResult.mOk) {
+          mContext.mCounters.Add("configuration_pulls");
+          mContext.Accept(FromJson<Configuration>(aResult.mAnswer));
+        }
+      });
+}
+
+void PeerLink::UpdateReadiness() {
+  mContext.RefreshLeaving();
+  std::size_t live = 1;
+  for (const EntryVm& vm :
+       mContext.mEntryVms.Current().OfRole(EntryRole::kRouter)) {
+    live += mMembers.IsUsable(vm.mId) ? 1 : 0;
+  }
+  mContext.SetLiveRouters(live);
+  const bool ready = mToAskFirst.empty() &&
+                     mContext.mConfiguration.mVersion > 0 &&
+                     mContext.mConfiguration.mVersion >= mGreatestVersion;
+  if (ready && !mContext.mReady) {
+    mContext.mReady = true;
+    LogLine(LogLevel::kInfo, "ready");
+  }
+}
+
+void PeerLink::HandReceiptsOver() {
+  const EntryVms& vms = mContext.mEntryVms.Current();
+  std::vector<EntryVm> controls =
+      vms.OfRole(EntryRole::kControl, mContext.mOptions.mZone);
+  if (controls.empty() || !mMembers.IsUsable(controls.front().mId)) {
+    controls = vms.OfRole(EntryRole::kControl);
+    std::erase_if(controls, [this](const EntryVm& aVm) {
+      return !mMembers.IsUsable(aVm.mId);
+    });
+  }
+  if (controls.empty()) {
+    return;
+  }
+  ReceiptBatch batch;
+  batch.mReceipts = mContext.mOutbox.Take(kReceiptsPerBatch);
+  if (batch.mReceipts.empty()) {
+    return;
+  }
+  mContext.mRpc.Call(controls.front().mAddress, rpc_method::kStoreReceipts,
+                     ToJson(batch), kReceiptTimeout,
+                     [this](const RpcResult& aResult) {
+                       mContext.mOutbox.Acknowledge(aResult.mOk);
+                     });
+}
+
+Json::Value PeerLink::StateForOperators() const {
+  Json::Value state(Json::objectValue);
+  state["id"] = mContext.mOptions.mId;
+  state["zone"] = mContext.mOptions.mZone;
+  state["ready"] = mContext.mReady;
+  state["stopping"] = mContext.mStopping;
+  state["configuration_version"] =
+      static_cast<Json::Int64>(mContext.mConfiguration.mVersion);
+  state["open_requests"] = mContext.mOpenRequests;
+  state["leaving"] = Json::Value(Json::arrayValue);
+  for (const std::string& vm : mContext.mLeaving.Vms()) {
+    state["leaving"].append(vm);
+  }
+  state["members"] = Json::Value(Json::arrayValue);
+  for (const MemberUpdate& member : mMembers.All()) {
+    Json::Value item(Json::objectValue);
+    item["id"] = member.mId;
+    item["state"] = NameOf(member.mState);
+    state["members"].append(item);
+  }
+  return state;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/router/peer_link.h
@@ -0,0 +1,43 @@
+/// A router's dealings with our other processes: probes, gossip, the
+/// configuration, and the handing over of receipts.
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "daemons/router/router_context.h"
+#include "spindleweir/daemons/peer_messages.h"
+#include "spindleweir/drivers/rpc_dispatcher.h"
+
+namespace spindleweir {
+
+/// Registers its methods with the dispatcher and runs by its own timers.
+class PeerLink {
+ public:
+  PeerLink(RouterContext& aContext, RpcDispatcher& aDispatcher);
+
+  const MemberTable& Members() const { return mMembers; }
+
+ private:
+  void RegisterMethods(RpcDispatcher& aDispatcher);
+  void SetPeers(const EntryVms& aVms);
+  PeerState OwnState();
+  void Learn(const PeerState& aState);
+  void Probe(const std::string& aTarget, const std::string& aVia);
+  void ProbeFor(const IndirectProbe& aAsked);
+  void Pull(const std::string& aFrom);
+  void UpdateReadiness();
+  void HandReceiptsOver();
+  Json::Value StateForOperators() const;
+
+  RouterContext& mContext;
+  MemberTable mMembers;
+  std::set<std::string> mToAskFirst;  ///< Before the router is ready.
+  std::int64_t mGreatestVersion = 0;  ///< Heard of.
+  bool mPulling = false;
+  std::unique_ptr<Timer> mTickTimer;
+  std::unique_ptr<Timer> mReceiptTimer;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/router/router_context.cpp
@@ -0,0 +1,144 @@
+#include "daemons/router/router_context.h"
+
+#include "spindleweir/core/log.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr std::size_t kOutboxReceipts = 4096;
+constexpr Millis kLimiterPeriod = 20;
+/// Until links are measured: what the users' pages say of their zones.
+constexpr double kSameZoneMillis = 0.1;
+constexpr double kOtherZoneMillis = 0.9;
+
+}  // namespace
+
+RouterContext::RouterContext(EventLoop& aLoop, RouterOptions aOptions)
+    : mLoop(aLoop),
+      mOptions(std::move(aOptions)),
+      mIncarnation(WallNow()),
+      mClient(aLoop),
+      mRpc(mClient, mOptions.mClusterKey),
+      mEngines(mClient),
+      mEntryVms(aLoop, mOptions.mEntryVms),
+      mView({}),
+      mLimiter(
+          {.mMaximumInFlight = mOptions.mMaximumInFlight,
+           .mMaximumQueue = static_cast<std::size_t>(mOptions.mMaximumQueue)}),
+      mRetryBudget({}),
+      mOutbox(kOutboxReceipts),
+      mRandom(std::random_device{}()),
+      mLimiterTimer(aLoop.Every(
+          kLimiterPeriod, [this] { Announce(mLimiter.Tick(SteadyNow())); })) {}
+
+bool RouterContext::Accept(const Configuration& aConfiguration) {
+  if (aConfiguration.mVersion <= mConfiguration.mVersion) {
+    const bool fork = aConfiguration.mVersion == mConfiguration.mVersion &&
+                      aConfiguration.mHash != mConfiguration.mHash;
+    if (fork) {
+      mCounters.Add("configuration_forks");
+      LogLine(LogLevel::kError, "configuration_fork")
+          .Add("version", static_cast<Json::Int64>(aConfiguration.mVersion));
+    }
+    return false;
+  }
+  if (HashOf(aConfiguration) != aConfiguration.mHash) {
+    mCounters.Add("configuration_bad_hashes");
+    LogLine(LogLevel::kError, "configuration_bad_hash")
+        .Add("version", static_cast<Json::Int64>(aConfiguration.mVersion));
+    return false;
+  }
+  mConfiguration = aConfiguration;
+  mLeaving.SetDrained(mConfiguration.mDrained);
+  RefreshLeaving();
+  ShareLimits();
+  mCounters.Set("configuration_version", mConfiguration.mVersion);
+  LogLine(LogLevel::kInfo, "configuration_in_force")
+      .Add("version", static_cast<Json::Int64>(mConfiguration.mVersion))
+      .Add("hash", mConfiguration.mHash);
+  return true;
+}
+
+void RouterContext::SetLiveRouters(std::size_t aCount) {
+  if (aCount != mLiveRouters) {
+    mLiveRouters = aCount;
+    ShareLimits();
+  }
+}
+
+void RouterContext::ShareLimits() {
+  const auto parts = static_cast<double>(mLiveRouters);
+  for (const WorkspaceSpec& workspace : mConfiguration.mIntent.mWorkspaces) {
+    mLimiter.SetLimits(
+        workspace.mName,
+        {.mMaximumConcurrent = workspace.mMaximumConcurrent / parts,
+         .mRequestsPerSecond = workspace.mRequestsPerSecond / parts,
+         .mWeight = workspace.mWeight});
+  }
+}
+
+std::uint64_t RouterContext::Ask(
+    AdmissionRequest aRequest,
+    std::function<void(const AdmissionOutcome&)> aDone) {
+  aRequest.mTicket = mNextTicket++;
+  mWaiting[aRequest.mTicket] = std::move(aDone);
+  Announce(mLimiter.Ask(aRequest, SteadyNow()));
+  return aRequest.mTicket;
+}
+
+void RouterContext::WithdrawTicket(std::uint64_t aTicket) {
+  if (mWaiting.erase(aTicket) > 0) {
+    mLimiter.Withdraw(aTicket);
+  }
+}
+
+void RouterContext::ReleasePlace(const std::string& aWorkspace) {
+  Announce(mLimiter.Release(aWorkspace, SteadyNow()));
+}
+
+void RouterContext::Announce(const std::vector<AdmissionOutcome>& aOutcomes) {
+  for (const AdmissionOutcome& outcome : aOutcomes) {
+    const auto it = mWaiting.find(outcome.mTicket);
+    if (it == mWaiting.end()) {
+      continue;
+    }
+    const auto call = std::move(it->second);
+    mWaiting.erase(it);
+    call(outcome);
+  }
+}
+
+void RouterContext::RefreshLeaving() {
+  for (const auto& [vm, upstream] : mView.All()) {
+    const EngineReport& report = upstream.mReport;
+    if (upstream.mReportedAt >= 0) {
+      mLeaving.Seen(vm, report.mIncarnation);
+    }
+    if (upstream.mListedLeaving || report.mLeaving) {
+      const bool news = mLeaving.Add({vm, report.mIncarnation});
+      if (news) {
+        LogLine(LogLevel::kInfo, "upstream_leaving")
+            .Add("vm", vm)
+            .Add("by", report.mLeaving ? "its own word" : "the platform");
+      }
+    }
+  }
+  mView.SetLeaving(mLeaving.Vms());
+}
+
+std::string RouterContext::NextRequestId() {
+  return mOptions.mId + "-" + std::to_string(mIncarnation) + "-" +
+         std::to_string(mNextRequest++);
+}
+
+double RouterContext::Random() {
+  return std::uniform_real_distribution<double>(0, 1)(mRandom);
+}
+
+double RouterContext::LinkMillis(const std::string& aFrom,
+                                 const std::string& aTo) const {
+  return aFrom == aTo ? kSameZoneMillis : kOtherZoneMillis;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/router/router_context.h
@@ -0,0 +1,81 @@
+/// What the parts of a router share.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "spindleweir/core/counters.h"
+#include "spindleweir/daemons/entry_vms_file.h"
+#include "spindleweir/daemons/router_daemon.h"
+#include "spindleweir/drivers/engine_client.h"
+#include "spindleweir/drivers/rpc_channel.h"
+#include "spindleweir/servers/configuration/configuration.h"
+#include "spindleweir/servers/limits/workspace_limiter.h"
+#include "spindleweir/servers/membership/leaving_set.h"
+#include "spindleweir/servers/receipts/receipt_book.h"
+#include "spindleweir/servers/routing/retry_budget.h"
+#include "spindleweir/servers/routing/upstream_view.h"
+
+namespace spindleweir {
+
+/// The state of one router. Single-threaded.
+class RouterContext {
+ public:
+  RouterContext(EventLoop& aLoop, RouterOptions aOptions);
+
+  /// Takes an accepted configuration if it is newer; true where it was.
+  bool Accept(const Configuration& aConfiguration);
+  /// How many routers share the workspaces' limits.
+  void SetLiveRouters(std::size_t aCount);
+  /// Asks for a place; aDone is called once, maybe at once.
+  std::uint64_t Ask(AdmissionRequest aRequest,
+                    std::function<void(const AdmissionOutcome&)> aDone);
+  void WithdrawTicket(std::uint64_t aTicket);
+  void ReleasePlace(const std::string& aWorkspace);
+  /// Brings who leaves from all sources into the view.
+  void RefreshLeaving();
+
+  std::string NextRequestId();
+  double Random();
+  /// Milliseconds that a token takes between two zones.
+  double LinkMillis(const std::string& aFrom, const std::string& aTo) const;
+
+  EventLoop& mLoop;
+  RouterOptions mOptions;
+  std::int64_t mIncarnation;
+  HttpClient mClient;
+  RpcChannel mRpc;
+  EngineClient mEngines;
+  Counters mCounters;
+  EntryVmsFile mEntryVms;
+  UpstreamView mView;
+  WorkspaceLimiter mLimiter;
+  RetryBudget mRetryBudget;
+  Configuration mConfiguration;
+  LeavingSet mLeaving;
+  ReceiptOutbox mOutbox;
+  bool mReady = false;
+  bool mStopping = false;  ///< Not ready any more, for the balancer.
+  bool mRefusing = false;  ///< Takes no new request any more.
+  int mOpenRequests = 0;
+  std::function<void()> mOnRequestEnded;  ///< After each request.
+
+ private:
+  /// Gives the limiter this router's part of each workspace's limits.
+  void ShareLimits();
+  void Announce(const std::vector<AdmissionOutcome>& aOutcomes);
+
+  std::map<std::uint64_t, std::function<void(const AdmissionOutcome&)>>
+      mWaiting;
+  std::uint64_t mNextTicket = 1;
+  std::uint64_t mNextRequest = 1;
+  std::size_t mLiveRouters = 1;
+  std::mt19937_64 mRandom;
+  std::unique_ptr<Timer> mLimiterTimer;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/router/router_daemon.cpp
@@ -0,0 +1,113 @@
+#include "spindleweir/daemons/router_daemon.h"
+
+#include "daemons/router/caller_api.h"
+#include "daemons/router/peer_link.h"
+#include "daemons/router/stewardship.h"
+#include "spindleweir/core/json_codec.h"
+#include "spindleweir/core/log.h"
+#include "spindleweir/daemons/answers.h"
+#include "spindleweir/daemons/upstream_watcher.h"
+#include "spindleweir/drivers/file_tools.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr std::size_t kMaximumRpcBytes = 64 * 1024 * 1024;
+constexpr Millis kUnreadyBeforeClose = 200;
+
+}  // namespace
+
+/// The parts of a router, in the order in which they are made.
+struct RouterDaemon::Parts {
+  Parts(EventLoop& aLoop, RouterOptions aOptions)
+      : mContext(aLoop, std::move(aOptions)),
+        mDispatcher(mContext.mOptions.mClusterKey),
+        mPeers(mContext, mDispatcher),
+        mStewardship(mContext, mDispatcher),
+        mApi(mContext),
+        mWatcher(aLoop, mContext.mClient, mContext.mView,
+                 {.mPlatform = mContext.mOptions.mPlatform}),
+        mRpcServer(aLoop, {.mListen = mContext.mOptions.mRpcListen,
+                           .mMaximumBodyBytes = kMaximumRpcBytes,
+                           .mHandle =
+                               [this](std::shared_ptr<HttpExchange> aExchange) {
+                                 mDispatcher.Handle(*aExchange);
+                               }}),
+        mCallerServer(
+            aLoop, {.mListen = mContext.mOptions.mListen,
+                    .mHandle = [this](std::shared_ptr<HttpExchange> aExchange) {
+                      mApi.Handle(aExchange);
+                    }}) {}
+
+  RouterContext mContext;
+  RpcDispatcher mDispatcher;
+  PeerLink mPeers;
+  Stewardship mStewardship;
+  CallerApi mApi;
+  UpstreamWatcher mWatcher;
+  HttpServer mRpcServer;
+  HttpServer mCallerServer;
+  std::unique_ptr<Timer> mStopTimer;
+  std::unique_ptr<Timer> mDrainTimer;
+  std::unique_ptr<Timer> mRefuseTimer;
+};
+
+RouterDaemon::RouterDaemon(EventLoop& aLoop, RouterOptions aOptions)
+    : mParts(std::make_unique<Parts>(aLoop, std::move(aOptions))) {
+  mParts->mContext.mEntryVms.Check();
+  const RouterOptions& options = mParts->mContext.mOptions;
+  if (!options.mPortFile.empty()) {
+    Json::Value ports(Json::objectValue);
+    ports["listen"] = CallerAddress().Text();
+    ports["rpc"] = RpcAddress().Text();
+    ReplaceFile(options.mPortFile, DumpJson(ports));
+  }
+  LogLine(LogLevel::kInfo, "started")
+      .Add("zone", options.mZone)
+      .Add("listen", CallerAddress().Text())
+      .Add("rpc", RpcAddress().Text());
+}
+
+RouterDaemon::~RouterDaemon() = default;
+
+const Endpoint& RouterDaemon::CallerAddress() const {
+  return mParts->mCallerServer.Address();
+}
+
+const Endpoint& RouterDaemon::RpcAddress() const {
+  return mParts->mRpcServer.Address();
+}
+
+void RouterDaemon::Stop() {
+  RouterContext& context = mParts->mContext;
+  if (context.mStopping) {
+    return;
+  }
+  context.mStopping = true;
+  context.mReady = false;
+  LogLine(LogLevel::kInfo, "stopping")
+      .Add("open_requests", context.mOpenRequests);
+  mParts->mStewardship.Stop();
+  // Until the balancer has seen that this router is not ready, what it still
+  // sends is served.
+  mParts->mRefuseTimer = context.mLoop.After(
+      context.mOptions.mStopUnready, [&context] { context.mRefusing = true; });
+  // What is in flight ends, and its receipts are handed over.
+  mParts->mDrainTimer = context.mLoop.Every(kUnreadyBeforeClose, [&context] {
+    if (context.mRefusing && context.mOpenRequests == 0 &&
+        context.mOutbox.Size() == 0) {
+      LogLine(LogLevel::kInfo, "stopped");
+      context.mLoop.Stop();
+    }
+  });
+  mParts->mStopTimer =
+      context.mLoop.After(context.mOptions.mStopGrace, [&context] {
+        LogLine(LogLevel::kWarning, "stop_grace_over")
+            .Add("open_requests", context.mOpenRequests)
+            .Add("receipts", static_cast<int>(context.mOutbox.Size()));
+        context.mLoop.Stop();
+      });
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/router/service_call.cpp
@@ -0,0 +1,345 @@
+#include "daemons/router/service_call.h"
+
+#include <algorithm>
+
+#include "spindleweir/core/log.h"
+#include "spindleweir/daemons/answers.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr Millis kDefaultTimeout = 30000;
+constexpr int kMaximumAttempts = 3;
+constexpr Millis kRetryFirst = 20;
+constexpr Millis kRetryMost = 500;
+constexpr Millis kNoUpstreamRetryAfter = 1000;
+constexpr int kHttpServerError = 500;
+constexpr int kHttpUnavailable = 503;
+/// With this header a service proves that it did not start the call.
+constexpr const char* kNotRunHeader = "Not-Run";
+
+std::string HeaderOf(const HttpResult& aResult, const std::string& aName) {
+  for (const HttpHeader& header : aResult.mHeaders) {
+    if (std::equal(header.mName.begin(), header.mName.end(), aName.begin(),
+                   aName.end(), [](unsigned char aLeft, unsigned char aRight) {
+                     return std::tolower(aLeft) == std::tolower(aRight);
+                   })) {
+      return header.mValue;
+    }
+  }
+  return "";
+}
+
+}  // namespace
+
+ServiceCall::ServiceCall(RouterContext& aContext, ClaimGate& aClaims,
+                         CallerRequest aRequest, ServiceSpec aService,
+                         std::string aPath)
+    : mContext(aContext),
+      mClaims(aClaims),
+      mRequest(std::move(aRequest)),
+      mService(std::move(aService)),
+      mPath(std::move(aPath)) {
+  mReceipt.mRequest = mRequest.mId;
+  mReceipt.mWorkspace = mRequest.mWorkspace.mName;
+  mReceipt.mTarget = mService.mName;
+  mReceipt.mRouter = mContext.mOptions.mId;
+  mReceipt.mZone = mContext.mOptions.mZone;
+  mReceipt.mConfigurationVersion = mContext.mConfiguration.mVersion;
+  mReceipt.mStartedWall = WallNow();
+}
+
+ServiceCall::~ServiceCall() = default;
+
+bool ServiceCall::MayRepeat() const {
+  const std::string& method = mRequest.mExchange->Method();
+  return mService.mRepeatable || method == "GET" || method == "HEAD";
+}
+
+void ServiceCall::Begin() {
+  mSelf = shared_from_this();
+  mContext.mOpenRequests++;
+  mRequest.mExchange->OnClosed([this] { CallerLeft(); });
+  const Millis left = mRequest.mDeadline > 0 ? mRequest.mDeadline - SteadyNow()
+                                             : kDefaultTimeout;
+  mTimer =
+      mContext.mLoop.After(std::max<Millis>(0, left), [this] { TimeOut(); });
+  AdmissionRequest ask;
+  ask.mWorkspace = mRequest.mWorkspace.mName;
+  ask.mPriority = mRequest.mPriority;
+  ask.mDeadline = mRequest.mDeadline;
+  mTicket = mContext.Ask(
+      ask, [self = shared_from_this()](const AdmissionOutcome& aOutcome) {
+        self->Admitted(aOutcome);
+      });
+}
+
+void ServiceCall::Admitted(const AdmissionOutcome& aOutcome) {
+  if (aOutcome.mCode != ResultCode::kOk) {
+    Fail(aOutcome.mCode, "", aOutcome.mRetryAfter);
+    return;
+  }
+  mPlaced = true;
+  mContext.mRetryBudget.RequestStarted();
+  if (MayRepeat() || mRequest.mIdempotencyKey.empty()) {
+    Dispatch();
+    return;
+  }
+  const std::string body = mRequest.mExchange->Method() + " " + mPath + "\n" +
+                           mRequest.mExchange->Body();
+  mClaims.Acquire(mRequest.ClaimKey(mService.mName), mRequest.mId, body,
+                  [self = shared_from_this()](const ClaimOutcome& aOutcome2) {
+                    self->Claimed(aOutcome2);
+                  });
+}
+
+void ServiceCall::Claimed(const ClaimOutcome& aOutcome) {
+  mClaim = aOutcome.mAsked;
+  LogLine(LogLevel::kInfo, "claim")
+      .Add("request", mRequest.mId)
+      .Add("verdict", static_cast<int>(aOutcome.mVerdict));
+  if (aOutcome.mVerdict == ClaimVerdict::kGranted && !mEnded) {
+    mClaimHeld = true;
+    Dispatch();
+    return;
+  }
+  // Grants of a minority, or to a caller that left, must not block a resend.
+  mClaims.Release(mClaim);
+  if (mEnded) {
+    return;
+  }
+  const StoredAnswer& answer = aOutcome.mEarlier.mAnswer;
+  if (aOutcome.mVerdict == ClaimVerdict::kDone && answer.mKept) {
+    mContext.mCounters.Add("answers_replayed");
+    mRequest.mExchange->AddHeader("Idempotent-Replayed", "true");
+    mRequest.mExchange->AddHeader("X-Request-Id", mRequest.mId);
+    mRequest.mExchange->Reply(answer.mStatus, answer.mType, answer.mBody);
+    End(ResultCode::kOk, Ran::kYes);
+    return;
+  }
+  Fail(CodeOf(aOutcome.mVerdict), "");
+}
+
+void ServiceCall::Dispatch() {
+  mRetryTimer.reset();
+  std::vector<const Upstream*> instances =
+      mContext.mView.ServiceInstances(mService.mName, SteadyNow());
+  std::erase_if(instances, [this](const Upstream* aUpstream) {
+    return mTried.contains(aUpstream->mVm) ||
+           !Allows(mService.mZones, aUpstream->mZone) ||
+           !Allows(mRequest.mWorkspace.mZones, aUpstream->mZone);
+  });
+  // Of the least loaded the own zone's goes first.
+  std::stable_sort(instances.begin(), instances.end(),
+                   [this](const Upstream* aLeft, const Upstream* aRight) {
+                     const std::string& home = mContext.mOptions.mZone;
+                     const int left =
+                         2 * aLeft->mInFlight + (aLeft->mZone == home ? 0 : 1);
+                     const int right = 2 * aRight->mInFlight +
+                                       (aRight->mZone == home ? 0 : 1);
+                     return left < right;
+                   });
+  if (instances.empty()) {
+    Fail(mMayHaveRun ? ResultCode::kOutcomeUnknown : ResultCode::kNoUpstream,
+         "no instance of " + mService.mName + " can take the call",
+         kNoUpstreamRetryAfter);
+    return;
+  }
+  const Upstream& upstream = *instances.front();
+  mVm = upstream.mVm;
+  mTried.insert(mVm);
+  mAttempt++;
+  LogRouting(mVm, instances.size());
+  mReceipt.mAttempts.push_back(
+      {.mAttempt = mAttempt,
+       .mStages = {{.mEngine = mVm, .mZone = upstream.mZone}}});
+  mContext.mView.Dispatched(mVm, SteadyNow());
+  HttpCallOptions options;
+  options.mServer = upstream.mAddress;
+  options.mMethod = mRequest.mExchange->Method();
+  options.mPath = mPath;
+  options.mBody = mRequest.mExchange->Body();
+  const std::string type(mRequest.mExchange->Header("Content-Type"));
+  options.mHeaders = {{"X-Request-Id", mRequest.mId},
+                      {"X-Workspace", mRequest.mWorkspace.mName}};
+  if (!type.empty()) {
+    options.mHeaders.push_back({"Content-Type", type});
+  }
+  if (!mRequest.mIdempotencyKey.empty()) {
+    options.mHeaders.push_back({"Idempotency-Key", mRequest.mIdempotencyKey});
+  }
+  options.mTimeout = 0;
+  options.mFresh = !MayRepeat();
+  options.mOnDone = [this](const HttpResult& aResult) {
+    HandleResult(aResult);
+  };
+  mCall = mContext.mClient.Start(std::move(options));
+}
+
+void ServiceCall::LogRouting(const std::string& aChosen,
+                             std::size_t aCandidates) const {
+  LogLine(LogLevel::kInfo, "route")
+      .Add("request", mRequest.mId)
+      .Add("workspace", mRequest.mWorkspace.mName)
+      .Add("service", mService.mName)
+      .Add("attempt", mAttempt)
+      .Add("candidates", static_cast<int>(aCandidates))
+      .Add("chosen", aChosen)
+      .Add("configuration",
+           static_cast<Json::Int64>(mContext.mConfiguration.mVersion));
+}
+
+void ServiceCall::HandleResult(const HttpResult& aResult) {
+  if (mEnded) {
+    return;
+  }
+  if (!aResult.mComplete) {
+    mContext.mView.Failed(mVm, SteadyNow());
+    EndAttempt("failed");
+    mMayHaveRun = mMayHaveRun || aResult.mSent;
+    TryAgain("connection lost", !aResult.mSent);
+    return;
+  }
+  const bool refused = aResult.mStatus == kHttpUnavailable &&
+                       HeaderOf(aResult, kNotRunHeader) == "true";
+  if (refused) {
+    EndAttempt("failed");
+    TryAgain("the instance did not start it", true);
+    return;
+  }
+  mContext.mView.Succeeded(mVm);
+  EndAttempt("done");
+  if (MayRepeat() && aResult.mStatus >= kHttpServerError &&
+      mAttempt < kMaximumAttempts && mContext.mRetryBudget.TrySpend()) {
+    mRetryTimer =
+        mContext.mLoop.After(BackoffDelay(mAttempt, kRetryFirst, kRetryMost,
+                                          [this] { return mContext.Random(); }),
+                             [this] { Dispatch(); });
+    return;
+  }
+  Answer(aResult);
+}
+
+void ServiceCall::TryAgain(const std::string& aWhy, bool aProvenNotRun) {
+  LogLine(LogLevel::kWarning, "service_call_failed")
+      .Add("request", mRequest.mId)
+      .Add("vm", mVm)
+      .Add("why", aWhy)
+      .Add("proven_not_run", aProvenNotRun);
+  if (!aProvenNotRun && !MayRepeat()) {
+    Fail(ResultCode::kOutcomeUnknown, aWhy + " after dispatch");
+    return;
+  }
+  if (mAttempt >= kMaximumAttempts || !mContext.mRetryBudget.TrySpend()) {
+    Fail(mMayHaveRun ? ResultCode::kOutcomeUnknown : ResultCode::kNoUpstream,
+         aWhy, kNoUpstreamRetryAfter);
+    return;
+  }
+  mRetryTimer =
+      mContext.mLoop.After(BackoffDelay(mAttempt, kRetryFirst, kRetryMost,
+                                        [this] { return mContext.Random(); }),
+                           [this] { Dispatch(); });
+}
+
+void ServiceCall::Answer(const HttpResult& aResult) {
+  const std::string type = HeaderOf(aResult, "Content-Type");
+  if (mClaimHeld) {
+    mClaimHeld = false;
+    mClaims.Finish(
+        mClaim, ClaimState::kDone,
+        {.mStatus = aResult.mStatus, .mType = type, .mBody = aResult.mBody});
+  }
+  mRequest.mExchange->AddHeader("X-Request-Id", mRequest.mId);
+  mRequest.mExchange->Reply(aResult.mStatus, type, aResult.mBody);
+  End(ResultCode::kOk, Ran::kYes);
+}
+
+void ServiceCall::Fail(ResultCode aCode, const std::string& aMessage,
+                       Millis aRetryAfter) {
+  if (mEnded) {
+    return;
+  }
+  mRequest.mExchange->AddHeader("X-Request-Id", mRequest.mId);
+  ReplyError(*mRequest.mExchange, {.mCode = aCode,
+                                   .mMessage = aMessage,
+                                   .mRequest = mRequest.mId,
+                                   .mRetryAfter = aRetryAfter});
+  End(aCode, InfoOf(aCode).mRan);
+}
+
+void ServiceCall::TimeOut() {
+  const bool dispatched = mCall != nullptr || mMayHaveRun;
+  mMayHaveRun = dispatched;
+  EndAttempt("cancelled");
+  Fail(dispatched ? ResultCode::kDeadlineExceeded
+                  : ResultCode::kDeadlineTooShort,
+       "");
+}
+
+void ServiceCall::CallerLeft() {
+  if (mEnded) {
+    return;
+  }
+  mContext.mCounters.Add("callers_left");
+  if (mCall != nullptr && !MayRepeat()) {
+    // It may run whether the caller waits or not: its outcome is awaited and
+    // kept for a resend.
+    return;
+  }
+  mMayHaveRun = mMayHaveRun || mCall != nullptr;
+  EndAttempt("cancelled");
+  End(ResultCode::kOutcomeUnknown, mMayHaveRun ? Ran::kUnknown : Ran::kNo);
+}
+
+void ServiceCall::EndAttempt(const char* aHow) {
+  if (mCall == nullptr) {
+    return;
+  }
+  mCall.reset();
+  mReceipt.mAttempts.back().mEnded = aHow;
+  mContext.mView.Ended(mVm);
+}
+
+void ServiceCall::End(ResultCode aCode, Ran aRan) {
+  mEnded = true;
+  mContext.WithdrawTicket(mTicket);
+  mTimer.reset();
+  mRetryTimer.reset();
+  if (mClaimHeld) {
+    mClaimHeld = false;
+    if (mMayHaveRun) {
+      mClaims.Finish(mClaim, ClaimState::kUnknown, {});
+    } else {
+      mClaims.Release(mClaim);
+    }
+  }
+  const ResultCodeInfo& info = InfoOf(aCode);
+  mReceipt.mTookMillis = SteadyNow() - mRequest.mStarted;
+  mReceipt.mCode = static_cast<int>(aCode);
+  mReceipt.mRan = NameOf(aRan);
+  mContext.mOutbox.Add(mReceipt);
+  mContext.mCounters.Add("requests",
+                         "code=\"" + std::string(info.mName) + "\"");
+  LogLine(LogLevel::kInfo, "request_ended")
+      .Add("request", mRequest.mId)
+      .Add("workspace", mRequest.mWorkspace.mName)
+      .Add("code", static_cast<int>(aCode))
+      .Add("name", std::string(info.mName))
+      .Add("ran", mReceipt.mRan)
+      .Add("attempts", mAttempt)
+      .Add("took_ms", static_cast<Json::Int64>(mReceipt.mTookMillis));
+  if (mPlaced) {
+    mPlaced = false;
+    mContext.ReleasePlace(mRequest.mWorkspace.mName);
+  }
+  mContext.mOpenRequests--;
+  // Whoever called this is still on the stack.
+  mContext.mLoop.Post([self = std::move(mSelf), &context = mContext] {
+    if (context.mOnRequestEnded) {
+      context.mOnRequestEnded();
+    }
+  });
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/router/service_call.h
@@ -0,0 +1,64 @@
+/// One call to a plain service on its way.
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "daemons/router/claim_gate.h"
+#include "daemons/router/request_base.h"
+#include "daemons/router/router_context.h"
+
+namespace spindleweir {
+
+/// A call that may not be repeated is dispatched at most once; with an
+/// Idempotency-Key it is claimed first, so that this holds over all routers.
+class ServiceCall : public std::enable_shared_from_this<ServiceCall> {
+ public:
+  /// aPath: what follows the service's name, with its leading slash.
+  ServiceCall(RouterContext& aContext, ClaimGate& aClaims,
+              CallerRequest aRequest, ServiceSpec aService, std::string aPath);
+  ~ServiceCall();
+  ServiceCall(const ServiceCall&) = delete;
+  ServiceCall& operator=(const ServiceCall&) = delete;
+
+  void Begin();
+
+ private:
+  void Admitted(const AdmissionOutcome& aOutcome);
+  void Claimed(const ClaimOutcome& aOutcome);
+  void Dispatch();
+  void LogRouting(const std::string& aChosen, std::size_t aCandidates) const;
+  void HandleResult(const HttpResult& aResult);
+  void TryAgain(const std::string& aWhy, bool aProvenNotRun);
+  void Answer(const HttpResult& aResult);
+  void Fail(ResultCode aCode, const std::string& aMessage,
+            Millis aRetryAfter = 0);
+  void CallerLeft();
+  void TimeOut();
+  void EndAttempt(const char* aHow);
+  void End(ResultCode aCode, Ran aRan);
+  bool MayRepeat() const;
+
+  RouterContext& mContext;
+  ClaimGate& mClaims;
+  CallerRequest mRequest;
+  ServiceSpec mService;
+  std::string mPath;
+  std::uint64_t mTicket = 0;
+  bool mPlaced = false;
+  bool mEnded = false;
+  bool mMayHaveRun = false;  ///< An attempt left this process unanswered.
+  ClaimRecord mClaim;
+  bool mClaimHeld = false;
+  int mAttempt = 0;
+  std::string mVm;  ///< Of the attempt under way.
+  std::set<std::string> mTried;
+  std::unique_ptr<HttpCall> mCall;
+  std::unique_ptr<Timer> mTimer;
+  std::unique_ptr<Timer> mRetryTimer;
+  Receipt mReceipt;
+  std::shared_ptr<ServiceCall> mSelf;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/upstream_watcher.cpp
@@ -0,0 +1,67 @@
+#include "spindleweir/daemons/upstream_watcher.h"
+
+#include "spindleweir/core/error.h"
+#include "spindleweir/drivers/platform_list.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr Millis kReportTimeout = 1000;
+
+}  // namespace
+
+UpstreamWatcher::UpstreamWatcher(EventLoop& aLoop, HttpClient& aClient,
+                                 UpstreamView& aView,
+                                 UpstreamWatcherOptions aOptions)
+    : mClient(aClient),
+      mView(aView),
+      mOptions(std::move(aOptions)),
+      mEngines(aClient),
+      mListTimer(aLoop.Every(mOptions.mListPeriod, [this] { ReadList(); })),
+      mReportTimer(
+          aLoop.Every(mOptions.mReportPeriod, [this] { AskReports(); })) {
+  ReadList();
+}
+
+void UpstreamWatcher::ReadList() {
+  ReadPlatformList(
+      mClient, mOptions.mPlatform, [this](const PlatformAnswer* aAnswer) {
+        if (aAnswer == nullptr) {
+          return;
+        }
+        for (const PlatformVm& vm : aAnswer->mVms) {
+          try {
+            mView.Listed(vm.mVm, vm.mZone, vm.mService,
+                         ParseEndpoint(vm.mAddress, vm.mVm), vm.mLeaving);
+          } catch (const Error&) {
+            // A VM without a usable address cannot be an upstream.
+            continue;
+          }
+        }
+        mView.EndOfList(SteadyNow());
+      });
+}
+
+void UpstreamWatcher::AskReports() {
+  for (const auto& [vm, upstream] : mView.All()) {
+    if (!upstream.mService.empty() || mOpen.contains(vm)) {
+      continue;
+    }
+    const std::string name = vm;
+    mOpen.insert(name);
+    mEngines.GetReport(upstream.mAddress, kReportTimeout,
+                       [this, name](const EngineReport* aReport) {
+                         mOpen.erase(name);
+                         if (aReport == nullptr || aReport->mEngine != name) {
+                           return;
+                         }
+                         mView.Reported(*aReport, SteadyNow());
+                         if (mOptions.mOnReport) {
+                           mOptions.mOnReport(*aReport);
+                         }
+                       });
+  }
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/drivers/event_loop.cpp
@@ -0,0 +1,112 @@
+#include "spindleweir/drivers/event_loop.h"
+
+#include <event2/event.h>
+#include <signal.h>
+
+#include <vector>
+
+#include "spindleweir/core/error.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr int kMillisPerSecond = 1000;
+constexpr int kMicrosPerMilli = 1000;
+
+timeval ToTimeval(Millis aDelay) {
+  timeval tv{};
+  tv.tv_sec = aDelay / kMillisPerSecond;
+  tv.tv_usec = (aDelay % kMillisPerSecond) * kMicrosPerMilli;
+  return tv;
+}
+
+/// Owns libevent events that call one function.
+class EventTimer : public Timer {
+ public:
+  explicit EventTimer(std::function<void()> aCall) : mCall(std::move(aCall)) {}
+  ~EventTimer() override {
+    for (event* item : mEvents) {
+      event_free(item);
+    }
+  }
+  EventTimer(const EventTimer&) = delete;
+  EventTimer& operator=(const EventTimer&) = delete;
+
+  void Add(event_base* aBase, int aFd, short aWhat, const timeval* aDelay) {
+    event* item = event_new(aBase, aFd, aWhat, &EventTimer::Fire, this);
+    mEvents.push_back(item);
+    event_add(item, aDelay);
+  }
+
+ private:
+  static void Fire(evutil_socket_t, short, void* aSelf) {
+    // The call may destroy the timer, so that it runs from a copy.
+    const std::function<void()> call = static_cast<EventTimer*>(aSelf)->mCall;
+    call();
+  }
+
+  std::function<void()> mCall;
+  std::vector<event*> mEvents;
+};
+
+void RunPosted(evutil_socket_t, short, void* aCall) {
+  const std::unique_ptr<std::function<void()>> call(
+      static_cast<std::function<void()>*>(aCall));
+  (*call)();
+}
+
+}  // namespace
+
+EventLoop::EventLoop() : mBase(event_base_new()) {
+  if (mBase == nullptr) {
+    throw Error(ResultCode::kInternal, "no event loop to be had");
+  }
+  signal(SIGPIPE, SIG_IGN);
+}
+
+EventLoop::~EventLoop() {
+  event_base_free(mBase);
+}
+
+void EventLoop::Run() {
+  event_base_dispatch(mBase);
+}
+
+void EventLoop::Stop() {
+  event_base_loopbreak(mBase);
+}
+
+std::unique_ptr<Timer> EventLoop::After(Millis aDelay,
+                                        std::function<void()> aCall) {
+  auto timer = std::make_unique<EventTimer>(std::move(aCall));
+  const timeval tv = ToTimeval(aDelay);
+  timer->Add(mBase, -1, EV_TIMEOUT, &tv);
+  return timer;
+}
+
+std::unique_ptr<Timer> EventLoop::Every(Millis aPeriod,
+                                        std::function<void()> aCall) {
+  auto timer = std::make_unique<EventTimer>(std::move(aCall));
+  const timeval tv = ToTimeval(aPeriod);
+  timer->Add(mBase, -1, EV_TIMEOUT | EV_PERSIST, &tv);
+  return timer;
+}
+
+void EventLoop::Post(std::function<void()> aCall) {
+  const timeval tv{};
+  auto call = std::make_unique<std::function<void()>>(std::move(aCall));
+  if (event_base_once(mBase, -1, EV_TIMEOUT, &RunPosted, call.get(), &tv) ==
+      0) {
+    call.release();
+  }
+}
+
+std::unique_ptr<Timer> EventLoop::OnStopSignal(std::function<void()> aCall) {
+  auto timer = std::make_unique<EventTimer>(std::move(aCall));
+  timer->Add(mBase, SIGTERM, EV_SIGNAL | EV_PERSIST, nullptr);
+  timer->Add(mBase, SIGINT, EV_SIGNAL | EV_PERSIST, nullptr);
+  return timer;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/drivers/http_client.cpp
@@ -0,0 +1,321 @@
+#include "spindleweir/drivers/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+
+namespace spindleweir {
+
+class EvhttpCall;
+
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr std::size_t kIdleConnectionsPerServer = 8;
+
+evhttp_cmd_type CommandOf(const std::string& aMethod) {
+  if (aMethod == "POST") {
+    return EVHTTP_REQ_POST;
+  }
+  if (aMethod == "PUT") {
+    return EVHTTP_REQ_PUT;
+  }
+  if (aMethod == "DELETE") {
+    return EVHTTP_REQ_DELETE;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+/// What libevent's callbacks point at in place of the call, which may be gone
+/// before them.
+struct CallLink {
+  EvhttpCall* mCall = nullptr;
+};
+
+/// A connection to be freed, and the link that its callbacks use until then.
+struct DoomedConnection {
+  evhttp_connection* mConnection;
+  std::shared_ptr<CallLink> mLink;
+};
+
+}  // namespace
+
+/// The idle connections by server, and those waiting to be freed: libevent
+/// does not take the freeing of a connection inside its own callback.
+struct HttpClient::Pool {
+  explicit Pool(EventLoop& aLoop) : mLoop(aLoop) {}
+  ~Pool() {
+    for (auto& [server, list] : mIdle) {
+      for (evhttp_connection* connection : list) {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        evhttp_connection_free(connection);
+      }
+    }
+    FreeDoomed();
+  }
+  Pool(const Pool&) = delete;
+  Pool& operator=(const Pool&) = delete;
+
+  static void HandleIdleClose(evhttp_connection* aConnection, void* aPool) {
+    auto* self = static_cast<Pool*>(aPool);
+    for (auto& [server, list] : self->mIdle) {
+      const auto it = std::find(list.begin(), list.end(), aConnection);
+      if (it != list.end()) {
+        list.erase(it);
+        self->Doom(aConnection);
+        return;
+      }
+    }
+  }
+
+  void Keep(const std::string& aServer, evhttp_connection* aConnection) {
+    std::vector<evhttp_connection*>& list = mIdle[aServer];
+    if (list.size() >= kIdleConnectionsPerServer) {
+      Doom(aConnection);
+      return;
+    }
+    evhttp_connection_set_closecb(aConnection, &Pool::HandleIdleClose, this);
+    list.push_back(aConnection);
+  }
+
+  evhttp_connection* Take(const std::string& aServer) {
+    std::vector<evhttp_connection*>& list = mIdle[aServer];
+    if (list.empty()) {
+      return nullptr;
+    }
+    evhttp_connection* connection = list.back();
+    list.pop_back();
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    return connection;
+  }
+
+  /// Frees the connection in the next turn of the loop, and with it what its
+  /// callbacks still point at.
+  void Doom(evhttp_connection* aConnection,
+            std::shared_ptr<CallLink> aLink = nullptr) {
+    evhttp_connection_set_closecb(aConnection, nullptr, nullptr);
+    mDoomed.push_back({aConnection, std::move(aLink)});
+    if (mFreeing == nullptr) {
+      mFreeing = mLoop.After(0, [this] { FreeDoomed(); });
+    }
+  }
+
+  void FreeDoomed() {
+    mFreeing.reset();
+    const std::vector<DoomedConnection> doomed = std::move(mDoomed);
+    mDoomed.clear();
+    for (const DoomedConnection& item : doomed) {
+      evhttp_connection_free(item.mConnection);
+    }
+  }
+
+  EventLoop& mLoop;
+  std::map<std::string, std::vector<evhttp_connection*>> mIdle;
+  std::vector<DoomedConnection> mDoomed;
+  std::unique_ptr<Timer> mFreeing;
+};
+
+/// One call on one connection. The libevent callbacks find it through the
+/// shared state, which lives until the call ended or was cancelled.
+class EvhttpCall : public HttpCall {
+ public:
+  EvhttpCall(EventLoop& aLoop, std::shared_ptr<HttpClient::Pool> aPool,
+             HttpCallOptions aOptions)
+      : mLoop(aLoop),
+        mPool(std::move(aPool)),
+        mOptions(std::move(aOptions)),
+        mServer(mOptions.mServer.Text()),
+        mLink(std::make_shared<CallLink>(CallLink{this})) {}
+
+  ~EvhttpCall() override { Abandon(); }
+  EvhttpCall(const EvhttpCall&) = delete;
+  EvhttpCall& operator=(const EvhttpCall&) = delete;
+
+  void Begin() {
+    if (!mOptions.mFresh) {
+      mConnection = mPool->Take(mServer);
+    }
+    if (mConnection == nullptr) {
+      mConnection = evhttp_connection_base_new(
+          mLoop.Base(), nullptr, mOptions.mServer.mHost.c_str(),
+          static_cast<std::uint16_t>(mOptions.mServer.mPort));
+    }
+    mOutput =
+        bufferevent_get_output(evhttp_connection_get_bufferevent(mConnection));
+    mWatch = evbuffer_add_cb(mOutput, &EvhttpCall::HandleOutput, this);
+    evhttp_connection_set_max_body_size(
+        mConnection, static_cast<ev_ssize_t>(mOptions.mMaximumAnswerBytes));
+    if (mOptions.mTimeout > 0) {
+      mTimer = mLoop.After(mOptions.mTimeout, [this] { Finish(false); });
+    }
+    SendRequest();
+  }
+
+  void Pause(bool aPaused) override {
+    if (mConnection == nullptr || aPaused == mPaused) {
+      return;
+    }
+    mPaused = aPaused;
+    bufferevent* bev = evhttp_connection_get_bufferevent(mConnection);
+    if (aPaused) {
+      bufferevent_disable(bev, EV_READ);
+    } else {
+      bufferevent_enable(bev, EV_READ);
+    }
+  }
+
+ private:
+  void SendRequest() {
+    evhttp_request* request =
+        evhttp_request_new(&EvhttpCall::HandleDone, mLink.get());
+    evhttp_request_set_chunked_cb(request, &EvhttpCall::HandleChunk);
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", mServer.c_str());
+    for (const HttpHeader& header : mOptions.mHeaders) {
+      evhttp_add_header(headers, header.mName.c_str(), header.mValue.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(request),
+                 mOptions.mBody.data(), mOptions.mBody.size());
+    if (evhttp_make_request(mConnection, request, CommandOf(mOptions.mMethod),
+                            mOptions.mPath.c_str()) != 0) {
+      mTimer = mLoop.After(0, [this] { Finish(false); });
+    }
+  }
+
+  static void HandleOutput(evbuffer*, const evbuffer_cb_info* aInfo,
+                           void* aSelf) {
+    if (aInfo->n_deleted > 0) {
+      static_cast<EvhttpCall*>(aSelf)->mResult.mSent = true;
+    }
+  }
+
+  static void HandleChunk(evhttp_request* aRequest, void* aLink) {
+    EvhttpCall* self = static_cast<CallLink*>(aLink)->mCall;
+    if (self == nullptr) {
+      return;
+    }
+    evbuffer* buf = evhttp_request_get_input_buffer(aRequest);
+    std::string bytes(evbuffer_get_length(buf), '\0');
+    evbuffer_remove(buf, bytes.data(), bytes.size());
+    const bool streamed = self->mOptions.mOnData != nullptr &&
+                          evhttp_request_get_response_code(aRequest) == kHttpOk;
+    if (!streamed) {
+      self->mResult.mBody += bytes;
+      return;
+    }
+    // The receiver may cancel this call, so that a copy is called.
+    const std::function<void(std::string_view)> receiver =
+        self->mOptions.mOnData;
+    receiver(bytes);
+  }
+
+  static void HandleDone(evhttp_request* aRequest, void* aLink) {
+    EvhttpCall* self = static_cast<CallLink*>(aLink)->mCall;
+    if (self == nullptr) {
+      return;
+    }
+    const int status =
+        aRequest == nullptr ? 0 : evhttp_request_get_response_code(aRequest);
+    if (status == 0) {
+      self->Finish(false);
+      return;
+    }
+    self->mResult.mStatus = status;
+    evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+    for (const evkeyval* it = headers->tqh_first; it != nullptr;
+         it = it->next.tqe_next) {
+      self->mResult.mHeaders.push_back({it->key, it->value});
+    }
+    self->Finish(true);
+  }
+
+  void Finish(bool aComplete) {
+    mResult.mComplete = aComplete;
+    mTimer.reset();
+    mLink->mCall = nullptr;
+    if (mConnection != nullptr) {
+      evbuffer_remove_cb_entry(mOutput, mWatch);
+      if (aComplete && !mOptions.mFresh) {
+        mPool->Keep(mServer, mConnection);
+      } else {
+        mPool->Doom(mConnection, mLink);
+      }
+      mConnection = nullptr;
+    }
+    // The receiver may destroy this call.
+    const std::function<void(const HttpResult&)> receiver =
+        std::move(mOptions.mOnDone);
+    const HttpResult result = std::move(mResult);
+    if (receiver) {
+      receiver(result);
+    }
+  }
+
+  void Abandon() {
+    if (mConnection == nullptr) {
+      return;
+    }
+    evbuffer_remove_cb_entry(mOutput, mWatch);
+    mLink->mCall = nullptr;
+    bufferevent* bev = evhttp_connection_get_bufferevent(mConnection);
+    bufferevent_disable(bev, EV_READ | EV_WRITE);
+    mPool->Doom(mConnection, mLink);
+    mConnection = nullptr;
+  }
+
+  EventLoop& mLoop;
+  std::shared_ptr<HttpClient::Pool> mPool;
+  HttpCallOptions mOptions;
+  std::string mServer;
+  std::shared_ptr<CallLink> mLink;
+  HttpResult mResult;
+  evhttp_connection* mConnection = nullptr;
+  evbuffer* mOutput = nullptr;
+  evbuffer_cb_entry* mWatch = nullptr;
+  std::unique_ptr<Timer> mTimer;
+  bool mPaused = false;
+};
+
+HttpClient::HttpClient(EventLoop& aLoop)
+    : mLoop(aLoop), mPool(std::make_shared<Pool>(aLoop)) {}
+
+HttpClient::~HttpClient() = default;
+
+std::unique_ptr<HttpCall> HttpClient::Start(HttpCallOptions aOptions) {
+  auto call = std::make_unique<EvhttpCall>(mLoop, mPool, std::move(aOptions));
+  call->Begin();
+  return call;
+}
+
+void HttpClient::StartDetached(HttpCallOptions aOptions) {
+  const std::int64_t id = mNextDetached++;
+  aOptions.mOnDone = [this, id, done = std::move(aOptions.mOnDone)](
+                         const HttpResult& aResult) {
+    if (done) {
+      done(aResult);
+    }
+    // The call is still on the stack; it goes in the next turn of the loop.
+    mEnded.push_back(id);
+    if (mSweep == nullptr) {
+      mSweep = mLoop.After(0, [this] { SweepDetached(); });
+    }
+  };
+  auto call = std::make_unique<EvhttpCall>(mLoop, mPool, std::move(aOptions));
+  EvhttpCall* begun = call.get();
+  mDetached[id] = std::move(call);
+  begun->Begin();
+}
+
+void HttpClient::SweepDetached() {
+  mSweep.reset();
+  for (std::int64_t id : mEnded) {
+    mDetached.erase(id);
+  }
+  mEnded.clear();
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/drivers/http_server.cpp
@@ -0,0 +1,219 @@
+#include "spindleweir/drivers/http_server.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include "spindleweir/core/error.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr std::size_t kReadAheadBytes = 2 * 1024 * 1024;
+
+const char* MethodName(evhttp_cmd_type aType) {
+  switch (aType) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_OPTIONS:
+      return "OPTIONS";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    default:
+      return "OTHER";
+  }
+}
+
+std::string PathOf(evhttp_request* aRequest) {
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(aRequest);
+  const char* path = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
+  return path == nullptr ? "/" : path;
+}
+
+std::string BodyOf(evhttp_request* aRequest) {
+  evbuffer* buf = evhttp_request_get_input_buffer(aRequest);
+  std::string body(evbuffer_get_length(buf), '\0');
+  evbuffer_remove(buf, body.data(), body.size());
+  return body;
+}
+
+Endpoint AddressOf(evhttp_bound_socket* aSocket, const Endpoint& aAsked) {
+  sockaddr_in address{};
+  socklen_t n = sizeof(address);
+  Endpoint endpoint = aAsked;
+  if (getsockname(evhttp_bound_socket_get_fd(aSocket),
+                  reinterpret_cast<sockaddr*>(&address), &n) == 0) {
+    endpoint.mPort = ntohs(address.sin_port);
+  }
+  return endpoint;
+}
+
+}  // namespace
+
+HttpExchange::HttpExchange(evhttp_request* aRequest)
+    : mRequest(aRequest),
+      mMethod(MethodName(evhttp_request_get_command(aRequest))),
+      mPath(PathOf(aRequest)),
+      mBody(BodyOf(aRequest)) {}
+
+HttpExchange::~HttpExchange() = default;
+
+std::string_view HttpExchange::Header(const char* aName) const {
+  if (mRequest == nullptr) {
+    return {};
+  }
+  const char* value =
+      evhttp_find_header(evhttp_request_get_input_headers(mRequest), aName);
+  return value == nullptr ? std::string_view() : std::string_view(value);
+}
+
+std::string_view HttpExchange::BearerKey() const {
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string_view value = Header("Authorization");
+  return value.starts_with(kScheme) ? value.substr(kScheme.size())
+                                    : std::string_view();
+}
+
+void HttpExchange::AddHeader(const char* aName, const std::string& aValue) {
+  if (mRequest != nullptr) {
+    evhttp_add_header(evhttp_request_get_output_headers(mRequest), aName,
+                      aValue.c_str());
+  }
+}
+
+void HttpExchange::Reply(int aStatus, std::string_view aType,
+                         std::string_view aBody) {
+  if (mRequest == nullptr) {
+    return;
+  }
+  AddHeader("Content-Type", std::string(aType));
+  evbuffer* buf = evhttp_request_get_output_buffer(mRequest);
+  evbuffer_add(buf, aBody.data(), aBody.size());
+  evhttp_request* request = mRequest;
+  Detach();
+  evhttp_send_reply(request, aStatus, nullptr, nullptr);
+}
+
+void HttpExchange::StartStream(int aStatus, std::string_view aType) {
+  if (mRequest == nullptr) {
+    return;
+  }
+  AddHeader("Content-Type", std::string(aType));
+  evhttp_send_reply_start(mRequest, aStatus, nullptr);
+}
+
+void HttpExchange::Write(std::string_view aBytes) {
+  if (mRequest == nullptr || aBytes.empty()) {
+    return;
+  }
+  evbuffer* buf = evbuffer_new();
+  evbuffer_add(buf, aBytes.data(), aBytes.size());
+  evhttp_send_reply_chunk(mRequest, buf);
+  evbuffer_free(buf);
+}
+
+void HttpExchange::EndStream() {
+  if (mRequest == nullptr) {
+    return;
+  }
+  evhttp_request* request = mRequest;
+  Detach();
+  evhttp_send_reply_end(request);
+}
+
+std::size_t HttpExchange::PendingBytes() const {
+  if (mRequest == nullptr) {
+    return 0;
+  }
+  bufferevent* bev = evhttp_connection_get_bufferevent(
+      evhttp_request_get_connection(mRequest));
+  return evbuffer_get_length(bufferevent_get_output(bev));
+}
+
+void HttpExchange::HandleClose(evhttp_connection*, void* aSelf) {
+  const std::shared_ptr<HttpExchange> self =
+      static_cast<HttpExchange*>(aSelf)->mSelf;
+  if (self == nullptr) {
+    return;
+  }
+  self->mRequest = nullptr;
+  self->mSelf.reset();
+  const std::function<void()> call = std::move(self->mOnClosed);
+  if (call) {
+    call();
+  }
+}
+
+void HttpExchange::WatchClose() {
+  evhttp_connection* connection = evhttp_request_get_connection(mRequest);
+  evhttp_connection_set_closecb(connection, &HttpExchange::HandleClose, this);
+  // Only reading shows that the caller left. A further request on the
+  // connection has to wait, so the read callback is taken off meanwhile;
+  // evhttp sets its own again after the answer.
+  bufferevent* bev = evhttp_connection_get_bufferevent(connection);
+  bufferevent_data_cb write = nullptr;
+  bufferevent_event_cb event = nullptr;
+  void* context = nullptr;
+  bufferevent_getcb(bev, nullptr, &write, &event, &context);
+  bufferevent_setcb(bev, nullptr, write, event, context);
+  bufferevent_setwatermark(bev, EV_READ, 0, kReadAheadBytes);
+  bufferevent_enable(bev, EV_READ);
+}
+
+void HttpExchange::Detach() {
+  evhttp_connection_set_closecb(evhttp_request_get_connection(mRequest),
+                                nullptr, nullptr);
+  mRequest = nullptr;
+  mOnClosed = nullptr;
+  mSelf.reset();
+}
+
+HttpServer::HttpServer(EventLoop& aLoop, HttpServerOptions aOptions)
+    : mHttp(evhttp_new(aLoop.Base())), mOptions(std::move(aOptions)) {
+  evhttp_set_max_headers_size(mHttp,
+                              static_cast<long>(mOptions.mMaximumHeaderBytes));
+  evhttp_set_max_body_size(mHttp,
+                           static_cast<long>(mOptions.mMaximumBodyBytes));
+  evhttp_set_timeout(mHttp, mOptions.mIdleSeconds);
+  evhttp_set_allowed_methods(mHttp, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                                        EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+                                        EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
+                                        EVHTTP_REQ_PATCH);
+  evhttp_set_gencb(mHttp, &HttpServer::HandleRequest, this);
+  evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(
+      mHttp, mOptions.mListen.mHost.c_str(),
+      static_cast<std::uint16_t>(mOptions.mListen.mPort));
+  if (socket == nullptr) {
+    evhttp_free(mHttp);
+    throw Error(ResultCode::kCannotListen,
+                "cannot listen on " + mOptions.mListen.Text());
+  }
+  mAddress = AddressOf(socket, mOptions.mListen);
+}
+
+HttpServer::~HttpServer() {
+  evhttp_free(mHttp);
+}
+
+void HttpServer::HandleRequest(evhttp_request* aRequest, void* aSelf) {
+  auto* self = static_cast<HttpServer*>(aSelf);
+  const auto exchange = std::make_shared<HttpExchange>(aRequest);
+  exchange->mSelf = exchange;
+  exchange->WatchClose();
+  self->mOptions.mHandle(exchange);
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/drivers/raft_disk_storage.cpp
@@ -0,0 +1,72 @@
+#include "spindleweir/drivers/raft_disk_storage.h"
+
+#include "spindleweir/core/json_codec.h"
+
+namespace spindleweir {
+
+namespace {
+
+template <class T>
+std::string MakeRecord(const char* aKind, const T& aContent) {
+  Json::Value record(Json::objectValue);
+  record[aKind] = ToJson(aContent);
+  return DumpJson(record);
+}
+
+}  // namespace
+
+RaftDiskStorage::RaftDiskStorage(const std::string& aPath) {
+  mLog = std::make_unique<DiskLog>(
+      aPath, [this](std::string_view aRecord) { Replay(aRecord); });
+}
+
+void RaftDiskStorage::Replay(std::string_view aRecord) {
+  mEmpty = false;
+  try {
+    const Json::Value record = ParseJson(aRecord);
+    if (record.isMember("state")) {
+      mState.mHardState = FromJson<HardState>(record["state"]);
+    } else if (record.isMember("snapshot")) {
+      mState.mSnapshot = FromJson<Snapshot>(record["snapshot"]);
+      mState.mEntries.clear();
+    } else {
+      auto entry = FromJson<LogEntry>(record["entry"]);
+      const std::int64_t position = entry.mIndex - mState.mSnapshot.mIndex - 1;
+      if (position < 0 ||
+          position > static_cast<std::int64_t>(mState.mEntries.size())) {
+        throw Error(ResultCode::kDataCorrupt, "an entry is missing");
+      }
+      mState.mEntries.resize(static_cast<std::size_t>(position));
+      mState.mEntries.push_back(std::move(entry));
+    }
+  } catch (const Error& error) {
+    throw Error(ResultCode::kDataCorrupt,
+                std::string("replicated log: ") + error.what());
+  }
+}
+
+void RaftDiskStorage::SaveHardState(const HardState& aState) {
+  mLog->Append(MakeRecord("state", aState));
+  mLog->Sync();
+}
+
+void RaftDiskStorage::Append(std::span<const LogEntry> aEntries) {
+  for (const LogEntry& entry : aEntries) {
+    mLog->Append(MakeRecord("entry", entry));
+  }
+  mLog->Sync();
+}
+
+void RaftDiskStorage::SaveSnapshot(const Snapshot& aSnapshot,
+                                   std::span<const LogEntry> aRest,
+                                   const HardState& aState) {
+  mLog->Rewrite([&](DiskLog& aLog) {
+    aLog.Append(MakeRecord("state", aState));
+    aLog.Append(MakeRecord("snapshot", aSnapshot));
+    for (const LogEntry& entry : aRest) {
+      aLog.Append(MakeRecord("entry", entry));
+    }
+  });
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/core/json_codec.h
@@ -0,0 +1,163 @@
+/// JSON for typed messages: a message lists its fields once, in a member
+/// template `Fields(codec)`, and is read and written from that list.
+///
+///     struct Example {
+///       std::string mName;
+///       template <class Codec> void Fields(Codec& aCodec) {
+///         aCodec.Field("name", mName);
+///       }
+///     };
+#pragma once
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "spindleweir/core/error.h"
+
+namespace spindleweir {
+
+/// Parses strict JSON: no comments, no duplicate keys, bounded depth.
+/// Throws kMalformedJson.
+Json::Value ParseJson(std::string_view aText);
+
+/// Writes compact JSON on one line.
+std::string DumpJson(const Json::Value& aValue);
+
+/// Writes the fields of a message into a JSON object.
+class JsonWriter {
+ public:
+  explicit JsonWriter(Json::Value& aObject) : mObject(aObject) {}
+
+  template <class T>
+  void Field(const char* aName, T& aValue) {
+    mObject[aName] = Write(aValue);
+  }
+  template <class T>
+  void Required(const char* aName, T& aValue) {
+    Field(aName, aValue);
+  }
+
+ private:
+  static Json::Value Write(std::int64_t& aValue) {
+    return Json::Value(static_cast<Json::Int64>(aValue));
+  }
+  static Json::Value Write(std::uint64_t& aValue) {
+    return Json::Value(static_cast<Json::UInt64>(aValue));
+  }
+  template <class T>
+  static Json::Value Write(std::vector<T>& aList) {
+    Json::Value array(Json::arrayValue);
+    for (T& item : aList) {
+      array.append(Write(item));
+    }
+    return array;
+  }
+  /// A message with fields of its own, or a value that JSON knows.
+  template <class T>
+  static Json::Value Write(T& aValue) {
+    if constexpr (requires(JsonWriter & aWriter) { aValue.Fields(aWriter); }) {
+      Json::Value object(Json::objectValue);
+      JsonWriter writer(object);
+      aValue.Fields(writer);
+      return object;
+    } else {
+      return Json::Value(aValue);
+    }
+  }
+
+  Json::Value& mObject;
+};
+
+/// Reads the fields of a message from a JSON object. A wrong type, a missing
+/// required field, or an unknown field where the reader is strict, throws
+/// kBadField naming the field.
+class JsonReader {
+ public:
+  JsonReader(const Json::Value& aObject, std::string aPath, bool aStrict);
+
+  template <class T>
+  void Field(const char* aName, T& aValue) {
+    mKnown.insert(aName);
+    if (mObject.isMember(aName) && !mObject[aName].isNull()) {
+      Read(mObject[aName], PathOf(aName), aValue);
+    }
+  }
+  template <class T>
+  void Required(const char* aName, T& aValue) {
+    if (!mObject.isMember(aName)) {
+      throw Error(ResultCode::kBadField, PathOf(aName) + " is missing");
+    }
+    Field(aName, aValue);
+  }
+
+  /// Where the reader is strict, throws for the first field not asked for.
+  void RefuseUnknown() const;
+
+ private:
+  std::string PathOf(const char* aName) const;
+  void Read(const Json::Value& aIn, const std::string& aPath,
+            std::string& aOut) const;
+  void Read(const Json::Value& aIn, const std::string& aPath, bool& aOut) const;
+  void Read(const Json::Value& aIn, const std::string& aPath, int& aOut) const;
+  void Read(const Json::Value& aIn, const std::string& aPath,
+            std::int64_t& aOut) const;
+  void Read(const Json::Value& aIn, const std::string& aPath,
+            std::uint64_t& aOut) const;
+  void Read(const Json::Value& aIn, const std::string& aPath,
+            double& aOut) const;
+  void Read(const Json::Value& aIn, const std::string&,
+            Json::Value& aOut) const {
+    aOut = aIn;
+  }
+  template <class T>
+  void Read(const Json::Value& aIn, const std::string& aPath,
+            std::vector<T>& aOut) const {
+    if (!aIn.isArray()) {
+      throw Error(ResultCode::kBadField, aPath + " must be an array");
+    }
+    aOut.clear();
+    for (Json::ArrayIndex i = 0; i < aIn.size(); i++) {
+      aOut.emplace_back();
+      Read(aIn[i], aPath + "[" + std::to_string(i) + "]", aOut.back());
+    }
+  }
+  template <class T>
+  void Read(const Json::Value& aIn, const std::string& aPath, T& aOut) const {
+    JsonReader reader(aIn, aPath, mStrict);
+    aOut.Fields(reader);
+    reader.RefuseUnknown();
+  }
+
+  const Json::Value& mObject;
+  std::string mPath;
+  bool mStrict;
+  std::set<std::string> mKnown;
+};
+
+/// Writes a message as a JSON object.
+template <class T>
+Json::Value ToJson(const T& aMessage) {
+  Json::Value object(Json::objectValue);
+  JsonWriter writer(object);
+  // The field list is shared with the reader, which needs it mutable; the
+  // writer only reads.
+  const_cast<T&>(aMessage).Fields(writer);
+  return object;
+}
+
+/// Reads a message from a JSON object; see JsonReader for errors.
+template <class T>
+T FromJson(const Json::Value& aObject, bool aStrict = false) {
+  T message;
+  JsonReader reader(aObject, "", aStrict);
+  message.Fields(reader);
+  reader.RefuseUnknown();
+  return message;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/daemons/peer_messages.h
@@ -0,0 +1,83 @@
+/// What our processes tell each other with every probe.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "spindleweir/core/clock.h"
+#include "spindleweir/servers/membership/leaving_set.h"
+#include "spindleweir/servers/membership/member_table.h"
+#include "spindleweir/servers/receipts/receipt_book.h"
+
+namespace spindleweir {
+
+/// The names of the JSON-RPC methods.
+namespace rpc_method {
+inline constexpr const char* kPing = "member.ping";
+inline constexpr const char* kPingVia = "member.ping_via";
+inline constexpr const char* kAnswered = "member.answered";
+inline constexpr const char* kGetConfiguration = "configuration.get";
+inline constexpr const char* kPushConfiguration = "configuration.push";
+inline constexpr const char* kLease = "lease.request";
+inline constexpr const char* kClaim = "claim.ask";
+inline constexpr const char* kStoreReceipts = "receipts.store";
+inline constexpr const char* kFindReceipt = "receipts.find";
+inline constexpr const char* kRaft = "raft.message";
+inline constexpr const char* kRouterState = "router.state";
+}  // namespace rpc_method
+
+/// A probe, and likewise the answer to one.
+struct PeerState {
+  std::string mFrom;
+  std::string mZone;
+  std::int64_t mVersion = 0;  ///< Of its configuration.
+  bool mReady = false;
+  std::vector<MemberUpdate> mUpdates;
+  std::vector<LeavingWord> mLeaving;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("from", mFrom);
+    aCodec.Field("zone", mZone);
+    aCodec.Field("version", mVersion);
+    aCodec.Field("ready", mReady);
+    aCodec.Field("updates", mUpdates);
+    aCodec.Field("leaving", mLeaving);
+  }
+};
+
+/// Asks a peer to probe another in the asker's place, or says that it was
+/// answered.
+struct IndirectProbe {
+  std::string mFrom;
+  std::string mTarget;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("from", mFrom);
+    aCodec.Required("target", mTarget);
+  }
+};
+
+/// A batch of receipts on its way to a disk.
+struct ReceiptBatch {
+  std::vector<Receipt> mReceipts;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("receipts", mReceipts);
+  }
+};
+
+/// Asks for the receipt of one request.
+struct ReceiptQuestion {
+  std::string mRequest;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("request", mRequest);
+  }
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/drivers/event_loop.h
@@ -0,0 +1,46 @@
+/// The event loop of a process: libevent's base with timers as objects.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "spindleweir/core/clock.h"
+
+struct event_base;
+
+namespace spindleweir {
+
+/// A timer; destroying it cancels it.
+class Timer {
+ public:
+  virtual ~Timer() = default;
+};
+
+/// One thread's event loop. Everything of a daemon runs in its callbacks.
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  event_base* Base() const { return mBase; }
+
+  /// Runs until Stop().
+  void Run();
+  void Stop();
+
+  /// Calls aCall once after aDelay milliseconds.
+  std::unique_ptr<Timer> After(Millis aDelay, std::function<void()> aCall);
+  /// Calls aCall every aPeriod milliseconds.
+  std::unique_ptr<Timer> Every(Millis aPeriod, std::function<void()> aCall);
+  /// Calls aCall in the next turn of the loop; it cannot be cancelled.
+  void Post(std::function<void()> aCall);
+  /// Calls aCall at SIGTERM and at SIGINT.
+  std::unique_ptr<Timer> OnStopSignal(std::function<void()> aCall);
+
+ private:
+  event_base* mBase;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/drivers/raft_disk_storage.h
@@ -0,0 +1,36 @@
+/// A voter's durable state in one log file of the data folder.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "spindleweir/drivers/disk_log.h"
+#include "spindleweir/servers/consensus/raft_storage.h"
+
+namespace spindleweir {
+
+/// Records of "state", "entry" and "snapshot"; a snapshot rewrites the file.
+class RaftDiskStorage : public RaftStorage {
+ public:
+  /// Reads the file. Throws kDataCorrupt or kStorageFailed.
+  explicit RaftDiskStorage(const std::string& aPath);
+
+  DurableState Load() override { return mState; }
+  void SaveHardState(const HardState& aState) override;
+  void Append(std::span<const LogEntry> aEntries) override;
+  void SaveSnapshot(const Snapshot& aSnapshot, std::span<const LogEntry> aRest,
+                    const HardState& aState) override;
+
+  /// Whether the folder was empty: a voter that never ran.
+  bool Empty() const { return mEmpty; }
+  std::size_t Bytes() const { return mLog->Bytes(); }
+
+ private:
+  void Replay(std::string_view aRecord);
+
+  DurableState mState;  ///< Of the start; not kept up afterwards.
+  bool mEmpty = true;
+  std::unique_ptr<DiskLog> mLog;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/drivers/rpc_channel.h
@@ -0,0 +1,43 @@
+/// Calls between the system's own processes: JSON-RPC 2.0 over HTTP.
+#pragma once
+
+#include <json/value.h>
+
+#include <functional>
+#include <string>
+
+#include "spindleweir/drivers/http_client.h"
+
+namespace spindleweir {
+
+/// The path that every process takes JSON-RPC on.
+inline constexpr const char* kRpcPath = "/rpc";
+
+/// How a call ended.
+struct RpcResult {
+  bool mOk = false;     ///< An answer came, and it is no error.
+  Json::Value mAnswer;  ///< The answer; null where there is none.
+};
+
+/// Sends calls to other processes.
+class RpcChannel {
+ public:
+  /// aKey: the secret that all processes of the deployment share.
+  RpcChannel(HttpClient& aClient, std::string aKey);
+
+  /// Sends one call; aDone (it may be empty) is called once.
+  void Call(const Endpoint& aServer, const std::string& aMethod,
+            const Json::Value& aMessage, Millis aTimeout,
+            std::function<void(const RpcResult&)> aDone);
+
+  /// Bytes of requests sent so far, without HTTP's own.
+  std::int64_t SentBytes() const { return mSentBytes; }
+
+ private:
+  HttpClient& mClient;
+  std::string mKey;
+  std::int64_t mNextId = 1;
+  std::int64_t mSentBytes = 0;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/servers/claims/claim_keeper.h
@@ -0,0 +1,52 @@
+/// A claim keeper: remembers who may run a call that must not run twice.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "spindleweir/servers/claims/claim_messages.h"
+
+namespace spindleweir {
+
+/// How a keeper is set up.
+struct ClaimKeeperOptions {
+  Millis mLifetime = 24 * 60 * 60 * 1000;  ///< How long a claim is kept.
+  std::size_t mMaximumClaims = 200000;
+  std::size_t mMaximumAnswerBytes = 64 * 1024;
+  /// Makes a record last; throws kStorageFailed where it cannot.
+  std::function<void(const ClaimRecord&)> mPersist;
+};
+
+/// One keeper's records. A key is granted to one owner only, for as long as
+/// the record lives; what was persisted comes back by Restore().
+class ClaimKeeper {
+ public:
+  explicit ClaimKeeper(ClaimKeeperOptions aOptions);
+
+  void Restore(const ClaimRecord& aRecord);
+  /// Answers one message. Throws kStorageFailed where nothing was promised.
+  ClaimReply Handle(const ClaimMessage& aMessage, Millis aWallNow);
+  /// Forgets what has expired.
+  void Expire(Millis aWallNow);
+
+  std::size_t Size() const { return mRecords.size(); }
+  const std::map<std::string, ClaimRecord>& Records() const { return mRecords; }
+
+ private:
+  ClaimReply Acquire(const ClaimRecord& aAsked, Millis aWallNow);
+  ClaimReply Release(const ClaimRecord& aAsked, Millis aWallNow);
+  ClaimReply Finish(const ClaimRecord& aAsked, Millis aWallNow);
+  void Store(const ClaimRecord& aRecord);
+
+  ClaimKeeperOptions mOptions;
+  std::map<std::string, ClaimRecord> mRecords;
+  std::multimap<Millis, std::string> mByExpiry;
+  /// Owners that released, for a while: a late kAcquire of theirs must not
+  /// take the key again.
+  std::map<std::string, Millis> mReleased;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/servers/configuration/configuration_machine.h
@@ -0,0 +1,103 @@
+/// The state that the replicated log builds: plans, the accepted
+/// configuration, and the answer that each command got.
+#pragma once
+
+#include <sigc++/signal.h>
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "spindleweir/core/result_code.h"
+#include "spindleweir/servers/configuration/configuration.h"
+
+namespace spindleweir {
+
+enum class CommandKind { kPlan, kConfirm, kDrain };
+
+/// One command of the log. All that differs between voters (time, ids,
+/// placement) was put in by the leader, so that each voter comes to the same.
+struct Command {
+  std::string mId;      ///< The operator's; a resend carries the same.
+  std::string mDigest;  ///< SHA-256 of what was asked.
+  CommandKind mKind = CommandKind::kPlan;
+  Millis mWall = 0;     ///< The leader's time, for expiry.
+  Plan mPlan;           ///< For kPlan.
+  std::string mPlanId;  ///< For kConfirm.
+  std::string mVm;      ///< For kDrain.
+  bool mDrain = true;   ///< For kDrain: false takes the VM back.
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    int kind = static_cast<int>(mKind);
+    aCodec.Required("id", mId);
+    aCodec.Required("digest", mDigest);
+    aCodec.Required("kind", kind);
+    mKind = static_cast<CommandKind>(kind);
+    aCodec.Required("wall_ms", mWall);
+    if (mKind == CommandKind::kPlan) {
+      aCodec.Field("plan", mPlan);
+    }
+    aCodec.Field("plan_id", mPlanId);
+    aCodec.Field("vm", mVm);
+    aCodec.Field("drain", mDrain);
+  }
+};
+
+/// What a command came to.
+struct CommandResult {
+  std::string mId;
+  std::string mDigest;
+  int mCode = 0;              ///< A ResultCode.
+  std::string mMessage;       ///< Why it was refused.
+  std::string mPlanId;        ///< The plan made or confirmed.
+  std::int64_t mVersion = 0;  ///< The version in force after it.
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("id", mId);
+    aCodec.Required("digest", mDigest);
+    aCodec.Required("code", mCode);
+    aCodec.Field("message", mMessage);
+    aCodec.Field("plan_id", mPlanId);
+    aCodec.Field("version", mVersion);
+  }
+};
+
+/// Applies commands in the order of the log. Deterministic.
+class ConfigurationMachine {
+ public:
+  /// Applies one command; one that was applied before gets its first answer,
+  /// and changes nothing.
+  CommandResult Apply(const Command& aCommand);
+
+  const Configuration& Current() const { return mCurrent; }
+  const Plan* FindPlan(const std::string& aId) const;
+  /// The answer a command got, or nullptr.
+  const CommandResult* FindResult(const std::string& aCommandId) const;
+
+  /// The whole state as JSON, and back.
+  std::string Save() const;
+  void Restore(const std::string& aData);
+
+  /// Sent after each newly accepted configuration.
+  sigc::signal<void, const Configuration&>& SignalAccepted() {
+    return mSignalAccepted;
+  }
+
+ private:
+  CommandResult ApplyPlan(const Command& aCommand);
+  CommandResult ApplyConfirm(const Command& aCommand);
+  CommandResult ApplyDrain(const Command& aCommand);
+  void Accept(Configuration aNext);
+  void Remember(const CommandResult& aResult);
+  void DropExpiredPlans(Millis aWall);
+
+  Configuration mCurrent;
+  std::map<std::string, Plan> mPlans;
+  std::deque<CommandResult> mResults;  ///< Oldest first, bounded.
+  std::map<std::string, CommandResult> mResultsById;
+  sigc::signal<void, const Configuration&> mSignalAccepted;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/servers/routing/chain_chooser.h
@@ -0,0 +1,74 @@
+/// Chooses the chain of engines for a request: the cheapest path over layer
+/// boundaries.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "spindleweir/core/clock.h"
+
+namespace spindleweir {
+
+/// An engine as the chooser sees it.
+struct ChainCandidate {
+  std::string mEngine;
+  std::string mZone;
+  std::string mAccelerator;
+  std::string mModel;
+  std::string mVersion;
+  int mFirst = 0;
+  int mLast = 0;
+  double mWaitMillis = 0;   ///< Expected wait for a place in the batch.
+  double mStepMillis = 0;   ///< Time of one step.
+  double mSavedMillis = 0;  ///< Prefill saved by a cached prefix.
+  bool mUsable = true;      ///< Neither leaving, nor ejected, nor loading.
+};
+
+/// What a request needs.
+struct ChainQuery {
+  std::string mModel;
+  std::string mVersion;
+  int mLayers = 0;
+  std::string mHomeZone;  ///< The router's, to which the tokens come.
+  std::span<const std::string> mZones;               ///< Allowed; empty: all.
+  std::span<const std::string> mHardware;            ///< Allowed; empty: all.
+  const std::set<std::string>* mExcluded = nullptr;  ///< Engines; optional.
+  /// Milliseconds that one token takes from a zone to another.
+  std::function<double(const std::string&, const std::string&)> mLinkMillis;
+  /// A random number in [0, 1), against herding.
+  std::function<double()> mRandom;
+  /// Costs are blurred by up to this share, so that routers that see the same
+  /// do not all choose the same.
+  double mBlur = 0.05;
+};
+
+/// Why candidates were left out: for the decision line.
+struct ChainRefusals {
+  int mOtherModel = 0;
+  int mUnusable = 0;
+  int mZone = 0;
+  int mHardware = 0;
+  int mExcluded = 0;
+};
+
+/// A decision.
+struct ChainChoice {
+  std::vector<std::size_t> mStages;  ///< Indices into the candidates, in order.
+  double mCostMillis = 0;
+  int mConsidered = 0;
+  ChainRefusals mRefused;
+
+  bool Found() const { return !mStages.empty(); }
+};
+
+/// The cheapest chain whose ranges tile [0, layers). Time: n log n in the
+/// number of candidates, times the number of zones.
+ChainChoice ChooseChain(std::span<const ChainCandidate> aCandidates,
+                        const ChainQuery& aQuery);
+
+}  // namespace spindleweir
--- /dev/null
+++ b/main/control_main.cpp
@@ -0,0 +1,85 @@
+/// spindleweir-control: the daemon that keeps the accepted configuration.
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+#include "spindleweir/core/error.h"
+#include "spindleweir/core/log.h"
+#include "spindleweir/core/settings.h"
+#include "spindleweir/daemons/control_daemon.h"
+
+DEFINE_string(id, "", "name of this process in the list of entry VMs");
+DEFINE_string(zone, "", "availability zone of this VM");
+DEFINE_string(rpc_listen, "127.0.0.1:0", "IP:PORT for our own processes");
+DEFINE_string(operator_listen, "127.0.0.1:0", "IP:PORT for operators");
+DEFINE_string(operator_key, "", "bearer key of the operators");
+DEFINE_string(cluster_key, "", "secret that our processes share");
+DEFINE_string(entry_vms, "", "path of the list of entry VMs");
+DEFINE_string(data, "", "data folder");
+DEFINE_string(initial_voters, "",
+              "ids of the first voters, with commas; only for the first start "
+              "of a deployment");
+DEFINE_string(platform, "", "IP:PORT of the platform's list of VMs");
+DEFINE_string(port_file, "", "file to write the addresses in force to");
+DEFINE_string(log_level, "info", "debug, info, warning or error");
+DEFINE_int32(election_ms, 500, "least time without a leader before a vote");
+DEFINE_int32(plan_lifetime_ms, 600000, "how long a plan can be confirmed");
+DEFINE_int32(receipts, 100000, "receipts kept on this VM");
+DEFINE_bool(check, false, "check the settings and exit");
+
+namespace spindleweir {
+namespace {
+
+ControlOptions ReadOptions() {
+  RequireSetting(FLAGS_id, "--id");
+  RequireSetting(FLAGS_zone, "--zone");
+  RequireSetting(FLAGS_operator_key, "--operator_key");
+  RequireSetting(FLAGS_cluster_key, "--cluster_key");
+  RequireSetting(FLAGS_entry_vms, "--entry_vms");
+  RequireSetting(FLAGS_data, "--data");
+  RequireSetting(FLAGS_platform, "--platform");
+  RequireRange(FLAGS_election_ms, 50, 60000, "--election_ms");
+  RequireRange(FLAGS_plan_lifetime_ms, 1000, 86400000, "--plan_lifetime_ms");
+  RequireRange(FLAGS_receipts, 100, 100000000, "--receipts");
+  return {.mId = FLAGS_id,
+          .mZone = FLAGS_zone,
+          .mRpcListen = ParseEndpoint(FLAGS_rpc_listen, "--rpc_listen"),
+          .mOperatorListen =
+              ParseEndpoint(FLAGS_operator_listen, "--operator_listen"),
+          .mOperatorKey = FLAGS_operator_key,
+          .mClusterKey = FLAGS_cluster_key,
+          .mEntryVms = FLAGS_entry_vms,
+          .mData = FLAGS_data,
+          .mInitialVoters = SplitList(FLAGS_initial_voters),
+          .mPlatform = ParseEndpoint(FLAGS_platform, "--platform"),
+          .mPortFile = FLAGS_port_file,
+          .mElectionTimeout = FLAGS_election_ms,
+          .mPlanLifetime = FLAGS_plan_lifetime_ms,
+          .mReceipts = static_cast<std::size_t>(FLAGS_receipts)};
+}
+
+int Run(const std::vector<std::string>& aArguments) {
+  if (!aArguments.empty()) {
+    throw Error(ResultCode::kUnknownSetting,
+                aArguments.front() + " is not a setting");
+  }
+  ControlOptions options = ReadOptions();
+  StartLog(FLAGS_log_level, FLAGS_id);
+  if (FLAGS_check) {
+    std::cout << "settings are good\n";
+    return 0;
+  }
+  EventLoop loop;
+  ControlDaemon daemon(loop, std::move(options));
+  const auto signal = loop.OnStopSignal([&daemon] { daemon.Stop(); });
+  loop.Run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace spindleweir
+
+int main(int aArgc, char** aArgv) {
+  return spindleweir::RunProgram(
+      aArgc, aArgv, "keeps the accepted configuration", spindleweir::Run);
+}
--- /dev/null
+++ b/main/router_main.cpp
@@ -0,0 +1,84 @@
+/// spindleweir-router: the daemon of an entry VM that callers reach.
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+#include "spindleweir/core/error.h"
+#include "spindleweir/core/log.h"
+#include "spindleweir/core/settings.h"
+#include "spindleweir/daemons/router_daemon.h"
+
+DEFINE_string(id, "", "name of this process in the list of entry VMs");
+DEFINE_string(zone, "", "availability zone of this VM");
+DEFINE_string(listen, "127.0.0.1:0", "IP:PORT for callers");
+DEFINE_string(rpc_listen, "127.0.0.1:0", "IP:PORT for our own processes");
+DEFINE_string(entry_vms, "", "path of the list of entry VMs");
+DEFINE_string(platform, "", "IP:PORT of the platform's list of VMs");
+DEFINE_string(cluster_key, "", "secret that our processes share");
+DEFINE_string(port_file, "", "file to write the addresses in force to");
+DEFINE_string(log_level, "info", "debug, info, warning or error");
+DEFINE_int32(max_in_flight, 512, "requests in flight at a time");
+DEFINE_int32(max_queue, 1024, "requests waiting for a place");
+DEFINE_int32(max_loads, 4, "engines of the zone that load at a time");
+DEFINE_int32(silence_ms, 700, "silence of a chain before it is probed");
+DEFINE_int32(stop_unready_ms, 2000, "serves on so long after SIGTERM");
+DEFINE_int32(stop_grace_ms, 60000, "for requests in flight after SIGTERM");
+DEFINE_bool(check, false, "check the settings and exit");
+
+namespace spindleweir {
+namespace {
+
+RouterOptions ReadOptions() {
+  RequireSetting(FLAGS_id, "--id");
+  RequireSetting(FLAGS_zone, "--zone");
+  RequireSetting(FLAGS_entry_vms, "--entry_vms");
+  RequireSetting(FLAGS_platform, "--platform");
+  RequireSetting(FLAGS_cluster_key, "--cluster_key");
+  RequireRange(FLAGS_max_in_flight, 1, 100000, "--max_in_flight");
+  RequireRange(FLAGS_max_queue, 0, 1000000, "--max_queue");
+  RequireRange(FLAGS_max_loads, 1, 10000, "--max_loads");
+  RequireRange(FLAGS_silence_ms, 50, 600000, "--silence_ms");
+  RequireRange(FLAGS_stop_unready_ms, 0, 600000, "--stop_unready_ms");
+  RequireRange(FLAGS_stop_grace_ms, 0, 3600000, "--stop_grace_ms");
+  return {.mId = FLAGS_id,
+          .mZone = FLAGS_zone,
+          .mListen = ParseEndpoint(FLAGS_listen, "--listen"),
+          .mRpcListen = ParseEndpoint(FLAGS_rpc_listen, "--rpc_listen"),
+          .mEntryVms = FLAGS_entry_vms,
+          .mPlatform = ParseEndpoint(FLAGS_platform, "--platform"),
+          .mClusterKey = FLAGS_cluster_key,
+          .mPortFile = FLAGS_port_file,
+          .mMaximumInFlight = FLAGS_max_in_flight,
+          .mMaximumQueue = FLAGS_max_queue,
+          .mMaximumLoads = FLAGS_max_loads,
+          .mSilence = FLAGS_silence_ms,
+          .mStopUnready = FLAGS_stop_unready_ms,
+          .mStopGrace = FLAGS_stop_grace_ms};
+}
+
+int Run(const std::vector<std::string>& aArguments) {
+  if (!aArguments.empty()) {
+    throw Error(ResultCode::kUnknownSetting,
+                aArguments.front() + " is not a setting");
+  }
+  RouterOptions options = ReadOptions();
+  StartLog(FLAGS_log_level, FLAGS_id);
+  if (FLAGS_check) {
+    std::cout << "settings are good\n";
+    return 0;
+  }
+  EventLoop loop;
+  RouterDaemon daemon(loop, std::move(options));
+  const auto signal = loop.OnStopSignal([&daemon] { daemon.Stop(); });
+  loop.Run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace spindleweir
+
+int main(int aArgc, char** aArgv) {
+  return spindleweir::RunProgram(
+      aArgc, aArgv, "takes callers' requests and routes them to upstreams",
+      spindleweir::Run);
+}
--- /dev/null
+++ b/servers/configuration/configuration_machine.cpp
@@ -0,0 +1,179 @@
+#include "spindleweir/servers/configuration/configuration_machine.h"
+
+#include <algorithm>
+
+#include "spindleweir/core/json_codec.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr std::size_t kRememberedResults = 2048;
+/// An expired plan is told apart from an unknown one for this long.
+constexpr Millis kExpiredPlanKept = 60 * 60 * 1000;
+
+/// The state as it is written into a snapshot.
+struct SavedState {
+  Configuration mCurrent;
+  std::vector<Plan> mPlans;
+  std::vector<CommandResult> mResults;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("current", mCurrent);
+    aCodec.Required("plans", mPlans);
+    aCodec.Required("results", mResults);
+  }
+};
+
+CommandResult Refusal(ResultCode aCode, std::string aMessage) {
+  CommandResult result;
+  result.mCode = static_cast<int>(aCode);
+  result.mMessage = std::move(aMessage);
+  return result;
+}
+
+}  // namespace
+
+CommandResult ConfigurationMachine::Apply(const Command& aCommand) {
+  if (const CommandResult* first = FindResult(aCommand.mId)) {
+    if (first->mDigest == aCommand.mDigest) {
+      return *first;
+    }
+    CommandResult result =
+        Refusal(ResultCode::kCommandReused,
+                "command id " + aCommand.mId + " was used with another body");
+    result.mVersion = mCurrent.mVersion;
+    return result;
+  }
+  DropExpiredPlans(aCommand.mWall);
+  CommandResult result;
+  switch (aCommand.mKind) {
+    case CommandKind::kPlan:
+      result = ApplyPlan(aCommand);
+      break;
+    case CommandKind::kConfirm:
+      result = ApplyConfirm(aCommand);
+      break;
+    case CommandKind::kDrain:
+      result = ApplyDrain(aCommand);
+      break;
+  }
+  result.mId = aCommand.mId;
+  result.mDigest = aCommand.mDigest;
+  result.mVersion = mCurrent.mVersion;
+  Remember(result);
+  return result;
+}
+
+CommandResult ConfigurationMachine::ApplyPlan(const Command& aCommand) {
+  mPlans[aCommand.mPlan.mId] = aCommand.mPlan;
+  CommandResult result;
+  result.mPlanId = aCommand.mPlan.mId;
+  return result;
+}
+
+CommandResult ConfigurationMachine::ApplyConfirm(const Command& aCommand) {
+  const Plan* plan = FindPlan(aCommand.mPlanId);
+  if (plan == nullptr) {
+    return Refusal(ResultCode::kPlanNotFound, "no plan " + aCommand.mPlanId);
+  }
+  if (!plan->mForbidden.empty()) {
+    return Refusal(ResultCode::kPlanShort, plan->mForbidden.front());
+  }
+  if (plan->mBaseVersion != mCurrent.mVersion) {
+    return Refusal(
+        ResultCode::kVersionConflict,
+        "the plan was made on version " + std::to_string(plan->mBaseVersion) +
+            "; the current version is " + std::to_string(mCurrent.mVersion));
+  }
+  if (aCommand.mWall > plan->mExpiresWall) {
+    return Refusal(ResultCode::kPlanExpired,
+                   "plan " + aCommand.mPlanId + " has expired");
+  }
+  Configuration next = mCurrent;
+  next.mIntent = plan->mIntent;
+  next.mPlacement = plan->mPlacement;
+  CommandResult result;
+  result.mPlanId = plan->mId;
+  Accept(std::move(next));
+  return result;
+}
+
+CommandResult ConfigurationMachine::ApplyDrain(const Command& aCommand) {
+  Configuration next = mCurrent;
+  const auto it =
+      std::find(next.mDrained.begin(), next.mDrained.end(), aCommand.mVm);
+  const bool drained = it != next.mDrained.end();
+  if (drained == aCommand.mDrain) {
+    return {};
+  }
+  if (aCommand.mDrain) {
+    next.mDrained.push_back(aCommand.mVm);
+  } else {
+    next.mDrained.erase(it);
+  }
+  Accept(std::move(next));
+  return {};
+}
+
+void ConfigurationMachine::Accept(Configuration aNext) {
+  aNext.mVersion = mCurrent.mVersion + 1;
+  aNext.mPreviousHash = mCurrent.mHash;
+  aNext.mHash = HashOf(aNext);
+  mCurrent = std::move(aNext);
+  mSignalAccepted.emit(mCurrent);
+}
+
+void ConfigurationMachine::Remember(const CommandResult& aResult) {
+  mResults.push_back(aResult);
+  mResultsById[aResult.mId] = aResult;
+  if (mResults.size() > kRememberedResults) {
+    mResultsById.erase(mResults.front().mId);
+    mResults.pop_front();
+  }
+}
+
+void ConfigurationMachine::DropExpiredPlans(Millis aWall) {
+  std::erase_if(mPlans, [aWall](const auto& aItem) {
+    return aItem.second.mExpiresWall + kExpiredPlanKept < aWall;
+  });
+}
+
+const Plan* ConfigurationMachine::FindPlan(const std::string& aId) const {
+  const auto it = mPlans.find(aId);
+  return it == mPlans.end() ? nullptr : &it->second;
+}
+
+const CommandResult* ConfigurationMachine::FindResult(
+    const std::string& aCommandId) const {
+  const auto it = mResultsById.find(aCommandId);
+  return it == mResultsById.end() ? nullptr : &it->second;
+}
+
+std::string ConfigurationMachine::Save() const {
+  SavedState state;
+  state.mCurrent = mCurrent;
+  for (const auto& [id, plan] : mPlans) {
+    state.mPlans.push_back(plan);
+  }
+  state.mResults.assign(mResults.begin(), mResults.end());
+  return DumpJson(ToJson(state));
+}
+
+void ConfigurationMachine::Restore(const std::string& aData) {
+  const auto state = FromJson<SavedState>(ParseJson(aData));
+  mPlans.clear();
+  for (const Plan& plan : state.mPlans) {
+    mPlans[plan.mId] = plan;
+  }
+  mResults.assign(state.mResults.begin(), state.mResults.end());
+  mResultsById.clear();
+  for (const CommandResult& result : mResults) {
+    mResultsById[result.mId] = result;
+  }
+  mCurrent = state.mCurrent;
+  mSignalAccepted.emit(mCurrent);
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/servers/consensus/raft_node.cpp
@@ -0,0 +1,551 @@
+#include "spindleweir/servers/consensus/raft_node.h"
+
+#include <algorithm>
+
+#include "spindleweir/core/error.h"
+
+namespace spindleweir {
+
+RaftNode::RaftNode(RaftOptions aOptions, Millis aNow)
+    : mOptions(std::move(aOptions)), mRandom(mOptions.mSeed), mNow(aNow) {
+  DurableState state = mOptions.mStorage->Load();
+  mHardState = state.mHardState;
+  mSnapshot = std::move(state.mSnapshot);
+  mEntries = std::move(state.mEntries);
+  mCommit = mSnapshot.mIndex;
+  mApplied = mSnapshot.mIndex;
+  mLeaderHeardAt = aNow - mOptions.mElectionTimeout;
+  if (mSnapshot.mIndex > 0) {
+    mOptions.mInstallSnapshot(mSnapshot.mData);
+  }
+  RefreshVoters();
+  RestartElectionTimer();
+}
+
+void RaftNode::Guard(const std::function<void()>& aStep) {
+  if (mFailed) {
+    return;
+  }
+  try {
+    aStep();
+  } catch (const Error& error) {
+    if (error.Code() != ResultCode::kStorageFailed) {
+      throw;
+    }
+    // What is on the disk is unknown now, so that no promise can be kept.
+    mFailed = true;
+    mRole = RaftRole::kFollower;
+    mLeader.clear();
+    FailReads();
+  }
+}
+
+void RaftNode::Tick(Millis aNow) {
+  mNow = aNow;
+  Guard([this] {
+    if (mRole == RaftRole::kLeader) {
+      std::size_t heard = 1;
+      for (const auto& [id, progress] : mProgress) {
+        const bool recent =
+            mNow - progress.mHeardAt < 2 * mOptions.mElectionTimeout;
+        heard += (IsVoter(id) && recent) ? 1 : 0;
+      }
+      if (!IsMajority(heard)) {
+        // Cut off: whoever waits is told now, and reads elsewhere are safe.
+        BecomeFollower(mHardState.mTerm, "");
+        return;
+      }
+      if (mNow >= mHeartbeatAt) {
+        BroadcastAppend();
+      }
+      return;
+    }
+    if (mNow >= mElectionAt && IsVoter(mOptions.mId)) {
+      StartPreVote();
+    }
+  });
+}
+
+void RaftNode::Receive(const RaftMessage& aMessage, Millis aNow) {
+  mNow = aNow;
+  if (aMessage.mTo != mOptions.mId) {
+    return;
+  }
+  Guard([this, &aMessage] { Step(aMessage); });
+}
+
+void RaftNode::Step(const RaftMessage& aMessage) {
+  if (aMessage.mKind == RaftKind::kPreVote) {
+    HandlePreVote(aMessage);
+    return;
+  }
+  const bool grantedPreVote =
+      aMessage.mKind == RaftKind::kPreVoteReply && aMessage.mGranted;
+  if (aMessage.mTerm > mHardState.mTerm && !grantedPreVote) {
+    const bool leads = aMessage.mKind == RaftKind::kAppend ||
+                       aMessage.mKind == RaftKind::kSnapshot;
+    BecomeFollower(aMessage.mTerm, leads ? aMessage.mFrom : "");
+  }
+  switch (aMessage.mKind) {
+    case RaftKind::kPreVote:
+      break;
+    case RaftKind::kVote:
+      HandleVote(aMessage);
+      break;
+    case RaftKind::kPreVoteReply:
+    case RaftKind::kVoteReply:
+      HandleVoteReply(aMessage);
+      break;
+    case RaftKind::kAppend:
+      HandleAppend(aMessage);
+      break;
+    case RaftKind::kAppendReply:
+      HandleAppendReply(aMessage);
+      break;
+    case RaftKind::kSnapshot:
+      HandleSnapshot(aMessage);
+      break;
+  }
+}
+
+void RaftNode::HandlePreVote(const RaftMessage& aMessage) {
+  // While a leader is heard nobody else is wanted: a voter that comes back
+  // from a long silence disturbs nothing.
+  const bool quiet = mRole != RaftRole::kLeader &&
+                     mNow - mLeaderHeardAt >= mOptions.mElectionTimeout;
+  const bool granted =
+      quiet && aMessage.mTerm > mHardState.mTerm && LogIsCurrent(aMessage);
+  RaftMessage reply;
+  reply.mKind = RaftKind::kPreVoteReply;
+  reply.mTo = aMessage.mFrom;
+  reply.mTerm = granted ? aMessage.mTerm : mHardState.mTerm;
+  reply.mGranted = granted;
+  Send(reply);
+}
+
+void RaftNode::HandleVote(const RaftMessage& aMessage) {
+  const bool free =
+      mHardState.mVotedFor.empty() || mHardState.mVotedFor == aMessage.mFrom;
+  const bool granted =
+      aMessage.mTerm == mHardState.mTerm && free && LogIsCurrent(aMessage);
+  if (granted) {
+    mHardState.mVotedFor = aMessage.mFrom;
+    mOptions.mStorage->SaveHardState(mHardState);
+    RestartElectionTimer();
+  }
+  Reply(aMessage, RaftKind::kVoteReply, granted, 0);
+}
+
+void RaftNode::HandleVoteReply(const RaftMessage& aMessage) {
+  const bool pre = aMessage.mKind == RaftKind::kPreVoteReply;
+  const RaftRole wanted = pre ? RaftRole::kPreCandidate : RaftRole::kCandidate;
+  const std::int64_t term = pre ? mHardState.mTerm + 1 : mHardState.mTerm;
+  if (mRole != wanted || aMessage.mTerm != term || !aMessage.mGranted ||
+      !IsVoter(aMessage.mFrom)) {
+    return;
+  }
+  mVotes.insert(aMessage.mFrom);
+  if (!IsMajority(mVotes.size())) {
+    return;
+  }
+  if (pre) {
+    StartElection();
+  } else {
+    BecomeLeader();
+  }
+}
+
+void RaftNode::HandleAppend(const RaftMessage& aMessage) {
+  if (aMessage.mTerm < mHardState.mTerm) {
+    Reply(aMessage, RaftKind::kAppendReply, false, LastIndex());
+    return;
+  }
+  BecomeFollower(aMessage.mTerm, aMessage.mFrom);
+  mLeaderHeardAt = mNow;
+  if (!StoreEntries(aMessage)) {
+    const std::int64_t hint = std::min(LastIndex(), aMessage.mIndex - 1);
+    Reply(aMessage, RaftKind::kAppendReply, false, hint);
+    return;
+  }
+  const std::int64_t last =
+      aMessage.mIndex + static_cast<std::int64_t>(aMessage.mEntries.size());
+  mCommit = std::max(mCommit, std::min(aMessage.mCommit, last));
+  ApplyCommitted();
+  Reply(aMessage, RaftKind::kAppendReply, true, last);
+}
+
+bool RaftNode::StoreEntries(const RaftMessage& aMessage) {
+  if (aMessage.mIndex > LastIndex()) {
+    return false;
+  }
+  if (aMessage.mIndex >= mSnapshot.mIndex &&
+      TermAt(aMessage.mIndex) != aMessage.mLogTerm) {
+    return false;
+  }
+  for (std::size_t i = 0; i < aMessage.mEntries.size(); i++) {
+    const LogEntry& entry = aMessage.mEntries[i];
+    const bool known =
+        entry.mIndex <= mSnapshot.mIndex ||
+        (entry.mIndex <= LastIndex() && TermAt(entry.mIndex) == entry.mTerm);
+    if (known) {
+      continue;
+    }
+    const auto fresh = std::span(aMessage.mEntries).subspan(i);
+    mOptions.mStorage->Append(fresh);
+    mEntries.resize(
+        static_cast<std::size_t>(entry.mIndex - mSnapshot.mIndex - 1));
+    mEntries.insert(mEntries.end(), fresh.begin(), fresh.end());
+    RefreshVoters();
+    break;
+  }
+  return true;
+}
+
+void RaftNode::HandleAppendReply(const RaftMessage& aMessage) {
+  if (mRole != RaftRole::kLeader || aMessage.mTerm != mHardState.mTerm) {
+    return;
+  }
+  Progress& progress = mProgress[aMessage.mFrom];
+  progress.mHeardAt = mNow;
+  progress.mRound = std::max(progress.mRound, aMessage.mRound);
+  if (!aMessage.mGranted) {
+    progress.mNext = std::max(progress.mMatch + 1, aMessage.mIndex + 1);
+    SendAppend(aMessage.mFrom);
+    FinishReads();
+    return;
+  }
+  progress.mMatch = std::max(progress.mMatch, aMessage.mIndex);
+  progress.mNext = std::max(progress.mNext, progress.mMatch + 1);
+  AdvanceCommit();
+  FinishReads();
+  if (progress.mNext <= LastIndex()) {
+    SendAppend(aMessage.mFrom);
+  }
+}
+
+void RaftNode::HandleSnapshot(const RaftMessage& aMessage) {
+  if (aMessage.mTerm < mHardState.mTerm) {
+    Reply(aMessage, RaftKind::kAppendReply, false, LastIndex());
+    return;
+  }
+  BecomeFollower(aMessage.mTerm, aMessage.mFrom);
+  mLeaderHeardAt = mNow;
+  const Snapshot& snapshot = aMessage.mSnapshot;
+  if (snapshot.mIndex > mCommit) {
+    mOptions.mStorage->SaveSnapshot(snapshot, {}, mHardState);
+    mSnapshot = snapshot;
+    mEntries.clear();
+    mCommit = snapshot.mIndex;
+    mApplied = snapshot.mIndex;
+    RefreshVoters();
+    mOptions.mInstallSnapshot(snapshot.mData);
+  }
+  Reply(aMessage, RaftKind::kAppendReply, true, snapshot.mIndex);
+}
+
+void RaftNode::StartPreVote() {
+  mRole = RaftRole::kPreCandidate;
+  mLeader.clear();
+  mVotes = {mOptions.mId};
+  RestartElectionTimer();
+  if (IsMajority(mVotes.size())) {
+    StartElection();
+    return;
+  }
+  BroadcastVote(RaftKind::kPreVote, mHardState.mTerm + 1);
+}
+
+void RaftNode::StartElection() {
+  mRole = RaftRole::kCandidate;
+  mHardState.mTerm++;
+  mHardState.mVotedFor = mOptions.mId;
+  mOptions.mStorage->SaveHardState(mHardState);
+  mVotes = {mOptions.mId};
+  RestartElectionTimer();
+  if (IsMajority(mVotes.size())) {
+    BecomeLeader();
+    return;
+  }
+  BroadcastVote(RaftKind::kVote, mHardState.mTerm);
+}
+
+void RaftNode::BroadcastVote(RaftKind aKind, std::int64_t aTerm) {
+  for (const std::string& id : mVoters) {
+    if (id == mOptions.mId) {
+      continue;
+    }
+    RaftMessage message;
+    message.mKind = aKind;
+    message.mTo = id;
+    message.mTerm = aTerm;
+    message.mIndex = LastIndex();
+    message.mLogTerm = TermAt(LastIndex());
+    Send(message);
+  }
+}
+
+void RaftNode::BecomeLeader() {
+  mRole = RaftRole::kLeader;
+  mLeader = mOptions.mId;
+  mProgress.clear();
+  for (const std::string& id : mVoters) {
+    mProgress[id] = {.mNext = LastIndex() + 1, .mHeardAt = mNow};
+  }
+  // Entries of earlier terms are committed only through one of this term.
+  AppendOwn({});
+}
+
+void RaftNode::BecomeFollower(std::int64_t aTerm, const std::string& aLeader) {
+  if (mRole == RaftRole::kLeader) {
+    FailReads();
+  }
+  mRole = RaftRole::kFollower;
+  mLeader = aLeader;
+  if (aTerm > mHardState.mTerm) {
+    mHardState = {.mTerm = aTerm, .mVotedFor = ""};
+    mOptions.mStorage->SaveHardState(mHardState);
+  }
+  RestartElectionTimer();
+}
+
+void RaftNode::AppendOwn(LogEntry aEntry) {
+  aEntry.mIndex = LastIndex() + 1;
+  aEntry.mTerm = mHardState.mTerm;
+  mOptions.mStorage->Append(std::span(&aEntry, 1));
+  mEntries.push_back(std::move(aEntry));
+  RefreshVoters();
+  AdvanceCommit();
+  BroadcastAppend();
+}
+
+std::int64_t RaftNode::Propose(const std::string& aPayload) {
+  std::int64_t index = 0;
+  Guard([this, &aPayload, &index] {
+    if (mRole == RaftRole::kLeader) {
+      const std::int64_t next = LastIndex() + 1;
+      AppendOwn({.mPayload = aPayload});
+      index = next;
+    }
+  });
+  return index;
+}
+
+std::int64_t RaftNode::ProposeVoters(const std::vector<std::string>& aVoters) {
+  const auto missing = [](const std::vector<std::string>& aFrom,
+                          const std::vector<std::string>& aIn) {
+    return std::count_if(
+        aFrom.begin(), aFrom.end(), [&aIn](const std::string& aId) {
+          return std::find(aIn.begin(), aIn.end(), aId) == aIn.end();
+        });
+  };
+  const bool oneStep =
+      missing(aVoters, mVoters) + missing(mVoters, aVoters) == 1;
+  bool pending = !Leads();
+  for (std::int64_t i = std::max(mCommit, mSnapshot.mIndex) + 1;
+       i <= LastIndex(); i++) {
+    pending = pending || !EntryAt(i).mVoters.empty();
+  }
+  if (aVoters.empty() || !oneStep || pending) {
+    return 0;
+  }
+  std::int64_t index = 0;
+  Guard([this, &aVoters, &index] {
+    const std::int64_t next = LastIndex() + 1;
+    AppendOwn({.mVoters = aVoters});
+    index = next;
+  });
+  return index;
+}
+
+void RaftNode::ConfirmRead(std::function<void(bool)> aDone) {
+  if (!Leads()) {
+    aDone(false);
+    return;
+  }
+  mRound++;
+  mReads.push_back({mRound, mCommit, std::move(aDone)});
+  BroadcastAppend();
+  FinishReads();
+}
+
+void RaftNode::FinishReads() {
+  std::size_t done = 0;
+  while (done < mReads.size()) {
+    std::size_t confirmed = IsVoter(mOptions.mId) ? 1 : 0;
+    for (const auto& [id, progress] : mProgress) {
+      const bool echoed = progress.mRound >= mReads[done].mRound;
+      confirmed += (id != mOptions.mId && IsVoter(id) && echoed) ? 1 : 0;
+    }
+    if (!IsMajority(confirmed) || mApplied < mReads[done].mIndex) {
+      break;
+    }
+    done++;
+  }
+  const auto end = mReads.begin() + static_cast<std::ptrdiff_t>(done);
+  const std::vector<PendingRead> finished(mReads.begin(), end);
+  mReads.erase(mReads.begin(), end);
+  for (const PendingRead& read : finished) {
+    read.mDone(true);
+  }
+}
+
+void RaftNode::FailReads() {
+  const std::vector<PendingRead> reads = std::move(mReads);
+  mReads.clear();
+  for (const PendingRead& read : reads) {
+    read.mDone(false);
+  }
+}
+
+bool RaftNode::Leads() const {
+  return !mFailed && mRole == RaftRole::kLeader &&
+         TermAt(mCommit) == mHardState.mTerm;
+}
+
+void RaftNode::BroadcastAppend() {
+  mHeartbeatAt = mNow + mOptions.mHeartbeat;
+  for (const std::string& id : mVoters) {
+    if (id != mOptions.mId) {
+      SendAppend(id);
+    }
+  }
+}
+
+void RaftNode::SendAppend(const std::string& aTo) {
+  Progress& progress = mProgress[aTo];
+  RaftMessage message;
+  message.mTo = aTo;
+  message.mTerm = mHardState.mTerm;
+  message.mRound = mRound;
+  message.mCommit = mCommit;
+  if (progress.mNext <= mSnapshot.mIndex) {
+    message.mKind = RaftKind::kSnapshot;
+    message.mSnapshot = mSnapshot;
+    Send(std::move(message));
+    return;
+  }
+  message.mKind = RaftKind::kAppend;
+  message.mIndex = progress.mNext - 1;
+  message.mLogTerm = TermAt(message.mIndex);
+  const std::int64_t last = std::min(
+      LastIndex(),
+      message.mIndex + static_cast<std::int64_t>(mOptions.mEntriesPerMessage));
+  for (std::int64_t i = progress.mNext; i <= last; i++) {
+    message.mEntries.push_back(EntryAt(i));
+  }
+  Send(std::move(message));
+}
+
+void RaftNode::Reply(const RaftMessage& aTo, RaftKind aKind, bool aGranted,
+                     std::int64_t aIndex) {
+  RaftMessage reply;
+  reply.mKind = aKind;
+  reply.mTo = aTo.mFrom;
+  reply.mTerm = mHardState.mTerm;
+  reply.mGranted = aGranted;
+  reply.mIndex = aIndex;
+  reply.mRound = aTo.mRound;
+  Send(std::move(reply));
+}
+
+void RaftNode::Send(RaftMessage aMessage) {
+  aMessage.mFrom = mOptions.mId;
+  mOptions.mSend(aMessage);
+}
+
+void RaftNode::AdvanceCommit() {
+  for (std::int64_t i = LastIndex(); i > mCommit; i--) {
+    if (TermAt(i) != mHardState.mTerm) {
+      return;
+    }
+    std::size_t stored = IsVoter(mOptions.mId) ? 1 : 0;
+    for (const auto& [id, progress] : mProgress) {
+      const bool has = progress.mMatch >= i;
+      stored += (id != mOptions.mId && IsVoter(id) && has) ? 1 : 0;
+    }
+    if (IsMajority(stored)) {
+      mCommit = i;
+      ApplyCommitted();
+      BroadcastAppend();
+      return;
+    }
+  }
+}
+
+void RaftNode::ApplyCommitted() {
+  while (mApplied < mCommit) {
+    mApplied++;
+    const LogEntry entry = EntryAt(mApplied);
+    if (!entry.mPayload.empty()) {
+      mOptions.mApply(entry);
+    }
+  }
+  MaybeSnapshot();
+}
+
+void RaftNode::MaybeSnapshot() {
+  const auto applied = static_cast<std::size_t>(mApplied - mSnapshot.mIndex);
+  if (applied < mOptions.mEntriesPerSnapshot) {
+    return;
+  }
+  Snapshot snapshot{.mIndex = mApplied, .mTerm = TermAt(mApplied)};
+  snapshot.mVoters =
+      mSnapshot.mVoters.empty() ? mOptions.mVoters : mSnapshot.mVoters;
+  for (std::int64_t i = mSnapshot.mIndex + 1; i <= mApplied; i++) {
+    if (!EntryAt(i).mVoters.empty()) {
+      snapshot.mVoters = EntryAt(i).mVoters;
+    }
+  }
+  snapshot.mData = mOptions.mMakeSnapshot();
+  const std::vector<LogEntry> rest(
+      mEntries.begin() + static_cast<std::ptrdiff_t>(applied), mEntries.end());
+  mOptions.mStorage->SaveSnapshot(snapshot, rest, mHardState);
+  mSnapshot = std::move(snapshot);
+  mEntries = rest;
+}
+
+void RaftNode::RestartElectionTimer() {
+  std::uniform_int_distribution<Millis> spread(0, mOptions.mElectionTimeout);
+  mElectionAt = mNow + mOptions.mElectionTimeout + spread(mRandom);
+}
+
+bool RaftNode::IsVoter(const std::string& aId) const {
+  return std::find(mVoters.begin(), mVoters.end(), aId) != mVoters.end();
+}
+
+bool RaftNode::IsMajority(std::size_t aCount) const {
+  return aCount * 2 > mVoters.size();
+}
+
+bool RaftNode::LogIsCurrent(const RaftMessage& aMessage) const {
+  const std::int64_t own = TermAt(LastIndex());
+  return aMessage.mLogTerm > own ||
+         (aMessage.mLogTerm == own && aMessage.mIndex >= LastIndex());
+}
+
+std::int64_t RaftNode::LastIndex() const {
+  return mSnapshot.mIndex + static_cast<std::int64_t>(mEntries.size());
+}
+
+std::int64_t RaftNode::TermAt(std::int64_t aIndex) const {
+  return aIndex <= mSnapshot.mIndex ? mSnapshot.mTerm : EntryAt(aIndex).mTerm;
+}
+
+const LogEntry& RaftNode::EntryAt(std::int64_t aIndex) const {
+  return mEntries[static_cast<std::size_t>(aIndex - mSnapshot.mIndex - 1)];
+}
+
+void RaftNode::RefreshVoters() {
+  mVoters = mSnapshot.mVoters.empty() ? mOptions.mVoters : mSnapshot.mVoters;
+  for (const LogEntry& entry : mEntries) {
+    if (!entry.mVoters.empty()) {
+      mVoters = entry.mVoters;
+    }
+  }
+  for (const std::string& id : mVoters) {
+    // A voter that joins under a leader gets its time to answer.
+    mProgress.try_emplace(id, Progress{.mNext = 1, .mHeardAt = mNow});
+  }
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/servers/limits/workspace_limiter.cpp
@@ -0,0 +1,203 @@
+#include "spindleweir/servers/limits/workspace_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace spindleweir {
+
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+constexpr double kBurstSeconds = 0.5;
+constexpr Millis kLeastRetryAfter = 100;
+constexpr double kMeanWeight = 0.05;
+
+/// How many requests may come at once before the rate holds them.
+double BurstOf(const WorkspaceLimits& aLimits) {
+  return std::max(1.0, aLimits.mRequestsPerSecond * kBurstSeconds);
+}
+
+}  // namespace
+
+WorkspaceLimiter::WorkspaceLimiter(LimiterOptions aOptions)
+    : mOptions(aOptions) {}
+
+void WorkspaceLimiter::SetLimits(const std::string& aWorkspace,
+                                 const WorkspaceLimits& aLimits) {
+  mWorkspaces[aWorkspace].mLimits = aLimits;
+}
+
+int WorkspaceLimiter::InFlight(const std::string& aWorkspace) const {
+  const auto it = mWorkspaces.find(aWorkspace);
+  return it == mWorkspaces.end() ? 0 : it->second.mInFlight;
+}
+
+void WorkspaceLimiter::Refill(Workspace& aWorkspace, Millis aNow) const {
+  const double burst = BurstOf(aWorkspace.mLimits);
+  if (aWorkspace.mFilledAt < 0) {
+    aWorkspace.mTokens = burst;
+  } else {
+    const auto passed = static_cast<double>(aNow - aWorkspace.mFilledAt);
+    aWorkspace.mTokens +=
+        aWorkspace.mLimits.mRequestsPerSecond * passed / kMillisPerSecond;
+    aWorkspace.mTokens = std::min(aWorkspace.mTokens, burst);
+  }
+  aWorkspace.mFilledAt = aNow;
+}
+
+bool WorkspaceLimiter::HasRoom(const Workspace& aWorkspace) const {
+  const double most = std::max(1.0, aWorkspace.mLimits.mMaximumConcurrent);
+  return aWorkspace.mInFlight + 1 <= most && aWorkspace.mTokens >= 1;
+}
+
+void WorkspaceLimiter::Admit(Workspace& aWorkspace) {
+  aWorkspace.mInFlight++;
+  aWorkspace.mTokens -= 1;
+  aWorkspace.mVirtualTime = std::max(aWorkspace.mVirtualTime, mVirtualNow) +
+                            1 / std::max(aWorkspace.mLimits.mWeight, 1e-6);
+  mInFlight++;
+}
+
+Millis WorkspaceLimiter::ExpectedWait(const Workspace& aWorkspace) const {
+  const double places =
+      std::max(1.0, std::min(aWorkspace.mLimits.mMaximumConcurrent,
+                             static_cast<double>(mOptions.mMaximumInFlight)));
+  const auto ahead = static_cast<double>(aWorkspace.mQueue.size());
+  const double byPlaces = (ahead + 1) * mServiceMillis / places;
+  const double rate = std::max(aWorkspace.mLimits.mRequestsPerSecond, 1e-6);
+  const double byRate =
+      std::max(0.0, ahead + 1 - aWorkspace.mTokens) * kMillisPerSecond / rate;
+  return static_cast<Millis>(std::max(byPlaces, byRate));
+}
+
+Millis WorkspaceLimiter::RetryAfter(const Workspace& aWorkspace) const {
+  return std::max(kLeastRetryAfter, ExpectedWait(aWorkspace));
+}
+
+bool WorkspaceLimiter::TooLate(const AdmissionRequest& aRequest,
+                               Millis aNow) const {
+  return aRequest.mDeadline > 0 &&
+         static_cast<double>(aNow) + aRequest.mServiceMillis >
+             static_cast<double>(aRequest.mDeadline);
+}
+
+std::vector<AdmissionOutcome> WorkspaceLimiter::Ask(
+    const AdmissionRequest& aRequest, Millis aNow) {
+  Workspace& workspace = mWorkspaces[aRequest.mWorkspace];
+  Refill(workspace, aNow);
+  mServiceMillis += kMeanWeight * (aRequest.mServiceMillis - mServiceMillis);
+  const auto refuse = [&](ResultCode aCode) {
+    return std::vector<AdmissionOutcome>{
+        {aRequest.mTicket, aCode, RetryAfter(workspace)}};
+  };
+  if (TooLate(aRequest, aNow)) {
+    return refuse(ResultCode::kDeadlineTooShort);
+  }
+  const bool free = workspace.mQueue.empty() && HasRoom(workspace) &&
+                    mInFlight < mOptions.mMaximumInFlight;
+  if (free) {
+    Admit(workspace);
+    return {{.mTicket = aRequest.mTicket}};
+  }
+  const Millis wait = ExpectedWait(workspace);
+  if (TooLate(aRequest, aNow + wait)) {
+    return refuse(ResultCode::kDeadlineTooShort);
+  }
+  if (wait > mOptions.mMaximumWait) {
+    return refuse(ResultCode::kOverLimit);
+  }
+  // Each workspace may fill only its part of the queue, so that one that
+  // floods leaves room for the others.
+  const std::size_t part = std::max<std::size_t>(1, mOptions.mMaximumQueue / 4);
+  if (mQueued >= mOptions.mMaximumQueue || workspace.mQueue.size() >= part) {
+    return refuse(ResultCode::kQueueFull);
+  }
+  Enqueue(workspace, aRequest, aNow);
+  return {};
+}
+
+void WorkspaceLimiter::Enqueue(Workspace& aWorkspace,
+                               const AdmissionRequest& aRequest, Millis aNow) {
+  const auto it =
+      std::find_if(aWorkspace.mQueue.begin(), aWorkspace.mQueue.end(),
+                   [&aRequest](const Waiting& aWaiting) {
+                     return aWaiting.mRequest.mPriority < aRequest.mPriority;
+                   });
+  aWorkspace.mQueue.insert(it, {aRequest, aNow});
+  mQueued++;
+}
+
+std::vector<AdmissionOutcome> WorkspaceLimiter::Release(
+    const std::string& aWorkspace, Millis aNow) {
+  Workspace& workspace = mWorkspaces[aWorkspace];
+  workspace.mInFlight--;
+  mInFlight--;
+  std::vector<AdmissionOutcome> out;
+  AdmitWaiting(aNow, out);
+  return out;
+}
+
+void WorkspaceLimiter::Withdraw(std::uint64_t aTicket) {
+  for (auto& [name, workspace] : mWorkspaces) {
+    mQueued -=
+        std::erase_if(workspace.mQueue, [aTicket](const Waiting& aWaiting) {
+          return aWaiting.mRequest.mTicket == aTicket;
+        });
+  }
+}
+
+std::vector<AdmissionOutcome> WorkspaceLimiter::Tick(Millis aNow) {
+  std::vector<AdmissionOutcome> out;
+  for (auto& [name, workspace] : mWorkspaces) {
+    Refill(workspace, aNow);
+    for (auto it = workspace.mQueue.begin(); it != workspace.mQueue.end();) {
+      const bool late = TooLate(it->mRequest, aNow);
+      if (!late && aNow - it->mSince <= mOptions.mMaximumWait) {
+        ++it;
+        continue;
+      }
+      out.push_back(
+          {it->mRequest.mTicket,
+           late ? ResultCode::kDeadlineTooShort : ResultCode::kOverLimit,
+           RetryAfter(workspace)});
+      it = workspace.mQueue.erase(it);
+      mQueued--;
+    }
+  }
+  AdmitWaiting(aNow, out);
+  return out;
+}
+
+void WorkspaceLimiter::AdmitWaiting(Millis aNow,
+                                    std::vector<AdmissionOutcome>& aOut) {
+  while (mQueued > 0 && mInFlight < mOptions.mMaximumInFlight) {
+    Workspace* next = nullptr;
+    for (auto& [name, workspace] : mWorkspaces) {
+      if (workspace.mQueue.empty()) {
+        continue;
+      }
+      Refill(workspace, aNow);
+      const bool earlier =
+          next == nullptr || workspace.mVirtualTime < next->mVirtualTime;
+      if (HasRoom(workspace) && earlier) {
+        next = &workspace;
+      }
+    }
+    if (next == nullptr) {
+      return;
+    }
+    const AdmissionRequest request = next->mQueue.front().mRequest;
+    next->mQueue.pop_front();
+    mQueued--;
+    if (TooLate(request, aNow)) {
+      aOut.push_back(
+          {request.mTicket, ResultCode::kDeadlineTooShort, RetryAfter(*next)});
+      continue;
+    }
+    mVirtualNow = std::max(mVirtualNow, next->mVirtualTime);
+    Admit(*next);
+    aOut.push_back({.mTicket = request.mTicket});
+  }
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/servers/membership/leaving_set.cpp
@@ -0,0 +1,63 @@
+#include "spindleweir/servers/membership/leaving_set.h"
+
+#include <algorithm>
+
+namespace spindleweir {
+
+bool LeavingSet::Add(const LeavingWord& aWord) {
+  const auto seen = mSeen.find(aWord.mVm);
+  const std::int64_t newest = seen == mSeen.end() ? 0 : seen->second;
+  // A word without an incarnation is about the one seen now.
+  const std::int64_t incarnation =
+      aWord.mIncarnation == 0 ? newest : aWord.mIncarnation;
+  if (incarnation < newest) {
+    return false;
+  }
+  const auto it = mWords.find(aWord.mVm);
+  if (it != mWords.end() && it->second >= incarnation) {
+    return false;
+  }
+  mWords[aWord.mVm] = incarnation;
+  return true;
+}
+
+void LeavingSet::Seen(const std::string& aVm, std::int64_t aIncarnation) {
+  std::int64_t& newest = mSeen[aVm];
+  newest = std::max(newest, aIncarnation);
+  const auto it = mWords.find(aVm);
+  if (it == mWords.end()) {
+    return;
+  }
+  if (it->second == 0) {
+    // The word came before any report: it is about the first one seen.
+    it->second = newest;
+  } else if (it->second < newest) {
+    mWords.erase(it);
+  }
+}
+
+void LeavingSet::SetDrained(const std::vector<std::string>& aVms) {
+  mDrained = std::set<std::string>(aVms.begin(), aVms.end());
+}
+
+bool LeavingSet::Contains(const std::string& aVm) const {
+  return mDrained.contains(aVm) || mWords.contains(aVm);
+}
+
+std::set<std::string> LeavingSet::Vms() const {
+  std::set<std::string> vms = mDrained;
+  for (const auto& [vm, incarnation] : mWords) {
+    vms.insert(vm);
+  }
+  return vms;
+}
+
+std::vector<LeavingWord> LeavingSet::Words() const {
+  std::vector<LeavingWord> words;
+  for (const auto& [vm, incarnation] : mWords) {
+    words.push_back({vm, incarnation});
+  }
+  return words;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/servers/membership/steward_lease.cpp
@@ -0,0 +1,92 @@
+#include "spindleweir/servers/membership/steward_lease.h"
+
+#include <algorithm>
+
+namespace spindleweir {
+
+LeaseVoter::LeaseVoter(LeaseOptions aOptions, Millis aNow)
+    : mOptions(std::move(aOptions)), mSilentUntil(aNow + mOptions.mLength) {}
+
+LeaseReply LeaseVoter::Handle(const LeaseRequest& aRequest, Millis aNow) {
+  LeaseReply reply{.mVoter = mOptions.mId, .mRound = aRequest.mRound};
+  const bool same = mPromisedTo == aRequest.mCandidate;
+  if (aRequest.mRelease) {
+    mPromisedUntil = same ? 0 : mPromisedUntil;
+    reply.mEpoch = mEpoch;
+    return reply;
+  }
+  const bool free = same || aNow >= mPromisedUntil;
+  // A renewal keeps its epoch; anyone else needs a greater one.
+  const bool newer =
+      aRequest.mEpoch > mEpoch || (same && aRequest.mEpoch == mEpoch);
+  if (aNow >= mSilentUntil && free && newer) {
+    mPromisedTo = aRequest.mCandidate;
+    mPromisedUntil = aNow + mOptions.mLength;
+    mEpoch = aRequest.mEpoch;
+    reply.mGranted = true;
+  }
+  reply.mEpoch = mEpoch;
+  return reply;
+}
+
+LeaseHolder::LeaseHolder(LeaseOptions aOptions, Millis aNow,
+                         std::function<void(const LeaseRequest&)> aBroadcast)
+    : mOptions(std::move(aOptions)),
+      mBroadcast(std::move(aBroadcast)),
+      mNextAt(aNow) {}
+
+void LeaseHolder::Tick(Millis aNow) {
+  if (mReleased || aNow < mNextAt) {
+    return;
+  }
+  StartRound(aNow);
+}
+
+void LeaseHolder::StartRound(Millis aNow) {
+  if (!Holds(aNow)) {
+    mEpoch = std::max(mEpoch, mSeenEpoch) + 1;
+  }
+  mRound++;
+  mRoundAt = aNow;
+  mGrants.clear();
+  // Candidates are spread out so that one of them gets its majority alone.
+  const double spread = Holds(aNow) ? 0 : mOptions.mRandom();
+  mNextAt = aNow + static_cast<Millis>(static_cast<double>(mOptions.mRenew) *
+                                       (1 + spread));
+  mBroadcast({.mCandidate = mOptions.mId, .mEpoch = mEpoch, .mRound = mRound});
+}
+
+void LeaseHolder::Handle(const LeaseReply& aReply, Millis aNow) {
+  SawEpoch(aReply.mEpoch);
+  if (aReply.mRound != mRound || !aReply.mGranted || mReleased) {
+    return;
+  }
+  mGrants.insert(aReply.mVoter);
+  if (mGrants.size() * 2 <= mOptions.mVoters) {
+    return;
+  }
+  // Counted from before the request was sent, and shortened by the drift, so
+  // that it ends before any voter's promise.
+  const auto own = static_cast<Millis>(static_cast<double>(mOptions.mLength) *
+                                       (1 - mOptions.mDrift));
+  if (aNow < mRoundAt + own) {
+    mHeldUntil = std::max(mHeldUntil, mRoundAt + own);
+  }
+}
+
+void LeaseHolder::SawEpoch(std::int64_t aEpoch) {
+  mSeenEpoch = std::max(mSeenEpoch, aEpoch);
+}
+
+void LeaseHolder::Release(Millis aNow) {
+  if (Holds(aNow)) {
+    mBroadcast({.mCandidate = mOptions.mId,
+                .mEpoch = mEpoch,
+                .mRound = mRound,
+                .mRelease = true});
+  }
+  mReleased = true;
+  mHeldUntil = 0;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/servers/placement/placement_planner.cpp
@@ -0,0 +1,304 @@
+#include "spindleweir/servers/placement/placement_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+#include "spindleweir/servers/placement/stage_split.h"
+
+namespace spindleweir {
+
+namespace {
+
+/// The usable engines of one zone, by name.
+struct ZoneEngines {
+  std::string mZone;
+  std::vector<EngineReport> mEngines;
+};
+
+std::vector<ZoneEngines> GroupByZone(const PlacementInput& aInput) {
+  std::map<std::string, ZoneEngines> zones;
+  for (const EngineReport& engine : aInput.mEngines) {
+    if (engine.mLeaving || aInput.mUnusable.contains(engine.mEngine)) {
+      continue;
+    }
+    ZoneEngines& zone = zones[engine.mZone];
+    zone.mZone = engine.mZone;
+    zone.mEngines.push_back(engine);
+  }
+  std::vector<ZoneEngines> list;
+  for (auto& [name, zone] : zones) {
+    std::sort(zone.mEngines.begin(), zone.mEngines.end(),
+              [](const EngineReport& aLeft, const EngineReport& aRight) {
+                return aLeft.mEngine < aRight.mEngine;
+              });
+    list.push_back(std::move(zone));
+  }
+  return list;
+}
+
+const StagePlacement* FindStage(const std::vector<StagePlacement>& aPlacement,
+                                const std::string& aEngine) {
+  const auto it = std::find_if(aPlacement.begin(), aPlacement.end(),
+                               [&aEngine](const StagePlacement& aStage) {
+                                 return aStage.mEngine == aEngine;
+                               });
+  return it == aPlacement.end() ? nullptr : &*it;
+}
+
+/// Deals a zone's engines to the models that may run there, by share; an
+/// engine stays with the model that it holds while that model is under its
+/// share.
+std::vector<std::vector<EngineReport>> DealEngines(const PlacementInput& aInput,
+                                                   const ZoneEngines& aZone) {
+  const std::vector<ModelSpec>& models = aInput.mIntent.mModels;
+  std::vector<std::vector<EngineReport>> dealt(models.size());
+  const auto allowed = [&](const ModelSpec& aModel,
+                           const EngineReport& aEngine) {
+    return Allows(aModel.mZones, aZone.mZone) &&
+           Allows(aModel.mHardware, aEngine.mAccelerator);
+  };
+  double shares = 0;
+  for (const ModelSpec& model : models) {
+    shares += Allows(model.mZones, aZone.mZone) ? model.mShare : 0;
+  }
+  const auto count = static_cast<double>(aZone.mEngines.size());
+  std::vector<const EngineReport*> rest;
+  for (const EngineReport& engine : aZone.mEngines) {
+    const StagePlacement* held =
+        FindStage(aInput.mCurrent.mPlacement, engine.mEngine);
+    bool kept = false;
+    for (std::size_t i = 0; i < models.size() && held != nullptr; i++) {
+      const double target = std::ceil(count * models[i].mShare / shares);
+      const bool room = static_cast<double>(dealt[i].size()) < target;
+      if (held->mModel == models[i].mName && room &&
+          allowed(models[i], engine)) {
+        dealt[i].push_back(engine);
+        kept = true;
+      }
+    }
+    if (!kept) {
+      rest.push_back(&engine);
+    }
+  }
+  for (const EngineReport* engine : rest) {
+    int poorest = -1;
+    double least = 0;
+    for (std::size_t i = 0; i < models.size(); i++) {
+      const double filled =
+          static_cast<double>(dealt[i].size()) / models[i].mShare;
+      if (allowed(models[i], *engine) && (poorest < 0 || filled < least)) {
+        poorest = static_cast<int>(i);
+        least = filled;
+      }
+    }
+    if (poorest >= 0) {
+      dealt[static_cast<std::size_t>(poorest)].push_back(*engine);
+    }
+  }
+  return dealt;
+}
+
+/// The present split of a model in a zone over the engines that are left;
+/// without stages where it does not tile the layers any more.
+StageSplit PresentSplit(const PlacementInput& aInput, const ModelSpec& aModel,
+                        std::span<const EngineReport> aEngines) {
+  std::vector<int> boundaries = {0, aModel.mLayers};
+  std::vector<const StagePlacement*> stages;
+  for (const EngineReport& engine : aEngines) {
+    const StagePlacement* stage =
+        FindStage(aInput.mCurrent.mPlacement, engine.mEngine);
+    const bool same = stage != nullptr && stage->mModel == aModel.mName &&
+                      stage->mVersion == aModel.mVersion &&
+                      stage->mLast <= aModel.mLayers;
+    stages.push_back(same ? stage : nullptr);
+    if (same) {
+      boundaries.push_back(stage->mFirst);
+      boundaries.push_back(stage->mLast);
+    }
+  }
+  std::sort(boundaries.begin(), boundaries.end());
+  boundaries.erase(std::unique(boundaries.begin(), boundaries.end()),
+                   boundaries.end());
+  StageSplit split;
+  split.mBoundaries = boundaries;
+  split.mStageOf.assign(aEngines.size(), -1);
+  std::vector<double> speed(boundaries.size() - 1, 0);
+  std::vector<int> count(boundaries.size() - 1, 0);
+  for (std::size_t i = 0; i < aEngines.size(); i++) {
+    if (stages[i] == nullptr) {
+      continue;
+    }
+    const auto it =
+        std::find(boundaries.begin(), boundaries.end(), stages[i]->mFirst);
+    const auto n = static_cast<std::size_t>(it - boundaries.begin());
+    if (boundaries[n + 1] != stages[i]->mLast) {
+      return {};
+    }
+    split.mStageOf[i] = static_cast<int>(n);
+    speed[n] +=
+        aEngines[i].TokensPerSecond(stages[i]->mLast - stages[i]->mFirst);
+    count[n]++;
+  }
+  split.mTokensPerSecond = *std::min_element(speed.begin(), speed.end());
+  split.mLeastEngines = *std::min_element(count.begin(), count.end());
+  return split;
+}
+
+/// Gives engines of one kind the stages they already hold, where the split
+/// has a place of that stage for their kind: fewer moves for the same result.
+void KeepInPlace(const PlacementInput& aInput, const ModelSpec& aModel,
+                 std::span<const EngineReport> aEngines, StageSplit& aSplit) {
+  for (std::size_t i = 0; i < aEngines.size(); i++) {
+    const StagePlacement* held =
+        FindStage(aInput.mCurrent.mPlacement, aEngines[i].mEngine);
+    if (held == nullptr || held->mModel != aModel.mName) {
+      continue;
+    }
+    const auto it = std::find(aSplit.mBoundaries.begin(),
+                              aSplit.mBoundaries.end(), held->mFirst);
+    const int stage = static_cast<int>(it - aSplit.mBoundaries.begin());
+    const bool exists = it != aSplit.mBoundaries.end() &&
+                        it + 1 != aSplit.mBoundaries.end() &&
+                        *(it + 1) == held->mLast;
+    if (!exists || aSplit.mStageOf[i] == stage) {
+      continue;
+    }
+    for (std::size_t j = 0; j < aEngines.size(); j++) {
+      const StagePlacement* other =
+          FindStage(aInput.mCurrent.mPlacement, aEngines[j].mEngine);
+      const bool otherStays =
+          other != nullptr && other->mFirst == held->mFirst &&
+          other->mLast == held->mLast && other->mModel == aModel.mName;
+      const bool alike = aEngines[j].mAccelerator == aEngines[i].mAccelerator &&
+                         aEngines[j].mLayerMicros == aEngines[i].mLayerMicros &&
+                         aEngines[j].mMemoryLayers == aEngines[i].mMemoryLayers;
+      if (alike && !otherStays && aSplit.mStageOf[j] == stage) {
+        std::swap(aSplit.mStageOf[i], aSplit.mStageOf[j]);
+        break;
+      }
+    }
+  }
+}
+
+void AddModel(const PlacementInput& aInput, const ModelSpec& aModel,
+              const std::string& aZone, std::span<const EngineReport> aEngines,
+              Plan& aPlan) {
+  StageSplit split = SplitStages(aEngines, aModel.mLayers);
+  const StageSplit present = PresentSplit(aInput, aModel, aEngines);
+  const bool coverKept = present.mLeastEngines >= 2 || split.mLeastEngines < 2;
+  const bool idle = std::find(present.mStageOf.begin(), present.mStageOf.end(),
+                              -1) != present.mStageOf.end();
+  if (coverKept && !idle && present.mTokensPerSecond > 0 &&
+      present.mTokensPerSecond >=
+          split.mTokensPerSecond * (1 - aInput.mHysteresis)) {
+    split = present;
+  } else {
+    KeepInPlace(aInput, aModel, aEngines, split);
+  }
+  if (split.mTokensPerSecond <= 0) {
+    aPlan.mShort.push_back("model " + aModel.mName + " does not fit in zone " +
+                           aZone);
+    return;
+  }
+  for (std::size_t i = 0; i < aEngines.size(); i++) {
+    if (split.mStageOf[i] < 0) {
+      continue;
+    }
+    const auto stage = static_cast<std::size_t>(split.mStageOf[i]);
+    aPlan.mPlacement.push_back({.mEngine = aEngines[i].mEngine,
+                                .mZone = aZone,
+                                .mModel = aModel.mName,
+                                .mVersion = aModel.mVersion,
+                                .mFirst = split.mBoundaries[stage],
+                                .mLast = split.mBoundaries[stage + 1]});
+  }
+  aPlan.mCapacity.push_back(
+      {.mModel = aModel.mName,
+       .mZone = aZone,
+       .mStages = static_cast<int>(split.mBoundaries.size()) - 1,
+       .mTokensPerSecond = split.mTokensPerSecond,
+       .mSurvivesOneLoss = split.mLeastEngines >= 2});
+  if (split.mLeastEngines < 2) {
+    aPlan.mShort.push_back("model " + aModel.mName + " in zone " + aZone +
+                           " has a stage on one engine only; its loss stops "
+                           "the model there");
+  }
+}
+
+/// A zone of which nothing is heard is cut off rather than gone: what is
+/// accepted there stays, so that it goes on serving.
+void KeepSilentZones(const PlacementInput& aInput, Plan& aPlan) {
+  std::set<std::string> heard;
+  for (const EngineReport& engine : aInput.mEngines) {
+    heard.insert(engine.mZone);
+  }
+  std::set<std::string> silent;
+  for (const StagePlacement& stage : aInput.mCurrent.mPlacement) {
+    const ModelSpec* model = FindModel(aInput.mIntent, stage.mModel);
+    const bool allowed = model != nullptr &&
+                         model->mVersion == stage.mVersion &&
+                         Allows(model->mZones, stage.mZone);
+    if (!heard.contains(stage.mZone) && allowed) {
+      aPlan.mPlacement.push_back(stage);
+      silent.insert(stage.mZone);
+    }
+  }
+  for (const std::string& zone : silent) {
+    aPlan.mShort.push_back("zone " + zone +
+                           " does not answer; its stages are kept as accepted");
+  }
+}
+
+void ListChanges(const PlacementInput& aInput, Plan& aPlan) {
+  for (const StagePlacement& stage : aPlan.mPlacement) {
+    const StagePlacement* before =
+        FindStage(aInput.mCurrent.mPlacement, stage.mEngine);
+    const char* action = "load";
+    if (before != nullptr) {
+      action = *before == stage ? "keep" : "move";
+    }
+    aPlan.mChanges.push_back({action, stage});
+  }
+  for (const StagePlacement& stage : aInput.mCurrent.mPlacement) {
+    if (FindStage(aPlan.mPlacement, stage.mEngine) == nullptr) {
+      aPlan.mChanges.push_back({"drop", stage});
+    }
+  }
+}
+
+void CheckModelsPlaced(const PlacementInput& aInput, Plan& aPlan) {
+  for (const ModelSpec& model : aInput.mIntent.mModels) {
+    const bool placed =
+        std::any_of(aPlan.mPlacement.begin(), aPlan.mPlacement.end(),
+                    [&model](const StagePlacement& aStage) {
+                      return aStage.mModel == model.mName;
+                    });
+    if (!placed) {
+      aPlan.mForbidden.push_back("model " + model.mName +
+                                 " fits in no zone that it may run in");
+    }
+  }
+}
+
+}  // namespace
+
+Plan MakePlan(const PlacementInput& aInput) {
+  Plan plan;
+  plan.mIntent = aInput.mIntent;
+  for (const ZoneEngines& zone : GroupByZone(aInput)) {
+    const auto dealt = DealEngines(aInput, zone);
+    for (std::size_t i = 0; i < dealt.size(); i++) {
+      const ModelSpec& model = aInput.mIntent.mModels[i];
+      if (Allows(model.mZones, zone.mZone)) {
+        AddModel(aInput, model, zone.mZone, dealt[i], plan);
+      }
+    }
+  }
+  KeepSilentZones(aInput, plan);
+  ListChanges(aInput, plan);
+  CheckModelsPlaced(aInput, plan);
+  return plan;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/servers/placement/stage_split.cpp
@@ -0,0 +1,136 @@
+#include "spindleweir/servers/placement/stage_split.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace spindleweir {
+
+namespace {
+
+constexpr int kMaximumStagesTried = 16;
+constexpr int kMaximumClimbs = 64;
+
+int Layers(const std::vector<int>& aBoundaries, int aStage) {
+  const auto n = static_cast<std::size_t>(aStage);
+  return aBoundaries[n + 1] - aBoundaries[n];
+}
+
+std::vector<int> EqualBoundaries(int aLayers, int aStages) {
+  std::vector<int> boundaries;
+  for (int i = 0; i <= aStages; i++) {
+    boundaries.push_back(aLayers * i / aStages);
+  }
+  return boundaries;
+}
+
+/// Engines that can hold few layers come first, since they have the fewest
+/// stages to choose from; among equals the fastest.
+std::vector<std::size_t> OrderOfAssignment(
+    std::span<const EngineReport> aEngines, const std::vector<int>& aBounds) {
+  const int stages = static_cast<int>(aBounds.size()) - 1;
+  std::vector<int> choices(aEngines.size(), 0);
+  for (std::size_t i = 0; i < aEngines.size(); i++) {
+    for (int stage = 0; stage < stages; stage++) {
+      choices[i] += Layers(aBounds, stage) <= aEngines[i].mMemoryLayers ? 1 : 0;
+    }
+  }
+  std::vector<std::size_t> order(aEngines.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::stable_sort(order.begin(), order.end(),
+                   [&](std::size_t aLeft, std::size_t aRight) {
+                     if (choices[aLeft] != choices[aRight]) {
+                       return choices[aLeft] < choices[aRight];
+                     }
+                     return aEngines[aLeft].TokensPerSecond(1) >
+                            aEngines[aRight].TokensPerSecond(1);
+                   });
+  return order;
+}
+
+bool IsBetter(const StageSplit& aNew, const StageSplit& aOld) {
+  const bool newCovered = aNew.mLeastEngines >= 2;
+  const bool oldCovered = aOld.mLeastEngines >= 2;
+  if (newCovered != oldCovered) {
+    return newCovered && aNew.mTokensPerSecond > 0;
+  }
+  constexpr double kGain = 1 + 1e-9;
+  return aNew.mTokensPerSecond > aOld.mTokensPerSecond * kGain;
+}
+
+/// Moves one boundary at a time by one layer while that helps.
+StageSplit Climb(std::span<const EngineReport> aEngines, StageSplit aBest) {
+  for (int i = 0; i < kMaximumClimbs; i++) {
+    StageSplit next = aBest;
+    for (std::size_t b = 1; b + 1 < aBest.mBoundaries.size(); b++) {
+      for (int step : {-1, 1}) {
+        std::vector<int> moved = aBest.mBoundaries;
+        moved[b] += step;
+        if (moved[b] <= moved[b - 1] || moved[b] >= moved[b + 1]) {
+          continue;
+        }
+        StageSplit split = AssignEngines(aEngines, moved);
+        if (IsBetter(split, next)) {
+          next = std::move(split);
+        }
+      }
+    }
+    if (!IsBetter(next, aBest)) {
+      break;
+    }
+    aBest = std::move(next);
+  }
+  return aBest;
+}
+
+}  // namespace
+
+StageSplit AssignEngines(std::span<const EngineReport> aEngines,
+                         const std::vector<int>& aBoundaries) {
+  const int stages = static_cast<int>(aBoundaries.size()) - 1;
+  std::vector<double> speed(static_cast<std::size_t>(stages), 0);
+  std::vector<int> count(static_cast<std::size_t>(stages), 0);
+  StageSplit split;
+  split.mBoundaries = aBoundaries;
+  split.mStageOf.assign(aEngines.size(), -1);
+  for (std::size_t i : OrderOfAssignment(aEngines, aBoundaries)) {
+    int slowest = -1;
+    for (int stage = 0; stage < stages; stage++) {
+      const auto n = static_cast<std::size_t>(stage);
+      const bool fits = Layers(aBoundaries, stage) <= aEngines[i].mMemoryLayers;
+      if (fits && (slowest < 0 ||
+                   speed[n] < speed[static_cast<std::size_t>(slowest)])) {
+        slowest = stage;
+      }
+    }
+    if (slowest < 0) {
+      continue;
+    }
+    const auto n = static_cast<std::size_t>(slowest);
+    speed[n] += aEngines[i].TokensPerSecond(Layers(aBoundaries, slowest));
+    count[n]++;
+    split.mStageOf[i] = slowest;
+  }
+  split.mTokensPerSecond = *std::min_element(speed.begin(), speed.end());
+  split.mLeastEngines = *std::min_element(count.begin(), count.end());
+  return split;
+}
+
+StageSplit SplitStages(std::span<const EngineReport> aEngines, int aLayers) {
+  StageSplit best;
+  const int most = std::min(
+      {kMaximumStagesTried, aLayers, static_cast<int>(aEngines.size())});
+  for (int stages = 1; stages <= most; stages++) {
+    StageSplit split =
+        AssignEngines(aEngines, EqualBoundaries(aLayers, stages));
+    if (stages > 1) {
+      split = Climb(aEngines, std::move(split));
+    }
+    if (IsBetter(split, best)) {
+      best = std::move(split);
+    }
+  }
+  return best;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/standins/engine_standin.h
@@ -0,0 +1,93 @@
+/// A stand-in model engine: holds a range of layers, batches continuously,
+/// takes fenced orders, and can be given faults.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "spindleweir/drivers/engine_client.h"
+#include "spindleweir/drivers/event_loop.h"
+#include "spindleweir/drivers/http_client.h"
+#include "spindleweir/drivers/http_server.h"
+#include "standins/record.h"
+
+namespace spindleweir {
+
+/// How a stand-in engine is set up.
+struct EngineStandinOptions {
+  std::string mVm;
+  std::string mZone;
+  std::string mAccelerator = "a100";
+  Endpoint mListen;
+  int mMemoryLayers = 8;
+  double mLayerMicros = 1000;
+  int mBatch = 8;
+  Millis mLoadMillis = 200;
+  bool mChecksFence = true;
+  std::string mRecord;  ///< Path; empty: no record.
+};
+
+/// What goes from engine to engine, and as a token to the router.
+struct Activation {
+  TokenFrame mFrame;
+  std::uint64_t mValue = 0;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    mFrame.Fields(aCodec);
+    aCodec.Field("value", mValue);
+  }
+};
+
+/// One engine in an event loop.
+class EngineStandin {
+ public:
+  EngineStandin(EventLoop& aLoop, EngineStandinOptions aOptions);
+  ~EngineStandin();
+
+  const Endpoint& Address() const { return mServer->Address(); }
+
+ private:
+  struct Stream;
+  struct WorkItem {
+    std::weak_ptr<Stream> mStream;
+    Activation mActivation;
+  };
+
+  void Handle(const std::shared_ptr<HttpExchange>& aExchange);
+  void Report(HttpExchange& aExchange);
+  void Order(HttpExchange& aExchange);
+  void StartStream(const std::shared_ptr<HttpExchange>& aExchange);
+  void Acknowledge(HttpExchange& aExchange);
+  void Fault(HttpExchange& aExchange);
+  void AskBefore(const std::shared_ptr<Stream>& aStream);
+  void Enqueue(const std::shared_ptr<Stream>& aStream,
+               const Activation& aActivation);
+  void Break(const std::shared_ptr<Stream>& aStream, const std::string& aWhy,
+             const std::string& aFailed);
+  void StartStep();
+  void FinishStep();
+  void Emit(const std::shared_ptr<Stream>& aStream, Activation aActivation);
+  void NextToken(const std::shared_ptr<Stream>& aStream, int aIndex);
+  void Drop(const std::string& aRequest);
+
+  EventLoop& mLoop;
+  EngineStandinOptions mOptions;
+  HttpClient mClient;
+  EngineReport mReport;
+  Record mRecord;
+  std::map<std::string, std::shared_ptr<Stream>> mStreams;  ///< By request.
+  std::deque<WorkItem> mQueue;
+  std::vector<WorkItem> mBatch;
+  double mOwedMicros = 0;  ///< Part of a step below a millisecond.
+  double mSlowdown = 1;
+  std::string mCorrupt;  ///< A fault of the answers; empty: none.
+  std::unique_ptr<Timer> mStepTimer;
+  std::unique_ptr<Timer> mLoadTimer;
+  std::unique_ptr<HttpServer> mServer;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/standins/record.h
@@ -0,0 +1,24 @@
+/// The record format that stand-ins, bench and checker share: a JSON object a
+/// line, with "wall_us", "who" and "what" and further fields by kind.
+#pragma once
+
+#include <json/value.h>
+
+#include <fstream>
+#include <string>
+
+namespace spindleweir {
+
+/// Writes records; does nothing where it was given no path.
+class Record {
+ public:
+  Record(const std::string& aPath, std::string aWho);
+  void Write(const char* aWhat, Json::Value aFields);
+  bool On() const { return mFile.is_open(); }
+
+ private:
+  std::string mWho;
+  std::ofstream mFile;
+};
+
+}  // namespace spindleweir
