--- a/daemons/control/control_daemon.cpp
+++ b/daemons/control/control_daemon.cpp
@@ -29,18 +29,20 @@
         mInventory(mContext,
                    [this] { return mLog.Machine().Current().mVersion; }),
         mApi(mContext, mLog, mInventory, mReceipts, mClaims),
-        mRpcServer(aLoop, {.mListen = mContext.mOptions.mRpcListen,
-                           .mMaximumBodyBytes = kMaximumRpcBytes,
-                           .mHandle =
-                               [this](std::shared_ptr<HttpExchange> aExchange) {
-                                 mContext.mDispatcher.Handle(*aExchange);
-                               }}),
-        mOperatorServer(
-            aLoop, {.mListen = mContext.mOptions.mOperatorListen,
+        mRpcServer(aLoop,
+                   {.mListen = mContext.mOptions.mRpcListen,
                     .mMaximumBodyBytes = kMaximumRpcBytes,
-                    .mHandle = [this](std::shared_ptr<HttpExchange> aExchange) {
-                      mApi.Handle(aExchange);
-                    }}) {}
+                    .mHandle =
+                        [this](const std::shared_ptr<HttpExchange>& aExchange) {
+                          mContext.mDispatcher.Handle(*aExchange);
+                        }}),
+        mOperatorServer(
+            aLoop,
+            {.mListen = mContext.mOptions.mOperatorListen,
+             .mMaximumBodyBytes = kMaximumRpcBytes,
+             .mHandle = [this](const std::shared_ptr<HttpExchange>& aExchange) {
+               mApi.Handle(aExchange);
+             }}) {}
 
   ControlContext mContext;
   ReplicatedConfiguration mLog;
@@ -82,7 +84,7 @@
 
 void ControlDaemon::Stop() {
   // All that was promised is on the disk already.
-  LogLine(LogLevel::kInfo, "stopped");
+  const LogLine line(LogLevel::kInfo, "stopped");
   mParts->mContext.mLoop.Stop();
 }
 
--- a/daemons/control/inventory.cpp
+++ b/daemons/control/inventory.cpp
@@ -57,6 +57,17 @@
   }
 }
 
+bool Inventory::Complete() const {
+  const Millis now = SteadyNow();
+  bool complete = !mView.All().empty();
+  for (const auto& [vm, upstream] : mView.All()) {
+    const bool waits = upstream.mService.empty() && upstream.mReportedAt < 0 &&
+                       now - upstream.mKnownSince < kReportLifetime;
+    complete = complete && !waits;
+  }
+  return complete;
+}
+
 std::vector<EngineReport> Inventory::Engines() const {
   std::vector<EngineReport> reports;
   const Millis now = SteadyNow();
--- a/daemons/control/inventory.h
+++ b/daemons/control/inventory.h
@@ -20,6 +20,10 @@
   /// aVersion gives the version of the configuration in force here.
   Inventory(ControlContext& aContext, std::function<std::int64_t()> aVersion);
 
+  /// Whether each engine of the platform's list has reported, or has been
+  /// silent long enough to count as gone: before that a plan would be made
+  /// for a part of them.
+  bool Complete() const;
   /// Reports that are not too old.
   std::vector<EngineReport> Engines() const;
   std::set<std::string> Leaving() const { return mView.KnownLeaving(); }
--- a/daemons/control/operator_api.cpp
+++ b/daemons/control/operator_api.cpp
@@ -219,6 +219,10 @@
                     "; the current version is " +
                     std::to_string(current.mVersion));
   }
+  if (!mInventory.Complete()) {
+    throw Error(ResultCode::kNotReady,
+                "not all engines have been heard here yet");
+  }
   const std::vector<EngineReport> engines = mInventory.Engines();
   std::set<std::string> unusable = mInventory.Leaving();
   unusable.insert(current.mDrained.begin(), current.mDrained.end());
--- a/daemons/router/claim_gate.cpp
+++ b/daemons/router/claim_gate.cpp
@@ -122,12 +122,11 @@
           return;
         }
         const auto again = std::make_shared<std::unique_ptr<Timer>>();
-        *again = mContext.mLoop.After(
-            kTellAgain, [this, again, aKeeper, aMessage, aTries] {
-              const auto held = again;
-              Tell(aKeeper, aMessage, aTries - 1);
-              mContext.mLoop.Post([held] { held->reset(); });
-            });
+        *again = mContext.mLoop.After(kTellAgain,
+                                      [this, again, aKeeper, aMessage, aTries] {
+                                        again->reset();
+                                        Tell(aKeeper, aMessage, aTries - 1);
+                                      });
       });
 }
 
--- a/daemons/router/completion.cpp
+++ b/daemons/router/completion.cpp
@@ -17,6 +17,7 @@
 constexpr Millis kProbeTimeout = 300;
 constexpr double kSilenceSteps = 8;
 constexpr int kSilencesBeforeReplace = 3;
+constexpr int kSilencesBeforeFirstToken = 10;
 constexpr Millis kRetryFirst = 50;
 constexpr Millis kRetryMost = 1000;
 constexpr Millis kWaitForChain = 5000;
@@ -321,8 +322,7 @@
       .Add("why", NameOf(verdict))
       .Add("engine", mStages.back().mEngine);
   // A duplicate harms nobody; anything else makes the whole stream doubtful.
-  if (verdict != TokenVerdict::kDuplicate &&
-      verdict != TokenVerdict::kOldAttempt) {
+  if (verdict != TokenVerdict::kDuplicate) {
     Replace(std::string("frame refused: ") + NameOf(verdict),
             {mStages.back().mEngine});
   }
@@ -446,7 +446,10 @@
   }
   // All answer: a long queue or prefill, or a link that is cut between two of
   // them. After some rounds the chain is given up, without blame.
-  if (mSilences >= kSilencesBeforeReplace && mGate.Delivered() > 0) {
+  // Before the first token a queue is the likelier cause.
+  const int most = mGate.Delivered() > 0 ? kSilencesBeforeReplace
+                                         : kSilencesBeforeFirstToken;
+  if (mSilences >= most) {
     Replace("no token though all engines answer", {});
     return;
   }
--- a/daemons/router/router_daemon.cpp
+++ b/daemons/router/router_daemon.cpp
@@ -28,17 +28,19 @@
         mApi(mContext),
         mWatcher(aLoop, mContext.mClient, mContext.mView,
                  {.mPlatform = mContext.mOptions.mPlatform}),
-        mRpcServer(aLoop, {.mListen = mContext.mOptions.mRpcListen,
-                           .mMaximumBodyBytes = kMaximumRpcBytes,
-                           .mHandle =
-                               [this](std::shared_ptr<HttpExchange> aExchange) {
-                                 mDispatcher.Handle(*aExchange);
-                               }}),
+        mRpcServer(aLoop,
+                   {.mListen = mContext.mOptions.mRpcListen,
+                    .mMaximumBodyBytes = kMaximumRpcBytes,
+                    .mHandle =
+                        [this](const std::shared_ptr<HttpExchange>& aExchange) {
+                          mDispatcher.Handle(*aExchange);
+                        }}),
         mCallerServer(
-            aLoop, {.mListen = mContext.mOptions.mListen,
-                    .mHandle = [this](std::shared_ptr<HttpExchange> aExchange) {
-                      mApi.Handle(aExchange);
-                    }}) {}
+            aLoop,
+            {.mListen = mContext.mOptions.mListen,
+             .mHandle = [this](const std::shared_ptr<HttpExchange>& aExchange) {
+               mApi.Handle(aExchange);
+             }}) {}
 
   RouterContext mContext;
   RpcDispatcher mDispatcher;
@@ -97,7 +99,7 @@
   mParts->mDrainTimer = context.mLoop.Every(kUnreadyBeforeClose, [&context] {
     if (context.mRefusing && context.mOpenRequests == 0 &&
         context.mOutbox.Size() == 0) {
-      LogLine(LogLevel::kInfo, "stopped");
+      const LogLine line(LogLevel::kInfo, "stopped");
       context.mLoop.Stop();
     }
   });
--- a/daemons/router/stewardship.cpp
+++ b/daemons/router/stewardship.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Millis kPeriod = 100;
+/// Rounds that no start can reach within a millisecond of its run.
+constexpr std::int64_t kRoundsPerMilli = 1000;
 constexpr Millis kLeaseTimeout = 500;
 /// An order that shows no effect in a report is given again after this.
 constexpr Millis kOrderAgain = 2000;
@@ -39,6 +41,8 @@
   LeaseOptions options;
   options.mId = mContext.mOptions.mId;
   options.mVoters = voters;
+  options.mFirstRound = mContext.mIncarnation * kRoundsPerMilli + mStarts++;
+  options.mFirstEpoch = WallNow();
   options.mRandom = [this] { return mContext.Random(); };
   const Millis now = SteadyNow();
   if (mVoter == nullptr) {
--- a/daemons/router/stewardship.h
+++ b/daemons/router/stewardship.h
@@ -30,6 +30,7 @@
   std::unique_ptr<LeaseVoter> mVoter;
   std::unique_ptr<LeaseHolder> mHolder;
   std::size_t mVoters = 0;
+  std::int64_t mStarts = 0;  ///< Of the holder, within this process.
   bool mHeld = false;
   std::map<std::string, Millis> mOrderedAt;  ///< By engine.
   std::unique_ptr<Timer> mTimer;
--- a/daemons/upstream_watcher.cpp
+++ b/daemons/upstream_watcher.cpp
@@ -25,22 +25,23 @@
 }
 
 void UpstreamWatcher::ReadList() {
-  ReadPlatformList(
-      mClient, mOptions.mPlatform, [this](const PlatformAnswer* aAnswer) {
-        if (aAnswer == nullptr) {
-          return;
-        }
-        for (const PlatformVm& vm : aAnswer->mVms) {
-          try {
-            mView.Listed(vm.mVm, vm.mZone, vm.mService,
-                         ParseEndpoint(vm.mAddress, vm.mVm), vm.mLeaving);
-          } catch (const Error&) {
-            // A VM without a usable address cannot be an upstream.
-            continue;
-          }
-        }
-        mView.EndOfList(SteadyNow());
-      });
+  ReadPlatformList(mClient, mOptions.mPlatform,
+                   [this](const PlatformAnswer* aAnswer) {
+                     if (aAnswer == nullptr) {
+                       return;
+                     }
+                     for (const PlatformVm& vm : aAnswer->mVms) {
+                       try {
+                         mView.Listed(vm.mVm, vm.mZone, vm.mService,
+                                      ParseEndpoint(vm.mAddress, vm.mVm),
+                                      vm.mLeaving, SteadyNow());
+                       } catch (const Error&) {
+                         // A VM without a usable address cannot be an upstream.
+                         continue;
+                       }
+                     }
+                     mView.EndOfList(SteadyNow());
+                   });
 }
 
 void UpstreamWatcher::AskReports() {
--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -50,22 +50,20 @@
   std::vector<event*> mEvents;
 };
 
-void RunPosted(evutil_socket_t, short, void* aCall) {
-  const std::unique_ptr<std::function<void()>> call(
-      static_cast<std::function<void()>*>(aCall));
-  (*call)();
-}
-
 }  // namespace
 
 EventLoop::EventLoop() : mBase(event_base_new()) {
   if (mBase == nullptr) {
     throw Error(ResultCode::kInternal, "no event loop to be had");
   }
+  mPostEvent = event_new(mBase, -1, 0, &EventLoop::RunPosted, this);
   signal(SIGPIPE, SIG_IGN);
 }
 
 EventLoop::~EventLoop() {
+  // What was posted may own timers of this loop.
+  mPosted.clear();
+  event_free(mPostEvent);
   event_base_free(mBase);
 }
 
@@ -94,11 +92,16 @@
 }
 
 void EventLoop::Post(std::function<void()> aCall) {
-  const timeval tv{};
-  auto call = std::make_unique<std::function<void()>>(std::move(aCall));
-  if (event_base_once(mBase, -1, EV_TIMEOUT, &RunPosted, call.get(), &tv) ==
-      0) {
-    call.release();
+  mPosted.push_back(std::move(aCall));
+  event_active(mPostEvent, EV_TIMEOUT, 0);
+}
+
+void EventLoop::RunPosted(int, short, void* aSelf) {
+  auto* self = static_cast<EventLoop*>(aSelf);
+  const std::vector<std::function<void()>> posted = std::move(self->mPosted);
+  self->mPosted.clear();
+  for (const std::function<void()>& call : posted) {
+    call();
   }
 }
 
--- a/include/spindleweir/drivers/event_loop.h
+++ b/include/spindleweir/drivers/event_loop.h
@@ -3,9 +3,11 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "spindleweir/core/clock.h"
 
+struct event;
 struct event_base;
 
 namespace spindleweir {
@@ -40,7 +42,11 @@
   std::unique_ptr<Timer> OnStopSignal(std::function<void()> aCall);
 
  private:
+  static void RunPosted(int aFd, short aWhat, void* aSelf);
+
   event_base* mBase;
+  event* mPostEvent;
+  std::vector<std::function<void()>> mPosted;
 };
 
 }  // namespace spindleweir
--- a/include/spindleweir/drivers/http_server.h
+++ b/include/spindleweir/drivers/http_server.h
@@ -76,7 +76,7 @@
   std::size_t mMaximumHeaderBytes = 16 * 1024;
   std::size_t mMaximumBodyBytes = 1024 * 1024;
   int mIdleSeconds = 60;  ///< A connection silent for longer is closed.
-  std::function<void(std::shared_ptr<HttpExchange>)> mHandle;
+  std::function<void(const std::shared_ptr<HttpExchange>&)> mHandle;
 };
 
 /// Listens on one address.
--- a/include/spindleweir/servers/membership/steward_lease.h
+++ b/include/spindleweir/servers/membership/steward_lease.h
@@ -47,6 +47,12 @@
 struct LeaseOptions {
   std::string mId;
   std::size_t mVoters = 1;  ///< Routers of the zone.
+  /// Rounds are counted from here; greater than any number of an earlier
+  /// start, so that late replies to an earlier start count for nothing.
+  std::int64_t mFirstRound = 0;
+  /// Epochs are counted from here: the VM's clock in milliseconds at the
+  /// start, which no epoch in use can have reached, since each takes a round.
+  std::int64_t mFirstEpoch = 0;
   Millis mLength = 3000;
   Millis mRenew = 800;
   /// How much the clocks of two VMs may drift apart, as a share: the holder
--- a/include/spindleweir/servers/routing/upstream_view.h
+++ b/include/spindleweir/servers/routing/upstream_view.h
@@ -21,7 +21,8 @@
   std::string mZone;
   std::string mService;  ///< The service's name; empty for an engine.
   Endpoint mAddress;
-  EngineReport mReport;            ///< Engines only.
+  EngineReport mReport;  ///< Engines only.
+  Millis mKnownSince = 0;
   Millis mReportedAt = -1;         ///< -1: never.
   int mInFlight = 0;               ///< Dispatched here and not ended.
   std::deque<Millis> mDispatches;  ///< Since the last report.
@@ -43,14 +44,14 @@
 /// The upstreams as one router sees them.
 class UpstreamView {
  public:
-  explicit UpstreamView(UpstreamViewOptions aOptions)
-      : mOptions(std::move(aOptions)) {}
+  explicit UpstreamView(UpstreamViewOptions aOptions) : mOptions(aOptions) {}
 
   /// The platform named this VM.
   void Listed(const std::string& aVm, const std::string& aZone,
               const std::string& aService, const Endpoint& aAddress,
-              bool aLeaving);
-  /// Ends a reading of the platform's list: VMs not named in it since the
+              bool aLeaving,
+              Millis aNow);  /// Ends a reading of the platform's list: VMs not
+                             /// named in it since the
   /// last call are kept while they report, and dropped else.
   void EndOfList(Millis aNow);
   /// An engine reported.
--- a/servers/consensus/raft_node.cpp
+++ b/servers/consensus/raft_node.cpp
@@ -209,8 +209,13 @@
   progress.mHeardAt = mNow;
   progress.mRound = std::max(progress.mRound, aMessage.mRound);
   if (!aMessage.mGranted) {
+    const std::int64_t before = progress.mNext;
     progress.mNext = std::max(progress.mMatch + 1, aMessage.mIndex + 1);
-    SendAppend(aMessage.mFrom);
+    if (progress.mNext != before) {
+      // Otherwise the next heartbeat will do: sending the same again at once
+      // would go on without end.
+      SendAppend(aMessage.mFrom);
+    }
     FinishReads();
     return;
   }
@@ -232,9 +237,18 @@
   mLeaderHeardAt = mNow;
   const Snapshot& snapshot = aMessage.mSnapshot;
   if (snapshot.mIndex > mCommit) {
-    mOptions.mStorage->SaveSnapshot(snapshot, {}, mHardState);
+    // Entries after it may have been acknowledged, and then count.
+    std::vector<LogEntry> rest;
+    const bool same = snapshot.mIndex <= LastIndex() &&
+                      TermAt(snapshot.mIndex) == snapshot.mTerm;
+    if (same) {
+      rest.assign(mEntries.begin() + static_cast<std::ptrdiff_t>(
+                                         snapshot.mIndex - mSnapshot.mIndex),
+                  mEntries.end());
+    }
+    mOptions.mStorage->SaveSnapshot(snapshot, rest, mHardState);
     mSnapshot = snapshot;
-    mEntries.clear();
+    mEntries = std::move(rest);
     mCommit = snapshot.mIndex;
     mApplied = snapshot.mIndex;
     RefreshVoters();
--- a/servers/membership/steward_lease.cpp
+++ b/servers/membership/steward_lease.cpp
@@ -5,13 +5,17 @@
 namespace spindleweir {
 
 LeaseVoter::LeaseVoter(LeaseOptions aOptions, Millis aNow)
-    : mOptions(std::move(aOptions)), mSilentUntil(aNow + mOptions.mLength) {}
+    : mOptions(std::move(aOptions)),
+      mSilentUntil(aNow + mOptions.mLength),
+      mEpoch(mOptions.mFirstEpoch) {}
 
 LeaseReply LeaseVoter::Handle(const LeaseRequest& aRequest, Millis aNow) {
   LeaseReply reply{.mVoter = mOptions.mId, .mRound = aRequest.mRound};
   const bool same = mPromisedTo == aRequest.mCandidate;
   if (aRequest.mRelease) {
-    mPromisedUntil = same ? 0 : mPromisedUntil;
+    // A late release of an earlier lease must not end the present one.
+    const bool own = same && aRequest.mEpoch == mEpoch;
+    mPromisedUntil = own ? 0 : mPromisedUntil;
     reply.mEpoch = mEpoch;
     return reply;
   }
@@ -33,6 +37,8 @@
                          std::function<void(const LeaseRequest&)> aBroadcast)
     : mOptions(std::move(aOptions)),
       mBroadcast(std::move(aBroadcast)),
+      mEpoch(mOptions.mFirstEpoch),
+      mRound(mOptions.mFirstRound),
       mNextAt(aNow) {}
 
 void LeaseHolder::Tick(Millis aNow) {
@@ -58,7 +64,8 @@
 
 void LeaseHolder::Handle(const LeaseReply& aReply, Millis aNow) {
   SawEpoch(aReply.mEpoch);
-  if (aReply.mRound != mRound || !aReply.mGranted || mReleased) {
+  const bool mine = aReply.mRound == mRound && aReply.mEpoch == mEpoch;
+  if (!mine || !aReply.mGranted || mReleased) {
     return;
   }
   mGrants.insert(aReply.mVoter);
--- a/servers/routing/upstream_view.cpp
+++ b/servers/routing/upstream_view.cpp
@@ -23,8 +23,11 @@
 
 void UpstreamView::Listed(const std::string& aVm, const std::string& aZone,
                           const std::string& aService, const Endpoint& aAddress,
-                          bool aLeaving) {
+                          bool aLeaving, Millis aNow) {
   Upstream& upstream = mUpstreams[aVm];
+  if (upstream.mVm.empty()) {
+    upstream.mKnownSince = aNow;
+  }
   upstream.mVm = aVm;
   upstream.mZone = aZone;
   upstream.mService = aService;
--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -14,6 +14,7 @@
 constexpr int kHttpConflict = 409;
 constexpr double kMicrosPerMilli = 1000;
 constexpr double kMeanWeight = 0.2;
+constexpr Millis kFrozenStep = 20;
 
 /// Tells the first engine of a chain that a token came out of the last.
 struct TokenAck {
@@ -34,9 +35,11 @@
   std::string mCorrupt;
   double mSlowdown = 1;
   bool mLeaving = false;
+  Millis mFreeze = 0;  ///< Answers nothing and works on nothing for so long.
 
   template <class Codec>
   void Fields(Codec& aCodec) {
+    aCodec.Field("freeze_ms", mFreeze);
     aCodec.Field("corrupt", mCorrupt);
     aCodec.Field("slowdown", mSlowdown);
     aCodec.Field("leaving", mLeaving);
@@ -75,18 +78,23 @@
   mReport.mBatch = mOptions.mBatch;
   mReport.mIncarnation = WallNow();
   mServer = std::make_unique<HttpServer>(
-      aLoop, HttpServerOptions{
-                 .mListen = mOptions.mListen,
-                 .mMaximumBodyBytes = std::size_t{16} * 1024 * 1024,
-                 .mHandle = [this](std::shared_ptr<HttpExchange> aExchange) {
-                   Handle(aExchange);
-                 }});
+      aLoop,
+      HttpServerOptions{
+          .mListen = mOptions.mListen,
+          .mMaximumBodyBytes = std::size_t{16} * 1024 * 1024,
+          .mHandle = [this](const std::shared_ptr<HttpExchange>& aExchange) {
+            Handle(aExchange);
+          }});
 }
 
 EngineStandin::~EngineStandin() = default;
 
 void EngineStandin::Handle(const std::shared_ptr<HttpExchange>& aExchange) {
   const std::string& path = aExchange->Path();
+  if (mFreezeTimer != nullptr) {
+    mHeldBack.push_back(aExchange);
+    return;
+  }
   try {
     if (path == "/v1/report") {
       Report(*aExchange);
@@ -241,6 +249,9 @@
 }
 
 void EngineStandin::StartStep() {
+  if (mFreezeTimer != nullptr) {
+    return;
+  }
   if (mStepTimer != nullptr || mQueue.empty()) {
     return;
   }
@@ -269,6 +280,10 @@
 
 void EngineStandin::FinishStep() {
   mStepTimer.reset();
+  if (mFreezeTimer != nullptr) {
+    mStepTimer = mLoop.After(kFrozenStep, [this] { FinishStep(); });
+    return;
+  }
   const std::vector<WorkItem> batch = std::move(mBatch);
   mBatch.clear();
   for (const WorkItem& item : batch) {
@@ -377,7 +392,20 @@
   mCorrupt = fault.mCorrupt;
   mSlowdown = fault.mSlowdown;
   mReport.mLeaving = fault.mLeaving;
+  if (fault.mFreeze > 0) {
+    mFreezeTimer = mLoop.After(fault.mFreeze, [this] { Thaw(); });
+  }
   ReplyJson(aExchange, kHttpOk, Json::Value(Json::objectValue));
 }
 
+void EngineStandin::Thaw() {
+  mFreezeTimer.reset();
+  const std::vector<std::shared_ptr<HttpExchange>> held = std::move(mHeldBack);
+  mHeldBack.clear();
+  for (const std::shared_ptr<HttpExchange>& exchange : held) {
+    Handle(exchange);
+  }
+  StartStep();
+}
+
 }  // namespace spindleweir
--- a/standins/engine_standin.h
+++ b/standins/engine_standin.h
@@ -73,6 +73,7 @@
   void Emit(const std::shared_ptr<Stream>& aStream, Activation aActivation);
   void NextToken(const std::shared_ptr<Stream>& aStream, int aIndex);
   void Drop(const std::string& aRequest);
+  void Thaw();
 
   EventLoop& mLoop;
   EngineStandinOptions mOptions;
@@ -87,6 +88,8 @@
   std::string mCorrupt;  ///< A fault of the answers; empty: none.
   std::unique_ptr<Timer> mStepTimer;
   std::unique_ptr<Timer> mLoadTimer;
+  std::unique_ptr<Timer> mFreezeTimer;  ///< Set: the engine is frozen.
+  std::vector<std::shared_ptr<HttpExchange>> mHeldBack;
   std::unique_ptr<HttpServer> mServer;
 };
 
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -17,11 +17,12 @@
   mVersions.push_back({SteadyNow() - mOptions.mLag, "{\"vms\":[]}"});
   mTimer = aLoop.Every(kLookPeriod, [this] { Look(); });
   mServer = std::make_unique<HttpServer>(
-      aLoop, HttpServerOptions{
-                 .mListen = mOptions.mListen,
-                 .mHandle = [this](std::shared_ptr<HttpExchange> aExchange) {
-                   aExchange->Reply(kHttpOk, "application/json", Shown());
-                 }});
+      aLoop,
+      HttpServerOptions{
+          .mListen = mOptions.mListen,
+          .mHandle = [this](const std::shared_ptr<HttpExchange>& aExchange) {
+            aExchange->Reply(kHttpOk, "application/json", Shown());
+          }});
 }
 
 void PlatformStandin::Look() {
--- a/standins/service_standin.cpp
+++ b/standins/service_standin.cpp
@@ -15,11 +15,12 @@
       mOptions(std::move(aOptions)),
       mRecord(mOptions.mRecord, mOptions.mVm) {
   mServer = std::make_unique<HttpServer>(
-      aLoop, HttpServerOptions{
-                 .mListen = mOptions.mListen,
-                 .mHandle = [this](std::shared_ptr<HttpExchange> aExchange) {
-                   Handle(aExchange);
-                 }});
+      aLoop,
+      HttpServerOptions{
+          .mListen = mOptions.mListen,
+          .mHandle = [this](const std::shared_ptr<HttpExchange>& aExchange) {
+            Handle(aExchange);
+          }});
 }
 
 void ServiceStandin::Handle(const std::shared_ptr<HttpExchange>& aExchange) {
@@ -41,10 +42,9 @@
   answer["path"] = aExchange->Path();
   answer["echo"] = aExchange->Body();
   mAnswers[run] = mLoop.After(mOptions.mDelay, [this, run, aExchange, answer] {
-    const std::shared_ptr<HttpExchange> exchange = aExchange;
-    const Json::Value body = answer;
+    // The timer runs a copy of this call, so that erasing it is safe.
     mAnswers.erase(run);
-    ReplyJson(*exchange, kHttpOk, body);
+    ReplyJson(*aExchange, kHttpOk, answer);
   });
 }
 
--- /dev/null
+++ b/tests/core/settings_test.cpp
@@ -0,0 +1,43 @@
+#include <gflags/gflags.h>
+#include <stdlib.h>
+
+#include "spindleweir/core/settings.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+Test(settings, endpoints_are_checked) {
+  CHECK(ParseEndpoint("10.0.0.1:80", "--x").Text() == "10.0.0.1:80");
+  for (const char* text : {"", "80", ":80", "h:", "h:x", "h:70000", "h:-1"}) {
+    SECTION(text) {
+      CHECK(CodeThrownBy([&] { ParseEndpoint(text, "--x"); }) ==
+            ResultCode::kBadSetting);
+    }
+  }
+}
+
+Test(settings, unknown_ones_are_refused_by_name) {
+  SECTION("a flag") {
+    const std::string flag = "--no_such_flag=1";
+    std::string program = "program";
+    std::string argument = flag;
+    char* arguments[] = {program.data(), argument.data()};
+    CHECK(CodeThrownBy([&] { LoadSettings(2, arguments); }) ==
+          ResultCode::kUnknownSetting);
+  }
+  SECTION("a variable of the environment") {
+    setenv("SPINDLEWEIR_NO_SUCH", "1", 1);
+    std::string program = "program";
+    char* arguments[] = {program.data()};
+    CHECK(CodeThrownBy([&] { LoadSettings(1, arguments); }) ==
+          ResultCode::kUnknownSetting);
+  }
+}
+
+Test(settings, required_and_ranges) {
+  CHECK(CodeThrownBy([] { RequireSetting("", "--id"); }) ==
+        ResultCode::kMissingSetting);
+  CHECK(CodeThrownBy([] { RequireRange(5, 1, 4, "--n"); }) ==
+        ResultCode::kBadSetting);
+  CHECK(SplitList("a,,b,").size() == 2);
+}
--- /dev/null
+++ b/tests/daemons/caller_test.cpp
@@ -0,0 +1,148 @@
+/// What callers see of a deployment without faults.
+#include "spindleweir/core/json_codec.h"
+#include "tests/daemons/deployment.h"
+
+using namespace spindleweir;
+
+Test(callers, get_their_own_whole_answer) {
+  Deployment deployment;
+  deployment.Begin();
+  SECTION("whole") {
+    const auto answer = deployment.Chat(0, "perfume", 10, false);
+    REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+    CHECK(answer->Text() == Deployment::Expected("perfume", 10));
+    const Json::Value body = ParseJson(answer->mHttp.mBody);
+    CHECK(body["object"] == "chat.completion");
+    CHECK(body["usage"]["completion_tokens"] == 10);
+    CHECK(body["choices"][0]["finish_reason"] == "length");
+  }
+  SECTION("streamed") {
+    const auto answer = deployment.Chat(1, "watches", 10, true);
+    REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+    CHECK(answer->Text() == Deployment::Expected("watches", 10));
+    CHECK(answer->mStream.ends_with("data: [DONE]\n\n"));
+  }
+  SECTION("many at a time, each its own") {
+    std::vector<std::shared_ptr<CallerResult>> answers;
+    for (int i = 0; i < 40; i++) {
+      answers.push_back(
+          deployment.Chat(i % 3, "order " + std::to_string(i), 8, i % 2 == 0));
+    }
+    for (int i = 0; i < 40; i++) {
+      const auto& answer = answers[static_cast<std::size_t>(i)];
+      REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+      CHECK(answer->Text() ==
+            Deployment::Expected("order " + std::to_string(i), 8));
+    }
+  }
+  SECTION("with a key of theirs, a resend is answered from what is kept") {
+    const auto first =
+        deployment.Chat(0, "gin", 5, false, {{"Idempotency-Key", "tribute-1"}});
+    REQUIRE(deployment.RunUntil([&] { return first->mDone; }));
+    const auto second =
+        deployment.Chat(2, "gin", 5, false, {{"Idempotency-Key", "tribute-1"}});
+    REQUIRE(deployment.RunUntil([&] { return second->mDone; }));
+    CHECK(second->mHttp.mBody == first->mHttp.mBody);
+    const auto other =
+        deployment.Chat(1, "rum", 5, false, {{"Idempotency-Key", "tribute-1"}});
+    REQUIRE(deployment.RunUntil([&] { return other->mDone; }));
+    CHECK(other->ErrorCode() == static_cast<int>(ResultCode::kKeyReused));
+  }
+}
+
+Test(callers, bad_requests_get_a_number) {
+  Deployment deployment({.mZones = 1});
+  deployment.Begin();
+  const auto code = [&](const std::string& aMethod, const std::string& aPath,
+                        const std::string& aBody,
+                        std::vector<HttpHeader> aHeaders) {
+    const auto answer = deployment.Send(0, aMethod, aPath, aBody, aHeaders);
+    cr_assert(deployment.RunUntil([&] { return answer->mDone; }));
+    CHECK(answer->mHttp.mStatus >= 400 && answer->Ran() == "no");
+    return static_cast<ResultCode>(answer->ErrorCode());
+  };
+  const std::string chat = "/v1/chat/completions";
+  const HttpHeader key{"Authorization", "Bearer traveller-key"};
+  const std::string good =
+      R"({"model":"pembantu-lm","messages":[{"role":"user","content":"x"}]})";
+  CHECK(code("POST", chat, good, {}) == ResultCode::kUnauthorized);
+  CHECK(code("POST", chat, good, {{"Authorization", "Bearer wrong"}}) ==
+        ResultCode::kUnauthorized);
+  CHECK(code("POST", chat, "{", {key}) == ResultCode::kMalformedJson);
+  CHECK(code("POST", chat, "[]", {key}) == ResultCode::kBadField);
+  CHECK(code("POST", chat, R"({"model":"x","messages":[]})", {key}) ==
+        ResultCode::kBadField);
+  CHECK(code("POST", chat,
+             R"({"model":"x","messages":[{"role":"u","content":"x"}]})",
+             {key}) == ResultCode::kUnknownModel);
+  CHECK(code("POST", chat,
+             R"({"model":"pembantu-lm","max_tokens":-4,)"
+             R"("messages":[{"role":"u","content":"x"}]})",
+             {key}) == ResultCode::kBadField);
+  CHECK(code("GET", chat, "", {key}) == ResultCode::kMethodNotAllowed);
+  CHECK(code("GET", "/nothing", "", {key}) == ResultCode::kNotFound);
+  CHECK(code("POST", "/v1/services/none/x", "", {key}) ==
+        ResultCode::kNotFound);
+  CHECK(code("POST", chat, good, {key, {"X-Deadline-Ms", "soon"}}) ==
+        ResultCode::kBadHeader);
+  CHECK(code("POST", chat, good, {key, {"X-Priority", "99"}}) ==
+        ResultCode::kBadHeader);
+  SECTION("and the router goes on") {
+    const auto answer = deployment.Chat(0, "x", 2, false);
+    CHECK(deployment.RunUntil([&] { return answer->mDone; }));
+    CHECK(answer->mHttp.mStatus == 200);
+    const auto models = deployment.Send(0, "GET", "/v1/models", "", {key});
+    CHECK(deployment.RunUntil([&] { return models->mDone; }));
+    CHECK(models->mHttp.mBody.find("pembantu-lm") != std::string::npos);
+  }
+}
+
+Test(callers, a_call_that_may_not_be_repeated_runs_once) {
+  Deployment deployment({.mServiceDelay = 200});
+  deployment.Begin();
+  const auto reserve = [&](int aRouter, const std::string& aBody) {
+    return deployment.Send(aRouter, "POST", "/v1/services/kaunter-api/pay",
+                           aBody,
+                           {{"Authorization", "Bearer traveller-key"},
+                            {"Idempotency-Key", "order-1"}});
+  };
+  SECTION("sent through three routers at a time") {
+    std::vector<std::shared_ptr<CallerResult>> answers;
+    for (int i = 0; i < 3; i++) {
+      answers.push_back(reserve(i, "{\"slot\":1}"));
+    }
+    int good = 0;
+    for (const auto& answer : answers) {
+      REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+      good += answer->mHttp.mStatus == 200 ? 1 : 0;
+      CHECK(answer->mHttp.mStatus == 200 || answer->mHttp.mStatus == 409);
+    }
+    CHECK(good == 1 && deployment.ServiceRuns() == 1);
+  }
+  SECTION("a resend gets the same answer, from any router") {
+    for (int i = 0; i < 3; i++) {
+      const auto answer = reserve(i, "{\"slot\":1}");
+      REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+      CHECK(answer->mHttp.mStatus == 200);
+      CHECK(answer->mHttp.mBody.find("\"run\":1") != std::string::npos);
+    }
+    CHECK(deployment.ServiceRuns() == 1);
+  }
+  SECTION("the key with another body is refused") {
+    const auto answer = reserve(1, "{\"slot\":2}");
+    REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+    CHECK(answer->mHttp.mStatus == 422 && answer->Ran() == "no");
+    CHECK(deployment.ServiceRuns() == 1);
+  }
+  SECTION("without a majority of keepers it is not run") {
+    deployment.mControls[0].reset();
+    deployment.mControls[1].reset();
+    const auto answer =
+        deployment.Send(0, "POST", "/v1/services/kaunter-api/pay", "{}",
+                        {{"Authorization", "Bearer traveller-key"},
+                         {"Idempotency-Key", "order-2"}});
+    REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+    CHECK(answer->ErrorCode() == static_cast<int>(ResultCode::kNoClaimQuorum));
+    CHECK(answer->Ran() == "no" && deployment.ServiceRuns() == 1);
+  }
+}
--- /dev/null
+++ b/tests/daemons/failure_test.cpp
@@ -0,0 +1,234 @@
+/// What callers see of a deployment under failures.
+#include "spindleweir/core/json_codec.h"
+#include "tests/daemons/deployment.h"
+
+using namespace spindleweir;
+
+namespace {
+
+constexpr int kTokens = 40;
+
+/// The last chain that router 0 chose for the answer under way.
+std::vector<std::string> ChainUnderWay(Deployment& aDeployment,
+                                       const CallerResult& aAnswer) {
+  std::vector<std::string> engines;
+  const std::string request = aAnswer.RequestId();
+  for (const auto& [vm, engine] : aDeployment.mEngines) {
+    const HttpResult report =
+        aDeployment.Fetch(engine->Address(), "GET", "/v1/report");
+    if (ParseJson(report.mBody)["queue"].asInt() > 0) {
+      engines.push_back(vm);
+    }
+  }
+  return engines;
+}
+
+bool HasTokens(const CallerResult& aAnswer, std::size_t aCount) {
+  std::size_t count = 0;
+  for (std::size_t at = aAnswer.mStream.find("\"content\"");
+       at != std::string::npos;
+       at = aAnswer.mStream.find("\"content\"", at + 1)) {
+    count++;
+  }
+  return count >= aCount;
+}
+
+}  // namespace
+
+Test(failures, a_stage_that_dies_in_mid_stream_is_replaced) {
+  Deployment deployment;
+  deployment.Begin();
+  const auto answer = deployment.Chat(0, "champagne", kTokens, true);
+  REQUIRE(deployment.RunUntil([&] { return HasTokens(*answer, 3); }));
+  const auto chain = ChainUnderWay(deployment, *answer);
+  REQUIRE(chain.size() == 3);
+  deployment.mEngines.erase(chain[1]);
+  SECTION("and a second one during the resume") {
+    REQUIRE(deployment.RunUntil([&] { return HasTokens(*answer, 6); }));
+    const auto second = ChainUnderWay(deployment, *answer);
+    REQUIRE(!second.empty());
+    deployment.mEngines.erase(second[0]);
+  }
+  REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+  CHECK(answer->Text() == Deployment::Expected("champagne", kTokens));
+  CHECK(answer->mStream.ends_with("data: [DONE]\n\n"));
+  SECTION("the receipt names every engine that worked on it") {
+    const auto engines = deployment.EnginesOf(answer->RequestId());
+    CHECK(engines.size() >= 9);
+    CHECK(std::find(engines.begin(), engines.end(), chain[1]) != engines.end());
+  }
+}
+
+Test(failures, a_stage_that_falls_silent_is_replaced) {
+  Deployment deployment;
+  deployment.Begin();
+  const auto answer = deployment.Chat(0, "tobacco", kTokens, true);
+  REQUIRE(deployment.RunUntil([&] { return HasTokens(*answer, 3); }));
+  const auto chain = ChainUnderWay(deployment, *answer);
+  REQUIRE(chain.size() == 3);
+  deployment.Fault(chain[0], R"({"freeze_ms":20000})");
+  REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+  CHECK(answer->Text() == Deployment::Expected("tobacco", kTokens));
+}
+
+Test(failures, wrong_frames_never_reach_a_caller) {
+  Deployment deployment({.mZones = 1});
+  deployment.Begin();
+  for (const char* fault : {"swap", "skip", "old", "layers", "double"}) {
+    SECTION(fault) {
+      // One engine of each range lies, so that the other can replace it.
+      for (const char* engine : {"gpu-0-0", "gpu-0-1", "gpu-0-2"}) {
+        deployment.Fault(engine,
+                         std::string(R"({"corrupt":")") + fault + "\"}");
+      }
+      for (int i = 0; i < 4; i++) {
+        const std::string prompt = fault + std::to_string(i);
+        const auto answer = deployment.Chat(0, prompt, 12, true);
+        REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+        const std::string expected = Deployment::Expected(prompt, 12);
+        // Whatever came is a beginning of the right answer, and an answer
+        // that ends well is whole.
+        CHECK(expected.starts_with(answer->Text()));
+        const bool ended = answer->mStream.ends_with("data: [DONE]\n\n");
+        CHECK(ended == (answer->Text() == expected));
+        CHECK(ended || answer->ErrorCode() != 0);
+      }
+    }
+  }
+}
+
+Test(failures, nothing_to_route_to_is_not_run_and_said_at_once) {
+  Deployment deployment({.mZones = 1});
+  deployment.Begin();
+  deployment.mEngines.clear();
+  deployment.WritePlatform();
+  REQUIRE(deployment.RunUntil([&] {
+    const auto answer = deployment.Chat(0, "x", 2, false);
+    deployment.RunUntil([&] { return answer->mDone; });
+    return answer->ErrorCode() == static_cast<int>(ResultCode::kNoUpstream) &&
+           answer->Ran() == "no";
+  }));
+}
+
+Test(failures, a_caller_that_leaves_frees_the_engines) {
+  Deployment deployment({.mZones = 1});
+  deployment.Begin();
+  const auto answer = deployment.Chat(0, "x", 4000, true);
+  REQUIRE(deployment.RunUntil([&] { return HasTokens(*answer, 3); }));
+  answer->mCall.reset();
+  CHECK(deployment.RunUntil([&] {
+    return ChainUnderWay(deployment, *answer).empty() &&
+           deployment.Metric(0, "open_requests") == 0;
+  }));
+}
+
+Test(failures, a_leaving_engine_gets_no_new_work) {
+  Deployment deployment({.mZones = 1});
+  deployment.Begin();
+  const auto works = [&](const std::string& aEngine) {
+    bool used = false;
+    for (int i = 0; i < 12; i++) {
+      const auto answer = deployment.Chat(0, "x", 1, false);
+      deployment.RunUntil([&] { return answer->mDone; });
+      CHECK(answer->mHttp.mStatus == 200);
+      for (const std::string& engine :
+           deployment.EnginesOf(answer->RequestId())) {
+        used = used || engine == aEngine;
+      }
+    }
+    return used;
+  };
+  const auto leaves = [&](const std::string& aEngine) {
+    return deployment.RunUntil([&] {
+      return deployment.Operator("GET", "/v1/state")
+                 .mBody.find("\"leaving\":[\"" + aEngine) != std::string::npos;
+    });
+  };
+  SECTION("by the platform's list") {
+    deployment.mListedLeaving = {"gpu-0-0"};
+    deployment.WritePlatform();
+    REQUIRE(leaves("gpu-0-0"));
+    CHECK(!works("gpu-0-0"));
+    deployment.mListedLeaving.clear();
+    deployment.WritePlatform();
+    deployment.RunFor(1500);
+    // The list takes its word back, but the VM is the same: it still leaves.
+    CHECK(!works("gpu-0-0"));
+  }
+}
+
+Test(failures, a_drained_vm_gets_no_new_work) {
+  Deployment deployment({.mZones = 1});
+  deployment.Begin();
+  CHECK(deployment.Operator("POST", "/v1/vms/no-such/drain").mStatus == 404);
+  CHECK(deployment.Operator("POST", "/v1/vms/gpu-0-1/drain").mStatus == 200);
+  REQUIRE(deployment.RunUntil(
+      [&] { return deployment.Metric(0, "configuration_version") == 2; }));
+  for (int i = 0; i < 12; i++) {
+    const auto answer = deployment.Chat(0, "x", 1, false);
+    REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+    const auto engines = deployment.EnginesOf(answer->RequestId());
+    CHECK(std::find(engines.begin(), engines.end(), "gpu-0-1") ==
+          engines.end());
+  }
+}
+
+Test(failures, a_planned_stop_of_a_router_cuts_nothing) {
+  Deployment deployment({.mZones = 1});
+  deployment.Begin();
+  const auto under_way = deployment.Chat(0, "whisky", kTokens, true);
+  REQUIRE(deployment.RunUntil([&] { return HasTokens(*under_way, 2); }));
+  deployment.mRouters[0]->Stop();
+  const HttpResult ready = deployment.Fetch(
+      deployment.mRouters[0]->CallerAddress(), "GET", "/readyz");
+  CHECK(ready.mStatus == 503);
+  // Sent before the balancer has noticed.
+  const auto late = deployment.Chat(0, "late", 3, false);
+  // The loop stops by itself once all is served.
+  deployment.mLoop.Run();
+  CHECK(under_way->mDone && late->mDone);
+  CHECK(under_way->Text() == Deployment::Expected("whisky", kTokens));
+  CHECK(late->Text() == Deployment::Expected("late", 3));
+}
+
+Test(failures, a_router_that_dies_after_dispatch_causes_no_second_run) {
+  Deployment deployment({.mServiceDelay = 400});
+  deployment.Begin();
+  const auto pay = [&](int aRouter) {
+    return deployment.Send(aRouter, "POST", "/v1/services/kaunter-api/pay",
+                           "{}",
+                           {{"Authorization", "Bearer traveller-key"},
+                            {"Idempotency-Key", "order-9"}});
+  };
+  const auto first = pay(0);
+  REQUIRE(deployment.RunUntil([&] { return deployment.ServiceRuns() == 1; }));
+  deployment.mRouters[0].reset();
+  const auto second = pay(1);
+  REQUIRE(deployment.RunUntil([&] { return second->mDone; }));
+  CHECK(second->mHttp.mStatus == 409 && second->Ran() == "unknown");
+  CHECK(deployment.ServiceRuns() == 1);
+}
+
+Test(failures, an_unanswered_call_is_unknown_and_never_sent_again) {
+  Deployment deployment({.mZones = 1, .mServiceDelay = 600000});
+  deployment.Begin();
+  const auto pay = [&](std::vector<HttpHeader> aHeaders) {
+    aHeaders.push_back({"Authorization", "Bearer traveller-key"});
+    return deployment.Send(0, "POST", "/v1/services/kaunter-api/pay", "{}",
+                           aHeaders);
+  };
+  SECTION("the deadline passes") {
+    const auto answer = pay({{"X-Deadline-Ms", "300"}});
+    REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+    CHECK(answer->ErrorCode() ==
+          static_cast<int>(ResultCode::kDeadlineExceeded));
+    CHECK(answer->Ran() == "unknown" && deployment.ServiceRuns() == 1);
+  }
+  SECTION("the service dies") {
+    const auto answer = pay({});
+    REQUIRE(deployment.RunUntil([&] { return deployment.ServiceRuns() == 2; }));
+    deployment.mServices.clear();
+    REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+    CHECK(answer->ErrorCode() == static_cast<int>(ResultCode::kOutcomeUnknown));
+  }
+}
--- /dev/null
+++ b/tests/drivers/http_test.cpp
@@ -0,0 +1,200 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+
+#include "spindleweir/drivers/http_client.h"
+#include "spindleweir/drivers/http_server.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+constexpr Millis kLongest = 10000;
+
+/// A server and a client in one loop.
+struct Pair {
+  Pair()
+      : mClient(mLoop),
+        mServer(mLoop,
+                {.mListen = {"127.0.0.1", 0},
+                 .mMaximumBodyBytes = 1000,
+                 .mHandle = [this](const std::shared_ptr<HttpExchange>& aItem) {
+                   mExchange = aItem;
+                   aItem->OnClosed([this] { mClosed = true; });
+                   if (mHandle) {
+                     mHandle();
+                   }
+                 }}) {}
+
+  bool RunUntil(const std::function<bool()>& aCondition) {
+    const auto check = mLoop.Every(2, [&] {
+      if (aCondition()) {
+        mLoop.Stop();
+      }
+    });
+    const auto end = mLoop.After(kLongest, [this] { mLoop.Stop(); });
+    mLoop.Run();
+    return aCondition();
+  }
+
+  HttpCallOptions Call(std::string aBody = "") {
+    return {
+        .mServer = mServer.Address(),
+        .mMethod = "POST",
+        .mBody = std::move(aBody),
+        .mTimeout = kLongest,
+        .mOnDone = [this](const HttpResult& aResult) { mResult = aResult; }};
+  }
+
+  EventLoop mLoop;
+  HttpClient mClient;
+  HttpServer mServer;
+  std::function<void()> mHandle;
+  std::shared_ptr<HttpExchange> mExchange;
+  std::optional<HttpResult> mResult;
+  bool mClosed = false;
+};
+
+int ConnectTo(const Endpoint& aServer) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aServer.mPort));
+  inet_pton(AF_INET, aServer.mHost.c_str(), &address.sin_addr);
+  connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  return fd;
+}
+
+void SendText(int aFd, const std::string& aText) {
+  cr_assert(send(aFd, aText.data(), aText.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(aText.size()));
+}
+
+}  // namespace
+
+Test(http, whether_a_byte_left_is_known) {
+  Pair pair;
+  SECTION("nobody listens") {
+    HttpCallOptions options = pair.Call("x");
+    {
+      // A port that was free a moment ago, and is again.
+      const HttpServer other(pair.mLoop, {.mListen = {"127.0.0.1", 0}});
+      options.mServer = other.Address();
+    }
+    const auto call = pair.mClient.Start(options);
+    REQUIRE(pair.RunUntil([&] { return pair.mResult.has_value(); }));
+    CHECK(!pair.mResult->mComplete && !pair.mResult->mSent);
+  }
+  SECTION("the server took the request and never answered") {
+    pair.mResult.reset();
+    HttpCallOptions options = pair.Call("x");
+    options.mTimeout = 100;
+    const auto call = pair.mClient.Start(options);
+    REQUIRE(pair.RunUntil([&] { return pair.mResult.has_value(); }));
+    CHECK(!pair.mResult->mComplete && pair.mResult->mSent);
+  }
+  SECTION("an answer") {
+    pair.mResult.reset();
+    pair.mHandle = [&] { pair.mExchange->Reply(201, "text/plain", "yes"); };
+    pair.mClient.StartDetached(pair.Call("x"));
+    REQUIRE(pair.RunUntil([&] { return pair.mResult.has_value(); }));
+    CHECK(pair.mResult->mStatus == 201 && pair.mResult->mBody == "yes");
+  }
+}
+
+Test(http, a_server_that_closes_without_an_answer_gets_nothing_twice) {
+  Pair pair;
+  int seen = 0;
+  pair.mHandle = [&] { seen++; };
+  for (int round = 0; round < 3; round++) {
+    pair.mResult.reset();
+    HttpCallOptions options = pair.Call("x");
+    options.mTimeout = 150;
+    pair.mClient.StartDetached(options);
+    REQUIRE(pair.RunUntil([&] { return pair.mResult.has_value(); }));
+    CHECK(seen == round + 1);
+  }
+}
+
+Test(http, streams_are_cancelled_from_both_sides) {
+  Pair pair;
+  std::string got;
+  pair.mHandle = [&] {
+    pair.mExchange->StartStream(200, "text/plain");
+    pair.mExchange->Write("one");
+  };
+  SECTION("the caller cancels inside its own callback") {
+    std::unique_ptr<HttpCall> call;
+    HttpCallOptions options = pair.Call("x");
+    options.mOnData = [&](std::string_view aBytes) {
+      got += aBytes;
+      call.reset();
+    };
+    call = pair.mClient.Start(options);
+    REQUIRE(pair.RunUntil([&] { return pair.mClosed; }));
+    CHECK(got == "one" && !pair.mResult.has_value());
+    CHECK(pair.mExchange->Closed());
+    pair.mExchange->Write("into nothing");
+    pair.mExchange->EndStream();
+  }
+  SECTION("a caller that leaves before any answer is seen") {
+    pair.mClosed = false;
+    pair.mHandle = nullptr;
+    pair.mExchange.reset();
+    auto call = pair.mClient.Start(pair.Call("x"));
+    REQUIRE(pair.RunUntil([&] { return pair.mExchange != nullptr; }));
+    call.reset();
+    CHECK(pair.RunUntil([&] { return pair.mClosed; }));
+  }
+}
+
+Test(http, bad_input_is_answered_or_closed) {
+  Pair pair;
+  pair.mHandle = [&] { pair.mExchange->Reply(200, "text/plain", "ok"); };
+  SECTION("a body that is too large") {
+    pair.mClient.StartDetached(pair.Call(std::string(5000, 'x')));
+    REQUIRE(pair.RunUntil([&] { return pair.mResult.has_value(); }));
+    CHECK(pair.mResult->mStatus == 413 || !pair.mResult->mComplete);
+  }
+  SECTION("no HTTP at all, headers without end, half a request") {
+    for (const std::string& text :
+         {std::string("\x16\x03\x01 nonsense\r\n\r\n"),
+          "GET / HTTP/1.1\r\nX: " + std::string(40000, 'h'),
+          std::string("POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc")}) {
+      const int fd = ConnectTo(pair.mServer.Address());
+      SendText(fd, text);
+      shutdown(fd, SHUT_WR);
+      char buf[512];
+      CHECK(pair.RunUntil([&] {
+        const ssize_t n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+        return n == 0 || (n < 0 && errno != EAGAIN);
+      }));
+      close(fd);
+    }
+  }
+  SECTION("a second request on the connection while the first waits") {
+    pair.mExchange.reset();
+    pair.mHandle = nullptr;
+    const int fd = ConnectTo(pair.mServer.Address());
+    const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    SendText(fd, request + request);
+    REQUIRE(pair.RunUntil([&] { return pair.mExchange != nullptr; }));
+    const auto first = pair.mExchange;
+    pair.RunUntil([] { return true; });
+    first->Reply(200, "text/plain", "one");
+    REQUIRE(pair.RunUntil([&] { return pair.mExchange != first; }));
+    pair.mExchange->Reply(200, "text/plain", "two");
+    std::string got;
+    char buf[512];
+    CHECK(pair.RunUntil([&] {
+      const ssize_t n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+      got.append(buf, n > 0 ? static_cast<std::size_t>(n) : 0);
+      return got.ends_with("two");
+    }));
+    close(fd);
+  }
+}
--- /dev/null
+++ b/tests/servers/limits_test.cpp
@@ -0,0 +1,124 @@
+#include "spindleweir/servers/limits/workspace_limiter.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+AdmissionRequest Request(std::uint64_t aTicket, const std::string& aWorkspace,
+                         int aPriority = 0, Millis aDeadline = 0) {
+  AdmissionRequest request;
+  request.mTicket = aTicket;
+  request.mWorkspace = aWorkspace;
+  request.mPriority = aPriority;
+  request.mDeadline = aDeadline;
+  request.mServiceMillis = 10;
+  return request;
+}
+
+constexpr WorkspaceLimits kWide{.mMaximumConcurrent = 1000,
+                                .mRequestsPerSecond = 1e6};
+
+}  // namespace
+
+Test(limits, concurrency_of_a_workspace_is_kept) {
+  WorkspaceLimiter limiter({});
+  limiter.SetLimits("w", {.mMaximumConcurrent = 2, .mRequestsPerSecond = 1e6});
+  CHECK(limiter.Ask(Request(1, "w"), 0).size() == 1);
+  CHECK(limiter.Ask(Request(2, "w"), 0).size() == 1);
+  SECTION("the third waits and goes in when one ends") {
+    CHECK(limiter.Ask(Request(3, "w"), 0).empty());
+    const auto out = limiter.Release("w", 1);
+    REQUIRE(out.size() == 1);
+    CHECK(out[0].mTicket == 3 && out[0].mCode == ResultCode::kOk);
+  }
+  SECTION("priority goes first, then who came first") {
+    limiter.Ask(Request(4, "w"), 2);
+    limiter.Ask(Request(5, "w", 5), 2);
+    limiter.Ask(Request(6, "w", 5), 2);
+    CHECK(limiter.Release("w", 3)[0].mTicket == 5);
+    CHECK(limiter.Release("w", 3)[0].mTicket == 6);
+    CHECK(limiter.Release("w", 3)[0].mTicket == 4);
+  }
+}
+
+Test(limits, refusals_come_at_once_and_say_when_to_return) {
+  WorkspaceLimiter limiter({.mMaximumQueue = 8, .mMaximumWait = 1000});
+  limiter.SetLimits("slow",
+                    {.mMaximumConcurrent = 100, .mRequestsPerSecond = 1});
+  CHECK(limiter.Ask(Request(1, "slow"), 0)[0].mCode == ResultCode::kOk);
+  SECTION("over the rate") {
+    CHECK(limiter.Ask(Request(2, "slow"), 0).empty());
+    const auto out = limiter.Ask(Request(3, "slow"), 0);
+    REQUIRE(out.size() == 1);
+    CHECK(out[0].mCode == ResultCode::kOverLimit);
+    CHECK(out[0].mRetryAfter >= 1000);
+  }
+  SECTION("a deadline that cannot be met") {
+    const auto out = limiter.Ask(Request(4, "slow", 0, 5), 0);
+    REQUIRE(out.size() == 1);
+    CHECK(out[0].mCode == ResultCode::kDeadlineTooShort);
+  }
+  SECTION("one workspace cannot fill the whole queue") {
+    limiter.SetLimits("w",
+                      {.mMaximumConcurrent = 1, .mRequestsPerSecond = 1e6});
+    limiter.Ask(Request(10, "w"), 0);
+    int queued = 0;
+    for (std::uint64_t i = 11; i < 30; i++) {
+      queued += limiter.Ask(Request(i, "w"), 0).empty() ? 1 : 0;
+    }
+    CHECK(queued == 2);
+  }
+}
+
+Test(limits, waits_end) {
+  WorkspaceLimiter limiter({.mMaximumWait = 1000});
+  limiter.SetLimits("w", {.mMaximumConcurrent = 1, .mRequestsPerSecond = 1e6});
+  limiter.Ask(Request(1, "w"), 0);
+  CHECK(limiter.Ask(Request(2, "w", 0, 500), 0).empty());
+  CHECK(limiter.Ask(Request(3, "w"), 0).empty());
+  CHECK(limiter.Tick(400).empty());
+  CHECK(limiter.Tick(600)[0].mCode == ResultCode::kDeadlineTooShort);
+  CHECK(limiter.Tick(1100)[0].mCode == ResultCode::kOverLimit);
+  CHECK(limiter.Queued() == 0);
+  SECTION("a caller that left takes no place") {
+    limiter.Ask(Request(4, "w"), 1200);
+    limiter.Withdraw(4);
+    CHECK(limiter.Release("w", 1300).empty());
+    CHECK(limiter.InFlight() == 0);
+  }
+}
+
+Test(limits, a_full_router_serves_workspaces_by_weight) {
+  WorkspaceLimiter limiter(
+      {.mMaximumInFlight = 4, .mMaximumQueue = 4000, .mMaximumWait = 1000000});
+  WorkspaceLimits heavy = kWide;
+  heavy.mWeight = 3;
+  limiter.SetLimits("a", heavy);
+  limiter.SetLimits("b", kWide);
+  std::uint64_t ticket = 1;
+  for (; ticket <= 4; ticket++) {
+    limiter.Ask(Request(ticket, "a"), 0);
+  }
+  for (int i = 0; i < 400; i++) {
+    limiter.Ask(Request(ticket++, "a"), 0);
+    limiter.Ask(Request(ticket++, "b"), 0);
+  }
+  int fromA = 4;
+  int fromB = 0;
+  int servedA = 0;
+  int servedB = 0;
+  for (int i = 0; i < 400; i++) {
+    const bool endA = fromA > 0 && (i % 4 != 3 || fromB == 0);
+    (endA ? fromA : fromB)--;
+    const int before = limiter.InFlight("a");
+    limiter.Release(endA ? "a" : "b", i);
+    const int gained = limiter.InFlight("a") - before + (endA ? 1 : 0);
+    fromA += gained;
+    fromB += 1 - gained;
+    servedA += gained;
+    servedB += 1 - gained;
+  }
+  CHECK(servedA >= 290 && servedA <= 310);
+  CHECK(servedA + servedB == 400);
+}
--- /dev/null
+++ b/tests/servers/membership_test.cpp
@@ -0,0 +1,193 @@
+#include "spindleweir/servers/membership/entry_vms.h"
+#include "spindleweir/servers/membership/leaving_set.h"
+#include "spindleweir/servers/membership/member_table.h"
+#include "spindleweir/servers/membership/steward_lease.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+/// Members that probe each other over a network with faults.
+struct Net {
+  explicit Net(int aCount) {
+    for (int i = 0; i < aCount; i++) {
+      mIds.push_back("m" + std::to_string(i));
+    }
+    for (const std::string& id : mIds) {
+      MemberTableOptions options;
+      options.mId = id;
+      options.mSeed = mIds.size();
+      options.mProbe = [this, id](const std::string& aTarget,
+                                  const std::string& aVia) {
+        Probe(id, aTarget, aVia);
+      };
+      options.mChanged = [](const MemberUpdate&) {};
+      mTables[id] = std::make_unique<MemberTable>(options, 0);
+      mTables[id]->SetMembers(mIds, 0);
+    }
+  }
+
+  bool Reaches(const std::string& aFrom, const std::string& aTo) const {
+    return !mDown.contains(aFrom) && !mDown.contains(aTo) &&
+           !mCut.contains(aFrom + ">" + aTo) &&
+           !mCut.contains(aTo + ">" + aFrom);
+  }
+
+  void Probe(const std::string& aFrom, const std::string& aTarget,
+             const std::string& aVia) {
+    const bool direct = aVia.empty() && Reaches(aFrom, aTarget);
+    const bool indirect =
+        !aVia.empty() && Reaches(aFrom, aVia) && Reaches(aVia, aTarget);
+    if (direct) {
+      mTables[aTarget]->Learn(mTables[aFrom]->Gossip(), mNow);
+      mTables[aFrom]->Learn(mTables[aTarget]->Gossip(), mNow);
+    }
+    if (direct || indirect) {
+      mTables[aFrom]->Answered(aTarget, mNow);
+    }
+  }
+
+  void Run(Millis aTime) {
+    for (const Millis end = mNow + aTime; mNow < end; mNow += 50) {
+      for (const std::string& id : mIds) {
+        if (!mDown.contains(id)) {
+          mTables[id]->Tick(mNow);
+        }
+      }
+    }
+  }
+
+  int SeenAs(const std::string& aId, MemberState aState) const {
+    int count = 0;
+    for (const auto& [id, table] : mTables) {
+      const bool counts = id != aId && !mDown.contains(id);
+      count += counts && table->StateOf(aId) == aState ? 1 : 0;
+    }
+    return count;
+  }
+
+  Millis mNow = 0;
+  std::vector<std::string> mIds;
+  std::map<std::string, std::unique_ptr<MemberTable>> mTables;
+  std::set<std::string> mDown;
+  std::set<std::string> mCut;
+};
+
+LeaseOptions MakeLease(const std::string& aId, std::size_t aVoters) {
+  LeaseOptions options;
+  options.mId = aId;
+  options.mVoters = aVoters;
+  options.mRandom = [] { return 0.5; };
+  return options;
+}
+
+}  // namespace
+
+Test(member_table, a_dead_member_is_found_by_all_and_comes_back) {
+  Net net(8);
+  net.Run(5000);
+  CHECK(net.SeenAs("m3", MemberState::kAlive) == 7);
+  net.mDown.insert("m3");
+  net.Run(8000);
+  CHECK(net.SeenAs("m3", MemberState::kDead) == 7);
+  SECTION("frozen for minutes, it comes back harmless") {
+    net.Run(120000);
+    net.mDown.clear();
+    net.Run(10000);
+    CHECK(net.SeenAs("m3", MemberState::kAlive) == 7);
+    for (const std::string& id : net.mIds) {
+      CHECK(net.SeenAs(id, MemberState::kAlive) == 7);
+    }
+  }
+}
+
+Test(member_table, a_cut_between_two_kills_neither) {
+  Net net(5);
+  net.Run(5000);
+  net.mCut.insert("m0>m1");
+  net.Run(30000);
+  CHECK(net.SeenAs("m1", MemberState::kDead) == 0);
+  CHECK(net.SeenAs("m0", MemberState::kDead) == 0);
+}
+
+Test(leaving_set, is_sticky_until_a_newer_incarnation) {
+  LeavingSet set;
+  set.Seen("vm", 5);
+  CHECK(set.Add({"vm", 0}));
+  CHECK(!set.Add({"vm", 0}));
+  SECTION("a report of the same incarnation changes nothing") {
+    set.Seen("vm", 5);
+    CHECK(set.Contains("vm"));
+  }
+  SECTION("a newer one ends it, also against old gossip") {
+    set.Seen("vm", 6);
+    CHECK(!set.Contains("vm"));
+    CHECK(!set.Add({"vm", 5}));
+    CHECK(!set.Contains("vm"));
+  }
+  SECTION("a drain of the operators is ended by them only") {
+    set.SetDrained({"vm"});
+    set.Seen("vm", 9);
+    CHECK(set.Contains("vm"));
+    set.SetDrained({});
+    CHECK(!set.Contains("vm"));
+  }
+}
+
+Test(steward_lease, a_restarted_voter_promises_nothing_for_a_length) {
+  LeaseVoter voter(MakeLease("v", 1), 1000);
+  CHECK(!voter.Handle({.mCandidate = "a", .mEpoch = 1}, 1500).mGranted);
+  CHECK(voter.Handle({.mCandidate = "a", .mEpoch = 1}, 4000).mGranted);
+  SECTION("and while it promised one, no other gets it") {
+    CHECK(!voter.Handle({.mCandidate = "b", .mEpoch = 2}, 6900).mGranted);
+    CHECK(voter.Handle({.mCandidate = "b", .mEpoch = 2}, 7000).mGranted);
+  }
+  SECTION("nor with an epoch that is not greater") {
+    CHECK(!voter.Handle({.mCandidate = "c", .mEpoch = 2}, 20000).mGranted);
+    CHECK(voter.Handle({.mCandidate = "c", .mEpoch = 3}, 20000).mGranted);
+  }
+}
+
+Test(steward_lease, the_holder_stops_before_the_voters_let_go) {
+  LeaseHolder* self = nullptr;
+  LeaseVoter voter(MakeLease("v", 1), -10000);
+  Millis now = 0;
+  bool reachable = true;
+  LeaseHolder holder(MakeLease("a", 1), 0, [&](const LeaseRequest& aRequest) {
+    if (reachable) {
+      self->Handle(voter.Handle(aRequest, now), now);
+    }
+  });
+  self = &holder;
+  holder.Tick(now);
+  CHECK(holder.Holds(now));
+  reachable = false;
+  Millis ended = 0;
+  for (now = 0; now < 5000 && ended == 0; now += 10) {
+    holder.Tick(now);
+    ended = holder.Holds(now) ? 0 : now;
+  }
+  CHECK(ended > 0 && ended < 3000);
+  CHECK(!voter.Handle({.mCandidate = "b", .mEpoch = 9}, ended).mGranted);
+}
+
+Test(entry_vms, bad_lists_are_refused) {
+  const auto read = [](const char* aText) {
+    return CodeThrownBy([&] { EntryVms::Parse(aText); });
+  };
+  CHECK(
+      read(
+          R"([{"id":"r","role":"router","zone":"z","address":"1.2.3.4:5"}])") ==
+      ResultCode::kOk);
+  for (const char* text :
+       {"", "{}", R"([{"id":"r"}])",
+        R"([{"id":"r","role":"x","zone":"z","address":"1.2.3.4:5"}])",
+        R"([{"id":"r","role":"router","zone":"z","address":"nowhere"}])",
+        R"([{"id":"r","role":"router","zone":"z","address":"1.2.3.4:5"},
+            {"id":"r","role":"router","zone":"z","address":"1.2.3.4:6"}])"}) {
+    SECTION(text) {
+      CHECK(read(text) == ResultCode::kBadEntryVms);
+    }
+  }
+}
--- /dev/null
+++ b/tests/servers/routing_test.cpp
@@ -0,0 +1,277 @@
+#include <algorithm>
+#include <limits>
+#include <random>
+
+#include "spindleweir/servers/routing/chain_chooser.h"
+#include "spindleweir/servers/routing/retry_budget.h"
+#include "spindleweir/servers/routing/token_gate.h"
+#include "spindleweir/servers/routing/upstream_view.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+double LinkMillis(const std::string& aFrom, const std::string& aTo) {
+  return aFrom == aTo ? 0.1 : 5;
+}
+
+ChainQuery MakeQuery(int aLayers) {
+  ChainQuery query;
+  query.mModel = "m";
+  query.mVersion = "1";
+  query.mLayers = aLayers;
+  query.mHomeZone = "z0";
+  query.mLinkMillis = LinkMillis;
+  query.mRandom = [] { return 0.0; };
+  return query;
+}
+
+ChainCandidate Engine(const std::string& aName, int aFirst, int aLast,
+                      double aStep, const std::string& aZone = "z0") {
+  ChainCandidate engine;
+  engine.mEngine = aName;
+  engine.mZone = aZone;
+  engine.mAccelerator = "a100";
+  engine.mModel = "m";
+  engine.mVersion = "1";
+  engine.mFirst = aFirst;
+  engine.mLast = aLast;
+  engine.mStepMillis = aStep;
+  return engine;
+}
+
+/// The least cost by trying every chain.
+double Exhaustive(std::span<const ChainCandidate> aEngines, int aLayer,
+                  const std::string& aZone, const ChainQuery& aQuery) {
+  if (aLayer == aQuery.mLayers) {
+    return LinkMillis(aZone, aQuery.mHomeZone);
+  }
+  double least = std::numeric_limits<double>::infinity();
+  for (const ChainCandidate& engine : aEngines) {
+    if (engine.mFirst == aLayer && engine.mUsable) {
+      // The link from the router is asked from the engine's side.
+      const double link = aLayer == 0
+                              ? LinkMillis(engine.mZone, aQuery.mHomeZone)
+                              : LinkMillis(aZone, engine.mZone);
+      least = std::min(
+          least, link + engine.mWaitMillis + engine.mStepMillis +
+                     Exhaustive(aEngines, engine.mLast, engine.mZone, aQuery));
+    }
+  }
+  return least;
+}
+
+TokenFrame Frame(const std::string& aRequest, int aAttempt, int aIndex,
+                 bool aLast = false) {
+  TokenFrame frame;
+  frame.mRequest = aRequest;
+  frame.mAttempt = aAttempt;
+  frame.mIndex = aIndex;
+  frame.mLayers = 8;
+  frame.mLast = aLast;
+  return frame;
+}
+
+}  // namespace
+
+Test(chain_chooser, finds_the_cheapest_of_all_chains) {
+  std::mt19937 random(7);
+  const auto pick = [&random](int aLeast, int aMost) {
+    return std::uniform_int_distribution<int>(aLeast, aMost)(random);
+  };
+  for (int round = 0; round < 300; round++) {
+    std::vector<ChainCandidate> engines;
+    for (int i = 0; i < 12; i++) {
+      const int first = pick(0, 5);
+      engines.push_back(Engine("e" + std::to_string(i), first,
+                               pick(first + 1, 6), pick(1, 20),
+                               "z" + std::to_string(pick(0, 2))));
+      engines.back().mWaitMillis = pick(0, 10);
+      engines.back().mUsable = pick(0, 9) > 0;
+    }
+    const ChainQuery query = MakeQuery(6);
+    const ChainChoice choice = ChooseChain(engines, query);
+    const double least = Exhaustive(engines, 0, "", query);
+    REQUIRE(choice.Found() == (least < 1e9));
+    if (!choice.Found()) {
+      continue;
+    }
+    CHECK(std::abs(choice.mCostMillis - least) < 1e-6);
+    SECTION("its ranges tile the layers in order") {
+      int layer = 0;
+      for (std::size_t index : choice.mStages) {
+        CHECK(engines[index].mFirst == layer);
+        layer = engines[index].mLast;
+      }
+      CHECK(layer == 6);
+    }
+  }
+}
+
+Test(chain_chooser, keeps_to_what_is_allowed_and_says_why) {
+  std::vector<ChainCandidate> engines = {
+      Engine("near", 0, 8, 10, "z0"), Engine("far", 0, 8, 10, "z1"),
+      Engine("other", 0, 8, 1, "z0"), Engine("gone", 0, 8, 1, "z0")};
+  engines[2].mModel = "other";
+  engines[3].mUsable = false;
+  SECTION("the near one, all else equal") {
+    const ChainQuery query = MakeQuery(8);
+    CHECK(ChooseChain(engines, query).mStages[0] == 0);
+  }
+  SECTION("only the zones allowed") {
+    ChainQuery query = MakeQuery(8);
+    const std::vector<std::string> zones = {"z1"};
+    query.mZones = zones;
+    const ChainChoice choice = ChooseChain(engines, query);
+    CHECK(choice.mStages[0] == 1 && choice.mRefused.mZone == 1);
+    CHECK(choice.mRefused.mOtherModel == 1 && choice.mRefused.mUnusable == 1);
+  }
+  SECTION("only the hardware allowed") {
+    ChainQuery query = MakeQuery(8);
+    const std::vector<std::string> hardware = {"h100"};
+    query.mHardware = hardware;
+    const ChainChoice choice = ChooseChain(engines, query);
+    CHECK(!choice.Found() && choice.mRefused.mHardware == 2);
+  }
+  SECTION("none of those excluded") {
+    ChainQuery query = MakeQuery(8);
+    const std::set<std::string> excluded = {"near"};
+    query.mExcluded = &excluded;
+    CHECK(ChooseChain(engines, query).mStages[0] == 1);
+  }
+  SECTION("never a chain with a hole") {
+    const std::vector<ChainCandidate> holed = {Engine("a", 0, 3, 1),
+                                               Engine("b", 4, 8, 1)};
+    CHECK(!ChooseChain(holed, MakeQuery(8)).Found());
+  }
+}
+
+Test(token_gate, lets_through_only_the_next_token_of_the_own_attempt) {
+  TokenGate gate("r", 8);
+  gate.NextAttempt();
+  CHECK(gate.Check(Frame("r", 1, 0)) == TokenVerdict::kDeliver);
+  CHECK(gate.Check(Frame("s", 1, 1)) == TokenVerdict::kOtherRequest);
+  CHECK(gate.Check(Frame("r", 1, 0)) == TokenVerdict::kDuplicate);
+  CHECK(gate.Check(Frame("r", 1, 2)) == TokenVerdict::kGap);
+  TokenFrame lame = Frame("r", 1, 1);
+  lame.mLayers = 4;
+  CHECK(gate.Check(lame) == TokenVerdict::kWrongLayers);
+  SECTION("a further attempt goes on where the last one stopped") {
+    CHECK(gate.NextAttempt() == 2);
+    CHECK(gate.Check(Frame("r", 1, 1)) == TokenVerdict::kOldAttempt);
+    CHECK(gate.Check(Frame("r", 2, 1, true)) == TokenVerdict::kDeliver);
+    CHECK(gate.Check(Frame("r", 2, 2)) == TokenVerdict::kAfterEnd);
+    CHECK(gate.Ended() && gate.Delivered() == 2);
+  }
+}
+
+Test(retry_budget, retries_stay_a_share_of_the_traffic) {
+  RetryBudget budget({.mShare = 0.1, .mMaximum = 20, .mStart = 5});
+  int spent = 0;
+  for (int i = 0; i < 1000; i++) {
+    budget.RequestStarted();
+    spent += budget.TrySpend() ? 1 : 0;
+  }
+  CHECK(spent <= 106 && spent >= 100);
+  SECTION("what is not used is saved up to a bound only") {
+    for (int i = 0; i < 100000; i++) {
+      budget.RequestStarted();
+    }
+    int burst = 0;
+    while (budget.TrySpend()) {
+      burst++;
+    }
+    CHECK(burst == 20);
+  }
+}
+
+Test(upstream_view, failures_eject_but_never_empty_a_zone) {
+  UpstreamView view({});
+  EngineReport report;
+  for (int i = 0; i < 4; i++) {
+    report.mEngine = "e" + std::to_string(i);
+    report.mZone = "z";
+    report.mModel = "m";
+    report.mLast = 8;
+    view.Listed(report.mEngine, "z", "", {"127.0.0.1", 1000 + i}, false, 0);
+    view.Reported(report, 0);
+  }
+  const auto usable = [&view](Millis aNow) {
+    int count = 0;
+    for (const ChainCandidate& candidate : view.Candidates(aNow)) {
+      count += candidate.mUsable ? 1 : 0;
+    }
+    return count;
+  };
+  CHECK(usable(10) == 4);
+  SECTION("one failure is not enough") {
+    view.Failed("e0", 10);
+    CHECK(usable(10) == 4);
+  }
+  SECTION("two in a row are, for a time") {
+    view.Failed("e0", 10);
+    CHECK(usable(10) == 3);
+    CHECK(usable(2500) == 4);
+  }
+  SECTION("half stays whatever fails") {
+    for (int round = 0; round < 10; round++) {
+      for (int i = 0; i < 4; i++) {
+        view.Failed("e" + std::to_string(i), 20);
+      }
+    }
+    CHECK(usable(21) == 2);
+  }
+  SECTION("a report that is too old is none") {
+    CHECK(usable(9000) == 0);
+  }
+}
+
+Test(upstream_view, own_work_counts_until_a_report_shows_it) {
+  UpstreamView view({});
+  EngineReport report;
+  report.mEngine = "e";
+  report.mModel = "m";
+  report.mLast = 8;
+  report.mBatch = 1;
+  report.mStepMillis = 10;
+  view.Listed("e", "z", "", {"127.0.0.1", 1000}, false, 0);
+  view.Reported(report, 0);
+  CHECK(view.Candidates(1)[0].mWaitMillis == 0);
+  view.Dispatched("e", 1);
+  view.Dispatched("e", 2);
+  CHECK(view.Candidates(3)[0].mWaitMillis == 20);
+  SECTION("a report from before them does not hide them") {
+    view.Reported(report, 4);
+    CHECK(view.Candidates(5)[0].mWaitMillis == 20);
+  }
+  SECTION("ended work does not count") {
+    view.Ended("e");
+    view.Ended("e");
+    view.Reported(report, 6);
+    CHECK(view.Candidates(7)[0].mWaitMillis == 0);
+  }
+}
+
+Test(upstream_view, a_leaving_upstream_gets_no_new_work) {
+  UpstreamView view({});
+  view.Listed("s1", "z", "kaunter", {"127.0.0.1", 1}, false, 0);
+  view.Listed("s2", "z", "kaunter", {"127.0.0.1", 2}, false, 0);
+  CHECK(view.ServiceInstances("kaunter", 0).size() == 2);
+  SECTION("by the platform's list") {
+    view.Listed("s1", "z", "kaunter", {"127.0.0.1", 1}, true, 0);
+    REQUIRE(view.ServiceInstances("kaunter", 0).size() == 1);
+    CHECK(view.ServiceInstances("kaunter", 0)[0]->mVm == "s2");
+  }
+  SECTION("by another word") {
+    view.SetLeaving({"s2"});
+    CHECK(view.IsLeaving("s2"));
+  }
+  SECTION("its failures are not counted") {
+    view.SetLeaving({"s1", "s2"});
+    view.Failed("s2", 0);
+    view.Failed("s2", 0);
+    view.Failed("s2", 0);
+    CHECK(view.Find("s2")->mFailures == 0);
+  }
+}
