--- a/include/spindleweir/servers/consensus/raft_node.h
+++ b/include/spindleweir/servers/consensus/raft_node.h
@@ -21,7 +21,7 @@
 /// How a voter is set up.
 struct RaftOptions {
   std::string mId;
-  /// The voters of an empty log; a log or snapshot that names others wins.
+  /// The first voters, for an empty storage; it remembers them from then on.
   std::vector<std::string> mVoters;
   Millis mElectionTimeout = 500;  ///< The least; the most is twice as long.
   Millis mHeartbeat = 100;
--- a/servers/consensus/raft_node.cpp
+++ b/servers/consensus/raft_node.cpp
@@ -18,6 +18,11 @@
   if (mSnapshot.mIndex > 0) {
     mOptions.mInstallSnapshot(mSnapshot.mData);
   }
+  if (mSnapshot.mVoters.empty() && !mOptions.mVoters.empty()) {
+    // The first voters are part of what must be remembered.
+    mSnapshot.mVoters = mOptions.mVoters;
+    mOptions.mStorage->SaveSnapshot(mSnapshot, mEntries, mHardState);
+  }
   RefreshVoters();
   RestartElectionTimer();
 }
@@ -503,8 +508,7 @@
     return;
   }
   Snapshot snapshot{.mIndex = mApplied, .mTerm = TermAt(mApplied)};
-  snapshot.mVoters =
-      mSnapshot.mVoters.empty() ? mOptions.mVoters : mSnapshot.mVoters;
+  snapshot.mVoters = mSnapshot.mVoters;
   for (std::int64_t i = mSnapshot.mIndex + 1; i <= mApplied; i++) {
     if (!EntryAt(i).mVoters.empty()) {
       snapshot.mVoters = EntryAt(i).mVoters;
@@ -550,7 +554,7 @@
 }
 
 void RaftNode::RefreshVoters() {
-  mVoters = mSnapshot.mVoters.empty() ? mOptions.mVoters : mSnapshot.mVoters;
+  mVoters = mSnapshot.mVoters;
   for (const LogEntry& entry : mEntries) {
     if (!entry.mVoters.empty()) {
       mVoters = entry.mVoters;
--- a/tests/daemons/deployment.cpp
+++ b/tests/daemons/deployment.cpp
@@ -385,7 +385,8 @@
     found = Operator("GET", "/v1/receipts/" + aRequest);
     return found.mStatus == 200;
   });
-  for (const Json::Value& attempt : ParseJson(found.mBody)["attempts"]) {
+  const Json::Value receipt = ParseJson(found.mBody);
+  for (const Json::Value& attempt : receipt["attempts"]) {
     for (const Json::Value& stage : attempt["stages"]) {
       engines.push_back(stage["engine"].asString());
     }
--- a/tests/fuzz/raft_fuzz.cpp
+++ b/tests/fuzz/raft_fuzz.cpp
@@ -260,6 +260,24 @@
   CHECK(caught);
 }
 
+Test(raft, the_first_voters_are_remembered) {
+  // Found by a test of a deployment: after a restart of all voters none of
+  // them knew that it was one.
+  MemoryStorage storage;
+  RaftOptions options;
+  options.mId = "v0";
+  options.mVoters = {"v0"};
+  options.mStorage = &storage;
+  options.mSend = [](const RaftMessage&) {};
+  options.mApply = [](const LogEntry&) {};
+  options.mInstallSnapshot = [](const std::string&) {};
+  const RaftNode first(options, 0);
+  options.mVoters.clear();
+  RaftNode second(options, 0);
+  second.Tick(10000);
+  CHECK(second.Leads());
+}
+
 Test(raft, a_late_snapshot_takes_back_nothing_that_was_acknowledged) {
   // Found by the fuzzer: a snapshot older than what a voter has acknowledged
   // made it forget the entries after the snapshot.
