--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -20,7 +20,7 @@
 /// Whether the flag is one of the program's own, not of gflags.
 bool IsOwnFlag(const std::string& aName, gflags::CommandLineFlagInfo* aInfo) {
   return gflags::GetCommandLineFlagInfo(aName.c_str(), aInfo) &&
-         aInfo->filename.find("main/") != std::string::npos;
+         aInfo->filename.find("_main.cpp") != std::string::npos;
 }
 
 void SetFlag(const std::string& aName, const std::string& aValue,
@@ -138,7 +138,7 @@
   gflags::SetUsageMessage(aUsage);
   for (int i = 1; i < aArgc; i++) {
     if (std::string_view(aArgv[i]) == "--help") {
-      gflags::ShowUsageWithFlagsRestrict(aArgv[0], "main/");
+      gflags::ShowUsageWithFlagsRestrict(aArgv[0], "_main.cpp");
       return 0;
     }
   }
--- a/daemons/router/completion.cpp
+++ b/daemons/router/completion.cpp
@@ -183,7 +183,7 @@
   query.mRandom = [this] { return mContext.Random(); };
   ChainChoice choice;
   if (possible) {
-    choice = ChooseChain(candidates, query);
+    choice = mContext.mOptions.mChooseChain(candidates, query);
   }
   mStages.clear();
   for (std::size_t index : choice.mStages) {
--- a/daemons/router/router_context.cpp
+++ b/daemons/router/router_context.cpp
@@ -57,6 +57,9 @@
   LogLine(LogLevel::kInfo, "configuration_in_force")
       .Add("version", static_cast<Json::Int64>(mConfiguration.mVersion))
       .Add("hash", mConfiguration.mHash);
+  if (mOptions.mOnConfiguration) {
+    mOptions.mOnConfiguration(mConfiguration.mVersion);
+  }
   return true;
 }
 
--- a/include/spindleweir/daemons/router_daemon.h
+++ b/include/spindleweir/daemons/router_daemon.h
@@ -6,6 +6,7 @@
 
 #include "spindleweir/core/settings.h"
 #include "spindleweir/drivers/event_loop.h"
+#include "spindleweir/servers/routing/chain_chooser.h"
 
 namespace spindleweir {
 
@@ -21,8 +22,13 @@
   std::string mPortFile;  ///< Where to write the addresses; empty: nowhere.
   int mMaximumInFlight = 512;
   int mMaximumQueue = 1024;
-  int mMaximumLoads = 4;       ///< Loads at a time in the zone.
-  Millis mSilence = 700;       ///< Without a token before engines are probed.
+  int mMaximumLoads = 4;  ///< Loads at a time in the zone.
+  Millis mSilence = 700;  ///< Without a token before engines are probed.
+  /// Replaces the choice of chains, as the bench does to compare others.
+  std::function<ChainChoice(std::span<const ChainCandidate>, const ChainQuery&)>
+      mChooseChain = ChooseChain;
+  /// Told of each configuration when it comes into force here.
+  std::function<void(std::int64_t)> mOnConfiguration;
   Millis mStopUnready = 2000;  ///< Serves on so long after becoming unready.
   Millis mStopGrace = 60000;   ///< For requests in flight at a planned stop.
 };
--- a/servers/membership/member_table.cpp
+++ b/servers/membership/member_table.cpp
@@ -78,7 +78,9 @@
   mProbedAt = aNow;
   mIndirectSent = false;
   if (!mProbed.empty()) {
-    mOptions.mProbe(mProbed, "");
+    // A copy: the answer may come at once and clear the member.
+    const std::string target = mProbed;
+    mOptions.mProbe(target, "");
   }
 }
 
--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -13,7 +13,7 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpConflict = 409;
 constexpr double kMicrosPerMilli = 1000;
-constexpr double kMeanWeight = 0.2;
+constexpr double kLateTimer = 4;
 constexpr Millis kFrozenStep = 20;
 
 /// Tells the first engine of a chain that a token came out of the last.
@@ -115,7 +115,12 @@
 }
 
 void EngineStandin::Report(HttpExchange& aExchange) {
-  mReport.mQueue = static_cast<int>(mStreams.size());
+  const Millis now = SteadyNow();
+  mSamples.push_back({now, static_cast<int>(mStreams.size())});
+  while (mSamples.size() > 1 && mSamples[1].mAt <= now - mOptions.mReportLag) {
+    mSamples.pop_front();
+  }
+  mReport.mQueue = mSamples.front().mQueue;
   ReplyJson(aExchange, kHttpOk, ToJson(mReport));
 }
 
@@ -267,14 +272,14 @@
   }
   const double micros =
       mOptions.mLayerMicros * (mReport.mLast - mReport.mFirst) * mSlowdown;
-  mOwedMicros += micros;
-  const auto millis = static_cast<Millis>(mOwedMicros / kMicrosPerMilli);
-  mOwedMicros -= static_cast<double>(millis) * kMicrosPerMilli;
-  const double step = micros / kMicrosPerMilli;
-  mReport.mStepMillis =
-      mReport.mStepMillis == 0
-          ? step
-          : mReport.mStepMillis + kMeanWeight * (step - mReport.mStepMillis);
+  // Steps that follow each other keep their pace whatever a timer is late.
+  const auto now = static_cast<double>(SteadyNow());
+  const double begin = now - mStepEnd < kLateTimer ? mStepEnd : now;
+  mStepEnd = begin + micros / kMicrosPerMilli;
+  const auto millis = static_cast<Millis>(std::max(0.0, mStepEnd - now));
+  // What a report tells is the nominal time: a slow engine does not know it.
+  mReport.mStepMillis = mOptions.mLayerMicros *
+                        (mReport.mLast - mReport.mFirst) / kMicrosPerMilli;
   mStepTimer = mLoop.After(millis, [this] { FinishStep(); });
 }
 
--- a/standins/engine_standin.h
+++ b/standins/engine_standin.h
@@ -27,7 +27,8 @@
   int mBatch = 8;
   Millis mLoadMillis = 200;
   bool mChecksFence = true;
-  std::string mRecord;  ///< Path; empty: no record.
+  Millis mReportLag = 0;  ///< How old the queue in a report is.
+  std::string mRecord;    ///< Path; empty: no record.
 };
 
 /// What goes from engine to engine, and as a token to the router.
@@ -83,7 +84,13 @@
   std::map<std::string, std::shared_ptr<Stream>> mStreams;  ///< By request.
   std::deque<WorkItem> mQueue;
   std::vector<WorkItem> mBatch;
-  double mOwedMicros = 0;  ///< Part of a step below a millisecond.
+  double mStepEnd = 0;  ///< When the last step was due, in milliseconds.
+  /// A queue length and when it held.
+  struct QueueSample {
+    Millis mAt;
+    int mQueue;
+  };
+  std::deque<QueueSample> mSamples;
   double mSlowdown = 1;
   std::string mCorrupt;  ///< A fault of the answers; empty: none.
   std::unique_ptr<Timer> mStepTimer;
--- a/tests/fuzz/limits_fuzz.cpp
+++ b/tests/fuzz/limits_fuzz.cpp
@@ -52,7 +52,7 @@
         for (const auto& [ticket, name] : mAdmitted) {
           if (name == workspace) {
             mAdmitted.erase(ticket);
-            Take(mLimiter.Release(name, mNow));
+            Take(mLimiter.Release(workspace, mNow));
             break;
           }
         }
