A zone repairs itself; limits follow use; histories over real processes are judged

Change: the steward plans its zone anew, once for losses that come together, when its usable engines change, keeping what runs; engines without a stage get one without moving others. Shares of limits follow demand, told with probes. scripts/history runs callers, operators and faults at random over processes and checks the records. The JSON codec makes readers and writers once and words for places only on errors; the events of a stream are made from a template.

--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -6,6 +6,11 @@
 #include "spindleweir/core/settings.h"
 
 DEFINE_double(seconds, 30, "bound of the whole call");
+DEFINE_string(targets, "", "history: file of processes to talk to");
+DEFINE_string(record, "", "history: file to record to");
+DEFINE_string(drainable, "", "history: VM that operators drain");
+DEFINE_uint32(seed, 1, "history: seed");
+DEFINE_int32(layers, 12, "history, check: layers of the model");
 DEFINE_bool(json, false, "print one JSON object a line");
 
 namespace spindleweir {
@@ -20,6 +25,8 @@
     "  configuration  from acceptance to force; restart; claims\n"
     "  placement      against the best, an equal split and a greedy one\n"
     "  slopes         what docs/CAPACITY.md is worked out from\n"
+    "  history        callers and operators for scripts/history\n"
+    "  check FILE...  judges the records of a history\n"
     "  report FILE... a page with plots from saved --json lines\n";
 
 /// A measure and its name.
@@ -38,6 +45,19 @@
 
 int Run(const std::vector<std::string>& aArguments) {
   RequireRange(FLAGS_seconds, 1, 86400, "--seconds");
+  if (aArguments.size() == 1 && aArguments[0] == "history") {
+    RunHistoryLoad({.mTargets = FLAGS_targets,
+                    .mRecord = FLAGS_record,
+                    .mDrainable = FLAGS_drainable,
+                    .mSeed = FLAGS_seed,
+                    .mLength = static_cast<Millis>(FLAGS_seconds * 1000),
+                    .mLayers = FLAGS_layers});
+    return 0;
+  }
+  if (aArguments.size() > 1 && aArguments[0] == "check") {
+    return CheckHistory({aArguments.begin() + 1, aArguments.end()},
+                        FLAGS_layers);
+  }
   if (aArguments.size() > 1 && aArguments[0] == "report") {
     MakeReport({aArguments.begin() + 1, aArguments.end()});
     return 0;
--- a/bench/capacity_slopes.cpp
+++ b/bench/capacity_slopes.cpp
@@ -1,7 +1,7 @@
 /// What docs/CAPACITY.md is worked out from: bytes and processor time for each
 /// thing of which there will be many.
 #include <malloc.h>
-#include <sys/resource.h>
+#include <time.h>
 
 #include <filesystem>
 #include <iostream>
@@ -28,11 +28,10 @@
 }
 
 double CpuMicros() {
-  rusage usage{};
-  getrusage(RUSAGE_THREAD, &usage);
-  return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) *
-             1e6 +
-         static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) * 1e6 +
+         static_cast<double>(time.tv_nsec) / 1e3;
 }
 
 void Print(const BenchOptions& aOptions, const std::string& aCase,
--- a/core/json_codec.cpp
+++ b/core/json_codec.cpp
@@ -4,6 +4,7 @@
 #include <json/writer.h>
 
 #include <memory>
+#include <sstream>
 
 namespace spindleweir {
 
@@ -28,20 +29,23 @@
   return builder;
 }
 
-[[noreturn]] void ThrowType(const std::string& aPath, const char* aType) {
-  throw Error(ResultCode::kBadField, aPath + " must be " + aType);
+[[noreturn]] void ThrowType(const JsonReader::Place& aPlace,
+                            const char* aType) {
+  throw Error(ResultCode::kBadField,
+              aPlace.Text() + " must be " + std::string(aType));
 }
 
 }  // namespace
 
 Json::Value ParseJson(std::string_view aText) {
-  static const Json::CharReaderBuilder kBuilder = MakeReaderBuilder();
-  const std::unique_ptr<Json::CharReader> reader(kBuilder.newCharReader());
+  // Making a reader costs more than reading a short text with it.
+  thread_local const std::unique_ptr<Json::CharReader> kReader(
+      MakeReaderBuilder().newCharReader());
   Json::Value value;
   std::string message;
   try {
-    if (!reader->parse(aText.data(), aText.data() + aText.size(), &value,
-                       &message)) {
+    if (!kReader->parse(aText.data(), aText.data() + aText.size(), &value,
+                        &message)) {
       throw Error(ResultCode::kMalformedJson, message);
     }
   } catch (const Json::Exception& error) {
@@ -51,15 +55,26 @@
 }
 
 std::string DumpJson(const Json::Value& aValue) {
-  static const Json::StreamWriterBuilder kBuilder = MakeWriterBuilder();
-  return Json::writeString(kBuilder, aValue);
+  thread_local const std::unique_ptr<Json::StreamWriter> kWriter(
+      MakeWriterBuilder().newStreamWriter());
+  std::ostringstream out;
+  kWriter->write(aValue, &out);
+  return std::move(out).str();
 }
 
-JsonReader::JsonReader(const Json::Value& aObject, std::string aPath,
+std::string JsonReader::Place::Text() const {
+  if (mName == nullptr) {
+    return mParent->Text() + "[" + std::to_string(mIndex) + "]";
+  }
+  return mParent == nullptr ? mName : mParent->Text() + "." + mName;
+}
+
+JsonReader::JsonReader(const Json::Value& aObject, const Place* aPlace,
                        bool aStrict)
-    : mObject(aObject), mPath(std::move(aPath)), mStrict(aStrict) {
+    : mObject(aObject), mPlace(aPlace), mStrict(aStrict) {
   if (!mObject.isObject()) {
-    ThrowType(mPath.empty() ? "the body" : mPath, "an object");
+    ThrowType(mPlace == nullptr ? Place{nullptr, "the body"} : *mPlace,
+              "an object");
   }
 }
 
@@ -70,59 +85,53 @@
   for (const std::string& name : mObject.getMemberNames()) {
     if (!mKnown.contains(name)) {
       throw Error(ResultCode::kBadField,
-                  PathOf(name.c_str()) + " is not a known field");
+                  Place{mPlace, name.c_str()}.Text() + " is not a known field");
     }
   }
 }
 
-std::string JsonReader::PathOf(const char* aName) const {
-  return mPath.empty() ? aName : mPath + "." + aName;
-}
-
-void JsonReader::Read(const Json::Value& aIn, const std::string& aPath,
-                      std::string& aOut) const {
+void JsonReader::Read(const Json::Value& aIn, const Place& aPlace,
+                      std::string& aOut) {
   if (!aIn.isString()) {
-    ThrowType(aPath, "a string");
+    ThrowType(aPlace, "a string");
   }
   aOut = aIn.asString();
 }
 
-void JsonReader::Read(const Json::Value& aIn, const std::string& aPath,
-                      bool& aOut) const {
+void JsonReader::Read(const Json::Value& aIn, const Place& aPlace, bool& aOut) {
   if (!aIn.isBool()) {
-    ThrowType(aPath, "true or false");
+    ThrowType(aPlace, "true or false");
   }
   aOut = aIn.asBool();
 }
 
-void JsonReader::Read(const Json::Value& aIn, const std::string& aPath,
-                      int& aOut) const {
+void JsonReader::Read(const Json::Value& aIn, const Place& aPlace, int& aOut) {
   if (!aIn.isInt()) {
-    ThrowType(aPath, "a whole number of 32 bits");
+    ThrowType(aPlace, "a whole number of 32 bits");
   }
   aOut = aIn.asInt();
 }
 
-void JsonReader::Read(const Json::Value& aIn, const std::string& aPath,
-                      std::int64_t& aOut) const {
+void JsonReader::Read(const Json::Value& aIn, const Place& aPlace,
+                      std::int64_t& aOut) {
   if (!aIn.isInt64()) {
-    ThrowType(aPath, "a whole number");
+    ThrowType(aPlace, "a whole number");
   }
   aOut = aIn.asInt64();
 }
 
-void JsonReader::Read(const Json::Value& aIn, const std::string& aPath,
-                      std::uint64_t& aOut) const {
+void JsonReader::Read(const Json::Value& aIn, const Place& aPlace,
+                      std::uint64_t& aOut) {
   if (!aIn.isUInt64()) {
-    ThrowType(aPath, "a whole number that is not negative");
+    ThrowType(aPlace, "a whole number that is not negative");
   }
   aOut = aIn.asUInt64();
 }
 
-void JsonReader::Read(const Json::Value& aIn, const std::string& aPath,
-                      double& aOut) const {
+void JsonReader::Read(const Json::Value& aIn, const Place& aPlace,
+                      double& aOut) {
   if (!aIn.isNumeric()) {
-    ThrowType(aPath, "a number");
+    ThrowType(aPlace, "a number");
   }
   aOut = aIn.asDouble();
 }
--- a/daemons/control/inventory.cpp
+++ b/daemons/control/inventory.cpp
@@ -58,26 +58,11 @@
 }
 
 bool Inventory::Complete() const {
-  const Millis now = SteadyNow();
-  bool complete = !mView.All().empty();
-  for (const auto& [vm, upstream] : mView.All()) {
-    const bool waits = upstream.mService.empty() && upstream.mReportedAt < 0 &&
-                       now - upstream.mKnownSince < kReportLifetime;
-    complete = complete && !waits;
-  }
-  return complete;
+  return mView.Complete("", SteadyNow());
 }
 
 std::vector<EngineReport> Inventory::Engines() const {
-  std::vector<EngineReport> reports;
-  const Millis now = SteadyNow();
-  for (const auto& [vm, upstream] : mView.All()) {
-    if (upstream.mService.empty() && upstream.mReportedAt >= 0 &&
-        now - upstream.mReportedAt < kReportLifetime) {
-      reports.push_back(upstream.mReport);
-    }
-  }
-  return reports;
+  return mView.LiveEngines("", kReportLifetime, SteadyNow());
 }
 
 Json::Value Inventory::State() const {
--- a/daemons/router/completion.cpp
+++ b/daemons/router/completion.cpp
@@ -471,7 +471,15 @@
       mRequest.mExchange->AddHeader("Cache-Control", "no-store");
       mRequest.mExchange->StartStream(kHttpOk, "text/event-stream");
     }
-    mRequest.mExchange->Write(StreamEvent(mBody, mReply, aFrame.mText, first));
+    if (first || aFrame.mLast) {
+      mRequest.mExchange->Write(
+          StreamEvent(mBody, mReply, aFrame.mText, first));
+      if (!mEvents.has_value()) {
+        mEvents.emplace(mBody, mReply);
+      }
+    } else {
+      mRequest.mExchange->Write(mEvents->Write(aFrame.mText));
+    }
   }
   if (aFrame.mLast) {
     FinishWhole();
--- a/daemons/router/completion.h
+++ b/daemons/router/completion.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -69,7 +70,9 @@
   std::uint64_t mTicket = 0;
   bool mPlaced = false;      ///< Holds a place of the limiter.
   bool mDispatched = false;  ///< Something may have run.
-  bool mStreaming = false;   ///< The answer's head was sent.
+  /// Set once the first event is written.
+  std::optional<StreamEventWriter> mEvents;
+  bool mStreaming = false;  ///< The answer's head was sent.
   ClaimRecord mClaim;
   bool mClaimHeld = false;
   std::vector<std::string> mTokens;  ///< Delivered, for a resume.
--- a/daemons/router/completion_body.cpp
+++ b/daemons/router/completion_body.cpp
@@ -194,6 +194,20 @@
   return AsEvent(event);
 }
 
+StreamEventWriter::StreamEventWriter(const CompletionBody& aBody,
+                                     const CompletionReply& aReply) {
+  // A text that JSON writes as it is, and that no name of a model can hold.
+  constexpr std::string_view kMark = "<text>";
+  const std::string event = StreamEvent(aBody, aReply, kMark, false);
+  const std::size_t at = event.find("\"<text>\"");
+  mBefore = event.substr(0, at);
+  mAfter = event.substr(at + kMark.size() + 2);
+}
+
+std::string StreamEventWriter::Write(std::string_view aText) const {
+  return mBefore + DumpJson(std::string(aText)) + mAfter;
+}
+
 std::string UsageEvent(const CompletionBody& aBody,
                        const CompletionReply& aReply) {
   Json::Value event = Frame(aBody, aReply, true);
--- a/daemons/router/completion_body.h
+++ b/daemons/router/completion_body.h
@@ -40,6 +40,18 @@
 std::string StreamEvent(const CompletionBody& aBody,
                         const CompletionReply& aReply, std::string_view aText,
                         bool aFirst);
+/// Writes the events between the first and the last, of which there are many:
+/// what is the same in all of them is made once.
+class StreamEventWriter {
+ public:
+  StreamEventWriter(const CompletionBody& aBody, const CompletionReply& aReply);
+  std::string Write(std::string_view aText) const;
+
+ private:
+  std::string mBefore;
+  std::string mAfter;
+};
+
 /// The usage event of a stream that asked for one.
 std::string UsageEvent(const CompletionBody& aBody,
                        const CompletionReply& aReply);
--- a/daemons/router/peer_link.cpp
+++ b/daemons/router/peer_link.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Millis kTickPeriod = 50;
+constexpr Millis kSharePeriod = 100;
 constexpr Millis kReceiptPeriod = 200;
 constexpr Millis kProbeTimeout = 800;
 constexpr Millis kPullTimeout = 1000;
@@ -112,6 +113,7 @@
   state.mReady = mContext.mReady;
   state.mUpdates = mMembers.Gossip();
   state.mLeaving = mContext.mLeaving.Words();
+  state.mDemands = mContext.mLimiter.Demands(SteadyNow());
   return state;
 }
 
@@ -125,6 +127,10 @@
       mContext.RefreshLeaving();
     }
   }
+  const EntryVm* peer = mContext.mEntryVms.Current().Find(aState.mFrom);
+  if (peer != nullptr && peer->mRole == EntryRole::kRouter) {
+    mContext.mShares.Heard(aState.mFrom, aState.mDemands);
+  }
   mGreatestVersion = std::max(mGreatestVersion, aState.mVersion);
   if (aState.mVersion > mContext.mConfiguration.mVersion) {
     Pull(aState.mFrom);
@@ -192,12 +198,6 @@
 
 void PeerLink::UpdateReadiness() {
   mContext.RefreshLeaving();
-  std::size_t live = 1;
-  for (const EntryVm& vm :
-       mContext.mEntryVms.Current().OfRole(EntryRole::kRouter)) {
-    live += mMembers.IsUsable(vm.mId) ? 1 : 0;
-  }
-  mContext.SetLiveRouters(live);
   const bool ready = mToAskFirst.empty() &&
                      mContext.mConfiguration.mVersion > 0 &&
                      mContext.mConfiguration.mVersion >= mGreatestVersion;
@@ -207,6 +207,24 @@
   }
 }
 
+void PeerLink::ShareLimits() {
+  std::size_t routers = 0;
+  for (const EntryVm& vm :
+       mContext.mEntryVms.Current().OfRole(EntryRole::kRouter)) {
+    routers++;
+    // A peer of the own zone that is gone has crashed: its share is free. One
+    // of another zone may be cut off and go on with its last share.
+    const bool crashed = vm.mZone == mContext.mOptions.mZone &&
+                         vm.mId != mContext.mOptions.mId &&
+                         !mMembers.IsUsable(vm.mId);
+    if (crashed) {
+      mContext.mShares.Forget(vm.mId);
+      routers--;
+    }
+  }
+  mContext.ShareLimits(std::max<std::size_t>(1, routers));
+}
+
 void PeerLink::HandReceiptsOver() {
   const EntryVms& vms = mContext.mEntryVms.Current();
   std::vector<EntryVm> controls =
--- a/daemons/router/peer_link.h
+++ b/daemons/router/peer_link.h
@@ -28,6 +28,7 @@
   void ProbeFor(const IndirectProbe& aAsked);
   void Pull(const std::string& aFrom);
   void UpdateReadiness();
+  void ShareLimits();
   void HandReceiptsOver();
   Json::Value StateForOperators() const;
 
@@ -37,6 +38,7 @@
   std::int64_t mGreatestVersion = 0;  ///< Heard of.
   bool mPulling = false;
   std::unique_ptr<Timer> mTickTimer;
+  std::unique_ptr<Timer> mShareTimer;
   std::unique_ptr<Timer> mReceiptTimer;
 };
 
--- a/daemons/router/router_context.cpp
+++ b/daemons/router/router_context.cpp
@@ -52,7 +52,7 @@
   mConfiguration = aConfiguration;
   mLeaving.SetDrained(mConfiguration.mDrained);
   RefreshLeaving();
-  ShareLimits();
+  ShareLimits(mSharingRouters);
   mCounters.Set("configuration_version", mConfiguration.mVersion);
   LogLine(LogLevel::kInfo, "configuration_in_force")
       .Add("version", static_cast<Json::Int64>(mConfiguration.mVersion))
@@ -63,20 +63,15 @@
   return true;
 }
 
-void RouterContext::SetLiveRouters(std::size_t aCount) {
-  if (aCount != mLiveRouters) {
-    mLiveRouters = aCount;
-    ShareLimits();
-  }
-}
-
-void RouterContext::ShareLimits() {
-  const auto parts = static_cast<double>(mLiveRouters);
+void RouterContext::ShareLimits(std::size_t aRouters) {
+  mSharingRouters = aRouters;
+  mShares.SetOwn(mLimiter.Demands(SteadyNow()));
   for (const WorkspaceSpec& workspace : mConfiguration.mIntent.mWorkspaces) {
+    const double share = mShares.Share(workspace.mName, aRouters);
     mLimiter.SetLimits(
         workspace.mName,
-        {.mMaximumConcurrent = workspace.mMaximumConcurrent / parts,
-         .mRequestsPerSecond = workspace.mRequestsPerSecond / parts,
+        {.mMaximumConcurrent = workspace.mMaximumConcurrent * share,
+         .mRequestsPerSecond = workspace.mRequestsPerSecond * share,
          .mWeight = workspace.mWeight});
   }
 }
--- a/daemons/router/router_context.h
+++ b/daemons/router/router_context.h
@@ -29,8 +29,9 @@
 
   /// Takes an accepted configuration if it is newer; true where it was.
   bool Accept(const Configuration& aConfiguration);
-  /// How many routers share the workspaces' limits.
-  void SetLiveRouters(std::size_t aCount);
+  /// Gives the limiter this router's part of each workspace's limits, with
+  /// aRouters sharing them.
+  void ShareLimits(std::size_t aRouters);
   /// Asks for a place; aDone is called once, maybe at once.
   std::uint64_t Ask(AdmissionRequest aRequest,
                     std::function<void(const AdmissionOutcome&)> aDone);
@@ -54,6 +55,7 @@
   EntryVmsFile mEntryVms;
   UpstreamView mView;
   WorkspaceLimiter mLimiter;
+  ShareDivider mShares;
   RetryBudget mRetryBudget;
   Configuration mConfiguration;
   LeavingSet mLeaving;
@@ -65,15 +67,13 @@
   std::function<void()> mOnRequestEnded;  ///< After each request.
 
  private:
-  /// Gives the limiter this router's part of each workspace's limits.
-  void ShareLimits();
   void Announce(const std::vector<AdmissionOutcome>& aOutcomes);
 
   std::map<std::uint64_t, std::function<void(const AdmissionOutcome&)>>
       mWaiting;
   std::uint64_t mNextTicket = 1;
   std::uint64_t mNextRequest = 1;
-  std::size_t mLiveRouters = 1;
+  std::size_t mSharingRouters = 1;
   std::mt19937_64 mRandom;
   std::unique_ptr<Timer> mLimiterTimer;
 };
--- a/daemons/router/stewardship.cpp
+++ b/daemons/router/stewardship.cpp
@@ -3,6 +3,7 @@
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/daemons/peer_messages.h"
+#include "spindleweir/servers/placement/placement_planner.h"
 
 namespace spindleweir {
 
@@ -14,6 +15,9 @@
 constexpr Millis kLeaseTimeout = 500;
 /// An order that shows no effect in a report is given again after this.
 constexpr Millis kOrderAgain = 2000;
+/// An engine whose reports stop for so long is repaired around.
+constexpr Millis kDeadAfter = 1200;
+constexpr Millis kRepairDelay = 200;
 
 }  // namespace
 
@@ -28,7 +32,7 @@
   });
   mContext.mEntryVms.SignalChanged().connect(
       [this](const EntryVms& aVms) { Start(aVms); });
-  mTimer = mContext.mLoop.Every(kPeriod, [this] { GiveOrders(); });
+  mTimer = mContext.mLoop.Every(kPeriod, [this] { Work(); });
 }
 
 void Stewardship::Start(const EntryVms& aVms) {
@@ -70,44 +74,27 @@
   }
 }
 
-void Stewardship::GiveOrders() {
+void Stewardship::Work() {
   if (mHolder == nullptr) {
     return;
   }
   const Millis now = SteadyNow();
+  const std::string& zone = mContext.mOptions.mZone;
   mHolder->Tick(now);
   const bool holds = mHolder->Holds(now);
-  if (holds != mHeld) {
-    mHeld = holds;
-    mContext.mCounters.Set("steward", holds ? 1 : 0);
-    LogLine(LogLevel::kInfo,
-            holds ? "steward_lease_taken" : "steward_lease_ended")
-        .Add("zone", mContext.mOptions.mZone)
-        .Add("epoch", static_cast<Json::Int64>(mHolder->Epoch()));
-  }
-  std::vector<EngineReport> engines;
-  for (const auto& [vm, upstream] : mContext.mView.All()) {
-    const bool known = upstream.mService.empty() && upstream.mReportedAt >= 0 &&
-                       now - upstream.mReportedAt < kOrderAgain;
-    if (upstream.mZone != mContext.mOptions.mZone || !known) {
-      continue;
-    }
-    mHolder->SawEpoch(upstream.mReport.mEpoch);
-    engines.push_back(upstream.mReport);
-    engines.back().mLeaving =
-        engines.back().mLeaving || mContext.mView.IsLeaving(vm);
+  LogLease(holds);
+  const std::vector<EngineReport> engines =
+      mContext.mView.LiveEngines(zone, kDeadAfter, now);
+  for (const EngineReport& engine : engines) {
+    mHolder->SawEpoch(engine.mEpoch);
   }
-  if (!holds || mContext.mConfiguration.mVersion == 0) {
+  if (!holds || mContext.mConfiguration.mVersion == 0 ||
+      !mContext.mView.Complete(zone, now)) {
     return;
   }
-  std::vector<StagePlacement> wanted;
-  for (const StagePlacement& stage : mContext.mConfiguration.mPlacement) {
-    if (stage.mZone == mContext.mOptions.mZone) {
-      wanted.push_back(stage);
-    }
-  }
+  UpdateWanted(engines, now);
   const std::vector<EngineOrder> orders =
-      PlanOrders({.mPlacement = wanted,
+      PlanOrders({.mPlacement = mWanted,
                   .mEngines = engines,
                   .mMaximumLoads = mContext.mOptions.mMaximumLoads});
   for (const EngineOrder& order : orders) {
@@ -115,6 +102,78 @@
   }
 }
 
+void Stewardship::LogLease(bool aHolds) {
+  if (aHolds == mHeld) {
+    return;
+  }
+  mHeld = aHolds;
+  // What was planned under an earlier lease may be out of date.
+  mWantedVersion = 0;
+  mContext.mCounters.Set("steward", aHolds ? 1 : 0);
+  LogLine(LogLevel::kInfo,
+          aHolds ? "steward_lease_taken" : "steward_lease_ended")
+      .Add("zone", mContext.mOptions.mZone)
+      .Add("epoch", static_cast<Json::Int64>(mHolder->Epoch()));
+}
+
+void Stewardship::UpdateWanted(std::span<const EngineReport> aEngines,
+                               Millis aNow) {
+  const Configuration& accepted = mContext.mConfiguration;
+  if (mWantedVersion != accepted.mVersion) {
+    mWantedVersion = accepted.mVersion;
+    mWanted.clear();
+    mPlannedFor.clear();
+    for (const StagePlacement& stage : accepted.mPlacement) {
+      if (stage.mZone == mContext.mOptions.mZone) {
+        mWanted.push_back(stage);
+        mPlannedFor.insert(stage.mEngine);
+      }
+    }
+  }
+  std::set<std::string> usable;
+  for (const EngineReport& engine : aEngines) {
+    if (!engine.mLeaving) {
+      usable.insert(engine.mEngine);
+    }
+  }
+  if (usable != mLastUsable) {
+    mLastUsable = usable;
+    mUsableSince = aNow;
+  }
+  // Losses that come together are seen a little apart; one plan repairs all.
+  if (usable != mPlannedFor && aNow - mUsableSince >= kRepairDelay) {
+    Repair(aEngines, usable);
+  }
+}
+
+void Stewardship::Repair(std::span<const EngineReport> aEngines,
+                         const std::set<std::string>& aUsable) {
+  Configuration present;
+  present.mPlacement = mWanted;
+  const std::set<std::string> none;
+  const Plan plan = MakePlan({.mIntent = mContext.mConfiguration.mIntent,
+                              .mCurrent = present,
+                              .mEngines = aEngines,
+                              .mUnusable = none});
+  int moves = 0;
+  for (const PlanChange& change : plan.mChanges) {
+    moves += change.mAction == "move" || change.mAction == "load" ? 1 : 0;
+  }
+  LogLine line(LogLevel::kInfo, "placement");
+  line.Add("zone", mContext.mOptions.mZone)
+      .Add("reason", "the zone's usable engines changed")
+      .Add("engines_before", static_cast<int>(mPlannedFor.size()))
+      .Add("engines", static_cast<int>(aUsable.size()))
+      .Add("moves", moves)
+      .Add("configuration", static_cast<Json::Int64>(mWantedVersion));
+  for (const std::string& lack : plan.mShort) {
+    line.Add("short", lack);
+  }
+  mContext.mCounters.Add("repairs");
+  mWanted = plan.mPlacement;
+  mPlannedFor = aUsable;
+}
+
 void Stewardship::Send(const EngineOrder& aOrder) {
   const Millis now = SteadyNow();
   const std::string& engine = aOrder.mStage.mEngine;
--- a/daemons/router/stewardship.h
+++ b/daemons/router/stewardship.h
@@ -4,7 +4,10 @@
 
 #include <map>
 #include <memory>
+#include <set>
+#include <span>
 #include <string>
+#include <vector>
 
 #include "daemons/router/router_context.h"
 #include "spindleweir/drivers/rpc_dispatcher.h"
@@ -23,7 +26,11 @@
  private:
   void Start(const EntryVms& aVms);
   void Broadcast(const LeaseRequest& aRequest);
-  void GiveOrders();
+  void Work();
+  void LogLease(bool aHolds);
+  void UpdateWanted(std::span<const EngineReport> aEngines, Millis aNow);
+  void Repair(std::span<const EngineReport> aEngines,
+              const std::set<std::string>& aUsable);
   void Send(const EngineOrder& aOrder);
 
   RouterContext& mContext;
@@ -33,6 +40,13 @@
   std::int64_t mStarts = 0;  ///< Of the holder, within this process.
   bool mHeld = false;
   std::map<std::string, Millis> mOrderedAt;  ///< By engine.
+  /// The zone's placement that orders lead to: the accepted one, or the one
+  /// that repairs it.
+  std::vector<StagePlacement> mWanted;
+  std::int64_t mWantedVersion = 0;    ///< Of the configuration it is made for.
+  std::set<std::string> mPlannedFor;  ///< Usable engines when it was made.
+  std::set<std::string> mLastUsable;
+  Millis mUsableSince = 0;  ///< Since when mLastUsable is unchanged.
   std::unique_ptr<Timer> mTimer;
 };
 
--- a/include/spindleweir/core/json_codec.h
+++ b/include/spindleweir/core/json_codec.h
@@ -35,7 +35,8 @@
 
   template <class T>
   void Field(const char* aName, T& aValue) {
-    mObject[aName] = Write(aValue);
+    // Names are literals, so that they need no copy.
+    mObject[Json::StaticString(aName)] = Write(aValue);
   }
   template <class T>
   void Required(const char* aName, T& aValue) {
@@ -78,19 +79,33 @@
 /// kBadField naming the field.
 class JsonReader {
  public:
-  JsonReader(const Json::Value& aObject, std::string aPath, bool aStrict);
+  /// Where a value stands; put into words only for an error.
+  struct Place {
+    const Place* mParent = nullptr;
+    const char* mName = nullptr;  ///< nullptr: an element of the parent.
+    std::size_t mIndex = 0;
+
+    std::string Text() const;
+  };
+
+  JsonReader(const Json::Value& aObject, const Place* aPlace, bool aStrict);
 
   template <class T>
   void Field(const char* aName, T& aValue) {
-    mKnown.insert(aName);
-    if (mObject.isMember(aName) && !mObject[aName].isNull()) {
-      Read(mObject[aName], PathOf(aName), aValue);
+    if (mStrict) {
+      mKnown.insert(aName);
+    }
+    const Json::Value* value =
+        mObject.find(aName, aName + std::char_traits<char>::length(aName));
+    if (value != nullptr && !value->isNull()) {
+      Read(*value, Place{mPlace, aName}, aValue);
     }
   }
   template <class T>
   void Required(const char* aName, T& aValue) {
     if (!mObject.isMember(aName)) {
-      throw Error(ResultCode::kBadField, PathOf(aName) + " is missing");
+      throw Error(ResultCode::kBadField,
+                  Place{mPlace, aName}.Text() + " is missing");
     }
     Field(aName, aValue);
   }
@@ -99,42 +114,39 @@
   void RefuseUnknown() const;
 
  private:
-  std::string PathOf(const char* aName) const;
-  void Read(const Json::Value& aIn, const std::string& aPath,
-            std::string& aOut) const;
-  void Read(const Json::Value& aIn, const std::string& aPath, bool& aOut) const;
-  void Read(const Json::Value& aIn, const std::string& aPath, int& aOut) const;
-  void Read(const Json::Value& aIn, const std::string& aPath,
-            std::int64_t& aOut) const;
-  void Read(const Json::Value& aIn, const std::string& aPath,
-            std::uint64_t& aOut) const;
-  void Read(const Json::Value& aIn, const std::string& aPath,
-            double& aOut) const;
-  void Read(const Json::Value& aIn, const std::string&,
-            Json::Value& aOut) const {
+  static void Read(const Json::Value& aIn, const Place& aPlace,
+                   std::string& aOut);
+  static void Read(const Json::Value& aIn, const Place& aPlace, bool& aOut);
+  static void Read(const Json::Value& aIn, const Place& aPlace, int& aOut);
+  static void Read(const Json::Value& aIn, const Place& aPlace,
+                   std::int64_t& aOut);
+  static void Read(const Json::Value& aIn, const Place& aPlace,
+                   std::uint64_t& aOut);
+  static void Read(const Json::Value& aIn, const Place& aPlace, double& aOut);
+  static void Read(const Json::Value& aIn, const Place&, Json::Value& aOut) {
     aOut = aIn;
   }
   template <class T>
-  void Read(const Json::Value& aIn, const std::string& aPath,
+  void Read(const Json::Value& aIn, const Place& aPlace,
             std::vector<T>& aOut) const {
     if (!aIn.isArray()) {
-      throw Error(ResultCode::kBadField, aPath + " must be an array");
+      throw Error(ResultCode::kBadField, aPlace.Text() + " must be an array");
     }
     aOut.clear();
     for (Json::ArrayIndex i = 0; i < aIn.size(); i++) {
       aOut.emplace_back();
-      Read(aIn[i], aPath + "[" + std::to_string(i) + "]", aOut.back());
+      Read(aIn[i], Place{&aPlace, nullptr, i}, aOut.back());
     }
   }
   template <class T>
-  void Read(const Json::Value& aIn, const std::string& aPath, T& aOut) const {
-    JsonReader reader(aIn, aPath, mStrict);
+  void Read(const Json::Value& aIn, const Place& aPlace, T& aOut) const {
+    JsonReader reader(aIn, &aPlace, mStrict);
     aOut.Fields(reader);
     reader.RefuseUnknown();
   }
 
   const Json::Value& mObject;
-  std::string mPath;
+  const Place* mPlace;  ///< nullptr: the whole body.
   bool mStrict;
   std::set<std::string> mKnown;
 };
@@ -154,7 +166,7 @@
 template <class T>
 T FromJson(const Json::Value& aObject, bool aStrict = false) {
   T message;
-  JsonReader reader(aObject, "", aStrict);
+  JsonReader reader(aObject, nullptr, aStrict);
   message.Fields(reader);
   reader.RefuseUnknown();
   return message;
--- a/include/spindleweir/daemons/peer_messages.h
+++ b/include/spindleweir/daemons/peer_messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "spindleweir/core/clock.h"
+#include "spindleweir/servers/limits/share_divider.h"
 #include "spindleweir/servers/membership/leaving_set.h"
 #include "spindleweir/servers/membership/member_table.h"
 #include "spindleweir/servers/receipts/receipt_book.h"
@@ -35,6 +36,7 @@
   bool mReady = false;
   std::vector<MemberUpdate> mUpdates;
   std::vector<LeavingWord> mLeaving;
+  std::vector<WorkspaceDemand> mDemands;  ///< At the sender; routers only.
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -44,6 +46,7 @@
     aCodec.Field("ready", mReady);
     aCodec.Field("updates", mUpdates);
     aCodec.Field("leaving", mLeaving);
+    aCodec.Field("demands", mDemands);
   }
 };
 
--- a/include/spindleweir/servers/limits/workspace_limiter.h
+++ b/include/spindleweir/servers/limits/workspace_limiter.h
@@ -12,6 +12,7 @@
 
 #include "spindleweir/core/clock.h"
 #include "spindleweir/core/result_code.h"
+#include "spindleweir/servers/limits/share_divider.h"
 
 namespace spindleweir {
 
@@ -66,6 +67,9 @@
   /// Ends waits that took too long; admits as rates allow.
   std::vector<AdmissionOutcome> Tick(Millis aNow);
 
+  /// How much each workspace asks now; those that ask nothing are left out.
+  std::vector<WorkspaceDemand> Demands(Millis aNow);
+
   int InFlight() const { return mInFlight; }
   int InFlight(const std::string& aWorkspace) const;
   std::size_t Queued() const { return mQueued; }
@@ -82,6 +86,7 @@
     Millis mFilledAt = -1;
     double mVirtualTime = 0;  ///< Work done, by weight.
     std::deque<Waiting> mQueue;
+    std::deque<Millis> mRefusals;  ///< Of the last second, bounded.
   };
 
   void Refill(Workspace& aWorkspace, Millis aNow) const;
--- a/include/spindleweir/servers/routing/upstream_view.h
+++ b/include/spindleweir/servers/routing/upstream_view.h
@@ -72,6 +72,13 @@
   const Upstream* Find(const std::string& aVm) const;
   const std::map<std::string, Upstream>& All() const { return mUpstreams; }
 
+  /// Whether each engine of a zone (of all, where it is empty) has reported,
+  /// or was silent long enough to count as gone: a plan made before that would
+  /// be made for a part of them.
+  bool Complete(const std::string& aZone, Millis aNow) const;
+  /// The reports of engines that are alive: heard within aWithin.
+  std::vector<EngineReport> LiveEngines(const std::string& aZone,
+                                        Millis aWithin, Millis aNow) const;
   /// The engines as candidates for a chain.
   std::vector<ChainCandidate> Candidates(Millis aNow) const;
   /// The instances of a service that can take a call, least loaded first.
--- a/servers/limits/workspace_limiter.cpp
+++ b/servers/limits/workspace_limiter.cpp
@@ -11,6 +11,8 @@
 constexpr double kBurstSeconds = 0.5;
 constexpr Millis kLeastRetryAfter = 100;
 constexpr double kMeanWeight = 0.05;
+constexpr std::size_t kRememberedRefusals = 1024;
+constexpr Millis kRefusalCounts = 1000;
 
 /// How many requests may come at once before the rate holds them.
 double BurstOf(const WorkspaceLimits& aLimits) {
@@ -27,6 +29,23 @@
   mWorkspaces[aWorkspace].mLimits = aLimits;
 }
 
+std::vector<WorkspaceDemand> WorkspaceLimiter::Demands(Millis aNow) {
+  std::vector<WorkspaceDemand> demands;
+  for (auto& [name, workspace] : mWorkspaces) {
+    std::deque<Millis>& refusals = workspace.mRefusals;
+    while (!refusals.empty() && refusals.front() + kRefusalCounts <= aNow) {
+      refusals.pop_front();
+    }
+    const auto demand = static_cast<double>(workspace.mInFlight) +
+                        static_cast<double>(workspace.mQueue.size()) +
+                        static_cast<double>(refusals.size());
+    if (demand > 0) {
+      demands.push_back({name, demand});
+    }
+  }
+  return demands;
+}
+
 int WorkspaceLimiter::InFlight(const std::string& aWorkspace) const {
   const auto it = mWorkspaces.find(aWorkspace);
   return it == mWorkspaces.end() ? 0 : it->second.mInFlight;
@@ -87,6 +106,9 @@
   Refill(workspace, aNow);
   mServiceMillis += kMeanWeight * (aRequest.mServiceMillis - mServiceMillis);
   const auto refuse = [&](ResultCode aCode) {
+    if (workspace.mRefusals.size() < kRememberedRefusals) {
+      workspace.mRefusals.push_back(aNow);
+    }
     return std::vector<AdmissionOutcome>{
         {aRequest.mTicket, aCode, RetryAfter(workspace)}};
   };
--- a/servers/placement/placement_planner.cpp
+++ b/servers/placement/placement_planner.cpp
@@ -181,15 +181,54 @@
   }
 }
 
+/// Gives engines without a stage one of the split's, the slowest stage first:
+/// nothing that runs has to move for them.
+void FillIdle(std::span<const EngineReport> aEngines, StageSplit& aSplit) {
+  const std::size_t stages = aSplit.mBoundaries.size() - 1;
+  std::vector<double> speed(stages, 0);
+  std::vector<int> count(stages, 0);
+  const auto layersOf = [&aSplit](std::size_t aStage) {
+    return aSplit.mBoundaries[aStage + 1] - aSplit.mBoundaries[aStage];
+  };
+  const auto add = [&](std::size_t aEngine, std::size_t aStage) {
+    aSplit.mStageOf[aEngine] = static_cast<int>(aStage);
+    speed[aStage] += aEngines[aEngine].TokensPerSecond(layersOf(aStage));
+    count[aStage]++;
+  };
+  for (std::size_t i = 0; i < aEngines.size(); i++) {
+    if (aSplit.mStageOf[i] >= 0) {
+      add(i, static_cast<std::size_t>(aSplit.mStageOf[i]));
+    }
+  }
+  for (std::size_t i = 0; i < aEngines.size(); i++) {
+    if (aSplit.mStageOf[i] >= 0) {
+      continue;
+    }
+    std::size_t slowest = stages;
+    for (std::size_t stage = 0; stage < stages; stage++) {
+      const bool fits = layersOf(stage) <= aEngines[i].mMemoryLayers;
+      if (fits && (slowest == stages || speed[stage] < speed[slowest])) {
+        slowest = stage;
+      }
+    }
+    if (slowest < stages) {
+      add(i, slowest);
+    }
+  }
+  aSplit.mTokensPerSecond = *std::min_element(speed.begin(), speed.end());
+  aSplit.mLeastEngines = *std::min_element(count.begin(), count.end());
+}
+
 void AddModel(const PlacementInput& aInput, const ModelSpec& aModel,
               const std::string& aZone, std::span<const EngineReport> aEngines,
               Plan& aPlan) {
   StageSplit split = SplitStages(aEngines, aModel.mLayers);
-  const StageSplit present = PresentSplit(aInput, aModel, aEngines);
+  StageSplit present = PresentSplit(aInput, aModel, aEngines);
+  if (present.mBoundaries.size() > 2 || present.mTokensPerSecond > 0) {
+    FillIdle(aEngines, present);
+  }
   const bool coverKept = present.mLeastEngines >= 2 || split.mLeastEngines < 2;
-  const bool idle = std::find(present.mStageOf.begin(), present.mStageOf.end(),
-                              -1) != present.mStageOf.end();
-  if (coverKept && !idle && present.mTokensPerSecond > 0 &&
+  if (coverKept && present.mTokensPerSecond > 0 &&
       present.mTokensPerSecond >=
           split.mTokensPerSecond * (1 - aInput.mHysteresis)) {
     split = present;
--- a/servers/routing/upstream_view.cpp
+++ b/servers/routing/upstream_view.cpp
@@ -170,6 +170,34 @@
   return rounds * StepMillis(aUpstream.mReport);
 }
 
+bool UpstreamView::Complete(const std::string& aZone, Millis aNow) const {
+  bool complete = !mUpstreams.empty();
+  for (const auto& [vm, upstream] : mUpstreams) {
+    const bool counts =
+        upstream.mService.empty() && (aZone.empty() || upstream.mZone == aZone);
+    const bool waits = upstream.mReportedAt < 0 &&
+                       aNow - upstream.mKnownSince < mOptions.mReportLifetime;
+    complete = complete && !(counts && waits);
+  }
+  return complete;
+}
+
+std::vector<EngineReport> UpstreamView::LiveEngines(const std::string& aZone,
+                                                    Millis aWithin,
+                                                    Millis aNow) const {
+  std::vector<EngineReport> engines;
+  for (const auto& [vm, upstream] : mUpstreams) {
+    const bool counts =
+        upstream.mService.empty() && (aZone.empty() || upstream.mZone == aZone);
+    if (counts && upstream.mReportedAt >= 0 &&
+        aNow - upstream.mReportedAt < aWithin) {
+      engines.push_back(upstream.mReport);
+      engines.back().mLeaving = engines.back().mLeaving || IsLeaving(vm);
+    }
+  }
+  return engines;
+}
+
 std::vector<ChainCandidate> UpstreamView::Candidates(Millis aNow) const {
   std::vector<ChainCandidate> candidates;
   candidates.reserve(mUpstreams.size());
--- a/tests/daemons/failure_test.cpp
+++ b/tests/daemons/failure_test.cpp
@@ -110,6 +110,37 @@
   }));
 }
 
+Test(failures, a_zone_repairs_itself_without_control) {
+  Deployment deployment({.mZones = 1});
+  deployment.Begin();
+  deployment.mControls.clear();
+  const auto works = [&] {
+    const auto answer = deployment.Chat(0, "x", 2, false);
+    deployment.RunUntil([&] { return answer->mDone; });
+    return answer->mHttp.mStatus == 200;
+  };
+  SECTION("both engines of one range are lost") {
+    for (const char* engine : {"gpu-0-0", "gpu-0-3"}) {
+      deployment.mEngines.erase(engine);
+    }
+    CHECK(deployment.RunUntil(works));
+  }
+  SECTION("a second loss right after") {
+    deployment.mEngines.erase("gpu-0-1");
+    CHECK(deployment.RunUntil(works));
+  }
+  SECTION("a new VM joins and is put to use") {
+    deployment.StartEngine("gpu-0-9", Deployment::Zone(0));
+    deployment.WritePlatform();
+    CHECK(deployment.RunUntil([&] {
+      return deployment
+                 .Fetch(deployment.mEngines["gpu-0-9"]->Address(), "GET",
+                        "/v1/report")
+                 .mBody.find("pembantu-lm") != std::string::npos;
+    }));
+  }
+}
+
 Test(failures, a_caller_that_leaves_frees_the_engines) {
   Deployment deployment({.mZones = 1});
   deployment.Begin();
--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -71,6 +71,33 @@
   }
 }
 
+Test(share_divider, shares_follow_demand_and_add_up) {
+  ShareDivider first;
+  ShareDivider second;
+  const std::vector<WorkspaceDemand> busy = {{"w", 30}};
+  const std::vector<WorkspaceDemand> calm = {{"w", 10}};
+  CHECK(first.Share("w", 2) == 0.5);
+  first.SetOwn(busy);
+  first.Heard("second", calm);
+  second.SetOwn(calm);
+  second.Heard("first", busy);
+  CHECK(first.Share("w", 2) > second.Share("w", 2));
+  CHECK(std::abs(first.Share("w", 2) + second.Share("w", 2) - 1) < 1e-9);
+  SECTION("a router that was not asked can still admit a little") {
+    ShareDivider third;
+    third.Heard("first", busy);
+    third.Heard("second", calm);
+    CHECK(third.Share("w", 3) > 0.05);
+  }
+  SECTION("cut off, it keeps its last share; told of a crash, it takes over") {
+    const double before = first.Share("w", 2);
+    first.SetOwn(busy);
+    CHECK(first.Share("w", 2) == before);
+    first.Forget("second");
+    CHECK(first.Share("w", 1) == 1);
+  }
+}
+
 Test(limits, waits_end) {
   WorkspaceLimiter limiter({.mMaximumWait = 1000});
   limiter.SetLimits("w", {.mMaximumConcurrent = 1, .mRequestsPerSecond = 1e6});
