--- a/daemons/router/completion.cpp
+++ b/daemons/router/completion.cpp
@@ -388,13 +388,24 @@
   mRetryTimer = mContext.mLoop.After(delay, [this] { Dispatch(); });
 }
 
-void Completion::WatchSilence() {
+Millis Completion::LongestSilence() const {
   const auto expected = static_cast<Millis>(mChainCost * kSilenceSteps);
-  const Millis wait = std::max(mContext.mOptions.mSilence, expected);
-  mSilenceTimer = mContext.mLoop.After(wait, [this] { HandleSilence(); });
+  return std::max(mContext.mOptions.mSilence, expected);
+}
+
+void Completion::WatchSilence() {
+  mSilentSince = SteadyNow();
+  mSilenceTimer =
+      mContext.mLoop.After(LongestSilence(), [this] { HandleSilence(); });
 }
 
 void Completion::HandleSilence() {
+  // Tokens only note their time; the timer finds out whether one came.
+  const Millis left = mSilentSince + LongestSilence() - SteadyNow();
+  if (left > 0) {
+    mSilenceTimer = mContext.mLoop.After(left, [this] { HandleSilence(); });
+    return;
+  }
   if (mPushBackTimer != nullptr) {
     WatchSilence();
     return;
@@ -437,7 +448,12 @@
 }
 
 void Completion::ProbesDone(const std::set<std::string>& aSilent) {
-  if (mPhase != Phase::kRunning || mCall == nullptr || mSilences == 0) {
+  if (mPhase != Phase::kRunning || mCall == nullptr) {
+    return;
+  }
+  if (mSilences == 0) {
+    // A token came meanwhile.
+    WatchSilence();
     return;
   }
   if (!aSilent.empty()) {
@@ -485,7 +501,7 @@
     FinishWhole();
     return;
   }
-  WatchSilence();
+  mSilentSince = SteadyNow();
   PushBack();
 }
 
--- a/daemons/router/completion.h
+++ b/daemons/router/completion.h
@@ -44,6 +44,7 @@
   void Replace(const std::string& aWhy, const std::set<std::string>& aFailed);
   void NoChain();
 
+  Millis LongestSilence() const;
   void WatchSilence();
   void HandleSilence();
   void ProbeStages();
@@ -79,6 +80,7 @@
   std::vector<StagePlacement> mStages;
   double mChainCost = 0;
   std::set<std::string> mExcluded;
+  Millis mSilentSince = 0;  ///< The last token, or the dispatch.
   int mSilences = 0;        ///< In a row, without a token.
   int mChainWaits = 0;      ///< For any chain at all.
   Millis mLostChainAt = 0;  ///< When no chain was left; 0: there is one.
--- a/daemons/router/router_daemon.cpp
+++ b/daemons/router/router_daemon.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::size_t kMaximumRpcBytes = 64 * 1024 * 1024;
 constexpr Millis kUnreadyBeforeClose = 200;
+constexpr Millis kReceiptsGrace = 5000;
 
 }  // namespace
 
@@ -53,6 +54,7 @@
   std::unique_ptr<Timer> mStopTimer;
   std::unique_ptr<Timer> mDrainTimer;
   std::unique_ptr<Timer> mRefuseTimer;
+  Millis mIdleSince = 0;  ///< At a stop: the last request ended; 0: not yet.
 };
 
 RouterDaemon::RouterDaemon(EventLoop& aLoop, RouterOptions aOptions)
@@ -96,10 +98,18 @@
   mParts->mRefuseTimer = context.mLoop.After(
       context.mOptions.mStopUnready, [&context] { context.mRefusing = true; });
   // What is in flight ends, and its receipts are handed over.
-  mParts->mDrainTimer = context.mLoop.Every(kUnreadyBeforeClose, [&context] {
-    if (context.mRefusing && context.mOpenRequests == 0 &&
-        context.mOutbox.Size() == 0) {
-      const LogLine line(LogLevel::kInfo, "stopped");
+  mParts->mDrainTimer =
+      context.mLoop.Every(kUnreadyBeforeClose, [this, &context] {
+    if (!context.mRefusing || context.mOpenRequests > 0) {
+      return;
+    }
+    // Receipts are waited for in vain where all of control is stopped too.
+    Parts& parts = *mParts;
+    parts.mIdleSince = parts.mIdleSince == 0 ? SteadyNow() : parts.mIdleSince;
+    const bool late = SteadyNow() - parts.mIdleSince > kReceiptsGrace;
+    if (context.mOutbox.Size() == 0 || late) {
+      LogLine(LogLevel::kInfo, "stopped")
+          .Add("receipts_left", static_cast<int>(context.mOutbox.Size()));
       context.mLoop.Stop();
     }
   });
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -112,20 +112,21 @@
 
 ready() { curl -fsS "http://$(address "$1")/readyz"; }
 
-# stop_all: a planned stop of everything, newest first; fails where a process
-# does not end with 0.
+# stop_all: a planned stop of everything, routers first, so that they hand
+# over their receipts; fails where a process does not end with 0.
 stop_all() {
-  local name process bad=0
-  while read -r name process; do
-    kill -TERM "$process" 2>/dev/null || true
-  done < <(tac "$run/pids")
-  while read -r name process; do
-    case " ${killed:-} " in *" $name "*) continue ;; esac
-    if ! wait "$process"; then
-      echo "$name did not end with 0" >&2
-      bad=1
-    fi
-  done <"$run/pids"
+  local name process bad=0 group
+  for group in router- ""; do
+    while read -r name process; do
+      [[ $name == "$group"* ]] && kill -TERM "$process" 2>/dev/null || true
+    done <"$run/pids"
+    while read -r name process; do
+      [[ $name == "$group"* ]] || continue
+      case " ${killed:-} " in *" $name "*) continue ;; esac
+      wait "$process" || bad=1
+    done <"$run/pids"
+  done
+  [ $bad = 0 ] || echo "a process did not end with 0" >&2
   : >"$run/pids"
   return $bad
 }
