Configurations travel by difference

Change: a change carries what differs by name, chained by hashes over changes; routers and control keep the last 64 and answer who lacks some by those, else by the whole with a digest; gaps are asked for, forks and damage are alarms.

--- a/daemons/control/replicated_configuration.cpp
+++ b/daemons/control/replicated_configuration.cpp
@@ -39,9 +39,11 @@
         mRaft->Receive(FromJson<RaftMessage>(aMessage), SteadyNow());
         return Json::Value(Json::objectValue);
       });
-  mContext.mDispatcher.On(
-      rpc_method::kGetConfiguration,
-      [this](const Json::Value&) { return ToJson(mMachine.Current()); });
+  mContext.mDispatcher.On(rpc_method::kGetConfiguration,
+                          [this](const Json::Value& aMessage) {
+                            return ToJson(mMachine.History().Answer(
+                                FromJson<ConfigurationQuestion>(aMessage)));
+                          });
   mMachine.SignalAccepted().connect([this](const Configuration&) {
     // A restart applies many at once; only the newest is worth telling.
     mSpreadTimer = mContext.mLoop.After(0, [this] { Spread(); });
@@ -150,7 +152,9 @@
   mContext.mCounters.Set("configuration_version", configuration.mVersion);
   const EntryVms& vms = mContext.mEntryVms.Current();
   const bool leads = mRaft != nullptr && mRaft->Role() == RaftRole::kLeader;
-  const Json::Value message = ToJson(configuration);
+  // What is new since the last time; a router that lacks more asks for it.
+  const Json::Value message = ToJson(mMachine.History().Answer(mSpread));
+  mSpread = mMachine.History().Question();
   for (const EntryVm& router : vms.OfRole(EntryRole::kRouter)) {
     // Each zone is served by its own control; the leader, which knows first,
     // tells all.
--- a/daemons/control/replicated_configuration.h
+++ b/daemons/control/replicated_configuration.h
@@ -53,6 +53,7 @@
   ConfigurationMachine mMachine;
   std::unique_ptr<RaftNode> mRaft;
   std::map<std::string, Waiting> mWaiting;  ///< By command id.
+  ConfigurationQuestion mSpread;  ///< What the routers were last told.
   std::string mLoggedLeader;
   bool mStarted = false;
   bool mFailureLogged = false;
--- a/daemons/router/caller_api.cpp
+++ b/daemons/router/caller_api.cpp
@@ -114,7 +114,7 @@
     throw Error(ResultCode::kNotReady, "no accepted configuration yet");
   }
   const WorkspaceSpec* workspace = FindWorkspaceByKey(
-      mContext.mConfiguration.mIntent, Sha256Hex(aExchange->BearerKey()));
+      mContext.Accepted().mIntent, Sha256Hex(aExchange->BearerKey()));
   if (workspace == nullptr) {
     throw Error(ResultCode::kUnauthorized, "the bearer key is not known");
   }
@@ -142,8 +142,7 @@
                                 bool aChat) {
   CallerRequest request = Check(aExchange);
   CompletionBody body = ReadCompletion(aExchange->Body(), aChat);
-  const ModelSpec* model =
-      FindModel(mContext.mConfiguration.mIntent, body.mModel);
+  const ModelSpec* model = FindModel(mContext.Accepted().mIntent, body.mModel);
   if (model == nullptr) {
     throw Error(ResultCode::kUnknownModel, "no model " + body.mModel);
   }
@@ -163,8 +162,7 @@
       std::string_view(aExchange->Path()).substr(kServicePrefix.size());
   const std::size_t slash = std::min(rest.find('/'), rest.size());
   const std::string name(rest.substr(0, slash));
-  const ServiceSpec* service =
-      FindService(mContext.mConfiguration.mIntent, name);
+  const ServiceSpec* service = FindService(mContext.Accepted().mIntent, name);
   if (service == nullptr) {
     throw Error(ResultCode::kNotFound, "no service " + name);
   }
@@ -187,7 +185,7 @@
   Json::Value list(Json::objectValue);
   list["object"] = "list";
   list["data"] = Json::Value(Json::arrayValue);
-  for (const ModelSpec& model : mContext.mConfiguration.mIntent.mModels) {
+  for (const ModelSpec& model : mContext.Accepted().mIntent.mModels) {
     if (!Allows(request.mWorkspace.mModels, model.mName)) {
       continue;
     }
--- a/daemons/router/completion.cpp
+++ b/daemons/router/completion.cpp
@@ -43,7 +43,7 @@
   mReceipt.mTarget = mBody.mModel;
   mReceipt.mRouter = mContext.mOptions.mId;
   mReceipt.mZone = mContext.mOptions.mZone;
-  mReceipt.mConfigurationVersion = mContext.mConfiguration.mVersion;
+  mReceipt.mConfigurationVersion = mContext.Accepted().mVersion;
   mReceipt.mStartedWall = mReply.mCreatedWall;
 }
 
@@ -226,7 +226,7 @@
       .Add("chain", chain)
       .Add("cost_ms", aChoice.mCostMillis)
       .Add("configuration",
-           static_cast<Json::Int64>(mContext.mConfiguration.mVersion));
+           static_cast<Json::Int64>(mContext.Accepted().mVersion));
 }
 
 ChainJob Completion::MakeJob() const {
--- a/daemons/router/peer_link.cpp
+++ b/daemons/router/peer_link.cpp
@@ -71,16 +71,16 @@
     mMembers.Answered(FromJson<IndirectProbe>(aMessage).mTarget, SteadyNow());
     return Json::Value(Json::objectValue);
   });
-  aDispatcher.On(rpc_method::kGetConfiguration, [this](const Json::Value&) {
-    return ToJson(mContext.mConfiguration);
-  });
-  aDispatcher.On(
-      rpc_method::kPushConfiguration, [this](const Json::Value& aMessage) {
-        const auto pushed = FromJson<Configuration>(aMessage);
-        mGreatestVersion = std::max(mGreatestVersion, pushed.mVersion);
-        mContext.Accept(pushed);
-        return Json::Value(Json::objectValue);
-      });
+  aDispatcher.On(rpc_method::kGetConfiguration,
+                 [this](const Json::Value& aMessage) {
+                   return ToJson(mContext.mHistory.Answer(
+                       FromJson<ConfigurationQuestion>(aMessage)));
+                 });
+  aDispatcher.On(rpc_method::kPushConfiguration,
+                 [this](const Json::Value& aMessage) {
+                   TakeNews(FromJson<ConfigurationNews>(aMessage));
+                   return Json::Value(Json::objectValue);
+                 });
   aDispatcher.On(rpc_method::kRouterState,
                  [this](const Json::Value&) { return StateForOperators(); });
 }
@@ -109,7 +109,7 @@
   PeerState state;
   state.mFrom = mContext.mOptions.mId;
   state.mZone = mContext.mOptions.mZone;
-  state.mVersion = mContext.mConfiguration.mVersion;
+  state.mVersion = mContext.Accepted().mVersion;
   state.mReady = mContext.mReady;
   state.mUpdates = mMembers.Gossip();
   state.mLeaving = mContext.mLeaving.Words();
@@ -132,7 +132,7 @@
     mContext.mShares.Heard(aState.mFrom, aState.mDemands);
   }
   mGreatestVersion = std::max(mGreatestVersion, aState.mVersion);
-  if (aState.mVersion > mContext.mConfiguration.mVersion) {
+  if (aState.mVersion > mContext.Accepted().mVersion) {
     Pull(aState.mFrom);
   }
 }
@@ -178,29 +178,53 @@
       });
 }
 
+void PeerLink::TakeNews(const ConfigurationNews& aNews) {
+  std::int64_t newest = aNews.mIsWhole ? aNews.mWhole.mVersion : 0;
+  for (const ConfigurationChange& change : aNews.mChanges) {
+    newest = std::max(newest, change.mVersion);
+  }
+  mGreatestVersion = std::max(mGreatestVersion, newest);
+  if (mContext.Accept(aNews) == NewsVerdict::kGap) {
+    mContext.mCounters.Add("configuration_gaps");
+    mAskAgain = true;
+  }
+}
+
 void PeerLink::Pull(const std::string& aFrom) {
   const EntryVm* peer = mContext.mEntryVms.Current().Find(aFrom);
   if (peer == nullptr || mPulling) {
     return;
   }
   mPulling = true;
-  mContext.mRpc.Call(
-      peer->mAddress, rpc_method::kGetConfiguration,
-      Json::Value(Json::objectValue), kPullTimeout,
-      [this](const RpcResult& aResult) {
-        mPulling = false;
-        if (aResult.mOk) {
-          mContext.mCounters.Add("configuration_pulls");
-          mContext.Accept(FromJson<Configuration>(aResult.mAnswer));
-        }
-      });
+  mContext.mRpc.Call(peer->mAddress, rpc_method::kGetConfiguration,
+                     ToJson(mContext.mHistory.Question()), kPullTimeout,
+                     [this](const RpcResult& aResult) {
+                       mPulling = false;
+                       if (aResult.mOk) {
+                         mContext.mCounters.Add("configuration_pulls");
+                         TakeNews(FromJson<ConfigurationNews>(aResult.mAnswer));
+                       }
+                     });
+}
+
+void PeerLink::PullFromControl() {
+  mAskAgain = false;
+  for (const EntryVm& control :
+       mContext.mEntryVms.Current().OfRole(EntryRole::kControl)) {
+    if (mMembers.IsUsable(control.mId)) {
+      Pull(control.mId);
+      return;
+    }
+  }
 }
 
 void PeerLink::UpdateReadiness() {
   mContext.RefreshLeaving();
-  const bool ready = mToAskFirst.empty() &&
-                     mContext.mConfiguration.mVersion > 0 &&
-                     mContext.mConfiguration.mVersion >= mGreatestVersion;
+  if (mAskAgain && !mPulling) {
+    PullFromControl();
+  }
+  const bool ready = mToAskFirst.empty() && mContext.Accepted().mVersion > 0 &&
+                     mContext.Accepted().mVersion >= mGreatestVersion;
   if (ready && !mContext.mReady) {
     mContext.mReady = true;
     LogLine(LogLevel::kInfo, "ready");
@@ -257,7 +281,7 @@
   state["ready"] = mContext.mReady;
   state["stopping"] = mContext.mStopping;
   state["configuration_version"] =
-      static_cast<Json::Int64>(mContext.mConfiguration.mVersion);
+      static_cast<Json::Int64>(mContext.Accepted().mVersion);
   state["open_requests"] = mContext.mOpenRequests;
   state["leaving"] = Json::Value(Json::arrayValue);
   for (const std::string& vm : mContext.mLeaving.Vms()) {
--- a/daemons/router/peer_link.h
+++ b/daemons/router/peer_link.h
@@ -26,7 +26,9 @@
   void Learn(const PeerState& aState);
   void Probe(const std::string& aTarget, const std::string& aVia);
   void ProbeFor(const IndirectProbe& aAsked);
+  void TakeNews(const ConfigurationNews& aNews);
   void Pull(const std::string& aFrom);
+  void PullFromControl();
   void UpdateReadiness();
   void ShareLimits();
   void HandReceiptsOver();
@@ -37,6 +39,7 @@
   std::set<std::string> mToAskFirst;  ///< Before the router is ready.
   std::int64_t mGreatestVersion = 0;  ///< Heard of.
   bool mPulling = false;
+  bool mAskAgain = false;  ///< A push came that does not follow.
   std::unique_ptr<Timer> mTickTimer;
   std::unique_ptr<Timer> mShareTimer;
   std::unique_ptr<Timer> mReceiptTimer;
--- a/daemons/router/router_context.cpp
+++ b/daemons/router/router_context.cpp
@@ -32,41 +32,37 @@
       mLimiterTimer(aLoop.Every(
           kLimiterPeriod, [this] { Announce(mLimiter.Tick(SteadyNow())); })) {}
 
-bool RouterContext::Accept(const Configuration& aConfiguration) {
-  if (aConfiguration.mVersion <= mConfiguration.mVersion) {
-    const bool fork = aConfiguration.mVersion == mConfiguration.mVersion &&
-                      aConfiguration.mHash != mConfiguration.mHash;
-    if (fork) {
-      mCounters.Add("configuration_forks");
-      LogLine(LogLevel::kError, "configuration_fork")
-          .Add("version", static_cast<Json::Int64>(aConfiguration.mVersion));
-    }
-    return false;
+NewsVerdict RouterContext::Accept(const ConfigurationNews& aNews) {
+  const NewsVerdict verdict = mHistory.Take(aNews);
+  if (verdict == NewsVerdict::kFork || verdict == NewsVerdict::kDamaged) {
+    const bool fork = verdict == NewsVerdict::kFork;
+    mCounters.Add(fork ? "configuration_forks" : "configuration_bad_hashes");
+    LogLine(LogLevel::kError,
+            fork ? "configuration_fork" : "configuration_bad_hash")
+        .Add("version", static_cast<Json::Int64>(Accepted().mVersion));
   }
-  if (HashOf(aConfiguration) != aConfiguration.mHash) {
-    mCounters.Add("configuration_bad_hashes");
-    LogLine(LogLevel::kError, "configuration_bad_hash")
-        .Add("version", static_cast<Json::Int64>(aConfiguration.mVersion));
-    return false;
+  if (verdict != NewsVerdict::kTaken) {
+    return verdict;
   }
-  mConfiguration = aConfiguration;
-  mLeaving.SetDrained(mConfiguration.mDrained);
+  const Configuration& accepted = Accepted();
+  mLeaving.SetDrained(accepted.mDrained);
   RefreshLeaving();
   ShareLimits(mSharingRouters);
-  mCounters.Set("configuration_version", mConfiguration.mVersion);
+  mCounters.Set("configuration_version", accepted.mVersion);
   LogLine(LogLevel::kInfo, "configuration_in_force")
-      .Add("version", static_cast<Json::Int64>(mConfiguration.mVersion))
-      .Add("hash", mConfiguration.mHash);
+      .Add("version", static_cast<Json::Int64>(accepted.mVersion))
+      .Add("whole", aNews.mIsWhole)
+      .Add("hash", accepted.mHash);
   if (mOptions.mOnConfiguration) {
-    mOptions.mOnConfiguration(mConfiguration.mVersion);
+    mOptions.mOnConfiguration(accepted.mVersion);
   }
-  return true;
+  return verdict;
 }
 
 void RouterContext::ShareLimits(std::size_t aRouters) {
   mSharingRouters = aRouters;
   mShares.SetOwn(mLimiter.Demands(SteadyNow()));
-  for (const WorkspaceSpec& workspace : mConfiguration.mIntent.mWorkspaces) {
+  for (const WorkspaceSpec& workspace : Accepted().mIntent.mWorkspaces) {
     const double share = mShares.Share(workspace.mName, aRouters);
     mLimiter.SetLimits(
         workspace.mName,
--- a/daemons/router/router_context.h
+++ b/daemons/router/router_context.h
@@ -13,7 +13,7 @@
 #include "spindleweir/daemons/router_daemon.h"
 #include "spindleweir/drivers/engine_client.h"
 #include "spindleweir/drivers/rpc_channel.h"
-#include "spindleweir/servers/configuration/configuration.h"
+#include "spindleweir/servers/configuration/configuration_history.h"
 #include "spindleweir/servers/limits/workspace_limiter.h"
 #include "spindleweir/servers/membership/leaving_set.h"
 #include "spindleweir/servers/receipts/receipt_book.h"
@@ -27,8 +27,9 @@
  public:
   RouterContext(EventLoop& aLoop, RouterOptions aOptions);
 
-  /// Takes an accepted configuration if it is newer; true where it was.
-  bool Accept(const Configuration& aConfiguration);
+  /// Takes what is newer of the accepted configuration.
+  NewsVerdict Accept(const ConfigurationNews& aNews);
+  const Configuration& Accepted() const { return mHistory.Current(); }
   /// Gives the limiter this router's part of each workspace's limits, with
   /// aRouters sharing them.
   void ShareLimits(std::size_t aRouters);
@@ -57,7 +58,7 @@
   WorkspaceLimiter mLimiter;
   ShareDivider mShares;
   RetryBudget mRetryBudget;
-  Configuration mConfiguration;
+  ConfigurationHistory mHistory;
   LeavingSet mLeaving;
   ReceiptOutbox mOutbox;
   bool mReady = false;
--- a/daemons/router/service_call.cpp
+++ b/daemons/router/service_call.cpp
@@ -46,7 +46,7 @@
   mReceipt.mTarget = mService.mName;
   mReceipt.mRouter = mContext.mOptions.mId;
   mReceipt.mZone = mContext.mOptions.mZone;
-  mReceipt.mConfigurationVersion = mContext.mConfiguration.mVersion;
+  mReceipt.mConfigurationVersion = mContext.Accepted().mVersion;
   mReceipt.mStartedWall = WallNow();
 }
 
@@ -187,7 +187,7 @@
       .Add("candidates", static_cast<int>(aCandidates))
       .Add("chosen", aChosen)
       .Add("configuration",
-           static_cast<Json::Int64>(mContext.mConfiguration.mVersion));
+           static_cast<Json::Int64>(mContext.Accepted().mVersion));
 }
 
 void ServiceCall::HandleResult(const HttpResult& aResult) {
--- a/daemons/router/stewardship.cpp
+++ b/daemons/router/stewardship.cpp
@@ -88,7 +88,7 @@
   for (const EngineReport& engine : engines) {
     mHolder->SawEpoch(engine.mEpoch);
   }
-  if (!holds || mContext.mConfiguration.mVersion == 0 ||
+  if (!holds || mContext.Accepted().mVersion == 0 ||
       !mContext.mView.Complete(zone, now)) {
     return;
   }
@@ -118,7 +118,7 @@
 
 void Stewardship::UpdateWanted(std::span<const EngineReport> aEngines,
                                Millis aNow) {
-  const Configuration& accepted = mContext.mConfiguration;
+  const Configuration& accepted = mContext.Accepted();
   if (mWantedVersion != accepted.mVersion) {
     mWantedVersion = accepted.mVersion;
     mWanted.clear();
@@ -151,7 +151,7 @@
   Configuration present;
   present.mPlacement = mWanted;
   const std::set<std::string> none;
-  const Plan plan = MakePlan({.mIntent = mContext.mConfiguration.mIntent,
+  const Plan plan = MakePlan({.mIntent = mContext.Accepted().mIntent,
                               .mCurrent = present,
                               .mEngines = aEngines,
                               .mUnusable = none});
@@ -195,7 +195,7 @@
       .Add("gain_tokens_per_second", aOrder.mGain)
       .Add("epoch", static_cast<Json::Int64>(mHolder->Epoch()))
       .Add("configuration",
-           static_cast<Json::Int64>(mContext.mConfiguration.mVersion));
+           static_cast<Json::Int64>(mContext.Accepted().mVersion));
   mContext.mCounters.Add("orders");
   mContext.mEngines.SendOrder(
       upstream->mAddress, aOrder, mHolder->Epoch(),
--- a/include/spindleweir/servers/configuration/configuration.h
+++ b/include/spindleweir/servers/configuration/configuration.h
@@ -110,7 +110,7 @@
 /// One accepted configuration.
 struct Configuration {
   std::int64_t mVersion = 0;
-  std::string mHash;          ///< SHA-256 over the previous hash and content.
+  std::string mHash;          ///< Of the change that led to it; a chain.
   std::string mPreviousHash;  ///< The hash of the version before.
   Intent mIntent;
   std::vector<StagePlacement> mPlacement;
@@ -183,9 +183,6 @@
   }
 };
 
-/// The hash that a configuration must carry.
-std::string HashOf(const Configuration& aConfiguration);
-
 /// The entry of that name, or nullptr.
 const WorkspaceSpec* FindWorkspaceByKey(const Intent& aIntent,
                                         const std::string& aKeySha256);
--- a/include/spindleweir/servers/configuration/configuration_machine.h
+++ b/include/spindleweir/servers/configuration/configuration_machine.h
@@ -9,7 +9,8 @@
 #include <string>
 
 #include "spindleweir/core/result_code.h"
-#include "spindleweir/servers/configuration/configuration.h"
+#include "spindleweir/servers/configuration/configuration_change.h"
+#include "spindleweir/servers/configuration/configuration_history.h"
 
 namespace spindleweir {
 
@@ -71,7 +72,8 @@
   /// and changes nothing.
   CommandResult Apply(const Command& aCommand);
 
-  const Configuration& Current() const { return mCurrent; }
+  const Configuration& Current() const { return mHistory.Current(); }
+  const ConfigurationHistory& History() const { return mHistory; }
   const Plan* FindPlan(const std::string& aId) const;
   /// The answer a command got, or nullptr.
   const CommandResult* FindResult(const std::string& aCommandId) const;
@@ -93,7 +95,7 @@
   void Remember(const CommandResult& aResult);
   void DropExpiredPlans(Millis aWall);
 
-  Configuration mCurrent;
+  ConfigurationHistory mHistory;
   std::map<std::string, Plan> mPlans;
   std::deque<CommandResult> mResults;  ///< Oldest first, bounded.
   std::map<std::string, CommandResult> mResultsById;
--- a/servers/configuration/configuration.cpp
+++ b/servers/configuration/configuration.cpp
@@ -2,9 +2,6 @@
 
 #include <algorithm>
 
-#include "spindleweir/core/digest.h"
-#include "spindleweir/core/json_codec.h"
-
 namespace spindleweir {
 
 namespace {
@@ -20,12 +17,6 @@
 
 }  // namespace
 
-std::string HashOf(const Configuration& aConfiguration) {
-  Configuration copy = aConfiguration;
-  copy.mHash.clear();
-  return Sha256Hex(DumpJson(ToJson(copy)));
-}
-
 const WorkspaceSpec* FindWorkspaceByKey(const Intent& aIntent,
                                         const std::string& aKeySha256) {
   for (const WorkspaceSpec& workspace : aIntent.mWorkspaces) {
--- a/servers/configuration/configuration_machine.cpp
+++ b/servers/configuration/configuration_machine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "spindleweir/core/digest.h"
 #include "spindleweir/core/json_codec.h"
 
 namespace spindleweir {
@@ -43,7 +44,7 @@
     CommandResult result =
         Refusal(ResultCode::kCommandReused,
                 "command id " + aCommand.mId + " was used with another body");
-    result.mVersion = mCurrent.mVersion;
+    result.mVersion = Current().mVersion;
     return result;
   }
   DropExpiredPlans(aCommand.mWall);
@@ -61,7 +62,7 @@
   }
   result.mId = aCommand.mId;
   result.mDigest = aCommand.mDigest;
-  result.mVersion = mCurrent.mVersion;
+  result.mVersion = Current().mVersion;
   Remember(result);
   return result;
 }
@@ -81,17 +82,17 @@
   if (!plan->mForbidden.empty()) {
     return Refusal(ResultCode::kPlanShort, plan->mForbidden.front());
   }
-  if (plan->mBaseVersion != mCurrent.mVersion) {
+  if (plan->mBaseVersion != Current().mVersion) {
     return Refusal(
         ResultCode::kVersionConflict,
         "the plan was made on version " + std::to_string(plan->mBaseVersion) +
-            "; the current version is " + std::to_string(mCurrent.mVersion));
+            "; the current version is " + std::to_string(Current().mVersion));
   }
   if (aCommand.mWall > plan->mExpiresWall) {
     return Refusal(ResultCode::kPlanExpired,
                    "plan " + aCommand.mPlanId + " has expired");
   }
-  Configuration next = mCurrent;
+  Configuration next = Current();
   next.mIntent = plan->mIntent;
   next.mPlacement = plan->mPlacement;
   CommandResult result;
@@ -101,7 +102,7 @@
 }
 
 CommandResult ConfigurationMachine::ApplyDrain(const Command& aCommand) {
-  Configuration next = mCurrent;
+  Configuration next = Current();
   const auto it =
       std::find(next.mDrained.begin(), next.mDrained.end(), aCommand.mVm);
   const bool drained = it != next.mDrained.end();
@@ -118,11 +119,9 @@
 }
 
 void ConfigurationMachine::Accept(Configuration aNext) {
-  aNext.mVersion = mCurrent.mVersion + 1;
-  aNext.mPreviousHash = mCurrent.mHash;
-  aNext.mHash = HashOf(aNext);
-  mCurrent = std::move(aNext);
-  mSignalAccepted.emit(mCurrent);
+  Sort(aNext);
+  mHistory.Take({.mChanges = {ChangeBetween(Current(), aNext)}});
+  mSignalAccepted.emit(Current());
 }
 
 void ConfigurationMachine::Remember(const CommandResult& aResult) {
@@ -153,7 +152,7 @@
 
 std::string ConfigurationMachine::Save() const {
   SavedState state;
-  state.mCurrent = mCurrent;
+  state.mCurrent = Current();
   for (const auto& [id, plan] : mPlans) {
     state.mPlans.push_back(plan);
   }
@@ -172,8 +171,11 @@
   for (const CommandResult& result : mResults) {
     mResultsById[result.mId] = result;
   }
-  mCurrent = state.mCurrent;
-  mSignalAccepted.emit(mCurrent);
+  mHistory = {};
+  mHistory.Take({.mIsWhole = true,
+                 .mWhole = state.mCurrent,
+                 .mWholeDigest = Sha256Hex(DumpJson(ToJson(state.mCurrent)))});
+  mSignalAccepted.emit(Current());
 }
 
 }  // namespace spindleweir
