--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iomanip>
 #include <iostream>
+#include <sstream>
 
 #include "spindleweir/core/error.h"
 
@@ -99,9 +101,10 @@
 void RequireRange(double aValue, double aLeast, double aMost,
                   std::string_view aSetting) {
   if (aValue < aLeast || aValue > aMost) {
-    throw Error(ResultCode::kBadSetting,
-                std::string(aSetting) + " must be between " +
-                    std::to_string(aLeast) + " and " + std::to_string(aMost));
+    std::ostringstream text;
+    text << std::setprecision(12) << aSetting << " must be between " << aLeast
+         << " and " << aMost;
+    throw Error(ResultCode::kBadSetting, text.str());
   }
 }
 
--- a/daemons/router/caller_api.cpp
+++ b/daemons/router/caller_api.cpp
@@ -16,6 +16,7 @@
 constexpr const char* kTextType = "text/plain; charset=utf-8";
 constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr std::size_t kMaximumKeyLength = 255;
+constexpr std::size_t kMaximumBody = 1024 * 1024;
 constexpr Millis kMostDeadline = 3600 * 1000;
 constexpr int kMostPriority = 10;
 constexpr Millis kNotReadyRetryAfter = 1000;
@@ -71,6 +72,10 @@
 }
 
 void CallerApi::Route(const std::shared_ptr<HttpExchange>& aExchange) {
+  if (aExchange->Body().size() > kMaximumBody) {
+    throw Error(ResultCode::kBodyTooLarge,
+                "a body must have at most 1048576 bytes");
+  }
   const std::string& path = aExchange->Path();
   if (path == "/healthz") {
     RequireMethod(*aExchange, "GET");
--- a/daemons/router/router_daemon.cpp
+++ b/daemons/router/router_daemon.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Above what CallerApi takes, so that it answers with a number; beyond this
+/// the connection gets evhttp's own 413.
+constexpr std::size_t kMaximumCallerBytes = 8 * 1024 * 1024;
 constexpr std::size_t kMaximumRpcBytes = 64 * 1024 * 1024;
 constexpr Millis kUnreadyBeforeClose = 200;
 constexpr Millis kReceiptsGrace = 5000;
@@ -39,6 +42,7 @@
         mCallerServer(
             aLoop,
             {.mListen = mContext.mOptions.mListen,
+             .mMaximumBodyBytes = kMaximumCallerBytes,
              .mHandle = [this](const std::shared_ptr<HttpExchange>& aExchange) {
                mApi.Handle(aExchange);
              }}) {}
--- a/tests/daemons/caller_test.cpp
+++ b/tests/daemons/caller_test.cpp
@@ -69,6 +69,8 @@
   CHECK(code("POST", chat, good, {{"Authorization", "Bearer wrong"}}) ==
         ResultCode::kUnauthorized);
   CHECK(code("POST", chat, "{", {key}) == ResultCode::kMalformedJson);
+  CHECK(code("POST", chat, std::string(2000000, 'x'), {key}) ==
+        ResultCode::kBodyTooLarge);
   CHECK(code("POST", chat, "[]", {key}) == ResultCode::kBadField);
   CHECK(code("POST", chat, R"({"model":"x","messages":[]})", {key}) ==
         ResultCode::kBadField);
