--- a/daemons/router/caller_api.h
+++ b/daemons/router/caller_api.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "daemons/router/claim_gate.h"
-#include "daemons/router/request_base.h"
+#include "daemons/router/caller_work.h"
 #include "daemons/router/router_context.h"
 
 namespace spindleweir {
--- /dev/null
+++ b/daemons/router/caller_work.cpp
@@ -0,0 +1,91 @@
+#include "daemons/router/caller_work.h"
+
+#include "spindleweir/core/log.h"
+#include "spindleweir/daemons/answers.h"
+
+namespace spindleweir {
+
+CallerWork::CallerWork(RouterContext& aContext, ClaimGate& aClaims,
+                       CallerRequest aRequest, const std::string& aTarget)
+    : mContext(aContext), mClaims(aClaims), mRequest(std::move(aRequest)) {
+  mReceipt.mRequest = mRequest.mId;
+  mReceipt.mWorkspace = mRequest.mWorkspace.mName;
+  mReceipt.mTarget = aTarget;
+  mReceipt.mRouter = mContext.mOptions.mId;
+  mReceipt.mZone = mContext.mOptions.mZone;
+  mReceipt.mConfigurationVersion = mContext.Accepted().mVersion;
+  mReceipt.mStartedWall = WallNow();
+}
+
+void CallerWork::Open(std::shared_ptr<void> aSelf) {
+  mSelf = std::move(aSelf);
+  mContext.mOpenRequests++;
+}
+
+void CallerWork::AskForPlace(
+    double aServiceMillis, std::function<void(const AdmissionOutcome&)> aDone) {
+  AdmissionRequest ask;
+  ask.mWorkspace = mRequest.mWorkspace.mName;
+  ask.mPriority = mRequest.mPriority;
+  ask.mDeadline = mRequest.mDeadline;
+  ask.mServiceMillis = aServiceMillis;
+  mTicket = mContext.Ask(ask, std::move(aDone));
+}
+
+void CallerWork::ReplyWithError(ResultCode aCode, const std::string& aMessage,
+                                Millis aRetryAfter) {
+  mRequest.mExchange->AddHeader("X-Request-Id", mRequest.mId);
+  ReplyError(*mRequest.mExchange, {.mCode = aCode,
+                                   .mMessage = aMessage,
+                                   .mRequest = mRequest.mId,
+                                   .mRetryAfter = aRetryAfter});
+}
+
+void CallerWork::SettleClaim(bool aMayHaveRun) {
+  if (!mClaimHeld) {
+    return;
+  }
+  mClaimHeld = false;
+  if (aMayHaveRun) {
+    mClaims.Finish(mClaim, ClaimState::kUnknown, {});
+  } else {
+    mClaims.Release(mClaim);
+  }
+}
+
+void CallerWork::FinishClaim(const StoredAnswer& aAnswer) {
+  if (mClaimHeld) {
+    mClaimHeld = false;
+    mClaims.Finish(mClaim, ClaimState::kDone, aAnswer);
+  }
+}
+
+void CallerWork::Close(ResultCode aCode, Ran aRan, int aTokens, int aAttempts) {
+  mContext.WithdrawTicket(mTicket);
+  const ResultCodeInfo& info = InfoOf(aCode);
+  mReceipt.mTookMillis = SteadyNow() - mRequest.mStarted;
+  mReceipt.mTokens = aTokens;
+  mReceipt.mCode = static_cast<int>(aCode);
+  mReceipt.mRan = NameOf(aRan);
+  mContext.mOutbox.Add(mReceipt);
+  mContext.mCounters.Add("requests",
+                         "code=\"" + std::string(info.mName) + "\"");
+  LogLine(LogLevel::kInfo, "request_ended")
+      .Add("request", mRequest.mId)
+      .Add("workspace", mRequest.mWorkspace.mName)
+      .Add("code", static_cast<int>(aCode))
+      .Add("name", std::string(info.mName))
+      .Add("ran", mReceipt.mRan)
+      .Add("tokens", aTokens)
+      .Add("attempts", aAttempts)
+      .Add("took_ms", static_cast<Json::Int64>(mReceipt.mTookMillis));
+  if (mPlaced) {
+    mPlaced = false;
+    mContext.ReleasePlace(mRequest.mWorkspace.mName);
+  }
+  mContext.mOpenRequests--;
+  // Whoever called this is still on the stack.
+  mContext.mLoop.Post([self = std::move(mSelf)] {});
+}
+
+}  // namespace spindleweir
--- a/daemons/router/completion.cpp
+++ b/daemons/router/completion.cpp
@@ -14,10 +14,6 @@
 constexpr int kMaximumAttempts = 8;
 constexpr std::size_t kPushBackBytes = 256 * 1024;
 constexpr Millis kPushBackPeriod = 20;
-constexpr Millis kProbeTimeout = 300;
-constexpr double kSilenceSteps = 8;
-constexpr int kSilencesBeforeReplace = 3;
-constexpr int kSilencesBeforeFirstToken = 10;
 constexpr Millis kRetryFirst = 50;
 constexpr Millis kRetryMost = 1000;
 constexpr Millis kWaitForChain = 5000;
@@ -28,23 +24,14 @@
 Completion::Completion(RouterContext& aContext, ClaimGate& aClaims,
                        CallerRequest aRequest, CompletionBody aBody,
                        ModelSpec aModel)
-    : mContext(aContext),
-      mClaims(aClaims),
-      mRequest(std::move(aRequest)),
+    : CallerWork(aContext, aClaims, std::move(aRequest), aBody.mModel),
       mBody(std::move(aBody)),
       mModel(std::move(aModel)),
       mGate(mRequest.mId, mModel.mLayers) {
   mReply.mRequest = mRequest.mId;
-  mReply.mCreatedWall = WallNow();
+  mReply.mCreatedWall = mReceipt.mStartedWall;
   mReply.mPromptTokens =
       static_cast<int>(mBody.mPrompt.size() / kBytesPerPromptToken + 1);
-  mReceipt.mRequest = mRequest.mId;
-  mReceipt.mWorkspace = mRequest.mWorkspace.mName;
-  mReceipt.mTarget = mBody.mModel;
-  mReceipt.mRouter = mContext.mOptions.mId;
-  mReceipt.mZone = mContext.mOptions.mZone;
-  mReceipt.mConfigurationVersion = mContext.Accepted().mVersion;
-  mReceipt.mStartedWall = mReply.mCreatedWall;
 }
 
 Completion::~Completion() = default;
@@ -61,8 +48,7 @@
 }
 
 void Completion::Begin() {
-  mSelf = shared_from_this();
-  mContext.mOpenRequests++;
+  Open(shared_from_this());
   mRequest.mExchange->OnClosed([this] { CallerLeft(); });
   if (mRequest.mDeadline > 0) {
     const Millis left = std::max<Millis>(0, mRequest.mDeadline - SteadyNow());
@@ -72,15 +58,10 @@
            "");
     });
   }
-  AdmissionRequest ask;
-  ask.mWorkspace = mRequest.mWorkspace.mName;
-  ask.mPriority = mRequest.mPriority;
-  ask.mDeadline = mRequest.mDeadline;
-  ask.mServiceMillis = ExpectedMillis() * mBody.mMaximumTokens;
-  const auto self = shared_from_this();
-  mTicket = mContext.Ask(ask, [self](const AdmissionOutcome& aOutcome) {
-    self->Admitted(aOutcome);
-  });
+  AskForPlace(ExpectedMillis() * mBody.mMaximumTokens,
+              [self = shared_from_this()](const AdmissionOutcome& aOutcome) {
+                self->Admitted(aOutcome);
+              });
 }
 
 void Completion::Admitted(const AdmissionOutcome& aOutcome) {
@@ -150,104 +131,6 @@
   End(ResultCode::kOk, Ran::kYes);
 }
 
-bool Completion::ChooseStages() {
-  const std::vector<ChainCandidate> candidates =
-      mContext.mView.Candidates(SteadyNow());
-  // What the workspace and the model both allow.
-  std::vector<std::string> zones = mModel.mZones;
-  std::vector<std::string> hardware = mModel.mHardware;
-  const auto narrow = [](std::vector<std::string>& aList,
-                         const std::vector<std::string>& aBy) {
-    if (aList.empty()) {
-      aList = aBy;
-    } else {
-      std::erase_if(aList, [&aBy](const std::string& aName) {
-        return !Allows(aBy, aName);
-      });
-    }
-    return !aList.empty() || aBy.empty();
-  };
-  const bool possible = narrow(zones, mRequest.mWorkspace.mZones) &&
-                        narrow(hardware, mRequest.mWorkspace.mHardware);
-  ChainQuery query;
-  query.mModel = mModel.mName;
-  query.mVersion = mModel.mVersion;
-  query.mLayers = mModel.mLayers;
-  query.mHomeZone = mContext.mOptions.mZone;
-  query.mZones = zones;
-  query.mHardware = hardware;
-  query.mExcluded = &mExcluded;
-  query.mLinkMillis = [this](const std::string& aFrom, const std::string& aTo) {
-    return mContext.LinkMillis(aFrom, aTo);
-  };
-  query.mRandom = [this] { return mContext.Random(); };
-  ChainChoice choice;
-  if (possible) {
-    choice = mContext.mOptions.mChooseChain(candidates, query);
-  }
-  mStages.clear();
-  for (std::size_t index : choice.mStages) {
-    const ChainCandidate& engine = candidates[index];
-    mStages.push_back({.mEngine = engine.mEngine,
-                       .mZone = engine.mZone,
-                       .mModel = engine.mModel,
-                       .mVersion = engine.mVersion,
-                       .mFirst = engine.mFirst,
-                       .mLast = engine.mLast});
-  }
-  mChainCost = choice.mCostMillis;
-  LogRouting(choice, candidates);
-  return choice.Found();
-}
-
-void Completion::LogRouting(
-    const ChainChoice& aChoice,
-    const std::vector<ChainCandidate>& aCandidates) const {
-  Json::Value chain(Json::arrayValue);
-  for (std::size_t index : aChoice.mStages) {
-    const ChainCandidate& engine = aCandidates[index];
-    chain.append(engine.mEngine + "[" + std::to_string(engine.mFirst) + "," +
-                 std::to_string(engine.mLast) + ")");
-  }
-  Json::Value refused(Json::objectValue);
-  refused["model"] = aChoice.mRefused.mOtherModel;
-  refused["unusable"] = aChoice.mRefused.mUnusable;
-  refused["zone"] = aChoice.mRefused.mZone;
-  refused["hardware"] = aChoice.mRefused.mHardware;
-  refused["excluded"] = aChoice.mRefused.mExcluded;
-  LogLine(LogLevel::kInfo, "route")
-      .Add("request", mRequest.mId)
-      .Add("workspace", mRequest.mWorkspace.mName)
-      .Add("model", mBody.mModel)
-      .Add("attempt", mGate.Attempt() + 1)
-      .Add("from_token", mGate.Delivered())
-      .Add("candidates", aChoice.mConsidered)
-      .Add("refused", refused)
-      .Add("chain", chain)
-      .Add("cost_ms", aChoice.mCostMillis)
-      .Add("configuration",
-           static_cast<Json::Int64>(mContext.Accepted().mVersion));
-}
-
-ChainJob Completion::MakeJob() const {
-  ChainJob job;
-  job.mRequest = mRequest.mId;
-  job.mAttempt = mGate.Attempt();
-  job.mModel = mModel.mName;
-  job.mVersion = mModel.mVersion;
-  job.mPrompt = mBody.mPrompt;
-  job.mDelivered = mTokens;
-  job.mMaximumTokens = mBody.mMaximumTokens;
-  job.mPriority = mRequest.mPriority;
-  for (const StagePlacement& stage : mStages) {
-    const Upstream* engine = mContext.mView.Find(stage.mEngine);
-    job.mChain.push_back(
-        {stage.mEngine, engine->mAddress.Text(), stage.mFirst, stage.mLast});
-  }
-  job.mPosition = static_cast<int>(job.mChain.size()) - 1;
-  return job;
-}
-
 void Completion::Dispatch() {
   mPhase = Phase::kRunning;
   mRetryTimer.reset();
@@ -388,90 +271,6 @@
   mRetryTimer = mContext.mLoop.After(delay, [this] { Dispatch(); });
 }
 
-Millis Completion::LongestSilence() const {
-  const auto expected = static_cast<Millis>(mChainCost * kSilenceSteps);
-  return std::max(mContext.mOptions.mSilence, expected);
-}
-
-void Completion::WatchSilence() {
-  mSilentSince = SteadyNow();
-  mSilenceTimer =
-      mContext.mLoop.After(LongestSilence(), [this] { HandleSilence(); });
-}
-
-void Completion::HandleSilence() {
-  // Tokens only note their time; the timer finds out whether one came.
-  const Millis left = mSilentSince + LongestSilence() - SteadyNow();
-  if (left > 0) {
-    mSilenceTimer = mContext.mLoop.After(left, [this] { HandleSilence(); });
-    return;
-  }
-  if (mPushBackTimer != nullptr) {
-    WatchSilence();
-    return;
-  }
-  mSilences++;
-  ProbeStages();
-}
-
-void Completion::ProbeStages() {
-  /// The answers still to come, and who did not answer.
-  struct Probes {
-    std::size_t mLeft;
-    std::set<std::string> mSilent;
-  };
-  const auto probes = std::make_shared<Probes>(Probes{mStages.size(), {}});
-  const int attempt = mGate.Attempt();
-  for (const StagePlacement& stage : mStages) {
-    const Upstream* engine = mContext.mView.Find(stage.mEngine);
-    if (engine == nullptr) {
-      probes->mLeft--;
-      probes->mSilent.insert(stage.mEngine);
-      continue;
-    }
-    mContext.mEngines.GetReport(
-        engine->mAddress, kProbeTimeout,
-        [self = shared_from_this(), probes, attempt,
-         name = stage.mEngine](const EngineReport* aReport) {
-          if (aReport == nullptr) {
-            probes->mSilent.insert(name);
-          }
-          probes->mLeft--;
-          if (probes->mLeft == 0 && self->mGate.Attempt() == attempt) {
-            self->ProbesDone(probes->mSilent);
-          }
-        });
-  }
-  if (probes->mLeft == 0) {
-    ProbesDone(probes->mSilent);
-  }
-}
-
-void Completion::ProbesDone(const std::set<std::string>& aSilent) {
-  if (mPhase != Phase::kRunning || mCall == nullptr) {
-    return;
-  }
-  if (mSilences == 0) {
-    // A token came meanwhile.
-    WatchSilence();
-    return;
-  }
-  if (!aSilent.empty()) {
-    Replace("silent", aSilent);
-    return;
-  }
-  // All answer: a long queue or prefill, or a link that is cut between two of
-  // them. After some rounds the chain is given up, without blame.
-  // Before the first token a queue is the likelier cause.
-  const int most = mGate.Delivered() > 0 ? kSilencesBeforeReplace
-                                         : kSilencesBeforeFirstToken;
-  if (mSilences >= most) {
-    Replace("no token though all engines answer", {});
-    return;
-  }
-  WatchSilence();
-}
-
 void Completion::Deliver(const TokenFrame& aFrame) {
   const bool first = mReply.mTokens == 0;
   mReply.mTokens++;
@@ -555,76 +354,31 @@
     return;
   }
   EndAttempt("failed");
-  const ErrorAnswer error{.mCode = aCode,
-                          .mMessage = aMessage,
-                          .mRequest = mRequest.mId,
-                          .mRetryAfter = aRetryAfter};
   if (mStreaming) {
-    mRequest.mExchange->Write(AsEvent(ErrorBody(error)));
+    mRequest.mExchange->Write(AsEvent(ErrorBody(
+        {.mCode = aCode, .mMessage = aMessage, .mRequest = mRequest.mId})));
     mRequest.mExchange->EndStream();
   } else {
-    mRequest.mExchange->AddHeader("X-Request-Id", mRequest.mId);
-    ReplyError(*mRequest.mExchange, error);
+    ReplyWithError(aCode, aMessage, aRetryAfter);
   }
-  SettleClaim(aCode);
   End(aCode, InfoOf(aCode).mRan);
 }
 
-void Completion::SettleClaim(ResultCode aCode) {
-  if (!mClaimHeld) {
-    return;
-  }
-  mClaimHeld = false;
-  if (InfoOf(aCode).mRan == Ran::kNo && !mDispatched) {
-    mClaims.Release(mClaim);
-  } else {
-    mClaims.Finish(mClaim, ClaimState::kUnknown, {});
-  }
-}
-
 void Completion::CallerLeft() {
   if (mPhase == Phase::kEnded) {
     return;
   }
   mContext.mCounters.Add("callers_left");
   EndAttempt("cancelled");
-  SettleClaim(ResultCode::kOutcomeUnknown);
   End(ResultCode::kOutcomeUnknown, mDispatched ? Ran::kUnknown : Ran::kNo);
 }
 
 void Completion::End(ResultCode aCode, Ran aRan) {
   mPhase = Phase::kEnded;
-  mContext.WithdrawTicket(mTicket);
   mDeadlineTimer.reset();
   mRetryTimer.reset();
-  const ResultCodeInfo& info = InfoOf(aCode);
-  mReceipt.mTookMillis = SteadyNow() - mRequest.mStarted;
-  mReceipt.mTokens = mReply.mTokens;
-  mReceipt.mCode = static_cast<int>(aCode);
-  mReceipt.mRan = NameOf(aRan);
-  mContext.mOutbox.Add(mReceipt);
-  mContext.mCounters.Add("requests",
-                         "code=\"" + std::string(info.mName) + "\"");
-  LogLine(LogLevel::kInfo, "request_ended")
-      .Add("request", mRequest.mId)
-      .Add("workspace", mRequest.mWorkspace.mName)
-      .Add("code", static_cast<int>(aCode))
-      .Add("name", std::string(info.mName))
-      .Add("ran", mReceipt.mRan)
-      .Add("tokens", mReply.mTokens)
-      .Add("attempts", mGate.Attempt())
-      .Add("took_ms", static_cast<Json::Int64>(mReceipt.mTookMillis));
-  if (mPlaced) {
-    mPlaced = false;
-    mContext.ReleasePlace(mRequest.mWorkspace.mName);
-  }
-  mContext.mOpenRequests--;
-  // Whoever called this is still on the stack.
-  mContext.mLoop.Post([self = std::move(mSelf), &context = mContext] {
-    if (context.mOnRequestEnded) {
-      context.mOnRequestEnded();
-    }
-  });
+  SettleClaim(mDispatched);
+  Close(aCode, aRan, mReply.mTokens, mGate.Attempt());
 }
 
 }  // namespace spindleweir
--- a/daemons/router/completion.h
+++ b/daemons/router/completion.h
@@ -7,16 +7,15 @@
 #include <string>
 #include <vector>
 
-#include "daemons/router/claim_gate.h"
+#include "daemons/router/caller_work.h"
 #include "daemons/router/completion_body.h"
-#include "daemons/router/request_base.h"
-#include "daemons/router/router_context.h"
 #include "spindleweir/servers/routing/token_gate.h"
 
 namespace spindleweir {
 
 /// A typed state machine; it holds itself while anything of it is open.
-class Completion : public std::enable_shared_from_this<Completion> {
+class Completion : private CallerWork,
+                   public std::enable_shared_from_this<Completion> {
  public:
   Completion(RouterContext& aContext, ClaimGate& aClaims,
              CallerRequest aRequest, CompletionBody aBody, ModelSpec aModel);
@@ -57,25 +56,17 @@
             Millis aRetryAfter = 0);
   void CallerLeft();
   void End(ResultCode aCode, Ran aRan);
-  void SettleClaim(ResultCode aCode);
   double ExpectedMillis() const;
 
-  RouterContext& mContext;
-  ClaimGate& mClaims;
-  CallerRequest mRequest;
   CompletionBody mBody;
   ModelSpec mModel;
   CompletionReply mReply;
   TokenGate mGate;
   Phase mPhase = Phase::kQueued;
-  std::uint64_t mTicket = 0;
-  bool mPlaced = false;      ///< Holds a place of the limiter.
   bool mDispatched = false;  ///< Something may have run.
   /// Set once the first event is written.
   std::optional<StreamEventWriter> mEvents;
-  bool mStreaming = false;  ///< The answer's head was sent.
-  ClaimRecord mClaim;
-  bool mClaimHeld = false;
+  bool mStreaming = false;           ///< The answer's head was sent.
   std::vector<std::string> mTokens;  ///< Delivered, for a resume.
   std::vector<StagePlacement> mStages;
   double mChainCost = 0;
@@ -89,8 +80,6 @@
   std::unique_ptr<Timer> mDeadlineTimer;
   std::unique_ptr<Timer> mPushBackTimer;
   std::unique_ptr<Timer> mRetryTimer;
-  Receipt mReceipt;
-  std::shared_ptr<Completion> mSelf;
 };
 
 }  // namespace spindleweir
--- /dev/null
+++ b/daemons/router/completion_chain.cpp
@@ -0,0 +1,200 @@
+/// The parts of a completion that choose its chain and watch it for silence.
+#include <algorithm>
+
+#include "daemons/router/completion.h"
+#include "spindleweir/core/log.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr Millis kProbeTimeout = 300;
+constexpr double kSilenceSteps = 8;
+constexpr int kSilencesBeforeReplace = 3;
+constexpr int kSilencesBeforeFirstToken = 10;
+
+}  // namespace
+
+bool Completion::ChooseStages() {
+  const std::vector<ChainCandidate> candidates =
+      mContext.mView.Candidates(SteadyNow());
+  // What the workspace and the model both allow.
+  std::vector<std::string> zones = mModel.mZones;
+  std::vector<std::string> hardware = mModel.mHardware;
+  const auto narrow = [](std::vector<std::string>& aList,
+                         const std::vector<std::string>& aBy) {
+    if (aList.empty()) {
+      aList = aBy;
+    } else {
+      std::erase_if(aList, [&aBy](const std::string& aName) {
+        return !Allows(aBy, aName);
+      });
+    }
+    return !aList.empty() || aBy.empty();
+  };
+  const bool possible = narrow(zones, mRequest.mWorkspace.mZones) &&
+                        narrow(hardware, mRequest.mWorkspace.mHardware);
+  ChainQuery query;
+  query.mModel = mModel.mName;
+  query.mVersion = mModel.mVersion;
+  query.mLayers = mModel.mLayers;
+  query.mHomeZone = mContext.mOptions.mZone;
+  query.mZones = zones;
+  query.mHardware = hardware;
+  query.mExcluded = &mExcluded;
+  query.mLinkMillis = [this](const std::string& aFrom, const std::string& aTo) {
+    return mContext.LinkMillis(aFrom, aTo);
+  };
+  query.mRandom = [this] { return mContext.Random(); };
+  ChainChoice choice;
+  if (possible) {
+    choice = mContext.mOptions.mChooseChain(candidates, query);
+  }
+  mStages.clear();
+  for (std::size_t index : choice.mStages) {
+    const ChainCandidate& engine = candidates[index];
+    mStages.push_back({.mEngine = engine.mEngine,
+                       .mZone = engine.mZone,
+                       .mModel = engine.mModel,
+                       .mVersion = engine.mVersion,
+                       .mFirst = engine.mFirst,
+                       .mLast = engine.mLast});
+  }
+  mChainCost = choice.mCostMillis;
+  LogRouting(choice, candidates);
+  return choice.Found();
+}
+
+void Completion::LogRouting(
+    const ChainChoice& aChoice,
+    const std::vector<ChainCandidate>& aCandidates) const {
+  Json::Value chain(Json::arrayValue);
+  for (std::size_t index : aChoice.mStages) {
+    const ChainCandidate& engine = aCandidates[index];
+    chain.append(engine.mEngine + "[" + std::to_string(engine.mFirst) + "," +
+                 std::to_string(engine.mLast) + ")");
+  }
+  Json::Value refused(Json::objectValue);
+  refused["model"] = aChoice.mRefused.mOtherModel;
+  refused["unusable"] = aChoice.mRefused.mUnusable;
+  refused["zone"] = aChoice.mRefused.mZone;
+  refused["hardware"] = aChoice.mRefused.mHardware;
+  refused["excluded"] = aChoice.mRefused.mExcluded;
+  LogLine(LogLevel::kInfo, "route")
+      .Add("request", mRequest.mId)
+      .Add("workspace", mRequest.mWorkspace.mName)
+      .Add("model", mBody.mModel)
+      .Add("attempt", mGate.Attempt() + 1)
+      .Add("from_token", mGate.Delivered())
+      .Add("candidates", aChoice.mConsidered)
+      .Add("refused", refused)
+      .Add("chain", chain)
+      .Add("cost_ms", aChoice.mCostMillis)
+      .Add("configuration",
+           static_cast<Json::Int64>(mContext.Accepted().mVersion));
+}
+
+ChainJob Completion::MakeJob() const {
+  ChainJob job;
+  job.mRequest = mRequest.mId;
+  job.mAttempt = mGate.Attempt();
+  job.mModel = mModel.mName;
+  job.mVersion = mModel.mVersion;
+  job.mPrompt = mBody.mPrompt;
+  job.mDelivered = mTokens;
+  job.mMaximumTokens = mBody.mMaximumTokens;
+  job.mPriority = mRequest.mPriority;
+  for (const StagePlacement& stage : mStages) {
+    const Upstream* engine = mContext.mView.Find(stage.mEngine);
+    job.mChain.push_back(
+        {stage.mEngine, engine->mAddress.Text(), stage.mFirst, stage.mLast});
+  }
+  job.mPosition = static_cast<int>(job.mChain.size()) - 1;
+  return job;
+}
+
+Millis Completion::LongestSilence() const {
+  const auto expected = static_cast<Millis>(mChainCost * kSilenceSteps);
+  return std::max(mContext.mOptions.mSilence, expected);
+}
+
+void Completion::WatchSilence() {
+  mSilentSince = SteadyNow();
+  mSilenceTimer =
+      mContext.mLoop.After(LongestSilence(), [this] { HandleSilence(); });
+}
+
+void Completion::HandleSilence() {
+  // Tokens only note their time; the timer finds out whether one came.
+  const Millis left = mSilentSince + LongestSilence() - SteadyNow();
+  if (left > 0) {
+    mSilenceTimer = mContext.mLoop.After(left, [this] { HandleSilence(); });
+    return;
+  }
+  if (mPushBackTimer != nullptr) {
+    WatchSilence();
+    return;
+  }
+  mSilences++;
+  ProbeStages();
+}
+
+void Completion::ProbeStages() {
+  /// The answers still to come, and who did not answer.
+  struct Probes {
+    std::size_t mLeft;
+    std::set<std::string> mSilent;
+  };
+  const auto probes = std::make_shared<Probes>(Probes{mStages.size(), {}});
+  const int attempt = mGate.Attempt();
+  for (const StagePlacement& stage : mStages) {
+    const Upstream* engine = mContext.mView.Find(stage.mEngine);
+    if (engine == nullptr) {
+      probes->mLeft--;
+      probes->mSilent.insert(stage.mEngine);
+      continue;
+    }
+    mContext.mEngines.GetReport(
+        engine->mAddress, kProbeTimeout,
+        [self = shared_from_this(), probes, attempt,
+         name = stage.mEngine](const EngineReport* aReport) {
+          if (aReport == nullptr) {
+            probes->mSilent.insert(name);
+          }
+          probes->mLeft--;
+          if (probes->mLeft == 0 && self->mGate.Attempt() == attempt) {
+            self->ProbesDone(probes->mSilent);
+          }
+        });
+  }
+  if (probes->mLeft == 0) {
+    ProbesDone(probes->mSilent);
+  }
+}
+
+void Completion::ProbesDone(const std::set<std::string>& aSilent) {
+  if (mPhase != Phase::kRunning || mCall == nullptr) {
+    return;
+  }
+  if (mSilences == 0) {
+    // A token came meanwhile.
+    WatchSilence();
+    return;
+  }
+  if (!aSilent.empty()) {
+    Replace("silent", aSilent);
+    return;
+  }
+  // All answer: a long queue or prefill, or a link that is cut between two of
+  // them. After some rounds the chain is given up, without blame.
+  // Before the first token a queue is the likelier cause.
+  const int most = mGate.Delivered() > 0 ? kSilencesBeforeReplace
+                                         : kSilencesBeforeFirstToken;
+  if (mSilences >= most) {
+    Replace("no token though all engines answer", {});
+    return;
+  }
+  WatchSilence();
+}
+
+}  // namespace spindleweir
--- a/daemons/router/router_context.h
+++ b/daemons/router/router_context.h
@@ -65,7 +65,6 @@
   bool mStopping = false;  ///< Not ready any more, for the balancer.
   bool mRefusing = false;  ///< Takes no new request any more.
   int mOpenRequests = 0;
-  std::function<void()> mOnRequestEnded;  ///< After each request.
 
  private:
   void Announce(const std::vector<AdmissionOutcome>& aOutcomes);
--- a/daemons/router/service_call.cpp
+++ b/daemons/router/service_call.cpp
@@ -36,19 +36,9 @@
 ServiceCall::ServiceCall(RouterContext& aContext, ClaimGate& aClaims,
                          CallerRequest aRequest, ServiceSpec aService,
                          std::string aPath)
-    : mContext(aContext),
-      mClaims(aClaims),
-      mRequest(std::move(aRequest)),
+    : CallerWork(aContext, aClaims, std::move(aRequest), aService.mName),
       mService(std::move(aService)),
-      mPath(std::move(aPath)) {
-  mReceipt.mRequest = mRequest.mId;
-  mReceipt.mWorkspace = mRequest.mWorkspace.mName;
-  mReceipt.mTarget = mService.mName;
-  mReceipt.mRouter = mContext.mOptions.mId;
-  mReceipt.mZone = mContext.mOptions.mZone;
-  mReceipt.mConfigurationVersion = mContext.Accepted().mVersion;
-  mReceipt.mStartedWall = WallNow();
-}
+      mPath(std::move(aPath)) {}
 
 ServiceCall::~ServiceCall() = default;
 
@@ -58,21 +48,15 @@
 }
 
 void ServiceCall::Begin() {
-  mSelf = shared_from_this();
-  mContext.mOpenRequests++;
+  Open(shared_from_this());
   mRequest.mExchange->OnClosed([this] { CallerLeft(); });
   const Millis left = mRequest.mDeadline > 0 ? mRequest.mDeadline - SteadyNow()
                                              : kDefaultTimeout;
   mTimer =
       mContext.mLoop.After(std::max<Millis>(0, left), [this] { TimeOut(); });
-  AdmissionRequest ask;
-  ask.mWorkspace = mRequest.mWorkspace.mName;
-  ask.mPriority = mRequest.mPriority;
-  ask.mDeadline = mRequest.mDeadline;
-  mTicket = mContext.Ask(
-      ask, [self = shared_from_this()](const AdmissionOutcome& aOutcome) {
-        self->Admitted(aOutcome);
-      });
+  AskForPlace(0, [self = shared_from_this()](const AdmissionOutcome& aOutcome) {
+    self->Admitted(aOutcome);
+  });
 }
 
 void ServiceCall::Admitted(const AdmissionOutcome& aOutcome) {
@@ -244,12 +228,8 @@
 
 void ServiceCall::Answer(const HttpResult& aResult) {
   const std::string type = HeaderOf(aResult, "Content-Type");
-  if (mClaimHeld) {
-    mClaimHeld = false;
-    mClaims.Finish(
-        mClaim, ClaimState::kDone,
-        {.mStatus = aResult.mStatus, .mType = type, .mBody = aResult.mBody});
-  }
+  FinishClaim(
+      {.mStatus = aResult.mStatus, .mType = type, .mBody = aResult.mBody});
   mRequest.mExchange->AddHeader("X-Request-Id", mRequest.mId);
   mRequest.mExchange->Reply(aResult.mStatus, type, aResult.mBody);
   End(ResultCode::kOk, Ran::kYes);
@@ -260,11 +240,7 @@
   if (mEnded) {
     return;
   }
-  mRequest.mExchange->AddHeader("X-Request-Id", mRequest.mId);
-  ReplyError(*mRequest.mExchange, {.mCode = aCode,
-                                   .mMessage = aMessage,
-                                   .mRequest = mRequest.mId,
-                                   .mRetryAfter = aRetryAfter});
+  ReplyWithError(aCode, aMessage, aRetryAfter);
   End(aCode, InfoOf(aCode).mRan);
 }
 
@@ -303,43 +279,10 @@
 
 void ServiceCall::End(ResultCode aCode, Ran aRan) {
   mEnded = true;
-  mContext.WithdrawTicket(mTicket);
   mTimer.reset();
   mRetryTimer.reset();
-  if (mClaimHeld) {
-    mClaimHeld = false;
-    if (mMayHaveRun) {
-      mClaims.Finish(mClaim, ClaimState::kUnknown, {});
-    } else {
-      mClaims.Release(mClaim);
-    }
-  }
-  const ResultCodeInfo& info = InfoOf(aCode);
-  mReceipt.mTookMillis = SteadyNow() - mRequest.mStarted;
-  mReceipt.mCode = static_cast<int>(aCode);
-  mReceipt.mRan = NameOf(aRan);
-  mContext.mOutbox.Add(mReceipt);
-  mContext.mCounters.Add("requests",
-                         "code=\"" + std::string(info.mName) + "\"");
-  LogLine(LogLevel::kInfo, "request_ended")
-      .Add("request", mRequest.mId)
-      .Add("workspace", mRequest.mWorkspace.mName)
-      .Add("code", static_cast<int>(aCode))
-      .Add("name", std::string(info.mName))
-      .Add("ran", mReceipt.mRan)
-      .Add("attempts", mAttempt)
-      .Add("took_ms", static_cast<Json::Int64>(mReceipt.mTookMillis));
-  if (mPlaced) {
-    mPlaced = false;
-    mContext.ReleasePlace(mRequest.mWorkspace.mName);
-  }
-  mContext.mOpenRequests--;
-  // Whoever called this is still on the stack.
-  mContext.mLoop.Post([self = std::move(mSelf), &context = mContext] {
-    if (context.mOnRequestEnded) {
-      context.mOnRequestEnded();
-    }
-  });
+  SettleClaim(mMayHaveRun);
+  Close(aCode, aRan, 0, mAttempt);
 }
 
 }  // namespace spindleweir
--- a/daemons/router/service_call.h
+++ b/daemons/router/service_call.h
@@ -5,15 +5,14 @@
 #include <set>
 #include <string>
 
-#include "daemons/router/claim_gate.h"
-#include "daemons/router/request_base.h"
-#include "daemons/router/router_context.h"
+#include "daemons/router/caller_work.h"
 
 namespace spindleweir {
 
 /// A call that may not be repeated is dispatched at most once; with an
 /// Idempotency-Key it is claimed first, so that this holds over all routers.
-class ServiceCall : public std::enable_shared_from_this<ServiceCall> {
+class ServiceCall : private CallerWork,
+                    public std::enable_shared_from_this<ServiceCall> {
  public:
   /// aPath: what follows the service's name, with its leading slash.
   ServiceCall(RouterContext& aContext, ClaimGate& aClaims,
@@ -40,25 +39,16 @@
   void End(ResultCode aCode, Ran aRan);
   bool MayRepeat() const;
 
-  RouterContext& mContext;
-  ClaimGate& mClaims;
-  CallerRequest mRequest;
   ServiceSpec mService;
   std::string mPath;
-  std::uint64_t mTicket = 0;
-  bool mPlaced = false;
   bool mEnded = false;
   bool mMayHaveRun = false;  ///< An attempt left this process unanswered.
-  ClaimRecord mClaim;
-  bool mClaimHeld = false;
   int mAttempt = 0;
   std::string mVm;  ///< Of the attempt under way.
   std::set<std::string> mTried;
   std::unique_ptr<HttpCall> mCall;
   std::unique_ptr<Timer> mTimer;
   std::unique_ptr<Timer> mRetryTimer;
-  Receipt mReceipt;
-  std::shared_ptr<ServiceCall> mSelf;
 };
 
 }  // namespace spindleweir
--- a/servers/consensus/raft_node.cpp
+++ b/servers/consensus/raft_node.cpp
@@ -160,108 +160,6 @@
   }
 }
 
-void RaftNode::HandleAppend(const RaftMessage& aMessage) {
-  if (aMessage.mTerm < mHardState.mTerm) {
-    Reply(aMessage, RaftKind::kAppendReply, false, LastIndex());
-    return;
-  }
-  BecomeFollower(aMessage.mTerm, aMessage.mFrom);
-  mLeaderHeardAt = mNow;
-  if (!StoreEntries(aMessage)) {
-    const std::int64_t hint = std::min(LastIndex(), aMessage.mIndex - 1);
-    Reply(aMessage, RaftKind::kAppendReply, false, hint);
-    return;
-  }
-  const std::int64_t last =
-      aMessage.mIndex + static_cast<std::int64_t>(aMessage.mEntries.size());
-  mCommit = std::max(mCommit, std::min(aMessage.mCommit, last));
-  ApplyCommitted();
-  Reply(aMessage, RaftKind::kAppendReply, true, last);
-}
-
-bool RaftNode::StoreEntries(const RaftMessage& aMessage) {
-  if (aMessage.mIndex > LastIndex()) {
-    return false;
-  }
-  if (aMessage.mIndex >= mSnapshot.mIndex &&
-      TermAt(aMessage.mIndex) != aMessage.mLogTerm) {
-    return false;
-  }
-  for (std::size_t i = 0; i < aMessage.mEntries.size(); i++) {
-    const LogEntry& entry = aMessage.mEntries[i];
-    const bool known =
-        entry.mIndex <= mSnapshot.mIndex ||
-        (entry.mIndex <= LastIndex() && TermAt(entry.mIndex) == entry.mTerm);
-    if (known) {
-      continue;
-    }
-    const auto fresh = std::span(aMessage.mEntries).subspan(i);
-    mOptions.mStorage->Append(fresh);
-    mEntries.resize(
-        static_cast<std::size_t>(entry.mIndex - mSnapshot.mIndex - 1));
-    mEntries.insert(mEntries.end(), fresh.begin(), fresh.end());
-    RefreshVoters();
-    break;
-  }
-  return true;
-}
-
-void RaftNode::HandleAppendReply(const RaftMessage& aMessage) {
-  if (mRole != RaftRole::kLeader || aMessage.mTerm != mHardState.mTerm) {
-    return;
-  }
-  Progress& progress = mProgress[aMessage.mFrom];
-  progress.mHeardAt = mNow;
-  progress.mRound = std::max(progress.mRound, aMessage.mRound);
-  if (!aMessage.mGranted) {
-    const std::int64_t before = progress.mNext;
-    progress.mNext = std::max(progress.mMatch + 1, aMessage.mIndex + 1);
-    if (progress.mNext != before) {
-      // Otherwise the next heartbeat will do: sending the same again at once
-      // would go on without end.
-      SendAppend(aMessage.mFrom);
-    }
-    FinishReads();
-    return;
-  }
-  progress.mMatch = std::max(progress.mMatch, aMessage.mIndex);
-  progress.mNext = std::max(progress.mNext, progress.mMatch + 1);
-  AdvanceCommit();
-  FinishReads();
-  if (progress.mNext <= LastIndex()) {
-    SendAppend(aMessage.mFrom);
-  }
-}
-
-void RaftNode::HandleSnapshot(const RaftMessage& aMessage) {
-  if (aMessage.mTerm < mHardState.mTerm) {
-    Reply(aMessage, RaftKind::kAppendReply, false, LastIndex());
-    return;
-  }
-  BecomeFollower(aMessage.mTerm, aMessage.mFrom);
-  mLeaderHeardAt = mNow;
-  const Snapshot& snapshot = aMessage.mSnapshot;
-  if (snapshot.mIndex > mCommit) {
-    // Entries after it may have been acknowledged, and then count.
-    std::vector<LogEntry> rest;
-    const bool same = snapshot.mIndex <= LastIndex() &&
-                      TermAt(snapshot.mIndex) == snapshot.mTerm;
-    if (same) {
-      rest.assign(mEntries.begin() + static_cast<std::ptrdiff_t>(
-                                         snapshot.mIndex - mSnapshot.mIndex),
-                  mEntries.end());
-    }
-    mOptions.mStorage->SaveSnapshot(snapshot, rest, mHardState);
-    mSnapshot = snapshot;
-    mEntries = std::move(rest);
-    mCommit = snapshot.mIndex;
-    mApplied = snapshot.mIndex;
-    RefreshVoters();
-    mOptions.mInstallSnapshot(snapshot.mData);
-  }
-  Reply(aMessage, RaftKind::kAppendReply, true, snapshot.mIndex);
-}
-
 void RaftNode::StartPreVote() {
   mRole = RaftRole::kPreCandidate;
   mLeader.clear();
@@ -327,16 +225,6 @@
   RestartElectionTimer();
 }
 
-void RaftNode::AppendOwn(LogEntry aEntry) {
-  aEntry.mIndex = LastIndex() + 1;
-  aEntry.mTerm = mHardState.mTerm;
-  mOptions.mStorage->Append(std::span(&aEntry, 1));
-  mEntries.push_back(std::move(aEntry));
-  RefreshVoters();
-  AdvanceCommit();
-  BroadcastAppend();
-}
-
 std::int64_t RaftNode::Propose(const std::string& aPayload) {
   std::int64_t index = 0;
   Guard([this, &aPayload, &index] {
@@ -421,40 +309,6 @@
          TermAt(mCommit) == mHardState.mTerm;
 }
 
-void RaftNode::BroadcastAppend() {
-  mHeartbeatAt = mNow + mOptions.mHeartbeat;
-  for (const std::string& id : mVoters) {
-    if (id != mOptions.mId) {
-      SendAppend(id);
-    }
-  }
-}
-
-void RaftNode::SendAppend(const std::string& aTo) {
-  Progress& progress = mProgress[aTo];
-  RaftMessage message;
-  message.mTo = aTo;
-  message.mTerm = mHardState.mTerm;
-  message.mRound = mRound;
-  message.mCommit = mCommit;
-  if (progress.mNext <= mSnapshot.mIndex) {
-    message.mKind = RaftKind::kSnapshot;
-    message.mSnapshot = mSnapshot;
-    Send(std::move(message));
-    return;
-  }
-  message.mKind = RaftKind::kAppend;
-  message.mIndex = progress.mNext - 1;
-  message.mLogTerm = TermAt(message.mIndex);
-  const std::int64_t last = std::min(
-      LastIndex(),
-      message.mIndex + static_cast<std::int64_t>(mOptions.mEntriesPerMessage));
-  for (std::int64_t i = progress.mNext; i <= last; i++) {
-    message.mEntries.push_back(EntryAt(i));
-  }
-  Send(std::move(message));
-}
-
 void RaftNode::Reply(const RaftMessage& aTo, RaftKind aKind, bool aGranted,
                      std::int64_t aIndex) {
   RaftMessage reply;
@@ -472,56 +326,6 @@
   mOptions.mSend(aMessage);
 }
 
-void RaftNode::AdvanceCommit() {
-  for (std::int64_t i = LastIndex(); i > mCommit; i--) {
-    if (TermAt(i) != mHardState.mTerm) {
-      return;
-    }
-    std::size_t stored = IsVoter(mOptions.mId) ? 1 : 0;
-    for (const auto& [id, progress] : mProgress) {
-      const bool has = progress.mMatch >= i;
-      stored += (id != mOptions.mId && IsVoter(id) && has) ? 1 : 0;
-    }
-    if (IsMajority(stored)) {
-      mCommit = i;
-      ApplyCommitted();
-      BroadcastAppend();
-      return;
-    }
-  }
-}
-
-void RaftNode::ApplyCommitted() {
-  while (mApplied < mCommit) {
-    mApplied++;
-    const LogEntry entry = EntryAt(mApplied);
-    if (!entry.mPayload.empty()) {
-      mOptions.mApply(entry);
-    }
-  }
-  MaybeSnapshot();
-}
-
-void RaftNode::MaybeSnapshot() {
-  const auto applied = static_cast<std::size_t>(mApplied - mSnapshot.mIndex);
-  if (applied < mOptions.mEntriesPerSnapshot) {
-    return;
-  }
-  Snapshot snapshot{.mIndex = mApplied, .mTerm = TermAt(mApplied)};
-  snapshot.mVoters = mSnapshot.mVoters;
-  for (std::int64_t i = mSnapshot.mIndex + 1; i <= mApplied; i++) {
-    if (!EntryAt(i).mVoters.empty()) {
-      snapshot.mVoters = EntryAt(i).mVoters;
-    }
-  }
-  snapshot.mData = mOptions.mMakeSnapshot();
-  const std::vector<LogEntry> rest(
-      mEntries.begin() + static_cast<std::ptrdiff_t>(applied), mEntries.end());
-  mOptions.mStorage->SaveSnapshot(snapshot, rest, mHardState);
-  mSnapshot = std::move(snapshot);
-  mEntries = rest;
-}
-
 void RaftNode::RestartElectionTimer() {
   std::uniform_int_distribution<Millis> spread(0, mOptions.mElectionTimeout);
   mElectionAt = mNow + mOptions.mElectionTimeout + spread(mRandom);
