A claim keeper that lost its disk grants nothing before it has taken over the others' claims

Cause: a call granted by keepers A and B could be granted again by an empty B and a C that never heard of it, after B was replaced or lost its folder. Ruled out: the list of entry VMs alone (old and new lists share keepers only while the lost one stays away). Change: a keeper whose folder has no marker, and which is not at the first start, abstains until it has the records of every other keeper. Measured: failures/a_keeper_that_lost_its_disk (fails without the abstention by construction: keepers 1 and 2 form a majority without the record); passes.

--- a/bench/throughput_measures.cpp
+++ b/bench/throughput_measures.cpp
@@ -198,6 +198,12 @@
        [](Fleet& aFleet, const std::vector<std::string>&) {
          aFleet.mControls.clear();
        }},
+      {"engine leaves by its word, dies 4 s later",
+       [](Fleet& aFleet, const std::vector<std::string>& aNames) {
+         aFleet.Fault(aNames[0], "{\"leaving\":true}");
+         std::this_thread::sleep_for(std::chrono::seconds(4));
+         aFleet.KillEngine(aNames[0]);
+       }},
       {"engine leaves by its word",
        [](Fleet& aFleet, const std::vector<std::string>& aNames) {
          aFleet.Fault(aNames[0], "{\"leaving\":true}");
@@ -224,7 +230,7 @@
     LoadOptions load = LoadOf(fleet);
     load.mTokens = 16;
     load.mWarmup = 0;
-    load.mLength = std::max<Millis>(6000, static_cast<Millis>(share * 1000));
+    load.mLength = std::max<Millis>(8000, static_cast<Millis>(share * 1000));
     // Below what is left after two losses, so that full throughput can return.
     load.mRate = 0.45 * fleet.Bound() / load.mTokens;
     // The fault is done by a thread of its own: killing waits for a thread.
--- a/daemons/control/claim_service.cpp
+++ b/daemons/control/claim_service.cpp
@@ -3,12 +3,15 @@
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/daemons/peer_messages.h"
+#include "spindleweir/drivers/file_tools.h"
 
 namespace spindleweir {
 
 namespace {
 
 constexpr Millis kCompactPeriod = 60 * 1000;
+constexpr Millis kTakeOverPeriod = 500;
+constexpr Millis kPageTimeout = 5000;
 /// The file is written anew once it is this large and mostly dead.
 constexpr std::size_t kCompactBytes = 16 * 1024 * 1024;
 
@@ -35,9 +38,87 @@
     mContext.mCounters.Add("claim_messages");
     return ToJson(mKeeper.Handle(FromJson<ClaimMessage>(aMessage), WallNow()));
   });
+  mContext.mDispatcher.On(
+      rpc_method::kClaimPage, [this](const Json::Value& aMessage) {
+        return ToJson(mKeeper.Page(FromJson<ClaimPageQuestion>(aMessage)));
+      });
+  // A marker, since a keeper that is whole may well have no claim yet.
+  const bool first = !mContext.mOptions.mInitialVoters.empty();
+  if (first && mLog->Bytes() == 0) {
+    MarkWhole();
+  }
+  if (!ReadFile(MarkerPath()).has_value()) {
+    mKeeper.Abstain();
+    LogLine(LogLevel::kWarning, "claims_abstain")
+        .Add("why", "an empty folder, and not the first start");
+    mTakeOverTimer =
+        mContext.mLoop.Every(kTakeOverPeriod, [this] { TakeOver(); });
+  }
   mCompactTimer = mContext.mLoop.Every(kCompactPeriod, [this] { Compact(); });
 }
 
+std::string ClaimService::MarkerPath() const {
+  return mContext.mOptions.mData + "/claims.whole";
+}
+
+void ClaimService::MarkWhole() {
+  ReplaceFile(MarkerPath(), "this keeper lacks no claims\n");
+}
+
+void ClaimService::TakeOver() {
+  bool all = true;
+  for (const EntryVm& keeper :
+       mContext.mEntryVms.Current().OfRole(EntryRole::kControl)) {
+    if (keeper.mId == mContext.mOptions.mId ||
+        mTakenOver.contains(keeper.mId)) {
+      continue;
+    }
+    all = false;
+    if (mAsking.insert(keeper.mId).second) {
+      AskPage(keeper.mId, "");
+    }
+  }
+  if (all && !mTakenOver.empty()) {
+    MarkWhole();
+    mKeeper.EndAbstention();
+    mTakeOverTimer.reset();
+    LogLine(LogLevel::kInfo, "claims_taken_over")
+        .Add("claims", static_cast<int>(mKeeper.Size()));
+  }
+}
+
+void ClaimService::AskPage(const std::string& aKeeper,
+                           const std::string& aAfter) {
+  const EntryVm* keeper = mContext.mEntryVms.Current().Find(aKeeper);
+  if (keeper == nullptr) {
+    mAsking.erase(aKeeper);
+    return;
+  }
+  mContext.mRpc.Call(keeper->mAddress, rpc_method::kClaimPage,
+                     ToJson(ClaimPageQuestion{aAfter}), kPageTimeout,
+                     [this, aKeeper](const RpcResult& aResult) {
+                       // Of a keeper that lacks records itself, or went away,
+                       // all is asked again.
+                       mAsking.erase(aKeeper);
+                       if (!aResult.mOk) {
+                         return;
+                       }
+                       const auto page = FromJson<ClaimPage>(aResult.mAnswer);
+                       if (!page.mWhole) {
+                         return;
+                       }
+                       for (const ClaimRecord& record : page.mRecords) {
+                         mKeeper.Adopt(record);
+                       }
+                       if (page.mLast) {
+                         mTakenOver.insert(aKeeper);
+                         return;
+                       }
+                       mAsking.insert(aKeeper);
+                       AskPage(aKeeper, page.mRecords.back().mKey);
+                     });
+}
+
 void ClaimService::Compact() {
   try {
     mKeeper.Expire(WallNow());
--- a/daemons/control/claim_service.h
+++ b/daemons/control/claim_service.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <memory>
+#include <set>
+#include <string>
 
 #include "daemons/control/control_context.h"
 #include "spindleweir/drivers/disk_log.h"
@@ -15,13 +17,21 @@
   explicit ClaimService(ControlContext& aContext);
 
   std::size_t Size() const { return mKeeper.Size(); }
+  bool Abstains() const { return mKeeper.Abstains(); }
 
  private:
   void Compact();
+  std::string MarkerPath() const;
+  void MarkWhole();
+  void TakeOver();
+  void AskPage(const std::string& aKeeper, const std::string& aAfter);
 
   ControlContext& mContext;
   std::unique_ptr<DiskLog> mLog;
   ClaimKeeper mKeeper;
+  std::set<std::string> mTakenOver;  ///< Keepers whose records are all here.
+  std::set<std::string> mAsking;
+  std::unique_ptr<Timer> mTakeOverTimer;
   std::unique_ptr<Timer> mCompactTimer;
 };
 
--- a/daemons/control/operator_api.cpp
+++ b/daemons/control/operator_api.cpp
@@ -130,6 +130,7 @@
   if (path == "/metrics") {
     RequireMethod(*aExchange, "GET");
     mContext.mCounters.Set("claims", static_cast<std::int64_t>(mClaims.Size()));
+    mContext.mCounters.Set("claims_abstain", mClaims.Abstains() ? 1 : 0);
     mContext.mCounters.Set("receipts",
                            static_cast<std::int64_t>(mReceipts.Size()));
     mContext.mCounters.Set("log_bytes",
@@ -362,6 +363,7 @@
   control["commit_index"] = static_cast<Json::Int64>(raft.CommitIndex());
   control["last_index"] = static_cast<Json::Int64>(raft.LastIndex());
   control["storage_failed"] = raft.Failed();
+  control["claims_abstain"] = mClaims.Abstains();
   control["claims"] = static_cast<Json::UInt64>(mClaims.Size());
   control["receipts"] = static_cast<Json::UInt64>(mReceipts.Size());
   control["voters"] = Json::Value(Json::arrayValue);
--- a/include/spindleweir/daemons/peer_messages.h
+++ b/include/spindleweir/daemons/peer_messages.h
@@ -22,6 +22,7 @@
 inline constexpr const char* kPushConfiguration = "configuration.push";
 inline constexpr const char* kLease = "lease.request";
 inline constexpr const char* kClaim = "claim.ask";
+inline constexpr const char* kClaimPage = "claim.page";
 inline constexpr const char* kStoreReceipts = "receipts.store";
 inline constexpr const char* kFindReceipt = "receipts.find";
 inline constexpr const char* kRaft = "raft.message";
--- a/include/spindleweir/servers/claims/claim_keeper.h
+++ b/include/spindleweir/servers/claims/claim_keeper.h
@@ -29,6 +29,15 @@
   void Restore(const ClaimRecord& aRecord);
   /// Answers one message. Throws kStorageFailed where nothing was promised.
   ClaimReply Handle(const ClaimMessage& aMessage, Millis aWallNow);
+  /// A keeper that starts empty in the place of a lost one grants nothing
+  /// until it has taken over the others' records: those of the lost keeper's
+  /// majorities are among them.
+  void Abstain() { mAbstains = true; }
+  bool Abstains() const { return mAbstains; }
+  /// Takes over a record of another keeper: the one that tells more stays.
+  void Adopt(const ClaimRecord& aRecord);
+  void EndAbstention() { mAbstains = false; }
+  ClaimPage Page(const ClaimPageQuestion& aQuestion) const;
   /// Forgets what has expired.
   void Expire(Millis aWallNow);
 
@@ -42,6 +51,7 @@
   void Store(const ClaimRecord& aRecord);
 
   ClaimKeeperOptions mOptions;
+  bool mAbstains = false;
   std::map<std::string, ClaimRecord> mRecords;
   std::multimap<Millis, std::string> mByExpiry;
   /// Owners that released, for a while: a late kAcquire of theirs must not
--- a/include/spindleweir/servers/claims/claim_messages.h
+++ b/include/spindleweir/servers/claims/claim_messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "spindleweir/core/clock.h"
 
@@ -77,6 +78,30 @@
   }
 };
 
+/// Asks a keeper for its records, in the order of their keys.
+struct ClaimPageQuestion {
+  std::string mAfter;  ///< The last key of the page before; empty: the first.
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("after", mAfter);
+  }
+};
+
+/// A part of a keeper's records.
+struct ClaimPage {
+  std::vector<ClaimRecord> mRecords;
+  bool mLast = false;
+  bool mWhole = false;  ///< Whether the keeper lacks nothing itself.
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("records", mRecords);
+    aCodec.Required("last", mLast);
+    aCodec.Required("whole", mWhole);
+  }
+};
+
 /// A keeper's answer.
 struct ClaimReply {
   bool mGranted = false;  ///< The key is the asking owner's.
--- a/servers/claims/claim_keeper.cpp
+++ b/servers/claims/claim_keeper.cpp
@@ -8,6 +8,7 @@
 
 /// How long a message may be on its way.
 constexpr Millis kReleasedKept = 60 * 1000;
+constexpr std::size_t kPageRecords = 500;
 
 }  // namespace
 
@@ -43,6 +44,10 @@
                      it->second.mState == ClaimState::kHeld;
     return {own, it->second};
   }
+  if (mAbstains) {
+    throw Error(ResultCode::kNotReady,
+                "this keeper has not taken over the others' claims yet");
+  }
   if (mReleased.contains(aAsked.mOwner)) {
     return {};
   }
@@ -97,6 +102,28 @@
   mByExpiry.emplace(aRecord.mExpiresWall, aRecord.mKey);
 }
 
+void ClaimKeeper::Adopt(const ClaimRecord& aRecord) {
+  const auto it = mRecords.find(aRecord.mKey);
+  const bool known =
+      it != mRecords.end() &&
+      static_cast<int>(it->second.mState) >= static_cast<int>(aRecord.mState);
+  if (!known) {
+    Store(aRecord);
+  }
+}
+
+ClaimPage ClaimKeeper::Page(const ClaimPageQuestion& aQuestion) const {
+  ClaimPage page;
+  page.mWhole = !mAbstains;
+  auto it = aQuestion.mAfter.empty() ? mRecords.begin()
+                                     : mRecords.upper_bound(aQuestion.mAfter);
+  for (; it != mRecords.end() && page.mRecords.size() < kPageRecords; ++it) {
+    page.mRecords.push_back(it->second);
+  }
+  page.mLast = it == mRecords.end();
+  return page;
+}
+
 void ClaimKeeper::Expire(Millis aWallNow) {
   std::erase_if(mReleased, [aWallNow](const auto& aItem) {
     return aItem.second < aWallNow;
--- a/tests/daemons/deployment.cpp
+++ b/tests/daemons/deployment.cpp
@@ -106,7 +106,7 @@
   mRouters.resize(static_cast<std::size_t>(mOptions.mZones) *
                   static_cast<std::size_t>(mOptions.mRouters));
   for (int i = 0; i < static_cast<int>(mControls.size()); i++) {
-    StartControl(i);
+    StartControl(i, true);
   }
   for (int i = 0; i < static_cast<int>(mRouters.size()); i++) {
     StartRouter(i);
@@ -128,7 +128,7 @@
                                   .mRecord = mFolder.Path(aVm + ".record")});
 }
 
-void Deployment::StartControl(int aIndex) {
+void Deployment::StartControl(int aIndex, bool aFirst) {
   ControlOptions options;
   options.mId = "control-" + std::to_string(aIndex);
   options.mZone = Zone(aIndex);
@@ -138,7 +138,7 @@
   options.mClusterKey = kClusterKey;
   options.mEntryVms = mFolder.Path("entry_vms.json");
   options.mData = mFolder.Path(options.mId);
-  for (int i = 0; i < static_cast<int>(mControls.size()); i++) {
+  for (int i = 0; aFirst && i < static_cast<int>(mControls.size()); i++) {
     options.mInitialVoters.push_back("control-" + std::to_string(i));
   }
   options.mPlatform = mPlatform->Address();
--- a/tests/daemons/deployment.h
+++ b/tests/daemons/deployment.h
@@ -60,7 +60,8 @@
   /// Starts everything, states the usual intent, confirms it, and waits until
   /// every router answers completions.
   void Begin();
-  void StartControl(int aIndex);
+  /// aFirst: the first start of the deployment.
+  void StartControl(int aIndex, bool aFirst = false);
   void StartRouter(int aIndex);
   void StartEngine(const std::string& aVm, const std::string& aZone);
   void WritePlatform();
--- a/tests/daemons/failure_test.cpp
+++ b/tests/daemons/failure_test.cpp
@@ -1,4 +1,6 @@
 /// What callers see of a deployment under failures.
+#include <filesystem>
+
 #include "spindleweir/core/json_codec.h"
 #include "tests/daemons/deployment.h"
 
@@ -240,6 +242,46 @@
   CHECK(deployment.ServiceRuns() == 1);
 }
 
+Test(failures, a_keeper_that_lost_its_disk_lets_nothing_run_twice) {
+  Deployment deployment;
+  deployment.Begin();
+  const auto pay = [&] {
+    const auto answer =
+        deployment.Send(0, "POST", "/v1/services/kaunter-api/pay", "{}",
+                        {{"Authorization", "Bearer traveller-key"},
+                         {"Idempotency-Key", "order-7"}});
+    cr_assert(deployment.RunUntil([&] { return answer->mDone; }));
+    return answer;
+  };
+  // Only the keepers 0 and 1 know of the call.
+  deployment.mControls[2].reset();
+  CHECK(pay()->mHttp.mStatus == 200);
+  // Keeper 1 loses its disk, keeper 0 is out of reach, keeper 2 is back.
+  deployment.mControls[1].reset();
+  deployment.mControls[0].reset();
+  std::filesystem::remove_all(deployment.mFolder.Path("control-1"));
+  deployment.StartControl(1);
+  deployment.StartControl(2);
+  deployment.WriteEntryVms();
+  deployment.RunFor(1000);
+  const auto refused = pay();
+  CHECK(refused->ErrorCode() == static_cast<int>(ResultCode::kNoClaimQuorum));
+  CHECK(deployment.ServiceRuns() == 1);
+  SECTION("once keeper 0 is back, the empty one takes over its claims") {
+    deployment.StartControl(0);
+    deployment.WriteEntryVms();
+    CHECK(deployment.RunUntil([&] {
+      return deployment
+                 .Fetch(deployment.mControls[1]->OperatorAddress(), "GET",
+                        "/v1/state", "", "operator-key")
+                 .mBody.find("\"claims_abstain\":false") != std::string::npos;
+    }));
+    deployment.mControls[0].reset();
+    CHECK(pay()->mHttp.mStatus == 200);
+    CHECK(deployment.ServiceRuns() == 1);
+  }
+}
+
 Test(failures, an_unanswered_call_is_unknown_and_never_sent_again) {
   Deployment deployment({.mZones = 1, .mServiceDelay = 600000});
   deployment.Begin();
