--- a/daemons/control/operator_api.cpp
+++ b/daemons/control/operator_api.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr int kHttpOk = 200;
-constexpr int kHttpRedirect = 307;
 constexpr int kCommandIdBytes = 12;
 constexpr std::size_t kMaximumCommandId = 128;
 
--- a/tests/daemons/failure_test.cpp
+++ b/tests/daemons/failure_test.cpp
@@ -246,7 +246,7 @@
   Deployment deployment;
   deployment.Begin();
   const auto pay = [&] {
-    const auto answer =
+    auto answer =
         deployment.Send(0, "POST", "/v1/services/kaunter-api/pay", "{}",
                         {{"Authorization", "Bearer traveller-key"},
                          {"Idempotency-Key", "order-7"}});
