A repair does not take a zone out of service for a small gain

Cause: when one engine announced its leaving, the steward's new plan was 25% better with other layer ranges, and all five others were ordered to load at once: no chain for about 0.2 s, requests refused (failures/a_leaving_engine, about one run in three). Ruled out: the clean-up before it (the test's log shows the plan, and the fault is as old as the steward's repair). Change: a repair moves what runs only for twice the throughput; smaller gains are left to an operator's plan. A second test raced with itself: it killed its second engine before the resume, on the old chain. It now waits for tokens of the new chain and streams longer; its assertions are as before. Still open: loads that an operator's plan or a repair does need are not rolled out range by range.

--- a/daemons/router/stewardship.cpp
+++ b/daemons/router/stewardship.cpp
@@ -18,6 +18,10 @@
 /// An engine whose reports stop for so long is repaired around.
 constexpr Millis kDeadAfter = 1200;
 constexpr Millis kRepairDelay = 200;
+/// A repair moves what runs only for twice the throughput: every move takes an
+/// engine out of service while it loads. Smaller gains are an operator's to
+/// plan.
+constexpr double kRepairHysteresis = 0.5;
 
 }  // namespace
 
@@ -154,7 +158,8 @@
   const Plan plan = MakePlan({.mIntent = mContext.Accepted().mIntent,
                               .mCurrent = present,
                               .mEngines = aEngines,
-                              .mUnusable = none});
+                              .mUnusable = none,
+                              .mHysteresis = kRepairHysteresis});
   int moves = 0;
   for (const PlanChange& change : plan.mChanges) {
     moves += change.mAction == "move" || change.mAction == "load" ? 1 : 0;
--- a/tests/daemons/failure_test.cpp
+++ b/tests/daemons/failure_test.cpp
@@ -25,14 +25,18 @@
   return engines;
 }
 
-bool HasTokens(const CallerResult& aAnswer, std::size_t aCount) {
+std::size_t TokensOf(const CallerResult& aAnswer) {
   std::size_t count = 0;
   for (std::size_t at = aAnswer.mStream.find("\"content\"");
        at != std::string::npos;
        at = aAnswer.mStream.find("\"content\"", at + 1)) {
     count++;
   }
-  return count >= aCount;
+  return count;
+}
+
+bool HasTokens(const CallerResult& aAnswer, std::size_t aCount) {
+  return TokensOf(aAnswer) >= aCount;
 }
 
 }  // namespace
@@ -40,19 +44,23 @@
 Test(failures, a_stage_that_dies_in_mid_stream_is_replaced) {
   Deployment deployment;
   deployment.Begin();
-  const auto answer = deployment.Chat(0, "champagne", kTokens, true);
+  // Long enough that both faults come before its end on a busy machine.
+  constexpr int kLong = 150;
+  const auto answer = deployment.Chat(0, "champagne", kLong, true);
   REQUIRE(deployment.RunUntil([&] { return HasTokens(*answer, 3); }));
   const auto chain = ChainUnderWay(deployment, *answer);
   REQUIRE(chain.size() == 3);
   deployment.mEngines.erase(chain[1]);
+  // Tokens beyond what was on its way come from the chain that replaced it.
+  const std::size_t resumed = TokensOf(*answer) + 5;
   SECTION("and a second one during the resume") {
-    REQUIRE(deployment.RunUntil([&] { return HasTokens(*answer, 6); }));
+    REQUIRE(deployment.RunUntil([&] { return HasTokens(*answer, resumed); }));
     const auto second = ChainUnderWay(deployment, *answer);
     REQUIRE(!second.empty());
     deployment.mEngines.erase(second[0]);
   }
   REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
-  CHECK(answer->Text() == Deployment::Expected("champagne", kTokens));
+  CHECK(answer->Text() == Deployment::Expected("champagne", kLong));
   CHECK(answer->mStream.ends_with("data: [DONE]\n\n"));
   SECTION("the receipt names every engine that worked on it") {
     const auto engines = deployment.EnginesOf(answer->RequestId());
