--- a/core/log.cpp
+++ b/core/log.cpp
@@ -65,7 +65,7 @@
   }
   state.mStarted = true;
   boost::log::add_console_log(
-      std::clog,
+      std::cout,
       boost::log::keywords::format = (boost::log::expressions::stream
                                       << boost::log::expressions::smessage),
       boost::log::keywords::auto_flush = true);
--- a/daemons/control/control_context.h
+++ b/daemons/control/control_context.h
@@ -19,6 +19,9 @@
         mDispatcher(mOptions.mClusterKey),
         mEntryVms(aLoop, mOptions.mEntryVms) {}
 
+  /// Whether the others are found by seeds instead of a list.
+  bool Joins() const { return !mOptions.mSeeds.empty(); }
+
   EventLoop& mLoop;
   ControlOptions mOptions;
   HttpClient mClient;
--- /dev/null
+++ b/daemons/control/joined_control.cpp
@@ -0,0 +1,181 @@
+#include "spindleweir/daemons/joined_control.h"
+
+#include "daemons/control/layer_placer.h"
+#include "daemons/control/sync_service.h"
+#include "spindleweir/core/digest.h"
+#include "spindleweir/core/error.h"
+#include "spindleweir/core/log.h"
+#include "spindleweir/drivers/file_tools.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr std::size_t kMaximumRpcBytes = 64 * 1024 * 1024;
+constexpr int kDiskNameBytes = 8;
+/// The disks of the first start have this name, so that the first voters know
+/// each other's ids from the seeds alone.
+constexpr const char* kFirstDisk = "first";
+
+/// The name of this disk: kept on it, and new on an empty one.
+std::string DiskName(const ControlOptions& aOptions) {
+  const std::string path = aOptions.mData + "/identity";
+  const std::string wanted = aOptions.mRpcListen.Text() + "#";
+  const std::string kept = ReadFile(path).value_or("");
+  if (kept.starts_with(wanted)) {
+    return kept.substr(wanted.size());
+  }
+  if (!kept.empty()) {
+    throw Error(ResultCode::kDataCorrupt,
+                path + " belongs to " + kept + ", not to " + wanted);
+  }
+  const std::string name =
+      aOptions.mFirstStart ? kFirstDisk : RandomHex(kDiskNameBytes);
+  ReplaceFile(path, wanted + name);
+  return name;
+}
+
+/// Names this control and, at the first start, the first voters.
+ControlOptions Identified(ControlOptions aOptions) {
+  PrepareFolder(aOptions.mData);
+  aOptions.mId = ControlId(aOptions.mRpcListen, DiskName(aOptions));
+  aOptions.mInitialVoters.clear();
+  if (aOptions.mFirstStart) {
+    for (const Endpoint& seed : aOptions.mSeeds) {
+      aOptions.mInitialVoters.push_back(ControlId(seed, kFirstDisk));
+    }
+  }
+  return aOptions;
+}
+
+OperatorAnswer Refusal(ResultCode aCode, std::string aMessage) {
+  return {.mCode = aCode, .mMessage = std::move(aMessage)};
+}
+
+}  // namespace
+
+/// The parts, in the order in which they are made.
+struct JoinedControl::Parts {
+  Parts(EventLoop& aLoop, ControlOptions aOptions)
+      : mContext(aLoop, Identified(std::move(aOptions))),
+        mLog(mContext),
+        mSync(mContext, mLog),
+        mPlacer(mContext, mLog, mSync),
+        mRpcServer(aLoop,
+                   {.mListen = mContext.mOptions.mRpcListen,
+                    .mMaximumBodyBytes = kMaximumRpcBytes,
+                    .mHandle =
+                        [this](const std::shared_ptr<HttpExchange>& aExchange) {
+                          mContext.mDispatcher.Handle(*aExchange);
+                        }}) {}
+
+  /// Where this control does not lead: who does.
+  OperatorAnswer NotLeader() const {
+    const std::string& leader = mLog.Raft().Leader();
+    const ControlInfo* info =
+        leader.empty() ? nullptr : mSync.Directory().Find(leader);
+    if (info == nullptr || leader == mContext.mOptions.mId) {
+      return Refusal(ResultCode::kNoQuorum, "no leader is known");
+    }
+    OperatorAnswer answer =
+        Refusal(ResultCode::kNotLeader, "another control leads");
+    answer.mLeader = info->mOperator;
+    return answer;
+  }
+
+  ControlContext mContext;
+  ReplicatedConfiguration mLog;
+  SyncService mSync;
+  LayerPlacer mPlacer;
+  HttpServer mRpcServer;
+};
+
+JoinedControl::JoinedControl(EventLoop& aLoop, ControlOptions aOptions)
+    : mParts(std::make_unique<Parts>(aLoop, std::move(aOptions))) {
+  const ControlOptions& options = mParts->mContext.mOptions;
+  LogLine(LogLevel::kInfo, "started")
+      .Add("id", options.mId)
+      .Add("zone", options.mZone)
+      .Add("first_start", options.mFirstStart)
+      .Add("version",
+           static_cast<Json::Int64>(mParts->mSync.Traffic().mVersion));
+}
+
+JoinedControl::~JoinedControl() = default;
+
+void JoinedControl::Publish(const std::string& aDocument,
+                            const OperatorDone& aDone) {
+  TrafficConfiguration configuration;
+  try {
+    configuration = mParts->mContext.mOptions.mDocuments.mRead(aDocument);
+    CheckTraffic(configuration);
+  } catch (const Error& error) {
+    LogLine(LogLevel::kWarning, "configuration_refused")
+        .Add("code", static_cast<int>(error.Code()))
+        .Add("why", error.what());
+    aDone(Refusal(error.Code(), error.what()));
+    return;
+  }
+  if (!mParts->mLog.Raft().Leads()) {
+    aDone(mParts->NotLeader());
+    return;
+  }
+  Command command;
+  command.mKind = CommandKind::kPublish;
+  command.mDigest = Sha256Hex(aDocument);
+  command.mId = "publish-" + std::to_string(configuration.mVersion) + "-" +
+                command.mDigest;
+  command.mTrafficVersion = configuration.mVersion;
+  command.mDocument = aDocument;
+  mParts->mLog.Submit(command, [aDone](const CommandResult* aResult) {
+    if (aResult == nullptr) {
+      aDone(Refusal(ResultCode::kNoQuorum, "no majority confirmed in time"));
+      return;
+    }
+    aDone(Refusal(static_cast<ResultCode>(aResult->mCode), aResult->mMessage));
+  });
+}
+
+void JoinedControl::Read(const OperatorDone& aDone) {
+  if (!mParts->mLog.Raft().Leads()) {
+    aDone(mParts->NotLeader());
+    return;
+  }
+  mParts->mLog.ConfirmRead([this, aDone](bool aConfirmed) {
+    const PublishedDocument& published =
+        mParts->mLog.Machine().Published();
+    if (!aConfirmed) {
+      aDone(Refusal(ResultCode::kNoQuorum, "no majority confirmed in time"));
+    } else if (published.mVersion == 0) {
+      aDone(Refusal(ResultCode::kNotReady, "no configuration was accepted"));
+    } else {
+      aDone({.mDocument = published.mDocument});
+    }
+  });
+}
+
+void JoinedControl::Beat(const UpstreamRecord& aRecord,
+                         const std::function<void()>& aDone) {
+  mParts->mSync.Beat(aRecord, aDone);
+}
+
+void JoinedControl::Leave(const std::string& aInstance,
+                          const std::function<void()>& aDone) {
+  mParts->mSync.Leave(aInstance, aDone);
+}
+
+void JoinedControl::SetSeeds(std::vector<Endpoint> aSeeds) {
+  mParts->mSync.SetSeeds(std::move(aSeeds));
+}
+
+Counters& JoinedControl::OwnCounters() {
+  return mParts->mContext.mCounters;
+}
+
+void JoinedControl::Stop() {
+  // All that was promised is on the disk already.
+  const LogLine line(LogLevel::kInfo, "stopped");
+  mParts->mContext.mLoop.Stop();
+}
+
+}  // namespace spindleweir
--- a/daemons/control/replicated_configuration.cpp
+++ b/daemons/control/replicated_configuration.cpp
@@ -3,6 +3,7 @@
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/daemons/peer_messages.h"
+#include "spindleweir/servers/membership/control_directory.h"
 
 namespace spindleweir {
 
@@ -12,6 +13,7 @@
 constexpr Millis kRaftTimeout = 1000;
 constexpr Millis kPushTimeout = 1000;
 constexpr Millis kCommitTimeout = 4000;
+constexpr std::size_t kBytesPerSnapshot = 1024 * 1024;
 
 }  // namespace
 
@@ -24,6 +26,7 @@
     raft.mVoters = options.mInitialVoters;
   }
   raft.mElectionTimeout = options.mElectionTimeout;
+  raft.mBytesPerSnapshot = kBytesPerSnapshot;
   raft.mSeed = static_cast<std::uint64_t>(WallNow()) ^
                std::hash<std::string>()(options.mId);
   raft.mStorage = &mStorage;
@@ -52,16 +55,25 @@
 }
 
 void ReplicatedConfiguration::Send(const RaftMessage& aMessage) {
-  const EntryVm* peer = mContext.mEntryVms.Current().Find(aMessage.mTo);
-  if (peer != nullptr) {
-    mContext.mRpc.Call(peer->mAddress, rpc_method::kRaft, ToJson(aMessage),
-                       kRaftTimeout, nullptr);
+  const std::optional<Endpoint> peer = AddressOf(aMessage.mTo);
+  if (peer.has_value()) {
+    mContext.mRpc.Call(*peer, rpc_method::kRaft, ToJson(aMessage), kRaftTimeout,
+                       nullptr);
   }
 }
 
+std::optional<Endpoint> ReplicatedConfiguration::AddressOf(
+    const std::string& aId) const {
+  if (mContext.Joins()) {
+    return AddressOfControl(aId);
+  }
+  const EntryVm* peer = mContext.mEntryVms.Current().Find(aId);
+  return peer == nullptr ? std::nullopt : std::optional(peer->mAddress);
+}
+
 void ReplicatedConfiguration::Tick() {
   // Until the others can be reached an election would be for nothing.
-  if (mContext.mEntryVms.Current().All().empty()) {
+  if (!mContext.Joins() && mContext.mEntryVms.Current().All().empty()) {
     return;
   }
   mRaft->Tick(SteadyNow());
--- a/daemons/control/replicated_configuration.h
+++ b/daemons/control/replicated_configuration.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,7 @@
   bool ChangeVoters(const std::vector<std::string>& aVoters);
 
   const ConfigurationMachine& Machine() const { return mMachine; }
+  ConfigurationMachine& Machine() { return mMachine; }
   const RaftNode& Raft() const { return *mRaft; }
   std::size_t DiskBytes() const { return mStorage.Bytes(); }
 
@@ -43,6 +45,7 @@
   };
 
   void Send(const RaftMessage& aMessage);
+  std::optional<Endpoint> AddressOf(const std::string& aId) const;
   void Apply(const LogEntry& aEntry);
   void Tick();
   void FailWaiting();
--- /dev/null
+++ b/daemons/control/sync_service.cpp
@@ -0,0 +1,287 @@
+#include "daemons/control/sync_service.h"
+
+#include <algorithm>
+
+#include "spindleweir/core/digest.h"
+#include "spindleweir/core/json_codec.h"
+#include "spindleweir/core/log.h"
+#include "spindleweir/servers/membership/voter_plan.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr Millis kAskPeriod = 300;
+constexpr Millis kAskTimeout = 1000;
+constexpr Millis kStepPeriod = 500;
+constexpr Millis kControlsTold = 10000;
+/// A router that did not ask for so long shares nothing any more.
+constexpr Millis kAskerKept = 2500;
+/// Heartbeats that may be missed before an upstream counts as silent.
+constexpr int kMissedBeats = 3;
+/// News of a leaving upstream is acknowledged after this time even where no
+/// other control has it.
+constexpr Millis kTellTimeout = 500;
+constexpr int kLifeBytes = 6;
+constexpr const char* kNotice = "control.notice";
+
+/// Records that another control must know at once.
+struct Notice {
+  std::vector<UpstreamRecord> mUpstreams;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("upstreams", mUpstreams);
+  }
+};
+
+}  // namespace
+
+SyncService::SyncService(ControlContext& aContext,
+                         ReplicatedConfiguration& aLog)
+    : mContext(aContext), mLog(aLog), mLife(RandomHex(kLifeBytes)) {
+  mDirectory.SetSeeds(mContext.mOptions.mSeeds);
+  const auto publish = [this](const PublishedDocument& aPublished) {
+    mTraffic = mContext.mOptions.mDocuments.mRead(aPublished.mDocument);
+    mContext.mCounters.Set("traffic_version", mTraffic.mVersion);
+    LogLine(LogLevel::kInfo, "configuration_accepted")
+        .Add("version", static_cast<Json::Int64>(mTraffic.mVersion))
+        .Add("routes", static_cast<int>(mTraffic.mRoutes.size()))
+        .Add("digest", aPublished.mDigest);
+  };
+  mLog.Machine().SignalPublished().connect(publish);
+  if (mLog.Machine().Published().mVersion > 0) {
+    publish(mLog.Machine().Published());
+  }
+  mContext.mDispatcher.On(
+      rpc_method::kSync, [this](const Json::Value& aMessage) {
+        return ToJson(Answer(FromJson<SyncQuestion>(aMessage)));
+      });
+  mContext.mDispatcher.On(kNotice, [this](const Json::Value& aMessage) {
+    for (const UpstreamRecord& record :
+         FromJson<Notice>(aMessage).mUpstreams) {
+      mRegistry.Merge(record, SteadyNow());
+    }
+    return Json::Value(Json::objectValue);
+  });
+  mAskTimer = mContext.mLoop.Every(kAskPeriod, [this] { AskOthers(); });
+  mStepTimer = mContext.mLoop.Every(kStepPeriod, [this] { StepVoters(); });
+  AskOthers();
+}
+
+ControlInfo SyncService::Self() const {
+  return {.mId = mContext.mOptions.mId,
+          .mZone = mContext.mOptions.mZone,
+          .mOperator = mContext.mOptions.mOperatorListen.Text()};
+}
+
+void SyncService::SetSeeds(std::vector<Endpoint> aSeeds) {
+  mDirectory.SetSeeds(std::move(aSeeds));
+}
+
+SyncAnswer SyncService::Answer(const SyncQuestion& aQuestion) {
+  const Millis now = SteadyNow();
+  Remember(aQuestion);
+  SyncAnswer answer;
+  answer.mSelf = Self();
+  answer.mLife = mLife;
+  answer.mControls = mDirectory.Lately(kControlsTold, now);
+  answer.mLeader = mLog.Raft().Leader();
+  answer.mTerm = mLog.Raft().Term();
+  answer.mRevision = mRegistry.Revision();
+  const bool fromControl = !aQuestion.mControl.mId.empty();
+  const std::int64_t known =
+      aQuestion.mKnows == mLife ? aQuestion.mRevision : 0;
+  answer.mUpstreams = mRegistry.ChangedSince(known, fromControl, now);
+  answer.mConfiguration = mTraffic.mVersion;
+  const Millis confirmed = mLog.Raft().ConfirmedAt();
+  answer.mConfirmedAgo = confirmed < 0 ? -1 : now - confirmed;
+  const bool news = aQuestion.mWantsConfiguration &&
+                    mTraffic.mVersion > aQuestion.mConfiguration;
+  if (news) {
+    answer.mNews.push_back(mTraffic);
+  }
+  answer.mRouters = static_cast<int>(std::max<std::size_t>(1, mAskers.size()));
+  if (aQuestion.mTellsLoads) {
+    answer.mLoads = LoadsOfOthers(aQuestion.mProcess);
+  }
+  return answer;
+}
+
+void SyncService::Remember(const SyncQuestion& aQuestion) {
+  const Millis now = SteadyNow();
+  if (!aQuestion.mControl.mId.empty()) {
+    mDirectory.Heard(aQuestion.mControl, now);
+    return;
+  }
+  Asker& asker = mAskers[aQuestion.mProcess];
+  asker.mAskedAt = now;
+  if (aQuestion.mTellsLoads) {
+    asker.mLoads = aQuestion.mLoads;
+  }
+  std::erase_if(mAskers, [now](const auto& aItem) {
+    return now - aItem.second.mAskedAt > kAskerKept;
+  });
+}
+
+std::vector<LoadShare> SyncService::LoadsOfOthers(
+    const std::string& aProcess) const {
+  std::map<std::string, LoadShare> sums;
+  for (const auto& [process, asker] : mAskers) {
+    if (process == aProcess) {
+      continue;
+    }
+    for (const LoadShare& load : asker.mLoads) {
+      LoadShare& sum = sums[load.mInstance];
+      sum.mInstance = load.mInstance;
+      sum.mRequests += load.mRequests;
+      sum.mTokenLayers += load.mTokenLayers;
+      sum.mFirsts += load.mFirsts;
+      sum.mSlowness = std::max(sum.mSlowness, load.mSlowness);
+    }
+  }
+  std::vector<LoadShare> loads;
+  loads.reserve(sums.size());
+  for (const auto& [instance, sum] : sums) {
+    loads.push_back(sum);
+  }
+  return loads;
+}
+
+void SyncService::AskOthers() {
+  mRegistry.Expire(kMissedBeats * mContext.mOptions.mHeartbeatInterval,
+                   SteadyNow());
+  const Endpoint own = mContext.mOptions.mRpcListen;
+  for (const Endpoint& address : mDirectory.Addresses(SteadyNow())) {
+    if (address != own) {
+      Ask(address);
+    }
+  }
+}
+
+void SyncService::Ask(const Endpoint& aAddress) {
+  Source& source = mSources[aAddress.Text()];
+  if (source.mAsking) {
+    return;
+  }
+  source.mAsking = true;
+  SyncQuestion question;
+  question.mProcess = mContext.mOptions.mId;
+  question.mZone = mContext.mOptions.mZone;
+  question.mControl = Self();
+  question.mKnows = source.mLife;
+  question.mRevision = source.mRevision;
+  question.mConfiguration = mTraffic.mVersion;
+  mContext.mRpc.Call(aAddress, rpc_method::kSync, ToJson(question), kAskTimeout,
+                     [this, aAddress](const RpcResult& aResult) {
+                       mSources[aAddress.Text()].mAsking = false;
+                       if (aResult.mOk) {
+                         Take(aAddress, FromJson<SyncAnswer>(aResult.mAnswer));
+                       }
+                     });
+}
+
+void SyncService::Take(const Endpoint& aAddress, const SyncAnswer& aAnswer) {
+  const Millis now = SteadyNow();
+  Source& source = mSources[aAddress.Text()];
+  source.mLife = aAnswer.mLife;
+  source.mRevision = aAnswer.mRevision;
+  mDirectory.Heard(aAnswer.mSelf, now);
+  for (const ControlInfo& info : aAnswer.mControls) {
+    mDirectory.Heard(info, now);
+  }
+  for (const UpstreamRecord& record : aAnswer.mUpstreams) {
+    mRegistry.Merge(record, now);
+  }
+}
+
+void SyncService::Beat(const UpstreamRecord& aRecord,
+                       const std::function<void()>& aDone) {
+  const UpstreamRecord* before = mRegistry.Find(aRecord.mInstance);
+  const bool leaves = aRecord.mState == UpstreamState::kLeaving &&
+                      (before == nullptr ||
+                       before->mState < UpstreamState::kLeaving);
+  if (mRegistry.Beat(aRecord, SteadyNow())) {
+    LogLine(LogLevel::kInfo, "upstream_changed")
+        .Add("instance", aRecord.mInstance)
+        .Add("service", aRecord.mService)
+        .Add("address", aRecord.mAddress)
+        .Add("state", static_cast<int>(aRecord.mState))
+        .Add("from", aRecord.mLayers.mFrom)
+        .Add("to", aRecord.mLayers.mTo)
+        .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence));
+  }
+  if (!leaves) {
+    aDone();
+    return;
+  }
+  Tell(aRecord.mInstance, aDone);
+}
+
+void SyncService::Leave(const std::string& aInstance,
+                        const std::function<void()>& aDone) {
+  if (!mRegistry.Leave(aInstance, SteadyNow())) {
+    aDone();
+    return;
+  }
+  LogLine(LogLevel::kInfo, "upstream_gone").Add("instance", aInstance);
+  Tell(aInstance, aDone);
+}
+
+void SyncService::Tell(const std::string& aInstance,
+                       const std::function<void()>& aDone) {
+  const UpstreamRecord* record = mRegistry.Find(aInstance);
+  const auto done = std::make_shared<std::function<void()>>(aDone);
+  const auto finish = [done] {
+    const std::function<void()> call = std::move(*done);
+    *done = nullptr;
+    if (call) {
+      call();
+    }
+  };
+  bool told = false;
+  for (const ControlInfo& info : mDirectory.Lately(kAskerKept, SteadyNow())) {
+    if (info.mId == mContext.mOptions.mId) {
+      continue;
+    }
+    told = true;
+    mContext.mRpc.Call(AddressOfControl(info.mId), kNotice,
+                       ToJson(Notice{{*record}}), kTellTimeout,
+                       [finish](const RpcResult& aResult) {
+                         if (aResult.mOk) {
+                           finish();
+                         }
+                       });
+  }
+  if (!told) {
+    finish();
+    return;
+  }
+  const auto timer = std::make_shared<std::unique_ptr<Timer>>();
+  *timer = mContext.mLoop.After(kTellTimeout, [finish, timer] {
+    finish();
+    timer->reset();
+  });
+}
+
+void SyncService::StepVoters() {
+  if (!mLog.Raft().Leads()) {
+    return;
+  }
+  VoterQuestion question;
+  question.mSelf = mContext.mOptions.mId;
+  question.mVoters = mLog.Raft().Voters();
+  question.mDirectory = &mDirectory;
+  question.mNow = SteadyNow();
+  const std::vector<std::string> next = NextVoters(question);
+  if (next == question.mVoters || !mLog.ChangeVoters(next)) {
+    return;
+  }
+  Json::Value list(Json::arrayValue);
+  for (const std::string& id : next) {
+    list.append(id);
+  }
+  LogLine(LogLevel::kInfo, "voters_changing").Add("voters", list);
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/control/sync_service.h
@@ -0,0 +1,67 @@
+/// The part of a control process that finds the others by seeds, keeps the
+/// registry of upstreams, and answers what routers ask.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "daemons/control/replicated_configuration.h"
+#include "spindleweir/daemons/sync_messages.h"
+
+namespace spindleweir {
+
+/// Membership, registry and spreading on one control process.
+class SyncService {
+ public:
+  SyncService(ControlContext& aContext, ReplicatedConfiguration& aLog);
+
+  /// Takes a heartbeat. aDone is called once it may be acknowledged: news
+  /// that an upstream leaves must not be lost with this process.
+  void Beat(const UpstreamRecord& aRecord, const std::function<void()>& aDone);
+  void Leave(const std::string& aInstance, const std::function<void()>& aDone);
+
+  UpstreamRegistry& Registry() { return mRegistry; }
+  const ControlDirectory& Directory() const { return mDirectory; }
+  /// The configuration in force here; version 0: none yet.
+  const TrafficConfiguration& Traffic() const { return mTraffic; }
+  /// Sets the seeds anew.
+  void SetSeeds(std::vector<Endpoint> aSeeds);
+
+ private:
+  /// A router that asked.
+  struct Asker {
+    Millis mAskedAt = 0;
+    std::vector<LoadShare> mLoads;
+  };
+  /// How much of another control's registry is known.
+  struct Source {
+    std::string mLife;
+    std::int64_t mRevision = 0;
+    bool mAsking = false;
+  };
+
+  SyncAnswer Answer(const SyncQuestion& aQuestion);
+  void Remember(const SyncQuestion& aQuestion);
+  std::vector<LoadShare> LoadsOfOthers(const std::string& aProcess) const;
+  void AskOthers();
+  void Ask(const Endpoint& aAddress);
+  void Take(const Endpoint& aAddress, const SyncAnswer& aAnswer);
+  void Tell(const std::string& aInstance, const std::function<void()>& aDone);
+  void StepVoters();
+  ControlInfo Self() const;
+
+  ControlContext& mContext;
+  ReplicatedConfiguration& mLog;
+  std::string mLife;
+  ControlDirectory mDirectory;
+  UpstreamRegistry mRegistry;
+  TrafficConfiguration mTraffic;
+  std::map<std::string, Asker> mAskers;
+  std::map<std::string, Source> mSources;  ///< By address.
+  std::unique_ptr<Timer> mAskTimer;
+  std::unique_ptr<Timer> mStepTimer;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/relay/relay_context.cpp
@@ -0,0 +1,127 @@
+#include "daemons/relay/relay_context.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "spindleweir/core/log.h"
+
+namespace spindleweir {
+
+namespace {
+
+/// How much one outcome moves the share of failures.
+constexpr double kOutcomeWeight = 0.2;
+/// Failures count half after this time.
+constexpr double kFailureHalfLife = 3000;
+
+}  // namespace
+
+RelayContext::RelayContext(EventLoop& aLoop, RelayOptions aOptions)
+    : mLoop(aLoop),
+      mOptions(std::move(aOptions)),
+      mClient(aLoop),
+      mRpc(mClient, mOptions.mClusterKey),
+      mLease(mOptions.mLeaseLength),
+      mRandom(std::random_device{}()) {
+  mDirectory.SetSeeds(mOptions.mSeeds);
+}
+
+void RelayContext::Accept(TrafficConfiguration aConfiguration) {
+  const std::int64_t held = mTable == nullptr ? 0 : mTable->Version();
+  if (aConfiguration.mVersion <= held) {
+    return;
+  }
+  mTable = std::make_shared<const RouteTable>(std::move(aConfiguration));
+  mCounters.Set("traffic_version", mTable->Version());
+  LogLine(LogLevel::kInfo, "configuration_in_force")
+      .Add("version", static_cast<Json::Int64>(mTable->Version()))
+      .Add("before", static_cast<Json::Int64>(held));
+}
+
+void RelayContext::AddLoad(const std::string& aInstance, int aRequests,
+                           double aTokenLayers, int aFirsts) {
+  LoadShare& load = mOwnLoads[aInstance];
+  load.mInstance = aInstance;
+  load.mRequests += aRequests;
+  load.mTokenLayers += aTokenLayers;
+  load.mFirsts += aFirsts;
+  if (load.mRequests <= 0) {
+    mOwnLoads.erase(aInstance);
+  }
+}
+
+EngineLoad RelayContext::LoadOf(const std::string& aInstance) const {
+  EngineLoad load;
+  for (const auto* loads : {&mOwnLoads, &mOtherLoads}) {
+    const auto it = loads->find(aInstance);
+    if (it != loads->end()) {
+      load.mRequests += it->second.mRequests;
+      load.mTokenLayers += it->second.mTokenLayers;
+      load.mFirsts += it->second.mFirsts;
+      load.mSlowness = std::max(load.mSlowness, it->second.mSlowness);
+    }
+  }
+  return load;
+}
+
+std::vector<LoadShare> RelayContext::OwnLoads() const {
+  std::vector<LoadShare> loads;
+  loads.reserve(mOwnLoads.size());
+  for (const auto& [instance, load] : mOwnLoads) {
+    loads.push_back(load);
+  }
+  return loads;
+}
+
+void RelayContext::SetOtherLoads(const std::vector<LoadShare>& aLoads) {
+  mOtherLoads.clear();
+  for (const LoadShare& load : aLoads) {
+    mOtherLoads[load.mInstance] = load;
+  }
+}
+
+void RelayContext::Succeeded(const std::string& aInstance) {
+  const auto it = mExperience.find(aInstance);
+  if (it != mExperience.end()) {
+    it->second.mFailures *= 1 - kOutcomeWeight;
+  }
+}
+
+void RelayContext::Failed(const std::string& aInstance, Millis aAvoidFor) {
+  UpstreamExperience& experience = mExperience[aInstance];
+  const Millis now = SteadyNow();
+  experience.mFailures =
+      FailuresOf(aInstance) * (1 - kOutcomeWeight) + kOutcomeWeight;
+  experience.mFailedAt = now;
+  experience.mAvoidUntil = std::max(experience.mAvoidUntil, now + aAvoidFor);
+}
+
+double RelayContext::FailuresOf(const std::string& aInstance) const {
+  const auto it = mExperience.find(aInstance);
+  if (it == mExperience.end() || it->second.mFailedAt < 0) {
+    return 0;
+  }
+  const auto age = static_cast<double>(SteadyNow() - it->second.mFailedAt);
+  return it->second.mFailures * std::exp2(-age / kFailureHalfLife);
+}
+
+std::set<std::string> RelayContext::Avoided() const {
+  std::set<std::string> avoided;
+  const Millis now = SteadyNow();
+  for (const auto& [instance, experience] : mExperience) {
+    if (now < experience.mAvoidUntil) {
+      avoided.insert(instance);
+    }
+  }
+  return avoided;
+}
+
+RetryAllowance& RelayContext::RetriesOf(const std::string& aService) {
+  return mRetries.try_emplace(aService, mOptions.mRetries).first->second;
+}
+
+double RelayContext::Random() {
+  return std::uniform_real_distribution<double>(0, 1)(mRandom);
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/relay/relay_context.h
@@ -0,0 +1,77 @@
+/// What the parts of a relaying router share.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "spindleweir/core/counters.h"
+#include "spindleweir/daemons/relay_router.h"
+#include "spindleweir/daemons/sync_messages.h"
+#include "spindleweir/drivers/rpc_channel.h"
+#include "spindleweir/servers/membership/control_directory.h"
+#include "spindleweir/servers/membership/upstream_registry.h"
+#include "spindleweir/servers/routes/configuration_lease.h"
+#include "spindleweir/servers/routes/route_table.h"
+#include "spindleweir/servers/routing/layer_path.h"
+#include "spindleweir/servers/routing/retry_allowance.h"
+
+namespace spindleweir {
+
+/// What this router saw of an upstream, beside its own work there.
+struct UpstreamExperience {
+  double mFailures = 0;  ///< Moving share of attempts that failed, 0 to 1.
+  Millis mFailedAt = -1;
+  Millis mAvoidUntil = -1;
+};
+
+/// The state of one router. Single-threaded.
+class RelayContext {
+ public:
+  RelayContext(EventLoop& aLoop, RelayOptions aOptions);
+
+  /// The configuration in force; nullptr: none yet.
+  const std::shared_ptr<const RouteTable>& Table() const { return mTable; }
+  /// Takes a configuration where it is newer.
+  void Accept(TrafficConfiguration aConfiguration);
+  bool LeaseHolds() const { return mLease.Holds(SteadyNow()); }
+
+  /// Notes work that begins or ends at an upstream.
+  void AddLoad(const std::string& aInstance, int aRequests,
+               double aTokenLayers, int aFirsts);
+  /// All work known at an upstream: own and of other routers.
+  EngineLoad LoadOf(const std::string& aInstance) const;
+  std::vector<LoadShare> OwnLoads() const;
+  void SetOtherLoads(const std::vector<LoadShare>& aLoads);
+
+  void Succeeded(const std::string& aInstance);
+  void Failed(const std::string& aInstance, Millis aAvoidFor);
+  double FailuresOf(const std::string& aInstance) const;
+  /// Instances that are not to be used at present.
+  std::set<std::string> Avoided() const;
+
+  RetryAllowance& RetriesOf(const std::string& aService);
+  double Random();
+
+  EventLoop& mLoop;
+  RelayOptions mOptions;
+  HttpClient mClient;
+  RpcChannel mRpc;
+  Counters mCounters;
+  ConfigurationLease mLease;
+  ControlDirectory mDirectory;
+  UpstreamRegistry mRegistry;
+  int mRouters = 1;  ///< That share limits, as far as is known.
+  bool mStopping = false;
+
+ private:
+  std::shared_ptr<const RouteTable> mTable;
+  std::map<std::string, LoadShare> mOwnLoads;
+  std::map<std::string, LoadShare> mOtherLoads;
+  std::map<std::string, UpstreamExperience> mExperience;
+  std::map<std::string, RetryAllowance> mRetries;
+  std::mt19937_64 mRandom;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/relay/relay_request.h
@@ -0,0 +1,107 @@
+/// One caller's request on its way: route, key, attempts at upstreams, the
+/// relay of the answer.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "daemons/relay/relay_context.h"
+#include "spindleweir/drivers/stream_client.h"
+#include "spindleweir/drivers/stream_server.h"
+#include "spindleweir/servers/routing/service_choice.h"
+#include "spindleweir/servers/streams/event_reader.h"
+
+namespace spindleweir {
+
+/// Lives until its answer has ended or its caller is gone.
+class RelayRequest : public std::enable_shared_from_this<RelayRequest> {
+ public:
+  /// aOnEnd is called once, when nothing more will happen.
+  RelayRequest(RelayContext& aContext, std::shared_ptr<StreamExchange> aExchange,
+               std::function<void()> aOnEnd);
+  ~RelayRequest();
+  RelayRequest(const RelayRequest&) = delete;
+  RelayRequest& operator=(const RelayRequest&) = delete;
+
+  void Begin();
+
+ private:
+  /// One upstream, or one path of engines, that the request is sent to.
+  struct Attempt {
+    std::string mInstance;
+    LayerPath mPath;
+    double mTokens = 0;  ///< Memory promised for each layer.
+    Millis mStartedAt = 0;
+    Millis mHeardAt = 0;
+    bool mHeadCame = false;
+    AnswerHead mHead;
+    AnswerFacts mFacts;
+    EventReader mEvents;
+    std::string mBody;  ///< Of an answer that is not a stream.
+    std::unique_ptr<StreamCall> mCall;
+  };
+
+  /// A whole answer of an upstream that is used where no better one comes.
+  struct KeptAnswer {
+    AnswerHead mHead;
+    std::string mBody;
+  };
+
+  void Admit();
+  void PickService();
+  void StartAttempt();
+  bool ChooseEnginePath(Attempt& aAttempt);
+  bool ChoosePlainUpstream(Attempt& aAttempt);
+  void Send(const UpstreamRecord& aFirst);
+  bool MaySend() const;
+  void HandleHead(const AnswerHead& aHead);
+  void HandleData(std::string_view aBytes);
+  void HandleEnd(StreamEnd aEnd);
+  void HandleEvents(std::string_view aBytes);
+  void HandleWholeAnswer();
+  void CheckSilence();
+  void HandleTimeout();
+  void HandleCallerGone();
+
+  /// The attempt is over; aRan says what is known. Tries again or gives up.
+  void AttemptFailed(Ran aRan, ResultCode aCode, bool aWasSent);
+  bool MayTryAgain(Ran aRan, bool aWasSent) const;
+  void DropAttempt();
+  void GiveUp(ResultCode aCode);
+  void Refuse(ResultCode aCode, Millis aRetryAfter);
+  void Forward(const AnswerHead& aHead, std::string_view aBody);
+  void End(const char* aOutcome, int aStatus);
+  void CountLoad(int aSign);
+  Millis Remaining() const;
+
+  RelayContext& mContext;
+  std::shared_ptr<StreamExchange> mExchange;
+  std::function<void()> mOnEnd;
+  RequestFacts mFacts;
+  std::shared_ptr<const RouteTable> mTable;
+  const TrafficRoute* mRoute = nullptr;
+  const TrafficService* mService = nullptr;
+  std::string mWorkspace;
+  bool mNeedsLease = false;
+  Millis mDeadline = 0;  ///< Steady.
+  std::unique_ptr<Attempt> mAttempt;
+  std::optional<KeptAnswer> mKept;
+  std::set<std::string> mTried;
+  int mSent = 0;        ///< Attempts that left this process.
+  int mNotSent = 0;     ///< Attempts that did not.
+  bool mMayHaveRun = false;
+  bool mLacksRoom = false;
+  std::optional<std::int64_t> mLastEvent;  ///< Given to the caller.
+  Millis mFirstEventAt = 0;
+  Millis mLastEventAt = 0;
+  Millis mLongestPause = 0;
+  int mEvents = 0;
+  bool mEnded = false;
+  std::unique_ptr<Timer> mTimeout;
+  std::unique_ptr<Timer> mSilenceTimer;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/relay/relay_router.cpp
@@ -0,0 +1,190 @@
+#include "spindleweir/daemons/relay_router.h"
+
+#include <unordered_set>
+
+#include "daemons/relay/relay_request.h"
+#include "daemons/relay/sync_link.h"
+#include "spindleweir/core/log.h"
+
+namespace spindleweir {
+
+namespace {
+
+/// While a zone has no whole path, callers are better sent elsewhere; but not
+/// for ever, since then all zones may have none.
+constexpr Millis kWaitForPaths = 12000;
+constexpr Millis kStopPeriod = 100;
+/// After a stop signal callers that are still sent here are served.
+constexpr Millis kServeAfterStop = 2500;
+constexpr Millis kStopMargin = 700;
+
+}  // namespace
+
+/// The parts of a relaying router, in the order in which they are made.
+struct RelayRouter::Parts {
+  Parts(EventLoop& aLoop, RelayOptions aOptions)
+      : mContext(aLoop, std::move(aOptions)),
+        mLink(mContext),
+        mStartedAt(SteadyNow()),
+        mServer(aLoop,
+                {.mListen = mContext.mOptions.mListen,
+                 .mHandle =
+                     [this](const std::shared_ptr<StreamExchange>& aExchange) {
+                       Handle(aExchange);
+                     },
+                 .mRefuse =
+                     [this](StreamExchange& aExchange, ResultCode aCode) {
+                       Refuse(aExchange, aCode);
+                     }}) {}
+
+  void Handle(const std::shared_ptr<StreamExchange>& aExchange) {
+    ApplyLimits();
+    // Each request ends itself; the set only keeps it until then.
+    std::shared_ptr<RelayRequest> request;
+    const auto key = std::make_shared<RelayRequest*>(nullptr);
+    request = std::make_shared<RelayRequest>(mContext, aExchange, [this, key] {
+      const auto it = mRequests.find(*key);
+      if (it != mRequests.end()) {
+        mContext.mLoop.Post([gone = std::move(it->second)] {});
+        mRequests.erase(it);
+      }
+    });
+    *key = request.get();
+    mRequests[*key] = request;
+    request->Begin();
+  }
+
+  void Refuse(StreamExchange& aExchange, ResultCode aCode) {
+    mContext.mCounters.Add("unreadable_requests");
+    LogLine(LogLevel::kInfo, "unreadable_request")
+        .Add("code", static_cast<int>(aCode));
+    aExchange.Reply(InfoOf(aCode).mHttpStatus,
+                    mContext.mOptions.mCallers.mWriteRefusal("", -1),
+                    std::string(InfoOf(aCode).mName));
+  }
+
+  void ApplyLimits() {
+    if (mContext.Table() == nullptr ||
+        mContext.Table()->Version() == mLimitsOf) {
+      return;
+    }
+    mLimitsOf = mContext.Table()->Version();
+    const TrafficLimits& limits = mContext.Table()->Configuration().mLimits;
+    StreamServerLimits applied;
+    if (limits.mHeaderBytes > 0) {
+      applied.mMaximumHeaderBytes =
+          static_cast<std::size_t>(limits.mHeaderBytes);
+    }
+    if (limits.mBodyBytes > 0) {
+      applied.mMaximumBodyBytes = static_cast<std::size_t>(limits.mBodyBytes);
+    }
+    if (limits.mHeaderTimeout > 0) {
+      applied.mHeaderTimeout = limits.mHeaderTimeout;
+    }
+    if (limits.mIdleTimeout > 0) {
+      applied.mIdleTimeout = limits.mIdleTimeout;
+    }
+    mServer.SetLimits(applied);
+  }
+
+  /// Whether each engine service has a whole path.
+  bool HasPaths() const {
+    for (const TrafficService& service :
+         mContext.Table()->Configuration().mServices) {
+      if (!service.IsEngine()) {
+        continue;
+      }
+      std::vector<const UpstreamRecord*> engines =
+          mContext.mRegistry.OfService(service.mName);
+      std::erase_if(engines, [](const UpstreamRecord* aRecord) {
+        return aRecord->mState != UpstreamState::kReady;
+      });
+      int reached = 0;
+      bool further = true;
+      while (further && reached < service.mEngine.mLayers) {
+        further = false;
+        for (const UpstreamRecord* record : engines) {
+          if (record->mLayers.mFrom <= reached &&
+              record->mLayers.mTo > reached) {
+            reached = record->mLayers.mTo;
+            further = true;
+          }
+        }
+      }
+      if (reached < service.mEngine.mLayers) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  RelayContext mContext;
+  SyncLink mLink;
+  Millis mStartedAt;
+  std::int64_t mLimitsOf = 0;
+  std::unordered_map<RelayRequest*, std::shared_ptr<RelayRequest>> mRequests;
+  StreamServer mServer;
+  Millis mStoppedAt = 0;
+  std::unique_ptr<Timer> mStopTimer;
+};
+
+RelayRouter::RelayRouter(EventLoop& aLoop, RelayOptions aOptions)
+    : mParts(std::make_unique<Parts>(aLoop, std::move(aOptions))) {
+  LogLine(LogLevel::kInfo, "started")
+      .Add("id", mParts->mContext.mOptions.mId)
+      .Add("zone", mParts->mContext.mOptions.mZone)
+      .Add("listen", Address().Text());
+}
+
+RelayRouter::~RelayRouter() = default;
+
+const Endpoint& RelayRouter::Address() const {
+  return mParts->mServer.Address();
+}
+
+bool RelayRouter::Ready() const {
+  const RelayContext& context = mParts->mContext;
+  if (context.mStopping || context.Table() == nullptr) {
+    return false;
+  }
+  if (context.Table()->NeedsKeys() && !context.LeaseHolds()) {
+    return false;
+  }
+  return mParts->HasPaths() ||
+         SteadyNow() - mParts->mStartedAt > kWaitForPaths;
+}
+
+void RelayRouter::SetSeeds(std::vector<Endpoint> aSeeds) {
+  mParts->mContext.mDirectory.SetSeeds(std::move(aSeeds));
+}
+
+Counters& RelayRouter::OwnCounters() {
+  return mParts->mContext.mCounters;
+}
+
+void RelayRouter::Stop() {
+  RelayContext& context = mParts->mContext;
+  if (context.mStopping) {
+    return;
+  }
+  context.mStopping = true;
+  mParts->mStoppedAt = SteadyNow();
+  mParts->mServer.SetClosing();
+  LogLine(LogLevel::kInfo, "stopping")
+      .Add("open_requests", static_cast<int>(mParts->mRequests.size()));
+  mParts->mStopTimer = context.mLoop.Every(kStopPeriod, [this, &context] {
+    const Millis since = SteadyNow() - mParts->mStoppedAt;
+    if (since < kServeAfterStop) {
+      return;
+    }
+    mParts->mServer.CloseIdle();
+    const bool over = since > context.mOptions.mStopGrace - kStopMargin;
+    if (mParts->mRequests.empty() || over) {
+      LogLine(LogLevel::kInfo, "stopped")
+          .Add("open_requests", static_cast<int>(mParts->mRequests.size()));
+      context.mLoop.Stop();
+    }
+  });
+}
+
+}  // namespace spindleweir
--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -112,4 +112,10 @@
   return timer;
 }
 
+std::unique_ptr<Timer> EventLoop::OnReloadSignal(std::function<void()> aCall) {
+  auto timer = std::make_unique<EventTimer>(std::move(aCall));
+  timer->Add(mBase, SIGHUP, EV_SIGNAL | EV_PERSIST, nullptr);
+  return timer;
+}
+
 }  // namespace spindleweir
--- /dev/null
+++ b/drivers/http_message.cpp
@@ -0,0 +1,252 @@
+#include "spindleweir/drivers/http_message.h"
+
+#include <http_parser.h>
+#include <strings.h>
+
+#include <algorithm>
+
+namespace spindleweir {
+
+bool SameHeaderName(std::string_view aLeft, std::string_view aRight) {
+  return aLeft.size() == aRight.size() &&
+         strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
+}
+
+const std::string* FindHeader(const HttpHeaders& aHeaders,
+                              std::string_view aName) {
+  for (const HttpHeader& header : aHeaders) {
+    if (SameHeaderName(header.mName, aName)) {
+      return &header.mValue;
+    }
+  }
+  return nullptr;
+}
+
+std::size_t CountHeader(const HttpHeaders& aHeaders, std::string_view aName) {
+  return static_cast<std::size_t>(std::count_if(
+      aHeaders.begin(), aHeaders.end(), [aName](const HttpHeader& aHeader) {
+        return SameHeaderName(aHeader.mName, aName);
+      }));
+}
+
+namespace {
+
+/// Whether a Connection header names this header.
+bool ListsName(std::string_view aList, std::string_view aName) {
+  while (!aList.empty()) {
+    const std::size_t n = std::min(aList.find(','), aList.size());
+    std::string_view item = aList.substr(0, n);
+    while (!item.empty() && item.front() == ' ') {
+      item.remove_prefix(1);
+    }
+    while (!item.empty() && item.back() == ' ') {
+      item.remove_suffix(1);
+    }
+    if (SameHeaderName(item, aName)) {
+      return true;
+    }
+    aList.remove_prefix(std::min(n + 1, aList.size()));
+  }
+  return false;
+}
+
+}  // namespace
+
+bool IsConnectionHeader(const HttpHeaders& aHeaders, std::string_view aName) {
+  constexpr std::string_view kNames[] = {
+      "Connection",        "Keep-Alive", "Proxy-Connection", "TE",
+      "Transfer-Encoding", "Trailer",    "Upgrade",          "Content-Length"};
+  for (std::string_view name : kNames) {
+    if (SameHeaderName(name, aName)) {
+      return true;
+    }
+  }
+  for (const HttpHeader& header : aHeaders) {
+    if (SameHeaderName(header.mName, "Connection") &&
+        ListsName(header.mValue, aName)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+struct HttpMessageReader::Impl {
+  explicit Impl(MessageSide aSide) {
+    http_parser_init(&mParser, aSide == MessageSide::kRequests ? HTTP_REQUEST
+                                                               : HTTP_RESPONSE);
+    mParser.data = this;
+  }
+
+  static Impl& Of(http_parser* aParser) {
+    return *static_cast<Impl*>(aParser->data);
+  }
+
+  static int HandleUrl(http_parser* aParser, const char* aAt, std::size_t aN) {
+    Of(aParser).mRequest.mTarget.append(aAt, aN);
+    return 0;
+  }
+
+  static int HandleField(http_parser* aParser, const char* aAt,
+                         std::size_t aN) {
+    Impl& self = Of(aParser);
+    if (self.mInBody) {
+      return 0;  // A trailer: not passed on.
+    }
+    if (!self.mInField) {
+      self.mHeaders.emplace_back();
+      self.mInField = true;
+    }
+    self.mHeaders.back().mName.append(aAt, aN);
+    return 0;
+  }
+
+  static int HandleValue(http_parser* aParser, const char* aAt,
+                         std::size_t aN) {
+    Impl& self = Of(aParser);
+    if (!self.mInBody) {
+      self.mInField = false;
+      self.mHeaders.back().mValue.append(aAt, aN);
+    }
+    return 0;
+  }
+
+  static int HandleHead(http_parser* aParser) {
+    Impl& self = Of(aParser);
+    self.mInBody = true;
+    // A request to change the protocol is served in this one.
+    aParser->upgrade = 0;
+    self.mRequest.mMethod =
+        http_method_str(static_cast<http_method>(aParser->method));
+    self.mRequest.mKeepAlive = http_should_keep_alive(aParser) != 0;
+    self.mRequest.mMinor = aParser->http_minor;
+    self.mAnswer.mStatus = static_cast<int>(aParser->status_code);
+    self.mAnswer.mUntilClose =
+        http_message_needs_eof(aParser) != 0 && !self.mNoBody;
+    (self.mIsRequest ? self.mRequest.mHeaders : self.mAnswer.mHeaders) =
+        std::move(self.mHeaders);
+    self.mState = ReadState::kBody;
+    return self.mNoBody ? 1 : 0;
+  }
+
+  static int HandleBody(http_parser* aParser, const char* aAt,
+                        std::size_t aN) {
+    Of(aParser).mBody.append(aAt, aN);
+    return 0;
+  }
+
+  static int HandleComplete(http_parser* aParser) {
+    Impl& self = Of(aParser);
+    const bool interim = !self.mIsRequest && self.mAnswer.mStatus >= 100 &&
+                         self.mAnswer.mStatus < 200;
+    if (interim) {
+      self.mInBody = false;
+      self.mState = ReadState::kHead;
+      self.mAnswer = {};
+      return 0;
+    }
+    self.mState = ReadState::kComplete;
+    http_parser_pause(aParser, 1);
+    return 0;
+  }
+
+  static int http_message_needs_eof(const http_parser* aParser) {
+    if (aParser->type == HTTP_REQUEST) {
+      return 0;
+    }
+    const unsigned status = aParser->status_code;
+    if (status / 100 == 1 || status == 204 || status == 304) {
+      return 0;
+    }
+    const bool framed = (aParser->flags & F_CHUNKED) != 0 ||
+                        (aParser->flags & F_CONTENTLENGTH) != 0;
+    return framed ? 0 : 1;
+  }
+
+  static const http_parser_settings& Settings() {
+    static const http_parser_settings kSettings = [] {
+      http_parser_settings settings;
+      http_parser_settings_init(&settings);
+      settings.on_url = &Impl::HandleUrl;
+      settings.on_header_field = &Impl::HandleField;
+      settings.on_header_value = &Impl::HandleValue;
+      settings.on_headers_complete = &Impl::HandleHead;
+      settings.on_body = &Impl::HandleBody;
+      settings.on_message_complete = &Impl::HandleComplete;
+      return settings;
+    }();
+    return kSettings;
+  }
+
+  http_parser mParser{};
+  bool mIsRequest = false;
+  bool mInField = false;
+  bool mInBody = false;
+  bool mNoBody = false;
+  ReadState mState = ReadState::kHead;
+  std::size_t mHeadBytes = 0;
+  HttpHeaders mHeaders;
+  RequestHead mRequest;
+  AnswerHead mAnswer;
+  std::string mBody;
+};
+
+HttpMessageReader::HttpMessageReader(MessageSide aSide)
+    : mImpl(std::make_unique<Impl>(aSide)) {
+  mImpl->mIsRequest = aSide == MessageSide::kRequests;
+}
+
+HttpMessageReader::~HttpMessageReader() = default;
+
+std::size_t HttpMessageReader::Read(std::string_view aBytes) {
+  Impl& impl = *mImpl;
+  if (impl.mState == ReadState::kComplete || impl.mState == ReadState::kBad ||
+      aBytes.empty()) {
+    return 0;
+  }
+  const bool inHead = impl.mState == ReadState::kHead;
+  const std::size_t n = http_parser_execute(&impl.mParser, &Impl::Settings(),
+                                      aBytes.data(), aBytes.size());
+  const http_errno error = HTTP_PARSER_ERRNO(&impl.mParser);
+  if (error != HPE_OK && error != HPE_PAUSED) {
+    impl.mState = ReadState::kBad;
+  }
+  if (inHead) {
+    impl.mHeadBytes += n;
+  }
+  return n;
+}
+
+void HttpMessageReader::ReadEnd() {
+  Impl& impl = *mImpl;
+  if (impl.mState == ReadState::kBody && impl.mAnswer.mUntilClose) {
+    impl.mState = ReadState::kComplete;
+  }
+}
+
+ReadState HttpMessageReader::State() const {
+  return mImpl->mState;
+}
+
+std::size_t HttpMessageReader::HeadBytes() const {
+  return mImpl->mHeadBytes;
+}
+
+RequestHead& HttpMessageReader::Request() {
+  return mImpl->mRequest;
+}
+
+AnswerHead& HttpMessageReader::Answer() {
+  return mImpl->mAnswer;
+}
+
+std::string HttpMessageReader::TakeBody() {
+  std::string body = std::move(mImpl->mBody);
+  mImpl->mBody.clear();
+  return body;
+}
+
+void HttpMessageReader::ExpectNoBody() {
+  mImpl->mNoBody = true;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/drivers/socket_options.cpp
@@ -0,0 +1,32 @@
+#include "drivers/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace spindleweir {
+
+namespace {
+
+constexpr int kMillisPerSecond = 1000;
+
+void SetInt(int aFd, int aLevel, int aName, int aValue) {
+  // Best effort: a platform without an option works without it.
+  (void)setsockopt(aFd, aLevel, aName, &aValue, sizeof(aValue));
+}
+
+}  // namespace
+
+void SetSocketOptions(int aFd, int aUserTimeout) {
+  SetInt(aFd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetInt(aFd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetInt(aFd, IPPROTO_TCP, TCP_KEEPIDLE,
+         std::max(1, aUserTimeout / 2 / kMillisPerSecond));
+  SetInt(aFd, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  SetInt(aFd, IPPROTO_TCP, TCP_KEEPCNT, 2);
+  SetInt(aFd, IPPROTO_TCP, TCP_USER_TIMEOUT, aUserTimeout);
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/drivers/stream_client.cpp
@@ -0,0 +1,224 @@
+#include "spindleweir/drivers/stream_client.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+
+#include "drivers/socket_options.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr int kUserTimeout = 4000;
+
+/// What callbacks reach a call by; null once it ended or was destroyed.
+class BufferCall : public StreamCall {
+ public:
+  BufferCall(EventLoop& aLoop, StreamCallOptions aOptions)
+      : mLoop(aLoop),
+        mOptions(std::move(aOptions)),
+        mReader(MessageSide::kAnswers),
+        mAlive(std::make_shared<bool>(true)) {
+    if (mOptions.mMethod == "HEAD") {
+      mReader.ExpectNoBody();
+    }
+  }
+
+  ~BufferCall() override { BufferCall::Abandon(); }
+  BufferCall(const BufferCall&) = delete;
+  BufferCall& operator=(const BufferCall&) = delete;
+
+  void Begin() {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port =
+        htons(static_cast<std::uint16_t>(mOptions.mServer.mPort));
+    if (inet_pton(AF_INET, mOptions.mServer.mHost.c_str(),
+                  &address.sin_addr) != 1) {
+      EndLater(StreamEnd::kNotSent);
+      return;
+    }
+    mBuffer = bufferevent_socket_new(
+        mLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(mBuffer, &BufferCall::HandleRead, nullptr,
+                      &BufferCall::HandleEvent, this);
+    if (bufferevent_socket_connect(mBuffer,
+                                   reinterpret_cast<sockaddr*>(&address),
+                                   sizeof(address)) != 0) {
+      EndLater(StreamEnd::kNotSent);
+      return;
+    }
+    mConnectTimer = mLoop.After(mOptions.mConnectTimeout,
+                                [this] { Finish(StreamEnd::kNotSent); });
+    if (mOptions.mTimeout > 0) {
+      mTimer = mLoop.After(mOptions.mTimeout, [this] {
+        Finish(mSent ? StreamEnd::kLost : StreamEnd::kNotSent);
+      });
+    }
+  }
+
+  void Pause(bool aPaused) override {
+    if (mBuffer == nullptr || aPaused == mPaused) {
+      return;
+    }
+    mPaused = aPaused;
+    if (aPaused) {
+      bufferevent_disable(mBuffer, EV_READ);
+    } else {
+      bufferevent_enable(mBuffer, EV_READ);
+    }
+  }
+
+  bool Sent() const override { return mSent; }
+
+  void Abandon() override {
+    *mAlive = false;
+    Drop();
+  }
+
+ private:
+  static void HandleEvent(bufferevent*, short aWhat, void* aSelf) {
+    auto* self = static_cast<BufferCall*>(aSelf);
+    if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
+      self->SendRequest();
+      return;
+    }
+    const std::shared_ptr<bool> alive = self->mAlive;
+    // What came before the end still counts.
+    self->ReadAll();
+    if (!*alive || self->mBuffer == nullptr) {
+      return;
+    }
+    if (!self->mSent) {
+      self->Finish(StreamEnd::kNotSent);
+      return;
+    }
+    if ((aWhat & BEV_EVENT_EOF) != 0) {
+      self->mReader.ReadEnd();
+    }
+    const bool whole = self->mReader.State() == ReadState::kComplete;
+    self->Finish(whole ? StreamEnd::kComplete : StreamEnd::kLost);
+  }
+
+  static void HandleRead(bufferevent*, void* aSelf) {
+    static_cast<BufferCall*>(aSelf)->ReadAll();
+  }
+
+  void SendRequest() {
+    mConnectTimer.reset();
+    SetSocketOptions(bufferevent_getfd(mBuffer), kUserTimeout);
+    if (mOptions.mMaySend && !mOptions.mMaySend()) {
+      Finish(StreamEnd::kNotSent);
+      return;
+    }
+    std::string head = mOptions.mMethod + " " + mOptions.mTarget +
+                       " HTTP/1.1\r\n";
+    for (const HttpHeader& header : mOptions.mHeaders) {
+      head += header.mName + ": " + header.mValue + "\r\n";
+    }
+    const bool hasBody = !mOptions.mBody.empty() || mOptions.mMethod == "POST" ||
+                         mOptions.mMethod == "PUT" ||
+                         mOptions.mMethod == "PATCH";
+    if (hasBody) {
+      head += "Content-Length: " + std::to_string(mOptions.mBody.size()) +
+              "\r\n";
+    }
+    head += "Connection: close\r\n\r\n";
+    mSent = true;
+    bufferevent_write(mBuffer, head.data(), head.size());
+    bufferevent_write(mBuffer, mOptions.mBody.data(), mOptions.mBody.size());
+    bufferevent_enable(mBuffer, EV_READ | EV_WRITE);
+  }
+
+  void ReadAll() {
+    const std::shared_ptr<bool> alive = mAlive;
+    evbuffer* buf = bufferevent_get_input(mBuffer);
+    while (*alive && mBuffer != nullptr && evbuffer_get_length(buf) > 0) {
+      const std::size_t n = evbuffer_get_contiguous_space(buf);
+      const std::string bytes(
+          reinterpret_cast<const char*>(
+              evbuffer_pullup(buf, static_cast<ev_ssize_t>(n))),
+          n);
+      evbuffer_drain(buf, n);
+      Take(bytes, alive);
+    }
+  }
+
+  void Take(std::string_view aBytes, const std::shared_ptr<bool>& aAlive) {
+    mReader.Read(aBytes);
+    const ReadState state = mReader.State();
+    const bool hasHead = state == ReadState::kBody ||
+                         state == ReadState::kComplete;
+    if (hasHead && !mHeadTold) {
+      mHeadTold = true;
+      if (mOptions.mOnHead) {
+        const std::function<void(const AnswerHead&)> call = mOptions.mOnHead;
+        call(mReader.Answer());
+      }
+    }
+    if (!*aAlive || mBuffer == nullptr) {
+      return;
+    }
+    const std::string body = mReader.TakeBody();
+    if (mHeadTold && !body.empty() && mOptions.mOnData) {
+      const std::function<void(std::string_view)> call = mOptions.mOnData;
+      call(body);
+    }
+    if (!*aAlive || mBuffer == nullptr) {
+      return;
+    }
+    if (state == ReadState::kBad) {
+      Finish(StreamEnd::kGarbled);
+    } else if (state == ReadState::kComplete) {
+      Finish(StreamEnd::kComplete);
+    }
+  }
+
+  void EndLater(StreamEnd aEnd) {
+    mTimer = mLoop.After(0, [this, aEnd] { Finish(aEnd); });
+  }
+
+  void Drop() {
+    mTimer.reset();
+    mConnectTimer.reset();
+    if (mBuffer != nullptr) {
+      bufferevent_free(mBuffer);
+      mBuffer = nullptr;
+    }
+  }
+
+  void Finish(StreamEnd aEnd) {
+    Drop();
+    // The receiver may destroy this call.
+    const std::function<void(StreamEnd)> call = std::move(mOptions.mOnEnd);
+    mOptions.mOnEnd = nullptr;
+    if (call) {
+      call(aEnd);
+    }
+  }
+
+  EventLoop& mLoop;
+  StreamCallOptions mOptions;
+  HttpMessageReader mReader;
+  std::shared_ptr<bool> mAlive;
+  bufferevent* mBuffer = nullptr;
+  std::unique_ptr<Timer> mConnectTimer;
+  std::unique_ptr<Timer> mTimer;
+  bool mSent = false;
+  bool mHeadTold = false;
+  bool mPaused = false;
+};
+
+}  // namespace
+
+std::unique_ptr<StreamCall> StartStreamCall(EventLoop& aLoop,
+                                            StreamCallOptions aOptions) {
+  auto call = std::make_unique<BufferCall>(aLoop, std::move(aOptions));
+  call->Begin();
+  return call;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/drivers/stream_connection.h
@@ -0,0 +1,54 @@
+/// One caller's connection at a StreamServer.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "spindleweir/drivers/stream_server.h"
+
+struct bufferevent;
+
+namespace spindleweir {
+
+/// Reads one request at a time; the next waits until the answer has ended.
+class StreamConnection : public std::enable_shared_from_this<StreamConnection> {
+ public:
+  StreamConnection(StreamServer& aServer, int aFd);
+  ~StreamConnection();
+  StreamConnection(const StreamConnection&) = delete;
+  StreamConnection& operator=(const StreamConnection&) = delete;
+
+  void Send(std::string_view aBytes);
+  /// The answer has ended; reads the next request, or closes.
+  void FinishExchange(bool aKeep);
+  /// Closes with a reset, so that nothing looks complete.
+  void Reset();
+  bool Idle() const;
+  void Close();
+  std::size_t PendingBytes() const;
+  bool ServerClosing() const { return mServer.mClosing; }
+
+ private:
+  static void HandleRead(bufferevent*, void* aSelf);
+  static void HandleWrite(bufferevent*, void* aSelf);
+  static void HandleEvent(bufferevent*, short aWhat, void* aSelf);
+  void ReadOn();
+  void Take(std::string_view aBytes);
+  void Dispatch();
+  void Refuse(ResultCode aCode);
+  void ArmTimer();
+  void Expire();
+  void Gone();
+
+  StreamServer& mServer;
+  bufferevent* mBuffer;
+  std::unique_ptr<HttpMessageReader> mReader;
+  std::string mBody;
+  std::shared_ptr<StreamExchange> mExchange;
+  std::unique_ptr<Timer> mTimer;
+  bool mBegun = false;       ///< A byte of the request being read has come.
+  bool mCloseAfter = false;  ///< Close once all is written.
+  bool mReading = false;
+};
+
+}  // namespace spindleweir
--- a/include/spindleweir/daemons/control_daemon.h
+++ b/include/spindleweir/daemons/control_daemon.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "spindleweir/core/settings.h"
+#include "spindleweir/daemons/traffic_protocols.h"
 #include "spindleweir/drivers/event_loop.h"
 
 namespace spindleweir {
@@ -28,6 +29,13 @@
   Millis mElectionTimeout = 500;
   Millis mPlanLifetime = 600000;
   std::size_t mReceipts = 100000;  ///< Kept on this VM.
+
+  /// For a control that finds the others by seeds instead of a list.
+  std::vector<Endpoint> mSeeds;  ///< RPC addresses of some controls.
+  bool mFirstStart = false;      ///< Of the whole deployment.
+  Millis mHeartbeatInterval = 1200;  ///< Of upstreams.
+  DocumentProtocol mDocuments;
+  EngineProtocol mEngines;
 };
 
 /// One control process in an event loop.
--- /dev/null
+++ b/include/spindleweir/daemons/joined_control.h
@@ -0,0 +1,54 @@
+/// A control process that finds the others by seeds and accepts
+/// configurations by their version: replicated log, registry of upstreams,
+/// placement. What operators and upstreams say reaches it as typed calls.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "spindleweir/core/counters.h"
+#include "spindleweir/daemons/control_daemon.h"
+#include "spindleweir/drivers/event_loop.h"
+#include "spindleweir/servers/membership/upstream_registry.h"
+
+namespace spindleweir {
+
+/// What an operator's call came to.
+struct OperatorAnswer {
+  ResultCode mCode = ResultCode::kOk;
+  std::string mMessage;
+  std::string mDocument;  ///< For a read.
+  std::string mLeader;    ///< For kNotLeader: "IP:PORT" for operators.
+};
+
+using OperatorDone = std::function<void(const OperatorAnswer&)>;
+
+/// One control process in an event loop.
+class JoinedControl {
+ public:
+  /// Throws kBadSetting, kCannotListen, kDataCorrupt, kDataUnwritable.
+  JoinedControl(EventLoop& aLoop, ControlOptions aOptions);
+  ~JoinedControl();
+  JoinedControl(const JoinedControl&) = delete;
+  JoinedControl& operator=(const JoinedControl&) = delete;
+
+  /// Accepts a configuration by its version; aDone is called once.
+  void Publish(const std::string& aDocument, const OperatorDone& aDone);
+  /// Gives the newest document; kNoQuorum where it may not be the newest.
+  void Read(const OperatorDone& aDone);
+  /// Takes a heartbeat; aDone is called once it may be acknowledged.
+  void Beat(const UpstreamRecord& aRecord, const std::function<void()>& aDone);
+  void Leave(const std::string& aInstance, const std::function<void()>& aDone);
+
+  /// Takes new seeds.
+  void SetSeeds(std::vector<Endpoint> aSeeds);
+  Counters& OwnCounters();
+  void Stop();
+
+ private:
+  struct Parts;
+  std::unique_ptr<Parts> mParts;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/daemons/relay_router.h
@@ -0,0 +1,55 @@
+/// A router that finds control by seeds and passes requests on by the routes
+/// of a configuration that was accepted by its version.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "spindleweir/core/counters.h"
+#include "spindleweir/core/settings.h"
+#include "spindleweir/daemons/traffic_protocols.h"
+#include "spindleweir/drivers/event_loop.h"
+#include "spindleweir/servers/routing/retry_allowance.h"
+
+namespace spindleweir {
+
+/// Settings of such a router.
+struct RelayOptions {
+  std::string mId;
+  std::string mZone;
+  Endpoint mListen;  ///< For callers.
+  std::vector<Endpoint> mSeeds;  ///< RPC addresses of some controls.
+  std::string mClusterKey;
+  /// A configuration that control did not confirm for so long is not acted on.
+  Millis mLeaseLength = 4000;
+  /// After a stop signal all must have ended within this time.
+  Millis mStopGrace = 8000;
+  RetryAllowanceOptions mRetries;
+  CallerProtocol mCallers;
+  EngineProtocol mEngines;
+};
+
+/// One router in an event loop.
+class RelayRouter {
+ public:
+  RelayRouter(EventLoop& aLoop, RelayOptions aOptions);
+  ~RelayRouter();
+  RelayRouter(const RelayRouter&) = delete;
+  RelayRouter& operator=(const RelayRouter&) = delete;
+
+  const Endpoint& Address() const;
+  /// Whether the balancer should send callers here.
+  bool Ready() const;
+  /// Takes new seeds.
+  void SetSeeds(std::vector<Endpoint> aSeeds);
+  Counters& OwnCounters();
+  /// A planned stop: what is in flight ends, then the loop stops.
+  void Stop();
+
+ private:
+  struct Parts;
+  std::unique_ptr<Parts> mParts;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -0,0 +1,95 @@
+/// What processes that joined by seeds ask and tell control a few times a
+/// second: who is there, what upstreams do, which configuration is in force.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "spindleweir/servers/membership/control_directory.h"
+#include "spindleweir/servers/membership/upstream_registry.h"
+#include "spindleweir/servers/routes/traffic_configuration.h"
+
+namespace spindleweir {
+
+namespace rpc_method {
+inline constexpr const char* kSync = "control.sync";
+}  // namespace rpc_method
+
+/// The work that a router has at one upstream.
+struct LoadShare {
+  std::string mInstance;
+  int mRequests = 0;
+  double mTokenLayers = 0;  ///< Memory promised to them.
+  int mFirsts = 0;          ///< Requests that have it as the first.
+  double mSlowness = 1;     ///< Times that it takes longer than it should.
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("instance", mInstance);
+    aCodec.Field("requests", mRequests);
+    aCodec.Field("token_layers", mTokenLayers);
+    aCodec.Field("firsts", mFirsts);
+    aCodec.Field("slowness", mSlowness);
+  }
+};
+
+/// A router or control process asks a control process.
+struct SyncQuestion {
+  std::string mProcess;    ///< Name of who asks; new at each start.
+  std::string mZone;
+  ControlInfo mControl;    ///< Of a control that asks; else without id.
+  std::string mKnows;      ///< The life of the answerer that mRevision is of.
+  std::int64_t mRevision = 0;       ///< Of its registry, known so far.
+  std::int64_t mConfiguration = 0;  ///< The version held.
+  bool mWantsConfiguration = false;
+  bool mTellsLoads = false;  ///< mLoads replaces what was told before.
+  std::vector<LoadShare> mLoads;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("process", mProcess);
+    aCodec.Field("zone", mZone);
+    aCodec.Field("control", mControl);
+    aCodec.Field("knows", mKnows);
+    aCodec.Field("revision", mRevision);
+    aCodec.Field("configuration", mConfiguration);
+    aCodec.Field("wants_configuration", mWantsConfiguration);
+    aCodec.Field("tells_loads", mTellsLoads);
+    aCodec.Field("loads", mLoads);
+  }
+};
+
+/// The answer.
+struct SyncAnswer {
+  ControlInfo mSelf;
+  std::string mLife;  ///< New at each start of the answerer.
+  std::vector<ControlInfo> mControls;
+  std::string mLeader;      ///< Id of the leader it follows; empty: none.
+  std::int64_t mTerm = 0;
+  std::int64_t mRevision = 0;
+  std::vector<UpstreamRecord> mUpstreams;  ///< Those that changed.
+  std::int64_t mConfiguration = 0;         ///< The version held.
+  Millis mConfirmedAgo = -1;  ///< It was the newest so long ago; -1: unknown.
+  std::vector<TrafficConfiguration> mNews;  ///< One, where it was wanted.
+  int mRouters = 1;                         ///< That asked lately.
+  std::vector<LoadShare> mLoads;            ///< Of all other routers.
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("self", mSelf);
+    aCodec.Required("life", mLife);
+    aCodec.Field("controls", mControls);
+    aCodec.Field("leader", mLeader);
+    aCodec.Field("term", mTerm);
+    aCodec.Field("revision", mRevision);
+    aCodec.Field("upstreams", mUpstreams);
+    aCodec.Field("configuration", mConfiguration);
+    aCodec.Field("confirmed_ago_ms", mConfirmedAgo);
+    aCodec.Field("news", mNews);
+    aCodec.Field("routers", mRouters);
+    aCodec.Field("loads", mLoads);
+  }
+};
+
+}  // namespace spindleweir
--- a/include/spindleweir/drivers/event_loop.h
+++ b/include/spindleweir/drivers/event_loop.h
@@ -40,6 +40,8 @@
   void Post(std::function<void()> aCall);
   /// Calls aCall at SIGTERM and at SIGINT.
   std::unique_ptr<Timer> OnStopSignal(std::function<void()> aCall);
+  /// Calls aCall at SIGHUP.
+  std::unique_ptr<Timer> OnReloadSignal(std::function<void()> aCall);
 
  private:
   static void RunPosted(int aFd, short aWhat, void* aSelf);
--- a/include/spindleweir/servers/configuration/configuration_machine.h
+++ b/include/spindleweir/servers/configuration/configuration_machine.h
@@ -14,7 +14,7 @@
 
 namespace spindleweir {
 
-enum class CommandKind { kPlan, kConfirm, kDrain };
+enum class CommandKind { kPlan, kConfirm, kDrain, kPublish };
 
 /// One command of the log. All that differs between voters (time, ids,
 /// placement) was put in by the leader, so that each voter comes to the same.
@@ -27,6 +27,8 @@
   std::string mPlanId;  ///< For kConfirm.
   std::string mVm;      ///< For kDrain.
   bool mDrain = true;   ///< For kDrain: false takes the VM back.
+  std::int64_t mTrafficVersion = 0;  ///< For kPublish.
+  std::string mDocument;             ///< For kPublish: as it was sent.
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -42,6 +44,24 @@
     aCodec.Field("plan_id", mPlanId);
     aCodec.Field("vm", mVm);
     aCodec.Field("drain", mDrain);
+    if (mKind == CommandKind::kPublish) {
+      aCodec.Required("traffic_version", mTrafficVersion);
+      aCodec.Required("document", mDocument);
+    }
+  }
+};
+
+/// A configuration that was accepted by its version, as it was sent.
+struct PublishedDocument {
+  std::int64_t mVersion = 0;  ///< 0: none yet.
+  std::string mDigest;
+  std::string mDocument;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("version", mVersion);
+    aCodec.Required("digest", mDigest);
+    aCodec.Required("document", mDocument);
   }
 };
 
@@ -74,6 +94,8 @@
 
   const Configuration& Current() const { return mHistory.Current(); }
   const ConfigurationHistory& History() const { return mHistory; }
+  /// The newest document that was accepted by its version.
+  const PublishedDocument& Published() const { return mPublished; }
   const Plan* FindPlan(const std::string& aId) const;
   /// The answer a command got, or nullptr.
   const CommandResult* FindResult(const std::string& aCommandId) const;
@@ -86,11 +108,16 @@
   sigc::signal<void, const Configuration&>& SignalAccepted() {
     return mSignalAccepted;
   }
+  /// Sent after each newly accepted document.
+  sigc::signal<void, const PublishedDocument&>& SignalPublished() {
+    return mSignalPublished;
+  }
 
  private:
   CommandResult ApplyPlan(const Command& aCommand);
   CommandResult ApplyConfirm(const Command& aCommand);
   CommandResult ApplyDrain(const Command& aCommand);
+  CommandResult ApplyPublish(const Command& aCommand);
   void Accept(Configuration aNext);
   void Remember(const CommandResult& aResult);
   void DropExpiredPlans(Millis aWall);
@@ -99,7 +126,9 @@
   std::map<std::string, Plan> mPlans;
   std::deque<CommandResult> mResults;  ///< Oldest first, bounded.
   std::map<std::string, CommandResult> mResultsById;
+  PublishedDocument mPublished;
   sigc::signal<void, const Configuration&> mSignalAccepted;
+  sigc::signal<void, const PublishedDocument&> mSignalPublished;
 };
 
 }  // namespace spindleweir
--- a/include/spindleweir/servers/consensus/raft_node.h
+++ b/include/spindleweir/servers/consensus/raft_node.h
@@ -2,6 +2,7 @@
 /// pre-vote and leadership checks). No sockets, files or clocks of its own.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <random>
@@ -27,6 +28,8 @@
   Millis mHeartbeat = 100;
   std::size_t mEntriesPerMessage = 64;
   std::size_t mEntriesPerSnapshot = 512;
+  /// Payload bytes after which a snapshot is made in any case.
+  std::size_t mBytesPerSnapshot = 16 * 1024 * 1024;
   std::uint64_t mSeed = 1;
   RaftStorage* mStorage = nullptr;
   std::function<void(const RaftMessage&)> mSend;
@@ -55,6 +58,10 @@
   /// leads and all that was committed before is applied; else aDone(false).
   void ConfirmRead(std::function<void(bool)> aDone);
 
+  /// On a leader: a time at which a majority still followed it, so that
+  /// nothing was committed elsewhere before; -1: not known.
+  Millis ConfirmedAt() const;
+
   RaftRole Role() const { return mRole; }
   bool Failed() const { return mFailed; }
   /// Whether this voter leads and may promise: its own term has a commit.
@@ -73,6 +80,11 @@
     std::int64_t mRound = 0;
     Millis mHeardAt = 0;
   };
+  /// When a round was sent.
+  struct RoundTime {
+    std::int64_t mRound;
+    Millis mAt;
+  };
   struct PendingRead {
     std::int64_t mRound;
     std::int64_t mIndex;
@@ -124,6 +136,8 @@
   std::int64_t mCommit = 0;
   std::int64_t mApplied = 0;
   std::int64_t mRound = 0;
+  std::deque<RoundTime> mRoundTimes;  ///< Of this leadership, oldest first.
+  std::size_t mBytesApplied = 0;      ///< Payloads since the snapshot.
   std::set<std::string> mVotes;
   std::map<std::string, Progress> mProgress;
   std::vector<PendingRead> mReads;
--- /dev/null
+++ b/include/spindleweir/servers/routes/traffic_configuration.h
@@ -0,0 +1,211 @@
+/// The configuration that is accepted by its version, beside intents and
+/// plans: routes, services, workspaces with their keys, and limits.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "spindleweir/core/clock.h"
+
+namespace spindleweir {
+
+/// Whether and how a request of a route may be repeated.
+enum class RouteKind {
+  kSafe,    ///< May run more than once.
+  kUnsafe,  ///< Runs at most once.
+  kStream,  ///< Answered by a stream of events.
+};
+
+/// A service that takes a part of a route's requests.
+struct RouteTarget {
+  std::string mService;
+  double mWeight = 1;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("service", mService);
+    aCodec.Required("weight", mWeight);
+  }
+};
+
+/// Which requests go where, and how.
+struct TrafficRoute {
+  std::string mName;
+  std::string mHost;
+  std::string mPrefix;  ///< Begins and ends with a slash.
+  RouteKind mKind = RouteKind::kUnsafe;
+  Millis mTimeout = 0;  ///< The longest that a request is held.
+  Millis mTarget = 0;   ///< To an answer, or to a stream's first event.
+  Millis mPause = 0;    ///< Between events of a stream; 0: any.
+  int mPriority = 0;    ///< 0 is the most urgent.
+  int mAttempts = 1;    ///< Upstreams that one request may be sent to.
+  bool mOpen = false;   ///< Needs no key.
+  bool mResumable = false;
+  std::vector<RouteTarget> mTargets;
+
+  /// Whether a request may run more than once.
+  bool Repeatable() const {
+    return mKind == RouteKind::kSafe ||
+           (mKind == RouteKind::kStream && mResumable);
+  }
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    int kind = static_cast<int>(mKind);
+    aCodec.Required("name", mName);
+    aCodec.Required("host", mHost);
+    aCodec.Required("prefix", mPrefix);
+    aCodec.Required("kind", kind);
+    mKind = static_cast<RouteKind>(kind);
+    aCodec.Field("timeout_ms", mTimeout);
+    aCodec.Field("target_ms", mTarget);
+    aCodec.Field("pause_ms", mPause);
+    aCodec.Field("priority", mPriority);
+    aCodec.Field("attempts", mAttempts);
+    aCodec.Field("open", mOpen);
+    aCodec.Field("resumable", mResumable);
+    aCodec.Field("targets", mTargets);
+  }
+};
+
+/// A kind of accelerator.
+struct AcceleratorKind {
+  std::string mName;
+  double mMemoryMb = 0;
+  double mStepFactor = 1;  ///< On steps and context.
+  double mReadFactor = 1;  ///< On reading prompts.
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("name", mName);
+    aCodec.Required("memory_mb", mMemoryMb);
+    aCodec.Field("step_factor", mStepFactor);
+    aCodec.Field("read_factor", mReadFactor);
+  }
+};
+
+/// How the engines of a service work; mLayers 0: a plain service.
+struct EngineProfile {
+  int mLayers = 0;
+  double mLayerMb = 0;
+  int mSlots = 0;              ///< Requests at once at the first of a chain.
+  double mTokenBytes = 0;      ///< Memory of a token over all layers.
+  double mActivationBytes = 0; ///< Handed on for each token.
+  double mLinkMbps = 0;        ///< Within a zone.
+  double mPipeMbps = 0;        ///< Between zones, shared.
+  int mStride = 1;             ///< Steps in a pass with writers.
+  double mStepMillis = 0;
+  double mRequestMillis = 0;   ///< For each writing request and step.
+  double mContextMillis = 0;   ///< For 1,000 tokens of context and step.
+  double mReadPerSecond = 0;   ///< Prompt tokens.
+  double mPairMillis = 0;      ///< For a million pairs of tokens.
+  int mChunk = 512;            ///< Prompt tokens read in a step at most.
+  double mLoadSeconds = 0;     ///< All layers, from the weights store.
+  int mLoadsAtOnce = 1;
+  double mUsualPrompt = 0;     ///< Tokens.
+  double mUsualAnswer = 0;     ///< Tokens.
+  double mZoneDelay = 0;       ///< Milliseconds between zones, one way.
+  std::vector<AcceleratorKind> mKinds;
+
+  const AcceleratorKind* FindKind(const std::string& aName) const;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Field("layers", mLayers);
+    aCodec.Field("layer_mb", mLayerMb);
+    aCodec.Field("slots", mSlots);
+    aCodec.Field("token_bytes", mTokenBytes);
+    aCodec.Field("activation_bytes", mActivationBytes);
+    aCodec.Field("link_mbps", mLinkMbps);
+    aCodec.Field("pipe_mbps", mPipeMbps);
+    aCodec.Field("stride", mStride);
+    aCodec.Field("step_ms", mStepMillis);
+    aCodec.Field("request_ms", mRequestMillis);
+    aCodec.Field("context_ms", mContextMillis);
+    aCodec.Field("read_per_s", mReadPerSecond);
+    aCodec.Field("pair_ms", mPairMillis);
+    aCodec.Field("chunk", mChunk);
+    aCodec.Field("load_s", mLoadSeconds);
+    aCodec.Field("loads_at_once", mLoadsAtOnce);
+    aCodec.Field("usual_prompt", mUsualPrompt);
+    aCodec.Field("usual_answer", mUsualAnswer);
+    aCodec.Field("zone_delay_ms", mZoneDelay);
+    aCodec.Field("kinds", mKinds);
+  }
+};
+
+/// A service: a set of upstreams that do the same.
+struct TrafficService {
+  std::string mName;
+  std::string mHealthPath;
+  int mMaximumConnections = 0;
+  EngineProfile mEngine;
+
+  bool IsEngine() const { return mEngine.mLayers > 0; }
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("name", mName);
+    aCodec.Field("health_path", mHealthPath);
+    aCodec.Field("connections", mMaximumConnections);
+    aCodec.Field("engine", mEngine);
+  }
+};
+
+/// A workspace and the keys its callers show.
+struct TrafficWorkspace {
+  std::string mName;
+  std::vector<std::string> mKeys;
+  int mPriority = -1;  ///< Goes before that of the route; -1: none.
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("name", mName);
+    aCodec.Field("keys", mKeys);
+    aCodec.Field("priority", mPriority);
+  }
+};
+
+/// What callers may send and how long they may take; 0: as the program has it.
+struct TrafficLimits {
+  std::int64_t mHeaderBytes = 0;
+  std::int64_t mBodyBytes = 0;
+  Millis mHeaderTimeout = 0;
+  Millis mIdleTimeout = 0;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Field("header_bytes", mHeaderBytes);
+    aCodec.Field("body_bytes", mBodyBytes);
+    aCodec.Field("header_timeout_ms", mHeaderTimeout);
+    aCodec.Field("idle_timeout_ms", mIdleTimeout);
+  }
+};
+
+/// One accepted version.
+struct TrafficConfiguration {
+  std::int64_t mVersion = 0;  ///< 0: none was accepted yet.
+  std::vector<TrafficRoute> mRoutes;
+  std::vector<TrafficService> mServices;
+  std::vector<TrafficWorkspace> mWorkspaces;
+  TrafficLimits mLimits;
+
+  const TrafficService* FindService(const std::string& aName) const;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("version", mVersion);
+    aCodec.Field("routes", mRoutes);
+    aCodec.Field("services", mServices);
+    aCodec.Field("workspaces", mWorkspaces);
+    aCodec.Field("limits", mLimits);
+  }
+};
+
+/// Throws kBadConfiguration naming what cannot be used: a route to an unknown
+/// service, two routes with one host and prefix, weights that add up to 0, a
+/// time-out of 0, a key that two workspaces share.
+void CheckTraffic(const TrafficConfiguration& aConfiguration);
+
+}  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/servers/routing/layer_path.h
@@ -0,0 +1,59 @@
+/// Chooses the engines that a request passes: a cheapest path over the
+/// layers, within what each engine has room for.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "spindleweir/servers/engines/engine_model.h"
+#include "spindleweir/servers/membership/upstream_registry.h"
+
+namespace spindleweir {
+
+/// One part of a path.
+struct PathPart {
+  std::string mInstance;
+  std::string mAddress;
+  LayerRange mLayers;
+
+  bool operator==(const PathPart&) const = default;
+};
+
+using LayerPath = std::vector<PathPart>;
+
+/// What is known of the work at one engine.
+struct EngineLoad {
+  double mRequests = 0;
+  double mTokenLayers = 0;  ///< Memory promised to them.
+  double mFirsts = 0;       ///< Requests that have it as the first.
+  double mSlowness = 1;     ///< Times that it takes longer than it should.
+};
+
+/// What a path is chosen by.
+struct PathQuestion {
+  const EngineProfile* mProfile = nullptr;
+  std::string mZone;          ///< Where the router is.
+  double mTokens = 0;         ///< Prompt and expected answer.
+  double mReadTokens = 0;     ///< To be read at first.
+  double mAnswerTokens = 0;   ///< Expected.
+  std::vector<const UpstreamRecord*> mEngines;
+  std::function<EngineLoad(const std::string&)> mLoadOf;
+  /// Engines that are not to be used, by instance.
+  std::set<std::string> mAvoid;
+  /// The share of an engine's room that may be promised.
+  double mFill = 0.95;
+};
+
+/// A path with what it is expected to take.
+struct PathAnswer {
+  LayerPath mPath;           ///< Empty: there is none.
+  double mCost = 0;          ///< Milliseconds in all, by the model.
+  bool mLacksRoom = false;   ///< There would be one but for room.
+};
+
+PathAnswer ChoosePath(const PathQuestion& aQuestion);
+
+}  // namespace spindleweir
--- a/main/control_main.cpp
+++ b/main/control_main.cpp
@@ -3,6 +3,7 @@
 
 #include <iostream>
 
+#include "platform/programs.h"
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/core/settings.h"
@@ -25,6 +26,9 @@
 DEFINE_int32(election_ms, 500, "least time without a leader before a vote");
 DEFINE_int32(plan_lifetime_ms, 600000, "how long a plan can be confirmed");
 DEFINE_int32(receipts, 100000, "receipts kept on this VM");
+DEFINE_string(boot, "",
+              "settings file of the users' platform; then all settings but "
+              "--cluster_key and --log_level come from it");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace spindleweir {
@@ -63,6 +67,13 @@
     throw Error(ResultCode::kUnknownSetting,
                 aArguments.front() + " is not a setting");
   }
+  if (!FLAGS_boot.empty()) {
+    RequireSetting(FLAGS_cluster_key, "--cluster_key");
+    return platform::RunControl({.mBoot = FLAGS_boot,
+                                .mClusterKey = FLAGS_cluster_key,
+                                .mLogLevel = FLAGS_log_level,
+                                .mCheckOnly = FLAGS_check});
+  }
   ControlOptions options = ReadOptions();
   StartLog(FLAGS_log_level, FLAGS_id);
   if (FLAGS_check) {
--- a/main/router_main.cpp
+++ b/main/router_main.cpp
@@ -3,6 +3,7 @@
 
 #include <iostream>
 
+#include "platform/programs.h"
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/core/settings.h"
@@ -23,6 +24,9 @@
 DEFINE_int32(silence_ms, 700, "silence of a chain before it is probed");
 DEFINE_int32(stop_unready_ms, 2000, "serves on so long after SIGTERM");
 DEFINE_int32(stop_grace_ms, 60000, "for requests in flight after SIGTERM");
+DEFINE_string(boot, "",
+              "settings file of the users' platform; then all settings but "
+              "--cluster_key and --log_level come from it");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace spindleweir {
@@ -61,6 +65,13 @@
     throw Error(ResultCode::kUnknownSetting,
                 aArguments.front() + " is not a setting");
   }
+  if (!FLAGS_boot.empty()) {
+    RequireSetting(FLAGS_cluster_key, "--cluster_key");
+    return platform::RunRouter({.mBoot = FLAGS_boot,
+                                .mClusterKey = FLAGS_cluster_key,
+                                .mLogLevel = FLAGS_log_level,
+                                .mCheckOnly = FLAGS_check});
+  }
   RouterOptions options = ReadOptions();
   StartLog(FLAGS_log_level, FLAGS_id);
   if (FLAGS_check) {
--- a/servers/configuration/configuration_machine.cpp
+++ b/servers/configuration/configuration_machine.cpp
@@ -18,9 +18,11 @@
   Configuration mCurrent;
   std::vector<Plan> mPlans;
   std::vector<CommandResult> mResults;
+  PublishedDocument mPublished;
 
   template <class Codec>
   void Fields(Codec& aCodec) {
+    aCodec.Field("published", mPublished);
     aCodec.Required("current", mCurrent);
     aCodec.Required("plans", mPlans);
     aCodec.Required("results", mResults);
@@ -59,6 +61,9 @@
     case CommandKind::kDrain:
       result = ApplyDrain(aCommand);
       break;
+    case CommandKind::kPublish:
+      result = ApplyPublish(aCommand);
+      break;
   }
   result.mId = aCommand.mId;
   result.mDigest = aCommand.mDigest;
@@ -118,6 +123,26 @@
   return {};
 }
 
+CommandResult ConfigurationMachine::ApplyPublish(const Command& aCommand) {
+  if (aCommand.mTrafficVersion < mPublished.mVersion) {
+    // Overtaken: acknowledged, and nothing changes.
+    return {};
+  }
+  if (aCommand.mTrafficVersion == mPublished.mVersion) {
+    return aCommand.mDigest == mPublished.mDigest
+               ? CommandResult{}
+               : Refusal(ResultCode::kVersionTaken,
+                         "version " +
+                             std::to_string(aCommand.mTrafficVersion) +
+                             " has another content");
+  }
+  mPublished = {.mVersion = aCommand.mTrafficVersion,
+                .mDigest = aCommand.mDigest,
+                .mDocument = aCommand.mDocument};
+  mSignalPublished.emit(mPublished);
+  return {};
+}
+
 void ConfigurationMachine::Accept(Configuration aNext) {
   Sort(aNext);
   mHistory.Take({.mChanges = {ChangeBetween(Current(), aNext)}});
@@ -157,6 +182,7 @@
     state.mPlans.push_back(plan);
   }
   state.mResults.assign(mResults.begin(), mResults.end());
+  state.mPublished = mPublished;
   return DumpJson(ToJson(state));
 }
 
@@ -176,6 +202,10 @@
                  .mWhole = state.mCurrent,
                  .mWholeDigest = Sha256Hex(DumpJson(ToJson(state.mCurrent)))});
   mSignalAccepted.emit(Current());
+  mPublished = state.mPublished;
+  if (mPublished.mVersion > 0) {
+    mSignalPublished.emit(mPublished);
+  }
 }
 
 }  // namespace spindleweir
--- a/servers/consensus/raft_node.cpp
+++ b/servers/consensus/raft_node.cpp
@@ -205,6 +205,7 @@
   mRole = RaftRole::kLeader;
   mLeader = mOptions.mId;
   mProgress.clear();
+  mRoundTimes.clear();
   for (const std::string& id : mVoters) {
     mProgress[id] = {.mNext = LastIndex() + 1, .mHeardAt = mNow};
   }
@@ -264,13 +265,33 @@
   return index;
 }
 
+Millis RaftNode::ConfirmedAt() const {
+  if (!Leads()) {
+    return -1;
+  }
+  if (IsMajority(IsVoter(mOptions.mId) ? 1 : 0)) {
+    return mNow;
+  }
+  for (auto it = mRoundTimes.rbegin(); it != mRoundTimes.rend(); ++it) {
+    std::size_t echoed = IsVoter(mOptions.mId) ? 1 : 0;
+    for (const auto& [id, progress] : mProgress) {
+      const bool has = progress.mRound >= it->mRound;
+      echoed += (id != mOptions.mId && IsVoter(id) && has) ? 1 : 0;
+    }
+    if (IsMajority(echoed)) {
+      return it->mAt;
+    }
+  }
+  return -1;
+}
+
 void RaftNode::ConfirmRead(std::function<void(bool)> aDone) {
   if (!Leads()) {
     aDone(false);
     return;
   }
-  mRound++;
-  mReads.push_back({mRound, mCommit, std::move(aDone)});
+  // The broadcast begins the round that must be answered.
+  mReads.push_back({mRound + 1, mCommit, std::move(aDone)});
   BroadcastAppend();
   FinishReads();
 }
--- a/servers/consensus/raft_replication.cpp
+++ b/servers/consensus/raft_replication.cpp
@@ -5,6 +5,12 @@
 
 namespace spindleweir {
 
+namespace {
+
+constexpr std::size_t kRoundsKept = 128;
+
+}  // namespace
+
 void RaftNode::HandleAppend(const RaftMessage& aMessage) {
   if (aMessage.mTerm < mHardState.mTerm) {
     Reply(aMessage, RaftKind::kAppendReply, false, LastIndex());
@@ -119,6 +125,13 @@
 
 void RaftNode::BroadcastAppend() {
   mHeartbeatAt = mNow + mOptions.mHeartbeat;
+  // Each broadcast is a round of its own: who answers it followed this
+  // leader at a time that is known.
+  mRound++;
+  mRoundTimes.push_back({mRound, mNow});
+  if (mRoundTimes.size() > kRoundsKept) {
+    mRoundTimes.pop_front();
+  }
   for (const std::string& id : mVoters) {
     if (id != mOptions.mId) {
       SendAppend(id);
@@ -174,6 +187,7 @@
   while (mApplied < mCommit) {
     mApplied++;
     const LogEntry entry = EntryAt(mApplied);
+    mBytesApplied += entry.mPayload.size();
     if (!entry.mPayload.empty()) {
       mOptions.mApply(entry);
     }
@@ -183,9 +197,11 @@
 
 void RaftNode::MaybeSnapshot() {
   const auto applied = static_cast<std::size_t>(mApplied - mSnapshot.mIndex);
-  if (applied < mOptions.mEntriesPerSnapshot) {
+  if (applied < mOptions.mEntriesPerSnapshot &&
+      mBytesApplied < mOptions.mBytesPerSnapshot) {
     return;
   }
+  mBytesApplied = 0;
   Snapshot snapshot{.mIndex = mApplied, .mTerm = TermAt(mApplied)};
   snapshot.mVoters = mSnapshot.mVoters;
   for (std::int64_t i = mSnapshot.mIndex + 1; i <= mApplied; i++) {
--- /dev/null
+++ b/servers/engines/engine_model.cpp
@@ -0,0 +1,67 @@
+#include "spindleweir/servers/engines/engine_model.h"
+
+#include <algorithm>
+
+namespace spindleweir {
+
+namespace {
+
+constexpr double kBytesPerMb = 1e6;
+constexpr double kMillisPerSecond = 1000;
+constexpr double kTokensPerContext = 1000;
+constexpr double kPairsPerUnit = 1e6;
+constexpr double kBitsPerByte = 8;
+constexpr double kBitsPerMbit = 1e6;
+/// Between two engines of a zone, one way.
+constexpr double kSameZoneMillis = 0.2;
+
+}  // namespace
+
+int EngineModel::MostLayers() const {
+  return mProfile.mLayerMb <= 0
+             ? mProfile.mLayers
+             : std::min(mProfile.mLayers, static_cast<int>(mKind.mMemoryMb /
+                                                           mProfile.mLayerMb));
+}
+
+double EngineModel::Room(int aLayers) const {
+  const double bytes =
+      (mKind.mMemoryMb - aLayers * mProfile.mLayerMb) * kBytesPerMb;
+  const double each = mProfile.mTokenBytes / std::max(1, mProfile.mLayers);
+  return each <= 0 ? 0 : std::max(0.0, bytes / each);
+}
+
+double EngineModel::Share(int aLayers) const {
+  return static_cast<double>(aLayers) / std::max(1, mProfile.mLayers);
+}
+
+double EngineModel::StepMillis(int aLayers, const StageLoad& aLoad) const {
+  const double whole =
+      mProfile.mStepMillis + aLoad.mWriters * mProfile.mRequestMillis +
+      aLoad.mContextTokens / kTokensPerContext * mProfile.mContextMillis;
+  return Share(aLayers) * mKind.mStepFactor * whole;
+}
+
+double EngineModel::ReadMillis(int aLayers, double aTokens) const {
+  const double plain =
+      mProfile.mReadPerSecond <= 0
+          ? 0
+          : aTokens / mProfile.mReadPerSecond * kMillisPerSecond;
+  const double pairs =
+      aTokens * aTokens / 2 / kPairsPerUnit * mProfile.mPairMillis;
+  return Share(aLayers) * mKind.mReadFactor * (plain + pairs);
+}
+
+double EngineModel::LoadMillis(int aLayers) const {
+  return Share(aLayers) * mProfile.mLoadSeconds * kMillisPerSecond;
+}
+
+double HopMillis(const EngineProfile& aProfile, bool aOtherZone) {
+  const double mbps = aOtherZone ? aProfile.mPipeMbps : aProfile.mLinkMbps;
+  const double delay = aOtherZone ? aProfile.mZoneDelay : kSameZoneMillis;
+  const double bits = aProfile.mActivationBytes * kBitsPerByte;
+  return delay + (mbps <= 0 ? 0 : bits / (mbps * kBitsPerMbit) *
+                                      kMillisPerSecond);
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/servers/membership/control_directory.cpp
@@ -0,0 +1,91 @@
+#include "spindleweir/servers/membership/control_directory.h"
+
+#include <algorithm>
+
+#include "spindleweir/core/error.h"
+
+namespace spindleweir {
+
+namespace {
+
+/// One not heard of for so long is not asked any more.
+constexpr Millis kForgotten = 60000;
+
+}  // namespace
+
+std::string ControlId(const Endpoint& aAddress, const std::string& aDisk) {
+  return aAddress.Text() + "#" + aDisk;
+}
+
+Endpoint AddressOfControl(const std::string& aId) {
+  const std::size_t n = aId.find('#');
+  if (n == std::string::npos) {
+    throw Error(ResultCode::kBadField, "no id of a control: " + aId);
+  }
+  return ParseEndpoint(aId.substr(0, n), "id of a control");
+}
+
+void ControlDirectory::SetSeeds(std::vector<Endpoint> aSeeds) {
+  mSeeds = std::move(aSeeds);
+}
+
+void ControlDirectory::Heard(const ControlInfo& aInfo, Millis aNow) {
+  if (aInfo.mId.empty()) {
+    return;
+  }
+  Item& item = mItems[aInfo.mId];
+  const Millis at = aNow - aInfo.mHeardAgo;
+  if (item.mInfo.mId.empty() || at >= item.mHeardAt) {
+    item.mInfo = aInfo;
+    item.mInfo.mHeardAgo = 0;
+  }
+  item.mHeardAt = std::max(item.mHeardAt, at);
+}
+
+std::vector<Endpoint> ControlDirectory::Addresses(Millis aNow) const {
+  std::vector<Endpoint> addresses = mSeeds;
+  for (const auto& [id, item] : mItems) {
+    const Endpoint address = AddressOfControl(id);
+    const bool known = std::find(addresses.begin(), addresses.end(),
+                                 address) != addresses.end();
+    if (!known && aNow - item.mHeardAt < kForgotten) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses;
+}
+
+std::vector<ControlInfo> ControlDirectory::Lately(Millis aWithin,
+                                                  Millis aNow) const {
+  std::vector<ControlInfo> controls;
+  for (const auto& [id, item] : mItems) {
+    if (aNow - item.mHeardAt <= aWithin) {
+      controls.push_back(item.mInfo);
+      controls.back().mHeardAgo = aNow - item.mHeardAt;
+    }
+  }
+  return controls;
+}
+
+const ControlInfo* ControlDirectory::Find(const std::string& aId) const {
+  const auto it = mItems.find(aId);
+  return it == mItems.end() ? nullptr : &it->second.mInfo;
+}
+
+Millis ControlDirectory::Silence(const std::string& aId, Millis aNow) const {
+  const auto it = mItems.find(aId);
+  return it == mItems.end() ? -1 : aNow - it->second.mHeardAt;
+}
+
+bool ControlDirectory::Replaced(const std::string& aId) const {
+  const auto own = mItems.find(aId);
+  const Endpoint address = AddressOfControl(aId);
+  return std::any_of(mItems.begin(), mItems.end(), [&](const auto& aItem) {
+    const bool newer = own == mItems.end() ||
+                       aItem.second.mHeardAt > own->second.mHeardAt;
+    return aItem.first != aId && newer &&
+           AddressOfControl(aItem.first) == address;
+  });
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/servers/membership/upstream_registry.cpp
@@ -0,0 +1,145 @@
+#include "spindleweir/servers/membership/upstream_registry.h"
+
+#include <algorithm>
+
+namespace spindleweir {
+
+namespace {
+
+/// An incarnation that ended is remembered for this long, so that a late
+/// heartbeat does not bring it back.
+constexpr Millis kEndedKept = 60000;
+
+/// What matters to routers.
+bool SameForRouters(const UpstreamRecord& aLeft, const UpstreamRecord& aRight) {
+  return aLeft.mState == aRight.mState && aLeft.mLayers == aRight.mLayers &&
+         aLeft.mBusy == aRight.mBusy && aLeft.mAddress == aRight.mAddress &&
+         aLeft.mService == aRight.mService && aLeft.mSlots == aRight.mSlots;
+}
+
+bool Ends(UpstreamState aState) {
+  return aState == UpstreamState::kLeaving || aState == UpstreamState::kGone;
+}
+
+}  // namespace
+
+bool UpstreamRegistry::Beat(const UpstreamRecord& aRecord, Millis aNow) {
+  return Take(aRecord, aNow);
+}
+
+bool UpstreamRegistry::Merge(const UpstreamRecord& aRecord, Millis aNow) {
+  return Take(aRecord, aNow - aRecord.mHeardAgo);
+}
+
+bool UpstreamRegistry::Take(const UpstreamRecord& aRecord, Millis aHeardAt) {
+  const auto [it, fresh] = mItems.try_emplace(aRecord.mInstance);
+  Item& item = it->second;
+  if (fresh) {
+    item.mRecord = aRecord;
+    item.mHeardAt = aHeardAt;
+    item.mChangedAt = ++mRevision;
+    item.mTouchedAt = mRevision;
+    EndPredecessors(aRecord);
+    return true;
+  }
+  const UpstreamRecord before = item.mRecord;
+  if (aRecord.mSequence > before.mSequence) {
+    item.mRecord = aRecord;
+    if (Ends(before.mState) && aRecord.mState < before.mState) {
+      // Whoever leaves does not come back under the same name.
+      item.mRecord.mState = before.mState;
+    }
+  } else if (aRecord.mState > before.mState) {
+    item.mRecord.mState = aRecord.mState;
+  }
+  item.mHeardAt = std::max(item.mHeardAt, aHeardAt);
+  if (aRecord.mSequence > before.mSequence) {
+    item.mTouchedAt = ++mRevision;
+  }
+  const bool changed = !SameForRouters(before, item.mRecord);
+  if (changed) {
+    item.mChangedAt = ++mRevision;
+    item.mTouchedAt = mRevision;
+  }
+  return changed;
+}
+
+void UpstreamRegistry::EndPredecessors(const UpstreamRecord& aRecord) {
+  // An address has one process at a time: who had it before has ended.
+  for (auto& [instance, item] : mItems) {
+    const bool same = instance != aRecord.mInstance &&
+                      item.mRecord.mAddress == aRecord.mAddress &&
+                      item.mRecord.mState != UpstreamState::kGone;
+    if (same && item.mHeardAt <= mItems[aRecord.mInstance].mHeardAt) {
+      item.mRecord.mState = UpstreamState::kGone;
+      item.mChangedAt = ++mRevision;
+      item.mTouchedAt = mRevision;
+    }
+  }
+}
+
+bool UpstreamRegistry::Leave(const std::string& aInstance, Millis aNow) {
+  const auto [it, fresh] = mItems.try_emplace(aInstance);
+  Item& item = it->second;
+  item.mRecord.mInstance = aInstance;
+  item.mHeardAt = aNow;
+  if (item.mRecord.mState == UpstreamState::kGone) {
+    return false;
+  }
+  item.mRecord.mState = UpstreamState::kGone;
+  item.mChangedAt = ++mRevision;
+  item.mTouchedAt = mRevision;
+  return true;
+}
+
+bool UpstreamRegistry::Expire(Millis aSilence, Millis aNow) {
+  bool changed = false;
+  for (auto it = mItems.begin(); it != mItems.end();) {
+    Item& item = it->second;
+    const Millis silent = aNow - item.mHeardAt;
+    if (silent > kEndedKept) {
+      it = mItems.erase(it);
+      continue;
+    }
+    if (item.mRecord.mState == UpstreamState::kReady && silent > aSilence) {
+      item.mRecord.mState = UpstreamState::kSilent;
+      item.mChangedAt = ++mRevision;
+      item.mTouchedAt = mRevision;
+      changed = true;
+    }
+    ++it;
+  }
+  return changed;
+}
+
+std::vector<UpstreamRecord> UpstreamRegistry::ChangedSince(
+    std::int64_t aRevision, bool aHeartbeats, Millis aNow) const {
+  std::vector<UpstreamRecord> records;
+  for (const auto& [instance, item] : mItems) {
+    const std::int64_t at = aHeartbeats ? item.mTouchedAt : item.mChangedAt;
+    if (at > aRevision) {
+      records.push_back(item.mRecord);
+      records.back().mHeardAgo = aNow - item.mHeardAt;
+    }
+  }
+  return records;
+}
+
+const UpstreamRecord* UpstreamRegistry::Find(
+    const std::string& aInstance) const {
+  const auto it = mItems.find(aInstance);
+  return it == mItems.end() ? nullptr : &it->second.mRecord;
+}
+
+std::vector<const UpstreamRecord*> UpstreamRegistry::OfService(
+    const std::string& aService) const {
+  std::vector<const UpstreamRecord*> records;
+  for (const auto& [instance, item] : mItems) {
+    if (aService.empty() || item.mRecord.mService == aService) {
+      records.push_back(&item.mRecord);
+    }
+  }
+  return records;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/servers/routes/route_table.cpp
@@ -0,0 +1,69 @@
+#include "spindleweir/servers/routes/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace spindleweir {
+
+namespace {
+
+/// A host as routes are looked up by: without port, in lower case.
+std::string PlainHost(std::string_view aHost) {
+  const std::size_t colon = aHost.rfind(':');
+  std::string host(aHost.substr(0, colon));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return host;
+}
+
+}  // namespace
+
+RouteTable::RouteTable(TrafficConfiguration aConfiguration)
+    : mConfiguration(std::move(aConfiguration)) {
+  for (const TrafficRoute& route : mConfiguration.mRoutes) {
+    mByHost[PlainHost(route.mHost)].push_back(&route);
+  }
+  for (auto& [host, routes] : mByHost) {
+    std::sort(routes.begin(), routes.end(),
+              [](const TrafficRoute* aLeft, const TrafficRoute* aRight) {
+                return aLeft->mPrefix.size() > aRight->mPrefix.size();
+              });
+  }
+  for (const TrafficWorkspace& workspace : mConfiguration.mWorkspaces) {
+    for (const std::string& key : workspace.mKeys) {
+      mByKey[key] = &workspace;
+    }
+  }
+  for (const TrafficService& service : mConfiguration.mServices) {
+    mServices[service.mName] = &service;
+  }
+}
+
+const TrafficRoute* RouteTable::FindRoute(std::string_view aHost,
+                                          std::string_view aTarget) const {
+  const auto it = mByHost.find(PlainHost(aHost));
+  if (it == mByHost.end()) {
+    return nullptr;
+  }
+  const std::string_view path = aTarget.substr(0, aTarget.find('?'));
+  for (const TrafficRoute* route : it->second) {
+    if (path.starts_with(route->mPrefix)) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const TrafficWorkspace* RouteTable::FindWorkspace(
+    const std::string& aKey) const {
+  const auto it = mByKey.find(aKey);
+  return it == mByKey.end() ? nullptr : it->second;
+}
+
+const TrafficService* RouteTable::FindService(const std::string& aName) const {
+  const auto it = mServices.find(aName);
+  return it == mServices.end() ? nullptr : it->second;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/servers/routing/layer_path.cpp
@@ -0,0 +1,165 @@
+#include "spindleweir/servers/routing/layer_path.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace spindleweir {
+
+namespace {
+
+constexpr double kNone = std::numeric_limits<double>::infinity();
+/// What a step to another zone costs beside its time: pipes are shared.
+constexpr double kOtherZoneCost = 20;
+
+/// One engine with what a part of it costs.
+struct Candidate {
+  const UpstreamRecord* mRecord;
+  EngineModel mModel;
+  EngineLoad mLoad;
+  double mFreeTokenLayers;
+};
+
+/// The best way found to a boundary between layers.
+struct Reached {
+  double mCost = kNone;
+  int mFromBoundary = -1;
+  int mCandidate = -1;
+};
+
+class PathSearch {
+ public:
+  explicit PathSearch(const PathQuestion& aQuestion) : mQuestion(aQuestion) {
+    const EngineProfile& profile = *aQuestion.mProfile;
+    mBoundaries = {0, profile.mLayers};
+    for (const UpstreamRecord* record : aQuestion.mEngines) {
+      const AcceleratorKind* kind = profile.FindKind(record->mKind);
+      const bool usable = kind != nullptr && record->mLayers.Count() > 0 &&
+                          !aQuestion.mAvoid.contains(record->mInstance);
+      if (!usable) {
+        continue;
+      }
+      const EngineModel model(profile, *kind);
+      const EngineLoad load = aQuestion.mLoadOf(record->mInstance);
+      const double room =
+          model.Room(record->mLayers.Count()) * aQuestion.mFill;
+      mCandidates.push_back(
+          {record, model, load, room - load.mTokenLayers});
+      mBoundaries.push_back(record->mLayers.mFrom);
+      mBoundaries.push_back(record->mLayers.mTo);
+    }
+    std::sort(mBoundaries.begin(), mBoundaries.end());
+    mBoundaries.erase(std::unique(mBoundaries.begin(), mBoundaries.end()),
+                      mBoundaries.end());
+  }
+
+  LayerPath Find(bool aWithinRoom, double& aCost) {
+    mWithinRoom = aWithinRoom;
+    std::vector<Reached> reached(mBoundaries.size());
+    reached[0].mCost = 0;
+    for (std::size_t from = 0; from + 1 < mBoundaries.size(); from++) {
+      if (reached[from].mCost < kNone) {
+        Extend(reached, static_cast<int>(from));
+      }
+    }
+    aCost = reached.back().mCost;
+    return aCost < kNone ? Trace(reached) : LayerPath();
+  }
+
+ private:
+  void Extend(std::vector<Reached>& aReached, int aFrom) {
+    const Reached here = aReached[static_cast<std::size_t>(aFrom)];
+    const int first = mBoundaries[static_cast<std::size_t>(aFrom)];
+    for (std::size_t i = 0; i < mCandidates.size(); i++) {
+      const Candidate& candidate = mCandidates[i];
+      const LayerRange& layers = candidate.mRecord->mLayers;
+      if (layers.mFrom > first || layers.mTo <= first ||
+          Uses(aReached, aFrom, static_cast<int>(i))) {
+        continue;
+      }
+      const double hop = HopCost(here, candidate);
+      for (std::size_t to = static_cast<std::size_t>(aFrom) + 1;
+           to < mBoundaries.size() && mBoundaries[to] <= layers.mTo; to++) {
+        const double cost =
+            here.mCost + hop + PartCost(candidate, mBoundaries[to] - first);
+        if (cost < aReached[to].mCost) {
+          aReached[to] = {cost, aFrom, static_cast<int>(i)};
+        }
+      }
+    }
+  }
+
+  /// Whether the way to a boundary passes an engine already.
+  bool Uses(const std::vector<Reached>& aReached, int aBoundary,
+            int aCandidate) const {
+    for (int at = aBoundary; at > 0;) {
+      const Reached& step = aReached[static_cast<std::size_t>(at)];
+      if (step.mCandidate == aCandidate) {
+        return true;
+      }
+      at = step.mFromBoundary;
+    }
+    return false;
+  }
+
+  double HopCost(const Reached& aHere, const Candidate& aNext) const {
+    const std::string& zone =
+        aHere.mCandidate < 0
+            ? mQuestion.mZone
+            : mCandidates[static_cast<std::size_t>(aHere.mCandidate)]
+                  .mRecord->mZone;
+    const bool other = zone != aNext.mRecord->mZone;
+    const double each = HopMillis(*mQuestion.mProfile, other);
+    return each * (1 + mQuestion.mAnswerTokens) + (other ? kOtherZoneCost : 0);
+  }
+
+  double PartCost(const Candidate& aCandidate, int aLayers) const {
+    if (mWithinRoom &&
+        mQuestion.mTokens * aLayers > aCandidate.mFreeTokenLayers) {
+      return kNone;
+    }
+    const StageLoad load{
+        .mWriters = aCandidate.mLoad.mRequests + 1,
+        .mContextTokens =
+            (aCandidate.mLoad.mRequests + 1) * mQuestion.mTokens};
+    const double step = aCandidate.mModel.StepMillis(aLayers, load);
+    const double read =
+        aCandidate.mModel.ReadMillis(aLayers, mQuestion.mReadTokens);
+    return (step * mQuestion.mAnswerTokens + read) *
+           aCandidate.mLoad.mSlowness;
+  }
+
+  LayerPath Trace(const std::vector<Reached>& aReached) const {
+    LayerPath path;
+    for (std::size_t at = aReached.size() - 1; at > 0;) {
+      const Reached& step = aReached[at];
+      const UpstreamRecord& record =
+          *mCandidates[static_cast<std::size_t>(step.mCandidate)].mRecord;
+      const auto from = static_cast<std::size_t>(step.mFromBoundary);
+      path.push_back({record.mInstance, record.mAddress,
+                      {mBoundaries[from], mBoundaries[at]}});
+      at = from;
+    }
+    std::reverse(path.begin(), path.end());
+    return path;
+  }
+
+  const PathQuestion& mQuestion;
+  std::vector<Candidate> mCandidates;
+  std::vector<int> mBoundaries;
+  bool mWithinRoom = true;
+};
+
+}  // namespace
+
+PathAnswer ChoosePath(const PathQuestion& aQuestion) {
+  PathSearch search(aQuestion);
+  PathAnswer answer;
+  answer.mPath = search.Find(true, answer.mCost);
+  if (answer.mPath.empty()) {
+    double cost = 0;
+    answer.mLacksRoom = !search.Find(false, cost).empty();
+  }
+  return answer;
+}
+
+}  // namespace spindleweir
