--- a/drivers/stream_connection.cpp
+++ b/drivers/stream_connection.cpp
@@ -44,6 +44,10 @@
 
 void StreamConnection::HandleWrite(bufferevent*, void* aSelf) {
   auto* self = static_cast<StreamConnection*>(aSelf);
+  if (self->PendingBytes() > 0) {
+    // A callback from before the newest write.
+    return;
+  }
   if (self->mCloseAfter) {
     shutdown(bufferevent_getfd(self->mBuffer), SHUT_WR);
     return;
