--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -102,8 +102,8 @@
     answer.mNews.push_back(mTraffic);
   }
   answer.mRouters = static_cast<int>(std::max<std::size_t>(1, mAskers.size()));
-  if (aQuestion.mTellsLoads) {
-    answer.mLoads = LoadsOfOthers(aQuestion.mProcess);
+  if (aQuestion.mTellsLoads || fromControl) {
+    answer.mLoads = LoadsOfOthers(aQuestion.mProcess, !fromControl);
   }
   return answer;
 }
@@ -124,14 +124,11 @@
   });
 }
 
-std::vector<LoadShare> SyncService::LoadsOfOthers(
-    const std::string& aProcess) const {
+std::vector<LoadShare> SyncService::LoadsOfOthers(const std::string& aProcess,
+                                                  bool aOfOtherControls) const {
   std::map<std::string, LoadShare> sums;
-  for (const auto& [process, asker] : mAskers) {
-    if (process == aProcess) {
-      continue;
-    }
-    for (const LoadShare& load : asker.mLoads) {
+  const auto add = [&sums](const std::vector<LoadShare>& aLoads) {
+    for (const LoadShare& load : aLoads) {
       LoadShare& sum = sums[load.mInstance];
       sum.mInstance = load.mInstance;
       sum.mRequests += load.mRequests;
@@ -139,6 +136,17 @@
       sum.mFirsts += load.mFirsts;
       sum.mSlowness = std::max(sum.mSlowness, load.mSlowness);
     }
+  };
+  for (const auto& [process, asker] : mAskers) {
+    if (process != aProcess) {
+      add(asker.mLoads);
+    }
+  }
+  const Millis now = SteadyNow();
+  for (const auto& [address, source] : mSources) {
+    if (aOfOtherControls && now - source.mHeardAt < kAskerKept) {
+      add(source.mLoads);
+    }
   }
   std::vector<LoadShare> loads;
   loads.reserve(sums.size());
@@ -186,6 +194,8 @@
   Source& source = mSources[aAddress.Text()];
   source.mLife = aAnswer.mLife;
   source.mRevision = aAnswer.mRevision;
+  source.mHeardAt = now;
+  source.mLoads = aAnswer.mLoads;
   mDirectory.Heard(aAnswer.mSelf, now);
   for (const ControlInfo& info : aAnswer.mControls) {
     mDirectory.Heard(info, now);
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -40,11 +40,16 @@
     std::string mLife;
     std::int64_t mRevision = 0;
     bool mAsking = false;
+    Millis mHeardAt = 0;
+    std::vector<LoadShare> mLoads;  ///< Of the routers that tell it.
   };
 
   SyncAnswer Answer(const SyncQuestion& aQuestion);
   void Remember(const SyncQuestion& aQuestion);
-  std::vector<LoadShare> LoadsOfOthers(const std::string& aProcess) const;
+  /// The loads told here by all but one router; for a router also those that
+  /// were told to other controls.
+  std::vector<LoadShare> LoadsOfOthers(const std::string& aProcess,
+                                       bool aOfOtherControls) const;
   void AskOthers();
   void Ask(const Endpoint& aAddress);
   void Take(const Endpoint& aAddress, const SyncAnswer& aAnswer);
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -17,6 +17,8 @@
 /// After a stop signal callers that are still sent here are served.
 constexpr Millis kServeAfterStop = 2500;
 constexpr Millis kStopMargin = 700;
+/// What comes later than this after a stop signal might not end in time.
+constexpr Millis kTakeAfterStop = 3500;
 
 }  // namespace
 
@@ -39,6 +41,10 @@
 
   void Handle(const std::shared_ptr<StreamExchange>& aExchange) {
     ApplyLimits();
+    if (mContext.mStopping && SteadyNow() - mStoppedAt > kTakeAfterStop) {
+      Refuse(*aExchange, ResultCode::kStopping);
+      return;
+    }
     // Each request ends itself; the set only keeps it until then.
     std::shared_ptr<RelayRequest> request;
     const auto key = std::make_shared<RelayRequest*>(nullptr);
@@ -55,11 +61,12 @@
   }
 
   void Refuse(StreamExchange& aExchange, ResultCode aCode) {
-    mContext.mCounters.Add("unreadable_requests");
-    LogLine(LogLevel::kInfo, "unreadable_request")
+    mContext.mCounters.Add("refused_unread");
+    LogLine(LogLevel::kInfo, "refused_unread")
         .Add("code", static_cast<int>(aCode));
+    const Millis retryAfter = aCode == ResultCode::kStopping ? 0 : -1;
     aExchange.Reply(InfoOf(aCode).mHttpStatus,
-                    mContext.mOptions.mCallers.mWriteRefusal("", -1),
+                    mContext.mOptions.mCallers.mWriteRefusal("", retryAfter),
                     std::string(InfoOf(aCode).mName));
   }
 
--- a/servers/placement/layer_planner.cpp
+++ b/servers/placement/layer_planner.cpp
@@ -10,11 +10,9 @@
 
 namespace {
 
-/// The share of an engine's memory that weights take in a row; the rest holds
-/// requests.
+/// The share of an engine's memory that weights take where it covers others;
+/// the rest holds requests.
 constexpr double kWeightShare = 0.62;
-/// The most that weights may take where a row would not be whole otherwise.
-constexpr double kMostWeightShare = 0.85;
 
 /// An engine under planning.
 struct Card {
@@ -25,8 +23,8 @@
 
 using Cards = std::vector<Card>;
 
-double Comfortable(const Card& aCard, double aShare) {
-  return aCard.mMost * aShare;
+double Comfortable(const Card& aCard) {
+  return aCard.mMost * kWeightShare;
 }
 
 /// Deals aLayers layers to the cards of a row, in proportion to their memory.
@@ -47,31 +45,11 @@
   }
 }
 
-/// Takes the fastest cards that hold all layers with room to spare; empty
-/// where the cards cannot.
-Cards TakeRow(Cards& aCards, int aLayers) {
-  for (double share : {kWeightShare, kMostWeightShare}) {
-    double held = 0;
-    std::size_t n = 0;
-    while (n < aCards.size() && held < aLayers) {
-      held += Comfortable(aCards[n], share);
-      n++;
-    }
-    if (held >= aLayers) {
-      const auto end = aCards.begin() + static_cast<std::ptrdiff_t>(n);
-      Cards row(aCards.begin(), end);
-      aCards.erase(aCards.begin(), end);
-      return row;
-    }
-  }
-  return {};
-}
-
 /// Gives one card the layers that are held least.
 LayerOrder CoverLeast(const Card& aCard, std::vector<double>& aHeld) {
   const int layers = static_cast<int>(aHeld.size());
   const int n = std::max(
-      1, std::min(layers, static_cast<int>(Comfortable(aCard, kWeightShare))));
+      1, std::min(layers, static_cast<int>(Comfortable(aCard))));
   int best = 0;
   double least = -1;
   for (int from = 0; from + n <= layers; from++) {
@@ -112,18 +90,15 @@
               }
               return aLeft.mRecord->mInstance < aRight.mRecord->mInstance;
             });
-  if (aHolding.empty()) {
-    for (Cards row = TakeRow(aEmpty, aProfile.mLayers); !row.empty();
-         row = TakeRow(aEmpty, aProfile.mLayers)) {
-      const std::size_t before = aOut.size();
-      DealRow(row, aProfile.mLayers, aOut);
-      for (std::size_t i = before; i < aOut.size(); i++) {
-        for (int k = aOut[i].mLayers.mFrom; k < aOut[i].mLayers.mTo; k++) {
-          held[static_cast<std::size_t>(k)] +=
-              row[i - before].mKind->mMemoryMb / aOut[i].mLayers.Count();
-        }
-      }
-    }
+  int most = 0;
+  for (const Card& card : aEmpty) {
+    most += card.mMost;
+  }
+  if (aHolding.empty() && most >= aProfile.mLayers) {
+    // One row over all engines of the zone: memory for requests is what runs
+    // short first, and each further copy of the weights takes of it.
+    DealRow(aEmpty, aProfile.mLayers, aOut);
+    return;
   }
   for (const Card& card : aEmpty) {
     aOut.push_back(CoverLeast(card, held));
--- a/servers/routing/layer_path.cpp
+++ b/servers/routing/layer_path.cpp
@@ -8,15 +8,24 @@
 namespace {
 
 constexpr double kNone = std::numeric_limits<double>::infinity();
-/// What a step to another zone costs beside its time: pipes are shared.
-constexpr double kOtherZoneCost = 20;
+/// What a step to another zone costs beside its time: pipes are shared, and
+/// what passes them is paid for.
+constexpr double kOtherZoneCost = 150;
+/// A token waits at each engine for the pass that is under way.
+constexpr double kWaitForPass = 2;
+/// Of the requests that an engine has, this part is in one pass with another;
+/// the rest is at other engines of their paths.
+constexpr double kTogether = 0.15;
+/// What the last free memory of an engine is worth, in milliseconds for each
+/// share of its room that a request takes.
+constexpr double kRoomPrice = 4000;
 
 /// One engine with what a part of it costs.
 struct Candidate {
   const UpstreamRecord* mRecord;
   EngineModel mModel;
   EngineLoad mLoad;
-  double mFreeTokenLayers;
+  double mRoom;  ///< Tokens x layers that may be promised in all.
 };
 
 /// The best way found to a boundary between layers.
@@ -43,7 +52,7 @@
       const double room =
           model.Room(record->mLayers.Count()) * aQuestion.mFill;
       mCandidates.push_back(
-          {record, model, load, room - load.mTokenLayers});
+          {record, model, load, room});
       mBoundaries.push_back(record->mLayers.mFrom);
       mBoundaries.push_back(record->mLayers.mTo);
     }
@@ -113,19 +122,24 @@
   }
 
   double PartCost(const Candidate& aCandidate, int aLayers) const {
-    if (mWithinRoom &&
-        mQuestion.mTokens * aLayers > aCandidate.mFreeTokenLayers) {
+    const double need = mQuestion.mTokens * aLayers;
+    const double used = aCandidate.mLoad.mTokenLayers;
+    if (mWithinRoom && used + need > aCandidate.mRoom) {
       return kNone;
     }
-    const StageLoad load{
-        .mWriters = aCandidate.mLoad.mRequests + 1,
-        .mContextTokens =
-            (aCandidate.mLoad.mRequests + 1) * mQuestion.mTokens};
-    const double step = aCandidate.mModel.StepMillis(aLayers, load);
+    const double together = 1 + aCandidate.mLoad.mRequests * kTogether;
+    const StageLoad load{.mWriters = together,
+                         .mContextTokens = together * mQuestion.mTokens};
+    const double step =
+        aCandidate.mModel.StepMillis(aLayers, load) * kWaitForPass;
     const double read =
         aCandidate.mModel.ReadMillis(aLayers, mQuestion.mReadTokens);
+    const double room = std::max(1.0, aCandidate.mRoom);
+    const double fill = std::min(1.0, (used + need) / room);
+    const double scarcity = need / room * fill * fill * kRoomPrice;
     return (step * mQuestion.mAnswerTokens + read) *
-           aCandidate.mLoad.mSlowness;
+               aCandidate.mLoad.mSlowness +
+           scarcity;
   }
 
   LayerPath Trace(const std::vector<Reached>& aReached) const {
