Streams move off engines that died; fast rows; loads shared between zones

Cause: after the loss of one engine all its streams stood still until a silence of 800 ms and were sent again whole; routers of different zones did not see each other's work; with one row a zone there was no cover nearer than another zone, whose pipe carries a thousand tokens in 14 ms a request. Change: progress of streams over each engine, a connection as proof, repath with the other parts kept; rows of few fast engines; memory with a price; loads exchanged between controls.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -134,7 +134,9 @@
       sum.mRequests += load.mRequests;
       sum.mTokenLayers += load.mTokenLayers;
       sum.mFirsts += load.mFirsts;
+      sum.mReadTokenLayers += load.mReadTokenLayers;
       sum.mSlowness = std::max(sum.mSlowness, load.mSlowness);
+      sum.mUnreachable += load.mUnreachable;
     }
   };
   for (const auto& [process, asker] : mAskers) {
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -50,6 +50,15 @@
   }
 }
 
+void RelayContext::AddReading(const std::string& aInstance,
+                              double aTokenLayers) {
+  const auto it = mOwnLoads.find(aInstance);
+  if (it != mOwnLoads.end()) {
+    it->second.mReadTokenLayers =
+        std::max(0.0, it->second.mReadTokenLayers + aTokenLayers);
+  }
+}
+
 EngineLoad RelayContext::LoadOf(const std::string& aInstance) const {
   EngineLoad load;
   for (const auto* loads : {&mOwnLoads, &mOtherLoads}) {
@@ -58,6 +67,7 @@
       load.mRequests += it->second.mRequests;
       load.mTokenLayers += it->second.mTokenLayers;
       load.mFirsts += it->second.mFirsts;
+      load.mReadTokenLayers += it->second.mReadTokenLayers;
       load.mSlowness = std::max(load.mSlowness, it->second.mSlowness);
     }
   }
@@ -65,12 +75,20 @@
 }
 
 std::vector<LoadShare> RelayContext::OwnLoads() const {
-  std::vector<LoadShare> loads;
-  loads.reserve(mOwnLoads.size());
-  for (const auto& [instance, load] : mOwnLoads) {
-    loads.push_back(load);
+  std::map<std::string, LoadShare> loads = mOwnLoads;
+  const Millis now = SteadyNow();
+  for (const auto& [instance, experience] : mExperience) {
+    if (now < experience.mUnreachableUntil) {
+      loads[instance].mInstance = instance;
+      loads[instance].mUnreachable = 1;
+    }
+  }
+  std::vector<LoadShare> list;
+  list.reserve(loads.size());
+  for (const auto& [instance, load] : loads) {
+    list.push_back(load);
   }
-  return loads;
+  return list;
 }
 
 void RelayContext::SetOtherLoads(const std::vector<LoadShare>& aLoads) {
@@ -96,6 +114,12 @@
   experience.mAvoidUntil = std::max(experience.mAvoidUntil, now + aAvoidFor);
 }
 
+void RelayContext::Unreachable(const std::string& aInstance, Millis aFor) {
+  Failed(aInstance, aFor);
+  UpstreamExperience& experience = mExperience[aInstance];
+  experience.mUnreachableUntil = SteadyNow() + aFor;
+}
+
 double RelayContext::FailuresOf(const std::string& aInstance) const {
   const auto it = mExperience.find(aInstance);
   if (it == mExperience.end() || it->second.mFailedAt < 0) {
@@ -113,6 +137,11 @@
       avoided.insert(instance);
     }
   }
+  for (const auto& [instance, load] : mOtherLoads) {
+    if (load.mUnreachable > 0) {
+      avoided.insert(instance);
+    }
+  }
   return avoided;
 }
 
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -24,8 +24,11 @@
   double mFailures = 0;  ///< Moving share of attempts that failed, 0 to 1.
   Millis mFailedAt = -1;
   Millis mAvoidUntil = -1;
+  Millis mUnreachableUntil = -1;
 };
 
+class StreamGuard;
+
 /// The state of one router. Single-threaded.
 class RelayContext {
  public:
@@ -40,6 +43,8 @@
   /// Notes work that begins or ends at an upstream.
   void AddLoad(const std::string& aInstance, int aRequests,
                double aTokenLayers, int aFirsts);
+  /// Notes tokens that an engine has to read, or has read.
+  void AddReading(const std::string& aInstance, double aTokenLayers);
   /// All work known at an upstream: own and of other routers.
   EngineLoad LoadOf(const std::string& aInstance) const;
   std::vector<LoadShare> OwnLoads() const;
@@ -47,6 +52,8 @@
 
   void Succeeded(const std::string& aInstance);
   void Failed(const std::string& aInstance, Millis aAvoidFor);
+  /// No connection could be made.
+  void Unreachable(const std::string& aInstance, Millis aFor);
   double FailuresOf(const std::string& aInstance) const;
   /// Instances that are not to be used at present.
   std::set<std::string> Avoided() const;
@@ -64,6 +71,7 @@
   UpstreamRegistry mRegistry;
   int mRouters = 1;  ///< That share limits, as far as is known.
   bool mStopping = false;
+  StreamGuard* mGuard = nullptr;  ///< Set once all parts are made.
 
  private:
   std::shared_ptr<const RouteTable> mTable;
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -1,6 +1,7 @@
 #include "daemons/relay/relay_request.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/json_codec.h"
@@ -25,6 +26,9 @@
 constexpr Millis kRetryAfterShort = 100;
 constexpr Millis kRetryAfterLong = 500;
 constexpr double kPathFill = 0.95;
+constexpr Millis kOrderTimeout = 1000;
+/// Moves of one attempt to another path.
+constexpr int kMostMoves = 4;
 
 bool IsSuccess(int aStatus) {
   return aStatus >= 200 && aStatus < 300;
@@ -53,6 +57,9 @@
 
 RelayRequest::~RelayRequest() {
   DropAttempt();
+  if (mKey != 0) {
+    mContext.mGuard->Remove(mKey);
+  }
 }
 
 Millis RelayRequest::Remaining() const {
@@ -174,7 +181,7 @@
   return !aAttempt.mInstance.empty();
 }
 
-bool RelayRequest::ChooseEnginePath(Attempt& aAttempt) {
+PathQuestion RelayRequest::EngineQuestion() const {
   const EngineProfile& engine = mService->mEngine;
   PathQuestion question;
   question.mProfile = &engine;
@@ -197,6 +204,29 @@
     return mContext.LoadOf(aInstance);
   };
   question.mAvoid = mContext.Avoided();
+  question.mRandom = [this] { return mContext.Random(); };
+  return question;
+}
+
+void RelayRequest::BeginReading(const LayerPath& aParts) {
+  constexpr double kTokensPerEvent = 3;
+  const double tokens = mFacts.mPromptTokens + mEvents * kTokensPerEvent;
+  for (const PathPart& part : aParts) {
+    const double work = tokens * part.mLayers.Count();
+    mAttempt->mReading.push_back({part.mInstance, work});
+    mContext.AddReading(part.mInstance, work);
+  }
+}
+
+void RelayRequest::EndReading() {
+  for (const Reading& reading : mAttempt->mReading) {
+    mContext.AddReading(reading.mInstance, -reading.mTokenLayers);
+  }
+  mAttempt->mReading.clear();
+}
+
+bool RelayRequest::ChooseEnginePath(Attempt& aAttempt) {
+  PathQuestion question = EngineQuestion();
   PathAnswer answer = ChoosePath(question);
   if (answer.mPath.empty() && !answer.mLacksRoom) {
     // Better one that failed lately than none.
@@ -213,6 +243,139 @@
   return true;
 }
 
+std::string RelayRequest::FirstInstance() const {
+  const bool running = mAttempt != nullptr && mAttempt->mCall != nullptr &&
+                       mAttempt->mOrder == nullptr;
+  return running ? mAttempt->mInstance : "";
+}
+
+void RelayRequest::MoveOff(const std::set<std::string>& aInstances,
+                           const char* aWhy) {
+  if (mAttempt == nullptr || mAttempt->mPath.empty() || mEnded) {
+    return;
+  }
+  const auto hit = [&aInstances](const PathPart& aPart) {
+    return aInstances.contains(aPart.mInstance);
+  };
+  const LayerPath& path = mAttempt->mPath;
+  if (std::none_of(path.begin(), path.end(), hit)) {
+    return;
+  }
+  if (!hit(path.front())) {
+    LayerPath next = Without(aInstances);
+    if (!next.empty()) {
+      Repath(std::move(next), aWhy);
+    }
+    return;
+  }
+  // The first cannot be replaced by an order. One that leaves still ends what
+  // it has; one that is lost does not.
+  const UpstreamRecord* first = mContext.mRegistry.Find(mAttempt->mInstance);
+  const bool leaves =
+      first != nullptr && first->mState == UpstreamState::kLeaving;
+  if (!leaves && MayTryAgain(Ran::kUnknown, true)) {
+    AttemptFailed(Ran::kUnknown, ResultCode::kOutcomeUnknown, true);
+  }
+}
+
+LayerPath RelayRequest::Without(const std::set<std::string>& aInstances) const {
+  PathQuestion question = EngineQuestion();
+  question.mReadTokens += mEvents;
+  for (const PathPart& part : mAttempt->mPath) {
+    question.mAvoid.insert(part.mInstance);
+  }
+  question.mAvoid.insert(aInstances.begin(), aInstances.end());
+  LayerPath next;
+  for (std::size_t i = 0; i < mAttempt->mPath.size(); i++) {
+    const PathPart& part = mAttempt->mPath[i];
+    if (!aInstances.contains(part.mInstance)) {
+      next.push_back(part);
+      continue;
+    }
+    question.mLayers = part.mLayers;
+    const UpstreamRecord* before =
+        mContext.mRegistry.Find(mAttempt->mPath[i - 1].mInstance);
+    question.mZone =
+        before == nullptr ? mContext.mOptions.mZone : before->mZone;
+    const PathAnswer answer = ChoosePath(question);
+    if (answer.mPath.empty()) {
+      return {};
+    }
+    for (const PathPart& added : answer.mPath) {
+      question.mAvoid.insert(added.mInstance);
+      next.push_back(added);
+    }
+  }
+  return next;
+}
+
+void RelayRequest::Repath(LayerPath aPath, const char* aWhy) {
+  const UpstreamRecord* first = mContext.mRegistry.Find(mAttempt->mInstance);
+  if (first == nullptr || mAttempt->mMoves >= kMostMoves) {
+    return;
+  }
+  mAttempt->mMoves++;
+  const EngineMessage message = mContext.mOptions.mEngines.mWriteRepath(
+      {.mRequestId = mFacts.mId, .mPath = &aPath});
+  StreamCallOptions options;
+  options.mServer = ParseEndpoint(first->mAddress, "address of an upstream");
+  options.mMethod = message.mMethod;
+  options.mTarget = message.mTarget;
+  options.mHeaders = message.mHeaders;
+  options.mBody = message.mBody;
+  options.mTimeout = kOrderTimeout;
+  const auto status = std::make_shared<int>(0);
+  options.mOnHead = [status](const AnswerHead& aHead) {
+    *status = aHead.mStatus;
+  };
+  options.mOnEnd = [this, status](StreamEnd) {
+    LogLine(LogLevel::kInfo, "repath_answered")
+        .Add("request", mFacts.mId)
+        .Add("status", *status);
+    if (mAttempt != nullptr) {
+      const std::shared_ptr<StreamCall> order = std::move(mAttempt->mOrder);
+      mContext.mLoop.Post([order] {});
+    }
+  };
+  LogLine(LogLevel::kInfo, "repath")
+      .Add("request", mFacts.mId)
+      .Add("why", aWhy)
+      .Add("first", mAttempt->mInstance)
+      .Add("silent_ms",
+           static_cast<Json::Int64>(SteadyNow() - mAttempt->mHeardAt));
+  mContext.mCounters.Add("moves");
+  LayerPath added;
+  std::set_difference(aPath.begin(), aPath.end(), mAttempt->mPath.begin(),
+                      mAttempt->mPath.end(), std::back_inserter(added),
+                      [](const PathPart& aLeft, const PathPart& aRight) {
+                        return aLeft.mLayers.mFrom < aRight.mLayers.mFrom ||
+                               (aLeft.mLayers.mFrom == aRight.mLayers.mFrom &&
+                                aLeft.mInstance < aRight.mInstance);
+                      });
+  EndReading();
+  CountLoad(-1);
+  mAttempt->mPath = std::move(aPath);
+  mAttempt->mMovedAt = SteadyNow();
+  CountLoad(1);
+  BeginReading(added);
+  WatchAttempt();
+  mAttempt->mOrder = StartStreamCall(mContext.mLoop, std::move(options));
+}
+
+void RelayRequest::WatchAttempt() {
+  if (mAttempt == nullptr || mAttempt->mPath.empty()) {
+    return;
+  }
+  if (mKey == 0) {
+    mKey = mContext.mGuard->Add(this);
+  }
+  std::vector<std::string> instances;
+  for (const PathPart& part : mAttempt->mPath) {
+    instances.push_back(part.mInstance);
+  }
+  mContext.mGuard->Watch().Begin(mKey, std::move(instances), SteadyNow());
+}
+
 void RelayRequest::CountLoad(int aSign) {
   if (mAttempt == nullptr) {
     return;
@@ -259,6 +422,8 @@
   options.mOnEnd = [this](StreamEnd aEnd) { HandleEnd(aEnd); };
   mTried.insert(mAttempt->mInstance);
   CountLoad(1);
+  BeginReading(mAttempt->mPath);
+  WatchAttempt();
   mAttempt->mCall = StartStreamCall(mContext.mLoop, std::move(options));
   const bool watched = mRoute->mKind == RouteKind::kStream;
   if (watched && mSilenceTimer == nullptr) {
@@ -324,6 +489,8 @@
           std::nullopt);
     }
     const Millis now = SteadyNow();
+    mContext.mGuard->Watch().Progress(mKey, now);
+    EndReading();
     if (mFirstEventAt == 0) {
       mFirstEventAt = now;
     } else {
@@ -338,6 +505,7 @@
   }
   if (mExchange->PendingBytes() > kMostPendingBytes) {
     mAttempt->mCall->Pause(true);
+    mContext.mGuard->Watch().Suspend(mKey);
   }
 }
 
@@ -415,7 +583,8 @@
       !mAttempt->mCall->Sent() || mExchange->PendingBytes() > 0) {
     return;
   }
-  const Millis silent = SteadyNow() - mAttempt->mHeardAt;
+  const Millis silent =
+      SteadyNow() - std::max(mAttempt->mHeardAt, mAttempt->mMovedAt);
   const bool begun = mAttempt->mHeardAt > mAttempt->mStartedAt;
   const Millis most = begun ? kSilenceBetween : kSilenceBeforeFirst;
   if (silent < most || !MayTryAgain(Ran::kUnknown, true)) {
@@ -470,6 +639,7 @@
   if (mAttempt == nullptr) {
     return;
   }
+  EndReading();
   CountLoad(-1);
   if (mAttempt->mCall != nullptr) {
     // It may be on the stack: it goes in the next turn of the loop, and its
@@ -478,6 +648,7 @@
     call->Abandon();
     mContext.mLoop.Post([call] {});
   }
+  mContext.mGuard->Watch().End(mKey);
   mAttempt.reset();
 }
 
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "daemons/relay/relay_context.h"
+#include "daemons/relay/stream_guard.h"
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
 #include "spindleweir/servers/routing/service_choice.h"
@@ -17,18 +17,25 @@
 namespace spindleweir {
 
 /// Lives until its answer has ended or its caller is gone.
-class RelayRequest : public std::enable_shared_from_this<RelayRequest> {
+class RelayRequest : public std::enable_shared_from_this<RelayRequest>,
+                     private GuardedStream {
  public:
   /// aOnEnd is called once, when nothing more will happen.
   RelayRequest(RelayContext& aContext, std::shared_ptr<StreamExchange> aExchange,
                std::function<void()> aOnEnd);
-  ~RelayRequest();
+  ~RelayRequest() override;
   RelayRequest(const RelayRequest&) = delete;
   RelayRequest& operator=(const RelayRequest&) = delete;
 
   void Begin();
 
  private:
+  /// What an engine must read before an event can come.
+  struct Reading {
+    std::string mInstance;
+    double mTokenLayers = 0;
+  };
+
   /// One upstream, or one path of engines, that the request is sent to.
   struct Attempt {
     std::string mInstance;
@@ -42,6 +49,10 @@
     EventReader mEvents;
     std::string mBody;  ///< Of an answer that is not a stream.
     std::unique_ptr<StreamCall> mCall;
+    std::unique_ptr<StreamCall> mOrder;  ///< To move to another path.
+    int mMoves = 0;
+    Millis mMovedAt = 0;
+    std::vector<Reading> mReading;
   };
 
   /// A whole answer of an upstream that is used where no better one comes.
@@ -50,6 +61,18 @@
     std::string mBody;
   };
 
+  void MoveOff(const std::set<std::string>& aInstances,
+               const char* aWhy) override;
+  std::string FirstInstance() const override;
+  /// The path without some instances, the other parts kept; empty: none.
+  LayerPath Without(const std::set<std::string>& aInstances) const;
+  void Repath(LayerPath aPath, const char* aWhy);
+  void WatchAttempt();
+  /// Notes that these parts read all tokens so far.
+  void BeginReading(const LayerPath& aParts);
+  void EndReading();
+  PathQuestion EngineQuestion() const;
+
   void Admit();
   void PickService();
   void StartAttempt();
@@ -90,6 +113,7 @@
   std::unique_ptr<Attempt> mAttempt;
   std::optional<KeptAnswer> mKept;
   std::set<std::string> mTried;
+  StreamKey mKey = 0;   ///< Of the guard; 0: not watched.
   int mSent = 0;        ///< Attempts that left this process.
   int mNotSent = 0;     ///< Attempts that did not.
   bool mMayHaveRun = false;
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -26,6 +26,7 @@
 struct RelayRouter::Parts {
   Parts(EventLoop& aLoop, RelayOptions aOptions)
       : mContext(aLoop, std::move(aOptions)),
+        mGuard(mContext),
         mLink(mContext),
         mStartedAt(SteadyNow()),
         mServer(aLoop,
@@ -37,7 +38,9 @@
                  .mRefuse =
                      [this](StreamExchange& aExchange, ResultCode aCode) {
                        Refuse(aExchange, aCode);
-                     }}) {}
+                     }}) {
+    mContext.mGuard = &mGuard;
+  }
 
   void Handle(const std::shared_ptr<StreamExchange>& aExchange) {
     ApplyLimits();
@@ -126,6 +129,7 @@
   }
 
   RelayContext mContext;
+  StreamGuard mGuard;
   SyncLink mLink;
   Millis mStartedAt;
   std::int64_t mLimitsOf = 0;
--- /dev/null
+++ b/daemons/relay/stream_guard.cpp
@@ -0,0 +1,185 @@
+#include "daemons/relay/stream_guard.h"
+
+#include "spindleweir/core/error.h"
+#include "spindleweir/core/log.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr Millis kStepPeriod = 20;
+/// An upstream that does not take a connection in this time is dead or cut
+/// off: the round trip between zones is a few milliseconds.
+constexpr Millis kProbeTimeout = 40;
+constexpr Millis kProbeAgain = 150;
+constexpr Millis kUnreachableFor = 2000;
+/// A stream that pauses for so long although all of its upstreams can be
+/// reached: its first one is asked where it stands still.
+constexpr Millis kAskAfter = 300;
+constexpr Millis kAskAgain = 300;
+constexpr Millis kAskTimeout = 400;
+constexpr Millis kStandsStillFor = 1500;
+constexpr std::size_t kMostReport = 256 * 1024;
+
+}  // namespace
+
+StreamGuard::StreamGuard(RelayContext& aContext) : mContext(aContext) {
+  mTimer = mContext.mLoop.Every(kStepPeriod, [this] { Step(); });
+}
+
+StreamKey StreamGuard::Add(GuardedStream* aStream) {
+  const StreamKey key = mNext++;
+  mStreams[key] = aStream;
+  return key;
+}
+
+void StreamGuard::Remove(StreamKey aKey) {
+  mStreams.erase(aKey);
+  mWatch.End(aKey);
+}
+
+void StreamGuard::Step() {
+  const Millis now = SteadyNow();
+  MoveOffLeaving();
+  for (const std::string& instance : mWatch.Suspects(now)) {
+    const Look& look = mProbes[instance];
+    if (look.mCall == nullptr && now - look.mAt >= kProbeAgain) {
+      Probe(instance);
+    }
+  }
+  std::set<std::string> firsts;
+  for (StreamKey key : mWatch.Silent(kAskAfter, now)) {
+    const auto it = mStreams.find(key);
+    if (it != mStreams.end()) {
+      firsts.insert(it->second->FirstInstance());
+    }
+  }
+  for (const std::string& first : firsts) {
+    const Look& look = mStates[first];
+    if (!first.empty() && look.mCall == nullptr && now - look.mAt >= kAskAgain) {
+      AskState(first);
+    }
+  }
+}
+
+void StreamGuard::MoveOffLeaving() {
+  std::set<std::string> leaving;
+  for (const UpstreamRecord* record : mContext.mRegistry.OfService("")) {
+    const bool leaves = record->mState == UpstreamState::kLeaving ||
+                        record->mState == UpstreamState::kGone;
+    if (leaves && mLeftBehind.insert(record->mInstance).second) {
+      leaving.insert(record->mInstance);
+    }
+  }
+  if (!leaving.empty()) {
+    LeaveBehind(leaving, "leaving");
+  }
+}
+
+void StreamGuard::Probe(const std::string& aInstance) {
+  const UpstreamRecord* record = mContext.mRegistry.Find(aInstance);
+  if (record == nullptr) {
+    return;
+  }
+  Look& look = mProbes[aInstance];
+  look.mAt = SteadyNow();
+  const auto connected = std::make_shared<bool>(false);
+  StreamCallOptions options;
+  options.mServer = ParseEndpoint(record->mAddress, "address of an upstream");
+  options.mConnectTimeout = kProbeTimeout;
+  options.mMaySend = [connected] {
+    *connected = true;
+    return false;
+  };
+  options.mOnEnd = [this, aInstance, connected](StreamEnd) {
+    ProbeEnded(aInstance, *connected);
+  };
+  look.mCall = StartStreamCall(mContext.mLoop, std::move(options));
+}
+
+void StreamGuard::ProbeEnded(const std::string& aInstance, bool aConnected) {
+  Look& look = mProbes[aInstance];
+  const Millis took = SteadyNow() - look.mAt;
+  // The call is on the stack: it goes in the next turn of the loop.
+  const std::shared_ptr<StreamCall> call = std::move(look.mCall);
+  mContext.mLoop.Post([call] {});
+  mContext.mCounters.Add("probes");
+  if (aConnected) {
+    return;
+  }
+  LogLine(LogLevel::kInfo, "upstream_unreachable")
+      .Add("instance", aInstance)
+      .Add("after_ms", static_cast<Json::Int64>(took));
+  mContext.Unreachable(aInstance, kUnreachableFor);
+  LeaveBehind({aInstance}, "unreachable");
+}
+
+void StreamGuard::AskState(const std::string& aInstance) {
+  const UpstreamRecord* record = mContext.mRegistry.Find(aInstance);
+  if (record == nullptr) {
+    return;
+  }
+  const EngineMessage message = mContext.mOptions.mEngines.mAskState();
+  Look& look = mStates[aInstance];
+  look.mAt = SteadyNow();
+  look.mBody.clear();
+  StreamCallOptions options;
+  options.mServer = ParseEndpoint(record->mAddress, "address of an upstream");
+  options.mMethod = message.mMethod;
+  options.mTarget = message.mTarget;
+  options.mHeaders = message.mHeaders;
+  options.mTimeout = kAskTimeout;
+  options.mOnData = [this, aInstance](std::string_view aBytes) {
+    std::string& body = mStates[aInstance].mBody;
+    if (body.size() + aBytes.size() <= kMostReport) {
+      body += aBytes;
+    }
+  };
+  options.mOnEnd = [this, aInstance](StreamEnd aEnd) {
+    Look& ended = mStates[aInstance];
+    const std::shared_ptr<StreamCall> call = std::move(ended.mCall);
+    mContext.mLoop.Post([call] {});
+    if (aEnd != StreamEnd::kComplete) {
+      return;
+    }
+    try {
+      TakeState(mContext.mOptions.mEngines.mReadState(ended.mBody));
+    } catch (const Error& error) {
+      LogLine(LogLevel::kWarning, "report_unreadable")
+          .Add("instance", aInstance)
+          .Add("why", error.what());
+    }
+  };
+  look.mCall = StartStreamCall(mContext.mLoop, std::move(options));
+}
+
+void StreamGuard::TakeState(const EngineState& aState) {
+  std::set<std::string> addresses;
+  for (const StalledRequest& stalled : aState.mStalled) {
+    addresses.insert(stalled.mAddress);
+  }
+  std::set<std::string> instances;
+  for (const UpstreamRecord* record : mContext.mRegistry.OfService("")) {
+    const bool current = record->mState != UpstreamState::kGone;
+    if (current && addresses.contains(record->mAddress)) {
+      instances.insert(record->mInstance);
+      mContext.Failed(record->mInstance, kStandsStillFor);
+    }
+  }
+  if (!instances.empty()) {
+    LeaveBehind(instances, "stands still");
+  }
+}
+
+void StreamGuard::LeaveBehind(const std::set<std::string>& aInstances,
+                              const char* aWhy) {
+  // A stream that moves may end and take itself off the list.
+  const std::map<StreamKey, GuardedStream*> streams = mStreams;
+  for (const auto& [key, stream] : streams) {
+    if (mStreams.contains(key)) {
+      stream->MoveOff(aInstances, aWhy);
+    }
+  }
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/relay/stream_guard.h
@@ -0,0 +1,64 @@
+/// Watches the streams of a router and moves them off upstreams that died,
+/// stand still or leave.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "daemons/relay/relay_context.h"
+#include "spindleweir/drivers/stream_client.h"
+#include "spindleweir/servers/streams/progress_watch.h"
+
+namespace spindleweir {
+
+/// What the guard needs of a stream.
+class GuardedStream {
+ public:
+  virtual ~GuardedStream() = default;
+  /// Goes on without these instances, where it uses one of them.
+  virtual void MoveOff(const std::set<std::string>& aInstances,
+                       const char* aWhy) = 0;
+  /// The first instance of its path; empty: none at present.
+  virtual std::string FirstInstance() const = 0;
+};
+
+/// One per router.
+class StreamGuard {
+ public:
+  explicit StreamGuard(RelayContext& aContext);
+
+  /// Begins to watch a stream; the key is valid until Remove.
+  StreamKey Add(GuardedStream* aStream);
+  void Remove(StreamKey aKey);
+  ProgressWatch& Watch() { return mWatch; }
+
+ private:
+  void Step();
+  void Probe(const std::string& aInstance);
+  void ProbeEnded(const std::string& aInstance, bool aConnected);
+  void AskState(const std::string& aInstance);
+  void TakeState(const EngineState& aState);
+  void LeaveBehind(const std::set<std::string>& aInstances, const char* aWhy);
+  void MoveOffLeaving();
+
+  /// A look at one instance.
+  struct Look {
+    std::unique_ptr<StreamCall> mCall;
+    Millis mAt = -1;
+    std::string mBody;
+  };
+
+  RelayContext& mContext;
+  ProgressWatch mWatch;
+  std::map<StreamKey, GuardedStream*> mStreams;
+  std::map<std::string, Look> mProbes;
+  std::map<std::string, Look> mStates;
+  std::set<std::string> mLeftBehind;  ///< Leaving ones that were handled.
+  StreamKey mNext = 1;
+  std::unique_ptr<Timer> mTimer;
+};
+
+}  // namespace spindleweir
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -22,7 +22,9 @@
   int mRequests = 0;
   double mTokenLayers = 0;  ///< Memory promised to them.
   int mFirsts = 0;          ///< Requests that have it as the first.
+  double mReadTokenLayers = 0;  ///< Still to be read by it.
   double mSlowness = 1;     ///< Times that it takes longer than it should.
+  int mUnreachable = 0;     ///< Routers that cannot connect to it at present.
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -30,7 +32,9 @@
     aCodec.Field("requests", mRequests);
     aCodec.Field("token_layers", mTokenLayers);
     aCodec.Field("firsts", mFirsts);
+    aCodec.Field("read_token_layers", mReadTokenLayers);
     aCodec.Field("slowness", mSlowness);
+    aCodec.Field("unreachable", mUnreachable);
   }
 };
 
--- a/include/spindleweir/servers/placement/layer_planner.h
+++ b/include/spindleweir/servers/placement/layer_planner.h
@@ -1,5 +1,5 @@
-/// Decides which layers each engine of a service holds: one row over all
-/// engines of a zone first, then cover for what is held least.
+/// Decides which layers each engine of a service holds: whole rows of the
+/// fastest engines of a zone first, then cover for what is held least.
 #pragma once
 
 #include <string>
--- a/include/spindleweir/servers/routing/layer_path.h
+++ b/include/spindleweir/servers/routing/layer_path.h
@@ -29,6 +29,7 @@
   double mRequests = 0;
   double mTokenLayers = 0;  ///< Memory promised to them.
   double mFirsts = 0;       ///< Requests that have it as the first.
+  double mReadTokenLayers = 0;  ///< Still to be read by it.
   double mSlowness = 1;     ///< Times that it takes longer than it should.
 };
 
@@ -43,6 +44,10 @@
   std::function<EngineLoad(const std::string&)> mLoadOf;
   /// Engines that are not to be used, by instance.
   std::set<std::string> mAvoid;
+  /// Spreads requests that choose at the same moment; may be empty.
+  std::function<double()> mRandom;
+  /// The layers to be passed; both 0: all.
+  LayerRange mLayers;
   /// The share of an engine's room that may be promised.
   double mFill = 0.95;
 };
--- a/servers/placement/layer_planner.cpp
+++ b/servers/placement/layer_planner.cpp
@@ -10,9 +10,12 @@
 
 namespace {
 
-/// The share of an engine's memory that weights take where it covers others;
-/// the rest holds requests.
-constexpr double kWeightShare = 0.62;
+/// The share of an engine's memory that weights take; the rest holds requests.
+/// Rows of few fast engines serve a request so soon that its memory is free
+/// again early, which is worth more than the room of longer rows.
+constexpr double kWeightShare = 0.72;
+/// The most that weights may take where a row would not be whole otherwise.
+constexpr double kMostWeightShare = 0.85;
 
 /// An engine under planning.
 struct Card {
@@ -23,8 +26,8 @@
 
 using Cards = std::vector<Card>;
 
-double Comfortable(const Card& aCard) {
-  return aCard.mMost * kWeightShare;
+double Comfortable(const Card& aCard, double aShare) {
+  return aCard.mMost * aShare;
 }
 
 /// Deals aLayers layers to the cards of a row, in proportion to their memory.
@@ -45,11 +48,51 @@
   }
 }
 
+/// Takes the fastest cards that hold all layers with room to spare; empty
+/// where the cards cannot.
+Cards TakeRow(Cards& aCards, int aLayers) {
+  for (double share : {kWeightShare, kMostWeightShare}) {
+    double held = 0;
+    std::size_t n = 0;
+    while (n < aCards.size() && held < aLayers) {
+      held += Comfortable(aCards[n], share);
+      n++;
+    }
+    if (held >= aLayers) {
+      const auto end = aCards.begin() + static_cast<std::ptrdiff_t>(n);
+      Cards row(aCards.begin(), end);
+      aCards.erase(aCards.begin(), end);
+      return row;
+    }
+  }
+  return {};
+}
+
+/// The layers that a card was just dealt; empty: none.
+LayerRange RangeOf(const std::vector<LayerOrder>& aOrders, const Card& aCard) {
+  for (const LayerOrder& order : aOrders) {
+    if (order.mInstance == aCard.mRecord->mInstance) {
+      return order.mLayers;
+    }
+  }
+  return {};
+}
+
+/// Adds the memory that a card brings to each of its layers.
+void NoteHeld(const Card& aCard, const LayerRange& aLayers,
+              std::vector<double>& aHeld) {
+  const int end = std::min(aLayers.mTo, static_cast<int>(aHeld.size()));
+  for (int i = std::max(0, aLayers.mFrom); i < end; i++) {
+    aHeld[static_cast<std::size_t>(i)] +=
+        aCard.mKind->mMemoryMb / aLayers.Count();
+  }
+}
+
 /// Gives one card the layers that are held least.
 LayerOrder CoverLeast(const Card& aCard, std::vector<double>& aHeld) {
   const int layers = static_cast<int>(aHeld.size());
   const int n = std::max(
-      1, std::min(layers, static_cast<int>(Comfortable(aCard))));
+      1, std::min(layers, static_cast<int>(Comfortable(aCard, kWeightShare))));
   int best = 0;
   double least = -1;
   for (int from = 0; from + n <= layers; from++) {
@@ -66,10 +109,9 @@
       best = from;
     }
   }
-  for (int i = best; i < best + n; i++) {
-    aHeld[static_cast<std::size_t>(i)] += aCard.mKind->mMemoryMb / n;
-  }
-  return {aCard.mRecord->mInstance, {best, best + n}};
+  const LayerRange dealt{best, best + n};
+  NoteHeld(aCard, dealt, aHeld);
+  return {aCard.mRecord->mInstance, dealt};
 }
 
 /// Plans one zone.
@@ -77,11 +119,7 @@
               Cards aEmpty, std::vector<LayerOrder>& aOut) {
   std::vector<double> held(static_cast<std::size_t>(aProfile.mLayers), 0.0);
   for (const Card& card : aHolding) {
-    const LayerRange& layers = card.mRecord->mLayers;
-    for (int i = layers.mFrom; i < layers.mTo && i < aProfile.mLayers; i++) {
-      held[static_cast<std::size_t>(i)] +=
-          card.mKind->mMemoryMb / layers.Count();
-    }
+    NoteHeld(card, card.mRecord->mLayers, held);
   }
   std::sort(aEmpty.begin(), aEmpty.end(),
             [](const Card& aLeft, const Card& aRight) {
@@ -90,15 +128,14 @@
               }
               return aLeft.mRecord->mInstance < aRight.mRecord->mInstance;
             });
-  int most = 0;
-  for (const Card& card : aEmpty) {
-    most += card.mMost;
-  }
-  if (aHolding.empty() && most >= aProfile.mLayers) {
-    // One row over all engines of the zone: memory for requests is what runs
-    // short first, and each further copy of the weights takes of it.
-    DealRow(aEmpty, aProfile.mLayers, aOut);
-    return;
+  if (aHolding.empty()) {
+    for (Cards row = TakeRow(aEmpty, aProfile.mLayers); !row.empty();
+         row = TakeRow(aEmpty, aProfile.mLayers)) {
+      DealRow(row, aProfile.mLayers, aOut);
+      for (const Card& card : row) {
+        NoteHeld(card, RangeOf(aOut, card), held);
+      }
+    }
   }
   for (const Card& card : aEmpty) {
     aOut.push_back(CoverLeast(card, held));
--- a/servers/routing/layer_path.cpp
+++ b/servers/routing/layer_path.cpp
@@ -19,6 +19,8 @@
 /// What the last free memory of an engine is worth, in milliseconds for each
 /// share of its room that a request takes.
 constexpr double kRoomPrice = 4000;
+/// Routers do not see each other's newest choices.
+constexpr double kSpread = 0.2;
 
 /// One engine with what a part of it costs.
 struct Candidate {
@@ -26,6 +28,7 @@
   EngineModel mModel;
   EngineLoad mLoad;
   double mRoom;  ///< Tokens x layers that may be promised in all.
+  double mSpread;  ///< A factor near 1 that differs with each choice.
 };
 
 /// The best way found to a boundary between layers.
@@ -39,7 +42,10 @@
  public:
   explicit PathSearch(const PathQuestion& aQuestion) : mQuestion(aQuestion) {
     const EngineProfile& profile = *aQuestion.mProfile;
-    mBoundaries = {0, profile.mLayers};
+    const LayerRange wanted = aQuestion.mLayers.Count() > 0
+                                  ? aQuestion.mLayers
+                                  : LayerRange{0, profile.mLayers};
+    mBoundaries = {wanted.mFrom, wanted.mTo};
     for (const UpstreamRecord* record : aQuestion.mEngines) {
       const AcceleratorKind* kind = profile.FindKind(record->mKind);
       const bool usable = kind != nullptr && record->mLayers.Count() > 0 &&
@@ -52,10 +58,13 @@
       const double room =
           model.Room(record->mLayers.Count()) * aQuestion.mFill;
       mCandidates.push_back(
-          {record, model, load, room});
+          {record, model, load, room, Spread()});
       mBoundaries.push_back(record->mLayers.mFrom);
       mBoundaries.push_back(record->mLayers.mTo);
     }
+    std::erase_if(mBoundaries, [&wanted](int aBoundary) {
+      return aBoundary < wanted.mFrom || aBoundary > wanted.mTo;
+    });
     std::sort(mBoundaries.begin(), mBoundaries.end());
     mBoundaries.erase(std::unique(mBoundaries.begin(), mBoundaries.end()),
                       mBoundaries.end());
@@ -75,6 +84,10 @@
   }
 
  private:
+  double Spread() const {
+    return mQuestion.mRandom ? 1 + kSpread * mQuestion.mRandom() : 1;
+  }
+
   void Extend(std::vector<Reached>& aReached, int aFrom) {
     const Reached here = aReached[static_cast<std::size_t>(aFrom)];
     const int first = mBoundaries[static_cast<std::size_t>(aFrom)];
@@ -137,8 +150,10 @@
     const double room = std::max(1.0, aCandidate.mRoom);
     const double fill = std::min(1.0, (used + need) / room);
     const double scarcity = need / room * fill * fill * kRoomPrice;
-    return (step * mQuestion.mAnswerTokens + read) *
-               aCandidate.mLoad.mSlowness +
+    const double queue =
+        aCandidate.mModel.ReadMillis(1, 1) * aCandidate.mLoad.mReadTokenLayers;
+    return (step * mQuestion.mAnswerTokens + read + queue) *
+               aCandidate.mLoad.mSlowness * aCandidate.mSpread +
            scarcity;
   }
 
