Holes in a zone are closed; a stream is only left for a better path

Change: planner closes holes by a spare engine or by its neighbours; paths to another zone cost what they take of the pipe; SwitchAttempt chooses before it leaves; the guard knows when this process was late.

--- a/daemons/control/layer_placer.cpp
+++ b/daemons/control/layer_placer.cpp
@@ -53,10 +53,12 @@
 
 void LayerPlacer::PlaceService(const TrafficService& aService) {
   const Millis now = SteadyNow();
+  const std::set<std::string> lost = mSync.Unreachable();
   std::vector<UpstreamRecord> engines;
   for (const UpstreamRecord* record :
        mSync.Registry().OfService(aService.mName)) {
-    if (record->mState != UpstreamState::kReady) {
+    if (record->mState != UpstreamState::kReady ||
+        lost.contains(record->mInstance)) {
       mPending.erase(record->mInstance);
       continue;
     }
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -23,6 +23,8 @@
 /// other control has it.
 constexpr Millis kTellTimeout = 500;
 constexpr int kLifeBytes = 6;
+/// Routers that must agree that an upstream cannot be reached.
+constexpr int kWitnesses = 2;
 constexpr const char* kNotice = "control.notice";
 
 /// Records that another control must know at once.
@@ -158,6 +160,16 @@
   return loads;
 }
 
+std::set<std::string> SyncService::Unreachable() const {
+  std::set<std::string> lost;
+  for (const LoadShare& load : LoadsOfOthers("", true)) {
+    if (load.mUnreachable >= kWitnesses) {
+      lost.insert(load.mInstance);
+    }
+  }
+  return lost;
+}
+
 void SyncService::AskOthers() {
   mRegistry.Expire(kMissedBeats * mContext.mOptions.mHeartbeatInterval,
                    SteadyNow());
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "daemons/control/replicated_configuration.h"
@@ -22,6 +23,8 @@
   void Beat(const UpstreamRecord& aRecord, const std::function<void()>& aDone);
   void Leave(const std::string& aInstance, const std::function<void()>& aDone);
 
+  /// Upstreams that several routers cannot connect to.
+  std::set<std::string> Unreachable() const;
   UpstreamRegistry& Registry() { return mRegistry; }
   const ControlDirectory& Directory() const { return mDirectory; }
   /// The configuration in force here; version 0: none yet.
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -273,8 +273,8 @@
   const UpstreamRecord* first = mContext.mRegistry.Find(mAttempt->mInstance);
   const bool leaves =
       first != nullptr && first->mState == UpstreamState::kLeaving;
-  if (!leaves && MayTryAgain(Ran::kUnknown, true)) {
-    AttemptFailed(Ran::kUnknown, ResultCode::kOutcomeUnknown, true);
+  if (!leaves) {
+    SwitchAttempt(ResultCode::kOutcomeUnknown);
   }
 }
 
@@ -587,21 +587,38 @@
       SteadyNow() - std::max(mAttempt->mHeardAt, mAttempt->mMovedAt);
   const bool begun = mAttempt->mHeardAt > mAttempt->mStartedAt;
   const Millis most = begun ? kSilenceBetween : kSilenceBeforeFirst;
-  if (silent < most || !MayTryAgain(Ran::kUnknown, true)) {
-    return;
+  if (silent >= most) {
+    SwitchAttempt(ResultCode::kOutcomeUnknown);
   }
-  AttemptFailed(Ran::kUnknown, ResultCode::kOutcomeUnknown, true);
 }
 
-bool RelayRequest::MayTryAgain(Ran aRan, bool aWasSent) const {
-  const bool allowed = aRan == Ran::kNo || mRoute->Repeatable();
-  const int sent = mSent + (aWasSent ? 1 : 0);
-  return allowed && sent < mRoute->mAttempts && mNotSent < kMostNotSent &&
-         Remaining() > kLeastForAttempt && !mExchange->Closed();
+bool RelayRequest::SwitchAttempt(ResultCode aCode) {
+  if (!MayTryAgain(Ran::kUnknown, true)) {
+    return false;
+  }
+  auto next = std::make_unique<Attempt>();
+  const bool found = mService->IsEngine() ? ChooseEnginePath(*next)
+                                          : ChoosePlainUpstream(*next);
+  const UpstreamRecord* first =
+      found ? mContext.mRegistry.Find(next->mInstance) : nullptr;
+  const bool other = first != nullptr && next->mInstance != mAttempt->mInstance;
+  if (!other || !mContext.RetriesOf(mService->mName)
+                     .TrySpend(mContext.mRouters, SteadyNow())) {
+    return false;
+  }
+  LogFailure(Ran::kUnknown, aCode);
+  mMayHaveRun = true;
+  mSent++;
+  DropAttempt();
+  mContext.mCounters.Add("retries");
+  mAttempt = std::move(next);
+  mAttempt->mStartedAt = SteadyNow();
+  mAttempt->mHeardAt = mAttempt->mStartedAt;
+  Send(*first);
+  return true;
 }
 
-void RelayRequest::AttemptFailed(Ran aRan, ResultCode aCode, bool aWasSent) {
-  const bool mayTryAgain = MayTryAgain(aRan, aWasSent);
+void RelayRequest::LogFailure(Ran aRan, ResultCode aCode) const {
   LogLine(LogLevel::kInfo, "attempt_failed")
       .Add("request", mFacts.mId)
       .Add("instance", mAttempt->mInstance)
@@ -613,6 +630,18 @@
            static_cast<Json::Int64>(SteadyNow() - mAttempt->mStartedAt))
       .Add("silent_ms",
            static_cast<Json::Int64>(SteadyNow() - mAttempt->mHeardAt));
+}
+
+bool RelayRequest::MayTryAgain(Ran aRan, bool aWasSent) const {
+  const bool allowed = aRan == Ran::kNo || mRoute->Repeatable();
+  const int sent = mSent + (aWasSent ? 1 : 0);
+  return allowed && sent < mRoute->mAttempts && mNotSent < kMostNotSent &&
+         Remaining() > kLeastForAttempt && !mExchange->Closed();
+}
+
+void RelayRequest::AttemptFailed(Ran aRan, ResultCode aCode, bool aWasSent) {
+  const bool mayTryAgain = MayTryAgain(aRan, aWasSent);
+  LogFailure(aRan, aCode);
   mMayHaveRun = mMayHaveRun || aRan != Ran::kNo;
   if (aWasSent) {
     mSent++;
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -89,6 +89,10 @@
   void HandleTimeout();
   void HandleCallerGone();
 
+  /// Leaves an attempt that may still go on for a better one; false, and
+  /// nothing changes, where there is none.
+  bool SwitchAttempt(ResultCode aCode);
+  void LogFailure(Ran aRan, ResultCode aCode) const;
   /// The attempt is over; aRan says what is known. Tries again or gives up.
   void AttemptFailed(Ran aRan, ResultCode aCode, bool aWasSent);
   bool MayTryAgain(Ran aRan, bool aWasSent) const;
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr Millis kStepPeriod = 20;
+/// A step this late shows that this process had no processor.
+constexpr Millis kLate = 45;
+constexpr Millis kLateFor = 60;
 /// An upstream that does not take a connection in this time is dead or cut
 /// off: the round trip between zones is a few milliseconds.
 constexpr Millis kProbeTimeout = 40;
@@ -40,7 +43,15 @@
 
 void StreamGuard::Step() {
   const Millis now = SteadyNow();
+  if (mSteppedAt > 0 && now - mSteppedAt > kLate) {
+    mLateAt = now;
+  }
+  mSteppedAt = now;
   MoveOffLeaving();
+  if (LateSince(now - kLateFor)) {
+    // What came meanwhile has not been read yet: pauses prove nothing.
+    return;
+  }
   for (const std::string& instance : mWatch.Suspects(now)) {
     const Look& look = mProbes[instance];
     if (look.mCall == nullptr && now - look.mAt >= kProbeAgain) {
@@ -104,7 +115,8 @@
   const std::shared_ptr<StreamCall> call = std::move(look.mCall);
   mContext.mLoop.Post([call] {});
   mContext.mCounters.Add("probes");
-  if (aConnected) {
+  const bool refused = took < kProbeTimeout;
+  if (aConnected || (!refused && LateSince(look.mAt))) {
     return;
   }
   LogLine(LogLevel::kInfo, "upstream_unreachable")
--- a/daemons/relay/stream_guard.h
+++ b/daemons/relay/stream_guard.h
@@ -37,6 +37,8 @@
 
  private:
   void Step();
+  /// Whether this process itself was late since then.
+  bool LateSince(Millis aSince) const { return mLateAt >= aSince; }
   void Probe(const std::string& aInstance);
   void ProbeEnded(const std::string& aInstance, bool aConnected);
   void AskState(const std::string& aInstance);
@@ -58,6 +60,8 @@
   std::map<std::string, Look> mStates;
   std::set<std::string> mLeftBehind;  ///< Leaving ones that were handled.
   StreamKey mNext = 1;
+  Millis mSteppedAt = 0;
+  Millis mLateAt = -1;  ///< When this process last was late itself.
   std::unique_ptr<Timer> mTimer;
 };
 
--- a/include/spindleweir/servers/placement/layer_planner.h
+++ b/include/spindleweir/servers/placement/layer_planner.h
@@ -18,9 +18,10 @@
   bool operator==(const LayerOrder&) const = default;
 };
 
-/// Orders for the engines that hold nothing. Engines that hold layers keep
-/// them: every load costs time and money, and a move takes the engine out of
-/// service.
+/// Orders for the engines that hold nothing, and for layers that no engine of
+/// a zone holds any more: an engine whose layers others hold too takes them,
+/// else those beside the hole grow into it. Other engines keep what they
+/// hold: every load costs time and money.
 std::vector<LayerOrder> PlanLayers(
     const EngineProfile& aProfile,
     const std::vector<const UpstreamRecord*>& aEngines);
--- a/servers/placement/layer_planner.cpp
+++ b/servers/placement/layer_planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 
 #include "spindleweir/servers/engines/engine_model.h"
 
@@ -114,6 +115,116 @@
   return {aCard.mRecord->mInstance, dealt};
 }
 
+/// A card with the layers that it holds, or was dealt.
+struct Holder {
+  Card mCard;
+  LayerRange mLayers;
+};
+
+/// How many cards hold each layer.
+std::vector<int> CountHolders(const std::vector<Holder>& aHolders,
+                              int aLayers) {
+  std::vector<int> counts(static_cast<std::size_t>(aLayers), 0);
+  for (const Holder& holder : aHolders) {
+    const int end = std::min(aLayers, holder.mLayers.mTo);
+    for (int i = std::max(0, holder.mLayers.mFrom); i < end; i++) {
+      counts[static_cast<std::size_t>(i)]++;
+    }
+  }
+  return counts;
+}
+
+/// The first run of layers that nobody holds; empty: there is none.
+LayerRange FirstHole(const std::vector<int>& aCounts) {
+  const auto begin = std::find(aCounts.begin(), aCounts.end(), 0);
+  const auto end = std::find_if(begin, aCounts.end(),
+                                [](int aCount) { return aCount > 0; });
+  return {static_cast<int>(begin - aCounts.begin()),
+          static_cast<int>(end - aCounts.begin())};
+}
+
+/// The card whose layers all others hold too, that has room for a hole and
+/// brings the least elsewhere; nullptr: none.
+const Holder* FindSpare(const std::vector<Holder>& aHolders,
+                        const std::vector<int>& aCounts, int aNeeded) {
+  const Holder* spare = nullptr;
+  for (const Holder& holder : aHolders) {
+    bool covered = true;
+    for (int i = holder.mLayers.mFrom; i < holder.mLayers.mTo; i++) {
+      covered = covered && aCounts[static_cast<std::size_t>(i)] > 1;
+    }
+    const bool fits = Comfortable(holder.mCard, kMostWeightShare) >= aNeeded;
+    const bool lesser = spare == nullptr || holder.mCard.mKind->mMemoryMb <
+                                                spare->mCard.mKind->mMemoryMb;
+    if (covered && fits && lesser) {
+      spare = &holder;
+    }
+  }
+  return spare;
+}
+
+/// How many layers more a card may take.
+int Growth(const Holder* aHolder) {
+  if (aHolder == nullptr) {
+    return 0;
+  }
+  const int most =
+      static_cast<int>(Comfortable(aHolder->mCard, kMostWeightShare));
+  return std::max(0, most - aHolder->mLayers.Count());
+}
+
+/// Closes a hole by cards beside it that take more; each load is short, and
+/// what they hold goes on serving.
+void GrowInto(const std::vector<Holder>& aHolders, const LayerRange& aHole,
+              std::vector<LayerOrder>& aOut) {
+  const Holder* left = nullptr;
+  const Holder* right = nullptr;
+  for (const Holder& holder : aHolders) {
+    const bool endsThere = holder.mLayers.mTo == aHole.mFrom;
+    const bool beginsThere = holder.mLayers.mFrom == aHole.mTo;
+    if (endsThere && Growth(&holder) > Growth(left)) {
+      left = &holder;
+    }
+    if (beginsThere && Growth(&holder) > Growth(right)) {
+      right = &holder;
+    }
+  }
+  const int most = Growth(left) + Growth(right);
+  if (most == 0) {
+    return;
+  }
+  const int needed = std::min(aHole.Count(), most);
+  const int byLeft = std::min(
+      Growth(left), static_cast<int>(std::lround(
+                        needed * static_cast<double>(Growth(left)) / most)));
+  const int byRight = std::min(Growth(right), needed - byLeft);
+  if (byLeft > 0) {
+    aOut.push_back({left->mCard.mRecord->mInstance,
+                    {left->mLayers.mFrom, left->mLayers.mTo + byLeft}});
+  }
+  if (byRight > 0) {
+    aOut.push_back({right->mCard.mRecord->mInstance,
+                    {right->mLayers.mFrom - byRight, right->mLayers.mTo}});
+  }
+}
+
+/// Closes the first hole of a zone that has lost an engine.
+void CloseHole(const EngineProfile& aProfile,
+               const std::vector<Holder>& aHolders,
+               std::vector<LayerOrder>& aOut) {
+  const std::vector<int> counts = CountHolders(aHolders, aProfile.mLayers);
+  const LayerRange hole = FirstHole(counts);
+  if (hole.Count() <= 0) {
+    return;
+  }
+  const Holder* spare = FindSpare(aHolders, counts, hole.Count());
+  if (spare != nullptr) {
+    aOut.push_back({spare->mCard.mRecord->mInstance, hole});
+    return;
+  }
+  GrowInto(aHolders, hole, aOut);
+}
+
 /// Plans one zone.
 void PlanZone(const EngineProfile& aProfile, const Cards& aHolding,
               Cards aEmpty, std::vector<LayerOrder>& aOut) {
@@ -140,6 +251,13 @@
   for (const Card& card : aEmpty) {
     aOut.push_back(CoverLeast(card, held));
   }
+  std::vector<Holder> holders;
+  for (const Card& card : aHolding) {
+    holders.push_back({card, card.mRecord->mLayers});
+  }
+  if (!aHolding.empty() && aEmpty.empty()) {
+    CloseHole(aProfile, holders, aOut);
+  }
 }
 
 }  // namespace
@@ -149,6 +267,7 @@
     const std::vector<const UpstreamRecord*>& aEngines) {
   std::map<std::string, Cards> holding;
   std::map<std::string, Cards> empty;
+  std::set<std::string> zones;
   for (const UpstreamRecord* record : aEngines) {
     const AcceleratorKind* kind = aProfile.FindKind(record->mKind);
     if (kind == nullptr || record->mState != UpstreamState::kReady) {
@@ -158,12 +277,13 @@
     if (card.mMost <= 0) {
       continue;
     }
+    zones.insert(record->mZone);
     const bool holds = record->mLayers.Count() > 0;
     (holds ? holding : empty)[record->mZone].push_back(card);
   }
   std::vector<LayerOrder> orders;
-  for (const auto& [zone, cards] : empty) {
-    PlanZone(aProfile, holding[zone], cards, orders);
+  for (const std::string& zone : zones) {
+    PlanZone(aProfile, holding[zone], empty[zone], orders);
   }
   return orders;
 }
--- a/servers/routing/layer_path.cpp
+++ b/servers/routing/layer_path.cpp
@@ -10,7 +10,7 @@
 constexpr double kNone = std::numeric_limits<double>::infinity();
 /// What a step to another zone costs beside its time: pipes are shared, and
 /// what passes them is paid for.
-constexpr double kOtherZoneCost = 150;
+constexpr double kOtherZoneCost = 500;
 /// A token waits at each engine for the pass that is under way.
 constexpr double kWaitForPass = 2;
 /// Of the requests that an engine has, this part is in one pass with another;
