--- /dev/null
+++ b/tests/drivers/http_message_test.cpp
@@ -0,0 +1,106 @@
+#include "spindleweir/drivers/http_message.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+/// Reads bytes at once and byte by byte; both must come to the same.
+ReadState StateOf(MessageSide aSide, std::string_view aBytes,
+                  std::string* aBody = nullptr, std::size_t* aUsed = nullptr) {
+  HttpMessageReader whole(aSide);
+  const std::size_t n = whole.Read(aBytes);
+  HttpMessageReader slow(aSide);
+  for (char byte : aBytes) {
+    slow.Read({&byte, 1});
+  }
+  CHECK(slow.State() == whole.State());
+  const std::string body = whole.TakeBody();
+  CHECK(whole.State() == ReadState::kBad || slow.TakeBody() == body);
+  if (aBody != nullptr) {
+    *aBody = body;
+  }
+  if (aUsed != nullptr) {
+    *aUsed = n;
+  }
+  return whole.State();
+}
+
+ReadState RequestState(std::string_view aBytes) {
+  return StateOf(MessageSide::kRequests, aBytes);
+}
+
+}  // namespace
+
+Test(http_message, requests_are_framed_exactly) {
+  std::string body;
+  std::size_t used = 0;
+  SECTION("a length, and the next request stays") {
+    const std::string one = "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc";
+    CHECK(StateOf(MessageSide::kRequests, one + "POST /b", &body, &used) ==
+          ReadState::kComplete);
+    CHECK(body == "abc");
+    CHECK(used == one.size());
+  }
+  SECTION("chunks") {
+    const std::string one =
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n";
+    CHECK(StateOf(MessageSide::kRequests, one + "GET", &body, &used) ==
+          ReadState::kComplete);
+    CHECK(body == "abcde");
+    CHECK(used == one.size());
+  }
+  SECTION("what could hide a second request is refused") {
+    CHECK(RequestState("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+                       "Content-Length: 4\r\n\r\nabcd") == ReadState::kBad);
+    CHECK(RequestState("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\nabc") ==
+          ReadState::kBad);
+    CHECK(RequestState("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "x\r\n") == ReadState::kBad);
+    CHECK(RequestState("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n") ==
+          ReadState::kBad);
+    CHECK(RequestState("nonsense\r\n\r\n") == ReadState::kBad);
+  }
+  SECTION("a chunk that was cut short is not complete") {
+    CHECK(RequestState("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "5\r\nab") == ReadState::kBody);
+  }
+}
+
+Test(http_message, answers_end_where_they_say) {
+  SECTION("without a length only the end of the connection ends them") {
+    HttpMessageReader reader(MessageSide::kAnswers);
+    reader.Read("HTTP/1.1 200 OK\r\n\r\nabc");
+    CHECK(reader.State() == ReadState::kBody);
+    CHECK(reader.Answer().mUntilClose);
+    reader.ReadEnd();
+    CHECK(reader.State() == ReadState::kComplete);
+  }
+  SECTION("with a length the end of the connection does not") {
+    HttpMessageReader reader(MessageSide::kAnswers);
+    reader.Read("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+    reader.ReadEnd();
+    CHECK(reader.State() == ReadState::kBody);
+  }
+  SECTION("an interim answer is passed over") {
+    CHECK(StateOf(MessageSide::kAnswers,
+                  "HTTP/1.1 100 Continue\r\n\r\n"
+                  "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") ==
+          ReadState::kComplete);
+  }
+  SECTION("bytes that are no answer are bad") {
+    CHECK(StateOf(MessageSide::kAnswers, "\x16\x03garbage\r\n\r\n") ==
+          ReadState::kBad);
+  }
+}
+
+Test(http_message, connection_headers_are_known) {
+  const HttpHeaders headers = {{"Connection", "close, X-Hop"},
+                               {"X-Hop", "1"},
+                               {"X-End", "2"}};
+  CHECK(IsConnectionHeader(headers, "x-hop"));
+  CHECK(IsConnectionHeader(headers, "Transfer-Encoding"));
+  CHECK(!IsConnectionHeader(headers, "X-End"));
+}
--- /dev/null
+++ b/tests/drivers/stream_test.cpp
@@ -0,0 +1,225 @@
+/// The server and the client for requests that are passed on.
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "spindleweir/drivers/stream_client.h"
+#include "spindleweir/drivers/stream_server.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+constexpr Millis kLongest = 10000;
+
+/// A server with a handler that a test sets.
+struct Server {
+  Server()
+      : mServer(mLoop,
+                {.mListen = {"127.0.0.1", 0},
+                 .mLimits = {.mMaximumHeaderBytes = 2000,
+                             .mMaximumBodyBytes = 1000},
+                 .mHandle =
+                     [this](const std::shared_ptr<StreamExchange>& aExchange) {
+                       mHandled++;
+                       mExchange = aExchange;
+                       aExchange->OnClosed([this] { mClosed = true; });
+                       if (mHandle) {
+                         mHandle(*aExchange);
+                       }
+                     },
+                 .mRefuse =
+                     [](StreamExchange& aExchange, ResultCode aCode) {
+                       aExchange.Reply(InfoOf(aCode).mHttpStatus, {}, "no");
+                     }}) {}
+
+  bool RunUntil(const std::function<bool()>& aCondition) {
+    const auto check = mLoop.Every(2, [&] {
+      if (aCondition()) {
+        mLoop.Stop();
+      }
+    });
+    const auto end = mLoop.After(kLongest, [this] { mLoop.Stop(); });
+    mLoop.Run();
+    return aCondition();
+  }
+
+  /// Sends a call and waits for its end.
+  StreamEnd Call(std::string aBody = "") {
+    bool ended = false;
+    StreamEnd end = StreamEnd::kNotSent;
+    mStatus = 0;
+    mBody.clear();
+    StreamCallOptions options;
+    options.mServer = mServer.Address();
+    options.mMethod = "POST";
+    options.mHeaders = {{"Host", "h"}};
+    options.mBody = std::move(aBody);
+    options.mOnHead = [this](const AnswerHead& aHead) {
+      mStatus = aHead.mStatus;
+    };
+    options.mOnData = [this](std::string_view aBytes) { mBody += aBytes; };
+    options.mOnEnd = [&](StreamEnd aEnd) {
+      ended = true;
+      end = aEnd;
+    };
+    const auto call = StartStreamCall(mLoop, std::move(options));
+    REQUIRE(RunUntil([&] { return ended; }));
+    return end;
+  }
+
+  /// Sends bytes and returns all that comes until the server closes.
+  std::string Raw(std::string_view aBytes) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(
+        mServer.Address().mPort));
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    (void)connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    std::string received;
+    bool sent = false;
+    bool closed = false;
+    RunUntil([&] {
+      if (!sent) {
+        sent = send(fd, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) > 0;
+      }
+      char buf[4096];
+      const ssize_t n = recv(fd, buf, sizeof(buf), 0);
+      if (n > 0) {
+        received.append(buf, static_cast<std::size_t>(n));
+      }
+      closed = n == 0;
+      return closed;
+    });
+    CHECK(closed);
+    close(fd);
+    return received;
+  }
+
+  EventLoop mLoop;
+  std::function<void(StreamExchange&)> mHandle;
+  std::shared_ptr<StreamExchange> mExchange;
+  int mHandled = 0;
+  bool mClosed = false;
+  int mStatus = 0;
+  std::string mBody;
+  StreamServer mServer;
+};
+
+}  // namespace
+
+Test(stream, answers_come_whole_or_are_known_to_be_broken) {
+  Server server;
+  SECTION("a whole answer") {
+    server.mHandle = [](StreamExchange& aExchange) {
+      aExchange.Reply(200, {}, aExchange.Body() + "!");
+    };
+    CHECK(server.Call("hello") == StreamEnd::kComplete);
+    CHECK(server.mStatus == 200 && server.mBody == "hello!");
+  }
+  SECTION("a stream in pieces") {
+    server.mHandle = [](StreamExchange& aExchange) {
+      aExchange.Start(200, {}, std::nullopt);
+      aExchange.Write("a");
+      aExchange.Write("b");
+      aExchange.End();
+    };
+    CHECK(server.Call() == StreamEnd::kComplete);
+    CHECK(server.mBody == "ab");
+  }
+  SECTION("a stream that is broken off") {
+    server.mHandle = [](StreamExchange& aExchange) {
+      aExchange.Start(200, {}, std::nullopt);
+      aExchange.Write("a");
+    };
+    const auto abort = server.mLoop.After(50, [&] {
+      server.mExchange->Abort();
+    });
+    CHECK(server.Call() == StreamEnd::kLost);
+  }
+  SECTION("nobody listens: not sent") {
+    StreamEnd end = StreamEnd::kComplete;
+    StreamCallOptions options;
+    options.mServer = {"127.0.0.1", 1};
+    options.mOnEnd = [&](StreamEnd aEnd) { end = aEnd; };
+    const auto call = StartStreamCall(server.mLoop, std::move(options));
+    CHECK(server.RunUntil([&] { return end == StreamEnd::kNotSent; }));
+  }
+  SECTION("the last look before sending says no: not sent") {
+    const int before = server.mHandled;
+    StreamEnd end = StreamEnd::kComplete;
+    StreamCallOptions options;
+    options.mServer = server.mServer.Address();
+    options.mMaySend = [] { return false; };
+    options.mOnEnd = [&](StreamEnd aEnd) { end = aEnd; };
+    const auto call = StartStreamCall(server.mLoop, std::move(options));
+    CHECK(server.RunUntil([&] { return end == StreamEnd::kNotSent; }));
+    CHECK(server.mHandled == before);
+  }
+}
+
+Test(stream, a_caller_that_leaves_is_seen_at_once) {
+  Server server;
+  StreamCallOptions options;
+  options.mServer = server.mServer.Address();
+  options.mHeaders = {{"Host", "h"}};
+  auto call = StartStreamCall(server.mLoop, std::move(options));
+  REQUIRE(server.RunUntil([&] { return server.mExchange != nullptr; }));
+  call.reset();
+  CHECK(server.RunUntil([&] { return server.mClosed; }));
+  CHECK(server.mExchange->Closed());
+}
+
+Test(stream, a_connection_that_closes_gets_its_answer_first) {
+  // Found on the users' platform: the write callback from before the newest
+  // write shut the connection down with the answer still in the buffer.
+  Server server;
+  server.mHandle = [](StreamExchange& aExchange) {
+    aExchange.Reply(200, {}, "");
+  };
+  const std::string answer = server.Raw(
+      "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 200 OK\r\n"));
+  CHECK(answer.find("Connection: close") != std::string::npos);
+}
+
+Test(stream, requests_that_cannot_be_read_are_refused_with_a_number) {
+  Server server;
+  const auto statusOf = [&server](std::string_view aBytes) {
+    return server.Raw(aBytes).substr(0, 12);
+  };
+  SECTION("two lengths") {
+    CHECK(statusOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                   "Content-Length: 2\r\n\r\nab") == "HTTP/1.1 400");
+  }
+  SECTION("no host, or two keys") {
+    CHECK(statusOf("GET / HTTP/1.1\r\nConnection: close\r\n\r\n") ==
+          "HTTP/1.1 400");
+    CHECK(statusOf("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                   "Authorization: Bearer a\r\nAuthorization: Bearer b\r\n"
+                   "\r\n") == "HTTP/1.1 400");
+  }
+  SECTION("too large a head or a body") {
+    CHECK(statusOf("GET / HTTP/1.1\r\nX: " + std::string(3000, 'x')) ==
+          "HTTP/1.1 431");
+    CHECK(statusOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" +
+                   std::string(2000, 'x')) == "HTTP/1.1 413");
+  }
+  CHECK(server.mHandled == 0);
+}
+
+Test(stream, requests_on_one_connection_are_answered_in_turn) {
+  Server server;
+  server.mHandle = [](StreamExchange& aExchange) {
+    aExchange.Reply(200, {}, aExchange.Head().mTarget);
+  };
+  const std::string answers = server.Raw(
+      "GET /one HTTP/1.1\r\nHost: h\r\n\r\n"
+      "GET /two HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  const std::size_t one = answers.find("/one");
+  const std::size_t two = answers.find("/two");
+  CHECK(one != std::string::npos && two != std::string::npos && one < two);
+  CHECK(server.mHandled == 2);
+}
--- a/tests/fuzz/parsers_fuzzer.cpp
+++ b/tests/fuzz/parsers_fuzzer.cpp
@@ -10,12 +10,19 @@
 
 #include "daemons/router/completion_body.h"
 #include "drivers/frame_reader.h"
+#include "platform/boot_settings.h"
+#include "platform/caller_headers.h"
+#include "platform/configuration_document.h"
+#include "platform/engine_messages.h"
+#include "platform/heartbeat_document.h"
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/drivers/disk_log.h"
+#include "spindleweir/drivers/http_message.h"
 #include "spindleweir/drivers/platform_list.h"
 #include "spindleweir/servers/configuration/configuration_history.h"
 #include "spindleweir/servers/configuration/intent_check.h"
+#include "spindleweir/servers/streams/event_reader.h"
 
 using namespace spindleweir;
 
@@ -59,6 +66,46 @@
   FromJson<Intent>(ParseJson(DumpJson(ToJson(intent))), true);
 }
 
+/// Whole and in two parts must come to the same, and a head that was read
+/// must be one that can be passed on.
+void ReadMessage(std::string_view aBytes, MessageSide aSide) {
+  HttpMessageReader whole(aSide);
+  whole.Read(aBytes);
+  HttpMessageReader parts(aSide);
+  const std::size_t half = aBytes.size() / 2;
+  if (parts.Read(aBytes.substr(0, half)) == half) {
+    parts.Read(aBytes.substr(half));
+  }
+  if (whole.State() != parts.State()) {
+    abort();
+  }
+  if (aSide == MessageSide::kRequests && whole.State() != ReadState::kHead) {
+    const CallerProtocol protocol = platform::CallerHeaders();
+    const RequestFacts facts = protocol.mReadRequest(whole.Request());
+    protocol.mWriteRequest(whole.Request(), {.mRemaining = 1});
+  }
+}
+
+void ReadEvents(std::string_view aBytes) {
+  EventReader reader;
+  std::string back;
+  for (char byte : aBytes) {
+    for (const StreamEvent& event : reader.Take({&byte, 1})) {
+      back += event.mBytes;
+    }
+  }
+  if (back + reader.Rest() != aBytes) {
+    abort();
+  }
+}
+
+void ReadDocument(std::string_view aBytes) {
+  const TrafficConfiguration read =
+      platform::ReadConfigurationDocument(aBytes);
+  CheckTraffic(read);
+  FromJson<TrafficConfiguration>(ToJson(read));
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* aData,
@@ -69,7 +116,7 @@
   const std::string_view bytes(reinterpret_cast<const char*>(aData) + 1,
                                aSize - 1);
   try {
-    switch (aData[0] % 6) {
+    switch (aData[0] % 13) {
       case 0:
         ReadBody(bytes, true);
         break;
@@ -85,6 +132,27 @@
       case 4:
         ReadIntent(bytes);
         break;
+      case 5:
+        ReadMessage(bytes, MessageSide::kRequests);
+        break;
+      case 6:
+        ReadMessage(bytes, MessageSide::kAnswers);
+        break;
+      case 7:
+        ReadEvents(bytes);
+        break;
+      case 8:
+        ReadDocument(bytes);
+        break;
+      case 9:
+        platform::ReadHeartbeat("i", bytes);
+        break;
+      case 10:
+        platform::EngineMessages().mReadState(bytes);
+        break;
+      case 11:
+        platform::ParseBootSettings(bytes);
+        break;
       default:
         FromJson<ConfigurationNews>(ParseJson(bytes));
         break;
--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,195 @@
+/// The adapter: names and formats, and that what cannot be read is refused
+/// with a number.
+#include "platform/boot_settings.h"
+#include "platform/caller_headers.h"
+#include "platform/configuration_document.h"
+#include "platform/engine_messages.h"
+#include "platform/heartbeat_document.h"
+#include "spindleweir/core/json_codec.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+using namespace spindleweir::platform;
+
+namespace {
+
+constexpr const char* kDocument = R"({"version":7,
+ "routes":[{"name":"r","host":"h.example","pathPrefix":"/a/",
+   "kind":"streaming","timeoutMs":20000,"targetLatencyMs":500,"priority":1,
+   "split":[{"service":"lm","weight":90},{"service":"api","weight":10}],
+   "maxAttempts":2,"public":false,"resumable":true,"gap_aim_ms":200}],
+ "services":[{"name":"lm","healthPath":"/health","maxConns":9,
+   "engine":{"slots":192,"kvTokenBytes":918000,"layers":80,"layer_mb":1750.0,
+     "models":[{"name":"m","load_s":14.0}],"usual":{"prompt":774,"answer":200},
+     "delays":[{"delay_ms":0.75}],
+     "kinds":[{"name":"a100","mb":72000.0,"pace":2.4,"read_x":3.2}]}},
+   {"name":"api"}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+   "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t","apiKeys":["k"],"priority":1}]})";
+
+RequestHead Head() {
+  RequestHead head;
+  head.mMethod = "POST";
+  head.mTarget = "/a/b";
+  head.mHeaders = {{"Host", "h.example"},
+                   {"Spindleweir-Request-Id", "9c41"},
+                   {"Spindleweir-Deadline-Ms", "4000"},
+                   {"Authorization", "Bearer k"},
+                   {"Spindleweir-Tenant", "forged"},
+                   {"Spindleweir-Token-Count", "1460,80"},
+                   {"Length-Hint", "60"},
+                   {"Last-Event-Id", "12"},
+                   {"Connection", "keep-alive"},
+                   {"X-Other", "stays"}};
+  return head;
+}
+
+std::string ValueOf(const HttpHeaders& aHeaders, const char* aName) {
+  const std::string* value = FindHeader(aHeaders, aName);
+  return value == nullptr ? "(none)" : *value;
+}
+
+}  // namespace
+
+Test(platform, a_document_becomes_a_configuration) {
+  const TrafficConfiguration read = ReadConfigurationDocument(kDocument);
+  CheckTraffic(read);
+  CHECK(read.mVersion == 7);
+  CHECK(read.mRoutes[0].mKind == RouteKind::kStream);
+  CHECK(read.mRoutes[0].mTargets.size() == 2);
+  CHECK(read.FindService("lm")->mEngine.mLayers == 80);
+  CHECK(read.FindService("lm")->mEngine.mLoadSeconds == 14);
+  CHECK(!read.FindService("api")->IsEngine());
+  CHECK(read.mWorkspaces[0].mKeys[0] == "k");
+  SECTION("it goes to routers in the product's words and comes back") {
+    const auto copy = FromJson<TrafficConfiguration>(ToJson(read));
+    CHECK(DumpJson(ToJson(copy)) == DumpJson(ToJson(read)));
+  }
+  SECTION("what cannot be read is refused with a number") {
+    const std::string text = kDocument;
+    CHECK(CodeThrownBy([&] {
+            ReadConfigurationDocument(text.substr(0, text.size() / 2));
+          }) == ResultCode::kMalformedJson);
+    CHECK(CodeThrownBy([] { ReadConfigurationDocument("{}"); }) ==
+          ResultCode::kBadField);
+    CHECK(CodeThrownBy([] {
+            ReadConfigurationDocument(
+                R"({"version":1,"services":[],"routes":[{"name":"r","host":"h",
+                "pathPrefix":"/","kind":"other","timeoutMs":1}]})");
+          }) == ResultCode::kBadConfiguration);
+  }
+}
+
+Test(platform, headers_of_requests_and_answers) {
+  const CallerProtocol protocol = CallerHeaders();
+  const RequestFacts facts = protocol.mReadRequest(Head());
+  CHECK(facts.mId == "9c41" && facts.mKey == "k" && facts.mDeadline == 4000);
+  CHECK(facts.mPromptTokens == 1460 && facts.mMostTokens == 80);
+  CHECK(facts.mExpectedTokens == 60 && facts.mLastEvent == 12);
+  SECTION("the key stays here, the workspace is ours, the rest goes along") {
+    const LayerPath path = {{"i-1", "10.1.0.1:80", {0, 20}},
+                            {"i-2", "10.1.0.2:80", {20, 80}}};
+    const HttpHeaders sent = protocol.mWriteRequest(
+        Head(), {.mRemaining = 3500,
+                 .mInstance = "i-1",
+                 .mWorkspace = "t",
+                 .mPath = &path,
+                 .mLastEvent = 15});
+    CHECK(ValueOf(sent, "Authorization") == "(none)");
+    CHECK(ValueOf(sent, "Connection") == "(none)");
+    CHECK(ValueOf(sent, "Spindleweir-Tenant") == "t");
+    CHECK(CountHeader(sent, "Spindleweir-Tenant") == 1);
+    CHECK(ValueOf(sent, "Spindleweir-Deadline-Ms") == "3500");
+    CHECK(ValueOf(sent, "Last-Event-Id") == "15");
+    CHECK(ValueOf(sent, "Path") == "10.1.0.1:80=0-20,10.1.0.2:80=20-80");
+    CHECK(ValueOf(sent, "X-Other") == "stays");
+  }
+  SECTION("what ran and what did not") {
+    const auto ran = [&](AnswerHead aHead) {
+      return protocol.mReadAnswer(aHead, facts).mRan;
+    };
+    CHECK(ran({.mStatus = 200}) == Ran::kYes);
+    CHECK(ran({.mStatus = 503}) == Ran::kYes);
+    CHECK(ran({.mStatus = 421}) == Ran::kNo);
+    CHECK(ran({.mStatus = 503,
+               .mHeaders = {{"Spindleweir-Not-Executed", "1"}}}) == Ran::kNo);
+    CHECK(!protocol
+               .mReadAnswer({.mStatus = 200,
+                             .mHeaders = {{"Spindleweir-Request-Id", "other"}}},
+                            facts)
+               .mOurs);
+  }
+  SECTION("bad heads are refused with a number") {
+    RequestHead none = Head();
+    none.mHeaders.erase(none.mHeaders.begin() + 1);
+    CHECK(CodeThrownBy([&] { protocol.mReadRequest(none); }) ==
+          ResultCode::kBadHeader);
+    RequestHead twice = Head();
+    twice.mHeaders.push_back({"spindleweir-deadline-ms", "1"});
+    CHECK(CodeThrownBy([&] { protocol.mReadRequest(twice); }) ==
+          ResultCode::kBadHeader);
+  }
+  SECTION("when to come back is told in seconds") {
+    CHECK(ValueOf(protocol.mWriteRefusal("9c41", 250), "Retry-After") ==
+          "0.250");
+    CHECK(ValueOf(protocol.mWriteRefusal("9c41", -1), "Retry-After") ==
+          "(none)");
+  }
+}
+
+Test(platform, heartbeats) {
+  const UpstreamRecord record = ReadHeartbeat(
+      "i-1",
+      R"({"service":"lm","address":"10.128.0.9:8080","zone":"z","version":"v1",
+      "slots":192,"state":"draining","coldLeftMs":0,"kind":"a100","seq":4,
+      "layers":{"from":8,"targetVersion":31,"version":1}})");
+  CHECK(record.mState == UpstreamState::kLeaving && record.mSequence == 4);
+  CHECK(record.mLayers == (LayerRange{8, 31}));
+  CHECK(CodeThrownBy([] { ReadHeartbeat("i", "{"); }) ==
+        ResultCode::kMalformedJson);
+  CHECK(CodeThrownBy([] { ReadHeartbeat("i", "{}"); }) ==
+        ResultCode::kBadField);
+  CHECK(CodeThrownBy([] {
+          ReadHeartbeat("i", R"({"service":"s","address":"10.0.0.1:1",
+            "zone":"z","state":"odd","seq":1})");
+        }) == ResultCode::kBadHeartbeat);
+  CHECK(CodeThrownBy([] { ReadHeartbeat("", "{}"); }) ==
+        ResultCode::kBadHeartbeat);
+}
+
+Test(platform, orders_and_reports) {
+  const EngineProtocol protocol = EngineMessages();
+  const Json::Value place = ParseJson(
+      protocol
+          .mWritePlace(
+              {.mLayers = {20, 31}, .mFence = 5, .mExpectedOrders = 2})
+          .mBody);
+  CHECK(place["op"] == "place" && place["from"] == 20);
+  CHECK(place["targetVersion"] == 31 && place["fence"] == 5);
+  CHECK(place["expectedRev"] == 2);
+  const EngineState state = protocol.mReadState(
+      R"({"busy":true,"seq":3,"layers":null,"kvUsed":5,"kvTotal":9,
+      "stalled":[{"id":"r","address":"10.0.0.1:1"}]})");
+  CHECK(state.mBusy && state.mOrders == 3 && state.mLayers.Count() == 0);
+  CHECK(state.mStalled.size() == 1 && state.mStalled[0].mRequestId == "r");
+  CHECK(CodeThrownBy([&] { protocol.mReadState("["); }) ==
+        ResultCode::kMalformedJson);
+}
+
+Test(platform, settings) {
+  const std::string good = R"({"id":"n","zone":"z","address":"10.0.0.4",
+    "listen":"10.0.0.4:80","ready":"10.0.0.4:81","control":"10.0.0.4:82",
+    "inner_port":7000,"seeds":["10.0.0.1:82"],"data":"/d","first_start":true,
+    "revoke_within_ms":5000})";
+  const BootSettings settings = ParseBootSettings(good);
+  CHECK(SeedsOf(settings) == (std::vector<Endpoint>{{"10.0.0.1", 7000}}));
+  CHECK(RelayOptionsOf(settings).mLeaseLength == 4000);
+  CHECK(ControlOptionsOf(settings).mFirstStart);
+  CHECK(CodeThrownBy([] { ParseBootSettings("{}"); }) ==
+        ResultCode::kBadField);
+  CHECK(CodeThrownBy([] {
+          ParseBootSettings(R"({"id":"n","zone":"z","address":"a",
+            "inner_port":0,"seeds":[]})");
+        }) == ResultCode::kBadSetting);
+}
--- /dev/null
+++ b/tests/servers/layers_test.cpp
@@ -0,0 +1,214 @@
+#include <map>
+
+#include "spindleweir/servers/placement/layer_planner.h"
+#include "spindleweir/servers/routing/layer_path.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+EngineProfile Profile() {
+  EngineProfile profile;
+  profile.mLayers = 80;
+  profile.mLayerMb = 1750;
+  profile.mTokenBytes = 918000;
+  profile.mActivationBytes = 45900;
+  profile.mLinkMbps = 400000;
+  profile.mPipeMbps = 26000;
+  profile.mStepMillis = 1.02;
+  profile.mRequestMillis = 0.00714;
+  profile.mContextMillis = 0.00956;
+  profile.mReadPerSecond = 105000;
+  profile.mPairMillis = 0.309;
+  profile.mLoadSeconds = 14;
+  profile.mZoneDelay = 0.75;
+  profile.mKinds = {{"fast", 72000, 2.4, 3.2},
+                    {"middle", 43200, 5.6, 2.7},
+                    {"slow", 21600, 16, 8.2}};
+  return profile;
+}
+
+/// Engines of a test, with orders carried out at once.
+struct Engines {
+  void Add(const std::string& aZone, const std::string& aKind, int aCount) {
+    for (int i = 0; i < aCount; i++) {
+      UpstreamRecord record;
+      record.mInstance =
+          aZone + "-" + aKind + "-" + std::to_string(mRecords.size());
+      record.mAddress = "10.0.0." + std::to_string(mRecords.size()) + ":1";
+      record.mZone = aZone;
+      record.mKind = aKind;
+      mRecords.push_back(record);
+    }
+  }
+  std::vector<const UpstreamRecord*> Views() const {
+    std::vector<const UpstreamRecord*> views;
+    for (const UpstreamRecord& record : mRecords) {
+      views.push_back(&record);
+    }
+    return views;
+  }
+  std::size_t Place(const EngineProfile& aProfile) {
+    const std::vector<LayerOrder> orders = PlanLayers(aProfile, Views());
+    for (const LayerOrder& order : orders) {
+      for (UpstreamRecord& record : mRecords) {
+        if (record.mInstance == order.mInstance) {
+          record.mLayers = order.mLayers;
+        }
+      }
+    }
+    return orders.size();
+  }
+  void Lose(const std::string& aInstance) {
+    std::erase_if(mRecords, [&](const UpstreamRecord& aRecord) {
+      return aRecord.mInstance == aInstance;
+    });
+  }
+  /// Whether each layer is held in a zone.
+  bool Whole(const std::string& aZone, int aLayers) const {
+    std::vector<bool> held(static_cast<std::size_t>(aLayers), false);
+    for (const UpstreamRecord& record : mRecords) {
+      for (int i = record.mLayers.mFrom; i < record.mLayers.mTo; i++) {
+        held[static_cast<std::size_t>(i)] =
+            held[static_cast<std::size_t>(i)] || record.mZone == aZone;
+      }
+    }
+    return std::find(held.begin(), held.end(), false) == held.end();
+  }
+  std::vector<UpstreamRecord> mRecords;
+};
+
+/// Engines as in a zone of the users.
+Engines Zone() {
+  Engines engines;
+  engines.Add("z", "fast", 1);
+  engines.Add("z", "middle", 3);
+  engines.Add("z", "slow", 8);
+  return engines;
+}
+
+PathQuestion Question(const EngineProfile& aProfile, const Engines& aEngines) {
+  PathQuestion question;
+  question.mProfile = &aProfile;
+  question.mZone = "z";
+  question.mTokens = 1000;
+  question.mReadTokens = 800;
+  question.mAnswerTokens = 200;
+  question.mEngines = aEngines.Views();
+  question.mLoadOf = [](const std::string&) { return EngineLoad{}; };
+  return question;
+}
+
+/// Each layer once and in order.
+bool IsWhole(const LayerPath& aPath, int aLayers) {
+  int reached = 0;
+  std::set<std::string> used;
+  for (const PathPart& part : aPath) {
+    if (part.mLayers.mFrom != reached || part.mLayers.Count() <= 0 ||
+        !used.insert(part.mInstance).second) {
+      return false;
+    }
+    reached = part.mLayers.mTo;
+  }
+  return reached == aLayers;
+}
+
+}  // namespace
+
+Test(layers, a_zone_gets_whole_rows_within_memory) {
+  const EngineProfile profile = Profile();
+  Engines engines = Zone();
+  engines.Place(profile);
+  CHECK(engines.Whole("z", profile.mLayers));
+  for (const UpstreamRecord& record : engines.mRecords) {
+    const EngineModel model(profile, *profile.FindKind(record.mKind));
+    CHECK(record.mLayers.Count() > 0);
+    CHECK(record.mLayers.Count() <= model.MostLayers());
+    CHECK(model.Room(record.mLayers.Count()) > 0);
+  }
+  SECTION("what is placed stays where it is") {
+    CHECK(engines.Place(profile) == 0);
+  }
+  SECTION("any one engine may go: the rest still holds all layers") {
+    for (const UpstreamRecord& record : engines.mRecords) {
+      Engines rest = engines;
+      rest.Lose(record.mInstance);
+      CHECK(rest.Whole("z", profile.mLayers));
+    }
+  }
+}
+
+Test(layers, holes_are_closed_by_those_who_are_there) {
+  const EngineProfile profile = Profile();
+  Engines engines = Zone();
+  engines.Place(profile);
+  SECTION("any two engines may go, one after the other") {
+    for (std::size_t i = 0; i < engines.mRecords.size(); i++) {
+      for (std::size_t k = 0; k < i; k++) {
+        Engines rest = engines;
+        rest.Lose(engines.mRecords[i].mInstance);
+        rest.Lose(engines.mRecords[k].mInstance);
+        for (int step = 0; step < 6 && rest.Place(profile) > 0; step++) {
+        }
+        CHECK(rest.Whole("z", profile.mLayers));
+      }
+    }
+  }
+  SECTION("an engine that comes back empty gets layers again") {
+    engines.mRecords[0].mLayers = {};
+    CHECK(engines.Place(profile) == 1);
+    CHECK(engines.mRecords[0].mLayers.Count() > 0);
+  }
+}
+
+Test(layers, a_path_passes_each_layer_once_and_in_order) {
+  const EngineProfile profile = Profile();
+  Engines engines = Zone();
+  engines.Add("other", "fast", 2);
+  engines.Add("other", "middle", 2);
+  engines.Place(profile);
+  PathQuestion question = Question(profile, engines);
+  const PathAnswer answer = ChoosePath(question);
+  CHECK(IsWhole(answer.mPath, profile.mLayers));
+  SECTION("without one engine after the other") {
+    for (const UpstreamRecord& record : engines.mRecords) {
+      question.mAvoid = {record.mInstance};
+      const LayerPath path = ChoosePath(question).mPath;
+      CHECK(IsWhole(path, profile.mLayers));
+      for (const PathPart& part : path) {
+        CHECK(part.mInstance != record.mInstance);
+      }
+    }
+  }
+  SECTION("full engines are passed by; where all are, that is said") {
+    question.mAvoid.clear();
+    const std::string first = answer.mPath.front().mInstance;
+    question.mLoadOf = [&](const std::string& aInstance) {
+      return EngineLoad{.mTokenLayers = aInstance == first ? 1e12 : 0};
+    };
+    CHECK(ChoosePath(question).mPath.front().mInstance != first);
+    question.mLoadOf = [](const std::string&) {
+      return EngineLoad{.mTokenLayers = 1e12};
+    };
+    CHECK(ChoosePath(question).mPath.empty());
+    CHECK(ChoosePath(question).mLacksRoom);
+  }
+  SECTION("a part of the layers alone") {
+    question.mLoadOf = [](const std::string&) { return EngineLoad{}; };
+    question.mLayers = {20, 50};
+    const LayerPath path = ChoosePath(question).mPath;
+    REQUIRE(!path.empty());
+    CHECK(path.front().mLayers.mFrom == 20 && path.back().mLayers.mTo == 50);
+  }
+}
+
+Test(layers, the_model_follows_the_pages) {
+  const EngineProfile profile = Profile();
+  const EngineModel fast(profile, *profile.FindKind("fast"));
+  CHECK(fast.MostLayers() == 41);
+  // 72,000 MB less 40 layers, at 11,475 bytes a token and layer.
+  CHECK(std::abs(fast.Room(40) - 2000e6 / 11475) < 1);
+  CHECK(std::abs(fast.StepMillis(40, {}) - 0.5 * 2.4 * 1.02) < 1e-9);
+  CHECK(std::abs(fast.LoadMillis(40) - 7000) < 1e-9);
+}
--- /dev/null
+++ b/tests/servers/registry_test.cpp
@@ -0,0 +1,139 @@
+#include "spindleweir/servers/membership/control_directory.h"
+#include "spindleweir/servers/membership/upstream_registry.h"
+#include "spindleweir/servers/membership/voter_plan.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+UpstreamRecord Record(const std::string& aInstance, std::int64_t aSequence,
+                      UpstreamState aState = UpstreamState::kReady) {
+  return {.mInstance = aInstance,
+          .mService = "s",
+          .mAddress = "10.0.0.1:80",
+          .mZone = "z",
+          .mState = aState,
+          .mSequence = aSequence};
+}
+
+UpstreamState StateOf(const UpstreamRegistry& aRegistry,
+                      const std::string& aInstance) {
+  return aRegistry.Find(aInstance)->mState;
+}
+
+ControlInfo Control(const std::string& aId) { return {.mId = aId}; }
+
+}  // namespace
+
+Test(registry, heartbeats_are_ordered_by_their_sequence) {
+  UpstreamRegistry registry;
+  registry.Beat(Record("a", 2), 0);
+  SECTION("a late one changes nothing") {
+    UpstreamRecord late = Record("a", 1);
+    late.mLayers = {0, 8};
+    CHECK(!registry.Beat(late, 10));
+    CHECK(registry.Find("a")->mLayers.Count() == 0);
+  }
+  SECTION("who said that it leaves does not come back") {
+    CHECK(registry.Beat(Record("a", 3, UpstreamState::kLeaving), 20));
+    registry.Beat(Record("a", 4), 30);
+    CHECK(StateOf(registry, "a") == UpstreamState::kLeaving);
+  }
+  SECTION("after the leave a late heartbeat counts for nothing") {
+    CHECK(registry.Leave("a", 40));
+    registry.Beat(Record("a", 9), 50);
+    CHECK(StateOf(registry, "a") == UpstreamState::kGone);
+  }
+  SECTION("a new one at the address ends the old one") {
+    UpstreamRegistry other;
+    other.Beat(Record("old", 7), 0);
+    other.Beat(Record("new", 1), 100);
+    CHECK(StateOf(other, "old") == UpstreamState::kGone);
+    CHECK(StateOf(other, "new") == UpstreamState::kReady);
+  }
+}
+
+Test(registry, silence_ends_with_the_next_heartbeat) {
+  UpstreamRegistry registry;
+  registry.Beat(Record("a", 1), 0);
+  CHECK(!registry.Expire(3600, 3600));
+  CHECK(registry.Expire(3600, 3601));
+  CHECK(StateOf(registry, "a") == UpstreamState::kSilent);
+  CHECK(registry.Beat(Record("a", 2), 3700));
+  CHECK(StateOf(registry, "a") == UpstreamState::kReady);
+}
+
+Test(registry, routers_get_what_changed_and_controls_all_heartbeats) {
+  UpstreamRegistry registry;
+  registry.Beat(Record("a", 1), 0);
+  const std::int64_t known = registry.Revision();
+  registry.Beat(Record("a", 2), 1200);
+  CHECK(registry.ChangedSince(known, false, 1300).empty());
+  REQUIRE(registry.ChangedSince(known, true, 1300).size() == 1);
+  CHECK(registry.ChangedSince(known, true, 1300)[0].mHeardAgo == 100);
+  SECTION("another registry knows as much after merging") {
+    UpstreamRegistry other;
+    for (const UpstreamRecord& record : registry.ChangedSince(0, true, 1300)) {
+      other.Merge(record, 5000);
+    }
+    CHECK(!other.Expire(3600, 8400));
+    CHECK(other.Expire(3600, 8501 + 1));
+  }
+}
+
+Test(voters, the_id_names_address_and_disk) {
+  const Endpoint address{"10.0.0.1", 7000};
+  const std::string id = ControlId(address, "first");
+  CHECK(id == "10.0.0.1:7000#first");
+  CHECK(AddressOfControl(id) == address);
+  CHECK(CodeThrownBy([] { AddressOfControl("x"); }) == ResultCode::kBadField);
+}
+
+Test(voters, a_lost_voter_is_replaced_one_step_at_a_time) {
+  ControlDirectory directory;
+  VoterQuestion question;
+  question.mSelf = "10.0.0.1:1#first";
+  question.mVoters = {"10.0.0.1:1#first", "10.0.0.2:1#first",
+                      "10.0.0.3:1#first"};
+  question.mDirectory = &directory;
+  for (const std::string& id : question.mVoters) {
+    directory.Heard(Control(id), 1000);
+  }
+  question.mNow = 2000;
+  SECTION("all are there: nothing changes") {
+    CHECK(NextVoters(question) == question.mVoters);
+  }
+  SECTION("one is silent, but nobody could take its place") {
+    directory.Heard(Control("10.0.0.2:1#first"), 9000);
+    question.mNow = 9000;
+    CHECK(NextVoters(question) == question.mVoters);
+  }
+  SECTION("one came back with an empty disk: the old one leaves at once") {
+    directory.Heard(Control("10.0.0.2:1#first"), 9900);
+    directory.Heard(Control("10.0.0.3:1#new"), 9900);
+    question.mNow = 10000;
+    const std::vector<std::string> without = {"10.0.0.1:1#first",
+                                              "10.0.0.2:1#first"};
+    CHECK(NextVoters(question) == without);
+    question.mVoters = without;
+    CHECK(NextVoters(question).back() == "10.0.0.3:1#new");
+    CHECK(NextVoters(question).size() == 3);
+  }
+  SECTION("two more join together, one alone waits") {
+    ControlDirectory larger;
+    VoterQuestion more;
+    more.mSelf = "10.0.0.1:1#first";
+    more.mVoters = {"10.0.0.1:1#first", "10.0.0.2:1#first",
+                    "10.0.0.3:1#first"};
+    more.mDirectory = &larger;
+    more.mNow = 2000;
+    for (const std::string& id : more.mVoters) {
+      larger.Heard(Control(id), 1500);
+    }
+    larger.Heard(Control("10.0.0.4:1#first"), 2000);
+    CHECK(NextVoters(more) == more.mVoters);
+    larger.Heard(Control("10.0.0.5:1#first"), 2000);
+    CHECK(NextVoters(more).size() == 4);
+  }
+}
