A zone that is cut off is not rearranged; entries under way are not sent again

Cause: after a cut of one zone the leader closed 'holes' there, and the orders arrived when it healed; routers that came back said of engines in other zones that they could not be reached, and the leader moved healthy ones. A voter that lagged was sent megabytes every heartbeat, which took the 0.15 of a core and made leaders change.

--- a/daemons/control/layer_placer.cpp
+++ b/daemons/control/layer_placer.cpp
@@ -80,9 +80,12 @@
   if (engines.empty() || !Settled(aService.mName, engines.size(), now)) {
     return;
   }
+  const std::set<std::string> cutOff = CutOffZones(aService.mName, lost);
   std::vector<const UpstreamRecord*> views;
   for (const UpstreamRecord& record : engines) {
-    views.push_back(&record);
+    if (!cutOff.contains(record.mZone)) {
+      views.push_back(&record);
+    }
   }
   for (const LayerOrder& order : PlanLayers(aService.mEngine, views)) {
     const UpstreamRecord* engine = mSync.Registry().Find(order.mInstance);
@@ -92,6 +95,26 @@
   }
 }
 
+std::set<std::string> LayerPlacer::CutOffZones(
+    const std::string& aService, const std::set<std::string>& aLost) const {
+  std::map<std::string, int> balance;
+  for (const UpstreamRecord* record : mSync.Registry().OfService(aService)) {
+    if (record->mState == UpstreamState::kSilent ||
+        aLost.contains(record->mInstance)) {
+      balance[record->mZone]++;
+    } else if (record->mState == UpstreamState::kReady) {
+      balance[record->mZone]--;
+    }
+  }
+  std::set<std::string> zones;
+  for (const auto& [zone, more] : balance) {
+    if (more >= 0) {
+      zones.insert(zone);
+    }
+  }
+  return zones;
+}
+
 void LayerPlacer::Order(const UpstreamRecord& aEngine,
                         const LayerRange& aLayers) {
   PlaceOrder order;
--- a/daemons/control/layer_placer.h
+++ b/daemons/control/layer_placer.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "daemons/control/sync_service.h"
@@ -33,6 +34,10 @@
 
   void Step();
   void PlaceService(const TrafficService& aService);
+  /// Zones of which half the engines or more are not heard: the zone is cut
+  /// off rather than its engines lost, and orders would come late.
+  std::set<std::string> CutOffZones(const std::string& aService,
+                                    const std::set<std::string>& aLost) const;
   bool Settled(const std::string& aService, std::size_t aCount, Millis aNow);
   void Order(const UpstreamRecord& aEngine, const LayerRange& aLayers);
 
--- a/daemons/control/replicated_configuration.cpp
+++ b/daemons/control/replicated_configuration.cpp
@@ -13,6 +13,7 @@
 constexpr Millis kRaftTimeout = 1000;
 constexpr Millis kPushTimeout = 1000;
 constexpr Millis kCommitTimeout = 4000;
+constexpr Millis kHeartbeatsPerTimeout = 5;
 constexpr std::size_t kBytesPerSnapshot = 1024 * 1024;
 
 }  // namespace
@@ -26,6 +27,7 @@
     raft.mVoters = options.mInitialVoters;
   }
   raft.mElectionTimeout = options.mElectionTimeout;
+  raft.mHeartbeat = options.mElectionTimeout / kHeartbeatsPerTimeout;
   raft.mBytesPerSnapshot = kBytesPerSnapshot;
   raft.mSeed = static_cast<std::uint64_t>(WallNow()) ^
                std::hash<std::string>()(options.mId);
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -78,7 +78,10 @@
   std::map<std::string, LoadShare> loads = mOwnLoads;
   const Millis now = SteadyNow();
   for (const auto& [instance, experience] : mExperience) {
-    if (now < experience.mUnreachableUntil) {
+    // Of another zone it may be the link that is lost, not the upstream.
+    const UpstreamRecord* record = mRegistry.Find(instance);
+    const bool near = record != nullptr && record->mZone == mOptions.mZone;
+    if (near && now < experience.mUnreachableUntil) {
       loads[instance].mInstance = instance;
       loads[instance].mUnreachable = 1;
     }
--- a/include/spindleweir/servers/consensus/raft_node.h
+++ b/include/spindleweir/servers/consensus/raft_node.h
@@ -27,6 +27,10 @@
   Millis mElectionTimeout = 500;  ///< The least; the most is twice as long.
   Millis mHeartbeat = 100;
   std::size_t mEntriesPerMessage = 64;
+  /// Payload bytes in one message; one entry goes in any case.
+  std::size_t mBytesPerMessage = 256 * 1024;
+  /// Entries that were not answered are sent again after this time.
+  Millis mResend = 400;
   std::size_t mEntriesPerSnapshot = 512;
   /// Payload bytes after which a snapshot is made in any case.
   std::size_t mBytesPerSnapshot = 16 * 1024 * 1024;
@@ -79,6 +83,8 @@
     std::int64_t mMatch = 0;
     std::int64_t mRound = 0;
     Millis mHeardAt = 0;
+    std::int64_t mSentLast = 0;  ///< Last entry under way; 0: none.
+    Millis mSentAt = 0;
   };
   /// When a round was sent.
   struct RoundTime {
@@ -108,6 +114,7 @@
   void BroadcastVote(RaftKind aKind, std::int64_t aTerm);
   void BroadcastAppend();
   void SendAppend(const std::string& aTo);
+  void AddEntries(Progress& aProgress, RaftMessage& aMessage);
   void Reply(const RaftMessage& aTo, RaftKind aKind, bool aGranted,
              std::int64_t aIndex);
   void Send(RaftMessage aMessage);
--- a/servers/consensus/raft_replication.cpp
+++ b/servers/consensus/raft_replication.cpp
@@ -64,12 +64,16 @@
   Progress& progress = mProgress[aMessage.mFrom];
   progress.mHeardAt = mNow;
   progress.mRound = std::max(progress.mRound, aMessage.mRound);
+  if (aMessage.mGranted && aMessage.mIndex >= progress.mSentLast) {
+    progress.mSentLast = 0;
+  }
   if (!aMessage.mGranted) {
     const std::int64_t before = progress.mNext;
     progress.mNext = std::max(progress.mMatch + 1, aMessage.mIndex + 1);
     if (progress.mNext != before) {
       // Otherwise the next heartbeat will do: sending the same again at once
       // would go on without end.
+      progress.mSentLast = 0;
       SendAppend(aMessage.mFrom);
     }
     FinishReads();
@@ -146,24 +150,49 @@
   message.mTerm = mHardState.mTerm;
   message.mRound = mRound;
   message.mCommit = mCommit;
-  if (progress.mNext <= mSnapshot.mIndex) {
+  const bool underWay =
+      progress.mSentLast > 0 && mNow - progress.mSentAt < mOptions.mResend;
+  if (progress.mNext <= mSnapshot.mIndex && !underWay) {
+    progress.mSentLast = mSnapshot.mIndex;
+    progress.mSentAt = mNow;
     message.mKind = RaftKind::kSnapshot;
     message.mSnapshot = mSnapshot;
     Send(std::move(message));
     return;
   }
+  if (progress.mNext <= mSnapshot.mIndex) {
+    // Only to be heard: what stands before is on its way.
+    message.mKind = RaftKind::kAppend;
+    message.mIndex = LastIndex();
+    message.mLogTerm = TermAt(message.mIndex);
+    message.mCommit = 0;
+    Send(std::move(message));
+    return;
+  }
   message.mKind = RaftKind::kAppend;
   message.mIndex = progress.mNext - 1;
   message.mLogTerm = TermAt(message.mIndex);
-  const std::int64_t last = std::min(
-      LastIndex(),
-      message.mIndex + static_cast<std::int64_t>(mOptions.mEntriesPerMessage));
-  for (std::int64_t i = progress.mNext; i <= last; i++) {
-    message.mEntries.push_back(EntryAt(i));
+  if (!underWay) {
+    AddEntries(progress, message);
   }
   Send(std::move(message));
 }
 
+void RaftNode::AddEntries(Progress& aProgress, RaftMessage& aMessage) {
+  std::size_t bytes = 0;
+  for (std::int64_t i = aProgress.mNext; i <= LastIndex(); i++) {
+    bytes += EntryAt(i).mPayload.size();
+    const bool full = aMessage.mEntries.size() >= mOptions.mEntriesPerMessage ||
+                      bytes > mOptions.mBytesPerMessage;
+    if (!aMessage.mEntries.empty() && full) {
+      break;
+    }
+    aMessage.mEntries.push_back(EntryAt(i));
+    aProgress.mSentLast = i;
+    aProgress.mSentAt = mNow;
+  }
+}
+
 void RaftNode::AdvanceCommit() {
   for (std::int64_t i = LastIndex(); i > mCommit; i--) {
     if (TermAt(i) != mHardState.mTerm) {
