Who was cut off does not silence others' upstreams

Cause: after a cut of a zone its control said that all upstreams of the other zones were silent, with sequence numbers older than theirs, and registries and routers took it: two seconds of 2003 NoUpstream everywhere. Test: registry_test.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -23,6 +23,8 @@
 /// other control has it.
 constexpr Millis kTellTimeout = 500;
 constexpr int kLifeBytes = 6;
+/// Another control that did not answer for so long is not in contact.
+constexpr Millis kContact = 1500;
 /// Routers that must agree that an upstream cannot be reached.
 constexpr int kWitnesses = 2;
 constexpr const char* kNotice = "control.notice";
@@ -170,9 +172,20 @@
   return lost;
 }
 
+bool SyncService::CutOff() const {
+  const Millis now = SteadyNow();
+  std::size_t heard = 1;
+  for (const auto& [address, source] : mSources) {
+    heard += source.mHeardAt > 0 && now - source.mHeardAt < kContact ? 1 : 0;
+  }
+  return heard * 2 <= mLog.Raft().Voters().size();
+}
+
 void SyncService::AskOthers() {
-  mRegistry.Expire(kMissedBeats * mContext.mOptions.mHeartbeatInterval,
-                   SteadyNow());
+  if (!CutOff()) {
+    mRegistry.Expire(kMissedBeats * mContext.mOptions.mHeartbeatInterval,
+                     SteadyNow());
+  }
   const Endpoint own = mContext.mOptions.mRpcListen;
   for (const Endpoint& address : mDirectory.Addresses(SteadyNow())) {
     if (address != own) {
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -58,6 +58,9 @@
   void Take(const Endpoint& aAddress, const SyncAnswer& aAnswer);
   void Tell(const std::string& aInstance, const std::function<void()>& aDone);
   void StepVoters();
+  /// Whether most of control cannot be heard: then it is this process that
+  /// is cut off, and the silence of upstreams says nothing of them.
+  bool CutOff() const;
   ControlInfo Self() const;
 
   ControlContext& mContext;
--- a/tests/servers/registry_test.cpp
+++ b/tests/servers/registry_test.cpp
@@ -64,6 +64,23 @@
   CHECK(StateOf(registry, "a") == UpstreamState::kReady);
 }
 
+Test(registry, who_was_cut_off_does_not_silence_others) {
+  // Found on the users' platform: after a cut of a zone its control told all
+  // others that their upstreams were silent.
+  UpstreamRegistry registry;
+  registry.Beat(Record("a", 44), 5000);
+  UpstreamRecord word = Record("a", 39, UpstreamState::kSilent);
+  word.mHeardAgo = 5500;
+  CHECK(!registry.Merge(word, 5600));
+  CHECK(StateOf(registry, "a") == UpstreamState::kReady);
+  SECTION("who has heard as much does") {
+    word.mSequence = 44;
+    word.mHeardAgo = 600;
+    CHECK(registry.Merge(word, 5600));
+    CHECK(StateOf(registry, "a") == UpstreamState::kSilent);
+  }
+}
+
 Test(registry, routers_get_what_changed_and_controls_all_heartbeats) {
   UpstreamRegistry registry;
   registry.Beat(Record("a", 1), 0);
