Callers are told to come back when it can have changed

Cause: refused callers were told 0.1 or 0.5 s; most come back once, met the same lack and were lost, which is priced besides. Change: 0.6 s after full or missing upstreams, 1.2 s after a start or a lost lease, spread over 0.8 s, a third of the time left at most.

--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -61,13 +61,13 @@
         mLog(mContext),
         mSync(mContext, mLog),
         mPlacer(mContext, mLog, mSync),
-        mRpcServer(aLoop,
-                   {.mListen = mContext.mOptions.mRpcListen,
-                    .mMaximumBodyBytes = kMaximumRpcBytes,
-                    .mHandle =
-                        [this](const std::shared_ptr<HttpExchange>& aExchange) {
-                          mContext.mDispatcher.Handle(*aExchange);
-                        }}) {}
+        mRpcServer(
+            aLoop,
+            {.mListen = mContext.mOptions.mRpcListen,
+             .mMaximumBodyBytes = kMaximumRpcBytes,
+             .mHandle = [this](const std::shared_ptr<HttpExchange>& aExchange) {
+               mContext.mDispatcher.Handle(*aExchange);
+             }}) {}
 
   /// Where this control does not lead: who does.
   OperatorAnswer NotLeader() const {
@@ -142,8 +142,7 @@
     return;
   }
   mParts->mLog.ConfirmRead([this, aDone](bool aConfirmed) {
-    const PublishedDocument& published =
-        mParts->mLog.Machine().Published();
+    const PublishedDocument& published = mParts->mLog.Machine().Published();
     if (!aConfirmed) {
       aDone(Refusal(ResultCode::kNoQuorum, "no majority confirmed in time"));
     } else if (published.mVersion == 0) {
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -62,8 +62,7 @@
         return ToJson(Answer(FromJson<SyncQuestion>(aMessage)));
       });
   mContext.mDispatcher.On(kNotice, [this](const Json::Value& aMessage) {
-    for (const UpstreamRecord& record :
-         FromJson<Notice>(aMessage).mUpstreams) {
+    for (const UpstreamRecord& record : FromJson<Notice>(aMessage).mUpstreams) {
       mRegistry.Merge(record, SteadyNow());
     }
     return Json::Value(Json::objectValue);
@@ -235,9 +234,9 @@
 void SyncService::Beat(const UpstreamRecord& aRecord,
                        const std::function<void()>& aDone) {
   const UpstreamRecord* before = mRegistry.Find(aRecord.mInstance);
-  const bool leaves = aRecord.mState == UpstreamState::kLeaving &&
-                      (before == nullptr ||
-                       before->mState < UpstreamState::kLeaving);
+  const bool leaves =
+      aRecord.mState == UpstreamState::kLeaving &&
+      (before == nullptr || before->mState < UpstreamState::kLeaving);
   if (mRegistry.Beat(aRecord, SteadyNow())) {
     LogLine(LogLevel::kInfo, "upstream_changed")
         .Add("instance", aRecord.mInstance)
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -41,8 +41,8 @@
   bool LeaseHolds() const { return mLease.Holds(SteadyNow()); }
 
   /// Notes work that begins or ends at an upstream.
-  void AddLoad(const std::string& aInstance, int aRequests,
-               double aTokenLayers, int aFirsts);
+  void AddLoad(const std::string& aInstance, int aRequests, double aTokenLayers,
+               int aFirsts);
   /// Notes tokens that an engine has to read, or has read.
   void AddReading(const std::string& aInstance, double aTokenLayers);
   /// All work known at an upstream: own and of other routers.
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -23,8 +23,14 @@
 /// Attempts that did not leave this process.
 constexpr int kMostNotSent = 3;
 constexpr Millis kLeastForAttempt = 20;
-constexpr Millis kRetryAfterShort = 100;
-constexpr Millis kRetryAfterLong = 500;
+/// When a caller should come back, at least: a caller comes back once or
+/// twice, so that coming too early is as good as not at all.
+constexpr Millis kAfterFull = 600;
+constexpr Millis kAfterNotReady = 1200;
+/// Callers that were refused together come back spread over this time.
+constexpr double kReturnSpread = 800;
+/// The part of the time left that callers wait at most.
+constexpr Millis kWaitPart = 3;
 constexpr double kPathFill = 0.95;
 constexpr Millis kOrderTimeout = 1000;
 /// Moves of one attempt to another path.
@@ -92,14 +98,14 @@
 void RelayRequest::Admit() {
   mTable = mContext.Table();
   if (mTable == nullptr) {
-    Refuse(ResultCode::kNotReady, kRetryAfterLong);
+    Refuse(ResultCode::kNotReady, kAfterNotReady);
     return;
   }
   mRoute = mTable->FindRoute(mFacts.mHost, mExchange->Head().mTarget);
   mNeedsLease = mTable->NeedsKeys() && (mRoute == nullptr || !mRoute->mOpen);
   if (mNeedsLease && !mContext.LeaseHolds()) {
     // Neither a key nor its absence can be trusted any more.
-    Refuse(ResultCode::kLeaseExpired, kRetryAfterLong);
+    Refuse(ResultCode::kLeaseExpired, kAfterNotReady);
     return;
   }
   if (mRoute == nullptr) {
@@ -186,11 +192,10 @@
   PathQuestion question;
   question.mProfile = &engine;
   question.mZone = mContext.mOptions.mZone;
-  const double guess = mFacts.mExpectedTokens > 0 ? mFacts.mExpectedTokens
-                                                  : engine.mUsualAnswer;
-  question.mAnswerTokens = mFacts.mMostTokens > 0
-                               ? std::min(guess, mFacts.mMostTokens)
-                               : guess;
+  const double guess =
+      mFacts.mExpectedTokens > 0 ? mFacts.mExpectedTokens : engine.mUsualAnswer;
+  question.mAnswerTokens =
+      mFacts.mMostTokens > 0 ? std::min(guess, mFacts.mMostTokens) : guess;
   question.mReadTokens = mFacts.mPromptTokens;
   question.mTokens = mFacts.mPromptTokens + question.mAnswerTokens;
   question.mFill = kPathFill;
@@ -483,10 +488,9 @@
       continue;
     }
     if (!mExchange->Started()) {
-      mExchange->Start(
-          mAttempt->mHead.mStatus,
-          mContext.mOptions.mCallers.mWriteAnswer(mAttempt->mHead),
-          std::nullopt);
+      mExchange->Start(mAttempt->mHead.mStatus,
+                       mContext.mOptions.mCallers.mWriteAnswer(mAttempt->mHead),
+                       std::nullopt);
     }
     const Millis now = SteadyNow();
     mContext.mGuard->Watch().Progress(mKey, now);
@@ -694,27 +698,41 @@
   }
   if (!mMayHaveRun) {
     const bool refusal = InfoOf(aCode).mRan == Ran::kNo;
-    Refuse(refusal ? aCode : ResultCode::kNoUpstream, kRetryAfterShort);
+    Refuse(refusal ? aCode : ResultCode::kNoUpstream, kAfterFull);
     return;
   }
   Refuse(InfoOf(aCode).mRan == Ran::kNo ? ResultCode::kOutcomeUnknown : aCode,
          -1);
 }
 
-void RelayRequest::Refuse(ResultCode aCode, Millis aRetryAfter) {
+Millis RelayRequest::ReturnAfter(Millis aLeast) const {
+  if (aLeast < 0) {
+    return aLeast;
+  }
+  const auto wanted =
+      aLeast + static_cast<Millis>(kReturnSpread * mContext.Random());
+  const Millis passed = SteadyNow() - mExchange->ReceivedAt();
+  const Millis left = mFacts.mDeadline - passed;
+  return mFacts.mDeadline > 0
+             ? std::clamp<Millis>(left / kWaitPart, 0, wanted)
+             : wanted;
+}
+
+void RelayRequest::Refuse(ResultCode aCode, Millis aReturnAfter) {
   const int status = InfoOf(aCode).mHttpStatus;
+  const Millis retryAfter = ReturnAfter(aReturnAfter);
   mExchange->Reply(
-      status, mContext.mOptions.mCallers.mWriteRefusal(mFacts.mId, aRetryAfter),
+      status, mContext.mOptions.mCallers.mWriteRefusal(mFacts.mId, retryAfter),
       BodyOf(aCode, mFacts.mId));
   LogLine(LogLevel::kInfo, "refused")
       .Add("request", mFacts.mId)
       .Add("code", static_cast<int>(aCode))
       .Add("route", mRoute == nullptr ? "" : mRoute->mName)
-      .Add("version", static_cast<Json::Int64>(
-                          mTable == nullptr ? 0 : mTable->Version()))
+      .Add("version",
+           static_cast<Json::Int64>(mTable == nullptr ? 0 : mTable->Version()))
       .Add("lease_age_ms",
            static_cast<Json::Int64>(mContext.mLease.Age(SteadyNow())))
-      .Add("retry_after_ms", static_cast<Json::Int64>(aRetryAfter));
+      .Add("retry_after_ms", static_cast<Json::Int64>(retryAfter));
   End("refused", status);
 }
 
@@ -760,8 +778,8 @@
                            mFirstEventAt == 0 ? -1 : mFirstEventAt - received))
       .Add("longest_pause_ms", static_cast<Json::Int64>(mLongestPause))
       .Add("took_ms", static_cast<Json::Int64>(SteadyNow() - received))
-      .Add("version", static_cast<Json::Int64>(
-                          mTable == nullptr ? 0 : mTable->Version()));
+      .Add("version",
+           static_cast<Json::Int64>(mTable == nullptr ? 0 : mTable->Version()));
   mContext.mCounters.Add("requests",
                          "outcome=\"" + std::string(aOutcome) + "\"");
   DropAttempt();
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -21,7 +21,8 @@
                      private GuardedStream {
  public:
   /// aOnEnd is called once, when nothing more will happen.
-  RelayRequest(RelayContext& aContext, std::shared_ptr<StreamExchange> aExchange,
+  RelayRequest(RelayContext& aContext,
+               std::shared_ptr<StreamExchange> aExchange,
                std::function<void()> aOnEnd);
   ~RelayRequest() override;
   RelayRequest(const RelayRequest&) = delete;
@@ -98,7 +99,9 @@
   bool MayTryAgain(Ran aRan, bool aWasSent) const;
   void DropAttempt();
   void GiveUp(ResultCode aCode);
-  void Refuse(ResultCode aCode, Millis aRetryAfter);
+  /// aReturnAfter: when the caller should come back, at least; -1: not.
+  void Refuse(ResultCode aCode, Millis aReturnAfter);
+  Millis ReturnAfter(Millis aLeast) const;
   void Forward(const AnswerHead& aHead, std::string_view aBody);
   void End(const char* aOutcome, int aStatus);
   void CountLoad(int aSign);
@@ -117,9 +120,9 @@
   std::unique_ptr<Attempt> mAttempt;
   std::optional<KeptAnswer> mKept;
   std::set<std::string> mTried;
-  StreamKey mKey = 0;   ///< Of the guard; 0: not watched.
-  int mSent = 0;        ///< Attempts that left this process.
-  int mNotSent = 0;     ///< Attempts that did not.
+  StreamKey mKey = 0;  ///< Of the guard; 0: not watched.
+  int mSent = 0;       ///< Attempts that left this process.
+  int mNotSent = 0;    ///< Attempts that did not.
   bool mMayHaveRun = false;
   bool mLacksRoom = false;
   std::optional<std::int64_t> mLastEvent;  ///< Given to the caller.
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -161,8 +161,7 @@
   if (context.Table()->NeedsKeys() && !context.LeaseHolds()) {
     return false;
   }
-  return mParts->HasPaths() ||
-         SteadyNow() - mParts->mStartedAt > kWaitForPaths;
+  return mParts->HasPaths() || SteadyNow() - mParts->mStartedAt > kWaitForPaths;
 }
 
 void RelayRouter::SetSeeds(std::vector<Endpoint> aSeeds) {
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -67,7 +67,8 @@
   }
   for (const std::string& first : firsts) {
     const Look& look = mStates[first];
-    if (!first.empty() && look.mCall == nullptr && now - look.mAt >= kAskAgain) {
+    if (!first.empty() && look.mCall == nullptr &&
+        now - look.mAt >= kAskAgain) {
       AskState(first);
     }
   }
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -56,16 +56,16 @@
     question.mLoads = mContext.OwnLoads();
   }
   const Millis askedAt = source.mAskedAt;
-  mContext.mRpc.Call(
-      aAddress, rpc_method::kSync, ToJson(question), kAskTimeout,
-      [this, aAddress, askedAt](const RpcResult& aResult) {
-        mSources[aAddress.Text()].mAsking = false;
-        if (!aResult.mOk) {
-          mContext.mCounters.Add("sync_failures");
-          return;
-        }
-        Take(aAddress, FromJson<SyncAnswer>(aResult.mAnswer), askedAt);
-      });
+  mContext.mRpc.Call(aAddress, rpc_method::kSync, ToJson(question), kAskTimeout,
+                     [this, aAddress, askedAt](const RpcResult& aResult) {
+                       mSources[aAddress.Text()].mAsking = false;
+                       if (!aResult.mOk) {
+                         mContext.mCounters.Add("sync_failures");
+                         return;
+                       }
+                       Take(aAddress, FromJson<SyncAnswer>(aResult.mAnswer),
+                            askedAt);
+                     });
 }
 
 void SyncLink::Take(const Endpoint& aAddress, const SyncAnswer& aAnswer,
--- a/drivers/http_message.cpp
+++ b/drivers/http_message.cpp
@@ -128,8 +128,7 @@
     return self.mNoBody ? 1 : 0;
   }
 
-  static int HandleBody(http_parser* aParser, const char* aAt,
-                        std::size_t aN) {
+  static int HandleBody(http_parser* aParser, const char* aAt, std::size_t aN) {
     Of(aParser).mBody.append(aAt, aN);
     return 0;
   }
@@ -205,7 +204,7 @@
   }
   const bool inHead = impl.mState == ReadState::kHead;
   const std::size_t n = http_parser_execute(&impl.mParser, &Impl::Settings(),
-                                      aBytes.data(), aBytes.size());
+                                            aBytes.data(), aBytes.size());
   const http_errno error = HTTP_PARSER_ERRNO(&impl.mParser);
   if (error != HPE_OK && error != HPE_PAUSED) {
     impl.mState = ReadState::kBad;
--- a/drivers/stream_client.cpp
+++ b/drivers/stream_client.cpp
@@ -36,8 +36,8 @@
     address.sin_family = AF_INET;
     address.sin_port =
         htons(static_cast<std::uint16_t>(mOptions.mServer.mPort));
-    if (inet_pton(AF_INET, mOptions.mServer.mHost.c_str(),
-                  &address.sin_addr) != 1) {
+    if (inet_pton(AF_INET, mOptions.mServer.mHost.c_str(), &address.sin_addr) !=
+        1) {
       EndLater(StreamEnd::kNotSent);
       return;
     }
@@ -114,17 +114,17 @@
       Finish(StreamEnd::kNotSent);
       return;
     }
-    std::string head = mOptions.mMethod + " " + mOptions.mTarget +
-                       " HTTP/1.1\r\n";
+    std::string head =
+        mOptions.mMethod + " " + mOptions.mTarget + " HTTP/1.1\r\n";
     for (const HttpHeader& header : mOptions.mHeaders) {
       head += header.mName + ": " + header.mValue + "\r\n";
     }
-    const bool hasBody = !mOptions.mBody.empty() || mOptions.mMethod == "POST" ||
-                         mOptions.mMethod == "PUT" ||
-                         mOptions.mMethod == "PATCH";
+    const bool hasBody =
+        !mOptions.mBody.empty() || mOptions.mMethod == "POST" ||
+        mOptions.mMethod == "PUT" || mOptions.mMethod == "PATCH";
     if (hasBody) {
-      head += "Content-Length: " + std::to_string(mOptions.mBody.size()) +
-              "\r\n";
+      head +=
+          "Content-Length: " + std::to_string(mOptions.mBody.size()) + "\r\n";
     }
     head += "Connection: close\r\n\r\n";
     mSent = true;
@@ -138,10 +138,9 @@
     evbuffer* buf = bufferevent_get_input(mBuffer);
     while (*alive && mBuffer != nullptr && evbuffer_get_length(buf) > 0) {
       const std::size_t n = evbuffer_get_contiguous_space(buf);
-      const std::string bytes(
-          reinterpret_cast<const char*>(
-              evbuffer_pullup(buf, static_cast<ev_ssize_t>(n))),
-          n);
+      const std::string bytes(reinterpret_cast<const char*>(evbuffer_pullup(
+                                  buf, static_cast<ev_ssize_t>(n))),
+                              n);
       evbuffer_drain(buf, n);
       Take(bytes, alive);
     }
@@ -150,8 +149,8 @@
   void Take(std::string_view aBytes, const std::shared_ptr<bool>& aAlive) {
     mReader.Read(aBytes);
     const ReadState state = mReader.State();
-    const bool hasHead = state == ReadState::kBody ||
-                         state == ReadState::kComplete;
+    const bool hasHead =
+        state == ReadState::kBody || state == ReadState::kComplete;
     if (hasHead && !mHeadTold) {
       mHeadTold = true;
       if (mOptions.mOnHead) {
--- a/drivers/stream_connection.cpp
+++ b/drivers/stream_connection.cpp
@@ -110,8 +110,8 @@
   evbuffer* buf = bufferevent_get_input(mBuffer);
   while (mExchange == nullptr && !mCloseAfter && evbuffer_get_length(buf) > 0) {
     const std::size_t n = evbuffer_get_contiguous_space(buf);
-    Take({reinterpret_cast<const char*>(evbuffer_pullup(
-              buf, static_cast<ev_ssize_t>(n))),
+    Take({reinterpret_cast<const char*>(
+              evbuffer_pullup(buf, static_cast<ev_ssize_t>(n))),
           n});
   }
   if (mCloseAfter) {
@@ -157,14 +157,14 @@
   mTimer.reset();
   RequestHead head = std::move(mReader->Request());
   mReader.reset();
-  mExchange = std::make_shared<StreamExchange>(this, std::move(head),
-                                               std::move(mBody));
+  mExchange =
+      std::make_shared<StreamExchange>(this, std::move(head), std::move(mBody));
   mBody.clear();
   const std::shared_ptr<StreamExchange> exchange = mExchange;
-  const bool plain = exchange->Head().mTarget.starts_with('/') &&
-                     CountHeader(exchange->Head().mHeaders, "Host") == 1 &&
-                     CountHeader(exchange->Head().mHeaders, "Authorization") <=
-                         1;
+  const bool plain =
+      exchange->Head().mTarget.starts_with('/') &&
+      CountHeader(exchange->Head().mHeaders, "Host") == 1 &&
+      CountHeader(exchange->Head().mHeaders, "Authorization") <= 1;
   if (!plain) {
     mServer.mOptions.mRefuse(*exchange, ResultCode::kMalformedHttp);
     return;
@@ -215,9 +215,9 @@
 
 void StreamConnection::ArmTimer() {
   const StreamServerLimits& limits = mServer.mOptions.mLimits;
-  mTimer = mServer.mLoop.After(
-      mBegun ? limits.mHeaderTimeout : limits.mIdleTimeout,
-      [this] { Expire(); });
+  mTimer =
+      mServer.mLoop.After(mBegun ? limits.mHeaderTimeout : limits.mIdleTimeout,
+                          [this] { Expire(); });
 }
 
 void StreamConnection::Expire() {
--- a/drivers/stream_server.cpp
+++ b/drivers/stream_server.cpp
@@ -60,8 +60,8 @@
 
 }  // namespace
 
-StreamExchange::StreamExchange(StreamConnection* aConnection,
-                               RequestHead aHead, std::string aBody)
+StreamExchange::StreamExchange(StreamConnection* aConnection, RequestHead aHead,
+                               std::string aBody)
     : mConnection(aConnection),
       mHead(std::move(aHead)),
       mBody(std::move(aBody)),
@@ -73,8 +73,8 @@
     return;
   }
   mStarted = true;
-  std::string head = "HTTP/1.1 " + std::to_string(aStatus) + " " +
-                     ReasonOf(aStatus) + "\r\n";
+  std::string head =
+      "HTTP/1.1 " + std::to_string(aStatus) + " " + ReasonOf(aStatus) + "\r\n";
   for (const HttpHeader& header : aHeaders) {
     head += header.mName + ": " + header.mValue + "\r\n";
   }
@@ -141,19 +141,16 @@
     : mLoop(aLoop), mOptions(std::move(aOptions)), mAddress(mOptions.mListen) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_port =
-      htons(static_cast<std::uint16_t>(mOptions.mListen.mPort));
-  const bool known =
-      inet_pton(AF_INET, mOptions.mListen.mHost.c_str(), &address.sin_addr) ==
-      1;
-  mListener =
-      known ? evconnlistener_new_bind(
-                  aLoop.Base(), &StreamServer::HandleAccept, this,
-                  LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
-                      LEV_OPT_CLOSE_ON_EXEC,
-                  kBacklog, reinterpret_cast<sockaddr*>(&address),
-                  sizeof(address))
-            : nullptr;
+  address.sin_port = htons(static_cast<std::uint16_t>(mOptions.mListen.mPort));
+  const bool known = inet_pton(AF_INET, mOptions.mListen.mHost.c_str(),
+                               &address.sin_addr) == 1;
+  mListener = known ? evconnlistener_new_bind(
+                          aLoop.Base(), &StreamServer::HandleAccept, this,
+                          LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
+                              LEV_OPT_CLOSE_ON_EXEC,
+                          kBacklog, reinterpret_cast<sockaddr*>(&address),
+                          sizeof(address))
+                    : nullptr;
   if (mListener == nullptr) {
     throw Error(ResultCode::kCannotListen,
                 "cannot listen on " + mOptions.mListen.Text());
--- a/include/spindleweir/daemons/control_daemon.h
+++ b/include/spindleweir/daemons/control_daemon.h
@@ -31,8 +31,8 @@
   std::size_t mReceipts = 100000;  ///< Kept on this VM.
 
   /// For a control that finds the others by seeds instead of a list.
-  std::vector<Endpoint> mSeeds;  ///< RPC addresses of some controls.
-  bool mFirstStart = false;      ///< Of the whole deployment.
+  std::vector<Endpoint> mSeeds;      ///< RPC addresses of some controls.
+  bool mFirstStart = false;          ///< Of the whole deployment.
   Millis mHeartbeatInterval = 1200;  ///< Of upstreams.
   DocumentProtocol mDocuments;
   EngineProtocol mEngines;
--- a/include/spindleweir/daemons/relay_router.h
+++ b/include/spindleweir/daemons/relay_router.h
@@ -18,7 +18,7 @@
 struct RelayOptions {
   std::string mId;
   std::string mZone;
-  Endpoint mListen;  ///< For callers.
+  Endpoint mListen;              ///< For callers.
   std::vector<Endpoint> mSeeds;  ///< RPC addresses of some controls.
   std::string mClusterKey;
   /// A configuration that control did not confirm for so long is not acted on.
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -20,11 +20,11 @@
 struct LoadShare {
   std::string mInstance;
   int mRequests = 0;
-  double mTokenLayers = 0;  ///< Memory promised to them.
-  int mFirsts = 0;          ///< Requests that have it as the first.
+  double mTokenLayers = 0;      ///< Memory promised to them.
+  int mFirsts = 0;              ///< Requests that have it as the first.
   double mReadTokenLayers = 0;  ///< Still to be read by it.
-  double mSlowness = 1;     ///< Times that it takes longer than it should.
-  int mUnreachable = 0;     ///< Routers that cannot connect to it at present.
+  double mSlowness = 1;         ///< Times that it takes longer than it should.
+  int mUnreachable = 0;  ///< Routers that cannot connect to it at present.
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -40,10 +40,10 @@
 
 /// A router or control process asks a control process.
 struct SyncQuestion {
-  std::string mProcess;    ///< Name of who asks; new at each start.
+  std::string mProcess;  ///< Name of who asks; new at each start.
   std::string mZone;
-  ControlInfo mControl;    ///< Of a control that asks; else without id.
-  std::string mKnows;      ///< The life of the answerer that mRevision is of.
+  ControlInfo mControl;  ///< Of a control that asks; else without id.
+  std::string mKnows;    ///< The life of the answerer that mRevision is of.
   std::int64_t mRevision = 0;       ///< Of its registry, known so far.
   std::int64_t mConfiguration = 0;  ///< The version held.
   bool mWantsConfiguration = false;
@@ -69,7 +69,7 @@
   ControlInfo mSelf;
   std::string mLife;  ///< New at each start of the answerer.
   std::vector<ControlInfo> mControls;
-  std::string mLeader;      ///< Id of the leader it follows; empty: none.
+  std::string mLeader;  ///< Id of the leader it follows; empty: none.
   std::int64_t mTerm = 0;
   std::int64_t mRevision = 0;
   std::vector<UpstreamRecord> mUpstreams;  ///< Those that changed.
--- a/include/spindleweir/daemons/traffic_protocols.h
+++ b/include/spindleweir/daemons/traffic_protocols.h
@@ -21,20 +21,20 @@
 struct RequestFacts {
   std::string mId;
   std::string mHost;
-  std::string mKey;             ///< Empty: none was shown.
-  Millis mDeadline = 0;         ///< Milliseconds the caller waits; 0: not said.
+  std::string mKey;      ///< Empty: none was shown.
+  Millis mDeadline = 0;  ///< Milliseconds the caller waits; 0: not said.
   std::string mModel;
   double mPromptTokens = 0;
-  double mMostTokens = 0;       ///< That may be generated.
-  double mExpectedTokens = 0;   ///< By the caller's guess; 0: none.
+  double mMostTokens = 0;                  ///< That may be generated.
+  double mExpectedTokens = 0;              ///< By the caller's guess; 0: none.
   std::optional<std::int64_t> mLastEvent;  ///< Goes on after this event.
 };
 
 /// How a request is sent to an upstream.
 struct DispatchFacts {
-  Millis mRemaining = 0;    ///< Until the caller's deadline.
-  std::string mInstance;    ///< No other incarnation may run it.
-  std::string mWorkspace;   ///< Empty: none.
+  Millis mRemaining = 0;                   ///< Until the caller's deadline.
+  std::string mInstance;                   ///< No other incarnation may run it.
+  std::string mWorkspace;                  ///< Empty: none.
   const LayerPath* mPath = nullptr;        ///< For engines.
   std::optional<std::int64_t> mLastEvent;  ///< Goes on after this event.
   int mPriority = -1;                      ///< 0 to 9; -1: not said.
@@ -101,8 +101,8 @@
   double mPace = 1;          ///< Over 1: it is slow.
   int mWaiting = 0;
   int mRunning = 0;
-  double mUsed = 0;          ///< Tokens x layers.
-  double mTotal = 0;         ///< Tokens x layers.
+  double mUsed = 0;   ///< Tokens x layers.
+  double mTotal = 0;  ///< Tokens x layers.
   std::vector<StalledRequest> mStalled;
 };
 
--- a/include/spindleweir/servers/configuration/configuration_machine.h
+++ b/include/spindleweir/servers/configuration/configuration_machine.h
@@ -22,11 +22,11 @@
   std::string mId;      ///< The operator's; a resend carries the same.
   std::string mDigest;  ///< SHA-256 of what was asked.
   CommandKind mKind = CommandKind::kPlan;
-  Millis mWall = 0;     ///< The leader's time, for expiry.
-  Plan mPlan;           ///< For kPlan.
-  std::string mPlanId;  ///< For kConfirm.
-  std::string mVm;      ///< For kDrain.
-  bool mDrain = true;   ///< For kDrain: false takes the VM back.
+  Millis mWall = 0;                  ///< The leader's time, for expiry.
+  Plan mPlan;                        ///< For kPlan.
+  std::string mPlanId;               ///< For kConfirm.
+  std::string mVm;                   ///< For kDrain.
+  bool mDrain = true;                ///< For kDrain: false takes the VM back.
   std::int64_t mTrafficVersion = 0;  ///< For kPublish.
   std::string mDocument;             ///< For kPublish: as it was sent.
 
--- a/include/spindleweir/servers/membership/upstream_registry.h
+++ b/include/spindleweir/servers/membership/upstream_registry.h
@@ -27,9 +27,7 @@
   int mTo = 0;
 
   int Count() const { return mTo - mFrom; }
-  bool Holds(int aFrom, int aTo) const {
-    return mFrom <= aFrom && aTo <= mTo;
-  }
+  bool Holds(int aFrom, int aTo) const { return mFrom <= aFrom && aTo <= mTo; }
   bool operator==(const LayerRange&) const = default;
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -49,8 +47,8 @@
   UpstreamState mState = UpstreamState::kReady;
   std::int64_t mSequence = 0;  ///< Of the newest heartbeat.
   LayerRange mLayers;
-  bool mBusy = false;          ///< An order is under way, as far as is known.
-  Millis mHeardAgo = 0;        ///< Since the newest heartbeat, when sent.
+  bool mBusy = false;    ///< An order is under way, as far as is known.
+  Millis mHeardAgo = 0;  ///< Since the newest heartbeat, when sent.
 
   template <class Codec>
   void Fields(Codec& aCodec) {
--- a/include/spindleweir/servers/routes/traffic_configuration.h
+++ b/include/spindleweir/servers/routes/traffic_configuration.h
@@ -89,23 +89,23 @@
 struct EngineProfile {
   int mLayers = 0;
   double mLayerMb = 0;
-  int mSlots = 0;              ///< Requests at once at the first of a chain.
-  double mTokenBytes = 0;      ///< Memory of a token over all layers.
-  double mActivationBytes = 0; ///< Handed on for each token.
-  double mLinkMbps = 0;        ///< Within a zone.
-  double mPipeMbps = 0;        ///< Between zones, shared.
-  int mStride = 1;             ///< Steps in a pass with writers.
+  int mSlots = 0;               ///< Requests at once at the first of a chain.
+  double mTokenBytes = 0;       ///< Memory of a token over all layers.
+  double mActivationBytes = 0;  ///< Handed on for each token.
+  double mLinkMbps = 0;         ///< Within a zone.
+  double mPipeMbps = 0;         ///< Between zones, shared.
+  int mStride = 1;              ///< Steps in a pass with writers.
   double mStepMillis = 0;
-  double mRequestMillis = 0;   ///< For each writing request and step.
-  double mContextMillis = 0;   ///< For 1,000 tokens of context and step.
-  double mReadPerSecond = 0;   ///< Prompt tokens.
-  double mPairMillis = 0;      ///< For a million pairs of tokens.
-  int mChunk = 512;            ///< Prompt tokens read in a step at most.
-  double mLoadSeconds = 0;     ///< All layers, from the weights store.
+  double mRequestMillis = 0;  ///< For each writing request and step.
+  double mContextMillis = 0;  ///< For 1,000 tokens of context and step.
+  double mReadPerSecond = 0;  ///< Prompt tokens.
+  double mPairMillis = 0;     ///< For a million pairs of tokens.
+  int mChunk = 512;           ///< Prompt tokens read in a step at most.
+  double mLoadSeconds = 0;    ///< All layers, from the weights store.
   int mLoadsAtOnce = 1;
-  double mUsualPrompt = 0;     ///< Tokens.
-  double mUsualAnswer = 0;     ///< Tokens.
-  double mZoneDelay = 0;       ///< Milliseconds between zones, one way.
+  double mUsualPrompt = 0;  ///< Tokens.
+  double mUsualAnswer = 0;  ///< Tokens.
+  double mZoneDelay = 0;    ///< Milliseconds between zones, one way.
   std::vector<AcceleratorKind> mKinds;
 
   const AcceleratorKind* FindKind(const std::string& aName) const;
--- a/include/spindleweir/servers/routing/layer_path.h
+++ b/include/spindleweir/servers/routing/layer_path.h
@@ -27,19 +27,19 @@
 /// What is known of the work at one engine.
 struct EngineLoad {
   double mRequests = 0;
-  double mTokenLayers = 0;  ///< Memory promised to them.
-  double mFirsts = 0;       ///< Requests that have it as the first.
+  double mTokenLayers = 0;      ///< Memory promised to them.
+  double mFirsts = 0;           ///< Requests that have it as the first.
   double mReadTokenLayers = 0;  ///< Still to be read by it.
-  double mSlowness = 1;     ///< Times that it takes longer than it should.
+  double mSlowness = 1;         ///< Times that it takes longer than it should.
 };
 
 /// What a path is chosen by.
 struct PathQuestion {
   const EngineProfile* mProfile = nullptr;
-  std::string mZone;          ///< Where the router is.
-  double mTokens = 0;         ///< Prompt and expected answer.
-  double mReadTokens = 0;     ///< To be read at first.
-  double mAnswerTokens = 0;   ///< Expected.
+  std::string mZone;         ///< Where the router is.
+  double mTokens = 0;        ///< Prompt and expected answer.
+  double mReadTokens = 0;    ///< To be read at first.
+  double mAnswerTokens = 0;  ///< Expected.
   std::vector<const UpstreamRecord*> mEngines;
   std::function<EngineLoad(const std::string&)> mLoadOf;
   /// Engines that are not to be used, by instance.
@@ -54,9 +54,9 @@
 
 /// A path with what it is expected to take.
 struct PathAnswer {
-  LayerPath mPath;           ///< Empty: there is none.
-  double mCost = 0;          ///< Milliseconds in all, by the model.
-  bool mLacksRoom = false;   ///< There would be one but for room.
+  LayerPath mPath;          ///< Empty: there is none.
+  double mCost = 0;         ///< Milliseconds in all, by the model.
+  bool mLacksRoom = false;  ///< There would be one but for room.
 };
 
 PathAnswer ChoosePath(const PathQuestion& aQuestion);
--- a/include/spindleweir/servers/routing/retry_allowance.h
+++ b/include/spindleweir/servers/routing/retry_allowance.h
@@ -10,9 +10,9 @@
 
 /// Bounds that hold for all routers together.
 struct RetryAllowanceOptions {
-  double mRatio = 0.2;      ///< Of the requests of a window.
+  double mRatio = 0.2;  ///< Of the requests of a window.
   Millis mWindow = 10000;
-  double mSlack = 200;      ///< Beside the ratio, over all routers.
+  double mSlack = 200;  ///< Beside the ratio, over all routers.
   /// What is kept back, since windows and routers do not match exactly.
   double mUsed = 0.7;
 };
--- a/main/control_main.cpp
+++ b/main/control_main.cpp
@@ -70,9 +70,9 @@
   if (!FLAGS_boot.empty()) {
     RequireSetting(FLAGS_cluster_key, "--cluster_key");
     return platform::RunControl({.mBoot = FLAGS_boot,
-                                .mClusterKey = FLAGS_cluster_key,
-                                .mLogLevel = FLAGS_log_level,
-                                .mCheckOnly = FLAGS_check});
+                                 .mClusterKey = FLAGS_cluster_key,
+                                 .mLogLevel = FLAGS_log_level,
+                                 .mCheckOnly = FLAGS_check});
   }
   ControlOptions options = ReadOptions();
   StartLog(FLAGS_log_level, FLAGS_id);
--- a/servers/configuration/configuration_machine.cpp
+++ b/servers/configuration/configuration_machine.cpp
@@ -132,8 +132,7 @@
     return aCommand.mDigest == mPublished.mDigest
                ? CommandResult{}
                : Refusal(ResultCode::kVersionTaken,
-                         "version " +
-                             std::to_string(aCommand.mTrafficVersion) +
+                         "version " + std::to_string(aCommand.mTrafficVersion) +
                              " has another content");
   }
   mPublished = {.mVersion = aCommand.mTrafficVersion,
--- a/servers/engines/engine_model.cpp
+++ b/servers/engines/engine_model.cpp
@@ -20,8 +20,8 @@
 int EngineModel::MostLayers() const {
   return mProfile.mLayerMb <= 0
              ? mProfile.mLayers
-             : std::min(mProfile.mLayers, static_cast<int>(mKind.mMemoryMb /
-                                                           mProfile.mLayerMb));
+             : std::min(mProfile.mLayers,
+                        static_cast<int>(mKind.mMemoryMb / mProfile.mLayerMb));
 }
 
 double EngineModel::Room(int aLayers) const {
@@ -60,8 +60,8 @@
   const double mbps = aOtherZone ? aProfile.mPipeMbps : aProfile.mLinkMbps;
   const double delay = aOtherZone ? aProfile.mZoneDelay : kSameZoneMillis;
   const double bits = aProfile.mActivationBytes * kBitsPerByte;
-  return delay + (mbps <= 0 ? 0 : bits / (mbps * kBitsPerMbit) *
-                                      kMillisPerSecond);
+  return delay +
+         (mbps <= 0 ? 0 : bits / (mbps * kBitsPerMbit) * kMillisPerSecond);
 }
 
 }  // namespace spindleweir
--- a/servers/membership/control_directory.cpp
+++ b/servers/membership/control_directory.cpp
@@ -46,8 +46,8 @@
   std::vector<Endpoint> addresses = mSeeds;
   for (const auto& [id, item] : mItems) {
     const Endpoint address = AddressOfControl(id);
-    const bool known = std::find(addresses.begin(), addresses.end(),
-                                 address) != addresses.end();
+    const bool known = std::find(addresses.begin(), addresses.end(), address) !=
+                       addresses.end();
     if (!known && aNow - item.mHeardAt < kForgotten) {
       addresses.push_back(address);
     }
@@ -81,8 +81,8 @@
   const auto own = mItems.find(aId);
   const Endpoint address = AddressOfControl(aId);
   return std::any_of(mItems.begin(), mItems.end(), [&](const auto& aItem) {
-    const bool newer = own == mItems.end() ||
-                       aItem.second.mHeardAt > own->second.mHeardAt;
+    const bool newer =
+        own == mItems.end() || aItem.second.mHeardAt > own->second.mHeardAt;
     return aItem.first != aId && newer &&
            AddressOfControl(aItem.first) == address;
   });
--- a/servers/membership/voter_plan.cpp
+++ b/servers/membership/voter_plan.cpp
@@ -35,8 +35,8 @@
 
 std::vector<std::string> NextVoters(const VoterQuestion& aQuestion) {
   std::vector<std::string> candidates;
-  for (const ControlInfo& info : aQuestion.mDirectory->Lately(
-           aQuestion.mFresh, aQuestion.mNow)) {
+  for (const ControlInfo& info :
+       aQuestion.mDirectory->Lately(aQuestion.mFresh, aQuestion.mNow)) {
     const bool usable = !Contains(aQuestion.mVoters, info.mId) &&
                         !aQuestion.mDirectory->Replaced(info.mId);
     if (usable) {
--- a/servers/placement/layer_planner.cpp
+++ b/servers/placement/layer_planner.cpp
@@ -137,8 +137,8 @@
 /// The first run of layers that nobody holds; empty: there is none.
 LayerRange FirstHole(const std::vector<int>& aCounts) {
   const auto begin = std::find(aCounts.begin(), aCounts.end(), 0);
-  const auto end = std::find_if(begin, aCounts.end(),
-                                [](int aCount) { return aCount > 0; });
+  const auto end =
+      std::find_if(begin, aCounts.end(), [](int aCount) { return aCount > 0; });
   return {static_cast<int>(begin - aCounts.begin()),
           static_cast<int>(end - aCounts.begin())};
 }
--- a/servers/routing/layer_path.cpp
+++ b/servers/routing/layer_path.cpp
@@ -27,7 +27,7 @@
   const UpstreamRecord* mRecord;
   EngineModel mModel;
   EngineLoad mLoad;
-  double mRoom;  ///< Tokens x layers that may be promised in all.
+  double mRoom;    ///< Tokens x layers that may be promised in all.
   double mSpread;  ///< A factor near 1 that differs with each choice.
 };
 
@@ -55,10 +55,8 @@
       }
       const EngineModel model(profile, *kind);
       const EngineLoad load = aQuestion.mLoadOf(record->mInstance);
-      const double room =
-          model.Room(record->mLayers.Count()) * aQuestion.mFill;
-      mCandidates.push_back(
-          {record, model, load, room, Spread()});
+      const double room = model.Room(record->mLayers.Count()) * aQuestion.mFill;
+      mCandidates.push_back({record, model, load, room, Spread()});
       mBoundaries.push_back(record->mLayers.mFrom);
       mBoundaries.push_back(record->mLayers.mTo);
     }
@@ -164,7 +162,8 @@
       const UpstreamRecord& record =
           *mCandidates[static_cast<std::size_t>(step.mCandidate)].mRecord;
       const auto from = static_cast<std::size_t>(step.mFromBoundary);
-      path.push_back({record.mInstance, record.mAddress,
+      path.push_back({record.mInstance,
+                      record.mAddress,
                       {mBoundaries[from], mBoundaries[at]}});
       at = from;
     }
--- a/servers/streams/progress_watch.cpp
+++ b/servers/streams/progress_watch.cpp
@@ -42,8 +42,8 @@
   Stream& stream = it->second;
   const auto gap = static_cast<double>(aNow - stream.mHeardAt);
   if (stream.mBegun) {
-    stream.mGap += (std::clamp(gap, kLeastGap, kMostGap) - stream.mGap) *
-                   kGapWeight;
+    stream.mGap +=
+        (std::clamp(gap, kLeastGap, kMostGap) - stream.mGap) * kGapWeight;
   } else {
     stream.mGap = kFirstGap / 2;
   }
--- a/tests/drivers/http_message_test.cpp
+++ b/tests/drivers/http_message_test.cpp
@@ -97,9 +97,8 @@
 }
 
 Test(http_message, connection_headers_are_known) {
-  const HttpHeaders headers = {{"Connection", "close, X-Hop"},
-                               {"X-Hop", "1"},
-                               {"X-End", "2"}};
+  const HttpHeaders headers = {
+      {"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"X-End", "2"}};
   CHECK(IsConnectionHeader(headers, "x-hop"));
   CHECK(IsConnectionHeader(headers, "Transfer-Encoding"));
   CHECK(!IsConnectionHeader(headers, "X-End"));
--- a/tests/drivers/stream_test.cpp
+++ b/tests/drivers/stream_test.cpp
@@ -74,8 +74,8 @@
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<std::uint16_t>(
-        mServer.Address().mPort));
+    address.sin_port =
+        htons(static_cast<std::uint16_t>(mServer.Address().mPort));
     inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
     (void)connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
     std::string received;
@@ -134,9 +134,8 @@
       aExchange.Start(200, {}, std::nullopt);
       aExchange.Write("a");
     };
-    const auto abort = server.mLoop.After(50, [&] {
-      server.mExchange->Abort();
-    });
+    const auto abort =
+        server.mLoop.After(50, [&] { server.mExchange->Abort(); });
     CHECK(server.Call() == StreamEnd::kLost);
   }
   SECTION("nobody listens: not sent") {
@@ -179,8 +178,8 @@
   server.mHandle = [](StreamExchange& aExchange) {
     aExchange.Reply(200, {}, "");
   };
-  const std::string answer = server.Raw(
-      "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  const std::string answer =
+      server.Raw("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
   CHECK(answer.starts_with("HTTP/1.1 200 OK\r\n"));
   CHECK(answer.find("Connection: close") != std::string::npos);
 }
@@ -204,8 +203,9 @@
   SECTION("too large a head or a body") {
     CHECK(statusOf("GET / HTTP/1.1\r\nX: " + std::string(3000, 'x')) ==
           "HTTP/1.1 431");
-    CHECK(statusOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" +
-                   std::string(2000, 'x')) == "HTTP/1.1 413");
+    CHECK(
+        statusOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" +
+                 std::string(2000, 'x')) == "HTTP/1.1 413");
   }
   CHECK(server.mHandled == 0);
 }
--- a/tests/fuzz/parsers_fuzzer.cpp
+++ b/tests/fuzz/parsers_fuzzer.cpp
@@ -100,8 +100,7 @@
 }
 
 void ReadDocument(std::string_view aBytes) {
-  const TrafficConfiguration read =
-      platform::ReadConfigurationDocument(aBytes);
+  const TrafficConfiguration read = platform::ReadConfigurationDocument(aBytes);
   CheckTraffic(read);
   FromJson<TrafficConfiguration>(ToJson(read));
 }
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -90,12 +90,11 @@
   SECTION("the key stays here, the workspace is ours, the rest goes along") {
     const LayerPath path = {{"i-1", "10.1.0.1:80", {0, 20}},
                             {"i-2", "10.1.0.2:80", {20, 80}}};
-    const HttpHeaders sent = protocol.mWriteRequest(
-        Head(), {.mRemaining = 3500,
-                 .mInstance = "i-1",
-                 .mWorkspace = "t",
-                 .mPath = &path,
-                 .mLastEvent = 15});
+    const HttpHeaders sent = protocol.mWriteRequest(Head(), {.mRemaining = 3500,
+                                                             .mInstance = "i-1",
+                                                             .mWorkspace = "t",
+                                                             .mPath = &path,
+                                                             .mLastEvent = 15});
     CHECK(ValueOf(sent, "Authorization") == "(none)");
     CHECK(ValueOf(sent, "Connection") == "(none)");
     CHECK(ValueOf(sent, "Spindleweir-Tenant") == "t");
@@ -162,8 +161,7 @@
   const EngineProtocol protocol = EngineMessages();
   const Json::Value place = ParseJson(
       protocol
-          .mWritePlace(
-              {.mLayers = {20, 31}, .mFence = 5, .mExpectedOrders = 2})
+          .mWritePlace({.mLayers = {20, 31}, .mFence = 5, .mExpectedOrders = 2})
           .mBody);
   CHECK(place["op"] == "place" && place["from"] == 20);
   CHECK(place["targetVersion"] == 31 && place["fence"] == 5);
@@ -186,8 +184,7 @@
   CHECK(SeedsOf(settings) == (std::vector<Endpoint>{{"10.0.0.1", 7000}}));
   CHECK(RelayOptionsOf(settings).mLeaseLength == 4000);
   CHECK(ControlOptionsOf(settings).mFirstStart);
-  CHECK(CodeThrownBy([] { ParseBootSettings("{}"); }) ==
-        ResultCode::kBadField);
+  CHECK(CodeThrownBy([] { ParseBootSettings("{}"); }) == ResultCode::kBadField);
   CHECK(CodeThrownBy([] {
           ParseBootSettings(R"({"id":"n","zone":"z","address":"a",
             "inner_port":0,"seeds":[]})");
--- a/tests/servers/registry_test.cpp
+++ b/tests/servers/registry_test.cpp
@@ -22,7 +22,9 @@
   return aRegistry.Find(aInstance)->mState;
 }
 
-ControlInfo Control(const std::string& aId) { return {.mId = aId}; }
+ControlInfo Control(const std::string& aId) {
+  return {.mId = aId};
+}
 
 }  // namespace
 
@@ -141,8 +143,7 @@
     ControlDirectory larger;
     VoterQuestion more;
     more.mSelf = "10.0.0.1:1#first";
-    more.mVoters = {"10.0.0.1:1#first", "10.0.0.2:1#first",
-                    "10.0.0.3:1#first"};
+    more.mVoters = {"10.0.0.1:1#first", "10.0.0.2:1#first", "10.0.0.3:1#first"};
     more.mDirectory = &larger;
     more.mNow = 2000;
     for (const std::string& id : more.mVoters) {
--- a/tests/servers/routes_test.cpp
+++ b/tests/servers/routes_test.cpp
@@ -41,9 +41,8 @@
           }) == kBad);
     CHECK(Check([](Traffic& aC) { aC.mRoutes[1].mPrefix = "/"; }) == kBad);
     CHECK(Check([](Traffic& aC) { aC.mRoutes[0].mTimeout = 0; }) == kBad);
-    CHECK(Check([](Traffic& aC) {
-            aC.mRoutes[0].mTargets[0].mWeight = 0;
-          }) == kBad);
+    CHECK(Check([](Traffic& aC) { aC.mRoutes[0].mTargets[0].mWeight = 0; }) ==
+          kBad);
     CHECK(Check([](Traffic& aC) { aC.mRoutes[0].mTargets.clear(); }) == kBad);
     CHECK(Check([](Traffic& aC) { aC.mRoutes[0].mPrefix = "/x"; }) == kBad);
   }
