--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -29,7 +29,7 @@
     throw Error(ResultCode::kDataCorrupt,
                 path + " belongs to " + kept + ", not to " + wanted);
   }
-  const std::string name =
+  std::string name =
       aOptions.mFirstStart ? kFirstDisk : RandomHex(kDiskNameBytes);
   ReplaceFile(path, wanted + name);
   return name;
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -713,9 +713,8 @@
       aLeast + static_cast<Millis>(kReturnSpread * mContext.Random());
   const Millis passed = SteadyNow() - mExchange->ReceivedAt();
   const Millis left = mFacts.mDeadline - passed;
-  return mFacts.mDeadline > 0
-             ? std::clamp<Millis>(left / kWaitPart, 0, wanted)
-             : wanted;
+  return mFacts.mDeadline > 0 ? std::clamp<Millis>(left / kWaitPart, 0, wanted)
+                              : wanted;
 }
 
 void RelayRequest::Refuse(ResultCode aCode, Millis aReturnAfter) {
--- a/drivers/http_message.cpp
+++ b/drivers/http_message.cpp
@@ -121,7 +121,7 @@
     self.mRequest.mMinor = aParser->http_minor;
     self.mAnswer.mStatus = static_cast<int>(aParser->status_code);
     self.mAnswer.mUntilClose =
-        http_message_needs_eof(aParser) != 0 && !self.mNoBody;
+        EndsWithConnection(aParser) != 0 && !self.mNoBody;
     (self.mIsRequest ? self.mRequest.mHeaders : self.mAnswer.mHeaders) =
         std::move(self.mHeaders);
     self.mState = ReadState::kBody;
@@ -148,7 +148,7 @@
     return 0;
   }
 
-  static int http_message_needs_eof(const http_parser* aParser) {
+  static int EndsWithConnection(const http_parser* aParser) {
     if (aParser->type == HTTP_REQUEST) {
       return 0;
     }
--- a/servers/membership/upstream_registry.cpp
+++ b/servers/membership/upstream_registry.cpp
@@ -49,14 +49,14 @@
       // Whoever leaves does not come back under the same name.
       item.mRecord.mState = before.mState;
     }
-  } else if (Ends(aRecord.mState) && aRecord.mState > before.mState) {
-    item.mRecord.mState = aRecord.mState;
-  } else if (aRecord.mState == UpstreamState::kSilent &&
-             before.mState == UpstreamState::kReady &&
-             aRecord.mSequence == before.mSequence &&
-             aHeardAt >= item.mHeardAt) {
+  } else {
+    const bool ends = Ends(aRecord.mState) && aRecord.mState > before.mState;
     // Only who has heard as much may say that it is silent.
-    item.mRecord.mState = aRecord.mState;
+    const bool silent = aRecord.mState == UpstreamState::kSilent &&
+                        before.mState == UpstreamState::kReady &&
+                        aRecord.mSequence == before.mSequence &&
+                        aHeardAt >= item.mHeardAt;
+    item.mRecord.mState = ends || silent ? aRecord.mState : before.mState;
   }
   item.mHeardAt = std::max(item.mHeardAt, aHeardAt);
   if (aRecord.mSequence > before.mSequence) {
--- a/servers/routes/route_table.cpp
+++ b/servers/routes/route_table.cpp
@@ -11,9 +11,10 @@
 std::string PlainHost(std::string_view aHost) {
   const std::size_t colon = aHost.rfind(':');
   std::string host(aHost.substr(0, colon));
-  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
+  std::transform(host.begin(), host.end(), host.begin(),
+                 [](unsigned char aByte) {
+                   return static_cast<char>(std::tolower(aByte));
+                 });
   return host;
 }
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -105,7 +105,7 @@
     CHECK(ValueOf(sent, "X-Other") == "stays");
   }
   SECTION("what ran and what did not") {
-    const auto ran = [&](AnswerHead aHead) {
+    const auto ran = [&](const AnswerHead& aHead) {
       return protocol.mReadAnswer(aHead, facts).mRan;
     };
     CHECK(ran({.mStatus = 200}) == Ran::kYes);
