--- a/core/counters.cpp
+++ b/core/counters.cpp
@@ -32,6 +32,22 @@
   family.mValues[""] = aValue;
 }
 
+void Counters::Observe(std::string_view aName, std::int64_t aValue) {
+  auto it = mHistograms.find(aName);
+  if (it == mHistograms.end()) {
+    it = mHistograms.emplace(std::string(aName), Histogram{}).first;
+  }
+  Histogram& histogram = it->second;
+  std::size_t bucket = 0;
+  while (bucket + 1 < histogram.mBuckets.size() &&
+         aValue > (std::int64_t{1} << bucket)) {
+    bucket++;
+  }
+  histogram.mBuckets[bucket]++;
+  histogram.mSum += aValue;
+  histogram.mCount++;
+}
+
 std::int64_t Counters::Value(std::string_view aName,
                              std::string_view aLabels) const {
   const auto it = mFamilies.find(aName);
@@ -58,6 +74,20 @@
       text += " " + std::to_string(value) + "\n";
     }
   }
+  for (const auto& [name, histogram] : mHistograms) {
+    const std::string full = std::string(kPrefix) + name;
+    text += "# TYPE " + full + " histogram\n";
+    std::int64_t below = 0;
+    for (std::size_t i = 0; i < histogram.mBuckets.size(); i++) {
+      const bool last = i + 1 == histogram.mBuckets.size();
+      below += histogram.mBuckets[i];
+      text += full + "_bucket{le=\"" +
+              (last ? "+Inf" : std::to_string(std::int64_t{1} << i)) + "\"} " +
+              std::to_string(below) + "\n";
+    }
+    text += full + "_sum " + std::to_string(histogram.mSum) + "\n";
+    text += full + "_count " + std::to_string(histogram.mCount) + "\n";
+  }
   return text;
 }
 
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -4,9 +4,13 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
 
+#include <unistd.h>
+
+#include "core/log_output.h"
 #include "spindleweir/core/clock.h"
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/json_codec.h"
@@ -15,11 +19,24 @@
 
 namespace {
 
+/// Bytes of lines that may wait for a slow reader.
+constexpr std::size_t kWaitingBytes = 256 * 1024;
+
+/// Hands the lines of Boost.Log to the bounded output.
+class OutputBackend
+    : public boost::log::sinks::basic_formatted_sink_backend<
+          char, boost::log::sinks::concurrent_feeding> {
+ public:
+  void consume(const boost::log::record_view&, const string_type& aLine);
+};
+
 /// What StartLog set. Nothing is written before it is called.
 struct LogState {
   bool mStarted = false;
   LogLevel mLevel = LogLevel::kInfo;
   std::string mProcess;
+  bool mImportant = false;  ///< The line that is being written.
+  LogOutput mOutput{STDOUT_FILENO, kWaitingBytes};
   boost::log::sources::logger mLogger;
 };
 
@@ -28,6 +45,11 @@
   return state;
 }
 
+void OutputBackend::consume(const boost::log::record_view&,
+                            const string_type& aLine) {
+  State().mOutput.Add(aLine, State().mImportant);
+}
+
 const char* NameOf(LogLevel aLevel) {
   switch (aLevel) {
     case LogLevel::kDebug:
@@ -64,11 +86,11 @@
     return;
   }
   state.mStarted = true;
-  boost::log::add_console_log(
-      std::cout,
-      boost::log::keywords::format = (boost::log::expressions::stream
-                                      << boost::log::expressions::smessage),
-      boost::log::keywords::auto_flush = true);
+  using Sink = boost::log::sinks::unlocked_sink<OutputBackend>;
+  const auto sink = boost::make_shared<Sink>();
+  sink->set_formatter(boost::log::expressions::stream
+                      << boost::log::expressions::smessage);
+  boost::log::core::get()->add_sink(sink);
 }
 
 LogLine::LogLine(LogLevel aLevel, const char* aEvent)
@@ -88,9 +110,14 @@
   if (!mWritten) {
     return;
   }
+  State().mImportant = mLevel >= LogLevel::kWarning;
   BOOST_LOG(State().mLogger) << DumpJson(mObject);
 }
 
+std::int64_t LogLinesLeftOut() {
+  return State().mOutput.LeftOut();
+}
+
 LogLine& LogLine::Add(const char* aName, const Json::Value& aValue) {
   if (mWritten) {
     mObject[aName] = aValue;
--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -171,6 +171,22 @@
   return mParts->mContext.mCounters;
 }
 
+void JoinedControl::RefreshGauges() {
+  Counters& counters = mParts->mContext.mCounters;
+  const RaftNode& raft = mParts->mLog.Raft();
+  counters.Set("leads", raft.Leads() ? 1 : 0);
+  counters.Set("term", raft.Term());
+  counters.Set("commit_index", raft.CommitIndex());
+  counters.Set("voters", static_cast<std::int64_t>(raft.Voters().size()));
+  counters.Set("disk_bytes",
+               static_cast<std::int64_t>(mParts->mLog.DiskBytes()));
+  const Millis confirmed = raft.ConfirmedAt();
+  counters.Set("confirmed_ago_ms",
+               confirmed < 0 ? -1 : SteadyNow() - confirmed);
+  counters.Set("upstreams_known",
+               static_cast<std::int64_t>(mParts->mSync.Registry().Size()));
+}
+
 void JoinedControl::Stop() {
   // All that was promised is on the disk already.
   const LogLine line(LogLevel::kInfo, "stopped");
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -623,7 +623,7 @@
 }
 
 void RelayRequest::LogFailure(Ran aRan, ResultCode aCode) const {
-  LogLine(LogLevel::kInfo, "attempt_failed")
+  LogLine(LogLevel::kWarning, "attempt_failed")
       .Add("request", mFacts.mId)
       .Add("instance", mAttempt->mInstance)
       .Add("code", static_cast<int>(aCode))
@@ -723,7 +723,7 @@
   mExchange->Reply(
       status, mContext.mOptions.mCallers.mWriteRefusal(mFacts.mId, retryAfter),
       BodyOf(aCode, mFacts.mId));
-  LogLine(LogLevel::kInfo, "refused")
+  LogLine(LogLevel::kWarning, "refused")
       .Add("request", mFacts.mId)
       .Add("code", static_cast<int>(aCode))
       .Add("route", mRoute == nullptr ? "" : mRoute->mName)
@@ -749,6 +749,20 @@
   End("caller_gone", 0);
 }
 
+void RelayRequest::Count(const char* aOutcome, int aStatus) {
+  Counters& counters = mContext.mCounters;
+  const std::string route = mRoute == nullptr ? "" : mRoute->mName;
+  counters.Add("requests", "route=\"" + route + "\",outcome=\"" + aOutcome +
+                               "\",status=\"" + std::to_string(aStatus) +
+                               "\"");
+  const Millis received = mExchange->ReceivedAt();
+  counters.Observe("request_ms", SteadyNow() - received);
+  if (mFirstEventAt > 0) {
+    counters.Observe("first_event_ms", mFirstEventAt - received);
+    counters.Observe("longest_pause_ms", mLongestPause);
+  }
+}
+
 void RelayRequest::End(const char* aOutcome, int aStatus) {
   if (mEnded) {
     return;
@@ -762,7 +776,8 @@
     }
   }
   const Millis received = mExchange->ReceivedAt();
-  LogLine(LogLevel::kInfo, "request")
+  const bool served = aStatus >= 200 && aStatus < 300;
+  LogLine(served ? LogLevel::kInfo : LogLevel::kWarning, "request")
       .Add("request", mFacts.mId)
       .Add("outcome", aOutcome)
       .Add("status", aStatus)
@@ -779,8 +794,7 @@
       .Add("took_ms", static_cast<Json::Int64>(SteadyNow() - received))
       .Add("version",
            static_cast<Json::Int64>(mTable == nullptr ? 0 : mTable->Version()));
-  mContext.mCounters.Add("requests",
-                         "outcome=\"" + std::string(aOutcome) + "\"");
+  Count(aOutcome, aStatus);
   DropAttempt();
   mTimeout.reset();
   mSilenceTimer.reset();
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -104,6 +104,7 @@
   Millis ReturnAfter(Millis aLeast) const;
   void Forward(const AnswerHead& aHead, std::string_view aBody);
   void End(const char* aOutcome, int aStatus);
+  void Count(const char* aOutcome, int aStatus);
   void CountLoad(int aSign);
   Millis Remaining() const;
 
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -172,6 +172,36 @@
   return mParts->mContext.mCounters;
 }
 
+void RelayRouter::RefreshGauges() {
+  RelayContext& context = mParts->mContext;
+  Counters& counters = context.mCounters;
+  const Millis now = SteadyNow();
+  counters.Set("ready", Ready() ? 1 : 0);
+  counters.Set("lease_age_ms", context.mLease.Age(now));
+  counters.Set("requests_open",
+               static_cast<std::int64_t>(mParts->mRequests.size()));
+  counters.Set("connections",
+               static_cast<std::int64_t>(mParts->mServer.Connections()));
+  counters.Set("routers_known", context.mRouters);
+  int states[4] = {0, 0, 0, 0};
+  for (const UpstreamRecord* record : context.mRegistry.OfService("")) {
+    states[static_cast<int>(record->mState)]++;
+  }
+  counters.Set("upstreams_ready", states[0]);
+  counters.Set("upstreams_silent", states[1]);
+  counters.Set("upstreams_leaving", states[2]);
+  counters.Set("upstreams_gone", states[3]);
+  if (context.Table() == nullptr) {
+    return;
+  }
+  double left = 0;
+  for (const TrafficService& service :
+       context.Table()->Configuration().mServices) {
+    left += context.RetriesOf(service.mName).Left(context.mRouters, now);
+  }
+  counters.Set("retries_left", static_cast<std::int64_t>(left));
+}
+
 void RelayRouter::Stop() {
   RelayContext& context = mParts->mContext;
   if (context.mStopping) {
--- a/include/spindleweir/core/log.h
+++ b/include/spindleweir/core/log.h
@@ -1,9 +1,12 @@
-/// The log: one JSON object a line on standard error, by Boost.Log.
-/// Prompts, answers and keys are never logged.
+/// The log: one JSON object a line on standard output, by Boost.Log. Writing
+/// never blocks: lines that a slow reader does not take wait in a bounded
+/// buffer, and what does not fit is counted and left out, warnings and errors
+/// last. Prompts, answers and keys are never logged.
 #pragma once
 
 #include <json/value.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -15,6 +18,9 @@
 /// Throws kBadSetting for a name other than debug, info, warning, error.
 void StartLog(std::string_view aLevel, std::string_view aProcess);
 
+/// Lines that were left out so far.
+std::int64_t LogLinesLeftOut();
+
 /// A line under construction; it is written when it goes out of scope.
 ///
 ///     LogLine(LogLevel::kInfo, "routed").Add("request", id);
--- a/include/spindleweir/daemons/joined_control.h
+++ b/include/spindleweir/daemons/joined_control.h
@@ -44,6 +44,8 @@
   /// Takes new seeds.
   void SetSeeds(std::vector<Endpoint> aSeeds);
   Counters& OwnCounters();
+  /// Sets the gauges that stand for the state of the moment.
+  void RefreshGauges();
   void Stop();
 
  private:
--- a/include/spindleweir/daemons/relay_router.h
+++ b/include/spindleweir/daemons/relay_router.h
@@ -44,6 +44,8 @@
   /// Takes new seeds.
   void SetSeeds(std::vector<Endpoint> aSeeds);
   Counters& OwnCounters();
+  /// Sets the gauges that stand for the state of the moment.
+  void RefreshGauges();
   /// A planned stop: what is in flight ends, then the loop stops.
   void Stop();
 
--- a/main/router_main.cpp
+++ b/main/router_main.cpp
@@ -27,6 +27,7 @@
 DEFINE_string(boot, "",
               "settings file of the users' platform; then all settings but "
               "--cluster_key and --log_level come from it");
+DEFINE_int32(metrics_port, 0, "with --boot: port for figures; 0: none");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace spindleweir {
@@ -70,7 +71,8 @@
     return platform::RunRouter({.mBoot = FLAGS_boot,
                                 .mClusterKey = FLAGS_cluster_key,
                                 .mLogLevel = FLAGS_log_level,
-                                .mCheckOnly = FLAGS_check});
+                                .mCheckOnly = FLAGS_check,
+                                .mMetricsPort = FLAGS_metrics_port});
   }
   RouterOptions options = ReadOptions();
   StartLog(FLAGS_log_level, FLAGS_id);
--- /dev/null
+++ b/standins/plain_protocol.cpp
@@ -0,0 +1,88 @@
+#include "standins/plain_protocol.h"
+
+#include "spindleweir/core/json_codec.h"
+
+namespace spindleweir {
+
+namespace {
+
+std::string ValueOf(const HttpHeaders& aHeaders, const char* aName) {
+  const std::string* value = FindHeader(aHeaders, aName);
+  return value == nullptr ? "" : *value;
+}
+
+RequestFacts ReadRequest(const RequestHead& aHead) {
+  RequestFacts facts;
+  facts.mId = ValueOf(aHead.mHeaders, "X-Request");
+  facts.mHost = ValueOf(aHead.mHeaders, "Host");
+  facts.mKey = ValueOf(aHead.mHeaders, "X-Key");
+  const std::string deadline = ValueOf(aHead.mHeaders, "X-Deadline");
+  facts.mDeadline = deadline.empty() ? 0 : std::stoll(deadline);
+  return facts;
+}
+
+HttpHeaders WriteRequest(const RequestHead& aHead,
+                         const DispatchFacts& aDispatch) {
+  HttpHeaders headers = {{"Host", "upstream"},
+                         {"X-Request", ValueOf(aHead.mHeaders, "X-Request")},
+                         {"X-Workspace", aDispatch.mWorkspace},
+                         {"X-Instance", aDispatch.mInstance}};
+  if (aDispatch.mLastEvent.has_value()) {
+    headers.push_back({"X-After", std::to_string(*aDispatch.mLastEvent)});
+  }
+  return headers;
+}
+
+AnswerFacts ReadAnswer(const AnswerHead& aHead, const RequestFacts&) {
+  AnswerFacts facts;
+  facts.mRan = ValueOf(aHead.mHeaders, "X-Ran") == "no" ? Ran::kNo : Ran::kYes;
+  facts.mSigned = FindHeader(aHead.mHeaders, "X-Signature") != nullptr;
+  facts.mIsStream = ValueOf(aHead.mHeaders, "Content-Type") ==
+                    "text/event-stream";
+  return facts;
+}
+
+HttpHeaders WriteAnswer(const AnswerHead& aHead) {
+  return {{"X-Signature", ValueOf(aHead.mHeaders, "X-Signature")}};
+}
+
+HttpHeaders WriteRefusal(const std::string&, Millis aRetryAfter) {
+  if (aRetryAfter < 0) {
+    return {};
+  }
+  return {{"Retry-After", std::to_string(aRetryAfter)}};
+}
+
+}  // namespace
+
+CallerProtocol PlainCallers() {
+  return {.mReadRequest = &ReadRequest,
+          .mWriteRequest = &WriteRequest,
+          .mReadAnswer = &ReadAnswer,
+          .mWriteAnswer = &WriteAnswer,
+          .mWriteRefusal = &WriteRefusal};
+}
+
+DocumentProtocol PlainDocuments() {
+  return {.mRead = [](std::string_view aText) {
+    return FromJson<TrafficConfiguration>(ParseJson(aText));
+  }};
+}
+
+EngineProtocol PlainEngines() {
+  return {.mWritePlace =
+              [](const PlaceOrder&) {
+                return EngineMessage{.mMethod = "POST", .mTarget = "/place"};
+              },
+          .mWriteRepath =
+              [](const RepathOrder&) {
+                return EngineMessage{.mMethod = "POST", .mTarget = "/repath"};
+              },
+          .mAskState =
+              [] {
+                return EngineMessage{.mMethod = "GET", .mTarget = "/state"};
+              },
+          .mReadState = [](std::string_view) { return EngineState{}; }};
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/standins/plain_protocol.h
@@ -0,0 +1,17 @@
+/// A plain implementation of the seam towards callers, upstreams and
+/// operators, for tests and development.
+#pragma once
+
+#include "spindleweir/daemons/traffic_protocols.h"
+
+namespace spindleweir {
+
+/// Headers X-Request, X-Key, X-Deadline, X-After; answers carry X-Signature,
+/// and X-Ran: no where they did not run.
+CallerProtocol PlainCallers();
+/// The product's own words as JSON.
+DocumentProtocol PlainDocuments();
+/// Orders and reports as JSON; engines are not used by it.
+EngineProtocol PlainEngines();
+
+}  // namespace spindleweir
--- /dev/null
+++ b/standins/scripted_upstream.cpp
@@ -0,0 +1,98 @@
+#include "standins/scripted_upstream.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kServerError = 500;
+constexpr int kUnavailable = 503;
+
+int After(const RequestHead& aHead) {
+  const std::string* value = FindHeader(aHead.mHeaders, "X-After");
+  return value == nullptr ? 0 : std::stoi(*value);
+}
+
+}  // namespace
+
+ScriptedUpstream::ScriptedUpstream(EventLoop& aLoop, std::string aInstance)
+    : mInstance(std::move(aInstance)),
+      mServer(aLoop,
+              {.mListen = {"127.0.0.1", 0},
+               .mHandle =
+                   [this](const std::shared_ptr<StreamExchange>& aExchange) {
+                     Handle(aExchange);
+                   },
+               .mRefuse = [](StreamExchange& aExchange, ResultCode) {
+                 aExchange.Abort();
+               }}) {}
+
+void ScriptedUpstream::Next(std::vector<UpstreamAct> aActs) {
+  mActs.assign(aActs.begin(), aActs.end());
+}
+
+int ScriptedUpstream::Runs(const std::string& aRequest) const {
+  const auto it = mRuns.find(aRequest);
+  return it == mRuns.end() ? 0 : it->second;
+}
+
+int ScriptedUpstream::AllRuns() const {
+  int runs = 0;
+  for (const auto& [request, n] : mRuns) {
+    runs += n;
+  }
+  return runs;
+}
+
+void ScriptedUpstream::Handle(
+    const std::shared_ptr<StreamExchange>& aExchange) {
+  UpstreamAct act = UpstreamAct::kAnswer;
+  if (!mActs.empty()) {
+    act = mActs.front();
+    mActs.pop_front();
+  }
+  if (act == UpstreamAct::kRefuse) {
+    aExchange->Reply(kUnavailable, {{"X-Ran", "no"}}, "");
+    return;
+  }
+  const std::string* request =
+      FindHeader(aExchange->Head().mHeaders, "X-Request");
+  mRuns[request == nullptr ? "" : *request]++;
+  aExchange->OnClosed([this] { mClosed++; });
+  if (act == UpstreamAct::kSilent) {
+    return;
+  }
+  if (aExchange->Head().mTarget.starts_with("/stream/")) {
+    Stream(*aExchange, act);
+    return;
+  }
+  if (act == UpstreamAct::kCut) {
+    aExchange->Start(kOk, {{"X-Signature", mInstance}}, 100);
+    aExchange->Write("part");
+    aExchange->Abort();
+    return;
+  }
+  aExchange->Reply(act == UpstreamAct::kFail ? kServerError : kOk,
+                   {{"X-Signature", mInstance}}, "by " + mInstance);
+}
+
+void ScriptedUpstream::Stream(StreamExchange& aExchange, UpstreamAct aAct) {
+  constexpr int kCutAfter = 2;
+  aExchange.Start(kOk,
+                  {{"X-Signature", mInstance},
+                   {"Content-Type", "text/event-stream"}},
+                  std::nullopt);
+  const int first = After(aExchange.Head()) + 1;
+  for (int id = first; id <= kEvents; id++) {
+    if (aAct == UpstreamAct::kCut && id - first >= kCutAfter) {
+      aExchange.Write("id: " + std::to_string(id) + "\nda");
+      // In order to break off after what was written, not before it.
+      aExchange.OnDrained([exchange = &aExchange] { exchange->Abort(); });
+      return;
+    }
+    aExchange.Write("id: " + std::to_string(id) + "\ndata: x\n\n");
+  }
+  aExchange.End();
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/standins/scripted_upstream.h
@@ -0,0 +1,51 @@
+/// An upstream whose next answers are written down beforehand.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "spindleweir/drivers/stream_server.h"
+
+namespace spindleweir {
+
+/// What it does with a request.
+enum class UpstreamAct {
+  kAnswer,  ///< Runs it and answers whole; a stream: its events to the end.
+  kRefuse,  ///< Says that it did not run it.
+  kCut,     ///< Runs it and breaks off: a stream after two events.
+  kFail,    ///< Runs it and answers 500.
+  kSilent,  ///< Runs it and says nothing.
+};
+
+/// One upstream on a port of its own.
+class ScriptedUpstream {
+ public:
+  ScriptedUpstream(EventLoop& aLoop, std::string aInstance);
+
+  /// The next requests are dealt with so; then all with kAnswer.
+  void Next(std::vector<UpstreamAct> aActs);
+  std::string Address() const { return mServer.Address().Text(); }
+  const std::string& Instance() const { return mInstance; }
+  /// How often a request ran here.
+  int Runs(const std::string& aRequest) const;
+  int AllRuns() const;
+  /// Callers that closed before their answer's end.
+  int Closed() const { return mClosed; }
+
+  static constexpr int kEvents = 5;  ///< Of a stream, with ids from 1.
+
+ private:
+  void Handle(const std::shared_ptr<StreamExchange>& aExchange);
+  void Stream(StreamExchange& aExchange, UpstreamAct aAct);
+
+  std::string mInstance;
+  std::deque<UpstreamAct> mActs;
+  std::map<std::string, int> mRuns;
+  int mClosed = 0;
+  StreamServer mServer;
+};
+
+}  // namespace spindleweir
--- a/tests/core/counters_test.cpp
+++ b/tests/core/counters_test.cpp
@@ -15,3 +15,15 @@
         "# TYPE spindleweir_requests_total counter\n"
         "spindleweir_requests_total{code=\"Ok\"} 3\n");
 }
+
+Test(counters, histograms_count_up_to_each_bound) {
+  Counters counters;
+  for (std::int64_t value : {1, 2, 3, 1000000}) {
+    counters.Observe("wait_ms", value);
+  }
+  const std::string text = counters.Text();
+  CHECK(text.find("wait_ms_bucket{le=\"1\"} 1\n") != std::string::npos);
+  CHECK(text.find("wait_ms_bucket{le=\"4\"} 3\n") != std::string::npos);
+  CHECK(text.find("wait_ms_bucket{le=\"+Inf\"} 4\n") != std::string::npos);
+  CHECK(text.find("wait_ms_count 4\n") != std::string::npos);
+}
--- /dev/null
+++ b/tests/core/log_output_test.cpp
@@ -0,0 +1,58 @@
+#include "core/log_output.h"
+
+#include <unistd.h>
+
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+/// A pipe; nothing is read before Read.
+struct Pipe {
+  Pipe() { (void)pipe(mFds); }
+  ~Pipe() {
+    close(mFds[0]);
+    close(mFds[1]);
+  }
+  Pipe(const Pipe&) = delete;
+  Pipe& operator=(const Pipe&) = delete;
+
+  std::string Read() {
+    std::string text(1 << 20, '\0');
+    const ssize_t n = read(mFds[0], text.data(), text.size());
+    text.resize(n < 0 ? 0 : static_cast<std::size_t>(n));
+    return text;
+  }
+
+  int mFds[2] = {-1, -1};
+};
+
+}  // namespace
+
+Test(log_output, a_pipe_that_nobody_reads_holds_up_nothing) {
+  Pipe pipe;
+  LogOutput output(pipe.mFds[1], 10000);
+  const std::string line(100, 'x');
+  for (int i = 0; i < 5000; i++) {
+    output.Add(line, false);
+  }
+  CHECK(output.LeftOut() > 0);
+  CHECK(output.WaitingBytes() <= 5000);
+  SECTION("important lines still find room") {
+    const std::int64_t before = output.LeftOut();
+    output.Add("important", true);
+    CHECK(output.LeftOut() == before);
+    CHECK(output.WaitingBytes() <= 10000);
+  }
+  SECTION("once it is read all goes on, and what was left out is told") {
+    std::string text;
+    for (int i = 0; i < 40; i++) {
+      text += pipe.Read();
+      output.Add("later", true);
+    }
+    CHECK(text.find("important\n") != std::string::npos);
+    CHECK(text.find("\"event\":\"log_left_out\"") != std::string::npos);
+    CHECK(text.find("later\n") != std::string::npos);
+  }
+}
