--- a/daemons/control/replicated_configuration.cpp
+++ b/daemons/control/replicated_configuration.cpp
@@ -13,17 +13,46 @@
 constexpr Millis kRaftTimeout = 1000;
 constexpr Millis kPushTimeout = 1000;
 constexpr Millis kCommitTimeout = 4000;
+/// A disk that failed is tried again after this time.
+constexpr Millis kReopenAfter = 500;
 constexpr Millis kHeartbeatsPerTimeout = 5;
 constexpr std::size_t kBytesPerSnapshot = 1024 * 1024;
 
 }  // namespace
 
 ReplicatedConfiguration::ReplicatedConfiguration(ControlContext& aContext)
-    : mContext(aContext), mStorage(aContext.mOptions.mData + "/raft.log") {
+    : mContext(aContext) {
+  Open();
+  mContext.mDispatcher.On(
+      rpc_method::kRaft, [this](const Json::Value& aMessage) {
+        mRaft->Receive(FromJson<RaftMessage>(aMessage), SteadyNow());
+        return Json::Value(Json::objectValue);
+      });
+  mContext.mDispatcher.On(rpc_method::kGetConfiguration,
+                          [this](const Json::Value& aMessage) {
+                            return ToJson(mMachine.History().Answer(
+                                FromJson<ConfigurationQuestion>(aMessage)));
+                          });
+  mMachine.SignalAccepted().connect([this](const Configuration&) {
+    // A restart applies many at once; only the newest is worth telling.
+    mSpreadTimer = mContext.mLoop.After(0, [this] { Spread(); });
+  });
+  mTimer = mContext.mLoop.Every(kTickPeriod, [this] { Tick(); });
+}
+
+void ReplicatedConfiguration::Open() {
   const ControlOptions& options = mContext.mOptions;
+  auto storage =
+      std::make_unique<RaftDiskStorage>(options.mData + "/raft.log");
+  if (mFailedAt >= 0) {
+    // What was written before a failed sync may never reach the disk, though
+    // it can be read: all of it is written anew.
+    const DurableState state = storage->Load();
+    storage->SaveSnapshot(state.mSnapshot, state.mEntries, state.mHardState);
+  }
   RaftOptions raft;
   raft.mId = options.mId;
-  if (mStorage.Empty()) {
+  if (storage->Empty()) {
     raft.mVoters = options.mInitialVoters;
   }
   raft.mElectionTimeout = options.mElectionTimeout;
@@ -31,7 +60,7 @@
   raft.mBytesPerSnapshot = kBytesPerSnapshot;
   raft.mSeed = static_cast<std::uint64_t>(WallNow()) ^
                std::hash<std::string>()(options.mId);
-  raft.mStorage = &mStorage;
+  raft.mStorage = storage.get();
   raft.mSend = [this](const RaftMessage& aMessage) { Send(aMessage); };
   raft.mApply = [this](const LogEntry& aEntry) { Apply(aEntry); };
   raft.mMakeSnapshot = [this] { return mMachine.Save(); };
@@ -39,21 +68,35 @@
     mMachine.Restore(aData);
   };
   mRaft = std::make_unique<RaftNode>(std::move(raft), SteadyNow());
-  mContext.mDispatcher.On(
-      rpc_method::kRaft, [this](const Json::Value& aMessage) {
-        mRaft->Receive(FromJson<RaftMessage>(aMessage), SteadyNow());
-        return Json::Value(Json::objectValue);
-      });
-  mContext.mDispatcher.On(rpc_method::kGetConfiguration,
-                          [this](const Json::Value& aMessage) {
-                            return ToJson(mMachine.History().Answer(
-                                FromJson<ConfigurationQuestion>(aMessage)));
-                          });
-  mMachine.SignalAccepted().connect([this](const Configuration&) {
-    // A restart applies many at once; only the newest is worth telling.
-    mSpreadTimer = mContext.mLoop.After(0, [this] { Spread(); });
-  });
-  mTimer = mContext.mLoop.Every(kTickPeriod, [this] { Tick(); });
+  mStorage = std::move(storage);
+}
+
+void ReplicatedConfiguration::ReopenAfterFailure() {
+  const Millis now = SteadyNow();
+  if (mFailedAt < 0) {
+    mFailedAt = now;
+    mContext.mCounters.Set("storage_failed", 1);
+    LogLine(LogLevel::kError, "storage_failed")
+        .Add("code", static_cast<int>(ResultCode::kStorageFailed))
+        .Add("data", mContext.mOptions.mData);
+    FailWaiting();
+    return;
+  }
+  if (now - mFailedAt < kReopenAfter) {
+    return;
+  }
+  mFailedAt = now;
+  try {
+    Open();
+  } catch (const Error& error) {
+    LogLine(LogLevel::kWarning, "storage_still_failing")
+        .Add("why", error.what());
+    return;
+  }
+  mFailedAt = -1;
+  mContext.mCounters.Set("storage_failed", 0);
+  LogLine(LogLevel::kInfo, "storage_regained")
+      .Add("index", static_cast<Json::Int64>(mRaft->LastIndex()));
 }
 
 void ReplicatedConfiguration::Send(const RaftMessage& aMessage) {
@@ -78,14 +121,11 @@
   if (!mContext.Joins() && mContext.mEntryVms.Current().All().empty()) {
     return;
   }
-  mRaft->Tick(SteadyNow());
-  if (mRaft->Failed() && !mFailureLogged) {
-    mFailureLogged = true;
-    mContext.mCounters.Set("storage_failed", 1);
-    LogLine(LogLevel::kError, "storage_failed")
-        .Add("code", static_cast<int>(ResultCode::kStorageFailed))
-        .Add("data", mContext.mOptions.mData);
+  if (mRaft->Failed()) {
+    ReopenAfterFailure();
+    return;
   }
+  mRaft->Tick(SteadyNow());
   if (mRaft->Leader() != mLoggedLeader) {
     mLoggedLeader = mRaft->Leader();
     LogLine(LogLevel::kInfo, "leader")
--- a/daemons/control/replicated_configuration.h
+++ b/daemons/control/replicated_configuration.h
@@ -36,7 +36,7 @@
   const ConfigurationMachine& Machine() const { return mMachine; }
   ConfigurationMachine& Machine() { return mMachine; }
   const RaftNode& Raft() const { return *mRaft; }
-  std::size_t DiskBytes() const { return mStorage.Bytes(); }
+  std::size_t DiskBytes() const { return mStorage->Bytes(); }
 
  private:
   struct Waiting {
@@ -44,6 +44,9 @@
     Millis mSince = 0;
   };
 
+  /// Begins anew from what is on the disk, as a restart would.
+  void Open();
+  void ReopenAfterFailure();
   void Send(const RaftMessage& aMessage);
   std::optional<Endpoint> AddressOf(const std::string& aId) const;
   void Apply(const LogEntry& aEntry);
@@ -52,14 +55,13 @@
   void Spread();
 
   ControlContext& mContext;
-  RaftDiskStorage mStorage;
+  std::unique_ptr<RaftDiskStorage> mStorage;
   ConfigurationMachine mMachine;
   std::unique_ptr<RaftNode> mRaft;
   std::map<std::string, Waiting> mWaiting;  ///< By command id.
   ConfigurationQuestion mSpread;  ///< What the routers were last told.
   std::string mLoggedLeader;
-  bool mStarted = false;
-  bool mFailureLogged = false;
+  Millis mFailedAt = -1;  ///< When the storage failed; -1: it did not.
   std::unique_ptr<Timer> mTimer;
   std::unique_ptr<Timer> mSpreadTimer;
 };
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -46,6 +46,10 @@
     : mContext(aContext), mLog(aLog), mLife(RandomHex(kLifeBytes)) {
   mDirectory.SetSeeds(mContext.mOptions.mSeeds);
   const auto publish = [this](const PublishedDocument& aPublished) {
+    if (aPublished.mVersion <= mTraffic.mVersion) {
+      // A log that is opened again goes through what was known before.
+      return;
+    }
     mTraffic = mContext.mOptions.mDocuments.mRead(aPublished.mDocument);
     mContext.mCounters.Set("traffic_version", mTraffic.mVersion);
     LogLine(LogLevel::kInfo, "configuration_accepted")
