--- a/core/log.cpp
+++ b/core/log.cpp
@@ -2,10 +2,10 @@
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sources/logger.hpp>
-#include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/unlocked_frontend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 
 #include <unistd.h>
@@ -23,9 +23,8 @@
 constexpr std::size_t kWaitingBytes = 256 * 1024;
 
 /// Hands the lines of Boost.Log to the bounded output.
-class OutputBackend
-    : public boost::log::sinks::basic_formatted_sink_backend<
-          char, boost::log::sinks::concurrent_feeding> {
+class OutputBackend : public boost::log::sinks::basic_formatted_sink_backend<
+                          char, boost::log::sinks::concurrent_feeding> {
  public:
   void consume(const boost::log::record_view&, const string_type& aLine);
 };
--- a/daemons/control/replicated_configuration.cpp
+++ b/daemons/control/replicated_configuration.cpp
@@ -42,8 +42,7 @@
 
 void ReplicatedConfiguration::Open() {
   const ControlOptions& options = mContext.mOptions;
-  auto storage =
-      std::make_unique<RaftDiskStorage>(options.mData + "/raft.log");
+  auto storage = std::make_unique<RaftDiskStorage>(options.mData + "/raft.log");
   if (mFailedAt >= 0) {
     // What was written before a failed sync may never reach the disk, though
     // it can be read: all of it is written anew.
--- /dev/null
+++ b/daemons/relay/relay_attempt.cpp
@@ -0,0 +1,336 @@
+/// The parts of a request that send it to upstreams and take their answers.
+#include "daemons/relay/relay_request.h"
+
+#include <algorithm>
+
+#include "spindleweir/core/log.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr std::size_t kMostPendingBytes = 256 * 1024;
+constexpr std::size_t kMostKeptBody = 8 * 1024 * 1024;
+constexpr Millis kSilencePeriod = 100;
+/// An upstream that failed is left alone for so long.
+constexpr Millis kAvoidAfterLoss = 1500;
+constexpr Millis kAvoidAfterRefusal = 300;
+/// Attempts that did not leave this process, and that upstreams refused.
+constexpr int kMostNotSent = 3;
+constexpr int kMostRefused = 3;
+constexpr Millis kLeastForAttempt = 20;
+
+bool IsSuccess(int aStatus) {
+  return aStatus >= 200 && aStatus < 300;
+}
+
+}  // namespace
+
+void RelayRequest::StartAttempt() {
+  mAttempt = std::make_unique<Attempt>();
+  mAttempt->mStartedAt = SteadyNow();
+  mAttempt->mHeardAt = mAttempt->mStartedAt;
+  mLacksRoom = false;
+  const bool found = mService->IsEngine() ? ChooseEnginePath(*mAttempt)
+                                          : ChoosePlainUpstream(*mAttempt);
+  const UpstreamRecord* first =
+      found ? mContext.mRegistry.Find(mAttempt->mInstance) : nullptr;
+  if (first == nullptr) {
+    mAttempt.reset();
+    GiveUp(mLacksRoom ? ResultCode::kUpstreamFull : ResultCode::kNoUpstream);
+    return;
+  }
+  Send(*first);
+}
+
+bool RelayRequest::ChoosePlainUpstream(Attempt& aAttempt) {
+  ServiceQuestion question;
+  question.mZone = mContext.mOptions.mZone;
+  question.mUpstreams = mContext.mRegistry.OfService(mService->mName);
+  question.mAvoid = mTried;
+  question.mRequestsOf = [this](const std::string& aInstance) {
+    return mContext.LoadOf(aInstance).mRequests;
+  };
+  question.mFailuresOf = [this](const std::string& aInstance) {
+    return mContext.FailuresOf(aInstance);
+  };
+  question.mRandom = [this] { return mContext.Random(); };
+  aAttempt.mInstance = ChooseUpstream(question);
+  return !aAttempt.mInstance.empty();
+}
+
+bool RelayRequest::ChooseEnginePath(Attempt& aAttempt) {
+  PathQuestion question = EngineQuestion();
+  PathAnswer answer = ChoosePath(question);
+  if (answer.mPath.empty() && !answer.mLacksRoom) {
+    // Better one that failed lately than none.
+    question.mAvoid.clear();
+    answer = ChoosePath(question);
+  }
+  mLacksRoom = answer.mLacksRoom;
+  if (answer.mPath.empty()) {
+    return false;
+  }
+  aAttempt.mPath = std::move(answer.mPath);
+  aAttempt.mInstance = aAttempt.mPath.front().mInstance;
+  aAttempt.mTokens = question.mTokens;
+  return true;
+}
+
+void RelayRequest::CountLoad(int aSign) {
+  if (mAttempt == nullptr) {
+    return;
+  }
+  if (mAttempt->mPath.empty()) {
+    mContext.AddLoad(mAttempt->mInstance, aSign, 0, aSign);
+    return;
+  }
+  bool first = true;
+  for (const PathPart& part : mAttempt->mPath) {
+    mContext.AddLoad(part.mInstance, aSign,
+                     aSign * mAttempt->mTokens * part.mLayers.Count(),
+                     first ? aSign : 0);
+    first = false;
+  }
+}
+
+bool RelayRequest::MaySend() const {
+  if (mNeedsLease && !mContext.LeaseHolds()) {
+    return false;
+  }
+  const UpstreamRecord* record = mContext.mRegistry.Find(mAttempt->mInstance);
+  return record != nullptr && record->mState <= UpstreamState::kSilent &&
+         Remaining() > 0;
+}
+
+void RelayRequest::Send(const UpstreamRecord& aFirst) {
+  DispatchFacts dispatch;
+  dispatch.mRemaining = std::max<Millis>(1, Remaining());
+  dispatch.mInstance = aFirst.mInstance;
+  dispatch.mWorkspace = mWorkspace;
+  dispatch.mPath = mAttempt->mPath.empty() ? nullptr : &mAttempt->mPath;
+  dispatch.mLastEvent = mLastEvent;
+  StreamCallOptions options;
+  options.mServer = ParseEndpoint(aFirst.mAddress, "address of an upstream");
+  options.mMethod = mExchange->Head().mMethod;
+  options.mTarget = mExchange->Head().mTarget;
+  options.mHeaders =
+      mContext.mOptions.mCallers.mWriteRequest(mExchange->Head(), dispatch);
+  options.mBody = mExchange->Body();
+  options.mMaySend = [this] { return MaySend(); };
+  options.mOnHead = [this](const AnswerHead& aHead) { HandleHead(aHead); };
+  options.mOnData = [this](std::string_view aBytes) { HandleData(aBytes); };
+  options.mOnEnd = [this](StreamEnd aEnd) { HandleEnd(aEnd); };
+  mTried.insert(mAttempt->mInstance);
+  CountLoad(1);
+  BeginReading(mAttempt->mPath);
+  WatchAttempt();
+  mAttempt->mCall = StartStreamCall(mContext.mLoop, std::move(options));
+  const bool watched = mRoute->mKind == RouteKind::kStream;
+  if (watched && mSilenceTimer == nullptr) {
+    mSilenceTimer =
+        mContext.mLoop.Every(kSilencePeriod, [this] { CheckSilence(); });
+  }
+}
+
+void RelayRequest::HandleHead(const AnswerHead& aHead) {
+  mAttempt->mHeadCame = true;
+  mAttempt->mHead = aHead;
+  mAttempt->mFacts = mContext.mOptions.mCallers.mReadAnswer(aHead, mFacts);
+  const AnswerFacts& facts = mAttempt->mFacts;
+  if (!facts.mOurs) {
+    AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
+    return;
+  }
+  if (facts.mRan == Ran::kNo) {
+    for (const PathPart& part : mAttempt->mPath) {
+      if (part.mAddress == facts.mCulprit) {
+        mContext.Failed(part.mInstance, kAvoidAfterRefusal);
+      }
+    }
+    AttemptFailed(Ran::kNo, ResultCode::kUpstreamFull, true);
+    return;
+  }
+  const bool usable =
+      !IsSuccess(aHead.mStatus) || (facts.mSigned && !facts.mIsEncoded);
+  if (!usable) {
+    AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
+  }
+}
+
+void RelayRequest::HandleData(std::string_view aBytes) {
+  if (mAttempt == nullptr) {
+    return;
+  }
+  mAttempt->mHeardAt = SteadyNow();
+  const bool isStream =
+      mAttempt->mFacts.mIsStream && IsSuccess(mAttempt->mHead.mStatus);
+  if (isStream) {
+    HandleEvents(aBytes);
+    return;
+  }
+  mAttempt->mBody += aBytes;
+  if (mAttempt->mBody.size() > kMostKeptBody) {
+    AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
+  }
+}
+
+void RelayRequest::HandleEvents(std::string_view aBytes) {
+  const std::vector<StreamEvent> events = mAttempt->mEvents.Take(aBytes);
+  for (const StreamEvent& event : events) {
+    const bool known = event.mId.has_value() && mLastEvent.has_value() &&
+                       *event.mId <= *mLastEvent;
+    if (known) {
+      continue;
+    }
+    if (!mExchange->Started()) {
+      mExchange->Start(mAttempt->mHead.mStatus,
+                       mContext.mOptions.mCallers.mWriteAnswer(mAttempt->mHead),
+                       std::nullopt);
+    }
+    const Millis now = SteadyNow();
+    mContext.mGuard->Watch().Progress(mKey, now);
+    EndReading();
+    if (mFirstEventAt == 0) {
+      mFirstEventAt = now;
+    } else {
+      mLongestPause = std::max(mLongestPause, now - mLastEventAt);
+    }
+    mLastEventAt = now;
+    mEvents++;
+    mExchange->Write(event.mBytes);
+    if (event.mId.has_value()) {
+      mLastEvent = event.mId;
+    }
+  }
+  if (mExchange->PendingBytes() > kMostPendingBytes) {
+    mAttempt->mCall->Pause(true);
+    mContext.mGuard->Watch().Suspend(mKey);
+  }
+}
+
+void RelayRequest::HandleEnd(StreamEnd aEnd) {
+  if (mAttempt == nullptr) {
+    return;
+  }
+  switch (aEnd) {
+    case StreamEnd::kNotSent:
+      AttemptFailed(Ran::kNo, ResultCode::kNoUpstream, false);
+      return;
+    case StreamEnd::kLost:
+      AttemptFailed(Ran::kUnknown, ResultCode::kOutcomeUnknown, true);
+      return;
+    case StreamEnd::kGarbled:
+      AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
+      return;
+    case StreamEnd::kComplete:
+      HandleWholeAnswer();
+      return;
+  }
+}
+
+void RelayRequest::HandleWholeAnswer() {
+  const int status = mAttempt->mHead.mStatus;
+  const bool isStream = mAttempt->mFacts.mIsStream && IsSuccess(status);
+  if (!isStream) {
+    const bool failed = status >= 500;
+    if (failed) {
+      mContext.Failed(mAttempt->mInstance, 0);
+      if (MayTryAgain(Ran::kYes)) {
+        mKept = KeptAnswer{mAttempt->mHead, mAttempt->mBody};
+        AttemptFailed(Ran::kYes, ResultCode::kOutcomeUnknown, true);
+        return;
+      }
+    } else {
+      mContext.Succeeded(mAttempt->mInstance);
+    }
+    if (mExchange->Started()) {
+      // A resumed stream was answered with a failure.
+      AttemptFailed(Ran::kYes, ResultCode::kStreamBroken, true);
+      return;
+    }
+    Forward(mAttempt->mHead, mAttempt->mBody);
+    return;
+  }
+  if (!mAttempt->mEvents.Rest().empty()) {
+    // It ended inside an event: it is not whole, whatever its framing says.
+    AttemptFailed(Ran::kUnknown, ResultCode::kStreamBroken, true);
+    return;
+  }
+  mContext.Succeeded(mAttempt->mInstance);
+  if (!mExchange->Started()) {
+    mExchange->Start(status,
+                     mContext.mOptions.mCallers.mWriteAnswer(mAttempt->mHead),
+                     std::nullopt);
+  }
+  mExchange->End();
+  End("served", status);
+}
+
+void RelayRequest::LogFailure(Ran aRan, ResultCode aCode) const {
+  LogLine(LogLevel::kWarning, "attempt_failed")
+      .Add("request", mFacts.mId)
+      .Add("instance", mAttempt->mInstance)
+      .Add("code", static_cast<int>(aCode))
+      .Add("ran", std::string(NameOf(aRan)))
+      .Add("status", mAttempt->mHead.mStatus)
+      .Add("culprit", mAttempt->mFacts.mCulprit)
+      .Add("took_ms",
+           static_cast<Json::Int64>(SteadyNow() - mAttempt->mStartedAt))
+      .Add("silent_ms",
+           static_cast<Json::Int64>(SteadyNow() - mAttempt->mHeardAt));
+}
+
+bool RelayRequest::MayTryAgain(Ran aRan) const {
+  const bool allowed = aRan == Ran::kNo || mRoute->Repeatable();
+  const int sent = mSent + (aRan == Ran::kNo ? 0 : 1);
+  return allowed && sent < mRoute->mAttempts && mRefused < kMostRefused &&
+         mNotSent < kMostNotSent && Remaining() > kLeastForAttempt &&
+         !mExchange->Closed();
+}
+
+void RelayRequest::AttemptFailed(Ran aRan, ResultCode aCode, bool aWasSent) {
+  const bool mayTryAgain = MayTryAgain(aRan);
+  LogFailure(aRan, aCode);
+  mMayHaveRun = mMayHaveRun || aRan != Ran::kNo;
+  if (aRan != Ran::kNo) {
+    mSent++;
+  } else if (aWasSent) {
+    mRefused++;
+  } else {
+    mNotSent++;
+  }
+  if (aRan == Ran::kUnknown || !aWasSent) {
+    mContext.Failed(mAttempt->mInstance, kAvoidAfterLoss);
+  }
+  const bool paid =
+      mayTryAgain &&
+      (!aWasSent || mContext.RetriesOf(mService->mName)
+                        .TrySpend(mContext.mRouters, SteadyNow()));
+  DropAttempt();
+  if (paid) {
+    mContext.mCounters.Add("retries");
+    StartAttempt();
+    return;
+  }
+  GiveUp(aCode);
+}
+
+void RelayRequest::DropAttempt() {
+  if (mAttempt == nullptr) {
+    return;
+  }
+  EndReading();
+  CountLoad(-1);
+  if (mAttempt->mCall != nullptr) {
+    // It may be on the stack: it goes in the next turn of the loop, and its
+    // hooks find no attempt.
+    std::shared_ptr<StreamCall> call = std::move(mAttempt->mCall);
+    call->Abandon();
+    mContext.mLoop.Post([call] {});
+  }
+  mContext.mGuard->Watch().End(mKey);
+  mAttempt.reset();
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/relay/relay_moves.cpp
@@ -0,0 +1,253 @@
+/// The parts of a request that choose paths of engines and move between them.
+#include "daemons/relay/relay_request.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "spindleweir/core/log.h"
+
+namespace spindleweir {
+
+namespace {
+
+/// A stream that is silent for so long is taken up elsewhere.
+constexpr Millis kSilenceBeforeFirst = 1000;
+constexpr Millis kSilenceBetween = 800;
+/// An upstream that leaves serves on for seconds: streams that last longer
+/// go on elsewhere before, spread over some time.
+constexpr Millis kLeaveAfter = 1000;
+constexpr double kLeaveSpread = 700;
+constexpr double kPathFill = 0.95;
+constexpr Millis kOrderTimeout = 1000;
+/// Moves of one attempt to another path.
+constexpr int kMostMoves = 4;
+
+}  // namespace
+
+PathQuestion RelayRequest::EngineQuestion() const {
+  const EngineProfile& engine = mService->mEngine;
+  PathQuestion question;
+  question.mProfile = &engine;
+  question.mZone = mContext.mOptions.mZone;
+  const double guess =
+      mFacts.mExpectedTokens > 0 ? mFacts.mExpectedTokens : engine.mUsualAnswer;
+  question.mAnswerTokens =
+      mFacts.mMostTokens > 0 ? std::min(guess, mFacts.mMostTokens) : guess;
+  question.mReadTokens = mFacts.mPromptTokens;
+  question.mTokens = mFacts.mPromptTokens + question.mAnswerTokens;
+  question.mFill = kPathFill;
+  for (const UpstreamRecord* record :
+       mContext.mRegistry.OfService(mService->mName)) {
+    if (record->mState == UpstreamState::kReady) {
+      question.mEngines.push_back(record);
+    }
+  }
+  question.mLoadOf = [this](const std::string& aInstance) {
+    return mContext.LoadOf(aInstance);
+  };
+  question.mAvoid = mContext.Avoided();
+  question.mRandom = [this] { return mContext.Random(); };
+  return question;
+}
+
+void RelayRequest::BeginReading(const LayerPath& aParts) {
+  constexpr double kTokensPerEvent = 3;
+  const double tokens = mFacts.mPromptTokens + mEvents * kTokensPerEvent;
+  for (const PathPart& part : aParts) {
+    const double work = tokens * part.mLayers.Count();
+    mAttempt->mReading.push_back({part.mInstance, work});
+    mContext.AddReading(part.mInstance, work);
+  }
+}
+
+void RelayRequest::EndReading() {
+  for (const Reading& reading : mAttempt->mReading) {
+    mContext.AddReading(reading.mInstance, -reading.mTokenLayers);
+  }
+  mAttempt->mReading.clear();
+}
+
+std::string RelayRequest::FirstInstance() const {
+  const bool running = mAttempt != nullptr && mAttempt->mCall != nullptr &&
+                       mAttempt->mOrder == nullptr;
+  return running ? mAttempt->mInstance : "";
+}
+
+void RelayRequest::MoveOff(const std::set<std::string>& aInstances,
+                           const char* aWhy) {
+  if (mAttempt == nullptr || mAttempt->mPath.empty() || mEnded) {
+    return;
+  }
+  const auto hit = [&aInstances](const PathPart& aPart) {
+    return aInstances.contains(aPart.mInstance);
+  };
+  const LayerPath& path = mAttempt->mPath;
+  if (std::none_of(path.begin(), path.end(), hit)) {
+    return;
+  }
+  if (!hit(path.front())) {
+    LayerPath next = Without(aInstances);
+    if (!next.empty()) {
+      Repath(std::move(next), aWhy);
+    }
+    return;
+  }
+  // The first cannot be replaced by an order. One that leaves still ends what
+  // it has; one that is lost does not.
+  const UpstreamRecord* first = mContext.mRegistry.Find(mAttempt->mInstance);
+  const bool leaves =
+      first != nullptr && first->mState == UpstreamState::kLeaving;
+  if (leaves) {
+    mAttempt->mLeaveAt =
+        SteadyNow() + kLeaveAfter +
+        static_cast<Millis>(kLeaveSpread * mContext.Random());
+    return;
+  }
+  SwitchAttempt(ResultCode::kOutcomeUnknown);
+}
+
+LayerPath RelayRequest::Without(const std::set<std::string>& aInstances) const {
+  PathQuestion question = EngineQuestion();
+  question.mReadTokens += mEvents;
+  for (const PathPart& part : mAttempt->mPath) {
+    question.mAvoid.insert(part.mInstance);
+  }
+  question.mAvoid.insert(aInstances.begin(), aInstances.end());
+  LayerPath next;
+  for (std::size_t i = 0; i < mAttempt->mPath.size(); i++) {
+    const PathPart& part = mAttempt->mPath[i];
+    if (!aInstances.contains(part.mInstance)) {
+      next.push_back(part);
+      continue;
+    }
+    question.mLayers = part.mLayers;
+    const UpstreamRecord* before =
+        mContext.mRegistry.Find(mAttempt->mPath[i - 1].mInstance);
+    question.mZone =
+        before == nullptr ? mContext.mOptions.mZone : before->mZone;
+    const PathAnswer answer = ChoosePath(question);
+    if (answer.mPath.empty()) {
+      return {};
+    }
+    for (const PathPart& added : answer.mPath) {
+      question.mAvoid.insert(added.mInstance);
+      next.push_back(added);
+    }
+  }
+  return next;
+}
+
+void RelayRequest::Repath(LayerPath aPath, const char* aWhy) {
+  const UpstreamRecord* first = mContext.mRegistry.Find(mAttempt->mInstance);
+  if (first == nullptr || mAttempt->mMoves >= kMostMoves) {
+    return;
+  }
+  mAttempt->mMoves++;
+  const EngineMessage message = mContext.mOptions.mEngines.mWriteRepath(
+      {.mRequestId = mFacts.mId, .mPath = &aPath});
+  StreamCallOptions options;
+  options.mServer = ParseEndpoint(first->mAddress, "address of an upstream");
+  options.mMethod = message.mMethod;
+  options.mTarget = message.mTarget;
+  options.mHeaders = message.mHeaders;
+  options.mBody = message.mBody;
+  options.mTimeout = kOrderTimeout;
+  const auto status = std::make_shared<int>(0);
+  options.mOnHead = [status](const AnswerHead& aHead) {
+    *status = aHead.mStatus;
+  };
+  options.mOnEnd = [this, status](StreamEnd) {
+    LogLine(LogLevel::kInfo, "repath_answered")
+        .Add("request", mFacts.mId)
+        .Add("status", *status);
+    if (mAttempt != nullptr) {
+      const std::shared_ptr<StreamCall> order = std::move(mAttempt->mOrder);
+      mContext.mLoop.Post([order] {});
+    }
+  };
+  LogLine(LogLevel::kInfo, "repath")
+      .Add("request", mFacts.mId)
+      .Add("why", aWhy)
+      .Add("first", mAttempt->mInstance)
+      .Add("silent_ms",
+           static_cast<Json::Int64>(SteadyNow() - mAttempt->mHeardAt));
+  mContext.mCounters.Add("moves");
+  LayerPath added;
+  std::set_difference(aPath.begin(), aPath.end(), mAttempt->mPath.begin(),
+                      mAttempt->mPath.end(), std::back_inserter(added),
+                      [](const PathPart& aLeft, const PathPart& aRight) {
+                        return aLeft.mLayers.mFrom < aRight.mLayers.mFrom ||
+                               (aLeft.mLayers.mFrom == aRight.mLayers.mFrom &&
+                                aLeft.mInstance < aRight.mInstance);
+                      });
+  EndReading();
+  CountLoad(-1);
+  mAttempt->mPath = std::move(aPath);
+  mAttempt->mMovedAt = SteadyNow();
+  CountLoad(1);
+  BeginReading(added);
+  WatchAttempt();
+  mAttempt->mOrder = StartStreamCall(mContext.mLoop, std::move(options));
+}
+
+void RelayRequest::WatchAttempt() {
+  if (mAttempt == nullptr || mAttempt->mPath.empty()) {
+    return;
+  }
+  if (mKey == 0) {
+    mKey = mContext.mGuard->Add(this);
+  }
+  std::vector<std::string> instances;
+  for (const PathPart& part : mAttempt->mPath) {
+    instances.push_back(part.mInstance);
+  }
+  mContext.mGuard->Watch().Begin(mKey, std::move(instances), SteadyNow());
+}
+
+void RelayRequest::CheckSilence() {
+  if (mAttempt == nullptr || mAttempt->mCall == nullptr ||
+      !mAttempt->mCall->Sent() || mExchange->PendingBytes() > 0) {
+    return;
+  }
+  const Millis now = SteadyNow();
+  if (mAttempt->mLeaveAt > 0 && now >= mAttempt->mLeaveAt) {
+    mAttempt->mLeaveAt = now + kLeaveAfter;
+    SwitchAttempt(ResultCode::kOutcomeUnknown);
+    return;
+  }
+  const Millis silent =
+      now - std::max(mAttempt->mHeardAt, mAttempt->mMovedAt);
+  const bool begun = mAttempt->mHeardAt > mAttempt->mStartedAt;
+  const Millis most = begun ? kSilenceBetween : kSilenceBeforeFirst;
+  if (silent >= most) {
+    SwitchAttempt(ResultCode::kOutcomeUnknown);
+  }
+}
+
+bool RelayRequest::SwitchAttempt(ResultCode aCode) {
+  if (!MayTryAgain(Ran::kUnknown)) {
+    return false;
+  }
+  auto next = std::make_unique<Attempt>();
+  const bool found = mService->IsEngine() ? ChooseEnginePath(*next)
+                                          : ChoosePlainUpstream(*next);
+  const UpstreamRecord* first =
+      found ? mContext.mRegistry.Find(next->mInstance) : nullptr;
+  const bool other = first != nullptr && next->mInstance != mAttempt->mInstance;
+  if (!other || !mContext.RetriesOf(mService->mName)
+                     .TrySpend(mContext.mRouters, SteadyNow())) {
+    return false;
+  }
+  LogFailure(Ran::kUnknown, aCode);
+  mMayHaveRun = true;
+  mSent++;
+  DropAttempt();
+  mContext.mCounters.Add("retries");
+  mAttempt = std::move(next);
+  mAttempt->mStartedAt = SteadyNow();
+  mAttempt->mHeardAt = mAttempt->mStartedAt;
+  Send(*first);
+  return true;
+}
+
+}  // namespace spindleweir
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -54,6 +54,7 @@
     int mMoves = 0;
     Millis mMovedAt = 0;
     std::vector<Reading> mReading;
+    Millis mLeaveAt = 0;  ///< The first leaves: gone on elsewhere from then.
   };
 
   /// A whole answer of an upstream that is used where no better one comes.
@@ -96,7 +97,8 @@
   void LogFailure(Ran aRan, ResultCode aCode) const;
   /// The attempt is over; aRan says what is known. Tries again or gives up.
   void AttemptFailed(Ran aRan, ResultCode aCode, bool aWasSent);
-  bool MayTryAgain(Ran aRan, bool aWasSent) const;
+  /// aRan: of the attempt that is over.
+  bool MayTryAgain(Ran aRan) const;
   void DropAttempt();
   void GiveUp(ResultCode aCode);
   /// aReturnAfter: when the caller should come back, at least; -1: not.
@@ -122,7 +124,8 @@
   std::optional<KeptAnswer> mKept;
   std::set<std::string> mTried;
   StreamKey mKey = 0;  ///< Of the guard; 0: not watched.
-  int mSent = 0;       ///< Attempts that left this process.
+  int mSent = 0;       ///< Attempts that ran, or may have run.
+  int mRefused = 0;    ///< Attempts that an upstream refused to run.
   int mNotSent = 0;    ///< Attempts that did not.
   bool mMayHaveRun = false;
   bool mLacksRoom = false;
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -16,9 +16,9 @@
 constexpr Millis kStopPeriod = 100;
 /// After a stop signal callers that are still sent here are served.
 constexpr Millis kServeAfterStop = 2500;
-constexpr Millis kStopMargin = 700;
+constexpr Millis kStopMargin = 300;
 /// What comes later than this after a stop signal might not end in time.
-constexpr Millis kTakeAfterStop = 3500;
+constexpr Millis kTakeAfterStop = 2800;
 
 }  // namespace
 
--- a/main/control_main.cpp
+++ b/main/control_main.cpp
@@ -74,7 +74,7 @@
                                  .mClusterKey = FLAGS_cluster_key,
                                  .mLogLevel = FLAGS_log_level,
                                  .mCheckOnly = FLAGS_check,
-                                .mMetricsPort = FLAGS_metrics_port});
+                                 .mMetricsPort = FLAGS_metrics_port});
   }
   ControlOptions options = ReadOptions();
   StartLog(FLAGS_log_level, FLAGS_id);
--- a/standins/plain_protocol.cpp
+++ b/standins/plain_protocol.cpp
@@ -37,8 +37,8 @@
   AnswerFacts facts;
   facts.mRan = ValueOf(aHead.mHeaders, "X-Ran") == "no" ? Ran::kNo : Ran::kYes;
   facts.mSigned = FindHeader(aHead.mHeaders, "X-Signature") != nullptr;
-  facts.mIsStream = ValueOf(aHead.mHeaders, "Content-Type") ==
-                    "text/event-stream";
+  facts.mIsStream =
+      ValueOf(aHead.mHeaders, "Content-Type") == "text/event-stream";
   return facts;
 }
 
@@ -70,19 +70,18 @@
 }
 
 EngineProtocol PlainEngines() {
-  return {.mWritePlace =
-              [](const PlaceOrder&) {
-                return EngineMessage{.mMethod = "POST", .mTarget = "/place"};
-              },
-          .mWriteRepath =
-              [](const RepathOrder&) {
-                return EngineMessage{.mMethod = "POST", .mTarget = "/repath"};
-              },
-          .mAskState =
-              [] {
-                return EngineMessage{.mMethod = "GET", .mTarget = "/state"};
-              },
-          .mReadState = [](std::string_view) { return EngineState{}; }};
+  return {
+      .mWritePlace =
+          [](const PlaceOrder&) {
+            return EngineMessage{.mMethod = "POST", .mTarget = "/place"};
+          },
+      .mWriteRepath =
+          [](const RepathOrder&) {
+            return EngineMessage{.mMethod = "POST", .mTarget = "/repath"};
+          },
+      .mAskState =
+          [] { return EngineMessage{.mMethod = "GET", .mTarget = "/state"}; },
+      .mReadState = [](std::string_view) { return EngineState{}; }};
 }
 
 }  // namespace spindleweir
