--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -98,9 +98,8 @@
   const bool leaves =
       first != nullptr && first->mState == UpstreamState::kLeaving;
   if (leaves) {
-    mAttempt->mLeaveAt =
-        SteadyNow() + kLeaveAfter +
-        static_cast<Millis>(kLeaveSpread * mContext.Random());
+    mAttempt->mLeaveAt = SteadyNow() + kLeaveAfter +
+                         static_cast<Millis>(kLeaveSpread * mContext.Random());
     return;
   }
   SwitchAttempt(ResultCode::kOutcomeUnknown);
@@ -215,8 +214,7 @@
     SwitchAttempt(ResultCode::kOutcomeUnknown);
     return;
   }
-  const Millis silent =
-      now - std::max(mAttempt->mHeardAt, mAttempt->mMovedAt);
+  const Millis silent = now - std::max(mAttempt->mHeardAt, mAttempt->mMovedAt);
   const bool begun = mAttempt->mHeardAt > mAttempt->mStartedAt;
   const Millis most = begun ? kSilenceBetween : kSilenceBeforeFirst;
   if (silent >= most) {
