--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -18,6 +18,10 @@
 /// Attempts that did not leave this process, and that upstreams refused.
 constexpr int kMostNotSent = 3;
 constexpr int kMostRefused = 3;
+constexpr int kMostRefusedMidway = 8;
+/// Callers leave a stream after about two seconds without an event.
+constexpr Millis kLongestGap = 1500;
+constexpr Millis kAskForPathAgain = 80;
 constexpr Millis kLeastForAttempt = 20;
 
 bool IsSuccess(int aStatus) {
@@ -37,12 +41,29 @@
       found ? mContext.mRegistry.Find(mAttempt->mInstance) : nullptr;
   if (first == nullptr) {
     mAttempt.reset();
+    if (WaitForPath()) {
+      return;
+    }
     GiveUp(mLacksRoom ? ResultCode::kUpstreamFull : ResultCode::kNoUpstream);
     return;
   }
   Send(*first);
 }
 
+bool RelayRequest::WaitForPath() {
+  // A stream that has begun is worth a short wait: its caller reads on, and
+  // engines that others leave come free within moments.
+  const bool worth = mExchange->Started() && !mExchange->Closed() &&
+                     SteadyNow() - mLastEventAt < kLongestGap &&
+                     Remaining() > kAskForPathAgain;
+  if (!worth) {
+    return false;
+  }
+  mPathTimer =
+      mContext.mLoop.After(kAskForPathAgain, [this] { StartAttempt(); });
+  return true;
+}
+
 bool RelayRequest::ChoosePlainUpstream(Attempt& aAttempt) {
   ServiceQuestion question;
   question.mZone = mContext.mOptions.mZone;
@@ -284,7 +305,8 @@
 bool RelayRequest::MayTryAgain(Ran aRan) const {
   const bool allowed = aRan == Ran::kNo || mRoute->Repeatable();
   const int sent = mSent + (aRan == Ran::kNo ? 0 : 1);
-  return allowed && sent < mRoute->mAttempts && mRefused < kMostRefused &&
+  const int refusals = mExchange->Started() ? kMostRefusedMidway : kMostRefused;
+  return allowed && sent < mRoute->mAttempts && mRefused < refusals &&
          mNotSent < kMostNotSent && Remaining() > kLeastForAttempt &&
          !mExchange->Closed();
 }
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -260,6 +260,7 @@
   DropAttempt();
   mTimeout.reset();
   mSilenceTimer.reset();
+  mPathTimer.reset();
   // The last reference may go with the call: nothing of this is used after.
   const std::function<void()> call = std::move(mOnEnd);
   mOnEnd = nullptr;
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -78,6 +78,8 @@
   void Admit();
   void PickService();
   void StartAttempt();
+  /// Tries again in a moment, where a stream has begun; false: not worth it.
+  bool WaitForPath();
   bool ChooseEnginePath(Attempt& aAttempt);
   bool ChoosePlainUpstream(Attempt& aAttempt);
   void Send(const UpstreamRecord& aFirst);
@@ -137,6 +139,7 @@
   bool mEnded = false;
   std::unique_ptr<Timer> mTimeout;
   std::unique_ptr<Timer> mSilenceTimer;
+  std::unique_ptr<Timer> mPathTimer;
 };
 
 }  // namespace spindleweir
