Events that are passed on have a name of their own; logs of the demo's processes on standard output are kept

Cause: the fuzzer's build found a struct and a function named StreamEvent; scripts/demo read a decision from standard error, where the log no longer is.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -197,8 +197,8 @@
 }
 
 void RelayRequest::HandleEvents(std::string_view aBytes) {
-  const std::vector<StreamEvent> events = mAttempt->mEvents.Take(aBytes);
-  for (const StreamEvent& event : events) {
+  const std::vector<RelayedEvent> events = mAttempt->mEvents.Take(aBytes);
+  for (const RelayedEvent& event : events) {
     const bool known = event.mId.has_value() && mLastEvent.has_value() &&
                        *event.mId <= *mLastEvent;
     if (known) {
--- a/include/spindleweir/servers/streams/event_reader.h
+++ b/include/spindleweir/servers/streams/event_reader.h
@@ -11,7 +11,7 @@
 namespace spindleweir {
 
 /// One whole event with the empty line that ends it.
-struct StreamEvent {
+struct RelayedEvent {
   std::string mBytes;
   std::optional<std::int64_t> mId;
 };
@@ -20,7 +20,7 @@
 class EventReader {
  public:
   /// Takes bytes; returns the events that are complete now.
-  std::vector<StreamEvent> Take(std::string_view aBytes);
+  std::vector<RelayedEvent> Take(std::string_view aBytes);
   /// Bytes of an event that is not complete.
   const std::string& Rest() const { return mRest; }
   void Clear() { mRest.clear(); }
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -13,7 +13,7 @@
   local name=$1 program=$2
   shift 2
   "$bin/$program" --port_file="$run/$name.port" "$@" \
-    >>"$run/$name.out" 2>>"$run/$name.log" &
+    >>"$run/$name.log" 2>&1 &
   echo "$name $!" >>"$run/pids"
 }
 
--- a/servers/streams/event_reader.cpp
+++ b/servers/streams/event_reader.cpp
@@ -43,8 +43,8 @@
 
 }  // namespace
 
-std::vector<StreamEvent> EventReader::Take(std::string_view aBytes) {
-  std::vector<StreamEvent> events;
+std::vector<RelayedEvent> EventReader::Take(std::string_view aBytes) {
+  std::vector<RelayedEvent> events;
   mRest += aBytes;
   std::size_t begin = 0;
   std::size_t from = mSearched;
@@ -53,7 +53,7 @@
     if (end == std::string::npos) {
       break;
     }
-    StreamEvent event{.mBytes = mRest.substr(begin, end - begin)};
+    RelayedEvent event{.mBytes = mRest.substr(begin, end - begin)};
     event.mId = IdOf(event.mBytes);
     events.push_back(std::move(event));
     begin = end;
--- a/tests/fuzz/parsers_fuzzer.cpp
+++ b/tests/fuzz/parsers_fuzzer.cpp
@@ -90,7 +90,7 @@
   EventReader reader;
   std::string back;
   for (char byte : aBytes) {
-    for (const StreamEvent& event : reader.Take({&byte, 1})) {
+    for (const RelayedEvent& event : reader.Take({&byte, 1})) {
       back += event.mBytes;
     }
   }
--- a/tests/servers/streams_test.cpp
+++ b/tests/servers/streams_test.cpp
@@ -10,9 +10,9 @@
       "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c";
   for (std::size_t step = 1; step <= bytes.size(); step++) {
     EventReader reader;
-    std::vector<StreamEvent> events;
+    std::vector<RelayedEvent> events;
     for (std::size_t at = 0; at < bytes.size(); at += step) {
-      for (StreamEvent& event : reader.Take(bytes.substr(at, step))) {
+      for (RelayedEvent& event : reader.Take(bytes.substr(at, step))) {
         events.push_back(std::move(event));
       }
     }
