--- a/daemons/control/layer_placer.cpp
+++ b/daemons/control/layer_placer.cpp
@@ -1,5 +1,6 @@
 #include "daemons/control/layer_placer.h"
 
+#include "daemons/engine_call.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/servers/placement/layer_planner.h"
 
@@ -120,18 +121,13 @@
   PlaceOrder order;
   order.mLayers = aLayers;
   order.mFence = mLog.Raft().Term();
-  EngineMessage message = mContext.mOptions.mEngines.mWritePlace(order);
   Pending& pending = mPending[aEngine.mInstance];
   pending.mLayers = aLayers;
   pending.mSentAt = SteadyNow();
   pending.mStatus = 0;
-  StreamCallOptions options;
-  options.mServer = ParseEndpoint(aEngine.mAddress, "address of an upstream");
-  options.mMethod = message.mMethod;
-  options.mTarget = message.mTarget;
-  options.mHeaders = std::move(message.mHeaders);
-  options.mBody = std::move(message.mBody);
-  options.mTimeout = kOrderTimeout;
+  StreamCallOptions options =
+      CallOf(mContext.mOptions.mEngines.mWritePlace(order), aEngine.mAddress,
+             kOrderTimeout);
   const std::string instance = aEngine.mInstance;
   options.mOnHead = [this, instance, aLayers](const AnswerHead& aHead) {
     mPending[instance].mStatus = aHead.mStatus;
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -24,10 +24,6 @@
 constexpr Millis kAskForPathAgain = 80;
 constexpr Millis kLeastForAttempt = 20;
 
-bool IsSuccess(int aStatus) {
-  return aStatus >= 200 && aStatus < 300;
-}
-
 }  // namespace
 
 void RelayRequest::StartAttempt() {
@@ -155,7 +151,6 @@
 }
 
 void RelayRequest::HandleHead(const AnswerHead& aHead) {
-  mAttempt->mHeadCame = true;
   mAttempt->mHead = aHead;
   mAttempt->mFacts = mContext.mOptions.mCallers.mReadAnswer(aHead, mFacts);
   const AnswerFacts& facts = mAttempt->mFacts;
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <iterator>
 
+#include "daemons/engine_call.h"
 #include "spindleweir/core/log.h"
 
 namespace spindleweir {
@@ -142,15 +143,10 @@
     return;
   }
   mAttempt->mMoves++;
-  const EngineMessage message = mContext.mOptions.mEngines.mWriteRepath(
-      {.mRequestId = mFacts.mId, .mPath = &aPath});
-  StreamCallOptions options;
-  options.mServer = ParseEndpoint(first->mAddress, "address of an upstream");
-  options.mMethod = message.mMethod;
-  options.mTarget = message.mTarget;
-  options.mHeaders = message.mHeaders;
-  options.mBody = message.mBody;
-  options.mTimeout = kOrderTimeout;
+  StreamCallOptions options =
+      CallOf(mContext.mOptions.mEngines.mWriteRepath(
+                 {.mRequestId = mFacts.mId, .mPath = &aPath}),
+             first->mAddress, kOrderTimeout);
   const auto status = std::make_shared<int>(0);
   options.mOnHead = [status](const AnswerHead& aHead) {
     *status = aHead.mStatus;
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -5,6 +5,7 @@
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
+#include "spindleweir/daemons/answers.h"
 
 namespace spindleweir {
 
@@ -19,22 +20,6 @@
 /// The part of the time left that callers wait at most.
 constexpr Millis kWaitPart = 3;
 
-bool IsSuccess(int aStatus) {
-  return aStatus >= 200 && aStatus < 300;
-}
-
-std::string BodyOf(ResultCode aCode, const std::string& aRequest) {
-  const ResultCodeInfo& info = InfoOf(aCode);
-  Json::Value body(Json::objectValue);
-  Json::Value& error = body["error"];
-  error["code"] = static_cast<int>(aCode);
-  error["type"] = std::string(info.mName);
-  error["message"] = std::string(info.mMeaning);
-  error["ran"] = std::string(NameOf(info.mRan));
-  error["request"] = aRequest;
-  return DumpJson(body);
-}
-
 }  // namespace
 
 RelayRequest::RelayRequest(RelayContext& aContext,
@@ -185,7 +170,7 @@
   const Millis retryAfter = ReturnAfter(aReturnAfter);
   mExchange->Reply(
       status, mContext.mOptions.mCallers.mWriteRefusal(mFacts.mId, retryAfter),
-      BodyOf(aCode, mFacts.mId));
+      DumpJson(ErrorBody({.mCode = aCode, .mRequest = mFacts.mId})));
   LogLine(LogLevel::kWarning, "refused")
       .Add("request", mFacts.mId)
       .Add("code", static_cast<int>(aCode))
@@ -238,8 +223,7 @@
     }
   }
   const Millis received = mExchange->ReceivedAt();
-  const bool served = aStatus >= 200 && aStatus < 300;
-  LogLine(served ? LogLevel::kInfo : LogLevel::kWarning, "request")
+  LogLine(IsSuccess(aStatus) ? LogLevel::kInfo : LogLevel::kWarning, "request")
       .Add("request", mFacts.mId)
       .Add("outcome", aOutcome)
       .Add("status", aStatus)
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -44,7 +44,6 @@
     double mTokens = 0;  ///< Memory promised for each layer.
     Millis mStartedAt = 0;
     Millis mHeardAt = 0;
-    bool mHeadCame = false;
     AnswerHead mHead;
     AnswerFacts mFacts;
     EventReader mEvents;
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -1,5 +1,6 @@
 #include "daemons/relay/stream_guard.h"
 
+#include "daemons/engine_call.h"
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/log.h"
 
@@ -75,6 +76,10 @@
 }
 
 void StreamGuard::MoveOffLeaving() {
+  if (mContext.mRegistry.Revision() == mLookedAt) {
+    return;
+  }
+  mLookedAt = mContext.mRegistry.Revision();
   std::set<std::string> leaving;
   for (const UpstreamRecord* record : mContext.mRegistry.OfService("")) {
     const bool leaves = record->mState == UpstreamState::kLeaving ||
@@ -132,16 +137,11 @@
   if (record == nullptr) {
     return;
   }
-  const EngineMessage message = mContext.mOptions.mEngines.mAskState();
   Look& look = mStates[aInstance];
   look.mAt = SteadyNow();
   look.mBody.clear();
-  StreamCallOptions options;
-  options.mServer = ParseEndpoint(record->mAddress, "address of an upstream");
-  options.mMethod = message.mMethod;
-  options.mTarget = message.mTarget;
-  options.mHeaders = message.mHeaders;
-  options.mTimeout = kAskTimeout;
+  StreamCallOptions options = CallOf(mContext.mOptions.mEngines.mAskState(),
+                                     record->mAddress, kAskTimeout);
   options.mOnData = [this, aInstance](std::string_view aBytes) {
     std::string& body = mStates[aInstance].mBody;
     if (body.size() + aBytes.size() <= kMostReport) {
--- a/daemons/relay/stream_guard.h
+++ b/daemons/relay/stream_guard.h
@@ -59,6 +59,7 @@
   std::map<std::string, Look> mProbes;
   std::map<std::string, Look> mStates;
   std::set<std::string> mLeftBehind;  ///< Leaving ones that were handled.
+  std::int64_t mLookedAt = 0;         ///< Revision of the registry.
   StreamKey mNext = 1;
   Millis mSteppedAt = 0;
   Millis mLateAt = -1;  ///< When this process last was late itself.
--- a/drivers/http_message.cpp
+++ b/drivers/http_message.cpp
@@ -12,6 +12,10 @@
          strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
 }
 
+bool IsSuccess(int aStatus) {
+  return aStatus >= 200 && aStatus < 300;
+}
+
 const std::string* FindHeader(const HttpHeaders& aHeaders,
                               std::string_view aName) {
   for (const HttpHeader& header : aHeaders) {
--- a/include/spindleweir/drivers/http_message.h
+++ b/include/spindleweir/drivers/http_message.h
@@ -25,6 +25,8 @@
                               std::string_view aName);
 /// How often a header stands there.
 std::size_t CountHeader(const HttpHeaders& aHeaders, std::string_view aName);
+/// Whether a status says that all went well: 2xx.
+bool IsSuccess(int aStatus);
 /// Whether a header concerns one connection only and is not passed on:
 /// Connection, what it names, and the framing.
 bool IsConnectionHeader(const HttpHeaders& aHeaders, std::string_view aName);
--- a/tests/daemons/relay_test.cpp
+++ b/tests/daemons/relay_test.cpp
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr Millis kLongest = 20000;
 constexpr Millis kLease = 600;
 
 /// A port that is free at the moment.
@@ -101,14 +100,7 @@
   }
 
   bool RunUntil(const std::function<bool()>& aCondition) {
-    const auto check = mLoop.Every(2, [&] {
-      if (aCondition()) {
-        mLoop.Stop();
-      }
-    });
-    const auto end = mLoop.After(kLongest, [this] { mLoop.Stop(); });
-    mLoop.Run();
-    return aCondition();
+    return RunLoopUntil(mLoop, aCondition);
   }
 
   OperatorAnswer Publish(const std::string& aDocument) {
--- a/tests/drivers/http_test.cpp
+++ b/tests/drivers/http_test.cpp
@@ -30,14 +30,7 @@
                  }}) {}
 
   bool RunUntil(const std::function<bool()>& aCondition) {
-    const auto check = mLoop.Every(2, [&] {
-      if (aCondition()) {
-        mLoop.Stop();
-      }
-    });
-    const auto end = mLoop.After(kLongest, [this] { mLoop.Stop(); });
-    mLoop.Run();
-    return aCondition();
+    return RunLoopUntil(mLoop, aCondition);
   }
 
   HttpCallOptions Call(std::string aBody = "") {
--- a/tests/drivers/stream_test.cpp
+++ b/tests/drivers/stream_test.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr Millis kLongest = 10000;
-
 /// A server with a handler that a test sets.
 struct Server {
   Server()
@@ -35,14 +33,7 @@
                      }}) {}
 
   bool RunUntil(const std::function<bool()>& aCondition) {
-    const auto check = mLoop.Every(2, [&] {
-      if (aCondition()) {
-        mLoop.Stop();
-      }
-    });
-    const auto end = mLoop.After(kLongest, [this] { mLoop.Stop(); });
-    mLoop.Run();
-    return aCondition();
+    return RunLoopUntil(mLoop, aCondition);
   }
 
   /// Sends a call and waits for its end.
--- a/tests/test_tools.cpp
+++ b/tests/test_tools.cpp
@@ -38,6 +38,18 @@
   std::filesystem::remove_all(mPath, ec);
 }
 
+bool RunLoopUntil(EventLoop& aLoop, const std::function<bool()>& aCondition) {
+  constexpr Millis kLongest = 20000;
+  const auto check = aLoop.Every(2, [&] {
+    if (aCondition()) {
+      aLoop.Stop();
+    }
+  });
+  const auto end = aLoop.After(kLongest, [&aLoop] { aLoop.Stop(); });
+  aLoop.Run();
+  return aCondition();
+}
+
 ResultCode CodeThrownBy(const std::function<void()>& aCall) {
   try {
     aCall();
--- a/tests/test_tools.h
+++ b/tests/test_tools.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "spindleweir/core/error.h"
+#include "spindleweir/drivers/event_loop.h"
 
 namespace spindleweir {
 
@@ -41,6 +42,9 @@
   std::string mPath;
 };
 
+/// Runs a loop until a condition holds; false where it does not within 20 s.
+bool RunLoopUntil(EventLoop& aLoop, const std::function<bool()>& aCondition);
+
 /// The code of the Error that aCall throws; kOk where it throws none.
 ResultCode CodeThrownBy(const std::function<void()>& aCall);
 
