Routers ask three controls, not all; every control passes the leader's confirmation on

Loads travel in columns and are summed once in 40 ms (load_book); the routers that share limits are counted by where they tell their loads. Now each control passes on what the leader confirmed last, with its age (newest_confirmation).

Weighed: a tree of pushes (more state, a second mechanism for lost messages) and asking all with smaller messages (still grows with routers times controls).

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -15,8 +15,12 @@
 constexpr Millis kAskTimeout = 1000;
 constexpr Millis kStepPeriod = 500;
 constexpr Millis kControlsTold = 10000;
-/// A router that did not ask for so long shares nothing any more.
+/// A process that did not ask for so long is not counted any more.
 constexpr Millis kAskerKept = 2500;
+/// How often a router asks a control of its own zone; where more routers ask,
+/// each asks less often, so that a control has the same work at any size.
+constexpr Millis kAskedEvery = 150;
+constexpr Millis kEachAsker = 6;
 /// Heartbeats that may be missed before an upstream counts as silent.
 constexpr int kMissedBeats = 3;
 /// News of a leaving upstream is acknowledged after this time even where no
@@ -101,78 +105,50 @@
       aQuestion.mKnows == mLife ? aQuestion.mRevision : 0;
   answer.mUpstreams = mRegistry.ChangedSince(known, fromControl, now);
   answer.mConfiguration = mTraffic.mVersion;
-  const Millis confirmed = mLog.Raft().ConfirmedAt();
-  answer.mConfirmedAgo = confirmed < 0 ? -1 : now - confirmed;
+  ConfirmOwn(now);
+  answer.mConfirmedVersion = mConfirmation.Version();
+  answer.mConfirmedAgo = mConfirmation.Age(now);
   const bool news = aQuestion.mWantsConfiguration &&
                     mTraffic.mVersion > aQuestion.mConfiguration;
   if (news) {
     answer.mNews.push_back(mTraffic);
   }
-  answer.mRouters = static_cast<int>(std::max<std::size_t>(1, mAskers.size()));
-  if (aQuestion.mTellsLoads || fromControl) {
-    answer.mLoads = LoadsOfOthers(aQuestion.mProcess, !fromControl);
+  answer.mRouters = std::max(1, mLoads.AllRouters(now));
+  answer.mOwnRouters = mLoads.OwnRouters(now);
+  answer.mAskEvery =
+      std::max(kAskedEvery, kEachAsker * static_cast<Millis>(mAskedAt.size()));
+  if (fromControl) {
+    answer.mLoads = LoadTable::Of(mLoads.Own(now));
+  } else if (aQuestion.mTellsLoads) {
+    answer.mLoads = LoadTable::Of(mLoads.OthersOf(aQuestion.mProcess, now));
   }
   return answer;
 }
 
+void SyncService::ConfirmOwn(Millis aNow) {
+  const Millis confirmed = mLog.Raft().ConfirmedAt();
+  if (confirmed >= 0) {
+    mConfirmation.Take(mTraffic.mVersion, aNow, aNow - confirmed);
+  }
+}
+
 void SyncService::Remember(const SyncQuestion& aQuestion) {
   const Millis now = SteadyNow();
   if (!aQuestion.mControl.mId.empty()) {
     mDirectory.Heard(aQuestion.mControl, now);
     return;
   }
-  Asker& asker = mAskers[aQuestion.mProcess];
-  asker.mAskedAt = now;
-  if (aQuestion.mTellsLoads) {
-    asker.mLoads = aQuestion.mLoads;
-  }
-  std::erase_if(mAskers, [now](const auto& aItem) {
-    return now - aItem.second.mAskedAt > kAskerKept;
+  mAskedAt[aQuestion.mProcess] = now;
+  std::erase_if(mAskedAt, [now](const auto& aItem) {
+    return now - aItem.second > kAskerKept;
   });
-}
-
-std::vector<LoadShare> SyncService::LoadsOfOthers(const std::string& aProcess,
-                                                  bool aOfOtherControls) const {
-  std::map<std::string, LoadShare> sums;
-  const auto add = [&sums](const std::vector<LoadShare>& aLoads) {
-    for (const LoadShare& load : aLoads) {
-      LoadShare& sum = sums[load.mInstance];
-      sum.mInstance = load.mInstance;
-      sum.mRequests += load.mRequests;
-      sum.mTokenLayers += load.mTokenLayers;
-      sum.mFirsts += load.mFirsts;
-      sum.mReadTokenLayers += load.mReadTokenLayers;
-      sum.mSlowness = std::max(sum.mSlowness, load.mSlowness);
-      sum.mUnreachable += load.mUnreachable;
-    }
-  };
-  for (const auto& [process, asker] : mAskers) {
-    if (process != aProcess) {
-      add(asker.mLoads);
-    }
-  }
-  const Millis now = SteadyNow();
-  for (const auto& [address, source] : mSources) {
-    if (aOfOtherControls && now - source.mHeardAt < kAskerKept) {
-      add(source.mLoads);
-    }
-  }
-  std::vector<LoadShare> loads;
-  loads.reserve(sums.size());
-  for (const auto& [instance, sum] : sums) {
-    loads.push_back(sum);
+  if (aQuestion.mTellsLoads) {
+    mLoads.Tell(aQuestion.mProcess, aQuestion.mLoads.Shares(), now);
   }
-  return loads;
 }
 
-std::set<std::string> SyncService::Unreachable() const {
-  std::set<std::string> lost;
-  for (const LoadShare& load : LoadsOfOthers("", true)) {
-    if (load.mUnreachable >= kWitnesses) {
-      lost.insert(load.mInstance);
-    }
-  }
-  return lost;
+std::set<std::string> SyncService::Unreachable() {
+  return mLoads.Unreachable(kWitnesses, SteadyNow());
 }
 
 bool SyncService::CutOff() const {
@@ -210,22 +186,28 @@
   question.mKnows = source.mLife;
   question.mRevision = source.mRevision;
   question.mConfiguration = mTraffic.mVersion;
+  const Millis askedAt = SteadyNow();
   mContext.mRpc.Call(aAddress, rpc_method::kSync, ToJson(question), kAskTimeout,
-                     [this, aAddress](const RpcResult& aResult) {
+                     [this, aAddress, askedAt](const RpcResult& aResult) {
                        mSources[aAddress.Text()].mAsking = false;
                        if (aResult.mOk) {
-                         Take(aAddress, FromJson<SyncAnswer>(aResult.mAnswer));
+                         Take(aAddress, FromJson<SyncAnswer>(aResult.mAnswer),
+                              askedAt);
                        }
                      });
 }
 
-void SyncService::Take(const Endpoint& aAddress, const SyncAnswer& aAnswer) {
+void SyncService::Take(const Endpoint& aAddress, const SyncAnswer& aAnswer,
+                       Millis aAskedAt) {
   const Millis now = SteadyNow();
   Source& source = mSources[aAddress.Text()];
   source.mLife = aAnswer.mLife;
   source.mRevision = aAnswer.mRevision;
   source.mHeardAt = now;
-  source.mLoads = aAnswer.mLoads;
+  mConfirmation.Take(aAnswer.mConfirmedVersion, aAskedAt,
+                     aAnswer.mConfirmedAgo);
+  mLoads.TellOfControl(aAddress.Text(), aAnswer.mLoads.Shares(),
+                       aAnswer.mOwnRouters, now);
   mDirectory.Heard(aAnswer.mSelf, now);
   for (const ControlInfo& info : aAnswer.mControls) {
     mDirectory.Heard(info, now);
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -10,6 +10,7 @@
 
 #include "daemons/control/replicated_configuration.h"
 #include "spindleweir/daemons/sync_messages.h"
+#include "spindleweir/servers/routes/newest_confirmation.h"
 
 namespace spindleweir {
 
@@ -24,7 +25,7 @@
   void Leave(const std::string& aInstance, const std::function<void()>& aDone);
 
   /// Upstreams that several routers cannot connect to.
-  std::set<std::string> Unreachable() const;
+  std::set<std::string> Unreachable();
   UpstreamRegistry& Registry() { return mRegistry; }
   const ControlDirectory& Directory() const { return mDirectory; }
   /// The configuration in force here; version 0: none yet.
@@ -33,29 +34,22 @@
   void SetSeeds(std::vector<Endpoint> aSeeds);
 
  private:
-  /// A router that asked.
-  struct Asker {
-    Millis mAskedAt = 0;
-    std::vector<LoadShare> mLoads;
-  };
   /// How much of another control's registry is known.
   struct Source {
     std::string mLife;
     std::int64_t mRevision = 0;
     bool mAsking = false;
     Millis mHeardAt = 0;
-    std::vector<LoadShare> mLoads;  ///< Of the routers that tell it.
   };
 
   SyncAnswer Answer(const SyncQuestion& aQuestion);
   void Remember(const SyncQuestion& aQuestion);
-  /// The loads told here by all but one router; for a router also those that
-  /// were told to other controls.
-  std::vector<LoadShare> LoadsOfOthers(const std::string& aProcess,
-                                       bool aOfOtherControls) const;
   void AskOthers();
   void Ask(const Endpoint& aAddress);
-  void Take(const Endpoint& aAddress, const SyncAnswer& aAnswer);
+  void Take(const Endpoint& aAddress, const SyncAnswer& aAnswer,
+            Millis aAskedAt);
+  /// Takes what this control itself confirmed, where it leads.
+  void ConfirmOwn(Millis aNow);
   void Tell(const std::string& aInstance, const std::function<void()>& aDone);
   void StepVoters();
   /// Whether most of control cannot be heard: then it is this process that
@@ -69,7 +63,9 @@
   ControlDirectory mDirectory;
   UpstreamRegistry mRegistry;
   TrafficConfiguration mTraffic;
-  std::map<std::string, Asker> mAskers;
+  std::map<std::string, Millis> mAskedAt;  ///< By router.
+  NewestConfirmation mConfirmation;
+  LoadBook mLoads{LoadBookOptions{}};
   std::map<std::string, Source> mSources;  ///< By address.
   std::unique_ptr<Timer> mAskTimer;
   std::unique_ptr<Timer> mStepTimer;
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -43,7 +43,7 @@
   LoadShare& load = mOwnLoads[aInstance];
   load.mInstance = aInstance;
   load.mRequests += aRequests;
-  load.mTokenLayers += aTokenLayers;
+  load.mTokenLayers += std::llround(aTokenLayers);
   load.mFirsts += aFirsts;
   if (load.mRequests <= 0) {
     mOwnLoads.erase(aInstance);
@@ -54,8 +54,8 @@
                               double aTokenLayers) {
   const auto it = mOwnLoads.find(aInstance);
   if (it != mOwnLoads.end()) {
-    it->second.mReadTokenLayers =
-        std::max(0.0, it->second.mReadTokenLayers + aTokenLayers);
+    it->second.mReadTokenLayers = std::max<std::int64_t>(
+        0, it->second.mReadTokenLayers + std::llround(aTokenLayers));
   }
 }
 
@@ -64,18 +64,18 @@
   for (const auto* loads : {&mOwnLoads, &mOtherLoads}) {
     const auto it = loads->find(aInstance);
     if (it != loads->end()) {
-      load.mRequests += it->second.mRequests;
-      load.mTokenLayers += it->second.mTokenLayers;
-      load.mFirsts += it->second.mFirsts;
-      load.mReadTokenLayers += it->second.mReadTokenLayers;
-      load.mSlowness = std::max(load.mSlowness, it->second.mSlowness);
+      const LoadShare& share = it->second;
+      load.mRequests += static_cast<double>(share.mRequests);
+      load.mTokenLayers += static_cast<double>(share.mTokenLayers);
+      load.mFirsts += static_cast<double>(share.mFirsts);
+      load.mReadTokenLayers += static_cast<double>(share.mReadTokenLayers);
     }
   }
   return load;
 }
 
-std::vector<LoadShare> RelayContext::OwnLoads() const {
-  std::map<std::string, LoadShare> loads = mOwnLoads;
+LoadShares RelayContext::OwnLoads() const {
+  LoadShares loads = mOwnLoads;
   const Millis now = SteadyNow();
   for (const auto& [instance, experience] : mExperience) {
     // Of another zone it may be the link that is lost, not the upstream.
@@ -86,19 +86,11 @@
       loads[instance].mUnreachable = 1;
     }
   }
-  std::vector<LoadShare> list;
-  list.reserve(loads.size());
-  for (const auto& [instance, load] : loads) {
-    list.push_back(load);
-  }
-  return list;
+  return loads;
 }
 
-void RelayContext::SetOtherLoads(const std::vector<LoadShare>& aLoads) {
-  mOtherLoads.clear();
-  for (const LoadShare& load : aLoads) {
-    mOtherLoads[load.mInstance] = load;
-  }
+void RelayContext::SetOtherLoads(LoadShares aLoads) {
+  mOtherLoads = std::move(aLoads);
 }
 
 void RelayContext::Succeeded(const std::string& aInstance) {
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -15,6 +15,7 @@
 #include "spindleweir/servers/routes/configuration_lease.h"
 #include "spindleweir/servers/routes/route_table.h"
 #include "spindleweir/servers/routing/layer_path.h"
+#include "spindleweir/servers/routing/load_book.h"
 #include "spindleweir/servers/routing/retry_allowance.h"
 
 namespace spindleweir {
@@ -47,8 +48,10 @@
   void AddReading(const std::string& aInstance, double aTokenLayers);
   /// All work known at an upstream: own and of other routers.
   EngineLoad LoadOf(const std::string& aInstance) const;
-  std::vector<LoadShare> OwnLoads() const;
-  void SetOtherLoads(const std::vector<LoadShare>& aLoads);
+  LoadShares OwnLoads() const;
+  void SetOtherLoads(LoadShares aLoads);
+  /// What is known of other routers' work is too old to be used.
+  void ForgetOtherLoads() { mOtherLoads.clear(); }
 
   void Succeeded(const std::string& aInstance);
   void Failed(const std::string& aInstance, Millis aAvoidFor);
@@ -75,8 +78,8 @@
 
  private:
   std::shared_ptr<const RouteTable> mTable;
-  std::map<std::string, LoadShare> mOwnLoads;
-  std::map<std::string, LoadShare> mOtherLoads;
+  LoadShares mOwnLoads;
+  LoadShares mOtherLoads;
   std::map<std::string, UpstreamExperience> mExperience;
   std::map<std::string, RetryAllowance> mRetries;
   std::mt19937_64 mRandom;
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -3,15 +3,20 @@
 #include "spindleweir/core/digest.h"
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
+#include "spindleweir/servers/membership/source_choice.h"
 
 namespace spindleweir {
 
 namespace {
 
 constexpr Millis kStepPeriod = 100;
-constexpr Millis kNearPeriod = 150;
-constexpr Millis kFarPeriod = 400;
+/// How often one is asked that did not say how often it wants to be.
+constexpr Millis kFirstPeriod = 150;
+/// All but the first of those that are asked are asked more seldom.
+constexpr double kOthersFactor = 2.7;
 constexpr Millis kAskTimeout = 1000;
+/// Loads of others that are older than this say nothing any more.
+constexpr Millis kLoadsKept = 2500;
 constexpr int kNameBytes = 6;
 
 }  // namespace
@@ -23,19 +28,34 @@
   Step();
 }
 
-bool SyncLink::IsNear(const Source& aSource) const {
-  return aSource.mZone == mContext.mOptions.mZone;
+Millis SyncLink::PeriodOf(const Endpoint& aAddress) const {
+  const std::string text = aAddress.Text();
+  const auto it = mSources.find(text);
+  const bool said = it != mSources.end() && it->second.mPeriod > 0;
+  const Millis period = said ? it->second.mPeriod : kFirstPeriod;
+  const double factor = text == mNear ? 1 : kOthersFactor;
+  return static_cast<Millis>(static_cast<double>(period) * factor);
 }
 
 void SyncLink::Step() {
   const Millis now = SteadyNow();
-  for (const Endpoint& address : mContext.mDirectory.Addresses(now)) {
+  SourceQuestion question;
+  question.mDirectory = &mContext.mDirectory;
+  question.mProcess = mProcess;
+  question.mZone = mContext.mOptions.mZone;
+  question.mFailedAt = mFailedAt;
+  question.mNow = now;
+  const std::vector<Endpoint> chosen = ChooseSources(question);
+  mNear = chosen.empty() ? "" : chosen.front().Text();
+  for (const Endpoint& address : chosen) {
     const Source& source = mSources[address.Text()];
-    const Millis period = IsNear(source) ? kNearPeriod : kFarPeriod;
-    if (!source.mAsking && now - source.mAskedAt >= period) {
+    if (!source.mAsking && now - source.mAskedAt >= PeriodOf(address)) {
       Ask(address, false);
     }
   }
+  if (now - mLoadsAt > kLoadsKept) {
+    mContext.ForgetOtherLoads();
+  }
 }
 
 void SyncLink::Ask(const Endpoint& aAddress, bool aWantsConfiguration) {
@@ -51,16 +71,16 @@
       mContext.Table() == nullptr ? 0 : mContext.Table()->Version();
   question.mWantsConfiguration =
       aWantsConfiguration || mContext.Table() == nullptr;
-  question.mTellsLoads = IsNear(source);
+  question.mTellsLoads = aAddress.Text() == mNear;
   if (question.mTellsLoads) {
-    question.mLoads = mContext.OwnLoads();
+    question.mLoads = LoadTable::Of(mContext.OwnLoads());
   }
   const Millis askedAt = source.mAskedAt;
   mContext.mRpc.Call(aAddress, rpc_method::kSync, ToJson(question), kAskTimeout,
                      [this, aAddress, askedAt](const RpcResult& aResult) {
                        mSources[aAddress.Text()].mAsking = false;
                        if (!aResult.mOk) {
-                         mContext.mCounters.Add("sync_failures");
+                         Failed(aAddress);
                          return;
                        }
                        Take(aAddress, FromJson<SyncAnswer>(aResult.mAnswer),
@@ -68,13 +88,26 @@
                      });
 }
 
+void SyncLink::Failed(const Endpoint& aAddress) {
+  mContext.mCounters.Add("sync_failures");
+  const auto [it, first] =
+      mFailedAt.insert_or_assign(aAddress.Text(), SteadyNow());
+  if (first) {
+    LogLine(LogLevel::kWarning, "control_lost").Add("address", it->first);
+  }
+}
+
 void SyncLink::Take(const Endpoint& aAddress, const SyncAnswer& aAnswer,
                     Millis aAskedAt) {
   const Millis now = SteadyNow();
   Source& source = mSources[aAddress.Text()];
   source.mLife = aAnswer.mLife;
   source.mRevision = aAnswer.mRevision;
-  source.mZone = aAnswer.mSelf.mZone;
+  source.mPeriod = aAnswer.mAskEvery;
+  if (mFailedAt.erase(aAddress.Text()) > 0) {
+    LogLine(LogLevel::kInfo, "control_regained")
+        .Add("address", aAddress.Text());
+  }
   mContext.mDirectory.Heard(aAnswer.mSelf, now);
   for (const ControlInfo& info : aAnswer.mControls) {
     mContext.mDirectory.Heard(info, now);
@@ -88,8 +121,9 @@
           .Add("by", aAnswer.mSelf.mId);
     }
   }
-  if (IsNear(source)) {
-    mContext.SetOtherLoads(aAnswer.mLoads);
+  if (aAddress.Text() == mNear) {
+    mContext.SetOtherLoads(aAnswer.mLoads.Shares());
+    mLoadsAt = now;
   }
   mContext.mRouters = std::max(mContext.mRouters, aAnswer.mRouters);
   for (const TrafficConfiguration& news : aAnswer.mNews) {
@@ -98,7 +132,7 @@
   const std::int64_t held =
       mContext.Table() == nullptr ? 0 : mContext.Table()->Version();
   if (aAnswer.mConfirmedAgo >= 0) {
-    mContext.mLease.Confirm(aAnswer.mConfiguration, held, aAskedAt,
+    mContext.mLease.Confirm(aAnswer.mConfirmedVersion, held, aAskedAt,
                             aAnswer.mConfirmedAgo);
   }
   mJoined = true;
--- a/daemons/relay/sync_link.h
+++ b/daemons/relay/sync_link.h
@@ -1,4 +1,4 @@
-/// Keeps a router's knowledge new by asking all controls a few times a second.
+/// Keeps a router's knowledge new by asking some controls a few times a second.
 #pragma once
 
 #include <map>
@@ -22,21 +22,25 @@
   struct Source {
     std::string mLife;
     std::int64_t mRevision = 0;
-    std::string mZone;
     bool mAsking = false;
     Millis mAskedAt = 0;
+    Millis mPeriod = 0;  ///< As it asks to be asked; 0: not said.
   };
 
   void Step();
   void Ask(const Endpoint& aAddress, bool aWantsConfiguration);
   void Take(const Endpoint& aAddress, const SyncAnswer& aAnswer,
             Millis aAskedAt);
-  bool IsNear(const Source& aSource) const;
+  void Failed(const Endpoint& aAddress);
+  /// How often one is asked.
+  Millis PeriodOf(const Endpoint& aAddress) const;
 
   RelayContext& mContext;
   std::string mProcess;
   std::map<std::string, Source> mSources;
   std::string mNear;  ///< The address that loads are told to.
+  std::map<std::string, Millis> mFailedAt;  ///< By address.
+  Millis mLoadsAt = 0;  ///< When loads of others were heard last.
   bool mJoined = false;
   std::unique_ptr<Timer> mTimer;
 };
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -9,6 +9,7 @@
 #include "spindleweir/servers/membership/control_directory.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
 #include "spindleweir/servers/routes/traffic_configuration.h"
+#include "spindleweir/servers/routing/load_book.h"
 
 namespace spindleweir {
 
@@ -16,28 +17,6 @@
 inline constexpr const char* kSync = "control.sync";
 }  // namespace rpc_method
 
-/// The work that a router has at one upstream.
-struct LoadShare {
-  std::string mInstance;
-  int mRequests = 0;
-  double mTokenLayers = 0;      ///< Memory promised to them.
-  int mFirsts = 0;              ///< Requests that have it as the first.
-  double mReadTokenLayers = 0;  ///< Still to be read by it.
-  double mSlowness = 1;         ///< Times that it takes longer than it should.
-  int mUnreachable = 0;  ///< Routers that cannot connect to it at present.
-
-  template <class Codec>
-  void Fields(Codec& aCodec) {
-    aCodec.Required("instance", mInstance);
-    aCodec.Field("requests", mRequests);
-    aCodec.Field("token_layers", mTokenLayers);
-    aCodec.Field("firsts", mFirsts);
-    aCodec.Field("read_token_layers", mReadTokenLayers);
-    aCodec.Field("slowness", mSlowness);
-    aCodec.Field("unreachable", mUnreachable);
-  }
-};
-
 /// A router or control process asks a control process.
 struct SyncQuestion {
   std::string mProcess;  ///< Name of who asks; new at each start.
@@ -48,7 +27,7 @@
   std::int64_t mConfiguration = 0;  ///< The version held.
   bool mWantsConfiguration = false;
   bool mTellsLoads = false;  ///< mLoads replaces what was told before.
-  std::vector<LoadShare> mLoads;
+  LoadTable mLoads;
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -74,10 +53,14 @@
   std::int64_t mRevision = 0;
   std::vector<UpstreamRecord> mUpstreams;  ///< Those that changed.
   std::int64_t mConfiguration = 0;         ///< The version held.
-  Millis mConfirmedAgo = -1;  ///< It was the newest so long ago; -1: unknown.
+  /// No newer version than this was accepted so long ago; -1: not known.
+  std::int64_t mConfirmedVersion = 0;
+  Millis mConfirmedAgo = -1;
   std::vector<TrafficConfiguration> mNews;  ///< One, where it was wanted.
-  int mRouters = 1;                         ///< That asked lately.
-  std::vector<LoadShare> mLoads;            ///< Of all other routers.
+  int mRouters = 1;      ///< That tell their loads to any control.
+  int mOwnRouters = 0;   ///< That tell them to this one.
+  Millis mAskEvery = 0;  ///< So often a router of its zone should ask.
+  LoadTable mLoads;      ///< Of all other routers.
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -89,9 +72,12 @@
     aCodec.Field("revision", mRevision);
     aCodec.Field("upstreams", mUpstreams);
     aCodec.Field("configuration", mConfiguration);
+    aCodec.Field("confirmed_version", mConfirmedVersion);
     aCodec.Field("confirmed_ago_ms", mConfirmedAgo);
     aCodec.Field("news", mNews);
     aCodec.Field("routers", mRouters);
+    aCodec.Field("own_routers", mOwnRouters);
+    aCodec.Field("ask_every_ms", mAskEvery);
     aCodec.Field("loads", mLoads);
   }
 };
--- a/include/spindleweir/servers/membership/control_directory.h
+++ b/include/spindleweir/servers/membership/control_directory.h
@@ -46,6 +46,8 @@
   /// Those heard of within aWithin.
   std::vector<ControlInfo> Lately(Millis aWithin, Millis aNow) const;
   const ControlInfo* Find(const std::string& aId) const;
+  /// The zone of who was heard last at an address; empty: not known.
+  std::string ZoneAt(const Endpoint& aAddress) const;
   /// Milliseconds since a control was heard of; -1: never.
   Millis Silence(const std::string& aId, Millis aNow) const;
   /// Whether another control answers at the address of this one.
--- /dev/null
+++ b/include/spindleweir/servers/routing/load_book.h
@@ -0,0 +1,108 @@
+/// The work that routers have at upstreams, as they tell a control process,
+/// and what each of them is told of the work of all others.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "spindleweir/core/clock.h"
+
+namespace spindleweir {
+
+/// The work that a router, or several together, have at one upstream.
+struct LoadShare {
+  std::string mInstance;
+  std::int64_t mRequests = 0;
+  std::int64_t mTokenLayers = 0;      ///< Memory promised to them.
+  std::int64_t mFirsts = 0;           ///< Requests that have it as the first.
+  std::int64_t mReadTokenLayers = 0;  ///< Still to be read by it.
+  std::int64_t mUnreachable = 0;      ///< Routers that cannot connect to it.
+
+  void Add(const LoadShare& aOther, int aSign);
+  bool Empty() const;
+  bool operator==(const LoadShare&) const = default;
+};
+
+/// Loads by instance.
+using LoadShares = std::map<std::string, LoadShare>;
+
+/// Loads as they travel: one column for each field, so that no name is
+/// written once a row. A column in which all is 0 is left out.
+struct LoadTable {
+  std::vector<std::string> mInstances;
+  std::vector<std::int64_t> mRequests;
+  std::vector<std::int64_t> mTokenLayers;
+  std::vector<std::int64_t> mFirsts;
+  std::vector<std::int64_t> mReadTokenLayers;
+  std::vector<std::int64_t> mUnreachable;
+
+  static LoadTable Of(const LoadShares& aShares);
+  /// Throws kBadField where the columns differ in length.
+  LoadShares Shares() const;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Field("instances", mInstances);
+    aCodec.Field("requests", mRequests);
+    aCodec.Field("token_layers", mTokenLayers);
+    aCodec.Field("firsts", mFirsts);
+    aCodec.Field("read_token_layers", mReadTokenLayers);
+    aCodec.Field("unreachable", mUnreachable);
+  }
+};
+
+/// How a book ages.
+struct LoadBookOptions {
+  /// A router, or another control, that said nothing for so long counts for
+  /// nothing any more.
+  Millis mKept = 2500;
+  /// The sum of all is made anew at most this often.
+  Millis mSumEvery = 40;
+};
+
+/// The book of one control process. The time comes with each call.
+class LoadBook {
+ public:
+  explicit LoadBook(LoadBookOptions aOptions) : mOptions(aOptions) {}
+
+  /// A router tells all of its work; this replaces what it told before.
+  void Tell(const std::string& aProcess, LoadShares aShares, Millis aNow);
+  /// Another control tells the work of the routers that tell it, and how many
+  /// they are.
+  void TellOfControl(const std::string& aControl, LoadShares aShares,
+                     int aRouters, Millis aNow);
+
+  /// The work of all routers but one, told here or to other controls.
+  LoadShares OthersOf(const std::string& aProcess, Millis aNow);
+  /// The work of the routers that tell this control.
+  LoadShares Own(Millis aNow);
+  /// Routers that tell this control.
+  int OwnRouters(Millis aNow);
+  /// Routers that tell any control.
+  int AllRouters(Millis aNow);
+  /// Upstreams that at least so many routers cannot connect to.
+  std::set<std::string> Unreachable(std::int64_t aWitnesses, Millis aNow);
+
+ private:
+  /// What one router, or one control, told.
+  struct Teller {
+    LoadShares mShares;
+    LoadShares mSummed;  ///< As it stands in the sum.
+    Millis mToldAt = 0;
+    int mRouters = 1;
+  };
+
+  void Forget(Millis aNow);
+  void SumUp(Millis aNow);
+
+  LoadBookOptions mOptions;
+  std::map<std::string, Teller> mRouters;   ///< By process.
+  std::map<std::string, Teller> mControls;  ///< By address.
+  LoadShares mSum;
+  Millis mSummedAt = -1;
+};
+
+}  // namespace spindleweir
--- a/servers/membership/control_directory.cpp
+++ b/servers/membership/control_directory.cpp
@@ -72,6 +72,17 @@
   return it == mItems.end() ? nullptr : &it->second.mInfo;
 }
 
+std::string ControlDirectory::ZoneAt(const Endpoint& aAddress) const {
+  const Item* newest = nullptr;
+  for (const auto& [id, item] : mItems) {
+    const bool newer = newest == nullptr || item.mHeardAt > newest->mHeardAt;
+    if (newer && AddressOfControl(id) == aAddress) {
+      newest = &item;
+    }
+  }
+  return newest == nullptr ? "" : newest->mInfo.mZone;
+}
+
 Millis ControlDirectory::Silence(const std::string& aId, Millis aNow) const {
   const auto it = mItems.find(aId);
   return it == mItems.end() ? -1 : aNow - it->second.mHeardAt;
--- /dev/null
+++ b/servers/routing/load_book.cpp
@@ -0,0 +1,175 @@
+#include "spindleweir/servers/routing/load_book.h"
+
+#include <algorithm>
+
+#include "spindleweir/core/error.h"
+
+namespace spindleweir {
+
+namespace {
+
+using Column = std::vector<std::int64_t>;
+
+/// A column in which all is 0 need not travel.
+void DropZeros(Column& aColumn) {
+  const bool zeros =
+      std::all_of(aColumn.begin(), aColumn.end(),
+                  [](std::int64_t aValue) { return aValue == 0; });
+  if (zeros) {
+    aColumn.clear();
+  }
+}
+
+std::int64_t At(const Column& aColumn, std::size_t aRow) {
+  return aColumn.empty() ? 0 : aColumn[aRow];
+}
+
+void AddAll(LoadShares& aSum, const LoadShares& aShares, int aSign) {
+  for (const auto& [instance, share] : aShares) {
+    LoadShare& sum = aSum[instance];
+    sum.mInstance = instance;
+    sum.Add(share, aSign);
+  }
+}
+
+}  // namespace
+
+void LoadShare::Add(const LoadShare& aOther, int aSign) {
+  mRequests += aSign * aOther.mRequests;
+  mTokenLayers += aSign * aOther.mTokenLayers;
+  mFirsts += aSign * aOther.mFirsts;
+  mReadTokenLayers += aSign * aOther.mReadTokenLayers;
+  mUnreachable += aSign * aOther.mUnreachable;
+}
+
+bool LoadShare::Empty() const {
+  return mRequests == 0 && mTokenLayers == 0 && mFirsts == 0 &&
+         mReadTokenLayers == 0 && mUnreachable == 0;
+}
+
+LoadTable LoadTable::Of(const LoadShares& aShares) {
+  LoadTable table;
+  for (const auto& [instance, share] : aShares) {
+    if (share.Empty()) {
+      continue;
+    }
+    table.mInstances.push_back(instance);
+    table.mRequests.push_back(share.mRequests);
+    table.mTokenLayers.push_back(share.mTokenLayers);
+    table.mFirsts.push_back(share.mFirsts);
+    table.mReadTokenLayers.push_back(share.mReadTokenLayers);
+    table.mUnreachable.push_back(share.mUnreachable);
+  }
+  for (Column* column : {&table.mRequests, &table.mTokenLayers, &table.mFirsts,
+                         &table.mReadTokenLayers, &table.mUnreachable}) {
+    DropZeros(*column);
+  }
+  return table;
+}
+
+LoadShares LoadTable::Shares() const {
+  const std::size_t n = mInstances.size();
+  for (const Column* column : {&mRequests, &mTokenLayers, &mFirsts,
+                               &mReadTokenLayers, &mUnreachable}) {
+    if (!column->empty() && column->size() != n) {
+      throw Error(ResultCode::kBadField, "columns of loads differ in length");
+    }
+  }
+  LoadShares shares;
+  for (std::size_t i = 0; i < n; i++) {
+    shares[mInstances[i]] = {.mInstance = mInstances[i],
+                             .mRequests = At(mRequests, i),
+                             .mTokenLayers = At(mTokenLayers, i),
+                             .mFirsts = At(mFirsts, i),
+                             .mReadTokenLayers = At(mReadTokenLayers, i),
+                             .mUnreachable = At(mUnreachable, i)};
+  }
+  return shares;
+}
+
+void LoadBook::Tell(const std::string& aProcess, LoadShares aShares,
+                    Millis aNow) {
+  Teller& teller = mRouters[aProcess];
+  teller.mShares = std::move(aShares);
+  teller.mToldAt = aNow;
+}
+
+void LoadBook::TellOfControl(const std::string& aControl, LoadShares aShares,
+                             int aRouters, Millis aNow) {
+  Teller& teller = mControls[aControl];
+  teller.mShares = std::move(aShares);
+  teller.mToldAt = aNow;
+  teller.mRouters = aRouters;
+}
+
+void LoadBook::Forget(Millis aNow) {
+  for (auto* tellers : {&mRouters, &mControls}) {
+    const std::size_t gone = std::erase_if(*tellers, [&](const auto& aItem) {
+      return aNow - aItem.second.mToldAt > mOptions.mKept;
+    });
+    if (gone > 0) {
+      mSummedAt = -1;
+    }
+  }
+}
+
+void LoadBook::SumUp(Millis aNow) {
+  Forget(aNow);
+  if (mSummedAt >= 0 && aNow - mSummedAt < mOptions.mSumEvery) {
+    return;
+  }
+  mSummedAt = aNow;
+  mSum.clear();
+  for (auto* tellers : {&mRouters, &mControls}) {
+    for (auto& [name, teller] : *tellers) {
+      AddAll(mSum, teller.mShares, 1);
+      teller.mSummed = teller.mShares;
+    }
+  }
+}
+
+LoadShares LoadBook::OthersOf(const std::string& aProcess, Millis aNow) {
+  SumUp(aNow);
+  LoadShares others = mSum;
+  const auto it = mRouters.find(aProcess);
+  if (it != mRouters.end()) {
+    AddAll(others, it->second.mSummed, -1);
+  }
+  return others;
+}
+
+LoadShares LoadBook::Own(Millis aNow) {
+  Forget(aNow);
+  LoadShares own;
+  for (const auto& [process, teller] : mRouters) {
+    AddAll(own, teller.mShares, 1);
+  }
+  return own;
+}
+
+int LoadBook::OwnRouters(Millis aNow) {
+  Forget(aNow);
+  return static_cast<int>(mRouters.size());
+}
+
+int LoadBook::AllRouters(Millis aNow) {
+  int n = OwnRouters(aNow);
+  for (const auto& [control, teller] : mControls) {
+    n += teller.mRouters;
+  }
+  return n;
+}
+
+std::set<std::string> LoadBook::Unreachable(std::int64_t aWitnesses,
+                                            Millis aNow) {
+  SumUp(aNow);
+  std::set<std::string> lost;
+  for (const auto& [instance, sum] : mSum) {
+    if (sum.mUnreachable >= aWitnesses) {
+      lost.insert(instance);
+    }
+  }
+  return lost;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/tests/servers/sources_test.cpp
@@ -0,0 +1,158 @@
+#include "spindleweir/core/error.h"
+#include "spindleweir/servers/membership/source_choice.h"
+#include "spindleweir/servers/routes/configuration_lease.h"
+#include "spindleweir/servers/routes/newest_confirmation.h"
+#include "spindleweir/servers/routing/load_book.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+/// Two controls in each of three zones.
+ControlDirectory SixControls() {
+  ControlDirectory directory;
+  for (int zone = 1; zone <= 3; zone++) {
+    for (int i = 1; i <= 2; i++) {
+      const Endpoint address{"10." + std::to_string(zone) + ".0.1", 7000 + i};
+      directory.Heard({.mId = ControlId(address, "first"),
+                       .mZone = "z" + std::to_string(zone)},
+                      0);
+    }
+  }
+  return directory;
+}
+
+SourceQuestion Question(const ControlDirectory& aDirectory,
+                        const std::string& aProcess) {
+  SourceQuestion question;
+  question.mDirectory = &aDirectory;
+  question.mProcess = aProcess;
+  question.mZone = "z2";
+  question.mNow = 1000;
+  return question;
+}
+
+LoadShares Work(const std::string& aInstance, int aRequests) {
+  return {{aInstance, {.mInstance = aInstance, .mRequests = aRequests}}};
+}
+
+}  // namespace
+
+Test(sources, a_router_asks_a_few_controls_of_several_zones) {
+  const ControlDirectory directory = SixControls();
+  SECTION("the first is of its own zone, the others of the other zones") {
+    const auto chosen = ChooseSources(Question(directory, "r1"));
+    REQUIRE(chosen.size() == 3);
+    CHECK(directory.ZoneAt(chosen[0]) == "z2");
+    CHECK(directory.ZoneAt(chosen[1]) != "z2");
+    CHECK(directory.ZoneAt(chosen[2]) != "z2");
+    CHECK(directory.ZoneAt(chosen[1]) != directory.ZoneAt(chosen[2]));
+  }
+  SECTION("routers spread over the controls of their zone") {
+    std::map<std::string, int> firsts;
+    for (int i = 0; i < 100; i++) {
+      const std::string process = "r" + std::to_string(i);
+      firsts[ChooseSources(Question(directory, process)).front().Text()]++;
+    }
+    CHECK(firsts.size() == 2);
+    CHECK(firsts.begin()->second > 25 && firsts.begin()->second < 75);
+  }
+  SECTION("one that does not answer is left for another, for a while") {
+    SourceQuestion question = Question(directory, "r1");
+    const std::string first = ChooseSources(question).front().Text();
+    question.mFailedAt[first] = 900;
+    const auto chosen = ChooseSources(question);
+    CHECK(chosen.front().Text() != first);
+    CHECK(directory.ZoneAt(chosen.front()) == "z2");
+    question.mNow = 900 + question.mAvoidFor;
+    CHECK(ChooseSources(question).front().Text() == first);
+  }
+  SECTION("a zone without control is served by the others") {
+    SourceQuestion question = Question(directory, "r1");
+    question.mFailedAt["10.2.0.1:7001"] = 900;
+    question.mFailedAt["10.2.0.1:7002"] = 900;
+    for (const Endpoint& address : ChooseSources(question)) {
+      CHECK(directory.ZoneAt(address) != "z2");
+    }
+  }
+  SECTION("where all are few, all are asked") {
+    ControlDirectory few;
+    few.SetSeeds({{"10.0.0.1", 1}, {"10.0.0.2", 1}});
+    CHECK(ChooseSources(Question(few, "r1")).size() == 2);
+  }
+}
+
+Test(sources, a_confirmation_may_come_by_another_control) {
+  // Found on the users' platform, grown: routers that asked no leader had no
+  // lease and refused everything.
+  NewestConfirmation held;
+  SECTION("nothing is passed on before something was confirmed") {
+    CHECK(held.Age(50) == -1);
+    held.Take(7, 100, -1);
+    CHECK(held.Age(150) == -1);
+  }
+  held.Take(7, 1000, 20);
+  SECTION("its age counts from when the other control was asked") {
+    CHECK(held.Version() == 7);
+    CHECK(held.Age(1100) == 120);
+  }
+  SECTION("an older one by another way changes nothing") {
+    held.Take(6, 1050, 400);
+    CHECK(held.Version() == 7);
+    CHECK(held.Age(1100) == 120);
+  }
+  SECTION("a router that lacks the version named gains no lease by it") {
+    ConfigurationLease lease(4000);
+    lease.Confirm(held.Version(), 6, 1100, held.Age(1100));
+    CHECK(!lease.Holds(1110));
+    lease.Confirm(held.Version(), 7, 1100, held.Age(1100));
+    CHECK(lease.Holds(1110));
+    CHECK(!lease.Holds(980 + 4000));
+  }
+}
+
+Test(loads, each_router_is_told_of_all_others) {
+  LoadBook book({.mKept = 2500, .mSumEvery = 40});
+  book.Tell("r1", Work("a", 3), 0);
+  book.Tell("r2", Work("a", 4), 0);
+  book.TellOfControl("c2", Work("a", 10), 5, 0);
+  SECTION("its own work is not among it") {
+    CHECK(book.OthersOf("r1", 0).at("a").mRequests == 14);
+    CHECK(book.OthersOf("r2", 0).at("a").mRequests == 13);
+  }
+  SECTION("also between two sums its own work is taken out as it was added") {
+    book.Tell("r1", Work("a", 100), 10);
+    CHECK(book.OthersOf("r1", 10).at("a").mRequests == 14);
+    CHECK(book.OthersOf("r2", 60).at("a").mRequests == 110);
+  }
+  SECTION("another control is told only what was told here") {
+    CHECK(book.Own(60).at("a").mRequests == 104);
+    CHECK(book.AllRouters(60) == 7);
+  }
+  SECTION("who says nothing counts for nothing") {
+    book.Tell("r2", Work("a", 1), 2000);
+    CHECK(book.OthersOf("r3", 2600).at("a").mRequests == 1);
+    CHECK(book.AllRouters(2600) == 1);
+  }
+}
+
+Test(loads, upstreams_are_lost_by_several_witnesses) {
+  LoadBook book({});
+  LoadShares lost{{"a", {.mInstance = "a", .mUnreachable = 1}}};
+  book.Tell("r1", lost, 0);
+  CHECK(book.Unreachable(2, 0).empty());
+  book.TellOfControl("c2", lost, 1, 50);
+  CHECK(book.Unreachable(2, 50).contains("a"));
+}
+
+Test(loads, tables_travel_without_rows_of_nothing) {
+  LoadShares shares = Work("a", 2);
+  shares["idle"].mInstance = "idle";
+  LoadTable table = LoadTable::Of(shares);
+  CHECK(table.mInstances.size() == 1);
+  CHECK(table.mUnreachable.empty());
+  CHECK(table.Shares() == Work("a", 2));
+  table.mFirsts = {1, 2};
+  CHECK(CodeThrownBy([&table] { table.Shares(); }) == ResultCode::kBadField);
+}
