A request uses nothing of its router once it has ended

A request that had ended stood in the loop's queue, was freed after the parts of the router, and its destructor took its stream off the guard.

Change: it goes off the guard when it ends. relay_test a_router_may_end_with_requests_in_flight fails under the address sanitizer without it (heap-use-after-free in ~RelayRequest).

--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -31,8 +31,13 @@
 
 RelayRequest::~RelayRequest() {
   DropAttempt();
+  StopWatching();
+}
+
+void RelayRequest::StopWatching() {
   if (mKey != 0) {
     mContext.mGuard->Remove(mKey);
+    mKey = 0;
   }
 }
 
@@ -241,7 +246,10 @@
       .Add("version",
            static_cast<Json::Int64>(mTable == nullptr ? 0 : mTable->Version()));
   Count(aOutcome, aStatus);
+  // From here on nothing of the router is used: it may end before the last
+  // reference to this goes.
   DropAttempt();
+  StopWatching();
   mTimeout.reset();
   mSilenceTimer.reset();
   mPathTimer.reset();
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -69,6 +69,7 @@
   LayerPath Without(const std::set<std::string>& aInstances) const;
   void Repath(LayerPath aPath, const char* aWhy);
   void WatchAttempt();
+  void StopWatching();
   /// Notes that these parts read all tokens so far.
   void BeginReading(const LayerPath& aParts);
   void EndReading();
--- a/tests/daemons/relay_test.cpp
+++ b/tests/daemons/relay_test.cpp
@@ -139,18 +139,46 @@
   }
 
   void Beat(const ScriptedUpstream& aUpstream, UpstreamState aState) {
+    Beat({.mInstance = aUpstream.Instance(),
+          .mService = "counter",
+          .mAddress = aUpstream.Address(),
+          .mZone = "z",
+          .mSlots = 6,
+          .mState = aState});
+  }
+
+  void Beat(UpstreamRecord aRecord) {
     bool acknowledged = false;
-    mControl->Beat({.mInstance = aUpstream.Instance(),
-                    .mService = "counter",
-                    .mAddress = aUpstream.Address(),
-                    .mZone = "z",
-                    .mSlots = 6,
-                    .mState = aState,
-                    .mSequence = ++mSequence},
-                   [&] { acknowledged = true; });
+    aRecord.mSequence = ++mSequence;
+    mControl->Beat(aRecord, [&] { acknowledged = true; });
     REQUIRE(RunUntil([&] { return acknowledged; }));
   }
 
+  /// An engine that holds all layers of the service "model".
+  void BeginEngine(const ScriptedUpstream& aEngine) {
+    TrafficConfiguration traffic = Traffic(8);
+    TrafficService model{.mName = "model"};
+    model.mEngine.mLayers = 8;
+    model.mEngine.mUsualAnswer = 10;
+    model.mEngine.mTokenBytes = 1;
+    model.mEngine.mKinds = {{.mName = "k", .mMemoryMb = 100}};
+    traffic.mServices.push_back(model);
+    traffic.mRoutes.back().mTargets = {{"model", 1}};
+    REQUIRE(Publish(Document(traffic)).mCode == ResultCode::kOk);
+    Beat({.mInstance = aEngine.Instance(),
+          .mService = "model",
+          .mAddress = aEngine.Address(),
+          .mZone = "z",
+          .mKind = "k",
+          .mSlots = 6,
+          .mLayers = {0, 8}});
+    for (int i = 0; aEngine.AllRuns() == 0; i++) {
+      REQUIRE(i < 200);
+      Call("/stream/x");
+      Wait(10);
+    }
+  }
+
   Answer Call(const std::string& aTarget, const std::string& aKey = "key") {
     Answer answer;
     bool ended = false;
@@ -377,3 +405,25 @@
     CHECK(header != nullptr && *header == "close");
   }
 }
+
+Test(relay, a_router_may_end_with_requests_in_flight) {
+  // Found on the users' platform, grown: at the end of the grace the requests
+  // that were left outlived the parts that they use.
+  Story story;
+  ScriptedUpstream engine(story.mLoop, "engine");
+  story.Begin();
+  story.BeginEngine(engine);
+  engine.Next({UpstreamAct::kSilent});
+  StreamCallOptions options;
+  options.mServer = story.mRouter->Address();
+  options.mTarget = "/stream/1";
+  options.mHeaders = {
+      {"Host", "shop"}, {"X-Request", "left"}, {"X-Key", "key"}};
+  bool ended = false;
+  options.mOnEnd = [&ended](StreamEnd) { ended = true; };
+  const auto call = StartStreamCall(story.mLoop, std::move(options));
+  REQUIRE(story.RunUntil([&] { return engine.Runs("left") == 1; }));
+  story.mRouter.reset();
+  CHECK(story.RunUntil([&] { return ended; }));
+  CHECK(story.RunUntil([&] { return engine.Closed() == 1; }));
+}
