A heartbeat heard by two ways can fall silent; whole paths in another zone cost less than ones that go over midway

They had taken all records anew from a control that started at 17 s; when control called the engines silent, by the same heartbeat, their account of when it was heard was some ms younger and the word was dropped, for good. Besides, paths that found their zone full went over to another midway: prompt and tokens then pass the pipe that all zones share.

Change: two accounts of one heartbeat may differ by a second. Beginning in another zone costs 120 ms in the choice, going over midway 500 as before (only the request's text passes between zones in the first case). Control logs which upstreams it calls silent.

Tests: registry a_heartbeat_heard_by_two_ways_can_fall_silent fails without it; layers where the own zone is full.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -163,8 +163,15 @@
 
 void SyncService::AskOthers() {
   if (!CutOff()) {
-    mRegistry.Expire(kMissedBeats * mContext.mOptions.mHeartbeatInterval,
-                     SteadyNow());
+    for (const UpstreamRecord& record :
+         mRegistry.Expire(kMissedBeats * mContext.mOptions.mHeartbeatInterval,
+                          SteadyNow())) {
+      LogLine(LogLevel::kInfo, "upstream_silent")
+          .Add("instance", record.mInstance)
+          .Add("address", record.mAddress)
+          .Add("sequence", static_cast<Json::Int64>(record.mSequence))
+          .Add("heard_ago_ms", static_cast<Json::Int64>(record.mHeardAgo));
+    }
   }
   const Endpoint own = mContext.mOptions.mRpcListen;
   for (const Endpoint& address : mDirectory.Addresses(SteadyNow())) {
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -109,6 +109,7 @@
 LayerPath RelayRequest::Without(const std::set<std::string>& aInstances) const {
   PathQuestion question = EngineQuestion();
   question.mReadTokens += mEvents;
+  question.mFromEngine = true;
   for (const PathPart& part : mAttempt->mPath) {
     question.mAvoid.insert(part.mInstance);
   }
--- a/include/spindleweir/servers/membership/upstream_registry.h
+++ b/include/spindleweir/servers/membership/upstream_registry.h
@@ -80,8 +80,8 @@
   /// Takes what another registry knows.
   bool Merge(const UpstreamRecord& aRecord, Millis aNow);
   /// Marks those silent that were not heard for aSilence, and forgets those
-  /// that are gone or silent for long. Returns whether one changed.
-  bool Expire(Millis aSilence, Millis aNow);
+  /// that are gone or silent for long. Returns those that are silent now.
+  std::vector<UpstreamRecord> Expire(Millis aSilence, Millis aNow);
 
   /// The revision of the newest change.
   std::int64_t Revision() const { return mRevision; }
--- a/include/spindleweir/servers/routing/layer_path.h
+++ b/include/spindleweir/servers/routing/layer_path.h
@@ -36,7 +36,8 @@
 /// What a path is chosen by.
 struct PathQuestion {
   const EngineProfile* mProfile = nullptr;
-  std::string mZone;         ///< Where the router is.
+  std::string mZone;         ///< Where the router, or the engine before, is.
+  bool mFromEngine = false;  ///< The path goes on from an engine.
   double mTokens = 0;        ///< Prompt and expected answer.
   double mReadTokens = 0;    ///< To be read at first.
   double mAnswerTokens = 0;  ///< Expected.
--- a/servers/membership/upstream_registry.cpp
+++ b/servers/membership/upstream_registry.cpp
@@ -10,6 +10,9 @@
 /// heartbeat does not bring it back.
 constexpr Millis kEndedKept = 60000;
 
+/// How far two accounts of when the same heartbeat was heard may differ.
+constexpr Millis kHeardWithin = 1000;
+
 /// What matters to routers.
 bool SameForRouters(const UpstreamRecord& aLeft, const UpstreamRecord& aRight) {
   return aLeft.mState == aRight.mState && aLeft.mLayers == aRight.mLayers &&
@@ -51,11 +54,12 @@
     }
   } else {
     const bool ends = Ends(aRecord.mState) && aRecord.mState > before.mState;
-    // Only who has heard as much may say that it is silent.
+    // Only who has heard as much may say that it is silent. When that was is
+    // known the less well the more processes it went through.
     const bool silent = aRecord.mState == UpstreamState::kSilent &&
                         before.mState == UpstreamState::kReady &&
                         aRecord.mSequence == before.mSequence &&
-                        aHeardAt >= item.mHeardAt;
+                        aHeardAt + kHeardWithin >= item.mHeardAt;
     item.mRecord.mState = ends || silent ? aRecord.mState : before.mState;
   }
   item.mHeardAt = std::max(item.mHeardAt, aHeardAt);
@@ -98,8 +102,9 @@
   return true;
 }
 
-bool UpstreamRegistry::Expire(Millis aSilence, Millis aNow) {
-  bool changed = false;
+std::vector<UpstreamRecord> UpstreamRegistry::Expire(Millis aSilence,
+                                                     Millis aNow) {
+  std::vector<UpstreamRecord> fell;
   for (auto it = mItems.begin(); it != mItems.end();) {
     Item& item = it->second;
     const Millis silent = aNow - item.mHeardAt;
@@ -111,11 +116,12 @@
       item.mRecord.mState = UpstreamState::kSilent;
       item.mChangedAt = ++mRevision;
       item.mTouchedAt = mRevision;
-      changed = true;
+      fell.push_back(item.mRecord);
+      fell.back().mHeardAgo = silent;
     }
     ++it;
   }
-  return changed;
+  return fell;
 }
 
 std::vector<UpstreamRecord> UpstreamRegistry::ChangedSince(
--- a/servers/routing/layer_path.cpp
+++ b/servers/routing/layer_path.cpp
@@ -8,9 +8,12 @@
 namespace {
 
 constexpr double kNone = std::numeric_limits<double>::infinity();
-/// What a step to another zone costs beside its time: pipes are shared, and
-/// what passes them is paid for.
-constexpr double kOtherZoneCost = 500;
+/// What a step from one engine to another zone costs beside its time: the
+/// prompt and each token pass a pipe that all share.
+constexpr double kPipeCost = 500;
+/// What it costs to begin in another zone: only the request's text and its
+/// events pass between the zones, but the zone has work of its own.
+constexpr double kOtherZoneCost = 120;
 /// A token waits at each engine for the pass that is under way.
 constexpr double kWaitForPass = 2;
 /// Of the requests that an engine has, this part is in one pass with another;
@@ -122,14 +125,18 @@
   }
 
   double HopCost(const Reached& aHere, const Candidate& aNext) const {
+    const bool fromRouter = aHere.mCandidate < 0 && !mQuestion.mFromEngine;
     const std::string& zone =
         aHere.mCandidate < 0
             ? mQuestion.mZone
             : mCandidates[static_cast<std::size_t>(aHere.mCandidate)]
                   .mRecord->mZone;
     const bool other = zone != aNext.mRecord->mZone;
+    if (fromRouter) {
+      return other ? kOtherZoneCost : 0;
+    }
     const double each = HopMillis(*mQuestion.mProfile, other);
-    return each * (1 + mQuestion.mAnswerTokens) + (other ? kOtherZoneCost : 0);
+    return each * (1 + mQuestion.mAnswerTokens) + (other ? kPipeCost : 0);
   }
 
   double PartCost(const Candidate& aCandidate, int aLayers) const {
--- a/tests/servers/layers_test.cpp
+++ b/tests/servers/layers_test.cpp
@@ -65,6 +65,14 @@
       return aRecord.mInstance == aInstance;
     });
   }
+  const UpstreamRecord* Find(const std::string& aInstance) const {
+    for (const UpstreamRecord& record : mRecords) {
+      if (record.mInstance == aInstance) {
+        return &record;
+      }
+    }
+    return nullptr;
+  }
   /// Whether each layer is held in a zone.
   bool Whole(const std::string& aZone, int aLayers) const {
     std::vector<bool> held(static_cast<std::size_t>(aLayers), false);
@@ -194,6 +202,25 @@
     CHECK(ChoosePath(question).mPath.empty());
     CHECK(ChoosePath(question).mLacksRoom);
   }
+  SECTION("where the own zone is full the whole path is in another") {
+    // Found on the users' platform, grown: paths went over to another zone
+    // midway, and the pipe between the zones held up all of them.
+    const auto full = [&engines](const std::string& aInstance, int aFrom) {
+      const UpstreamRecord* record = engines.Find(aInstance);
+      const bool counts = record->mZone == "z" && record->mLayers.mTo > aFrom;
+      return EngineLoad{.mTokenLayers = counts ? 1e12 : 0};
+    };
+    for (int from : {0, 40}) {
+      question.mLoadOf = [&](const std::string& aInstance) {
+        return full(aInstance, from);
+      };
+      const LayerPath path = ChoosePath(question).mPath;
+      CHECK(IsWhole(path, profile.mLayers));
+      for (const PathPart& part : path) {
+        CHECK(engines.Find(part.mInstance)->mZone == "other");
+      }
+    }
+  }
   SECTION("a part of the layers alone") {
     question.mLoadOf = [](const std::string&) { return EngineLoad{}; };
     question.mLayers = {20, 50};
--- a/tests/servers/registry_test.cpp
+++ b/tests/servers/registry_test.cpp
@@ -59,13 +59,28 @@
 Test(registry, silence_ends_with_the_next_heartbeat) {
   UpstreamRegistry registry;
   registry.Beat(Record("a", 1), 0);
-  CHECK(!registry.Expire(3600, 3600));
-  CHECK(registry.Expire(3600, 3601));
+  CHECK(registry.Expire(3600, 3600).empty());
+  CHECK(registry.Expire(3600, 3601).size() == 1);
   CHECK(StateOf(registry, "a") == UpstreamState::kSilent);
   CHECK(registry.Beat(Record("a", 2), 3700));
   CHECK(StateOf(registry, "a") == UpstreamState::kReady);
 }
 
+Test(registry, a_heartbeat_heard_by_two_ways_can_fall_silent) {
+  // Found on the users' platform, grown: routers that took all records anew
+  // from a control that had just started went on using dead engines.
+  UpstreamRegistry registry;
+  UpstreamRecord word = Record("a", 23);
+  word.mHeardAgo = 40;
+  registry.Merge(word, 1000);
+  word.mHeardAgo = 33;
+  registry.Merge(word, 1000);
+  word.mState = UpstreamState::kSilent;
+  word.mHeardAgo = 3640;
+  CHECK(registry.Merge(word, 4600));
+  CHECK(StateOf(registry, "a") == UpstreamState::kSilent);
+}
+
 Test(registry, who_was_cut_off_does_not_silence_others) {
   // Found on the users' platform: after a cut of a zone its control told all
   // others that their upstreams were silent.
