Routers ask each part of control about upstreams that another calls silent

Change: a router's question names the upstreams that it holds for silent, by the newest heartbeat it knows; a control that heard a later one says so.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -107,6 +107,10 @@
   const std::int64_t known =
       aQuestion.mKnows == mLife ? aQuestion.mRevision : 0;
   answer.mUpstreams = mRegistry.ChangedSince(known, fromControl, now);
+  for (const UpstreamRecord& record :
+       mRegistry.HeardLater(aQuestion.mSilent, SilentAfter(), now)) {
+    answer.mUpstreams.push_back(record);
+  }
   answer.mConfiguration = Traffic().mVersion;
   ConfirmOwn(now);
   answer.mConfirmedVersion = mConfirmation.Version();
@@ -161,11 +165,14 @@
   return heard * 2 <= mLog.Raft().Voters().size();
 }
 
+Millis SyncService::SilentAfter() const {
+  return kMissedBeats * mContext.mOptions.mHeartbeatInterval;
+}
+
 void SyncService::AskOthers() {
   if (!CutOff()) {
     for (const UpstreamRecord& record :
-         mRegistry.Expire(kMissedBeats * mContext.mOptions.mHeartbeatInterval,
-                          SteadyNow())) {
+         mRegistry.Expire(SilentAfter(), SteadyNow())) {
       LogLine(LogLevel::kInfo, "upstream_silent")
           .Add("instance", record.mInstance)
           .Add("address", record.mAddress)
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -55,6 +55,8 @@
   /// Whether most of control cannot be heard: then it is this process that
   /// is cut off, and the silence of upstreams says nothing of them.
   bool CutOff() const;
+  /// An upstream that was not heard for so long counts as silent.
+  Millis SilentAfter() const;
   ControlInfo Self() const;
 
   ControlContext& mContext;
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -69,6 +69,7 @@
   question.mRevision = source.mRevision;
   question.mConfiguration =
       mContext.Table() == nullptr ? 0 : mContext.Table()->Version();
+  question.mSilent = mContext.mRegistry.Silent();
   question.mTellsLoads = aAddress.Text() == mNear;
   if (question.mTellsLoads) {
     question.mLoads = LoadTable::Of(mContext.OwnLoads());
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -23,9 +23,10 @@
   std::string mZone;
   ControlInfo mControl;  ///< Of a control that asks; else without id.
   std::string mKnows;    ///< The life of the answerer that mRevision is of.
-  std::int64_t mRevision = 0;       ///< Of its registry, known so far.
-  std::int64_t mConfiguration = 0;  ///< The version held.
-  bool mTellsLoads = false;         ///< mLoads replaces what was told before.
+  std::int64_t mRevision = 0;           ///< Of its registry, known so far.
+  std::int64_t mConfiguration = 0;      ///< The version held.
+  std::vector<SilentUpstream> mSilent;  ///< Held for silent by who asks.
+  bool mTellsLoads = false;  ///< mLoads replaces what was told before.
   LoadTable mLoads;
 
   template <class Codec>
@@ -36,6 +37,7 @@
     aCodec.Field("knows", mKnows);
     aCodec.Field("revision", mRevision);
     aCodec.Field("configuration", mConfiguration);
+    aCodec.Field("silent", mSilent);
     aCodec.Field("tells_loads", mTellsLoads);
     aCodec.Field("loads", mLoads);
   }
--- a/include/spindleweir/servers/membership/upstream_registry.h
+++ b/include/spindleweir/servers/membership/upstream_registry.h
@@ -68,6 +68,18 @@
   }
 };
 
+/// An upstream that a process holds for silent, by what it knows.
+struct SilentUpstream {
+  std::string mInstance;
+  std::int64_t mSequence = 0;  ///< Of the newest heartbeat known.
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("instance", mInstance);
+    aCodec.Required("sequence", mSequence);
+  }
+};
+
 /// The registry of one control process; also what a router knows of all
 /// registries together. Decisions only: the time comes with each call.
 class UpstreamRegistry {
@@ -90,6 +102,13 @@
   std::vector<UpstreamRecord> ChangedSince(std::int64_t aRevision,
                                            bool aHeartbeats, Millis aNow) const;
 
+  std::vector<SilentUpstream> Silent() const;
+  /// Those of a list that were heard here later than the list knows, and
+  /// within aWithin: where control is split, heartbeats reach either part.
+  std::vector<UpstreamRecord> HeardLater(
+      const std::vector<SilentUpstream>& aSilent, Millis aWithin,
+      Millis aNow) const;
+
   const UpstreamRecord* Find(const std::string& aInstance) const;
   /// All records of a service, or of all where it is empty.
   std::vector<const UpstreamRecord*> OfService(
--- a/include/spindleweir/servers/routes/traffic_configuration.h
+++ b/include/spindleweir/servers/routes/traffic_configuration.h
@@ -2,9 +2,9 @@
 /// plans: routes, services, workspaces with their keys, and limits.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "spindleweir/core/clock.h"
@@ -36,7 +36,10 @@
   std::string mHost;
   std::string mPrefix;
 
-  auto operator<=>(const RoutePlace&) const = default;
+  bool operator==(const RoutePlace&) const = default;
+  bool operator<(const RoutePlace& aOther) const {
+    return std::tie(mHost, mPrefix) < std::tie(aOther.mHost, aOther.mPrefix);
+  }
   template <class Codec>
   void Fields(Codec& aCodec) {
     aCodec.Required("host", mHost);
--- a/servers/membership/upstream_registry.cpp
+++ b/servers/membership/upstream_registry.cpp
@@ -137,6 +137,37 @@
   return records;
 }
 
+std::vector<SilentUpstream> UpstreamRegistry::Silent() const {
+  std::vector<SilentUpstream> silent;
+  for (const auto& [instance, item] : mItems) {
+    if (item.mRecord.mState == UpstreamState::kSilent) {
+      silent.push_back({instance, item.mRecord.mSequence});
+    }
+  }
+  return silent;
+}
+
+std::vector<UpstreamRecord> UpstreamRegistry::HeardLater(
+    const std::vector<SilentUpstream>& aSilent, Millis aWithin,
+    Millis aNow) const {
+  std::vector<UpstreamRecord> records;
+  for (const SilentUpstream& silent : aSilent) {
+    const auto it = mItems.find(silent.mInstance);
+    if (it == mItems.end()) {
+      continue;
+    }
+    const Item& item = it->second;
+    const bool later = item.mRecord.mState == UpstreamState::kReady &&
+                       item.mRecord.mSequence > silent.mSequence &&
+                       aNow - item.mHeardAt <= aWithin;
+    if (later) {
+      records.push_back(item.mRecord);
+      records.back().mHeardAgo = aNow - item.mHeardAt;
+    }
+  }
+  return records;
+}
+
 const UpstreamRecord* UpstreamRegistry::Find(
     const std::string& aInstance) const {
   const auto it = mItems.find(aInstance);
--- a/tests/servers/registry_test.cpp
+++ b/tests/servers/registry_test.cpp
@@ -81,6 +81,32 @@
   CHECK(StateOf(registry, "a") == UpstreamState::kSilent);
 }
 
+Test(registry, a_part_of_control_that_hears_one_says_so_to_who_doubts) {
+  // Found on the users' platform: while control was split, the part that an
+  // upstream's heartbeats did not reach called it silent, and routers that
+  // ask both parts were told of that alone.
+  UpstreamRegistry here;
+  UpstreamRegistry there;
+  UpstreamRegistry router;
+  here.Beat(Record("a", 12), 0);
+  there.Beat(Record("a", 12), 0);
+  there.Beat(Record("a", 14), 2400);
+  REQUIRE(here.Expire(3600, 3700).size() == 1);
+  for (const UpstreamRecord& record : here.ChangedSince(0, false, 3700)) {
+    router.Merge(record, 3700);
+  }
+  CHECK(StateOf(router, "a") == UpstreamState::kSilent);
+  CHECK(here.HeardLater(router.Silent(), 3600, 3800).empty());
+  SECTION("one that was heard long ago proves nothing") {
+    CHECK(there.HeardLater(router.Silent(), 3600, 6100).empty());
+  }
+  for (const UpstreamRecord& record :
+       there.HeardLater(router.Silent(), 3600, 3800)) {
+    router.Merge(record, 3800);
+  }
+  CHECK(StateOf(router, "a") == UpstreamState::kReady);
+}
+
 Test(registry, who_was_cut_off_does_not_silence_others) {
   // Found on the users' platform: after a cut of a zone its control told all
   // others that their upstreams were silent.
