Read again: one hash, one bound, addresses of controls read once, dead fields out

source_choice had a hash of its own beside FastHash (the same one); three constants said how long a text of our own may be; ControlDirectory read the address out of each id again at each question, ten times a second in each router. Out: EngineLoad's slowness, which nothing sets any more, the answer's version, which nobody reads since news follow unasked, SyncLink's Joined.

--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -150,7 +150,7 @@
     } else if (published.mVersion == 0) {
       aDone(Refusal(ResultCode::kNotReady, "no configuration was accepted"));
     } else {
-      aDone({.mDocument = Unpack(published.mDocument, kMaximumRpcBytes)});
+      aDone({.mDocument = Unpack(published.mDocument, kMostUnpacked)});
     }
   });
 }
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -28,7 +28,6 @@
 /// other control has it.
 constexpr Millis kTellTimeout = 500;
 constexpr int kLifeBytes = 6;
-constexpr std::size_t kMostDocument = 64 * 1024 * 1024;
 /// Another control that did not answer for so long is not in contact.
 constexpr Millis kContact = 1500;
 /// Routers that must agree that an upstream cannot be reached.
@@ -57,7 +56,7 @@
       return;
     }
     mTraffic.Take(mContext.mOptions.mDocuments.mRead(
-        Unpack(aPublished.mDocument, kMostDocument)));
+        Unpack(aPublished.mDocument, kMostUnpacked)));
     mContext.mCounters.Set("traffic_version", Traffic().mVersion);
     LogLine(LogLevel::kInfo, "configuration_accepted")
         .Add("version", static_cast<Json::Int64>(Traffic().mVersion))
@@ -111,7 +110,6 @@
        mRegistry.HeardLater(aQuestion.mSilent, SilentAfter(), now)) {
     answer.mUpstreams.push_back(record);
   }
-  answer.mConfiguration = Traffic().mVersion;
   ConfirmOwn(now);
   answer.mConfirmedVersion = mConfirmation.Version();
   answer.mConfirmedAgo = mConfirmation.Age(now);
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -134,7 +134,6 @@
     mContext.mLease.Confirm(aAnswer.mConfirmedVersion, held, aAskedAt,
                             aAnswer.mConfirmedAgo);
   }
-  mJoined = true;
 }
 
 }  // namespace spindleweir
--- a/daemons/relay/sync_link.h
+++ b/daemons/relay/sync_link.h
@@ -14,9 +14,6 @@
  public:
   explicit SyncLink(RelayContext& aContext);
 
-  /// Whether a control has answered.
-  bool Joined() const { return mJoined; }
-
  private:
   /// One control process, by address.
   struct Source {
@@ -41,7 +38,6 @@
   std::string mNear;  ///< The address that loads are told to.
   std::map<std::string, Millis> mFailedAt;  ///< By address.
   Millis mLoadsAt = 0;  ///< When loads of others were heard last.
-  bool mJoined = false;
   std::unique_ptr<Timer> mTimer;
 };
 
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -52,7 +52,6 @@
   std::int64_t mTerm = 0;
   std::int64_t mRevision = 0;
   std::vector<UpstreamRecord> mUpstreams;  ///< Those that changed.
-  std::int64_t mConfiguration = 0;         ///< The version held.
   /// No newer version than this was accepted so long ago; -1: not known.
   std::int64_t mConfirmedVersion = 0;
   Millis mConfirmedAgo = -1;
@@ -71,7 +70,6 @@
     aCodec.Field("term", mTerm);
     aCodec.Field("revision", mRevision);
     aCodec.Field("upstreams", mUpstreams);
-    aCodec.Field("configuration", mConfiguration);
     aCodec.Field("confirmed_version", mConfirmedVersion);
     aCodec.Field("confirmed_ago_ms", mConfirmedAgo);
     aCodec.Field("news", mNews);
--- a/include/spindleweir/servers/membership/control_directory.h
+++ b/include/spindleweir/servers/membership/control_directory.h
@@ -56,6 +56,7 @@
  private:
   struct Item {
     ControlInfo mInfo;
+    Endpoint mAddress;  ///< Read from the id once.
     Millis mHeardAt = 0;
   };
 
--- a/include/spindleweir/servers/routing/layer_path.h
+++ b/include/spindleweir/servers/routing/layer_path.h
@@ -30,7 +30,6 @@
   double mTokenLayers = 0;      ///< Memory promised to them.
   double mFirsts = 0;           ///< Requests that have it as the first.
   double mReadTokenLayers = 0;  ///< Still to be read by it.
-  double mSlowness = 1;         ///< Times that it takes longer than it should.
 };
 
 /// What a path is chosen by.
--- a/servers/membership/control_directory.cpp
+++ b/servers/membership/control_directory.cpp
@@ -33,7 +33,12 @@
   if (aInfo.mId.empty()) {
     return;
   }
-  Item& item = mItems[aInfo.mId];
+  auto it = mItems.find(aInfo.mId);
+  if (it == mItems.end()) {
+    const Endpoint address = AddressOfControl(aInfo.mId);
+    it = mItems.emplace(aInfo.mId, Item{.mAddress = address}).first;
+  }
+  Item& item = it->second;
   const Millis at = aNow - aInfo.mHeardAgo;
   if (item.mInfo.mId.empty() || at >= item.mHeardAt) {
     item.mInfo = aInfo;
@@ -45,11 +50,10 @@
 std::vector<Endpoint> ControlDirectory::Addresses(Millis aNow) const {
   std::vector<Endpoint> addresses = mSeeds;
   for (const auto& [id, item] : mItems) {
-    const Endpoint address = AddressOfControl(id);
-    const bool known = std::find(addresses.begin(), addresses.end(), address) !=
-                       addresses.end();
+    const bool known = std::find(addresses.begin(), addresses.end(),
+                                 item.mAddress) != addresses.end();
     if (!known && aNow - item.mHeardAt < kForgotten) {
-      addresses.push_back(address);
+      addresses.push_back(item.mAddress);
     }
   }
   return addresses;
@@ -76,7 +80,7 @@
   const Item* newest = nullptr;
   for (const auto& [id, item] : mItems) {
     const bool newer = newest == nullptr || item.mHeardAt > newest->mHeardAt;
-    if (newer && AddressOfControl(id) == aAddress) {
+    if (newer && item.mAddress == aAddress) {
       newest = &item;
     }
   }
@@ -94,8 +98,7 @@
   return std::any_of(mItems.begin(), mItems.end(), [&](const auto& aItem) {
     const bool newer =
         own == mItems.end() || aItem.second.mHeardAt > own->second.mHeardAt;
-    return aItem.first != aId && newer &&
-           AddressOfControl(aItem.first) == address;
+    return aItem.first != aId && newer && aItem.second.mAddress == address;
   });
 }
 
--- a/servers/membership/source_choice.cpp
+++ b/servers/membership/source_choice.cpp
@@ -1,11 +1,11 @@
 #include "spindleweir/servers/membership/source_choice.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <set>
 #include <tuple>
 
+#include "spindleweir/core/digest.h"
+
 namespace spindleweir {
 
 namespace {
@@ -18,10 +18,6 @@
   std::uint64_t mHash = 0;
 };
 
-std::uint64_t HashOf(const std::string& aText) {
-  return XXH64(aText.data(), aText.size(), 0);
-}
-
 Candidate Describe(const SourceQuestion& aQuestion, const Endpoint& aAddress) {
   Candidate candidate;
   candidate.mAddress = aAddress;
@@ -30,7 +26,7 @@
   const auto it = aQuestion.mFailedAt.find(text);
   candidate.mFails = it != aQuestion.mFailedAt.end() &&
                      aQuestion.mNow - it->second < aQuestion.mAvoidFor;
-  candidate.mHash = HashOf(aQuestion.mProcess + " " + text);
+  candidate.mHash = FastHash(aQuestion.mProcess + " " + text);
   return candidate;
 }
 
--- a/servers/routes/traffic_change.cpp
+++ b/servers/routes/traffic_change.cpp
@@ -13,7 +13,6 @@
 
 /// Changes kept; a router that lacks more of them takes the whole.
 constexpr std::size_t kChangesKept = 32;
-constexpr std::size_t kMostUnpacked = 64 * 1024 * 1024;
 
 /// Routes by where they stand, which differs for all of a configuration.
 using RoutesByPlace = std::map<RoutePlace, const TrafficRoute*>;
--- a/servers/routing/layer_path.cpp
+++ b/servers/routing/layer_path.cpp
@@ -196,7 +196,7 @@
     const double queue =
         aCandidate.mModel.ReadMillis(1, 1) * aCandidate.mLoad.mReadTokenLayers;
     return (step * mQuestion.mAnswerTokens + read + queue) *
-               aCandidate.mLoad.mSlowness * aCandidate.mSpread +
+               aCandidate.mSpread +
            scarcity;
   }
 
