A zone's placement is chosen by what it serves now and after the next loss

One row and cover for what was held least left 7 to 10 of 10 to 15 engines whose loss made a hole; their streams waited 0.8 s, since nothing in the zone could take their layers, and were sent anew to other zones. A hole was closed by one engine that had room for all of it, or by neighbours that gave up the room of requests. Change: ValueOf gives the share of a zone's demand (the tokens that an engine is built for) that it has room for, now and after the loss of any one engine. Rows and groups of twins, at several rooms, are judged by it and the best is dealt; an engine that comes empty goes where it gains most; several spare engines close one hole; a zone that has become lopsided makes one move at a time where the gain is 0.04 or more. Test: layers_test, a zone that holds the weights once and a half.

--- a/daemons/control/layer_placer.cpp
+++ b/daemons/control/layer_placer.cpp
@@ -76,6 +76,7 @@
       mPending.erase(it);
     } else {
       engines.back().mLayers = it->second.mLayers;
+      engines.back().mBusy = true;
     }
   }
   if (engines.empty() || !Settled(aService.mName, engines.size(), now)) {
--- a/include/spindleweir/servers/engines/engine_model.h
+++ b/include/spindleweir/servers/engines/engine_model.h
@@ -23,6 +23,8 @@
   int MostLayers() const;
   /// Room for requests beside aLayers layers, in tokens x layers.
   double Room(int aLayers) const;
+  /// The most layers beside which so many tokens have room.
+  int LayersBeside(double aTokens) const;
   /// One step of all writers through aLayers layers.
   double StepMillis(int aLayers, const StageLoad& aLoad) const;
   /// Reading a prompt through aLayers layers.
--- a/include/spindleweir/servers/placement/layer_planner.h
+++ b/include/spindleweir/servers/placement/layer_planner.h
@@ -1,5 +1,7 @@
-/// Decides which layers each engine of a service holds: whole rows of the
-/// fastest engines of a zone first, then cover for what is held least.
+/// Decides which layers each engine of a service holds. A zone is worth what
+/// share of its demand it has room for, now and after the loss of any one
+/// engine; of whole rows of the fastest engines and of groups whose engines
+/// share their layers, the placement with most of it is taken.
 #pragma once
 
 #include <string>
@@ -19,9 +21,9 @@
 };
 
 /// Orders for the engines that hold nothing, and for layers that no engine of
-/// a zone holds any more: an engine whose layers others hold too takes them,
-/// else those beside the hole grow into it. Other engines keep what they
-/// hold: every load costs time and money.
+/// a zone holds any more: engines whose layers others hold too take them, else
+/// those beside the hole grow into it. Where neither is to be done, the one
+/// move that gains clearly more than its load costs.
 std::vector<LayerOrder> PlanLayers(
     const EngineProfile& aProfile,
     const std::vector<const UpstreamRecord*>& aEngines);
--- a/include/spindleweir/servers/routes/traffic_configuration.h
+++ b/include/spindleweir/servers/routes/traffic_configuration.h
@@ -113,6 +113,7 @@
   double mLayerMb = 0;
   int mSlots = 0;               ///< Requests at once at the first of a chain.
   double mTokenBytes = 0;       ///< Memory of a token over all layers.
+  double mCapacityTokens = 0;   ///< Tokens at once that an engine is built for.
   double mActivationBytes = 0;  ///< Handed on for each token.
   double mLinkMbps = 0;         ///< Within a zone.
   double mPipeMbps = 0;         ///< Between zones, shared.
@@ -139,6 +140,7 @@
     aCodec.Field("layer_mb", mLayerMb);
     aCodec.Field("slots", mSlots);
     aCodec.Field("token_bytes", mTokenBytes);
+    aCodec.Field("capacity_tokens", mCapacityTokens);
     aCodec.Field("activation_bytes", mActivationBytes);
     aCodec.Field("link_mbps", mLinkMbps);
     aCodec.Field("pipe_mbps", mPipeMbps);
--- a/servers/engines/engine_model.cpp
+++ b/servers/engines/engine_model.cpp
@@ -31,6 +31,14 @@
   return each <= 0 ? 0 : std::max(0.0, bytes / each);
 }
 
+int EngineModel::LayersBeside(double aTokens) const {
+  const double each = mProfile.mTokenBytes / std::max(1, mProfile.mLayers);
+  const double layerMb = mProfile.mLayerMb + aTokens * each / kBytesPerMb;
+  const double most =
+      layerMb <= 0 ? mProfile.mLayers : mKind.mMemoryMb / layerMb;
+  return std::min(MostLayers(), static_cast<int>(most));
+}
+
 double EngineModel::Share(int aLayers) const {
   return static_cast<double>(aLayers) / std::max(1, mProfile.mLayers);
 }
--- /dev/null
+++ b/servers/placement/zone_repair.cpp
@@ -0,0 +1,214 @@
+#include "servers/placement/zone_repair.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "servers/placement/zone_value.h"
+
+namespace spindleweir {
+
+namespace {
+
+/// What a move must gain, in served share, to be worth a load.
+constexpr double kWorthALoad = 0.04;
+
+/// A placement with its worth.
+struct Choice {
+  LayerRange mLayers;
+  ZoneValue mValue;
+  double mHeld = 0;  ///< Memory that others bring to each of the layers.
+
+  bool BetterThan(const Choice& aOther) const {
+    return mValue != aOther.mValue ? mValue > aOther.mValue
+                                   : mHeld < aOther.mHeld;
+  }
+};
+
+LayerCover CoverOf(const EngineProfile& aProfile,
+                   const std::vector<Holder>& aHolders) {
+  LayerCover cover(aProfile.mLayers);
+  for (const Holder& holder : aHolders) {
+    cover.Add(holder.mLayers);
+  }
+  return cover;
+}
+
+/// Memory that the holders bring to each layer.
+std::vector<double> MemoryByLayer(const EngineProfile& aProfile,
+                                  const std::vector<Holder>& aHolders) {
+  std::vector<double> memory(static_cast<std::size_t>(aProfile.mLayers), 0.0);
+  for (const Holder& holder : aHolders) {
+    const LayerRange& layers = holder.mLayers;
+    for (int i = layers.mFrom; i < layers.mTo; i++) {
+      memory[static_cast<std::size_t>(i)] +=
+          holder.mCard.mKind->mMemoryMb / layers.Count();
+    }
+  }
+  return memory;
+}
+
+/// How many layers a card may be given: enough room for a zone's demand alone,
+/// or for half of it beside another.
+LayerRange CountsFor(const EngineProfile& aProfile, const Card& aCard) {
+  const double tokens = aProfile.mCapacityTokens;
+  if (tokens <= 0) {
+    const int n = std::max(1, aCard.MostIn(kWeightShare));
+    return {n, n};
+  }
+  const EngineModel model(aProfile, *aCard.mKind);
+  const int least = std::max(1, model.LayersBeside(tokens));
+  return {least, std::max(least, model.LayersBeside(tokens / 2))};
+}
+
+/// The best layers for the last of the holders.
+Choice BestForLast(const EngineProfile& aProfile,
+                   std::vector<Holder>& aHolders) {
+  Holder& last = aHolders.back();
+  const LayerRange before = last.mLayers;
+  last.mLayers = {};
+  const std::vector<double> memory = MemoryByLayer(aProfile, aHolders);
+  const LayerRange counts = CountsFor(aProfile, last.mCard);
+  Choice best;
+  for (int n = counts.mFrom; n <= counts.mTo; n++) {
+    for (int from = 0; from + n <= aProfile.mLayers; from++) {
+      last.mLayers = {from, from + n};
+      Choice choice{.mLayers = last.mLayers,
+                    .mValue = ValueOf(aProfile, aHolders)};
+      for (int i = from; i < from + n; i++) {
+        choice.mHeld += memory[static_cast<std::size_t>(i)] / n;
+      }
+      if (best.mLayers.Count() == 0 || choice.BetterThan(best)) {
+        best = choice;
+      }
+    }
+  }
+  last.mLayers = before;
+  return best;
+}
+
+/// How many layers more a card may take.
+int Growth(const Holder* aHolder) {
+  if (aHolder == nullptr) {
+    return 0;
+  }
+  const int most = aHolder->mCard.MostIn(kMostWeightShare);
+  return std::max(0, most - aHolder->mLayers.Count());
+}
+
+/// Closes a hole by cards beside it that take more; each load is short, and
+/// what they hold goes on serving.
+void GrowInto(const std::vector<Holder>& aHolders, const LayerRange& aHole,
+              std::vector<LayerOrder>& aOut) {
+  const Holder* left = nullptr;
+  const Holder* right = nullptr;
+  for (const Holder& holder : aHolders) {
+    const bool endsThere = holder.mLayers.mTo == aHole.mFrom;
+    const bool beginsThere = holder.mLayers.mFrom == aHole.mTo;
+    if (endsThere && Growth(&holder) > Growth(left)) {
+      left = &holder;
+    }
+    if (beginsThere && Growth(&holder) > Growth(right)) {
+      right = &holder;
+    }
+  }
+  const int most = Growth(left) + Growth(right);
+  if (most == 0) {
+    return;
+  }
+  const int needed = std::min(aHole.Count(), most);
+  const int byLeft = std::min(
+      Growth(left), static_cast<int>(std::lround(
+                        needed * static_cast<double>(Growth(left)) / most)));
+  const int byRight = std::min(Growth(right), needed - byLeft);
+  if (byLeft > 0) {
+    aOut.push_back({left->mCard.mRecord->mInstance,
+                    {left->mLayers.mFrom, left->mLayers.mTo + byLeft}});
+  }
+  if (byRight > 0) {
+    aOut.push_back({right->mCard.mRecord->mInstance,
+                    {right->mLayers.mFrom - byRight, right->mLayers.mTo}});
+  }
+}
+
+/// Moves the spare engine to a hole that leaves the zone with most; nullptr:
+/// no engine can be spared.
+const Holder* MoveSpare(const EngineProfile& aProfile, const LayerRange& aHole,
+                        std::vector<Holder>& aHolders) {
+  const LayerCover cover = CoverOf(aProfile, aHolders);
+  Holder* spare = nullptr;
+  Choice best;
+  for (Holder& holder : aHolders) {
+    const int n =
+        std::min(aHole.Count(), holder.mCard.MostIn(kMostWeightShare));
+    if (n <= 0 || !cover.Holds(holder.mLayers, 2)) {
+      continue;
+    }
+    const LayerRange before = holder.mLayers;
+    holder.mLayers = {aHole.mFrom, aHole.mFrom + n};
+    const Choice choice{.mLayers = holder.mLayers,
+                        .mValue = ValueOf(aProfile, aHolders),
+                        .mHeld = holder.mCard.mKind->mMemoryMb};
+    holder.mLayers = before;
+    if (spare == nullptr || choice.BetterThan(best)) {
+      spare = &holder;
+      best = choice;
+    }
+  }
+  if (spare != nullptr) {
+    spare->mLayers = best.mLayers;
+  }
+  return spare;
+}
+
+}  // namespace
+
+LayerOrder PlaceEmpty(const EngineProfile& aProfile, const Card& aCard,
+                      std::vector<Holder>& aHolders) {
+  aHolders.push_back({aCard, {}});
+  aHolders.back().mLayers = BestForLast(aProfile, aHolders).mLayers;
+  return {aCard.mRecord->mInstance, aHolders.back().mLayers};
+}
+
+std::vector<LayerOrder> CloseHoles(const EngineProfile& aProfile,
+                                   std::vector<Holder> aHolders) {
+  std::vector<LayerOrder> orders;
+  LayerRange hole = CoverOf(aProfile, aHolders).FirstHole();
+  while (hole.Count() > 0) {
+    const Holder* spare = MoveSpare(aProfile, hole, aHolders);
+    if (spare == nullptr) {
+      GrowInto(aHolders, hole, orders);
+      break;
+    }
+    orders.push_back({spare->mCard.mRecord->mInstance, spare->mLayers});
+    hole = CoverOf(aProfile, aHolders).FirstHole();
+  }
+  return orders;
+}
+
+std::vector<LayerOrder> Rebalance(const EngineProfile& aProfile,
+                                  std::vector<Holder> aHolders) {
+  if (aHolders.empty() || aProfile.mCapacityTokens <= 0) {
+    return {};
+  }
+  const LayerCover cover = CoverOf(aProfile, aHolders);
+  const ZoneValue present = ValueOf(aProfile, aHolders);
+  LayerOrder order;
+  double gained = kWorthALoad;
+  for (std::size_t i = 0; i < aHolders.size(); i++) {
+    std::swap(aHolders[i], aHolders.back());
+    const Holder& holder = aHolders.back();
+    if (cover.Holds(holder.mLayers, 2)) {
+      const Choice choice = BestForLast(aProfile, aHolders);
+      const double gain = choice.mValue.mServed - present.mServed;
+      if (choice.mValue.mHeld >= present.mHeld && gain > gained) {
+        gained = gain;
+        order = {holder.mCard.mRecord->mInstance, choice.mLayers};
+      }
+    }
+    std::swap(aHolders[i], aHolders.back());
+  }
+  return order.mInstance.empty() ? std::vector<LayerOrder>()
+                                 : std::vector<LayerOrder>{order};
+}
+
+}  // namespace spindleweir
--- a/tests/servers/layers_test.cpp
+++ b/tests/servers/layers_test.cpp
@@ -171,6 +171,102 @@
   }
 }
 
+namespace {
+
+/// Small cards: a zone holds the weights once and a half.
+EngineProfile SmallCards() {
+  EngineProfile profile = Profile();
+  profile.mTokenBytes = 426000;
+  profile.mCapacityTokens = 100000;
+  profile.mKinds = {{"fast", 36000, 3.1, 3.2},
+                    {"middle", 21600, 16, 8.2},
+                    {"slow", 14400, 15, 15}};
+  return profile;
+}
+
+Engines SmallZone() {
+  Engines engines;
+  engines.Add("z", "fast", 1);
+  engines.Add("z", "middle", 7);
+  engines.Add("z", "slow", 5);
+  return engines;
+}
+
+/// Engines whose loss leaves the zone whole.
+int CountSpared(const Engines& aEngines, int aLayers) {
+  int spared = 0;
+  for (const UpstreamRecord& record : aEngines.mRecords) {
+    Engines rest = aEngines;
+    rest.Lose(record.mInstance);
+    spared += rest.Whole("z", aLayers) ? 1 : 0;
+  }
+  return spared;
+}
+
+/// Tokens for which the layer with the least room has some.
+double LeastRoom(const EngineProfile& aProfile, const Engines& aEngines) {
+  double least = 1e12;
+  for (int layer = 0; layer < aProfile.mLayers; layer++) {
+    double room = 0;
+    for (const UpstreamRecord& record : aEngines.mRecords) {
+      const EngineModel model(aProfile, *aProfile.FindKind(record.mKind));
+      const LayerRange& layers = record.mLayers;
+      if (layers.mFrom <= layer && layer < layers.mTo) {
+        room += model.Room(layers.Count()) / layers.Count();
+      }
+    }
+    least = std::min(least, room);
+  }
+  return least;
+}
+
+}  // namespace
+
+Test(layers, a_zone_that_holds_the_weights_once_and_a_half_gets_twins) {
+  const EngineProfile profile = SmallCards();
+  Engines engines = SmallZone();
+  engines.Place(profile);
+  CHECK(engines.Whole("z", profile.mLayers));
+  // A row with cover for what is held least spares 5 of these 13.
+  CHECK(CountSpared(engines, profile.mLayers) >= 7);
+  CHECK(LeastRoom(profile, engines) >= 0.8 * profile.mCapacityTokens);
+  SECTION("a hole is closed by as many spare engines as it needs") {
+    // The one card with room for so many layers is lost.
+    Engines rest = engines;
+    rest.Lose(rest.mRecords.front().mInstance);
+    CHECK(!rest.Whole("z", profile.mLayers));
+    CHECK(rest.Place(profile) >= 2);
+    CHECK(rest.Whole("z", profile.mLayers));
+  }
+  SECTION("an engine that comes back makes the zone worth more") {
+    Engines rest = engines;
+    rest.mRecords.back().mLayers = {};
+    const int before = CountSpared(rest, profile.mLayers);
+    CHECK(rest.Place(profile) == 1);
+    CHECK(CountSpared(rest, profile.mLayers) > before);
+  }
+  SECTION("one loss after the other, each mended; nothing moves to and fro") {
+    Engines rest = engines;
+    for (int lost = 0; lost < 3; lost++) {
+      rest.Lose(rest.mRecords[rest.mRecords.size() / 2].mInstance);
+      int steps = 0;
+      while (rest.Place(profile) > 0) {
+        REQUIRE(++steps < 20);
+      }
+      CHECK(rest.Whole("z", profile.mLayers));
+      CHECK(LeastRoom(profile, rest) >= 0.5 * profile.mCapacityTokens);
+    }
+  }
+  SECTION("while an order is under way nothing else is moved") {
+    Engines rest = engines;
+    rest.mRecords[3].mLayers = rest.mRecords[4].mLayers;
+    rest.mRecords[5].mBusy = true;
+    if (rest.Whole("z", profile.mLayers)) {
+      CHECK(rest.Place(profile) == 0);
+    }
+  }
+}
+
 Test(layers, a_path_passes_each_layer_once_and_in_order) {
   const EngineProfile profile = Profile();
   Engines engines = Zone();
