A zone that cannot be whole is left with one hole, at an end

Change: where no spare engine can close the holes, the one move is made after which paths change between held and missing layers less often. Test: layers_test, fails without the change.

--- a/servers/placement/layer_cards.cpp
+++ b/servers/placement/layer_cards.cpp
@@ -21,11 +21,31 @@
 }
 
 LayerRange LayerCover::FirstHole() const {
-  const auto begin = std::find(mCounts.begin(), mCounts.end(), 0);
-  const auto end =
-      std::find_if(begin, mCounts.end(), [](int aCount) { return aCount > 0; });
-  return {static_cast<int>(begin - mCounts.begin()),
-          static_cast<int>(end - mCounts.begin())};
+  const std::vector<LayerRange> holes = Holes();
+  return holes.empty() ? LayerRange{} : holes.front();
+}
+
+std::vector<LayerRange> LayerCover::Holes() const {
+  std::vector<LayerRange> holes;
+  for (std::size_t i = 0; i < mCounts.size(); i++) {
+    const int layer = static_cast<int>(i);
+    if (mCounts[i] > 0) {
+      continue;
+    }
+    if (holes.empty() || holes.back().mTo != layer) {
+      holes.push_back({layer, layer});
+    }
+    holes.back().mTo = layer + 1;
+  }
+  return holes;
+}
+
+int LayerCover::Edges() const {
+  int edges = 0;
+  for (std::size_t i = 1; i < mCounts.size(); i++) {
+    edges += (mCounts[i - 1] > 0) != (mCounts[i] > 0) ? 1 : 0;
+  }
+  return edges;
 }
 
 }  // namespace spindleweir
--- a/servers/placement/layer_cards.h
+++ b/servers/placement/layer_cards.h
@@ -45,6 +45,11 @@
   bool Holds(const LayerRange& aLayers, int aTimes) const;
   /// The first run of layers that nobody holds; empty: there is none.
   LayerRange FirstHole() const;
+  /// All runs of layers that nobody holds.
+  std::vector<LayerRange> Holes() const;
+  /// How often the layers change between held and not held: a path through
+  /// the zone goes over to another zone, or comes back, so many times.
+  int Edges() const;
 
  private:
   void Change(const LayerRange& aLayers, int aBy);
--- a/servers/placement/layer_planner.cpp
+++ b/servers/placement/layer_planner.cpp
@@ -104,6 +104,9 @@
   if (orders.empty()) {
     orders = CloseHoles(aProfile, holders);
   }
+  if (orders.empty() && !aZone.mChanging) {
+    orders = JoinHoles(aProfile, holders);
+  }
   if (orders.empty() && !aZone.mChanging) {
     orders = Rebalance(aProfile, holders);
   }
--- a/servers/placement/zone_repair.cpp
+++ b/servers/placement/zone_repair.cpp
@@ -185,6 +185,35 @@
   return orders;
 }
 
+std::vector<LayerOrder> JoinHoles(const EngineProfile& aProfile,
+                                  std::vector<Holder> aHolders) {
+  const LayerCover present = CoverOf(aProfile, aHolders);
+  LayerOrder order;
+  int fewest = present.Edges();
+  int mostHeld = 0;
+  for (Holder& holder : aHolders) {
+    const LayerRange before = holder.mLayers;
+    for (const LayerRange& hole : present.Holes()) {
+      const int n =
+          std::min(hole.Count(), holder.mCard.MostIn(kMostWeightShare));
+      holder.mLayers = {hole.mFrom, hole.mFrom + n};
+      const int edges = CoverOf(aProfile, aHolders).Edges();
+      const int held = ValueOf(aProfile, aHolders).mHeld;
+      const bool better =
+          edges < fewest ||
+          (edges == fewest && !order.mInstance.empty() && held > mostHeld);
+      if (n > 0 && better) {
+        fewest = edges;
+        mostHeld = held;
+        order = {holder.mCard.mRecord->mInstance, holder.mLayers};
+      }
+    }
+    holder.mLayers = before;
+  }
+  return order.mInstance.empty() ? std::vector<LayerOrder>()
+                                 : std::vector<LayerOrder>{order};
+}
+
 std::vector<LayerOrder> Rebalance(const EngineProfile& aProfile,
                                   std::vector<Holder> aHolders) {
   if (aHolders.empty() || aProfile.mCapacityTokens <= 0) {
--- a/servers/placement/zone_repair.h
+++ b/servers/placement/zone_repair.h
@@ -19,6 +19,11 @@
 std::vector<LayerOrder> CloseHoles(const EngineProfile& aProfile,
                                    std::vector<Holder> aHolders);
 
+/// For a zone that cannot be whole: the one move after which paths go over to
+/// other zones less often; empty where there is none.
+std::vector<LayerOrder> JoinHoles(const EngineProfile& aProfile,
+                                  std::vector<Holder> aHolders);
+
 /// The one move by which a whole zone gains most; empty where none is worth
 /// the load. What the engine gives up is held by others.
 std::vector<LayerOrder> Rebalance(const EngineProfile& aProfile,
--- a/servers/placement/zone_value.h
+++ b/servers/placement/zone_value.h
@@ -2,7 +2,6 @@
 /// has room for, now and after the loss of any one engine.
 #pragma once
 
-#include <compare>
 #include <vector>
 
 #include "servers/placement/layer_cards.h"
@@ -14,11 +13,15 @@
   int mHeld = 0;       ///< Layers that someone holds.
   double mServed = 0;  ///< 0 to 1.
 
-  auto operator<=>(const ZoneValue&) const = default;
+  bool operator==(const ZoneValue&) const = default;
+  bool operator>(const ZoneValue& aOther) const {
+    return mHeld != aOther.mHeld ? mHeld > aOther.mHeld
+                                 : mServed > aOther.mServed;
+  }
 };
 
-/// Tokens for which a zone should have room at each layer, where an engine is
-/// built for as many; 0: not known, everything has room enough.
+/// The demand is the tokens at once that the profile says an engine is built
+/// for; where it says none, there is room enough everywhere.
 ZoneValue ValueOf(const EngineProfile& aProfile,
                   const std::vector<Holder>& aHolders);
 
--- a/tests/servers/layers_test.cpp
+++ b/tests/servers/layers_test.cpp
@@ -257,6 +257,29 @@
       CHECK(LeastRoom(profile, rest) >= 0.5 * profile.mCapacityTokens);
     }
   }
+  SECTION("what cannot be whole is left with one hole, at an end") {
+    // A path then goes over to another zone once; with two holes inside it
+    // would four times, and the pipe between zones would be full.
+    Engines rest = engines;
+    while (rest.mRecords.size() > 6) {
+      rest.Lose(rest.mRecords[rest.mRecords.size() / 2].mInstance);
+      for (int step = 0; step < 20 && rest.Place(profile) > 0; step++) {
+      }
+    }
+    CHECK(!rest.Whole("z", profile.mLayers));
+    CHECK(rest.Place(profile) == 0);
+    std::vector<bool> held(static_cast<std::size_t>(profile.mLayers), false);
+    for (const UpstreamRecord& record : rest.mRecords) {
+      for (int i = record.mLayers.mFrom; i < record.mLayers.mTo; i++) {
+        held[static_cast<std::size_t>(i)] = true;
+      }
+    }
+    int edges = 0;
+    for (std::size_t i = 1; i < held.size(); i++) {
+      edges += held[i] != held[i - 1] ? 1 : 0;
+    }
+    CHECK(edges <= 1);
+  }
   SECTION("while an order is under way nothing else is moved") {
     Engines rest = engines;
     rest.mRecords[3].mLayers = rest.mRecords[4].mLayers;
