spindleweirctl losses: where requests were lost, from the logs of all processes

Change: LossReport counts requests by cause (no path, no room, no lease, no configuration, cut and resumed, moved, slow stage or link, first event late, ...), zone, route and second, with the beliefs about upstreams; reading of log lines stands once for it and for explain. Test: explain_test.

--- a/main/ctl_main.cpp
+++ b/main/ctl_main.cpp
@@ -11,6 +11,7 @@
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/settings.h"
 #include "spindleweir/drivers/file_tools.h"
+#include "spindleweir/servers/explain/loss_report.h"
 #include "spindleweir/servers/explain/request_story.h"
 
 DEFINE_string(control, "", "operator addresses of control, with commas");
@@ -18,7 +19,10 @@
 DEFINE_string(command_id, "", "id of the command, to resend it safely");
 DEFINE_int64(base_version, -1, "version that the intent builds on");
 DEFINE_int32(timeout_ms, 15000, "how long to try");
-DEFINE_string(logs, "", "log files of processes, with commas, for explain");
+DEFINE_string(logs, "",
+              "log files of processes, with commas, for explain and losses");
+DEFINE_int32(late_first_ms, 500, "losses: a later first event is late");
+DEFINE_int32(late_pause_ms, 200, "losses: a longer pause is late");
 DEFINE_bool(json, false, "print the answer as JSON");
 
 namespace spindleweir {
@@ -38,6 +42,8 @@
     "  state              show leader, routers and upstreams\n"
     "  explain REQUEST    show the receipt of a request; with --logs: what\n"
     "                     the lines of all processes say became of it\n"
+    "  losses             with --logs: how many requests were lost or late,\n"
+    "                     by cause, zone, route and second\n"
     "  drain VM           give a VM no new work\n"
     "  undrain VM         take a VM back\n"
     "  voters ID,ID,...   replace the voters, one at a time\n\n"
@@ -198,18 +204,44 @@
   }
 }
 
-/// Tells what became of a request from the logs alone.
-int ExplainFromLogs(const std::string& aRequest) {
-  StoryTeller teller;
+void ForEachLogLine(const std::function<void(const std::string&)>& aTake) {
   for (const std::string& path : SplitList(FLAGS_logs)) {
     std::ifstream in(path);
     if (!in) {
       throw Error(ResultCode::kBadSetting, "--logs: cannot read " + path);
     }
     for (std::string line; std::getline(in, line);) {
-      teller.Take(line);
+      aTake(line);
     }
   }
+}
+
+void PrintCounts(const char* aTitle, const std::vector<LossCount>& aCounts) {
+  std::cout << aTitle << "\n";
+  for (const LossCount& count : aCounts) {
+    std::cout << "  " << count.mCount << "  " << count.mName << "\n";
+  }
+}
+
+/// Tells where requests were lost, from the logs alone.
+int LossesFromLogs() {
+  LossReport report(
+      {.mFirst = FLAGS_late_first_ms, .mPause = FLAGS_late_pause_ms});
+  ForEachLogLine([&report](const std::string& aLine) { report.Take(aLine); });
+  const LossSummary summary = report.Summary();
+  std::cout << summary.mRequests << " requests\n";
+  PrintCounts("by cause", summary.mCauses);
+  PrintCounts("by zone", summary.mZones);
+  PrintCounts("by route", summary.mRoutes);
+  PrintCounts("by second", summary.mTimes);
+  PrintCounts("beliefs about upstreams", summary.mBeliefs);
+  return summary.mRequests > 0 ? 0 : kExitRefused;
+}
+
+/// Tells what became of a request from the logs alone.
+int ExplainFromLogs(const std::string& aRequest) {
+  StoryTeller teller;
+  ForEachLogLine([&teller](const std::string& aLine) { teller.Take(aLine); });
   const RequestStory story = teller.Tell(aRequest);
   for (const std::string& line : story.mLines) {
     std::cout << line << "\n";
@@ -223,6 +255,10 @@
   if (explains && !FLAGS_logs.empty()) {
     return ExplainFromLogs(aArguments[1]);
   }
+  if (aArguments.size() == 1 && aArguments[0] == "losses") {
+    RequireSetting(FLAGS_logs, "--logs");
+    return LossesFromLogs();
+  }
   const CtlRequest request = ReadCommand(aArguments);
   RequireSetting(FLAGS_control, "--control");
   RequireSetting(FLAGS_operator_key, "--operator_key");
--- /dev/null
+++ b/servers/explain/loss_report.cpp
@@ -0,0 +1,170 @@
+#include "spindleweir/servers/explain/loss_report.h"
+
+#include <algorithm>
+
+#include "servers/explain/log_line.h"
+#include "spindleweir/core/result_code.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr std::int64_t kMillisPerSecond = 1000;
+
+const char* NameOf(LossCause aCause) {
+  switch (aCause) {
+    case LossCause::kNone:
+      return "served in time";
+    case LossCause::kNoPath:
+      return "no path";
+    case LossCause::kNoRoom:
+      return "no room";
+    case LossCause::kNoLease:
+      return "no lease";
+    case LossCause::kNoConfiguration:
+      return "no configuration";
+    case LossCause::kDeadline:
+      return "deadline passed";
+    case LossCause::kNotAllowed:
+      return "not allowed";
+    case LossCause::kOtherRefusal:
+      return "refused otherwise";
+    case LossCause::kBrokenOff:
+      return "broken off";
+    case LossCause::kUpstreamFailed:
+      return "upstream failed";
+    case LossCause::kCallerGone:
+      return "caller gone";
+    case LossCause::kFirstLate:
+      return "late: first event";
+    case LossCause::kResumed:
+      return "late: cut and resumed";
+    case LossCause::kMoved:
+      return "late: moved";
+    case LossCause::kSlow:
+      return "late: slow stage or link";
+  }
+  return "";
+}
+
+LossCause CauseOfRefusal(std::int64_t aCode) {
+  switch (static_cast<ResultCode>(aCode)) {
+    case ResultCode::kNoUpstream:
+      return LossCause::kNoPath;
+    case ResultCode::kUpstreamFull:
+      return LossCause::kNoRoom;
+    case ResultCode::kLeaseExpired:
+      return LossCause::kNoLease;
+    case ResultCode::kNotReady:
+      return LossCause::kNoConfiguration;
+    case ResultCode::kDeadlineExceeded:
+      return LossCause::kDeadline;
+    case ResultCode::kUnauthorized:
+    case ResultCode::kNoRoute:
+      return LossCause::kNotAllowed;
+    default:
+      return LossCause::kOtherRefusal;
+  }
+}
+
+std::vector<LossCount> MostFirst(
+    const std::map<std::string, std::int64_t>& aCounts) {
+  std::vector<LossCount> counts;
+  for (const auto& [name, count] : aCounts) {
+    counts.push_back({name, count});
+  }
+  std::stable_sort(counts.begin(), counts.end(),
+                   [](const LossCount& aLeft, const LossCount& aRight) {
+                     return aLeft.mCount > aRight.mCount;
+                   });
+  return counts;
+}
+
+}  // namespace
+
+bool LossReport::Take(std::string_view aLine) {
+  const std::optional<Json::Value> read = ReadLogLine(aLine);
+  if (!read.has_value()) {
+    return false;
+  }
+  const Json::Value& line = *read;
+  const std::string event = TextOf(line, "event");
+  const std::string request = TextOf(line, "request");
+  if (event == "started") {
+    mZoneOf[TextOf(line, "process")] = TextOf(line, "zone");
+  } else if (event == "attempt_failed") {
+    mOpen[request].mAttemptFailed = true;
+  } else if (event == "repath") {
+    mOpen[request].mMoved = true;
+    mBeliefs["moved, engine " + TextOf(line, "why")]++;
+  } else if (event == "refused") {
+    mOpen[request].mCode = NumberOf(line, "code");
+  } else if (event == "upstream_unreachable" || event == "upstream_silent") {
+    mBeliefs[event]++;
+  } else if (event == "request") {
+    TakeEnd(line);
+  }
+  return true;
+}
+
+LossCause LossReport::CauseOf(const Json::Value& aLine,
+                              const Seen& aSeen) const {
+  const std::string outcome = TextOf(aLine, "outcome");
+  if (outcome == "refused") {
+    return CauseOfRefusal(aSeen.mCode);
+  }
+  if (outcome == "broken_off") {
+    return LossCause::kBrokenOff;
+  }
+  if (outcome == "upstream_failed") {
+    return LossCause::kUpstreamFailed;
+  }
+  if (outcome == "caller_gone") {
+    return LossCause::kCallerGone;
+  }
+  if (NumberOf(aLine, "first_ms") > mLimits.mFirst) {
+    return LossCause::kFirstLate;
+  }
+  if (NumberOf(aLine, "longest_pause_ms") <= mLimits.mPause) {
+    return LossCause::kNone;
+  }
+  if (aSeen.mAttemptFailed) {
+    return LossCause::kResumed;
+  }
+  return aSeen.mMoved ? LossCause::kMoved : LossCause::kSlow;
+}
+
+void LossReport::TakeEnd(const Json::Value& aLine) {
+  const std::string request = TextOf(aLine, "request");
+  const std::string cause = NameOf(CauseOf(aLine, mOpen[request]));
+  mOpen.erase(request);
+  mRequests++;
+  mCauses[cause]++;
+  if (cause == NameOf(LossCause::kNone)) {
+    return;
+  }
+  const std::int64_t wall = NumberOf(aLine, "wall_ms");
+  mFirstWall = mFirstWall < 0 ? wall : std::min(mFirstWall, wall);
+  mZones[mZoneOf[TextOf(aLine, "process")] + " " + cause]++;
+  mRoutes[TextOf(aLine, "route") + " " + cause]++;
+  mTimes[wall / kMillisPerSecond][cause]++;
+}
+
+LossSummary LossReport::Summary() const {
+  LossSummary summary;
+  summary.mRequests = mRequests;
+  summary.mCauses = MostFirst(mCauses);
+  summary.mZones = MostFirst(mZones);
+  summary.mRoutes = MostFirst(mRoutes);
+  summary.mBeliefs = MostFirst(mBeliefs);
+  const std::int64_t first = mFirstWall / kMillisPerSecond;
+  for (const auto& [second, causes] : mTimes) {
+    for (const auto& [cause, count] : causes) {
+      summary.mTimes.push_back(
+          {"+" + std::to_string(second - first) + " s " + cause, count});
+    }
+  }
+  return summary;
+}
+
+}  // namespace spindleweir
--- a/servers/explain/request_story.cpp
+++ b/servers/explain/request_story.cpp
@@ -3,8 +3,9 @@
 #include <algorithm>
 #include <set>
 
-#include "spindleweir/core/error.h"
+#include "servers/explain/log_line.h"
 #include "spindleweir/core/json_codec.h"
+#include "spindleweir/core/result_code.h"
 
 namespace spindleweir {
 
@@ -16,16 +17,6 @@
 constexpr std::int64_t kLatePause = 200;
 constexpr std::int64_t kLateFirst = 500;
 
-std::string TextOf(const Json::Value& aLine, const char* aName) {
-  const Json::Value& value = aLine[aName];
-  return value.isString() ? value.asString() : std::string();
-}
-
-std::int64_t NumberOf(const Json::Value& aLine, const char* aName) {
-  const Json::Value& value = aLine[aName];
-  return value.isIntegral() ? value.asInt64() : 0;
-}
-
 std::string Readable(const Json::Value& aLine, std::int64_t aFrom) {
   std::string text = "+" + std::to_string(NumberOf(aLine, "wall_ms") - aFrom) +
                      " ms " + TextOf(aLine, "process") + " " +
@@ -72,20 +63,12 @@
 }  // namespace
 
 bool StoryTeller::Take(std::string_view aLine) {
-  const std::size_t n = aLine.find('{');
-  if (n == std::string_view::npos) {
-    return false;
-  }
-  try {
-    Json::Value line = ParseJson(aLine.substr(n));
-    if (!line.isObject() || !line["event"].isString()) {
-      return false;
-    }
-    mLines.push_back(std::move(line));
-    return true;
-  } catch (const Error&) {
+  std::optional<Json::Value> line = ReadLogLine(aLine);
+  if (!line.has_value()) {
     return false;
   }
+  mLines.push_back(std::move(*line));
+  return true;
 }
 
 RequestStory StoryTeller::Tell(const std::string& aRequest) const {
--- a/tests/servers/explain_test.cpp
+++ b/tests/servers/explain_test.cpp
@@ -1,4 +1,5 @@
 /// The lines are those of real runs; docs/OPERATIONS.md follows the same steps.
+#include "spindleweir/servers/explain/loss_report.h"
 #include "spindleweir/servers/explain/request_story.h"
 #include "tests/test_tools.h"
 
@@ -65,3 +66,49 @@
   CHECK(!teller.Take("[1]"));
   CHECK(!teller.Tell("x").mFound);
 }
+
+namespace {
+
+std::int64_t CountOf(const std::vector<LossCount>& aCounts,
+                     const std::string& aName) {
+  for (const LossCount& count : aCounts) {
+    if (count.mName == aName) {
+      return count.mCount;
+    }
+  }
+  return 0;
+}
+
+}  // namespace
+
+Test(explain, losses_are_counted_by_their_cause) {
+  LossReport report;
+  report.Take(
+      R"({"event":"started","process":"front-hall-c-1","zone":"hall-c"})");
+  for (const char* line : kRefused) {
+    CHECK(report.Take(line));
+  }
+  for (const char* line : kCut) {
+    CHECK(report.Take(line));
+  }
+  for (const char* line : kLate) {
+    CHECK(report.Take(line));
+  }
+  CHECK(!report.Take("no line of a log"));
+  CHECK(!report.Take("{half a line"));
+  const LossSummary summary = report.Summary();
+  CHECK(summary.mRequests == 3);
+  CHECK(CountOf(summary.mCauses, "no lease") == 1);
+  CHECK(CountOf(summary.mCauses, "broken off") == 1);
+  CHECK(CountOf(summary.mCauses, "late: cut and resumed") == 1);
+  CHECK(CountOf(summary.mZones, "hall-c no lease") == 1);
+  CHECK(CountOf(summary.mRoutes, "r-imhjta8 no lease") == 1);
+  CHECK(CountOf(summary.mBeliefs, "upstream_unreachable") == 1);
+  SECTION("what counts as late is the operators' choice") {
+    LossReport patient({.mFirst = 500, .mPause = 2000});
+    for (const char* line : kLate) {
+      patient.Take(line);
+    }
+    CHECK(CountOf(patient.Summary().mCauses, "served in time") == 1);
+  }
+}
