--- a/daemons/control/layer_placer.cpp
+++ b/daemons/control/layer_placer.cpp
@@ -89,7 +89,7 @@
       views.push_back(&record);
     }
   }
-  for (const LayerOrder& order : PlanLayers(aService.mEngine, views)) {
+  for (const LayerOrder& order : Plan(aService, views)) {
     const UpstreamRecord* engine = mSync.Registry().Find(order.mInstance);
     if (engine != nullptr) {
       Order(*engine, order.mLayers);
@@ -97,6 +97,22 @@
   }
 }
 
+std::vector<LayerOrder> LayerPlacer::Plan(
+    const TrafficService& aService,
+    const std::vector<const UpstreamRecord*>& aViews) {
+  Planned asked{.mVersion = mSync.Traffic().mVersion, .mEngines = {}};
+  for (const UpstreamRecord* view : aViews) {
+    asked.mEngines.push_back({view->mInstance, view->mLayers, view->mBusy});
+  }
+  Planned& planned = mPlanned[aService.mName];
+  if (planned == asked) {
+    return {};
+  }
+  std::vector<LayerOrder> orders = PlanLayers(aService.mEngine, aViews);
+  planned = orders.empty() ? std::move(asked) : Planned();
+  return orders;
+}
+
 std::set<std::string> LayerPlacer::CutOffZones(
     const std::string& aService, const std::set<std::string>& aLost) const {
   std::map<std::string, int> balance;
--- a/daemons/control/layer_placer.h
+++ b/daemons/control/layer_placer.h
@@ -5,9 +5,11 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "daemons/control/sync_service.h"
 #include "spindleweir/drivers/stream_client.h"
+#include "spindleweir/servers/placement/layer_planner.h"
 
 namespace spindleweir {
 
@@ -32,12 +34,33 @@
     Millis mSince = 0;
   };
 
+  /// What a plan is made of: one engine of it.
+  struct PlannedEngine {
+    std::string mInstance;
+    LayerRange mLayers;
+    bool mBusy = false;
+
+    bool operator==(const PlannedEngine&) const = default;
+  };
+  /// What a plan that had nothing to change was made of.
+  struct Planned {
+    std::int64_t mVersion = 0;  ///< Of the configuration.
+    std::vector<PlannedEngine> mEngines;
+
+    bool operator==(const Planned&) const = default;
+  };
+
   void Step();
   void PlaceService(const TrafficService& aService);
   /// Zones of which half the engines or more are not heard: the zone is cut
   /// off rather than its engines lost, and orders would come late.
   std::set<std::string> CutOffZones(const std::string& aService,
                                     const std::set<std::string>& aLost) const;
+  /// Orders for these engines. The same engines are not planned twice in vain:
+  /// judging all moves of a zone costs milliseconds of a small processor.
+  std::vector<LayerOrder> Plan(
+      const TrafficService& aService,
+      const std::vector<const UpstreamRecord*>& aViews);
   bool Settled(const std::string& aService, std::size_t aCount, Millis aNow);
   void Order(const UpstreamRecord& aEngine, const LayerRange& aLayers);
 
@@ -46,6 +69,7 @@
   SyncService& mSync;
   std::map<std::string, Pending> mPending;    ///< By instance.
   std::map<std::string, Settling> mSettling;  ///< By service.
+  std::map<std::string, Planned> mPlanned;    ///< By service.
   std::unique_ptr<Timer> mTimer;
 };
 
--- a/servers/placement/zone_repair.cpp
+++ b/servers/placement/zone_repair.cpp
@@ -223,6 +223,9 @@
   const ZoneValue present = ValueOf(aProfile, aHolders);
   LayerOrder order;
   double gained = kWorthALoad;
+  if (present.mServed > 1 - kWorthALoad) {
+    return {};
+  }
   for (std::size_t i = 0; i < aHolders.size(); i++) {
     std::swap(aHolders[i], aHolders.back());
     const Holder& holder = aHolders.back();
