A request waits for upstreams no longer than for a configuration at a start

Cause, read in the change: a plain request could wait for its path until 80 ms before its time ran out while a router started. Change: one bound, half of the caller's time and 1.5 s, for both waits.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -49,14 +49,10 @@
 bool RelayRequest::WaitForPath() {
   // A stream that has begun is worth a short wait: its caller reads on, and
   // engines that others leave come free within moments.
+  const bool worth = mExchange->Started() && !mExchange->Closed() &&
+                     SteadyNow() - mLastEventAt < kLongestGap;
   // So is any request while the upstreams' first heartbeats come in.
-  const bool begun = mExchange->Started() || mContext.Starting();
-  const Millis since =
-      mExchange->Started() ? mLastEventAt : mExchange->ReceivedAt();
-  const bool worth = begun && !mExchange->Closed() &&
-                     SteadyNow() - since < kLongestGap &&
-                     Remaining() > kAskForPathAgain;
-  if (!worth) {
+  if ((!worth && !MayWaitForStart()) || Remaining() <= kAskForPathAgain) {
     return false;
   }
   mPathTimer =
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -71,13 +71,17 @@
   Admit();
 }
 
-bool RelayRequest::WaitForStart() {
+bool RelayRequest::MayWaitForStart() const {
   const Millis waited = SteadyNow() - mExchange->ReceivedAt();
   const Millis wait = mContext.mOptions.mStartWait;
   const Millis most = mFacts.mDeadline > 0
                           ? std::min(wait, mFacts.mDeadline / kStartWaitPart)
                           : wait;
-  if (!mContext.Starting() || waited >= most || mExchange->Closed()) {
+  return mContext.Starting() && waited < most && !mExchange->Closed();
+}
+
+bool RelayRequest::WaitForStart() {
+  if (!MayWaitForStart()) {
     return false;
   }
   mPathTimer = mContext.mLoop.After(kLookAgain, [this] { Admit(); });
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -77,6 +77,9 @@
   void SpendPipe(const PathQuestion& aQuestion, const PathAnswer& aAnswer);
 
   void Admit();
+  /// Whether this router has just started and the request has not waited for
+  /// that for long.
+  bool MayWaitForStart() const;
   /// Looks at the request again in a moment, where this router has just
   /// started; false: it has to be answered now.
   bool WaitForStart();
