--- a/tests/servers/layers_test.cpp
+++ b/tests/servers/layers_test.cpp
@@ -281,12 +281,26 @@
     CHECK(edges <= 1);
   }
   SECTION("while an order is under way nothing else is moved") {
+    // Two pairs of twins hold the same layers: one engine of them has one
+    // twin's layers to take.
     Engines rest = engines;
-    rest.mRecords[3].mLayers = rest.mRecords[4].mLayers;
-    rest.mRecords[5].mBusy = true;
-    if (rest.Whole("z", profile.mLayers)) {
-      CHECK(rest.Place(profile) == 0);
+    std::vector<UpstreamRecord*> spares;
+    for (UpstreamRecord& record : rest.mRecords) {
+      Engines without = engines;
+      without.Lose(record.mInstance);
+      const bool spare =
+          record.mKind == "middle" && without.Whole("z", profile.mLayers);
+      if (spare) {
+        spares.push_back(&record);
+      }
     }
+    REQUIRE(spares.size() >= 4);
+    spares[1]->mLayers = spares[2]->mLayers;
+    REQUIRE(rest.Whole("z", profile.mLayers));
+    Engines busy = rest;
+    busy.mRecords.front().mBusy = true;
+    CHECK(busy.Place(profile) == 0);
+    CHECK(rest.Place(profile) == 1);
   }
 }
 
