Placement reads without pictures: engines share layers, counts have their own type

Cause: read as a newcomer would: twins were a picture, and a LayerRange carried two counts. Change: names and comments only; LayerCounts.

--- a/servers/placement/layer_groups.cpp
+++ b/servers/placement/layer_groups.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
-constexpr int kTwins = 2;
+/// Engines that hold the same layers.
+constexpr int kSharing = 2;
 
-/// The cards of one kind. Each is alone with its layers or has a twin.
+/// The cards of one kind. Each is alone with its layers or
+/// shares them.
 struct KindOfCards {
   Cards mCards;
   int mLayersAlone = 0;
@@ -45,7 +47,7 @@
     const EngineModel model(aProfile, *card.mKind);
     kinds.push_back({.mCards = {card},
                      .mLayersAlone = model.LayersBeside(aTokens),
-                     .mLayersShared = model.LayersBeside(aTokens / kTwins)});
+                     .mLayersShared = model.LayersBeside(aTokens / kSharing)});
   }
   return kinds;
 }
@@ -78,7 +80,7 @@
         continue;
       }
       const int layers =
-          alone * kind.mLayersAlone + rest / kTwins * kind.mLayersShared;
+          alone * kind.mLayersAlone + rest / kSharing * kind.mLayersShared;
       aSplit.mAlone.push_back(alone);
       aSplit.mLayers += layers;
       aSplit.mSingles += alone;
@@ -116,9 +118,9 @@
     for (std::size_t n = 0; n < alone; n++) {
       groups.push_back({{kind.mCards[n]}, kind.mLayersAlone});
     }
-    for (std::size_t n = alone; n < kind.mCards.size(); n += kTwins) {
+    for (std::size_t n = alone; n < kind.mCards.size(); n += kSharing) {
       if (n + 1 == kind.mCards.size()) {
-        // The odd one makes its twins three.
+        // The odd one joins the last pair.
         groups.back().mCards.push_back(kind.mCards[n]);
         continue;
       }
@@ -127,7 +129,7 @@
     }
   }
   // A stream whose first engine is lost begins anew at all others: the first
-  // layers go to twins.
+  // layers go to engines that share them.
   std::stable_sort(groups.begin(), groups.end(),
                    [](const Group& aLeft, const Group& aRight) {
                      return aLeft.mCards.size() > aRight.mCards.size();
--- a/servers/placement/layer_groups.h
+++ b/servers/placement/layer_groups.h
@@ -1,5 +1,5 @@
 /// Splits the layers of a zone whose memory holds the weights more than once
-/// but not twice: as many engines as can be share their layers with a twin.
+/// but not twice: as many engines as can be share their layers with another.
 #pragma once
 
 #include <vector>
@@ -10,8 +10,8 @@
 namespace spindleweir {
 
 /// Layers for each card, where an engine that is alone with its layers has room
-/// for aTokens and each of two twins for half of them; empty where the zone
-/// cannot hold all layers so.
+/// for aTokens and each of two that share theirs for half of them; empty where
+/// the zone cannot hold all layers so.
 std::vector<LayerOrder> PlanGroups(const EngineProfile& aProfile,
                                    const Cards& aCards, double aTokens);
 
--- a/servers/placement/layer_planner.cpp
+++ b/servers/placement/layer_planner.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// Parts of the tokens that a zone should have room for, with which groups
-/// are tried: less room lets more engines have a twin.
+/// are tried: less room lets more engines share their layers.
 constexpr double kRoomsTried[] = {1.3, 1.15, 1.0, 0.85, 0.7, 0.55, 0.4, 0.25};
 
 /// The engines of a zone.
--- a/servers/placement/zone_repair.cpp
+++ b/servers/placement/zone_repair.cpp
@@ -47,17 +47,22 @@
   return memory;
 }
 
-/// How many layers a card may be given: enough room for a zone's demand alone,
-/// or for half of it beside another.
-LayerRange CountsFor(const EngineProfile& aProfile, const Card& aCard) {
+/// How many layers a card may be given.
+struct LayerCounts {
+  int mLeast = 1;  ///< Room for a zone's whole demand beside them.
+  int mMost = 1;   ///< Room for half of it.
+};
+
+LayerCounts CountsFor(const EngineProfile& aProfile, const Card& aCard) {
   const double tokens = aProfile.mCapacityTokens;
   if (tokens <= 0) {
     const int n = std::max(1, aCard.MostIn(kWeightShare));
-    return {n, n};
+    return {.mLeast = n, .mMost = n};
   }
   const EngineModel model(aProfile, *aCard.mKind);
   const int least = std::max(1, model.LayersBeside(tokens));
-  return {least, std::max(least, model.LayersBeside(tokens / 2))};
+  return {.mLeast = least,
+          .mMost = std::max(least, model.LayersBeside(tokens / 2))};
 }
 
 /// The best layers for the last of the holders.
@@ -67,9 +72,9 @@
   const LayerRange before = last.mLayers;
   last.mLayers = {};
   const std::vector<double> memory = MemoryByLayer(aProfile, aHolders);
-  const LayerRange counts = CountsFor(aProfile, last.mCard);
+  const LayerCounts counts = CountsFor(aProfile, last.mCard);
   Choice best;
-  for (int n = counts.mFrom; n <= counts.mTo; n++) {
+  for (int n = counts.mLeast; n <= counts.mMost; n++) {
     for (int from = 0; from + n <= aProfile.mLayers; from++) {
       last.mLayers = {from, from + n};
       Choice choice{.mLayers = last.mLayers,
--- a/tests/servers/layers_test.cpp
+++ b/tests/servers/layers_test.cpp
@@ -222,7 +222,8 @@
 
 }  // namespace
 
-Test(layers, a_zone_that_holds_the_weights_once_and_a_half_gets_twins) {
+Test(layers,
+     in_a_zone_that_holds_the_weights_once_and_a_half_engines_share_layers) {
   const EngineProfile profile = SmallCards();
   Engines engines = SmallZone();
   engines.Place(profile);
@@ -281,8 +282,8 @@
     CHECK(edges <= 1);
   }
   SECTION("while an order is under way nothing else is moved") {
-    // Two pairs of twins hold the same layers: one engine of them has one
-    // twin's layers to take.
+    // Two pairs hold the same layers: one engine of them has the layers of an
+    // engine that is alone now to take.
     Engines rest = engines;
     std::vector<UpstreamRecord*> spares;
     for (UpstreamRecord& record : rest.mRecords) {
