Read once more: dead and derivable state out of the planner and the loss report

Cause: read of the whole change: LayerCover::Remove was called by nothing; the first second of a loss report is the first key of its times; the planner built a cover that a zone with all demand met does not need; one way to return an order or none stood twice; an include without use. Change: these only, no behaviour. Measured: release build; servers_tests, daemons_tests, platform_tests pass.

--- a/include/spindleweir/servers/explain/loss_report.h
+++ b/include/spindleweir/servers/explain/loss_report.h
@@ -79,7 +79,6 @@
   std::map<std::string, std::string> mZoneOf;  ///< By process.
   std::map<std::string, Seen> mOpen;           ///< By request.
   std::int64_t mRequests = 0;
-  std::int64_t mFirstWall = -1;
   std::map<std::string, std::int64_t> mCauses;
   std::map<std::string, std::int64_t> mZones;
   std::map<std::string, std::int64_t> mRoutes;
--- a/servers/explain/loss_report.cpp
+++ b/servers/explain/loss_report.cpp
@@ -143,11 +143,9 @@
   if (cause == NameOf(LossCause::kNone)) {
     return;
   }
-  const std::int64_t wall = NumberOf(aLine, "wall_ms");
-  mFirstWall = mFirstWall < 0 ? wall : std::min(mFirstWall, wall);
   mZones[mZoneOf[TextOf(aLine, "process")] + " " + cause]++;
   mRoutes[TextOf(aLine, "route") + " " + cause]++;
-  mTimes[wall / kMillisPerSecond][cause]++;
+  mTimes[NumberOf(aLine, "wall_ms") / kMillisPerSecond][cause]++;
 }
 
 LossSummary LossReport::Summary() const {
@@ -157,7 +155,7 @@
   summary.mZones = MostFirst(mZones);
   summary.mRoutes = MostFirst(mRoutes);
   summary.mBeliefs = MostFirst(mBeliefs);
-  const std::int64_t first = mFirstWall / kMillisPerSecond;
+  const std::int64_t first = mTimes.empty() ? 0 : mTimes.begin()->first;
   for (const auto& [second, causes] : mTimes) {
     for (const auto& [cause, count] : causes) {
       summary.mTimes.push_back(
--- a/servers/placement/layer_cards.cpp
+++ b/servers/placement/layer_cards.cpp
@@ -4,10 +4,10 @@
 
 namespace spindleweir {
 
-void LayerCover::Change(const LayerRange& aLayers, int aBy) {
+void LayerCover::Add(const LayerRange& aLayers) {
   const int end = std::min(aLayers.mTo, static_cast<int>(mCounts.size()));
   for (int i = std::max(0, aLayers.mFrom); i < end; i++) {
-    mCounts[static_cast<std::size_t>(i)] += aBy;
+    mCounts[static_cast<std::size_t>(i)]++;
   }
 }
 
--- a/servers/placement/layer_cards.h
+++ b/servers/placement/layer_cards.h
@@ -39,8 +39,7 @@
   explicit LayerCover(int aLayers)
       : mCounts(static_cast<std::size_t>(aLayers), 0) {}
 
-  void Add(const LayerRange& aLayers) { Change(aLayers, 1); }
-  void Remove(const LayerRange& aLayers) { Change(aLayers, -1); }
+  void Add(const LayerRange& aLayers);
   /// Whether each of the layers is held by aTimes cards or more.
   bool Holds(const LayerRange& aLayers, int aTimes) const;
   /// The first run of layers that nobody holds; empty: there is none.
@@ -52,8 +51,6 @@
   int Edges() const;
 
  private:
-  void Change(const LayerRange& aLayers, int aBy);
-
   std::vector<int> mCounts;
 };
 
--- a/servers/placement/layer_planner.cpp
+++ b/servers/placement/layer_planner.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 
 #include "servers/placement/layer_groups.h"
 #include "servers/placement/layer_rows.h"
--- a/servers/placement/zone_repair.cpp
+++ b/servers/placement/zone_repair.cpp
@@ -165,6 +165,12 @@
   return spare;
 }
 
+/// An order as a list; empty where it names no engine.
+std::vector<LayerOrder> OneOrNone(const LayerOrder& aOrder) {
+  return aOrder.mInstance.empty() ? std::vector<LayerOrder>()
+                                  : std::vector<LayerOrder>{aOrder};
+}
+
 }  // namespace
 
 LayerOrder PlaceEmpty(const EngineProfile& aProfile, const Card& aCard,
@@ -215,8 +221,7 @@
     }
     holder.mLayers = before;
   }
-  return order.mInstance.empty() ? std::vector<LayerOrder>()
-                                 : std::vector<LayerOrder>{order};
+  return OneOrNone(order);
 }
 
 std::vector<LayerOrder> Rebalance(const EngineProfile& aProfile,
@@ -224,13 +229,13 @@
   if (aHolders.empty() || aProfile.mCapacityTokens <= 0) {
     return {};
   }
-  const LayerCover cover = CoverOf(aProfile, aHolders);
   const ZoneValue present = ValueOf(aProfile, aHolders);
-  LayerOrder order;
-  double gained = kWorthALoad;
   if (present.mServed > 1 - kWorthALoad) {
     return {};
   }
+  const LayerCover cover = CoverOf(aProfile, aHolders);
+  LayerOrder order;
+  double gained = kWorthALoad;
   for (std::size_t i = 0; i < aHolders.size(); i++) {
     std::swap(aHolders[i], aHolders.back());
     const Holder& holder = aHolders.back();
@@ -244,8 +249,7 @@
     }
     std::swap(aHolders[i], aHolders.back());
   }
-  return order.mInstance.empty() ? std::vector<LayerOrder>()
-                                 : std::vector<LayerOrder>{order};
+  return OneOrNone(order);
 }
 
 }  // namespace spindleweir
