Paths are dealt by what they have left where the news of others' work is late

Change: PathChoice (servers/routing/path_choice). The cheapest path is taken as long as the requests that others may have begun unseen (own arrivals x routers x age of the news) are few beside half of its places; otherwise a path is drawn from the whole paths of the zone (path_shares: greedy division by memory, places and speed), by what each has left a millisecond. ChoosePath counts the places of a first engine.

--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -24,6 +24,7 @@
     "  limits         a flooding workspace, overload\n"
     "  configuration  from acceptance to force; restart; claims\n"
     "  placement      against the best, an equal split and a greedy one\n"
+    "  choice         many routers with late news against one that sees all\n"
     "  slopes         what docs/CAPACITY.md is worked out from\n"
     "  history        callers and operators for scripts/history\n"
     "  check FILE...  judges the records of a history\n"
@@ -41,6 +42,7 @@
                                  {"limits", MeasureLimits},
                                  {"configuration", MeasureConfiguration},
                                  {"placement", MeasurePlacement},
+                                 {"choice", MeasureChoice},
                                  {"slopes", MeasureSlopes}};
 
 int Run(const std::vector<std::string>& aArguments) {
--- /dev/null
+++ b/bench/choice_play.cpp
@@ -0,0 +1,368 @@
+#include "bench/choice_play.h"
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "bench/measure.h"
+#include "spindleweir/servers/placement/layer_planner.h"
+
+namespace spindleweir {
+
+namespace {
+
+/// How often loads are noted for the news.
+constexpr Millis kNoteEvery = 50;
+/// A token waits at each engine for half of the pass that is under way.
+constexpr double kWaitForPass = 1.5;
+/// Of the requests that pass an engine, so many of one are in its pass: the
+/// others are at other engines of their paths.
+double WritersOf(double aRequests, std::size_t aParts) {
+  return aRequests / static_cast<double>(std::max<std::size_t>(1, aParts));
+}
+
+using Loads = std::map<std::string, EngineLoad>;
+
+/// One engine as it is, not as routers know it.
+struct PlayedEngine {
+  const UpstreamRecord* mRecord = nullptr;
+  double mRoom = 0;
+  EngineLoad mLoad;
+  double mReadsUntil = 0;
+  double mWorkMillis = 0;
+};
+
+struct PlayedRequest {
+  std::size_t mRouter = 0;
+  LayerPath mPath;
+  double mTokens = 0;
+};
+
+/// What one router knows, and what it has under way.
+struct PlayedRouter {
+  std::string mZone;
+  Loads mOwn;
+  std::deque<Loads> mOwnNoted;  ///< As it was at each note.
+  PathChoice mChoice;
+};
+
+void AddLoad(Loads& aLoads, const PlayedRequest& aRequest, int aSign) {
+  bool first = true;
+  for (const PathPart& part : aRequest.mPath) {
+    EngineLoad& load = aLoads[part.mInstance];
+    load.mRequests += aSign;
+    load.mTokenLayers += aSign * aRequest.mTokens * part.mLayers.Count();
+    load.mFirsts += first ? aSign : 0;
+    first = false;
+  }
+}
+
+class ChoicePlay {
+ public:
+  explicit ChoicePlay(const ChoicePlayOptions& aOptions)
+      : mOptions(aOptions),
+        mRecords(PlacedEngines(aOptions.mProfile, aOptions.mGroups)),
+        mRandom(aOptions.mSeed) {
+    for (const UpstreamRecord& record : mRecords) {
+      const AcceleratorKind* kind = mOptions.mProfile.FindKind(record.mKind);
+      const EngineModel model(mOptions.mProfile, *kind);
+      mEngines[record.mInstance] = {
+          .mRecord = &record, .mRoom = model.Room(record.mLayers.Count())};
+      mViews.push_back(&record);
+    }
+    std::vector<std::string> zones;
+    for (const EngineGroup& group : mOptions.mGroups) {
+      if (std::find(zones.begin(), zones.end(), group.mZone) == zones.end()) {
+        zones.push_back(group.mZone);
+      }
+    }
+    mZones = zones.size();
+    for (int i = 0; i < mOptions.mRouters; i++) {
+      mRouters.push_back(std::make_unique<PlayedRouter>());
+      mRouters.back()->mZone = zones[static_cast<std::size_t>(i) % mZones];
+    }
+  }
+
+  ChoicePlayResult Play() {
+    double next = 0;
+    double noted = -static_cast<double>(kNoteEvery);
+    std::exponential_distribution<double> gap(mOptions.mRequestsPerSecond /
+                                              1000);
+    while (next < static_cast<double>(mOptions.mLength)) {
+      while (!mEnds.empty() && mEnds.top().mAt <= next) {
+        EndRequest();
+      }
+      if (next - noted >= static_cast<double>(kNoteEvery)) {
+        Note();
+        noted = next;
+      }
+      mNow = next;
+      Begin();
+      next += gap(mRandom);
+    }
+    return Sum();
+  }
+
+ private:
+  struct Ending {
+    double mAt = 0;
+    std::shared_ptr<PlayedRequest> mRequest;
+    bool operator<(const Ending& aOther) const { return mAt > aOther.mAt; }
+  };
+
+  void Note() {
+    const auto kept = static_cast<std::size_t>(mOptions.mNewsAge / kNoteEvery);
+    Loads all;
+    for (const auto& [instance, engine] : mEngines) {
+      all[instance] = engine.mLoad;
+    }
+    mNoted.push_back(std::move(all));
+    while (mNoted.size() > kept + 1) {
+      mNoted.pop_front();
+    }
+    for (const auto& router : mRouters) {
+      router->mOwnNoted.push_back(router->mOwn);
+      while (router->mOwnNoted.size() > kept + 1) {
+        router->mOwnNoted.pop_front();
+      }
+    }
+  }
+
+  static EngineLoad At(const Loads& aLoads, const std::string& aInstance) {
+    const auto it = aLoads.find(aInstance);
+    return it == aLoads.end() ? EngineLoad() : it->second;
+  }
+
+  /// What a router knows: all as it was when the news was noted, and its own
+  /// work as it is.
+  EngineLoad Known(const PlayedRouter& aRouter,
+                   const std::string& aInstance) const {
+    if (mOptions.mNewsAge == 0) {
+      return mEngines.at(aInstance).mLoad;
+    }
+    const EngineLoad all = At(mNoted.front(), aInstance);
+    const EngineLoad before = At(aRouter.mOwnNoted.front(), aInstance);
+    const EngineLoad own = At(aRouter.mOwn, aInstance);
+    return {.mRequests = all.mRequests - before.mRequests + own.mRequests,
+            .mTokenLayers =
+                all.mTokenLayers - before.mTokenLayers + own.mTokenLayers,
+            .mFirsts = all.mFirsts - before.mFirsts + own.mFirsts,
+            .mReadTokenLayers = 0};
+  }
+
+  LayerPath Choose(PlayedRouter& aRouter, double aPrompt, double aAnswer) {
+    PathQuestion question;
+    question.mProfile = &mOptions.mProfile;
+    question.mZone = aRouter.mZone;
+    question.mTokens = aPrompt + aAnswer;
+    question.mReadTokens = aPrompt;
+    question.mAnswerTokens = aAnswer;
+    question.mEngines = mViews;
+    question.mLoadOf = [this, &aRouter](const std::string& aInstance) {
+      return Known(aRouter, aInstance);
+    };
+    question.mRandom = [this] {
+      return std::uniform_real_distribution<double>(0, 1)(mRandom);
+    };
+    const double unseen = mOptions.mRequestsPerSecond / 1000 *
+                          static_cast<double>(mOptions.mNewsAge);
+    const auto from = std::chrono::steady_clock::now();
+    PathAnswer answer =
+        mOptions.mRule == ChoiceRule::kCheapest
+            ? ChoosePath(question)
+            : aRouter.mChoice.Choose(question,
+                                     {.mUnseen = unseen,
+                                      .mRevision = 1,
+                                      .mNow = static_cast<Millis>(mNow)});
+    mChoiceMicros += std::chrono::duration<double, std::micro>(
+                         std::chrono::steady_clock::now() - from)
+                         .count();
+    return std::move(answer.mPath);
+  }
+
+  void Begin() {
+    const std::size_t chosen = std::uniform_int_distribution<std::size_t>(
+        0, mRouters.size() - 1)(mRandom);
+    PlayedRouter& router = *mRouters[chosen];
+    const double prompt = mOptions.mProfile.mUsualPrompt;
+    const double answer =
+        mOptions.mProfile.mUsualAnswer *
+        std::uniform_real_distribution<double>(0.3, 1.7)(mRandom);
+    mResult.mRequests++;
+    auto request = std::make_shared<PlayedRequest>();
+    request->mRouter = chosen;
+    request->mTokens = prompt + answer;
+    request->mPath = Choose(router, prompt, answer);
+    if (request->mPath.empty() || !Takes(*request)) {
+      mResult.mRefused++;
+      return;
+    }
+    Run(request, prompt, answer);
+  }
+
+  /// Whether all engines of the path have what the request needs.
+  bool Takes(const PlayedRequest& aRequest) const {
+    bool first = true;
+    for (const PathPart& part : aRequest.mPath) {
+      const PlayedEngine& engine = mEngines.at(part.mInstance);
+      const double need = aRequest.mTokens * part.mLayers.Count();
+      const bool placed =
+          !first || engine.mLoad.mFirsts < engine.mRecord->mSlots;
+      if (!placed || engine.mLoad.mTokenLayers + need > engine.mRoom) {
+        return false;
+      }
+      first = false;
+    }
+    return true;
+  }
+
+  void Run(const std::shared_ptr<PlayedRequest>& aRequest, double aPrompt,
+           double aAnswer) {
+    AddLoad(mRouters[aRequest->mRouter]->mOwn, *aRequest, 1);
+    double at = mNow;
+    double token = 0;
+    bool first = true;
+    for (const PathPart& part : aRequest->mPath) {
+      PlayedEngine& engine = mEngines[part.mInstance];
+      const EngineModel model(mOptions.mProfile, *mOptions.mProfile.FindKind(
+                                                     engine.mRecord->mKind));
+      const int layers = part.mLayers.Count();
+      const double read = model.ReadMillis(layers, aPrompt);
+      at = std::max(at, engine.mReadsUntil) + read;
+      engine.mReadsUntil = at;
+      engine.mLoad.mRequests += 1;
+      engine.mLoad.mTokenLayers += aRequest->mTokens * layers;
+      engine.mLoad.mFirsts += first ? 1 : 0;
+      first = false;
+      const double writers =
+          1 + WritersOf(engine.mLoad.mRequests, aRequest->mPath.size());
+      const double step = model.StepMillis(
+          layers, {.mWriters = writers,
+                   .mContextTokens = writers * (aPrompt + aAnswer / 2)});
+      token += step * kWaitForPass + HopMillis(mOptions.mProfile, false);
+      engine.mWorkMillis += read + aAnswer * step / writers;
+    }
+    mFirsts.push_back(at + token - mNow);
+    mTokens.push_back(token);
+    mEnds.push({at + token * aAnswer, aRequest});
+  }
+
+  void EndRequest() {
+    const std::shared_ptr<PlayedRequest> request = mEnds.top().mRequest;
+    mEnds.pop();
+    AddLoad(mRouters[request->mRouter]->mOwn, *request, -1);
+    bool first = true;
+    for (const PathPart& part : request->mPath) {
+      EngineLoad& load = mEngines[part.mInstance].mLoad;
+      load.mRequests -= 1;
+      load.mTokenLayers -= request->mTokens * part.mLayers.Count();
+      load.mFirsts -= first ? 1 : 0;
+      first = false;
+    }
+  }
+
+  ChoicePlayResult Sum() {
+    constexpr double kMostOfAll = 0.95;
+    double work = 0;
+    double most = 0;
+    for (const auto& [instance, engine] : mEngines) {
+      work += engine.mWorkMillis;
+      most = std::max(most, engine.mWorkMillis);
+    }
+    const double mean = work / static_cast<double>(mEngines.size());
+    mResult.mBusiest = mean <= 0 ? 0 : most / mean;
+    mResult.mFirstP95 = Percentile(mFirsts, kMostOfAll);
+    mResult.mTokenP95 = Percentile(mTokens, kMostOfAll);
+    mResult.mChoiceMicros = mChoiceMicros / std::max(1, mResult.mRequests);
+    return mResult;
+  }
+
+  ChoicePlayOptions mOptions;
+  std::vector<UpstreamRecord> mRecords;
+  std::mt19937 mRandom;
+  std::map<std::string, PlayedEngine> mEngines;
+  std::vector<const UpstreamRecord*> mViews;
+  std::size_t mZones = 1;
+  std::vector<std::unique_ptr<PlayedRouter>> mRouters;
+  std::deque<Loads> mNoted;
+  std::priority_queue<Ending> mEnds;
+  double mNow = 0;
+  double mChoiceMicros = 0;
+  std::vector<double> mFirsts;
+  std::vector<double> mTokens;
+  ChoicePlayResult mResult;
+};
+
+}  // namespace
+
+std::vector<UpstreamRecord> PlacedEngines(
+    const EngineProfile& aProfile, const std::vector<EngineGroup>& aGroups) {
+  std::vector<UpstreamRecord> records;
+  for (const EngineGroup& group : aGroups) {
+    for (int i = 0; i < group.mCount; i++) {
+      UpstreamRecord record;
+      record.mInstance = group.mZone + "-" + group.mKind + "-" +
+                         std::to_string(records.size());
+      record.mAddress = "10.0.0.1:" + std::to_string(1000 + records.size());
+      record.mZone = group.mZone;
+      record.mKind = group.mKind;
+      record.mSlots = aProfile.mSlots;
+      records.push_back(record);
+    }
+  }
+  std::vector<const UpstreamRecord*> views;
+  std::map<std::string, UpstreamRecord*> byInstance;
+  for (UpstreamRecord& record : records) {
+    views.push_back(&record);
+    byInstance[record.mInstance] = &record;
+  }
+  for (const LayerOrder& order : PlanLayers(aProfile, views)) {
+    byInstance[order.mInstance]->mLayers = order.mLayers;
+  }
+  return records;
+}
+
+ChoicePlayResult PlayChoices(const ChoicePlayOptions& aOptions) {
+  return ChoicePlay(aOptions).Play();
+}
+
+ChoicePlayOptions LargeFleet() {
+  ChoicePlayOptions options;
+  EngineProfile& profile = options.mProfile;
+  profile.mLayers = 80;
+  profile.mLayerMb = 1750;
+  profile.mSlots = 192;
+  profile.mTokenBytes = 754000;
+  profile.mActivationBytes = 37700;
+  profile.mLinkMbps = 400000;
+  profile.mPipeMbps = 18000;
+  profile.mStepMillis = 1.02;
+  profile.mRequestMillis = 0.00586;
+  profile.mContextMillis = 0.00785;
+  profile.mReadPerSecond = 128000;
+  profile.mPairMillis = 0.254;
+  profile.mLoadSeconds = 14;
+  profile.mZoneDelay = 0.75;
+  profile.mUsualPrompt = 774;
+  profile.mUsualAnswer = 214;
+  profile.mKinds = {{"fast", 72000, 2.4, 3.2},
+                    {"middle", 43200, 5.6, 2.7},
+                    {"slow", 21600, 16, 8.2}};
+  options.mGroups = {{"zone-1", "fast", 4},    {"zone-2", "fast", 2},
+                     {"zone-3", "fast", 6},    {"zone-4", "fast", 4},
+                     {"zone-5", "fast", 2},    {"zone-1", "middle", 11},
+                     {"zone-2", "middle", 18}, {"zone-3", "middle", 8},
+                     {"zone-4", "middle", 11}, {"zone-5", "middle", 18},
+                     {"zone-1", "slow", 28},   {"zone-2", "slow", 16},
+                     {"zone-3", "slow", 19},   {"zone-4", "slow", 28},
+                     {"zone-5", "slow", 15}};
+  options.mRouters = 195;
+  options.mRequestsPerSecond = 490;
+  options.mNewsAge = 1000;
+  return options;
+}
+
+}  // namespace spindleweir
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -78,7 +78,7 @@
 
 bool RelayRequest::ChooseEnginePath(Attempt& aAttempt) {
   PathQuestion question = EngineQuestion();
-  PathAnswer answer = ChoosePath(question);
+  PathAnswer answer = mContext.ChoosePathOf(mService->mName, question);
   if (answer.mPath.empty() && !answer.mLacksRoom) {
     // Better one that failed lately than none.
     question.mAvoid.clear();
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -16,6 +16,9 @@
 /// A start lasts this many times as long as a request waits for it: control
 /// elects a leader and hears each upstream once meanwhile.
 constexpr Millis kStartWaits = 2;
+/// Loads of others are forgotten at this age; what comes and goes in a longer
+/// time has mostly ended.
+constexpr Millis kOldestNews = 2500;
 
 }  // namespace
 
@@ -25,6 +28,7 @@
       mClient(aLoop),
       mRpc(mClient, mOptions.mClusterKey),
       mLease(mOptions.mLeaseLength),
+      mOtherLoadsTrueAt(SteadyNow()),
       mRandom(std::random_device{}()),
       mStartedAt(SteadyNow()) {
   mDirectory.SetSeeds(mOptions.mSeeds);
@@ -100,8 +104,9 @@
   return loads;
 }
 
-void RelayContext::SetOtherLoads(LoadShares aLoads) {
+void RelayContext::SetOtherLoads(LoadShares aLoads, Millis aTrueAt) {
   mOtherLoads = std::move(aLoads);
+  mOtherLoadsTrueAt = aTrueAt;
 }
 
 void RelayContext::Succeeded(const std::string& aInstance) {
@@ -159,6 +164,27 @@
   return mPipes.try_emplace(aService, PipeAllowanceOptions{}).first->second;
 }
 
+void RelayContext::PathAsked(const std::string& aService) {
+  mPaths[aService].mArrivals.Add(SteadyNow());
+}
+
+PathAnswer RelayContext::ChoosePathOf(const std::string& aService,
+                                      const PathQuestion& aQuestion) {
+  ServicePaths& paths = mPaths[aService];
+  const Millis now = SteadyNow();
+  const double others = mRouters - 1;
+  const Millis age = std::min(kOldestNews, now - mOtherLoadsTrueAt);
+  PathAnswer answer = paths.mChoice.Choose(
+      aQuestion, {.mUnseen = others * paths.mArrivals.PerMilli(now) *
+                             static_cast<double>(age),
+                  .mRevision = mRegistry.Revision(),
+                  .mNow = now});
+  mCounters.Add("paths", answer.mPath.empty() ? "way=\"none\""
+                         : answer.mDealt      ? "way=\"dealt\""
+                                              : "way=\"cheapest\"");
+  return answer;
+}
+
 double RelayContext::Random() {
   return std::uniform_real_distribution<double>(0, 1)(mRandom);
 }
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -15,8 +15,10 @@
 #include "spindleweir/servers/routes/configuration_lease.h"
 #include "spindleweir/servers/routes/route_table.h"
 #include "spindleweir/servers/routes/traffic_change.h"
+#include "spindleweir/servers/routing/arrival_rate.h"
 #include "spindleweir/servers/routing/layer_path.h"
 #include "spindleweir/servers/routing/load_book.h"
+#include "spindleweir/servers/routing/path_choice.h"
 #include "spindleweir/servers/routing/pipe_allowance.h"
 #include "spindleweir/servers/routing/retry_allowance.h"
 
@@ -30,6 +32,12 @@
   Millis mUnreachableUntil = -1;
 };
 
+/// What paths of one service are chosen by.
+struct ServicePaths {
+  PathChoice mChoice;
+  ArrivalRate mArrivals;  ///< At this router.
+};
+
 class StreamGuard;
 
 /// The state of one router. Single-threaded.
@@ -55,7 +63,8 @@
   /// All work known at an upstream: own and of other routers.
   EngineLoad LoadOf(const std::string& aInstance) const;
   LoadShares OwnLoads() const;
-  void SetOtherLoads(LoadShares aLoads);
+  /// aTrueAt: when they were, on the whole, as they are told.
+  void SetOtherLoads(LoadShares aLoads, Millis aTrueAt);
   /// What is known of other routers' work is too old to be used.
   void ForgetOtherLoads() { mOtherLoads.clear(); }
 
@@ -69,6 +78,11 @@
 
   RetryAllowance& RetriesOf(const std::string& aService);
   PipeAllowance& PipeOf(const std::string& aService);
+  /// A request that asks for a path of engines.
+  void PathAsked(const std::string& aService);
+  /// A path for it, by what is known of the work of all routers.
+  PathAnswer ChoosePathOf(const std::string& aService,
+                          const PathQuestion& aQuestion);
   double Random();
 
   EventLoop& mLoop;
@@ -87,9 +101,11 @@
   std::shared_ptr<const RouteTable> mTable;
   LoadShares mOwnLoads;
   LoadShares mOtherLoads;
+  Millis mOtherLoadsTrueAt;
   std::map<std::string, UpstreamExperience> mExperience;
   std::map<std::string, RetryAllowance> mRetries;
   std::map<std::string, PipeAllowance> mPipes;
+  std::map<std::string, ServicePaths> mPaths;  ///< By service.
   std::mt19937_64 mRandom;
   Millis mStartedAt;
 };
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -129,6 +129,9 @@
   }
   PickService();
   mContext.RetriesOf(mService->mName).RequestStarted(SteadyNow());
+  if (mService->IsEngine()) {
+    mContext.PathAsked(mService->mName);
+  }
   StartAttempt();
 }
 
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -126,7 +126,10 @@
     }
   }
   if (aAddress.Text() == mNear) {
-    mContext.SetOtherLoads(aAnswer.mLoads.Shares());
+    // Others tell their work as often as this router, to this control or by way
+    // of another: on the whole what is told is one such period old.
+    mContext.SetOtherLoads(aAnswer.mLoads.Shares(),
+                           aAskedAt - aAnswer.mAskEvery);
     mLoadsAt = now;
   }
   mContext.mRouters = std::max(mContext.mRouters, aAnswer.mRouters);
--- a/include/spindleweir/servers/routing/layer_path.h
+++ b/include/spindleweir/servers/routing/layer_path.h
@@ -59,8 +59,13 @@
   double mCost = 0;         ///< Milliseconds in all, by the model.
   int mCrossings = 0;       ///< Times that it goes from zone to zone.
   bool mLacksRoom = false;  ///< There would be one but for room.
+  bool mDealt = false;      ///< By shares, not for its cost.
 };
 
 PathAnswer ChoosePath(const PathQuestion& aQuestion);
 
+/// Requests of the question's size that a path has room for, by the loads that
+/// are known: the least of the memory of its parts and the places of its first.
+double PlacesLeft(const PathQuestion& aQuestion, const LayerPath& aPath);
+
 }  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/servers/routing/path_shares.h
@@ -0,0 +1,28 @@
+/// Divides what the engines of one zone can carry into whole paths: how many
+/// requests a second each path takes beside the others. It depends on what
+/// engines hold, not on what they have to do at the moment.
+#pragma once
+
+#include <vector>
+
+#include "spindleweir/servers/routing/layer_path.h"
+
+namespace spindleweir {
+
+/// A path with its share of its zone's work.
+struct SharedPath {
+  LayerPath mPath;
+  double mPlaces = 0;  ///< Requests that may be on it at a time.
+  double mMillis = 0;  ///< That a usual request is on it.
+
+  /// Requests a millisecond.
+  double Rate() const { return mMillis <= 0 ? 0 : mPlaces / mMillis; }
+};
+
+/// The fastest path first, up to what the engines of it can carry, then the
+/// fastest of what is left. aEngines: those of one zone that may be used.
+std::vector<SharedPath> DividePaths(
+    const EngineProfile& aProfile,
+    const std::vector<const UpstreamRecord*>& aEngines);
+
+}  // namespace spindleweir
--- a/servers/routing/layer_path.cpp
+++ b/servers/routing/layer_path.cpp
@@ -24,6 +24,14 @@
 constexpr double kRoomPrice = 4000;
 /// Routers do not see each other's newest choices.
 constexpr double kSpread = 0.2;
+/// The share of a first engine's places that may be promised: what others
+/// began since their loads were told needs the rest.
+constexpr double kPlacesFill = 0.95;
+
+/// Requests that an engine may have as the first of their paths.
+double PlacesOf(const UpstreamRecord& aEngine) {
+  return aEngine.mSlots <= 0 ? kNone : aEngine.mSlots * kPlacesFill;
+}
 
 /// One engine with what a part of it costs.
 struct Candidate {
@@ -134,6 +142,10 @@
           Uses(aReached, aFrom, static_cast<int>(i))) {
         continue;
       }
+      const bool isFirst = here.mCandidate < 0 && !mQuestion.mFromEngine;
+      if (isFirst && !HasPlace(candidate)) {
+        continue;
+      }
       const double hop = HopCost(here, candidate);
       for (std::size_t to = aFrom.mBoundary + 1;
            to < mBoundaries.size() && mBoundaries[to] <= layers.mTo; to++) {
@@ -159,6 +171,12 @@
     return false;
   }
 
+  /// Whether one request more may have it as its first.
+  bool HasPlace(const Candidate& aCandidate) const {
+    return !mWithinRoom ||
+           aCandidate.mLoad.mFirsts + 1 <= PlacesOf(*aCandidate.mRecord);
+  }
+
   double HopCost(const Reached& aHere, const Candidate& aNext) const {
     const bool fromRouter = aHere.mCandidate < 0 && !mQuestion.mFromEngine;
     const std::string& zone =
@@ -230,8 +248,45 @@
   int mCrossings = 0;
 };
 
+const UpstreamRecord* FindEngine(const PathQuestion& aQuestion,
+                                 const std::string& aInstance) {
+  const auto it =
+      std::find_if(aQuestion.mEngines.begin(), aQuestion.mEngines.end(),
+                   [&aInstance](const UpstreamRecord* aRecord) {
+                     return aRecord->mInstance == aInstance;
+                   });
+  return it == aQuestion.mEngines.end() ? nullptr : *it;
+}
+
 }  // namespace
 
+double PlacesLeft(const PathQuestion& aQuestion, const LayerPath& aPath) {
+  double least = kNone;
+  for (const PathPart& part : aPath) {
+    const UpstreamRecord* engine = FindEngine(aQuestion, part.mInstance);
+    const AcceleratorKind* kind =
+        engine == nullptr ? nullptr
+                          : aQuestion.mProfile->FindKind(engine->mKind);
+    const bool holds =
+        kind != nullptr &&
+        engine->mLayers.Holds(part.mLayers.mFrom, part.mLayers.mTo);
+    if (!holds) {
+      return 0;
+    }
+    const EngineLoad load = aQuestion.mLoadOf(part.mInstance);
+    const double room =
+        EngineModel(*aQuestion.mProfile, *kind).Room(engine->mLayers.Count()) *
+        aQuestion.mFill;
+    const double need = aQuestion.mTokens * part.mLayers.Count();
+    const double left = need <= 0 ? kNone : (room - load.mTokenLayers) / need;
+    least = std::min(least, left);
+    if (&part == &aPath.front()) {
+      least = std::min(least, PlacesOf(*engine) - load.mFirsts);
+    }
+  }
+  return std::max(0.0, least);
+}
+
 PathAnswer ChoosePath(const PathQuestion& aQuestion) {
   PathSearch search(aQuestion);
   PathAnswer answer;
--- /dev/null
+++ b/servers/routing/path_choice.cpp
@@ -0,0 +1,136 @@
+#include "spindleweir/servers/routing/path_choice.h"
+
+#include <algorithm>
+#include <set>
+
+namespace spindleweir {
+
+namespace {
+
+/// The part of the places left on the cheapest path that may be taken before
+/// the others hear of it: the rest is for what the loads do not show.
+constexpr double kTakenUnseen = 0.5;
+/// Paths are divided anew at most this often: in a release each engine's
+/// change would do it.
+constexpr Millis kDivideEvery = 300;
+
+/// A path with what it has left for this request.
+struct Offer {
+  const SharedPath* mShare = nullptr;
+  double mPlaces = 0;  ///< Requests that may still come.
+  double mWeight = 0;  ///< Requests a millisecond.
+};
+
+/// What is left of a path: its share of its engines, less what they have.
+Offer OfferOf(const PathQuestion& aQuestion, const SharedPath& aShare) {
+  const bool avoided =
+      std::any_of(aShare.mPath.begin(), aShare.mPath.end(),
+                  [&aQuestion](const PathPart& aPart) {
+                    return aQuestion.mAvoid.contains(aPart.mInstance);
+                  });
+  Offer offer{.mShare = &aShare};
+  if (avoided) {
+    return offer;
+  }
+  const double left = PlacesLeft(aQuestion, aShare.mPath);
+  if (left < 1) {
+    return offer;
+  }
+  double most = 0;
+  for (const PathPart& part : aShare.mPath) {
+    most = std::max(most, aQuestion.mLoadOf(part.mInstance).mRequests);
+  }
+  // An engine of several paths has requests of all of them.
+  const double places = std::max(0.0, aShare.mPlaces - most);
+  offer.mPlaces = std::min(left, places);
+  offer.mWeight = offer.mPlaces / std::max(1.0, aShare.mMillis);
+  return offer;
+}
+
+const Offer* Draw(const std::vector<Offer>& aOffers, double aRandom) {
+  double total = 0;
+  for (const Offer& offer : aOffers) {
+    total += offer.mWeight;
+  }
+  double left = aRandom * total;
+  const Offer* drawn = nullptr;
+  for (const Offer& offer : aOffers) {
+    if (offer.mWeight <= 0) {
+      continue;
+    }
+    drawn = &offer;
+    left -= offer.mWeight;
+    if (left <= 0) {
+      break;
+    }
+  }
+  return drawn;
+}
+
+}  // namespace
+
+const std::vector<SharedPath>& PathChoice::PathsOf(
+    const PathQuestion& aQuestion, const std::string& aZone,
+    const ChoiceNews& aNews) {
+  ZonePaths& zone = mZones[aZone];
+  const bool fresh =
+      zone.mRevision == aNews.mRevision ||
+      (zone.mRevision >= 0 && aNews.mNow - zone.mMadeAt < kDivideEvery);
+  if (fresh) {
+    return zone.mPaths;
+  }
+  std::vector<const UpstreamRecord*> engines;
+  for (const UpstreamRecord* engine : aQuestion.mEngines) {
+    if (engine->mZone == aZone) {
+      engines.push_back(engine);
+    }
+  }
+  zone.mPaths = DividePaths(*aQuestion.mProfile, engines);
+  zone.mRevision = aNews.mRevision;
+  zone.mMadeAt = aNews.mNow;
+  return zone.mPaths;
+}
+
+PathAnswer PathChoice::Deal(const PathQuestion& aQuestion,
+                            const ChoiceNews& aNews) {
+  std::vector<Offer> offers;
+  double places = 0;
+  const auto add = [&](const std::string& aZone) {
+    for (const SharedPath& share : PathsOf(aQuestion, aZone, aNews)) {
+      offers.push_back(OfferOf(aQuestion, share));
+      places += offers.back().mPlaces;
+    }
+  };
+  std::set<std::string> zones;
+  for (const UpstreamRecord* engine : aQuestion.mEngines) {
+    zones.insert(engine->mZone);
+  }
+  add(aQuestion.mZone);
+  if (places * static_cast<double>(zones.size()) < aNews.mUnseen) {
+    // Its own zone may not carry what comes before the next news.
+    zones.erase(aQuestion.mZone);
+    for (const std::string& zone : zones) {
+      add(zone);
+    }
+  }
+  const Offer* drawn = Draw(offers, aQuestion.mRandom());
+  return drawn == nullptr
+             ? PathAnswer()
+             : PathAnswer{.mPath = drawn->mShare->mPath, .mDealt = true};
+}
+
+PathAnswer PathChoice::Choose(const PathQuestion& aQuestion,
+                              const ChoiceNews& aNews) {
+  PathAnswer cheapest = ChoosePath(aQuestion);
+  if (cheapest.mPath.empty() || !aQuestion.mRandom) {
+    return cheapest;
+  }
+  const double left = PlacesLeft(aQuestion, cheapest.mPath);
+  if (aQuestion.mRandom() * aNews.mUnseen <= left * kTakenUnseen) {
+    return cheapest;
+  }
+  PathAnswer dealt = Deal(aQuestion, aNews);
+  return dealt.mPath.empty() ? cheapest : dealt;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/tests/servers/choice_test.cpp
@@ -0,0 +1,165 @@
+#include <cmath>
+#include <limits>
+#include <map>
+
+#include "bench/choice_play.h"
+#include "spindleweir/servers/routing/arrival_rate.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+std::vector<const UpstreamRecord*> Views(
+    const std::vector<UpstreamRecord>& aRecords, const std::string& aZone) {
+  std::vector<const UpstreamRecord*> views;
+  for (const UpstreamRecord& record : aRecords) {
+    if (record.mZone == aZone) {
+      views.push_back(&record);
+    }
+  }
+  return views;
+}
+
+PathQuestion QuestionOf(const ChoicePlayOptions& aFleet,
+                        const std::vector<UpstreamRecord>& aRecords) {
+  PathQuestion question;
+  question.mProfile = &aFleet.mProfile;
+  question.mZone = "zone-1";
+  question.mTokens =
+      aFleet.mProfile.mUsualPrompt + aFleet.mProfile.mUsualAnswer;
+  question.mReadTokens = aFleet.mProfile.mUsualPrompt;
+  question.mAnswerTokens = aFleet.mProfile.mUsualAnswer;
+  question.mEngines = Views(aRecords, "zone-1");
+  question.mLoadOf = [](const std::string&) { return EngineLoad(); };
+  question.mRandom = [] { return 0.5; };
+  return question;
+}
+
+}  // namespace
+
+Test(choice, many_routers_with_late_news_do_not_all_go_one_way) {
+  // What a caller may wait for the first token, and between events of six
+  // tokens, in milliseconds.
+  constexpr double kFirst = 600;
+  constexpr double kPause = 300;
+  constexpr double kTokensPerEvent = 6;
+  ChoicePlayOptions play = LargeFleet();
+  play.mRouters = 100;
+  play.mLength = 6000;
+  SECTION("by the cheapest path alone a third and more are refused") {
+    play.mRule = ChoiceRule::kCheapest;
+    const ChoicePlayResult result = PlayChoices(play);
+    CHECK(result.RefusedShare() > 0.33);
+    CHECK(result.mBusiest > 8);
+  }
+  SECTION("dealt by what paths have left nobody is") {
+    play.mRule = ChoiceRule::kPathChoice;
+    const ChoicePlayResult result = PlayChoices(play);
+    CHECK(result.RefusedShare() < 0.005);
+    CHECK(result.mFirstP95 < kFirst);
+    CHECK(result.mTokenP95 * kTokensPerEvent < kPause);
+    CHECK(result.mBusiest < 3);
+  }
+}
+
+Test(choice, who_sees_all_takes_the_cheapest) {
+  const ChoicePlayOptions fleet = LargeFleet();
+  const std::vector<UpstreamRecord> records =
+      PlacedEngines(fleet.mProfile, fleet.mGroups);
+  const PathQuestion question = QuestionOf(fleet, records);
+  PathChoice choice;
+  SECTION("with nothing unseen") {
+    const PathAnswer answer = choice.Choose(question, {.mRevision = 1});
+    CHECK(!answer.mDealt);
+    CHECK(answer.mPath == ChoosePath(question).mPath);
+  }
+  SECTION("with more unseen than it has places it is dealt") {
+    const PathAnswer answer =
+        choice.Choose(question, {.mUnseen = 500, .mRevision = 1});
+    CHECK(answer.mDealt);
+    CHECK(!answer.mPath.empty());
+  }
+  SECTION("dealt paths leave out what is to be avoided") {
+    PathQuestion avoiding = question;
+    for (const UpstreamRecord* engine : question.mEngines) {
+      if (engine->mKind != "middle") {
+        avoiding.mAvoid.insert(engine->mInstance);
+      }
+    }
+    const PathAnswer answer =
+        choice.Choose(avoiding, {.mUnseen = 5000, .mRevision = 1});
+    CHECK(answer.mDealt);
+    for (const PathPart& part : answer.mPath) {
+      CHECK(part.mInstance.find("middle") != std::string::npos);
+    }
+  }
+}
+
+Test(choice, a_zone_is_divided_into_whole_paths) {
+  const ChoicePlayOptions fleet = LargeFleet();
+  const std::vector<UpstreamRecord> records =
+      PlacedEngines(fleet.mProfile, fleet.mGroups);
+  const std::vector<const UpstreamRecord*> engines = Views(records, "zone-1");
+  const std::vector<SharedPath> paths = DividePaths(fleet.mProfile, engines);
+  const double tokens =
+      fleet.mProfile.mUsualPrompt + fleet.mProfile.mUsualAnswer;
+  std::map<std::string, double> promised;
+  double rate = 0;
+  for (const SharedPath& path : paths) {
+    rate += path.Rate();
+    int next = 0;
+    for (const PathPart& part : path.mPath) {
+      CHECK(part.mLayers.mFrom == next);
+      next = part.mLayers.mTo;
+      promised[part.mInstance] += path.mPlaces * tokens * part.mLayers.Count();
+    }
+    CHECK(next == fleet.mProfile.mLayers);
+  }
+  SECTION("no engine is promised more than it holds") {
+    for (const UpstreamRecord* engine : engines) {
+      const EngineModel model(fleet.mProfile,
+                              *fleet.mProfile.FindKind(engine->mKind));
+      CHECK(promised[engine->mInstance] <= model.Room(engine->mLayers.Count()));
+    }
+  }
+  SECTION("most engines have a part, and the paths carry the zone's demand") {
+    CHECK(promised.size() * 10 > engines.size() * 7);
+    CHECK(rate * 1000 > fleet.mRequestsPerSecond / 5);
+  }
+}
+
+Test(choice, a_first_engine_has_so_many_places) {
+  const ChoicePlayOptions fleet = LargeFleet();
+  const std::vector<UpstreamRecord> records =
+      PlacedEngines(fleet.mProfile, fleet.mGroups);
+  PathQuestion question = QuestionOf(fleet, records);
+  const std::string first = ChoosePath(question).mPath.front().mInstance;
+  const double free = PlacesLeft(question, ChoosePath(question).mPath);
+  CHECK(free > 1);
+  question.mLoadOf = [&first, &fleet](const std::string& aInstance) {
+    return EngineLoad{.mFirsts = aInstance == first ? static_cast<double>(
+                                                          fleet.mProfile.mSlots)
+                                                    : 0};
+  };
+  SECTION("one whose places are taken is not the first of a path") {
+    CHECK(ChoosePath(question).mPath.front().mInstance != first);
+  }
+  SECTION("where all are taken there is no room") {
+    question.mLoadOf = [&fleet](const std::string&) {
+      return EngineLoad{.mFirsts = static_cast<double>(fleet.mProfile.mSlots)};
+    };
+    CHECK(ChoosePath(question).mPath.empty());
+    CHECK(ChoosePath(question).mLacksRoom);
+  }
+}
+
+Test(choice, arrivals_are_counted_by_their_age) {
+  ArrivalRate rate;
+  CHECK(rate.PerMilli(1000) == 0);
+  for (Millis at = 0; at < 10000; at += 100) {
+    rate.Add(at);
+  }
+  CHECK(std::abs(rate.PerMilli(10000) - 0.01) < 0.001);
+  CHECK(rate.PerMilli(20000) < 0.001);
+}
