Paths are dealt by what they can carry; routers hear of each other twice as often

Change: dealt by each path's share of the zone's capacity; full paths are left out. A control is asked each 3.5 ms an asker (before 6), by routers of other zones each fourth time (before 2.7th): own-zone news each 0.41 s instead of 0.70 s at 117 askers.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -21,7 +21,7 @@
 /// How often a router asks a control of its own zone; where more routers ask,
 /// each asks less often, so that a control has the same work at any size.
 constexpr Millis kAskedEvery = 150;
-constexpr Millis kEachAsker = 6;
+constexpr double kEachAsker = 3.5;
 /// Heartbeats that may be missed before an upstream counts as silent.
 constexpr int kMissedBeats = 3;
 /// News of a leaving upstream is acknowledged after this time even where no
@@ -124,8 +124,9 @@
   }
   answer.mRouters = std::max(1, mLoads.AllRouters(now));
   answer.mOwnRouters = mLoads.OwnRouters(now);
-  answer.mAskEvery =
-      std::max(kAskedEvery, kEachAsker * static_cast<Millis>(mAskedAt.size()));
+  answer.mAskEvery = std::max(
+      kAskedEvery,
+      static_cast<Millis>(kEachAsker * static_cast<double>(mAskedAt.size())));
   if (fromControl) {
     answer.mPackedLoads = mLoads.PackedOwn(now);
   } else if (aQuestion.mTellsLoads > 0) {
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -16,7 +16,7 @@
 /// How often one is asked that did not say how often it wants to be.
 constexpr Millis kFirstPeriod = 150;
 /// All but the first of those that are asked are asked more seldom.
-constexpr double kOthersFactor = 2.7;
+constexpr double kOthersFactor = 4;
 constexpr Millis kAskTimeout = 1000;
 /// Until a configuration is held: a control whose VM is still starting drops
 /// what comes, so that waiting long for it delays the first answer.
--- a/include/spindleweir/servers/routing/path_choice.h
+++ b/include/spindleweir/servers/routing/path_choice.h
@@ -23,10 +23,12 @@
 /// The choice of one router for one service. The cheapest path is right as long
 /// as few others can have taken it unseen. Where more may have come than it has
 /// places, all would go the same way until they hear of it: then most requests
-/// are dealt over all paths of the zone by what each has left.
+/// are dealt over all paths of the zone that are not full, by what each can
+/// carry.
 ///
 /// 195 routers with news that is 1 s old, 490 requests a second: the cheapest
-/// for all gets 0.29 of the requests refused, this one none (choice_test).
+/// for all gets 0.52 of the requests refused, this one none
+/// (spindleweir-bench choice).
 class PathChoice {
  public:
   PathAnswer Choose(const PathQuestion& aQuestion, const ChoiceNews& aNews);
--- a/servers/routing/path_choice.cpp
+++ b/servers/routing/path_choice.cpp
@@ -21,7 +21,7 @@
   double mWeight = 0;  ///< Requests a millisecond.
 };
 
-/// What is left of a path: its share of its engines, less what they have.
+/// What a path offers by the loads that are known; nothing where it is full.
 Offer OfferOf(const PathQuestion& aQuestion, const SharedPath& aShare) {
   const bool avoided =
       std::any_of(aShare.mPath.begin(), aShare.mPath.end(),
@@ -36,14 +36,11 @@
   if (left < 1) {
     return offer;
   }
-  double most = 0;
-  for (const PathPart& part : aShare.mPath) {
-    most = std::max(most, aQuestion.mLoadOf(part.mInstance).mRequests);
-  }
-  // An engine of several paths has requests of all of them.
-  const double places = std::max(0.0, aShare.mPlaces - most);
-  offer.mPlaces = std::min(left, places);
-  offer.mWeight = offer.mPlaces / std::max(1.0, aShare.mMillis);
+  offer.mPlaces = left;
+  // By what the path can carry, not by what it has left at the moment: with
+  // news 1.5 s old and 700 requests a second that refused 0.052 of them, since
+  // all go where there was room; this refuses 0.001 (spindleweir-bench choice).
+  offer.mWeight = aShare.Rate();
   return offer;
 }
 
