--- /dev/null
+++ b/tests/daemons/relay_story.cpp
@@ -0,0 +1,208 @@
+#include "tests/daemons/relay_story.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <netinet/in.h>
+
+#include "spindleweir/core/json_codec.h"
+#include "standins/plain_protocol.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr Millis kLease = 600;
+
+/// A port that is free at the moment.
+Endpoint FreeEndpoint() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  (void)bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  socklen_t n = sizeof(address);
+  (void)getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n);
+  close(fd);
+  return {"127.0.0.1", ntohs(address.sin_port)};
+}
+
+}  // namespace
+
+TrafficConfiguration Traffic(std::int64_t aVersion) {
+  TrafficConfiguration traffic;
+  traffic.mVersion = aVersion;
+  const auto add = [&traffic](const char* aName, RouteKind aKind) {
+    traffic.mRoutes.push_back({.mName = aName,
+                               .mHost = "shop",
+                               .mPrefix = std::string("/") + aName + "/",
+                               .mKind = aKind,
+                               .mTimeout = 5000,
+                               .mAttempts = 2,
+                               .mResumable = aKind == RouteKind::kStream,
+                               .mTargets = {{"counter", 1}}});
+  };
+  add("pay", RouteKind::kUnsafe);
+  add("look", RouteKind::kSafe);
+  add("stream", RouteKind::kStream);
+  traffic.mServices = {{.mName = "counter"}};
+  traffic.mWorkspaces = {{"school", {"key"}, -1}};
+  return traffic;
+}
+
+std::string Document(const TrafficConfiguration& aTraffic) {
+  return DumpJson(ToJson(aTraffic));
+}
+
+RelayStory::RelayStory(Millis aStartWait, RetryAllowanceOptions aRetries)
+    : mA(mLoop, "a"), mB(mLoop, "b"), mSeed(FreeEndpoint()) {
+  StartControl();
+  RelayOptions options;
+  options.mId = "router";
+  options.mZone = "z";
+  options.mListen = {"127.0.0.1", 0};
+  options.mSeeds = {mSeed};
+  options.mClusterKey = "secret";
+  options.mLeaseLength = kLease;
+  options.mStopGrace = 2000;
+  options.mStartWait = aStartWait;
+  options.mRetries = aRetries;
+  options.mCallers = PlainCallers();
+  options.mEngines = PlainEngines();
+  mRouter = std::make_unique<RelayRouter>(mLoop, std::move(options));
+}
+
+void RelayStory::StartControl() {
+  ControlOptions options;
+  options.mZone = "z";
+  options.mRpcListen = mSeed;
+  options.mOperatorListen = {"127.0.0.1", 1};
+  options.mClusterKey = "secret";
+  options.mData = mFolder.Path("data");
+  options.mSeeds = {mSeed};
+  options.mFirstStart = true;
+  options.mElectionTimeout = 50;
+  options.mDocuments = PlainDocuments();
+  options.mDocuments.mRead = [this](std::string_view aDocument) {
+    mDocumentsRead++;
+    return PlainDocuments().mRead(aDocument);
+  };
+  options.mEngines = PlainEngines();
+  mControl = std::make_unique<JoinedControl>(mLoop, std::move(options));
+}
+
+bool RelayStory::RunUntil(const std::function<bool()>& aCondition) {
+  return RunLoopUntil(mLoop, aCondition);
+}
+
+OperatorAnswer RelayStory::Publish(const std::string& aDocument) {
+  OperatorAnswer answer;
+  bool done = false;
+  // Until a leader is there the answer is "not now".
+  for (int i = 0; i < 200 && !done; i++) {
+    bool ended = false;
+    mControl->Publish(aDocument, [&](const OperatorAnswer& aAnswer) {
+      answer = aAnswer;
+      ended = true;
+    });
+    RunUntil([&] { return ended; });
+    done = answer.mCode != ResultCode::kNoQuorum;
+    if (!done) {
+      Wait(20);
+    }
+  }
+  return answer;
+}
+
+OperatorAnswer RelayStory::Read() {
+  OperatorAnswer answer;
+  bool ended = false;
+  mControl->Read([&](const OperatorAnswer& aAnswer) {
+    answer = aAnswer;
+    ended = true;
+  });
+  RunUntil([&] { return ended; });
+  return answer;
+}
+
+void RelayStory::Wait(Millis aTime) {
+  const Millis until = SteadyNow() + aTime;
+  RunUntil([until] { return SteadyNow() >= until; });
+}
+
+void RelayStory::Beat(const ScriptedUpstream& aUpstream, UpstreamState aState) {
+  Beat({.mInstance = aUpstream.Instance(),
+        .mService = "counter",
+        .mAddress = aUpstream.Address(),
+        .mZone = "z",
+        .mSlots = 6,
+        .mState = aState});
+}
+
+void RelayStory::Beat(UpstreamRecord aRecord) {
+  bool acknowledged = false;
+  aRecord.mSequence = ++mSequence;
+  mControl->Beat(aRecord, [&] { acknowledged = true; });
+  REQUIRE(RunUntil([&] { return acknowledged; }));
+}
+
+void RelayStory::BeginEngine(const ScriptedUpstream& aEngine) {
+  TrafficConfiguration traffic = Traffic(8);
+  TrafficService model{.mName = "model"};
+  model.mEngine.mLayers = 8;
+  model.mEngine.mUsualAnswer = 10;
+  model.mEngine.mTokenBytes = 1;
+  model.mEngine.mKinds = {{.mName = "k", .mMemoryMb = 100}};
+  traffic.mServices.push_back(model);
+  traffic.mRoutes.back().mTargets = {{"model", 1}};
+  REQUIRE(Publish(Document(traffic)).mCode == ResultCode::kOk);
+  Beat({.mInstance = aEngine.Instance(),
+        .mService = "model",
+        .mAddress = aEngine.Address(),
+        .mZone = "z",
+        .mKind = "k",
+        .mSlots = 6,
+        .mLayers = {0, 8}});
+  for (int i = 0; aEngine.AllRuns() == 0; i++) {
+    REQUIRE(i < 200);
+    Call("/stream/x");
+    Wait(10);
+  }
+}
+
+Answer RelayStory::Call(const std::string& aTarget, const std::string& aKey) {
+  Answer answer;
+  bool ended = false;
+  StreamCallOptions options;
+  options.mServer = mRouter->Address();
+  options.mMethod = "POST";
+  options.mTarget = aTarget;
+  options.mHeaders = {{"Host", "shop"},
+                      {"X-Request", "r" + std::to_string(++mRequest)},
+                      {"X-Key", aKey}};
+  options.mOnHead = [&](const AnswerHead& aHead) {
+    answer.mStatus = aHead.mStatus;
+    answer.mHeaders = aHead.mHeaders;
+  };
+  options.mOnData = [&](std::string_view aBytes) { answer.mBody += aBytes; };
+  options.mOnEnd = [&](StreamEnd aEnd) {
+    answer.mEnd = aEnd;
+    ended = true;
+  };
+  const auto call = StartStreamCall(mLoop, std::move(options));
+  REQUIRE(RunUntil([&] { return ended; }));
+  return answer;
+}
+
+void RelayStory::Begin() {
+  REQUIRE(Publish(Document(Traffic(7))).mCode == ResultCode::kOk);
+  Beat(mA, UpstreamState::kReady);
+  Beat(mB, UpstreamState::kReady);
+  REQUIRE(RunUntil([this] { return mRouter->Ready(); }));
+  for (int i = 0; mA.AllRuns() == 0 || mB.AllRuns() == 0; i++) {
+    REQUIRE(i < 200);
+    Call("/look/x");
+  }
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/tests/daemons/relay_story.h
@@ -0,0 +1,82 @@
+/// A router and a control that found each other by seeds, between scripted
+/// upstreams and callers, in one loop.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "spindleweir/daemons/joined_control.h"
+#include "spindleweir/daemons/relay_router.h"
+#include "spindleweir/drivers/stream_client.h"
+#include "standins/scripted_upstream.h"
+#include "tests/test_tools.h"
+
+namespace spindleweir {
+
+/// How long a request is kept at a start: long enough for any machine, and
+/// short where nothing is to come.
+inline constexpr Millis kLongStart = 30000;
+inline constexpr Millis kShortStart = 50;
+
+/// What a caller got.
+struct Answer {
+  StreamEnd mEnd = StreamEnd::kNotSent;
+  int mStatus = 0;
+  HttpHeaders mHeaders;
+  std::string mBody;
+};
+
+/// Routes /pay/, /look/ and /stream/ to the service "counter".
+TrafficConfiguration Traffic(std::int64_t aVersion);
+std::string Document(const TrafficConfiguration& aTraffic);
+
+/// The system under test.
+struct RelayStory {
+  explicit RelayStory(Millis aStartWait = kShortStart,
+                      RetryAllowanceOptions aRetries = {});
+
+  /// A control on the disk that is there, empty at first.
+  void StartControl();
+
+  /// False where it does not come true within the loop's bound.
+  bool RunUntil(const std::function<bool()>& aCondition);
+
+  /// Sends a configuration until there is a leader to take it.
+  OperatorAnswer Publish(const std::string& aDocument);
+
+  /// The newest document that control holds.
+  OperatorAnswer Read();
+
+  void Wait(Millis aTime);
+
+  /// A heartbeat, until it is acknowledged.
+  void Beat(const ScriptedUpstream& aUpstream, UpstreamState aState);
+  void Beat(UpstreamRecord aRecord);
+
+  /// An engine that holds all layers of the service "model".
+  void BeginEngine(const ScriptedUpstream& aEngine);
+
+  /// A request with the next id, until its answer ends.
+  Answer Call(const std::string& aTarget, const std::string& aKey = "key");
+
+  /// The id of the last request.
+  std::string Last() const { return "r" + std::to_string(mRequest); }
+  int RunsOfLast() const { return mA.Runs(Last()) + mB.Runs(Last()); }
+
+  /// A configuration in force, both upstreams known.
+  void Begin();
+
+  TemporaryFolder mFolder;
+  EventLoop mLoop;
+  ScriptedUpstream mA;
+  ScriptedUpstream mB;
+  Endpoint mSeed;
+  std::unique_ptr<JoinedControl> mControl;
+  std::unique_ptr<RelayRouter> mRouter;
+  std::int64_t mSequence = 0;
+  int mRequest = 0;
+  int mDocumentsRead = 0;  ///< By control.
+};
+
+}  // namespace spindleweir
