Read once more: an engine's room and a request's part of its load stand once

Cause: read of the whole change: the room that may be promised at an engine was worked out in the search and again in PlacesLeft; bench/choice_play added and took away a request's load in three places; a comment had lost the sentence that it went on from. Change: RoomOf, AddPart, the comment. No behaviour.

--- a/bench/choice_play.cpp
+++ b/bench/choice_play.cpp
@@ -49,14 +49,18 @@
   PathChoice mChoice;
 };
 
+/// Adds, or takes away, what a request is at one part of its path.
+void AddPart(EngineLoad& aLoad, const PlayedRequest& aRequest,
+             const PathPart& aPart, int aSign) {
+  const bool first = &aPart == &aRequest.mPath.front();
+  aLoad.mRequests += aSign;
+  aLoad.mTokenLayers += aSign * aRequest.mTokens * aPart.mLayers.Count();
+  aLoad.mFirsts += first ? aSign : 0;
+}
+
 void AddLoad(Loads& aLoads, const PlayedRequest& aRequest, int aSign) {
-  bool first = true;
   for (const PathPart& part : aRequest.mPath) {
-    EngineLoad& load = aLoads[part.mInstance];
-    load.mRequests += aSign;
-    load.mTokenLayers += aSign * aRequest.mTokens * part.mLayers.Count();
-    load.mFirsts += first ? aSign : 0;
-    first = false;
+    AddPart(aLoads[part.mInstance], aRequest, part, aSign);
   }
 }
 
@@ -224,7 +228,6 @@
     AddLoad(mRouters[aRequest->mRouter]->mOwn, *aRequest, 1);
     double at = mNow;
     double token = 0;
-    bool first = true;
     for (const PathPart& part : aRequest->mPath) {
       PlayedEngine& engine = mEngines[part.mInstance];
       const EngineModel model(mOptions.mProfile, *mOptions.mProfile.FindKind(
@@ -233,10 +236,7 @@
       const double read = model.ReadMillis(layers, aPrompt);
       at = std::max(at, engine.mReadsUntil) + read;
       engine.mReadsUntil = at;
-      engine.mLoad.mRequests += 1;
-      engine.mLoad.mTokenLayers += aRequest->mTokens * layers;
-      engine.mLoad.mFirsts += first ? 1 : 0;
-      first = false;
+      AddPart(engine.mLoad, *aRequest, part, 1);
       const double writers =
           1 + WritersOf(engine.mLoad.mRequests, aRequest->mPath.size());
       const double step = model.StepMillis(
@@ -254,13 +254,8 @@
     const std::shared_ptr<PlayedRequest> request = mEnds.top().mRequest;
     mEnds.pop();
     AddLoad(mRouters[request->mRouter]->mOwn, *request, -1);
-    bool first = true;
     for (const PathPart& part : request->mPath) {
-      EngineLoad& load = mEngines[part.mInstance].mLoad;
-      load.mRequests -= 1;
-      load.mTokenLayers -= request->mTokens * part.mLayers.Count();
-      load.mFirsts -= first ? 1 : 0;
-      first = false;
+      AddPart(mEngines[part.mInstance].mLoad, *request, part, -1);
     }
   }
 
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -47,7 +47,7 @@
 }
 
 bool RelayRequest::WaitForPath() {
-  // So is any request while the upstreams' first heartbeats come in.
+  // Any request is worth a wait while the upstreams' first heartbeats come in.
   const bool starts = MayWaitForStart() && Remaining() > kAskForPathAgain;
   if (!IsWorthWaiting() && !starts) {
     return false;
--- a/servers/routing/layer_path.cpp
+++ b/servers/routing/layer_path.cpp
@@ -28,6 +28,13 @@
 /// began since their loads were told needs the rest.
 constexpr double kPlacesFill = 0.95;
 
+/// Tokens x layers that may be promised at an engine.
+double RoomOf(const PathQuestion& aQuestion, const UpstreamRecord& aEngine,
+              const AcceleratorKind& aKind) {
+  return EngineModel(*aQuestion.mProfile, aKind).Room(aEngine.mLayers.Count()) *
+         aQuestion.mFill;
+}
+
 /// Requests that an engine may have as the first of their paths.
 double PlacesOf(const UpstreamRecord& aEngine) {
   return aEngine.mSlots <= 0 ? kNone : aEngine.mSlots * kPlacesFill;
@@ -77,7 +84,7 @@
       }
       const EngineModel model(profile, *kind);
       const EngineLoad load = aQuestion.mLoadOf(record->mInstance);
-      const double room = model.Room(record->mLayers.Count()) * aQuestion.mFill;
+      const double room = RoomOf(aQuestion, *record, *kind);
       mCandidates.push_back(
           {record, ZoneIndex(record->mZone), model, load, room, Spread()});
       mBoundaries.push_back(record->mLayers.mFrom);
@@ -274,9 +281,7 @@
       return 0;
     }
     const EngineLoad load = aQuestion.mLoadOf(part.mInstance);
-    const double room =
-        EngineModel(*aQuestion.mProfile, *kind).Room(engine->mLayers.Count()) *
-        aQuestion.mFill;
+    const double room = RoomOf(aQuestion, *engine, *kind);
     const double need = aQuestion.mTokens * part.mLayers.Count();
     const double left = need <= 0 ? kNone : (room - load.mTokenLayers) / need;
     least = std::min(least, left);
