--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -25,6 +25,7 @@
     "  configuration  from acceptance to force; restart; claims\n"
     "  placement      against the best, an equal split and a greedy one\n"
     "  choice         many routers with late news against one that sees all\n"
+    "  control        what each part of control's work costs by engines\n"
     "  slopes         what docs/CAPACITY.md is worked out from\n"
     "  history        callers and operators for scripts/history\n"
     "  check FILE...  judges the records of a history\n"
@@ -43,6 +44,7 @@
                                  {"configuration", MeasureConfiguration},
                                  {"placement", MeasurePlacement},
                                  {"choice", MeasureChoice},
+                                 {"control", MeasureControl},
                                  {"slopes", MeasureSlopes}};
 
 int Run(const std::vector<std::string>& aArguments) {
--- a/bench/commands.h
+++ b/bench/commands.h
@@ -22,6 +22,7 @@
 void MeasureConfiguration(const BenchOptions& aOptions);
 void MeasurePlacement(const BenchOptions& aOptions);
 void MeasureChoice(const BenchOptions& aOptions);
+void MeasureControl(const BenchOptions& aOptions);
 void MeasureSlopes(const BenchOptions& aOptions);
 
 /// What the callers and operators of a history are to do.
--- a/servers/placement/layer_planner.cpp
+++ b/servers/placement/layer_planner.cpp
@@ -5,6 +5,7 @@
 
 #include "servers/placement/layer_groups.h"
 #include "servers/placement/layer_rows.h"
+#include "servers/placement/zone_cells.h"
 #include "servers/placement/zone_repair.h"
 #include "servers/placement/zone_value.h"
 
@@ -60,8 +61,8 @@
   return deal;
 }
 
-/// Deals layers to the engines of a zone where none holds any.
-std::vector<LayerOrder> PlanEmptyZone(const EngineProfile& aProfile,
+/// Deals layers to the engines of a cell where none holds any.
+std::vector<LayerOrder> PlanEmptyCell(const EngineProfile& aProfile,
                                       const Cards& aCards) {
   Deal best = Complete(aProfile, aCards, PlanRows(aCards, aProfile.mLayers));
   if (aProfile.mCapacityTokens <= 0) {
@@ -89,14 +90,21 @@
               }
               return aLeft.mRecord->mInstance < aRight.mRecord->mInstance;
             });
-  if (aZone.mHolding.empty()) {
-    return PlanEmptyZone(aProfile, aZone.mEmpty);
+  std::vector<LayerOrder> orders;
+  const std::vector<Cards> cells = DivideIntoCells(aProfile, aZone.mEmpty);
+  if (aZone.mHolding.empty() || cells.size() > 1) {
+    // So many at once make whole cells of their own, whatever others hold.
+    for (const Cards& cell : cells) {
+      for (const LayerOrder& order : PlanEmptyCell(aProfile, cell)) {
+        orders.push_back(order);
+      }
+    }
+    return orders;
   }
   std::vector<Holder> holders;
   for (const Card& card : aZone.mHolding) {
     holders.push_back({card, card.mRecord->mLayers});
   }
-  std::vector<LayerOrder> orders;
   for (const Card& card : aZone.mEmpty) {
     orders.push_back(PlaceEmpty(aProfile, card, holders));
   }
--- a/servers/placement/zone_repair.cpp
+++ b/servers/placement/zone_repair.cpp
@@ -65,20 +65,19 @@
           .mMost = std::max(least, model.LayersBeside(tokens / 2))};
 }
 
-/// The best layers for the last of the holders.
-Choice BestForLast(const EngineProfile& aProfile,
-                   std::vector<Holder>& aHolders) {
-  Holder& last = aHolders.back();
-  const LayerRange before = last.mLayers;
-  last.mLayers = {};
-  const std::vector<double> memory = MemoryByLayer(aProfile, aHolders);
-  const LayerCounts counts = CountsFor(aProfile, last.mCard);
+/// The best layers for a card beside those that hold layers.
+Choice BestBeside(const EngineProfile& aProfile, const Card& aCard,
+                  const std::vector<Holder>& aOthers) {
+  const std::vector<double> memory = MemoryByLayer(aProfile, aOthers);
+  const LayerCounts counts = CountsFor(aProfile, aCard);
+  std::vector<HolderClass> classes = ClassesOf(aOthers);
+  classes.push_back({aCard.mKind, {}, 1});
   Choice best;
   for (int n = counts.mLeast; n <= counts.mMost; n++) {
     for (int from = 0; from + n <= aProfile.mLayers; from++) {
-      last.mLayers = {from, from + n};
-      Choice choice{.mLayers = last.mLayers,
-                    .mValue = ValueOf(aProfile, aHolders)};
+      classes.back().mLayers = {from, from + n};
+      Choice choice{.mLayers = classes.back().mLayers,
+                    .mValue = ValueOf(aProfile, classes)};
       for (int i = from; i < from + n; i++) {
         choice.mHeld += memory[static_cast<std::size_t>(i)] / n;
       }
@@ -87,10 +86,20 @@
       }
     }
   }
-  last.mLayers = before;
   return best;
 }
 
+/// Whether a holder is the first of its class: those behind it could do no
+/// better.
+bool IsFirstOfClass(const std::vector<Holder>& aHolders, std::size_t aAt) {
+  const Holder& holder = aHolders[aAt];
+  const auto end = aHolders.begin() + static_cast<std::ptrdiff_t>(aAt);
+  return std::none_of(aHolders.begin(), end, [&holder](const Holder& aOther) {
+    return aOther.mCard.mKind == holder.mCard.mKind &&
+           aOther.mLayers == holder.mLayers;
+  });
+}
+
 /// How many layers more a card may take.
 int Growth(const Holder* aHolder) {
   if (aHolder == nullptr) {
@@ -142,10 +151,12 @@
   const LayerCover cover = CoverOf(aProfile, aHolders);
   Holder* spare = nullptr;
   Choice best;
-  for (Holder& holder : aHolders) {
+  for (std::size_t i = 0; i < aHolders.size(); i++) {
+    Holder& holder = aHolders[i];
     const int n =
         std::min(aHole.Count(), holder.mCard.MostIn(kMostWeightShare));
-    if (n <= 0 || !cover.Holds(holder.mLayers, 2)) {
+    if (n <= 0 || !cover.Holds(holder.mLayers, 2) ||
+        !IsFirstOfClass(aHolders, i)) {
       continue;
     }
     const LayerRange before = holder.mLayers;
@@ -175,8 +186,8 @@
 
 LayerOrder PlaceEmpty(const EngineProfile& aProfile, const Card& aCard,
                       std::vector<Holder>& aHolders) {
-  aHolders.push_back({aCard, {}});
-  aHolders.back().mLayers = BestForLast(aProfile, aHolders).mLayers;
+  const LayerRange layers = BestBeside(aProfile, aCard, aHolders).mLayers;
+  aHolders.push_back({aCard, layers});
   return {aCard.mRecord->mInstance, aHolders.back().mLayers};
 }
 
@@ -202,7 +213,11 @@
   LayerOrder order;
   int fewest = present.Edges();
   int mostHeld = 0;
-  for (Holder& holder : aHolders) {
+  for (std::size_t i = 0; i < aHolders.size(); i++) {
+    if (!IsFirstOfClass(aHolders, i)) {
+      continue;
+    }
+    Holder& holder = aHolders[i];
     const LayerRange before = holder.mLayers;
     for (const LayerRange& hole : present.Holes()) {
       const int n =
@@ -225,7 +240,7 @@
 }
 
 std::vector<LayerOrder> Rebalance(const EngineProfile& aProfile,
-                                  std::vector<Holder> aHolders) {
+                                  const std::vector<Holder>& aHolders) {
   if (aHolders.empty() || aProfile.mCapacityTokens <= 0) {
     return {};
   }
@@ -237,17 +252,18 @@
   LayerOrder order;
   double gained = kWorthALoad;
   for (std::size_t i = 0; i < aHolders.size(); i++) {
-    std::swap(aHolders[i], aHolders.back());
-    const Holder& holder = aHolders.back();
-    if (cover.Holds(holder.mLayers, 2)) {
-      const Choice choice = BestForLast(aProfile, aHolders);
-      const double gain = choice.mValue.mServed - present.mServed;
-      if (choice.mValue.mHeld >= present.mHeld && gain > gained) {
-        gained = gain;
-        order = {holder.mCard.mRecord->mInstance, choice.mLayers};
-      }
+    const Holder& holder = aHolders[i];
+    if (!cover.Holds(holder.mLayers, 2) || !IsFirstOfClass(aHolders, i)) {
+      continue;
+    }
+    std::vector<Holder> others = aHolders;
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(i));
+    const Choice choice = BestBeside(aProfile, holder.mCard, others);
+    const double gain = choice.mValue.mServed - present.mServed;
+    if (choice.mValue.mHeld >= present.mHeld && gain > gained) {
+      gained = gain;
+      order = {holder.mCard.mRecord->mInstance, choice.mLayers};
     }
-    std::swap(aHolders[i], aHolders.back());
   }
   return OneOrNone(order);
 }
--- a/servers/placement/zone_repair.h
+++ b/servers/placement/zone_repair.h
@@ -27,6 +27,6 @@
 /// The one move by which a whole zone gains most; empty where none is worth
 /// the load. What the engine gives up is held by others.
 std::vector<LayerOrder> Rebalance(const EngineProfile& aProfile,
-                                  std::vector<Holder> aHolders);
+                                  const std::vector<Holder>& aHolders);
 
 }  // namespace spindleweir
--- a/servers/placement/zone_value.cpp
+++ b/servers/placement/zone_value.cpp
@@ -10,23 +10,42 @@
 constexpr double kNow = 0.5;
 
 /// Tokens for which an engine has room at each of its layers.
-double RoomOf(const EngineProfile& aProfile, const Holder& aHolder) {
-  const int n = aHolder.mLayers.Count();
-  return n <= 0 ? 0 : EngineModel(aProfile, *aHolder.mCard.mKind).Room(n) / n;
+double RoomOf(const EngineProfile& aProfile, const HolderClass& aClass) {
+  const int n = aClass.mLayers.Count();
+  return n <= 0 ? 0 : EngineModel(aProfile, *aClass.mKind).Room(n) / n;
 }
 
 }  // namespace
 
+std::vector<HolderClass> ClassesOf(const std::vector<Holder>& aHolders) {
+  std::vector<HolderClass> classes;
+  for (const Holder& holder : aHolders) {
+    const auto it = std::find_if(classes.begin(), classes.end(),
+                                 [&holder](const HolderClass& aClass) {
+                                   return aClass.mKind == holder.mCard.mKind &&
+                                          aClass.mLayers == holder.mLayers;
+                                 });
+    if (it != classes.end()) {
+      it->mCount++;
+    } else {
+      classes.push_back({holder.mCard.mKind, holder.mLayers, 1});
+    }
+  }
+  return classes;
+}
+
 ZoneValue ValueOf(const EngineProfile& aProfile,
-                  const std::vector<Holder>& aHolders) {
+                  const std::vector<HolderClass>& aClasses) {
   const auto layers = static_cast<std::size_t>(aProfile.mLayers);
   std::vector<double> room(layers, 0.0);
   std::vector<int> holders(layers, 0);
-  for (const Holder& holder : aHolders) {
-    const double own = RoomOf(aProfile, holder);
-    for (int i = holder.mLayers.mFrom; i < holder.mLayers.mTo; i++) {
-      room[static_cast<std::size_t>(i)] += own;
-      holders[static_cast<std::size_t>(i)]++;
+  int engines = 0;
+  for (const HolderClass& own : aClasses) {
+    const double brought = RoomOf(aProfile, own) * own.mCount;
+    engines += own.mCount;
+    for (int i = own.mLayers.mFrom; i < own.mLayers.mTo; i++) {
+      room[static_cast<std::size_t>(i)] += brought;
+      holders[static_cast<std::size_t>(i)] += own.mCount;
     }
   }
   const auto served = [&aProfile](double aRoom) {
@@ -42,19 +61,24 @@
     }
   }
   double after = 0;
-  for (const Holder& holder : aHolders) {
-    const double own = RoomOf(aProfile, holder);
+  for (const HolderClass& own : aClasses) {
+    const double lost = RoomOf(aProfile, own);
     double without = now;
-    for (int i = holder.mLayers.mFrom; i < holder.mLayers.mTo; i++) {
+    for (int i = own.mLayers.mFrom; i < own.mLayers.mTo; i++) {
       const auto at = static_cast<std::size_t>(i);
-      const double left = holders[at] > 1 ? served(room[at] - own) : 0;
+      const double left = holders[at] > 1 ? served(room[at] - lost) : 0;
       without = std::min(without, left);
     }
-    after += without;
+    after += without * own.mCount;
   }
-  const auto n = static_cast<double>(std::max<std::size_t>(1, aHolders.size()));
-  value.mServed = kNow * now + (1 - kNow) * after / n;
+  value.mServed = kNow * now + (1 - kNow) * after /
+                                   static_cast<double>(std::max(1, engines));
   return value;
 }
 
+ZoneValue ValueOf(const EngineProfile& aProfile,
+                  const std::vector<Holder>& aHolders) {
+  return ValueOf(aProfile, ClassesOf(aHolders));
+}
+
 }  // namespace spindleweir
--- a/servers/placement/zone_value.h
+++ b/servers/placement/zone_value.h
@@ -20,8 +20,22 @@
   }
 };
 
+/// Holders that are alike for what a zone is worth.
+struct HolderClass {
+  const AcceleratorKind* mKind = nullptr;
+  LayerRange mLayers;
+  int mCount = 0;
+};
+
+/// The holders by what they are and hold. Large zones hold the same ranges many
+/// times: 1,000 engines fall into about 40 classes, and all that judges a zone
+/// goes by these.
+std::vector<HolderClass> ClassesOf(const std::vector<Holder>& aHolders);
+
 /// The demand is the tokens at once that the profile says an engine is built
 /// for; where it says none, there is room enough everywhere.
+ZoneValue ValueOf(const EngineProfile& aProfile,
+                  const std::vector<HolderClass>& aClasses);
 ZoneValue ValueOf(const EngineProfile& aProfile,
                   const std::vector<Holder>& aHolders);
 
