Control writes changes of upstreams once for all that ask, and loads as often as they have rows

Change: UpstreamFeed packs changes once, records travel by columns, heartbeats without news as three columns; loads are made anew as seldom as they have rows (4 rows a ms) and left out where the asker has them by number; predecessors are found by address. A heartbeat heard of before its content no longer hides the content, and late word of an older incarnation no longer counts as ready (both tests new).

--- a/bench/control_costs.cpp
+++ b/bench/control_costs.cpp
@@ -117,14 +117,17 @@
     });
     std::string text;
     Time("one heartbeat of each, told to another control", 1, [&] {
-      text =
-          DumpJson(ToJson(UpstreamList{mRegistry.ChangedSince(0, true, 2300)}));
+      text = DumpJson(ToJson(
+          BeatTable::Of(mRegistry.BeatsSince(0, mRegistry.Revision(), 2300))));
     });
+    UpstreamRegistry other;
+    for (const UpstreamRecord& record : mRegistry.ChangedSince(0, 2300)) {
+      other.Merge(record, 2300);
+    }
     Time("the same, read there", 1, [&] {
-      UpstreamRegistry other;
-      for (const UpstreamRecord& record :
-           FromJson<UpstreamList>(ParseJson(text)).mUpstreams) {
-        other.Merge(record, 2400);
+      for (const UpstreamBeat& beat :
+           FromJson<BeatTable>(ParseJson(text)).Beats()) {
+        other.Touch(beat, 2400);
       }
     });
     Time("a check for silence", 10, [this] { mRegistry.Expire(9999, 3000); });
@@ -132,31 +135,31 @@
 
   void Lists() {
     std::string text;
-    Time("the list of all, packed", 1, [&] {
-      text = Pack(DumpJson(
-          ToJson(UpstreamList{mRegistry.ChangedSince(0, false, 2300)})));
-    });
+    Time("the list of all, packed", 1,
+         [&] { text = PackUpstreams(mRegistry.ChangedSince(0, 2300)); });
     Time("the list of all, read by a router", 1, [&] {
       UpstreamRegistry other;
-      const std::string plain = Unpack(text, kMostUnpacked);
-      for (const UpstreamRecord& record :
-           FromJson<UpstreamList>(ParseJson(plain)).mUpstreams) {
+      for (const UpstreamRecord& record : UnpackUpstreams(text)) {
         other.Merge(record, 2400);
       }
     });
+    UpstreamFeed feed{UpstreamFeedOptions{}};
+    feed.Since(mRegistry, 0, 2300);
+    Time("the list of all, for one more asker", 10,
+         [&] { feed.Since(mRegistry, 0, 2310); });
     Time("nothing new for one asker", 10,
-         [&] { mRegistry.ChangedSince(mRegistry.Revision(), false, 2300); });
+         [&] { feed.Since(mRegistry, mRegistry.Revision(), 2320); });
   }
 
   void Loads() {
-    LoadBook book({.mKept = 2500, .mSumEvery = 0});
+    LoadBook book({.mKept = 2500, .mSumEvery = 0, .mRowsEachMilli = 1000000});
     for (int i = 0; i < kRoutersOfControl; i++) {
       book.Tell("r" + std::to_string(i), 1,
                 WorkOf(i * kEnginesOfRouter, kEnginesOfRouter, mEngines), 1000);
     }
     std::string own;
     Time("loads of its own routers, packed", 5,
-         [&] { own = book.PackedOwn(1000); });
+         [&] { own = book.PackedOwn(1000).mText; });
     const LoadShares share = WorkOf(0, mEngines / kZones, mEngines);
     const std::string packed = PackLoads(share);
     Time("loads of another control, read", 5, [&] { UnpackLoads(packed); });
@@ -166,9 +169,10 @@
           WorkOf(i * mEngines / kZones, mEngines / kZones, mEngines), 1, 1000);
     }
     std::string sum;
-    Time("loads of all, summed", 5, [&] { book.Unreachable(2, 1000); });
+    Millis now = 1000;
+    Time("loads of all, summed", 5, [&] { book.Unreachable(2, ++now); });
     Time("loads of all, summed and packed", 5,
-         [&] { sum = book.PackedSum(1000); });
+         [&] { sum = book.PackedSum(++now).mText; });
     Time("loads of all, read by a router", 5, [&] { UnpackLoads(sum); });
     PrintMeasure({.mMeasure = "control",
                   .mCase = std::to_string(mEngines) + " engines",
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -28,10 +28,6 @@
 /// other control has it.
 constexpr Millis kTellTimeout = 500;
 constexpr int kLifeBytes = 6;
-/// The list of all upstreams is packed anew at most this often; who gets it
-/// gets what changed since beside it. 195 records take 1 ms to write, and
-/// routers that start together all ask for them.
-constexpr Millis kPackedKept = 500;
 /// Another control that did not answer for so long is not in contact.
 constexpr Millis kContact = 1500;
 /// Routers that must agree that an upstream cannot be reached.
@@ -127,37 +123,46 @@
   answer.mAskEvery = std::max(
       kAskedEvery,
       static_cast<Millis>(kEachAsker * static_cast<double>(mAskedAt.size())));
-  if (fromControl) {
-    answer.mPackedLoads = mLoads.PackedOwn(now);
-  } else if (aQuestion.mTellsLoads > 0) {
-    answer.mPackedLoads = mLoads.PackedSum(now);
-    answer.mSummedLoads = mLoads.SummedOf(aQuestion.mProcess);
-  }
+  AddLoads(aQuestion, answer);
   return answer;
 }
 
-void SyncService::AddUpstreams(const SyncQuestion& aQuestion,
-                               SyncAnswer& aAnswer) {
+void SyncService::AddLoads(const SyncQuestion& aQuestion, SyncAnswer& aAnswer) {
   const Millis now = SteadyNow();
   const bool fromControl = !aQuestion.mControl.mId.empty();
-  std::int64_t known = aQuestion.mKnows == mLife ? aQuestion.mRevision : 0;
-  if (known == 0 && !fromControl) {
-    if (mPacked.mMadeAt < 0 || now - mPacked.mMadeAt > kPackedKept) {
-      const UpstreamList all{mRegistry.ChangedSince(0, false, now)};
-      mPacked = {Pack(DumpJson(ToJson(all))), mRegistry.Revision(), now};
-    }
-    aAnswer.mPackedUpstreams = mPacked.mText;
-    aAnswer.mPackedAgo = now - mPacked.mMadeAt;
-    known = mPacked.mRevision;
+  if (!fromControl && aQuestion.mTellsLoads == 0) {
+    return;
   }
-  aAnswer.mRevision = mRegistry.Revision();
-  aAnswer.mUpstreams = mRegistry.ChangedSince(known, fromControl, now);
-  for (const UpstreamRecord& record :
-       mRegistry.HeardLater(aQuestion.mSilent, SilentAfter(), now)) {
-    aAnswer.mUpstreams.push_back(record);
+  const PackedLoads& loads =
+      fromControl ? mLoads.PackedOwn(now) : mLoads.PackedSum(now);
+  aAnswer.mLoadsNumber = loads.mNumber;
+  aAnswer.mLoadsAgo = now - loads.mMadeAt;
+  const bool known =
+      aQuestion.mKnows == mLife && aQuestion.mKnowsLoads == loads.mNumber;
+  if (!known) {
+    aAnswer.mPackedLoads = loads.mText;
+  }
+  if (!fromControl) {
+    aAnswer.mSummedLoads = mLoads.SummedOf(aQuestion.mProcess);
   }
 }
 
+void SyncService::AddUpstreams(const SyncQuestion& aQuestion,
+                               SyncAnswer& aAnswer) {
+  const Millis now = SteadyNow();
+  const std::int64_t known =
+      aQuestion.mKnows == mLife ? aQuestion.mRevision : 0;
+  FeedAnswer feed = mFeed.Since(mRegistry, known, now);
+  aAnswer.mRevision = feed.mRevision;
+  aAnswer.mNewsOfUpstreams = std::move(feed.mNews);
+  if (!aQuestion.mControl.mId.empty()) {
+    aAnswer.mBeats =
+        BeatTable::Of(mRegistry.BeatsSince(known, feed.mRevision, now));
+  }
+  aAnswer.mNotSilent =
+      mRegistry.HeardLater(aQuestion.mSilent, SilentAfter(), now);
+}
+
 void SyncService::ConfirmOwn(Millis aNow) {
   const Millis confirmed = mLog.Raft().ConfirmedAt();
   if (confirmed >= 0) {
@@ -229,6 +234,7 @@
   question.mControl = Self();
   question.mKnows = source.mLife;
   question.mRevision = source.mRevision;
+  question.mKnowsLoads = source.mLoadsNumber;
   question.mConfiguration = Traffic().mVersion;
   const Millis askedAt = SteadyNow();
   mContext.mRpc.Call(aAddress, rpc_method::kSync, ToJson(question), kAskTimeout,
@@ -245,19 +251,31 @@
                        Millis aAskedAt) {
   const Millis now = SteadyNow();
   Source& source = mSources[aAddress.Text()];
+  const bool sameLife = source.mLife == aAnswer.mLife;
   source.mLife = aAnswer.mLife;
   source.mRevision = aAnswer.mRevision;
   source.mHeardAt = now;
   mConfirmation.Take(aAnswer.mConfirmedVersion, aAskedAt,
                      aAnswer.mConfirmedAgo);
-  mLoads.TellOfControl(aAddress.Text(), UnpackLoads(aAnswer.mPackedLoads),
-                       aAnswer.mOwnRouters, now);
+  if (aAnswer.mLoadsNumber == source.mLoadsNumber && sameLife) {
+    mLoads.HearOfControl(aAddress.Text(), aAnswer.mOwnRouters, now);
+  } else {
+    mLoads.TellOfControl(aAddress.Text(), UnpackLoads(aAnswer.mPackedLoads),
+                         aAnswer.mOwnRouters, now);
+    source.mLoadsNumber = aAnswer.mLoadsNumber;
+  }
   mDirectory.Heard(aAnswer.mSelf, now);
   for (const ControlInfo& info : aAnswer.mControls) {
     mDirectory.Heard(info, now);
   }
-  for (const UpstreamRecord& record : aAnswer.mUpstreams) {
-    mRegistry.Merge(record, now);
+  for (const UpstreamNews& news : aAnswer.mNewsOfUpstreams) {
+    for (UpstreamRecord& record : UnpackUpstreams(news.mText)) {
+      record.mHeardAgo += news.mAgo;
+      mRegistry.Merge(record, now);
+    }
+  }
+  for (const UpstreamBeat& beat : aAnswer.mBeats.Beats()) {
+    mRegistry.Touch(beat, now);
   }
 }
 
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -16,13 +16,6 @@
 namespace spindleweir {
 
 /// Membership, registry and spreading on one control process.
-/// All upstreams of a registry, packed for those that know none.
-struct PackedRegistry {
-  std::string mText;  ///< An UpstreamList.
-  std::int64_t mRevision = 0;
-  Millis mMadeAt = -1;
-};
-
 class SyncService {
  public:
   SyncService(ControlContext& aContext, ReplicatedConfiguration& aLog);
@@ -46,6 +39,7 @@
   struct Source {
     std::string mLife;
     std::int64_t mRevision = 0;
+    std::int64_t mLoadsNumber = 0;  ///< Of its routers' loads, heard last.
     bool mAsking = false;
     Millis mHeardAt = 0;
   };
@@ -65,8 +59,9 @@
   bool CutOff() const;
   /// An upstream that was not heard for so long counts as silent.
   Millis SilentAfter() const;
-  /// The upstreams that changed for who asks, or all.
+  /// What who asks lacks of the registry.
   void AddUpstreams(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
+  void AddLoads(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
   ControlInfo Self() const;
 
   ControlContext& mContext;
@@ -81,7 +76,7 @@
   std::optional<PublishedDocument> mUnread;
   std::map<std::string, Millis> mAskedAt;  ///< By router.
   NewestConfirmation mConfirmation;
-  PackedRegistry mPacked;
+  UpstreamFeed mFeed{UpstreamFeedOptions{}};
   LoadBook mLoads{LoadBookOptions{}};
   std::map<std::string, Source> mSources;  ///< By address.
   std::unique_ptr<Timer> mAskTimer;
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -69,6 +69,7 @@
       mContext.Table() == nullptr ? 0 : mContext.Table()->Version();
   question.mSilent = mContext.mRegistry.Silent();
   if (aAddress.Text() == mNear) {
+    question.mKnowsLoads = source.mLoadsNumber;
     LoadShares own = mContext.OwnLoads();
     question.mLoads = LoadTable::Of(own);
     question.mTellsLoads = mTold.Tell(std::move(own));
@@ -109,10 +110,29 @@
       .Add("by", aBy);
 }
 
+void SyncLink::TakeLoads(Source& aSource, const SyncAnswer& aAnswer,
+                         Millis aAskedAt) {
+  mLoadsAt = SteadyNow();
+  const bool unchanged = aAnswer.mLoadsNumber == aSource.mLoadsNumber &&
+                         aAnswer.mPackedLoads.empty();
+  if (unchanged && aAnswer.mLoadsNumber != 0) {
+    return;
+  }
+  aSource.mLoadsNumber = aAnswer.mLoadsNumber;
+  // Others tell their work as often as this router, to this control or by way
+  // of another: on the whole what is told is one such period old.
+  mContext.SetOtherLoads(
+      mTold.OthersIn(UnpackLoads(aAnswer.mPackedLoads), aAnswer.mSummedLoads),
+      aAskedAt - aAnswer.mAskEvery - aAnswer.mLoadsAgo);
+}
+
 void SyncLink::Take(const Endpoint& aAddress, const SyncAnswer& aAnswer,
                     Millis aAskedAt) {
   const Millis now = SteadyNow();
   Source& source = mSources[aAddress.Text()];
+  if (source.mLife != aAnswer.mLife) {
+    source.mLoadsNumber = 0;
+  }
   source.mLife = aAnswer.mLife;
   source.mRevision = aAnswer.mRevision;
   source.mPeriod = aAnswer.mAskEvery;
@@ -125,24 +145,17 @@
   for (const ControlInfo& info : aAnswer.mControls) {
     mContext.mDirectory.Heard(info, now);
   }
-  if (!aAnswer.mPackedUpstreams.empty()) {
-    const std::string text = Unpack(aAnswer.mPackedUpstreams, kMostUnpacked);
-    for (UpstreamRecord& record :
-         FromJson<UpstreamList>(ParseJson(text)).mUpstreams) {
-      record.mHeardAgo += aAnswer.mPackedAgo;
+  for (const UpstreamNews& news : aAnswer.mNewsOfUpstreams) {
+    for (UpstreamRecord& record : UnpackUpstreams(news.mText)) {
+      record.mHeardAgo += news.mAgo;
       TakeUpstream(record, aAnswer.mSelf.mId);
     }
   }
-  for (const UpstreamRecord& record : aAnswer.mUpstreams) {
+  for (const UpstreamRecord& record : aAnswer.mNotSilent) {
     TakeUpstream(record, aAnswer.mSelf.mId);
   }
   if (aAddress.Text() == mNear) {
-    // Others tell their work as often as this router, to this control or by way
-    // of another: on the whole what is told is one such period old.
-    mContext.SetOtherLoads(
-        mTold.OthersIn(UnpackLoads(aAnswer.mPackedLoads), aAnswer.mSummedLoads),
-        aAskedAt - aAnswer.mAskEvery);
-    mLoadsAt = now;
+    TakeLoads(source, aAnswer, aAskedAt);
   }
   mContext.mRouters = std::max(mContext.mRouters, aAnswer.mRouters);
   for (const TrafficNews& news : aAnswer.mNews) {
--- a/daemons/relay/sync_link.h
+++ b/daemons/relay/sync_link.h
@@ -21,6 +21,7 @@
   struct Source {
     std::string mLife;
     std::int64_t mRevision = 0;
+    std::int64_t mLoadsNumber = 0;  ///< Of the loads heard last.
     bool mAsking = false;
     Millis mAskedAt = 0;
     Millis mPeriod = 0;  ///< As it asks to be asked; 0: not said.
@@ -32,6 +33,8 @@
   void Ask(const Endpoint& aAddress);
   void Take(const Endpoint& aAddress, const SyncAnswer& aAnswer,
             Millis aAskedAt);
+  /// Takes the work of other routers.
+  void TakeLoads(Source& aSource, const SyncAnswer& aAnswer, Millis aAskedAt);
   /// aBy: the control that knows it.
   void TakeUpstream(const UpstreamRecord& aRecord, const std::string& aBy);
   void Failed(const Endpoint& aAddress);
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -7,7 +7,8 @@
 #include <vector>
 
 #include "spindleweir/servers/membership/control_directory.h"
-#include "spindleweir/servers/membership/upstream_registry.h"
+#include "spindleweir/servers/membership/upstream_feed.h"
+#include "spindleweir/servers/membership/upstream_table.h"
 #include "spindleweir/servers/routes/traffic_change.h"
 #include "spindleweir/servers/routing/load_book.h"
 
@@ -26,6 +27,8 @@
   std::int64_t mRevision = 0;           ///< Of its registry, known so far.
   std::int64_t mConfiguration = 0;      ///< The version held.
   std::vector<SilentUpstream> mSilent;  ///< Held for silent by who asks.
+  /// The number of the loads that were heard last from who is asked.
+  std::int64_t mKnowsLoads = 0;
   /// Of the loads that are told; 0: none are. They replace what was told.
   std::int64_t mTellsLoads = 0;
   LoadTable mLoads;
@@ -39,6 +42,7 @@
     aCodec.Field("revision", mRevision);
     aCodec.Field("configuration", mConfiguration);
     aCodec.Field("silent", mSilent);
+    aCodec.Field("knows_loads", mKnowsLoads);
     aCodec.Field("tells_loads", mTellsLoads);
     aCodec.Field("loads", mLoads);
   }
@@ -52,10 +56,11 @@
   std::string mLeader;  ///< Id of the leader it follows; empty: none.
   std::int64_t mTerm = 0;
   std::int64_t mRevision = 0;
-  std::vector<UpstreamRecord> mUpstreams;  ///< Those that changed.
-  /// Before these, for who knows nothing yet: all, packed once for several.
-  std::string mPackedUpstreams;
-  Millis mPackedAgo = 0;  ///< Since mPackedUpstreams was true.
+  std::vector<UpstreamNews> mNewsOfUpstreams;  ///< Those that changed.
+  /// To another control: heartbeats that changed nothing.
+  BeatTable mBeats;
+  /// Heard here later than who asks knows, though it holds them for silent.
+  std::vector<UpstreamRecord> mNotSilent;
   /// No newer version than this was accepted so long ago; -1: not known.
   std::int64_t mConfirmedVersion = 0;
   Millis mConfirmedAgo = -1;
@@ -63,8 +68,11 @@
   int mRouters = 1;                ///< That tell their loads to any control.
   int mOwnRouters = 0;             ///< That tell them to this one.
   Millis mAskEvery = 0;  ///< So often a router of its zone should ask.
-  /// Of all routers, to a router; of its own routers, to another control.
+  /// Of all routers, to a router; of its own routers, to another control. Left
+  /// out where who asks has them by their number.
   std::string mPackedLoads;
+  std::int64_t mLoadsNumber = 0;  ///< 0: none are told.
+  Millis mLoadsAgo = 0;           ///< Since they were summed up.
   /// The number of what who asks told that is among them; 0: nothing.
   std::int64_t mSummedLoads = 0;
 
@@ -76,9 +84,9 @@
     aCodec.Field("leader", mLeader);
     aCodec.Field("term", mTerm);
     aCodec.Field("revision", mRevision);
-    aCodec.Field("upstreams", mUpstreams);
-    aCodec.Field("packed_upstreams", mPackedUpstreams);
-    aCodec.Field("packed_ago_ms", mPackedAgo);
+    aCodec.Field("news_of_upstreams", mNewsOfUpstreams);
+    aCodec.Field("beats", mBeats);
+    aCodec.Field("not_silent", mNotSilent);
     aCodec.Field("confirmed_version", mConfirmedVersion);
     aCodec.Field("confirmed_ago_ms", mConfirmedAgo);
     aCodec.Field("news", mNews);
@@ -86,18 +94,10 @@
     aCodec.Field("own_routers", mOwnRouters);
     aCodec.Field("ask_every_ms", mAskEvery);
     aCodec.Field("packed_loads", mPackedLoads);
+    aCodec.Field("loads_number", mLoadsNumber);
+    aCodec.Field("loads_ago_ms", mLoadsAgo);
     aCodec.Field("summed_loads", mSummedLoads);
   }
 };
 
-/// All upstreams that a control process knows, as they are packed.
-struct UpstreamList {
-  std::vector<UpstreamRecord> mUpstreams;
-
-  template <class Codec>
-  void Fields(Codec& aCodec) {
-    aCodec.Required("upstreams", mUpstreams);
-  }
-};
-
 }  // namespace spindleweir
--- a/include/spindleweir/servers/membership/upstream_registry.h
+++ b/include/spindleweir/servers/membership/upstream_registry.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,13 @@
   }
 };
 
+/// A heartbeat that told nothing new.
+struct UpstreamBeat {
+  std::string mInstance;
+  std::int64_t mSequence = 0;
+  Millis mHeardAgo = 0;  ///< When sent.
+};
+
 /// An upstream that a process holds for silent, by what it knows.
 struct SilentUpstream {
   std::string mInstance;
@@ -91,16 +99,24 @@
   bool Leave(const std::string& aInstance, Millis aNow);
   /// Takes what another registry knows.
   bool Merge(const UpstreamRecord& aRecord, Millis aNow);
+  /// Takes a heartbeat that another process heard and that told it nothing new.
+  /// Returns whether the record changed for routers: one held for silent is
+  /// ready again. An instance that is not known changes nothing.
+  bool Touch(const UpstreamBeat& aBeat, Millis aNow);
   /// Marks those silent that were not heard for aSilence, and forgets those
   /// that are gone or silent for long. Returns those that are silent now.
   std::vector<UpstreamRecord> Expire(Millis aSilence, Millis aNow);
 
   /// The revision of the newest change.
   std::int64_t Revision() const { return mRevision; }
-  /// The records changed after a revision; aHeartbeats: also those that were
-  /// only heard again, for another registry.
+  /// The records changed after a revision.
   std::vector<UpstreamRecord> ChangedSince(std::int64_t aRevision,
-                                           bool aHeartbeats, Millis aNow) const;
+                                           Millis aNow) const;
+  /// Those heard after a revision, for another registry that knows the changes
+  /// up to aKnown. Who changed later than that is left out: a heartbeat must
+  /// not be known before what it told.
+  std::vector<UpstreamBeat> BeatsSince(std::int64_t aRevision,
+                                       std::int64_t aKnown, Millis aNow) const;
 
   std::vector<SilentUpstream> Silent() const;
   /// Those of a list that were heard here later than the list knows, and
@@ -118,6 +134,9 @@
  private:
   struct Item {
     UpstreamRecord mRecord;
+    /// Of the heartbeat whose content mRecord has; a heartbeat that was only
+    /// heard of may be newer.
+    std::int64_t mContentOf = 0;
     Millis mHeardAt = 0;
     std::int64_t mChangedAt = 0;  ///< Revision of the last change.
     std::int64_t mTouchedAt = 0;  ///< Revision of the last heartbeat.
@@ -125,8 +144,15 @@
 
   bool Take(const UpstreamRecord& aRecord, Millis aHeardAt);
   void EndPredecessors(const UpstreamRecord& aRecord);
+  /// Takes one that is not kept any more out of mAtAddress.
+  void Forget(const UpstreamRecord& aRecord);
+  /// The state after word of a heartbeat.
+  static UpstreamState StateAfter(const Item& aItem,
+                                  const UpstreamRecord& aWord, Millis aHeardAt);
 
   std::map<std::string, Item> mItems;
+  /// Instances by address, so that a successor is found without a search.
+  std::map<std::string, std::set<std::string>> mAtAddress;
   std::int64_t mRevision = 0;
 };
 
--- a/include/spindleweir/servers/routing/load_book.h
+++ b/include/spindleweir/servers/routing/load_book.h
@@ -60,6 +60,13 @@
 /// Throws kDataCorrupt, kBadJson or kBadField where a text is no such loads.
 LoadShares UnpackLoads(std::string_view aPacked);
 
+/// Loads as they are handed out, to any number of askers.
+struct PackedLoads {
+  std::string mText;
+  std::int64_t mNumber = 0;  ///< Greater each time they are made anew.
+  Millis mMadeAt = -1;
+};
+
 /// How a book ages.
 struct LoadBookOptions {
   /// A router, or another control, that said nothing for so long counts for
@@ -68,6 +75,10 @@
   /// The sum of all is made anew, and packed, at most this often: writing 195
   /// rows for each of 68 askers a second took a control 0.027 of a core.
   Millis mSumEvery = 100;
+  /// And in as many milliseconds as there are so many rows: 3,000 rows take 7
+  /// ms to sum and pack, which ten times a second is half of a small
+  /// processor; made each 750 ms they take 6 %.
+  int mRowsEachMilli = 4;
 };
 
 /// The book of one control process. The time comes with each call.
@@ -84,13 +95,16 @@
   void TellOfControl(const std::string& aControl, LoadShares aShares,
                      int aRouters, Millis aNow);
 
-  /// The work of all routers, told here or to other controls, packed.
-  const std::string& PackedSum(Millis aNow);
+  /// Another control was heard; what it told last still holds.
+  void HearOfControl(const std::string& aControl, int aRouters, Millis aNow);
+
+  /// The work of all routers, told here or to other controls.
+  const PackedLoads& PackedSum(Millis aNow);
   /// The number of what a router told that stands in the sum, so that it can
   /// take its own work out of it; 0: nothing of it does.
   std::int64_t SummedOf(const std::string& aProcess) const;
-  /// The work of the routers that tell this control, packed.
-  const std::string& PackedOwn(Millis aNow);
+  /// The work of the routers that tell this control.
+  const PackedLoads& PackedOwn(Millis aNow);
   /// Routers that tell this control.
   int OwnRouters(Millis aNow);
   /// Routers that tell any control.
@@ -110,15 +124,17 @@
 
   void Forget(Millis aNow);
   void SumUp(Millis aNow);
+  /// Whether what was made at aMadeAt, of so many rows, is to be made anew.
+  bool IsOld(Millis aMadeAt, std::size_t aRows, Millis aNow) const;
 
   LoadBookOptions mOptions;
   std::map<std::string, Teller> mRouters;   ///< By process.
   std::map<std::string, Teller> mControls;  ///< By address.
   LoadShares mSum;
-  std::string mPackedSum;  ///< Of mSum; made when it is asked for.
-  std::string mPackedOwn;
+  PackedLoads mPackedSum;  ///< Of mSum; made when it is asked for.
+  PackedLoads mPackedOwn;
+  std::size_t mOwnRows = 0;  ///< Of mPackedOwn.
   Millis mSummedAt = -1;
-  Millis mOwnAt = -1;  ///< When mPackedOwn was made.
 };
 
 }  // namespace spindleweir
--- a/servers/membership/upstream_registry.cpp
+++ b/servers/membership/upstream_registry.cpp
@@ -34,11 +34,48 @@
   return Take(aRecord, aNow - aRecord.mHeardAgo);
 }
 
+bool UpstreamRegistry::Touch(const UpstreamBeat& aBeat, Millis aNow) {
+  const auto it = mItems.find(aBeat.mInstance);
+  if (it == mItems.end() || aBeat.mSequence <= it->second.mRecord.mSequence) {
+    return false;
+  }
+  Item& item = it->second;
+  item.mRecord.mSequence = aBeat.mSequence;
+  item.mHeardAt = std::max(item.mHeardAt, aNow - aBeat.mHeardAgo);
+  item.mTouchedAt = ++mRevision;
+  if (item.mRecord.mState != UpstreamState::kSilent) {
+    return false;
+  }
+  item.mRecord.mState = UpstreamState::kReady;
+  item.mChangedAt = mRevision;
+  return true;
+}
+
+UpstreamState UpstreamRegistry::StateAfter(const Item& aItem,
+                                           const UpstreamRecord& aWord,
+                                           Millis aHeardAt) {
+  const UpstreamRecord& before = aItem.mRecord;
+  if (aWord.mSequence > before.mSequence) {
+    // Whoever leaves does not come back under the same name.
+    const bool back = Ends(before.mState) && aWord.mState < before.mState;
+    return back ? before.mState : aWord.mState;
+  }
+  const bool ends = Ends(aWord.mState) && aWord.mState > before.mState;
+  // Only who has heard as much may say that it is silent. When that was is
+  // known the less well the more processes it went through.
+  const bool silent = aWord.mState == UpstreamState::kSilent &&
+                      before.mState == UpstreamState::kReady &&
+                      aWord.mSequence == before.mSequence &&
+                      aHeardAt + kHeardWithin >= aItem.mHeardAt;
+  return ends || silent ? aWord.mState : before.mState;
+}
+
 bool UpstreamRegistry::Take(const UpstreamRecord& aRecord, Millis aHeardAt) {
   const auto [it, fresh] = mItems.try_emplace(aRecord.mInstance);
   Item& item = it->second;
   if (fresh) {
     item.mRecord = aRecord;
+    item.mContentOf = aRecord.mSequence;
     item.mHeardAt = aHeardAt;
     item.mChangedAt = ++mRevision;
     item.mTouchedAt = mRevision;
@@ -46,22 +83,17 @@
     return true;
   }
   const UpstreamRecord before = item.mRecord;
-  if (aRecord.mSequence > before.mSequence) {
-    item.mRecord = aRecord;
-    if (Ends(before.mState) && aRecord.mState < before.mState) {
-      // Whoever leaves does not come back under the same name.
-      item.mRecord.mState = before.mState;
+  const UpstreamState state = StateAfter(item, aRecord, aHeardAt);
+  if (aRecord.mSequence > item.mContentOf) {
+    if (aRecord.mAddress != before.mAddress) {
+      Forget(before);
+      mAtAddress[aRecord.mAddress].insert(aRecord.mInstance);
     }
-  } else {
-    const bool ends = Ends(aRecord.mState) && aRecord.mState > before.mState;
-    // Only who has heard as much may say that it is silent. When that was is
-    // known the less well the more processes it went through.
-    const bool silent = aRecord.mState == UpstreamState::kSilent &&
-                        before.mState == UpstreamState::kReady &&
-                        aRecord.mSequence == before.mSequence &&
-                        aHeardAt + kHeardWithin >= item.mHeardAt;
-    item.mRecord.mState = ends || silent ? aRecord.mState : before.mState;
+    item.mRecord = aRecord;
+    item.mContentOf = aRecord.mSequence;
+    item.mRecord.mSequence = std::max(before.mSequence, aRecord.mSequence);
   }
+  item.mRecord.mState = state;
   item.mHeardAt = std::max(item.mHeardAt, aHeardAt);
   if (aRecord.mSequence > before.mSequence) {
     item.mTouchedAt = ++mRevision;
@@ -76,16 +108,24 @@
 
 void UpstreamRegistry::EndPredecessors(const UpstreamRecord& aRecord) {
   // An address has one process at a time: who had it before has ended.
-  for (auto& [instance, item] : mItems) {
-    const bool same = instance != aRecord.mInstance &&
-                      item.mRecord.mAddress == aRecord.mAddress &&
-                      item.mRecord.mState != UpstreamState::kGone;
-    if (same && item.mHeardAt <= mItems[aRecord.mInstance].mHeardAt) {
+  Item& own = mItems[aRecord.mInstance];
+  std::set<std::string>& here = mAtAddress[aRecord.mAddress];
+  for (const std::string& instance : here) {
+    Item& item = mItems[instance];
+    if (item.mRecord.mState == UpstreamState::kGone) {
+      continue;
+    }
+    if (item.mHeardAt <= own.mHeardAt) {
       item.mRecord.mState = UpstreamState::kGone;
       item.mChangedAt = ++mRevision;
       item.mTouchedAt = mRevision;
+    } else if (own.mRecord.mState == UpstreamState::kReady) {
+      // Word of the older one came later. Times that went through several
+      // processes may be off, so that its own next heartbeat counts more.
+      own.mRecord.mState = UpstreamState::kSilent;
     }
   }
+  here.insert(aRecord.mInstance);
 }
 
 bool UpstreamRegistry::Leave(const std::string& aInstance, Millis aNow) {
@@ -109,6 +149,7 @@
     Item& item = it->second;
     const Millis silent = aNow - item.mHeardAt;
     if (silent > kEndedKept) {
+      Forget(item.mRecord);
       it = mItems.erase(it);
       continue;
     }
@@ -124,12 +165,22 @@
   return fell;
 }
 
+void UpstreamRegistry::Forget(const UpstreamRecord& aRecord) {
+  const auto it = mAtAddress.find(aRecord.mAddress);
+  if (it == mAtAddress.end()) {
+    return;
+  }
+  it->second.erase(aRecord.mInstance);
+  if (it->second.empty()) {
+    mAtAddress.erase(it);
+  }
+}
+
 std::vector<UpstreamRecord> UpstreamRegistry::ChangedSince(
-    std::int64_t aRevision, bool aHeartbeats, Millis aNow) const {
+    std::int64_t aRevision, Millis aNow) const {
   std::vector<UpstreamRecord> records;
   for (const auto& [instance, item] : mItems) {
-    const std::int64_t at = aHeartbeats ? item.mTouchedAt : item.mChangedAt;
-    if (at > aRevision) {
+    if (item.mChangedAt > aRevision) {
       records.push_back(item.mRecord);
       records.back().mHeardAgo = aNow - item.mHeardAt;
     }
@@ -137,6 +188,18 @@
   return records;
 }
 
+std::vector<UpstreamBeat> UpstreamRegistry::BeatsSince(std::int64_t aRevision,
+                                                       std::int64_t aKnown,
+                                                       Millis aNow) const {
+  std::vector<UpstreamBeat> beats;
+  for (const auto& [instance, item] : mItems) {
+    if (item.mTouchedAt > aRevision && item.mChangedAt <= aKnown) {
+      beats.push_back({instance, item.mRecord.mSequence, aNow - item.mHeardAt});
+    }
+  }
+  return beats;
+}
+
 std::vector<SilentUpstream> UpstreamRegistry::Silent() const {
   std::vector<SilentUpstream> silent;
   for (const auto& [instance, item] : mItems) {
--- a/servers/routing/load_book.cpp
+++ b/servers/routing/load_book.cpp
@@ -118,6 +118,18 @@
   teller.mRouters = aRouters;
 }
 
+void LoadBook::HearOfControl(const std::string& aControl, int aRouters,
+                             Millis aNow) {
+  Teller& teller = mControls[aControl];
+  teller.mToldAt = aNow;
+  teller.mRouters = aRouters;
+}
+
+bool LoadBook::IsOld(Millis aMadeAt, std::size_t aRows, Millis aNow) const {
+  const Millis byRows = static_cast<Millis>(aRows) / mOptions.mRowsEachMilli;
+  return aMadeAt < 0 || aNow - aMadeAt >= std::max(mOptions.mSumEvery, byRows);
+}
+
 void LoadBook::Forget(Millis aNow) {
   for (auto* tellers : {&mRouters, &mControls}) {
     const std::size_t gone = std::erase_if(*tellers, [&](const auto& aItem) {
@@ -125,19 +137,18 @@
     });
     if (gone > 0) {
       mSummedAt = -1;
-      mOwnAt = -1;
+      mPackedOwn.mMadeAt = -1;
     }
   }
 }
 
 void LoadBook::SumUp(Millis aNow) {
   Forget(aNow);
-  if (mSummedAt >= 0 && aNow - mSummedAt < mOptions.mSumEvery) {
+  if (!IsOld(mSummedAt, mSum.size(), aNow)) {
     return;
   }
   mSummedAt = aNow;
   mSum.clear();
-  mPackedSum.clear();
   for (auto* tellers : {&mRouters, &mControls}) {
     for (auto& [name, teller] : *tellers) {
       AddAll(mSum, teller.mShares);
@@ -146,10 +157,10 @@
   }
 }
 
-const std::string& LoadBook::PackedSum(Millis aNow) {
+const PackedLoads& LoadBook::PackedSum(Millis aNow) {
   SumUp(aNow);
-  if (mPackedSum.empty()) {
-    mPackedSum = PackLoads(mSum);
+  if (mPackedSum.mMadeAt != mSummedAt) {
+    mPackedSum = {PackLoads(mSum), mPackedSum.mNumber + 1, mSummedAt};
   }
   return mPackedSum;
 }
@@ -159,15 +170,15 @@
   return it == mRouters.end() ? 0 : it->second.mSummed;
 }
 
-const std::string& LoadBook::PackedOwn(Millis aNow) {
+const PackedLoads& LoadBook::PackedOwn(Millis aNow) {
   Forget(aNow);
-  if (mOwnAt < 0 || aNow - mOwnAt >= mOptions.mSumEvery) {
+  if (IsOld(mPackedOwn.mMadeAt, mOwnRows, aNow)) {
     LoadShares own;
     for (const auto& [process, teller] : mRouters) {
       AddAll(own, teller.mShares);
     }
-    mPackedOwn = PackLoads(own);
-    mOwnAt = aNow;
+    mOwnRows = own.size();
+    mPackedOwn = {PackLoads(own), mPackedOwn.mNumber + 1, aNow};
   }
   return mPackedOwn;
 }
--- /dev/null
+++ b/tests/servers/feed_test.cpp
@@ -0,0 +1,165 @@
+#include <map>
+#include <random>
+
+#include "spindleweir/core/error.h"
+#include "spindleweir/servers/membership/upstream_feed.h"
+#include "spindleweir/servers/membership/upstream_table.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+UpstreamRecord Record(int aNumber, std::int64_t aSequence) {
+  return {.mInstance = "i" + std::to_string(aNumber),
+          .mService = "model",
+          .mAddress = "10.0.0." + std::to_string(aNumber) + ":80",
+          .mZone = aNumber % 2 == 0 ? "even" : "odd",
+          .mKind = "k",
+          .mSlots = 6,
+          .mSequence = aSequence};
+}
+
+/// A process that follows a feed.
+struct Follower {
+  /// Asks; where the answer is lost, nothing is taken.
+  void Ask(UpstreamFeed& aFeed, const UpstreamRegistry& aRegistry, Millis aNow,
+           bool aLost = false) {
+    const FeedAnswer answer = aFeed.Since(aRegistry, mKnown, aNow);
+    if (aLost) {
+      return;
+    }
+    mTexts = answer.mNews.size();
+    for (const UpstreamNews& news : answer.mNews) {
+      for (UpstreamRecord& record : UnpackUpstreams(news.mText)) {
+        record.mHeardAgo += news.mAgo;
+        mRegistry.Merge(record, aNow);
+      }
+    }
+    mKnown = answer.mRevision;
+  }
+
+  UpstreamRegistry mRegistry;
+  std::int64_t mKnown = 0;
+  std::size_t mTexts = 0;  ///< Of the last answer.
+};
+
+bool Same(const UpstreamRegistry& aLeft, const UpstreamRegistry& aRight) {
+  std::map<std::string, UpstreamRecord> right;
+  for (const UpstreamRecord* record : aRight.OfService("")) {
+    right[record->mInstance] = *record;
+  }
+  for (const UpstreamRecord* record : aLeft.OfService("")) {
+    const auto it = right.find(record->mInstance);
+    if (it == right.end() || it->second.mState != record->mState ||
+        !(it->second.mLayers == record->mLayers)) {
+      return false;
+    }
+  }
+  return aLeft.Size() == aRight.Size();
+}
+
+}  // namespace
+
+Test(feed, all_that_ask_get_the_same_text_of_a_change) {
+  UpstreamRegistry registry;
+  UpstreamFeed feed({.mEvery = 100, .mAllEvery = 500});
+  registry.Beat(Record(1, 1), 0);
+  const FeedAnswer first = feed.Since(registry, 0, 0);
+  REQUIRE(first.mNews.size() == 1);
+  SECTION("who knows all gets nothing") {
+    CHECK(feed.Since(registry, first.mRevision, 10).mNews.empty());
+  }
+  SECTION("a change soon after is told with the next ones") {
+    registry.Beat(Record(2, 1), 50);
+    CHECK(feed.Since(registry, first.mRevision, 60).mNews.empty());
+    registry.Beat(Record(3, 1), 90);
+    const FeedAnswer next = feed.Since(registry, first.mRevision, 130);
+    REQUIRE(next.mNews.size() == 1);
+    CHECK(UnpackUpstreams(next.mNews[0].mText).size() == 2);
+    CHECK(feed.Since(registry, 0, 140).mNews.size() == 2);
+    CHECK(feed.Since(registry, 0, 140).mNews[0].mAgo == 140);
+  }
+  SECTION("heartbeats without news are no change") {
+    const std::int64_t known = feed.Since(registry, 0, 1000).mRevision;
+    registry.Beat(Record(1, 2), 1200);
+    CHECK(feed.Since(registry, known, 1300).mNews.empty());
+  }
+}
+
+Test(feed, who_knows_nothing_late_gets_the_list_of_all) {
+  UpstreamRegistry registry;
+  UpstreamFeed feed({.mEvery = 10, .mAllEvery = 500});
+  std::int64_t sequence = 1;
+  for (Millis now = 0; now < 10000; now += 10) {
+    UpstreamRecord record = Record(static_cast<int>(now / 10 % 40), sequence);
+    record.mLayers = {0, static_cast<int>(now / 10 % 7)};
+    registry.Beat(record, now);
+    sequence++;
+    feed.Since(registry, 0, now);
+  }
+  Follower late;
+  late.Ask(feed, registry, 10000);
+  CHECK(late.mTexts < 60);
+  CHECK(Same(late.mRegistry, registry));
+}
+
+Test(feed, followers_end_with_what_the_registry_has) {
+  // Lost answers, followers that come late, and changes of every kind.
+  for (unsigned seed = 1; seed <= 40; seed++) {
+    std::mt19937 random(seed);
+    UpstreamRegistry registry;
+    UpstreamFeed feed({.mEvery = 50, .mAllEvery = 300});
+    std::vector<Follower> followers(5);
+    std::vector<std::int64_t> sequences(30, 0);
+    Millis now = 0;
+    for (int step = 0; step < 400; step++) {
+      now += static_cast<Millis>(random() % 30);
+      const auto number = random() % sequences.size();
+      UpstreamRecord record =
+          Record(static_cast<int>(number), ++sequences[number]);
+      record.mLayers = {0, static_cast<int>(random() % 3)};
+      if (random() % 20 == 0) {
+        record.mState = UpstreamState::kLeaving;
+      }
+      registry.Beat(record, now);
+      registry.Expire(400, now);
+      Follower& follower = followers[random() % followers.size()];
+      follower.Ask(feed, registry, now, random() % 3 == 0);
+    }
+    for (Follower& follower : followers) {
+      follower.Ask(feed, registry, now + 1000);
+      CHECK(Same(follower.mRegistry, registry));
+    }
+  }
+}
+
+Test(feed, records_travel_by_columns) {
+  std::vector<UpstreamRecord> records = {Record(1, 5), Record(2, 6)};
+  records[1].mState = UpstreamState::kLeaving;
+  records[1].mLayers = {4, 9};
+  records[1].mBusy = true;
+  records[1].mHeardAgo = 70;
+  const std::vector<UpstreamRecord> read =
+      UnpackUpstreams(PackUpstreams(records));
+  REQUIRE(read.size() == 2);
+  CHECK(read[1].mInstance == "i2" && read[1].mAddress == "10.0.0.2:80");
+  CHECK(read[0].mZone == "odd" && read[1].mZone == "even");
+  CHECK(read[1].mState == UpstreamState::kLeaving && read[1].mBusy);
+  CHECK(read[1].mLayers == records[1].mLayers);
+  CHECK(read[1].mSequence == 6 && read[1].mHeardAgo == 70);
+  SECTION("a table that is no table is refused") {
+    UpstreamTable table = UpstreamTable::Of(records);
+    table.mZones[0] = 99;
+    CHECK(CodeThrownBy([&] { (void)table.Records(); }) ==
+          ResultCode::kBadField);
+    table = UpstreamTable::Of(records);
+    table.mStates[0] = 17;
+    CHECK(CodeThrownBy([&] { (void)table.Records(); }) ==
+          ResultCode::kBadField);
+    table = UpstreamTable::Of(records);
+    table.mSlots.pop_back();
+    CHECK(CodeThrownBy([&] { (void)table.Records(); }) ==
+          ResultCode::kBadField);
+  }
+}
--- a/tests/servers/registry_test.cpp
+++ b/tests/servers/registry_test.cpp
@@ -92,7 +92,7 @@
   there.Beat(Record("a", 12), 0);
   there.Beat(Record("a", 14), 2400);
   REQUIRE(here.Expire(3600, 3700).size() == 1);
-  for (const UpstreamRecord& record : here.ChangedSince(0, false, 3700)) {
+  for (const UpstreamRecord& record : here.ChangedSince(0, 3700)) {
     router.Merge(record, 3700);
   }
   CHECK(StateOf(router, "a") == UpstreamState::kSilent);
@@ -129,19 +129,56 @@
   registry.Beat(Record("a", 1), 0);
   const std::int64_t known = registry.Revision();
   registry.Beat(Record("a", 2), 1200);
-  CHECK(registry.ChangedSince(known, false, 1300).empty());
-  REQUIRE(registry.ChangedSince(known, true, 1300).size() == 1);
-  CHECK(registry.ChangedSince(known, true, 1300)[0].mHeardAgo == 100);
-  SECTION("another registry knows as much after merging") {
+  CHECK(registry.ChangedSince(known, 1300).empty());
+  REQUIRE(registry.BeatsSince(known, registry.Revision(), 1300).size() == 1);
+  CHECK(registry.BeatsSince(known, registry.Revision(), 1300)[0].mHeardAgo ==
+        100);
+  SECTION("another registry knows as much after taking both") {
     UpstreamRegistry other;
-    for (const UpstreamRecord& record : registry.ChangedSince(0, true, 1300)) {
+    for (const UpstreamRecord& record : registry.ChangedSince(0, 1300)) {
       other.Merge(record, 5000);
     }
+    for (const UpstreamBeat& beat :
+         registry.BeatsSince(0, registry.Revision(), 1300)) {
+      other.Touch(beat, 5000);
+    }
+    CHECK(other.Find("a")->mSequence == 2);
     CHECK(other.Expire(3600, 8400).empty());
     CHECK(other.Expire(3600, 8501 + 1).size() == 1);
   }
 }
 
+Test(registry, a_heartbeat_is_not_known_before_what_it_told) {
+  UpstreamRegistry there;
+  there.Beat(Record("a", 1), 0);
+  const std::int64_t known = there.Revision();
+  UpstreamRecord loaded = Record("a", 2);
+  loaded.mLayers = {0, 8};
+  there.Beat(loaded, 1200);
+  SECTION("a heartbeat with news is left out until the news are told") {
+    CHECK(there.BeatsSince(known, known, 1300).empty());
+    CHECK(there.BeatsSince(known, there.Revision(), 1300).size() == 1);
+  }
+  SECTION("heard of out of order, the news still count") {
+    UpstreamRegistry here;
+    here.Beat(Record("a", 1), 0);
+    here.Touch({"a", 3, 0}, 2400);
+    CHECK(here.Merge(loaded, 2500));
+    CHECK(here.Find("a")->mLayers.Count() == 8);
+    CHECK(here.Find("a")->mSequence == 3);
+  }
+}
+
+Test(registry, word_of_an_older_incarnation_that_comes_late_changes_nothing) {
+  UpstreamRegistry registry;
+  registry.Beat(Record("new", 4), 5000);
+  UpstreamRecord late = Record("old", 30);
+  late.mHeardAgo = 3000;
+  registry.Merge(late, 5100);
+  CHECK(StateOf(registry, "new") == UpstreamState::kReady);
+  CHECK(StateOf(registry, "old") != UpstreamState::kReady);
+}
+
 Test(voters, the_id_names_address_and_disk) {
   const Endpoint address{"10.0.0.1", 7000};
   const std::string id = ControlId(address, "first");
--- a/tests/servers/sources_test.cpp
+++ b/tests/servers/sources_test.cpp
@@ -158,7 +158,7 @@
   book.TellOfControl("c2", Work("a", 10), 5, 0);
   const auto others = [&book](const ToldLoads& aTold,
                               const std::string& aProcess, Millis aNow) {
-    const LoadShares sum = UnpackLoads(book.PackedSum(aNow));
+    const LoadShares sum = UnpackLoads(book.PackedSum(aNow).mText);
     return aTold.OthersIn(sum, book.SummedOf(aProcess)).at("a").mRequests;
   };
   SECTION("its own work is not among it") {
@@ -172,12 +172,12 @@
     CHECK(others(first, "r1", 60) == 14);
   }
   SECTION("another control is told only what was told here") {
-    CHECK(UnpackLoads(book.PackedOwn(60)).at("a").mRequests == 104);
+    CHECK(UnpackLoads(book.PackedOwn(60).mText).at("a").mRequests == 104);
     CHECK(book.AllRouters(60) == 7);
   }
   SECTION("who says nothing counts for nothing") {
     book.Tell("r2", second.Tell(Work("a", 1)), Work("a", 1), 2000);
-    CHECK(UnpackLoads(book.PackedSum(2600)).at("a").mRequests == 1);
+    CHECK(UnpackLoads(book.PackedSum(2600).mText).at("a").mRequests == 1);
     CHECK(book.SummedOf("r1") == 0);
     CHECK(book.AllRouters(2600) == 1);
   }
