Routers take heartbeats in place of control where these are many

Cause: 2,500 heartbeats a second at 3,000 engines, each an HTTP call, end at six processes of 0.15 of a core; routers have 0.11 of one idle.

Change: a control that takes more than 50 heartbeats a second names a router of the upstream's zone for the later ones (by hash, so that an upstream keeps its router and those of a lost one spread). Routers tell their control with the questions that they ask anyway: whole what is new or changed, else instance and number. Who leaves is told to two controls before it is acknowledged. A router that stops or is lost refuses or is silent; its upstreams call control again.

--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -155,13 +155,11 @@
   });
 }
 
-void JoinedControl::Beat(const UpstreamRecord& aRecord,
-                         const std::function<void()>& aDone) {
+void JoinedControl::Beat(const UpstreamRecord& aRecord, const BeatDone& aDone) {
   mParts->mSync.Beat(aRecord, aDone);
 }
 
-void JoinedControl::Leave(const std::string& aInstance,
-                          const std::function<void()>& aDone) {
+void JoinedControl::Leave(const std::string& aInstance, const BeatDone& aDone) {
   mParts->mSync.Leave(aInstance, aDone);
 }
 
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -32,23 +32,19 @@
 constexpr Millis kContact = 1500;
 /// Routers that must agree that an upstream cannot be reached.
 constexpr int kWitnesses = 2;
-constexpr const char* kNotice = "control.notice";
-
-/// Records that another control must know at once.
-struct Notice {
-  std::vector<UpstreamRecord> mUpstreams;
-
-  template <class Codec>
-  void Fields(Codec& aCodec) {
-    aCodec.Required("upstreams", mUpstreams);
-  }
-};
+/// And for this long more where routers take heartbeats: one that is lost is
+/// noticed after a second, its upstreams call again within another, and what is
+/// heard comes with the next question.
+constexpr Millis kTakerLost = 2400;
 
 }  // namespace
 
 SyncService::SyncService(ControlContext& aContext,
                          ReplicatedConfiguration& aLog)
-    : mContext(aContext), mLog(aLog), mLife(RandomHex(kLifeBytes)) {
+    : mContext(aContext),
+      mLog(aLog),
+      mLife(RandomHex(kLifeBytes)),
+      mTakers({.mOwnBeats = aContext.mOptions.mOwnBeats}) {
   mDirectory.SetSeeds(mContext.mOptions.mSeeds);
   mLog.Machine().SignalPublished().connect(
       [this](const PublishedDocument& aPublished) { mUnread = aPublished; });
@@ -59,12 +55,14 @@
       rpc_method::kSync, [this](const Json::Value& aMessage) {
         return ToJson(Answer(FromJson<SyncQuestion>(aMessage)));
       });
-  mContext.mDispatcher.On(kNotice, [this](const Json::Value& aMessage) {
-    for (const UpstreamRecord& record : FromJson<Notice>(aMessage).mUpstreams) {
-      mRegistry.Merge(record, SteadyNow());
-    }
-    return Json::Value(Json::objectValue);
-  });
+  mContext.mDispatcher.On(
+      rpc_method::kNotice, [this](const Json::Value& aMessage) {
+        for (const UpstreamRecord& record :
+             FromJson<UpstreamNotice>(aMessage).mUpstreams) {
+          mRegistry.Merge(record, SteadyNow());
+        }
+        return Json::Value(Json::objectValue);
+      });
   mAskTimer = mContext.mLoop.Every(kAskPeriod, [this] { AskOthers(); });
   mStepTimer = mContext.mLoop.Every(kStepPeriod, [this] { StepVoters(); });
   AskOthers();
@@ -177,6 +175,8 @@
     return;
   }
   mAskedAt[aQuestion.mProcess] = now;
+  mTakers.Asked(aQuestion.mProcess, aQuestion.mZone, aQuestion.mTakesAt, now);
+  TakeBeats(aQuestion);
   std::erase_if(mAskedAt, [now](const auto& aItem) {
     return now - aItem.second > kAskerKept;
   });
@@ -200,7 +200,34 @@
 }
 
 Millis SyncService::SilentAfter() const {
-  return kMissedBeats * mContext.mOptions.mHeartbeatInterval;
+  return kMissedBeats * mContext.mOptions.mHeartbeatInterval +
+         (mTakers.Delegates(SteadyNow()) ? kTakerLost : 0);
+}
+
+void SyncService::LogChanged(const UpstreamRecord& aRecord) {
+  LogLine(LogLevel::kInfo, "upstream_changed")
+      .Add("instance", aRecord.mInstance)
+      .Add("service", aRecord.mService)
+      .Add("address", aRecord.mAddress)
+      .Add("state", static_cast<int>(aRecord.mState))
+      .Add("from", aRecord.mLayers.mFrom)
+      .Add("to", aRecord.mLayers.mTo)
+      .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence));
+}
+
+void SyncService::TakeBeats(const SyncQuestion& aQuestion) {
+  const Millis now = SteadyNow();
+  if (!aQuestion.mTakenUpstreams.empty()) {
+    for (const UpstreamRecord& record :
+         UnpackUpstreams(aQuestion.mTakenUpstreams)) {
+      if (mRegistry.Merge(record, now)) {
+        LogChanged(record);
+      }
+    }
+  }
+  for (const UpstreamBeat& beat : aQuestion.mTakenBeats.Beats()) {
+    mRegistry.Touch(beat, now);
+  }
 }
 
 void SyncService::AskOthers() {
@@ -279,48 +306,40 @@
   }
 }
 
-void SyncService::Beat(const UpstreamRecord& aRecord,
-                       const std::function<void()>& aDone) {
+void SyncService::Beat(const UpstreamRecord& aRecord, const BeatDone& aDone) {
   const UpstreamRecord* before = mRegistry.Find(aRecord.mInstance);
   const bool leaves =
       aRecord.mState == UpstreamState::kLeaving &&
       (before == nullptr || before->mState < UpstreamState::kLeaving);
   if (mRegistry.Beat(aRecord, SteadyNow())) {
-    LogLine(LogLevel::kInfo, "upstream_changed")
-        .Add("instance", aRecord.mInstance)
-        .Add("service", aRecord.mService)
-        .Add("address", aRecord.mAddress)
-        .Add("state", static_cast<int>(aRecord.mState))
-        .Add("from", aRecord.mLayers.mFrom)
-        .Add("to", aRecord.mLayers.mTo)
-        .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence));
+    LogChanged(aRecord);
   }
   if (!leaves) {
-    aDone();
+    aDone({.mAccepted = true,
+           .mLaterAt =
+               mTakers.Take(aRecord.mInstance, aRecord.mZone, SteadyNow())});
     return;
   }
   Tell(aRecord.mInstance, aDone);
 }
 
-void SyncService::Leave(const std::string& aInstance,
-                        const std::function<void()>& aDone) {
+void SyncService::Leave(const std::string& aInstance, const BeatDone& aDone) {
   if (!mRegistry.Leave(aInstance, SteadyNow())) {
-    aDone();
+    aDone({});
     return;
   }
   LogLine(LogLevel::kInfo, "upstream_gone").Add("instance", aInstance);
   Tell(aInstance, aDone);
 }
 
-void SyncService::Tell(const std::string& aInstance,
-                       const std::function<void()>& aDone) {
+void SyncService::Tell(const std::string& aInstance, const BeatDone& aDone) {
   const UpstreamRecord* record = mRegistry.Find(aInstance);
-  const auto done = std::make_shared<std::function<void()>>(aDone);
+  const auto done = std::make_shared<BeatDone>(aDone);
   const auto finish = [done] {
-    const std::function<void()> call = std::move(*done);
+    const BeatDone call = std::move(*done);
     *done = nullptr;
     if (call) {
-      call();
+      call({});
     }
   };
   bool told = false;
@@ -329,8 +348,8 @@
       continue;
     }
     told = true;
-    mContext.mRpc.Call(AddressOfControl(info.mId), kNotice,
-                       ToJson(Notice{{*record}}), kTellTimeout,
+    mContext.mRpc.Call(AddressOfControl(info.mId), rpc_method::kNotice,
+                       ToJson(UpstreamNotice{{*record}}), kTellTimeout,
                        [finish](const RpcResult& aResult) {
                          if (aResult.mOk) {
                            finish();
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -10,7 +10,9 @@
 #include <string>
 
 #include "daemons/control/replicated_configuration.h"
+#include "spindleweir/daemons/beat_answer.h"
 #include "spindleweir/daemons/sync_messages.h"
+#include "spindleweir/servers/membership/taker_choice.h"
 #include "spindleweir/servers/routes/newest_confirmation.h"
 
 namespace spindleweir {
@@ -22,8 +24,8 @@
 
   /// Takes a heartbeat. aDone is called once it may be acknowledged: news
   /// that an upstream leaves must not be lost with this process.
-  void Beat(const UpstreamRecord& aRecord, const std::function<void()>& aDone);
-  void Leave(const std::string& aInstance, const std::function<void()>& aDone);
+  void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
+  void Leave(const std::string& aInstance, const BeatDone& aDone);
 
   /// Upstreams that several routers cannot connect to.
   std::set<std::string> Unreachable();
@@ -46,13 +48,16 @@
 
   SyncAnswer Answer(const SyncQuestion& aQuestion);
   void Remember(const SyncQuestion& aQuestion);
+  /// Takes the heartbeats that a router took.
+  void TakeBeats(const SyncQuestion& aQuestion);
+  void LogChanged(const UpstreamRecord& aRecord);
   void AskOthers();
   void Ask(const Endpoint& aAddress);
   void Take(const Endpoint& aAddress, const SyncAnswer& aAnswer,
             Millis aAskedAt);
   /// Takes what this control itself confirmed, where it leads.
   void ConfirmOwn(Millis aNow);
-  void Tell(const std::string& aInstance, const std::function<void()>& aDone);
+  void Tell(const std::string& aInstance, const BeatDone& aDone);
   void StepVoters();
   /// Whether most of control cannot be heard: then it is this process that
   /// is cut off, and the silence of upstreams says nothing of them.
@@ -76,6 +81,7 @@
   std::optional<PublishedDocument> mUnread;
   std::map<std::string, Millis> mAskedAt;  ///< By router.
   NewestConfirmation mConfirmation;
+  TakerChoice mTakers;
   UpstreamFeed mFeed{UpstreamFeedOptions{}};
   LoadBook mLoads{LoadBookOptions{}};
   std::map<std::string, Source> mSources;  ///< By address.
--- /dev/null
+++ b/daemons/relay/beat_relay.cpp
@@ -0,0 +1,80 @@
+#include "daemons/relay/beat_relay.h"
+
+#include "spindleweir/core/json_codec.h"
+#include "spindleweir/core/log.h"
+
+namespace spindleweir {
+
+namespace {
+
+/// An upstream waits for a second, then calls another process.
+constexpr Millis kTellTimeout = 500;
+/// Controls that must know of an upstream that leaves.
+constexpr int kTold = 2;
+
+/// One upstream that leaves, while controls are told.
+struct Telling {
+  BeatDone mDone;
+  int mKnow = 0;
+  int mOpen = 0;  ///< Calls without an answer yet.
+
+  void Answered(bool aOk) {
+    mOpen--;
+    mKnow += aOk ? 1 : 0;
+    if (mDone && (mKnow >= kTold || mOpen == 0)) {
+      const BeatDone done = std::move(mDone);
+      mDone = nullptr;
+      done({.mAccepted = mKnow > 0, .mLaterAt = ""});
+    }
+  }
+};
+
+}  // namespace
+
+void BeatRelay::Beat(const UpstreamRecord& aRecord, const BeatDone& aDone) {
+  if (mContext.mStopping) {
+    aDone({.mAccepted = false, .mLaterAt = ""});
+    return;
+  }
+  mContext.mCounters.Add("heartbeats_taken");
+  if (mContext.mTaker.Beat(aRecord, SteadyNow())) {
+    TellFirst(aRecord, aDone);
+    return;
+  }
+  aDone({});
+}
+
+void BeatRelay::Leave(const std::string& aInstance, const BeatDone& aDone) {
+  const UpstreamRecord* record = mContext.mTaker.Leave(aInstance, SteadyNow());
+  if (record == nullptr) {
+    aDone({.mAccepted = false, .mLaterAt = ""});
+    return;
+  }
+  TellFirst(*record, aDone);
+}
+
+void BeatRelay::TellFirst(const UpstreamRecord& aRecord,
+                          const BeatDone& aDone) {
+  LogLine(LogLevel::kInfo, "upstream_leaves")
+      .Add("instance", aRecord.mInstance)
+      .Add("state", static_cast<int>(aRecord.mState))
+      .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence));
+  mContext.mRegistry.Merge(aRecord, SteadyNow());
+  const std::vector<Endpoint>& controls = mLink.Controls();
+  if (controls.empty()) {
+    aDone({.mAccepted = false, .mLaterAt = ""});
+    return;
+  }
+  const auto telling = std::make_shared<Telling>();
+  telling->mDone = aDone;
+  telling->mOpen = static_cast<int>(controls.size());
+  const Json::Value message = ToJson(UpstreamNotice{{aRecord}});
+  for (const Endpoint& address : controls) {
+    mContext.mRpc.Call(address, rpc_method::kNotice, message, kTellTimeout,
+                       [telling](const RpcResult& aResult) {
+                         telling->Answered(aResult.mOk);
+                       });
+  }
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/relay/beat_relay.h
@@ -0,0 +1,30 @@
+/// Takes heartbeats of upstreams in place of control. Control is told of them
+/// with this router's questions, and at once where an upstream leaves.
+#pragma once
+
+#include <string>
+
+#include "daemons/relay/relay_context.h"
+#include "daemons/relay/sync_link.h"
+#include "spindleweir/daemons/beat_answer.h"
+
+namespace spindleweir {
+
+class BeatRelay {
+ public:
+  BeatRelay(RelayContext& aContext, SyncLink& aLink)
+      : mContext(aContext), mLink(aLink) {}
+
+  void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
+  void Leave(const std::string& aInstance, const BeatDone& aDone);
+
+ private:
+  /// Acknowledges once two controls know, or one does and no other answered in
+  /// time: the one that knows may be lost right after.
+  void TellFirst(const UpstreamRecord& aRecord, const BeatDone& aDone);
+
+  RelayContext& mContext;
+  SyncLink& mLink;
+};
+
+}  // namespace spindleweir
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -10,6 +10,7 @@
 #include "spindleweir/daemons/relay_router.h"
 #include "spindleweir/daemons/sync_messages.h"
 #include "spindleweir/drivers/rpc_channel.h"
+#include "spindleweir/servers/membership/beat_taker.h"
 #include "spindleweir/servers/membership/control_directory.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
 #include "spindleweir/servers/routes/configuration_lease.h"
@@ -95,6 +96,7 @@
   ConfigurationLease mLease;
   ControlDirectory mDirectory;
   UpstreamRegistry mRegistry;
+  BeatTaker mTaker;
   int mRouters = 1;  ///< That share limits, as far as is known.
   bool mStopping = false;
   StreamGuard* mGuard = nullptr;  ///< Set once all parts are made.
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -2,6 +2,7 @@
 
 #include <unordered_set>
 
+#include "daemons/relay/beat_relay.h"
 #include "daemons/relay/relay_request.h"
 #include "daemons/relay/sync_link.h"
 #include "spindleweir/core/log.h"
@@ -28,6 +29,7 @@
       : mContext(aLoop, std::move(aOptions)),
         mGuard(mContext),
         mLink(mContext),
+        mBeats(mContext, mLink),
         mStartedAt(SteadyNow()),
         mServer(aLoop,
                 {.mListen = mContext.mOptions.mListen,
@@ -131,6 +133,7 @@
   RelayContext mContext;
   StreamGuard mGuard;
   SyncLink mLink;
+  BeatRelay mBeats;
   Millis mStartedAt;
   std::int64_t mLimitsOf = 0;
   std::unordered_map<RelayRequest*, std::shared_ptr<RelayRequest>> mRequests;
@@ -164,6 +167,14 @@
   return mParts->HasPaths() || SteadyNow() - mParts->mStartedAt > kWaitForPaths;
 }
 
+void RelayRouter::Beat(const UpstreamRecord& aRecord, const BeatDone& aDone) {
+  mParts->mBeats.Beat(aRecord, aDone);
+}
+
+void RelayRouter::Leave(const std::string& aInstance, const BeatDone& aDone) {
+  mParts->mBeats.Leave(aInstance, aDone);
+}
+
 void RelayRouter::SetSeeds(std::vector<Endpoint> aSeeds) {
   mParts->mContext.mDirectory.SetSeeds(std::move(aSeeds));
 }
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -41,9 +41,9 @@
   question.mZone = mContext.mOptions.mZone;
   question.mFailedAt = mFailedAt;
   question.mNow = now;
-  const std::vector<Endpoint> chosen = ChooseSources(question);
-  mNear = chosen.empty() ? "" : chosen.front().Text();
-  for (const Endpoint& address : chosen) {
+  mControls = ChooseSources(question);
+  mNear = mControls.empty() ? "" : mControls.front().Text();
+  for (const Endpoint& address : mControls) {
     const Source& source = mSources[address.Text()];
     if (!source.mAsking &&
         now - source.mAskedAt >= AskAgainAfter(Asked(address.Text()))) {
@@ -55,6 +55,16 @@
   }
 }
 
+std::int64_t SyncLink::AddBeats(const Source& aSource,
+                                SyncQuestion& aQuestion) {
+  const TakenBeats untold = mContext.mTaker.Untold(aSource.mLife, SteadyNow());
+  if (!untold.mChanged.empty()) {
+    aQuestion.mTakenUpstreams = PackUpstreams(untold.mChanged);
+  }
+  aQuestion.mTakenBeats = BeatTable::Of(untold.mBeats);
+  return untold.mNumber;
+}
+
 void SyncLink::Ask(const Endpoint& aAddress) {
   Source& source = mSources[aAddress.Text()];
   source.mAsking = true;
@@ -68,7 +78,11 @@
   question.mConfiguration =
       mContext.Table() == nullptr ? 0 : mContext.Table()->Version();
   question.mSilent = mContext.mRegistry.Silent();
+  question.mTakesAt = mContext.mStopping ? "" : mContext.mOptions.mTakesAt;
+  const std::string life = source.mLife;
+  std::int64_t beats = 0;
   if (aAddress.Text() == mNear) {
+    beats = AddBeats(source, question);
     question.mKnowsLoads = source.mLoadsNumber;
     LoadShares own = mContext.OwnLoads();
     question.mLoads = LoadTable::Of(own);
@@ -76,16 +90,20 @@
   }
   const Millis askedAt = source.mAskedAt;
   const Millis timeout = AskTimeout(Asked(aAddress.Text()));
-  mContext.mRpc.Call(aAddress, rpc_method::kSync, ToJson(question), timeout,
-                     [this, aAddress, askedAt](const RpcResult& aResult) {
-                       mSources[aAddress.Text()].mAsking = false;
-                       if (!aResult.mOk) {
-                         Failed(aAddress);
-                         return;
-                       }
-                       Take(aAddress, FromJson<SyncAnswer>(aResult.mAnswer),
-                            askedAt);
-                     });
+  mContext.mRpc.Call(
+      aAddress, rpc_method::kSync, ToJson(question), timeout,
+      [this, aAddress, askedAt, life, beats](const RpcResult& aResult) {
+        mSources[aAddress.Text()].mAsking = false;
+        if (!aResult.mOk) {
+          Failed(aAddress);
+          return;
+        }
+        const auto answer = FromJson<SyncAnswer>(aResult.mAnswer);
+        if (beats > 0 && answer.mLife == life) {
+          mContext.mTaker.Told(life, beats);
+        }
+        Take(aAddress, answer, askedAt);
+      });
 }
 
 void SyncLink::Failed(const Endpoint& aAddress) {
--- a/daemons/relay/sync_link.h
+++ b/daemons/relay/sync_link.h
@@ -16,6 +16,9 @@
  public:
   explicit SyncLink(RelayContext& aContext);
 
+  /// The controls that are asked, the nearest first.
+  const std::vector<Endpoint>& Controls() const { return mControls; }
+
  private:
   /// One control process, by address.
   struct Source {
@@ -31,6 +34,9 @@
 
   void Step();
   void Ask(const Endpoint& aAddress);
+  /// Adds the heartbeats taken here that the control asked has not been told.
+  /// Returns their number.
+  std::int64_t AddBeats(const Source& aSource, SyncQuestion& aQuestion);
   void Take(const Endpoint& aAddress, const SyncAnswer& aAnswer,
             Millis aAskedAt);
   /// Takes the work of other routers.
@@ -44,6 +50,7 @@
   RelayContext& mContext;
   std::string mProcess;
   std::map<std::string, Source> mSources;
+  std::vector<Endpoint> mControls;
   std::string mNear;  ///< The address that loads are told to.
   ToldLoads mTold;
   std::map<std::string, Millis> mFailedAt;  ///< By address.
--- a/include/spindleweir/daemons/control_daemon.h
+++ b/include/spindleweir/daemons/control_daemon.h
@@ -34,6 +34,8 @@
   std::vector<Endpoint> mSeeds;      ///< RPC addresses of some controls.
   bool mFirstStart = false;          ///< Of the whole deployment.
   Millis mHeartbeatInterval = 1200;  ///< Of upstreams.
+  /// Heartbeats a second that it takes itself; see TakerChoiceOptions.
+  int mOwnBeats = 50;
   DocumentProtocol mDocuments;
   EngineProtocol mEngines;
 };
--- a/include/spindleweir/daemons/joined_control.h
+++ b/include/spindleweir/daemons/joined_control.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "spindleweir/core/counters.h"
+#include "spindleweir/daemons/beat_answer.h"
 #include "spindleweir/daemons/control_daemon.h"
 #include "spindleweir/drivers/event_loop.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
@@ -38,8 +39,8 @@
   /// Gives the newest document; kNoQuorum where it may not be the newest.
   void Read(const OperatorDone& aDone);
   /// Takes a heartbeat; aDone is called once it may be acknowledged.
-  void Beat(const UpstreamRecord& aRecord, const std::function<void()>& aDone);
-  void Leave(const std::string& aInstance, const std::function<void()>& aDone);
+  void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
+  void Leave(const std::string& aInstance, const BeatDone& aDone);
 
   /// Takes new seeds.
   void SetSeeds(std::vector<Endpoint> aSeeds);
--- a/include/spindleweir/daemons/relay_router.h
+++ b/include/spindleweir/daemons/relay_router.h
@@ -8,6 +8,7 @@
 
 #include "spindleweir/core/counters.h"
 #include "spindleweir/core/settings.h"
+#include "spindleweir/daemons/beat_answer.h"
 #include "spindleweir/daemons/traffic_protocols.h"
 #include "spindleweir/drivers/event_loop.h"
 #include "spindleweir/servers/routing/retry_allowance.h"
@@ -20,6 +21,8 @@
   std::string mZone;
   Endpoint mListen;              ///< For callers.
   std::vector<Endpoint> mSeeds;  ///< RPC addresses of some controls.
+  /// "IP:PORT" where this router's heartbeat calls come in; empty: nowhere.
+  std::string mTakesAt;
   std::string mClusterKey;
   /// A configuration that control did not confirm for so long is not acted on.
   Millis mLeaseLength = 4000;
@@ -47,6 +50,9 @@
   const Endpoint& Address() const;
   /// Whether the balancer should send callers here.
   bool Ready() const;
+  /// Takes a heartbeat of an upstream in place of control.
+  void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
+  void Leave(const std::string& aInstance, const BeatDone& aDone);
   /// Takes new seeds.
   void SetSeeds(std::vector<Endpoint> aSeeds);
   Counters& OwnCounters();
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -16,8 +16,20 @@
 
 namespace rpc_method {
 inline constexpr const char* kSync = "control.sync";
+/// An UpstreamNotice.
+inline constexpr const char* kNotice = "control.notice";
 }  // namespace rpc_method
 
+/// Records that a control must know at once.
+struct UpstreamNotice {
+  std::vector<UpstreamRecord> mUpstreams;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("upstreams", mUpstreams);
+  }
+};
+
 /// A router or control process asks a control process.
 struct SyncQuestion {
   std::string mProcess;  ///< Name of who asks; new at each start.
@@ -27,6 +39,10 @@
   std::int64_t mRevision = 0;           ///< Of its registry, known so far.
   std::int64_t mConfiguration = 0;      ///< The version held.
   std::vector<SilentUpstream> mSilent;  ///< Held for silent by who asks.
+  /// "IP:PORT" where a router takes heartbeats; empty: it takes none.
+  std::string mTakesAt;
+  std::string mTakenUpstreams;  ///< Those with news: see PackUpstreams.
+  BeatTable mTakenBeats;        ///< Of the others that it took.
   /// The number of the loads that were heard last from who is asked.
   std::int64_t mKnowsLoads = 0;
   /// Of the loads that are told; 0: none are. They replace what was told.
@@ -42,6 +58,9 @@
     aCodec.Field("revision", mRevision);
     aCodec.Field("configuration", mConfiguration);
     aCodec.Field("silent", mSilent);
+    aCodec.Field("takes_at", mTakesAt);
+    aCodec.Field("taken_upstreams", mTakenUpstreams);
+    aCodec.Field("taken_beats", mTakenBeats);
     aCodec.Field("knows_loads", mKnowsLoads);
     aCodec.Field("tells_loads", mTellsLoads);
     aCodec.Field("loads", mLoads);
--- a/tests/daemons/relay_story.cpp
+++ b/tests/daemons/relay_story.cpp
@@ -142,7 +142,7 @@
 void RelayStory::Beat(UpstreamRecord aRecord) {
   bool acknowledged = false;
   aRecord.mSequence = ++mSequence;
-  mControl->Beat(aRecord, [&] { acknowledged = true; });
+  mControl->Beat(aRecord, [&](const BeatAnswer&) { acknowledged = true; });
   REQUIRE(RunUntil([&] { return acknowledged; }));
 }
 
--- a/tests/daemons/relay_test.cpp
+++ b/tests/daemons/relay_test.cpp
@@ -76,7 +76,7 @@
                             .mZone = "z",
                             .mSlots = 6,
                             .mSequence = ++story.mSequence},
-                           [] {});
+                           [](const BeatAnswer&) {});
     });
     CHECK(story.Call("/pay/x").mStatus == 200);
     CHECK(story.RunsOfLast() == 1);
