--- a/daemons/control/order_sender.cpp
+++ b/daemons/control/order_sender.cpp
@@ -67,6 +67,7 @@
   options.mOnEnd = [this, instance = order.mInstance](StreamEnd) {
     mRunning[instance].mEnded = true;
   };
+  mContext.mCounters.Add("orders_sent");
   LogLine(LogLevel::kInfo, "order")
       .Add("instance", order.mInstance)
       .Add("address", order.mAddress)
