--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -76,6 +76,10 @@
 bool RelayRequest::ChooseEnginePath(Attempt& aAttempt) {
   PathQuestion question = EngineQuestion();
   PathAnswer answer = mContext.ChoosePathOf(mService->mName, question);
+  if (answer.mPath.empty() && question.mSampleShare < 1) {
+    question = EngineQuestion(SampleReach::kAllZones);
+    answer = mContext.ChoosePathOf(mService->mName, question);
+  }
   if (answer.mPath.empty() && !answer.mLacksRoom) {
     // Better one that failed lately than none.
     question.mAvoid.clear();
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -168,6 +168,19 @@
   mPaths[aService].mArrivals.Add(SteadyNow());
 }
 
+const std::vector<const UpstreamRecord*>& RelayContext::ReadyEngines(
+    const std::string& aService) {
+  ServicePaths& paths = mPaths[aService];
+  if (paths.mReadyOf != mRegistry.NewestChange()) {
+    paths.mReadyOf = mRegistry.NewestChange();
+    paths.mReady = mRegistry.OfService(aService);
+    std::erase_if(paths.mReady, [](const UpstreamRecord* aRecord) {
+      return aRecord->mState != UpstreamState::kReady;
+    });
+  }
+  return paths.mReady;
+}
+
 PathAnswer RelayContext::ChoosePathOf(const std::string& aService,
                                       const PathQuestion& aQuestion) {
   ServicePaths& paths = mPaths[aService];
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -17,6 +17,7 @@
 #include "spindleweir/servers/routes/route_table.h"
 #include "spindleweir/servers/routes/traffic_change.h"
 #include "spindleweir/servers/routing/arrival_rate.h"
+#include "spindleweir/servers/routing/engine_sample.h"
 #include "spindleweir/servers/routing/layer_path.h"
 #include "spindleweir/servers/routing/load_book.h"
 #include "spindleweir/servers/routing/path_choice.h"
@@ -37,6 +38,8 @@
 struct ServicePaths {
   PathChoice mChoice;
   ArrivalRate mArrivals;  ///< At this router.
+  std::vector<const UpstreamRecord*> mReady;
+  std::int64_t mReadyOf = -1;  ///< The change of the registry that it has.
 };
 
 class StreamGuard;
@@ -81,6 +84,9 @@
 
   RetryAllowance& RetriesOf(const std::string& aService);
   PipeAllowance& PipeOf(const std::string& aService);
+  /// The upstreams of a service that are ready.
+  const std::vector<const UpstreamRecord*>& ReadyEngines(
+      const std::string& aService);
   /// A request that asks for a path of engines.
   void PathAsked(const std::string& aService);
   /// A path for it, by what is known of the work of all routers.
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -37,7 +37,7 @@
 
 }  // namespace
 
-PathQuestion RelayRequest::EngineQuestion() const {
+PathQuestion RelayRequest::EngineQuestion(SampleReach aReach) const {
   const EngineProfile& engine = mService->mEngine;
   PathQuestion question;
   question.mProfile = &engine;
@@ -51,17 +51,16 @@
   question.mFill = kPathFill;
   question.mMayCross = mContext.PipeOf(mService->mName)
                            .Allows(engine, mContext.mRouters, SteadyNow());
-  for (const UpstreamRecord* record :
-       mContext.mRegistry.OfService(mService->mName)) {
-    if (record->mState == UpstreamState::kReady) {
-      question.mEngines.push_back(record);
-    }
-  }
+  const std::function<double()> random = [this] { return mContext.Random(); };
+  EngineSample sample = SampleEngines(mContext.ReadyEngines(mService->mName),
+                                      question.mZone, aReach, random);
+  question.mEngines = std::move(sample.mEngines);
+  question.mSampleShare = sample.mShare;
   question.mLoadOf = [this](const std::string& aInstance) {
     return mContext.LoadOf(aInstance);
   };
   question.mAvoid = mContext.Avoided();
-  question.mRandom = [this] { return mContext.Random(); };
+  question.mRandom = random;
   return question;
 }
 
@@ -128,7 +127,17 @@
 }
 
 LayerPath RelayRequest::Without(const std::set<std::string>& aInstances) {
-  PathQuestion question = EngineQuestion();
+  const PathQuestion question = EngineQuestion();
+  LayerPath next = WithoutIn(question, aInstances);
+  const bool sawAll = question.mSampleShare >= 1;
+  return !next.empty() || sawAll
+             ? next
+             : WithoutIn(EngineQuestion(SampleReach::kAllZones), aInstances);
+}
+
+LayerPath RelayRequest::WithoutIn(PathQuestion aQuestion,
+                                  const std::set<std::string>& aInstances) {
+  PathQuestion question = std::move(aQuestion);
   question.mReadTokens += mEvents;
   question.mFromEngine = true;
   for (const PathPart& part : mAttempt->mPath) {
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -68,13 +68,16 @@
   std::string FirstInstance() const override;
   /// The path without some instances, the other parts kept; empty: none.
   LayerPath Without(const std::set<std::string>& aInstances);
+  /// The same by the engines of a question only.
+  LayerPath WithoutIn(PathQuestion aQuestion,
+                      const std::set<std::string>& aInstances);
   void Repath(LayerPath aPath, MoveReason aWhy);
   void WatchAttempt();
   void StopWatching();
   /// Notes that these parts read all tokens so far.
   void BeginReading(const LayerPath& aParts);
   void EndReading();
-  PathQuestion EngineQuestion() const;
+  PathQuestion EngineQuestion(SampleReach aReach = SampleReach::kOwnZone) const;
   void SpendPipe(const PathQuestion& aQuestion, const PathAnswer& aAnswer);
 
   void Admit();
--- a/include/spindleweir/servers/routing/layer_path.h
+++ b/include/spindleweir/servers/routing/layer_path.h
@@ -42,6 +42,8 @@
   double mReadTokens = 0;    ///< To be read at first.
   double mAnswerTokens = 0;  ///< Expected.
   std::vector<const UpstreamRecord*> mEngines;
+  /// The part of its zone's engines that these are; see EngineSample.
+  double mSampleShare = 1;
   std::function<EngineLoad(const std::string&)> mLoadOf;
   /// Engines that are not to be used, by instance.
   std::set<std::string> mAvoid;
--- a/servers/routing/path_choice.cpp
+++ b/servers/routing/path_choice.cpp
@@ -71,8 +71,9 @@
     const ChoiceNews& aNews) {
   ZonePaths& zone = mZones[aZone];
   const bool fresh =
-      zone.mRevision == aNews.mRevision ||
-      (zone.mRevision >= 0 && aNews.mNow - zone.mMadeAt < kDivideEvery);
+      aQuestion.mSampleShare >= 1 &&
+      (zone.mRevision == aNews.mRevision ||
+       (zone.mRevision >= 0 && aNews.mNow - zone.mMadeAt < kDivideEvery));
   if (fresh) {
     return zone.mPaths;
   }
@@ -123,7 +124,9 @@
     return cheapest;
   }
   const double left = PlacesLeft(aQuestion, cheapest.mPath);
-  if (aQuestion.mRandom() * aNews.mUnseen <= left * kTakenUnseen) {
+  // Who else chooses looks at another sample: so much less comes this way.
+  const double unseen = aNews.mUnseen * aQuestion.mSampleShare;
+  if (aQuestion.mRandom() * unseen <= left * kTakenUnseen) {
     return cheapest;
   }
   PathAnswer dealt = Deal(aQuestion, aNews);
