Where upstreams are many only the nearest control tells their changes

Change: with more than 400 upstreams a control leaves them out for a router that hears its nearest control; one whose nearest does not answer is told by the others.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -6,6 +6,7 @@
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/core/packing.h"
+#include "spindleweir/servers/membership/ask_schedule.h"
 #include "spindleweir/servers/membership/voter_plan.h"
 
 namespace spindleweir {
@@ -161,10 +162,16 @@
   const Millis now = SteadyNow();
   const std::int64_t known =
       aQuestion.mKnows == mLife ? aQuestion.mRevision : 0;
-  FeedAnswer feed = mFeed.Since(mRegistry, known, now);
+  const bool fromControl = !aQuestion.mControl.mId.empty();
+  const Asker asker{.mIsNear = aQuestion.mTellsLoads > 0,
+                    .mHearsNear = aQuestion.mHearsNear};
+  FeedAnswer feed{.mNews = {}, .mRevision = known};
+  if (fromControl || TellsUpstreams(asker, mRegistry.Size())) {
+    feed = mFeed.Since(mRegistry, known, now);
+  }
   aAnswer.mRevision = feed.mRevision;
   aAnswer.mNewsOfUpstreams = std::move(feed.mNews);
-  if (!aQuestion.mControl.mId.empty()) {
+  if (fromControl) {
     const std::set<std::string> hears(aQuestion.mHears.begin(),
                                       aQuestion.mHears.end());
     aAnswer.mBeats =
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -14,6 +14,9 @@
 /// Loads of others that are older than this say nothing any more.
 constexpr Millis kLoadsKept = 2500;
 constexpr int kNameBytes = 6;
+/// The nearest control is heard where it answered within this time: it is asked
+/// each half second at most, but for its back-off.
+constexpr Millis kNearHeard = 1500;
 
 }  // namespace
 
@@ -42,7 +45,11 @@
   question.mFailedAt = mFailedAt;
   question.mNow = now;
   mControls = ChooseSources(question);
-  mNear = mControls.empty() ? "" : mControls.front().Text();
+  const std::string near = mControls.empty() ? "" : mControls.front().Text();
+  if (near != mNear) {
+    mNear = near;
+    mNearAt = 0;
+  }
   for (const Endpoint& address : mControls) {
     const Source& source = mSources[address.Text()];
     if (!source.mAsking &&
@@ -78,6 +85,7 @@
   question.mConfiguration =
       mContext.Table() == nullptr ? 0 : mContext.Table()->Version();
   question.mSilent = mContext.mRegistry.Silent();
+  question.mHearsNear = mNearAt > 0 && SteadyNow() - mNearAt < kNearHeard;
   question.mTakesAt = mContext.mStopping ? "" : mContext.mOptions.mTakesAt;
   const std::string life = source.mLife;
   std::int64_t beats = 0;
@@ -173,6 +181,7 @@
     TakeUpstream(record, aAnswer.mSelf.mId);
   }
   if (aAddress.Text() == mNear) {
+    mNearAt = now;
     TakeLoads(source, aAnswer, aAskedAt);
   }
   mContext.mRouters = std::max(mContext.mRouters, aAnswer.mRouters);
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -41,6 +41,8 @@
   std::int64_t mRevision = 0;           ///< Of its registry, known so far.
   std::int64_t mConfiguration = 0;      ///< The version held.
   std::vector<SilentUpstream> mSilent;  ///< Held for silent by who asks.
+  /// The control that a router tells its loads to answered it lately.
+  bool mHearsNear = false;
   /// "IP:PORT" where a router takes heartbeats; empty: it takes none.
   std::string mTakesAt;
   std::string mTakenUpstreams;  ///< Those with news: see PackUpstreams.
@@ -61,6 +63,7 @@
     aCodec.Field("revision", mRevision);
     aCodec.Field("configuration", mConfiguration);
     aCodec.Field("silent", mSilent);
+    aCodec.Field("hears_near", mHearsNear);
     aCodec.Field("takes_at", mTakesAt);
     aCodec.Field("taken_upstreams", mTakenUpstreams);
     aCodec.Field("taken_beats", mTakenBeats);
--- a/include/spindleweir/servers/membership/ask_schedule.h
+++ b/include/spindleweir/servers/membership/ask_schedule.h
@@ -1,6 +1,8 @@
 /// When a router asks a control again, and how long it waits for an answer.
 #pragma once
 
+#include <cstddef>
+
 #include "spindleweir/core/clock.h"
 
 namespace spindleweir {
@@ -23,4 +25,17 @@
 /// How long the answer to a question is waited for.
 Millis AskTimeout(const AskedControl& aControl);
 
+/// What a control knows of a router that asks it.
+struct Asker {
+  bool mIsNear = false;     ///< It tells its loads here.
+  bool mHearsNear = false;  ///< Another control, which it tells them, answers.
+};
+
+/// Whether a router is told the changes of upstreams by a control that knows so
+/// many: with few by each of the three that it asks, so that a cut between
+/// controls hides nothing; with more than 400 by the nearest alone as long as
+/// that answers. 3,000 engines that start are 0.25 MB of changes for each
+/// router and control, most of it between zones.
+bool TellsUpstreams(const Asker& aAsker, std::size_t aUpstreams);
+
 }  // namespace spindleweir
--- a/servers/membership/ask_schedule.cpp
+++ b/servers/membership/ask_schedule.cpp
@@ -23,6 +23,9 @@
 /// The part of a longer wait that is not left to chance.
 constexpr double kLeastSpread = 0.5;
 
+/// With more upstreams only the nearest control tells their changes.
+constexpr std::size_t kToldByAll = 400;
+
 int BackOff(int aFailures) {
   return std::min(kMostBackOff, 1 << std::min(aFailures, kMostBackOff));
 }
@@ -39,6 +42,10 @@
                              spread);
 }
 
+bool TellsUpstreams(const Asker& aAsker, std::size_t aUpstreams) {
+  return aUpstreams <= kToldByAll || aAsker.mIsNear || !aAsker.mHearsNear;
+}
+
 Millis AskTimeout(const AskedControl& aControl) {
   return aControl.mIsFirst
              ? std::min(kTimeout, kFirstTimeout * BackOff(aControl.mFailures))
--- a/tests/servers/sources_test.cpp
+++ b/tests/servers/sources_test.cpp
@@ -153,6 +153,18 @@
   }
 }
 
+Test(sources, upstreams_are_told_by_all_where_they_are_few) {
+  const Asker near{.mIsNear = true, .mHearsNear = true};
+  const Asker far{.mIsNear = false, .mHearsNear = true};
+  const Asker lost{.mIsNear = false, .mHearsNear = false};
+  CHECK(TellsUpstreams(far, 400));
+  SECTION("and where they are many by the nearest as long as it answers") {
+    CHECK(TellsUpstreams(near, 3000));
+    CHECK(!TellsUpstreams(far, 3000));
+    CHECK(TellsUpstreams(lost, 3000));
+  }
+}
+
 Test(loads, each_router_is_told_of_all_others) {
   LoadBook book({.mKept = 2500, .mSumEvery = 40});
   ToldLoads first;
