--- a/daemons/control/layer_placer.cpp
+++ b/daemons/control/layer_placer.cpp
@@ -44,12 +44,12 @@
                                return mLog.Raft().Term() <= aFence;
                              },
                          .mAnswered =
-                             [this](const EngineOrder& aOrder, int aStatus) {
+                             [this](const HandedOrder& aOrder, int aStatus) {
                                Answered(aOrder, aStatus);
                              }}) {
   mContext.mDispatcher.On(rpc_method::kOrders,
                           [this](const Json::Value& aMessage) {
-                            TakeOver(FromJson<EngineOrders>(aMessage));
+                            TakeOver(FromJson<HandedOrders>(aMessage));
                             return Json::Value(Json::objectValue);
                           });
   mContext.mDispatcher.On(
@@ -172,7 +172,7 @@
       }
     }
   }
-  std::vector<EngineOrders> parts(controls.size());
+  std::vector<HandedOrders> parts(controls.size());
   for (const LayerOrder& order : aOrders) {
     const UpstreamRecord* engine = mSync.Registry().Find(order.mInstance);
     if (engine == nullptr) {
@@ -184,7 +184,7 @@
     parts[part].mOrders.push_back(
         {order.mInstance, engine->mAddress, order.mLayers});
   }
-  for (const EngineOrder& order : parts.front().mOrders) {
+  for (const HandedOrder& order : parts.front().mOrders) {
     mSender.Send(order, fence);
   }
   for (std::size_t i = 1; i < parts.size(); i++) {
@@ -194,7 +194,7 @@
   }
 }
 
-void LayerPlacer::HandOver(const Endpoint& aControl, EngineOrders aOrders) {
+void LayerPlacer::HandOver(const Endpoint& aControl, HandedOrders aOrders) {
   LogLine(LogLevel::kInfo, "orders_handed_over")
       .Add("control", aControl.Text())
       .Add("orders", static_cast<int>(aOrders.mOrders.size()))
@@ -207,23 +207,23 @@
           return;
         }
         // Planned anew; one that was sent all the same holds already then.
-        for (const EngineOrder& order : orders) {
+        for (const HandedOrder& order : orders) {
           Note(order, kHttpUnavailable);
         }
       });
 }
 
-void LayerPlacer::TakeOver(const EngineOrders& aOrders) {
+void LayerPlacer::TakeOver(const HandedOrders& aOrders) {
   if (aOrders.mFence < mLog.Raft().Term()) {
     throw Error(ResultCode::kNotLeader, "orders of an earlier term");
   }
   mOrderer = aOrders.mLeader;
-  for (const EngineOrder& order : aOrders.mOrders) {
+  for (const HandedOrder& order : aOrders.mOrders) {
     mSender.Send(order, aOrders.mFence);
   }
 }
 
-void LayerPlacer::Answered(const EngineOrder& aOrder, int aStatus) {
+void LayerPlacer::Answered(const HandedOrder& aOrder, int aStatus) {
   if (mLog.Raft().Leads()) {
     Note(aOrder, aStatus);
     return;
@@ -236,7 +236,7 @@
   }
 }
 
-void LayerPlacer::Note(const EngineOrder& aOrder, int aStatus) {
+void LayerPlacer::Note(const HandedOrder& aOrder, int aStatus) {
   const auto it = mPending.find(aOrder.mInstance);
   if (it != mPending.end() && it->second.mLayers == aOrder.mLayers) {
     it->second.mStatus = aStatus;
--- a/daemons/control/layer_placer.h
+++ b/daemons/control/layer_placer.h
@@ -65,12 +65,12 @@
   bool Settled(const std::string& aService, std::size_t aCount, Millis aNow);
   /// Sends orders, or hands most of them to the other controls.
   void Give(const std::vector<LayerOrder>& aOrders);
-  void HandOver(const Endpoint& aControl, EngineOrders aOrders);
+  void HandOver(const Endpoint& aControl, HandedOrders aOrders);
   /// Takes the orders of a leader.
-  void TakeOver(const EngineOrders& aOrders);
-  void Answered(const EngineOrder& aOrder, int aStatus);
+  void TakeOver(const HandedOrders& aOrders);
+  void Answered(const HandedOrder& aOrder, int aStatus);
   /// Notes the answer of an engine, where its order is still the newest.
-  void Note(const EngineOrder& aOrder, int aStatus);
+  void Note(const HandedOrder& aOrder, int aStatus);
 
   ControlContext& mContext;
   ReplicatedConfiguration& mLog;
--- a/daemons/control/order_sender.cpp
+++ b/daemons/control/order_sender.cpp
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-void OrderSender::Send(const EngineOrder& aOrder, std::int64_t aFence) {
+void OrderSender::Send(const HandedOrder& aOrder, std::int64_t aFence) {
   mWaiting.push_back({aOrder, aFence});
   if (mTimer == nullptr) {
     mLeft = kEachStep;
@@ -49,7 +49,7 @@
 }
 
 void OrderSender::Start(const Waiting& aWaiting) {
-  const EngineOrder& order = aWaiting.mOrder;
+  const HandedOrder& order = aWaiting.mOrder;
   PlaceOrder place;
   place.mLayers = order.mLayers;
   place.mFence = aWaiting.mFence;
--- a/daemons/control/order_sender.h
+++ b/daemons/control/order_sender.h
@@ -20,17 +20,17 @@
     /// Asked right before an order leaves: whether its term still holds.
     std::function<bool(std::int64_t aFence)> mHolds;
     /// An engine answered; the status of HTTP.
-    std::function<void(const EngineOrder&, int aStatus)> mAnswered;
+    std::function<void(const HandedOrder&, int aStatus)> mAnswered;
   };
 
   OrderSender(ControlContext& aContext, Hooks aHooks)
       : mContext(aContext), mHooks(std::move(aHooks)) {}
 
-  void Send(const EngineOrder& aOrder, std::int64_t aFence);
+  void Send(const HandedOrder& aOrder, std::int64_t aFence);
 
  private:
   struct Waiting {
-    EngineOrder mOrder;
+    HandedOrder mOrder;
     std::int64_t mFence = 0;
   };
   struct Running {
--- a/include/spindleweir/daemons/order_messages.h
+++ b/include/spindleweir/daemons/order_messages.h
@@ -10,14 +10,14 @@
 namespace spindleweir {
 
 namespace rpc_method {
-/// EngineOrders, from the leader to another control.
+/// HandedOrders, from the leader to another control.
 inline constexpr const char* kOrders = "control.orders";
 /// An OrderRefusal, from there back to the leader.
 inline constexpr const char* kOrderRefused = "control.order_refused";
 }  // namespace rpc_method
 
 /// An order to hold layers.
-struct EngineOrder {
+struct HandedOrder {
   std::string mInstance;
   std::string mAddress;  ///< "IP:PORT".
   LayerRange mLayers;
@@ -31,10 +31,10 @@
 };
 
 /// Orders of one term.
-struct EngineOrders {
+struct HandedOrders {
   std::int64_t mFence = 0;  ///< The leader's term.
   std::string mLeader;      ///< Its id.
-  std::vector<EngineOrder> mOrders;
+  std::vector<HandedOrder> mOrders;
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -46,7 +46,7 @@
 
 /// An engine did not take an order.
 struct OrderRefusal {
-  EngineOrder mOrder;
+  HandedOrder mOrder;
   int mStatus = 0;  ///< Of HTTP.
 
   template <class Codec>
