At an opening requests are dealt and paced, returns are predicted

Change: servers/limits/start_admission: until the work of others is known each router lets in an equal share of what its zone reads, who still meets its target first, and refuses at once whose caller would leave before its turn; meanwhile paths are dealt as if each other router had as many requests. servers/limits/return_time: when to come back, from what comes free beside first comers, the time that layers load, and the callers already told.

--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "daemons/relay/relay_admission.h"
 #include "spindleweir/core/log.h"
 
 namespace spindleweir {
@@ -168,6 +169,10 @@
   mPaths[aService].mArrivals.Add(SteadyNow());
 }
 
+double RelayContext::ArrivalsOf(const std::string& aService) {
+  return mPaths[aService].mArrivals.PerMilli(SteadyNow());
+}
+
 const std::vector<const UpstreamRecord*>& RelayContext::ReadyEngines(
     const std::string& aService) {
   ServicePaths& paths = mPaths[aService];
@@ -187,9 +192,10 @@
   const Millis now = SteadyNow();
   const double others = mRouters - 1;
   const Millis age = std::min(kOldestNews, LoadsAge());
+  const double seldom =
+      others * paths.mArrivals.PerMilli(now) * static_cast<double>(age);
   PathAnswer answer = paths.mChoice.Choose(
-      aQuestion, {.mUnseen = others * paths.mArrivals.PerMilli(now) *
-                             static_cast<double>(age),
+      aQuestion, {.mUnseen = std::max(seldom, mAdmission->Unseen(aService)),
                   .mRevision = mRegistry.Revision(),
                   .mNow = now});
   mCounters.Add("paths", answer.mPath.empty() ? "way=\"none\""
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -42,6 +42,7 @@
   std::int64_t mReadyOf = -1;  ///< The change of the registry that it has.
 };
 
+class RelayAdmission;
 class StreamGuard;
 
 /// The state of one router. Single-threaded.
@@ -89,6 +90,8 @@
       const std::string& aService);
   /// A request that asks for a path of engines.
   void PathAsked(const std::string& aService);
+  /// Requests a millisecond that come here for it.
+  double ArrivalsOf(const std::string& aService);
   /// A path for it, by what is known of the work of all routers.
   PathAnswer ChoosePathOf(const std::string& aService,
                           const PathQuestion& aQuestion);
@@ -105,7 +108,8 @@
   BeatTaker mTaker;
   int mRouters = 1;  ///< That share limits, as far as is known.
   bool mStopping = false;
-  StreamGuard* mGuard = nullptr;  ///< Set once all parts are made.
+  StreamGuard* mGuard = nullptr;         ///< Set once all parts are made.
+  RelayAdmission* mAdmission = nullptr;  ///< The same.
 
  private:
   std::shared_ptr<const RouteTable> mTable;
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -11,17 +11,11 @@
 
 namespace {
 
-/// When a caller should come back, at least: a caller comes back once or
-/// twice, so that coming too early is as good as not at all.
-constexpr Millis kAfterFull = 600;
-constexpr Millis kAfterNotReady = 1200;
-/// Callers that were refused together come back spread over this time.
-constexpr double kReturnSpread = 800;
-/// The part of the time left that callers wait at most.
-constexpr Millis kWaitPart = 3;
 /// The part of its time that a request waits at most for a router to start.
 constexpr Millis kStartWaitPart = 2;
 constexpr Millis kLookAgain = 20;
+/// Callers leave a stream after about two seconds without an event.
+constexpr Millis kPatience = 1800;
 
 }  // namespace
 
@@ -65,7 +59,7 @@
   try {
     mFacts = mContext.mOptions.mCallers.mReadRequest(mExchange->Head());
   } catch (const Error& error) {
-    Refuse(error.Code(), -1);
+    Refuse(error.Code(), ReturnCause::kNever);
     return;
   }
   Admit();
@@ -96,24 +90,24 @@
     return;
   }
   if (mTable == nullptr) {
-    Refuse(ResultCode::kNotReady, kAfterNotReady);
+    Refuse(ResultCode::kNotReady, ReturnCause::kNoLease);
     return;
   }
   mRoute = mTable->FindRoute(mFacts.mHost, mExchange->Head().mTarget);
   mNeedsLease = mTable->NeedsKeys() && (mRoute == nullptr || !mRoute->mOpen);
   if (mNeedsLease && !mContext.LeaseHolds()) {
     // Neither a key nor its absence can be trusted any more.
-    Refuse(ResultCode::kLeaseExpired, kAfterNotReady);
+    Refuse(ResultCode::kLeaseExpired, ReturnCause::kNoLease);
     return;
   }
   if (mRoute == nullptr) {
-    Refuse(ResultCode::kNoRoute, -1);
+    Refuse(ResultCode::kNoRoute, ReturnCause::kNever);
     return;
   }
   if (mNeedsLease) {
     const TrafficWorkspace* workspace = mTable->FindWorkspace(mFacts.mKey);
     if (workspace == nullptr) {
-      Refuse(ResultCode::kUnauthorized, -1);
+      Refuse(ResultCode::kUnauthorized, ReturnCause::kNever);
       return;
     }
     mWorkspace = workspace->mName;
@@ -132,6 +126,47 @@
   if (mService->IsEngine()) {
     mContext.PathAsked(mService->mName);
   }
+  AwaitTurn();
+}
+
+void RelayRequest::AwaitTurn() {
+  if (!mService->IsEngine() || !mContext.mAdmission->Opening()) {
+    mContext.mAdmission->Leave(this);
+    StartAttempt();
+    return;
+  }
+  const Millis patience =
+      mFacts.mDeadline > 0
+          ? std::min(kPatience, mFacts.mDeadline / kStartWaitPart)
+          : kPatience;
+  const StartDecision decision =
+      mContext.mAdmission->Ask(this, *mService,
+                               {.mReceivedAt = mExchange->ReceivedAt(),
+                                .mTarget = mRoute->mTarget,
+                                .mPatience = patience,
+                                .mPriority = mRoute->mPriority,
+                                .mTokens = mFacts.mPromptTokens});
+  if (decision.mVerdict == StartVerdict::kWait) {
+    mPathTimer = mContext.mLoop.After(decision.mAfter, [this] { AwaitTurn(); });
+    return;
+  }
+  const bool goes = decision.mVerdict == StartVerdict::kGo;
+  LogLine(LogLevel::kInfo, "opening")
+      .Add("request", mFacts.mId)
+      .Add("let_in", goes)
+      .Add("waited_ms",
+           static_cast<Json::Int64>(SteadyNow() - mExchange->ReceivedAt()))
+      .Add("turn_in_ms", static_cast<Json::Int64>(decision.mAfter))
+      .Add("tokens_ahead", decision.mAhead)
+      .Add("share_per_ms", decision.mShare)
+      .Add("waiting", decision.mWaiting)
+      .Add("routers", mContext.mRouters);
+  mContext.mCounters.Add("opening",
+                         goes ? "outcome=\"let_in\"" : "outcome=\"refused\"");
+  if (!goes) {
+    Refuse(ResultCode::kUpstreamFull, ReturnCause::kFull);
+    return;
+  }
   StartAttempt();
 }
 
@@ -179,28 +214,25 @@
   }
   if (!mMayHaveRun) {
     const bool refusal = InfoOf(aCode).mRan == Ran::kNo;
-    Refuse(refusal ? aCode : ResultCode::kNoUpstream, kAfterFull);
+    Refuse(refusal ? aCode : ResultCode::kNoUpstream, ReturnCause::kFull);
     return;
   }
   Refuse(InfoOf(aCode).mRan == Ran::kNo ? ResultCode::kOutcomeUnknown : aCode,
-         -1);
+         ReturnCause::kNever);
 }
 
-Millis RelayRequest::ReturnAfter(Millis aLeast) const {
-  if (aLeast < 0) {
-    return aLeast;
-  }
-  const auto wanted =
-      aLeast + static_cast<Millis>(kReturnSpread * mContext.Random());
-  const Millis passed = SteadyNow() - mExchange->ReceivedAt();
-  const Millis left = mFacts.mDeadline - passed;
-  return mFacts.mDeadline > 0 ? std::clamp<Millis>(left / kWaitPart, 0, wanted)
-                              : wanted;
-}
-
-void RelayRequest::Refuse(ResultCode aCode, Millis aReturnAfter) {
+void RelayRequest::Refuse(ResultCode aCode, ReturnCause aCause) {
   const int status = InfoOf(aCode).mHttpStatus;
-  const Millis retryAfter = ReturnAfter(aReturnAfter);
+  const Millis passed = SteadyNow() - mExchange->ReceivedAt();
+  ReturnAdvice advice;
+  advice.mAnswer.mAfter = -1;
+  if (aCause != ReturnCause::kNever) {
+    const Millis left = mFacts.mDeadline > 0
+                            ? std::max<Millis>(1, mFacts.mDeadline - passed)
+                            : 0;
+    advice = mContext.mAdmission->Return(mService, aCause, left);
+  }
+  const Millis retryAfter = advice.mAnswer.mAfter;
   mExchange->Reply(
       status, mContext.mOptions.mCallers.mWriteRefusal(mFacts.mId, retryAfter),
       DumpJson(ErrorBody({.mCode = aCode, .mRequest = mFacts.mId})));
@@ -212,6 +244,12 @@
            static_cast<Json::Int64>(mTable == nullptr ? 0 : mTable->Version()))
       .Add("lease_age_ms",
            static_cast<Json::Int64>(mContext.mLease.Age(SteadyNow())))
+      .Add("held_ms", static_cast<Json::Int64>(passed))
+      .Add("free_after_ms",
+           static_cast<Json::Int64>(advice.mQuestion.mFreeAfter))
+      .Add("free_per_ms", advice.mQuestion.mFreePerMilli)
+      .Add("room_expected", advice.mAnswer.mExpected)
+      .Add("callers_told", advice.mExpected)
       .Add("retry_after_ms", static_cast<Json::Int64>(retryAfter));
   End("refused", status);
 }
@@ -278,6 +316,7 @@
   // reference to this goes.
   DropAttempt();
   StopWatching();
+  mContext.mAdmission->Leave(this);
   mTimeout.reset();
   mSilenceTimer.reset();
   mPathTimer.reset();
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "daemons/relay/relay_admission.h"
 #include "daemons/relay/stream_guard.h"
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
@@ -88,6 +89,8 @@
   /// started; false: it has to be answered now.
   bool WaitForStart();
   void PickService();
+  /// Starts the first attempt as soon as the opening lets it in.
+  void AwaitTurn();
   void StartAttempt();
   /// Tries again in a moment, where a stream has begun; false: not worth it.
   bool WaitForPath();
@@ -121,9 +124,7 @@
   bool MayTryAgain(Ran aRan) const;
   void DropAttempt();
   void GiveUp(ResultCode aCode);
-  /// aReturnAfter: when the caller should come back, at least; -1: not.
-  void Refuse(ResultCode aCode, Millis aReturnAfter);
-  Millis ReturnAfter(Millis aLeast) const;
+  void Refuse(ResultCode aCode, ReturnCause aCause);
   void Forward(const AnswerHead& aHead, std::string_view aBody);
   void End(const char* aOutcome, int aStatus);
   void Count(const char* aOutcome, int aStatus);
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -3,6 +3,7 @@
 #include <unordered_set>
 
 #include "daemons/relay/beat_relay.h"
+#include "daemons/relay/relay_admission.h"
 #include "daemons/relay/relay_request.h"
 #include "daemons/relay/sync_link.h"
 #include "spindleweir/core/log.h"
@@ -28,6 +29,7 @@
   Parts(EventLoop& aLoop, RelayOptions aOptions)
       : mContext(aLoop, std::move(aOptions)),
         mGuard(mContext),
+        mAdmission(mContext),
         mLink(mContext),
         mBeats(mContext, mLink),
         mStartedAt(SteadyNow()),
@@ -42,6 +44,7 @@
                        Refuse(aExchange, aCode);
                      }}) {
     mContext.mGuard = &mGuard;
+    mContext.mAdmission = &mAdmission;
   }
 
   void Handle(const std::shared_ptr<StreamExchange>& aExchange) {
@@ -132,6 +135,7 @@
 
   RelayContext mContext;
   StreamGuard mGuard;
+  RelayAdmission mAdmission;
   SyncLink mLink;
   BeatRelay mBeats;
   Millis mStartedAt;
--- /dev/null
+++ b/tests/servers/starts_test.cpp
@@ -0,0 +1,382 @@
+#include <algorithm>
+#include <memory>
+#include <random>
+
+#include "spindleweir/servers/consensus/raft_node.h"
+#include "spindleweir/servers/limits/return_time.h"
+#include "spindleweir/servers/limits/start_admission.h"
+#include "spindleweir/servers/membership/ask_schedule.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+/// A disk that takes no time.
+class QuickStorage : public RaftStorage {
+ public:
+  DurableState Load() override { return mState; }
+  void SaveHardState(const HardState& aState) override {
+    mState.mHardState = aState;
+  }
+  void Append(std::span<const LogEntry> aEntries) override {
+    const std::int64_t keep =
+        aEntries.front().mIndex - mState.mSnapshot.mIndex - 1;
+    mState.mEntries.resize(static_cast<std::size_t>(keep));
+    mState.mEntries.insert(mState.mEntries.end(), aEntries.begin(),
+                           aEntries.end());
+  }
+  void SaveSnapshot(const Snapshot& aSnapshot, std::span<const LogEntry> aRest,
+                    const HardState& aState) override {
+    mState.mSnapshot = aSnapshot;
+    mState.mEntries.assign(aRest.begin(), aRest.end());
+    mState.mHardState = aState;
+  }
+
+ private:
+  DurableState mState;
+};
+
+/// The start of a voter that does not come.
+constexpr Millis kNever = 1000000;
+
+/// Voters that start one after the other. What is sent to one that does not run
+/// yet is turned away, all else takes two milliseconds.
+class VotersStart {
+ public:
+  VotersStart(std::vector<Millis> aStarts, std::uint64_t aSeed)
+      : mStarts(std::move(aStarts)), mSeed(aSeed) {
+    for (std::size_t i = 0; i < mStarts.size(); i++) {
+      mIds.push_back("v" + std::to_string(i));
+    }
+    mNodes.resize(mStarts.size());
+  }
+
+  /// From the last start until all know a leader that may promise.
+  Millis SettledAfter() {
+    constexpr Millis kMost = 5000;
+    Millis last = 0;
+    for (const Millis start : mStarts) {
+      last = start == kNever ? last : std::max(last, start);
+    }
+    for (Millis now = 0; now < kMost; now++) {
+      Step(now);
+      if (now > last && AllSettled()) {
+        return now - last;
+      }
+    }
+    return kMost;
+  }
+
+ private:
+  struct OnTheWay {
+    RaftMessage mMessage;
+    Millis mAt;
+  };
+
+  /// Of those that run.
+  bool AllSettled() const {
+    return std::all_of(mNodes.begin(), mNodes.end(), [](const auto& aNode) {
+      return aNode == nullptr || aNode->Settled();
+    });
+  }
+
+  void Step(Millis aNow) {
+    constexpr Millis kTick = 20;
+    for (std::size_t i = 0; i < mIds.size(); i++) {
+      if (aNow == mStarts[i]) {
+        Start(i, aNow);
+      }
+      if (mNodes[i] != nullptr && (aNow - mStarts[i]) % kTick == 0) {
+        mNow = aNow;
+        mNodes[i]->Tick(aNow);
+      }
+    }
+    const std::vector<OnTheWay> sent = std::move(mSent);
+    mSent.clear();
+    for (const OnTheWay& item : sent) {
+      if (item.mAt > aNow) {
+        mSent.push_back(item);
+        continue;
+      }
+      const auto it =
+          std::find(mIds.begin(), mIds.end(), item.mMessage.mTo) - mIds.begin();
+      RaftNode* to = mNodes[static_cast<std::size_t>(it)].get();
+      if (to != nullptr) {
+        mNow = aNow;
+        to->Receive(item.mMessage, aNow);
+        continue;
+      }
+      for (const auto& node : mNodes) {
+        if (node != nullptr) {
+          node->Undelivered(item.mMessage.mTo);
+        }
+      }
+    }
+  }
+
+  void Start(std::size_t aIndex, Millis aNow) {
+    constexpr Millis kDelay = 2;
+    mStorages.push_back(std::make_unique<QuickStorage>());
+    RaftOptions options;
+    options.mId = mIds[aIndex];
+    options.mVoters = mIds;
+    options.mElectionTimeout = 350;
+    options.mHeartbeat = 70;
+    options.mSeed = mSeed * mIds.size() + aIndex;
+    options.mStorage = mStorages.back().get();
+    options.mSend = [this](const RaftMessage& aMessage) {
+      mSent.push_back({aMessage, mNow + kDelay});
+    };
+    options.mApply = [](const LogEntry&) {};
+    options.mMakeSnapshot = [] { return std::string(); };
+    options.mInstallSnapshot = [](const std::string&) {};
+    mNodes[aIndex] = std::make_unique<RaftNode>(std::move(options), aNow);
+  }
+
+  std::vector<Millis> mStarts;
+  std::uint64_t mSeed;
+  Millis mNow = 0;
+  std::vector<std::string> mIds;
+  std::vector<std::unique_ptr<QuickStorage>> mStorages;
+  std::vector<std::unique_ptr<RaftNode>> mNodes;
+  std::vector<OnTheWay> mSent;
+};
+
+/// Engines that each hold two of four layers.
+struct SmallZone {
+  SmallZone() {
+    mProfile.mLayers = 4;
+    mProfile.mReadPerSecond = 100000;
+    mProfile.mKinds = {{.mName = "fast", .mReadFactor = 1},
+                       {.mName = "slow", .mReadFactor = 4}};
+    Add("fast", {0, 2});
+    Add("slow", {0, 2});
+    Add("fast", {2, 4});
+  }
+
+  void Add(const std::string& aKind, LayerRange aLayers) {
+    mRecords.push_back(std::make_unique<UpstreamRecord>(
+        UpstreamRecord{.mKind = aKind, .mLayers = aLayers}));
+  }
+
+  double Capacity() const {
+    std::vector<const UpstreamRecord*> views;
+    for (const auto& record : mRecords) {
+      views.push_back(record.get());
+    }
+    return ReadingCapacity(mProfile, views);
+  }
+
+  EngineProfile mProfile;
+  std::vector<std::unique_ptr<UpstreamRecord>> mRecords;
+};
+
+/// Callers that were all refused in the same quarter of a second, at routers
+/// that share the places which come free.
+struct ReturnPlay {
+  int mRouters = 30;
+  int mCallers = 600;
+  double mFreePerMilli = 0.2;  ///< Of all routers together.
+  bool mPredicts = true;
+
+  /// The share of the callers that find no place when they come back.
+  double RefusedAgain() const {
+    constexpr Millis kRefusedWithin = 250;
+    constexpr Millis kLeft = 20000;
+    std::mt19937 random(7);
+    std::uniform_real_distribution<double> unit(0, 1);
+    std::vector<ReturnTimes> routers(static_cast<std::size_t>(mRouters));
+    std::vector<Millis> back;
+    for (int i = 0; i < mCallers; i++) {
+      const Millis now = i * kRefusedWithin / mCallers;
+      ReturnTimes& router = routers[random() % routers.size()];
+      const ReturnAnswer told =
+          router.Tell({.mNow = now,
+                       .mLeft = kLeft,
+                       .mFreeAfter = 300,
+                       .mFreePerMilli = mFreePerMilli / mRouters,
+                       .mRandom = unit(random)});
+      // Before: 0.6 s and up to 0.8 s by chance, whatever comes free.
+      const auto spread = static_cast<Millis>(600 + 800 * unit(random));
+      back.push_back(now + (mPredicts ? told.mAfter : spread));
+    }
+    std::sort(back.begin(), back.end());
+    double places = 0;
+    Millis at = 0;
+    int refused = 0;
+    for (const Millis time : back) {
+      places += mFreePerMilli * static_cast<double>(time - at);
+      at = time;
+      const bool served = places >= 1;
+      places -= served ? 1 : 0;
+      refused += served ? 0 : 1;
+    }
+    return static_cast<double>(refused) / mCallers;
+  }
+};
+
+}  // namespace
+
+Test(starts, voters_that_start_apart_have_a_leader_soon) {
+  std::vector<Millis> after;
+  for (std::uint64_t seed = 1; seed <= 200; seed++) {
+    after.push_back(VotersStart({0, 90, 250}, seed).SettledAfter());
+  }
+  std::sort(after.begin(), after.end());
+  SECTION("all of them within the least time between two elections") {
+    CHECK(after[180] <= 200);
+    CHECK(after.back() <= 300);
+  }
+  SECTION("a voter that never comes does not hold up the others") {
+    CHECK(VotersStart({0, 90, kNever}, 3).SettledAfter() <= 300);
+  }
+}
+
+Test(starts, a_router_without_a_lease_asks_sooner) {
+  const AskedControl lacking{
+      .mPeriod = 150, .mIsNear = true, .mIsFirst = true, .mLacksLease = true};
+  SECTION("the nearest twice as often") {
+    CHECK(AskAgainAfter(lacking) == 75);
+    AskedControl far = lacking;
+    far.mIsNear = false;
+    CHECK(AskAgainAfter(far) == 600);
+  }
+  SECTION("one that did not listen yet as soon as it may") {
+    AskedControl refused = lacking;
+    refused.mWasRefused = true;
+    refused.mIsNear = false;
+    CHECK(AskAgainAfter(refused) == 100);
+    refused.mLacksLease = false;
+    CHECK(AskAgainAfter(refused) == 600);
+  }
+  SECTION("one that takes questions and has no time for them more seldom") {
+    AskedControl busy = lacking;
+    busy.mFailures = 2;
+    CHECK(AskAgainAfter(busy) == 300);
+  }
+}
+
+Test(starts, a_zone_reads_what_its_weakest_layer_reads) {
+  SmallZone zone;
+  SECTION("engines that hold the same layers add up") {
+    // Half of the layers: 200 tokens a millisecond, and 50 by the slow one.
+    CHECK(std::abs(zone.Capacity() - 200) < 1e-6);
+    zone.Add("slow", {2, 4});
+    CHECK(std::abs(zone.Capacity() - 250) < 1e-6);
+  }
+  SECTION("without one of the layers nothing is read") {
+    zone.mRecords.pop_back();
+    zone.mRecords.pop_back();
+    CHECK(zone.Capacity() == 0);
+  }
+}
+
+Test(starts, what_waited_is_let_in_at_the_pace_of_reading) {
+  // 10 tokens a millisecond of which 0.7 are dealt out: 800 take 114 ms.
+  StartAdmission admission;
+  admission.SetShare(10);
+  int keys[30];
+  const StartRequest fresh{
+      .mReceivedAt = 900, .mTarget = 500, .mPatience = 1800, .mTokens = 800};
+  SECTION("as many at once as are read in 0.2 s") {
+    int let = 0;
+    for (int i = 0; i < 10; i++) {
+      let += admission.Ask(&keys[i], fresh, 1000).mVerdict == StartVerdict::kGo
+                 ? 1
+                 : 0;
+    }
+    CHECK(let == 2);
+  }
+  SECTION("and the others as these are read") {
+    CHECK(admission.Ask(&keys[5], fresh, 1010).mVerdict == StartVerdict::kWait);
+    CHECK(admission.Ask(&keys[2], fresh, 1130).mVerdict == StartVerdict::kGo);
+  }
+  SECTION("who still meets its target goes before one that is late") {
+    StartAdmission other;
+    other.SetShare(10);
+    StartRequest late = fresh;
+    late.mReceivedAt = 400;
+    for (int i = 0; i < 4; i++) {
+      (void)other.Ask(&keys[i], fresh, 1000);
+    }
+    (void)other.Ask(&keys[4], late, 1000);
+    const StartDecision first = other.Ask(&keys[2], fresh, 1040);
+    const StartDecision after = other.Ask(&keys[4], late, 1040);
+    CHECK(first.mAhead < after.mAhead);
+    CHECK(first.mVerdict == StartVerdict::kGo);
+    CHECK(after.mVerdict == StartVerdict::kWait);
+  }
+  SECTION("who would have left by its turn is refused at once") {
+    StartAdmission other;
+    other.SetShare(1);
+    int refused = 0;
+    for (int i = 0; i < 10; i++) {
+      const StartDecision decision = other.Ask(&keys[i], fresh, 1000);
+      refused += decision.mVerdict == StartVerdict::kRefuse ? 1 : 0;
+    }
+    CHECK(refused >= 8);
+  }
+  SECTION("who leaves makes room") {
+    StartAdmission other;
+    other.SetShare(10);
+    for (int i = 0; i < 8; i++) {
+      (void)other.Ask(&keys[i], fresh, 1000);
+    }
+    const double before = other.Ask(&keys[7], fresh, 1001).mAhead;
+    other.Leave(&keys[3]);
+    CHECK(other.Ask(&keys[7], fresh, 1001).mAhead <= before);
+  }
+  SECTION("where nothing is known nobody is held back") {
+    StartAdmission other;
+    for (int i = 0; i < 10; i++) {
+      CHECK(other.Ask(&keys[i], fresh, 1000).mVerdict == StartVerdict::kGo);
+    }
+  }
+}
+
+Test(starts, callers_come_back_when_there_is_room) {
+  SECTION("told a time by chance a half is refused again") {
+    const ReturnPlay play{.mPredicts = false};
+    CHECK(play.RefusedAgain() > 0.45);
+  }
+  SECTION("told what comes free nearly nobody is") {
+    CHECK(ReturnPlay().RefusedAgain() < 0.005);
+  }
+  SECTION("nor where one router tells them all") {
+    CHECK(ReturnPlay{.mRouters = 1}.RefusedAgain() < 0.005);
+  }
+}
+
+Test(starts, a_time_to_come_back_keeps_its_bounds) {
+  ReturnTimes times;
+  SECTION("not before there may be room at all") {
+    const ReturnAnswer answer = times.Tell(
+        {.mNow = 50, .mLeft = 20000, .mFreeAfter = 1200, .mFreePerMilli = 1});
+    CHECK(answer.mAfter >= 1200);
+    CHECK(answer.mAfter < 1400);
+    CHECK(answer.mExpected);
+  }
+  SECTION("within the third of its time that a caller waits") {
+    const ReturnAnswer answer = times.Tell(
+        {.mNow = 50, .mLeft = 900, .mFreeAfter = 5000, .mFreePerMilli = 1});
+    CHECK(answer.mAfter == 300);
+  }
+  SECTION("where nothing comes free they are spread over all of it") {
+    Millis least = 10000;
+    Millis most = 0;
+    for (int i = 0; i < 40; i++) {
+      const Millis after =
+          times.Tell({.mNow = 50, .mLeft = 12000, .mFreeAfter = 300}).mAfter;
+      least = std::min(least, after);
+      most = std::max(most, after);
+    }
+    CHECK(least < 600);
+    CHECK(most > 3500);
+  }
+  SECTION("those that were told before are gone when their time has passed") {
+    (void)times.Tell({.mNow = 50, .mLeft = 900, .mFreePerMilli = 1});
+    CHECK(times.Expected(60) > 0);
+    CHECK(times.Expected(20000) == 0);
+  }
+}
