What a caller says that it has left bounds no memory

Cause, by reading: return times are counted in slots of 100 ms up to a third of what the caller's head says it has left, which is read from outside: 2^63 ms would be 3e16 slots. Change: ten seconds ahead at most. The test's section does not end without it.

--- a/servers/limits/return_time.cpp
+++ b/servers/limits/return_time.cpp
@@ -11,6 +11,10 @@
 constexpr Millis kWaitPart = 3;
 /// Callers are told within so long where none says what it has left.
 constexpr Millis kLongest = 5000;
+/// And within this whatever it says that it has: callers are counted by slots,
+/// and what a caller has left is read from outside. A third of a stream's 20 s
+/// is 6.7 s.
+constexpr Millis kMostAhead = 10000;
 /// Callers are counted by times of this length: they come a few milliseconds
 /// after they are told to, and requests come in such clumps by themselves.
 constexpr Millis kSlot = 100;
@@ -53,8 +57,9 @@
 ReturnAnswer ReturnTimes::Tell(const ReturnQuestion& aQuestion) {
   const Millis now = aQuestion.mNow;
   Forget(now);
-  const Millis most =
-      aQuestion.mLeft > 0 ? aQuestion.mLeft / kWaitPart : kLongest;
+  const Millis most = aQuestion.mLeft > 0
+                          ? std::min(aQuestion.mLeft / kWaitPart, kMostAhead)
+                          : kLongest;
   const Millis from = std::min(std::max(kLeast, aQuestion.mFreeAfter), most);
   const std::int64_t first = (now + from) / kSlot;
   const std::int64_t last = std::max(first, (now + most) / kSlot - 1);
--- a/tests/servers/starts_test.cpp
+++ b/tests/servers/starts_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <memory>
 #include <random>
 
@@ -362,6 +363,11 @@
         {.mNow = 50, .mLeft = 900, .mFreeAfter = 5000, .mFreePerMilli = 1});
     CHECK(answer.mAfter == 300);
   }
+  SECTION("nor so far away that the slots until then fill the memory") {
+    const ReturnAnswer answer =
+        times.Tell({.mNow = 50, .mLeft = std::numeric_limits<Millis>::max()});
+    CHECK(answer.mAfter <= 10000);
+  }
   SECTION("where nothing comes free they are spread over all of it") {
     Millis least = 10000;
     Millis most = 0;
