The upstreams' part of a control has a class of its own

The second moves as it stands to UpstreamIntake, which what is told of restarted upstreams will change.

--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -156,11 +156,11 @@
 }
 
 void JoinedControl::Beat(const UpstreamRecord& aRecord, const BeatDone& aDone) {
-  mParts->mSync.Beat(aRecord, aDone);
+  mParts->mSync.Upstreams().Beat(aRecord, aDone);
 }
 
 void JoinedControl::Leave(const std::string& aInstance, const BeatDone& aDone) {
-  mParts->mSync.Leave(aInstance, aDone);
+  mParts->mSync.Upstreams().Leave(aInstance, aDone);
 }
 
 void JoinedControl::SetSeeds(std::vector<Endpoint> aSeeds) {
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -6,7 +6,6 @@
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/core/packing.h"
-#include "spindleweir/servers/membership/ask_schedule.h"
 #include "spindleweir/servers/membership/voter_plan.h"
 
 namespace spindleweir {
@@ -23,20 +22,11 @@
 /// each asks less often, so that a control has the same work at any size.
 constexpr Millis kAskedEvery = 150;
 constexpr double kEachAsker = 3.5;
-/// Heartbeats that may be missed before an upstream counts as silent.
-constexpr int kMissedBeats = 3;
-/// News of a leaving upstream is acknowledged after this time even where no
-/// other control has it.
-constexpr Millis kTellTimeout = 500;
 constexpr int kLifeBytes = 6;
 /// Another control that did not answer for so long is not in contact.
 constexpr Millis kContact = 1500;
 /// Routers that must agree that an upstream cannot be reached.
 constexpr int kWitnesses = 2;
-/// And for this long more where routers take heartbeats: one that is lost is
-/// noticed after a second, its upstreams call again within another, and what is
-/// heard comes with the next question.
-constexpr Millis kTakerLost = 2400;
 
 }  // namespace
 
@@ -45,11 +35,8 @@
     : mContext(aContext),
       mLog(aLog),
       mLife(RandomHex(kLifeBytes)),
-      mStore(aContext.mOptions.mData + "/upstreams"),
-      mTakers({.mOwnBeats = aContext.mOptions.mOwnBeats}) {
+      mUpstreams(aContext, mDirectory) {
   mDirectory.SetSeeds(mContext.mOptions.mSeeds);
-  LogLine(LogLevel::kInfo, "upstreams_restored")
-      .Add("count", static_cast<int>(mStore.Load(mRegistry, SteadyNow())));
   mLog.Machine().SignalPublished().connect(
       [this](const PublishedDocument& aPublished) { mUnread = aPublished; });
   if (mLog.Machine().Published().mVersion > 0) {
@@ -59,14 +46,6 @@
       rpc_method::kSync, [this](const Json::Value& aMessage) {
         return ToJson(Answer(FromJson<SyncQuestion>(aMessage)));
       });
-  mContext.mDispatcher.On(
-      rpc_method::kNotice, [this](const Json::Value& aMessage) {
-        for (const UpstreamRecord& record :
-             FromJson<UpstreamNotice>(aMessage).mUpstreams) {
-          mRegistry.Merge(record, SteadyNow());
-        }
-        return Json::Value(Json::objectValue);
-      });
   mAskTimer = mContext.mLoop.Every(kAskPeriod, [this] { AskOthers(); });
   mStepTimer = mContext.mLoop.Every(kStepPeriod, [this] {
     StepVoters();
@@ -116,7 +95,7 @@
   answer.mLeader = mLog.Raft().Leader();
   answer.mTerm = mLog.Raft().Term();
   const bool fromControl = !aQuestion.mControl.mId.empty();
-  AddUpstreams(aQuestion, answer);
+  mUpstreams.Answer(aQuestion, mLife, answer);
   ConfirmOwn(now);
   answer.mConfirmedVersion = mConfirmation.Version();
   answer.mConfirmedAgo = mConfirmation.Age(now);
@@ -139,7 +118,7 @@
     return;
   }
   const ZoneHook zoneOf = [this](const std::string& aInstance) {
-    const UpstreamRecord* record = mRegistry.Find(aInstance);
+    const UpstreamRecord* record = mUpstreams.Registry().Find(aInstance);
     return record == nullptr ? "" : record->mZone;
   };
   const PackedLoads& loads =
@@ -157,30 +136,6 @@
   }
 }
 
-void SyncService::AddUpstreams(const SyncQuestion& aQuestion,
-                               SyncAnswer& aAnswer) {
-  const Millis now = SteadyNow();
-  const std::int64_t known =
-      aQuestion.mKnows == mLife ? aQuestion.mRevision : 0;
-  const bool fromControl = !aQuestion.mControl.mId.empty();
-  const Asker asker{.mIsNear = aQuestion.mTellsLoads > 0,
-                    .mHearsNear = aQuestion.mHearsNear};
-  FeedAnswer feed{.mNews = {}, .mRevision = known};
-  if (fromControl || TellsUpstreams(asker, mRegistry.Size())) {
-    feed = mFeed.Since(mRegistry, known, now);
-  }
-  aAnswer.mRevision = feed.mRevision;
-  aAnswer.mNewsOfUpstreams = std::move(feed.mNews);
-  if (fromControl) {
-    const std::set<std::string> hears(aQuestion.mHears.begin(),
-                                      aQuestion.mHears.end());
-    aAnswer.mBeats =
-        BeatTable::Of(mRegistry.BeatsSince(known, feed.mRevision, now, hears));
-  }
-  aAnswer.mNotSilent =
-      mRegistry.HeardLater(aQuestion.mSilent, SilentAfter(), now);
-}
-
 void SyncService::ConfirmOwn(Millis aNow) {
   const Millis confirmed = mLog.Raft().ConfirmedAt();
   if (confirmed >= 0) {
@@ -195,8 +150,7 @@
     return;
   }
   mAskedAt[aQuestion.mProcess] = now;
-  mTakers.Asked(aQuestion.mProcess, aQuestion.mZone, aQuestion.mTakesAt, now);
-  TakeBeats(aQuestion);
+  mUpstreams.Asked(aQuestion);
   std::erase_if(mAskedAt, [now](const auto& aItem) {
     return now - aItem.second > kAskerKept;
   });
@@ -219,37 +173,6 @@
   return heard * 2 <= mLog.Raft().Voters().size();
 }
 
-Millis SyncService::SilentAfter() const {
-  return kMissedBeats * mContext.mOptions.mHeartbeatInterval +
-         (mTakers.Delegates(SteadyNow()) ? kTakerLost : 0);
-}
-
-void SyncService::LogChanged(const UpstreamRecord& aRecord) {
-  LogLine(LogLevel::kInfo, "upstream_changed")
-      .Add("instance", aRecord.mInstance)
-      .Add("service", aRecord.mService)
-      .Add("address", aRecord.mAddress)
-      .Add("state", static_cast<int>(aRecord.mState))
-      .Add("from", aRecord.mLayers.mFrom)
-      .Add("to", aRecord.mLayers.mTo)
-      .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence));
-}
-
-void SyncService::TakeBeats(const SyncQuestion& aQuestion) {
-  const Millis now = SteadyNow();
-  if (!aQuestion.mTakenUpstreams.empty()) {
-    for (const UpstreamRecord& record :
-         UnpackUpstreams(aQuestion.mTakenUpstreams)) {
-      if (mRegistry.Merge(record, now)) {
-        LogChanged(record);
-      }
-    }
-  }
-  for (const UpstreamBeat& beat : aQuestion.mTakenBeats.Beats()) {
-    mRegistry.Touch(beat, now);
-  }
-}
-
 std::vector<std::string> SyncService::Hears() const {
   const Millis now = SteadyNow();
   std::vector<std::string> ids;
@@ -263,14 +186,7 @@
 
 void SyncService::AskOthers() {
   if (!CutOff()) {
-    for (const UpstreamRecord& record :
-         mRegistry.Expire(SilentAfter(), SteadyNow())) {
-      LogLine(LogLevel::kInfo, "upstream_silent")
-          .Add("instance", record.mInstance)
-          .Add("address", record.mAddress)
-          .Add("sequence", static_cast<Json::Int64>(record.mSequence))
-          .Add("heard_ago_ms", static_cast<Json::Int64>(record.mHeardAgo));
-    }
+    mUpstreams.Expire();
   }
   const Endpoint own = mContext.mOptions.mRpcListen;
   for (const Endpoint& address : mDirectory.Addresses(SteadyNow())) {
@@ -328,83 +244,14 @@
   for (const ControlInfo& info : aAnswer.mControls) {
     mDirectory.Heard(info, now);
   }
-  for (const UpstreamNews& news : aAnswer.mNewsOfUpstreams) {
-    for (UpstreamRecord& record : UnpackUpstreams(news.mText)) {
-      record.mHeardAgo += news.mAgo;
-      mRegistry.Merge(record, now, source.mId);
-    }
-  }
-  for (const UpstreamBeat& beat : aAnswer.mBeats.Beats()) {
-    mRegistry.Touch(beat, now, source.mId);
-  }
-}
-
-void SyncService::Beat(const UpstreamRecord& aRecord, const BeatDone& aDone) {
-  const UpstreamRecord* before = mRegistry.Find(aRecord.mInstance);
-  const bool leaves =
-      aRecord.mState == UpstreamState::kLeaving &&
-      (before == nullptr || before->mState < UpstreamState::kLeaving);
-  if (mRegistry.Beat(aRecord, SteadyNow())) {
-    LogChanged(aRecord);
-  }
-  if (!leaves) {
-    aDone({.mAccepted = true,
-           .mLaterAt =
-               mTakers.Take(aRecord.mInstance, aRecord.mZone, SteadyNow())});
-    return;
-  }
-  Tell(aRecord.mInstance, aDone);
-}
-
-void SyncService::Leave(const std::string& aInstance, const BeatDone& aDone) {
-  if (!mRegistry.Leave(aInstance, SteadyNow())) {
-    aDone({});
-    return;
-  }
-  LogLine(LogLevel::kInfo, "upstream_gone").Add("instance", aInstance);
-  Tell(aInstance, aDone);
-}
-
-void SyncService::Tell(const std::string& aInstance, const BeatDone& aDone) {
-  const UpstreamRecord* record = mRegistry.Find(aInstance);
-  const auto done = std::make_shared<BeatDone>(aDone);
-  const auto finish = [done] {
-    const BeatDone call = std::move(*done);
-    *done = nullptr;
-    if (call) {
-      call({});
-    }
-  };
-  bool told = false;
-  for (const ControlInfo& info : mDirectory.Lately(kAskerKept, SteadyNow())) {
-    if (info.mId == mContext.mOptions.mId) {
-      continue;
-    }
-    told = true;
-    mContext.mRpc.Call(AddressOfControl(info.mId), rpc_method::kNotice,
-                       ToJson(UpstreamNotice{{*record}}), kTellTimeout,
-                       [finish](const RpcResult& aResult) {
-                         if (aResult.mOk) {
-                           finish();
-                         }
-                       });
-  }
-  if (!told) {
-    finish();
-    return;
-  }
-  const auto timer = std::make_shared<std::unique_ptr<Timer>>();
-  *timer = mContext.mLoop.After(kTellTimeout, [finish, timer] {
-    finish();
-    timer->reset();
-  });
+  mUpstreams.Take(aAnswer, source.mId);
 }
 
 void SyncService::KeepUpstreams() {
   // Disks hang for seconds at times. A leader does without the file, so that
   // nobody waits for it then; all others have the same upstreams.
   if (!mLog.Raft().Leads() || mLog.Raft().Voters().size() == 1) {
-    mStore.Save(mRegistry, SteadyNow());
+    mUpstreams.Save();
   }
 }
 
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -1,5 +1,5 @@
-/// The part of a control process that finds the others by seeds, keeps the
-/// registry of upstreams, and answers what routers ask.
+/// The part of a control process that finds the others by seeds and answers
+/// what they and routers ask.
 #pragma once
 
 #include <functional>
@@ -10,27 +10,21 @@
 #include <string>
 
 #include "daemons/control/replicated_configuration.h"
-#include "daemons/control/upstream_store.h"
-#include "spindleweir/daemons/beat_answer.h"
+#include "daemons/control/upstream_intake.h"
 #include "spindleweir/daemons/sync_messages.h"
-#include "spindleweir/servers/membership/taker_choice.h"
 #include "spindleweir/servers/routes/newest_confirmation.h"
 
 namespace spindleweir {
 
-/// Membership, registry and spreading on one control process.
+/// Membership and spreading on one control process.
 class SyncService {
  public:
   SyncService(ControlContext& aContext, ReplicatedConfiguration& aLog);
 
-  /// Takes a heartbeat. aDone is called once it may be acknowledged: news
-  /// that an upstream leaves must not be lost with this process.
-  void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
-  void Leave(const std::string& aInstance, const BeatDone& aDone);
-
+  UpstreamIntake& Upstreams() { return mUpstreams; }
   /// Upstreams that several routers cannot connect to.
   std::set<std::string> Unreachable();
-  UpstreamRegistry& Registry() { return mRegistry; }
+  UpstreamRegistry& Registry() { return mUpstreams.Registry(); }
   const ControlDirectory& Directory() const { return mDirectory; }
   /// The configuration in force here; version 0: none yet.
   const TrafficConfiguration& Traffic();
@@ -50,9 +44,6 @@
 
   SyncAnswer Answer(const SyncQuestion& aQuestion);
   void Remember(const SyncQuestion& aQuestion);
-  /// Takes the heartbeats that a router took.
-  void TakeBeats(const SyncQuestion& aQuestion);
-  void LogChanged(const UpstreamRecord& aRecord);
   void AskOthers();
   /// The ids of controls that answered lately.
   std::vector<std::string> Hears() const;
@@ -61,16 +52,11 @@
             Millis aAskedAt);
   /// Takes what this control itself confirmed, where it leads.
   void ConfirmOwn(Millis aNow);
-  void Tell(const std::string& aInstance, const BeatDone& aDone);
   void StepVoters();
   void KeepUpstreams();
   /// Whether most of control cannot be heard: then it is this process that
   /// is cut off, and the silence of upstreams says nothing of them.
   bool CutOff() const;
-  /// An upstream that was not heard for so long counts as silent.
-  Millis SilentAfter() const;
-  /// What who asks lacks of the registry.
-  void AddUpstreams(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
   void AddLoads(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
   ControlInfo Self() const;
 
@@ -78,7 +64,7 @@
   ReplicatedConfiguration& mLog;
   std::string mLife;
   ControlDirectory mDirectory;
-  UpstreamRegistry mRegistry;
+  UpstreamIntake mUpstreams;
   TrafficHistory mTraffic;
   /// The newest that was committed and that nobody has asked for yet. A start
   /// commits the whole log at once: reading each of 118 versions of 600 routes
@@ -86,9 +72,6 @@
   std::optional<PublishedDocument> mUnread;
   std::map<std::string, Millis> mAskedAt;  ///< By router.
   NewestConfirmation mConfirmation;
-  UpstreamStore mStore;
-  TakerChoice mTakers;
-  UpstreamFeed mFeed{UpstreamFeedOptions{}};
   LoadBook mLoads{LoadBookOptions{}};
   std::map<std::string, Source> mSources;  ///< By address.
   std::unique_ptr<Timer> mAskTimer;
--- /dev/null
+++ b/daemons/control/upstream_intake.cpp
@@ -0,0 +1,195 @@
+#include "daemons/control/upstream_intake.h"
+
+#include <set>
+
+#include "spindleweir/core/json_codec.h"
+#include "spindleweir/core/log.h"
+#include "spindleweir/servers/membership/ask_schedule.h"
+
+namespace spindleweir {
+
+namespace {
+
+/// Heartbeats that may be missed before an upstream counts as silent.
+constexpr int kMissedBeats = 3;
+/// And for this long more where routers take heartbeats: one that is lost is
+/// noticed after a second, its upstreams call again within another, and what is
+/// heard comes with the next question.
+constexpr Millis kTakerLost = 2400;
+/// News of a leaving upstream is acknowledged after this time even where no
+/// other control has it.
+constexpr Millis kTellTimeout = 500;
+/// Controls that were heard within this time are told at once.
+constexpr Millis kToldWithin = 2500;
+
+void LogChanged(const UpstreamRecord& aRecord) {
+  LogLine(LogLevel::kInfo, "upstream_changed")
+      .Add("instance", aRecord.mInstance)
+      .Add("service", aRecord.mService)
+      .Add("address", aRecord.mAddress)
+      .Add("state", static_cast<int>(aRecord.mState))
+      .Add("from", aRecord.mLayers.mFrom)
+      .Add("to", aRecord.mLayers.mTo)
+      .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence));
+}
+
+}  // namespace
+
+UpstreamIntake::UpstreamIntake(ControlContext& aContext,
+                               const ControlDirectory& aDirectory)
+    : mContext(aContext),
+      mDirectory(aDirectory),
+      mStore(aContext.mOptions.mData + "/upstreams"),
+      mTakers({.mOwnBeats = aContext.mOptions.mOwnBeats}) {
+  LogLine(LogLevel::kInfo, "upstreams_restored")
+      .Add("count", static_cast<int>(mStore.Load(mRegistry, SteadyNow())));
+  mContext.mDispatcher.On(rpc_method::kNotice,
+                          [this](const Json::Value& aMessage) {
+                            TakeNotice(FromJson<UpstreamNotice>(aMessage));
+                            return Json::Value(Json::objectValue);
+                          });
+}
+
+void UpstreamIntake::TakeNotice(const UpstreamNotice& aNotice) {
+  for (const UpstreamRecord& record : aNotice.mUpstreams) {
+    mRegistry.Merge(record, SteadyNow());
+  }
+}
+
+void UpstreamIntake::Asked(const SyncQuestion& aQuestion) {
+  const Millis now = SteadyNow();
+  mTakers.Asked(aQuestion.mProcess, aQuestion.mZone, aQuestion.mTakesAt, now);
+  if (!aQuestion.mTakenUpstreams.empty()) {
+    for (const UpstreamRecord& record :
+         UnpackUpstreams(aQuestion.mTakenUpstreams)) {
+      if (mRegistry.Merge(record, now)) {
+        LogChanged(record);
+      }
+    }
+  }
+  for (const UpstreamBeat& beat : aQuestion.mTakenBeats.Beats()) {
+    mRegistry.Touch(beat, now);
+  }
+}
+
+void UpstreamIntake::Take(const SyncAnswer& aAnswer, const std::string& aBy) {
+  const Millis now = SteadyNow();
+  for (const UpstreamNews& news : aAnswer.mNewsOfUpstreams) {
+    for (UpstreamRecord& record : UnpackUpstreams(news.mText)) {
+      record.mHeardAgo += news.mAgo;
+      mRegistry.Merge(record, now, aBy);
+    }
+  }
+  for (const UpstreamBeat& beat : aAnswer.mBeats.Beats()) {
+    mRegistry.Touch(beat, now, aBy);
+  }
+}
+
+void UpstreamIntake::Answer(const SyncQuestion& aQuestion,
+                            const std::string& aLife, SyncAnswer& aAnswer) {
+  const Millis now = SteadyNow();
+  const std::int64_t known =
+      aQuestion.mKnows == aLife ? aQuestion.mRevision : 0;
+  const bool fromControl = !aQuestion.mControl.mId.empty();
+  const Asker asker{.mIsNear = aQuestion.mTellsLoads > 0,
+                    .mHearsNear = aQuestion.mHearsNear};
+  FeedAnswer feed{.mNews = {}, .mRevision = known};
+  if (fromControl || TellsUpstreams(asker, mRegistry.Size())) {
+    feed = mFeed.Since(mRegistry, known, now);
+  }
+  aAnswer.mRevision = feed.mRevision;
+  aAnswer.mNewsOfUpstreams = std::move(feed.mNews);
+  if (fromControl) {
+    const std::set<std::string> hears(aQuestion.mHears.begin(),
+                                      aQuestion.mHears.end());
+    aAnswer.mBeats =
+        BeatTable::Of(mRegistry.BeatsSince(known, feed.mRevision, now, hears));
+  }
+  aAnswer.mNotSilent =
+      mRegistry.HeardLater(aQuestion.mSilent, SilentAfter(), now);
+}
+
+Millis UpstreamIntake::SilentAfter() const {
+  return kMissedBeats * mContext.mOptions.mHeartbeatInterval +
+         (mTakers.Delegates(SteadyNow()) ? kTakerLost : 0);
+}
+
+void UpstreamIntake::Expire() {
+  for (const UpstreamRecord& record :
+       mRegistry.Expire(SilentAfter(), SteadyNow())) {
+    LogLine(LogLevel::kInfo, "upstream_silent")
+        .Add("instance", record.mInstance)
+        .Add("address", record.mAddress)
+        .Add("sequence", static_cast<Json::Int64>(record.mSequence))
+        .Add("heard_ago_ms", static_cast<Json::Int64>(record.mHeardAgo));
+  }
+}
+
+void UpstreamIntake::Beat(const UpstreamRecord& aRecord,
+                          const BeatDone& aDone) {
+  const UpstreamRecord* before = mRegistry.Find(aRecord.mInstance);
+  const bool leaves =
+      aRecord.mState == UpstreamState::kLeaving &&
+      (before == nullptr || before->mState < UpstreamState::kLeaving);
+  if (mRegistry.Beat(aRecord, SteadyNow())) {
+    LogChanged(aRecord);
+  }
+  if (!leaves) {
+    aDone({.mAccepted = true,
+           .mLaterAt =
+               mTakers.Take(aRecord.mInstance, aRecord.mZone, SteadyNow())});
+    return;
+  }
+  Tell(aRecord.mInstance, aDone);
+}
+
+void UpstreamIntake::Leave(const std::string& aInstance,
+                           const BeatDone& aDone) {
+  if (!mRegistry.Leave(aInstance, SteadyNow())) {
+    aDone({});
+    return;
+  }
+  LogLine(LogLevel::kInfo, "upstream_gone").Add("instance", aInstance);
+  Tell(aInstance, aDone);
+}
+
+void UpstreamIntake::Tell(const std::string& aInstance, const BeatDone& aDone) {
+  const UpstreamRecord* record = mRegistry.Find(aInstance);
+  const auto done = std::make_shared<BeatDone>(aDone);
+  const auto finish = [done] {
+    const BeatDone call = std::move(*done);
+    *done = nullptr;
+    if (call) {
+      call({});
+    }
+  };
+  bool told = false;
+  for (const ControlInfo& info : mDirectory.Lately(kToldWithin, SteadyNow())) {
+    if (info.mId == mContext.mOptions.mId) {
+      continue;
+    }
+    told = true;
+    mContext.mRpc.Call(AddressOfControl(info.mId), rpc_method::kNotice,
+                       ToJson(UpstreamNotice{{*record}}), kTellTimeout,
+                       [finish](const RpcResult& aResult) {
+                         if (aResult.mOk) {
+                           finish();
+                         }
+                       });
+  }
+  if (!told) {
+    finish();
+    return;
+  }
+  const auto timer = std::make_shared<std::unique_ptr<Timer>>();
+  *timer = mContext.mLoop.After(kTellTimeout, [finish, timer] {
+    finish();
+    timer->reset();
+  });
+}
+
+void UpstreamIntake::Save() {
+  mStore.Save(mRegistry, SteadyNow());
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/control/upstream_intake.h
@@ -0,0 +1,56 @@
+/// The part of a control process that keeps the registry of upstreams: it takes
+/// heartbeats and other processes' word, and tells what each asker lacks.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "daemons/control/control_context.h"
+#include "daemons/control/upstream_store.h"
+#include "spindleweir/daemons/beat_answer.h"
+#include "spindleweir/daemons/sync_messages.h"
+#include "spindleweir/servers/membership/taker_choice.h"
+
+namespace spindleweir {
+
+class UpstreamIntake {
+ public:
+  /// Takes what the disk has. aDirectory: the controls that are told at once of
+  /// upstreams that leave.
+  UpstreamIntake(ControlContext& aContext, const ControlDirectory& aDirectory);
+
+  /// Takes a heartbeat. aDone is called once it may be acknowledged: news
+  /// that an upstream leaves must not be lost with this process.
+  void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
+  void Leave(const std::string& aInstance, const BeatDone& aDone);
+
+  /// A router asked: it may take heartbeats, and tells those that it took.
+  void Asked(const SyncQuestion& aQuestion);
+  /// Takes what another control knows. aBy: its id.
+  void Take(const SyncAnswer& aAnswer, const std::string& aBy);
+  /// Adds what who asks lacks of the registry. aLife: of this process.
+  void Answer(const SyncQuestion& aQuestion, const std::string& aLife,
+              SyncAnswer& aAnswer);
+  /// Marks those silent that were not heard for long.
+  void Expire();
+  /// Keeps those that are ready on disk.
+  void Save();
+
+  UpstreamRegistry& Registry() { return mRegistry; }
+  const UpstreamRegistry& Registry() const { return mRegistry; }
+
+ private:
+  void TakeNotice(const UpstreamNotice& aNotice);
+  void Tell(const std::string& aInstance, const BeatDone& aDone);
+  /// An upstream that was not heard for so long counts as silent.
+  Millis SilentAfter() const;
+
+  ControlContext& mContext;
+  const ControlDirectory& mDirectory;
+  UpstreamRegistry mRegistry;
+  UpstreamStore mStore;
+  TakerChoice mTakers;
+  UpstreamFeed mFeed{UpstreamFeedOptions{}};
+};
+
+}  // namespace spindleweir
