--- a/core/result_code.cpp
+++ b/core/result_code.cpp
@@ -43,6 +43,8 @@
                    "The configuration cannot be used; nothing changed."},
     ResultCodeInfo{kBadHeartbeat, "BadHeartbeat", 400, Ran::kNo,
                    "The heartbeat cannot be read."},
+    ResultCodeInfo{kUnknownService, "UnknownService", 404, Ran::kNo,
+                   "The configuration in force has no such service."},
     ResultCodeInfo{kOverLimit, "OverLimit", 429, Ran::kNo,
                    "The workspace is over its limit."},
     ResultCodeInfo{kDeadlineTooShort, "DeadlineTooShort", 503, Ran::kNo,
--- /dev/null
+++ b/daemons/bad_words.cpp
@@ -0,0 +1,48 @@
+#include "daemons/bad_words.h"
+
+#include "spindleweir/core/log.h"
+#include "spindleweir/servers/membership/upstream_table.h"
+
+namespace spindleweir {
+
+namespace {
+
+/// What is shown of a name or a message that another writer chose.
+constexpr std::size_t kShown = 200;
+
+}  // namespace
+
+void BadWords::Note(const char* aAt, const std::string& aInstance,
+                    const Error& aWhy) {
+  const std::string labels = std::string("at=\"") + aAt + "\",cause=\"" +
+                             std::string(InfoOf(aWhy.Code()).mName) + "\"";
+  mCounters.Add("bad_upstream_words", labels);
+  const BadWordPace::Turn turn = mPaces[labels].Note(SteadyNow());
+  if (!turn.mLogs) {
+    return;
+  }
+  LogLine(LogLevel::kWarning, "upstream_word_left_out")
+      .Add("at", aAt)
+      .Add("instance", aInstance.substr(0, kShown))
+      .Add("code", static_cast<int>(aWhy.Code()))
+      .Add("why", std::string(aWhy.what()).substr(0, kShown))
+      .Add("not_logged", turn.mNotLogged);
+}
+
+BadRowHook BadWords::At(const char* aAt) {
+  return [this, aAt](const std::string& aInstance, const Error& aWhy) {
+    Note(aAt, aInstance, aWhy);
+  };
+}
+
+std::vector<UpstreamRecord> BadWords::Unpack(const char* aAt,
+                                             std::string_view aPacked) {
+  try {
+    return UnpackUpstreams(aPacked, At(aAt));
+  } catch (const Error& error) {
+    Note(aAt, "", error);
+    return {};
+  }
+}
+
+}  // namespace spindleweir
--- a/daemons/control/control_context.h
+++ b/daemons/control/control_context.h
@@ -1,6 +1,7 @@
 /// What the parts of a control process share.
 #pragma once
 
+#include "daemons/bad_words.h"
 #include "spindleweir/core/counters.h"
 #include "spindleweir/daemons/control_daemon.h"
 #include "spindleweir/daemons/entry_vms_file.h"
@@ -28,6 +29,7 @@
   RpcChannel mRpc;
   RpcDispatcher mDispatcher;
   Counters mCounters;
+  BadWords mBadWords{mCounters};
   EntryVmsFile mEntryVms;
 };
 
--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -159,8 +159,13 @@
   mParts->mSync.Upstreams().Beat(aRecord, aDone);
 }
 
-void JoinedControl::Leave(const std::string& aInstance, const BeatDone& aDone) {
-  mParts->mSync.Upstreams().Leave(aInstance, aDone);
+void JoinedControl::Leave(const std::string& aInstance, const BeatDone& aDone,
+                          std::int64_t aStart) {
+  mParts->mSync.Upstreams().Leave(aInstance, aDone, aStart);
+}
+
+void JoinedControl::BadBeat(const std::string& aInstance, const Error& aWhy) {
+  mParts->mContext.mBadWords.Note("heartbeat", aInstance, aWhy);
 }
 
 void JoinedControl::SetSeeds(std::vector<Endpoint> aSeeds) {
--- a/daemons/control/layer_placer.cpp
+++ b/daemons/control/layer_placer.cpp
@@ -38,15 +38,13 @@
     : mContext(aContext),
       mLog(aLog),
       mSync(aSync),
-      mSender(aContext, {.mHolds =
-                             [this](std::int64_t aFence) {
-                               // A control that is no voter hears of no terms.
-                               return mLog.Raft().Term() <= aFence;
-                             },
-                         .mAnswered =
-                             [this](const HandedOrder& aOrder, int aStatus) {
-                               Answered(aOrder, aStatus);
-                             }}) {
+      mSender(
+          aContext,
+          {.mHolds = [this](
+                         const HandedOrder& aOrder,
+                         std::int64_t aFence) { return Holds(aOrder, aFence); },
+           .mAnswered = [this](const HandedOrder& aOrder,
+                               int aStatus) { Answered(aOrder, aStatus); }}) {
   mContext.mDispatcher.On(rpc_method::kOrders,
                           [this](const Json::Value& aMessage) {
                             TakeOver(FromJson<HandedOrders>(aMessage));
@@ -61,6 +59,14 @@
   mTimer = mContext.mLoop.Every(kStepPeriod, [this] { Step(); });
 }
 
+bool LayerPlacer::Holds(const HandedOrder& aOrder, std::int64_t aFence) {
+  const UpstreamRecord* engine = mSync.Registry().Find(aOrder.mInstance);
+  const bool followed =
+      engine != nullptr && aOrder.mStart > 0 && engine->mStart > aOrder.mStart;
+  // A control that is no voter hears of no terms.
+  return !followed && mLog.Raft().Term() <= aFence;
+}
+
 void LayerPlacer::Step() {
   if (!mLog.Raft().Leads()) {
     mPending.clear();
@@ -106,7 +112,8 @@
     }
     const bool done = record->mLayers == it->second.mLayers;
     const bool forgotten = now - it->second.mSentAt > kOrderForgotten;
-    if (done || it->second.Refused() || forgotten) {
+    const bool followed = record->mStart != it->second.mStart;
+    if (done || it->second.Refused() || forgotten || followed) {
       mPending.erase(it);
       continue;
     }
@@ -130,7 +137,8 @@
     const std::vector<const UpstreamRecord*>& aViews) {
   Planned asked{.mVersion = mSync.Traffic().mVersion, .mEngines = {}};
   for (const UpstreamRecord* view : aViews) {
-    asked.mEngines.push_back({view->mInstance, view->mLayers, view->mBusy});
+    asked.mEngines.push_back(
+        {view->mInstance, view->mStart, view->mLayers, view->mBusy});
   }
   Planned& planned = mPlanned[aService.mName];
   if (planned == asked) {
@@ -179,10 +187,11 @@
       continue;
     }
     mPending[order.mInstance] = {.mLayers = order.mLayers,
+                                 .mStart = engine->mStart,
                                  .mSentAt = SteadyNow()};
     const std::size_t part = FastHash(order.mInstance) % parts.size();
     parts[part].mOrders.push_back(
-        {order.mInstance, engine->mAddress, order.mLayers});
+        {order.mInstance, engine->mAddress, order.mLayers, engine->mStart});
   }
   for (const HandedOrder& order : parts.front().mOrders) {
     mSender.Send(order, fence);
@@ -238,7 +247,8 @@
 
 void LayerPlacer::Note(const HandedOrder& aOrder, int aStatus) {
   const auto it = mPending.find(aOrder.mInstance);
-  if (it != mPending.end() && it->second.mLayers == aOrder.mLayers) {
+  if (it != mPending.end() && it->second.mLayers == aOrder.mLayers &&
+      it->second.mStart == aOrder.mStart) {
     it->second.mStatus = aStatus;
   }
 }
--- a/daemons/control/layer_placer.h
+++ b/daemons/control/layer_placer.h
@@ -23,6 +23,7 @@
   /// An order that was sent.
   struct Pending {
     LayerRange mLayers;
+    std::int64_t mStart = 0;  ///< Of the incarnation it was sent to.
     Millis mSentAt = 0;
     int mStatus = 0;  ///< 0: no answer yet.
 
@@ -38,6 +39,7 @@
   /// What a plan is made of: one engine of it.
   struct PlannedEngine {
     std::string mInstance;
+    std::int64_t mStart = 0;
     LayerRange mLayers;
     bool mBusy = false;
 
@@ -68,6 +70,8 @@
   void HandOver(const Endpoint& aControl, HandedOrders aOrders);
   /// Takes the orders of a leader.
   void TakeOver(const HandedOrders& aOrders);
+  /// Whether an order may leave: see OrderSender.
+  bool Holds(const HandedOrder& aOrder, std::int64_t aFence);
   void Answered(const HandedOrder& aOrder, int aStatus);
   /// Notes the answer of an engine, where its order is still the newest.
   void Note(const HandedOrder& aOrder, int aStatus);
--- a/daemons/control/order_sender.cpp
+++ b/daemons/control/order_sender.cpp
@@ -31,7 +31,7 @@
   while (mLeft > 0 && !mWaiting.empty()) {
     const Waiting next = std::move(mWaiting.front());
     mWaiting.pop_front();
-    if (mHooks.mHolds(next.mFence)) {
+    if (mHooks.mHolds(next.mOrder, next.mFence)) {
       mLeft--;
       Start(next);
     }
--- a/daemons/control/order_sender.h
+++ b/daemons/control/order_sender.h
@@ -17,8 +17,9 @@
 class OrderSender {
  public:
   struct Hooks {
-    /// Asked right before an order leaves: whether its term still holds.
-    std::function<bool(std::int64_t aFence)> mHolds;
+    /// Asked right before an order leaves: whether its term still holds, and
+    /// the engine has not started again since.
+    std::function<bool(const HandedOrder&, std::int64_t aFence)> mHolds;
     /// An engine answered; the status of HTTP.
     std::function<void(const HandedOrder&, int aStatus)> mAnswered;
   };
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -35,7 +35,11 @@
     : mContext(aContext),
       mLog(aLog),
       mLife(RandomHex(kLifeBytes)),
-      mUpstreams(aContext, mDirectory) {
+      mUpstreams(aContext, mDirectory, [this](const std::string& aService) {
+        const TrafficConfiguration& traffic = Traffic();
+        return traffic.mVersion == 0 ||
+               traffic.FindService(aService) != nullptr;
+      }) {
   mDirectory.SetSeeds(mContext.mOptions.mSeeds);
   mLog.Machine().SignalPublished().connect(
       [this](const PublishedDocument& aPublished) { mUnread = aPublished; });
--- a/daemons/control/upstream_intake.cpp
+++ b/daemons/control/upstream_intake.cpp
@@ -22,9 +22,10 @@
 /// Controls that were heard within this time are told at once.
 constexpr Millis kToldWithin = 2500;
 
-void LogChanged(const UpstreamRecord& aRecord) {
-  LogLine(LogLevel::kInfo, "upstream_changed")
+void LogChanged(const char* aEvent, const UpstreamRecord& aRecord) {
+  LogLine(LogLevel::kInfo, aEvent)
       .Add("instance", aRecord.mInstance)
+      .Add("start", static_cast<Json::Int64>(aRecord.mStart))
       .Add("service", aRecord.mService)
       .Add("address", aRecord.mAddress)
       .Add("state", static_cast<int>(aRecord.mState))
@@ -36,13 +37,21 @@
 }  // namespace
 
 UpstreamIntake::UpstreamIntake(ControlContext& aContext,
-                               const ControlDirectory& aDirectory)
+                               const ControlDirectory& aDirectory,
+                               ServiceHook aKnowsService)
     : mContext(aContext),
       mDirectory(aDirectory),
+      mKnowsService(std::move(aKnowsService)),
       mStore(aContext.mOptions.mData + "/upstreams"),
       mTakers({.mOwnBeats = aContext.mOptions.mOwnBeats}) {
   LogLine(LogLevel::kInfo, "upstreams_restored")
-      .Add("count", static_cast<int>(mStore.Load(mRegistry, SteadyNow())));
+      .Add("count",
+           static_cast<int>(mStore.Load(mRegistry, SteadyNow(),
+                                        mContext.mBadWords.At("disk"))));
+  mRegistry.OnSuccessor([this](const UpstreamRecord& aRecord) {
+    mContext.mCounters.Add("upstreams_restarted");
+    LogChanged("upstream_restarted", aRecord);
+  });
   mContext.mDispatcher.On(rpc_method::kNotice,
                           [this](const Json::Value& aMessage) {
                             TakeNotice(FromJson<UpstreamNotice>(aMessage));
@@ -51,7 +60,8 @@
 }
 
 void UpstreamIntake::TakeNotice(const UpstreamNotice& aNotice) {
-  for (const UpstreamRecord& record : aNotice.mUpstreams) {
+  for (const UpstreamRecord& record : ReadRows<UpstreamRecord>(
+           aNotice.mUpstreams, mContext.mBadWords.At("news"))) {
     mRegistry.Merge(record, SteadyNow());
   }
 }
@@ -61,13 +71,14 @@
   mTakers.Asked(aQuestion.mProcess, aQuestion.mZone, aQuestion.mTakesAt, now);
   if (!aQuestion.mTakenUpstreams.empty()) {
     for (const UpstreamRecord& record :
-         UnpackUpstreams(aQuestion.mTakenUpstreams)) {
+         mContext.mBadWords.Unpack("news", aQuestion.mTakenUpstreams)) {
       if (mRegistry.Merge(record, now)) {
-        LogChanged(record);
+        LogChanged("upstream_changed", record);
       }
     }
   }
-  for (const UpstreamBeat& beat : aQuestion.mTakenBeats.Beats()) {
+  for (const UpstreamBeat& beat :
+       aQuestion.mTakenBeats.Beats(mContext.mBadWords.At("news"))) {
     mRegistry.Touch(beat, now);
   }
 }
@@ -75,12 +86,14 @@
 void UpstreamIntake::Take(const SyncAnswer& aAnswer, const std::string& aBy) {
   const Millis now = SteadyNow();
   for (const UpstreamNews& news : aAnswer.mNewsOfUpstreams) {
-    for (UpstreamRecord& record : UnpackUpstreams(news.mText)) {
+    for (UpstreamRecord& record :
+         mContext.mBadWords.Unpack("news", news.mText)) {
       record.mHeardAgo += news.mAgo;
       mRegistry.Merge(record, now, aBy);
     }
   }
-  for (const UpstreamBeat& beat : aAnswer.mBeats.Beats()) {
+  for (const UpstreamBeat& beat :
+       aAnswer.mBeats.Beats(mContext.mBadWords.At("news"))) {
     mRegistry.Touch(beat, now, aBy);
   }
 }
@@ -105,8 +118,10 @@
     aAnswer.mBeats =
         BeatTable::Of(mRegistry.BeatsSince(known, feed.mRevision, now, hears));
   }
+  const std::vector<SilentUpstream> silent = ReadRows<SilentUpstream>(
+      aQuestion.mSilent, mContext.mBadWords.At("news"));
   aAnswer.mNotSilent =
-      mRegistry.HeardLater(aQuestion.mSilent, SilentAfter(), now);
+      WriteRows(mRegistry.HeardLater(silent, SilentAfter(), now));
 }
 
 Millis UpstreamIntake::SilentAfter() const {
@@ -128,11 +143,16 @@
 void UpstreamIntake::Beat(const UpstreamRecord& aRecord,
                           const BeatDone& aDone) {
   const UpstreamRecord* before = mRegistry.Find(aRecord.mInstance);
-  const bool leaves =
-      aRecord.mState == UpstreamState::kLeaving &&
-      (before == nullptr || before->mState < UpstreamState::kLeaving);
+  const bool strange = before == nullptr && !Ends(aRecord.mState) &&
+                       !mKnowsService(aRecord.mService);
+  if (strange) {
+    throw Error(ResultCode::kUnknownService, aRecord.mService);
+  }
+  const bool leaves = aRecord.mState == UpstreamState::kLeaving &&
+                      (before == nullptr || !Ends(before->mState) ||
+                       before->mStart < aRecord.mStart);
   if (mRegistry.Beat(aRecord, SteadyNow())) {
-    LogChanged(aRecord);
+    LogChanged("upstream_changed", aRecord);
   }
   if (!leaves) {
     aDone({.mAccepted = true,
@@ -143,13 +163,21 @@
   Tell(aRecord.mInstance, aDone);
 }
 
-void UpstreamIntake::Leave(const std::string& aInstance,
-                           const BeatDone& aDone) {
-  if (!mRegistry.Leave(aInstance, SteadyNow())) {
+void UpstreamIntake::Leave(const std::string& aInstance, const BeatDone& aDone,
+                           std::int64_t aStart) {
+  const LeaveOutcome outcome = mRegistry.Leave(aInstance, SteadyNow(), aStart);
+  if (outcome == LeaveOutcome::kInDoubt) {
+    mContext.mCounters.Add("leaves_in_doubt");
+    aDone({.mAccepted = false, .mLaterAt = ""});
+    return;
+  }
+  if (outcome == LeaveOutcome::kKnown) {
     aDone({});
     return;
   }
-  LogLine(LogLevel::kInfo, "upstream_gone").Add("instance", aInstance);
+  LogLine(LogLevel::kInfo, "upstream_gone")
+      .Add("instance", aInstance)
+      .Add("start", static_cast<Json::Int64>(aStart));
   Tell(aInstance, aDone);
 }
 
@@ -169,13 +197,14 @@
       continue;
     }
     told = true;
-    mContext.mRpc.Call(AddressOfControl(info.mId), rpc_method::kNotice,
-                       ToJson(UpstreamNotice{{*record}}), kTellTimeout,
-                       [finish](const RpcResult& aResult) {
-                         if (aResult.mOk) {
-                           finish();
-                         }
-                       });
+    mContext.mRpc.Call(
+        AddressOfControl(info.mId), rpc_method::kNotice,
+        ToJson(UpstreamNotice{WriteRows<UpstreamRecord>({*record})}),
+        kTellTimeout, [finish](const RpcResult& aResult) {
+          if (aResult.mOk) {
+            finish();
+          }
+        });
   }
   if (!told) {
     finish();
--- a/daemons/control/upstream_intake.h
+++ b/daemons/control/upstream_intake.h
@@ -2,6 +2,7 @@
 /// heartbeats and other processes' word, and tells what each asker lacks.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -15,14 +16,22 @@
 
 class UpstreamIntake {
  public:
+  /// Whether the configuration in force has a service, or there is none yet.
+  using ServiceHook = std::function<bool(const std::string& aService)>;
+
   /// Takes what the disk has. aDirectory: the controls that are told at once of
   /// upstreams that leave.
-  UpstreamIntake(ControlContext& aContext, const ControlDirectory& aDirectory);
+  UpstreamIntake(ControlContext& aContext, const ControlDirectory& aDirectory,
+                 ServiceHook aKnowsService);
 
   /// Takes a heartbeat. aDone is called once it may be acknowledged: news
-  /// that an upstream leaves must not be lost with this process.
+  /// that an upstream leaves must not be lost with this process. Throws
+  /// kUnknownService for an upstream that is new here and of no service that
+  /// is known; one that leaves, or that is known, is always taken.
   void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
-  void Leave(const std::string& aInstance, const BeatDone& aDone);
+  /// aStart: of the incarnation that leaves; 0: not told.
+  void Leave(const std::string& aInstance, const BeatDone& aDone,
+             std::int64_t aStart = 0);
 
   /// A router asked: it may take heartbeats, and tells those that it took.
   void Asked(const SyncQuestion& aQuestion);
@@ -47,6 +56,7 @@
 
   ControlContext& mContext;
   const ControlDirectory& mDirectory;
+  ServiceHook mKnowsService;
   UpstreamRegistry mRegistry;
   UpstreamStore mStore;
   TakerChoice mTakers;
--- a/daemons/control/upstream_store.cpp
+++ b/daemons/control/upstream_store.cpp
@@ -30,8 +30,8 @@
 
 }  // namespace
 
-std::size_t UpstreamStore::Load(UpstreamRegistry& aRegistry,
-                                Millis aNow) const {
+std::size_t UpstreamStore::Load(UpstreamRegistry& aRegistry, Millis aNow,
+                                const BadRowHook& aOnBad) const {
   const std::string kept = ReadFile(mPath).value_or("");
   const std::size_t n = kept.find(kAfterDigest);
   if (n == std::string::npos ||
@@ -41,7 +41,7 @@
   std::size_t count = 0;
   try {
     for (const UpstreamRecord& record :
-         UnpackUpstreams(std::string_view(kept).substr(n + 1))) {
+         UnpackUpstreams(std::string_view(kept).substr(n + 1), aOnBad)) {
       aRegistry.Merge(record, aNow);
       count++;
     }
--- a/daemons/control/upstream_store.h
+++ b/daemons/control/upstream_store.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "spindleweir/core/clock.h"
+#include "spindleweir/servers/membership/upstream_check.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
 
 namespace spindleweir {
@@ -18,8 +19,10 @@
   explicit UpstreamStore(std::string aPath) : mPath(std::move(aPath)) {}
 
   /// Takes what the file has, as heard now; a file that is torn, or none, is
-  /// nothing. Returns how many upstreams that were.
-  std::size_t Load(UpstreamRegistry& aRegistry, Millis aNow) const;
+  /// nothing, and a row that cannot be used is left out. Returns how many
+  /// upstreams that were.
+  std::size_t Load(UpstreamRegistry& aRegistry, Millis aNow,
+                   const BadRowHook& aOnBad = {}) const;
   /// Writes the file where the registry changed since, at most each two
   /// seconds. A disk that refuses is tried again then.
   void Save(const UpstreamRegistry& aRegistry, Millis aNow);
--- a/daemons/relay/beat_relay.cpp
+++ b/daemons/relay/beat_relay.cpp
@@ -1,5 +1,6 @@
 #include "daemons/relay/beat_relay.h"
 
+#include "daemons/relay/stream_guard.h"
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
 
@@ -36,6 +37,12 @@
     aDone({.mAccepted = false, .mLaterAt = ""});
     return;
   }
+  const bool strange = !Ends(aRecord.mState) &&
+                       mContext.mRegistry.Find(aRecord.mInstance) == nullptr &&
+                       !mContext.KnowsService(aRecord.mService);
+  if (strange) {
+    throw Error(ResultCode::kUnknownService, aRecord.mService);
+  }
   mContext.mCounters.Add("heartbeats_taken");
   if (mContext.mTaker.Beat(aRecord, SteadyNow())) {
     TellFirst(aRecord, aDone);
@@ -44,8 +51,10 @@
   aDone({});
 }
 
-void BeatRelay::Leave(const std::string& aInstance, const BeatDone& aDone) {
-  const UpstreamRecord* record = mContext.mTaker.Leave(aInstance, SteadyNow());
+void BeatRelay::Leave(const std::string& aInstance, const BeatDone& aDone,
+                      std::int64_t aStart) {
+  const UpstreamRecord* record =
+      mContext.mTaker.Leave(aInstance, SteadyNow(), aStart);
   if (record == nullptr) {
     aDone({.mAccepted = false, .mLaterAt = ""});
     return;
@@ -57,9 +66,11 @@
                           const BeatDone& aDone) {
   LogLine(LogLevel::kInfo, "upstream_leaves")
       .Add("instance", aRecord.mInstance)
+      .Add("start", static_cast<Json::Int64>(aRecord.mStart))
       .Add("state", static_cast<int>(aRecord.mState))
       .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence));
   mContext.mRegistry.Merge(aRecord, SteadyNow());
+  mContext.mGuard->MoveOffRestarted();
   const std::vector<Endpoint>& controls = mLink.Controls();
   if (controls.empty()) {
     aDone({.mAccepted = false, .mLaterAt = ""});
@@ -68,7 +79,8 @@
   const auto telling = std::make_shared<Telling>();
   telling->mDone = aDone;
   telling->mOpen = static_cast<int>(controls.size());
-  const Json::Value message = ToJson(UpstreamNotice{{aRecord}});
+  const Json::Value message =
+      ToJson(UpstreamNotice{WriteRows<UpstreamRecord>({aRecord})});
   for (const Endpoint& address : controls) {
     mContext.mRpc.Call(address, rpc_method::kNotice, message, kTellTimeout,
                        [telling](const RpcResult& aResult) {
--- a/daemons/relay/beat_relay.h
+++ b/daemons/relay/beat_relay.h
@@ -15,8 +15,10 @@
   BeatRelay(RelayContext& aContext, SyncLink& aLink)
       : mContext(aContext), mLink(aLink) {}
 
+  /// Throws kUnknownService: see UpstreamIntake.
   void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
-  void Leave(const std::string& aInstance, const BeatDone& aDone);
+  void Leave(const std::string& aInstance, const BeatDone& aDone,
+             std::int64_t aStart);
 
  private:
   /// Acknowledges once two controls know, or one does and no other answered in
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -119,11 +119,16 @@
     return false;
   }
   const UpstreamRecord* record = mContext.mRegistry.Find(mAttempt->mInstance);
-  return record != nullptr && record->mState <= UpstreamState::kSilent &&
+  return record != nullptr && IsCurrent() && !Ends(record->mState) &&
          Remaining() > 0;
 }
 
+bool RelayRequest::IsCurrent() const {
+  return mContext.StartOf(mAttempt->mInstance) == mAttempt->mStart;
+}
+
 void RelayRequest::Send(const UpstreamRecord& aFirst) {
+  mAttempt->mStart = aFirst.mStart;
   DispatchFacts dispatch;
   dispatch.mRemaining = std::max<Millis>(1, Remaining());
   dispatch.mInstance = aFirst.mInstance;
@@ -339,7 +344,7 @@
   } else {
     mNotSent++;
   }
-  if (aRan == Ran::kUnknown || !aWasSent) {
+  if ((aRan == Ran::kUnknown || !aWasSent) && IsCurrent()) {
     mContext.Failed(mAttempt->mInstance, kAvoidAfterLoss);
   }
   DropAttempt();
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -19,6 +19,9 @@
 /// Loads of others are forgotten at this age; what comes and goes in a longer
 /// time has mostly ended.
 constexpr Millis kOldestNews = 2500;
+/// Paths are divided anew this often: until then those of before may lead over
+/// layers that an engine held before it started again.
+constexpr Millis kPathsDividedAnew = 300;
 
 }  // namespace
 
@@ -32,6 +35,34 @@
       mRandom(std::random_device{}()),
       mStartedAt(SteadyNow()) {
   mDirectory.SetSeeds(mOptions.mSeeds);
+  mRegistry.OnSuccessor([this](const UpstreamRecord& aSuccessor) {
+    ForgetPredecessor(aSuccessor);
+  });
+}
+
+void RelayContext::ForgetPredecessor(const UpstreamRecord& aSuccessor) {
+  const std::string& instance = aSuccessor.mInstance;
+  mExperience.erase(instance);
+  mExperience[instance].mAvoidUntil = SteadyNow() + kPathsDividedAnew;
+  mOtherLoads.erase(instance);
+  mRestarted.insert(instance);
+  mCounters.Add("upstreams_restarted");
+  LogLine(LogLevel::kInfo, "upstream_restarted")
+      .Add("instance", instance)
+      .Add("start", static_cast<Json::Int64>(aSuccessor.mStart))
+      .Add("sequence", static_cast<Json::Int64>(aSuccessor.mSequence))
+      .Add("from", aSuccessor.mLayers.mFrom)
+      .Add("to", aSuccessor.mLayers.mTo);
+}
+
+std::int64_t RelayContext::StartOf(const std::string& aInstance) const {
+  const UpstreamRecord* record = mRegistry.Find(aInstance);
+  return record == nullptr ? 0 : record->mStart;
+}
+
+bool RelayContext::KnowsService(const std::string& aService) const {
+  return mTable == nullptr ||
+         mTable->Configuration().FindService(aService) != nullptr;
 }
 
 bool RelayContext::Starting() const {
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -4,8 +4,11 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 
+#include "daemons/bad_words.h"
 #include "spindleweir/core/counters.h"
 #include "spindleweir/daemons/relay_router.h"
 #include "spindleweir/daemons/sync_messages.h"
@@ -54,6 +57,8 @@
   /// Takes news of the configuration where it is newer than what is held and
   /// follows on it.
   void Accept(const TrafficNews& aNews);
+  /// Whether the configuration in force has a service, or there is none yet.
+  bool KnowsService(const std::string& aService) const;
   bool LeaseHolds() const { return mLease.Holds(SteadyNow()); }
   /// Whether this process started so lately that what it lacks may still come
   /// by itself: the configuration, its confirmation, heartbeats of upstreams.
@@ -78,6 +83,13 @@
   void Failed(const std::string& aInstance, Millis aAvoidFor);
   /// No connection could be made.
   void Unreachable(const std::string& aInstance, Millis aFor);
+  /// The start of the incarnation that is known; 0: none, or not told.
+  std::int64_t StartOf(const std::string& aInstance) const;
+  /// Gives those that were followed by another incarnation of their name since
+  /// the last call.
+  std::set<std::string> TakeRestarted() {
+    return std::exchange(mRestarted, {});
+  }
   double FailuresOf(const std::string& aInstance) const;
   /// Instances that are not to be used at present.
   std::set<std::string> Avoided() const;
@@ -99,6 +111,7 @@
   HttpClient mClient;
   RpcChannel mRpc;
   Counters mCounters;
+  BadWords mBadWords{mCounters};
   ConfigurationLease mLease;
   ControlDirectory mDirectory;
   UpstreamRegistry mRegistry;
@@ -108,11 +121,15 @@
   StreamGuard* mGuard = nullptr;  ///< Set once all parts are made.
 
  private:
+  /// What was learnt of the one before says nothing of its successor.
+  void ForgetPredecessor(const UpstreamRecord& aSuccessor);
+
   std::shared_ptr<const RouteTable> mTable;
   LoadShares mOwnLoads;
   LoadShares mOtherLoads;
   Millis mOtherLoadsTrueAt;
   std::map<std::string, UpstreamExperience> mExperience;
+  std::set<std::string> mRestarted;
   std::map<std::string, RetryAllowance> mRetries;
   std::map<std::string, PipeAllowance> mPipes;
   std::map<std::string, ServicePaths> mPaths;  ///< By service.
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -31,6 +31,8 @@
       return "unreachable";
     case MoveReason::kStandsStill:
       return "stands still";
+    case MoveReason::kRestarted:
+      return "restarted";
   }
   return "";
 }
@@ -105,7 +107,7 @@
       Repath(std::move(next), aWhy);
       return;
     }
-    if (aWhy == MoveReason::kUnreachable) {
+    if (aWhy == MoveReason::kUnreachable || aWhy == MoveReason::kRestarted) {
       // Nobody has room for what is lost. A stream that waits until it has
       // been silent for long keeps the memory of the path's other engines:
       // going on at once gained 0.007 of the worth of 25 days with trouble.
@@ -116,8 +118,8 @@
   // The first cannot be replaced by an order. One that leaves still ends what
   // it has; one that is lost does not.
   const UpstreamRecord* first = mContext.mRegistry.Find(mAttempt->mInstance);
-  const bool leaves =
-      first != nullptr && first->mState == UpstreamState::kLeaving;
+  const bool leaves = aWhy != MoveReason::kRestarted && first != nullptr &&
+                      first->mState == UpstreamState::kLeaving;
   if (leaves) {
     mAttempt->mLeaveAt = SteadyNow() + kLeaveAfter +
                          static_cast<Millis>(kLeaveSpread * mContext.Random());
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -40,6 +40,7 @@
   /// One upstream, or one path of engines, that the request is sent to.
   struct Attempt {
     std::string mInstance;
+    std::int64_t mStart = 0;  ///< Of the incarnation that it was sent to.
     LayerPath mPath;
     double mTokens = 0;   ///< Memory promised for each layer.
     bool mDealt = false;  ///< The path was dealt, not the cheapest.
@@ -120,6 +121,9 @@
   /// aRan: of the attempt that is over.
   bool MayTryAgain(Ran aRan) const;
   void DropAttempt();
+  /// Whether the incarnation that the attempt was sent to is the one known:
+  /// what becomes of it says nothing of a successor.
+  bool IsCurrent() const;
   void GiveUp(ResultCode aCode);
   /// aReturnAfter: when the caller should come back, at least; -1: not.
   void Refuse(ResultCode aCode, Millis aReturnAfter);
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -171,8 +171,13 @@
   mParts->mBeats.Beat(aRecord, aDone);
 }
 
-void RelayRouter::Leave(const std::string& aInstance, const BeatDone& aDone) {
-  mParts->mBeats.Leave(aInstance, aDone);
+void RelayRouter::Leave(const std::string& aInstance, const BeatDone& aDone,
+                        std::int64_t aStart) {
+  mParts->mBeats.Leave(aInstance, aDone, aStart);
+}
+
+void RelayRouter::BadBeat(const std::string& aInstance, const Error& aWhy) {
+  mParts->mContext.mBadWords.Note("heartbeat", aInstance, aWhy);
 }
 
 void RelayRouter::SetSeeds(std::vector<Endpoint> aSeeds) {
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -48,6 +48,7 @@
     mLateAt = now;
   }
   mSteppedAt = now;
+  MoveOffRestarted();
   MoveOffLeaving();
   if (LateSince(now - kLateFor)) {
     // What came meanwhile has not been read yet: pauses prove nothing.
@@ -80,6 +81,9 @@
     return;
   }
   mLookedAt = mContext.mRegistry.Revision();
+  std::erase_if(mLeftBehind, [this](const std::string& aInstance) {
+    return mContext.mRegistry.Find(aInstance) == nullptr;
+  });
   std::set<std::string> leaving;
   for (const UpstreamRecord* record : mContext.mRegistry.OfService("")) {
     const bool leaves = record->mState == UpstreamState::kLeaving ||
@@ -93,6 +97,17 @@
   }
 }
 
+void StreamGuard::MoveOffRestarted() {
+  const std::set<std::string> restarted = mContext.TakeRestarted();
+  if (restarted.empty()) {
+    return;
+  }
+  for (const std::string& instance : restarted) {
+    mLeftBehind.erase(instance);
+  }
+  LeaveBehind(restarted, MoveReason::kRestarted);
+}
+
 void StreamGuard::Probe(const std::string& aInstance) {
   const UpstreamRecord* record = mContext.mRegistry.Find(aInstance);
   if (record == nullptr) {
@@ -100,6 +115,7 @@
   }
   Look& look = mProbes[aInstance];
   look.mAt = SteadyNow();
+  look.mStart = record->mStart;
   const auto connected = std::make_shared<bool>(false);
   StreamCallOptions options;
   options.mServer = ParseEndpoint(record->mAddress, "address of an upstream");
@@ -122,7 +138,8 @@
   mContext.mLoop.Post([call] {});
   mContext.mCounters.Add("probes");
   const bool refused = took < kProbeTimeout;
-  if (aConnected || (!refused && LateSince(look.mAt))) {
+  const bool followed = look.mStart != mContext.StartOf(aInstance);
+  if (aConnected || followed || (!refused && LateSince(look.mAt))) {
     return;
   }
   LogLine(LogLevel::kInfo, "upstream_unreachable")
@@ -139,6 +156,7 @@
   }
   Look& look = mStates[aInstance];
   look.mAt = SteadyNow();
+  look.mStart = record->mStart;
   look.mBody.clear();
   StreamCallOptions options = CallOf(mContext.mOptions.mEngines.mAskState(),
                                      record->mAddress, kAskTimeout);
@@ -152,21 +170,28 @@
     Look& ended = mStates[aInstance];
     const std::shared_ptr<StreamCall> call = std::move(ended.mCall);
     mContext.mLoop.Post([call] {});
-    if (aEnd != StreamEnd::kComplete) {
+    const bool followed = ended.mStart != mContext.StartOf(aInstance);
+    if (aEnd != StreamEnd::kComplete || followed) {
       return;
     }
     try {
-      TakeState(mContext.mOptions.mEngines.mReadState(ended.mBody));
+      TakeState(aInstance, mContext.mOptions.mEngines.mReadState(ended.mBody));
     } catch (const Error& error) {
-      LogLine(LogLevel::kWarning, "report_unreadable")
-          .Add("instance", aInstance)
-          .Add("why", error.what());
+      mContext.mBadWords.Note("report", aInstance, error);
     }
   };
   look.mCall = StartStreamCall(mContext.mLoop, std::move(options));
 }
 
-void StreamGuard::TakeState(const EngineState& aState) {
+void StreamGuard::TakeState(const std::string& aInstance,
+                            const EngineState& aState) {
+  const std::int64_t known = mStates[aInstance].mStart;
+  if (known > 0 && aState.mStart > known) {
+    // Its heartbeat has not come this far yet.
+    mContext.Failed(aInstance, kStandsStillFor);
+    LeaveBehind({aInstance}, MoveReason::kRestarted);
+    return;
+  }
   std::set<std::string> addresses;
   for (const StalledRequest& stalled : aState.mStalled) {
     addresses.insert(stalled.mAddress);
--- a/daemons/relay/stream_guard.h
+++ b/daemons/relay/stream_guard.h
@@ -19,6 +19,7 @@
   kLeaving,      ///< It serves on for some time.
   kUnreachable,  ///< It takes no connection: it is lost.
   kStandsStill,  ///< Streams that pass it do not come on.
+  kRestarted,    ///< It started again and knows nothing of them.
 };
 
 /// What the guard needs of a stream.
@@ -41,6 +42,9 @@
   StreamKey Add(GuardedStream* aStream);
   void Remove(StreamKey aKey);
   ProgressWatch& Watch() { return mWatch; }
+  /// Moves streams off incarnations that were followed by others. To be called
+  /// once all news that came together are taken, and before new streams begin.
+  void MoveOffRestarted();
 
  private:
   void Step();
@@ -49,7 +53,7 @@
   void Probe(const std::string& aInstance);
   void ProbeEnded(const std::string& aInstance, bool aConnected);
   void AskState(const std::string& aInstance);
-  void TakeState(const EngineState& aState);
+  void TakeState(const std::string& aInstance, const EngineState& aState);
   void LeaveBehind(const std::set<std::string>& aInstances, MoveReason aWhy);
   void MoveOffLeaving();
 
@@ -57,6 +61,7 @@
   struct Look {
     std::unique_ptr<StreamCall> mCall;
     Millis mAt = -1;
+    std::int64_t mStart = 0;  ///< Of the incarnation that is looked at.
     std::string mBody;
   };
 
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -1,5 +1,6 @@
 #include "daemons/relay/sync_link.h"
 
+#include "daemons/relay/stream_guard.h"
 #include "spindleweir/core/digest.h"
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
@@ -11,6 +12,8 @@
 namespace {
 
 constexpr Millis kStepPeriod = 100;
+/// Upstreams that ended are looked for so often: it goes through all of them.
+constexpr Millis kForgetPeriod = 1000;
 /// Loads of others that are older than this say nothing any more.
 constexpr Millis kLoadsKept = 2500;
 constexpr int kNameBytes = 6;
@@ -57,6 +60,10 @@
       Ask(address);
     }
   }
+  if (now - mForgotAt >= kForgetPeriod) {
+    mForgotAt = now;
+    mContext.mRegistry.ForgetEnded(now);
+  }
   if (now - mLoadsAt > kLoadsKept) {
     mContext.ForgetOtherLoads();
   }
@@ -84,7 +91,7 @@
   question.mRevision = source.mRevision;
   question.mConfiguration =
       mContext.Table() == nullptr ? 0 : mContext.Table()->Version();
-  question.mSilent = mContext.mRegistry.Silent();
+  question.mSilent = WriteRows(mContext.mRegistry.Silent());
   question.mHearsNear = mNearAt > 0 && SteadyNow() - mNearAt < kNearHeard;
   question.mTakesAt = mContext.mStopping ? "" : mContext.mOptions.mTakesAt;
   const std::string life = source.mLife;
@@ -131,6 +138,7 @@
   }
   LogLine(LogLevel::kInfo, "upstream_changed")
       .Add("instance", aRecord.mInstance)
+      .Add("start", static_cast<Json::Int64>(aRecord.mStart))
       .Add("state", static_cast<int>(aRecord.mState))
       .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence))
       .Add("by", aBy);
@@ -172,14 +180,17 @@
     mContext.mDirectory.Heard(info, now);
   }
   for (const UpstreamNews& news : aAnswer.mNewsOfUpstreams) {
-    for (UpstreamRecord& record : UnpackUpstreams(news.mText)) {
+    for (UpstreamRecord& record :
+         mContext.mBadWords.Unpack("news", news.mText)) {
       record.mHeardAgo += news.mAgo;
       TakeUpstream(record, aAnswer.mSelf.mId);
     }
   }
-  for (const UpstreamRecord& record : aAnswer.mNotSilent) {
+  for (const UpstreamRecord& record : ReadRows<UpstreamRecord>(
+           aAnswer.mNotSilent, mContext.mBadWords.At("news"))) {
     TakeUpstream(record, aAnswer.mSelf.mId);
   }
+  mContext.mGuard->MoveOffRestarted();
   if (aAddress.Text() == mNear) {
     mNearAt = now;
     TakeLoads(source, aAnswer, aAskedAt);
--- a/daemons/relay/sync_link.h
+++ b/daemons/relay/sync_link.h
@@ -54,8 +54,9 @@
   std::string mNear;  ///< The address that loads are told to.
   ToldLoads mTold;
   std::map<std::string, Millis> mFailedAt;  ///< By address.
-  Millis mNearAt = 0;   ///< When the control at mNear answered last.
-  Millis mLoadsAt = 0;  ///< When loads of others were heard last.
+  Millis mForgotAt = 0;  ///< When ended upstreams were looked for.
+  Millis mNearAt = 0;    ///< When the control at mNear answered last.
+  Millis mLoadsAt = 0;   ///< When loads of others were heard last.
   std::unique_ptr<Timer> mTimer;
 };
 
--- a/include/spindleweir/core/result_code.h
+++ b/include/spindleweir/core/result_code.h
@@ -33,6 +33,7 @@
   kNoRoute = 1014,
   kBadConfiguration = 1015,
   kBadHeartbeat = 1016,
+  kUnknownService = 1017,
   kOverLimit = 2001,
   kDeadlineTooShort = 2002,
   kNoUpstream = 2003,
--- a/include/spindleweir/daemons/joined_control.h
+++ b/include/spindleweir/daemons/joined_control.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "spindleweir/core/counters.h"
+#include "spindleweir/core/error.h"
 #include "spindleweir/daemons/beat_answer.h"
 #include "spindleweir/daemons/control_daemon.h"
 #include "spindleweir/drivers/event_loop.h"
@@ -38,9 +39,14 @@
   void Publish(const std::string& aDocument, const OperatorDone& aDone);
   /// Gives the newest document; kNoQuorum where it may not be the newest.
   void Read(const OperatorDone& aDone);
-  /// Takes a heartbeat; aDone is called once it may be acknowledged.
+  /// Takes a heartbeat; aDone is called once it may be acknowledged. Throws
+  /// kUnknownService.
   void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
-  void Leave(const std::string& aInstance, const BeatDone& aDone);
+  /// aStart: of the incarnation that leaves; 0: not told.
+  void Leave(const std::string& aInstance, const BeatDone& aDone,
+             std::int64_t aStart = 0);
+  /// A heartbeat, or the word that one leaves, that cannot be used.
+  void BadBeat(const std::string& aInstance, const Error& aWhy);
 
   /// Takes new seeds.
   void SetSeeds(std::vector<Endpoint> aSeeds);
--- a/include/spindleweir/daemons/order_messages.h
+++ b/include/spindleweir/daemons/order_messages.h
@@ -21,12 +21,14 @@
   std::string mInstance;
   std::string mAddress;  ///< "IP:PORT".
   LayerRange mLayers;
+  std::int64_t mStart = 0;  ///< Of the incarnation that is meant.
 
   template <class Codec>
   void Fields(Codec& aCodec) {
     aCodec.Required("instance", mInstance);
     aCodec.Required("address", mAddress);
     aCodec.Required("layers", mLayers);
+    aCodec.Field("start", mStart);
   }
 };
 
--- a/include/spindleweir/daemons/relay_router.h
+++ b/include/spindleweir/daemons/relay_router.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "spindleweir/core/counters.h"
+#include "spindleweir/core/error.h"
 #include "spindleweir/core/settings.h"
 #include "spindleweir/daemons/beat_answer.h"
 #include "spindleweir/daemons/traffic_protocols.h"
@@ -52,7 +53,11 @@
   bool Ready() const;
   /// Takes a heartbeat of an upstream in place of control.
   void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
-  void Leave(const std::string& aInstance, const BeatDone& aDone);
+  /// aStart: of the incarnation that leaves; 0: not told.
+  void Leave(const std::string& aInstance, const BeatDone& aDone,
+             std::int64_t aStart = 0);
+  /// A heartbeat, or the word that one leaves, that cannot be used.
+  void BadBeat(const std::string& aInstance, const Error& aWhy);
   /// Takes new seeds.
   void SetSeeds(std::vector<Endpoint> aSeeds);
   Counters& OwnCounters();
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -22,7 +22,7 @@
 
 /// Records that a control must know at once.
 struct UpstreamNotice {
-  std::vector<UpstreamRecord> mUpstreams;
+  std::vector<Json::Value> mUpstreams;  ///< UpstreamRecord: see ReadRows.
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -38,9 +38,10 @@
   /// Of a control that asks: the ids of those that answered it lately.
   std::vector<std::string> mHears;
   std::string mKnows;  ///< The life of the answerer that mRevision is of.
-  std::int64_t mRevision = 0;           ///< Of its registry, known so far.
-  std::int64_t mConfiguration = 0;      ///< The version held.
-  std::vector<SilentUpstream> mSilent;  ///< Held for silent by who asks.
+  std::int64_t mRevision = 0;       ///< Of its registry, known so far.
+  std::int64_t mConfiguration = 0;  ///< The version held.
+  /// Held for silent by who asks: rows of SilentUpstream, see ReadRows.
+  std::vector<Json::Value> mSilent;
   /// The control that a router tells its loads to answered it lately.
   bool mHearsNear = false;
   /// "IP:PORT" where a router takes heartbeats; empty: it takes none.
@@ -84,8 +85,9 @@
   std::vector<UpstreamNews> mNewsOfUpstreams;  ///< Those that changed.
   /// To another control: heartbeats that changed nothing.
   BeatTable mBeats;
-  /// Heard here later than who asks knows, though it holds them for silent.
-  std::vector<UpstreamRecord> mNotSilent;
+  /// Heard here later than who asks knows, though it holds them for silent:
+  /// rows of UpstreamRecord.
+  std::vector<Json::Value> mNotSilent;
   /// No newer version than this was accepted so long ago; -1: not known.
   std::int64_t mConfirmedVersion = 0;
   Millis mConfirmedAgo = -1;
--- a/include/spindleweir/daemons/traffic_protocols.h
+++ b/include/spindleweir/daemons/traffic_protocols.h
@@ -95,6 +95,7 @@
 
 /// What an engine reports of itself.
 struct EngineState {
+  std::int64_t mStart = 0;  ///< See UpstreamRecord.
   LayerRange mLayers;
   bool mBusy = false;        ///< An order is under way.
   std::int64_t mOrders = 0;  ///< Taken so far.
--- a/include/spindleweir/servers/membership/beat_taker.h
+++ b/include/spindleweir/servers/membership/beat_taker.h
@@ -26,8 +26,10 @@
   /// Takes a heartbeat. Returns whether it says for the first time that the
   /// upstream leaves: control must know that before it is acknowledged.
   bool Beat(const UpstreamRecord& aRecord, Millis aNow);
-  /// The record of an upstream that leaves for good; nullptr: not known here.
-  const UpstreamRecord* Leave(const std::string& aInstance, Millis aNow);
+  /// The record of an upstream that leaves for good; nullptr: not known here,
+  /// or in doubt: see UpstreamRegistry::Leave.
+  const UpstreamRecord* Leave(const std::string& aInstance, Millis aNow,
+                              std::int64_t aStart = 0);
 
   /// What a control has not been told. aLife: its name, new at each start; one
   /// that was never told anything is told all.
@@ -41,6 +43,7 @@
   struct Item {
     UpstreamRecord mRecord;
     Millis mHeardAt = 0;
+    Millis mFollowsAt = -1;     ///< It followed another then; -1: none known.
     std::int64_t mHeard = 0;    ///< Number of the newest heartbeat.
     std::int64_t mChanged = 0;  ///< Number of the newest with news.
   };
--- a/include/spindleweir/servers/membership/upstream_registry.h
+++ b/include/spindleweir/servers/membership/upstream_registry.h
@@ -1,9 +1,12 @@
 /// The upstreams that reported to control: their incarnations, states and
-/// layers, ordered by the sequence numbers of their heartbeats.
+/// layers, ordered by the starts that they tell and the sequence numbers of
+/// their heartbeats.
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -37,9 +40,12 @@
   }
 };
 
-/// One incarnation of an upstream.
+/// One incarnation of an upstream: its instance name and its start. Some take
+/// a new name at each start, others keep theirs.
 struct UpstreamRecord {
-  std::string mInstance;  ///< New at each start.
+  std::string mInstance;
+  /// Unix milliseconds by its own clock; 0: not told, older than any other.
+  std::int64_t mStart = 0;
   std::string mService;
   std::string mAddress;  ///< "IP:PORT".
   std::string mZone;
@@ -55,6 +61,7 @@
   void Fields(Codec& aCodec) {
     int state = static_cast<int>(mState);
     aCodec.Required("instance", mInstance);
+    aCodec.Field("start", mStart);
     aCodec.Required("service", mService);
     aCodec.Required("address", mAddress);
     aCodec.Required("zone", mZone);
@@ -69,34 +76,73 @@
   }
 };
 
+/// Whether two records of one instance are the same for routers: what they are
+/// told at once and everywhere. Heartbeats alone change none of it.
+bool SameForRouters(const UpstreamRecord& aLeft, const UpstreamRecord& aRight);
+
+/// Whether it takes no new work any more.
+bool Ends(UpstreamState aState);
+
 /// A heartbeat that told nothing new.
 struct UpstreamBeat {
   std::string mInstance;
   std::int64_t mSequence = 0;
-  Millis mHeardAgo = 0;  ///< When sent.
+  Millis mHeardAgo = 0;     ///< When sent.
+  std::int64_t mStart = 0;  ///< See UpstreamRecord.
+};
+
+/// Upstreams' word may come seconds late, a leave of the predecessor as well:
+/// one that tells no start ends none that began so lately under a name that was
+/// known. Who leaves right after such a start is not acknowledged for that
+/// long.
+inline constexpr Millis kLeaveDoubt = 5000;
+
+/// What became of word that an upstream has left for good.
+enum class LeaveOutcome {
+  kEnded,  ///< The incarnation is gone now.
+  kKnown,  ///< It was known as gone, or has a successor.
+  /// It tells no start, and the incarnation that is known has just begun: the
+  /// word may be a late one of its predecessor. Nothing changed, and it must
+  /// not be acknowledged; who still wants to leave says so again.
+  kInDoubt,
 };
 
 /// An upstream that a process holds for silent, by what it knows.
 struct SilentUpstream {
   std::string mInstance;
   std::int64_t mSequence = 0;  ///< Of the newest heartbeat known.
+  std::int64_t mStart = 0;     ///< See UpstreamRecord.
 
   template <class Codec>
   void Fields(Codec& aCodec) {
     aCodec.Required("instance", mInstance);
     aCodec.Required("sequence", mSequence);
+    aCodec.Field("start", mStart);
   }
 };
 
 /// The registry of one control process; also what a router knows of all
-/// registries together. Decisions only: the time comes with each call.
+/// registries together. It holds one incarnation of each instance, the one that
+/// started last. Decisions only: the time comes with each call.
+///
+/// Starts are by the upstreams' own clocks. Where one stepped back, the new
+/// incarnation looks older: it waits beside the other and takes its place once
+/// that was not heard for a minute.
 class UpstreamRegistry {
  public:
+  /// Called with the successor where an incarnation is followed by another of
+  /// its name: what is remembered of the instance holds no more. The registry
+  /// must not be changed meanwhile.
+  using SuccessorHook = std::function<void(const UpstreamRecord&)>;
+  void OnSuccessor(SuccessorHook aHook) { mOnSuccessor = std::move(aHook); }
+
   /// Takes a heartbeat; one that was overtaken changes nothing. Returns
   /// whether the record is new or changed for routers.
   bool Beat(const UpstreamRecord& aRecord, Millis aNow);
-  /// The incarnation has left; its later heartbeats count for nothing.
-  bool Leave(const std::string& aInstance, Millis aNow);
+  /// The incarnation has left; its later heartbeats count for nothing. Word
+  /// that tells no start ends the one that is known.
+  LeaveOutcome Leave(const std::string& aInstance, Millis aNow,
+                     std::int64_t aStart = 0);
   /// Takes what another registry knows. aToldBy: the control process that it
   /// is of; empty: a router that took the heartbeat, which counts as heard
   /// here.
@@ -110,6 +156,9 @@
   /// Marks those silent that were not heard for aSilence, and forgets those
   /// that are gone or silent for long. Returns those that are silent now.
   std::vector<UpstreamRecord> Expire(Millis aSilence, Millis aNow);
+  /// For who hears of changes only: forgets those that are not ready and were
+  /// not heard for long.
+  void ForgetEnded(Millis aNow);
 
   /// The revision of the newest word.
   std::int64_t Revision() const { return mRevision; }
@@ -141,24 +190,52 @@
   std::size_t Size() const { return mItems.size(); }
 
  private:
-  struct Item {
+  /// What was heard of an incarnation.
+  struct Heard {
     UpstreamRecord mRecord;
     /// Of the heartbeat whose content mRecord has; a heartbeat that was only
     /// heard of may be newer.
     std::int64_t mContentOf = 0;
     Millis mHeardAt = 0;
+    Millis mFirstAt = 0;  ///< When it was heard of first.
     std::string mToldBy;  ///< Who told of the newest heartbeat; empty: heard.
+  };
+  struct Item : Heard {
     std::int64_t mChangedAt = 0;  ///< Revision of the last change.
     std::int64_t mTouchedAt = 0;  ///< Revision of the last heartbeat.
+    bool mFollows = false;        ///< Another of its name was known before.
+    /// Word that it left came before any other of it, and at this time; -1: no.
+    Millis mLeftUnknownAt = -1;
+    /// An incarnation that looks older, though it may have begun later.
+    std::optional<Heard> mWaiting;
   };
 
   bool Take(const UpstreamRecord& aRecord, Millis aHeardAt,
-            const std::string& aToldBy);
+            const std::string& aToldBy, Millis aNow);
+  /// Word of the incarnation that is held.
+  bool TakeSame(Item& aItem, const UpstreamRecord& aRecord, Millis aHeardAt,
+                const std::string& aToldBy);
+  /// Word of one that started before it.
+  static void TakeOlder(Item& aItem, const UpstreamRecord& aRecord,
+                        Millis aHeardAt, const std::string& aToldBy);
+  /// Word of one that started after it.
+  bool TakeNewer(Item& aItem, const UpstreamRecord& aRecord, Millis aHeardAt,
+                 const std::string& aToldBy, Millis aNow);
+  /// Takes word of the same incarnation, whichever it is.
+  static void TakeWord(Heard& aHeard, const UpstreamRecord& aRecord,
+                       Millis aHeardAt, const std::string& aToldBy);
+  void Begin(Item& aItem, Heard aHeard);
+  void End(Item& aItem);
+  LeaveOutcome LeaveUnnamed(const std::string& aInstance, Millis aSaidAt);
+  /// Forgets an incarnation that was not heard for long; one that waits takes
+  /// its place. Returns whether nothing is left.
+  bool Drop(Item& aItem, Millis aNow);
+  void Changed(Item& aItem);
   void EndPredecessors(const UpstreamRecord& aRecord);
   /// Takes one that is not kept any more out of mAtAddress.
   void Forget(const UpstreamRecord& aRecord);
   /// The state after word of a heartbeat.
-  static UpstreamState StateAfter(const Item& aItem,
+  static UpstreamState StateAfter(const Heard& aHeard,
                                   const UpstreamRecord& aWord, Millis aHeardAt);
 
   std::map<std::string, Item> mItems;
@@ -166,6 +243,7 @@
   std::map<std::string, std::set<std::string>> mAtAddress;
   std::int64_t mRevision = 0;
   std::int64_t mNewestChange = 0;
+  SuccessorHook mOnSuccessor;
 };
 
 }  // namespace spindleweir
--- a/include/spindleweir/servers/membership/upstream_table.h
+++ b/include/spindleweir/servers/membership/upstream_table.h
@@ -1,11 +1,16 @@
 /// Records of upstreams as they travel between our processes: one column for
-/// each field, so that no name is written once a row.
+/// each field, so that no name is written once a row. On the way back a row
+/// that cannot be used is told to a hook and left out, and so are those beyond
+/// the end of the shortest column; the others hold. Without a hook they are
+/// thrown.
 #pragma once
 
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "spindleweir/core/json_codec.h"
+#include "spindleweir/servers/membership/upstream_check.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
 
 namespace spindleweir {
@@ -26,10 +31,13 @@
   std::vector<int> mBusy;  ///< 0 or 1.
   std::vector<std::int64_t> mSequences;
   std::vector<std::int64_t> mHeardAgo;  ///< Milliseconds.
+  /// Empty: none are told, as by processes of the former version.
+  std::vector<std::int64_t> mStarts;
 
   static UpstreamTable Of(const std::vector<UpstreamRecord>& aRecords);
-  /// Throws kBadField where columns differ in length or an index is wrong.
-  std::vector<UpstreamRecord> Records() const;
+  std::vector<UpstreamRecord> Records(const BadRowHook& aOnBad = {}) const;
+  /// Throws kBadField.
+  UpstreamRecord RecordAt(std::size_t aRow) const;
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -46,6 +54,7 @@
     aCodec.Required("busy", mBusy);
     aCodec.Required("sequences", mSequences);
     aCodec.Required("heard_ago_ms", mHeardAgo);
+    aCodec.Field("starts", mStarts);
   }
 };
 
@@ -54,22 +63,57 @@
   std::vector<std::string> mInstances;
   std::vector<std::int64_t> mSequences;
   std::vector<std::int64_t> mHeardAgo;  ///< Milliseconds.
+  std::vector<std::int64_t> mStarts;    ///< As in UpstreamTable.
 
   static BeatTable Of(const std::vector<UpstreamBeat>& aBeats);
-  /// Throws kBadField where columns differ in length.
-  std::vector<UpstreamBeat> Beats() const;
+  std::vector<UpstreamBeat> Beats(const BadRowHook& aOnBad = {}) const;
 
   template <class Codec>
   void Fields(Codec& aCodec) {
     aCodec.Field("instances", mInstances);
     aCodec.Field("sequences", mSequences);
     aCodec.Field("heard_ago_ms", mHeardAgo);
+    aCodec.Field("starts", mStarts);
   }
 };
 
 /// Records as one text. Throws, on the way back, kDataCorrupt, kMalformedJson
-/// or kBadField where a text is no such records.
+/// or kBadField where a text is no table at all.
 std::string PackUpstreams(const std::vector<UpstreamRecord>& aRecords);
-std::vector<UpstreamRecord> UnpackUpstreams(std::string_view aPacked);
+std::vector<UpstreamRecord> UnpackUpstreams(std::string_view aPacked,
+                                            const BadRowHook& aOnBad = {});
+
+/// Rows of a list in a message, each an object.
+template <class T>
+std::vector<T> ReadRows(const std::vector<Json::Value>& aRows,
+                        const BadRowHook& aOnBad = {}) {
+  std::vector<T> read;
+  read.reserve(aRows.size());
+  for (const Json::Value& row : aRows) {
+    std::string instance;
+    try {
+      T item = FromJson<T>(row);
+      instance = item.mInstance;
+      RequireUsable(item);
+      read.push_back(std::move(item));
+    } catch (const Error& error) {
+      if (!aOnBad) {
+        throw;
+      }
+      aOnBad(instance, error);
+    }
+  }
+  return read;
+}
+
+template <class T>
+std::vector<Json::Value> WriteRows(const std::vector<T>& aItems) {
+  std::vector<Json::Value> rows;
+  rows.reserve(aItems.size());
+  for (const T& item : aItems) {
+    rows.push_back(ToJson(item));
+  }
+  return rows;
+}
 
 }  // namespace spindleweir
--- a/servers/membership/beat_taker.cpp
+++ b/servers/membership/beat_taker.cpp
@@ -1,5 +1,7 @@
 #include "spindleweir/servers/membership/beat_taker.h"
 
+#include <tuple>
+
 namespace spindleweir {
 
 namespace {
@@ -7,38 +9,42 @@
 /// Who was not heard for so long sends its heartbeats elsewhere, or has ended.
 constexpr Millis kKept = 10000;
 
-bool Same(const UpstreamRecord& aLeft, const UpstreamRecord& aRight) {
-  return aLeft.mState == aRight.mState && aLeft.mLayers == aRight.mLayers &&
-         aLeft.mBusy == aRight.mBusy && aLeft.mAddress == aRight.mAddress &&
-         aLeft.mSlots == aRight.mSlots;
-}
-
 }  // namespace
 
 bool BeatTaker::Beat(const UpstreamRecord& aRecord, Millis aNow) {
   const auto [it, fresh] = mItems.try_emplace(aRecord.mInstance);
   Item& item = it->second;
-  const UpstreamState before = item.mRecord.mState;
-  if (!fresh && aRecord.mSequence <= item.mRecord.mSequence) {
+  const UpstreamRecord before = item.mRecord;
+  if (!fresh && std::tie(aRecord.mStart, aRecord.mSequence) <=
+                    std::tie(before.mStart, before.mSequence)) {
     return false;
   }
+  const bool follows = !fresh && aRecord.mStart > before.mStart;
+  if (follows) {
+    item.mFollowsAt = aNow;
+  }
   item.mHeard = ++mNumber;
-  if (fresh || !Same(item.mRecord, aRecord)) {
+  if (fresh || !SameForRouters(before, aRecord)) {
     item.mChanged = mNumber;
   }
   item.mRecord = aRecord;
   item.mHeardAt = aNow;
-  return aRecord.mState >= UpstreamState::kLeaving &&
-         (fresh || before < UpstreamState::kLeaving);
+  return Ends(aRecord.mState) && (fresh || follows || !Ends(before.mState));
 }
 
 const UpstreamRecord* BeatTaker::Leave(const std::string& aInstance,
-                                       Millis aNow) {
+                                       Millis aNow, std::int64_t aStart) {
   const auto it = mItems.find(aInstance);
   if (it == mItems.end()) {
     return nullptr;
   }
   Item& item = it->second;
+  const bool doubtful =
+      item.mFollowsAt >= 0 && aNow - item.mFollowsAt < kLeaveDoubt;
+  const bool means = aStart == 0 ? !doubtful : aStart == item.mRecord.mStart;
+  if (!means) {
+    return nullptr;
+  }
   item.mRecord.mState = UpstreamState::kGone;
   item.mHeardAt = aNow;
   item.mHeard = ++mNumber;
@@ -63,7 +69,8 @@
       untold.mChanged.push_back(item.mRecord);
       untold.mChanged.back().mHeardAgo = ago;
     } else if (item.mHeard > known) {
-      untold.mBeats.push_back({instance, item.mRecord.mSequence, ago});
+      untold.mBeats.push_back(
+          {instance, item.mRecord.mSequence, ago, item.mRecord.mStart});
     }
   }
   return untold;
--- a/servers/membership/upstream_registry.cpp
+++ b/servers/membership/upstream_registry.cpp
@@ -1,22 +1,37 @@
 #include "spindleweir/servers/membership/upstream_registry.h"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 
 namespace spindleweir {
 
 namespace {
 
-/// An incarnation that ended is remembered for this long, so that a late
-/// heartbeat does not bring it back.
+/// An incarnation that ended, or fell silent, is remembered for this long, so
+/// that late word does not bring it back.
 constexpr Millis kEndedKept = 60000;
 
+/// Word that was heard longer ago says nothing against an incarnation that
+/// looks older: others forget the newer one within moments. The difference is
+/// more than two accounts of one heartbeat differ by.
+constexpr Millis kOldestWord = kEndedKept - 5000;
+
 /// How far two accounts of when the same heartbeat was heard may differ.
 constexpr Millis kHeardWithin = 1000;
 
-/// What matters to routers.
+/// Word that some incarnation left, of which nothing else is known.
+bool TellsLeaveOnly(const UpstreamRecord& aRecord) {
+  return aRecord.mStart == 0 && aRecord.mState == UpstreamState::kGone &&
+         aRecord.mService.empty() && aRecord.mAddress.empty();
+}
+
+}  // namespace
+
 bool SameForRouters(const UpstreamRecord& aLeft, const UpstreamRecord& aRight) {
-  return aLeft.mState == aRight.mState && aLeft.mLayers == aRight.mLayers &&
-         aLeft.mBusy == aRight.mBusy && aLeft.mAddress == aRight.mAddress &&
+  return aLeft.mStart == aRight.mStart && aLeft.mState == aRight.mState &&
+         aLeft.mLayers == aRight.mLayers && aLeft.mBusy == aRight.mBusy &&
+         aLeft.mAddress == aRight.mAddress &&
          aLeft.mService == aRight.mService && aLeft.mSlots == aRight.mSlots;
 }
 
@@ -24,42 +39,55 @@
   return aState == UpstreamState::kLeaving || aState == UpstreamState::kGone;
 }
 
-}  // namespace
-
 bool UpstreamRegistry::Beat(const UpstreamRecord& aRecord, Millis aNow) {
-  return Take(aRecord, aNow, "");
+  return Take(aRecord, aNow, "", aNow);
 }
 
 bool UpstreamRegistry::Merge(const UpstreamRecord& aRecord, Millis aNow,
                              const std::string& aToldBy) {
-  return Take(aRecord, aNow - aRecord.mHeardAgo, aToldBy);
+  return Take(aRecord, aNow - aRecord.mHeardAgo, aToldBy, aNow);
 }
 
 bool UpstreamRegistry::Touch(const UpstreamBeat& aBeat, Millis aNow,
                              const std::string& aToldBy) {
   const auto it = mItems.find(aBeat.mInstance);
-  if (it == mItems.end() || aBeat.mSequence <= it->second.mRecord.mSequence) {
+  if (it == mItems.end()) {
     return false;
   }
   Item& item = it->second;
-  item.mRecord.mSequence = aBeat.mSequence;
-  item.mHeardAt = std::max(item.mHeardAt, aNow - aBeat.mHeardAgo);
+  const bool waits =
+      item.mWaiting && item.mWaiting->mRecord.mStart == aBeat.mStart;
+  Heard& heard = waits ? *item.mWaiting : item;
+  if (aBeat.mStart != heard.mRecord.mStart ||
+      aBeat.mSequence <= heard.mRecord.mSequence) {
+    return false;
+  }
+  heard.mRecord.mSequence = aBeat.mSequence;
+  heard.mHeardAt = std::max(heard.mHeardAt, aNow - aBeat.mHeardAgo);
+  heard.mToldBy = aToldBy;
+  if (waits) {
+    return false;
+  }
   item.mTouchedAt = ++mRevision;
-  item.mToldBy = aToldBy;
   if (item.mRecord.mState != UpstreamState::kSilent) {
     return false;
   }
   item.mRecord.mState = UpstreamState::kReady;
-  item.mChangedAt = mNewestChange = mRevision;
+  Changed(item);
   return true;
 }
 
-UpstreamState UpstreamRegistry::StateAfter(const Item& aItem,
+void UpstreamRegistry::Changed(Item& aItem) {
+  aItem.mChangedAt = mNewestChange = ++mRevision;
+  aItem.mTouchedAt = mRevision;
+}
+
+UpstreamState UpstreamRegistry::StateAfter(const Heard& aHeard,
                                            const UpstreamRecord& aWord,
                                            Millis aHeardAt) {
-  const UpstreamRecord& before = aItem.mRecord;
+  const UpstreamRecord& before = aHeard.mRecord;
   if (aWord.mSequence > before.mSequence) {
-    // Whoever leaves does not come back under the same name.
+    // Whoever leaves does not come back before its next start.
     const bool back = Ends(before.mState) && aWord.mState < before.mState;
     return back ? before.mState : aWord.mState;
   }
@@ -69,49 +97,129 @@
   const bool silent = aWord.mState == UpstreamState::kSilent &&
                       before.mState == UpstreamState::kReady &&
                       aWord.mSequence == before.mSequence &&
-                      aHeardAt + kHeardWithin >= aItem.mHeardAt;
+                      aHeardAt + kHeardWithin >= aHeard.mHeardAt;
   return ends || silent ? aWord.mState : before.mState;
 }
 
 bool UpstreamRegistry::Take(const UpstreamRecord& aRecord, Millis aHeardAt,
-                            const std::string& aToldBy) {
+                            const std::string& aToldBy, Millis aNow) {
+  if (TellsLeaveOnly(aRecord)) {
+    return LeaveUnnamed(aRecord.mInstance, aHeardAt) == LeaveOutcome::kEnded;
+  }
   const auto [it, fresh] = mItems.try_emplace(aRecord.mInstance);
   Item& item = it->second;
   if (fresh) {
-    item.mRecord = aRecord;
-    item.mContentOf = aRecord.mSequence;
-    item.mHeardAt = aHeardAt;
-    item.mToldBy = aToldBy;
-    item.mChangedAt = mNewestChange = ++mRevision;
-    item.mTouchedAt = mRevision;
-    EndPredecessors(aRecord);
+    Begin(item, {.mRecord = aRecord,
+                 .mContentOf = aRecord.mSequence,
+                 .mHeardAt = aHeardAt,
+                 .mFirstAt = aHeardAt,
+                 .mToldBy = aToldBy});
     return true;
   }
-  const UpstreamRecord before = item.mRecord;
-  const UpstreamState state = StateAfter(item, aRecord, aHeardAt);
-  if (aRecord.mSequence > item.mContentOf) {
-    if (aRecord.mAddress != before.mAddress) {
-      Forget(before);
-      mAtAddress[aRecord.mAddress].insert(aRecord.mInstance);
-    }
-    item.mRecord = aRecord;
-    item.mContentOf = aRecord.mSequence;
-    item.mRecord.mSequence = std::max(before.mSequence, aRecord.mSequence);
+  if (aRecord.mStart < item.mRecord.mStart) {
+    TakeOlder(item, aRecord, aHeardAt, aToldBy);
+    return false;
+  }
+  if (aRecord.mStart > item.mRecord.mStart) {
+    return TakeNewer(item, aRecord, aHeardAt, aToldBy, aNow);
+  }
+  return TakeSame(item, aRecord, aHeardAt, aToldBy);
+}
+
+void UpstreamRegistry::TakeWord(Heard& aHeard, const UpstreamRecord& aRecord,
+                                Millis aHeardAt, const std::string& aToldBy) {
+  const std::int64_t before = aHeard.mRecord.mSequence;
+  const UpstreamState state = StateAfter(aHeard, aRecord, aHeardAt);
+  if (aRecord.mSequence > aHeard.mContentOf) {
+    aHeard.mRecord = aRecord;
+    aHeard.mContentOf = aRecord.mSequence;
+    aHeard.mRecord.mSequence = std::max(before, aRecord.mSequence);
+  }
+  aHeard.mRecord.mState = state;
+  if (aRecord.mSequence >= before) {
+    // One that was overtaken proves nothing by when it arrived.
+    aHeard.mHeardAt = std::max(aHeard.mHeardAt, aHeardAt);
   }
-  item.mRecord.mState = state;
-  item.mHeardAt = std::max(item.mHeardAt, aHeardAt);
-  if (aRecord.mSequence > before.mSequence) {
-    item.mTouchedAt = ++mRevision;
-    item.mToldBy = aToldBy;
+  if (aRecord.mSequence > before) {
+    aHeard.mToldBy = aToldBy;
   }
-  const bool changed = !SameForRouters(before, item.mRecord);
+}
+
+bool UpstreamRegistry::TakeSame(Item& aItem, const UpstreamRecord& aRecord,
+                                Millis aHeardAt, const std::string& aToldBy) {
+  const UpstreamRecord before = aItem.mRecord;
+  TakeWord(aItem, aRecord, aHeardAt, aToldBy);
+  if (aItem.mRecord.mAddress != before.mAddress) {
+    Forget(before);
+    mAtAddress[aItem.mRecord.mAddress].insert(aItem.mRecord.mInstance);
+  }
+  if (aItem.mRecord.mSequence > before.mSequence) {
+    aItem.mTouchedAt = ++mRevision;
+  }
+  const bool changed = !SameForRouters(before, aItem.mRecord);
   if (changed) {
-    item.mChangedAt = mNewestChange = ++mRevision;
-    item.mTouchedAt = mRevision;
+    Changed(aItem);
   }
   return changed;
 }
 
+void UpstreamRegistry::TakeOlder(Item& aItem, const UpstreamRecord& aRecord,
+                                 Millis aHeardAt, const std::string& aToldBy) {
+  std::optional<Heard>& waiting = aItem.mWaiting;
+  if (waiting && waiting->mRecord.mStart == aRecord.mStart) {
+    TakeWord(*waiting, aRecord, aHeardAt, aToldBy);
+    return;
+  }
+  if (!waiting || aHeardAt > waiting->mHeardAt) {
+    waiting = Heard{.mRecord = aRecord,
+                    .mContentOf = aRecord.mSequence,
+                    .mHeardAt = aHeardAt,
+                    .mFirstAt = aHeardAt,
+                    .mToldBy = aToldBy};
+  }
+}
+
+bool UpstreamRegistry::TakeNewer(Item& aItem, const UpstreamRecord& aRecord,
+                                 Millis aHeardAt, const std::string& aToldBy,
+                                 Millis aNow) {
+  if (aNow - aHeardAt > kOldestWord) {
+    return false;
+  }
+  const Heard before = static_cast<const Heard&>(aItem);
+  std::optional<Heard> waiting = std::move(aItem.mWaiting);
+  const bool unknown = aItem.mLeftUnknownAt >= 0;
+  const bool left = unknown && aHeardAt <= aItem.mLeftUnknownAt + kLeaveDoubt;
+  if (!unknown && before.mHeardAt > aHeardAt) {
+    waiting = before;
+  }
+  Forget(before.mRecord);
+  Begin(aItem, {.mRecord = aRecord,
+                .mContentOf = aRecord.mSequence,
+                .mHeardAt = aHeardAt,
+                .mFirstAt = aHeardAt,
+                .mToldBy = aToldBy});
+  aItem.mFollows = !unknown;
+  aItem.mWaiting = std::move(waiting);
+  if (left) {
+    aItem.mRecord.mState = UpstreamState::kGone;
+  }
+  if (!unknown && mOnSuccessor) {
+    mOnSuccessor(aItem.mRecord);
+  }
+  return true;
+}
+
+void UpstreamRegistry::Begin(Item& aItem, Heard aHeard) {
+  static_cast<Heard&>(aItem) = std::move(aHeard);
+  aItem.mFollows = false;
+  aItem.mLeftUnknownAt = -1;
+  aItem.mWaiting.reset();
+  Changed(aItem);
+  if (!aItem.mRecord.mAddress.empty()) {
+    EndPredecessors(aItem.mRecord);
+  }
+}
+
 void UpstreamRegistry::EndPredecessors(const UpstreamRecord& aRecord) {
   // An address has one process at a time: who had it before has ended.
   Item& own = mItems[aRecord.mInstance];
@@ -121,31 +229,74 @@
     if (item.mRecord.mState == UpstreamState::kGone) {
       continue;
     }
-    if (item.mHeardAt <= own.mHeardAt) {
-      item.mRecord.mState = UpstreamState::kGone;
-      item.mChangedAt = mNewestChange = ++mRevision;
-      item.mTouchedAt = mRevision;
+    const bool looksOlder = own.mRecord.mStart < item.mRecord.mStart;
+    if (item.mHeardAt <= own.mHeardAt && !looksOlder) {
+      End(item);
     } else if (own.mRecord.mState == UpstreamState::kReady) {
       // Word of the older one came later. Times that went through several
-      // processes may be off, so that its own next heartbeat counts more.
+      // processes may be off, and clocks step, so that its own next heartbeat
+      // counts more.
       own.mRecord.mState = UpstreamState::kSilent;
     }
   }
   here.insert(aRecord.mInstance);
 }
 
-bool UpstreamRegistry::Leave(const std::string& aInstance, Millis aNow) {
+LeaveOutcome UpstreamRegistry::Leave(const std::string& aInstance, Millis aNow,
+                                     std::int64_t aStart) {
+  if (aStart == 0) {
+    return LeaveUnnamed(aInstance, aNow);
+  }
+  UpstreamRecord gone;
+  gone.mInstance = aInstance;
+  gone.mStart = aStart;
+  gone.mState = UpstreamState::kGone;
   const auto [it, fresh] = mItems.try_emplace(aInstance);
   Item& item = it->second;
-  item.mRecord.mInstance = aInstance;
+  if (fresh) {
+    Begin(item, {.mRecord = gone, .mHeardAt = aNow, .mFirstAt = aNow});
+    return LeaveOutcome::kEnded;
+  }
+  if (aStart > item.mRecord.mStart) {
+    TakeNewer(item, gone, aNow, "", aNow);
+    return LeaveOutcome::kEnded;
+  }
+  if (aStart < item.mRecord.mStart) {
+    TakeOlder(item, gone, aNow, "");
+    return LeaveOutcome::kKnown;
+  }
   item.mHeardAt = aNow;
   if (item.mRecord.mState == UpstreamState::kGone) {
-    return false;
+    return LeaveOutcome::kKnown;
   }
-  item.mRecord.mState = UpstreamState::kGone;
-  item.mChangedAt = mNewestChange = ++mRevision;
-  item.mTouchedAt = mRevision;
-  return true;
+  End(item);
+  return LeaveOutcome::kEnded;
+}
+
+LeaveOutcome UpstreamRegistry::LeaveUnnamed(const std::string& aInstance,
+                                            Millis aSaidAt) {
+  const auto [it, fresh] = mItems.try_emplace(aInstance);
+  Item& item = it->second;
+  if (fresh) {
+    item.mRecord.mInstance = aInstance;
+    item.mHeardAt = item.mFirstAt = item.mLeftUnknownAt = aSaidAt;
+    End(item);
+    return LeaveOutcome::kEnded;
+  }
+  if (item.mFollows && aSaidAt - item.mFirstAt < kLeaveDoubt) {
+    return LeaveOutcome::kInDoubt;
+  }
+  item.mHeardAt = std::max(item.mHeardAt, aSaidAt);
+  if (item.mRecord.mState == UpstreamState::kGone) {
+    return LeaveOutcome::kKnown;
+  }
+  End(item);
+  return LeaveOutcome::kEnded;
+}
+
+void UpstreamRegistry::End(Item& aItem) {
+  aItem.mRecord.mState = UpstreamState::kGone;
+  Changed(aItem);
 }
 
 std::vector<UpstreamRecord> UpstreamRegistry::Expire(Millis aSilence,
@@ -153,16 +304,14 @@
   std::vector<UpstreamRecord> fell;
   for (auto it = mItems.begin(); it != mItems.end();) {
     Item& item = it->second;
-    const Millis silent = aNow - item.mHeardAt;
-    if (silent > kEndedKept) {
-      Forget(item.mRecord);
+    if (Drop(item, aNow)) {
       it = mItems.erase(it);
       continue;
     }
+    const Millis silent = aNow - item.mHeardAt;
     if (item.mRecord.mState == UpstreamState::kReady && silent > aSilence) {
       item.mRecord.mState = UpstreamState::kSilent;
-      item.mChangedAt = mNewestChange = ++mRevision;
-      item.mTouchedAt = mRevision;
+      Changed(item);
       fell.push_back(item.mRecord);
       fell.back().mHeardAgo = silent;
     }
@@ -171,6 +320,31 @@
   return fell;
 }
 
+void UpstreamRegistry::ForgetEnded(Millis aNow) {
+  for (auto it = mItems.begin(); it != mItems.end();) {
+    const bool ready = it->second.mRecord.mState == UpstreamState::kReady;
+    it = !ready && Drop(it->second, aNow) ? mItems.erase(it) : std::next(it);
+  }
+}
+
+bool UpstreamRegistry::Drop(Item& aItem, Millis aNow) {
+  if (aNow - aItem.mHeardAt <= kEndedKept) {
+    return false;
+  }
+  Forget(aItem.mRecord);
+  if (!aItem.mWaiting || aNow - aItem.mWaiting->mHeardAt > kEndedKept) {
+    // Who keeps pointers to records looks at this.
+    mNewestChange = ++mRevision;
+    return true;
+  }
+  Begin(aItem, Heard(*aItem.mWaiting));
+  aItem.mFollows = true;
+  if (mOnSuccessor) {
+    mOnSuccessor(aItem.mRecord);
+  }
+  return false;
+}
+
 void UpstreamRegistry::Forget(const UpstreamRecord& aRecord) {
   const auto it = mAtAddress.find(aRecord.mAddress);
   if (it == mAtAddress.end()) {
@@ -202,7 +376,8 @@
     const bool due = item.mTouchedAt > aRevision && item.mChangedAt <= aKnown;
     const bool known = !item.mToldBy.empty() && aHears.contains(item.mToldBy);
     if (due && !known) {
-      beats.push_back({instance, item.mRecord.mSequence, aNow - item.mHeardAt});
+      beats.push_back({instance, item.mRecord.mSequence, aNow - item.mHeardAt,
+                       item.mRecord.mStart});
     }
   }
   return beats;
@@ -212,7 +387,7 @@
   std::vector<SilentUpstream> silent;
   for (const auto& [instance, item] : mItems) {
     if (item.mRecord.mState == UpstreamState::kSilent) {
-      silent.push_back({instance, item.mRecord.mSequence});
+      silent.push_back({instance, item.mRecord.mSequence, item.mRecord.mStart});
     }
   }
   return silent;
@@ -228,8 +403,9 @@
       continue;
     }
     const Item& item = it->second;
-    const bool later = item.mRecord.mState == UpstreamState::kReady &&
-                       item.mRecord.mSequence > silent.mSequence &&
+    const bool newer = std::tie(item.mRecord.mStart, item.mRecord.mSequence) >
+                       std::tie(silent.mStart, silent.mSequence);
+    const bool later = item.mRecord.mState == UpstreamState::kReady && newer &&
                        aNow - item.mHeardAt <= aWithin;
     if (later) {
       records.push_back(item.mRecord);
--- a/servers/membership/upstream_table.cpp
+++ b/servers/membership/upstream_table.cpp
@@ -1,5 +1,6 @@
 #include "spindleweir/servers/membership/upstream_table.h"
 
+#include <algorithm>
 #include <unordered_map>
 
 #include "spindleweir/core/error.h"
@@ -44,9 +45,135 @@
   return static_cast<UpstreamState>(aState);
 }
 
-void RequireRows(std::size_t aColumn, std::size_t aRows) {
-  if (aColumn != aRows) {
-    throw Error(ResultCode::kBadField, "columns of upstreams differ in length");
+/// Rows that all columns have, and that any has. Where one is shorter, it is
+/// not known which of its values is missing: those before its end are taken as
+/// they stand, since our processes write columns from their start.
+struct RowCount {
+  std::size_t mWhole = 0;
+  std::size_t mAny = 0;
+};
+
+template <class... Columns>
+RowCount CountRows(const Columns&... aColumns) {
+  return {std::min({aColumns.size()...}), std::max({aColumns.size()...})};
+}
+
+void TellBad(const BadRowHook& aOnBad, const std::string& aInstance,
+             const Error& aWhy) {
+  if (!aOnBad) {
+    throw aWhy;
+  }
+  aOnBad(aInstance, aWhy);
+}
+
+void TellShort(const BadRowHook& aOnBad, const RowCount& aCount,
+               const std::vector<std::string>& aInstances) {
+  for (std::size_t i = aCount.mWhole; i < aCount.mAny; i++) {
+    TellBad(aOnBad, i < aInstances.size() ? aInstances[i] : "",
+            Error(ResultCode::kBadField, "a column has no such row"));
+  }
+}
+
+/// A start from a column that may be missing as a whole.
+std::int64_t StartAt(const std::vector<std::int64_t>& aStarts,
+                     std::size_t aRow) {
+  return aStarts.empty() ? 0 : aStarts[aRow];
+}
+
+/// The values of one column as they were written, each to be judged by itself.
+using LooseColumn = std::vector<Json::Value>;
+
+/// What stands for a value that is none of its column: no row with it can be
+/// used, since names, indices and numbers are checked.
+constexpr int kNoNumber = -1;
+constexpr const char* kNoName = "\x01";
+
+std::vector<int> NumbersOf(const LooseColumn& aColumn) {
+  std::vector<int> numbers;
+  for (const Json::Value& value : aColumn) {
+    numbers.push_back(value.isInt() ? value.asInt() : kNoNumber);
+  }
+  return numbers;
+}
+
+std::vector<std::int64_t> LongNumbersOf(const LooseColumn& aColumn) {
+  std::vector<std::int64_t> numbers;
+  for (const Json::Value& value : aColumn) {
+    numbers.push_back(value.isInt64() ? value.asInt64() : kNoNumber);
+  }
+  return numbers;
+}
+
+std::vector<std::string> NamesOf(const LooseColumn& aColumn) {
+  std::vector<std::string> names;
+  for (const Json::Value& value : aColumn) {
+    names.push_back(value.isString() ? value.asString() : kNoName);
+  }
+  return names;
+}
+
+/// A table in which some value is of another type than its column.
+struct LooseTable {
+  LooseColumn mNames;
+  LooseColumn mInstances;
+  LooseColumn mAddresses;
+  LooseColumn mServices;
+  LooseColumn mZones;
+  LooseColumn mKinds;
+  LooseColumn mSlots;
+  LooseColumn mStates;
+  LooseColumn mFroms;
+  LooseColumn mTos;
+  LooseColumn mBusy;
+  LooseColumn mSequences;
+  LooseColumn mHeardAgo;
+  LooseColumn mStarts;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("names", mNames);
+    aCodec.Required("instances", mInstances);
+    aCodec.Required("addresses", mAddresses);
+    aCodec.Required("services", mServices);
+    aCodec.Required("zones", mZones);
+    aCodec.Required("kinds", mKinds);
+    aCodec.Required("slots", mSlots);
+    aCodec.Required("states", mStates);
+    aCodec.Required("froms", mFroms);
+    aCodec.Required("tos", mTos);
+    aCodec.Required("busy", mBusy);
+    aCodec.Required("sequences", mSequences);
+    aCodec.Required("heard_ago_ms", mHeardAgo);
+    aCodec.Field("starts", mStarts);
+  }
+
+  UpstreamTable Table() const {
+    UpstreamTable table;
+    table.mNames = NamesOf(mNames);
+    table.mInstances = NamesOf(mInstances);
+    table.mAddresses = NamesOf(mAddresses);
+    table.mServices = NumbersOf(mServices);
+    table.mZones = NumbersOf(mZones);
+    table.mKinds = NumbersOf(mKinds);
+    table.mSlots = NumbersOf(mSlots);
+    table.mStates = NumbersOf(mStates);
+    table.mFroms = NumbersOf(mFroms);
+    table.mTos = NumbersOf(mTos);
+    table.mBusy = NumbersOf(mBusy);
+    table.mSequences = LongNumbersOf(mSequences);
+    table.mHeardAgo = LongNumbersOf(mHeardAgo);
+    table.mStarts = LongNumbersOf(mStarts);
+    return table;
+  }
+};
+
+/// Reading value by value costs several times as much, and is for tables that
+/// need it only.
+UpstreamTable ReadTable(const Json::Value& aJson) {
+  try {
+    return FromJson<UpstreamTable>(aJson);
+  } catch (const Error&) {
+    return FromJson<LooseTable>(aJson).Table();
   }
 }
 
@@ -68,34 +195,48 @@
     table.mBusy.push_back(record.mBusy ? 1 : 0);
     table.mSequences.push_back(record.mSequence);
     table.mHeardAgo.push_back(record.mHeardAgo);
+    table.mStarts.push_back(record.mStart);
   }
   return table;
 }
 
-std::vector<UpstreamRecord> UpstreamTable::Records() const {
-  const std::size_t n = mInstances.size();
-  for (const auto* column : {&mServices, &mZones, &mKinds, &mSlots, &mStates,
-                             &mFroms, &mTos, &mBusy}) {
-    RequireRows(column->size(), n);
+UpstreamRecord UpstreamTable::RecordAt(std::size_t aRow) const {
+  if (mBusy[aRow] != 0 && mBusy[aRow] != 1) {
+    throw Error(ResultCode::kBadField, "busy must be 0 or 1");
   }
-  RequireRows(mAddresses.size(), n);
-  RequireRows(mSequences.size(), n);
-  RequireRows(mHeardAgo.size(), n);
+  return {.mInstance = mInstances[aRow],
+          .mStart = StartAt(mStarts, aRow),
+          .mService = NameAt(mNames, mServices[aRow]),
+          .mAddress = mAddresses[aRow],
+          .mZone = NameAt(mNames, mZones[aRow]),
+          .mKind = NameAt(mNames, mKinds[aRow]),
+          .mSlots = mSlots[aRow],
+          .mState = StateAt(mStates[aRow]),
+          .mSequence = mSequences[aRow],
+          .mLayers = {mFroms[aRow], mTos[aRow]},
+          .mBusy = mBusy[aRow] != 0,
+          .mHeardAgo = mHeardAgo[aRow]};
+}
+
+std::vector<UpstreamRecord> UpstreamTable::Records(
+    const BadRowHook& aOnBad) const {
+  const std::vector<std::int64_t>& starts =
+      mStarts.empty() ? mSequences : mStarts;
+  const RowCount count =
+      CountRows(mInstances, mAddresses, mServices, mZones, mKinds, mSlots,
+                mStates, mFroms, mTos, mBusy, mSequences, mHeardAgo, starts);
   std::vector<UpstreamRecord> records;
-  records.reserve(n);
-  for (std::size_t i = 0; i < n; i++) {
-    records.push_back({.mInstance = mInstances[i],
-                       .mService = NameAt(mNames, mServices[i]),
-                       .mAddress = mAddresses[i],
-                       .mZone = NameAt(mNames, mZones[i]),
-                       .mKind = NameAt(mNames, mKinds[i]),
-                       .mSlots = mSlots[i],
-                       .mState = StateAt(mStates[i]),
-                       .mSequence = mSequences[i],
-                       .mLayers = {mFroms[i], mTos[i]},
-                       .mBusy = mBusy[i] != 0,
-                       .mHeardAgo = mHeardAgo[i]});
+  records.reserve(count.mWhole);
+  for (std::size_t i = 0; i < count.mWhole; i++) {
+    try {
+      UpstreamRecord record = RecordAt(i);
+      RequireUsable(record);
+      records.push_back(std::move(record));
+    } catch (const Error& error) {
+      TellBad(aOnBad, mInstances[i], error);
+    }
   }
+  TellShort(aOnBad, count, mInstances);
   return records;
 }
 
@@ -105,19 +246,28 @@
     table.mInstances.push_back(beat.mInstance);
     table.mSequences.push_back(beat.mSequence);
     table.mHeardAgo.push_back(beat.mHeardAgo);
+    table.mStarts.push_back(beat.mStart);
   }
   return table;
 }
 
-std::vector<UpstreamBeat> BeatTable::Beats() const {
-  const std::size_t n = mInstances.size();
-  RequireRows(mSequences.size(), n);
-  RequireRows(mHeardAgo.size(), n);
+std::vector<UpstreamBeat> BeatTable::Beats(const BadRowHook& aOnBad) const {
+  const std::vector<std::int64_t>& starts =
+      mStarts.empty() ? mSequences : mStarts;
+  const RowCount count = CountRows(mInstances, mSequences, mHeardAgo, starts);
   std::vector<UpstreamBeat> beats;
-  beats.reserve(n);
-  for (std::size_t i = 0; i < n; i++) {
-    beats.push_back({mInstances[i], mSequences[i], mHeardAgo[i]});
+  beats.reserve(count.mWhole);
+  for (std::size_t i = 0; i < count.mWhole; i++) {
+    const UpstreamBeat beat{mInstances[i], mSequences[i], mHeardAgo[i],
+                            StartAt(mStarts, i)};
+    try {
+      RequireUsable(beat);
+      beats.push_back(beat);
+    } catch (const Error& error) {
+      TellBad(aOnBad, beat.mInstance, error);
+    }
   }
+  TellShort(aOnBad, count, mInstances);
   return beats;
 }
 
@@ -125,9 +275,10 @@
   return Pack(DumpJson(ToJson(UpstreamTable::Of(aRecords))));
 }
 
-std::vector<UpstreamRecord> UnpackUpstreams(std::string_view aPacked) {
+std::vector<UpstreamRecord> UnpackUpstreams(std::string_view aPacked,
+                                            const BadRowHook& aOnBad) {
   const std::string text = Unpack(aPacked, kMostUnpacked);
-  return FromJson<UpstreamTable>(ParseJson(text)).Records();
+  return ReadTable(ParseJson(text)).Records(aOnBad);
 }
 
 }  // namespace spindleweir
--- a/tests/servers/registry_test.cpp
+++ b/tests/servers/registry_test.cpp
@@ -1,5 +1,7 @@
+#include "spindleweir/core/packing.h"
 #include "spindleweir/servers/membership/control_directory.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
+#include "spindleweir/servers/membership/upstream_table.h"
 #include "spindleweir/servers/membership/voter_plan.h"
 #include "tests/test_tools.h"
 
@@ -17,6 +19,19 @@
           .mSequence = aSequence};
 }
 
+/// A heartbeat of an incarnation that started at aStart.
+UpstreamRecord Life(std::int64_t aStart, std::int64_t aSequence,
+                    UpstreamState aState = UpstreamState::kReady) {
+  UpstreamRecord record = Record("a", aSequence, aState);
+  record.mStart = aStart;
+  return record;
+}
+
+UpstreamRecord Holding(UpstreamRecord aRecord, LayerRange aLayers) {
+  aRecord.mLayers = aLayers;
+  return aRecord;
+}
+
 UpstreamState StateOf(const UpstreamRegistry& aRegistry,
                       const std::string& aInstance) {
   return aRegistry.Find(aInstance)->mState;
@@ -43,7 +58,7 @@
     CHECK(StateOf(registry, "a") == UpstreamState::kLeaving);
   }
   SECTION("after the leave a late heartbeat counts for nothing") {
-    CHECK(registry.Leave("a", 40));
+    CHECK(registry.Leave("a", 40) == LeaveOutcome::kEnded);
     registry.Beat(Record("a", 9), 50);
     CHECK(StateOf(registry, "a") == UpstreamState::kGone);
   }
@@ -196,6 +211,278 @@
   CHECK(StateOf(registry, "old") != UpstreamState::kReady);
 }
 
+Test(registry, a_newer_start_is_a_new_incarnation) {
+  UpstreamRegistry registry;
+  std::vector<std::int64_t> successors;
+  registry.OnSuccessor([&successors](const UpstreamRecord& aRecord) {
+    successors.push_back(aRecord.mStart);
+  });
+  registry.Beat(Holding(Life(100, 50), {0, 8}), 0);
+  SECTION("counting anew, it holds what it says and nothing else") {
+    CHECK(registry.Beat(Life(200, 1), 1000));
+    CHECK(registry.Find("a")->mStart == 200);
+    CHECK(registry.Find("a")->mSequence == 1);
+    CHECK(registry.Find("a")->mLayers.Count() == 0);
+    CHECK(successors == std::vector<std::int64_t>{200});
+  }
+  SECTION("no word of the older one counts any more, however late") {
+    CHECK(!registry.Beat(Holding(Life(100, 51), {0, 8}), 1100));
+    CHECK(!registry.Merge(Life(100, 60, UpstreamState::kLeaving), 1200));
+    CHECK(!registry.Touch({"a", 70, 0, 100}, 1300));
+    CHECK(registry.Leave("a", 1400, 100) == LeaveOutcome::kKnown);
+    CHECK(!registry.Merge(Life(0, 90, UpstreamState::kGone), 1450));
+    CHECK(registry.Find("a")->mStart == 200);
+    CHECK(registry.Find("a")->mLayers.Count() == 0);
+    CHECK(StateOf(registry, "a") == UpstreamState::kReady);
+  }
+  SECTION("the same sequence as before is no repetition") {
+    CHECK(registry.Beat(Holding(Life(300, 1), {8, 16}), 1500));
+    CHECK(registry.Find("a")->mLayers.mFrom == 8);
+  }
+}
+
+Test(registry, who_left_is_ready_again_after_its_next_start) {
+  UpstreamRegistry registry;
+  registry.Beat(Life(100, 5), 0);
+  SECTION("where it was leaving") {
+    registry.Beat(Life(100, 6, UpstreamState::kLeaving), 10);
+    CHECK(registry.Beat(Life(200, 1), 20));
+    CHECK(StateOf(registry, "a") == UpstreamState::kReady);
+  }
+  SECTION("where it was gone") {
+    CHECK(registry.Leave("a", 6000) == LeaveOutcome::kEnded);
+    CHECK(registry.Beat(Life(300, 1), 6100));
+    CHECK(StateOf(registry, "a") == UpstreamState::kReady);
+  }
+}
+
+Test(registry, a_leave_without_a_start_ends_who_is_known_but_no_new_one) {
+  UpstreamRegistry registry;
+  registry.Beat(Life(100, 5), 0);
+  registry.Beat(Life(200, 1), 10000);
+  SECTION("a late one of the predecessor") {
+    CHECK(registry.Leave("a", 10300) == LeaveOutcome::kInDoubt);
+    CHECK(StateOf(registry, "a") == UpstreamState::kReady);
+  }
+  SECTION("its own, told with its start") {
+    UpstreamRegistry told = registry;
+    CHECK(told.Leave("a", 10300, 200) == LeaveOutcome::kEnded);
+    CHECK(StateOf(told, "a") == UpstreamState::kGone);
+  }
+  SECTION("its own, once it has been there for a while") {
+    CHECK(registry.Leave("a", 10000 + kLeaveDoubt) == LeaveOutcome::kEnded);
+    CHECK(StateOf(registry, "a") == UpstreamState::kGone);
+  }
+  SECTION("one that comes before the heartbeats of who says it") {
+    UpstreamRegistry empty;
+    CHECK(empty.Leave("a", 0) == LeaveOutcome::kEnded);
+    empty.Beat(Life(200, 9), 400);
+    CHECK(StateOf(empty, "a") == UpstreamState::kGone);
+  }
+  SECTION("told on, it ends the one that another registry knows") {
+    UpstreamRegistry unknowing;
+    unknowing.Leave("a", 0);
+    UpstreamRegistry other;
+    other.Beat(Life(200, 8), 0);
+    for (const UpstreamRecord& record : unknowing.ChangedSince(0, 10)) {
+      other.Merge(record, 20);
+    }
+    CHECK(StateOf(other, "a") == UpstreamState::kGone);
+  }
+}
+
+Test(registry, a_start_that_looks_older_is_not_shut_out_for_ever) {
+  // The clock of its VM was set back between two lives.
+  UpstreamRegistry registry;
+  registry.Beat(Holding(Life(200, 50), {0, 8}), 0);
+  std::int64_t sequence = 0;
+  Millis now = 1000;
+  for (; now <= 60000; now += 1000) {
+    registry.Beat(Life(100, ++sequence), now);
+    registry.Expire(3600, now);
+    CHECK(registry.Find("a")->mStart == 200);
+  }
+  CHECK(StateOf(registry, "a") == UpstreamState::kSilent);
+  SECTION("after a minute without word of the other it takes its place") {
+    registry.Expire(3600, 60001);
+    CHECK(registry.Find("a")->mStart == 100);
+    CHECK(registry.Find("a")->mSequence == sequence);
+    CHECK(registry.Find("a")->mLayers.Count() == 0);
+    CHECK(StateOf(registry, "a") == UpstreamState::kReady);
+  }
+  SECTION("old word of the other does not bring it back") {
+    UpstreamRecord old = Holding(Life(200, 50), {0, 8});
+    old.mHeardAgo = 60400;
+    CHECK(!registry.Merge(old, 60400));
+    CHECK(registry.Find("a")->mStart == 100);
+  }
+  SECTION("one whose end was told does not wait") {
+    UpstreamRegistry other;
+    other.Beat(Life(200, 1), 0);
+    other.Beat(Life(100, 1), 59000);
+    other.Leave("a", 59500, 100);
+    other.Expire(3600, 60001);
+    CHECK(StateOf(other, "a") == UpstreamState::kGone);
+  }
+  SECTION("a router that is told of changes alone comes to the same") {
+    UpstreamRegistry router;
+    router.Merge(Life(200, 50, UpstreamState::kSilent), 0);
+    router.Merge(Life(100, 1), 55000);
+    router.ForgetEnded(60000);
+    CHECK(router.Find("a")->mStart == 200);
+    router.ForgetEnded(60001);
+    CHECK(router.Find("a")->mStart == 100);
+  }
+}
+
+Test(registry, routers_forget_those_that_ended_and_no_others) {
+  UpstreamRegistry router;
+  router.Merge(Record("gone", 3, UpstreamState::kGone), 0);
+  UpstreamRecord ready = Record("ready", 3);
+  ready.mAddress = "10.0.0.2:80";
+  router.Merge(ready, 0);
+  const std::int64_t before = router.NewestChange();
+  router.ForgetEnded(60000);
+  CHECK(router.Size() == 2);
+  router.ForgetEnded(60001);
+  CHECK(router.Find("gone") == nullptr);
+  CHECK(router.Find("ready") != nullptr);
+  CHECK(router.NewestChange() > before);
+}
+
+Test(registry, an_address_has_the_process_that_started_there_last) {
+  UpstreamRegistry registry;
+  UpstreamRecord fresh = Record("fresh", 1);
+  fresh.mStart = 200;
+  fresh.mService = "other";
+  registry.Beat(fresh, 1000);
+  SECTION("a late heartbeat of the one before does not end it") {
+    UpstreamRecord late = Record("late", 30);
+    late.mStart = 100;
+    registry.Beat(late, 1100);
+    CHECK(StateOf(registry, "fresh") == UpstreamState::kReady);
+    CHECK(StateOf(registry, "late") == UpstreamState::kSilent);
+  }
+  SECTION("one that started there later does") {
+    UpstreamRecord next = Record("next", 1);
+    next.mStart = 300;
+    registry.Beat(next, 1200);
+    CHECK(StateOf(registry, "fresh") == UpstreamState::kGone);
+    CHECK(StateOf(registry, "next") == UpstreamState::kReady);
+  }
+}
+
+Test(registry, processes_of_the_former_version_tell_no_starts) {
+  UpstreamRegistry registry;
+  SECTION("among themselves they are ordered by sequence, as ever") {
+    registry.Merge(Life(0, 5), 0);
+    CHECK(!registry.Merge(Life(0, 4, UpstreamState::kReady), 10));
+    CHECK(registry.Merge(Life(0, 6, UpstreamState::kLeaving), 20));
+  }
+  SECTION("any start that is told is newer") {
+    CHECK(registry.Merge(Life(100, 1), 30));
+    CHECK(!registry.Merge(Life(0, 9), 40));
+    CHECK(registry.Find("a")->mStart == 100);
+    CHECK(StateOf(registry, "a") == UpstreamState::kReady);
+  }
+}
+
+Test(registry, who_doubts_is_told_of_a_newer_start) {
+  UpstreamRegistry there;
+  there.Beat(Life(200, 1), 0);
+  CHECK(there.HeardLater({{"a", 50, 100}}, 3600, 10).size() == 1);
+  CHECK(there.HeardLater({{"a", 0, 300}}, 3600, 10).empty());
+}
+
+Test(rows, a_bad_row_costs_that_row_only) {
+  std::vector<UpstreamRecord> records = {Life(100, 1), Life(200, 2),
+                                         Life(300, 3)};
+  for (std::size_t i = 0; i < records.size(); i++) {
+    records[i].mInstance = std::string(1, static_cast<char>('a' + i));
+    records[i].mLayers = {0, 8};
+  }
+  std::vector<std::string> bad;
+  const BadRowHook onBad = [&bad](const std::string& aInstance, const Error&) {
+    bad.push_back(aInstance);
+  };
+  SECTION("whole rows come back as they were") {
+    const auto back = UnpackUpstreams(PackUpstreams(records), onBad);
+    REQUIRE(back.size() == 3);
+    CHECK(back[2].mStart == 300);
+    CHECK(bad.empty());
+  }
+  const auto rowsAfter = [&](const char* aColumn, const Json::Value& aValue) {
+    Json::Value table = ToJson(UpstreamTable::Of(records));
+    table[aColumn][1] = aValue;
+    bad.clear();
+    const auto back = UnpackUpstreams(Pack(DumpJson(table)), onBad);
+    return back.size() == 2 && back[0].mInstance == "a" &&
+           back[1].mInstance == "c" && back[1].mLayers.Count() == 8 &&
+           bad.size() == 1;
+  };
+  SECTION("a value out of range") {
+    CHECK(rowsAfter("slots", -1));
+    CHECK(rowsAfter("froms", -1));
+    CHECK(rowsAfter("froms", 8));
+    CHECK(rowsAfter("states", 4));
+    CHECK(rowsAfter("sequences", -1));
+    CHECK(rowsAfter("starts", -1));
+    CHECK(rowsAfter("heard_ago_ms", -1));
+    CHECK(rowsAfter("services", 9));
+    CHECK(rowsAfter("busy", 2));
+    CHECK(rowsAfter("addresses", "nowhere"));
+    CHECK(rowsAfter("addresses", "example.org:80"));
+    CHECK(rowsAfter("instances", "two words"));
+  }
+  SECTION("a value of another type") {
+    for (const char* column : {"instances", "addresses", "services", "zones",
+                               "kinds", "slots", "states", "froms", "tos",
+                               "busy", "sequences", "heard_ago_ms", "starts"}) {
+      CHECK(rowsAfter(column, Json::Value(Json::objectValue)));
+      CHECK(rowsAfter(column, Json::Value()));
+    }
+    CHECK(rowsAfter("sequences", 1.5));
+    CHECK(rowsAfter("starts", "100"));
+  }
+  SECTION("a column that ends early") {
+    Json::Value table = ToJson(UpstreamTable::Of(records));
+    table["tos"].resize(1);
+    const auto back = UnpackUpstreams(Pack(DumpJson(table)), onBad);
+    CHECK(back.size() == 1);
+  }
+  SECTION("no starts at all, as the former version writes") {
+    Json::Value table = ToJson(UpstreamTable::Of(records));
+    table.removeMember("starts");
+    const auto back = UnpackUpstreams(Pack(DumpJson(table)), onBad);
+    REQUIRE(back.size() == 3);
+    CHECK(back[0].mStart == 0);
+  }
+  SECTION("heartbeats") {
+    BeatTable beats;
+    beats.mInstances = {"a", "", "c", "d"};
+    beats.mSequences = {1, 2, -3, 4};
+    beats.mHeardAgo = {0, 0, 0};
+    CHECK(beats.Beats(onBad).size() == 1);
+  }
+  SECTION("rows of a list in a message") {
+    std::vector<Json::Value> rows = WriteRows(records);
+    rows[1]["sequence"] = "two";
+    rows.emplace_back(7);
+    CHECK(ReadRows<UpstreamRecord>(rows, onBad).size() == 2);
+  }
+}
+
+Test(rows, what_is_left_out_is_logged_now_and_then) {
+  BadWordPace pace;
+  CHECK(pace.Note(0).mLogs);
+  for (Millis now = 1; now < 10000; now += 100) {
+    CHECK(!pace.Note(now).mLogs);
+  }
+  const BadWordPace::Turn turn = pace.Note(10000);
+  CHECK(turn.mLogs);
+  CHECK(turn.mNotLogged == 100);
+}
+
 Test(voters, the_id_names_address_and_disk) {
   const Endpoint address{"10.0.0.1", 7000};
   const std::string id = ControlId(address, "first");
