Word of upstreams is judged row by row everywhere; stories of restarts over processes

Cause: heartbeats by columns and loads were lost whole for one value of another type, and an exception in a router's answer left out the rest of it, the lease's confirmation with it. That routers and controls act on a restart was shown for the registry alone.

Change: columns are read value by value where reading them at once fails; rows are left out one by one also among heartbeats and loads, and a list that is none costs itself only. The same incarnation told with its start after word without it is no restart. Fuzzers of heartbeats, leaves, reports, tables and rows check that what is read can be used.

--- a/daemons/bad_words.cpp
+++ b/daemons/bad_words.cpp
@@ -35,14 +35,30 @@
   };
 }
 
-std::vector<UpstreamRecord> BadWords::Unpack(const char* aAt,
-                                             std::string_view aPacked) {
+template <class Rows>
+Rows BadWords::RowsOf(const char* aAt, const std::function<Rows()>& aRead) {
   try {
-    return UnpackUpstreams(aPacked, At(aAt));
+    return aRead();
   } catch (const Error& error) {
     Note(aAt, "", error);
     return {};
   }
 }
 
+std::vector<UpstreamRecord> BadWords::Unpack(const char* aAt,
+                                             std::string_view aPacked) {
+  return RowsOf<std::vector<UpstreamRecord>>(
+      aAt, [&] { return UnpackUpstreams(aPacked, At(aAt)); });
+}
+
+std::vector<UpstreamBeat> BadWords::Beats(const char* aAt,
+                                          const Json::Value& aTable) {
+  return RowsOf<std::vector<UpstreamBeat>>(
+      aAt, [&] { return ReadBeats(aTable, At(aAt)); });
+}
+
+LoadShares BadWords::Loads(const char* aAt, std::string_view aPacked) {
+  return RowsOf<LoadShares>(aAt, [&] { return UnpackLoads(aPacked, At(aAt)); });
+}
+
 }  // namespace spindleweir
--- a/daemons/bad_words.h
+++ b/daemons/bad_words.h
@@ -1,6 +1,9 @@
 /// Counts and logs word of upstreams that cannot be used.
 #pragma once
 
+#include <json/value.h>
+
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -8,6 +11,7 @@
 
 #include "spindleweir/core/counters.h"
 #include "spindleweir/servers/membership/upstream_check.h"
+#include "spindleweir/servers/routing/load_book.h"
 
 namespace spindleweir {
 
@@ -17,14 +21,20 @@
  public:
   explicit BadWords(Counters& aCounters) : mCounters(aCounters) {}
 
-  /// aAt: where it came in: "heartbeat", "news", "disk" or "report".
+  /// aAt: where it came in: "heartbeat", "news", "loads", "disk", "report".
   void Note(const char* aAt, const std::string& aInstance, const Error& aWhy);
   /// The same as a hook.
   BadRowHook At(const char* aAt);
-  /// The records of a packed list; none where it cannot be read at all.
+  /// The rows of a list that can be used; none where it cannot be read at all.
   std::vector<UpstreamRecord> Unpack(const char* aAt, std::string_view aPacked);
+  std::vector<UpstreamBeat> Beats(const char* aAt, const Json::Value& aTable);
+  LoadShares Loads(const char* aAt, std::string_view aPacked);
 
  private:
+  /// What aRead gives; nothing where it throws.
+  template <class Rows>
+  Rows RowsOf(const char* aAt, const std::function<Rows()>& aRead);
+
   Counters& mCounters;
   std::map<std::string, BadWordPace> mPaces;  ///< By labels.
 };
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -159,8 +159,10 @@
     return now - aItem.second > kAskerKept;
   });
   if (aQuestion.mTellsLoads > 0) {
-    mLoads.Tell(aQuestion.mProcess, aQuestion.mTellsLoads,
-                aQuestion.mLoads.Shares(), now);
+    mLoads.Tell(
+        aQuestion.mProcess, aQuestion.mTellsLoads,
+        UsableRows(aQuestion.mLoads, mContext.mBadWords.At("loads")).Shares(),
+        now);
   }
 }
 
@@ -240,8 +242,10 @@
   if (aAnswer.mLoadsNumber == source.mLoadsNumber && sameLife) {
     mLoads.HearOfControl(aAddress.Text(), aAnswer.mOwnRouters, now);
   } else {
-    mLoads.TellOfControl(aAddress.Text(), UnpackLoads(aAnswer.mPackedLoads),
-                         aAnswer.mOwnRouters, now);
+    mLoads.TellOfControl(
+        aAddress.Text(),
+        mContext.mBadWords.Loads("loads", aAnswer.mPackedLoads),
+        aAnswer.mOwnRouters, now);
     source.mLoadsNumber = aAnswer.mLoadsNumber;
   }
   mDirectory.Heard(aAnswer.mSelf, now);
--- a/daemons/control/upstream_intake.cpp
+++ b/daemons/control/upstream_intake.cpp
@@ -78,7 +78,7 @@
     }
   }
   for (const UpstreamBeat& beat :
-       aQuestion.mTakenBeats.Beats(mContext.mBadWords.At("news"))) {
+       mContext.mBadWords.Beats("news", aQuestion.mTakenBeats)) {
     mRegistry.Touch(beat, now);
   }
 }
@@ -93,7 +93,7 @@
     }
   }
   for (const UpstreamBeat& beat :
-       aAnswer.mBeats.Beats(mContext.mBadWords.At("news"))) {
+       mContext.mBadWords.Beats("news", aAnswer.mBeats)) {
     mRegistry.Touch(beat, now, aBy);
   }
 }
@@ -115,8 +115,8 @@
   if (fromControl) {
     const std::set<std::string> hears(aQuestion.mHears.begin(),
                                       aQuestion.mHears.end());
-    aAnswer.mBeats =
-        BeatTable::Of(mRegistry.BeatsSince(known, feed.mRevision, now, hears));
+    aAnswer.mBeats = ToJson(
+        BeatTable::Of(mRegistry.BeatsSince(known, feed.mRevision, now, hears)));
   }
   const std::vector<SilentUpstream> silent = ReadRows<SilentUpstream>(
       aQuestion.mSilent, mContext.mBadWords.At("news"));
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -75,7 +75,7 @@
   if (!untold.mChanged.empty()) {
     aQuestion.mTakenUpstreams = PackUpstreams(untold.mChanged);
   }
-  aQuestion.mTakenBeats = BeatTable::Of(untold.mBeats);
+  aQuestion.mTakenBeats = ToJson(BeatTable::Of(untold.mBeats));
   return untold.mNumber;
 }
 
@@ -156,7 +156,8 @@
   // Others tell their work as often as this router, to this control or by way
   // of another: on the whole what is told is one such period old.
   mContext.SetOtherLoads(
-      mTold.OthersIn(UnpackLoads(aAnswer.mPackedLoads), aAnswer.mSummedLoads),
+      mTold.OthersIn(mContext.mBadWords.Loads("loads", aAnswer.mPackedLoads),
+                     aAnswer.mSummedLoads),
       aAskedAt - aAnswer.mAskEvery - aAnswer.mLoadsAgo);
 }
 
--- /dev/null
+++ b/include/spindleweir/core/loose_columns.h
@@ -0,0 +1,74 @@
+/// Reads messages that consist of columns value by value: one that is of
+/// another type than its column stands as a mark that no usable row has, in
+/// place of an error for the whole message.
+#pragma once
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <string>
+#include <type_traits>
+#include <vector>
+
+#include "spindleweir/core/error.h"
+
+namespace spindleweir {
+
+/// What stands for a value that cannot be read, by type. Rows are checked
+/// anyway: no number of theirs may be negative, no name hold such a sign.
+inline constexpr int kNoNumber = -1;
+inline constexpr const char* kNoName = "\x01";
+
+/// A codec for a member template `Fields`, as JsonReader is.
+class LooseColumns {
+ public:
+  /// Throws kBadField where aObject is no object.
+  explicit LooseColumns(const Json::Value& aObject) : mObject(aObject) {
+    if (!aObject.isObject()) {
+      throw Error(ResultCode::kBadField, "the table must be an object");
+    }
+  }
+
+  /// Throws kBadField where the column is no array.
+  template <class T>
+  void Field(const char* aName, std::vector<T>& aColumn) {
+    const Json::Value& values = mObject[aName];
+    if (values.isNull()) {
+      return;
+    }
+    if (!values.isArray()) {
+      throw Error(ResultCode::kBadField,
+                  std::string(aName) + " must be an array");
+    }
+    aColumn.clear();
+    aColumn.reserve(values.size());
+    for (const Json::Value& value : values) {
+      aColumn.push_back(ValueOf<T>(value));
+    }
+  }
+  template <class T>
+  void Required(const char* aName, std::vector<T>& aColumn) {
+    if (!mObject.isMember(aName)) {
+      throw Error(ResultCode::kBadField, std::string(aName) + " is missing");
+    }
+    Field(aName, aColumn);
+  }
+
+ private:
+  template <class T>
+  static T ValueOf(const Json::Value& aValue) {
+    if constexpr (std::is_same_v<T, std::string>) {
+      return aValue.isString() ? aValue.asString() : kNoName;
+    } else if constexpr (std::is_same_v<T, int>) {
+      return aValue.isInt() ? aValue.asInt() : kNoNumber;
+    } else if constexpr (std::is_same_v<T, std::int64_t>) {
+      return aValue.isInt64() ? aValue.asInt64() : kNoNumber;
+    } else {
+      return aValue.isNumeric() ? aValue.asDouble() : kNoNumber;
+    }
+  }
+
+  const Json::Value& mObject;
+};
+
+}  // namespace spindleweir
--- a/include/spindleweir/servers/membership/upstream_table.h
+++ b/include/spindleweir/servers/membership/upstream_table.h
@@ -77,6 +77,11 @@
   }
 };
 
+/// The heartbeats of a table in a message; none where there is no table. Throws
+/// kBadField where it is none at all.
+std::vector<UpstreamBeat> ReadBeats(const Json::Value& aTable,
+                                    const BadRowHook& aOnBad = {});
+
 /// Records as one text. Throws, on the way back, kDataCorrupt, kMalformedJson
 /// or kBadField where a text is no table at all.
 std::string PackUpstreams(const std::vector<UpstreamRecord>& aRecords);
--- a/include/spindleweir/servers/routing/load_book.h
+++ b/include/spindleweir/servers/routing/load_book.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "spindleweir/core/clock.h"
+#include "spindleweir/servers/membership/upstream_check.h"
 
 namespace spindleweir {
 
@@ -56,10 +57,15 @@
   }
 };
 
+/// A table without the rows that have a bad name, a negative number, or lack a
+/// column that others have.
+LoadTable UsableRows(const LoadTable& aTable, const BadRowHook& aOnBad);
+
 /// Loads as one text, for the way between processes; "" stands for none.
 std::string PackLoads(const LoadShares& aShares);
 /// Throws kDataCorrupt, kBadJson or kBadField where a text is no such loads.
-LoadShares UnpackLoads(std::string_view aPacked);
+/// With a hook, rows that cannot be used are told to it and left out.
+LoadShares UnpackLoads(std::string_view aPacked, const BadRowHook& aOnBad = {});
 
 /// Loads as they are handed out, to any number of askers.
 struct PackedLoads {
--- a/servers/membership/upstream_registry.cpp
+++ b/servers/membership/upstream_registry.cpp
@@ -188,8 +188,14 @@
   const Heard before = static_cast<const Heard&>(aItem);
   std::optional<Heard> waiting = std::move(aItem.mWaiting);
   const bool unknown = aItem.mLeftUnknownAt >= 0;
+  // One process did not tell the start of the same incarnation, and another
+  // does: one that starts again counts anew.
+  const bool learnt = before.mRecord.mStart == 0 &&
+                      !Ends(before.mRecord.mState) &&
+                      aRecord.mSequence > before.mRecord.mSequence;
+  const bool follows = !unknown && !learnt;
   const bool left = unknown && aHeardAt <= aItem.mLeftUnknownAt + kLeaveDoubt;
-  if (!unknown && before.mHeardAt > aHeardAt) {
+  if (follows && before.mHeardAt > aHeardAt) {
     waiting = before;
   }
   Forget(before.mRecord);
@@ -198,12 +204,12 @@
                 .mHeardAt = aHeardAt,
                 .mFirstAt = aHeardAt,
                 .mToldBy = aToldBy});
-  aItem.mFollows = !unknown;
+  aItem.mFollows = follows;
   aItem.mWaiting = std::move(waiting);
   if (left) {
     aItem.mRecord.mState = UpstreamState::kGone;
   }
-  if (!unknown && mOnSuccessor) {
+  if (follows && mOnSuccessor) {
     mOnSuccessor(aItem.mRecord);
   }
   return true;
--- a/servers/membership/upstream_table.cpp
+++ b/servers/membership/upstream_table.cpp
@@ -5,6 +5,7 @@
 
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/json_codec.h"
+#include "spindleweir/core/loose_columns.h"
 #include "spindleweir/core/packing.h"
 
 namespace spindleweir {
@@ -80,100 +81,17 @@
   return aStarts.empty() ? 0 : aStarts[aRow];
 }
 
-/// The values of one column as they were written, each to be judged by itself.
-using LooseColumn = std::vector<Json::Value>;
-
-/// What stands for a value that is none of its column: no row with it can be
-/// used, since names, indices and numbers are checked.
-constexpr int kNoNumber = -1;
-constexpr const char* kNoName = "\x01";
-
-std::vector<int> NumbersOf(const LooseColumn& aColumn) {
-  std::vector<int> numbers;
-  for (const Json::Value& value : aColumn) {
-    numbers.push_back(value.isInt() ? value.asInt() : kNoNumber);
-  }
-  return numbers;
-}
-
-std::vector<std::int64_t> LongNumbersOf(const LooseColumn& aColumn) {
-  std::vector<std::int64_t> numbers;
-  for (const Json::Value& value : aColumn) {
-    numbers.push_back(value.isInt64() ? value.asInt64() : kNoNumber);
-  }
-  return numbers;
-}
-
-std::vector<std::string> NamesOf(const LooseColumn& aColumn) {
-  std::vector<std::string> names;
-  for (const Json::Value& value : aColumn) {
-    names.push_back(value.isString() ? value.asString() : kNoName);
-  }
-  return names;
-}
-
-/// A table in which some value is of another type than its column.
-struct LooseTable {
-  LooseColumn mNames;
-  LooseColumn mInstances;
-  LooseColumn mAddresses;
-  LooseColumn mServices;
-  LooseColumn mZones;
-  LooseColumn mKinds;
-  LooseColumn mSlots;
-  LooseColumn mStates;
-  LooseColumn mFroms;
-  LooseColumn mTos;
-  LooseColumn mBusy;
-  LooseColumn mSequences;
-  LooseColumn mHeardAgo;
-  LooseColumn mStarts;
-
-  template <class Codec>
-  void Fields(Codec& aCodec) {
-    aCodec.Required("names", mNames);
-    aCodec.Required("instances", mInstances);
-    aCodec.Required("addresses", mAddresses);
-    aCodec.Required("services", mServices);
-    aCodec.Required("zones", mZones);
-    aCodec.Required("kinds", mKinds);
-    aCodec.Required("slots", mSlots);
-    aCodec.Required("states", mStates);
-    aCodec.Required("froms", mFroms);
-    aCodec.Required("tos", mTos);
-    aCodec.Required("busy", mBusy);
-    aCodec.Required("sequences", mSequences);
-    aCodec.Required("heard_ago_ms", mHeardAgo);
-    aCodec.Field("starts", mStarts);
-  }
-
-  UpstreamTable Table() const {
-    UpstreamTable table;
-    table.mNames = NamesOf(mNames);
-    table.mInstances = NamesOf(mInstances);
-    table.mAddresses = NamesOf(mAddresses);
-    table.mServices = NumbersOf(mServices);
-    table.mZones = NumbersOf(mZones);
-    table.mKinds = NumbersOf(mKinds);
-    table.mSlots = NumbersOf(mSlots);
-    table.mStates = NumbersOf(mStates);
-    table.mFroms = NumbersOf(mFroms);
-    table.mTos = NumbersOf(mTos);
-    table.mBusy = NumbersOf(mBusy);
-    table.mSequences = LongNumbersOf(mSequences);
-    table.mHeardAgo = LongNumbersOf(mHeardAgo);
-    table.mStarts = LongNumbersOf(mStarts);
-    return table;
-  }
-};
-
 /// Reading value by value costs several times as much, and is for tables that
 /// need it only.
-UpstreamTable ReadTable(const Json::Value& aJson) {
+template <class Table>
+Table ReadTable(const Json::Value& aJson) {
   try {
-    return FromJson<UpstreamTable>(aJson);
+    return FromJson<Table>(aJson);
   } catch (const Error&) {
-    return FromJson<LooseTable>(aJson).Table();
+    Table table;
+    LooseColumns columns(aJson);
+    table.Fields(columns);
+    return table;
   }
 }
 
@@ -271,6 +189,14 @@
   return beats;
 }
 
+std::vector<UpstreamBeat> ReadBeats(const Json::Value& aTable,
+                                    const BadRowHook& aOnBad) {
+  if (aTable.isNull()) {
+    return {};
+  }
+  return ReadTable<BeatTable>(aTable).Beats(aOnBad);
+}
+
 std::string PackUpstreams(const std::vector<UpstreamRecord>& aRecords) {
   return Pack(DumpJson(ToJson(UpstreamTable::Of(aRecords))));
 }
@@ -278,7 +204,7 @@
 std::vector<UpstreamRecord> UnpackUpstreams(std::string_view aPacked,
                                             const BadRowHook& aOnBad) {
   const std::string text = Unpack(aPacked, kMostUnpacked);
-  return ReadTable(ParseJson(text)).Records(aOnBad);
+  return ReadTable<UpstreamTable>(ParseJson(text)).Records(aOnBad);
 }
 
 }  // namespace spindleweir
--- a/servers/routing/load_book.cpp
+++ b/servers/routing/load_book.cpp
@@ -1,5 +1,7 @@
 #include "spindleweir/servers/routing/load_book.h"
 
+#include "servers/routing/load_check.h"
+
 #include <algorithm>
 
 #include "spindleweir/core/error.h"
@@ -94,11 +96,14 @@
   return table.mInstances.empty() ? "" : Pack(DumpJson(ToJson(table)));
 }
 
-LoadShares UnpackLoads(std::string_view aPacked) {
+LoadShares UnpackLoads(std::string_view aPacked, const BadRowHook& aOnBad) {
   if (aPacked.empty()) {
     return {};
   }
   const std::string text = Unpack(aPacked, kMostUnpacked);
+  if (aOnBad) {
+    return ReadLoadTable(ParseJson(text), aOnBad).Shares();
+  }
   return FromJson<LoadTable>(ParseJson(text)).Shares();
 }
 
--- /dev/null
+++ b/tests/daemons/incarnation_test.cpp
@@ -0,0 +1,203 @@
+/// Upstreams that start again under their name, over processes.
+#include "tests/daemons/relay_story.h"
+
+using namespace spindleweir;
+
+namespace {
+
+constexpr std::int64_t kFirstStart = 1790000000000;
+constexpr std::int64_t kNextStart = kFirstStart + 60000;
+
+UpstreamRecord WordOf(const ScriptedUpstream& aUpstream, std::int64_t aStart,
+                      std::int64_t aSequence) {
+  return {.mInstance = aUpstream.Instance(),
+          .mStart = aStart,
+          .mService = "counter",
+          .mAddress = aUpstream.Address(),
+          .mZone = "z",
+          .mSlots = 6,
+          .mSequence = aSequence};
+}
+
+UpstreamRecord EngineWord(const ScriptedUpstream& aEngine, std::int64_t aStart,
+                          std::int64_t aSequence, LayerRange aLayers) {
+  UpstreamRecord record = WordOf(aEngine, aStart, aSequence);
+  record.mService = "model";
+  record.mKind = "k";
+  record.mLayers = aLayers;
+  return record;
+}
+
+/// A heartbeat as it stands, until control answers.
+BeatAnswer BeatAtControl(RelayStory& aStory, const UpstreamRecord& aRecord) {
+  BeatAnswer answer;
+  bool ended = false;
+  aStory.mControl->Beat(aRecord, [&](const BeatAnswer& aAnswer) {
+    answer = aAnswer;
+    ended = true;
+  });
+  REQUIRE(aStory.RunUntil([&ended] { return ended; }));
+  return answer;
+}
+
+std::int64_t RestartsSeen(RelayStory& aStory) {
+  return aStory.mRouter->OwnCounters().Value("upstreams_restarted");
+}
+
+std::int64_t ReadyAtRouter(RelayStory& aStory) {
+  aStory.mRouter->RefreshGauges();
+  return aStory.mRouter->OwnCounters().Value("upstreams_ready");
+}
+
+/// A stream, begun and left to itself.
+struct OpenStream {
+  explicit OpenStream(RelayStory& aStory) : mBegun(SteadyNow()) {
+    StreamCallOptions options;
+    options.mServer = aStory.mRouter->Address();
+    options.mMethod = "POST";
+    options.mTarget = "/stream/x";
+    options.mHeaders = {{"Host", "shop"},
+                        {"X-Request", "s" + std::to_string(++aStory.mRequest)},
+                        {"X-Key", "key"}};
+    options.mOnHead = [this](const AnswerHead& aHead) {
+      mStatus = aHead.mStatus;
+    };
+    options.mOnEnd = [this](StreamEnd aEnd) {
+      mEnd = aEnd;
+      mEnded = true;
+    };
+    mCall = StartStreamCall(aStory.mLoop, std::move(options));
+  }
+
+  Millis mBegun;
+  int mStatus = 0;
+  StreamEnd mEnd = StreamEnd::kNotSent;
+  bool mEnded = false;
+  std::unique_ptr<StreamCall> mCall;
+};
+
+}  // namespace
+
+Test(incarnation, who_left_is_used_again_after_it_started_again) {
+  RelayStory story;
+  story.Begin();
+  BeatAtControl(story, WordOf(story.mA, kFirstStart, 90));
+  UpstreamRecord leaving = WordOf(story.mA, kFirstStart, 91);
+  leaving.mState = UpstreamState::kLeaving;
+  BeatAtControl(story, leaving);
+  REQUIRE(story.RunUntil([&story] { return ReadyAtRouter(story) == 1; }));
+  const int before = story.mA.AllRuns();
+  SECTION("counting anew it is new, and gets requests") {
+    BeatAtControl(story, WordOf(story.mA, kNextStart, 1));
+    for (int i = 0; story.mA.AllRuns() == before; i++) {
+      REQUIRE(i < 200);
+      CHECK(story.Call("/look/x").mStatus == 200);
+      story.Wait(5);
+    }
+  }
+  SECTION("a late heartbeat of the one before does not end it") {
+    leaving.mSequence = 200;
+    BeatAtControl(story, leaving);
+    story.Wait(500);
+    CHECK(ReadyAtRouter(story) == 2);
+  }
+  SECTION("nor does a late leave, which is not acknowledged") {
+    bool accepted = true;
+    bool ended = false;
+    story.mControl->Leave(story.mA.Instance(), [&](const BeatAnswer& aAnswer) {
+      accepted = aAnswer.mAccepted;
+      ended = true;
+    });
+    REQUIRE(story.RunUntil([&ended] { return ended; }));
+    CHECK(!accepted);
+    CHECK(ReadyAtRouter(story) == 2);
+  }
+  SECTION("its own leave, told with its start, does") {
+    bool accepted = false;
+    story.mControl->Leave(
+        story.mA.Instance(),
+        [&](const BeatAnswer& aAnswer) { accepted = aAnswer.mAccepted; },
+        kNextStart);
+    REQUIRE(story.RunUntil(
+        [&story, &accepted] { return accepted && ReadyAtRouter(story) == 1; }));
+  }
+}
+
+Test(incarnation, streams_through_the_one_before_move_at_once) {
+  // Silence alone moves a stream after a second.
+  constexpr Millis kBySilence = 900;
+  RelayStory story;
+  story.Begin();
+  story.BeginEngine(story.mA);
+  std::int64_t start = kFirstStart;
+  Millis took = kBySilence;
+  // Another round where this machine was too slow to tell the two apart.
+  for (int round = 0; took >= kBySilence && round < 5; round++) {
+    BeatAtControl(story, EngineWord(story.mB, ++start, 1, {}));
+    BeatAtControl(story, EngineWord(story.mA, ++start, 1, {0, 8}));
+    const std::int64_t seen = RestartsSeen(story);
+    REQUIRE(story.RunUntil([&] { return ReadyAtRouter(story) == 2; }));
+    story.Wait(600);
+    const int runsOfA = story.mA.AllRuns();
+    const int runsOfB = story.mB.AllRuns();
+    story.mA.Next({UpstreamAct::kSilent});
+    const OpenStream stream(story);
+    REQUIRE(story.RunUntil([&] { return story.mA.AllRuns() == runsOfA + 1; }));
+    BeatAtControl(story, EngineWord(story.mB, start, 2, {0, 8}));
+    BeatAtControl(story, EngineWord(story.mA, ++start, 1, {}));
+    REQUIRE(story.RunUntil([&] { return story.mB.AllRuns() == runsOfB + 1; }));
+    took = SteadyNow() - stream.mBegun;
+    CHECK(RestartsSeen(story) > seen);
+    REQUIRE(story.RunUntil([&stream] { return stream.mEnded; }));
+    CHECK(stream.mStatus == 200);
+    CHECK(stream.mEnd == StreamEnd::kComplete);
+  }
+  CHECK(took < kBySilence);
+}
+
+Test(incarnation, a_call_that_was_sent_to_the_one_before_is_not_sent_again) {
+  RelayStory story;
+  story.Begin();
+  BeatAtControl(story, WordOf(story.mA, kFirstStart, 90));
+  BeatAtControl(story, WordOf(story.mB, kFirstStart, 90));
+  story.Wait(300);
+  story.mA.Next({UpstreamAct::kSilent});
+  story.mB.Next({UpstreamAct::kSilent});
+  const int before = story.mA.AllRuns() + story.mB.AllRuns();
+  const auto restart = story.mLoop.After(300, [&story] {
+    for (const ScriptedUpstream* upstream : {&story.mA, &story.mB}) {
+      story.mControl->Beat(WordOf(*upstream, kNextStart, 1),
+                           [](const BeatAnswer&) {});
+    }
+  });
+  const Answer answer = story.Call("/pay/x");
+  CHECK(RestartsSeen(story) >= 2);
+  CHECK(answer.mStatus >= 500);
+  CHECK(answer.mStatus != 503);
+  CHECK(story.RunsOfLast() == 1);
+  CHECK(story.mA.AllRuns() + story.mB.AllRuns() == before + 1);
+}
+
+Test(incarnation, word_that_cannot_be_used_is_refused_and_counted) {
+  RelayStory story;
+  story.Begin();
+  UpstreamRecord strange = WordOf(story.mA, kFirstStart, 1);
+  strange.mInstance = "strange";
+  strange.mService = "nowhere";
+  CHECK(CodeThrownBy([&] {
+          story.mControl->Beat(strange, [](const BeatAnswer&) {});
+        }) == ResultCode::kUnknownService);
+  CHECK(CodeThrownBy([&] {
+          story.mRouter->Beat(strange, [](const BeatAnswer&) {});
+        }) == ResultCode::kUnknownService);
+  SECTION("one that leaves is always heard") {
+    strange.mState = UpstreamState::kLeaving;
+    CHECK(BeatAtControl(story, strange).mAccepted);
+  }
+  SECTION("it counts by where it came in and why") {
+    story.mControl->BadBeat("x", Error(ResultCode::kBadHeartbeat, "why"));
+    CHECK(story.mControl->OwnCounters().Value(
+              "bad_upstream_words",
+              "at=\"heartbeat\",cause=\"BadHeartbeat\"") == 1);
+  }
+}
--- a/tests/daemons/placing_test.cpp
+++ b/tests/daemons/placing_test.cpp
@@ -81,6 +81,7 @@
     mSequence++;
     for (int i = 0; i < kEngines; i++) {
       mControl->Beat({.mInstance = "i" + std::to_string(i),
+                      .mStart = mStart,
                       .mService = "model",
                       .mAddress = AddressOf(i),
                       .mZone = "z",
@@ -99,6 +100,7 @@
   int mOrders = 0;
   int mStatus = 202;
   std::int64_t mSequence = 0;
+  std::int64_t mStart = 0;
 };
 
 }  // namespace
@@ -128,3 +130,21 @@
     return story.mOrders > kEngines + kEngines / 2;
   }));
 }
+
+Test(placing, engines_that_start_again_are_given_layers_again) {
+  // Without their starts told apart they were waited for: 15 s for the effect
+  // of the orders of before.
+  constexpr Millis kWithin = 10000;
+  PlacingStory story;
+  story.mStart = 100;
+  story.Publish();
+  const auto beats = story.mLoop.Every(500, [&story] { story.Beat(); });
+  REQUIRE(RunLoopUntil(story.mLoop,
+                       [&story] { return story.mOrders >= kEngines; }));
+  story.mStart = 200;
+  story.mSequence = 0;
+  const Millis restarted = SteadyNow();
+  REQUIRE(RunLoopUntil(story.mLoop,
+                       [&story] { return story.mOrders >= 2 * kEngines; }));
+  CHECK(SteadyNow() - restarted < kWithin);
+}
--- a/tests/fuzz/parsers_fuzzer.cpp
+++ b/tests/fuzz/parsers_fuzzer.cpp
@@ -23,6 +23,7 @@
 #include "spindleweir/drivers/platform_list.h"
 #include "spindleweir/servers/configuration/configuration_history.h"
 #include "spindleweir/servers/configuration/intent_check.h"
+#include "spindleweir/servers/membership/upstream_table.h"
 #include "spindleweir/servers/routes/traffic_change.h"
 #include "spindleweir/servers/streams/event_reader.h"
 
@@ -116,6 +117,31 @@
   ReadNews(&none, {.mBase = 1, .mVersion = 2, .mPacked = std::string(aBytes)});
 }
 
+/// What was read can be used, or is left out and told.
+template <class T>
+void RequireAll(const std::vector<T>& aRows) {
+  try {
+    for (const T& row : aRows) {
+      RequireUsable(row);
+    }
+  } catch (const Error&) {
+    abort();
+  }
+}
+
+const BadRowHook kNoted = [](const std::string&, const Error&) {};
+
+void ReadUpstreamTable(std::string_view aBytes) {
+  RequireAll(UnpackUpstreams(Pack(aBytes), kNoted));
+}
+
+void ReadUpstreamRows(std::string_view aBytes) {
+  const Json::Value list = ParseJson(aBytes);
+  if (list.isArray()) {
+    RequireAll(ReadRows<UpstreamRecord>({list.begin(), list.end()}, kNoted));
+  }
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* aData,
@@ -126,7 +152,7 @@
   const std::string_view bytes(reinterpret_cast<const char*>(aData) + 1,
                                aSize - 1);
   try {
-    switch (aData[0] % 14) {
+    switch (aData[0] % 18) {
       case 0:
         ReadBody(bytes, true);
         break;
@@ -155,7 +181,7 @@
         ReadDocument(bytes);
         break;
       case 9:
-        platform::ReadHeartbeat("i", bytes);
+        RequireAll<UpstreamRecord>({platform::ReadHeartbeat("i", bytes)});
         break;
       case 10:
         platform::EngineMessages().mReadState(bytes);
@@ -166,9 +192,21 @@
       case 12:
         ReadPacked(bytes);
         break;
-      default:
+      case 13:
         FromJson<ConfigurationNews>(ParseJson(bytes));
         break;
+      case 14:
+        platform::ReadLeave(bytes);
+        break;
+      case 15:
+        ReadUpstreamTable(bytes);
+        break;
+      case 16:
+        ReadUpstreamRows(bytes);
+        break;
+      default:
+        RequireAll(FromJson<BeatTable>(ParseJson(bytes)).Beats(kNoted));
+        break;
     }
   } catch (const Error&) {
     return 0;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -157,6 +157,83 @@
         ResultCode::kBadHeartbeat);
 }
 
+Test(platform, word_of_another_writer_names_nobody) {
+  const Json::Value good = ParseJson(
+      R"({"service":"lm","address":"10.128.0.9:8080","zone":"z","slots":192,
+      "state":"ready","seq":4,"born":1790000000000,
+      "layers":{"from":8,"targetVersion":31,"version":1}})");
+  const auto codeWith = [&good](const char* aField, const Json::Value& aValue) {
+    Json::Value changed = good;
+    changed[aField] = aValue;
+    return CodeThrownBy([&] { ReadHeartbeat("i", DumpJson(changed)); });
+  };
+  const auto refused = [&codeWith](const char* aField,
+                                   const Json::Value& aValue) {
+    const ResultCode code = codeWith(aField, aValue);
+    return code == ResultCode::kBadField || code == ResultCode::kBadHeartbeat;
+  };
+  CHECK(ReadHeartbeat("i", DumpJson(good)).mStart == 1790000000000);
+  SECTION("fields missing") {
+    for (const char* field : {"service", "address", "zone", "state", "seq"}) {
+      Json::Value changed = good;
+      changed.removeMember(field);
+      CHECK(CodeThrownBy([&] { ReadHeartbeat("i", DumpJson(changed)); }) ==
+            ResultCode::kBadField);
+      CHECK(refused(field, Json::Value()));
+      CHECK(refused(field, Json::Value(Json::arrayValue)));
+    }
+  }
+  SECTION("numbers that are none, or out of range") {
+    for (const char* field : {"seq", "born", "slots"}) {
+      CHECK(refused(field, -1));
+      CHECK(refused(field, 1.5));
+      CHECK(refused(field, "4"));
+      CHECK(refused(field, true));
+      CHECK(refused(field, 1e30));
+    }
+  }
+  SECTION("layers") {
+    const auto layers = [](const Json::Value& aFrom, const Json::Value& aTo) {
+      Json::Value item(Json::objectValue);
+      item["from"] = aFrom;
+      item["targetVersion"] = aTo;
+      return item;
+    };
+    CHECK(refused("layers", layers(-1, 8)));
+    CHECK(refused("layers", layers(8, 8)));
+    CHECK(refused("layers", layers(9, 8)));
+    CHECK(refused("layers", layers("0", 8)));
+    CHECK(refused("layers", "all"));
+    CHECK(codeWith("layers", Json::Value()) == ResultCode::kOk);
+    CHECK(codeWith("layers", layers(0, 0)) == ResultCode::kOk);
+  }
+  SECTION("addresses, names and states") {
+    for (const char* address :
+         {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:70000", "ten:80",
+          "10.0.0:80", "10.0.0.1:80 "}) {
+      CHECK(refused("address", address));
+    }
+    CHECK(refused("service", ""));
+    CHECK(refused("zone", "a\nb"));
+    CHECK(refused("state", "gone"));
+    CHECK(CodeThrownBy([&] { ReadHeartbeat("a b", DumpJson(good)); }) ==
+          ResultCode::kBadHeartbeat);
+  }
+  SECTION("bytes that cannot be read") {
+    CHECK(CodeThrownBy([] { ReadHeartbeat("i", "\xff\xfe{"); }) ==
+          ResultCode::kMalformedJson);
+  }
+}
+
+Test(platform, a_leave_may_tell_its_start) {
+  CHECK(ReadLeave("") == 0);
+  CHECK(ReadLeave("{}") == 0);
+  CHECK(ReadLeave(R"({"born":1790000000000})") == 1790000000000);
+  CHECK(CodeThrownBy([] { ReadLeave("x"); }) == ResultCode::kMalformedJson);
+  CHECK(CodeThrownBy([] { ReadLeave(R"({"born":"x"})"); }) ==
+        ResultCode::kBadField);
+}
+
 Test(platform, orders_and_reports) {
   const EngineProtocol protocol = EngineMessages();
   const Json::Value place = ParseJson(
@@ -171,6 +248,8 @@
       "stalled":[{"id":"r","address":"10.0.0.1:1"}]})");
   CHECK(state.mBusy && state.mOrders == 3 && state.mLayers.Count() == 0);
   CHECK(state.mStalled.size() == 1 && state.mStalled[0].mRequestId == "r");
+  CHECK(protocol.mReadState(R"({"born":1790000000000})").mStart ==
+        1790000000000);
   CHECK(CodeThrownBy([&] { protocol.mReadState("["); }) ==
         ResultCode::kMalformedJson);
 }
--- a/tests/servers/registry_test.cpp
+++ b/tests/servers/registry_test.cpp
@@ -3,6 +3,7 @@
 #include "spindleweir/servers/membership/upstream_registry.h"
 #include "spindleweir/servers/membership/upstream_table.h"
 #include "spindleweir/servers/membership/voter_plan.h"
+#include "spindleweir/servers/routing/load_book.h"
 #include "tests/test_tools.h"
 
 using namespace spindleweir;
@@ -379,6 +380,16 @@
     CHECK(!registry.Merge(Life(0, 4, UpstreamState::kReady), 10));
     CHECK(registry.Merge(Life(0, 6, UpstreamState::kLeaving), 20));
   }
+  SECTION("the start of the same one that is told elsewhere is no restart") {
+    UpstreamRegistry learning;
+    int successors = 0;
+    learning.OnSuccessor(
+        [&successors](const UpstreamRecord&) { successors++; });
+    learning.Merge(Life(0, 5), 0);
+    CHECK(learning.Beat(Life(100, 6), 10));
+    CHECK(learning.Find("a")->mStart == 100);
+    CHECK(successors == 0);
+  }
   SECTION("any start that is told is newer") {
     CHECK(registry.Merge(Life(100, 1), 30));
     CHECK(!registry.Merge(Life(0, 9), 40));
@@ -464,6 +475,25 @@
     beats.mHeardAgo = {0, 0, 0};
     CHECK(beats.Beats(onBad).size() == 1);
   }
+  SECTION("heartbeats with values of another type") {
+    Json::Value table = ToJson(BeatTable::Of({{"a", 1}, {"b", 2}, {"c", 3}}));
+    table["sequences"][1] = "two";
+    CHECK(ReadBeats(table, onBad).size() == 2);
+    CHECK(ReadBeats(Json::Value(), onBad).empty());
+    CHECK(CodeThrownBy([&] { ReadBeats(Json::Value(7), onBad); }) ==
+          ResultCode::kBadField);
+  }
+  SECTION("loads") {
+    LoadTable loads;
+    loads.mInstances = {"a", "b", "", "d", "e"};
+    loads.mRequests = {1, -2, 3, 4};
+    const LoadShares shares = UsableRows(loads, onBad).Shares();
+    CHECK(shares.size() == 2);
+    CHECK(shares.at("d").mRequests == 4);
+    Json::Value table = ToJson(loads);
+    table["requests"][0] = Json::Value(Json::objectValue);
+    CHECK(UnpackLoads(Pack(DumpJson(table)), onBad).size() == 1);
+  }
   SECTION("rows of a list in a message") {
     std::vector<Json::Value> rows = WriteRows(records);
     rows[1]["sequence"] = "two";
