--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -1,5 +1,5 @@
-/// The part of a control process that finds the others by seeds, keeps the
-/// registry of upstreams, and answers what routers ask.
+/// The part of a control process that finds the others by seeds and answers
+/// what they and routers ask.
 #pragma once
 
 #include <functional>
@@ -11,27 +11,21 @@
 
 #include "daemons/control/replicated_configuration.h"
 #include "daemons/control/start_stamp.h"
-#include "daemons/control/upstream_store.h"
-#include "spindleweir/daemons/beat_answer.h"
+#include "daemons/control/upstream_intake.h"
 #include "spindleweir/daemons/sync_messages.h"
-#include "spindleweir/servers/membership/taker_choice.h"
 #include "spindleweir/servers/routes/newest_confirmation.h"
 
 namespace spindleweir {
 
-/// Membership, registry and spreading on one control process.
+/// Membership and spreading on one control process.
 class SyncService {
  public:
   SyncService(ControlContext& aContext, ReplicatedConfiguration& aLog);
 
-  /// Takes a heartbeat. aDone is called once it may be acknowledged: news
-  /// that an upstream leaves must not be lost with this process.
-  void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
-  void Leave(const std::string& aInstance, const BeatDone& aDone);
-
+  UpstreamIntake& Upstreams() { return mUpstreams; }
   /// Upstreams that several routers cannot connect to.
   std::set<std::string> Unreachable();
-  UpstreamRegistry& Registry() { return mRegistry; }
+  UpstreamRegistry& Registry() { return mUpstreams.Registry(); }
   const ControlDirectory& Directory() const { return mDirectory; }
   /// Who leads, by what the other controls said lately; empty: not known. For
   /// one that is no voter, which no leader speaks to.
@@ -54,9 +48,6 @@
 
   SyncAnswer Answer(const SyncQuestion& aQuestion);
   void Remember(const SyncQuestion& aQuestion);
-  /// Takes the heartbeats that a router took.
-  void TakeBeats(const SyncQuestion& aQuestion);
-  void LogChanged(const UpstreamRecord& aRecord);
   void AskOthers();
   /// The ids of controls that answered lately.
   std::vector<std::string> Hears() const;
@@ -69,16 +60,11 @@
             Millis aAskedAt);
   /// Takes what this control itself confirmed, where it leads.
   void ConfirmOwn(Millis aNow);
-  void Tell(const std::string& aInstance, const BeatDone& aDone);
   void StepVoters();
   void KeepUpstreams();
   /// Whether most of control cannot be heard: then it is this process that
   /// is cut off, and the silence of upstreams says nothing of them.
   bool CutOff() const;
-  /// An upstream that was not heard for so long counts as silent.
-  Millis SilentAfter() const;
-  /// What who asks lacks of the registry.
-  void AddUpstreams(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
   /// Routers that there are, as far as is known.
   int Routers(Millis aNow);
   void AddLoads(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
@@ -88,7 +74,6 @@
   ReplicatedConfiguration& mLog;
   std::string mLife;
   ControlDirectory mDirectory;
-  UpstreamRegistry mRegistry;
   TrafficHistory mTraffic;
   /// The newest that was committed and that nobody has asked for yet. A start
   /// commits the whole log at once: reading each of 118 versions of 600 routes
@@ -96,12 +81,10 @@
   std::optional<PublishedDocument> mUnread;
   std::map<std::string, Millis> mAskedAt;  ///< By router.
   NewestConfirmation mConfirmation;
-  UpstreamStore mStore;
   StartStamp mStamp;
   StartFacts mBefore;  ///< Of the last start; used until routers have asked.
   Millis mStartedAt;
-  TakerChoice mTakers;
-  UpstreamFeed mFeed{UpstreamFeedOptions{}};
+  UpstreamIntake mUpstreams;
   LoadBook mLoads{LoadBookOptions{}};
   std::map<std::string, Source> mSources;  ///< By address.
   std::string mToldLeader;                 ///< Of the newest term told.
