--- a/tests/fuzz/raft_fuzz.cpp
+++ b/tests/fuzz/raft_fuzz.cpp
@@ -128,8 +128,13 @@
         break;
       case 3:
         if (!mNetwork.empty()) {
-          mNetwork.erase(mNetwork.begin() +
-                         aDice / 16 % static_cast<int>(mNetwork.size()));
+          const auto it =
+              mNetwork.begin() + aDice / 16 % static_cast<int>(mNetwork.size());
+          // Its sender may learn of it, also where a double still arrives.
+          if (mProposals % 2 == 0) {
+            mNodes[it->mFrom]->Undelivered(it->mTo);
+          }
+          mNetwork.erase(it);
         }
         break;
       case 4:
