One account of what a process holds for its callers, and a bound for plain upstreams

Cause: a stream held up to 256 KB unread and a collected answer up to 8 MB, which nothing bounded together; nothing bounded what all routers send to a plain upstream. Change: servers/limits/memory_account gives shares of what is free by claim, tells who waits, whom to refuse (2010 MemoryFull, not run) and whom to cut; servers/limits/upstream_bound takes slots and a queue, half of it divided evenly over routers, half by loads and what is probably unseen. Tests: memory_test, 20 seeds of random callers never over the bound; 40 routers with news of one second under 1.5 times an upstream's places.

--- a/core/result_code.cpp
+++ b/core/result_code.cpp
@@ -61,6 +61,8 @@
                    "The lease on the accepted configuration has run out."},
     ResultCodeInfo{kUpstreamFull, "UpstreamFull", 503, Ran::kNo,
                    "The upstreams that could take it are full."},
+    ResultCodeInfo{kMemoryFull, "MemoryFull", 503, Ran::kNo,
+                   "This process holds as much for others as it may."},
     ResultCodeInfo{kOutcomeUnknown, "OutcomeUnknown", 502, Ran::kUnknown,
                    "The upstream was lost after dispatch; it may have run."},
     ResultCodeInfo{kStreamBroken, "StreamBroken", 502, Ran::kUnknown,
--- a/include/spindleweir/core/result_code.h
+++ b/include/spindleweir/core/result_code.h
@@ -42,6 +42,7 @@
   kStopping = 2007,
   kLeaseExpired = 2008,
   kUpstreamFull = 2009,
+  kMemoryFull = 2010,
   kOutcomeUnknown = 3001,
   kStreamBroken = 3002,
   kInProgress = 3003,
--- /dev/null
+++ b/include/spindleweir/servers/limits/upstream_bound.h
@@ -0,0 +1,42 @@
+/// Whether one more request may go to an upstream of a plain service, where
+/// many routers send to it and hear of each other's requests late.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "spindleweir/core/clock.h"
+
+namespace spindleweir {
+
+/// One router's view of one upstream.
+struct UpstreamView {
+  int mSlots = 0;         ///< Requests that it runs at once; 0: not told.
+  double mOwn = 0;        ///< Requests of this router under way there.
+  double mOthers = 0;     ///< Of all others, as they were told.
+  double mOwnBytes = 0;   ///< Bodies of the own requests.
+  double mBodyBytes = 0;  ///< Of the request that is to be sent.
+  int mRouters = 1;       ///< That send to it.
+  /// Requests a millisecond that this router sends to it.
+  double mOwnRate = 0;
+  Millis mUsualTime = 0;  ///< That a request takes there.
+  Millis mNewsAge = 0;    ///< Of mOthers.
+};
+
+/// What an upstream can hold.
+struct UpstreamBoundOptions {
+  /// Requests it queues beside those that run, for each slot: the pages say "a
+  /// few"; one that has more refuses them itself.
+  double mQueueEachSlot = 1;
+  int mQueueAtLeast = 4;
+  /// Of bodies that it holds at once; 0: not bounded.
+  double mBodyBytes = 0;
+};
+
+/// The decision. Half of the bound is divided evenly: each router may use its
+/// part whatever it knows, so that this half holds however late the news is.
+/// Beyond that it sends as long as what was told, and what others probably
+/// sent since, leave room.
+bool MaySendTo(const UpstreamView& aView, const UpstreamBoundOptions& aOptions);
+
+}  // namespace spindleweir
--- /dev/null
+++ b/tests/servers/memory_test.cpp
@@ -0,0 +1,376 @@
+/// What a process holds for others, and what routers send an upstream.
+#include <map>
+#include <random>
+
+#include "spindleweir/servers/limits/memory_account.h"
+#include "spindleweir/servers/limits/upstream_bound.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+constexpr std::size_t kMb = 1000 * 1000;
+constexpr std::size_t kRead = 4096;
+
+/// A request that was sent, whose answer comes as fast as it is read.
+std::uint64_t Begin(MemoryAccount& aAccount, MemoryClaim aClaim,
+                    Millis aNow = 0) {
+  const std::uint64_t holder = aAccount.Open(aNow);
+  aAccount.SetClaim(holder, aClaim, aNow);
+  return holder;
+}
+
+/// Brings as much as the account lets in, up to aMost.
+std::size_t Fill(MemoryAccount& aAccount, std::uint64_t aHolder,
+                 std::size_t aMost, Millis aNow = 0) {
+  std::size_t held = aAccount.HeldFor(aHolder);
+  while (held + kRead <= aMost && aAccount.MayReadOn(aHolder, aNow)) {
+    held += kRead;
+    aAccount.Set(aHolder, HeldKind::kUnread, held);
+  }
+  return held;
+}
+
+}  // namespace
+
+Test(memory_account, shares_shrink_as_it_fills) {
+  MemoryAccount account(MemoryAccountOptions::For(20 * kMb));
+  const std::size_t bound = account.Options().mBound;
+  CHECK(bound == 10 * kMb);
+  const std::size_t first =
+      Fill(account, Begin(account, MemoryClaim::kRepeatable), 100 * kMb);
+  CHECK(first > 5 * account.Options().mLeast);
+  std::size_t last = first;
+  int taken = 1;
+  while (true) {
+    const std::uint64_t holder = account.Open(0);
+    if (!account.HasRoomFor(holder, 0)) {
+      break;
+    }
+    account.SetClaim(holder, MemoryClaim::kRepeatable, 0);
+    last = Fill(account, holder, 100 * kMb);
+    taken++;
+    REQUIRE(account.Committed() <= bound);
+  }
+  CHECK(last < first);
+  CHECK(taken > 150);
+  CHECK(account.Tight());
+  SECTION("who was let in always has the least") {
+    CHECK(last + kRead >= account.Options().mLeast - kRead);
+  }
+  SECTION("what goes makes room") {
+    account.Close(1);
+    CHECK(account.HasRoomFor(account.Open(0), 0));
+  }
+}
+
+Test(memory_account, calls_that_ran_once_have_the_strongest_claim) {
+  MemoryAccount account(MemoryAccountOptions::For(20 * kMb));
+  while (!account.Tight()) {
+    Fill(account, Begin(account, MemoryClaim::kRepeatable), 100 * kMb);
+  }
+  const std::uint64_t once = Begin(account, MemoryClaim::kRanOnce);
+  const std::uint64_t again = Begin(account, MemoryClaim::kRepeatable);
+  CHECK(Fill(account, once, kMb) > kMb - 2 * kRead);
+  CHECK(Fill(account, again, kMb) <= account.Options().mLeast);
+  CHECK(account.Committed() <= account.Options().mBound);
+  SECTION("and are not cut while others can be") {
+    const std::vector<std::uint64_t> cut = account.Tick(60000).mCut;
+    CHECK(!cut.empty());
+    CHECK(std::find(cut.begin(), cut.end(), once) == cut.end());
+  }
+}
+
+Test(memory_account, who_stands_still_is_cut_only_when_it_is_tight) {
+  MemoryAccount account(MemoryAccountOptions::For(20 * kMb));
+  const std::uint64_t still = Begin(account, MemoryClaim::kRepeatable);
+  const std::uint64_t moves = Begin(account, MemoryClaim::kRepeatable);
+  const std::uint64_t drips = Begin(account, MemoryClaim::kRepeatable);
+  Fill(account, still, 100 * kMb);
+  Fill(account, moves, 100 * kMb);
+  Fill(account, drips, 100 * kMb);
+  CHECK(account.Tick(5000).mCut.empty());
+  while (!account.Tight()) {
+    Fill(account, Begin(account, MemoryClaim::kRanOnce), 100 * kMb);
+  }
+  account.Moved(moves, 2000, 5000);
+  account.Moved(drips, 5, 5000);
+  const std::vector<std::uint64_t> cut = account.Tick(5100).mCut;
+  const auto has = [&cut](std::uint64_t aHolder) {
+    return std::find(cut.begin(), cut.end(), aHolder) != cut.end();
+  };
+  CHECK(has(still) && !has(moves));
+  SECTION("a byte a second is no movement") {
+    account.Close(still);
+    const std::vector<std::uint64_t> next = account.Tick(5200).mCut;
+    CHECK(!next.empty() && next.front() == drips);
+  }
+}
+
+Test(memory_account, requests_that_wait_for_each_others_room_become_whole) {
+  MemoryAccount account(MemoryAccountOptions::For(20 * kMb));
+  std::vector<std::uint64_t> readers;
+  std::map<std::uint64_t, std::size_t> held;
+  for (int i = 0; i < 40; i++) {
+    readers.push_back(Begin(account, MemoryClaim::kReading));
+  }
+  // In turn, so that all of them stop before they are whole.
+  for (bool further = true; further;) {
+    further = false;
+    for (const std::uint64_t reader : readers) {
+      if (account.MayReadOn(reader, 0)) {
+        held[reader] += kRead;
+        account.Set(reader, HeldKind::kReading, held[reader]);
+        further = true;
+      }
+    }
+  }
+  CHECK(account.Waiting() == readers.size());
+  CHECK(account.Tick(1000).mCut.empty());
+  const MemoryOrders orders = account.Tick(2500);
+  REQUIRE(orders.mCut.size() == 1);
+  account.Close(orders.mCut.front());
+  CHECK(!account.Tick(2550).mReadOn.empty());
+}
+
+Test(memory_account, a_request_that_can_never_be_held_is_refused_at_once) {
+  MemoryAccount account(MemoryAccountOptions::For(20 * kMb));
+  const std::uint64_t holder = account.Open(0);
+  CHECK(account.HasRoomFor(holder, kMb));
+  CHECK(!account.HasRoomFor(holder, 8 * kMb));
+  CHECK(MemoryAccount::ReturnAfter(0) >= 1000);
+  CHECK(MemoryAccount::ReturnAfter(1) > MemoryAccount::ReturnAfter(0));
+}
+
+Test(memory_account,
+     an_upstream_that_would_cut_is_drained_where_there_is_room) {
+  MemoryAccount account(MemoryAccountOptions::For(160 * kMb));
+  const std::uint64_t slow = Begin(account, MemoryClaim::kRepeatable);
+  const std::size_t before = Fill(account, slow, 2 * kMb);
+  CHECK(before <= account.Options().mMostUnread);
+  CHECK(account.Tick(500).mReadOn.empty());
+  const MemoryOrders orders = account.Tick(1100);
+  CHECK(orders.mReadOn == std::vector<std::uint64_t>{slow});
+  CHECK(orders.mCut.empty());
+  CHECK(Fill(account, slow, 2 * kMb, 1100) > before);
+}
+
+Test(memory_account, calls_need_descriptors_beside_connections) {
+  MemoryAccountOptions options = MemoryAccountOptions::For(160 * kMb);
+  options.mDescriptors = 10;
+  MemoryAccount account(options);
+  for (int i = 0; i < 6; i++) {
+    account.Open(0);
+  }
+  for (int i = 0; i < 4; i++) {
+    CHECK(account.HasRoomForCall());
+    account.AddCall(1);
+  }
+  CHECK(!account.HasRoomForCall());
+  account.AddCall(-1);
+  CHECK(account.HasRoomForCall());
+}
+
+Test(memory_account, without_a_bound_each_has_a_cap_of_its_own) {
+  MemoryAccount account(MemoryAccountOptions::For(0));
+  const std::uint64_t holder = Begin(account, MemoryClaim::kRepeatable);
+  account.Set(holder, HeldKind::kUnread, 256 * 1024);
+  CHECK(account.MayReadOn(holder, 0));
+  account.Set(holder, HeldKind::kUnread, 256 * 1024 + 1);
+  CHECK(!account.MayReadOn(holder, 0));
+  CHECK(!account.Busy() && account.Tick(60000).mCut.empty());
+  account.Set(holder, HeldKind::kPartial, 8 * 1024 * 1024);
+  CHECK(account.MayCollect(holder));
+  account.Set(holder, HeldKind::kPartial, 8 * 1024 * 1024 + 1);
+  CHECK(!account.MayCollect(holder));
+}
+
+Test(memory_account, whatever_callers_do_it_stays_under_its_bound) {
+  for (unsigned seed = 1; seed <= 20; seed++) {
+    std::mt19937 random(seed);
+    const auto draw = [&random](int aMost) {
+      return std::uniform_int_distribution<int>(0, aMost)(random);
+    };
+    MemoryAccount account(MemoryAccountOptions::For(6 * kMb));
+    /// What each holds, and of which kind: a request is read, or an answer
+    /// comes.
+    struct Held {
+      HeldKind mKind;
+      std::size_t mBytes = 0;
+    };
+    std::map<std::uint64_t, Held> model;
+    Millis now = 0;
+    for (int step = 0; step < 4000; step++) {
+      now += draw(20);
+      const std::uint64_t holder =
+          model.empty() ? 0
+                        : std::next(model.begin(),
+                                    draw(static_cast<int>(model.size()) - 1))
+                              ->first;
+      const int act = draw(9);
+      if (act <= 2 || holder == 0) {
+        const std::uint64_t added = account.Open(now);
+        if (!account.HasRoomFor(added, 0)) {
+          account.Close(added);
+          continue;
+        }
+        const auto claim = static_cast<MemoryClaim>(1 + draw(3));
+        account.SetClaim(added, claim, now);
+        model[added] = {claim == MemoryClaim::kReading ? HeldKind::kReading
+                                                       : HeldKind::kUnread};
+        if (claim == MemoryClaim::kReading && draw(1) == 0) {
+          (void)account.Reserve(added, static_cast<std::size_t>(draw(200000)));
+        }
+      } else if (act <= 7) {
+        if (account.MayReadOn(holder, now)) {
+          Held& held = model[holder];
+          held.mBytes += kRead;
+          account.Set(holder, held.mKind, held.mBytes);
+        }
+      } else if (act == 8) {
+        Held& held = model[holder];
+        held.mBytes = 0;
+        account.Set(holder, held.mKind, 0);
+        account.Moved(holder, kRead, now);
+      } else {
+        account.Close(holder);
+        model.erase(holder);
+      }
+      for (const std::uint64_t cut : account.Tick(now).mCut) {
+        account.Close(cut);
+        model.erase(cut);
+      }
+      std::size_t held = 0;
+      for (const auto& [id, one] : model) {
+        held += one.mBytes;
+      }
+      REQUIRE(account.Held() == held);
+      REQUIRE(account.Held() <= account.Committed());
+      REQUIRE(account.Committed() <= account.Options().mBound);
+    }
+    for (const auto& [id, one] : model) {
+      account.Close(id);
+    }
+    CHECK(account.Held() == 0 && account.Committed() == 0);
+  }
+}
+
+namespace {
+
+/// Routers that send to one upstream and hear of each other's requests late.
+struct Senders {
+  Senders(int aRouters, Millis aLate) : mOwn(aRouters), mLate(aLate) {
+    mTold.assign(static_cast<std::size_t>(aLate) + 1, mOwn);
+  }
+
+  double Sum(const std::vector<int>& aOwn) const {
+    double sum = 0;
+    for (const int own : aOwn) {
+      sum += own;
+    }
+    return sum;
+  }
+
+  bool Send(std::size_t aRouter, double aRate) {
+    UpstreamView view;
+    view.mSlots = 6;
+    view.mOwn = mOwn[aRouter];
+    view.mOthers = Sum(mTold.front()) - mTold.front()[aRouter];
+    view.mRouters = static_cast<int>(mOwn.size());
+    view.mOwnRate = aRate;
+    view.mUsualTime = 100;
+    view.mNewsAge = mLate;
+    const bool may = MaySendTo(view, {});
+    mOwn[aRouter] += may ? 1 : 0;
+    return may;
+  }
+
+  /// A millisecond passes.
+  void Pass() {
+    mTold.erase(mTold.begin());
+    mTold.push_back(mOwn);
+  }
+
+  std::vector<int> mOwn;
+  std::vector<std::vector<int>> mTold;
+  Millis mLate;
+};
+
+}  // namespace
+
+Test(upstream_bound, what_all_routers_sent_stays_under_what_it_holds) {
+  constexpr double kPlaces = 12;  // Six slots, and as many that wait.
+  SECTION("with news of the moment it holds exactly") {
+    Senders senders(4, 0);
+    for (int i = 0; i < 100; i++) {
+      for (std::size_t router = 0; router < 4; router++) {
+        senders.Send(router, 0);
+        senders.Pass();
+        REQUIRE(senders.Sum(senders.mOwn) <= kPlaces);
+      }
+    }
+    CHECK(senders.Sum(senders.mOwn) == kPlaces);
+  }
+  SECTION("a router that hears nothing has its even part of a half") {
+    Senders senders(3, 1000);
+    senders.mTold.front() = {0, 6, 6};
+    CHECK(senders.Send(0, 0) && senders.Send(0, 0));
+    CHECK(!senders.Send(0, 0));
+  }
+  SECTION("many routers asked at the same moment, with news a second old") {
+    for (unsigned seed = 1; seed <= 10; seed++) {
+      std::mt19937 random(seed);
+      Senders senders(40, 1000);
+      // Each is asked 1.25 times a second; requests take 100 ms: five run on
+      // average without any bound.
+      constexpr double kRate = 0.00125;
+      std::vector<std::vector<Millis>> ends(40);
+      double most = 0;
+      int refused = 0;
+      int asked = 0;
+      for (Millis now = 0; now < 20000; now++) {
+        for (std::size_t router = 0; router < 40; router++) {
+          senders.mOwn[router] -= static_cast<int>(std::erase_if(
+              ends[router], [now](Millis aEnd) { return aEnd <= now; }));
+          if (std::uniform_real_distribution<double>(0, 1)(random) < kRate) {
+            asked++;
+            if (senders.Send(router, kRate)) {
+              ends[router].push_back(now + 100);
+            } else {
+              refused++;
+            }
+          }
+        }
+        senders.Pass();
+        most = std::max(most, senders.Sum(senders.mOwn));
+      }
+      CHECK(most <= 1.5 * kPlaces);
+      CHECK(refused < asked / 2);
+    }
+  }
+  SECTION("asked ten times as much than it can take, half are refused") {
+    Senders senders(40, 1000);
+    int sent = 0;
+    for (std::size_t router = 0; router < 40; router++) {
+      sent += senders.Send(router, 0.02) ? 1 : 0;
+    }
+    CHECK(sent == 0);
+  }
+  SECTION("one that is not asked much refuses nothing, however old the news") {
+    Senders senders(83, 2500);
+    CHECK(senders.Send(0, 0.0001));
+  }
+  SECTION("bodies count by their bytes") {
+    UpstreamView view;
+    view.mSlots = 6;
+    view.mOwn = 2;
+    view.mOwnBytes = 8e6;
+    view.mBodyBytes = 4e6;
+    view.mOthers = 1;
+    view.mRouters = 2;
+    CHECK(MaySendTo(view, {.mBodyBytes = 20e6}));
+    view.mOthers = 3;
+    CHECK(!MaySendTo(view, {.mBodyBytes = 20e6}));
+  }
+}
