--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::size_t kMostPendingBytes = 256 * 1024;
-constexpr std::size_t kMostKeptBody = 8 * 1024 * 1024;
 constexpr Millis kSilencePeriod = 100;
 /// An upstream that failed is left alone for so long.
 constexpr Millis kAvoidAfterLoss = 1500;
@@ -61,6 +59,11 @@
   ServiceQuestion question;
   question.mZone = mContext.mOptions.mZone;
   question.mUpstreams = mContext.mRegistry.OfService(mService->mName);
+  const std::size_t known = question.mUpstreams.size();
+  std::erase_if(question.mUpstreams, [this, known](const auto* aRecord) {
+    return !mContext.MaySendPlain(*aRecord, known, mExchange->Body().size());
+  });
+  mLacksRoom = question.mUpstreams.size() < known;
   question.mAvoid = mTried;
   question.mRequestsOf = [this](const std::string& aInstance) {
     return mContext.LoadOf(aInstance).mRequests;
@@ -137,7 +140,14 @@
   options.mHeaders =
       mContext.mOptions.mCallers.mWriteRequest(mExchange->Head(), dispatch);
   options.mBody = mExchange->Body();
-  options.mMaySend = [this] { return MaySend(); };
+  options.mMemory = mExchange->Memory();
+  options.mMaySend = [this] {
+    const bool may = MaySend();
+    if (may) {
+      ClaimMemory();
+    }
+    return may;
+  };
   options.mOnHead = [this](const AnswerHead& aHead) { HandleHead(aHead); };
   options.mOnData = [this](std::string_view aBytes) { HandleData(aBytes); };
   options.mOnEnd = [this](StreamEnd aEnd) { HandleEnd(aEnd); };
@@ -188,9 +198,72 @@
     HandleEvents(aBytes);
     return;
   }
+  HandleBody(aBytes);
+}
+
+void RelayRequest::HandleBody(std::string_view aBytes) {
+  if (mAttempt->mHandedOn) {
+    mExchange->Write(aBytes);
+    PushBack();
+    return;
+  }
   mAttempt->mBody += aBytes;
-  if (mAttempt->mBody.size() > kMostKeptBody) {
+  if (MayCollect()) {
+    return;
+  }
+  if (!mContext.mMemory->Bounded() || mExchange->Started()) {
     AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
+    return;
+  }
+  HandOn();
+}
+
+bool RelayRequest::MayCollect() {
+  const std::shared_ptr<MemoryHold>& memory = mExchange->Memory();
+  if (memory == nullptr) {
+    return true;
+  }
+  memory->Set(HeldKind::kPartial, mAttempt->mBody.size() +
+                                      mAttempt->mEvents.Rest().size() +
+                                      (mKept ? mKept->mBody.size() : 0));
+  return memory->MayCollect();
+}
+
+void RelayRequest::HandOn() {
+  // What fails from here on cannot be tried at another upstream: the caller
+  // has the head, and perhaps more.
+  mAttempt->mHandedOn = true;
+  mKept.reset();
+  const std::string* length =
+      FindHeader(mAttempt->mHead.mHeaders, "Content-Length");
+  std::optional<std::size_t> bytes;
+  if (length != nullptr) {
+    bytes = std::stoull(*length);
+  }
+  mExchange->Start(mAttempt->mHead.mStatus,
+                   mContext.mOptions.mCallers.mWriteAnswer(mAttempt->mHead),
+                   bytes);
+  mExchange->Write(mAttempt->mBody);
+  mAttempt->mBody = std::string();
+  (void)MayCollect();
+  mContext.mCounters.Add("memory_handed_on");
+  PushBack();
+}
+
+void RelayRequest::PushBack() {
+  if (mExchange->MayBringMore()) {
+    return;
+  }
+  mAttempt->mCall->Pause(true);
+  mContext.mGuard->Watch().Suspend(mKey);
+  mContext.mCounters.Add("memory_pauses");
+}
+
+void RelayRequest::ClaimMemory() {
+  const std::shared_ptr<MemoryHold>& memory = mExchange->Memory();
+  if (memory != nullptr) {
+    memory->SetClaim(mRoute->Repeatable() ? MemoryClaim::kRepeatable
+                                          : MemoryClaim::kRanOnce);
   }
 }
 
@@ -222,10 +295,8 @@
       mLastEvent = event.mId;
     }
   }
-  if (mExchange->PendingBytes() > kMostPendingBytes) {
-    mAttempt->mCall->Pause(true);
-    mContext.mGuard->Watch().Suspend(mKey);
-  }
+  (void)MayCollect();
+  PushBack();
 }
 
 void RelayRequest::HandleEnd(StreamEnd aEnd) {
@@ -250,6 +321,11 @@
 
 void RelayRequest::HandleWholeAnswer() {
   const int status = mAttempt->mHead.mStatus;
+  if (mAttempt->mHandedOn) {
+    mExchange->End();
+    End(IsSuccess(status) ? "served" : "upstream_failed", status);
+    return;
+  }
   const bool isStream = mAttempt->mFacts.mIsStream && IsSuccess(status);
   if (!isStream) {
     const bool failed = status >= 500;
@@ -262,6 +338,7 @@
       }
     } else {
       mContext.Succeeded(mAttempt->mInstance);
+      mContext.PlainTook(mService->mName, SteadyNow() - mAttempt->mStartedAt);
     }
     if (mExchange->Started()) {
       // A resumed stream was answered with a failure.
@@ -320,7 +397,8 @@
 }
 
 bool RelayRequest::MayTryAgain(Ran aRan) const {
-  const bool allowed = aRan == Ran::kNo || mRoute->Repeatable();
+  const bool handedOn = mAttempt != nullptr && mAttempt->mHandedOn;
+  const bool allowed = (aRan == Ran::kNo || mRoute->Repeatable()) && !handedOn;
   const int sent = mSent + (aRan == Ran::kNo ? 0 : 1);
   const int refusals = mExchange->Started() ? kMostRefusedMidway : kMostRefused;
   return allowed && sent < mRoute->mAttempts && mRefused < refusals &&
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -19,6 +19,18 @@
 /// Loads of others are forgotten at this age; what comes and goes in a longer
 /// time has mostly ended.
 constexpr Millis kOldestNews = 2500;
+/// How much one request moves the usual time at an upstream.
+constexpr double kTimeWeight = 0.05;
+
+MemoryAccountOptions MemoryOf(const RelayOptions& aOptions) {
+  MemoryAccountOptions options =
+      MemoryAccountOptions::For(aOptions.mMemoryBytes);
+  options.mDescriptors = aOptions.mDescriptors;
+  if (aOptions.mWindow > 0) {
+    options.mWindow = aOptions.mWindow;
+  }
+  return options;
+}
 
 }  // namespace
 
@@ -27,6 +39,7 @@
       mOptions(std::move(aOptions)),
       mClient(aLoop),
       mRpc(mClient, mOptions.mClusterKey),
+      mMemory(std::make_shared<MemoryAccount>(MemoryOf(mOptions))),
       mLease(mOptions.mLeaseLength),
       mOtherLoadsTrueAt(SteadyNow()),
       mRandom(std::random_device{}()),
@@ -168,6 +181,32 @@
   mPaths[aService].mArrivals.Add(SteadyNow());
 }
 
+void RelayContext::PlainTook(const std::string& aService, Millis aTime) {
+  double& usual = mPaths[aService].mUsualTime;
+  const auto time = static_cast<double>(aTime);
+  usual = usual > 0 ? usual + kTimeWeight * (time - usual) : time;
+}
+
+bool RelayContext::MaySendPlain(const UpstreamRecord& aRecord,
+                                std::size_t aUpstreams,
+                                std::size_t aBodyBytes) {
+  ServicePaths& paths = mPaths[aRecord.mService];
+  const auto own = mOwnLoads.find(aRecord.mInstance);
+  UpstreamView view;
+  view.mSlots = aRecord.mSlots;
+  view.mOwn =
+      own == mOwnLoads.end() ? 0 : static_cast<double>(own->second.mRequests);
+  view.mOthers = LoadOf(aRecord.mInstance).mRequests - view.mOwn;
+  view.mBodyBytes = static_cast<double>(aBodyBytes);
+  view.mOwnBytes = view.mOwn * view.mBodyBytes;
+  view.mRouters = mRouters;
+  view.mOwnRate = paths.mArrivals.PerMilli(SteadyNow()) /
+                  static_cast<double>(std::max<std::size_t>(1, aUpstreams));
+  view.mUsualTime = std::llround(std::ceil(paths.mUsualTime));
+  view.mNewsAge = std::min(kOldestNews, LoadsAge());
+  return MaySendTo(view, mOptions.mUpstreams);
+}
+
 const std::vector<const UpstreamRecord*>& RelayContext::ReadyEngines(
     const std::string& aService) {
   ServicePaths& paths = mPaths[aService];
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -10,6 +10,7 @@
 #include "spindleweir/daemons/relay_router.h"
 #include "spindleweir/daemons/sync_messages.h"
 #include "spindleweir/drivers/rpc_channel.h"
+#include "spindleweir/servers/limits/memory_account.h"
 #include "spindleweir/servers/membership/beat_taker.h"
 #include "spindleweir/servers/membership/control_directory.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
@@ -40,6 +41,7 @@
   ArrivalRate mArrivals;  ///< At this router.
   std::vector<const UpstreamRecord*> mReady;
   std::int64_t mReadyOf = -1;  ///< The change of the registry that it has.
+  double mUsualTime = 0;  ///< Of a request of a plain service; 0: not known.
 };
 
 class StreamGuard;
@@ -87,7 +89,13 @@
   /// The upstreams of a service that are ready.
   const std::vector<const UpstreamRecord*>& ReadyEngines(
       const std::string& aService);
-  /// A request that asks for a path of engines.
+  /// Whether an upstream of a plain service, one of so many, can hold one more
+  /// request with such a body.
+  bool MaySendPlain(const UpstreamRecord& aRecord, std::size_t aUpstreams,
+                    std::size_t aBodyBytes);
+  /// A request of a plain service took so long at its upstream.
+  void PlainTook(const std::string& aService, Millis aTime);
+  /// A request that asks for a path of engines, or an upstream.
   void PathAsked(const std::string& aService);
   /// A path for it, by what is known of the work of all routers.
   PathAnswer ChoosePathOf(const std::string& aService,
@@ -99,6 +107,7 @@
   HttpClient mClient;
   RpcChannel mRpc;
   Counters mCounters;
+  std::shared_ptr<MemoryAccount> mMemory;
   ConfigurationLease mLease;
   ControlDirectory mDirectory;
   UpstreamRegistry mRegistry;
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -129,9 +129,7 @@
   }
   PickService();
   mContext.RetriesOf(mService->mName).RequestStarted(SteadyNow());
-  if (mService->IsEngine()) {
-    mContext.PathAsked(mService->mName);
-  }
+  mContext.PathAsked(mService->mName);
   StartAttempt();
 }
 
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -48,7 +48,8 @@
     AnswerHead mHead;
     AnswerFacts mFacts;
     EventReader mEvents;
-    std::string mBody;  ///< Of an answer that is not a stream.
+    std::string mBody;       ///< Of an answer that is not a stream.
+    bool mHandedOn = false;  ///< It goes on as it comes, for lack of memory.
     std::unique_ptr<StreamCall> mCall;
     std::unique_ptr<StreamCall> mOrder;  ///< To move to another path.
     int mMoves = 0;
@@ -100,6 +101,14 @@
   void HandleEnd(StreamEnd aEnd);
   void HandleEvents(std::string_view aBytes);
   void HandleWholeAnswer();
+  /// Takes more of an answer that is not a stream.
+  void HandleBody(std::string_view aBytes);
+  void HandOn();
+  /// Stops reading from the upstream where the caller is slow.
+  void PushBack();
+  /// Notes what is held of an answer that is collected; false: too much.
+  bool MayCollect();
+  void ClaimMemory();
   void CheckSilence();
   void HandleTimeout();
   void HandleCallerGone();
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -31,16 +31,20 @@
         mLink(mContext),
         mBeats(mContext, mLink),
         mStartedAt(SteadyNow()),
-        mServer(aLoop,
-                {.mListen = mContext.mOptions.mListen,
-                 .mHandle =
-                     [this](const std::shared_ptr<StreamExchange>& aExchange) {
-                       Handle(aExchange);
-                     },
-                 .mRefuse =
-                     [this](StreamExchange& aExchange, ResultCode aCode) {
-                       Refuse(aExchange, aCode);
-                     }}) {
+        mServer(
+            aLoop,
+            {.mListen = mContext.mOptions.mListen,
+             .mMaximumConnections = mContext.mOptions.mMostConnections,
+             .mHandle =
+                 [this](const std::shared_ptr<StreamExchange>& aExchange) {
+                   Handle(aExchange);
+                 },
+             .mRefuse = [this](StreamExchange& aExchange,
+                               ResultCode aCode) { Refuse(aExchange, aCode); },
+             .mMemory = mContext.mMemory,
+             .mOnCut = [this](
+                           std::size_t aCallers,
+                           std::size_t aBytes) { LogCut(aCallers, aBytes); }}) {
     mContext.mGuard = &mGuard;
   }
 
@@ -69,12 +73,47 @@
     mContext.mCounters.Add("refused_unread");
     LogLine(LogLevel::kInfo, "refused_unread")
         .Add("code", static_cast<int>(aCode));
-    const Millis retryAfter = aCode == ResultCode::kStopping ? 0 : -1;
+    Millis retryAfter = aCode == ResultCode::kStopping ? 0 : -1;
+    if (aCode == ResultCode::kMemoryFull) {
+      retryAfter = MemoryAccount::ReturnAfter(mContext.Random());
+      mContext.mCounters.Add("memory_refused");
+    }
     aExchange.Reply(InfoOf(aCode).mHttpStatus,
                     mContext.mOptions.mCallers.mWriteRefusal("", retryAfter),
                     std::string(InfoOf(aCode).mName));
   }
 
+  void LogCut(std::size_t aCallers, std::size_t aBytes) {
+    const MemoryAccount& account = *mContext.mMemory;
+    mContext.mCounters.Add("memory_cut", {},
+                           static_cast<std::int64_t>(aCallers));
+    LogLine(LogLevel::kWarning, "memory_cut")
+        .Add("callers", static_cast<Json::UInt64>(aCallers))
+        .Add("bytes", static_cast<Json::UInt64>(aBytes))
+        .Add("held", static_cast<Json::UInt64>(account.Held()))
+        .Add("committed", static_cast<Json::UInt64>(account.Committed()))
+        .Add("bound", static_cast<Json::UInt64>(account.Options().mBound))
+        .Add("waiting", static_cast<Json::UInt64>(account.Waiting()));
+  }
+
+  void SetMemoryGauges() {
+    const MemoryAccount& account = *mContext.mMemory;
+    Counters& counters = mContext.mCounters;
+    const auto set = [&counters](const char* aName, std::size_t aValue) {
+      counters.Set(aName, static_cast<std::int64_t>(aValue));
+    };
+    set("memory_bound_bytes", account.Options().mBound);
+    set("memory_held_bytes", account.Held());
+    set("memory_committed_bytes", account.Committed());
+    set("memory_share_bytes", account.Share());
+    set("memory_waiting", account.Waiting());
+    for (std::size_t i = 0; i < kHeldKinds; i++) {
+      const auto kind = static_cast<HeldKind>(i);
+      const std::string name = std::string("memory_") + NameOf(kind) + "_bytes";
+      set(name.c_str(), account.Held(kind));
+    }
+  }
+
   void ApplyLimits() {
     if (mContext.Table() == nullptr ||
         mContext.Table()->Version() == mLimitsOf) {
@@ -194,6 +233,7 @@
   counters.Set("connections",
                static_cast<std::int64_t>(mParts->mServer.Connections()));
   counters.Set("routers_known", context.mRouters);
+  mParts->SetMemoryGauges();
   int states[4] = {0, 0, 0, 0};
   for (const UpstreamRecord* record : context.mRegistry.OfService("")) {
     states[static_cast<int>(record->mState)]++;
--- a/drivers/stream_client.cpp
+++ b/drivers/stream_client.cpp
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include "drivers/socket_options.h"
 
@@ -43,8 +44,20 @@
     }
     mBuffer = bufferevent_socket_new(
         mLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    CountCall(1);
     bufferevent_setcb(mBuffer, &BufferCall::HandleRead, nullptr,
                       &BufferCall::HandleEvent, this);
+    const bool bounded =
+        mOptions.mMemory != nullptr && mOptions.mMemory->Account().Bounded();
+    if (!BoundWindow(address)) {
+      EndLater(StreamEnd::kNotSent);
+      return;
+    }
+    if (bounded) {
+      Account(HeldKind::kUnsent, mOptions.mBody.size());
+      evbuffer_add_cb(bufferevent_get_output(mBuffer), &BufferCall::HandleTaken,
+                      this);
+    }
     if (bufferevent_socket_connect(mBuffer,
                                    reinterpret_cast<sockaddr*>(&address),
                                    sizeof(address)) != 0) {
@@ -65,6 +78,7 @@
       return;
     }
     mPaused = aPaused;
+    AccountArrived();
     if (aPaused) {
       bufferevent_disable(mBuffer, EV_READ);
     } else {
@@ -80,6 +94,53 @@
   }
 
  private:
+  static void HandleTaken(evbuffer* aBuffer, const evbuffer_cb_info*,
+                          void* aSelf) {
+    static_cast<BufferCall*>(aSelf)->Account(HeldKind::kUnsent,
+                                             evbuffer_get_length(aBuffer));
+  }
+
+  /// Gives the connection a socket with a bounded window.
+  bool BoundWindow(const sockaddr_in& aAddress) {
+    const std::size_t window =
+        mOptions.mMemory == nullptr
+            ? 0
+            : mOptions.mMemory->Account().Options().mWindow;
+    if (window == 0) {
+      return true;
+    }
+    const int fd = socket(aAddress.sin_family,
+                          SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+      return false;
+    }
+    SetWindow(fd, window);
+    return bufferevent_setfd(mBuffer, fd) == 0;
+  }
+
+  void Account(HeldKind aKind, std::size_t aBytes) {
+    if (mOptions.mMemory != nullptr) {
+      mOptions.mMemory->Set(aKind, aBytes);
+    }
+  }
+
+  void CountCall(int aSign) {
+    if (mOptions.mMemory != nullptr) {
+      mOptions.mMemory->Account().AddCall(aSign);
+    }
+  }
+
+  void AccountArrived() {
+    if (mOptions.mMemory == nullptr || !mOptions.mMemory->Account().Bounded()) {
+      return;
+    }
+    // Beside what was read, the window fills while nothing is.
+    const std::size_t window =
+        mPaused ? mOptions.mMemory->Account().Options().mWindow : 0;
+    Account(HeldKind::kArrived,
+            evbuffer_get_length(bufferevent_get_input(mBuffer)) + window);
+  }
+
   static void HandleEvent(bufferevent*, short aWhat, void* aSelf) {
     auto* self = static_cast<BufferCall*>(aSelf);
     if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
@@ -130,6 +191,7 @@
     mSent = true;
     bufferevent_write(mBuffer, head.data(), head.size());
     bufferevent_write(mBuffer, mOptions.mBody.data(), mOptions.mBody.size());
+    mOptions.mBody = std::string();
     bufferevent_enable(mBuffer, EV_READ | EV_WRITE);
   }
 
@@ -186,6 +248,9 @@
     if (mBuffer != nullptr) {
       bufferevent_free(mBuffer);
       mBuffer = nullptr;
+      Account(HeldKind::kUnsent, 0);
+      Account(HeldKind::kArrived, 0);
+      CountCall(-1);
     }
   }
 
--- a/drivers/stream_connection.cpp
+++ b/drivers/stream_connection.cpp
@@ -5,6 +5,9 @@
 #include <event2/event.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <charconv>
+
 #include "drivers/socket_options.h"
 #include "spindleweir/core/error.h"
 
@@ -17,6 +20,16 @@
 /// A caller that was refused gets this long to read the answer.
 constexpr Millis kLingerAfterRefusal = 1000;
 
+/// The length that a head gives; 0: none, or chunks.
+std::size_t LengthOf(const HttpHeaders& aHeaders) {
+  const std::string* text = FindHeader(aHeaders, "Content-Length");
+  std::size_t length = 0;
+  if (text != nullptr) {
+    (void)std::from_chars(text->data(), text->data() + text->size(), length);
+  }
+  return length;
+}
+
 }  // namespace
 
 StreamConnection::StreamConnection(StreamServer& aServer, int aFd)
@@ -29,10 +42,141 @@
                     &StreamConnection::HandleWrite,
                     &StreamConnection::HandleEvent, this);
   bufferevent_setwatermark(mBuffer, EV_READ, 0, kReadAheadBytes);
+  BeginAccount();
   bufferevent_enable(mBuffer, EV_READ | EV_WRITE);
   ArmTimer();
 }
 
+void StreamConnection::BeginAccount() {
+  const std::shared_ptr<MemoryAccount>& account = mServer.mOptions.mMemory;
+  if (account == nullptr) {
+    return;
+  }
+  mMemory = std::make_shared<MemoryHold>(account);
+  mServer.mHolders[mMemory->Number()] = this;
+  // Only with these callbacks is what a caller takes bit by bit seen.
+  evbuffer_add_cb(bufferevent_get_output(mBuffer),
+                  &StreamConnection::HandleTaken, this);
+  if (!account->Bounded()) {
+    return;
+  }
+  bufferevent_setwatermark(
+      mBuffer, EV_READ, 0,
+      std::min(kReadAheadBytes, account->Options().mLeast));
+  evbuffer_add_cb(bufferevent_get_input(mBuffer),
+                  &StreamConnection::HandleArrived, this);
+}
+
+void StreamConnection::HandleTaken(evbuffer* aBuffer,
+                                   const evbuffer_cb_info* aInfo, void* aSelf) {
+  auto* self = static_cast<StreamConnection*>(aSelf);
+  self->mMemory->Set(HeldKind::kUnread, evbuffer_get_length(aBuffer));
+  if (aInfo->n_deleted > 0) {
+    self->mMemory->Moved(aInfo->n_deleted);
+  }
+}
+
+void StreamConnection::HandleArrived(evbuffer*, const evbuffer_cb_info* aInfo,
+                                     void* aSelf) {
+  auto* self = static_cast<StreamConnection*>(aSelf);
+  self->AccountReading();
+  if (aInfo->n_added > 0 && self->mExchange == nullptr) {
+    self->mMemory->Moved(aInfo->n_added);
+  }
+}
+
+void StreamConnection::AccountReading() {
+  if (mMemory == nullptr) {
+    return;
+  }
+  const std::size_t head = mReader == nullptr ? 0 : mReader->HeadBytes();
+  mMemory->Set(HeldKind::kReading,
+               evbuffer_get_length(bufferevent_get_input(mBuffer)) + head +
+                   mBody.size());
+}
+
+bool StreamConnection::MayBringMore() {
+  if (mMemory == nullptr) {
+    return PendingBytes() <= MemoryAccountOptions().mMostUnread;
+  }
+  const bool may = mMemory->MayReadOn();
+  if (!may && mMemory->Account().Bounded()) {
+    mServer.WatchMemory();
+  }
+  return may;
+}
+
+void StreamConnection::PauseIfFull() {
+  const bool full = mMemory != nullptr && mExchange == nullptr && !mPaused &&
+                    mMemory->Account().Bounded() && !mMemory->MayReadOn();
+  if (!full) {
+    return;
+  }
+  mPaused = true;
+  bufferevent_disable(mBuffer, EV_READ);
+  mServer.WatchMemory();
+}
+
+void StreamConnection::ContinueReading() {
+  if (mPaused) {
+    mPaused = false;
+    bufferevent_enable(mBuffer, EV_READ);
+    ReadOn();
+    return;
+  }
+  const std::shared_ptr<StreamExchange> exchange = mExchange;
+  if (exchange != nullptr && exchange->mOnDrained) {
+    // The receiver may end the exchange, and with it the hook.
+    const std::function<void()> call = exchange->mOnDrained;
+    call();
+  }
+}
+
+void StreamConnection::Cut() {
+  const std::shared_ptr<StreamConnection> keep = shared_from_this();
+  const bool unanswered = mExchange == nullptr && mBegun && !mCloseAfter;
+  if (!unanswered) {
+    Reset();
+    return;
+  }
+  if (mPaused) {
+    mPaused = false;
+    bufferevent_enable(mBuffer, EV_READ);
+  }
+  mBody = std::string();
+  Refuse(ResultCode::kMemoryFull);
+  ReadOn();
+}
+
+bool StreamConnection::BeginRequest() {
+  mBegun = true;
+  mBodyChecked = false;
+  ArmTimer();
+  if (mMemory == nullptr) {
+    return true;
+  }
+  if (!mMemory->Account().HasRoomFor(mMemory->Number(), 0)) {
+    Refuse(ResultCode::kMemoryFull);
+    return false;
+  }
+  mMemory->SetClaim(MemoryClaim::kReading);
+  return true;
+}
+
+bool StreamConnection::HasRoomForBody() {
+  if (mMemory == nullptr || mBodyChecked) {
+    return true;
+  }
+  mBodyChecked = true;
+  // It is held once for attempts and once on its way to an upstream.
+  constexpr std::size_t kTimes = 2;
+  // What is larger than allowed is refused for that.
+  const std::size_t length =
+      std::min(LengthOf(mReader->Request().mHeaders),
+               mServer.mOptions.mLimits.mMaximumBodyBytes);
+  return mMemory->Account().Reserve(mMemory->Number(), kTimes * length);
+}
+
 StreamConnection::~StreamConnection() {
   Gone();
   bufferevent_free(mBuffer);
@@ -48,13 +192,18 @@
     // A callback from before the newest write.
     return;
   }
+  if (self->mMemory != nullptr && self->mExchange == nullptr && !self->mBegun) {
+    self->mMemory->SetClaim(MemoryClaim::kNone);
+  }
   if (self->mCloseAfter) {
-    shutdown(bufferevent_getfd(self->mBuffer), SHUT_WR);
+    self->Linger();
     return;
   }
   const std::shared_ptr<StreamExchange> exchange = self->mExchange;
   if (exchange != nullptr && exchange->mOnDrained) {
-    exchange->mOnDrained();
+    // The receiver may end the exchange, and with it the hook.
+    const std::function<void()> call = exchange->mOnDrained;
+    call();
   }
 }
 
@@ -94,6 +243,7 @@
     return;
   }
   exchange->mConnection = nullptr;
+  exchange->mMemory = nullptr;
   const std::function<void()> call = std::move(exchange->mOnClosed);
   exchange->mOnDrained = nullptr;
   if (call) {
@@ -118,6 +268,8 @@
     evbuffer_drain(buf, evbuffer_get_length(buf));
   }
   mReading = false;
+  AccountReading();
+  PauseIfFull();
 }
 
 void StreamConnection::Take(std::string_view aBytes) {
@@ -125,9 +277,8 @@
     mReader = std::make_unique<HttpMessageReader>(MessageSide::kRequests);
     mBody.clear();
   }
-  if (!mBegun) {
-    mBegun = true;
-    ArmTimer();
+  if (!mBegun && !BeginRequest()) {
+    return;
   }
   const std::size_t n = mReader->Read(aBytes);
   const ReadState state = mReader->State();
@@ -143,6 +294,10 @@
     }
     return;
   }
+  if (!HasRoomForBody()) {
+    Refuse(ResultCode::kMemoryFull);
+    return;
+  }
   mBody += mReader->TakeBody();
   if (mBody.size() > limits.mMaximumBodyBytes) {
     Refuse(ResultCode::kBodyTooLarge);
@@ -153,14 +308,33 @@
   }
 }
 
+bool StreamConnection::HasRoomForAnswer() {
+  if (mMemory == nullptr) {
+    return true;
+  }
+  MemoryAccount& account = mMemory->Account();
+  if (!account.HasRoomForCall() || !account.HasRoomFor(mMemory->Number(), 0)) {
+    return false;
+  }
+  mMemory->SetClaim(MemoryClaim::kNotRun);
+  if (account.Busy()) {
+    mServer.WatchMemory();
+  }
+  return true;
+}
+
 void StreamConnection::Dispatch() {
   mTimer.reset();
   RequestHead head = std::move(mReader->Request());
   mReader.reset();
   mExchange =
       std::make_shared<StreamExchange>(this, std::move(head), std::move(mBody));
-  mBody.clear();
+  mBody = std::string();
   const std::shared_ptr<StreamExchange> exchange = mExchange;
+  AccountReading();
+  if (mMemory != nullptr) {
+    mMemory->Set(HeldKind::kBody, exchange->Body().size());
+  }
   const bool plain =
       exchange->Head().mTarget.starts_with('/') &&
       CountHeader(exchange->Head().mHeaders, "Host") == 1 &&
@@ -169,6 +343,11 @@
     mServer.mOptions.mRefuse(*exchange, ResultCode::kMalformedHttp);
     return;
   }
+  if (!HasRoomForAnswer()) {
+    exchange->CloseAfter();
+    mServer.mOptions.mRefuse(*exchange, ResultCode::kMemoryFull);
+    return;
+  }
   mServer.mOptions.mHandle(exchange);
 }
 
@@ -186,16 +365,17 @@
     mExchange->mConnection = nullptr;
     mExchange->mOnClosed = nullptr;
     mExchange->mOnDrained = nullptr;
+    mExchange->mMemory = nullptr;
     mExchange.reset();
   }
+  EndAccount();
   mBegun = false;
   if (!aKeep) {
     mCloseAfter = true;
-    // The end of what is written is told; what still comes is read and
-    // dropped for a while, since closing at once would reset the answer.
-    mTimer = mServer.mLoop.After(kLingerAfterRefusal, [this] { Close(); });
     if (PendingBytes() == 0) {
-      shutdown(bufferevent_getfd(mBuffer), SHUT_WR);
+      Linger();
+    } else {
+      WaitForReader();
     }
     return;
   }
@@ -213,6 +393,42 @@
   }
 }
 
+void StreamConnection::Linger() {
+  // The end of what is written is told; what still comes is read and dropped
+  // for a while, since closing at once would reset the answer.
+  shutdown(bufferevent_getfd(mBuffer), SHUT_WR);
+  mTimer = mServer.mLoop.After(kLingerAfterRefusal, [this] { Close(); });
+}
+
+void StreamConnection::WaitForReader() {
+  // A slow caller gets its whole answer as long as it takes any of it.
+  mTimer = mServer.mLoop.After(mServer.mOptions.mLimits.mIdleTimeout,
+                               [this, before = PendingBytes()] {
+                                 if (PendingBytes() == 0) {
+                                   Close();
+                                   return;
+                                 }
+                                 if (PendingBytes() < before) {
+                                   WaitForReader();
+                                   return;
+                                 }
+                                 Reset();
+                               });
+}
+
+void StreamConnection::EndAccount() {
+  if (mMemory == nullptr) {
+    return;
+  }
+  mMemory->Set(HeldKind::kBody, 0);
+  mMemory->Set(HeldKind::kPartial, 0);
+  AccountReading();
+  // What is not read yet keeps the claim of its call.
+  if (PendingBytes() == 0) {
+    mMemory->SetClaim(MemoryClaim::kNone);
+  }
+}
+
 void StreamConnection::ArmTimer() {
   const StreamServerLimits& limits = mServer.mOptions.mLimits;
   mTimer =
@@ -233,6 +449,10 @@
     Refuse(ResultCode::kReadTimeout);
     return;
   }
+  if (PendingBytes() > 0) {
+    WaitForReader();
+    return;
+  }
   Close();
 }
 
--- a/drivers/stream_connection.h
+++ b/drivers/stream_connection.h
@@ -7,6 +7,8 @@
 #include "spindleweir/drivers/stream_server.h"
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 
 namespace spindleweir {
 
@@ -27,16 +29,39 @@
   void Close();
   std::size_t PendingBytes() const;
   bool ServerClosing() const { return mServer.mClosing; }
+  const std::shared_ptr<MemoryHold>& Memory() const { return mMemory; }
+  bool MayBringMore();
+  /// The account of memory has room for it again.
+  void ContinueReading();
+  /// The account of memory ends it: with a refusal where nothing ran.
+  void Cut();
 
  private:
   static void HandleRead(bufferevent*, void* aSelf);
   static void HandleWrite(bufferevent*, void* aSelf);
   static void HandleEvent(bufferevent*, short aWhat, void* aSelf);
+  static void HandleTaken(evbuffer* aBuffer, const evbuffer_cb_info* aInfo,
+                          void* aSelf);
+  static void HandleArrived(evbuffer* aBuffer, const evbuffer_cb_info* aInfo,
+                            void* aSelf);
+  void BeginAccount();
+  /// What is held of the request that is being read.
+  void AccountReading();
+  bool BeginRequest();
+  bool HasRoomForBody();
+  bool HasRoomForAnswer();
+  void PauseIfFull();
+  /// The answer has ended.
+  void EndAccount();
   void ReadOn();
   void Take(std::string_view aBytes);
   void Dispatch();
   void Refuse(ResultCode aCode);
   void ArmTimer();
+  void Linger();
+  /// Closes once the caller takes nothing of an answer that has ended for as
+  /// long as a connection may rest.
+  void WaitForReader();
   void Expire();
   void Gone();
 
@@ -49,6 +74,9 @@
   bool mBegun = false;       ///< A byte of the request being read has come.
   bool mCloseAfter = false;  ///< Close once all is written.
   bool mReading = false;
+  bool mBodyChecked = false;
+  bool mPaused = false;  ///< Its caller is pushed back for lack of memory.
+  std::shared_ptr<MemoryHold> mMemory;
 };
 
 }  // namespace spindleweir
--- a/drivers/stream_server.cpp
+++ b/drivers/stream_server.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <charconv>
 
+#include "drivers/socket_options.h"
 #include "drivers/stream_connection.h"
 #include "spindleweir/core/error.h"
 
@@ -65,7 +66,8 @@
     : mConnection(aConnection),
       mHead(std::move(aHead)),
       mBody(std::move(aBody)),
-      mReceivedAt(SteadyNow()) {}
+      mReceivedAt(SteadyNow()),
+      mMemory(aConnection->Memory()) {}
 
 void StreamExchange::Start(int aStatus, const HttpHeaders& aHeaders,
                            std::optional<std::size_t> aLength) {
@@ -137,6 +139,10 @@
   return mConnection == nullptr ? 0 : mConnection->PendingBytes();
 }
 
+bool StreamExchange::MayBringMore() const {
+  return mConnection == nullptr || mConnection->MayBringMore();
+}
+
 StreamServer::StreamServer(EventLoop& aLoop, StreamServerOptions aOptions)
     : mLoop(aLoop), mOptions(std::move(aOptions)), mAddress(mOptions.mListen) {
   sockaddr_in address{};
@@ -155,6 +161,11 @@
     throw Error(ResultCode::kCannotListen,
                 "cannot listen on " + mOptions.mListen.Text());
   }
+  if (mOptions.mMemory != nullptr && mOptions.mMemory->Options().mWindow > 0) {
+    // Accepted connections have it from their start.
+    SetWindow(evconnlistener_get_fd(mListener),
+              mOptions.mMemory->Options().mWindow);
+  }
   socklen_t n = sizeof(address);
   if (getsockname(evconnlistener_get_fd(mListener),
                   reinterpret_cast<sockaddr*>(&address), &n) == 0) {
@@ -163,6 +174,7 @@
 }
 
 StreamServer::~StreamServer() {
+  mMemoryTimer.reset();
   evconnlistener_free(mListener);
   const auto connections = std::move(mConnections);
   mConnections.clear();
@@ -183,6 +195,45 @@
   mOptions.mLimits = aLimits;
 }
 
+void StreamServer::WatchMemory() {
+  if (mMemoryTimer == nullptr) {
+    mMemoryTimer = mLoop.Every(MemoryAccount::kTick, [this] { CheckMemory(); });
+  }
+}
+
+StreamConnection* StreamServer::HolderOf(std::uint64_t aHolder) const {
+  const auto it = mHolders.find(aHolder);
+  return it == mHolders.end() ? nullptr : it->second;
+}
+
+void StreamServer::CheckMemory() {
+  MemoryAccount& account = *mOptions.mMemory;
+  const MemoryOrders orders = account.Tick(SteadyNow());
+  std::size_t callers = 0;
+  std::size_t bytes = 0;
+  for (std::uint64_t holder : orders.mCut) {
+    StreamConnection* connection = HolderOf(holder);
+    if (connection != nullptr) {
+      callers++;
+      bytes += account.HeldFor(holder);
+      connection->Cut();
+    }
+  }
+  if (callers > 0 && mOptions.mOnCut) {
+    mOptions.mOnCut(callers, bytes);
+  }
+  for (std::uint64_t holder : orders.mReadOn) {
+    StreamConnection* connection = HolderOf(holder);
+    if (connection != nullptr) {
+      connection->ContinueReading();
+    }
+  }
+  if (!account.Busy()) {
+    // Not from within its own call.
+    mLoop.Post([timer = std::shared_ptr<Timer>(std::move(mMemoryTimer))] {});
+  }
+}
+
 void StreamServer::CloseIdle() {
   std::vector<std::shared_ptr<StreamConnection>> idle;
   for (const auto& [key, connection] : mConnections) {
@@ -200,6 +251,9 @@
   if (it == mConnections.end()) {
     return;
   }
+  if (aConnection->Memory() != nullptr) {
+    mHolders.erase(aConnection->Memory()->Number());
+  }
   // It may be on the stack: it goes in the next turn of the loop.
   mLoop.Post([gone = std::move(it->second)] {});
   mConnections.erase(it);
--- a/include/spindleweir/daemons/relay_router.h
+++ b/include/spindleweir/daemons/relay_router.h
@@ -11,6 +11,7 @@
 #include "spindleweir/daemons/beat_answer.h"
 #include "spindleweir/daemons/traffic_protocols.h"
 #include "spindleweir/drivers/event_loop.h"
+#include "spindleweir/servers/limits/upstream_bound.h"
 #include "spindleweir/servers/routing/retry_allowance.h"
 
 namespace spindleweir {
@@ -35,6 +36,16 @@
   /// After a stop signal all must have ended within this time.
   Millis mStopGrace = 8000;
   RetryAllowanceOptions mRetries;
+  /// Of the process; 0: not known, and what is held for callers has a bound
+  /// for each of them only.
+  std::size_t mMemoryBytes = 0;
+  /// Of the system's buffers of a connection, each way, in bytes; 0: by
+  /// mMemoryBytes.
+  std::size_t mWindow = 0;
+  /// For callers and upstreams together; 0: not known.
+  std::size_t mDescriptors = 0;
+  std::size_t mMostConnections = 3000;  ///< Of callers.
+  UpstreamBoundOptions mUpstreams;      ///< Of plain services.
   CallerProtocol mCallers;
   EngineProtocol mEngines;
 };
--- a/include/spindleweir/drivers/stream_client.h
+++ b/include/spindleweir/drivers/stream_client.h
@@ -11,6 +11,7 @@
 #include "spindleweir/core/settings.h"
 #include "spindleweir/drivers/event_loop.h"
 #include "spindleweir/drivers/http_message.h"
+#include "spindleweir/drivers/memory_hold.h"
 
 namespace spindleweir {
 
@@ -31,6 +32,8 @@
   std::string mBody;
   Millis mConnectTimeout = 500;
   Millis mTimeout = 0;  ///< From start to end; 0: none.
+  /// Who its unsent and unread bytes are held for; nullptr: nobody is told.
+  std::shared_ptr<MemoryHold> mMemory;
   /// Asked right before the first byte goes out; false: nothing is sent.
   std::function<bool()> mMaySend;
   std::function<void(const AnswerHead&)> mOnHead;
--- a/include/spindleweir/drivers/stream_server.h
+++ b/include/spindleweir/drivers/stream_server.h
@@ -3,6 +3,7 @@
 /// once. Over libevent's bufferevent and http_parser (see http_message.h).
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -14,6 +15,7 @@
 #include "spindleweir/core/settings.h"
 #include "spindleweir/drivers/event_loop.h"
 #include "spindleweir/drivers/http_message.h"
+#include "spindleweir/drivers/memory_hold.h"
 
 struct evconnlistener;
 struct sockaddr;
@@ -41,6 +43,8 @@
   void End();
   /// Sends a whole answer.
   void Reply(int aStatus, const HttpHeaders& aHeaders, std::string_view aBody);
+  /// The connection closes after this answer.
+  void CloseAfter() { mHead.mKeepAlive = false; }
   /// Breaks the answer off, so that it cannot be taken for complete.
   void Abort();
 
@@ -49,9 +53,15 @@
   bool Closed() const { return mConnection == nullptr; }
   /// Bytes written that the caller has not taken.
   std::size_t PendingBytes() const;
+  /// Whether more of the answer may be brought; if not, OnDrained tells when.
+  bool MayBringMore() const;
+  /// What the process holds for this caller; nullptr: the caller is gone, or
+  /// nothing is accounted.
+  const std::shared_ptr<MemoryHold>& Memory() const { return mMemory; }
   /// Called once when the caller's connection closes before the end.
   void OnClosed(std::function<void()> aCall) { mOnClosed = std::move(aCall); }
-  /// Called each time the caller has taken all that was written.
+  /// Called each time the caller has taken all that was written, and when an
+  /// account of memory lets a caller that waited bring more.
   void OnDrained(std::function<void()> aCall) { mOnDrained = std::move(aCall); }
 
  private:
@@ -63,6 +73,7 @@
   Millis mReceivedAt;
   bool mStarted = false;
   bool mChunked = false;
+  std::shared_ptr<MemoryHold> mMemory;
   std::function<void()> mOnClosed;
   std::function<void()> mOnDrained;
 };
@@ -83,6 +94,10 @@
   std::function<void(const std::shared_ptr<StreamExchange>&)> mHandle;
   /// Answers a request that cannot be read, before the connection closes.
   std::function<void(StreamExchange&, ResultCode)> mRefuse;
+  /// Of what is held for callers; nullptr: none.
+  std::shared_ptr<MemoryAccount> mMemory;
+  /// Callers that were ended for their memory in one look, and their bytes.
+  std::function<void(std::size_t aCallers, std::size_t aBytes)> mOnCut;
 };
 
 /// Listens on one address.
@@ -107,6 +122,10 @@
   static void HandleAccept(evconnlistener*, int aFd, sockaddr*, int,
                            void* aSelf);
   void Remove(StreamConnection* aConnection);
+  /// Looks at the account until nobody waits any more.
+  void WatchMemory();
+  void CheckMemory();
+  StreamConnection* HolderOf(std::uint64_t aHolder) const;
 
   EventLoop& mLoop;
   StreamServerOptions mOptions;
@@ -115,6 +134,8 @@
   evconnlistener* mListener = nullptr;
   std::unordered_map<StreamConnection*, std::shared_ptr<StreamConnection>>
       mConnections;
+  std::unordered_map<std::uint64_t, StreamConnection*> mHolders;
+  std::unique_ptr<Timer> mMemoryTimer;
 };
 
 }  // namespace spindleweir
--- a/standins/scripted_upstream.cpp
+++ b/standins/scripted_upstream.cpp
@@ -71,8 +71,21 @@
     aExchange->Abort();
     return;
   }
+  const std::string body = mBytes > 0 && request != nullptr
+                               ? BodyOf(*request, mBytes)
+                               : "by " + mInstance;
   aExchange->Reply(act == UpstreamAct::kFail ? kServerError : kOk,
-                   {{"X-Signature", mInstance}}, "by " + mInstance);
+                   {{"X-Signature", mInstance}}, body);
+}
+
+std::string ScriptedUpstream::BodyOf(const std::string& aRequest,
+                                     std::size_t aBytes) {
+  std::string body;
+  while (body.size() < aBytes) {
+    body += aRequest + " ";
+  }
+  body.resize(aBytes);
+  return body;
 }
 
 void ScriptedUpstream::Stream(StreamExchange& aExchange, UpstreamAct aAct) {
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -27,6 +27,11 @@
 
   /// The next requests are dealt with so; then all with kAnswer.
   void Next(std::vector<UpstreamAct> aActs);
+  /// From now on whole answers have so many bytes: the request's id again and
+  /// again.
+  void SetBytes(std::size_t aBytes) { mBytes = aBytes; }
+  /// The body that a request gets then.
+  static std::string BodyOf(const std::string& aRequest, std::size_t aBytes);
   std::string Address() const { return mServer.Address().Text(); }
   const std::string& Instance() const { return mInstance; }
   /// How often a request ran here.
@@ -45,6 +50,7 @@
   std::deque<UpstreamAct> mActs;
   std::map<std::string, int> mRuns;
   int mClosed = 0;
+  std::size_t mBytes = 0;
   StreamServer mServer;
 };
 
--- /dev/null
+++ b/tests/daemons/memory_story_test.cpp
@@ -0,0 +1,181 @@
+/// Callers that read or send next to nothing beside callers that read well.
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+#include "tests/daemons/relay_story.h"
+
+using namespace spindleweir;
+
+namespace {
+
+constexpr std::size_t kMemory = 8 * 1000 * 1000;
+constexpr std::size_t kAnswer = 100 * 1000;
+constexpr int kSmallWindow = 2048;
+
+/// What a slow caller does each time that it is poked.
+enum class Slow { kReadsNothing, kReadsAByte, kSendsAByte };
+
+/// One caller on a socket of its own.
+class SlowCaller {
+ public:
+  SlowCaller(const Endpoint& aServer, const std::string& aTarget,
+             const std::string& aRequest, Slow aHow)
+      : mFd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)), mHow(aHow) {
+    (void)setsockopt(mFd, SOL_SOCKET, SO_RCVBUF, &kSmallWindow,
+                     sizeof(kSmallWindow));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(aServer.mPort));
+    inet_pton(AF_INET, aServer.mHost.c_str(), &address.sin_addr);
+    (void)connect(mFd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    mUnsent = "POST " + aTarget +
+              " HTTP/1.1\r\nHost: shop\r\nX-Request: " + aRequest +
+              "\r\nX-Key: key\r\nContent-Length: 1000\r\n\r\n";
+    mBody = mUnsent.size();
+    mUnsent += std::string(1000, 'b');
+  }
+  ~SlowCaller() { close(mFd); }
+  SlowCaller(const SlowCaller&) = delete;
+  SlowCaller& operator=(const SlowCaller&) = delete;
+
+  void Poke() {
+    const std::size_t n = mHow == Slow::kSendsAByte && mSent >= mBody ? 1
+                          : mHow == Slow::kSendsAByte ? mBody - mSent
+                                                      : mUnsent.size() - mSent;
+    if (mSent < mUnsent.size()) {
+      mSent += static_cast<std::size_t>(std::max<ssize_t>(
+          0, send(mFd, mUnsent.data() + mSent, n, MSG_NOSIGNAL)));
+    }
+    if (mHow == Slow::kReadsAByte) {
+      char byte = 0;
+      (void)recv(mFd, &byte, 1, 0);
+    }
+  }
+
+ private:
+  int mFd;
+  Slow mHow;
+  std::string mUnsent;
+  std::size_t mBody = 0;  ///< Where it begins.
+  std::size_t mSent = 0;
+};
+
+/// A crowd of them, poked by a timer, and the most that is held meanwhile.
+struct Crowd {
+  explicit Crowd(RelayStory& aStory) : mStory(aStory) {
+    mTimer = aStory.mLoop.Every(20, [this] { Step(); });
+  }
+
+  void Add(int aCount, const std::string& aTarget, Slow aHow) {
+    for (int i = 0; i < aCount; i++) {
+      const std::string id = "slow" + std::to_string(mCallers.size());
+      mIds.push_back(id);
+      mCallers.push_back(std::make_unique<SlowCaller>(mStory.mRouter->Address(),
+                                                      aTarget, id, aHow));
+    }
+  }
+
+  std::int64_t Gauge(const char* aName) const {
+    return mStory.mRouter->OwnCounters().Value(aName);
+  }
+
+  void Step() {
+    for (const auto& caller : mCallers) {
+      caller->Poke();
+    }
+    mStory.mRouter->RefreshGauges();
+    mMostHeld = std::max(mMostHeld, Gauge("memory_held_bytes"));
+    mMostCommitted = std::max(mMostCommitted, Gauge("memory_committed_bytes"));
+  }
+
+  RelayStory& mStory;
+  std::vector<std::unique_ptr<SlowCaller>> mCallers;
+  std::vector<std::string> mIds;
+  std::int64_t mMostHeld = 0;
+  std::int64_t mMostCommitted = 0;
+  std::unique_ptr<Timer> mTimer;
+};
+
+/// A call that comes back when it is refused, as callers do.
+Answer CallUntilServed(RelayStory& aStory, const std::string& aTarget) {
+  Answer answer;
+  for (int i = 0; i < 400; i++) {
+    answer = aStory.Call(aTarget);
+    if (answer.mStatus == 200) {
+      break;
+    }
+    // It was refused, and that is a promise.
+    REQUIRE(answer.mStatus == 503);
+    CHECK(FindHeader(answer.mHeaders, "Retry-After") != nullptr);
+    CHECK(aStory.RunsOfLast() == 0);
+    aStory.Wait(20);
+  }
+  return answer;
+}
+
+}  // namespace
+
+Test(memory, callers_that_read_well_are_served_beside_those_that_do_not) {
+  RelayStory story;
+  story.mMemoryBytes = kMemory;
+  story.StartRouter();
+  story.Begin();
+  story.mA.SetBytes(kAnswer);
+  story.mB.SetBytes(kAnswer);
+  Crowd crowd(story);
+  crowd.Add(60, "/look/slow", Slow::kReadsNothing);
+  crowd.Add(10, "/pay/slow", Slow::kReadsNothing);
+  crowd.Add(10, "/look/slow", Slow::kReadsAByte);
+  crowd.Add(10, "/look/slow", Slow::kSendsAByte);
+  const auto bound = static_cast<std::int64_t>(kMemory / 2);
+  for (int i = 0; i < 20; i++) {
+    crowd.Add(5, "/look/slow", Slow::kReadsNothing);
+    for (const char* target : {"/look/good", "/pay/good"}) {
+      const Answer answer = CallUntilServed(story, target);
+      CHECK(answer.mStatus == 200 && answer.mEnd == StreamEnd::kComplete);
+      CHECK(answer.mBody == ScriptedUpstream::BodyOf(story.Last(), kAnswer));
+      CHECK(story.RunsOfLast() == 1);
+    }
+  }
+  REQUIRE(story.RunUntil([&] { return crowd.Gauge("memory_cut") > 0; }));
+  CHECK(crowd.mMostHeld > bound / 4);
+  CHECK(crowd.mMostHeld <= bound);
+  CHECK(crowd.mMostCommitted <= bound);
+  SECTION("none of the slow callers' requests ran twice") {
+    for (const std::string& id : crowd.mIds) {
+      CHECK(story.mA.Runs(id) + story.mB.Runs(id) <= 1);
+    }
+  }
+  SECTION("all is given back once they are gone") {
+    crowd.mCallers.clear();
+    CHECK(story.RunUntil([&] {
+      return crowd.Gauge("memory_held_bytes") == 0 &&
+             crowd.Gauge("memory_committed_bytes") == 0;
+    }));
+  }
+}
+
+Test(memory, a_slow_caller_gets_its_whole_answer_where_there_is_room) {
+  RelayStory story;
+  story.mMemoryBytes = kMemory;
+  story.StartRouter();
+  story.Begin();
+  story.mA.SetBytes(kAnswer);
+  story.mB.SetBytes(kAnswer);
+  SlowCaller caller(story.mRouter->Address(), "/pay/slow", "slow",
+                    Slow::kReadsNothing);
+  caller.Poke();
+  const auto poke = story.mLoop.Every(20, [&caller] { caller.Poke(); });
+  // Nothing is left at the upstream, which would cut it.
+  REQUIRE(story.RunUntil([&] {
+    story.mRouter->RefreshGauges();
+    return story.mRouter->OwnCounters().Value("memory_unread_bytes") >
+               static_cast<std::int64_t>(kAnswer / 2) &&
+           story.mRouter->OwnCounters().Value("requests_open") == 0;
+  }));
+  CHECK(story.mA.Runs("slow") + story.mB.Runs("slow") == 1);
+  CHECK(story.mRouter->OwnCounters().Value("memory_cut") == 0);
+}
--- a/tests/daemons/relay_story.cpp
+++ b/tests/daemons/relay_story.cpp
@@ -77,6 +77,7 @@
   options.mStopGrace = 2000;
   options.mStartWait = mStartWait;
   options.mRetries = mRetries;
+  options.mMemoryBytes = mMemoryBytes;
   options.mCallers = PlainCallers();
   options.mEngines = PlainEngines();
   mRouter = std::make_unique<RelayRouter>(mLoop, std::move(options));
--- a/tests/daemons/relay_story.h
+++ b/tests/daemons/relay_story.h
@@ -85,6 +85,7 @@
   int mRequest = 0;
   Millis mStartWait;
   RetryAllowanceOptions mRetries;
+  std::size_t mMemoryBytes = 0;  ///< Of routers that are started from now on.
   int mOwnBeats;           ///< Heartbeats a second that control takes itself.
   int mDocumentsRead = 0;  ///< By control.
 };
--- a/tests/drivers/stream_test.cpp
+++ b/tests/drivers/stream_test.cpp
@@ -13,8 +13,9 @@
 
 /// A server with a handler that a test sets.
 struct Server {
-  Server()
-      : mServer(mLoop,
+  explicit Server(std::shared_ptr<MemoryAccount> aMemory = nullptr)
+      : mMemory(std::move(aMemory)),
+        mServer(mLoop,
                 {.mListen = {"127.0.0.1", 0},
                  .mLimits = {.mMaximumHeaderBytes = 2000,
                              .mMaximumBodyBytes = 1000},
@@ -30,7 +31,8 @@
                  .mRefuse =
                      [](StreamExchange& aExchange, ResultCode aCode) {
                        aExchange.Reply(InfoOf(aCode).mHttpStatus, {}, "no");
-                     }}) {}
+                     },
+                 .mMemory = mMemory}) {}
 
   bool RunUntil(const std::function<bool()>& aCondition) {
     return RunLoopUntil(mLoop, aCondition);
@@ -96,9 +98,57 @@
   bool mClosed = false;
   int mStatus = 0;
   std::string mBody;
+  std::shared_ptr<MemoryAccount> mMemory;
   StreamServer mServer;
 };
 
+/// An account of so many bytes, of which each request has a least of 16 KB.
+std::shared_ptr<MemoryAccount> Account(std::size_t aBound) {
+  return std::make_shared<MemoryAccount>(
+      MemoryAccountOptions{.mBound = aBound, .mWindow = 8 * 1024});
+}
+
+/// A caller with a small window that reads when it is told to.
+class PlainCaller {
+ public:
+  explicit PlainCaller(const Endpoint& aServer)
+      : mFd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+    constexpr int kWindow = 2048;
+    (void)setsockopt(mFd, SOL_SOCKET, SO_RCVBUF, &kWindow, sizeof(kWindow));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(aServer.mPort));
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    (void)connect(mFd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  }
+  ~PlainCaller() { close(mFd); }
+  PlainCaller(const PlainCaller&) = delete;
+  PlainCaller& operator=(const PlainCaller&) = delete;
+
+  /// Sends once, as soon as it is connected.
+  void Send(Server& aServer, std::string_view aBytes) const {
+    bool sent = false;
+    REQUIRE(aServer.RunUntil([&] {
+      sent = sent || send(mFd, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) > 0;
+      return sent;
+    }));
+  }
+  void Read() {
+    char buf[4096];
+    const ssize_t n = recv(mFd, buf, sizeof(buf), 0);
+    mEnded = mEnded || n == 0;
+    if (n > 0) {
+      mReceived.append(buf, static_cast<std::size_t>(n));
+    }
+  }
+
+  std::string mReceived;
+  bool mEnded = false;
+
+ private:
+  int mFd;
+};
+
 }  // namespace
 
 Test(stream, answers_come_whole_or_are_known_to_be_broken) {
@@ -175,6 +225,79 @@
   CHECK(answer.find("Connection: close") != std::string::npos);
 }
 
+Test(stream, a_caller_that_reads_slowly_gets_its_whole_answer) {
+  // An answer that closed its connection was cut a second after its end.
+  constexpr std::size_t kBytes = 4 * 1000 * 1000;
+  Server server(Account(8 * kBytes));
+  server.mHandle = [](StreamExchange& aExchange) {
+    aExchange.Reply(200, {}, std::string(kBytes, 'x'));
+  };
+  PlainCaller caller(server.mServer.Address());
+  caller.Send(server,
+              "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  bool late = false;
+  const auto pause = server.mLoop.After(1500, [&late] { late = true; });
+  REQUIRE(server.RunUntil([&] { return late; }));
+  CHECK(server.mMemory->Held(HeldKind::kUnread) > kBytes / 2);
+  CHECK(server.RunUntil([&] {
+    caller.Read();
+    return caller.mEnded;
+  }));
+  CHECK(caller.mReceived.ends_with(std::string(kBytes, 'x')));
+  CHECK(server.RunUntil([&] { return server.mMemory->Held() == 0; }));
+}
+
+Test(stream, a_full_process_refuses_at_once) {
+  Server server(Account(60 * 1024));
+  server.mHandle = [](StreamExchange& aExchange) {
+    aExchange.Reply(200, {}, "yes");
+  };
+  CHECK(server.Call() == StreamEnd::kComplete && server.mStatus == 200);
+  REQUIRE(server.RunUntil([&] { return server.mMemory->Committed() == 0; }));
+  // Two requests whose answers are not made yet hold all of it.
+  server.mHandle = nullptr;
+  PlainCaller first(server.mServer.Address());
+  PlainCaller second(server.mServer.Address());
+  first.Send(server, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  second.Send(server, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(server.RunUntil([&] { return server.mHandled == 3; }));
+  CHECK(server.Call() == StreamEnd::kComplete && server.mStatus == 503);
+  CHECK(server.mHandled == 3);
+  SECTION("and a body that it can never hold, by its length") {
+    Server other(Account(400 * 1024));
+    other.mServer.SetLimits({});
+    const std::string answer = other.Raw(
+        "POST / HTTP/1.1\r\nHost: h\r\n"
+        "Content-Length: 900000\r\n\r\nabc");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(other.mHandled == 0);
+  }
+}
+
+Test(stream, who_takes_nothing_is_cut_when_memory_is_short) {
+  constexpr std::size_t kBytes = 300 * 1000;
+  Server server(Account(4 * kBytes));
+  server.mHandle = [](StreamExchange& aExchange) {
+    aExchange.Memory()->SetClaim(MemoryClaim::kRepeatable);
+    aExchange.Reply(200, {}, std::string(kBytes, 'x'));
+  };
+  std::vector<std::unique_ptr<PlainCaller>> callers;
+  for (int i = 0; i < 4; i++) {
+    callers.push_back(std::make_unique<PlainCaller>(server.mServer.Address()));
+    callers.back()->Send(server, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(server.RunUntil([&] { return server.mHandled == i + 1; }));
+  }
+  // The last one reads on; one of the others goes.
+  CHECK(server.RunUntil([&] {
+    callers.back()->Read();
+    return server.mServer.Connections() < 4;
+  }));
+  CHECK(server.RunUntil([&] {
+    callers.back()->Read();
+    return callers.back()->mReceived.ends_with(std::string(kBytes, 'x'));
+  }));
+}
+
 Test(stream, requests_that_cannot_be_read_are_refused_with_a_number) {
   Server server;
   const auto statusOf = [&server](std::string_view aBytes) {
