--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -27,6 +27,7 @@
     "  choice         many routers with late news against one that sees all\n"
     "  control        what each part of control's work costs by engines\n"
     "  slopes         what docs/CAPACITY.md is worked out from\n"
+    "  memory         3,000 slow callers beside 200 that read well\n"
     "  history        callers and operators for scripts/history\n"
     "  check FILE...  judges the records of a history\n"
     "  report FILE... a page with plots from saved --json lines\n";
@@ -45,7 +46,8 @@
                                  {"placement", MeasurePlacement},
                                  {"choice", MeasureChoice},
                                  {"control", MeasureControl},
-                                 {"slopes", MeasureSlopes}};
+                                 {"slopes", MeasureSlopes},
+                                 {"memory", MeasureMemory}};
 
 int Run(const std::vector<std::string>& aArguments) {
   RequireRange(FLAGS_seconds, 1, 86400, "--seconds");
--- a/bench/commands.h
+++ b/bench/commands.h
@@ -24,6 +24,7 @@
 void MeasureChoice(const BenchOptions& aOptions);
 void MeasureControl(const BenchOptions& aOptions);
 void MeasureSlopes(const BenchOptions& aOptions);
+void MeasureMemory(const BenchOptions& aOptions);
 
 /// What the callers and operators of a history are to do.
 struct HistoryOptions {
