--- a/bench/choice_play.cpp
+++ b/bench/choice_play.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 
 #include "bench/measure.h"
 #include "spindleweir/servers/placement/layer_planner.h"
@@ -16,6 +17,14 @@
 
 /// How often loads are noted for the news.
 constexpr Millis kNoteEvery = 50;
+/// What an engine says of its pace is so old, and a question takes so long.
+constexpr Millis kReportLag = 200;
+constexpr Millis kQuestionMillis = 10;
+/// The part of a zone's engines that are left out at most.
+constexpr double kMostEjected = 0.5;
+/// From so long after they are well again slow engines should be used as
+/// others.
+constexpr Millis kBackAfter = 2000;
 /// A token waits at each engine for half of the pass that is under way.
 constexpr double kWaitForPass = 1.5;
 /// Of the requests that pass an engine, so many of one are in its pass: the
@@ -33,6 +42,7 @@
   EngineLoad mLoad;
   double mReadsUntil = 0;
   double mWorkMillis = 0;
+  bool mTurnsSlow = false;
 };
 
 struct PlayedRequest {
@@ -47,6 +57,18 @@
   Loads mOwn;
   std::deque<Loads> mOwnNoted;  ///< As it was at each note.
   PathChoice mChoice;
+  EnginePaces mPaces;
+  std::deque<LoadShares> mToldNoted;
+};
+
+/// What a router sees of a stream.
+struct Sight {
+  double mAt = 0;
+  std::size_t mRouter = 0;
+  std::vector<std::string> mPath;
+  Millis mFrom = 0;  ///< The event was waited for from here on.
+  bool mLate = false;
+  bool operator<(const Sight& aOther) const { return mAt > aOther.mAt; }
 };
 
 /// Adds, or takes away, what a request is at one part of its path.
@@ -77,6 +99,7 @@
           .mRecord = &record, .mRoom = model.Room(record.mLayers.Count())};
       mViews.push_back(&record);
     }
+    TurnSlow();
     std::vector<std::string> zones;
     for (const EngineGroup& group : mOptions.mGroups) {
       if (std::find(zones.begin(), zones.end(), group.mZone) == zones.end()) {
@@ -99,6 +122,9 @@
       while (!mEnds.empty() && mEnds.top().mAt <= next) {
         EndRequest();
       }
+      while (!mSights.empty() && mSights.top().mAt <= next) {
+        See();
+      }
       if (next - noted >= static_cast<double>(kNoteEvery)) {
         Note();
         noted = next;
@@ -117,7 +143,97 @@
     bool operator<(const Ending& aOther) const { return mAt > aOther.mAt; }
   };
 
+  /// Draws the engines that will be slow.
+  void TurnSlow() {
+    std::vector<std::string> all;
+    for (const UpstreamRecord& record : mRecords) {
+      all.push_back(record.mInstance);
+    }
+    std::shuffle(all.begin(), all.end(), mRandom);
+    const auto n = static_cast<std::size_t>(mOptions.mSlow.mShare *
+                                            static_cast<double>(all.size()));
+    for (std::size_t i = 0; i < n; i++) {
+      mEngines[all[i]].mTurnsSlow = true;
+    }
+  }
+
+  bool IsSlowTime(double aAt) const {
+    const auto from = static_cast<double>(mOptions.mSlow.mFrom);
+    return aAt >= from && aAt < from + static_cast<double>(mOptions.mSlow.mFor);
+  }
+
+  double TruePace(const PlayedEngine& aEngine, double aAt) const {
+    return aEngine.mTurnsSlow && IsSlowTime(aAt) ? mOptions.mSlow.mTimes : 1;
+  }
+
+  bool JudgesPaces() const { return mOptions.mPaceRule != PaceRule::kNone; }
+
+  void See() {
+    const Sight sight = mSights.top();
+    mSights.pop();
+    mNow = sight.mAt;
+    const auto now = static_cast<Millis>(sight.mAt);
+    PlayedRouter& router = *mRouters[sight.mRouter];
+    if (!sight.mLate) {
+      router.mPaces.OnTime(sight.mPath, sight.mFrom);
+      return;
+    }
+    router.mPaces.Late(sight.mPath, sight.mFrom, now);
+    StepPaces(router, now);
+  }
+
+  void StepPaces(PlayedRouter& aRouter, Millis aNow) {
+    const auto random = [this] {
+      return std::uniform_real_distribution<double>(0, 1)(mRandom);
+    };
+    for (const std::string& instance :
+         aRouter.mPaces.ToAsk(aNow, mOptions.mRouters, random)) {
+      mResult.mQuestions++;
+      const double said = TruePace(mEngines.at(instance),
+                                   static_cast<double>(aNow - kReportLag));
+      aRouter.mPaces.TakeWord(instance, said, aNow + kQuestionMillis);
+    }
+    for (const PaceChange& change : aRouter.mPaces.Judge(aNow)) {
+      const bool slow = mEngines.at(change.mInstance).mTurnsSlow;
+      mResult.mFalseAlarms += change.mSlow && !slow ? 1 : 0;
+    }
+  }
+
+  /// Paces travel with the loads: from each router to all others.
+  void NotePaces() {
+    if (!JudgesPaces()) {
+      return;
+    }
+    const auto now = static_cast<Millis>(mNow);
+    const auto kept = static_cast<std::size_t>(mOptions.mNewsAge / kNoteEvery);
+    LoadShares all;
+    for (const auto& router : mRouters) {
+      LoadShares told;
+      router->mPaces.Tell(told, now);
+      for (const auto& [instance, share] : told) {
+        all[instance].Add(share, 1);
+      }
+      router->mToldNoted.push_back(std::move(told));
+      while (router->mToldNoted.size() > kept + 1) {
+        router->mToldNoted.pop_front();
+      }
+    }
+    mPacesNoted.push_back(std::move(all));
+    while (mPacesNoted.size() > kept + 1) {
+      mPacesNoted.pop_front();
+    }
+    for (const auto& router : mRouters) {
+      LoadShares others = mPacesNoted.front();
+      for (const auto& [instance, share] : router->mToldNoted.front()) {
+        others[instance].Add(share, -1);
+      }
+      router->mPaces.TakeNews(others, now);
+      StepPaces(*router, now);
+    }
+  }
+
   void Note() {
+    NotePaces();
     const auto kept = static_cast<std::size_t>(mOptions.mNewsAge / kNoteEvery);
     Loads all;
     for (const auto& [instance, engine] : mEngines) {
@@ -144,8 +260,13 @@
   /// work as it is.
   EngineLoad Known(const PlayedRouter& aRouter,
                    const std::string& aInstance) const {
+    const bool dearer = mOptions.mPaceRule == PaceRule::kCost ||
+                        mOptions.mPaceRule == PaceRule::kBoth;
+    const double pace = dearer ? aRouter.mPaces.PaceOf(aInstance) : 1;
     if (mOptions.mNewsAge == 0) {
-      return mEngines.at(aInstance).mLoad;
+      EngineLoad load = mEngines.at(aInstance).mLoad;
+      load.mPace = pace;
+      return load;
     }
     const EngineLoad all = At(mNoted.front(), aInstance);
     const EngineLoad before = At(aRouter.mOwnNoted.front(), aInstance);
@@ -154,10 +275,38 @@
             .mTokenLayers =
                 all.mTokenLayers - before.mTokenLayers + own.mTokenLayers,
             .mFirsts = all.mFirsts - before.mFirsts + own.mFirsts,
-            .mReadTokenLayers = 0};
+            .mReadTokenLayers = 0,
+            .mPace = pace};
+  }
+
+  /// The slowest engines, so that half of each zone stays.
+  std::set<std::string> Ejected(const PlayedRouter& aRouter) const {
+    if (mOptions.mPaceRule != PaceRule::kEject &&
+        mOptions.mPaceRule != PaceRule::kBoth) {
+      return {};
+    }
+    std::map<std::string, double> most;
+    for (const UpstreamRecord& record : mRecords) {
+      most[record.mZone] += kMostEjected;
+    }
+    std::vector<std::pair<double, std::string>> slow;
+    for (const auto& [instance, pace] : aRouter.mPaces.Slow()) {
+      slow.emplace_back(pace, instance);
+    }
+    std::sort(slow.rbegin(), slow.rend());
+    std::set<std::string> ejected;
+    for (const auto& [pace, instance] : slow) {
+      double& left = most[mEngines.at(instance).mRecord->mZone];
+      if (left >= 1) {
+        left -= 1;
+        ejected.insert(instance);
+      }
+    }
+    return ejected;
   }
 
-  LayerPath Choose(PlayedRouter& aRouter, double aPrompt, double aAnswer) {
+  PathQuestion QuestionOf(const PlayedRouter& aRouter, double aPrompt,
+                          double aAnswer) {
     PathQuestion question;
     question.mProfile = &mOptions.mProfile;
     question.mZone = aRouter.mZone;
@@ -171,16 +320,21 @@
     question.mRandom = [this] {
       return std::uniform_real_distribution<double>(0, 1)(mRandom);
     };
+    question.mAvoid = Ejected(aRouter);
+    return question;
+  }
+
+  LayerPath Choose(PlayedRouter& aRouter, const PathQuestion& aQuestion) {
     const double unseen = mOptions.mRequestsPerSecond / 1000 *
                           static_cast<double>(mOptions.mNewsAge);
     const auto from = std::chrono::steady_clock::now();
     PathAnswer answer =
         mOptions.mRule == ChoiceRule::kCheapest
-            ? ChoosePath(question)
-            : aRouter.mChoice.Choose(question,
-                                     {.mUnseen = unseen,
-                                      .mRevision = 1,
-                                      .mNow = static_cast<Millis>(mNow)});
+            ? ChoosePath(aQuestion)
+            : aRouter.mChoice.Choose(
+                  aQuestion, {.mUnseen = unseen,
+                              .mRevision = 1 + aRouter.mPaces.Revision(),
+                              .mNow = static_cast<Millis>(mNow)});
     mChoiceMicros += std::chrono::duration<double, std::micro>(
                          std::chrono::steady_clock::now() - from)
                          .count();
@@ -199,12 +353,55 @@
     auto request = std::make_shared<PlayedRequest>();
     request->mRouter = chosen;
     request->mTokens = prompt + answer;
-    request->mPath = Choose(router, prompt, answer);
+    const PathQuestion question = QuestionOf(router, prompt, answer);
+    request->mPath = Choose(router, question);
     if (request->mPath.empty() || !Takes(*request)) {
       mResult.mRefused++;
+      CountLate(true);
       return;
     }
-    Run(request, prompt, answer);
+    const PathPace expected = ExpectPace(question, request->mPath);
+    const PathPace pace = Run(request, prompt, answer);
+    CountLate(pace.mFirst > static_cast<double>(mOptions.mAim.mFirst) ||
+              pace.mToken * mOptions.mEventTokens >
+                  static_cast<double>(mOptions.mAim.mPause));
+    if (JudgesPaces()) {
+      Watch(*request, expected, pace);
+    }
+  }
+
+  void CountLate(bool aLate) {
+    const auto from = static_cast<double>(mOptions.mSlow.mFrom);
+    const auto to = from + static_cast<double>(mOptions.mSlow.mFor);
+    if (IsSlowTime(mNow)) {
+      mResult.mBegunSlow++;
+      mResult.mLateSlow += aLate ? 1 : 0;
+    } else if (mNow >= to + static_cast<double>(kBackAfter)) {
+      mResult.mBegunAfter++;
+      mResult.mLateAfter += aLate ? 1 : 0;
+    }
+  }
+
+  /// Notes what the router will see of a stream's first two events.
+  void Watch(const PlayedRequest& aRequest, const PathPace& aExpected,
+             const PathPace& aPace) {
+    const StreamPatience patience =
+        PatienceOf(aExpected, mOptions.mEventTokens, mOptions.mAim);
+    Sight sight;
+    sight.mRouter = aRequest.mRouter;
+    for (const PathPart& part : aRequest.mPath) {
+      sight.mPath.push_back(part.mInstance);
+    }
+    double from = mNow;
+    const auto add = [&](double aWait, Millis aPatience) {
+      sight.mFrom = static_cast<Millis>(from);
+      sight.mLate = aWait > static_cast<double>(aPatience);
+      sight.mAt = from + (sight.mLate ? static_cast<double>(aPatience) : aWait);
+      mSights.push(sight);
+      from += aWait;
+    };
+    add(aPace.mFirst, patience.mFirst);
+    add(aPace.mToken * mOptions.mEventTokens, patience.mGap);
   }
 
   /// Whether all engines of the path have what the request needs.
@@ -223,8 +420,8 @@
     return true;
   }
 
-  void Run(const std::shared_ptr<PlayedRequest>& aRequest, double aPrompt,
-           double aAnswer) {
+  PathPace Run(const std::shared_ptr<PlayedRequest>& aRequest, double aPrompt,
+               double aAnswer) {
     AddLoad(mRouters[aRequest->mRouter]->mOwn, *aRequest, 1);
     double at = mNow;
     double token = 0;
@@ -233,21 +430,35 @@
       const EngineModel model(mOptions.mProfile, *mOptions.mProfile.FindKind(
                                                      engine.mRecord->mKind));
       const int layers = part.mLayers.Count();
-      const double read = model.ReadMillis(layers, aPrompt);
+      const double pace = TruePace(engine, mNow);
+      const double read = model.ReadMillis(layers, aPrompt) * pace;
       at = std::max(at, engine.mReadsUntil) + read;
       engine.mReadsUntil = at;
       AddPart(engine.mLoad, *aRequest, part, 1);
       const double writers =
           1 + WritersOf(engine.mLoad.mRequests, aRequest->mPath.size());
-      const double step = model.StepMillis(
-          layers, {.mWriters = writers,
-                   .mContextTokens = writers * (aPrompt + aAnswer / 2)});
+      const double step =
+          pace *
+          model.StepMillis(
+              layers, {.mWriters = writers,
+                       .mContextTokens = writers * (aPrompt + aAnswer / 2)});
       token += step * kWaitForPass + HopMillis(mOptions.mProfile, false);
       engine.mWorkMillis += read + aAnswer * step / writers;
+      CountBack(engine, layers);
     }
     mFirsts.push_back(at + token - mNow);
     mTokens.push_back(token);
     mEnds.push({at + token * aAnswer, aRequest});
+    return {.mFirst = at + token - mNow, .mToken = token};
+  }
+
+  void CountBack(const PlayedEngine& aEngine, int aLayers) {
+    const auto from = static_cast<double>(mOptions.mSlow.mFrom +
+                                          mOptions.mSlow.mFor + kBackAfter);
+    if (mNow >= from) {
+      mLayersAfter += aLayers;
+      mLayersBack += aEngine.mTurnsSlow ? aLayers : 0;
+    }
   }
 
   void EndRequest() {
@@ -269,6 +480,7 @@
     }
     const double mean = work / static_cast<double>(mEngines.size());
     mResult.mBusiest = mean <= 0 ? 0 : most / mean;
+    mResult.mBackShare = mLayersAfter <= 0 ? 0 : mLayersBack / mLayersAfter;
     mResult.mFirstP95 = Percentile(mFirsts, kMostOfAll);
     mResult.mTokenP95 = Percentile(mTokens, kMostOfAll);
     mResult.mChoiceMicros = mChoiceMicros / std::max(1, mResult.mRequests);
@@ -283,7 +495,11 @@
   std::size_t mZones = 1;
   std::vector<std::unique_ptr<PlayedRouter>> mRouters;
   std::deque<Loads> mNoted;
+  std::deque<LoadShares> mPacesNoted;
   std::priority_queue<Ending> mEnds;
+  std::priority_queue<Sight> mSights;
+  double mLayersAfter = 0;  ///< Run by all engines once all are well again.
+  double mLayersBack = 0;   ///< By those that were slow.
   double mNow = 0;
   double mChoiceMicros = 0;
   std::vector<double> mFirsts;
--- a/bench/choice_play.h
+++ b/bench/choice_play.h
@@ -7,7 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "spindleweir/servers/routing/engine_pace.h"
 #include "spindleweir/servers/routing/path_choice.h"
+#include "spindleweir/servers/routing/path_pace.h"
 
 namespace spindleweir {
 
@@ -17,6 +19,22 @@
   kPathChoice  ///< PathChoice.
 };
 
+/// What routers do about engines that they judge slow.
+enum class PaceRule {
+  kNone,   ///< Nothing.
+  kCost,   ///< They are as much dearer as they are slower.
+  kEject,  ///< They are left out, half of a zone at most.
+  kBoth
+};
+
+/// Engines that turn slow, and are well again.
+struct SlowEngines {
+  double mShare = 0;  ///< Of all.
+  double mTimes = 1;  ///< As long as before.
+  Millis mFrom = 0;
+  Millis mFor = 0;
+};
+
 /// Engines of one kind in one zone.
 struct EngineGroup {
   std::string mZone;
@@ -33,6 +51,11 @@
   Millis mLength = 20000;
   unsigned mSeed = 1;
   ChoiceRule mRule = ChoiceRule::kPathChoice;
+  SlowEngines mSlow;
+  PaceRule mPaceRule = PaceRule::kCost;
+  /// What callers want of a stream, and the tokens of an event.
+  StreamAim mAim{.mFirst = 500, .mPause = 250};
+  double mEventTokens = 3;
 };
 
 /// What callers got.
@@ -43,6 +66,22 @@
   double mTokenP95 = 0;  ///< Milliseconds between tokens, mean of a request.
   double mBusiest = 0;   ///< Work of the busiest engine, of the mean.
   double mChoiceMicros = 0;  ///< Processor time of a choice.
+  int mBegunSlow = 0;        ///< Requests begun while engines were slow.
+  int mLateSlow = 0;         ///< Those that were late or refused.
+  int mBegunAfter = 0;       ///< Requests begun after it.
+  int mLateAfter = 0;
+  int mFalseAlarms = 0;  ///< Judgements that a sound engine is slow.
+  int mQuestions = 0;    ///< For engines' own word.
+  /// Work that the engines that were slow got of all, from two seconds after
+  /// they are well again.
+  double mBackShare = 0;
+
+  double LateShare() const {
+    return mBegunSlow == 0 ? 0 : static_cast<double>(mLateSlow) / mBegunSlow;
+  }
+  double LateShareAfter() const {
+    return mBegunAfter == 0 ? 0 : static_cast<double>(mLateAfter) / mBegunAfter;
+  }
 
   double RefusedShare() const {
     return mRequests == 0 ? 0 : static_cast<double>(mRefused) / mRequests;
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -208,7 +208,7 @@
                        std::nullopt);
     }
     const Millis now = SteadyNow();
-    mContext.mGuard->Watch().Progress(mKey, now);
+    mContext.mGuard->Progress(mKey, now);
     EndReading();
     if (mFirstEventAt == 0) {
       mFirstEventAt = now;
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -75,7 +75,7 @@
 }
 
 EngineLoad RelayContext::LoadOf(const std::string& aInstance) const {
-  EngineLoad load;
+  EngineLoad load{.mPace = mPaces.PaceOf(aInstance)};
   for (const auto* loads : {&mOwnLoads, &mOtherLoads}) {
     const auto it = loads->find(aInstance);
     if (it != loads->end()) {
@@ -101,12 +101,19 @@
       loads[instance].mUnreachable = 1;
     }
   }
+  mPaces.Tell(loads, now);
   return loads;
 }
 
 void RelayContext::SetOtherLoads(LoadShares aLoads, Millis aTrueAt) {
   mOtherLoads = std::move(aLoads);
   mOtherLoadsTrueAt = aTrueAt;
+  mPaces.TakeNews(mOtherLoads, SteadyNow());
+}
+
+void RelayContext::ForgetOtherLoads() {
+  mOtherLoads.clear();
+  mPaces.TakeNews(mOtherLoads, SteadyNow());
 }
 
 void RelayContext::Succeeded(const std::string& aInstance) {
@@ -190,7 +197,7 @@
   PathAnswer answer = paths.mChoice.Choose(
       aQuestion, {.mUnseen = others * paths.mArrivals.PerMilli(now) *
                              static_cast<double>(age),
-                  .mRevision = mRegistry.Revision(),
+                  .mRevision = mRegistry.Revision() + mPaces.Revision(),
                   .mNow = now});
   mCounters.Add("paths", answer.mPath.empty() ? "way=\"none\""
                          : answer.mDealt      ? "way=\"dealt\""
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -17,6 +17,7 @@
 #include "spindleweir/servers/routes/route_table.h"
 #include "spindleweir/servers/routes/traffic_change.h"
 #include "spindleweir/servers/routing/arrival_rate.h"
+#include "spindleweir/servers/routing/engine_pace.h"
 #include "spindleweir/servers/routing/engine_sample.h"
 #include "spindleweir/servers/routing/layer_path.h"
 #include "spindleweir/servers/routing/load_book.h"
@@ -72,7 +73,7 @@
   /// How old what is known of other routers' work is, on the whole.
   Millis LoadsAge() const { return SteadyNow() - mOtherLoadsTrueAt; }
   /// What is known of other routers' work is too old to be used.
-  void ForgetOtherLoads() { mOtherLoads.clear(); }
+  void ForgetOtherLoads();
 
   void Succeeded(const std::string& aInstance);
   void Failed(const std::string& aInstance, Millis aAvoidFor);
@@ -103,6 +104,7 @@
   ControlDirectory mDirectory;
   UpstreamRegistry mRegistry;
   BeatTaker mTaker;
+  EnginePaces mPaces;
   int mRouters = 1;  ///< That share limits, as far as is known.
   bool mStopping = false;
   StreamGuard* mGuard = nullptr;  ///< Set once all parts are made.
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -22,6 +22,13 @@
 constexpr Millis kOrderTimeout = 1000;
 /// Moves of one attempt to another path.
 constexpr int kMostMoves = 4;
+/// What is known of other streams' moves is older than this.
+constexpr Millis kLookAgain = 300;
+/// Many streams leave the same engines at the same moment, at all routers: the
+/// cheapest for one is dearer by up to so much for another.
+constexpr double kMoveSpread = 1;
+/// Tokens of an event, where it is not told.
+constexpr double kTokensPerEvent = 3;
 
 const char* NameOf(MoveReason aWhy) {
   switch (aWhy) {
@@ -31,6 +38,8 @@
       return "unreachable";
     case MoveReason::kStandsStill:
       return "stands still";
+    case MoveReason::kSlow:
+      return "slow";
   }
   return "";
 }
@@ -65,7 +74,6 @@
 }
 
 void RelayRequest::BeginReading(const LayerPath& aParts) {
-  constexpr double kTokensPerEvent = 3;
   const double tokens = mFacts.mPromptTokens + mEvents * kTokensPerEvent;
   for (const PathPart& part : aParts) {
     const double work = tokens * part.mLayers.Count();
@@ -126,6 +134,64 @@
   SwitchAttempt(ResultCode::kOutcomeUnknown);
 }
 
+StreamAim RelayRequest::Aim() const {
+  return {.mFirst = mRoute->mTarget, .mPause = mRoute->mPause};
+}
+
+std::set<std::string> RelayRequest::SlowParts() const {
+  const std::map<std::string, double>& slow = mContext.mPaces.Slow();
+  std::set<std::string> parts;
+  const LayerPath& path = mAttempt->mPath;
+  for (std::size_t i = 1; i < path.size(); i++) {
+    if (slow.contains(path[i].mInstance)) {
+      parts.insert(path[i].mInstance);
+    }
+  }
+  return parts;
+}
+
+LayerPath RelayRequest::WithoutSlow(const std::set<std::string>& aSlow) {
+  if (aSlow.empty()) {
+    return {};
+  }
+  LayerPath next = Without(aSlow);
+  if (!next.empty()) {
+    return next;
+  }
+  for (const std::string& instance : aSlow) {
+    // Not all of them can be replaced: one is better than none.
+    next = Without({instance});
+    if (!next.empty()) {
+      return next;
+    }
+  }
+  return {};
+}
+
+bool RelayRequest::LeaveSlow(Millis aNow) {
+  const bool may = mAttempt != nullptr && !mAttempt->mPath.empty() && !mEnded &&
+                   mAttempt->mOrder == nullptr && mAttempt->mMoves < kMostMoves;
+  if (!may ||
+      aNow - std::max(mAttempt->mMovedAt, mAttempt->mLookedAt) < kLookAgain) {
+    return false;
+  }
+  mAttempt->mLookedAt = aNow;
+  const PathQuestion question = EngineQuestion();
+  const PathPace held = ExpectPace(question, mAttempt->mPath);
+  LayerPath next = WithoutSlow(SlowParts());
+  const PathPace then = next.empty() ? held : ExpectPace(question, next);
+  const bool firstSlow = mContext.mPaces.Slow().contains(mAttempt->mInstance);
+  if (firstSlow && IsTooSlow(then, kTokensPerEvent, Aim())) {
+    // Its first cannot be replaced by an order.
+    SwitchAttempt(ResultCode::kOutcomeUnknown);
+    return true;
+  }
+  if (!next.empty() && IsWorthMoving(held, then)) {
+    Repath(std::move(next), MoveReason::kSlow);
+  }
+  return true;
+}
+
 LayerPath RelayRequest::Without(const std::set<std::string>& aInstances) {
   const PathQuestion question = EngineQuestion();
   LayerPath next = WithoutIn(question, aInstances);
@@ -140,6 +206,7 @@
   PathQuestion question = std::move(aQuestion);
   question.mReadTokens += mEvents;
   question.mFromEngine = true;
+  question.mSpread = kMoveSpread;
   for (const PathPart& part : mAttempt->mPath) {
     question.mAvoid.insert(part.mInstance);
   }
@@ -206,7 +273,7 @@
       .Add("first", mAttempt->mInstance)
       .Add("silent_ms",
            static_cast<Json::Int64>(SteadyNow() - mAttempt->mHeardAt));
-  mContext.mCounters.Add("moves");
+  mContext.mCounters.Add("moves", std::string("why=\"") + NameOf(aWhy) + "\"");
   LayerPath added;
   std::set_difference(aPath.begin(), aPath.end(), mAttempt->mPath.begin(),
                       mAttempt->mPath.end(), std::back_inserter(added),
@@ -236,7 +303,11 @@
   for (const PathPart& part : mAttempt->mPath) {
     instances.push_back(part.mInstance);
   }
-  mContext.mGuard->Watch().Begin(mKey, std::move(instances), SteadyNow());
+  const StreamPatience patience = PatienceOf(
+      ExpectPace(EngineQuestion(), mAttempt->mPath), kTokensPerEvent, Aim());
+  mContext.mGuard->Watch().Begin(
+      mKey, std::move(instances), SteadyNow(),
+      {.mFirst = patience.mFirst, .mGap = patience.mGap});
 }
 
 void RelayRequest::CheckSilence() {
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -11,6 +11,7 @@
 #include "daemons/relay/stream_guard.h"
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
+#include "spindleweir/servers/routing/path_pace.h"
 #include "spindleweir/servers/routing/service_choice.h"
 #include "spindleweir/servers/streams/event_reader.h"
 
@@ -53,6 +54,7 @@
     std::unique_ptr<StreamCall> mOrder;  ///< To move to another path.
     int mMoves = 0;
     Millis mMovedAt = 0;
+    Millis mLookedAt = 0;  ///< For a path without slow engines.
     std::vector<Reading> mReading;
     Millis mLeaveAt = 0;  ///< The first leaves: gone on elsewhere from then.
   };
@@ -65,7 +67,13 @@
 
   void MoveOff(const std::set<std::string>& aInstances,
                MoveReason aWhy) override;
+  bool LeaveSlow(Millis aNow) override;
   std::string FirstInstance() const override;
+  /// The slow parts of the path but its first, which cannot be replaced.
+  std::set<std::string> SlowParts() const;
+  /// The path without its slow parts, or without some; empty: no better one.
+  LayerPath WithoutSlow(const std::set<std::string>& aSlow);
+  StreamAim Aim() const;
   /// The path without some instances, the other parts kept; empty: none.
   LayerPath Without(const std::set<std::string>& aInstances);
   /// The same by the engines of a question only.
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -24,6 +24,9 @@
 constexpr Millis kAskTimeout = 400;
 constexpr Millis kStandsStillFor = 1500;
 constexpr std::size_t kMostReport = 256 * 1024;
+/// Streams that look for a path without slow engines in one step: each takes
+/// up to a millisecond of a small VM, and events are to be passed on meanwhile.
+constexpr int kMostLookForPath = 4;
 
 }  // namespace
 
@@ -59,6 +62,7 @@
       Probe(instance);
     }
   }
+  StepPaces(now);
   std::set<std::string> firsts;
   for (StreamKey key : mWatch.Silent(kAskAfter, now)) {
     const auto it = mStreams.find(key);
@@ -75,6 +79,64 @@
   }
 }
 
+void StreamGuard::Progress(StreamKey aKey, Millis aNow) {
+  const std::optional<EventWait> inTime = mWatch.Progress(aKey, aNow);
+  if (inTime.has_value()) {
+    mContext.mPaces.OnTime(inTime->mInstances, inTime->mFrom);
+  }
+}
+
+void StreamGuard::StepPaces(Millis aNow) {
+  EnginePaces& paces = mContext.mPaces;
+  for (const EventWait& late : mWatch.TakeLate(aNow)) {
+    paces.Late(late.mInstances, late.mFrom, aNow);
+  }
+  const auto random = [this] { return mContext.Random(); };
+  for (const std::string& instance :
+       paces.ToAsk(aNow, mContext.mRouters, random)) {
+    if (mStates[instance].mCall == nullptr) {
+      mContext.mCounters.Add("pace_questions");
+      AskState(instance);
+    }
+  }
+  JudgePaces(aNow);
+  LeaveSlow(aNow);
+}
+
+void StreamGuard::JudgePaces(Millis aNow) {
+  for (const PaceChange& change : mContext.mPaces.Judge(aNow)) {
+    mContext.mCounters.Add("paces_judged",
+                           change.mSlow ? "as=\"slow\"" : "as=\"well\"");
+    LogLine(LogLevel::kInfo, "engine_pace")
+        .Add("instance", change.mInstance)
+        .Add("slow", change.mSlow)
+        .Add("pace", change.mPace)
+        .Add("by", NameOf(change.mSource))
+        .Add("word_age_ms", static_cast<Json::Int64>(change.mWordAge))
+        .Add("tellers", change.mTellers)
+        .Add("late_streams", change.mLate);
+  }
+}
+
+void StreamGuard::LeaveSlow(Millis aNow) {
+  const std::map<std::string, double>& slow = mContext.mPaces.Slow();
+  if (slow.empty()) {
+    return;
+  }
+  int looked = 0;
+  // The longest silent has the least time left.
+  for (StreamKey key : mWatch.Through(slow)) {
+    const auto it = mStreams.find(key);
+    if (it == mStreams.end()) {
+      continue;
+    }
+    looked += it->second->LeaveSlow(aNow) ? 1 : 0;
+    if (looked >= kMostLookForPath) {
+      return;
+    }
+  }
+}
+
 void StreamGuard::MoveOffLeaving() {
   if (mContext.mRegistry.Revision() == mLookedAt) {
     return;
@@ -156,7 +218,7 @@
       return;
     }
     try {
-      TakeState(mContext.mOptions.mEngines.mReadState(ended.mBody));
+      TakeState(aInstance, mContext.mOptions.mEngines.mReadState(ended.mBody));
     } catch (const Error& error) {
       LogLine(LogLevel::kWarning, "report_unreadable")
           .Add("instance", aInstance)
@@ -166,7 +228,11 @@
   look.mCall = StartStreamCall(mContext.mLoop, std::move(options));
 }
 
-void StreamGuard::TakeState(const EngineState& aState) {
+void StreamGuard::TakeState(const std::string& aInstance,
+                            const EngineState& aState) {
+  const Millis now = SteadyNow();
+  mContext.mPaces.TakeWord(aInstance, aState.mPace, now);
+  JudgePaces(now);
   std::set<std::string> addresses;
   for (const StalledRequest& stalled : aState.mStalled) {
     addresses.insert(stalled.mAddress);
--- a/daemons/relay/stream_guard.h
+++ b/daemons/relay/stream_guard.h
@@ -19,6 +19,7 @@
   kLeaving,      ///< It serves on for some time.
   kUnreachable,  ///< It takes no connection: it is lost.
   kStandsStill,  ///< Streams that pass it do not come on.
+  kSlow,         ///< Streams that pass it are late, or will be.
 };
 
 /// What the guard needs of a stream.
@@ -28,6 +29,9 @@
   /// Goes on without these instances, where it uses one of them.
   virtual void MoveOff(const std::set<std::string>& aInstances,
                        MoveReason aWhy) = 0;
+  /// Goes on without slow engines, where that is sooner. Returns whether it
+  /// looked for another path, which takes its time.
+  virtual bool LeaveSlow(Millis aNow) = 0;
   /// The first instance of its path; empty: none at present.
   virtual std::string FirstInstance() const = 0;
 };
@@ -41,15 +45,20 @@
   StreamKey Add(GuardedStream* aStream);
   void Remove(StreamKey aKey);
   ProgressWatch& Watch() { return mWatch; }
+  /// An event of a stream came.
+  void Progress(StreamKey aKey, Millis aNow);
 
  private:
   void Step();
+  void StepPaces(Millis aNow);
+  void JudgePaces(Millis aNow);
+  void LeaveSlow(Millis aNow);
   /// Whether this process itself was late since then.
   bool LateSince(Millis aSince) const { return mLateAt >= aSince; }
   void Probe(const std::string& aInstance);
   void ProbeEnded(const std::string& aInstance, bool aConnected);
   void AskState(const std::string& aInstance);
-  void TakeState(const EngineState& aState);
+  void TakeState(const std::string& aInstance, const EngineState& aState);
   void LeaveBehind(const std::set<std::string>& aInstances, MoveReason aWhy);
   void MoveOffLeaving();
 
--- /dev/null
+++ b/include/spindleweir/servers/routing/engine_pace.h
@@ -0,0 +1,165 @@
+/// Which engines are slow: judged by what streams see and by the engines' own
+/// word, which is asked for only where there is suspicion and told to all
+/// routers with the loads.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "spindleweir/core/clock.h"
+#include "spindleweir/servers/routing/load_book.h"
+
+namespace spindleweir {
+
+/// How suspicion is followed and how long a judgement holds.
+struct EnginePaceOptions {
+  /// An engine that takes so many times as long as its model says is slow: the
+  /// model itself is off by up to a third under load, and paths of eight parts
+  /// bear one part at this pace within the usual pauses.
+  double mSlowFrom = 1.5;
+  /// An engine's word, and what others tell of it, holds for so long.
+  Millis mWordHolds = 1500;
+  /// A word that is newer goes before what others tell, which is half a second
+  /// to a second old; from then on an engine that is judged slow is asked
+  /// again.
+  Millis mAskAgain = 700;
+  /// What others tell is so old, at most.
+  Millis mNewsAge = 1000;
+  /// An engine's word tells how it was so long ago, at most: streams that blame
+  /// it since are not contradicted by it.
+  Millis mWordLag = 500;
+  /// Without a new word a judgement fades over this time: the engine comes
+  /// back by few requests first, as its cost falls.
+  Millis mFade = 1000;
+  /// An engine that says it is well isn't asked for so long by the same
+  /// router; doubled each time up to mMostQuiet. Load and slow links make
+  /// streams late for long, and each question is priced like a probe.
+  Millis mQuiet = 300;
+  Millis mMostQuiet = 8000;
+  /// Questions that a router may ask at once, and gets each second, and gets
+  /// for each slow engine that one finds: where one is slow others may be, and
+  /// one in three that are asked pays for the search. So false alarms alone are
+  /// bounded: 35 routers ask 18 questions a second.
+  double mBurst = 12;
+  double mPerSecond = 0.5;
+  double mFound = 3;
+  /// Late streams that must blame the same engine, all their other parts being
+  /// cleared, before it is judged by streams alone: where it gives no word.
+  int mWitnesses = 3;
+  Millis mBlameHolds = 1000;
+  /// What such a judgement counts as: streams tell who is slow, hardly how.
+  double mBlamedPace = 4;
+};
+
+/// How an engine came to be judged.
+enum class PaceSource {
+  kWord,     ///< It said so to this router.
+  kNews,     ///< It said so to other routers.
+  kStreams,  ///< Late streams have it in common.
+};
+
+/// An engine that is judged slow, or well again.
+struct PaceChange {
+  std::string mInstance;
+  bool mSlow = false;
+  double mPace = 1;
+  PaceSource mSource = PaceSource::kWord;
+  Millis mWordAge = -1;  ///< Of its word here; -1: none.
+  int mTellers = 0;      ///< Other routers that say so.
+  int mLate = 0;         ///< Late streams through it that blamed it.
+};
+
+/// The paces as one router knows them. Decisions only: the time comes with
+/// each call.
+class EnginePaces {
+ public:
+  explicit EnginePaces(EnginePaceOptions aOptions = {}) : mOptions(aOptions) {}
+
+  /// An event that was waited for from aFrom on came in time by this path.
+  void OnTime(std::span<const std::string> aPath, Millis aFrom);
+  /// One that was waited for from aFrom on is late. What was cleared since
+  /// isn't suspected, nor is anything where a part is known to be slow.
+  void Late(std::span<const std::string> aPath, Millis aFrom, Millis aNow);
+
+  /// The engines that this router should ask for their word now. They count as
+  /// asked. aRouters: that share the questions to known slow engines.
+  /// aRandom: 0 to 1.
+  std::vector<std::string> ToAsk(Millis aNow, int aRouters,
+                                 const std::function<double()>& aRandom);
+  /// What an engine said of itself, over 1 being slow.
+  void TakeWord(const std::string& aInstance, double aPace, Millis aNow);
+  /// What other routers tell now. An engine of which they tell nothing any more
+  /// keeps what they told last for as long as a word holds.
+  void TakeNews(const LoadShares& aOthers, Millis aNow);
+  /// Adds what this router tells the others.
+  void Tell(LoadShares& aLoads, Millis aNow) const;
+
+  /// Judges anew; returns what changed. To be called every few dozen
+  /// milliseconds, and after words and news.
+  std::vector<PaceChange> Judge(Millis aNow);
+  /// Times that an engine takes as long as its model says, as judged; 1: well.
+  double PaceOf(const std::string& aInstance) const;
+  /// Grows whenever a judgement changes.
+  std::int64_t Revision() const { return mRevision; }
+  /// Engines judged slow, with their paces.
+  const std::map<std::string, double>& Slow() const { return mSlow; }
+  /// Nothing known of an instance holds any more.
+  void Forget(const std::string& aInstance);
+
+ private:
+  /// What is known of one engine.
+  struct Engine {
+    Millis mClearedFrom =
+        -1;  ///< An event waited for from here on was on time.
+    Millis mAskedAt = -1;
+    Millis mWordAt = -1;
+    double mWord = 1;
+    Millis mQuietUntil = -1;
+    Millis mQuiet = 0;
+    Millis mSuspectedAt = -1;
+    int mSuspicion = 0;  ///< Late streams since it was asked or cleared.
+    int mBlames = 0;
+    Millis mBlamedFrom = -1;
+    Millis mBlamedAt = -1;
+    Millis mWellAt = -1;    ///< Heard to be well again, after it was slow.
+    bool mWasSlow = false;  ///< When it said that it is well.
+  };
+
+  /// What other routers say of one engine.
+  struct News {
+    double mPace = 1;
+    int mTellers = 0;
+    Millis mHeardAt = 0;
+  };
+
+  /// Whether it says, or others tell, that it is slow.
+  bool IsKnownSlow(const std::string& aInstance, const Engine& aEngine,
+                   Millis aNow) const;
+  /// Whether streams blame it since the time that its word is about.
+  bool IsBlamed(const Engine& aEngine) const;
+  bool HoldsSlowWord(const Engine& aEngine, Millis aNow) const;
+  /// A pace that fades once it is older than it holds.
+  double Faded(double aPace, Millis aAge, Millis aHolds) const;
+  PaceChange JudgeOne(const std::string& aInstance, const Engine& aEngine,
+                      Millis aNow) const;
+  int TellersOf(const std::string& aInstance) const;
+  void Refill(Millis aNow);
+
+  EnginePaceOptions mOptions;
+  std::map<std::string, Engine> mEngines;
+  std::map<std::string, News> mNews;
+  std::map<std::string, double> mSlow;
+  Millis mSlowSince = -1;  ///< Since when any are; -1: none is.
+  double mAllowance = 0;
+  Millis mRefilledAt = -1;
+  std::int64_t mRevision = 0;
+};
+
+/// For logs.
+const char* NameOf(PaceSource aSource);
+
+}  // namespace spindleweir
--- a/include/spindleweir/servers/routing/layer_path.h
+++ b/include/spindleweir/servers/routing/layer_path.h
@@ -30,6 +30,7 @@
   double mTokenLayers = 0;      ///< Memory promised to them.
   double mFirsts = 0;           ///< Requests that have it as the first.
   double mReadTokenLayers = 0;  ///< Still to be read by it.
+  double mPace = 1;             ///< Times as long as its model says.
 };
 
 /// What a path is chosen by.
@@ -49,6 +50,9 @@
   std::set<std::string> mAvoid;
   /// Spreads requests that choose at the same moment; may be empty.
   std::function<double()> mRandom;
+  /// By how much of its cost an engine may look dearer to one choice than to
+  /// another: routers do not see each other's newest choices.
+  double mSpread = 0.2;
   /// The layers to be passed; both 0: all.
   LayerRange mLayers;
   /// The share of an engine's room that may be promised.
--- a/include/spindleweir/servers/routing/load_book.h
+++ b/include/spindleweir/servers/routing/load_book.h
@@ -22,6 +22,12 @@
   std::int64_t mFirsts = 0;           ///< Requests that have it as the first.
   std::int64_t mReadTokenLayers = 0;  ///< Still to be read by it.
   std::int64_t mUnreachable = 0;      ///< Routers that cannot connect to it.
+  /// Routers that it told it is slow, and the sum of what it told them: times
+  /// as long as it should take, in percent.
+  std::int64_t mPaceTellers = 0;
+  std::int64_t mPacePercent = 0;
+  /// Routers that it told since that it is well again.
+  std::int64_t mWellTellers = 0;
 
   void Add(const LoadShare& aOther, int aSign);
   bool Empty() const;
@@ -40,6 +46,9 @@
   std::vector<std::int64_t> mFirsts;
   std::vector<std::int64_t> mReadTokenLayers;
   std::vector<std::int64_t> mUnreachable;
+  std::vector<std::int64_t> mPaceTellers;
+  std::vector<std::int64_t> mPacePercent;
+  std::vector<std::int64_t> mWellTellers;
 
   static LoadTable Of(const LoadShares& aShares);
   /// Throws kBadField where the columns differ in length.
@@ -53,6 +62,9 @@
     aCodec.Field("firsts", mFirsts);
     aCodec.Field("read_token_layers", mReadTokenLayers);
     aCodec.Field("unreachable", mUnreachable);
+    aCodec.Field("pace_tellers", mPaceTellers);
+    aCodec.Field("pace_percent", mPacePercent);
+    aCodec.Field("well_tellers", mWellTellers);
   }
 };
 
--- a/include/spindleweir/servers/routing/path_choice.h
+++ b/include/spindleweir/servers/routing/path_choice.h
@@ -16,7 +16,7 @@
   /// Requests that other routers of all zones may have begun since the loads
   /// that are known were true.
   double mUnseen = 0;
-  std::int64_t mRevision = 0;  ///< Of the registry of engines.
+  std::int64_t mRevision = 0;  ///< Of the engines and their paces.
   Millis mNow = 0;
 };
 
--- a/include/spindleweir/servers/routing/path_shares.h
+++ b/include/spindleweir/servers/routing/path_shares.h
@@ -1,6 +1,7 @@
 /// Divides what the engines of one zone can carry into whole paths: how many
 /// requests a second each path takes beside the others. It depends on what
-/// engines hold, not on what they have to do at the moment.
+/// engines hold and how slow they are, not on what they have to do at the
+/// moment.
 #pragma once
 
 #include <vector>
@@ -21,8 +22,10 @@
 
 /// The fastest path first, up to what the engines of it can carry, then the
 /// fastest of what is left. aEngines: those of one zone that may be used.
+/// aPaceOf: times as long as its model says that an engine takes; may be empty.
 std::vector<SharedPath> DividePaths(
     const EngineProfile& aProfile,
-    const std::vector<const UpstreamRecord*>& aEngines);
+    const std::vector<const UpstreamRecord*>& aEngines,
+    const std::function<double(const std::string&)>& aPaceOf = {});
 
 }  // namespace spindleweir
--- a/include/spindleweir/servers/streams/progress_watch.h
+++ b/include/spindleweir/servers/streams/progress_watch.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,13 +15,29 @@
 /// Streams under way, by a key of the caller's choice.
 using StreamKey = std::uint64_t;
 
+/// A wait for an event of a stream.
+struct EventWait {
+  StreamKey mKey = 0;
+  std::vector<std::string> mInstances;  ///< Of its path.
+  Millis mFrom = 0;
+};
+
+/// How long events of a stream may be waited for before they are late, in
+/// milliseconds; 0: any time.
+struct EventPatience {
+  Millis mFirst = 0;
+  Millis mGap = 0;
+};
+
 /// Decisions only: the time comes with each call.
 class ProgressWatch {
  public:
   /// A stream was sent, or moved, through these instances.
-  void Begin(StreamKey aKey, std::vector<std::string> aInstances, Millis aNow);
-  /// An event of the stream came.
-  void Progress(StreamKey aKey, Millis aNow);
+  void Begin(StreamKey aKey, std::vector<std::string> aInstances, Millis aNow,
+             const EventPatience& aPatience = {});
+  /// An event of the stream came. Returns the wait for it where that shows
+  /// that the path is in time; two events that come together show nothing.
+  std::optional<EventWait> Progress(StreamKey aKey, Millis aNow);
   /// The stream's caller reads slowly: its pauses say nothing for now.
   void Suspend(StreamKey aKey);
   void End(StreamKey aKey);
@@ -29,6 +46,11 @@
   std::vector<std::string> Suspects(Millis aNow) const;
   /// The streams that have been silent for longer than aSilence.
   std::vector<StreamKey> Silent(Millis aSilence, Millis aNow) const;
+  /// The waits that have become late; each is given once.
+  std::vector<EventWait> TakeLate(Millis aNow);
+  /// The streams that pass any of these, the longest silent first.
+  std::vector<StreamKey> Through(
+      const std::map<std::string, double>& aInstances) const;
 
  private:
   struct Stream {
@@ -37,6 +59,8 @@
     double mGap = 0;  ///< Usual milliseconds between events.
     bool mBegun = false;
     bool mSuspended = false;
+    bool mLate = false;  ///< The event that is waited for.
+    EventPatience mPatience;
   };
 
   std::map<StreamKey, Stream> mStreams;
--- /dev/null
+++ b/servers/routing/engine_pace.cpp
@@ -0,0 +1,324 @@
+#include "spindleweir/servers/routing/engine_pace.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace spindleweir {
+
+namespace {
+
+constexpr double kWell = 1;
+constexpr double kPercent = 100;
+/// A pace that is told is not above this: what an engine says of itself is
+/// read from outside.
+constexpr double kMostPace = 100;
+constexpr double kMillisPerSecond = 1000;
+/// An engine says how it was 200 to 500 ms ago: of 546 that were asked within
+/// 350 ms after 13 of 98 turned slow, 30 words found one, and the others were
+/// held for well. Asked after so long a suspicion it tells of the time that the
+/// suspicion is about.
+constexpr Millis kSuspectFor = 450;
+/// Questions in one look, so that what the first find spares others.
+constexpr int kMostAtOnce = 3;
+/// An engine is not asked twice in this time by one router: its report is some
+/// hundred milliseconds old and takes a few to come.
+constexpr Millis kAskGap = 300;
+/// Chance that an engine known to be slow is asked again in one look, by any
+/// of the routers: looks are 20 ms apart, so that 2.5 questions a second go to
+/// each whatever the number of routers, and it is used again about a second
+/// after it is well.
+constexpr double kAgainChance = 0.05;
+/// A change of a pace below this part isn't news to those who divide paths.
+constexpr double kSamePace = 0.25;
+
+}  // namespace
+
+const char* NameOf(PaceSource aSource) {
+  switch (aSource) {
+    case PaceSource::kWord:
+      return "word";
+    case PaceSource::kNews:
+      return "news";
+    case PaceSource::kStreams:
+      return "streams";
+  }
+  return "";
+}
+
+void EnginePaces::OnTime(std::span<const std::string> aPath, Millis aFrom) {
+  for (const std::string& instance : aPath) {
+    Engine& engine = mEngines[instance];
+    engine.mClearedFrom = std::max(engine.mClearedFrom, aFrom);
+    engine.mSuspicion = 0;
+    engine.mBlames = 0;
+  }
+}
+
+void EnginePaces::Late(std::span<const std::string> aPath, Millis aFrom,
+                       Millis aNow) {
+  std::vector<Engine*> suspects;
+  for (const std::string& instance : aPath) {
+    if (mSlow.contains(instance)) {
+      return;
+    }
+    Engine& engine = mEngines[instance];
+    if (engine.mClearedFrom <= aFrom) {
+      suspects.push_back(&engine);
+    }
+  }
+  for (Engine* engine : suspects) {
+    engine->mSuspectedAt =
+        engine->mSuspicion == 0 ? aNow : engine->mSuspectedAt;
+    engine->mSuspicion++;
+  }
+  if (suspects.size() != 1) {
+    return;
+  }
+  Engine& blamed = *suspects.front();
+  const bool fresh =
+      blamed.mBlames > 0 && aNow - blamed.mBlamedAt < mOptions.mBlameHolds;
+  blamed.mBlames = fresh ? blamed.mBlames + 1 : 1;
+  blamed.mBlamedFrom = fresh ? blamed.mBlamedFrom : aFrom;
+  blamed.mBlamedAt = aNow;
+}
+
+bool EnginePaces::HoldsSlowWord(const Engine& aEngine, Millis aNow) const {
+  return aEngine.mWordAt >= 0 && aEngine.mWord >= mOptions.mSlowFrom &&
+         aNow - aEngine.mWordAt < mOptions.mWordHolds;
+}
+
+bool EnginePaces::IsKnownSlow(const std::string& aInstance,
+                              const Engine& aEngine, Millis aNow) const {
+  return HoldsSlowWord(aEngine, aNow) || mNews.contains(aInstance);
+}
+
+bool EnginePaces::IsBlamed(const Engine& aEngine) const {
+  return aEngine.mBlames >= mOptions.mWitnesses &&
+         aEngine.mBlamedFrom >= aEngine.mWordAt - mOptions.mWordLag;
+}
+
+int EnginePaces::TellersOf(const std::string& aInstance) const {
+  const auto it = mNews.find(aInstance);
+  return it == mNews.end() ? 0 : it->second.mTellers;
+}
+
+void EnginePaces::Refill(Millis aNow) {
+  const double gained = mRefilledAt < 0
+                            ? mOptions.mBurst
+                            : mOptions.mPerSecond / kMillisPerSecond *
+                                  static_cast<double>(aNow - mRefilledAt);
+  mAllowance = std::min(mOptions.mBurst, mAllowance + gained);
+  mRefilledAt = aNow;
+}
+
+std::vector<std::string> EnginePaces::ToAsk(
+    Millis aNow, int aRouters, const std::function<double()>& aRandom) {
+  Refill(aNow);
+  std::vector<std::string> asked;
+  std::vector<std::pair<double, std::string>> suspects;
+  for (auto& [instance, engine] : mEngines) {
+    const bool justAsked =
+        engine.mAskedAt >= 0 && aNow - engine.mAskedAt < kAskGap;
+    if (justAsked) {
+      continue;
+    }
+    if (mSlow.contains(instance) && IsKnownSlow(instance, engine, aNow)) {
+      const bool isNew =
+          engine.mWordAt >= 0 && aNow - engine.mWordAt < mOptions.mAskAgain;
+      if (!isNew && aRandom() * std::max(1, aRouters) < kAgainChance) {
+        engine.mAskedAt = aNow;
+        asked.push_back(instance);
+      }
+      continue;
+    }
+    // Where others have been slow for longer the cause is older than a report.
+    const bool isOld =
+        mSlowSince >= 0 && aNow - mSlowSince >= mOptions.mWordLag;
+    const Millis wait = isOld ? 0 : kSuspectFor;
+    const bool suspected = (engine.mSuspicion > 0 || IsBlamed(engine)) &&
+                           aNow >= engine.mQuietUntil &&
+                           aNow - engine.mSuspectedAt >= wait;
+    if (suspected) {
+      // Routers that suspect the same engines begin with different ones.
+      suspects.emplace_back(engine.mSuspicion + aRandom(), instance);
+    }
+  }
+  std::sort(suspects.rbegin(), suspects.rend());
+  int left = kMostAtOnce;
+  for (const auto& [suspicion, instance] : suspects) {
+    if (mAllowance < 1 || left-- <= 0) {
+      break;
+    }
+    mAllowance -= 1;
+    Engine& engine = mEngines[instance];
+    engine.mAskedAt = aNow;
+    engine.mSuspicion = 0;
+    asked.push_back(instance);
+  }
+  return asked;
+}
+
+void EnginePaces::TakeWord(const std::string& aInstance, double aPace,
+                           Millis aNow) {
+  Engine& engine = mEngines[aInstance];
+  const bool wasKnown = IsKnownSlow(aInstance, engine, aNow);
+  const double said = std::clamp(aPace, kWell, kMostPace);
+  if (said >= mOptions.mSlowFrom) {
+    engine.mWord = said;
+    engine.mWordAt = aNow;
+    engine.mQuiet = 0;
+    mAllowance = std::min(mOptions.mBurst,
+                          mAllowance + (wasKnown ? 0 : mOptions.mFound));
+    return;
+  }
+  const bool wasSlow = mSlow.contains(aInstance) && wasKnown;
+  const bool toldWell = engine.mWasSlow && engine.mWord < mOptions.mSlowFrom &&
+                        aNow - engine.mWordAt < mOptions.mWordHolds;
+  engine.mWasSlow = wasSlow || toldWell;
+  engine.mWellAt = engine.mWasSlow ? aNow : engine.mWellAt;
+  engine.mWord = said;
+  engine.mWordAt = aNow;
+  mNews.erase(aInstance);
+  engine.mQuiet =
+      std::clamp(engine.mQuiet * 2, mOptions.mQuiet, mOptions.mMostQuiet);
+  engine.mQuietUntil = aNow + engine.mQuiet;
+}
+
+void EnginePaces::TakeNews(const LoadShares& aOthers, Millis aNow) {
+  for (const auto& [instance, share] : aOthers) {
+    if (share.mWellTellers > 0) {
+      mNews.erase(instance);
+      Engine& engine = mEngines[instance];
+      engine.mWellAt = aNow;
+      const bool isNew = aNow - engine.mWordAt < mOptions.mAskAgain;
+      if (HoldsSlowWord(engine, aNow) && !isNew) {
+        engine.mWord = kWell;
+      }
+      continue;
+    }
+    const auto known = mEngines.find(instance);
+    // Words of before travel on for a while after one hears that it is well.
+    const bool isOld =
+        known != mEngines.end() && known->second.mWellAt >= 0 &&
+        aNow - known->second.mWellAt < mOptions.mWordHolds + mOptions.mNewsAge;
+    if (share.mPaceTellers <= 0 || isOld) {
+      continue;
+    }
+    const double mean = static_cast<double>(share.mPacePercent) / kPercent /
+                        static_cast<double>(share.mPaceTellers);
+    mNews[instance] = {.mPace = std::clamp(mean, kWell, kMostPace),
+                       .mTellers = static_cast<int>(share.mPaceTellers),
+                       .mHeardAt = aNow};
+  }
+  std::erase_if(mNews, [&](const auto& aItem) {
+    return aNow - aItem.second.mHeardAt > mOptions.mWordHolds + mOptions.mFade;
+  });
+}
+
+void EnginePaces::Tell(LoadShares& aLoads, Millis aNow) const {
+  for (const auto& [instance, engine] : mEngines) {
+    const bool holds =
+        engine.mWordAt >= 0 && aNow - engine.mWordAt < mOptions.mWordHolds;
+    const bool slow = engine.mWord >= mOptions.mSlowFrom;
+    if (!holds || (!slow && !engine.mWasSlow)) {
+      continue;
+    }
+    LoadShare& share = aLoads[instance];
+    share.mInstance = instance;
+    if (!slow) {
+      share.mWellTellers = 1;
+      continue;
+    }
+    share.mPacePercent = std::llround(engine.mWord * kPercent);
+    share.mPaceTellers = 1;
+  }
+}
+
+double EnginePaces::Faded(double aPace, Millis aAge, Millis aHolds) const {
+  if (aAge <= aHolds) {
+    return aPace;
+  }
+  const double left = 1 - static_cast<double>(aAge - aHolds) /
+                              static_cast<double>(mOptions.mFade);
+  return kWell + (aPace - kWell) * std::max(0.0, left);
+}
+
+PaceChange EnginePaces::JudgeOne(const std::string& aInstance,
+                                 const Engine& aEngine, Millis aNow) const {
+  PaceChange judged{.mInstance = aInstance, .mLate = aEngine.mBlames};
+  const Millis wordAge = aEngine.mWordAt < 0 ? -1 : aNow - aEngine.mWordAt;
+  judged.mWordAge = wordAge;
+  const auto news = mNews.find(aInstance);
+  judged.mTellers = TellersOf(aInstance);
+  if (wordAge >= 0) {
+    judged.mPace = aEngine.mWord >= mOptions.mSlowFrom
+                       ? Faded(aEngine.mWord, wordAge, mOptions.mWordHolds)
+                       : kWell;
+  }
+  // A word newer than what others tell goes before it.
+  const bool isNew = wordAge >= 0 && wordAge < mOptions.mAskAgain;
+  if (!isNew && news != mNews.end()) {
+    const double told = Faded(news->second.mPace, aNow - news->second.mHeardAt,
+                              mOptions.mWordHolds);
+    judged.mSource = told > judged.mPace ? PaceSource::kNews : judged.mSource;
+    judged.mPace = std::max(told, judged.mPace);
+  }
+  if (judged.mPace < mOptions.mSlowFrom && IsBlamed(aEngine)) {
+    judged.mPace = Faded(mOptions.mBlamedPace, aNow - aEngine.mBlamedAt,
+                         mOptions.mBlameHolds);
+    judged.mSource = PaceSource::kStreams;
+  }
+  judged.mSlow = judged.mPace >= mOptions.mSlowFrom;
+  return judged;
+}
+
+std::vector<PaceChange> EnginePaces::Judge(Millis aNow) {
+  for (const auto& [instance, news] : mNews) {
+    mEngines.try_emplace(instance);
+  }
+  std::vector<PaceChange> changes;
+  for (auto& [instance, engine] : mEngines) {
+    const bool quiet = engine.mWordAt < 0 && engine.mBlames == 0 &&
+                       !mSlow.contains(instance) && !mNews.contains(instance);
+    if (quiet) {
+      continue;
+    }
+    const PaceChange judged = JudgeOne(instance, engine, aNow);
+    const auto it = mSlow.find(instance);
+    const bool wasSlow = it != mSlow.end();
+    if (wasSlow != judged.mSlow) {
+      changes.push_back(judged);
+    }
+    const double before = wasSlow ? it->second : kWell;
+    const double after = judged.mSlow ? judged.mPace : kWell;
+    mRevision += std::abs(after - before) > before * kSamePace ? 1 : 0;
+    if (judged.mSlow) {
+      mSlow[instance] = judged.mPace;
+      continue;
+    }
+    if (wasSlow) {
+      mSlow.erase(it);
+      engine.mBlames = 0;
+      engine.mSuspicion = 0;
+    }
+  }
+  if (mSlow.empty()) {
+    mSlowSince = -1;
+  } else if (mSlowSince < 0) {
+    mSlowSince = aNow;
+  }
+  return changes;
+}
+
+double EnginePaces::PaceOf(const std::string& aInstance) const {
+  const auto it = mSlow.find(aInstance);
+  return it == mSlow.end() ? kWell : it->second;
+}
+
+void EnginePaces::Forget(const std::string& aInstance) {
+  mEngines.erase(aInstance);
+  mNews.erase(aInstance);
+  mRevision += mSlow.erase(aInstance) > 0 ? 1 : 0;
+}
+
+}  // namespace spindleweir
--- a/servers/routing/layer_path.cpp
+++ b/servers/routing/layer_path.cpp
@@ -22,8 +22,6 @@
 /// What the last free memory of an engine is worth, in milliseconds for each
 /// share of its room that a request takes.
 constexpr double kRoomPrice = 4000;
-/// Routers do not see each other's newest choices.
-constexpr double kSpread = 0.2;
 /// The share of a first engine's places that may be promised: what others
 /// began since their loads were told needs the rest.
 constexpr double kPlacesFill = 0.95;
@@ -136,7 +134,7 @@
   }
 
   double Spread() const {
-    return mQuestion.mRandom ? 1 + kSpread * mQuestion.mRandom() : 1;
+    return mQuestion.mRandom ? 1 + mQuestion.mSpread * mQuestion.mRandom() : 1;
   }
 
   void Extend(ReachedPlaces& aReached, const Place& aFrom) {
@@ -220,8 +218,10 @@
     const double scarcity = need / room * fill * fill * kRoomPrice;
     const double queue =
         aCandidate.mModel.ReadMillis(1, 1) * aCandidate.mLoad.mReadTokenLayers;
+    // A slow engine isn't left out: where the others are full it is still
+    // better than none, and the room of the others is worth only so much.
     return (step * mQuestion.mAnswerTokens + read + queue) *
-               aCandidate.mSpread +
+               aCandidate.mLoad.mPace * aCandidate.mSpread +
            scarcity;
   }
 
--- a/servers/routing/load_book.cpp
+++ b/servers/routing/load_book.cpp
@@ -42,11 +42,15 @@
   mFirsts += aSign * aOther.mFirsts;
   mReadTokenLayers += aSign * aOther.mReadTokenLayers;
   mUnreachable += aSign * aOther.mUnreachable;
+  mPaceTellers += aSign * aOther.mPaceTellers;
+  mPacePercent += aSign * aOther.mPacePercent;
+  mWellTellers += aSign * aOther.mWellTellers;
 }
 
 bool LoadShare::Empty() const {
   return mRequests == 0 && mTokenLayers == 0 && mFirsts == 0 &&
-         mReadTokenLayers == 0 && mUnreachable == 0;
+         mReadTokenLayers == 0 && mUnreachable == 0 && mPaceTellers == 0 &&
+         mWellTellers == 0;
 }
 
 LoadTable LoadTable::Of(const LoadShares& aShares) {
@@ -61,9 +65,14 @@
     table.mFirsts.push_back(share.mFirsts);
     table.mReadTokenLayers.push_back(share.mReadTokenLayers);
     table.mUnreachable.push_back(share.mUnreachable);
-  }
-  for (Column* column : {&table.mRequests, &table.mTokenLayers, &table.mFirsts,
-                         &table.mReadTokenLayers, &table.mUnreachable}) {
+    table.mPaceTellers.push_back(share.mPaceTellers);
+    table.mPacePercent.push_back(share.mPacePercent);
+    table.mWellTellers.push_back(share.mWellTellers);
+  }
+  for (Column* column :
+       {&table.mRequests, &table.mTokenLayers, &table.mFirsts,
+        &table.mReadTokenLayers, &table.mUnreachable, &table.mPaceTellers,
+        &table.mPacePercent, &table.mWellTellers}) {
     DropZeros(*column);
   }
   return table;
@@ -71,8 +80,9 @@
 
 LoadShares LoadTable::Shares() const {
   const std::size_t n = mInstances.size();
-  for (const Column* column : {&mRequests, &mTokenLayers, &mFirsts,
-                               &mReadTokenLayers, &mUnreachable}) {
+  for (const Column* column :
+       {&mRequests, &mTokenLayers, &mFirsts, &mReadTokenLayers, &mUnreachable,
+        &mPaceTellers, &mPacePercent, &mWellTellers}) {
     if (!column->empty() && column->size() != n) {
       throw Error(ResultCode::kBadField, "columns of loads differ in length");
     }
@@ -84,7 +94,10 @@
                              .mTokenLayers = At(mTokenLayers, i),
                              .mFirsts = At(mFirsts, i),
                              .mReadTokenLayers = At(mReadTokenLayers, i),
-                             .mUnreachable = At(mUnreachable, i)};
+                             .mUnreachable = At(mUnreachable, i),
+                             .mPaceTellers = At(mPaceTellers, i),
+                             .mPacePercent = At(mPacePercent, i),
+                             .mWellTellers = At(mWellTellers, i)};
   }
   return shares;
 }
--- a/servers/routing/path_choice.cpp
+++ b/servers/routing/path_choice.cpp
@@ -83,7 +83,10 @@
       engines.push_back(engine);
     }
   }
-  zone.mPaths = DividePaths(*aQuestion.mProfile, engines);
+  zone.mPaths = DividePaths(*aQuestion.mProfile, engines,
+                            [&aQuestion](const std::string& aInstance) {
+                              return aQuestion.mLoadOf(aInstance).mPace;
+                            });
   zone.mRevision = aNews.mRevision;
   zone.mMadeAt = aNews.mNow;
   return zone.mPaths;
--- a/servers/routing/path_shares.cpp
+++ b/servers/routing/path_shares.cpp
@@ -38,7 +38,8 @@
 class Division {
  public:
   Division(const EngineProfile& aProfile,
-           const std::vector<const UpstreamRecord*>& aEngines)
+           const std::vector<const UpstreamRecord*>& aEngines,
+           const std::function<double(const std::string&)>& aPaceOf)
       : mProfile(aProfile),
         mPrompt(aProfile.mUsualPrompt > 0 ? aProfile.mUsualPrompt
                                           : kDefaultPrompt),
@@ -50,6 +51,7 @@
         continue;
       }
       mQuestion.mEngines.push_back(engine);
+      mPaces[engine->mInstance] = aPaceOf ? aPaceOf(engine->mInstance) : 1;
       const EngineModel model(mProfile, *kind);
       const int layers = engine->mLayers.Count();
       mLeft[engine->mInstance] = {
@@ -63,7 +65,9 @@
     mQuestion.mReadTokens = mPrompt;
     mQuestion.mAnswerTokens = mAnswer;
     mQuestion.mMayCross = false;
-    mQuestion.mLoadOf = [](const std::string&) { return EngineLoad(); };
+    mQuestion.mLoadOf = [this](const std::string& aInstance) {
+      return EngineLoad{.mPace = mPaces.at(aInstance)};
+    };
     if (!mQuestion.mEngines.empty()) {
       mQuestion.mZone = mQuestion.mEngines.front()->mZone;
     }
@@ -95,9 +99,10 @@
         model.StepMillis(aLayers, {.mWriters = 1, .mContextTokens = context}) -
         alone;
     const double read = model.ReadMillis(aLayers, mPrompt);
-    return {.mReadMillis = read,
-            .mStepMillis = alone * kPassGrowth,
-            .mBusyMillis = read + mAnswer * each * kPassGrowth};
+    const double pace = mPaces.at(aEngine.mInstance);
+    return {.mReadMillis = read * pace,
+            .mStepMillis = alone * kPassGrowth * pace,
+            .mBusyMillis = (read + mAnswer * each * kPassGrowth) * pace};
   }
 
   /// What a path can carry by what is left of its engines.
@@ -151,14 +156,16 @@
   PathQuestion mQuestion;
   std::map<std::string, Left> mLeft;  ///< By instance.
   std::map<std::string, const UpstreamRecord*> mEngines;
+  std::map<std::string, double> mPaces;
 };
 
 }  // namespace
 
 std::vector<SharedPath> DividePaths(
     const EngineProfile& aProfile,
-    const std::vector<const UpstreamRecord*>& aEngines) {
-  return Division(aProfile, aEngines).Divide();
+    const std::vector<const UpstreamRecord*>& aEngines,
+    const std::function<double(const std::string&)>& aPaceOf) {
+  return Division(aProfile, aEngines, aPaceOf).Divide();
 }
 
 }  // namespace spindleweir
--- a/servers/streams/progress_watch.cpp
+++ b/servers/streams/progress_watch.cpp
@@ -14,6 +14,8 @@
 /// The fewer streams pass an instance, the longer must be waited.
 constexpr double kLoneStreamFactor = 2;
 constexpr double kMargin = 10;
+/// Events closer to each other than this waited together on their way here.
+constexpr Millis kApart = 20;
 
 /// What is known of one instance.
 struct Evidence {
@@ -25,21 +27,27 @@
 }  // namespace
 
 void ProgressWatch::Begin(StreamKey aKey, std::vector<std::string> aInstances,
-                          Millis aNow) {
+                          Millis aNow, const EventPatience& aPatience) {
   Stream& stream = mStreams[aKey];
   stream.mInstances = std::move(aInstances);
   stream.mHeardAt = aNow;
   stream.mSuspended = false;
   stream.mBegun = false;
   stream.mGap = kFirstGap;
+  stream.mLate = false;
+  stream.mPatience = aPatience;
 }
 
-void ProgressWatch::Progress(StreamKey aKey, Millis aNow) {
+std::optional<EventWait> ProgressWatch::Progress(StreamKey aKey, Millis aNow) {
   const auto it = mStreams.find(aKey);
   if (it == mStreams.end()) {
-    return;
+    return std::nullopt;
   }
   Stream& stream = it->second;
+  std::optional<EventWait> inTime;
+  if (!stream.mLate && !stream.mSuspended && aNow - stream.mHeardAt >= kApart) {
+    inTime = {aKey, stream.mInstances, stream.mHeardAt};
+  }
   const auto gap = static_cast<double>(aNow - stream.mHeardAt);
   if (stream.mBegun) {
     stream.mGap +=
@@ -49,7 +57,9 @@
   }
   stream.mBegun = true;
   stream.mSuspended = false;
+  stream.mLate = false;
   stream.mHeardAt = aNow;
+  return inTime;
 }
 
 void ProgressWatch::Suspend(StreamKey aKey) {
@@ -99,4 +109,40 @@
   return keys;
 }
 
+std::vector<EventWait> ProgressWatch::TakeLate(Millis aNow) {
+  std::vector<EventWait> late;
+  for (auto& [key, stream] : mStreams) {
+    const Millis patience =
+        stream.mBegun ? stream.mPatience.mGap : stream.mPatience.mFirst;
+    const bool inTime = patience <= 0 || aNow - stream.mHeardAt <= patience;
+    if (inTime || stream.mLate || stream.mSuspended) {
+      continue;
+    }
+    stream.mLate = true;
+    late.push_back({key, stream.mInstances, stream.mHeardAt});
+  }
+  return late;
+}
+
+std::vector<StreamKey> ProgressWatch::Through(
+    const std::map<std::string, double>& aInstances) const {
+  std::vector<std::pair<Millis, StreamKey>> found;
+  for (const auto& [key, stream] : mStreams) {
+    const bool passes =
+        std::any_of(stream.mInstances.begin(), stream.mInstances.end(),
+                    [&aInstances](const std::string& aInstance) {
+                      return aInstances.contains(aInstance);
+                    });
+    if (passes) {
+      found.emplace_back(stream.mHeardAt, key);
+    }
+  }
+  std::sort(found.begin(), found.end());
+  std::vector<StreamKey> keys;
+  for (const auto& [heardAt, key] : found) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
 }  // namespace spindleweir
--- /dev/null
+++ b/tests/servers/pace_test.cpp
@@ -0,0 +1,283 @@
+#include <algorithm>
+
+#include "bench/choice_play.h"
+#include "spindleweir/servers/routing/engine_pace.h"
+#include "spindleweir/servers/routing/path_pace.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+using Path = std::vector<std::string>;
+
+double Half() {
+  return 0.5;
+}
+
+double Never() {
+  return 0.99;
+}
+
+bool Asks(EnginePaces& aPaces, const std::string& aInstance, Millis aNow) {
+  const std::vector<std::string> asked = aPaces.ToAsk(aNow, 1, Half);
+  return std::find(asked.begin(), asked.end(), aInstance) != asked.end();
+}
+
+/// Two in five engines twelve times slower for four seconds.
+ChoicePlayOptions SlowPlay() {
+  ChoicePlayOptions play = LargeFleet();
+  play.mRouters = 40;
+  play.mRequestsPerSecond = 300;
+  play.mNewsAge = 1000;
+  play.mLength = 9000;
+  play.mSlow = {.mShare = 0.4, .mTimes = 12, .mFrom = 1000, .mFor = 4000};
+  return play;
+}
+
+}  // namespace
+
+Test(pace, what_is_slow_is_found_in_late_streams) {
+  const Path ab{"a", "b"};
+  const Path bc{"b", "c"};
+  SECTION("who is on a late path is asked for its word") {
+    EnginePaces paces;
+    paces.Late(ab, 1000, 1150);
+    // What it says now was true before the stream was late.
+    CHECK(!Asks(paces, "a", 1160));
+    CHECK(Asks(paces, "a", 1610));
+    CHECK(!Asks(paces, "a", 1630));
+    paces.TakeWord("a", 12, 1620);
+    const std::vector<PaceChange> changes = paces.Judge(1620);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].mInstance == "a" && changes[0].mSlow);
+    CHECK(paces.PaceOf("a") == 12);
+    CHECK(paces.PaceOf("b") == 1);
+  }
+  SECTION("who is on a path that was in time meanwhile isn't") {
+    EnginePaces paces;
+    paces.OnTime(bc, 1050);
+    paces.Late(ab, 1000, 1150);
+    CHECK(paces.ToAsk(1610, 1, Half) == Path{"a"});
+  }
+  SECTION("a path in time from before says nothing") {
+    EnginePaces paces;
+    paces.OnTime(bc, 900);
+    paces.Late(ab, 1000, 1150);
+    CHECK(Asks(paces, "b", 1610));
+  }
+  SECTION("a path is late for what is known to be slow in it, not for others") {
+    EnginePaces paces;
+    paces.TakeWord("a", 12, 1000);
+    paces.Judge(1000);
+    paces.Late(ab, 1000, 1150);
+    CHECK(paces.ToAsk(1610, 1, Half).empty());
+  }
+  SECTION("an engine that gives no word is judged by several streams alone") {
+    EnginePaces paces;
+    paces.OnTime(bc, 1100);
+    for (Millis at = 1000; at < 1003; at++) {
+      CHECK(paces.Judge(1150).empty());
+      paces.Late(ab, at, 1150);
+    }
+    CHECK(paces.Judge(1150).size() == 1);
+    CHECK(paces.PaceOf("a") > 1);
+    // It is tried again after a time.
+    CHECK(!paces.Judge(3500).empty());
+    CHECK(paces.PaceOf("a") == 1);
+  }
+  SECTION("but not against its word, where that is about the same time") {
+    EnginePaces paces;
+    paces.TakeWord("a", 1, 1600);
+    paces.OnTime(bc, 1100);
+    for (Millis at = 1000; at < 1010; at++) {
+      paces.Late(ab, at, 1150);
+    }
+    CHECK(paces.Judge(1650).empty());
+  }
+  SECTION("its word of before they were late does not contradict them") {
+    EnginePaces paces;
+    paces.OnTime(bc, 1100);
+    for (Millis at = 1000; at < 1010; at++) {
+      paces.Late(ab, at, 1150);
+    }
+    paces.TakeWord("a", 1, 1160);
+    CHECK(paces.Judge(1160).size() == 1);
+    CHECK(paces.PaceOf("a") > 1);
+  }
+}
+
+Test(pace, false_alarms_cost_few_questions) {
+  EnginePaces paces;
+  int asked = 0;
+  // A loaded fleet, or a slow link: 100 engines, all of whose streams are late
+  // for 20 s, and all of which say that they are well.
+  for (Millis now = 0; now < 20000; now += 20) {
+    for (int i = 0; i < 100; i += 2) {
+      paces.Late(Path{"e" + std::to_string(i), "e" + std::to_string(i + 1)},
+                 now - 150, now);
+    }
+    for (const std::string& instance : paces.ToAsk(now, 1, Half)) {
+      asked++;
+      paces.TakeWord(instance, 1.2, now + 10);
+    }
+    CHECK(paces.Judge(now).empty());
+  }
+  CHECK(asked > 0);
+  CHECK(asked <= 22);
+  CHECK(paces.Slow().empty());
+}
+
+Test(pace, one_router_asks_for_all) {
+  EnginePaces asker;
+  asker.TakeWord("a", 8, 1000);
+  LoadShares told;
+  asker.Tell(told, 1100);
+  REQUIRE(told.size() == 1);
+  SECTION("what one was told all take") {
+    EnginePaces other;
+    other.TakeNews(told, 1400);
+    CHECK(other.Judge(1500).size() == 1);
+    CHECK(other.PaceOf("a") == 8);
+    other.Late(Path{"a"}, 1400, 1550);
+    CHECK(other.ToAsk(1960, 1, Half).empty());
+  }
+  SECTION("two that tell are not twice as slow") {
+    EnginePaces other;
+    told["a"].Add(told["a"], 1);
+    other.TakeNews(told, 1400);
+    other.Judge(1500);
+    CHECK(other.PaceOf("a") == 8);
+  }
+  SECTION("a word of its own that is newer goes before") {
+    EnginePaces other;
+    other.TakeNews(told, 1400);
+    other.TakeWord("a", 1, 1500);
+    other.Judge(1510);
+    CHECK(other.PaceOf("a") == 1);
+  }
+  SECTION("where they tell nothing any more it holds and fades") {
+    EnginePaces other;
+    other.TakeNews(told, 1400);
+    other.Judge(1400);
+    other.TakeNews({}, 2000);
+    CHECK(other.Judge(2800).empty());
+    CHECK(!other.Judge(3900).empty());
+  }
+  SECTION("one that hears it is well again tells it, against older words") {
+    EnginePaces other;
+    other.TakeNews(told, 1400);
+    other.Judge(1400);
+    other.TakeWord("a", 1, 1900);
+    LoadShares well;
+    other.Tell(well, 2000);
+    CHECK(well.at("a").mWellTellers == 1);
+    asker.Judge(1000);
+    CHECK(asker.PaceOf("a") == 8);
+    asker.TakeNews(well, 2400);
+    asker.Judge(2400);
+    CHECK(asker.PaceOf("a") == 1);
+    CHECK(other.Judge(2000).size() == 1);
+  }
+  SECTION("who was told nothing slow tells nothing") {
+    EnginePaces other;
+    LoadShares nothing;
+    other.TakeWord("a", 1, 1000);
+    other.Tell(nothing, 1010);
+    CHECK(nothing.empty());
+  }
+}
+
+Test(pace, a_slow_engine_comes_back) {
+  EnginePaces slow;
+  slow.TakeWord("a", 12, 1000);
+  slow.Judge(1000);
+  SECTION("it is asked again by one that holds its word, though unused") {
+    EnginePaces paces = slow;
+    const auto always = [] { return 0.0; };
+    CHECK(paces.ToAsk(1600, 1, always).empty());
+    CHECK(paces.ToAsk(1700, 1, Never).empty());
+    CHECK(paces.ToAsk(1720, 1, always) == Path{"a"});
+    paces.TakeWord("a", 1, 1730);
+    const std::vector<PaceChange> changes = paces.Judge(1740);
+    REQUIRE(changes.size() == 1);
+    CHECK(!changes[0].mSlow);
+  }
+  SECTION("without a word it fades, so that few try it first") {
+    EnginePaces paces = slow;
+    paces.Judge(2900);
+    const double fading = paces.PaceOf("a");
+    CHECK(fading > 1 && fading < 12);
+    paces.Judge(3600);
+    CHECK(paces.PaceOf("a") == 1);
+  }
+  SECTION("a new start knows nothing of it") {
+    EnginePaces paces = slow;
+    paces.Forget("a");
+    CHECK(paces.PaceOf("a") == 1);
+    CHECK(paces.Judge(1100).empty());
+  }
+}
+
+Test(pace, paces_travel_with_the_loads) {
+  LoadShares shares{{"a",
+                     {.mInstance = "a",
+                      .mRequests = 1,
+                      .mPaceTellers = 2,
+                      .mPacePercent = 1600}},
+                    {"b", {.mInstance = "b", .mRequests = 3}}};
+  CHECK(UnpackLoads(PackLoads(shares)) == shares);
+  SECTION("a table of a former version has no such columns") {
+    LoadTable table = LoadTable::Of(shares);
+    table.mPaceTellers.clear();
+    table.mPacePercent.clear();
+    CHECK(table.Shares().at("a").mPaceTellers == 0);
+    CHECK(table.Shares().at("a").mRequests == 1);
+  }
+  SECTION("where all are well none travel") {
+    const LoadShares well{{"b", shares.at("b")}};
+    CHECK(LoadTable::Of(well).mPaceTellers.empty());
+  }
+  SECTION("an engine without work of the teller travels for its pace") {
+    shares["a"].mRequests = 0;
+    CHECK(LoadTable::Of(shares).mInstances.size() == 2);
+  }
+}
+
+Test(pace, callers_are_in_time_though_two_in_five_engines_are_slow) {
+  ChoicePlayOptions play = SlowPlay();
+  SECTION("nothing done, most are late") {
+    play.mPaceRule = PaceRule::kNone;
+    CHECK(PlayChoices(play).LateShare() > 0.33);
+  }
+  SECTION("slow engines cost more: few are, none for long") {
+    play.mPaceRule = PaceRule::kCost;
+    const ChoicePlayResult result = PlayChoices(play);
+    CHECK(result.LateShare() < 0.25);
+    CHECK(result.mFalseAlarms == 0);
+    // And they are used again once they are well.
+    CHECK(result.LateShareAfter() < 0.05);
+    CHECK(result.mBackShare > 0.25);
+  }
+}
+
+Test(pace, slow_engines_do_not_empty_a_zone) {
+  ChoicePlayOptions play = SlowPlay();
+  play.mLength = 4000;
+  play.mSlow = {.mShare = 1, .mTimes = 3, .mFrom = 500, .mFor = 3500};
+  SECTION("where all are slow all are used on") {
+    const ChoicePlayResult result = PlayChoices(play);
+    CHECK(result.RefusedShare() < 0.02);
+  }
+}
+
+Test(pace, load_is_no_slow_engine) {
+  ChoicePlayOptions play = SlowPlay();
+  play.mSlow = {};
+  play.mRequestsPerSecond = 850;
+  play.mLength = 4000;
+  const ChoicePlayResult result = PlayChoices(play);
+  CHECK(result.mFalseAlarms == 0);
+  // Each costs a hundredth of what a late stream does.
+  CHECK(result.mQuestions < result.mRequests / 2);
+}
