--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -59,6 +59,7 @@
   mExperience.erase(instance);
   mExperience[instance].mAvoidUntil = SteadyNow() + kPathsDividedAnew;
   mOtherLoads.erase(instance);
+  mPaces.Forget(instance);
   mRestarted.insert(instance);
   mCounters.Add("upstreams_restarted");
   LogLine(LogLevel::kInfo, "upstream_restarted")
@@ -120,7 +121,7 @@
 }
 
 EngineLoad RelayContext::LoadOf(const std::string& aInstance) const {
-  EngineLoad load;
+  EngineLoad load{.mPace = mPaces.PaceOf(aInstance)};
   for (const auto* loads : {&mOwnLoads, &mOtherLoads}) {
     const auto it = loads->find(aInstance);
     if (it != loads->end()) {
@@ -146,12 +147,19 @@
       loads[instance].mUnreachable = 1;
     }
   }
+  mPaces.Tell(loads, now);
   return loads;
 }
 
 void RelayContext::SetOtherLoads(LoadShares aLoads, Millis aTrueAt) {
   mOtherLoads = std::move(aLoads);
   mOtherLoadsTrueAt = aTrueAt;
+  mPaces.TakeNews(mOtherLoads, SteadyNow());
+}
+
+void RelayContext::ForgetOtherLoads() {
+  mOtherLoads.clear();
+  mPaces.TakeNews(mOtherLoads, SteadyNow());
 }
 
 void RelayContext::Succeeded(const std::string& aInstance) {
@@ -266,7 +274,7 @@
       others * paths.mArrivals.PerMilli(now) * static_cast<double>(age);
   PathAnswer answer = paths.mChoice.Choose(
       aQuestion, {.mUnseen = std::max(seldom, mAdmission->Unseen(aService)),
-                  .mRevision = mRegistry.Revision(),
+                  .mRevision = mRegistry.Revision() + mPaces.Revision(),
                   .mNow = now});
   mCounters.Add("paths", answer.mPath.empty() ? "way=\"none\""
                          : answer.mDealt      ? "way=\"dealt\""
--- a/daemons/relay/stream_guard.h
+++ b/daemons/relay/stream_guard.h
@@ -20,6 +20,7 @@
   kUnreachable,  ///< It takes no connection: it is lost.
   kStandsStill,  ///< Streams that pass it do not come on.
   kRestarted,    ///< It started again and knows nothing of them.
+  kSlow,         ///< Streams that pass it are late, or will be.
 };
 
 /// What the guard needs of a stream.
@@ -29,6 +30,9 @@
   /// Goes on without these instances, where it uses one of them.
   virtual void MoveOff(const std::set<std::string>& aInstances,
                        MoveReason aWhy) = 0;
+  /// Goes on without slow engines, where that is sooner. Returns whether it
+  /// looked for another path, which takes its time.
+  virtual bool LeaveSlow(Millis aNow) = 0;
   /// The first instance of its path; empty: none at present.
   virtual std::string FirstInstance() const = 0;
 };
@@ -45,9 +49,14 @@
   /// Moves streams off incarnations that were followed by others. To be called
   /// once all news that came together are taken, and before new streams begin.
   void MoveOffRestarted();
+  /// An event of a stream came.
+  void Progress(StreamKey aKey, Millis aNow);
 
  private:
   void Step();
+  void StepPaces(Millis aNow);
+  void JudgePaces(Millis aNow);
+  void LeaveSlow(Millis aNow);
   /// Whether this process itself was late since then.
   bool LateSince(Millis aSince) const { return mLateAt >= aSince; }
   void Probe(const std::string& aInstance);
