--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -6,7 +6,6 @@
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/core/packing.h"
-#include "spindleweir/servers/membership/ask_schedule.h"
 #include "spindleweir/servers/membership/voter_plan.h"
 
 namespace spindleweir {
@@ -23,11 +22,6 @@
 /// each asks less often, so that a control has the same work at any size.
 constexpr Millis kAskedEvery = 150;
 constexpr double kEachAsker = 3.5;
-/// Heartbeats that may be missed before an upstream counts as silent.
-constexpr int kMissedBeats = 3;
-/// News of a leaving upstream is acknowledged after this time even where no
-/// other control has it.
-constexpr Millis kTellTimeout = 500;
 constexpr int kLifeBytes = 6;
 /// After this time all routers have asked, and those of the last start count
 /// for nothing any more.
@@ -36,10 +30,6 @@
 constexpr Millis kContact = 1500;
 /// Routers that must agree that an upstream cannot be reached.
 constexpr int kWitnesses = 2;
-/// And for this long more where routers take heartbeats: one that is lost is
-/// noticed after a second, its upstreams call again within another, and what is
-/// heard comes with the next question.
-constexpr Millis kTakerLost = 2400;
 
 }  // namespace
 
@@ -48,18 +38,21 @@
     : mContext(aContext),
       mLog(aLog),
       mLife(RandomHex(kLifeBytes)),
-      mStore(aContext.mOptions.mData + "/upstreams"),
       mStamp(aContext.mOptions.mData + "/stamp"),
       mBefore(mStamp.Load(WallNow())),
       mStartedAt(SteadyNow()),
-      mTakers({.mOwnBeats = aContext.mOptions.mOwnBeats}) {
-  mDirectory.SetSeeds(mContext.mOptions.mSeeds);
-  const std::size_t restored =
-      mBefore.mFresh ? mStore.Load(mRegistry, SteadyNow()) : 0;
-  LogLine(LogLevel::kInfo, "upstreams_restored")
-      .Add("count", static_cast<int>(restored))
-      .Add("fresh", mBefore.mFresh)
+      mUpstreams(
+          aContext, mDirectory,
+          [this](const std::string& aService) {
+            const TrafficConfiguration& traffic = Traffic();
+            return traffic.mVersion == 0 ||
+                   traffic.FindService(aService) != nullptr;
+          },
+          mBefore.mFresh) {
+  LogLine(LogLevel::kInfo, "stamp_read")
+      .Add("upstreams_fresh", mBefore.mFresh)
       .Add("routers", mBefore.mRouters);
+  mDirectory.SetSeeds(mContext.mOptions.mSeeds);
   mLog.Machine().SignalPublished().connect(
       [this](const PublishedDocument& aPublished) { mUnread = aPublished; });
   if (mLog.Machine().Published().mVersion > 0) {
@@ -69,14 +62,6 @@
       rpc_method::kSync, [this](const Json::Value& aMessage) {
         return ToJson(Answer(FromJson<SyncQuestion>(aMessage)));
       });
-  mContext.mDispatcher.On(
-      rpc_method::kNotice, [this](const Json::Value& aMessage) {
-        for (const UpstreamRecord& record :
-             FromJson<UpstreamNotice>(aMessage).mUpstreams) {
-          mRegistry.Merge(record, SteadyNow());
-        }
-        return Json::Value(Json::objectValue);
-      });
   mLog.SignalSettled().connect([this] { AskLeader(); });
   mAskTimer = mContext.mLoop.Every(kAskPeriod, [this] { AskOthers(); });
   mStepTimer = mContext.mLoop.Every(kStepPeriod, [this] {
@@ -127,7 +112,7 @@
   answer.mLeader = mLog.Raft().Leader();
   answer.mTerm = mLog.Raft().Term();
   const bool fromControl = !aQuestion.mControl.mId.empty();
-  AddUpstreams(aQuestion, answer);
+  mUpstreams.Answer(aQuestion, mLife, answer);
   ConfirmOwn(now);
   answer.mConfirmedVersion = mConfirmation.Version();
   answer.mConfirmedAgo = mConfirmation.Age(now);
@@ -159,7 +144,7 @@
     return;
   }
   const ZoneHook zoneOf = [this](const std::string& aInstance) {
-    const UpstreamRecord* record = mRegistry.Find(aInstance);
+    const UpstreamRecord* record = mUpstreams.Registry().Find(aInstance);
     return record == nullptr ? "" : record->mZone;
   };
   const PackedLoads& loads =
@@ -177,30 +162,6 @@
   }
 }
 
-void SyncService::AddUpstreams(const SyncQuestion& aQuestion,
-                               SyncAnswer& aAnswer) {
-  const Millis now = SteadyNow();
-  const std::int64_t known =
-      aQuestion.mKnows == mLife ? aQuestion.mRevision : 0;
-  const bool fromControl = !aQuestion.mControl.mId.empty();
-  const Asker asker{.mIsNear = aQuestion.mTellsLoads > 0,
-                    .mHearsNear = aQuestion.mHearsNear};
-  FeedAnswer feed{.mNews = {}, .mRevision = known};
-  if (fromControl || TellsUpstreams(asker, mRegistry.Size())) {
-    feed = mFeed.Since(mRegistry, known, now);
-  }
-  aAnswer.mRevision = feed.mRevision;
-  aAnswer.mNewsOfUpstreams = std::move(feed.mNews);
-  if (fromControl) {
-    const std::set<std::string> hears(aQuestion.mHears.begin(),
-                                      aQuestion.mHears.end());
-    aAnswer.mBeats =
-        BeatTable::Of(mRegistry.BeatsSince(known, feed.mRevision, now, hears));
-  }
-  aAnswer.mNotSilent =
-      mRegistry.HeardLater(aQuestion.mSilent, SilentAfter(), now);
-}
-
 void SyncService::ConfirmOwn(Millis aNow) {
   const Millis confirmed = mLog.Raft().ConfirmedAt();
   if (confirmed >= 0) {
@@ -215,14 +176,15 @@
     return;
   }
   mAskedAt[aQuestion.mProcess] = now;
-  mTakers.Asked(aQuestion.mProcess, aQuestion.mZone, aQuestion.mTakesAt, now);
-  TakeBeats(aQuestion);
+  mUpstreams.Asked(aQuestion);
   std::erase_if(mAskedAt, [now](const auto& aItem) {
     return now - aItem.second > kAskerKept;
   });
   if (aQuestion.mTellsLoads > 0) {
-    mLoads.Tell(aQuestion.mProcess, aQuestion.mTellsLoads,
-                aQuestion.mLoads.Shares(), now);
+    mLoads.Tell(
+        aQuestion.mProcess, aQuestion.mTellsLoads,
+        UsableRows(aQuestion.mLoads, mContext.mBadWords.At("loads")).Shares(),
+        now);
   }
 }
 
@@ -239,37 +201,6 @@
   return heard * 2 <= mLog.Raft().Voters().size();
 }
 
-Millis SyncService::SilentAfter() const {
-  return kMissedBeats * mContext.mOptions.mHeartbeatInterval +
-         (mTakers.Delegates(SteadyNow()) ? kTakerLost : 0);
-}
-
-void SyncService::LogChanged(const UpstreamRecord& aRecord) {
-  LogLine(LogLevel::kInfo, "upstream_changed")
-      .Add("instance", aRecord.mInstance)
-      .Add("service", aRecord.mService)
-      .Add("address", aRecord.mAddress)
-      .Add("state", static_cast<int>(aRecord.mState))
-      .Add("from", aRecord.mLayers.mFrom)
-      .Add("to", aRecord.mLayers.mTo)
-      .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence));
-}
-
-void SyncService::TakeBeats(const SyncQuestion& aQuestion) {
-  const Millis now = SteadyNow();
-  if (!aQuestion.mTakenUpstreams.empty()) {
-    for (const UpstreamRecord& record :
-         UnpackUpstreams(aQuestion.mTakenUpstreams)) {
-      if (mRegistry.Merge(record, now)) {
-        LogChanged(record);
-      }
-    }
-  }
-  for (const UpstreamBeat& beat : aQuestion.mTakenBeats.Beats()) {
-    mRegistry.Touch(beat, now);
-  }
-}
-
 std::vector<std::string> SyncService::Hears() const {
   const Millis now = SteadyNow();
   std::vector<std::string> ids;
@@ -283,14 +214,7 @@
 
 void SyncService::AskOthers() {
   if (!CutOff()) {
-    for (const UpstreamRecord& record :
-         mRegistry.Expire(SilentAfter(), SteadyNow())) {
-      LogLine(LogLevel::kInfo, "upstream_silent")
-          .Add("instance", record.mInstance)
-          .Add("address", record.mAddress)
-          .Add("sequence", static_cast<Json::Int64>(record.mSequence))
-          .Add("heard_ago_ms", static_cast<Json::Int64>(record.mHeardAgo));
-    }
+    mUpstreams.Expire();
   }
   const Endpoint own = mContext.mOptions.mRpcListen;
   for (const Endpoint& address : mDirectory.Addresses(SteadyNow())) {
@@ -356,84 +280,17 @@
   if (aAnswer.mLoadsNumber == source.mLoadsNumber && sameLife) {
     mLoads.HearOfControl(aAddress.Text(), aAnswer.mOwnRouters, now);
   } else {
-    mLoads.TellOfControl(aAddress.Text(), UnpackLoads(aAnswer.mPackedLoads),
-                         aAnswer.mOwnRouters, now);
+    mLoads.TellOfControl(
+        aAddress.Text(),
+        mContext.mBadWords.Loads("loads", aAnswer.mPackedLoads),
+        aAnswer.mOwnRouters, now);
     source.mLoadsNumber = aAnswer.mLoadsNumber;
   }
   mDirectory.Heard(aAnswer.mSelf, now);
   for (const ControlInfo& info : aAnswer.mControls) {
     mDirectory.Heard(info, now);
   }
-  for (const UpstreamNews& news : aAnswer.mNewsOfUpstreams) {
-    for (UpstreamRecord& record : UnpackUpstreams(news.mText)) {
-      record.mHeardAgo += news.mAgo;
-      mRegistry.Merge(record, now, source.mId);
-    }
-  }
-  for (const UpstreamBeat& beat : aAnswer.mBeats.Beats()) {
-    mRegistry.Touch(beat, now, source.mId);
-  }
-}
-
-void SyncService::Beat(const UpstreamRecord& aRecord, const BeatDone& aDone) {
-  const UpstreamRecord* before = mRegistry.Find(aRecord.mInstance);
-  const bool leaves =
-      aRecord.mState == UpstreamState::kLeaving &&
-      (before == nullptr || before->mState < UpstreamState::kLeaving);
-  if (mRegistry.Beat(aRecord, SteadyNow())) {
-    LogChanged(aRecord);
-  }
-  if (!leaves) {
-    aDone({.mAccepted = true,
-           .mLaterAt =
-               mTakers.Take(aRecord.mInstance, aRecord.mZone, SteadyNow())});
-    return;
-  }
-  Tell(aRecord.mInstance, aDone);
-}
-
-void SyncService::Leave(const std::string& aInstance, const BeatDone& aDone) {
-  if (!mRegistry.Leave(aInstance, SteadyNow())) {
-    aDone({});
-    return;
-  }
-  LogLine(LogLevel::kInfo, "upstream_gone").Add("instance", aInstance);
-  Tell(aInstance, aDone);
-}
-
-void SyncService::Tell(const std::string& aInstance, const BeatDone& aDone) {
-  const UpstreamRecord* record = mRegistry.Find(aInstance);
-  const auto done = std::make_shared<BeatDone>(aDone);
-  const auto finish = [done] {
-    const BeatDone call = std::move(*done);
-    *done = nullptr;
-    if (call) {
-      call({});
-    }
-  };
-  bool told = false;
-  for (const ControlInfo& info : mDirectory.Lately(kAskerKept, SteadyNow())) {
-    if (info.mId == mContext.mOptions.mId) {
-      continue;
-    }
-    told = true;
-    mContext.mRpc.Call(AddressOfControl(info.mId), rpc_method::kNotice,
-                       ToJson(UpstreamNotice{{*record}}), kTellTimeout,
-                       [finish](const RpcResult& aResult) {
-                         if (aResult.mOk) {
-                           finish();
-                         }
-                       });
-  }
-  if (!told) {
-    finish();
-    return;
-  }
-  const auto timer = std::make_shared<std::unique_ptr<Timer>>();
-  *timer = mContext.mLoop.After(kTellTimeout, [finish, timer] {
-    finish();
-    timer->reset();
-  });
+  mUpstreams.Take(aAnswer, source.mId);
 }
 
 void SyncService::KeepUpstreams() {
@@ -441,7 +298,7 @@
   // nobody waits for it then; all others have the same upstreams.
   if (!mLog.Raft().Leads() || mLog.Raft().Voters().size() == 1) {
     const Millis now = SteadyNow();
-    mStore.Save(mRegistry, now);
+    mUpstreams.Save();
     mStamp.Save(Routers(now), WallNow(), now);
   }
 }
--- a/daemons/relay/relay_admission.cpp
+++ b/daemons/relay/relay_admission.cpp
@@ -94,13 +94,13 @@
 }
 
 void RelayAdmission::Came(const std::string& aRoute, Millis aDeadline) {
-  Millis& first = mFirstDeadlines[aRoute];
-  first = std::max(first, aDeadline);
+  mFirstDeadlines[aRoute].Came(aDeadline);
 }
 
-Millis RelayAdmission::FirstDeadline(const std::string& aRoute) const {
+bool RelayAdmission::HasComeBack(const std::string& aRoute,
+                                 Millis aDeadline) const {
   const auto it = mFirstDeadlines.find(aRoute);
-  return it == mFirstDeadlines.end() ? 0 : it->second;
+  return it != mFirstDeadlines.end() && it->second.HasComeBack(aDeadline);
 }
 
 void RelayAdmission::Measure(const TrafficService& aService, Gate& aGate) {
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -23,14 +23,10 @@
 constexpr Millis kLongestGap = 1500;
 constexpr Millis kAskForPathAgain = 80;
 constexpr Millis kLeastForAttempt = 20;
-/// A caller that has less than this part of the time left that callers of its
-/// route have at first has tried before. Most come back once: while 40 in 100
-/// of the engines were slow, 377 requests of 9,400 were refused at their second
-/// attempt, and first comers, which come back, took the places
-/// (hradsending-svaedi-grown, trouble-2).
-constexpr double kFirstTryLeft = 0.95;
-/// So long it is kept where there is no room. Its caller leaves after two
-/// seconds without an event.
+/// So long a request that has come back is kept where there is no room; its
+/// caller leaves after two seconds without an event. While 40 in 100 of the
+/// engines were slow, 377 requests of 9,400 were refused at their second
+/// attempt, and first comers, which come back, took the places.
 constexpr Millis kHoldReturned = 1500;
 
 }  // namespace
@@ -128,11 +124,16 @@
     return false;
   }
   const UpstreamRecord* record = mContext.mRegistry.Find(mAttempt->mInstance);
-  return record != nullptr && record->mState <= UpstreamState::kSilent &&
+  return record != nullptr && IsCurrent() && !Ends(record->mState) &&
          Remaining() > 0;
 }
 
+bool RelayRequest::IsCurrent() const {
+  return mContext.StartOf(mAttempt->mInstance) == mAttempt->mStart;
+}
+
 void RelayRequest::Send(const UpstreamRecord& aFirst) {
+  mAttempt->mStart = aFirst.mStart;
   DispatchFacts dispatch;
   dispatch.mRemaining = std::max<Millis>(1, Remaining());
   dispatch.mInstance = aFirst.mInstance;
@@ -349,7 +350,7 @@
   } else {
     mNotSent++;
   }
-  if (aRan == Ran::kUnknown || !aWasSent) {
+  if ((aRan == Ran::kUnknown || !aWasSent) && IsCurrent()) {
     mContext.Failed(mAttempt->mInstance, kAvoidAfterLoss);
   }
   DropAttempt();
@@ -384,9 +385,7 @@
 }
 
 bool RelayRequest::HasComeBack() const {
-  const Millis first = mContext.mAdmission->FirstDeadline(mRoute->mName);
-  return mFacts.mDeadline > 0 && static_cast<double>(mFacts.mDeadline) <
-                                     kFirstTryLeft * static_cast<double>(first);
+  return mContext.mAdmission->HasComeBack(mRoute->mName, mFacts.mDeadline);
 }
 
 bool RelayRequest::IsWorthWaiting() const {
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -1,5 +1,6 @@
 #include "daemons/relay/sync_link.h"
 
+#include "daemons/relay/stream_guard.h"
 #include "spindleweir/core/digest.h"
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
@@ -13,6 +14,8 @@
 constexpr Millis kStepPeriod = 100;
 /// While there is no lease: 0.1 s more is a tenth of what callers wait at most.
 constexpr Millis kLackingStepPeriod = 25;
+/// Upstreams that ended are looked for so often: it goes through all of them.
+constexpr Millis kForgetPeriod = 1000;
 /// Loads of others that are older than this say nothing any more.
 constexpr Millis kLoadsKept = 2500;
 constexpr int kNameBytes = 6;
@@ -63,6 +66,10 @@
       Ask(address);
     }
   }
+  if (now - mForgotAt >= kForgetPeriod) {
+    mForgotAt = now;
+    mContext.mRegistry.ForgetEnded(now);
+  }
   if (now - mLoadsAt > kLoadsKept) {
     mContext.ForgetOtherLoads();
   }
@@ -80,7 +87,7 @@
   if (!untold.mChanged.empty()) {
     aQuestion.mTakenUpstreams = PackUpstreams(untold.mChanged);
   }
-  aQuestion.mTakenBeats = BeatTable::Of(untold.mBeats);
+  aQuestion.mTakenBeats = ToJson(BeatTable::Of(untold.mBeats));
   return untold.mNumber;
 }
 
@@ -96,7 +103,7 @@
   question.mRevision = source.mRevision;
   question.mConfiguration =
       mContext.Table() == nullptr ? 0 : mContext.Table()->Version();
-  question.mSilent = mContext.mRegistry.Silent();
+  question.mSilent = WriteRows(mContext.mRegistry.Silent());
   question.mHearsNear = mNearAt > 0 && SteadyNow() - mNearAt < kNearHeard;
   question.mTakesAt = mContext.mStopping ? "" : mContext.mOptions.mTakesAt;
   const std::string life = source.mLife;
@@ -145,6 +152,7 @@
   }
   LogLine(LogLevel::kInfo, "upstream_changed")
       .Add("instance", aRecord.mInstance)
+      .Add("start", static_cast<Json::Int64>(aRecord.mStart))
       .Add("state", static_cast<int>(aRecord.mState))
       .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence))
       .Add("by", aBy);
@@ -162,7 +170,8 @@
   // Others tell their work as often as this router, to this control or by way
   // of another: on the whole what is told is one such period old.
   mContext.SetOtherLoads(
-      mTold.OthersIn(UnpackLoads(aAnswer.mPackedLoads), aAnswer.mSummedLoads),
+      mTold.OthersIn(mContext.mBadWords.Loads("loads", aAnswer.mPackedLoads),
+                     aAnswer.mSummedLoads),
       aAskedAt - aAnswer.mAskEvery - aAnswer.mLoadsAgo);
 }
 
@@ -187,14 +196,17 @@
     mContext.mDirectory.Heard(info, now);
   }
   for (const UpstreamNews& news : aAnswer.mNewsOfUpstreams) {
-    for (UpstreamRecord& record : UnpackUpstreams(news.mText)) {
+    for (UpstreamRecord& record :
+         mContext.mBadWords.Unpack("news", news.mText)) {
       record.mHeardAgo += news.mAgo;
       TakeUpstream(record, aAnswer.mSelf.mId);
     }
   }
-  for (const UpstreamRecord& record : aAnswer.mNotSilent) {
+  for (const UpstreamRecord& record : ReadRows<UpstreamRecord>(
+           aAnswer.mNotSilent, mContext.mBadWords.At("news"))) {
     TakeUpstream(record, aAnswer.mSelf.mId);
   }
+  mContext.mGuard->MoveOffRestarted();
   if (aAddress.Text() == mNear) {
     mNearAt = now;
     TakeLoads(source, aAnswer, aAskedAt);
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -22,7 +22,7 @@
 
 /// Records that a control must know at once.
 struct UpstreamNotice {
-  std::vector<UpstreamRecord> mUpstreams;
+  std::vector<Json::Value> mUpstreams;  ///< UpstreamRecord: see ReadRows.
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -38,15 +38,16 @@
   /// Of a control that asks: the ids of those that answered it lately.
   std::vector<std::string> mHears;
   std::string mKnows;  ///< The life of the answerer that mRevision is of.
-  std::int64_t mRevision = 0;           ///< Of its registry, known so far.
-  std::int64_t mConfiguration = 0;      ///< The version held.
-  std::vector<SilentUpstream> mSilent;  ///< Held for silent by who asks.
+  std::int64_t mRevision = 0;       ///< Of its registry, known so far.
+  std::int64_t mConfiguration = 0;  ///< The version held.
+  /// Held for silent by who asks: rows of SilentUpstream, see ReadRows.
+  std::vector<Json::Value> mSilent;
   /// The control that a router tells its loads to answered it lately.
   bool mHearsNear = false;
   /// "IP:PORT" where a router takes heartbeats; empty: it takes none.
   std::string mTakesAt;
   std::string mTakenUpstreams;  ///< Those with news: see PackUpstreams.
-  BeatTable mTakenBeats;        ///< Of the others that it took.
+  Json::Value mTakenBeats;      ///< Of the others: a BeatTable, see ReadBeats.
   /// The number of the loads that were heard last from who is asked.
   std::int64_t mKnowsLoads = 0;
   /// Of the loads that are told; 0: none are. They replace what was told.
@@ -82,10 +83,11 @@
   std::int64_t mTerm = 0;
   std::int64_t mRevision = 0;
   std::vector<UpstreamNews> mNewsOfUpstreams;  ///< Those that changed.
-  /// To another control: heartbeats that changed nothing.
-  BeatTable mBeats;
-  /// Heard here later than who asks knows, though it holds them for silent.
-  std::vector<UpstreamRecord> mNotSilent;
+  /// To another control: heartbeats that changed nothing, a BeatTable.
+  Json::Value mBeats;
+  /// Heard here later than who asks knows, though it holds them for silent:
+  /// rows of UpstreamRecord.
+  std::vector<Json::Value> mNotSilent;
   /// No newer version than this was accepted so long ago; -1: not known.
   std::int64_t mConfirmedVersion = 0;
   Millis mConfirmedAgo = -1;
--- a/tests/servers/starts_test.cpp
+++ b/tests/servers/starts_test.cpp
@@ -1,8 +1,10 @@
 #include <algorithm>
+#include <limits>
 #include <memory>
 #include <random>
 
 #include "spindleweir/servers/consensus/raft_node.h"
+#include "spindleweir/servers/limits/first_deadline.h"
 #include "spindleweir/servers/limits/return_time.h"
 #include "spindleweir/servers/limits/start_admission.h"
 #include "spindleweir/servers/membership/ask_schedule.h"
@@ -371,6 +373,11 @@
         {.mNow = 50, .mLeft = 900, .mFreeAfter = 5000, .mFreePerMilli = 1});
     CHECK(answer.mAfter == 300);
   }
+  SECTION("nor so far away that the slots until then fill the memory") {
+    const ReturnAnswer answer =
+        times.Tell({.mNow = 50, .mLeft = std::numeric_limits<Millis>::max()});
+    CHECK(answer.mAfter <= 10000);
+  }
   SECTION("where nothing comes free they are spread over all of it") {
     Millis least = 10000;
     Millis most = 0;
@@ -389,3 +396,30 @@
     CHECK(times.Expected(20000) == 0);
   }
 }
+
+Test(starts, who_has_come_back_is_told_by_the_time_it_has_left) {
+  FirstDeadline deadline;
+  SECTION("nothing is told before anyone came") {
+    CHECK(!deadline.HasComeBack(500));
+  }
+  for (int i = 0; i < 200; i++) {
+    // Of ten requests six are later tries.
+    deadline.Came(i % 10 < 4 ? 20000 : 12000);
+  }
+  SECTION("less time than at first is a later try") {
+    CHECK(deadline.HasComeBack(17000));
+    CHECK(!deadline.HasComeBack(20000));
+    CHECK(!deadline.HasComeBack(0));
+  }
+  SECTION("one caller with much more time changes nothing for the others") {
+    deadline.Came(30000);
+    CHECK(!deadline.HasComeBack(20000));
+  }
+  SECTION("where all have more it follows") {
+    for (int i = 0; i < 100; i++) {
+      deadline.Came(40000);
+    }
+    CHECK(deadline.HasComeBack(20000));
+    CHECK(!deadline.HasComeBack(40000));
+  }
+}
