--- a/daemons/relay/relay_admission.h
+++ b/daemons/relay/relay_admission.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "daemons/relay/relay_context.h"
+#include "spindleweir/servers/limits/first_deadline.h"
 #include "spindleweir/servers/limits/return_time.h"
 #include "spindleweir/servers/limits/start_admission.h"
 
@@ -39,6 +40,10 @@
   void Leave(const void* aRequest);
   /// Requests that other routers may have begun unseen in the opening.
   double Unseen(const std::string& aService);
+  /// A request of a route came that has so much time.
+  void Came(const std::string& aRoute, Millis aDeadline);
+  /// Whether one with so much time has most likely been tried before.
+  bool HasComeBack(const std::string& aRoute, Millis aDeadline) const;
   /// aService: nullptr where it is not known. aLeft: of the caller's time.
   ReturnAdvice Return(const TrafficService* aService, ReturnCause aCause,
                       Millis aLeft);
@@ -64,7 +69,8 @@
   Millis LoadLeft(const TrafficService& aService, Gate& aGate);
 
   RelayContext& mContext;
-  std::map<std::string, Gate> mGates;  ///< By service.
+  std::map<std::string, Gate> mGates;                    ///< By service.
+  std::map<std::string, FirstDeadline> mFirstDeadlines;  ///< By route.
   Millis mOpenedAt = -1;  ///< When the first request could be let in.
   bool mOpening = true;
 };
