--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -2,6 +2,7 @@
 
 #include "daemons/control/layer_placer.h"
 #include "daemons/control/sync_service.h"
+#include "daemons/rpc_meter.h"
 #include "spindleweir/core/digest.h"
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/log.h"
@@ -61,6 +62,12 @@
       : mContext(aLoop, Identified(std::move(aOptions))),
         mLog(mContext),
         mSync(mContext, mLog),
+        mMeter(aLoop, mContext.mRpc, mContext.mCounters,
+               {.mZone = mContext.mOptions.mZone,
+                .mZoneOf =
+                    [this](const Endpoint& aAddress) {
+                      return mSync.Directory().ZoneAt(aAddress);
+                    }}),
         mPlacer(mContext, mLog, mSync),
         mRpcServer(
             aLoop,
@@ -87,6 +94,7 @@
   ControlContext mContext;
   ReplicatedConfiguration mLog;
   SyncService mSync;
+  RpcMeter mMeter;
   LayerPlacer mPlacer;
   HttpServer mRpcServer;
 };
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -5,6 +5,7 @@
 #include "daemons/relay/beat_relay.h"
 #include "daemons/relay/relay_request.h"
 #include "daemons/relay/sync_link.h"
+#include "daemons/rpc_meter.h"
 #include "spindleweir/core/log.h"
 
 namespace spindleweir {
@@ -27,6 +28,12 @@
 struct RelayRouter::Parts {
   Parts(EventLoop& aLoop, RelayOptions aOptions)
       : mContext(aLoop, std::move(aOptions)),
+        mMeter(aLoop, mContext.mRpc, mContext.mCounters,
+               {.mZone = mContext.mOptions.mZone,
+                .mZoneOf =
+                    [this](const Endpoint& aAddress) {
+                      return mContext.mDirectory.ZoneAt(aAddress);
+                    }}),
         mGuard(mContext),
         mLink(mContext),
         mBeats(mContext, mLink),
@@ -131,6 +138,7 @@
   }
 
   RelayContext mContext;
+  RpcMeter mMeter;
   StreamGuard mGuard;
   SyncLink mLink;
   BeatRelay mBeats;
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -144,9 +144,11 @@
           mLoop.Base(), nullptr, mOptions.mServer.mHost.c_str(),
           static_cast<std::uint16_t>(mOptions.mServer.mPort));
     }
-    mOutput =
-        bufferevent_get_output(evhttp_connection_get_bufferevent(mConnection));
+    bufferevent* bev = evhttp_connection_get_bufferevent(mConnection);
+    mOutput = bufferevent_get_output(bev);
     mWatch = evbuffer_add_cb(mOutput, &EvhttpCall::HandleOutput, this);
+    mInput = bufferevent_get_input(bev);
+    mInputWatch = evbuffer_add_cb(mInput, &EvhttpCall::HandleInput, this);
     evhttp_connection_set_max_body_size(
         mConnection, static_cast<ev_ssize_t>(mOptions.mMaximumAnswerBytes));
     if (mOptions.mTimeout > 0) {
@@ -189,10 +191,23 @@
   static void HandleOutput(evbuffer*, const evbuffer_cb_info* aInfo,
                            void* aSelf) {
     if (aInfo->n_deleted > 0) {
-      static_cast<EvhttpCall*>(aSelf)->mResult.mSent = true;
+      auto* self = static_cast<EvhttpCall*>(aSelf);
+      self->mResult.mSent = true;
+      self->mResult.mSentBytes += static_cast<std::int64_t>(aInfo->n_deleted);
     }
   }
 
+  static void HandleInput(evbuffer*, const evbuffer_cb_info* aInfo,
+                          void* aSelf) {
+    static_cast<EvhttpCall*>(aSelf)->mResult.mReceivedBytes +=
+        static_cast<std::int64_t>(aInfo->n_added);
+  }
+
+  void Unwatch() {
+    evbuffer_remove_cb_entry(mOutput, mWatch);
+    evbuffer_remove_cb_entry(mInput, mInputWatch);
+  }
+
   static void HandleChunk(evhttp_request* aRequest, void* aLink) {
     EvhttpCall* self = static_cast<CallLink*>(aLink)->mCall;
     if (self == nullptr) {
@@ -238,7 +253,7 @@
     mTimer.reset();
     mLink->mCall = nullptr;
     if (mConnection != nullptr) {
-      evbuffer_remove_cb_entry(mOutput, mWatch);
+      Unwatch();
       if (aComplete && !mOptions.mFresh) {
         mPool->Keep(mServer, mConnection);
       } else {
@@ -259,7 +274,7 @@
     if (mConnection == nullptr) {
       return;
     }
-    evbuffer_remove_cb_entry(mOutput, mWatch);
+    Unwatch();
     mLink->mCall = nullptr;
     bufferevent* bev = evhttp_connection_get_bufferevent(mConnection);
     bufferevent_disable(bev, EV_READ | EV_WRITE);
@@ -276,6 +291,8 @@
   evhttp_connection* mConnection = nullptr;
   evbuffer* mOutput = nullptr;
   evbuffer_cb_entry* mWatch = nullptr;
+  evbuffer* mInput = nullptr;
+  evbuffer_cb_entry* mInputWatch = nullptr;
   std::unique_ptr<Timer> mTimer;
   bool mPaused = false;
 };
--- a/drivers/rpc_channel.cpp
+++ b/drivers/rpc_channel.cpp
@@ -47,7 +47,14 @@
   options.mHeaders = {{"Authorization", "Bearer " + mKey},
                       {"Content-Type", "application/json"}};
   options.mTimeout = aTimeout;
-  options.mOnDone = [done = std::move(aDone)](const HttpResult& aResult) {
+  options.mOnDone = [this, server = aServer, method = aMethod,
+                     done = std::move(aDone)](const HttpResult& aResult) {
+    if (mOnBytes) {
+      mOnBytes({.mServer = server,
+                .mMethod = method,
+                .mSent = aResult.mSentBytes,
+                .mReceived = aResult.mReceivedBytes});
+    }
     if (!done) {
       return;
     }
--- a/include/spindleweir/drivers/http_client.h
+++ b/include/spindleweir/drivers/http_client.h
@@ -2,6 +2,7 @@
 /// knowledge of whether a byte reached the server.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,6 +23,8 @@
   int mStatus = 0;         ///< HTTP status; 0 where none came.
   std::string mBody;       ///< The body; empty where it was streamed.
   std::vector<HttpHeader> mHeaders;
+  std::int64_t mSentBytes = 0;      ///< That left this process, with the head.
+  std::int64_t mReceivedBytes = 0;  ///< That came, with the head.
 };
 
 /// One call.
--- a/include/spindleweir/drivers/rpc_channel.h
+++ b/include/spindleweir/drivers/rpc_channel.h
@@ -19,6 +19,14 @@
   Json::Value mAnswer;  ///< The answer; null where there is none.
 };
 
+/// What one call put on the wire, both ways, with HTTP's heads.
+struct RpcBytes {
+  Endpoint mServer;
+  std::string mMethod;
+  std::int64_t mSent = 0;
+  std::int64_t mReceived = 0;
+};
+
 /// Sends calls to other processes.
 class RpcChannel {
  public:
@@ -30,6 +38,11 @@
             const Json::Value& aMessage, Millis aTimeout,
             std::function<void(const RpcResult&)> aDone);
 
+  /// aCall is told of each call that ended, also of those without an answer.
+  void OnBytes(std::function<void(const RpcBytes&)> aCall) {
+    mOnBytes = std::move(aCall);
+  }
+
   /// Bytes of requests sent so far, without HTTP's own.
   std::int64_t SentBytes() const { return mSentBytes; }
 
@@ -38,6 +51,7 @@
   std::string mKey;
   std::int64_t mNextId = 1;
   std::int64_t mSentBytes = 0;
+  std::function<void(const RpcBytes&)> mOnBytes;
 };
 
 }  // namespace spindleweir
