A standstill is nobody's silence, and answers go once keepers have them

Cause, of callers/get_their_own_whole_answer: a process that stood still for over a second found on waking that its wait for the claim keepers had ended, and refused the resend for want of a majority, with all answers unread in its sockets. Besides, an answer was given before the keepers were told of it, so that a resend right after could meet 409 though nothing ran any more; docs/CALLERS.md promises the stored answer. And a round with a silent keeper said 'in progress' while the keeper with the outcome had not spoken. Cause, of failures/a_leaving_engine_gets_no_new_work: after a standstill longer than reports count (3 s) no engine had a fresh report, and requests were refused as without an upstream. Besides, an engine beside one that leaves could be ejected as the last of its kind. Change: waits for HTTP answers and the age of reports go by the time that the loop has run (EventLoop::RunningNow, AfterRunning); leases still go by the clock. An answer goes once a majority of keepers has its outcome, or after 1 s. 'In progress' needs a majority that says so or all answers. Who leaves does not count where the last of a kind is spared.

--- a/daemons/control/inventory.cpp
+++ b/daemons/control/inventory.cpp
@@ -59,11 +59,11 @@
 }
 
 bool Inventory::Complete() const {
-  return mView.Complete("", SteadyNow());
+  return mView.Complete("", mContext.mLoop.RunningNow());
 }
 
 std::vector<EngineReport> Inventory::Engines() const {
-  return mView.LiveEngines("", kReportLifetime, SteadyNow());
+  return mView.LiveEngines("", kReportLifetime, mContext.mLoop.RunningNow());
 }
 
 Json::Value Inventory::State() const {
--- a/daemons/router/caller_work.cpp
+++ b/daemons/router/caller_work.cpp
@@ -53,11 +53,14 @@
   }
 }
 
-void CallerWork::FinishClaim(const StoredAnswer& aAnswer) {
-  if (mClaimHeld) {
-    mClaimHeld = false;
-    mClaims.Finish(mClaim, ClaimState::kDone, aAnswer);
+void CallerWork::FinishClaim(const StoredAnswer& aAnswer,
+                             std::function<void()> aThen) {
+  if (!mClaimHeld) {
+    aThen();
+    return;
   }
+  mClaimHeld = false;
+  mClaims.Finish(mClaim, ClaimState::kDone, aAnswer, std::move(aThen));
 }
 
 void CallerWork::Close(ResultCode aCode, Ran aRan, int aTokens, int aAttempts) {
--- a/daemons/router/caller_work.h
+++ b/daemons/router/caller_work.h
@@ -2,6 +2,7 @@
 /// do alike with it: its place, its claim, its receipt, its end.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -47,8 +48,9 @@
   /// Ends the claim, if it is held: released where nothing can have run, else
   /// its outcome is unknown.
   void SettleClaim(bool aMayHaveRun);
-  /// Ends the claim with the answer.
-  void FinishClaim(const StoredAnswer& aAnswer);
+  /// Ends the claim with the answer, and calls aThen once resends learn it: at
+  /// once where no claim is held.
+  void FinishClaim(const StoredAnswer& aAnswer, std::function<void()> aThen);
   /// Writes receipt, counter and log line, and gives the place back. The
   /// object goes in the next turn of the loop.
   void Close(ResultCode aCode, Ran aRan, int aTokens, int aAttempts);
--- a/daemons/router/claim_gate.cpp
+++ b/daemons/router/claim_gate.cpp
@@ -1,5 +1,7 @@
 #include "daemons/router/claim_gate.h"
 
+#include <utility>
+
 #include "spindleweir/core/digest.h"
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
@@ -13,6 +15,10 @@
 constexpr Millis kTellTimeout = 2000;
 constexpr Millis kTellAgain = 500;
 constexpr int kTellTries = 240;
+/// An answer waits no longer for keepers to hold it. A round to them and their
+/// disks takes some 5 ms; where no majority of them is left, the caller's
+/// answer goes before what a resend of it would be told.
+constexpr Millis kKeptWait = 1000;
 constexpr std::size_t kMaximumAnswerBytes = 64 * 1024;
 /// Longer than any call may take: a claim held for longer has lost its owner.
 constexpr Millis kStaleClaim = 120 * 1000;
@@ -33,6 +39,35 @@
         aOpen->mRound.Earlier()});
 }
 
+/// Counts the keepers that have an outcome, and calls back once.
+class KeptCount {
+ public:
+  KeptCount(std::size_t aKeepers, std::function<void()> aKept)
+      : mKeepers(aKeepers), mKept(std::move(aKept)) {}
+
+  void Told() {
+    mTold++;
+    if (mTold * 2 > mKeepers) {
+      Settle();
+    }
+  }
+
+  void Settle() {
+    mTimer.reset();
+    const std::function<void()> kept = std::exchange(mKept, nullptr);
+    if (kept) {
+      kept();
+    }
+  }
+
+  std::unique_ptr<Timer> mTimer;
+
+ private:
+  std::size_t mKeepers;
+  std::size_t mTold = 0;
+  std::function<void()> mKept;
+};
+
 }  // namespace
 
 ResultCode CodeOf(ClaimVerdict aVerdict) {
@@ -88,12 +123,13 @@
   const ClaimMessage message{ClaimAsk::kRelease, aRecord};
   for (const EntryVm& keeper :
        mContext.mEntryVms.Current().OfRole(EntryRole::kControl)) {
-    Tell(keeper, message, kTellTries);
+    Tell(keeper, message, kTellTries, nullptr);
   }
 }
 
 void ClaimGate::Finish(ClaimRecord aRecord, ClaimState aState,
-                       const StoredAnswer& aAnswer) {
+                       const StoredAnswer& aAnswer,
+                       std::function<void()> aKept) {
   aRecord.mState = aState;
   aRecord.mAnswer = aAnswer;
   if (aRecord.mAnswer.mBody.size() > kMaximumAnswerBytes) {
@@ -101,14 +137,29 @@
     aRecord.mAnswer.mKept = false;
   }
   const ClaimMessage message{ClaimAsk::kFinish, aRecord};
-  for (const EntryVm& keeper :
-       mContext.mEntryVms.Current().OfRole(EntryRole::kControl)) {
-    Tell(keeper, message, kTellTries);
+  const std::vector<EntryVm> keepers =
+      mContext.mEntryVms.Current().OfRole(EntryRole::kControl);
+  const auto count =
+      std::make_shared<KeptCount>(keepers.size(), std::move(aKept));
+  for (const EntryVm& keeper : keepers) {
+    Tell(keeper, message, kTellTries, [count] { count->Told(); });
+  }
+  if (keepers.empty()) {
+    count->Settle();
+    return;
   }
+  // The messages under way hold the count, its timer does not.
+  count->mTimer = mContext.mLoop.AfterRunning(
+      kKeptWait, [this, weak = std::weak_ptr<KeptCount>(count)] {
+        mContext.mCounters.Add("claim_outcomes_late");
+        if (const auto late = weak.lock()) {
+          late->Settle();
+        }
+      });
 }
 
 void ClaimGate::Tell(const EntryVm& aKeeper, const ClaimMessage& aMessage,
-                     int aTries) {
+                     int aTries, const std::function<void()>& aTold) {
   if (aTries == 0) {
     mContext.mCounters.Add("claim_outcomes_untold");
     LogLine(LogLevel::kWarning, "claim_outcome_untold")
@@ -117,16 +168,19 @@
   }
   mContext.mRpc.Call(
       aKeeper.mAddress, kClaimMethod, ToJson(aMessage), kTellTimeout,
-      [this, aKeeper, aMessage, aTries](const RpcResult& aResult) {
+      [this, aKeeper, aMessage, aTries, aTold](const RpcResult& aResult) {
         if (aResult.mOk) {
+          if (aTold) {
+            aTold();
+          }
           return;
         }
         const auto again = std::make_shared<std::unique_ptr<Timer>>();
-        *again = mContext.mLoop.After(kTellAgain,
-                                      [this, again, aKeeper, aMessage, aTries] {
-                                        again->reset();
-                                        Tell(aKeeper, aMessage, aTries - 1);
-                                      });
+        *again = mContext.mLoop.After(
+            kTellAgain, [this, again, aKeeper, aMessage, aTries, aTold] {
+              again->reset();
+              Tell(aKeeper, aMessage, aTries - 1, aTold);
+            });
       });
 }
 
--- a/daemons/router/claim_gate.h
+++ b/daemons/router/claim_gate.h
@@ -28,12 +28,17 @@
                std::function<void(const ClaimOutcome&)> aDone);
   /// The call was not dispatched and will not be.
   void Release(const ClaimRecord& aRecord);
-  /// The call ended; told again to each keeper until it has answered.
+  /// The call ended; told again to each keeper until it has answered. aKept
+  /// (it may be empty) is called once: when a majority of the keepers has the
+  /// outcome, so that every later Acquire() learns it, or after a second.
   void Finish(ClaimRecord aRecord, ClaimState aState,
-              const StoredAnswer& aAnswer);
+              const StoredAnswer& aAnswer,
+              std::function<void()> aKept = nullptr);
 
  private:
-  void Tell(const EntryVm& aKeeper, const ClaimMessage& aMessage, int aTries);
+  /// aTold (it may be empty) is called once the keeper has answered.
+  void Tell(const EntryVm& aKeeper, const ClaimMessage& aMessage, int aTries,
+            const std::function<void()>& aTold);
 
   RouterContext& mContext;
 };
--- a/daemons/router/completion.cpp
+++ b/daemons/router/completion.cpp
@@ -138,7 +138,7 @@
                                 .mFirstToken = mGate.Delivered(),
                                 .mStages = mStages});
   for (const StagePlacement& stage : mStages) {
-    mContext.mView.Dispatched(stage.mEngine, SteadyNow());
+    mContext.mView.Dispatched(stage.mEngine, mContext.mLoop.RunningNow());
   }
   mDispatched = true;
   mSilences = 0;
@@ -237,7 +237,7 @@
   bool known = false;
   for (const std::string& engine : aFailed) {
     known = known || mContext.mView.IsLeaving(engine);
-    mContext.mView.Failed(engine, SteadyNow());
+    mContext.mView.Failed(engine, mContext.mLoop.RunningNow());
     mExcluded.insert(engine);
   }
   mContext.mCounters.Add("chains_replaced");
@@ -324,12 +324,13 @@
     text += token;
   }
   const std::string whole = DumpJson(WholeReply(mBody, mReply, text));
-  if (mClaimHeld) {
-    mClaimHeld = false;
-    mClaims.Finish(
-        mClaim, ClaimState::kDone,
-        {.mStatus = kHttpOk, .mType = "application/json", .mBody = whole});
-  }
+  mPhase = Phase::kKeeping;
+  mDeadlineTimer.reset();
+  FinishClaim({.mStatus = kHttpOk, .mType = "application/json", .mBody = whole},
+              [self = shared_from_this(), whole] { self->GiveEnd(whole); });
+}
+
+void Completion::GiveEnd(const std::string& aWhole) {
   if (mStreaming) {
     if (mBody.mIncludeUsage) {
       mRequest.mExchange->Write(UsageEvent(mBody, mReply));
@@ -338,7 +339,7 @@
     mRequest.mExchange->EndStream();
   } else {
     mRequest.mExchange->AddHeader("X-Request-Id", mRequest.mId);
-    mRequest.mExchange->Reply(kHttpOk, "application/json", whole);
+    mRequest.mExchange->Reply(kHttpOk, "application/json", aWhole);
   }
   End(ResultCode::kOk, Ran::kYes);
 }
@@ -364,6 +365,10 @@
     return;
   }
   mContext.mCounters.Add("callers_left");
+  if (mPhase == Phase::kKeeping) {
+    // It ran; the keepers are being told so.
+    return;
+  }
   EndAttempt("cancelled");
   End(ResultCode::kOutcomeUnknown, mDispatched ? Ran::kUnknown : Ran::kNo);
 }
--- a/daemons/router/completion.h
+++ b/daemons/router/completion.h
@@ -26,7 +26,8 @@
   void Begin();
 
  private:
-  enum class Phase { kQueued, kClaiming, kRunning, kEnded };
+  /// kKeeping: all tokens came, and the claim keepers are told.
+  enum class Phase { kQueued, kClaiming, kRunning, kKeeping, kEnded };
 
   void Admitted(const AdmissionOutcome& aOutcome);
   void Claimed(const ClaimOutcome& aOutcome);
@@ -51,7 +52,9 @@
 
   void Deliver(const TokenFrame& aFrame);
   void PushBack();
+  /// Ends the answer once resends learn it.
   void FinishWhole();
+  void GiveEnd(const std::string& aWhole);
   void Fail(ResultCode aCode, const std::string& aMessage,
             Millis aRetryAfter = 0);
   void CallerLeft();
--- a/daemons/router/completion_chain.cpp
+++ b/daemons/router/completion_chain.cpp
@@ -17,7 +17,7 @@
 
 bool Completion::ChooseStages() {
   const std::vector<ChainCandidate> candidates =
-      mContext.mView.Candidates(SteadyNow());
+      mContext.mView.Candidates(mContext.mLoop.RunningNow());
   // What the workspace and the model both allow.
   std::vector<std::string> zones = mModel.mZones;
   std::vector<std::string> hardware = mModel.mHardware;
--- a/daemons/router/service_call.cpp
+++ b/daemons/router/service_call.cpp
@@ -107,8 +107,8 @@
 
 void ServiceCall::Dispatch() {
   mRetryTimer.reset();
-  std::vector<const Upstream*> instances =
-      mContext.mView.ServiceInstances(mService.mName, SteadyNow());
+  std::vector<const Upstream*> instances = mContext.mView.ServiceInstances(
+      mService.mName, mContext.mLoop.RunningNow());
   std::erase_if(instances, [this](const Upstream* aUpstream) {
     return mTried.contains(aUpstream->mVm) ||
            !Allows(mService.mZones, aUpstream->mZone) ||
@@ -138,7 +138,7 @@
   mReceipt.mAttempts.push_back(
       {.mAttempt = mAttempt,
        .mStages = {{.mEngine = mVm, .mZone = upstream.mZone}}});
-  mContext.mView.Dispatched(mVm, SteadyNow());
+  mContext.mView.Dispatched(mVm, mContext.mLoop.RunningNow());
   HttpCallOptions options;
   options.mServer = upstream.mAddress;
   options.mMethod = mRequest.mExchange->Method();
@@ -179,7 +179,7 @@
     return;
   }
   if (!aResult.mComplete) {
-    mContext.mView.Failed(mVm, SteadyNow());
+    mContext.mView.Failed(mVm, mContext.mLoop.RunningNow());
     EndAttempt("failed");
     mMayHaveRun = mMayHaveRun || aResult.mSent;
     TryAgain("connection lost", !aResult.mSent);
@@ -227,12 +227,16 @@
 }
 
 void ServiceCall::Answer(const HttpResult& aResult) {
-  const std::string type = HeaderOf(aResult, "Content-Type");
-  FinishClaim(
-      {.mStatus = aResult.mStatus, .mType = type, .mBody = aResult.mBody});
-  mRequest.mExchange->AddHeader("X-Request-Id", mRequest.mId);
-  mRequest.mExchange->Reply(aResult.mStatus, type, aResult.mBody);
-  End(ResultCode::kOk, Ran::kYes);
+  mHasRun = true;
+  mTimer.reset();
+  const StoredAnswer answer{.mStatus = aResult.mStatus,
+                            .mType = HeaderOf(aResult, "Content-Type"),
+                            .mBody = aResult.mBody};
+  FinishClaim(answer, [self = shared_from_this(), answer] {
+    self->mRequest.mExchange->AddHeader("X-Request-Id", self->mRequest.mId);
+    self->mRequest.mExchange->Reply(answer.mStatus, answer.mType, answer.mBody);
+    self->End(ResultCode::kOk, Ran::kYes);
+  });
 }
 
 void ServiceCall::Fail(ResultCode aCode, const std::string& aMessage,
@@ -258,7 +262,7 @@
     return;
   }
   mContext.mCounters.Add("callers_left");
-  if (mCall != nullptr && !MayRepeat()) {
+  if (mHasRun || (mCall != nullptr && !MayRepeat())) {
     // It may run whether the caller waits or not: its outcome is awaited and
     // kept for a resend.
     return;
--- a/daemons/router/service_call.h
+++ b/daemons/router/service_call.h
@@ -30,6 +30,7 @@
   void LogRouting(const std::string& aChosen, std::size_t aCandidates) const;
   void HandleResult(const HttpResult& aResult);
   void TryAgain(const std::string& aWhy, bool aProvenNotRun);
+  /// Gives the answer once resends learn it.
   void Answer(const HttpResult& aResult);
   void Fail(ResultCode aCode, const std::string& aMessage,
             Millis aRetryAfter = 0);
@@ -42,6 +43,7 @@
   ServiceSpec mService;
   std::string mPath;
   bool mEnded = false;
+  bool mHasRun = false;      ///< Its answer waits for the claim keepers.
   bool mMayHaveRun = false;  ///< An attempt left this process unanswered.
   int mAttempt = 0;
   std::string mVm;  ///< Of the attempt under way.
--- a/daemons/router/stewardship.cpp
+++ b/daemons/router/stewardship.cpp
@@ -88,12 +88,12 @@
   const bool holds = mHolder->Holds(now);
   LogLease(holds);
   const std::vector<EngineReport> engines =
-      mContext.mView.LiveEngines(zone, kDeadAfter, now);
+      mContext.mView.LiveEngines(zone, kDeadAfter, mContext.mLoop.RunningNow());
   for (const EngineReport& engine : engines) {
     mHolder->SawEpoch(engine.mEpoch);
   }
   if (!holds || mContext.Accepted().mVersion == 0 ||
-      !mContext.mView.Complete(zone, now)) {
+      !mContext.mView.Complete(zone, mContext.mLoop.RunningNow())) {
     return;
   }
   UpdateWanted(engines, now);
--- a/daemons/upstream_watcher.cpp
+++ b/daemons/upstream_watcher.cpp
@@ -14,7 +14,8 @@
 UpstreamWatcher::UpstreamWatcher(EventLoop& aLoop, HttpClient& aClient,
                                  UpstreamView& aView,
                                  UpstreamWatcherOptions aOptions)
-    : mClient(aClient),
+    : mLoop(aLoop),
+      mClient(aClient),
       mView(aView),
       mOptions(std::move(aOptions)),
       mEngines(aClient),
@@ -34,13 +35,13 @@
                        try {
                          mView.Listed(vm.mVm, vm.mZone, vm.mService,
                                       ParseEndpoint(vm.mAddress, vm.mVm),
-                                      vm.mLeaving, SteadyNow());
+                                      vm.mLeaving, mLoop.RunningNow());
                        } catch (const Error&) {
                          // A VM without a usable address cannot be an upstream.
                          continue;
                        }
                      }
-                     mView.EndOfList(SteadyNow());
+                     mView.EndOfList(mLoop.RunningNow());
                    });
 }
 
@@ -57,7 +58,7 @@
                          if (aReport == nullptr || aReport->mEngine != name) {
                            return;
                          }
-                         mView.Reported(*aReport, SteadyNow());
+                         mView.Reported(*aReport, mLoop.RunningNow());
                          if (mOptions.mOnReport) {
                            mOptions.mOnReport(*aReport);
                          }
--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -21,6 +21,12 @@
   return tv;
 }
 
+/// So often a loop notes that it runs.
+constexpr Millis kBeatPeriod = 50;
+/// A gap between two notes up to this is ordinary work: on a tenth of a core
+/// the users' platform gives the processor in slices that are 90 ms apart.
+constexpr Millis kOrdinaryGap = 150;
+
 /// Owns libevent events that call one function.
 class EventTimer : public Timer {
  public:
@@ -50,19 +56,53 @@
   std::vector<event*> mEvents;
 };
 
+/// A timer that is set again for as long as its loop stood still meanwhile.
+class RunningTimer : public Timer {
+ public:
+  RunningTimer(EventLoop& aLoop, Millis aDelay, std::function<void()> aCall)
+      : mLoop(aLoop), mCall(std::move(aCall)) {
+    Set(aDelay);
+  }
+
+ private:
+  void Set(Millis aDelay) {
+    mStoodStill = mLoop.StoodStill();
+    mTimer = mLoop.After(aDelay, [this] {
+      const Millis lost = mLoop.StoodStill() - mStoodStill;
+      if (lost > 0) {
+        Set(lost);
+        return;
+      }
+      // The call may destroy the timer, so that it runs from a copy.
+      const std::function<void()> call = mCall;
+      call();
+    });
+  }
+
+  EventLoop& mLoop;
+  std::function<void()> mCall;
+  Millis mStoodStill = 0;  ///< The loop's count when it was set.
+  std::unique_ptr<Timer> mTimer;
+};
+
 }  // namespace
 
-EventLoop::EventLoop() : mBase(event_base_new()) {
+EventLoop::EventLoop() : mBase(event_base_new()), mBeatAt(SteadyNow()) {
   if (mBase == nullptr) {
     throw Error(ResultCode::kInternal, "no event loop to be had");
   }
   mPostEvent = event_new(mBase, -1, 0, &EventLoop::RunPosted, this);
+  mBeatEvent =
+      event_new(mBase, -1, EV_TIMEOUT | EV_PERSIST, &EventLoop::Beat, this);
+  const timeval period = ToTimeval(kBeatPeriod);
+  event_add(mBeatEvent, &period);
   signal(SIGPIPE, SIG_IGN);
 }
 
 EventLoop::~EventLoop() {
   // What was posted may own timers of this loop.
   mPosted.clear();
+  event_free(mBeatEvent);
   event_free(mPostEvent);
   event_base_free(mBase);
 }
@@ -83,6 +123,11 @@
   return timer;
 }
 
+std::unique_ptr<Timer> EventLoop::AfterRunning(Millis aDelay,
+                                               std::function<void()> aCall) {
+  return std::make_unique<RunningTimer>(*this, aDelay, std::move(aCall));
+}
+
 std::unique_ptr<Timer> EventLoop::Every(Millis aPeriod,
                                         std::function<void()> aCall) {
   auto timer = std::make_unique<EventTimer>(std::move(aCall));
@@ -105,6 +150,17 @@
   }
 }
 
+void EventLoop::Beat(int, short, void* aSelf) {
+  auto* self = static_cast<EventLoop*>(aSelf);
+  self->mStoodStill = self->StoodStill();
+  self->mBeatAt = SteadyNow();
+}
+
+Millis EventLoop::StoodStill() const {
+  const Millis gap = SteadyNow() - mBeatAt;
+  return mStoodStill + (gap > kOrdinaryGap ? gap - kBeatPeriod : 0);
+}
+
 std::unique_ptr<Timer> EventLoop::OnStopSignal(std::function<void()> aCall) {
   auto timer = std::make_unique<EventTimer>(std::move(aCall));
   timer->Add(mBase, SIGTERM, EV_SIGNAL | EV_PERSIST, nullptr);
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -152,7 +152,9 @@
     evhttp_connection_set_max_body_size(
         mConnection, static_cast<ev_ssize_t>(mOptions.mMaximumAnswerBytes));
     if (mOptions.mTimeout > 0) {
-      mTimer = mLoop.After(mOptions.mTimeout, [this] { Finish(false); });
+      // A router that woke after 1.3 s took all claim keepers for silent,
+      // with their answers unread in its sockets.
+      mTimer = mLoop.AfterRunning(mOptions.mTimeout, [this] { Finish(false); });
     }
     SendRequest();
   }
--- a/include/spindleweir/daemons/upstream_watcher.h
+++ b/include/spindleweir/daemons/upstream_watcher.h
@@ -32,6 +32,7 @@
   void ReadList();
   void AskReports();
 
+  EventLoop& mLoop;
   HttpClient& mClient;
   UpstreamView& mView;
   UpstreamWatcherOptions mOptions;
--- a/include/spindleweir/drivers/event_loop.h
+++ b/include/spindleweir/drivers/event_loop.h
@@ -34,6 +34,10 @@
 
   /// Calls aCall once after aDelay milliseconds.
   std::unique_ptr<Timer> After(Millis aDelay, std::function<void()> aCall);
+  /// The same, by RunningNow(): what came while the loop stood still is read
+  /// before a wait for it ends.
+  std::unique_ptr<Timer> AfterRunning(Millis aDelay,
+                                      std::function<void()> aCall);
   /// Calls aCall every aPeriod milliseconds.
   std::unique_ptr<Timer> Every(Millis aPeriod, std::function<void()> aCall);
   /// Calls aCall in the next turn of the loop; it cannot be cancelled.
@@ -43,11 +47,25 @@
   /// Calls aCall at SIGHUP.
   std::unique_ptr<Timer> OnReloadSignal(std::function<void()> aCall);
 
+  /// Milliseconds in which this loop should have run and did not, since it was
+  /// made: the process was stopped, got no processor, or a call took so long.
+  /// What others said meanwhile is still unread after it: a wait that ends
+  /// then is no silence of theirs.
+  Millis StoodStill() const;
+  /// SteadyNow() without the time in which the loop stood still: by this clock
+  /// nothing grows old that could not have been renewed.
+  Millis RunningNow() const { return SteadyNow() - StoodStill(); }
+
  private:
   static void RunPosted(int aFd, short aWhat, void* aSelf);
 
+  static void Beat(int aFd, short aWhat, void* aSelf);
+
   event_base* mBase;
   event* mPostEvent;
+  event* mBeatEvent;
+  Millis mBeatAt;  ///< Steady; when the loop was last seen to run.
+  Millis mStoodStill = 0;
   std::vector<std::function<void()>> mPosted;
 };
 
--- a/servers/claims/claim_round.cpp
+++ b/servers/claims/claim_round.cpp
@@ -66,6 +66,11 @@
   if (Majority(mGrants + open)) {
     return;
   }
+  // An outcome that a majority has is among the answers still to come, unless
+  // a majority has said that it has none: silent keepers say nothing of it.
+  if (mHeld > 0 && open > 0 && !Majority(mHeld)) {
+    return;
+  }
   mVerdict = mHeld > 0 ? VerdictOfEarlier() : ClaimVerdict::kNoQuorum;
 }
 
--- a/servers/routing/upstream_view.cpp
+++ b/servers/routing/upstream_view.cpp
@@ -124,10 +124,12 @@
 }
 
 bool UpstreamView::MayEject(const Upstream& aUpstream, Millis aNow) const {
+  // One that leaves is no reserve: beside it the last of its kind would be
+  // ejected, and callers refused until it is let in again.
   int alike = 0;
   int ejected = 0;
   for (const auto& [vm, other] : mUpstreams) {
-    if (other.mZone == aUpstream.mZone &&
+    if (!IsLeaving(vm) && other.mZone == aUpstream.mZone &&
         other.mService == aUpstream.mService &&
         other.mReport.mModel == aUpstream.mReport.mModel &&
         other.mReport.mFirst == aUpstream.mReport.mFirst) {
--- a/tests/daemons/caller_test.cpp
+++ b/tests/daemons/caller_test.cpp
@@ -50,6 +50,59 @@
   }
 }
 
+Test(callers, a_resend_right_after_the_answer_is_answered_alike) {
+  // The keepers hear of outcomes later than the first answer could go out.
+  Millis delay = 300;
+  Deployment deployment({.mDelay = [&delay](std::string_view aMessage) {
+    const bool tellsOutcome =
+        aMessage.find("\"ask\":2") != std::string_view::npos;
+    return tellsOutcome ? delay : 0;
+  }});
+  deployment.Begin();
+  const auto answered = [&](const std::shared_ptr<CallerResult>& aAnswer) {
+    cr_assert(deployment.RunUntil([&] { return aAnswer->mDone; }));
+    return aAnswer->mHttp;
+  };
+  SECTION("a completion") {
+    const std::vector<HttpHeader> key{{"Idempotency-Key", "tribute-2"}};
+    const HttpResult first = answered(deployment.Chat(0, "gin", 5, false, key));
+    const HttpResult second =
+        answered(deployment.Chat(2, "gin", 5, false, key));
+    CHECK(first.mStatus == 200 && second.mStatus == 200);
+    CHECK(second.mBody == first.mBody);
+  }
+  SECTION("a streamed completion") {
+    const std::vector<HttpHeader> key{{"Idempotency-Key", "tribute-3"}};
+    const auto first = deployment.Chat(0, "rum", 5, true, key);
+    const HttpResult ended = answered(first);
+    const auto second = deployment.Chat(2, "rum", 5, true, key);
+    const HttpResult again = answered(second);
+    CHECK(ended.mStatus == 200 && again.mStatus == 200);
+    CHECK(second->Text() == first->Text());
+    CHECK(second->mStream.ends_with("data: [DONE]\n\n"));
+  }
+  const auto reserve = [&](int aRouter, const char* aKey) {
+    return answered(deployment.Send(aRouter, "POST",
+                                    "/v1/services/kaunter-api/pay", "{}",
+                                    {{"Authorization", "Bearer traveller-key"},
+                                     {"Idempotency-Key", aKey}}));
+  };
+  SECTION("a call that may not be repeated") {
+    const HttpResult first = reserve(0, "order-3");
+    const HttpResult second = reserve(1, "order-3");
+    CHECK(first.mStatus == 200 && second.mStatus == 200);
+    CHECK(second.mBody == first.mBody && deployment.ServiceRuns() == 1);
+  }
+  SECTION("keepers that cannot be told hold no answer back for long") {
+    delay = 600000;
+    const Millis began = SteadyNow();
+    CHECK(reserve(0, "order-4").mStatus == 200);
+    CHECK(SteadyNow() - began < 10000);
+    CHECK(reserve(1, "order-4").mStatus == 409);
+    CHECK(deployment.ServiceRuns() == 2);
+  }
+}
+
 Test(callers, bad_requests_get_a_number) {
   Deployment deployment({.mZones = 1});
   deployment.Begin();
--- a/tests/daemons/deployment.cpp
+++ b/tests/daemons/deployment.cpp
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
@@ -142,8 +144,13 @@
     options.mInitialVoters.push_back("control-" + std::to_string(i));
   }
   options.mPlatform = mPlatform->Address();
-  mControls[static_cast<std::size_t>(aIndex)] =
-      std::make_unique<ControlDaemon>(mLoop, options);
+  const auto index = static_cast<std::size_t>(aIndex);
+  mControls[index] = std::make_unique<ControlDaemon>(mLoop, options);
+  mDelays.resize(mControls.size());
+  if (mOptions.mDelay) {
+    mDelays[index] = std::make_unique<RpcDelay>(
+        mLoop, mControls[index]->RpcAddress(), mOptions.mDelay);
+  }
 }
 
 void Deployment::StartRouter(int aIndex) {
@@ -193,6 +200,9 @@
     row["zone"] = Zone(static_cast<int>(i));
     row["address"] =
         mControls[i] ? mControls[i]->RpcAddress().Text() : "127.0.0.1:1";
+    if (mDelays[i] != nullptr) {
+      row["address"] = mDelays[i]->Address().Text();
+    }
     row["operator"] =
         mControls[i] ? mControls[i]->OperatorAddress().Text() : "127.0.0.1:1";
     rows.append(row);
@@ -226,6 +236,10 @@
   mLoop.Run();
 }
 
+void Deployment::StandStill(Millis aTime) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(aTime));
+}
+
 HttpResult Deployment::Fetch(const Endpoint& aServer,
                              const std::string& aMethod,
                              const std::string& aPath, const std::string& aBody,
--- a/tests/daemons/deployment.h
+++ b/tests/daemons/deployment.h
@@ -14,6 +14,7 @@
 #include "standins/engine_standin.h"
 #include "standins/platform_standin.h"
 #include "standins/service_standin.h"
+#include "tests/daemons/rpc_delay.h"
 #include "tests/test_tools.h"
 
 namespace spindleweir {
@@ -25,6 +26,8 @@
   int mRouters = 1;  ///< A zone.
   Millis mServiceDelay = 5;
   Millis mStopUnready = 100;
+  /// Where set, all messages to controls pass it.
+  RpcDelayHook mDelay;
 };
 
 /// What became of a caller's request.
@@ -56,6 +59,8 @@
   /// Runs the loop until the condition holds; false after a long time.
   bool RunUntil(const std::function<bool()>& aCondition);
   void RunFor(Millis aTime);
+  /// Nothing runs for so long, as where the machine gives no processor time.
+  static void StandStill(Millis aTime);
 
   /// Starts everything, states the usual intent, confirms it, and waits until
   /// every router answers completions.
@@ -107,6 +112,7 @@
   std::map<std::string, std::unique_ptr<ServiceStandin>> mServices;
   std::vector<std::unique_ptr<ControlDaemon>> mControls;
   std::vector<std::unique_ptr<RouterDaemon>> mRouters;
+  std::vector<std::unique_ptr<RpcDelay>> mDelays;  ///< By control.
 };
 
 }  // namespace spindleweir
--- a/tests/daemons/failure_test.cpp
+++ b/tests/daemons/failure_test.cpp
@@ -1,5 +1,6 @@
 /// What callers see of a deployment under failures.
 #include <filesystem>
+#include <utility>
 
 #include "spindleweir/core/json_codec.h"
 #include "tests/daemons/deployment.h"
@@ -198,6 +199,41 @@
   }
 }
 
+Test(failures, a_process_that_stood_still_takes_nobody_for_silent) {
+  SECTION("engines, whose reports grew old meanwhile") {
+    Deployment deployment({.mZones = 1});
+    deployment.Begin();
+    for (int i = 0; i < 3; i++) {
+      // Longer than a report counts.
+      Deployment::StandStill(3200);
+      const auto answer = deployment.Chat(0, "x", 1, false);
+      REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+      CHECK(answer->mHttp.mStatus == 200);
+    }
+  }
+  SECTION("claim keepers, whose answers lay there unread") {
+    Millis still = 0;
+    Deployment deployment({.mDelay = [&still](std::string_view aMessage) {
+      if (aMessage.find("\"ask\":0") != std::string_view::npos) {
+        Deployment::StandStill(std::exchange(still, 0));
+      }
+      return Millis{0};
+    }});
+    deployment.Begin();
+    for (int i = 0; i < 3; i++) {
+      // Longer than a keeper is waited for.
+      still = 1300;
+      const auto answer =
+          deployment.Send(0, "POST", "/v1/services/kaunter-api/pay", "{}",
+                          {{"Authorization", "Bearer traveller-key"},
+                           {"Idempotency-Key", "order-8"}});
+      REQUIRE(deployment.RunUntil([&] { return answer->mDone; }));
+      CHECK(answer->mHttp.mStatus == 200);
+      CHECK(deployment.ServiceRuns() == 1);
+    }
+  }
+}
+
 Test(failures, a_drained_vm_gets_no_new_work) {
   Deployment deployment({.mZones = 1});
   deployment.Begin();
--- a/tests/drivers/http_test.cpp
+++ b/tests/drivers/http_test.cpp
@@ -99,6 +99,30 @@
   }
 }
 
+Test(http, a_standstill_of_the_process_is_no_silence_of_the_server) {
+  Pair pair;
+  pair.mHandle = [&pair] {
+    // The answer is on its way, and then nothing runs for longer than the
+    // client waits.
+    pair.mExchange->Reply(200, "text/plain", "there");
+    usleep(700 * 1000);
+  };
+  HttpCallOptions options = pair.Call("x");
+  options.mTimeout = 300;
+  const auto call = pair.mClient.Start(std::move(options));
+  REQUIRE(pair.RunUntil([&] { return pair.mResult.has_value(); }));
+  CHECK(pair.mResult->mComplete && pair.mResult->mBody == "there");
+  SECTION("one that says nothing is given up all the same") {
+    pair.mHandle = [] { usleep(700 * 1000); };
+    pair.mResult.reset();
+    HttpCallOptions again = pair.Call("x");
+    again.mTimeout = 300;
+    const auto silent = pair.mClient.Start(std::move(again));
+    REQUIRE(pair.RunUntil([&] { return pair.mResult.has_value(); }));
+    CHECK(!pair.mResult->mComplete);
+  }
+}
+
 Test(http, a_server_that_closes_without_an_answer_gets_nothing_twice) {
   Pair pair;
   int seen = 0;
--- a/tests/servers/claims_test.cpp
+++ b/tests/servers/claims_test.cpp
@@ -128,6 +128,21 @@
     round.Replied("2", held(ClaimState::kDone, "d"));
     CHECK(round.Verdict() == ClaimVerdict::kDone);
   }
+  SECTION("a majority knows the end, and one keeper is silent") {
+    ClaimRound round(asked, 3, 0);
+    round.Replied("1", held(ClaimState::kHeld, "d"));
+    round.Silent("2");
+    CHECK(round.Verdict() == ClaimVerdict::kOpen);
+    round.Replied("3", held(ClaimState::kDone, "d"));
+    CHECK(round.Verdict() == ClaimVerdict::kDone);
+  }
+  SECTION("one keeper holds it for another, and the others are silent") {
+    ClaimRound round(asked, 3, 0);
+    round.Replied("1", held(ClaimState::kHeld, "d"));
+    round.Silent("2");
+    round.Silent("3");
+    CHECK(round.Verdict() == ClaimVerdict::kInProgress);
+  }
   SECTION("the key with another body") {
     ClaimRound round(asked, 3, 0);
     round.Replied("1", held(ClaimState::kDone, "other"));
--- a/tests/servers/routing_test.cpp
+++ b/tests/servers/routing_test.cpp
@@ -225,6 +225,13 @@
   SECTION("a report that is too old is none") {
     CHECK(usable(9000) == 0);
   }
+  SECTION("beside one that leaves the last stays whatever fails") {
+    view.SetLeaving({"e0", "e1", "e2"});
+    for (int round = 0; round < 10; round++) {
+      view.Failed("e3", 20);
+    }
+    CHECK(usable(21) == 1);
+  }
 }
 
 Test(upstream_view, own_work_counts_until_a_report_shows_it) {
