Stories listen at an address of their own process

Cause: relay/a_stream_that_has_begun_waits_until_its_retry_is_paid failed once beside a load of 20 on 12 cores: 'cannot listen on 127.0.0.1:44445'. A port was chosen, freed, and taken by another process's connection before it was used. Change: these ports are of an address in 127.64.0.0/10 that the process's number gives.

--- a/tests/daemons/relay_story.cpp
+++ b/tests/daemons/relay_story.cpp
@@ -1,10 +1,14 @@
 #include "tests/daemons/relay_story.h"
 
+#include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <netinet/in.h>
 
+#include <array>
+#include <cstdint>
+
 #include "spindleweir/core/json_codec.h"
 #include "standins/plain_protocol.h"
 
@@ -14,18 +18,31 @@
 
 constexpr Millis kLease = 600;
 
+/// A loopback address that no other process of the tests uses: 127.64.0.0/10 by
+/// the process's number. On 127.0.0.1 any connection of another process may
+/// take a port between its choice and its use, and while who listens there is
+/// down.
+in_addr OwnLoopback() {
+  constexpr std::uint32_t kNet = 0x7f400000;
+  constexpr std::uint32_t kNumbers = 0x003fffff;
+  const auto number = static_cast<std::uint32_t>(getpid()) & kNumbers;
+  return {.s_addr = htonl(kNet | number)};
+}
+
 }  // namespace
 
 Endpoint FreeEndpoint() {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_addr = OwnLoopback();
   (void)bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   socklen_t n = sizeof(address);
   (void)getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n);
   close(fd);
-  return {"127.0.0.1", ntohs(address.sin_port)};
+  std::array<char, INET_ADDRSTRLEN> text{};
+  (void)inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+  return {text.data(), ntohs(address.sin_port)};
 }
 
 TrafficConfiguration Traffic(std::int64_t aVersion) {
--- a/tests/daemons/relay_story.h
+++ b/tests/daemons/relay_story.h
@@ -30,7 +30,7 @@
   std::string mBody;
 };
 
-/// A port of loopback that is free at the moment.
+/// A port that is free, at an address of loopback that is this process's own.
 Endpoint FreeEndpoint();
 /// Routes /pay/, /look/ and /stream/ to the service "counter".
 TrafficConfiguration Traffic(std::int64_t aVersion);
