What engines read and carry is measured five times and once a second

Each request that waited asked 20 times a second for the capacity over all engines of its zone, and a refusal divided all paths anew with each change of the registry; now both are kept for 0.2 and 1 s, and large zones are looked at by a sample. No figure: seen by reading, at 3,000 engines it would have been a search of each.

--- a/daemons/relay/relay_admission.cpp
+++ b/daemons/relay/relay_admission.cpp
@@ -16,6 +16,10 @@
 /// A service whose places are not modelled comes free within this time.
 constexpr Millis kPlainFree = 300;
 constexpr Millis kLeastLeft = 500;
+/// What engines read and carry is found anew at most this often: each request
+/// that waits asks 20 times a second, and each that is refused once.
+constexpr Millis kMeasureReading = 200;
+constexpr Millis kMeasureCarried = 1000;
 
 }  // namespace
 
@@ -33,39 +37,43 @@
   return mOpening;
 }
 
-std::vector<const UpstreamRecord*> RelayAdmission::Engines(
-    const TrafficService& aService, bool& aOwnZone) {
-  std::vector<const UpstreamRecord*> near;
+void RelayAdmission::MeasureReading(const TrafficService& aService,
+                                    Gate& aGate) {
+  Reading& reading = aGate.mReading;
+  const Millis now = SteadyNow();
+  if (reading.mMeasuredAt >= 0 && now - reading.mMeasuredAt < kMeasureReading) {
+    return;
+  }
+  reading.mMeasuredAt = now;
   const std::vector<const UpstreamRecord*>& all =
       mContext.ReadyEngines(aService.mName);
+  std::vector<const UpstreamRecord*> near;
+  std::set<std::string_view> zones;
   for (const UpstreamRecord* engine : all) {
+    zones.insert(engine->mZone);
     if (engine->mZone == mContext.mOptions.mZone) {
       near.push_back(engine);
     }
   }
-  aOwnZone = ReadingCapacity(aService.mEngine, near) > 0;
-  return aOwnZone ? near : all;
+  reading.mPerMilli = ReadingCapacity(aService.mEngine, near);
+  reading.mParts = static_cast<double>(std::max<std::size_t>(1, zones.size()));
+  reading.mOwnZone = reading.mPerMilli > 0;
+  if (!reading.mOwnZone) {
+    reading.mPerMilli = ReadingCapacity(aService.mEngine, all);
+    reading.mParts = 1;
+  }
 }
 
-double RelayAdmission::Sharers(const TrafficService& aService, bool aOwnZone) {
-  std::set<std::string> zones;
-  for (const UpstreamRecord* engine : mContext.ReadyEngines(aService.mName)) {
-    zones.insert(engine->mZone);
-  }
-  const double parts =
-      aOwnZone ? static_cast<double>(std::max<std::size_t>(1, zones.size()))
-               : 1;
-  return std::max(1.0, mContext.mRouters / parts);
+double RelayAdmission::Sharers(const Gate& aGate) const {
+  return std::max(1.0, mContext.mRouters / aGate.mReading.mParts);
 }
 
 StartDecision RelayAdmission::Ask(const void* aRequest,
                                   const TrafficService& aService,
                                   const StartRequest& aFacts) {
   Gate& gate = mGates[aService.mName];
-  bool ownZone = false;
-  const std::vector<const UpstreamRecord*> engines = Engines(aService, ownZone);
-  gate.mStart.SetShare(ReadingCapacity(aService.mEngine, engines) /
-                       Sharers(aService, ownZone));
+  MeasureReading(aService, gate);
+  gate.mStart.SetShare(gate.mReading.mPerMilli / Sharers(gate));
   const StartDecision decision = gate.mStart.Ask(aRequest, aFacts, SteadyNow());
   if (decision.mVerdict == StartVerdict::kWait) {
     gate.mWaiting.insert(aRequest);
@@ -104,16 +112,25 @@
 }
 
 void RelayAdmission::Measure(const TrafficService& aService, Gate& aGate) {
-  const std::int64_t change = mContext.mRegistry.NewestChange();
-  if (aGate.mCarriedOf == change) {
+  const Millis now = SteadyNow();
+  if (aGate.mCarriedAt >= 0 && now - aGate.mCarriedAt < kMeasureCarried) {
     return;
   }
-  aGate.mCarriedOf = change;
-  bool ownZone = false;
-  const std::vector<const UpstreamRecord*> engines = Engines(aService, ownZone);
+  aGate.mCarriedAt = now;
+  MeasureReading(aService, aGate);
+  const std::string& zone = mContext.mOptions.mZone;
+  EngineSample sample = SampleEngines(mContext.ReadyEngines(aService.mName),
+                                      zone, SampleReach::kOwnZone,
+                                      [this] { return mContext.Random(); });
+  if (aGate.mReading.mOwnZone) {
+    std::erase_if(sample.mEngines, [&zone](const UpstreamRecord* aEngine) {
+      return aEngine->mZone != zone;
+    });
+  }
   aGate.mCarried = 0;
-  for (const SharedPath& path : DividePaths(aService.mEngine, engines)) {
-    aGate.mCarried += path.Rate() / Sharers(aService, ownZone);
+  for (const SharedPath& path :
+       DividePaths(aService.mEngine, sample.mEngines)) {
+    aGate.mCarried += path.Rate() / sample.mShare / Sharers(aGate);
   }
   if (aGate.mCarried > 0) {
     aGate.mLostAt = -1;
--- a/daemons/relay/relay_admission.h
+++ b/daemons/relay/relay_admission.h
@@ -49,22 +49,30 @@
                       Millis aLeft);
 
  private:
+  /// What a router's share of the reading is made of.
+  struct Reading {
+    double mPerMilli = 0;   ///< Tokens that the engines read.
+    double mParts = 1;      ///< Zones that divide the routers; 1: none does.
+    bool mOwnZone = false;  ///< Of the own zone's engines only.
+    Millis mMeasuredAt = -1;
+  };
+
   /// What is known of one service.
   struct Gate {
+    Reading mReading;
     StartAdmission mStart;
     std::set<const void*> mWaiting;
     int mBegun = 0;  ///< In the opening.
     ReturnTimes mReturns;
-    double mCarried = 0;  ///< Requests a millisecond that its zone carries.
-    std::int64_t mCarriedOf = -1;  ///< The change of the registry.
-    Millis mLostAt = -1;           ///< Since when its zone has no whole path.
+    double mCarried = 0;     ///< Requests a millisecond that its zone carries.
+    Millis mCarriedAt = -1;  ///< When that was found.
+    Millis mLostAt = -1;     ///< Since when its zone has no whole path.
   };
 
-  /// The engines of this router's zone, or of all where these lack a layer.
-  std::vector<const UpstreamRecord*> Engines(const TrafficService& aService,
-                                             bool& aOwnZone);
-  /// Routers that share these engines.
-  double Sharers(const TrafficService& aService, bool aOwnZone);
+  /// By the engines of this router's zone, or of all where these lack a layer.
+  void MeasureReading(const TrafficService& aService, Gate& aGate);
+  /// Routers that share what was measured.
+  double Sharers(const Gate& aGate) const;
   void Measure(const TrafficService& aService, Gate& aGate);
   Millis LoadLeft(const TrafficService& aService, Gate& aGate);
 
