--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -23,6 +23,18 @@
 /// Paths are divided anew this often: until then those of before may lead over
 /// layers that an engine held before it started again.
 constexpr Millis kPathsDividedAnew = 300;
+/// How much one request moves the usual time at an upstream.
+constexpr double kTimeWeight = 0.05;
+
+MemoryAccountOptions MemoryOf(const RelayOptions& aOptions) {
+  MemoryAccountOptions options =
+      MemoryAccountOptions::For(aOptions.mMemoryBytes);
+  options.mDescriptors = aOptions.mDescriptors;
+  if (aOptions.mWindow > 0) {
+    options.mWindow = aOptions.mWindow;
+  }
+  return options;
+}
 
 }  // namespace
 
@@ -31,6 +43,7 @@
       mOptions(std::move(aOptions)),
       mClient(aLoop),
       mRpc(mClient, mOptions.mClusterKey),
+      mMemory(std::make_shared<MemoryAccount>(MemoryOf(mOptions))),
       mLease(mOptions.mLeaseLength),
       mOtherLoadsTrueAt(SteadyNow()),
       mRandom(std::random_device{}()),
@@ -46,6 +59,7 @@
   mExperience.erase(instance);
   mExperience[instance].mAvoidUntil = SteadyNow() + kPathsDividedAnew;
   mOtherLoads.erase(instance);
+  mPaces.Forget(instance);
   mRestarted.insert(instance);
   mCounters.Add("upstreams_restarted");
   LogLine(LogLevel::kInfo, "upstream_restarted")
@@ -107,7 +121,7 @@
 }
 
 EngineLoad RelayContext::LoadOf(const std::string& aInstance) const {
-  EngineLoad load;
+  EngineLoad load{.mPace = mPaces.PaceOf(aInstance)};
   for (const auto* loads : {&mOwnLoads, &mOtherLoads}) {
     const auto it = loads->find(aInstance);
     if (it != loads->end()) {
@@ -133,12 +147,19 @@
       loads[instance].mUnreachable = 1;
     }
   }
+  mPaces.Tell(loads, now);
   return loads;
 }
 
 void RelayContext::SetOtherLoads(LoadShares aLoads, Millis aTrueAt) {
   mOtherLoads = std::move(aLoads);
   mOtherLoadsTrueAt = aTrueAt;
+  mPaces.TakeNews(mOtherLoads, SteadyNow());
+}
+
+void RelayContext::ForgetOtherLoads() {
+  mOtherLoads.clear();
+  mPaces.TakeNews(mOtherLoads, SteadyNow());
 }
 
 void RelayContext::Succeeded(const std::string& aInstance) {
@@ -204,6 +225,32 @@
   return mPaths[aService].mArrivals.PerMilli(SteadyNow());
 }
 
+void RelayContext::PlainTook(const std::string& aService, Millis aTime) {
+  double& usual = mPaths[aService].mUsualTime;
+  const auto time = static_cast<double>(aTime);
+  usual = usual > 0 ? usual + kTimeWeight * (time - usual) : time;
+}
+
+bool RelayContext::MaySendPlain(const UpstreamRecord& aRecord,
+                                std::size_t aUpstreams,
+                                std::size_t aBodyBytes) {
+  ServicePaths& paths = mPaths[aRecord.mService];
+  const auto own = mOwnLoads.find(aRecord.mInstance);
+  UpstreamView view;
+  view.mSlots = aRecord.mSlots;
+  view.mOwn =
+      own == mOwnLoads.end() ? 0 : static_cast<double>(own->second.mRequests);
+  view.mOthers = LoadOf(aRecord.mInstance).mRequests - view.mOwn;
+  view.mBodyBytes = static_cast<double>(aBodyBytes);
+  view.mOwnBytes = view.mOwn * view.mBodyBytes;
+  view.mRouters = mRouters;
+  view.mOwnRate = paths.mArrivals.PerMilli(SteadyNow()) /
+                  static_cast<double>(std::max<std::size_t>(1, aUpstreams));
+  view.mUsualTime = std::llround(std::ceil(paths.mUsualTime));
+  view.mNewsAge = std::min(kOldestNews, LoadsAge());
+  return MaySendTo(view, mOptions.mUpstreams);
+}
+
 const std::vector<const UpstreamRecord*>& RelayContext::ReadyEngines(
     const std::string& aService) {
   ServicePaths& paths = mPaths[aService];
@@ -227,7 +274,7 @@
       others * paths.mArrivals.PerMilli(now) * static_cast<double>(age);
   PathAnswer answer = paths.mChoice.Choose(
       aQuestion, {.mUnseen = std::max(seldom, mAdmission->Unseen(aService)),
-                  .mRevision = mRegistry.Revision(),
+                  .mRevision = mRegistry.Revision() + mPaces.Revision(),
                   .mNow = now});
   mCounters.Add("paths", answer.mPath.empty() ? "way=\"none\""
                          : answer.mDealt      ? "way=\"dealt\""
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -124,9 +124,7 @@
   mContext.mAdmission->Came(mRoute->mName, mFacts.mDeadline);
   PickService();
   mContext.RetriesOf(mService->mName).RequestStarted(SteadyNow());
-  if (mService->IsEngine()) {
-    mContext.PathAsked(mService->mName);
-  }
+  mContext.PathAsked(mService->mName);
   AwaitTurn();
 }
 
