--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -23,6 +23,9 @@
 constexpr Millis kAskedEvery = 150;
 constexpr double kEachAsker = 3.5;
 constexpr int kLifeBytes = 6;
+/// After this time all routers have asked, and those of the last start count
+/// for nothing any more.
+constexpr Millis kRoutersBefore = 3000;
 /// Another control that did not answer for so long is not in contact.
 constexpr Millis kContact = 1500;
 /// Routers that must agree that an upstream cannot be reached.
@@ -35,11 +38,15 @@
     : mContext(aContext),
       mLog(aLog),
       mLife(RandomHex(kLifeBytes)),
-      mUpstreams(aContext, mDirectory, [this](const std::string& aService) {
-        const TrafficConfiguration& traffic = Traffic();
-        return traffic.mVersion == 0 ||
-               traffic.FindService(aService) != nullptr;
-      }) {
+      mUpstreams(aContext, mDirectory,
+                 [this](const std::string& aService) {
+                   const TrafficConfiguration& traffic = Traffic();
+                   return traffic.mVersion == 0 ||
+                          traffic.FindService(aService) != nullptr;
+                 }),
+      mRouterCount(aContext.mOptions.mData + "/routers"),
+      mRoutersBefore(mRouterCount.Load()),
+      mStartedAt(SteadyNow()) {
   mDirectory.SetSeeds(mContext.mOptions.mSeeds);
   mLog.Machine().SignalPublished().connect(
       [this](const PublishedDocument& aPublished) { mUnread = aPublished; });
@@ -50,6 +57,7 @@
       rpc_method::kSync, [this](const Json::Value& aMessage) {
         return ToJson(Answer(FromJson<SyncQuestion>(aMessage)));
       });
+  mLog.SignalSettled().connect([this] { AskLeader(); });
   mAskTimer = mContext.mLoop.Every(kAskPeriod, [this] { AskOthers(); });
   mStepTimer = mContext.mLoop.Every(kStepPeriod, [this] {
     StepVoters();
@@ -106,7 +114,7 @@
   if (!fromControl) {
     answer.mNews = mTraffic.NewsSince(aQuestion.mConfiguration);
   }
-  answer.mRouters = std::max(1, mLoads.AllRouters(now));
+  answer.mRouters = Routers(now);
   answer.mOwnRouters = mLoads.OwnRouters(now);
   answer.mAskEvery = std::max(
       kAskedEvery,
@@ -115,6 +123,11 @@
   return answer;
 }
 
+int SyncService::Routers(Millis aNow) {
+  const int before = aNow - mStartedAt < kRoutersBefore ? mRoutersBefore : 0;
+  return std::max({1, before, mLoads.AllRouters(aNow)});
+}
+
 void SyncService::AddLoads(const SyncQuestion& aQuestion, SyncAnswer& aAnswer) {
   const Millis now = SteadyNow();
   const bool fromControl = !aQuestion.mControl.mId.empty();
@@ -202,6 +215,17 @@
   }
 }
 
+std::string SyncService::LeaderHeardOf() const {
+  return SteadyNow() - mToldLeaderAt < kContact ? mToldLeader : "";
+}
+
+void SyncService::AskLeader() {
+  const std::string& leader = mLog.Raft().Leader();
+  if (!leader.empty() && leader != mContext.mOptions.mId) {
+    Ask(AddressOfControl(leader));
+  }
+}
+
 void SyncService::Ask(const Endpoint& aAddress) {
   Source& source = mSources[aAddress.Text()];
   if (source.mAsking) {
@@ -237,6 +261,11 @@
   source.mRevision = aAnswer.mRevision;
   source.mHeardAt = now;
   source.mId = aAnswer.mSelf.mId;
+  if (!aAnswer.mLeader.empty() && aAnswer.mTerm >= mToldTerm) {
+    mToldLeader = aAnswer.mLeader;
+    mToldTerm = aAnswer.mTerm;
+    mToldLeaderAt = now;
+  }
   mConfirmation.Take(aAnswer.mConfirmedVersion, aAskedAt,
                      aAnswer.mConfirmedAgo);
   if (aAnswer.mLoadsNumber == source.mLoadsNumber && sameLife) {
@@ -260,6 +289,10 @@
   // nobody waits for it then; all others have the same upstreams.
   if (!mLog.Raft().Leads() || mLog.Raft().Voters().size() == 1) {
     mUpstreams.Save();
+    const Millis now = SteadyNow();
+    if (now - mStartedAt >= kRoutersBefore) {
+      mRouterCount.Save(mLoads.AllRouters(now), now);
+    }
   }
 }
 
