No column of starts travels where nobody tells one

Cause: the column of starts cost bytes and time in each list, also on platforms whose upstreams tell none. Change: left out where all are 0, as the columns of loads are.

--- a/servers/membership/upstream_table.cpp
+++ b/servers/membership/upstream_table.cpp
@@ -75,6 +75,16 @@
   }
 }
 
+/// Where no upstream tells its start the column need not travel.
+void DropIfNone(std::vector<std::int64_t>& aStarts) {
+  const bool none =
+      std::all_of(aStarts.begin(), aStarts.end(),
+                  [](std::int64_t aStart) { return aStart == 0; });
+  if (none) {
+    aStarts.clear();
+  }
+}
+
 /// A start from a column that may be missing as a whole.
 std::int64_t StartAt(const std::vector<std::int64_t>& aStarts,
                      std::size_t aRow) {
@@ -115,6 +125,7 @@
     table.mHeardAgo.push_back(record.mHeardAgo);
     table.mStarts.push_back(record.mStart);
   }
+  DropIfNone(table.mStarts);
   return table;
 }
 
@@ -166,6 +177,7 @@
     table.mHeardAgo.push_back(beat.mHeardAgo);
     table.mStarts.push_back(beat.mStart);
   }
+  DropIfNone(table.mStarts);
   return table;
 }
 
