--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -4,8 +4,11 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 
+#include "daemons/bad_words.h"
 #include "spindleweir/core/counters.h"
 #include "spindleweir/daemons/relay_router.h"
 #include "spindleweir/daemons/sync_messages.h"
@@ -43,6 +46,7 @@
   std::int64_t mReadyOf = -1;  ///< The change of the registry that it has.
 };
 
+class RelayAdmission;
 class StreamGuard;
 
 /// The state of one router. Single-threaded.
@@ -55,6 +59,8 @@
   /// Takes news of the configuration where it is newer than what is held and
   /// follows on it.
   void Accept(const TrafficNews& aNews);
+  /// Whether the configuration in force has a service, or there is none yet.
+  bool KnowsService(const std::string& aService) const;
   bool LeaseHolds() const { return mLease.Holds(SteadyNow()); }
   /// Whether this process started so lately that what it lacks may still come
   /// by itself: the configuration, its confirmation, heartbeats of upstreams.
@@ -79,6 +85,13 @@
   void Failed(const std::string& aInstance, Millis aAvoidFor);
   /// No connection could be made.
   void Unreachable(const std::string& aInstance, Millis aFor);
+  /// The start of the incarnation that is known; 0: none, or not told.
+  std::int64_t StartOf(const std::string& aInstance) const;
+  /// Gives those that were followed by another incarnation of their name since
+  /// the last call.
+  std::set<std::string> TakeRestarted() {
+    return std::exchange(mRestarted, {});
+  }
   double FailuresOf(const std::string& aInstance) const;
   /// Instances that are not to be used at present.
   std::set<std::string> Avoided() const;
@@ -90,6 +103,8 @@
       const std::string& aService);
   /// A request that asks for a path of engines.
   void PathAsked(const std::string& aService);
+  /// Requests a millisecond that come here for it.
+  double ArrivalsOf(const std::string& aService);
   /// A path for it, by what is known of the work of all routers.
   PathAnswer ChoosePathOf(const std::string& aService,
                           const PathQuestion& aQuestion);
@@ -100,6 +115,7 @@
   HttpClient mClient;
   RpcChannel mRpc;
   Counters mCounters;
+  BadWords mBadWords{mCounters};
   ConfigurationLease mLease;
   ControlDirectory mDirectory;
   UpstreamRegistry mRegistry;
@@ -107,14 +123,19 @@
   EnginePaces mPaces;
   int mRouters = 1;  ///< That share limits, as far as is known.
   bool mStopping = false;
-  StreamGuard* mGuard = nullptr;  ///< Set once all parts are made.
+  StreamGuard* mGuard = nullptr;         ///< Set once all parts are made.
+  RelayAdmission* mAdmission = nullptr;  ///< The same.
 
  private:
+  /// What was learnt of the one before says nothing of its successor.
+  void ForgetPredecessor(const UpstreamRecord& aSuccessor);
+
   std::shared_ptr<const RouteTable> mTable;
   LoadShares mOwnLoads;
   LoadShares mOtherLoads;
   Millis mOtherLoadsTrueAt;
   std::map<std::string, UpstreamExperience> mExperience;
+  std::set<std::string> mRestarted;
   std::map<std::string, RetryAllowance> mRetries;
   std::map<std::string, PipeAllowance> mPipes;
   std::map<std::string, ServicePaths> mPaths;  ///< By service.
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "daemons/relay/relay_admission.h"
 #include "daemons/relay/stream_guard.h"
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
@@ -41,6 +42,7 @@
   /// One upstream, or one path of engines, that the request is sent to.
   struct Attempt {
     std::string mInstance;
+    std::int64_t mStart = 0;  ///< Of the incarnation that it was sent to.
     LayerPath mPath;
     double mTokens = 0;   ///< Memory promised for each layer.
     bool mDealt = false;  ///< The path was dealt, not the cheapest.
@@ -96,6 +98,8 @@
   /// started; false: it has to be answered now.
   bool WaitForStart();
   void PickService();
+  /// Starts the first attempt as soon as the opening lets it in.
+  void AwaitTurn();
   void StartAttempt();
   /// Tries again in a moment, where a stream has begun; false: not worth it.
   bool WaitForPath();
@@ -128,10 +132,11 @@
   /// aRan: of the attempt that is over.
   bool MayTryAgain(Ran aRan) const;
   void DropAttempt();
+  /// Whether the incarnation that the attempt was sent to is the one known:
+  /// what becomes of it says nothing of a successor.
+  bool IsCurrent() const;
   void GiveUp(ResultCode aCode);
-  /// aReturnAfter: when the caller should come back, at least; -1: not.
-  void Refuse(ResultCode aCode, Millis aReturnAfter);
-  Millis ReturnAfter(Millis aLeast) const;
+  void Refuse(ResultCode aCode, ReturnCause aCause);
   void Forward(const AnswerHead& aHead, std::string_view aBody);
   void End(const char* aOutcome, int aStatus);
   void Count(const char* aOutcome, int aStatus);
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -51,6 +51,7 @@
     mLateAt = now;
   }
   mSteppedAt = now;
+  MoveOffRestarted();
   MoveOffLeaving();
   if (LateSince(now - kLateFor)) {
     // What came meanwhile has not been read yet: pauses prove nothing.
@@ -142,6 +143,9 @@
     return;
   }
   mLookedAt = mContext.mRegistry.Revision();
+  std::erase_if(mLeftBehind, [this](const std::string& aInstance) {
+    return mContext.mRegistry.Find(aInstance) == nullptr;
+  });
   std::set<std::string> leaving;
   for (const UpstreamRecord* record : mContext.mRegistry.OfService("")) {
     const bool leaves = record->mState == UpstreamState::kLeaving ||
@@ -155,6 +159,17 @@
   }
 }
 
+void StreamGuard::MoveOffRestarted() {
+  const std::set<std::string> restarted = mContext.TakeRestarted();
+  if (restarted.empty()) {
+    return;
+  }
+  for (const std::string& instance : restarted) {
+    mLeftBehind.erase(instance);
+  }
+  LeaveBehind(restarted, MoveReason::kRestarted);
+}
+
 void StreamGuard::Probe(const std::string& aInstance) {
   const UpstreamRecord* record = mContext.mRegistry.Find(aInstance);
   if (record == nullptr) {
@@ -162,6 +177,7 @@
   }
   Look& look = mProbes[aInstance];
   look.mAt = SteadyNow();
+  look.mStart = record->mStart;
   const auto connected = std::make_shared<bool>(false);
   StreamCallOptions options;
   options.mServer = ParseEndpoint(record->mAddress, "address of an upstream");
@@ -184,7 +200,8 @@
   mContext.mLoop.Post([call] {});
   mContext.mCounters.Add("probes");
   const bool refused = took < kProbeTimeout;
-  if (aConnected || (!refused && LateSince(look.mAt))) {
+  const bool followed = look.mStart != mContext.StartOf(aInstance);
+  if (aConnected || followed || (!refused && LateSince(look.mAt))) {
     return;
   }
   LogLine(LogLevel::kInfo, "upstream_unreachable")
@@ -201,6 +218,7 @@
   }
   Look& look = mStates[aInstance];
   look.mAt = SteadyNow();
+  look.mStart = record->mStart;
   look.mBody.clear();
   StreamCallOptions options = CallOf(mContext.mOptions.mEngines.mAskState(),
                                      record->mAddress, kAskTimeout);
@@ -214,15 +232,14 @@
     Look& ended = mStates[aInstance];
     const std::shared_ptr<StreamCall> call = std::move(ended.mCall);
     mContext.mLoop.Post([call] {});
-    if (aEnd != StreamEnd::kComplete) {
+    const bool followed = ended.mStart != mContext.StartOf(aInstance);
+    if (aEnd != StreamEnd::kComplete || followed) {
       return;
     }
     try {
       TakeState(aInstance, mContext.mOptions.mEngines.mReadState(ended.mBody));
     } catch (const Error& error) {
-      LogLine(LogLevel::kWarning, "report_unreadable")
-          .Add("instance", aInstance)
-          .Add("why", error.what());
+      mContext.mBadWords.Note("report", aInstance, error);
     }
   };
   look.mCall = StartStreamCall(mContext.mLoop, std::move(options));
@@ -230,6 +247,13 @@
 
 void StreamGuard::TakeState(const std::string& aInstance,
                             const EngineState& aState) {
+  const std::int64_t known = mStates[aInstance].mStart;
+  if (known > 0 && aState.mStart > known) {
+    // Its heartbeat has not come this far yet.
+    mContext.Failed(aInstance, kStandsStillFor);
+    LeaveBehind({aInstance}, MoveReason::kRestarted);
+    return;
+  }
   const Millis now = SteadyNow();
   mContext.mPaces.TakeWord(aInstance, aState.mPace, now);
   JudgePaces(now);
--- a/daemons/relay/stream_guard.h
+++ b/daemons/relay/stream_guard.h
@@ -20,6 +20,7 @@
   kUnreachable,  ///< It takes no connection: it is lost.
   kStandsStill,  ///< Streams that pass it do not come on.
   kSlow,         ///< Streams that pass it are late, or will be.
+  kRestarted,    ///< It started again and knows nothing of them.
 };
 
 /// What the guard needs of a stream.
@@ -47,6 +48,9 @@
   ProgressWatch& Watch() { return mWatch; }
   /// An event of a stream came.
   void Progress(StreamKey aKey, Millis aNow);
+  /// Moves streams off incarnations that were followed by others. To be called
+  /// once all news that came together are taken, and before new streams begin.
+  void MoveOffRestarted();
 
  private:
   void Step();
@@ -66,6 +70,7 @@
   struct Look {
     std::unique_ptr<StreamCall> mCall;
     Millis mAt = -1;
+    std::int64_t mStart = 0;  ///< Of the incarnation that is looked at.
     std::string mBody;
   };
 
