--- a/daemons/relay/relay_admission.cpp
+++ b/daemons/relay/relay_admission.cpp
@@ -94,7 +94,8 @@
 }
 
 void RelayAdmission::Measure(const TrafficService& aService, Gate& aGate) {
-  const std::int64_t change = mContext.mRegistry.NewestChange();
+  const std::int64_t change =
+      mContext.mRegistry.NewestChange() + mContext.mPaces.Revision();
   if (aGate.mCarriedOf == change) {
     return;
   }
@@ -102,7 +103,11 @@
   bool ownZone = false;
   const std::vector<const UpstreamRecord*> engines = Engines(aService, ownZone);
   aGate.mCarried = 0;
-  for (const SharedPath& path : DividePaths(aService.mEngine, engines)) {
+  const auto paceOf = [this](const std::string& aInstance) {
+    return mContext.mPaces.PaceOf(aInstance);
+  };
+  for (const SharedPath& path :
+       DividePaths(aService.mEngine, engines, paceOf)) {
     aGate.mCarried += path.Rate() / Sharers(aService, ownZone);
   }
   if (aGate.mCarried > 0) {
