--- a/daemons/relay/relay_admission.cpp
+++ b/daemons/relay/relay_admission.cpp
@@ -128,8 +128,11 @@
     });
   }
   aGate.mCarried = 0;
+  const auto paceOf = [this](const std::string& aInstance) {
+    return mContext.mPaces.PaceOf(aInstance);
+  };
   for (const SharedPath& path :
-       DividePaths(aService.mEngine, sample.mEngines)) {
+       DividePaths(aService.mEngine, sample.mEngines, paceOf)) {
     aGate.mCarried += path.Rate() / sample.mShare / Sharers(aGate);
   }
   if (aGate.mCarried > 0) {
