A status that promises 'not run' is never handed on unless it was said

Cause: an upstream's own 408, 421, 429 or 503 without its word that it did not run was handed on as it came, also for what may not be repeated. Callers take these for a promise. Change: of what may not be repeated such an answer is answered 502 OutcomeUnknown.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 constexpr std::size_t kMostPendingBytes = 256 * 1024;
 constexpr std::size_t kMostKeptBody = 8 * 1024 * 1024;
 constexpr Millis kSilencePeriod = 100;
@@ -24,6 +28,12 @@
 constexpr Millis kAskForPathAgain = 80;
 constexpr Millis kLeastForAttempt = 20;
 
+/// Statuses by which callers take a request for not run, now or ever.
+bool PromisesNotRun(int aStatus) {
+  return aStatus == kRequestTimeout || aStatus == kMisdirected ||
+         aStatus == kTooManyRequests || aStatus == kUnavailable;
+}
+
 }  // namespace
 
 void RelayRequest::StartAttempt() {
@@ -251,6 +261,12 @@
 void RelayRequest::HandleWholeAnswer() {
   const int status = mAttempt->mHead.mStatus;
   const bool isStream = mAttempt->mFacts.mIsStream && IsSuccess(status);
+  if (PromisesNotRun(status) && !mRoute->Repeatable()) {
+    // It did not say that it had not run: its status would be a promise of
+    // ours that nobody made.
+    AttemptFailed(Ran::kUnknown, ResultCode::kOutcomeUnknown, true);
+    return;
+  }
   if (!isStream) {
     const bool failed = status >= 500;
     if (failed) {
--- a/standins/scripted_upstream.cpp
+++ b/standins/scripted_upstream.cpp
@@ -17,6 +17,7 @@
 
 ScriptedUpstream::ScriptedUpstream(EventLoop& aLoop, std::string aInstance)
     : mInstance(std::move(aInstance)),
+      mFailure(kServerError),
       mServer(aLoop,
               {.mListen = {"127.0.0.1", 0},
                .mHandle =
@@ -71,7 +72,7 @@
     aExchange->Abort();
     return;
   }
-  aExchange->Reply(act == UpstreamAct::kFail ? kServerError : kOk,
+  aExchange->Reply(act == UpstreamAct::kFail ? mFailure : kOk,
                    {{"X-Signature", mInstance}}, "by " + mInstance);
 }
 
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -16,7 +16,7 @@
   kAnswer,  ///< Runs it and answers whole; a stream: its events to the end.
   kRefuse,  ///< Says that it did not run it.
   kCut,     ///< Runs it and breaks off: a stream after two events.
-  kFail,    ///< Runs it and answers 500.
+  kFail,    ///< Runs it and answers 500, or as FailWith() said.
   kSilent,  ///< Runs it and says nothing.
 };
 
@@ -27,6 +27,8 @@
 
   /// The next requests are dealt with so; then all with kAnswer.
   void Next(std::vector<UpstreamAct> aActs);
+  /// The status of what fails.
+  void FailWith(int aStatus) { mFailure = aStatus; }
   std::string Address() const { return mServer.Address().Text(); }
   const std::string& Instance() const { return mInstance; }
   /// How often a request ran here.
@@ -45,6 +47,7 @@
   std::deque<UpstreamAct> mActs;
   std::map<std::string, int> mRuns;
   int mClosed = 0;
+  int mFailure;
   StreamServer mServer;
 };
 
