--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -6,6 +6,7 @@
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/core/packing.h"
+#include "spindleweir/servers/membership/ask_schedule.h"
 #include "spindleweir/servers/membership/voter_plan.h"
 
 namespace spindleweir {
@@ -108,10 +109,14 @@
   SyncAnswer answer;
   answer.mSelf = Self();
   answer.mLife = mLife;
-  answer.mControls = mDirectory.Lately(kControlsTold, now);
-  answer.mLeader = mLog.Raft().Leader();
-  answer.mTerm = mLog.Raft().Term();
   const bool fromControl = !aQuestion.mControl.mId.empty();
+  const Asker asker{.mIsNear = aQuestion.mTellsLoads > 0,
+                    .mHearsNear = aQuestion.mHearsNear};
+  if (fromControl || TellsControls(asker)) {
+    answer.mControls = mDirectory.Lately(kControlsTold, now);
+    answer.mLeader = mLog.Raft().Leader();
+    answer.mTerm = mLog.Raft().Term();
+  }
   mUpstreams.Answer(aQuestion, mLife, answer);
   ConfirmOwn(now);
   answer.mConfirmedVersion = mConfirmation.Version();
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 constexpr Millis kSilencePeriod = 100;
 /// An upstream that failed is left alone for so long.
 constexpr Millis kAvoidAfterLoss = 1500;
@@ -27,6 +31,12 @@
 /// attempt, and first comers, which come back, took the places.
 constexpr Millis kHoldReturned = 1500;
 
+/// Statuses by which callers take a request for not run, now or ever.
+bool PromisesNotRun(int aStatus) {
+  return aStatus == kRequestTimeout || aStatus == kMisdirected ||
+         aStatus == kTooManyRequests || aStatus == kUnavailable;
+}
+
 }  // namespace
 
 void RelayRequest::StartAttempt() {
@@ -221,7 +231,8 @@
   if (MayCollect()) {
     return;
   }
-  if (!mContext.mMemory->Bounded() || mExchange->Started()) {
+  if (!mContext.mMemory->Bounded() || mExchange->Started() ||
+      PromisesFalsely()) {
     AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
     return;
   }
@@ -239,6 +250,12 @@
   return memory->MayCollect();
 }
 
+bool RelayRequest::PromisesFalsely() const {
+  // It did not say that it had not run: its status would be a promise of ours
+  // that nobody made.
+  return PromisesNotRun(mAttempt->mHead.mStatus) && !mRoute->Repeatable();
+}
+
 void RelayRequest::HandOn() {
   // What fails from here on cannot be tried at another upstream: the caller
   // has the head, and perhaps more.
@@ -337,6 +354,10 @@
     return;
   }
   const bool isStream = mAttempt->mFacts.mIsStream && IsSuccess(status);
+  if (PromisesFalsely()) {
+    AttemptFailed(Ran::kUnknown, ResultCode::kOutcomeUnknown, true);
+    return;
+  }
   if (!isStream) {
     const bool failed = status >= 500;
     if (failed) {
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -115,6 +115,9 @@
   void HandleWholeAnswer();
   /// Takes more of an answer that is not a stream.
   void HandleBody(std::string_view aBytes);
+  /// Whether the answer's status would tell the caller that its call has not
+  /// run, though the upstream did not say so.
+  bool PromisesFalsely() const;
   void HandOn();
   /// Stops reading from the upstream where the caller is slow.
   void PushBack();
--- a/include/spindleweir/servers/membership/upstream_table.h
+++ b/include/spindleweir/servers/membership/upstream_table.h
@@ -70,10 +70,10 @@
 
   template <class Codec>
   void Fields(Codec& aCodec) {
-    aCodec.Field("instances", mInstances);
-    aCodec.Field("sequences", mSequences);
-    aCodec.Field("heard_ago_ms", mHeardAgo);
-    aCodec.Field("starts", mStarts);
+    aCodec.Sparse("instances", mInstances);
+    aCodec.Sparse("sequences", mSequences);
+    aCodec.Sparse("heard_ago_ms", mHeardAgo);
+    aCodec.Sparse("starts", mStarts);
   }
 };
 
--- a/include/spindleweir/servers/routing/load_book.h
+++ b/include/spindleweir/servers/routing/load_book.h
@@ -57,15 +57,15 @@
 
   template <class Codec>
   void Fields(Codec& aCodec) {
-    aCodec.Field("instances", mInstances);
-    aCodec.Field("requests", mRequests);
-    aCodec.Field("token_layers", mTokenLayers);
-    aCodec.Field("firsts", mFirsts);
-    aCodec.Field("read_token_layers", mReadTokenLayers);
-    aCodec.Field("unreachable", mUnreachable);
-    aCodec.Field("pace_tellers", mPaceTellers);
-    aCodec.Field("pace_percent", mPacePercent);
-    aCodec.Field("well_tellers", mWellTellers);
+    aCodec.Sparse("instances", mInstances);
+    aCodec.Sparse("requests", mRequests);
+    aCodec.Sparse("token_layers", mTokenLayers);
+    aCodec.Sparse("firsts", mFirsts);
+    aCodec.Sparse("read_token_layers", mReadTokenLayers);
+    aCodec.Sparse("unreachable", mUnreachable);
+    aCodec.Sparse("pace_tellers", mPaceTellers);
+    aCodec.Sparse("pace_percent", mPacePercent);
+    aCodec.Sparse("well_tellers", mWellTellers);
   }
 };
 
--- a/servers/routing/load_check.cpp
+++ b/servers/routing/load_check.cpp
@@ -12,13 +12,13 @@
 /// stands for zeros.
 class RowCheck {
  public:
-  void Field(const char*, std::vector<std::string>& aNames) {
+  void Sparse(const char*, std::vector<std::string>& aNames) {
     mNames = &aNames;
     mRows = aNames.size();
     mAny = mRows;
   }
   template <class T>
-  void Field(const char*, std::vector<T>& aNumbers) {
+  void Sparse(const char*, std::vector<T>& aNumbers) {
     if (aNumbers.empty()) {
       return;
     }
@@ -68,7 +68,7 @@
   explicit RowCut(const std::vector<bool>& aKept) : mKept(aKept) {}
 
   template <class T>
-  void Field(const char*, std::vector<T>& aColumn) {
+  void Sparse(const char*, std::vector<T>& aColumn) {
     std::vector<T> kept;
     for (std::size_t i = 0; i < aColumn.size(); i++) {
       if (mKept[i]) {
--- a/standins/scripted_upstream.cpp
+++ b/standins/scripted_upstream.cpp
@@ -17,6 +17,7 @@
 
 ScriptedUpstream::ScriptedUpstream(EventLoop& aLoop, std::string aInstance)
     : mInstance(std::move(aInstance)),
+      mFailure(kServerError),
       mServer(aLoop,
               {.mListen = {"127.0.0.1", 0},
                .mHandle =
@@ -74,7 +75,7 @@
   const std::string body = mBytes > 0 && request != nullptr
                                ? BodyOf(*request, mBytes)
                                : "by " + mInstance;
-  aExchange->Reply(act == UpstreamAct::kFail ? kServerError : kOk,
+  aExchange->Reply(act == UpstreamAct::kFail ? mFailure : kOk,
                    {{"X-Signature", mInstance}}, body);
 }
 
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -16,7 +16,7 @@
   kAnswer,  ///< Runs it and answers whole; a stream: its events to the end.
   kRefuse,  ///< Says that it did not run it.
   kCut,     ///< Runs it and breaks off: a stream after two events.
-  kFail,    ///< Runs it and answers 500.
+  kFail,    ///< Runs it and answers 500, or as FailWith() said.
   kSilent,  ///< Runs it and says nothing.
 };
 
@@ -32,6 +32,8 @@
   void SetBytes(std::size_t aBytes) { mBytes = aBytes; }
   /// The body that a request gets then.
   static std::string BodyOf(const std::string& aRequest, std::size_t aBytes);
+  /// The status of what fails.
+  void FailWith(int aStatus) { mFailure = aStatus; }
   std::string Address() const { return mServer.Address().Text(); }
   const std::string& Instance() const { return mInstance; }
   /// How often a request ran here.
@@ -51,6 +53,7 @@
   std::map<std::string, int> mRuns;
   int mClosed = 0;
   std::size_t mBytes = 0;
+  int mFailure;
   StreamServer mServer;
 };
 
