--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -38,15 +38,20 @@
     : mContext(aContext),
       mLog(aLog),
       mLife(RandomHex(kLifeBytes)),
-      mUpstreams(aContext, mDirectory,
-                 [this](const std::string& aService) {
-                   const TrafficConfiguration& traffic = Traffic();
-                   return traffic.mVersion == 0 ||
-                          traffic.FindService(aService) != nullptr;
-                 }),
-      mRouterCount(aContext.mOptions.mData + "/routers"),
-      mRoutersBefore(mRouterCount.Load()),
-      mStartedAt(SteadyNow()) {
+      mStamp(aContext.mOptions.mData + "/stamp"),
+      mBefore(mStamp.Load(WallNow())),
+      mStartedAt(SteadyNow()),
+      mUpstreams(
+          aContext, mDirectory,
+          [this](const std::string& aService) {
+            const TrafficConfiguration& traffic = Traffic();
+            return traffic.mVersion == 0 ||
+                   traffic.FindService(aService) != nullptr;
+          },
+          mBefore.mFresh) {
+  LogLine(LogLevel::kInfo, "stamp_read")
+      .Add("upstreams_fresh", mBefore.mFresh)
+      .Add("routers", mBefore.mRouters);
   mDirectory.SetSeeds(mContext.mOptions.mSeeds);
   mLog.Machine().SignalPublished().connect(
       [this](const PublishedDocument& aPublished) { mUnread = aPublished; });
@@ -124,7 +129,7 @@
 }
 
 int SyncService::Routers(Millis aNow) {
-  const int before = aNow - mStartedAt < kRoutersBefore ? mRoutersBefore : 0;
+  const int before = aNow - mStartedAt < kRoutersBefore ? mBefore.mRouters : 0;
   return std::max({1, before, mLoads.AllRouters(aNow)});
 }
 
@@ -288,11 +293,9 @@
   // Disks hang for seconds at times. A leader does without the file, so that
   // nobody waits for it then; all others have the same upstreams.
   if (!mLog.Raft().Leads() || mLog.Raft().Voters().size() == 1) {
-    mUpstreams.Save();
     const Millis now = SteadyNow();
-    if (now - mStartedAt >= kRoutersBefore) {
-      mRouterCount.Save(mLoads.AllRouters(now), now);
-    }
+    mUpstreams.Save();
+    mStamp.Save(Routers(now), WallNow(), now);
   }
 }
 
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "daemons/control/replicated_configuration.h"
-#include "daemons/control/router_count_store.h"
+#include "daemons/control/start_stamp.h"
 #include "daemons/control/upstream_intake.h"
 #include "spindleweir/daemons/sync_messages.h"
 #include "spindleweir/servers/routes/newest_confirmation.h"
@@ -74,7 +74,6 @@
   ReplicatedConfiguration& mLog;
   std::string mLife;
   ControlDirectory mDirectory;
-  UpstreamIntake mUpstreams;
   TrafficHistory mTraffic;
   /// The newest that was committed and that nobody has asked for yet. A start
   /// commits the whole log at once: reading each of 118 versions of 600 routes
@@ -82,9 +81,10 @@
   std::optional<PublishedDocument> mUnread;
   std::map<std::string, Millis> mAskedAt;  ///< By router.
   NewestConfirmation mConfirmation;
-  RouterCountStore mRouterCount;
-  int mRoutersBefore = 0;  ///< The last start's; until they have all asked.
+  StartStamp mStamp;
+  StartFacts mBefore;  ///< Of the last start; used until routers have asked.
   Millis mStartedAt;
+  UpstreamIntake mUpstreams;
   LoadBook mLoads{LoadBookOptions{}};
   std::map<std::string, Source> mSources;  ///< By address.
   std::string mToldLeader;                 ///< Of the newest term told.
--- a/daemons/control/upstream_intake.cpp
+++ b/daemons/control/upstream_intake.cpp
@@ -38,16 +38,15 @@
 
 UpstreamIntake::UpstreamIntake(ControlContext& aContext,
                                const ControlDirectory& aDirectory,
-                               ServiceHook aKnowsService)
+                               ServiceHook aKnowsService, bool aRestores)
     : mContext(aContext),
       mDirectory(aDirectory),
       mKnowsService(std::move(aKnowsService)),
       mStore(aContext.mOptions.mData + "/upstreams"),
       mTakers({.mOwnBeats = aContext.mOptions.mOwnBeats}) {
-  LogLine(LogLevel::kInfo, "upstreams_restored")
-      .Add("count",
-           static_cast<int>(mStore.Load(mRegistry, SteadyNow(),
-                                        mContext.mBadWords.At("disk"))));
+  if (aRestores) {
+    Restore();
+  }
   mRegistry.OnSuccessor([this](const UpstreamRecord& aRecord) {
     mContext.mCounters.Add("upstreams_restarted");
     LogChanged("upstream_restarted", aRecord);
@@ -59,6 +58,13 @@
                           });
 }
 
+void UpstreamIntake::Restore() {
+  const std::size_t count =
+      mStore.Load(mRegistry, SteadyNow(), mContext.mBadWords.At("disk"));
+  LogLine(LogLevel::kInfo, "upstreams_restored")
+      .Add("count", static_cast<int>(count));
+}
+
 void UpstreamIntake::TakeNotice(const UpstreamNotice& aNotice) {
   for (const UpstreamRecord& record : ReadRows<UpstreamRecord>(
            aNotice.mUpstreams, mContext.mBadWords.At("news"))) {
--- a/daemons/control/upstream_intake.h
+++ b/daemons/control/upstream_intake.h
@@ -19,10 +19,10 @@
   /// Whether the configuration in force has a service, or there is none yet.
   using ServiceHook = std::function<bool(const std::string& aService)>;
 
-  /// Takes what the disk has. aDirectory: the controls that are told at once of
-  /// upstreams that leave.
+  /// aDirectory: the controls that are told at once of upstreams that leave.
+  /// aRestores: the list on disk is new enough to be used.
   UpstreamIntake(ControlContext& aContext, const ControlDirectory& aDirectory,
-                 ServiceHook aKnowsService);
+                 ServiceHook aKnowsService, bool aRestores);
 
   /// Takes a heartbeat. aDone is called once it may be acknowledged: news
   /// that an upstream leaves must not be lost with this process. Throws
@@ -49,6 +49,8 @@
   const UpstreamRegistry& Registry() const { return mRegistry; }
 
  private:
+  /// Takes what the disk has.
+  void Restore();
   void TakeNotice(const UpstreamNotice& aNotice);
   void Tell(const std::string& aInstance, const BeatDone& aDone);
   /// An upstream that was not heard for so long counts as silent.
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -13,6 +13,7 @@
 #include "spindleweir/daemons/relay_router.h"
 #include "spindleweir/daemons/sync_messages.h"
 #include "spindleweir/drivers/rpc_channel.h"
+#include "spindleweir/servers/limits/memory_account.h"
 #include "spindleweir/servers/membership/beat_taker.h"
 #include "spindleweir/servers/membership/control_directory.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
@@ -20,6 +21,7 @@
 #include "spindleweir/servers/routes/route_table.h"
 #include "spindleweir/servers/routes/traffic_change.h"
 #include "spindleweir/servers/routing/arrival_rate.h"
+#include "spindleweir/servers/routing/engine_pace.h"
 #include "spindleweir/servers/routing/engine_sample.h"
 #include "spindleweir/servers/routing/layer_path.h"
 #include "spindleweir/servers/routing/load_book.h"
@@ -43,6 +45,7 @@
   ArrivalRate mArrivals;  ///< At this router.
   std::vector<const UpstreamRecord*> mReady;
   std::int64_t mReadyOf = -1;  ///< The change of the registry that it has.
+  double mUsualTime = 0;  ///< Of a request of a plain service; 0: not known.
 };
 
 class RelayAdmission;
@@ -78,7 +81,7 @@
   /// How old what is known of other routers' work is, on the whole.
   Millis LoadsAge() const { return SteadyNow() - mOtherLoadsTrueAt; }
   /// What is known of other routers' work is too old to be used.
-  void ForgetOtherLoads() { mOtherLoads.clear(); }
+  void ForgetOtherLoads();
 
   void Succeeded(const std::string& aInstance);
   void Failed(const std::string& aInstance, Millis aAvoidFor);
@@ -100,7 +103,13 @@
   /// The upstreams of a service that are ready.
   const std::vector<const UpstreamRecord*>& ReadyEngines(
       const std::string& aService);
-  /// A request that asks for a path of engines.
+  /// Whether an upstream of a plain service, one of so many, can hold one more
+  /// request with such a body.
+  bool MaySendPlain(const UpstreamRecord& aRecord, std::size_t aUpstreams,
+                    std::size_t aBodyBytes);
+  /// A request of a plain service took so long at its upstream.
+  void PlainTook(const std::string& aService, Millis aTime);
+  /// A request that asks for a path of engines, or an upstream.
   void PathAsked(const std::string& aService);
   /// Requests a millisecond that come here for it.
   double ArrivalsOf(const std::string& aService);
@@ -115,10 +124,12 @@
   RpcChannel mRpc;
   Counters mCounters;
   BadWords mBadWords{mCounters};
+  std::shared_ptr<MemoryAccount> mMemory;
   ConfigurationLease mLease;
   ControlDirectory mDirectory;
   UpstreamRegistry mRegistry;
   BeatTaker mTaker;
+  EnginePaces mPaces;
   int mRouters = 1;  ///< That share limits, as far as is known.
   bool mStopping = false;
   StreamGuard* mGuard = nullptr;         ///< Set once all parts are made.
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -12,6 +12,7 @@
 #include "daemons/relay/stream_guard.h"
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
+#include "spindleweir/servers/routing/path_pace.h"
 #include "spindleweir/servers/routing/service_choice.h"
 #include "spindleweir/servers/streams/event_reader.h"
 
@@ -50,11 +51,13 @@
     AnswerHead mHead;
     AnswerFacts mFacts;
     EventReader mEvents;
-    std::string mBody;  ///< Of an answer that is not a stream.
+    std::string mBody;       ///< Of an answer that is not a stream.
+    bool mHandedOn = false;  ///< It goes on as it comes, for lack of memory.
     std::unique_ptr<StreamCall> mCall;
     std::unique_ptr<StreamCall> mOrder;  ///< To move to another path.
     int mMoves = 0;
     Millis mMovedAt = 0;
+    Millis mLookedAt = 0;  ///< For a path without slow engines.
     std::vector<Reading> mReading;
     Millis mLeaveAt = 0;  ///< The first leaves: gone on elsewhere from then.
   };
@@ -67,7 +70,13 @@
 
   void MoveOff(const std::set<std::string>& aInstances,
                MoveReason aWhy) override;
+  bool LeaveSlow(Millis aNow) override;
   std::string FirstInstance() const override;
+  /// The slow parts of the path but its first, which cannot be replaced.
+  std::set<std::string> SlowParts() const;
+  /// The path without its slow parts, or without some; empty: no better one.
+  LayerPath WithoutSlow(const std::set<std::string>& aSlow);
+  StreamAim Aim() const;
   /// The path without some instances, the other parts kept; empty: none.
   LayerPath Without(const std::set<std::string>& aInstances);
   /// The same by the engines of a question only.
@@ -104,6 +113,14 @@
   void HandleEnd(StreamEnd aEnd);
   void HandleEvents(std::string_view aBytes);
   void HandleWholeAnswer();
+  /// Takes more of an answer that is not a stream.
+  void HandleBody(std::string_view aBytes);
+  void HandOn();
+  /// Stops reading from the upstream where the caller is slow.
+  void PushBack();
+  /// Notes what is held of an answer that is collected; false: too much.
+  bool MayCollect();
+  void ClaimMemory();
   void CheckSilence();
   void HandleTimeout();
   void HandleCallerGone();
