--- a/tests/fuzz/registry_fuzz.cpp
+++ b/tests/fuzz/registry_fuzz.cpp
@@ -257,6 +257,13 @@
     UpstreamRegistry& registry = At(aControl);
     UpstreamRecord& record = aLetter.mRecord;
     mHanded[{record.mInstance, record.mStart}] = mNow;
+    // Half of the leaves tell no start.
+    const bool unnamed = aLetter.mLeaves && record.mSequence % 2 == 0 &&
+                         mDefect == Defect::kNone;
+    if (unnamed && registry.Find(record.mInstance) != nullptr) {
+      LeaveUnnamed(aControl, record);
+      return;
+    }
     Given(aControl, record.mInstance, record.mStart, mNow,
           aLetter.mLeaves || Ends(record.mState));
     if (mDefect == Defect::kNoStarts) {
@@ -276,6 +283,35 @@
                    newest ? known->mStart : record.mStart);
   }
 
+  /// A leave without a start: whoever is known ends, but nobody that this
+  /// control first heard of just now, beside another of its name.
+  void LeaveUnnamed(int aControl, const UpstreamRecord& aRecord) {
+    UpstreamRegistry& registry = At(aControl);
+    // It counts as word of whoever is known.
+    mHanded[{aRecord.mInstance, registry.Find(aRecord.mInstance)->mStart}] =
+        mNow;
+    if (registry.Leave(aRecord.mInstance, mNow) != LeaveOutcome::kEnded) {
+      return;
+    }
+    const std::int64_t ended = registry.Find(aRecord.mInstance)->mStart;
+    auto& lives = mTold[{aControl, aRecord.mInstance}];
+    lives[ended].mEnds = true;
+    if (ended == aRecord.mStart) {
+      return;
+    }
+    mMistaken.insert({aRecord.mInstance, ended});
+    const Told& one = lives[ended];
+    const bool follows =
+        std::any_of(lives.begin(), lives.end(), [&](const auto& aOther) {
+          return aOther.first < ended &&
+                 aOther.second.mFirstAt < one.mFirstAt &&
+                 mNow - aOther.second.mHeardAt < kForgotten - kBorder;
+        });
+    if (follows && mNow - one.mFirstAt < kLeaveDoubt) {
+      Fail("a late leave ended one that had just begun");
+    }
+  }
+
   /// A control tells another registry what it lacks, by the columns that our
   /// processes send.
   void Tell(int aFrom, int aTo) {
@@ -316,6 +352,7 @@
   /// The oracle: which lives a registry was told of, when each was heard last,
   /// and which of them it was told the end of.
   struct Told {
+    Millis mFirstAt = -1;
     Millis mHeardAt = 0;
     bool mEnds = false;
   };
@@ -323,6 +360,7 @@
   void Given(int aRegistry, const std::string& aInstance, std::int64_t aStart,
              Millis aHeardAt, bool aEnds) {
     Told& told = mTold[{aRegistry, aInstance}][aStart];
+    told.mFirstAt = told.mFirstAt < 0 ? aHeardAt : told.mFirstAt;
     told.mHeardAt = std::max(told.mHeardAt, aHeardAt);
     told.mEnds = told.mEnds || aEnds;
   }
@@ -392,6 +430,9 @@
 
   void JudgeLast(const UpstreamRegistry& aRegistry, int aInstance) {
     const Life& last = Lives(aInstance).back();
+    if (mMistaken.contains({NameOf(aInstance), last.mStart})) {
+      return;  // No registry could know that another was meant.
+    }
     const UpstreamRecord* held = aRegistry.Find(NameOf(aInstance));
     if (!last.mRuns) {
       if (held != nullptr && held->mState == UpstreamState::kReady) {
@@ -423,6 +464,7 @@
   std::array<std::vector<Life>, kInstances> mLives;
   std::array<UpstreamRegistry, kRegistries> mRegistries;
   std::vector<Letter> mLetters;
+  std::set<std::pair<std::string, std::int64_t>> mMistaken;
   std::map<std::pair<int, int>, std::int64_t> mKnown;
   std::map<std::tuple<int, std::int64_t, std::int64_t>, Life> mSaid;
   std::map<std::pair<int, std::string>, std::map<std::int64_t, Told>> mTold;
