--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -6,6 +6,7 @@
 #include "daemons/relay/relay_admission.h"
 #include "daemons/relay/relay_request.h"
 #include "daemons/relay/sync_link.h"
+#include "daemons/rpc_meter.h"
 #include "spindleweir/core/log.h"
 
 namespace spindleweir {
@@ -28,6 +29,12 @@
 struct RelayRouter::Parts {
   Parts(EventLoop& aLoop, RelayOptions aOptions)
       : mContext(aLoop, std::move(aOptions)),
+        mMeter(aLoop, mContext.mRpc, mContext.mCounters,
+               {.mZone = mContext.mOptions.mZone,
+                .mZoneOf =
+                    [this](const Endpoint& aAddress) {
+                      return mContext.mDirectory.ZoneAt(aAddress);
+                    }}),
         mGuard(mContext),
         mAdmission(mContext),
         mLink(mContext),
@@ -173,6 +180,7 @@
   }
 
   RelayContext mContext;
+  RpcMeter mMeter;
   StreamGuard mGuard;
   RelayAdmission mAdmission;
   SyncLink mLink;
