--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "daemons/relay/relay_admission.h"
 #include "spindleweir/core/log.h"
 
 namespace spindleweir {
@@ -207,6 +208,10 @@
   return MaySendTo(view, mOptions.mUpstreams);
 }
 
+double RelayContext::ArrivalsOf(const std::string& aService) {
+  return mPaths[aService].mArrivals.PerMilli(SteadyNow());
+}
+
 const std::vector<const UpstreamRecord*>& RelayContext::ReadyEngines(
     const std::string& aService) {
   ServicePaths& paths = mPaths[aService];
@@ -226,9 +231,10 @@
   const Millis now = SteadyNow();
   const double others = mRouters - 1;
   const Millis age = std::min(kOldestNews, LoadsAge());
+  const double seldom =
+      others * paths.mArrivals.PerMilli(now) * static_cast<double>(age);
   PathAnswer answer = paths.mChoice.Choose(
-      aQuestion, {.mUnseen = others * paths.mArrivals.PerMilli(now) *
-                             static_cast<double>(age),
+      aQuestion, {.mUnseen = std::max(seldom, mAdmission->Unseen(aService)),
                   .mRevision = mRegistry.Revision(),
                   .mNow = now});
   mCounters.Add("paths", answer.mPath.empty() ? "way=\"none\""
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -44,6 +44,7 @@
   double mUsualTime = 0;  ///< Of a request of a plain service; 0: not known.
 };
 
+class RelayAdmission;
 class StreamGuard;
 
 /// The state of one router. Single-threaded.
@@ -97,6 +98,8 @@
   void PlainTook(const std::string& aService, Millis aTime);
   /// A request that asks for a path of engines, or an upstream.
   void PathAsked(const std::string& aService);
+  /// Requests a millisecond that come here for it.
+  double ArrivalsOf(const std::string& aService);
   /// A path for it, by what is known of the work of all routers.
   PathAnswer ChoosePathOf(const std::string& aService,
                           const PathQuestion& aQuestion);
@@ -114,7 +117,8 @@
   BeatTaker mTaker;
   int mRouters = 1;  ///< That share limits, as far as is known.
   bool mStopping = false;
-  StreamGuard* mGuard = nullptr;  ///< Set once all parts are made.
+  StreamGuard* mGuard = nullptr;         ///< Set once all parts are made.
+  RelayAdmission* mAdmission = nullptr;  ///< The same.
 
  private:
   std::shared_ptr<const RouteTable> mTable;
