--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -38,10 +38,10 @@
       return "unreachable";
     case MoveReason::kStandsStill:
       return "stands still";
-    case MoveReason::kSlow:
-      return "slow";
     case MoveReason::kRestarted:
       return "restarted";
+    case MoveReason::kSlow:
+      return "slow";
   }
   return "";
 }
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -121,11 +121,10 @@
   if (mRoute->mResumable) {
     mLastEvent = mFacts.mLastEvent;
   }
+  mContext.mAdmission->Came(mRoute->mName, mFacts.mDeadline);
   PickService();
   mContext.RetriesOf(mService->mName).RequestStarted(SteadyNow());
-  if (mService->IsEngine()) {
-    mContext.PathAsked(mService->mName);
-  }
+  mContext.PathAsked(mService->mName);
   AwaitTurn();
 }
 
--- a/daemons/relay/stream_guard.h
+++ b/daemons/relay/stream_guard.h
@@ -19,8 +19,8 @@
   kLeaving,      ///< It serves on for some time.
   kUnreachable,  ///< It takes no connection: it is lost.
   kStandsStill,  ///< Streams that pass it do not come on.
-  kSlow,         ///< Streams that pass it are late, or will be.
   kRestarted,    ///< It started again and knows nothing of them.
+  kSlow,         ///< Streams that pass it are late, or will be.
 };
 
 /// What the guard needs of a stream.
@@ -46,11 +46,11 @@
   StreamKey Add(GuardedStream* aStream);
   void Remove(StreamKey aKey);
   ProgressWatch& Watch() { return mWatch; }
-  /// An event of a stream came.
-  void Progress(StreamKey aKey, Millis aNow);
   /// Moves streams off incarnations that were followed by others. To be called
   /// once all news that came together are taken, and before new streams begin.
   void MoveOffRestarted();
+  /// An event of a stream came.
+  void Progress(StreamKey aKey, Millis aNow);
 
  private:
   void Step();
--- a/tests/servers/starts_test.cpp
+++ b/tests/servers/starts_test.cpp
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "spindleweir/servers/consensus/raft_node.h"
+#include "spindleweir/servers/limits/first_deadline.h"
 #include "spindleweir/servers/limits/return_time.h"
 #include "spindleweir/servers/limits/start_admission.h"
 #include "spindleweir/servers/membership/ask_schedule.h"
@@ -229,6 +230,15 @@
     CHECK(after[180] <= 200);
     CHECK(after.back() <= 300);
   }
+  SECTION("three of five that need each other's votes as well") {
+    std::vector<Millis> of;
+    for (std::uint64_t seed = 1; seed <= 200; seed++) {
+      of.push_back(
+          VotersStart({0, 20, 60, kNever, kNever}, seed).SettledAfter());
+    }
+    std::sort(of.begin(), of.end());
+    CHECK(of[180] <= 300);
+  }
   SECTION("a voter that never comes does not hold up the others") {
     CHECK(VotersStart({0, 90, kNever}, 3).SettledAfter() <= 300);
   }
@@ -386,3 +396,30 @@
     CHECK(times.Expected(20000) == 0);
   }
 }
+
+Test(starts, who_has_come_back_is_told_by_the_time_it_has_left) {
+  FirstDeadline deadline;
+  SECTION("nothing is told before anyone came") {
+    CHECK(!deadline.HasComeBack(500));
+  }
+  for (int i = 0; i < 200; i++) {
+    // Of ten requests six are later tries.
+    deadline.Came(i % 10 < 4 ? 20000 : 12000);
+  }
+  SECTION("less time than at first is a later try") {
+    CHECK(deadline.HasComeBack(17000));
+    CHECK(!deadline.HasComeBack(20000));
+    CHECK(!deadline.HasComeBack(0));
+  }
+  SECTION("one caller with much more time changes nothing for the others") {
+    deadline.Came(30000);
+    CHECK(!deadline.HasComeBack(20000));
+  }
+  SECTION("where all have more it follows") {
+    for (int i = 0; i < 100; i++) {
+      deadline.Came(40000);
+    }
+    CHECK(deadline.HasComeBack(20000));
+    CHECK(!deadline.HasComeBack(40000));
+  }
+}
