What slowed paths would carry goes to other zones

Cause: where most engines of a zone were slow its requests were still dealt over its own slow paths: others were added only for want of places. Change: paths that take 1.5 times as long as with sound engines aren't dealt where others are sound; paths of other zones get what these would carry.

--- a/include/spindleweir/servers/routing/path_shares.h
+++ b/include/spindleweir/servers/routing/path_shares.h
@@ -15,6 +15,7 @@
   LayerPath mPath;
   double mPlaces = 0;  ///< Requests that may be on it at a time.
   double mMillis = 0;  ///< That a usual request is on it.
+  double mSlowed = 1;  ///< Times as long as if all its engines were well.
 
   /// Requests a millisecond.
   double Rate() const { return mMillis <= 0 ? 0 : mPlaces / mMillis; }
--- a/servers/routing/path_choice.cpp
+++ b/servers/routing/path_choice.cpp
@@ -1,6 +1,7 @@
 #include "spindleweir/servers/routing/path_choice.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 namespace spindleweir {
@@ -14,6 +15,10 @@
 /// change would do it.
 constexpr Millis kDivideEvery = 300;
 
+/// A path that takes so many times as long as with sound engines is not dealt
+/// where others are: its requests are late, or near it.
+constexpr double kSlowed = 1.5;
+
 /// A path with what it has left for this request.
 struct Offer {
   const SharedPath* mShare = nullptr;
@@ -44,6 +49,42 @@
   return offer;
 }
 
+bool IsSlowed(const Offer& aOffer) {
+  return aOffer.mShare->mSlowed >= kSlowed;
+}
+
+/// What slowed paths would carry if they were sound goes to the paths that
+/// aOthers gives, beside the sound ones that are there. Unless there are none:
+/// then slow ones are better than nothing.
+void ReplaceSlowed(std::vector<Offer>& aOffers,
+                   const std::function<std::vector<Offer>()>& aOthers) {
+  double lost = 0;
+  for (const Offer& offer : aOffers) {
+    lost += IsSlowed(offer) ? offer.mWeight * offer.mShare->mSlowed : 0;
+  }
+  if (lost <= 0) {
+    return;
+  }
+  std::vector<Offer> others = aOthers();
+  std::erase_if(others, IsSlowed);
+  double weight = 0;
+  for (const Offer& offer : others) {
+    weight += offer.mWeight;
+  }
+  const bool soundLeft =
+      std::any_of(aOffers.begin(), aOffers.end(), [](const Offer& aOffer) {
+        return !IsSlowed(aOffer) && aOffer.mWeight > 0;
+      });
+  if (weight <= 0 && !soundLeft) {
+    return;
+  }
+  std::erase_if(aOffers, IsSlowed);
+  for (Offer& offer : others) {
+    offer.mWeight *= std::min(1.0, lost / weight);
+    aOffers.push_back(offer);
+  }
+}
+
 const Offer* Draw(const std::vector<Offer>& aOffers, double aRandom) {
   double total = 0;
   for (const Offer& offer : aOffers) {
@@ -113,7 +154,18 @@
     for (const std::string& zone : zones) {
       add(zone);
     }
+    zones.clear();
   }
+  ReplaceSlowed(offers, [&] {
+    std::vector<Offer> others;
+    zones.erase(aQuestion.mZone);
+    for (const std::string& zone : zones) {
+      for (const SharedPath& share : PathsOf(aQuestion, zone, aNews)) {
+        others.push_back(OfferOf(aQuestion, share));
+      }
+    }
+    return others;
+  });
   const Offer* drawn = Draw(offers, aQuestion.mRandom());
   return drawn == nullptr
              ? PathAnswer()
--- a/servers/routing/path_shares.cpp
+++ b/servers/routing/path_shares.cpp
@@ -110,14 +110,17 @@
     SharedPath share;
     double rate = 0;
     double places = 0;
+    double well = 0;
     bool first = true;
     for (const PathPart& part : aPath) {
       const int layers = part.mLayers.Count();
       const Left& left = mLeft.at(part.mInstance);
       const PartWork work = Work(*mEngines.at(part.mInstance), layers);
-      share.mMillis +=
-          work.mReadMillis + mAnswer * (work.mStepMillis * kWaitForPass +
-                                        HopMillis(mProfile, false));
+      const double hops = mAnswer * HopMillis(mProfile, false);
+      const double engine =
+          work.mReadMillis + mAnswer * work.mStepMillis * kWaitForPass;
+      share.mMillis += engine + hops;
+      well += engine / mPaces.at(part.mInstance) + hops;
       const double room = left.mTokenLayers / (mQuestion.mTokens * layers);
       places = first ? room : std::min(places, room);
       rate = first ? left.mRequests : std::min(rate, left.mRequests);
@@ -126,6 +129,7 @@
       }
       first = false;
     }
+    share.mSlowed = well <= 0 ? 1 : share.mMillis / well;
     share.mPlaces = std::min(places, rate * share.mMillis);
     share.mPath = std::move(aPath);
     return share;
--- a/tests/servers/pace_test.cpp
+++ b/tests/servers/pace_test.cpp
@@ -273,6 +273,50 @@
   }
 }
 
+Test(pace, what_a_slowed_zone_would_carry_goes_to_others) {
+  const ChoicePlayOptions fleet = LargeFleet();
+  const std::vector<UpstreamRecord> records =
+      PlacedEngines(fleet.mProfile, fleet.mGroups);
+  PathQuestion question;
+  question.mProfile = &fleet.mProfile;
+  question.mZone = "zone-1";
+  question.mTokens = fleet.mProfile.mUsualPrompt + fleet.mProfile.mUsualAnswer;
+  question.mReadTokens = fleet.mProfile.mUsualPrompt;
+  question.mAnswerTokens = fleet.mProfile.mUsualAnswer;
+  for (const UpstreamRecord& record : records) {
+    question.mEngines.push_back(&record);
+  }
+  unsigned drawn = 0;
+  question.mRandom = [&drawn] {
+    drawn = drawn * 1103515245U + 12345U;
+    return static_cast<double>(drawn >> 8U) / (1U << 24U);
+  };
+  bool allSlow = false;
+  question.mLoadOf = [&allSlow](const std::string& aInstance) {
+    const bool own = aInstance.starts_with("zone-1");
+    return EngineLoad{.mPace = own || allSlow ? 12.0 : 1.0};
+  };
+  const auto dealtInOwnZone = [&] {
+    PathChoice choice;
+    int own = 0;
+    for (int i = 0; i < 50; i++) {
+      const PathAnswer answer =
+          choice.Choose(question, {.mUnseen = 5000, .mRevision = 1});
+      REQUIRE(!answer.mPath.empty());
+      const std::string& first = answer.mPath.front().mInstance;
+      own += answer.mDealt && first.starts_with("zone-1") ? 1 : 0;
+    }
+    return own;
+  };
+  SECTION("no path with slow engines is dealt where others are sound") {
+    CHECK(dealtInOwnZone() == 0);
+  }
+  SECTION("where all are slow the own ones are") {
+    allSlow = true;
+    CHECK(dealtInOwnZone() > 0);
+  }
+}
+
 Test(pace, load_is_no_slow_engine) {
   ChoicePlayOptions play = SlowPlay();
   play.mSlow = {};
