A first word that an engine is slow is asked for again

Cause: the first report after a while is old either way: engines that had been slow until 28 s were judged slow by their word at 35 to 45 s.

--- a/servers/routing/engine_pace.cpp
+++ b/servers/routing/engine_pace.cpp
@@ -161,6 +161,17 @@
   Engine& engine = mEngines[aInstance];
   const bool wasKnown = IsKnownSlow(aInstance, engine, aNow);
   const double said = std::clamp(aPace, kWell, kMostPace);
+  const bool second =
+      engine.mWordAt >= 0 && aNow - engine.mWordAt <= kSecondWithin;
+  if (said >= mOptions.mSlowFrom && !wasKnown && !second) {
+    // It may tell of the time of a question long ago: engines that had been
+    // slow were judged so again 7 to 17 s after they were well.
+    engine.mWord = kWell;
+    engine.mWordAt = aNow;
+    engine.mSuspicion++;
+    engine.mQuietUntil = aNow;
+    return;
+  }
   if (said >= mOptions.mSlowFrom) {
     engine.mWord = said;
     engine.mWordAt = aNow;
