Controls tell each other once a second which controls there are

Cause: six controls are 640 of the 2,670 bytes of an exchange between controls, each 0.3 s, though each of them hears the others itself. Change: the list goes with an exchange a second.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -16,6 +16,9 @@
 constexpr Millis kAskPeriod = 300;
 constexpr Millis kAskTimeout = 1000;
 constexpr Millis kStepPeriod = 500;
+/// Controls hear each other themselves; what they heard of the rest is told
+/// this often: six of them are 640 of 2,670 bytes of an exchange.
+constexpr Millis kTellControlsEvery = 1000;
 constexpr Millis kControlsTold = 10000;
 /// A process that did not ask for so long is not counted any more.
 constexpr Millis kAskerKept = 2500;
@@ -115,7 +118,7 @@
   const bool fromControl = !aQuestion.mControl.mId.empty();
   const Asker asker{.mIsNear = aQuestion.mTellsLoads > 0,
                     .mHearsNear = aQuestion.mHearsNear};
-  if (fromControl || TellsControls(asker)) {
+  if (fromControl ? IsToldControls(aQuestion, now) : TellsControls(asker)) {
     answer.mControls = mDirectory.Lately(kControlsTold, now);
     answer.mLeader = mLog.Raft().Leader();
     answer.mTerm = mLog.Raft().Term();
@@ -136,6 +139,16 @@
   return answer;
 }
 
+bool SyncService::IsToldControls(const SyncQuestion& aQuestion, Millis aNow) {
+  const bool first = aQuestion.mKnows != mLife;
+  Millis& toldAt = mControlsToldAt[aQuestion.mControl.mId];
+  if (!first && aNow - toldAt < kTellControlsEvery) {
+    return false;
+  }
+  toldAt = aNow;
+  return true;
+}
+
 void SyncService::AddLoads(const SyncQuestion& aQuestion, SyncAnswer& aAnswer) {
   const Millis now = SteadyNow();
   const bool fromControl = !aQuestion.mControl.mId.empty();
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -71,12 +71,15 @@
   Millis SilentAfter() const;
   /// What who asks lacks of the registry.
   void AddUpstreams(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
+  /// Whether another control is told now which there are.
+  bool IsToldControls(const SyncQuestion& aQuestion, Millis aNow);
   void AddLoads(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
   ControlInfo Self() const;
 
   ControlContext& mContext;
   ReplicatedConfiguration& mLog;
   std::string mLife;
+  std::map<std::string, Millis> mControlsToldAt;  ///< By the id of who asked.
   ControlDirectory mDirectory;
   UpstreamRegistry mRegistry;
   TrafficHistory mTraffic;
