The parts of a control's answers are counted, by who asked

Cause: the kinds of calls are counted, but not what an answer is made of. Change: counter sync_answer_bytes by part and asker, log line sync_answer_parts; one answer of 16 is measured.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -49,7 +49,8 @@
       mLog(aLog),
       mLife(RandomHex(kLifeBytes)),
       mStore(aContext.mOptions.mData + "/upstreams"),
-      mTakers({.mOwnBeats = aContext.mOptions.mOwnBeats}) {
+      mTakers({.mOwnBeats = aContext.mOptions.mOwnBeats}),
+      mParts(aContext.mLoop, aContext.mCounters) {
   mDirectory.SetSeeds(mContext.mOptions.mSeeds);
   LogLine(LogLevel::kInfo, "upstreams_restored")
       .Add("count", static_cast<int>(mStore.Load(mRegistry, SteadyNow())));
@@ -136,6 +137,7 @@
       kAskedEvery,
       static_cast<Millis>(kEachAsker * static_cast<double>(mAskedAt.size())));
   AddLoads(aQuestion, answer);
+  mParts.Count(aQuestion, answer);
   return answer;
 }
 
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "daemons/control/answer_parts.h"
 #include "daemons/control/replicated_configuration.h"
 #include "daemons/control/upstream_store.h"
 #include "spindleweir/daemons/beat_answer.h"
@@ -91,6 +92,7 @@
   NewestConfirmation mConfirmation;
   UpstreamStore mStore;
   TakerChoice mTakers;
+  AnswerParts mParts;
   UpstreamFeed mFeed{UpstreamFeedOptions{}};
   LoadBook mLoads{LoadBookOptions{}};
   std::map<std::string, Source> mSources;  ///< By address.
