--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -1,5 +1,5 @@
-/// The part of a control process that finds the others by seeds, keeps the
-/// registry of upstreams, and answers what routers ask.
+/// The part of a control process that finds the others by seeds and answers
+/// what they and routers ask.
 #pragma once
 
 #include <functional>
@@ -11,28 +11,26 @@
 
 #include "daemons/control/answer_parts.h"
 #include "daemons/control/replicated_configuration.h"
-#include "daemons/control/upstream_store.h"
-#include "spindleweir/daemons/beat_answer.h"
+#include "daemons/control/start_stamp.h"
+#include "daemons/control/upstream_intake.h"
 #include "spindleweir/daemons/sync_messages.h"
-#include "spindleweir/servers/membership/taker_choice.h"
 #include "spindleweir/servers/routes/newest_confirmation.h"
 
 namespace spindleweir {
 
-/// Membership, registry and spreading on one control process.
+/// Membership and spreading on one control process.
 class SyncService {
  public:
   SyncService(ControlContext& aContext, ReplicatedConfiguration& aLog);
 
-  /// Takes a heartbeat. aDone is called once it may be acknowledged: news
-  /// that an upstream leaves must not be lost with this process.
-  void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
-  void Leave(const std::string& aInstance, const BeatDone& aDone);
-
+  UpstreamIntake& Upstreams() { return mUpstreams; }
   /// Upstreams that several routers cannot connect to.
   std::set<std::string> Unreachable();
-  UpstreamRegistry& Registry() { return mRegistry; }
+  UpstreamRegistry& Registry() { return mUpstreams.Registry(); }
   const ControlDirectory& Directory() const { return mDirectory; }
+  /// Who leads, by what the other controls said lately; empty: not known. For
+  /// one that is no voter, which no leader speaks to.
+  std::string LeaderHeardOf() const;
   /// The configuration in force here; version 0: none yet.
   const TrafficConfiguration& Traffic();
   /// Sets the seeds anew.
@@ -51,29 +49,27 @@
 
   SyncAnswer Answer(const SyncQuestion& aQuestion);
   void Remember(const SyncQuestion& aQuestion);
-  /// Takes the heartbeats that a router took.
-  void TakeBeats(const SyncQuestion& aQuestion);
-  void LogChanged(const UpstreamRecord& aRecord);
   void AskOthers();
   /// The ids of controls that answered lately.
   std::vector<std::string> Hears() const;
   void Ask(const Endpoint& aAddress);
+  /// A leader may promise since now: what it confirms is asked for at once.
+  /// With the next question to all, routers of other zones had a lease up to
+  /// 0.3 s later.
+  void AskLeader();
   void Take(const Endpoint& aAddress, const SyncAnswer& aAnswer,
             Millis aAskedAt);
   /// Takes what this control itself confirmed, where it leads.
   void ConfirmOwn(Millis aNow);
-  void Tell(const std::string& aInstance, const BeatDone& aDone);
   void StepVoters();
   void KeepUpstreams();
   /// Whether most of control cannot be heard: then it is this process that
   /// is cut off, and the silence of upstreams says nothing of them.
   bool CutOff() const;
-  /// An upstream that was not heard for so long counts as silent.
-  Millis SilentAfter() const;
-  /// What who asks lacks of the registry.
-  void AddUpstreams(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
   /// Whether another control is told now which there are.
   bool IsToldControls(const SyncQuestion& aQuestion, Millis aNow);
+  /// Routers that there are, as far as is known.
+  int Routers(Millis aNow);
   void AddLoads(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
   ControlInfo Self() const;
 
@@ -82,7 +78,6 @@
   std::string mLife;
   std::map<std::string, Millis> mControlsToldAt;  ///< By the id of who asked.
   ControlDirectory mDirectory;
-  UpstreamRegistry mRegistry;
   TrafficHistory mTraffic;
   /// The newest that was committed and that nobody has asked for yet. A start
   /// commits the whole log at once: reading each of 118 versions of 600 routes
@@ -90,12 +85,16 @@
   std::optional<PublishedDocument> mUnread;
   std::map<std::string, Millis> mAskedAt;  ///< By router.
   NewestConfirmation mConfirmation;
-  UpstreamStore mStore;
-  TakerChoice mTakers;
+  StartStamp mStamp;
+  StartFacts mBefore;  ///< Of the last start; used until routers have asked.
+  Millis mStartedAt;
+  UpstreamIntake mUpstreams;
   AnswerParts mParts;
-  UpstreamFeed mFeed{UpstreamFeedOptions{}};
   LoadBook mLoads{LoadBookOptions{}};
   std::map<std::string, Source> mSources;  ///< By address.
+  std::string mToldLeader;                 ///< Of the newest term told.
+  std::int64_t mToldTerm = 0;
+  Millis mToldLeaderAt = 0;
   std::unique_ptr<Timer> mAskTimer;
   std::unique_ptr<Timer> mStepTimer;
 };
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -13,8 +13,6 @@
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
-constexpr std::size_t kMostPendingBytes = 256 * 1024;
-constexpr std::size_t kMostKeptBody = 8 * 1024 * 1024;
 constexpr Millis kSilencePeriod = 100;
 /// An upstream that failed is left alone for so long.
 constexpr Millis kAvoidAfterLoss = 1500;
@@ -27,6 +25,11 @@
 constexpr Millis kLongestGap = 1500;
 constexpr Millis kAskForPathAgain = 80;
 constexpr Millis kLeastForAttempt = 20;
+/// So long a request that has come back is kept where there is no room; its
+/// caller leaves after two seconds without an event. While 40 in 100 of the
+/// engines were slow, 377 requests of 9,400 were refused at their second
+/// attempt, and first comers, which come back, took the places.
+constexpr Millis kHoldReturned = 1500;
 
 /// Statuses by which callers take a request for not run, now or ever.
 bool PromisesNotRun(int aStatus) {
@@ -71,6 +74,11 @@
   ServiceQuestion question;
   question.mZone = mContext.mOptions.mZone;
   question.mUpstreams = mContext.mRegistry.OfService(mService->mName);
+  const std::size_t known = question.mUpstreams.size();
+  std::erase_if(question.mUpstreams, [this, known](const auto* aRecord) {
+    return !mContext.MaySendPlain(*aRecord, known, mExchange->Body().size());
+  });
+  mLacksRoom = question.mUpstreams.size() < known;
   question.mAvoid = mTried;
   question.mRequestsOf = [this](const std::string& aInstance) {
     return mContext.LoadOf(aInstance).mRequests;
@@ -129,11 +137,16 @@
     return false;
   }
   const UpstreamRecord* record = mContext.mRegistry.Find(mAttempt->mInstance);
-  return record != nullptr && record->mState <= UpstreamState::kSilent &&
+  return record != nullptr && IsCurrent() && !Ends(record->mState) &&
          Remaining() > 0;
 }
 
+bool RelayRequest::IsCurrent() const {
+  return mContext.StartOf(mAttempt->mInstance) == mAttempt->mStart;
+}
+
 void RelayRequest::Send(const UpstreamRecord& aFirst) {
+  mAttempt->mStart = aFirst.mStart;
   DispatchFacts dispatch;
   dispatch.mRemaining = std::max<Millis>(1, Remaining());
   dispatch.mInstance = aFirst.mInstance;
@@ -147,7 +160,14 @@
   options.mHeaders =
       mContext.mOptions.mCallers.mWriteRequest(mExchange->Head(), dispatch);
   options.mBody = mExchange->Body();
-  options.mMaySend = [this] { return MaySend(); };
+  options.mMemory = mExchange->Memory();
+  options.mMaySend = [this] {
+    const bool may = MaySend();
+    if (may) {
+      ClaimMemory();
+    }
+    return may;
+  };
   options.mOnHead = [this](const AnswerHead& aHead) { HandleHead(aHead); };
   options.mOnData = [this](std::string_view aBytes) { HandleData(aBytes); };
   options.mOnEnd = [this](StreamEnd aEnd) { HandleEnd(aEnd); };
@@ -198,9 +218,72 @@
     HandleEvents(aBytes);
     return;
   }
+  HandleBody(aBytes);
+}
+
+void RelayRequest::HandleBody(std::string_view aBytes) {
+  if (mAttempt->mHandedOn) {
+    mExchange->Write(aBytes);
+    PushBack();
+    return;
+  }
   mAttempt->mBody += aBytes;
-  if (mAttempt->mBody.size() > kMostKeptBody) {
+  if (MayCollect()) {
+    return;
+  }
+  if (!mContext.mMemory->Bounded() || mExchange->Started()) {
     AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
+    return;
+  }
+  HandOn();
+}
+
+bool RelayRequest::MayCollect() {
+  const std::shared_ptr<MemoryHold>& memory = mExchange->Memory();
+  if (memory == nullptr) {
+    return true;
+  }
+  memory->Set(HeldKind::kPartial, mAttempt->mBody.size() +
+                                      mAttempt->mEvents.Rest().size() +
+                                      (mKept ? mKept->mBody.size() : 0));
+  return memory->MayCollect();
+}
+
+void RelayRequest::HandOn() {
+  // What fails from here on cannot be tried at another upstream: the caller
+  // has the head, and perhaps more.
+  mAttempt->mHandedOn = true;
+  mKept.reset();
+  const std::string* length =
+      FindHeader(mAttempt->mHead.mHeaders, "Content-Length");
+  std::optional<std::size_t> bytes;
+  if (length != nullptr) {
+    bytes = std::stoull(*length);
+  }
+  mExchange->Start(mAttempt->mHead.mStatus,
+                   mContext.mOptions.mCallers.mWriteAnswer(mAttempt->mHead),
+                   bytes);
+  mExchange->Write(mAttempt->mBody);
+  mAttempt->mBody = std::string();
+  (void)MayCollect();
+  mContext.mCounters.Add("memory_handed_on");
+  PushBack();
+}
+
+void RelayRequest::PushBack() {
+  if (mExchange->MayBringMore()) {
+    return;
+  }
+  mAttempt->mCall->Pause(true);
+  mContext.mGuard->Watch().Suspend(mKey);
+  mContext.mCounters.Add("memory_pauses");
+}
+
+void RelayRequest::ClaimMemory() {
+  const std::shared_ptr<MemoryHold>& memory = mExchange->Memory();
+  if (memory != nullptr) {
+    memory->SetClaim(mRoute->Repeatable() ? MemoryClaim::kRepeatable
+                                          : MemoryClaim::kRanOnce);
   }
 }
 
@@ -218,7 +301,7 @@
                        std::nullopt);
     }
     const Millis now = SteadyNow();
-    mContext.mGuard->Watch().Progress(mKey, now);
+    mContext.mGuard->Progress(mKey, now);
     EndReading();
     if (mFirstEventAt == 0) {
       mFirstEventAt = now;
@@ -232,10 +315,8 @@
       mLastEvent = event.mId;
     }
   }
-  if (mExchange->PendingBytes() > kMostPendingBytes) {
-    mAttempt->mCall->Pause(true);
-    mContext.mGuard->Watch().Suspend(mKey);
-  }
+  (void)MayCollect();
+  PushBack();
 }
 
 void RelayRequest::HandleEnd(StreamEnd aEnd) {
@@ -260,6 +341,11 @@
 
 void RelayRequest::HandleWholeAnswer() {
   const int status = mAttempt->mHead.mStatus;
+  if (mAttempt->mHandedOn) {
+    mExchange->End();
+    End(IsSuccess(status) ? "served" : "upstream_failed", status);
+    return;
+  }
   const bool isStream = mAttempt->mFacts.mIsStream && IsSuccess(status);
   if (PromisesNotRun(status) && !mRoute->Repeatable()) {
     // It did not say that it had not run: its status would be a promise of
@@ -278,6 +364,7 @@
       }
     } else {
       mContext.Succeeded(mAttempt->mInstance);
+      mContext.PlainTook(mService->mName, SteadyNow() - mAttempt->mStartedAt);
     }
     if (mExchange->Started()) {
       // A resumed stream was answered with a failure.
@@ -336,9 +423,11 @@
 }
 
 bool RelayRequest::MayTryAgain(Ran aRan) const {
-  const bool allowed = aRan == Ran::kNo || mRoute->Repeatable();
+  const bool handedOn = mAttempt != nullptr && mAttempt->mHandedOn;
+  const bool allowed = (aRan == Ran::kNo || mRoute->Repeatable()) && !handedOn;
   const int sent = mSent + (aRan == Ran::kNo ? 0 : 1);
-  const int refusals = mExchange->Started() ? kMostRefusedMidway : kMostRefused;
+  const int refusals =
+      mExchange->Started() || HasComeBack() ? kMostRefusedMidway : kMostRefused;
   return allowed && sent < mRoute->mAttempts && mRefused < refusals &&
          mNotSent < kMostNotSent && Remaining() > kLeastForAttempt &&
          !mExchange->Closed();
@@ -355,7 +444,7 @@
   } else {
     mNotSent++;
   }
-  if (aRan == Ran::kUnknown || !aWasSent) {
+  if ((aRan == Ran::kUnknown || !aWasSent) && IsCurrent()) {
     mContext.Failed(mAttempt->mInstance, kAvoidAfterLoss);
   }
   DropAttempt();
@@ -389,7 +478,17 @@
                                     [this, aCode] { PayForRetry(aCode); });
 }
 
+bool RelayRequest::HasComeBack() const {
+  return mContext.mAdmission->HasComeBack(mRoute->mName, mFacts.mDeadline);
+}
+
 bool RelayRequest::IsWorthWaiting() const {
+  const Millis waited = SteadyNow() - mExchange->ReceivedAt();
+  const bool held = HasComeBack() && !mExchange->Started() &&
+                    waited < std::min(kHoldReturned, mFacts.mDeadline / 2);
+  if (held) {
+    return !mExchange->Closed() && Remaining() > kAskForPathAgain;
+  }
   // The caller of a stream that has begun reads on, and engines that others
   // leave come free within moments.
   return mExchange->Started() && !mExchange->Closed() &&
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "daemons/relay/relay_admission.h"
 #include "spindleweir/core/log.h"
 
 namespace spindleweir {
@@ -19,6 +20,21 @@
 /// Loads of others are forgotten at this age; what comes and goes in a longer
 /// time has mostly ended.
 constexpr Millis kOldestNews = 2500;
+/// Paths are divided anew this often: until then those of before may lead over
+/// layers that an engine held before it started again.
+constexpr Millis kPathsDividedAnew = 300;
+/// How much one request moves the usual time at an upstream.
+constexpr double kTimeWeight = 0.05;
+
+MemoryAccountOptions MemoryOf(const RelayOptions& aOptions) {
+  MemoryAccountOptions options =
+      MemoryAccountOptions::For(aOptions.mMemoryBytes);
+  options.mDescriptors = aOptions.mDescriptors;
+  if (aOptions.mWindow > 0) {
+    options.mWindow = aOptions.mWindow;
+  }
+  return options;
+}
 
 }  // namespace
 
@@ -27,11 +43,41 @@
       mOptions(std::move(aOptions)),
       mClient(aLoop),
       mRpc(mClient, mOptions.mClusterKey),
+      mMemory(std::make_shared<MemoryAccount>(MemoryOf(mOptions))),
       mLease(mOptions.mLeaseLength),
       mOtherLoadsTrueAt(SteadyNow()),
       mRandom(std::random_device{}()),
       mStartedAt(SteadyNow()) {
   mDirectory.SetSeeds(mOptions.mSeeds);
+  mRegistry.OnSuccessor([this](const UpstreamRecord& aSuccessor) {
+    ForgetPredecessor(aSuccessor);
+  });
+}
+
+void RelayContext::ForgetPredecessor(const UpstreamRecord& aSuccessor) {
+  const std::string& instance = aSuccessor.mInstance;
+  mExperience.erase(instance);
+  mExperience[instance].mAvoidUntil = SteadyNow() + kPathsDividedAnew;
+  mOtherLoads.erase(instance);
+  mPaces.Forget(instance);
+  mRestarted.insert(instance);
+  mCounters.Add("upstreams_restarted");
+  LogLine(LogLevel::kInfo, "upstream_restarted")
+      .Add("instance", instance)
+      .Add("start", static_cast<Json::Int64>(aSuccessor.mStart))
+      .Add("sequence", static_cast<Json::Int64>(aSuccessor.mSequence))
+      .Add("from", aSuccessor.mLayers.mFrom)
+      .Add("to", aSuccessor.mLayers.mTo);
+}
+
+std::int64_t RelayContext::StartOf(const std::string& aInstance) const {
+  const UpstreamRecord* record = mRegistry.Find(aInstance);
+  return record == nullptr ? 0 : record->mStart;
+}
+
+bool RelayContext::KnowsService(const std::string& aService) const {
+  return mTable == nullptr ||
+         mTable->Configuration().FindService(aService) != nullptr;
 }
 
 bool RelayContext::Starting() const {
@@ -75,7 +121,7 @@
 }
 
 EngineLoad RelayContext::LoadOf(const std::string& aInstance) const {
-  EngineLoad load;
+  EngineLoad load{.mPace = mPaces.PaceOf(aInstance)};
   for (const auto* loads : {&mOwnLoads, &mOtherLoads}) {
     const auto it = loads->find(aInstance);
     if (it != loads->end()) {
@@ -101,12 +147,19 @@
       loads[instance].mUnreachable = 1;
     }
   }
+  mPaces.Tell(loads, now);
   return loads;
 }
 
 void RelayContext::SetOtherLoads(LoadShares aLoads, Millis aTrueAt) {
   mOtherLoads = std::move(aLoads);
   mOtherLoadsTrueAt = aTrueAt;
+  mPaces.TakeNews(mOtherLoads, SteadyNow());
+}
+
+void RelayContext::ForgetOtherLoads() {
+  mOtherLoads.clear();
+  mPaces.TakeNews(mOtherLoads, SteadyNow());
 }
 
 void RelayContext::Succeeded(const std::string& aInstance) {
@@ -168,6 +221,36 @@
   mPaths[aService].mArrivals.Add(SteadyNow());
 }
 
+double RelayContext::ArrivalsOf(const std::string& aService) {
+  return mPaths[aService].mArrivals.PerMilli(SteadyNow());
+}
+
+void RelayContext::PlainTook(const std::string& aService, Millis aTime) {
+  double& usual = mPaths[aService].mUsualTime;
+  const auto time = static_cast<double>(aTime);
+  usual = usual > 0 ? usual + kTimeWeight * (time - usual) : time;
+}
+
+bool RelayContext::MaySendPlain(const UpstreamRecord& aRecord,
+                                std::size_t aUpstreams,
+                                std::size_t aBodyBytes) {
+  ServicePaths& paths = mPaths[aRecord.mService];
+  const auto own = mOwnLoads.find(aRecord.mInstance);
+  UpstreamView view;
+  view.mSlots = aRecord.mSlots;
+  view.mOwn =
+      own == mOwnLoads.end() ? 0 : static_cast<double>(own->second.mRequests);
+  view.mOthers = LoadOf(aRecord.mInstance).mRequests - view.mOwn;
+  view.mBodyBytes = static_cast<double>(aBodyBytes);
+  view.mOwnBytes = view.mOwn * view.mBodyBytes;
+  view.mRouters = mRouters;
+  view.mOwnRate = paths.mArrivals.PerMilli(SteadyNow()) /
+                  static_cast<double>(std::max<std::size_t>(1, aUpstreams));
+  view.mUsualTime = std::llround(std::ceil(paths.mUsualTime));
+  view.mNewsAge = std::min(kOldestNews, LoadsAge());
+  return MaySendTo(view, mOptions.mUpstreams);
+}
+
 const std::vector<const UpstreamRecord*>& RelayContext::ReadyEngines(
     const std::string& aService) {
   ServicePaths& paths = mPaths[aService];
@@ -187,10 +270,11 @@
   const Millis now = SteadyNow();
   const double others = mRouters - 1;
   const Millis age = std::min(kOldestNews, LoadsAge());
+  const double seldom =
+      others * paths.mArrivals.PerMilli(now) * static_cast<double>(age);
   PathAnswer answer = paths.mChoice.Choose(
-      aQuestion, {.mUnseen = others * paths.mArrivals.PerMilli(now) *
-                             static_cast<double>(age),
-                  .mRevision = mRegistry.Revision(),
+      aQuestion, {.mUnseen = std::max(seldom, mAdmission->Unseen(aService)),
+                  .mRevision = mRegistry.Revision() + mPaces.Revision(),
                   .mNow = now});
   mCounters.Add("paths", answer.mPath.empty() ? "way=\"none\""
                          : answer.mDealt      ? "way=\"dealt\""
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -4,12 +4,16 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 
+#include "daemons/bad_words.h"
 #include "spindleweir/core/counters.h"
 #include "spindleweir/daemons/relay_router.h"
 #include "spindleweir/daemons/sync_messages.h"
 #include "spindleweir/drivers/rpc_channel.h"
+#include "spindleweir/servers/limits/memory_account.h"
 #include "spindleweir/servers/membership/beat_taker.h"
 #include "spindleweir/servers/membership/control_directory.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
@@ -17,6 +21,7 @@
 #include "spindleweir/servers/routes/route_table.h"
 #include "spindleweir/servers/routes/traffic_change.h"
 #include "spindleweir/servers/routing/arrival_rate.h"
+#include "spindleweir/servers/routing/engine_pace.h"
 #include "spindleweir/servers/routing/engine_sample.h"
 #include "spindleweir/servers/routing/layer_path.h"
 #include "spindleweir/servers/routing/load_book.h"
@@ -40,8 +45,10 @@
   ArrivalRate mArrivals;  ///< At this router.
   std::vector<const UpstreamRecord*> mReady;
   std::int64_t mReadyOf = -1;  ///< The change of the registry that it has.
+  double mUsualTime = 0;  ///< Of a request of a plain service; 0: not known.
 };
 
+class RelayAdmission;
 class StreamGuard;
 
 /// The state of one router. Single-threaded.
@@ -54,6 +61,8 @@
   /// Takes news of the configuration where it is newer than what is held and
   /// follows on it.
   void Accept(const TrafficNews& aNews);
+  /// Whether the configuration in force has a service, or there is none yet.
+  bool KnowsService(const std::string& aService) const;
   bool LeaseHolds() const { return mLease.Holds(SteadyNow()); }
   /// Whether this process started so lately that what it lacks may still come
   /// by itself: the configuration, its confirmation, heartbeats of upstreams.
@@ -72,12 +81,19 @@
   /// How old what is known of other routers' work is, on the whole.
   Millis LoadsAge() const { return SteadyNow() - mOtherLoadsTrueAt; }
   /// What is known of other routers' work is too old to be used.
-  void ForgetOtherLoads() { mOtherLoads.clear(); }
+  void ForgetOtherLoads();
 
   void Succeeded(const std::string& aInstance);
   void Failed(const std::string& aInstance, Millis aAvoidFor);
   /// No connection could be made.
   void Unreachable(const std::string& aInstance, Millis aFor);
+  /// The start of the incarnation that is known; 0: none, or not told.
+  std::int64_t StartOf(const std::string& aInstance) const;
+  /// Gives those that were followed by another incarnation of their name since
+  /// the last call.
+  std::set<std::string> TakeRestarted() {
+    return std::exchange(mRestarted, {});
+  }
   double FailuresOf(const std::string& aInstance) const;
   /// Instances that are not to be used at present.
   std::set<std::string> Avoided() const;
@@ -87,8 +103,16 @@
   /// The upstreams of a service that are ready.
   const std::vector<const UpstreamRecord*>& ReadyEngines(
       const std::string& aService);
-  /// A request that asks for a path of engines.
+  /// Whether an upstream of a plain service, one of so many, can hold one more
+  /// request with such a body.
+  bool MaySendPlain(const UpstreamRecord& aRecord, std::size_t aUpstreams,
+                    std::size_t aBodyBytes);
+  /// A request of a plain service took so long at its upstream.
+  void PlainTook(const std::string& aService, Millis aTime);
+  /// A request that asks for a path of engines, or an upstream.
   void PathAsked(const std::string& aService);
+  /// Requests a millisecond that come here for it.
+  double ArrivalsOf(const std::string& aService);
   /// A path for it, by what is known of the work of all routers.
   PathAnswer ChoosePathOf(const std::string& aService,
                           const PathQuestion& aQuestion);
@@ -99,20 +123,28 @@
   HttpClient mClient;
   RpcChannel mRpc;
   Counters mCounters;
+  BadWords mBadWords{mCounters};
+  std::shared_ptr<MemoryAccount> mMemory;
   ConfigurationLease mLease;
   ControlDirectory mDirectory;
   UpstreamRegistry mRegistry;
   BeatTaker mTaker;
+  EnginePaces mPaces;
   int mRouters = 1;  ///< That share limits, as far as is known.
   bool mStopping = false;
-  StreamGuard* mGuard = nullptr;  ///< Set once all parts are made.
+  StreamGuard* mGuard = nullptr;         ///< Set once all parts are made.
+  RelayAdmission* mAdmission = nullptr;  ///< The same.
 
  private:
+  /// What was learnt of the one before says nothing of its successor.
+  void ForgetPredecessor(const UpstreamRecord& aSuccessor);
+
   std::shared_ptr<const RouteTable> mTable;
   LoadShares mOwnLoads;
   LoadShares mOtherLoads;
   Millis mOtherLoadsTrueAt;
   std::map<std::string, UpstreamExperience> mExperience;
+  std::set<std::string> mRestarted;
   std::map<std::string, RetryAllowance> mRetries;
   std::map<std::string, PipeAllowance> mPipes;
   std::map<std::string, ServicePaths> mPaths;  ///< By service.
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -8,9 +8,11 @@
 #include <string>
 #include <vector>
 
+#include "daemons/relay/relay_admission.h"
 #include "daemons/relay/stream_guard.h"
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
+#include "spindleweir/servers/routing/path_pace.h"
 #include "spindleweir/servers/routing/service_choice.h"
 #include "spindleweir/servers/streams/event_reader.h"
 
@@ -40,6 +42,7 @@
   /// One upstream, or one path of engines, that the request is sent to.
   struct Attempt {
     std::string mInstance;
+    std::int64_t mStart = 0;  ///< Of the incarnation that it was sent to.
     LayerPath mPath;
     double mTokens = 0;   ///< Memory promised for each layer.
     bool mDealt = false;  ///< The path was dealt, not the cheapest.
@@ -48,11 +51,13 @@
     AnswerHead mHead;
     AnswerFacts mFacts;
     EventReader mEvents;
-    std::string mBody;  ///< Of an answer that is not a stream.
+    std::string mBody;       ///< Of an answer that is not a stream.
+    bool mHandedOn = false;  ///< It goes on as it comes, for lack of memory.
     std::unique_ptr<StreamCall> mCall;
     std::unique_ptr<StreamCall> mOrder;  ///< To move to another path.
     int mMoves = 0;
     Millis mMovedAt = 0;
+    Millis mLookedAt = 0;  ///< For a path without slow engines.
     std::vector<Reading> mReading;
     Millis mLeaveAt = 0;  ///< The first leaves: gone on elsewhere from then.
   };
@@ -65,7 +70,13 @@
 
   void MoveOff(const std::set<std::string>& aInstances,
                MoveReason aWhy) override;
+  bool LeaveSlow(Millis aNow) override;
   std::string FirstInstance() const override;
+  /// The slow parts of the path but its first, which cannot be replaced.
+  std::set<std::string> SlowParts() const;
+  /// The path without its slow parts, or without some; empty: no better one.
+  LayerPath WithoutSlow(const std::set<std::string>& aSlow);
+  StreamAim Aim() const;
   /// The path without some instances, the other parts kept; empty: none.
   LayerPath Without(const std::set<std::string>& aInstances);
   /// The same by the engines of a question only.
@@ -88,6 +99,8 @@
   /// started; false: it has to be answered now.
   bool WaitForStart();
   void PickService();
+  /// Starts the first attempt as soon as the opening lets it in.
+  void AwaitTurn();
   void StartAttempt();
   /// Tries again in a moment, where a stream has begun; false: not worth it.
   bool WaitForPath();
@@ -100,6 +113,14 @@
   void HandleEnd(StreamEnd aEnd);
   void HandleEvents(std::string_view aBytes);
   void HandleWholeAnswer();
+  /// Takes more of an answer that is not a stream.
+  void HandleBody(std::string_view aBytes);
+  void HandOn();
+  /// Stops reading from the upstream where the caller is slow.
+  void PushBack();
+  /// Notes what is held of an answer that is collected; false: too much.
+  bool MayCollect();
+  void ClaimMemory();
   void CheckSilence();
   void HandleTimeout();
   void HandleCallerGone();
@@ -115,15 +136,19 @@
   void AttemptFailed(Ran aRan, ResultCode aCode, bool aWasSent);
   /// Tries again once the retry is paid for, or gives up.
   void PayForRetry(ResultCode aCode);
-  /// Whether a stream has begun that its caller still waits for.
+  /// Whether a stream has begun that its caller still waits for, or the request
+  /// has come back and would be refused for good.
   bool IsWorthWaiting() const;
+  /// Whether its caller has tried before, and has most likely no further try.
+  bool HasComeBack() const;
   /// aRan: of the attempt that is over.
   bool MayTryAgain(Ran aRan) const;
   void DropAttempt();
+  /// Whether the incarnation that the attempt was sent to is the one known:
+  /// what becomes of it says nothing of a successor.
+  bool IsCurrent() const;
   void GiveUp(ResultCode aCode);
-  /// aReturnAfter: when the caller should come back, at least; -1: not.
-  void Refuse(ResultCode aCode, Millis aReturnAfter);
-  Millis ReturnAfter(Millis aLeast) const;
+  void Refuse(ResultCode aCode, ReturnCause aCause);
   void Forward(const AnswerHead& aHead, std::string_view aBody);
   void End(const char* aOutcome, int aStatus);
   void Count(const char* aOutcome, int aStatus);
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -24,6 +24,9 @@
 constexpr Millis kAskTimeout = 400;
 constexpr Millis kStandsStillFor = 1500;
 constexpr std::size_t kMostReport = 256 * 1024;
+/// Streams that look for a path without slow engines in one step: each takes
+/// up to a millisecond of a small VM, and events are to be passed on meanwhile.
+constexpr int kMostLookForPath = 4;
 
 }  // namespace
 
@@ -48,6 +51,7 @@
     mLateAt = now;
   }
   mSteppedAt = now;
+  MoveOffRestarted();
   MoveOffLeaving();
   if (LateSince(now - kLateFor)) {
     // What came meanwhile has not been read yet: pauses prove nothing.
@@ -59,6 +63,7 @@
       Probe(instance);
     }
   }
+  StepPaces(now);
   std::set<std::string> firsts;
   for (StreamKey key : mWatch.Silent(kAskAfter, now)) {
     const auto it = mStreams.find(key);
@@ -75,11 +80,72 @@
   }
 }
 
+void StreamGuard::Progress(StreamKey aKey, Millis aNow) {
+  const std::optional<EventWait> inTime = mWatch.Progress(aKey, aNow);
+  if (inTime.has_value()) {
+    mContext.mPaces.OnTime(inTime->mInstances, inTime->mFrom);
+  }
+}
+
+void StreamGuard::StepPaces(Millis aNow) {
+  EnginePaces& paces = mContext.mPaces;
+  for (const EventWait& late : mWatch.TakeLate(aNow)) {
+    paces.Late(late.mInstances, late.mFrom, aNow);
+  }
+  const auto random = [this] { return mContext.Random(); };
+  for (const std::string& instance :
+       paces.ToAsk(aNow, mContext.mRouters, random)) {
+    if (mStates[instance].mCall == nullptr) {
+      mContext.mCounters.Add("pace_questions");
+      AskState(instance);
+    }
+  }
+  JudgePaces(aNow);
+  LeaveSlow(aNow);
+}
+
+void StreamGuard::JudgePaces(Millis aNow) {
+  for (const PaceChange& change : mContext.mPaces.Judge(aNow)) {
+    mContext.mCounters.Add("paces_judged",
+                           change.mSlow ? "as=\"slow\"" : "as=\"well\"");
+    LogLine(LogLevel::kInfo, "engine_pace")
+        .Add("instance", change.mInstance)
+        .Add("slow", change.mSlow)
+        .Add("pace", change.mPace)
+        .Add("by", NameOf(change.mSource))
+        .Add("word_age_ms", static_cast<Json::Int64>(change.mWordAge))
+        .Add("tellers", change.mTellers)
+        .Add("late_streams", change.mLate);
+  }
+}
+
+void StreamGuard::LeaveSlow(Millis aNow) {
+  const std::map<std::string, double>& slow = mContext.mPaces.Slow();
+  if (slow.empty()) {
+    return;
+  }
+  int looked = 0;
+  // The longest silent has the least time left.
+  for (StreamKey key : mWatch.Through(slow)) {
+    const auto it = mStreams.find(key);
+    if (it == mStreams.end()) {
+      continue;
+    }
+    looked += it->second->LeaveSlow(aNow) ? 1 : 0;
+    if (looked >= kMostLookForPath) {
+      return;
+    }
+  }
+}
+
 void StreamGuard::MoveOffLeaving() {
   if (mContext.mRegistry.Revision() == mLookedAt) {
     return;
   }
   mLookedAt = mContext.mRegistry.Revision();
+  std::erase_if(mLeftBehind, [this](const std::string& aInstance) {
+    return mContext.mRegistry.Find(aInstance) == nullptr;
+  });
   std::set<std::string> leaving;
   for (const UpstreamRecord* record : mContext.mRegistry.OfService("")) {
     const bool leaves = record->mState == UpstreamState::kLeaving ||
@@ -93,6 +159,17 @@
   }
 }
 
+void StreamGuard::MoveOffRestarted() {
+  const std::set<std::string> restarted = mContext.TakeRestarted();
+  if (restarted.empty()) {
+    return;
+  }
+  for (const std::string& instance : restarted) {
+    mLeftBehind.erase(instance);
+  }
+  LeaveBehind(restarted, MoveReason::kRestarted);
+}
+
 void StreamGuard::Probe(const std::string& aInstance) {
   const UpstreamRecord* record = mContext.mRegistry.Find(aInstance);
   if (record == nullptr) {
@@ -100,6 +177,7 @@
   }
   Look& look = mProbes[aInstance];
   look.mAt = SteadyNow();
+  look.mStart = record->mStart;
   const auto connected = std::make_shared<bool>(false);
   StreamCallOptions options;
   options.mServer = ParseEndpoint(record->mAddress, "address of an upstream");
@@ -122,7 +200,8 @@
   mContext.mLoop.Post([call] {});
   mContext.mCounters.Add("probes");
   const bool refused = took < kProbeTimeout;
-  if (aConnected || (!refused && LateSince(look.mAt))) {
+  const bool followed = look.mStart != mContext.StartOf(aInstance);
+  if (aConnected || followed || (!refused && LateSince(look.mAt))) {
     return;
   }
   LogLine(LogLevel::kInfo, "upstream_unreachable")
@@ -139,6 +218,7 @@
   }
   Look& look = mStates[aInstance];
   look.mAt = SteadyNow();
+  look.mStart = record->mStart;
   look.mBody.clear();
   StreamCallOptions options = CallOf(mContext.mOptions.mEngines.mAskState(),
                                      record->mAddress, kAskTimeout);
@@ -152,21 +232,31 @@
     Look& ended = mStates[aInstance];
     const std::shared_ptr<StreamCall> call = std::move(ended.mCall);
     mContext.mLoop.Post([call] {});
-    if (aEnd != StreamEnd::kComplete) {
+    const bool followed = ended.mStart != mContext.StartOf(aInstance);
+    if (aEnd != StreamEnd::kComplete || followed) {
       return;
     }
     try {
-      TakeState(mContext.mOptions.mEngines.mReadState(ended.mBody));
+      TakeState(aInstance, mContext.mOptions.mEngines.mReadState(ended.mBody));
     } catch (const Error& error) {
-      LogLine(LogLevel::kWarning, "report_unreadable")
-          .Add("instance", aInstance)
-          .Add("why", error.what());
+      mContext.mBadWords.Note("report", aInstance, error);
     }
   };
   look.mCall = StartStreamCall(mContext.mLoop, std::move(options));
 }
 
-void StreamGuard::TakeState(const EngineState& aState) {
+void StreamGuard::TakeState(const std::string& aInstance,
+                            const EngineState& aState) {
+  const std::int64_t known = mStates[aInstance].mStart;
+  if (known > 0 && aState.mStart > known) {
+    // Its heartbeat has not come this far yet.
+    mContext.Failed(aInstance, kStandsStillFor);
+    LeaveBehind({aInstance}, MoveReason::kRestarted);
+    return;
+  }
+  const Millis now = SteadyNow();
+  mContext.mPaces.TakeWord(aInstance, aState.mPace, now);
+  JudgePaces(now);
   std::set<std::string> addresses;
   for (const StalledRequest& stalled : aState.mStalled) {
     addresses.insert(stalled.mAddress);
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -1,5 +1,6 @@
 #include "daemons/relay/sync_link.h"
 
+#include "daemons/relay/stream_guard.h"
 #include "spindleweir/core/digest.h"
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
@@ -11,9 +12,16 @@
 namespace {
 
 constexpr Millis kStepPeriod = 100;
+/// While there is no lease: 0.1 s more is a tenth of what callers wait at most.
+constexpr Millis kLackingStepPeriod = 25;
+/// Upstreams that ended are looked for so often: it goes through all of them.
+constexpr Millis kForgetPeriod = 1000;
 /// Loads of others that are older than this say nothing any more.
 constexpr Millis kLoadsKept = 2500;
 constexpr int kNameBytes = 6;
+/// A question that failed within this time was turned away: one that nobody
+/// answers fails after 300 ms at the least.
+constexpr Millis kRefusedWithin = 200;
 /// The nearest control is heard where it answered within this time: it is asked
 /// each half second at most, but for its back-off.
 constexpr Millis kNearHeard = 1500;
@@ -26,7 +34,6 @@
 SyncLink::SyncLink(RelayContext& aContext)
     : mContext(aContext),
       mProcess(aContext.mOptions.mId + "/" + RandomHex(kNameBytes)) {
-  mTimer = mContext.mLoop.Every(kStepPeriod, [this] { Step(); });
   Step();
 }
 
@@ -40,10 +47,12 @@
   const Source& source = mSources[aAddress];
   return {.mPeriod = source.mPeriod,
           .mFailures = source.mFailures,
+          .mWasRefused = source.mWasRefused,
           .mIsNear = aAddress == mNear,
           .mIsFirst = mContext.Table() == nullptr,
           .mHearsNear = NearIsFresh(),
           .mCosts = mContext.mOptions.mCosts,
+          .mLacksLease = LacksLease(),
           .mSpread = source.mSpread};
 }
 
@@ -68,9 +77,19 @@
       Ask(address);
     }
   }
+  if (now - mForgotAt >= kForgetPeriod) {
+    mForgotAt = now;
+    mContext.mRegistry.ForgetEnded(now);
+  }
   if (now - mLoadsAt > kLoadsKept) {
     mContext.ForgetOtherLoads();
   }
+  mTimer = mContext.mLoop.After(LacksLease() ? kLackingStepPeriod : kStepPeriod,
+                                [this] { Step(); });
+}
+
+bool SyncLink::LacksLease() const {
+  return mContext.Table() == nullptr || !mContext.LeaseHolds();
 }
 
 std::int64_t SyncLink::AddBeats(const Source& aSource,
@@ -79,7 +98,7 @@
   if (!untold.mChanged.empty()) {
     aQuestion.mTakenUpstreams = PackUpstreams(untold.mChanged);
   }
-  aQuestion.mTakenBeats = BeatTable::Of(untold.mBeats);
+  aQuestion.mTakenBeats = ToJson(BeatTable::Of(untold.mBeats));
   return untold.mNumber;
 }
 
@@ -95,7 +114,7 @@
   question.mRevision = source.mRevision;
   question.mConfiguration =
       mContext.Table() == nullptr ? 0 : mContext.Table()->Version();
-  question.mSilent = mContext.mRegistry.Silent();
+  question.mSilent = WriteRows(mContext.mRegistry.Silent());
   question.mHearsNear = mNearAt > 0 && SteadyNow() - mNearAt < kNearHeard;
   question.mTakesAt = mContext.mStopping ? "" : mContext.mOptions.mTakesAt;
   const std::string life = source.mLife;
@@ -114,7 +133,7 @@
       [this, aAddress, askedAt, life, beats](const RpcResult& aResult) {
         mSources[aAddress.Text()].mAsking = false;
         if (!aResult.mOk) {
-          Failed(aAddress);
+          Failed(aAddress, askedAt);
           return;
         }
         const auto answer = FromJson<SyncAnswer>(aResult.mAnswer);
@@ -125,9 +144,11 @@
       });
 }
 
-void SyncLink::Failed(const Endpoint& aAddress) {
+void SyncLink::Failed(const Endpoint& aAddress, Millis aAskedAt) {
   mContext.mCounters.Add("sync_failures");
-  mSources[aAddress.Text()].mFailures++;
+  Source& source = mSources[aAddress.Text()];
+  source.mWasRefused = SteadyNow() - aAskedAt < kRefusedWithin;
+  source.mFailures += source.mWasRefused ? 0 : 1;
   const auto [it, first] =
       mFailedAt.insert_or_assign(aAddress.Text(), SteadyNow());
   if (first) {
@@ -142,6 +163,7 @@
   }
   LogLine(LogLevel::kInfo, "upstream_changed")
       .Add("instance", aRecord.mInstance)
+      .Add("start", static_cast<Json::Int64>(aRecord.mStart))
       .Add("state", static_cast<int>(aRecord.mState))
       .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence))
       .Add("by", aBy);
@@ -159,7 +181,8 @@
   // Others tell their work as often as this router, to this control or by way
   // of another: on the whole what is told is one such period old.
   mContext.SetOtherLoads(
-      mTold.OthersIn(UnpackLoads(aAnswer.mPackedLoads), aAnswer.mSummedLoads),
+      mTold.OthersIn(mContext.mBadWords.Loads("loads", aAnswer.mPackedLoads),
+                     aAnswer.mSummedLoads),
       aAskedAt - aAnswer.mAskEvery - aAnswer.mLoadsAgo);
 }
 
@@ -174,6 +197,7 @@
   source.mRevision = aAnswer.mRevision;
   source.mPeriod = aAnswer.mAskEvery;
   source.mFailures = 0;
+  source.mWasRefused = false;
   if (mFailedAt.erase(aAddress.Text()) > 0) {
     LogLine(LogLevel::kInfo, "control_regained")
         .Add("address", aAddress.Text());
@@ -183,14 +207,17 @@
     mContext.mDirectory.Heard(info, now);
   }
   for (const UpstreamNews& news : aAnswer.mNewsOfUpstreams) {
-    for (UpstreamRecord& record : UnpackUpstreams(news.mText)) {
+    for (UpstreamRecord& record :
+         mContext.mBadWords.Unpack("news", news.mText)) {
       record.mHeardAgo += news.mAgo;
       TakeUpstream(record, aAnswer.mSelf.mId);
     }
   }
-  for (const UpstreamRecord& record : aAnswer.mNotSilent) {
+  for (const UpstreamRecord& record : ReadRows<UpstreamRecord>(
+           aAnswer.mNotSilent, mContext.mBadWords.At("news"))) {
     TakeUpstream(record, aAnswer.mSelf.mId);
   }
+  mContext.mGuard->MoveOffRestarted();
   if (aAddress.Text() == mNear) {
     mNearAt = now;
     TakeLoads(source, aAnswer, aAskedAt);
--- a/include/spindleweir/daemons/relay_router.h
+++ b/include/spindleweir/daemons/relay_router.h
@@ -7,10 +7,12 @@
 #include <vector>
 
 #include "spindleweir/core/counters.h"
+#include "spindleweir/core/error.h"
 #include "spindleweir/core/settings.h"
 #include "spindleweir/daemons/beat_answer.h"
 #include "spindleweir/daemons/traffic_protocols.h"
 #include "spindleweir/drivers/event_loop.h"
+#include "spindleweir/servers/limits/upstream_bound.h"
 #include "spindleweir/servers/routing/relative_costs.h"
 #include "spindleweir/servers/routing/retry_allowance.h"
 
@@ -37,6 +39,16 @@
   Millis mStopGrace = 8000;
   RetryAllowanceOptions mRetries;
   RelativeCosts mCosts;
+  /// Of the process; 0: not known, and what is held for callers has a bound
+  /// for each of them only.
+  std::size_t mMemoryBytes = 0;
+  /// Of the system's buffers of a connection, each way, in bytes; 0: by
+  /// mMemoryBytes.
+  std::size_t mWindow = 0;
+  /// For callers and upstreams together; 0: not known.
+  std::size_t mDescriptors = 0;
+  std::size_t mMostConnections = 3000;  ///< Of callers.
+  UpstreamBoundOptions mUpstreams;      ///< Of plain services.
   CallerProtocol mCallers;
   EngineProtocol mEngines;
 };
@@ -54,7 +66,11 @@
   bool Ready() const;
   /// Takes a heartbeat of an upstream in place of control.
   void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
-  void Leave(const std::string& aInstance, const BeatDone& aDone);
+  /// aStart: of the incarnation that leaves; 0: not told.
+  void Leave(const std::string& aInstance, const BeatDone& aDone,
+             std::int64_t aStart = 0);
+  /// A heartbeat, or the word that one leaves, that cannot be used.
+  void BadBeat(const std::string& aInstance, const Error& aWhy);
   /// Takes new seeds.
   void SetSeeds(std::vector<Endpoint> aSeeds);
   Counters& OwnCounters();
--- a/servers/consensus/raft_node.cpp
+++ b/servers/consensus/raft_node.cpp
@@ -6,6 +6,22 @@
 
 namespace spindleweir {
 
+namespace {
+
+/// A leader that was not heard for so many of its heartbeats may be gone.
+constexpr Millis kHeartbeatsHeard = 2;
+/// Until a leader was heard, a pre-vote that nobody granted is asked for again
+/// after one to this many heartbeats: the others may not have been listening,
+/// and a pre-vote disturbs no one. After the usual time a start of three voters
+/// within 0.25 s of each other took up to 0.7 s to its leader.
+constexpr Millis kHeartbeatsToPreVote = 3;
+/// And an election that nobody won after two to this many: three of five voters
+/// that come back together need all three votes, which two candidates at a time
+/// deny each other (0.53 s to a leader in a day with two lost disks).
+constexpr Millis kHeartbeatsToElection = 4;
+
+}  // namespace
+
 RaftNode::RaftNode(RaftOptions aOptions, Millis aNow)
     : mOptions(std::move(aOptions)), mRandom(mOptions.mSeed), mNow(aNow) {
   DurableState state = mOptions.mStorage->Load();
@@ -166,7 +182,7 @@
   mRole = RaftRole::kPreCandidate;
   mLeader.clear();
   mVotes = {mOptions.mId};
-  RestartElectionTimer();
+  RestartElectionTimer(1, kHeartbeatsToPreVote);
   if (IsMajority(mVotes.size())) {
     StartElection();
     return;
@@ -180,7 +196,7 @@
   mHardState.mVotedFor = mOptions.mId;
   mOptions.mStorage->SaveHardState(mHardState);
   mVotes = {mOptions.mId};
-  RestartElectionTimer();
+  RestartElectionTimer(2, kHeartbeatsToElection);
   if (IsMajority(mVotes.size())) {
     BecomeLeader();
     return;
@@ -206,6 +222,7 @@
 void RaftNode::BecomeLeader() {
   mRole = RaftRole::kLeader;
   mLeader = mOptions.mId;
+  mHeardLeader = true;
   mProgress.clear();
   mRoundTimes.clear();
   for (const std::string& id : mVoters) {
@@ -327,6 +344,18 @@
   }
 }
 
+bool RaftNode::Settled() const {
+  return !mFailed && !mLeader.empty() && TermAt(mCommit) == mHardState.mTerm;
+}
+
+bool RaftNode::HearsLeader(Millis aNow) const {
+  if (mRole == RaftRole::kLeader) {
+    return Leads();
+  }
+  return !mFailed && !mLeader.empty() &&
+         aNow - mLeaderHeardAt < kHeartbeatsHeard * mOptions.mHeartbeat;
+}
+
 bool RaftNode::Leads() const {
   return !mFailed && mRole == RaftRole::kLeader &&
          TermAt(mCommit) == mHardState.mTerm;
@@ -354,6 +383,16 @@
   mElectionAt = mNow + mOptions.mElectionTimeout + spread(mRandom);
 }
 
+void RaftNode::RestartElectionTimer(Millis aLeast, Millis aMost) {
+  if (mHeardLeader) {
+    RestartElectionTimer();
+    return;
+  }
+  std::uniform_int_distribution<Millis> spread(aLeast * mOptions.mHeartbeat,
+                                               aMost * mOptions.mHeartbeat);
+  mElectionAt = mNow + spread(mRandom);
+}
+
 bool RaftNode::IsVoter(const std::string& aId) const {
   return std::find(mVoters.begin(), mVoters.end(), aId) != mVoters.end();
 }
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -29,6 +29,11 @@
   void Next(std::vector<UpstreamAct> aActs);
   /// The status of what fails.
   void FailWith(int aStatus) { mFailure = aStatus; }
+  /// From now on whole answers have so many bytes: the request's id again and
+  /// again.
+  void SetBytes(std::size_t aBytes) { mBytes = aBytes; }
+  /// The body that a request gets then.
+  static std::string BodyOf(const std::string& aRequest, std::size_t aBytes);
   std::string Address() const { return mServer.Address().Text(); }
   const std::string& Instance() const { return mInstance; }
   /// How often a request ran here.
@@ -48,6 +53,7 @@
   std::map<std::string, int> mRuns;
   int mClosed = 0;
   int mFailure;
+  std::size_t mBytes = 0;
   StreamServer mServer;
 };
 
--- a/tests/daemons/relay_story.h
+++ b/tests/daemons/relay_story.h
@@ -30,7 +30,7 @@
   std::string mBody;
 };
 
-/// A port of loopback that is free at the moment.
+/// A port that is free, at an address of loopback that is this process's own.
 Endpoint FreeEndpoint();
 /// Routes /pay/, /look/ and /stream/ to the service "counter".
 TrafficConfiguration Traffic(std::int64_t aVersion);
@@ -64,8 +64,10 @@
   /// An engine that holds all layers of the service "model".
   void BeginEngine(const ScriptedUpstream& aEngine);
 
-  /// A request with the next id, until its answer ends.
-  Answer Call(const std::string& aTarget, const std::string& aKey = "key");
+  /// A request with the next id, until its answer ends. aDeadline: what its
+  /// caller says that it has left, in milliseconds; 0: nothing.
+  Answer Call(const std::string& aTarget, const std::string& aKey = "key",
+              Millis aDeadline = 0);
 
   /// The id of the last request.
   std::string Last() const { return "r" + std::to_string(mRequest); }
@@ -85,6 +87,7 @@
   int mRequest = 0;
   Millis mStartWait;
   RetryAllowanceOptions mRetries;
+  std::size_t mMemoryBytes = 0;  ///< Of routers that are started from now on.
   int mOwnBeats;           ///< Heartbeats a second that control takes itself.
   int mDocumentsRead = 0;  ///< By control.
 };
