--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -16,6 +16,9 @@
 constexpr Millis kAskPeriod = 300;
 constexpr Millis kAskTimeout = 1000;
 constexpr Millis kStepPeriod = 500;
+/// Controls hear each other themselves; what they heard of the rest is told
+/// this often: six of them are 640 of 2,670 bytes of an exchange.
+constexpr Millis kTellControlsEvery = 1000;
 constexpr Millis kControlsTold = 10000;
 /// A process that did not ask for so long is not counted any more.
 constexpr Millis kAskerKept = 2500;
@@ -49,7 +52,8 @@
             return traffic.mVersion == 0 ||
                    traffic.FindService(aService) != nullptr;
           },
-          mBefore.mFresh) {
+          mBefore.mFresh),
+      mParts(aContext.mLoop, aContext.mCounters) {
   LogLine(LogLevel::kInfo, "stamp_read")
       .Add("upstreams_fresh", mBefore.mFresh)
       .Add("routers", mBefore.mRouters);
@@ -112,7 +116,7 @@
   const bool fromControl = !aQuestion.mControl.mId.empty();
   const Asker asker{.mIsNear = aQuestion.mTellsLoads > 0,
                     .mHearsNear = aQuestion.mHearsNear};
-  if (fromControl || TellsControls(asker)) {
+  if (fromControl ? IsToldControls(aQuestion, now) : TellsControls(asker)) {
     answer.mControls = mDirectory.Lately(kControlsTold, now);
     answer.mLeader = mLog.Raft().Leader();
     answer.mTerm = mLog.Raft().Term();
@@ -130,9 +134,20 @@
       kAskedEvery,
       static_cast<Millis>(kEachAsker * static_cast<double>(mAskedAt.size())));
   AddLoads(aQuestion, answer);
+  mParts.Count(aQuestion, answer);
   return answer;
 }
 
+bool SyncService::IsToldControls(const SyncQuestion& aQuestion, Millis aNow) {
+  const bool first = aQuestion.mKnows != mLife;
+  Millis& toldAt = mControlsToldAt[aQuestion.mControl.mId];
+  if (!first && aNow - toldAt < kTellControlsEvery) {
+    return false;
+  }
+  toldAt = aNow;
+  return true;
+}
+
 int SyncService::Routers(Millis aNow) {
   // After a start many tell two controls within moments, and count twice: with
   // 66 for 35 each let in half of what it could, and refused 48.
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "daemons/control/answer_parts.h"
 #include "daemons/control/replicated_configuration.h"
 #include "daemons/control/start_stamp.h"
 #include "daemons/control/upstream_intake.h"
@@ -65,6 +66,8 @@
   /// Whether most of control cannot be heard: then it is this process that
   /// is cut off, and the silence of upstreams says nothing of them.
   bool CutOff() const;
+  /// Whether another control is told now which there are.
+  bool IsToldControls(const SyncQuestion& aQuestion, Millis aNow);
   /// Routers that there are, as far as is known.
   int Routers(Millis aNow);
   void AddLoads(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
@@ -73,6 +76,7 @@
   ControlContext& mContext;
   ReplicatedConfiguration& mLog;
   std::string mLife;
+  std::map<std::string, Millis> mControlsToldAt;  ///< By the id of who asked.
   ControlDirectory mDirectory;
   TrafficHistory mTraffic;
   /// The newest that was committed and that nobody has asked for yet. A start
@@ -85,6 +89,7 @@
   StartFacts mBefore;  ///< Of the last start; used until routers have asked.
   Millis mStartedAt;
   UpstreamIntake mUpstreams;
+  AnswerParts mParts;
   LoadBook mLoads{LoadBookOptions{}};
   std::map<std::string, Source> mSources;  ///< By address.
   std::string mToldLeader;                 ///< Of the newest term told.
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -25,6 +25,9 @@
 /// The nearest control is heard where it answered within this time: it is asked
 /// each half second at most, but for its back-off.
 constexpr Millis kNearHeard = 1500;
+/// Others are asked seldom only while it answers within so many of its periods:
+/// a silence of it is made up for as fast as the others used to be asked.
+constexpr Millis kFreshPeriods = 3;
 
 }  // namespace
 
@@ -34,6 +37,12 @@
   Step();
 }
 
+bool SyncLink::NearIsFresh() const {
+  const auto it = mSources.find(mNear);
+  return mNearAt > 0 && it != mSources.end() && it->second.mPeriod > 0 &&
+         SteadyNow() - mNearAt < kFreshPeriods * it->second.mPeriod;
+}
+
 AskedControl SyncLink::Asked(const std::string& aAddress) {
   const Source& source = mSources[aAddress];
   return {.mPeriod = source.mPeriod,
@@ -41,6 +50,8 @@
           .mWasRefused = source.mWasRefused,
           .mIsNear = aAddress == mNear,
           .mIsFirst = mContext.Table() == nullptr,
+          .mHearsNear = NearIsFresh(),
+          .mCosts = mContext.mOptions.mCosts,
           .mLacksLease = LacksLease(),
           .mRouters = mContext.mRouters,
           .mSpread = source.mSpread};
--- a/include/spindleweir/core/loose_columns.h
+++ b/include/spindleweir/core/loose_columns.h
@@ -46,7 +46,6 @@
       aColumn.push_back(ValueOf<T>(value));
     }
   }
-  /// As Field: a column that is left out has no rows.
   template <class T>
   void Sparse(const char* aName, std::vector<T>& aColumn) {
     Field(aName, aColumn);
--- a/include/spindleweir/daemons/relay_router.h
+++ b/include/spindleweir/daemons/relay_router.h
@@ -13,6 +13,7 @@
 #include "spindleweir/daemons/traffic_protocols.h"
 #include "spindleweir/drivers/event_loop.h"
 #include "spindleweir/servers/limits/upstream_bound.h"
+#include "spindleweir/servers/routing/relative_costs.h"
 #include "spindleweir/servers/routing/retry_allowance.h"
 
 namespace spindleweir {
@@ -37,6 +38,7 @@
   /// After a stop signal all must have ended within this time.
   Millis mStopGrace = 8000;
   RetryAllowanceOptions mRetries;
+  RelativeCosts mCosts;
   /// Of the process; 0: not known, and what is held for callers has a bound
   /// for each of them only.
   std::size_t mMemoryBytes = 0;
