One caller's deadline no longer makes all others later tries

Cause: what is usual at a route moved by a twentieth of whatever a caller says that it has left.

Change: one request counts as twice what is usual at most.

Result: starts_test, sections of one caller with much more time; the new one fails without the change.

--- a/servers/limits/first_deadline.cpp
+++ b/servers/limits/first_deadline.cpp
@@ -1,5 +1,7 @@
 #include "spindleweir/servers/limits/first_deadline.h"
 
+#include <algorithm>
+
 namespace spindleweir {
 
 namespace {
@@ -9,6 +11,10 @@
 /// one caller that has more than all others moves it by a twentieth of that.
 constexpr double kUp = 0.05;
 constexpr double kDown = 0.005;
+/// One request counts as so many times what is usual at most: what a caller has
+/// left is read from outside, and one that says it has a day would have all
+/// others taken for later tries for a thousand requests.
+constexpr double kMostOfUsual = 2;
 /// A later try comes after a refusal's wait, 0.3 s at least, or after the two
 /// seconds for which callers wait for an event, of 20 s mostly.
 constexpr double kFirstTryLeft = 0.95;
@@ -23,7 +29,8 @@
   if (mUsual <= 0) {
     mUsual = deadline;
   }
-  mUsual += (deadline > mUsual ? kUp : kDown) * (deadline - mUsual);
+  const double counted = std::min(deadline, kMostOfUsual * mUsual);
+  mUsual += (counted > mUsual ? kUp : kDown) * (counted - mUsual);
 }
 
 bool FirstDeadline::HasComeBack(Millis aDeadline) const {
--- a/tests/servers/starts_test.cpp
+++ b/tests/servers/starts_test.cpp
@@ -424,6 +424,13 @@
     deadline.Came(30000);
     CHECK(!deadline.HasComeBack(20000));
   }
+  SECTION("nor does one that says it has days, or all of time") {
+    constexpr Millis kDay = 86400000;
+    deadline.Came(kDay);
+    CHECK(!deadline.HasComeBack(20000));
+    deadline.Came(std::numeric_limits<Millis>::max());
+    CHECK(!deadline.HasComeBack(21000));
+  }
   SECTION("where all have more it follows") {
     for (int i = 0; i < 100; i++) {
       deadline.Came(40000);
