A call of a plain service that has come back is not held

Cause: a later try is kept where there is no room for up to 1.5 s or half of its time, looked at each 80 ms. Callers of plain services have about a second: one with 1 s left can be kept for more than half of it (read from the code) and then refused.

Result: restart_test, a_call_that_has_come_back_is_not_held, fails without the change (it was held for more than 250 ms of 1,000).

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -484,7 +484,10 @@
 }
 
 bool RelayRequest::HasComeBack() const {
-  return mContext.mAdmission->HasComeBack(mRoute->mName, mFacts.mDeadline);
+  // Callers of plain services have about a second: held for half of it, more is
+  // lost than by a refusal at once.
+  return mService->IsEngine() &&
+         mContext.mAdmission->HasComeBack(mRoute->mName, mFacts.mDeadline);
 }
 
 bool RelayRequest::IsWorthWaiting() const {
--- a/tests/daemons/restart_test.cpp
+++ b/tests/daemons/restart_test.cpp
@@ -213,3 +213,22 @@
     CHECK(engine.Runs(story.Last()) == 1);
   }
 }
+
+Test(restart, a_call_that_has_come_back_is_not_held) {
+  // One retry a minute.
+  RelayStory story(kShortStart,
+                   {.mRatio = 0, .mWindow = 60000, .mSlack = 1, .mUsed = 1});
+  story.Begin();
+  constexpr Millis kFirst = 2000;
+  CHECK(story.Call("/look/x", "key", kFirst).mStatus == 200);
+  const std::vector<UpstreamAct> refusals(3, UpstreamAct::kRefuse);
+  story.mA.Next(refusals);
+  story.mB.Next(refusals);
+  constexpr Millis kLeft = kFirst / 2;
+  const Millis begun = SteadyNow();
+  CHECK(story.Call("/look/x", "key", kLeft).mStatus == 503);
+  CHECK(story.RunsOfLast() == 0);
+  SECTION("it has a second at most, and half of that would be lost") {
+    CHECK(SteadyNow() - begun < kLeft / 4);
+  }
+}
