A wait ends when its own time has run, not after the whole standstill again

Cause: AfterRunning() was set again for all the time that its loop had stood still, also the part in which it was already due: a question of 1 s in a process that was stopped for 60 s was given up 60 s after it woke. Until then a control that was lost meanwhile was asked nothing, and a claim waited for its keepers.

Change: it keeps the moment at which it is due by RunningNow().

The new section of drivers_tests (a wait of 300 ms, 2 s of standstill) ended later than 3.2 s without the change and ends before it with it.

--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -56,21 +56,22 @@
   std::vector<event*> mEvents;
 };
 
-/// A timer that is set again for as long as its loop stood still meanwhile.
+/// A timer that is set again for what its loop has not yet run of the delay.
 class RunningTimer : public Timer {
  public:
   RunningTimer(EventLoop& aLoop, Millis aDelay, std::function<void()> aCall)
-      : mLoop(aLoop), mCall(std::move(aCall)) {
+      : mLoop(aLoop),
+        mCall(std::move(aCall)),
+        mDueAt(aLoop.RunningNow() + aDelay) {
     Set(aDelay);
   }
 
  private:
   void Set(Millis aDelay) {
-    mStoodStill = mLoop.StoodStill();
     mTimer = mLoop.After(aDelay, [this] {
-      const Millis lost = mLoop.StoodStill() - mStoodStill;
-      if (lost > 0) {
-        Set(lost);
+      const Millis left = mDueAt - mLoop.RunningNow();
+      if (left > 0) {
+        Set(left);
         return;
       }
       // The call may destroy the timer, so that it runs from a copy.
@@ -81,7 +82,7 @@
 
   EventLoop& mLoop;
   std::function<void()> mCall;
-  Millis mStoodStill = 0;  ///< The loop's count when it was set.
+  Millis mDueAt;  ///< By RunningNow().
   std::unique_ptr<Timer> mTimer;
 };
 
--- a/tests/drivers/http_test.cpp
+++ b/tests/drivers/http_test.cpp
@@ -121,6 +121,17 @@
     REQUIRE(pair.RunUntil([&] { return pair.mResult.has_value(); }));
     CHECK(!pair.mResult->mComplete);
   }
+  SECTION("nor longer than it had still to wait") {
+    pair.mHandle = [] { usleep(2000 * 1000); };
+    pair.mResult.reset();
+    HttpCallOptions again = pair.Call("x");
+    again.mTimeout = 300;
+    const auto silent = pair.mClient.Start(std::move(again));
+    const Millis began = SteadyNow();
+    REQUIRE(pair.RunUntil([&] { return pair.mResult.has_value(); }));
+    CHECK(!pair.mResult->mComplete);
+    CHECK(SteadyNow() - began < 3200);
+  }
 }
 
 Test(http, a_server_that_closes_without_an_answer_gets_nothing_twice) {
