An engine that says layers beyond the model is placed anew

Cause: the planner took the layers of a heartbeat as they came. With layers above the profile's number (a heartbeat gone wrong, or a configuration that lowered the number while engines still hold the former weights) it wrote behind the end of its lists by layer (ValueOf, MemoryByLayer) in the leading control.

Change: such an engine counts as one that holds nothing.

servers_tests: the new test of layers fails without the change (no order, writes out of bounds) and passes with it.

--- a/servers/placement/layer_planner.cpp
+++ b/servers/placement/layer_planner.cpp
@@ -145,7 +145,9 @@
     }
     Zone& zone = zones[record->mZone];
     zone.mChanging = zone.mChanging || record->mBusy;
-    const bool holds = record->mLayers.Count() > 0;
+    // Layers that the model does not have are of other weights.
+    const bool holds =
+        record->mLayers.Count() > 0 && record->mLayers.mTo <= aProfile.mLayers;
     (holds ? zone.mHolding : zone.mEmpty).push_back(card);
   }
   std::vector<LayerOrder> orders;
--- a/tests/servers/layers_test.cpp
+++ b/tests/servers/layers_test.cpp
@@ -148,6 +148,22 @@
   }
 }
 
+Test(layers, an_engine_that_says_layers_beyond_the_model_is_placed_anew) {
+  const EngineProfile profile = Profile();
+  Engines engines;
+  engines.Add("a", "fast", 12);
+  while (engines.Place(profile) > 0) {
+  }
+  UpstreamRecord& stray = engines.mRecords.front();
+  for (const LayerRange& said : {LayerRange{70, 90}, LayerRange{80, 9000}}) {
+    stray.mLayers = said;
+    const std::vector<LayerOrder> orders = PlanLayers(profile, engines.Views());
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].mInstance == stray.mInstance);
+    CHECK(orders[0].mLayers.Count() > 0 && orders[0].mLayers.mTo <= 80);
+  }
+}
+
 Test(layers, holes_are_closed_by_those_who_are_there) {
   const EngineProfile profile = Profile();
   Engines engines = Zone();
