Word that one is gone ends nobody at its address

Cause: a record that was new here ended whoever had its address and did not look younger, also when the record was of one that had left. Where the address went on to an upstream of another VM, whose clock is behind, a leave that came late ended that one, and for its life: who is gone does not come back.

Change: only one that is there ends its predecessors.

servers_tests: the new section fails without the change and passes with it.

--- a/servers/membership/upstream_registry.cpp
+++ b/servers/membership/upstream_registry.cpp
@@ -221,7 +221,9 @@
   aItem.mLeftUnknownAt = -1;
   aItem.mWaiting.reset();
   Changed(aItem);
-  if (!aItem.mRecord.mAddress.empty()) {
+  // One that is gone proves nothing against whoever has its address now.
+  const bool there = aItem.mRecord.mState != UpstreamState::kGone;
+  if (there && !aItem.mRecord.mAddress.empty()) {
     EndPredecessors(aItem.mRecord);
   }
 }
--- a/tests/servers/registry_test.cpp
+++ b/tests/servers/registry_test.cpp
@@ -364,6 +364,13 @@
     CHECK(StateOf(registry, "fresh") == UpstreamState::kReady);
     CHECK(StateOf(registry, "late") == UpstreamState::kSilent);
   }
+  SECTION("nor does late word that one is gone, whatever its clock said") {
+    UpstreamRecord gone = Record("gone", 30, UpstreamState::kGone);
+    gone.mStart = 300;
+    registry.Merge(gone, 1100);
+    CHECK(StateOf(registry, "fresh") == UpstreamState::kReady);
+    CHECK(StateOf(registry, "gone") == UpstreamState::kGone);
+  }
   SECTION("one that started there later does") {
     UpstreamRecord next = Record("next", 1);
     next.mStart = 300;
