Layers and ages that are told have an upper bound

Change: rows with layers above 10,000 or an age above 30 days are left out and counted as others that cannot be used. The age of news is checked, too, and added to that of its records in one place, which stood twice.

servers_tests: two new checks of a value out of range fail without the change and pass with it. daemons_tests: new test of the age of news, run with the change only (the call is new); the tests of incarnations pass.

--- a/daemons/bad_words.cpp
+++ b/daemons/bad_words.cpp
@@ -51,6 +51,18 @@
       aAt, [&] { return UnpackUpstreams(aPacked, At(aAt)); });
 }
 
+std::vector<UpstreamRecord> BadWords::Unpack(const char* aAt,
+                                             const UpstreamNews& aNews) {
+  return RowsOf<std::vector<UpstreamRecord>>(aAt, [&] {
+    RequireAge(aNews.mAgo);
+    std::vector<UpstreamRecord> records = UnpackUpstreams(aNews.mText, At(aAt));
+    for (UpstreamRecord& record : records) {
+      record.mHeardAgo += aNews.mAgo;
+    }
+    return records;
+  });
+}
+
 std::vector<UpstreamBeat> BadWords::Beats(const char* aAt,
                                           const Json::Value& aTable) {
   return RowsOf<std::vector<UpstreamBeat>>(
--- a/daemons/bad_words.h
+++ b/daemons/bad_words.h
@@ -11,6 +11,7 @@
 
 #include "spindleweir/core/counters.h"
 #include "spindleweir/servers/membership/upstream_check.h"
+#include "spindleweir/servers/membership/upstream_feed.h"
 #include "spindleweir/servers/routing/load_book.h"
 
 namespace spindleweir {
@@ -27,6 +28,9 @@
   BadRowHook At(const char* aAt);
   /// The rows of a list that can be used; none where it cannot be read at all.
   std::vector<UpstreamRecord> Unpack(const char* aAt, std::string_view aPacked);
+  /// The same of records as they were some time ago, with their ages of now.
+  std::vector<UpstreamRecord> Unpack(const char* aAt,
+                                     const UpstreamNews& aNews);
   std::vector<UpstreamBeat> Beats(const char* aAt, const Json::Value& aTable);
   LoadShares Loads(const char* aAt, std::string_view aPacked);
 
--- a/daemons/control/upstream_intake.cpp
+++ b/daemons/control/upstream_intake.cpp
@@ -92,9 +92,8 @@
 void UpstreamIntake::Take(const SyncAnswer& aAnswer, const std::string& aBy) {
   const Millis now = SteadyNow();
   for (const UpstreamNews& news : aAnswer.mNewsOfUpstreams) {
-    for (UpstreamRecord& record :
-         mContext.mBadWords.Unpack("news", news.mText)) {
-      record.mHeardAgo += news.mAgo;
+    for (const UpstreamRecord& record :
+         mContext.mBadWords.Unpack("news", news)) {
       mRegistry.Merge(record, now, aBy);
     }
   }
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -208,9 +208,8 @@
     mContext.mDirectory.Heard(info, now);
   }
   for (const UpstreamNews& news : aAnswer.mNewsOfUpstreams) {
-    for (UpstreamRecord& record :
-         mContext.mBadWords.Unpack("news", news.mText)) {
-      record.mHeardAgo += news.mAgo;
+    for (const UpstreamRecord& record :
+         mContext.mBadWords.Unpack("news", news)) {
       TakeUpstream(record, aAnswer.mSelf.mId);
     }
   }
--- a/include/spindleweir/servers/membership/upstream_check.h
+++ b/include/spindleweir/servers/membership/upstream_check.h
@@ -21,6 +21,10 @@
 /// A name of an instance, as it can stand in a header.
 void RequireInstance(std::string_view aInstance);
 
+/// An age as it is told. Throws kBadHeartbeat where it is negative or above 30
+/// days.
+void RequireAge(Millis aAge);
+
 /// Called for each row that is left out.
 using BadRowHook =
     std::function<void(const std::string& aInstance, const Error& aWhy)>;
--- a/servers/membership/upstream_check.cpp
+++ b/servers/membership/upstream_check.cpp
@@ -13,6 +13,12 @@
 
 /// Names are far shorter; a longer one would not fit into a header either.
 constexpr std::size_t kLongestName = 256;
+/// Published models have some 130 layers. Routers keep a list for each layer
+/// that any engine holds: at 2^31 of them, 48 GB.
+constexpr int kMostLayers = 10000;
+/// Ages are added and taken from times; those that are told are below a minute,
+/// and more only after a standstill of the process that tells them.
+constexpr Millis kOldest = Millis{30} * 24 * 3600 * 1000;
 constexpr Millis kLogEvery = 10000;
 
 [[noreturn]] void Refuse(const std::string& aWhy) {
@@ -60,6 +66,13 @@
 
 }  // namespace
 
+void RequireAge(Millis aAge) {
+  RequireAtLeast(aAge, "the time since it was heard");
+  if (aAge > kOldest) {
+    Refuse("the time since it was heard must be at most 30 days");
+  }
+}
+
 void RequireInstance(std::string_view aInstance) {
   const bool good =
       !aInstance.empty() && aInstance.size() <= kLongestName &&
@@ -74,7 +87,7 @@
   RequireInstance(aRecord.mInstance);
   RequireAtLeast(aRecord.mSequence, "the sequence number");
   RequireAtLeast(aRecord.mStart, "the start");
-  RequireAtLeast(aRecord.mHeardAgo, "the time since it was heard");
+  RequireAge(aRecord.mHeardAgo);
   if (aRecord.mState < UpstreamState::kReady ||
       aRecord.mState > UpstreamState::kGone) {
     Refuse("the state is not known");
@@ -90,8 +103,10 @@
   RequireAtLeast(aRecord.mSlots, "the number of slots");
   const LayerRange& layers = aRecord.mLayers;
   const bool none = layers == LayerRange{};
-  if (!none && (layers.mFrom < 0 || layers.mFrom >= layers.mTo)) {
-    Refuse("layers must go from 0 or more to more than that");
+  const bool good = layers.mFrom >= 0 && layers.mFrom < layers.mTo &&
+                    layers.mTo <= kMostLayers;
+  if (!none && !good) {
+    Refuse("layers must go from 0 or more to more than that, 10000 at most");
   }
   RequireAddress(aRecord.mAddress);
 }
@@ -100,7 +115,7 @@
   RequireInstance(aBeat.mInstance);
   RequireAtLeast(aBeat.mSequence, "the sequence number");
   RequireAtLeast(aBeat.mStart, "the start");
-  RequireAtLeast(aBeat.mHeardAgo, "the time since it was heard");
+  RequireAge(aBeat.mHeardAgo);
 }
 
 void RequireUsable(const SilentUpstream& aSilent) {
--- a/tests/daemons/incarnation_test.cpp
+++ b/tests/daemons/incarnation_test.cpp
@@ -1,4 +1,8 @@
 /// Upstreams that start again under their name, over processes.
+#include <limits>
+
+#include "daemons/bad_words.h"
+#include "spindleweir/servers/membership/upstream_table.h"
 #include "tests/daemons/relay_story.h"
 
 using namespace spindleweir;
@@ -201,3 +205,19 @@
               "at=\"heartbeat\",cause=\"BadHeartbeat\"") == 1);
   }
 }
+
+Test(incarnation, news_of_an_age_that_cannot_be_is_left_out) {
+  Counters counters;
+  BadWords words(counters);
+  const std::string text = PackUpstreams({{.mInstance = "a",
+                                           .mService = "s",
+                                           .mAddress = "10.0.0.1:80",
+                                           .mZone = "z",
+                                           .mHeardAgo = 40}});
+  const auto read = words.Unpack("news", UpstreamNews{text, 30});
+  REQUIRE(read.size() == 1);
+  CHECK(read[0].mHeardAgo == 70);
+  for (const Millis age : {std::numeric_limits<Millis>::max(), Millis{-1}}) {
+    CHECK(words.Unpack("news", UpstreamNews{text, age}).empty());
+  }
+}
--- a/tests/servers/registry_test.cpp
+++ b/tests/servers/registry_test.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include "spindleweir/core/packing.h"
 #include "spindleweir/servers/membership/control_directory.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
@@ -446,6 +448,8 @@
     CHECK(rowsAfter("sequences", -1));
     CHECK(rowsAfter("starts", -1));
     CHECK(rowsAfter("heard_ago_ms", -1));
+    CHECK(rowsAfter("heard_ago_ms", std::numeric_limits<Json::Int64>::max()));
+    CHECK(rowsAfter("tos", std::numeric_limits<int>::max()));
     CHECK(rowsAfter("services", 9));
     CHECK(rowsAfter("busy", 2));
     CHECK(rowsAfter("addresses", "nowhere"));
