--- a/tests/servers/registry_test.cpp
+++ b/tests/servers/registry_test.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include "spindleweir/core/packing.h"
 #include "spindleweir/servers/membership/control_directory.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
@@ -364,6 +366,13 @@
     CHECK(StateOf(registry, "fresh") == UpstreamState::kReady);
     CHECK(StateOf(registry, "late") == UpstreamState::kSilent);
   }
+  SECTION("nor does late word that one is gone, whatever its clock said") {
+    UpstreamRecord gone = Record("gone", 30, UpstreamState::kGone);
+    gone.mStart = 300;
+    registry.Merge(gone, 1100);
+    CHECK(StateOf(registry, "fresh") == UpstreamState::kReady);
+    CHECK(StateOf(registry, "gone") == UpstreamState::kGone);
+  }
   SECTION("one that started there later does") {
     UpstreamRecord next = Record("next", 1);
     next.mStart = 300;
@@ -439,6 +448,8 @@
     CHECK(rowsAfter("sequences", -1));
     CHECK(rowsAfter("starts", -1));
     CHECK(rowsAfter("heard_ago_ms", -1));
+    CHECK(rowsAfter("heard_ago_ms", std::numeric_limits<Json::Int64>::max()));
+    CHECK(rowsAfter("tos", std::numeric_limits<int>::max()));
     CHECK(rowsAfter("services", 9));
     CHECK(rowsAfter("busy", 2));
     CHECK(rowsAfter("addresses", "nowhere"));
