A request whose caller left before the answer is freed

evhttp takes a request that awaits its answer off a connection that ends and leaves it to who would answer; HttpExchange only forgot it. Each caller that left early (a call of a control or a router that was cancelled or timed out) cost the server a request with its headers: the evhttp_request reports of LeakSanitizer in the stories of the daemons. It is freed where evhttp says that it has no connection any more; with a connection (the server goes) evhttp frees it itself.

The test counts libevent's blocks; it fails in both of its sections without the change (run in the release build).

--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -149,8 +149,14 @@
   if (self == nullptr) {
     return;
   }
+  evhttp_request* request = self->mRequest;
   self->mRequest = nullptr;
   self->mSelf.reset();
+  if (evhttp_request_get_connection(request) == nullptr) {
+    // evhttp left it to who would answer: 0.5 KB and its headers for each
+    // caller that leaves before the end.
+    evhttp_request_free(request);
+  }
   const std::function<void()> call = std::move(self->mOnClosed);
   if (call) {
     call();
--- a/tests/drivers/http_test.cpp
+++ b/tests/drivers/http_test.cpp
@@ -1,7 +1,9 @@
 #include <arpa/inet.h>
+#include <event2/event.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <optional>
 
 #include "spindleweir/drivers/http_client.h"
@@ -14,6 +16,26 @@
 
 constexpr Millis kLongest = 10000;
 
+/// Blocks of memory that libevent holds, from CountBlocks() on.
+int sBlocks = 0;
+
+/// Before anything of libevent is used.
+void CountBlocks() {
+  event_set_mem_functions(
+      [](std::size_t aSize) {
+        sBlocks++;
+        return std::malloc(aSize);
+      },
+      [](void* aBlock, std::size_t aSize) {
+        sBlocks += aBlock == nullptr ? 1 : 0;
+        return std::realloc(aBlock, aSize);
+      },
+      [](void* aBlock) {
+        sBlocks -= aBlock == nullptr ? 0 : 1;
+        std::free(aBlock);
+      });
+}
+
 /// A server and a client in one loop.
 struct Pair {
   Pair()
@@ -169,6 +191,42 @@
   }
 }
 
+Test(http, a_caller_that_leaves_before_the_answer_leaves_no_memory_behind) {
+  CountBlocks();
+  Pair pair;
+  const auto leave = [&pair] {
+    pair.mClosed = false;
+    pair.mExchange.reset();
+    auto call = pair.mClient.Start(pair.Call("x"));
+    REQUIRE(pair.RunUntil([&] { return pair.mExchange != nullptr; }));
+    call.reset();
+    REQUIRE(pair.RunUntil([&] { return pair.mClosed; }));
+    // What the loop has still to free.
+    pair.RunUntil([] { return true; });
+  };
+  const auto leaves = [&leave] {
+    for (int i = 0; i < 5; i++) {
+      leave();
+    }
+  };
+  leaves();
+  SECTION("with nothing sent") {
+    const int before = sBlocks;
+    leaves();
+    CHECK(sBlocks <= before);
+  }
+  SECTION("in the midst of a stream") {
+    pair.mHandle = [&pair] {
+      pair.mExchange->StartStream(200, "text/plain");
+      pair.mExchange->Write("one");
+    };
+    leaves();
+    const int before = sBlocks;
+    leaves();
+    CHECK(sBlocks <= before);
+  }
+}
+
 Test(http, bad_input_is_answered_or_closed) {
   Pair pair;
   pair.mHandle = [&] { pair.mExchange->Reply(200, "text/plain", "ok"); };
