Hundreds of routers without a lease ask as seldom as others

By the schedule 300 routers that lack a lease ask each of six controls 416 times a second, 143 as usual. Change: with more than 200 routers none asks sooner.

--- a/servers/membership/ask_schedule.cpp
+++ b/servers/membership/ask_schedule.cpp
@@ -37,6 +37,10 @@
 /// controls then answer 500 questions a second each at most, of 0.25 ms, while
 /// 0.15 of a core is all that they have.
 constexpr double kLackingEachRouter = 0.8;
+/// Where there are more routers than this none asks sooner: 300 that have lost
+/// their lease would ask each control three times as often as usual, just when
+/// it has to elect, to read the configuration and to list 3,000 upstreams.
+constexpr int kMostAskingSooner = 200;
 /// One that turned a question away did no work for it, and is asked again as
 /// soon as it may listen: processes that start together listen within 0.25 s
 /// of each other.
@@ -84,7 +88,7 @@
       backOff == 1 ? 1 : kLeastSpread + (1 - kLeastSpread) * aControl.mSpread;
   double usual = static_cast<double>(
       aControl.mIsNear ? period : OthersPeriod(aControl, period));
-  if (aControl.mLacksLease) {
+  if (aControl.mLacksLease && aControl.mRouters <= kMostAskingSooner) {
     const double lacking =
         static_cast<double>(period) * LackingFactor(aControl, period);
     usual = std::min(usual, lacking);
--- a/tests/servers/starts_test.cpp
+++ b/tests/servers/starts_test.cpp
@@ -262,6 +262,14 @@
     large.mIsNear = false;
     CHECK(AskAgainAfter(large) == 600);
   }
+  SECTION("and not at all where there are so many that controls have no time") {
+    AskedControl many = lacking;
+    many.mRouters = 300;
+    many.mPeriod = 525;
+    CHECK(AskAgainAfter(many) == 525);
+    many.mIsNear = false;
+    CHECK(AskAgainAfter(many) == 2100);
+  }
   SECTION("one that did not listen yet as soon as it may") {
     AskedControl refused = lacking;
     refused.mWasRefused = true;
