--- a/bench/choice_play.cpp
+++ b/bench/choice_play.cpp
@@ -175,10 +175,10 @@
     const auto now = static_cast<Millis>(sight.mAt);
     PlayedRouter& router = *mRouters[sight.mRouter];
     if (!sight.mLate) {
-      router.mPaces.OnTime(sight.mPath, sight.mFrom);
+      router.mPaces.RecordOnTime(sight.mPath, sight.mFrom);
       return;
     }
-    router.mPaces.Late(sight.mPath, sight.mFrom, now);
+    router.mPaces.RecordLate(sight.mPath, sight.mFrom, now);
     StepPaces(router, now);
   }
 
@@ -191,7 +191,7 @@
       mResult.mQuestions++;
       const double said = TruePace(mEngines.at(instance),
                                    static_cast<double>(aNow - kReportLag));
-      aRouter.mPaces.TakeWord(instance, said, aNow + kQuestionMillis);
+      aRouter.mPaces.TakeReport(instance, said, aNow + kQuestionMillis);
     }
     for (const PaceChange& change : aRouter.mPaces.Judge(aNow)) {
       const bool slow = mEngines.at(change.mInstance).mTurnsSlow;
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t kMostReport = 256 * 1024;
 /// Streams that look for a path without slow engines in one step: each takes
 /// up to a millisecond of a small VM, and events are to be passed on meanwhile.
-constexpr int kMostLookForPath = 4;
+constexpr int kMostPathSearches = 4;
 
 }  // namespace
 
@@ -83,14 +83,14 @@
 void StreamGuard::Progress(StreamKey aKey, Millis aNow) {
   const std::optional<EventWait> inTime = mWatch.Progress(aKey, aNow);
   if (inTime.has_value()) {
-    mContext.mPaces.OnTime(inTime->mInstances, inTime->mFrom);
+    mContext.mPaces.RecordOnTime(inTime->mInstances, inTime->mFrom);
   }
 }
 
 void StreamGuard::StepPaces(Millis aNow) {
   EnginePaces& paces = mContext.mPaces;
   for (const EventWait& late : mWatch.TakeLate(aNow)) {
-    paces.Late(late.mInstances, late.mFrom, aNow);
+    paces.RecordLate(late.mInstances, late.mFrom, aNow);
   }
   const auto random = [this] { return mContext.Random(); };
   for (const std::string& instance :
@@ -113,7 +113,7 @@
         .Add("slow", change.mSlow)
         .Add("pace", change.mPace)
         .Add("by", NameOf(change.mSource))
-        .Add("word_age_ms", static_cast<Json::Int64>(change.mWordAge))
+        .Add("word_age_ms", static_cast<Json::Int64>(change.mReportAge))
         .Add("tellers", change.mTellers)
         .Add("late_streams", change.mLate);
   }
@@ -124,15 +124,15 @@
   if (slow.empty()) {
     return;
   }
-  int looked = 0;
+  int searches = 0;
   // The longest silent has the least time left.
   for (StreamKey key : mWatch.Through(slow)) {
     const auto it = mStreams.find(key);
     if (it == mStreams.end()) {
       continue;
     }
-    looked += it->second->LeaveSlow(aNow) ? 1 : 0;
-    if (looked >= kMostLookForPath) {
+    searches += it->second->LeaveSlow(aNow) ? 1 : 0;
+    if (searches >= kMostPathSearches) {
       return;
     }
   }
@@ -200,8 +200,8 @@
   mContext.mLoop.Post([call] {});
   mContext.mCounters.Add("probes");
   const bool refused = took < kProbeTimeout;
-  const bool followed = look.mStart != mContext.StartOf(aInstance);
-  if (aConnected || followed || (!refused && LateSince(look.mAt))) {
+  const bool restarted = look.mStart != mContext.StartOf(aInstance);
+  if (aConnected || restarted || (!refused && LateSince(look.mAt))) {
     return;
   }
   LogLine(LogLevel::kInfo, "upstream_unreachable")
@@ -232,8 +232,8 @@
     Look& ended = mStates[aInstance];
     const std::shared_ptr<StreamCall> call = std::move(ended.mCall);
     mContext.mLoop.Post([call] {});
-    const bool followed = ended.mStart != mContext.StartOf(aInstance);
-    if (aEnd != StreamEnd::kComplete || followed) {
+    const bool restarted = ended.mStart != mContext.StartOf(aInstance);
+    if (aEnd != StreamEnd::kComplete || restarted) {
       return;
     }
     try {
@@ -255,7 +255,7 @@
     return;
   }
   const Millis now = SteadyNow();
-  mContext.mPaces.TakeWord(aInstance, aState.mPace, now);
+  mContext.mPaces.TakeReport(aInstance, aState.mPace, now);
   JudgePaces(now);
   std::set<std::string> addresses;
   for (const StalledRequest& stalled : aState.mStalled) {
--- a/include/spindleweir/servers/routing/engine_pace.h
+++ b/include/spindleweir/servers/routing/engine_pace.h
@@ -1,8 +1,9 @@
-/// Which engines are slow: judged by what streams see and by the engines' own
-/// word, which is asked for only where there is suspicion and told to all
-/// routers with the loads.
+/// Which engines are slow: judged by the delays of streams and by the engines'
+/// own reports, which are asked for only where there is suspicion and shared
+/// with all routers in the loads.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,18 +22,18 @@
   /// model itself is off by up to a third under load, and paths of eight parts
   /// bear one part at this pace within the usual pauses.
   double mSlowFrom = 1.5;
-  /// An engine's word, and what others tell of it, holds for so long.
-  Millis mWordHolds = 1500;
-  /// A word that is newer goes before what others tell, which is half a second
-  /// to a second old; from then on an engine that is judged slow is asked
-  /// again.
+  /// An engine's report, and what others tell of it, holds for so long.
+  Millis mReportHolds = 1500;
+  /// A report that is newer goes before what others tell, which is half a
+  /// second to a second old; from then on an engine that is judged slow is
+  /// asked again.
   Millis mAskAgain = 700;
   /// What others tell is so old, at most.
   Millis mNewsAge = 1000;
-  /// An engine's word tells how it was so long ago, at most: streams that blame
-  /// it since are not contradicted by it.
-  Millis mWordLag = 500;
-  /// Without a new word a judgement fades over this time: the engine comes
+  /// An engine's report tells how it was so long ago, at most: streams that
+  /// blame it since are not contradicted by it.
+  Millis mReportLag = 500;
+  /// Without a new report a judgement fades over this time: the engine comes
   /// back by few requests first, as its cost falls.
   Millis mFade = 1000;
   /// An engine that says it is well isn't asked for so long by the same
@@ -48,7 +49,7 @@
   double mPerSecond = 0.5;
   double mFound = 3;
   /// Late streams that must blame the same engine, all their other parts being
-  /// cleared, before it is judged by streams alone: where it gives no word.
+  /// cleared, before it is judged by streams alone: where it gives no report.
   int mWitnesses = 3;
   Millis mBlameHolds = 1000;
   /// What such a judgement counts as: streams tell who is slow, hardly how.
@@ -57,7 +58,7 @@
 
 /// How an engine came to be judged.
 enum class PaceSource {
-  kWord,     ///< It said so to this router.
+  kReport,   ///< It reported so to this router.
   kNews,     ///< It said so to other routers.
   kStreams,  ///< Late streams have it in common.
 };
@@ -67,10 +68,10 @@
   std::string mInstance;
   bool mSlow = false;
   double mPace = 1;
-  PaceSource mSource = PaceSource::kWord;
-  Millis mWordAge = -1;  ///< Of its word here; -1: none.
-  int mTellers = 0;      ///< Other routers that say so.
-  int mLate = 0;         ///< Late streams through it that blamed it.
+  PaceSource mSource = PaceSource::kReport;
+  Millis mReportAge = -1;  ///< Of its report here; -1: none.
+  int mTellers = 0;        ///< Other routers that say so.
+  int mLate = 0;           ///< Late streams through it that blamed it.
 };
 
 /// The paces as one router knows them. Decisions only: the time comes with
@@ -80,26 +81,27 @@
   explicit EnginePaces(EnginePaceOptions aOptions = {}) : mOptions(aOptions) {}
 
   /// An event that was waited for from aFrom on came in time by this path.
-  void OnTime(std::span<const std::string> aPath, Millis aFrom);
+  void RecordOnTime(std::span<const std::string> aPath, Millis aFrom);
   /// One that was waited for from aFrom on is late. What was cleared since
   /// isn't suspected, nor is anything where a part is known to be slow.
-  void Late(std::span<const std::string> aPath, Millis aFrom, Millis aNow);
+  void RecordLate(std::span<const std::string> aPath, Millis aFrom,
+                  Millis aNow);
 
-  /// The engines that this router should ask for their word now. They count as
+  /// The engines that this router should ask for a report now. They count as
   /// asked. aRouters: that share the questions to known slow engines.
   /// aRandom: 0 to 1.
   std::vector<std::string> ToAsk(Millis aNow, int aRouters,
                                  const std::function<double()>& aRandom);
   /// What an engine said of itself, over 1 being slow.
-  void TakeWord(const std::string& aInstance, double aPace, Millis aNow);
+  void TakeReport(const std::string& aInstance, double aPace, Millis aNow);
   /// What other routers tell now. An engine of which they tell nothing any more
-  /// keeps what they told last for as long as a word holds.
+  /// keeps what they told last for as long as a report holds.
   void TakeNews(const LoadShares& aOthers, Millis aNow);
   /// Adds what this router tells the others.
   void Tell(LoadShares& aLoads, Millis aNow) const;
 
   /// Judges anew; returns what changed. To be called every few dozen
-  /// milliseconds, and after words and news.
+  /// milliseconds, and after reports and news.
   std::vector<PaceChange> Judge(Millis aNow);
   /// Times that an engine takes as long as its model says, as judged; 1: well.
   double PaceOf(const std::string& aInstance) const;
@@ -116,8 +118,8 @@
     Millis mClearedFrom =
         -1;  ///< An event waited for from here on was on time.
     Millis mAskedAt = -1;
-    Millis mWordAt = -1;
-    double mWord = 1;
+    Millis mReportedAt = -1;
+    double mReportedPace = 1;
     Millis mQuietUntil = -1;
     Millis mQuiet = 0;
     int mSuspicion = 0;  ///< Late streams since it was asked or cleared.
@@ -128,6 +130,15 @@
     bool mWasSlow = false;  ///< When it said that it is well.
   };
 
+  /// An engine that may be asked; the greatest is asked first.
+  struct Suspect {
+    bool mIsSecond = false;  ///< It was asked a moment ago.
+    double mSuspicion = 0;   ///< Late streams, and chance.
+    std::string mInstance;
+
+    auto operator<=>(const Suspect&) const = default;
+  };
+
   /// What other routers say of one engine.
   struct News {
     double mPace = 1;
@@ -138,14 +149,22 @@
   /// Whether it says, or others tell, that it is slow.
   bool IsKnownSlow(const std::string& aInstance, const Engine& aEngine,
                    Millis aNow) const;
-  /// Whether streams blame it since the time that its word is about.
+  /// Whether streams blame it since the time that its report is about.
   bool IsBlamed(const Engine& aEngine) const;
-  bool HoldsSlowWord(const Engine& aEngine, Millis aNow) const;
+  bool HoldsSlowReport(const Engine& aEngine, Millis aNow) const;
   /// A pace that fades once it is older than it holds.
   double Faded(double aPace, Millis aAge, Millis aHolds) const;
   PaceChange JudgeOne(const std::string& aInstance, const Engine& aEngine,
                       Millis aNow) const;
   int TellersOf(const std::string& aInstance) const;
+  /// Whether an engine known to be slow should be asked again now.
+  bool IsDueAgain(const Engine& aEngine, Millis aNow, int aRouters,
+                  const std::function<double()>& aRandom) const;
+  /// Adds those that the allowance is enough for to aAsked.
+  void AskSuspects(std::vector<Suspect> aSuspects, Millis aNow,
+                   std::vector<std::string>& aAsked);
+  void TakeSlowReport(const std::string& aInstance, double aPace, Millis aNow);
+  void TakeWellReport(const std::string& aInstance, double aPace, Millis aNow);
   void Refill(Millis aNow);
 
   EnginePaceOptions mOptions;
@@ -157,7 +176,7 @@
   std::int64_t mRevision = 0;
 };
 
-/// For logs.
+/// The source as log lines name it.
 const char* NameOf(PaceSource aSource);
 
 }  // namespace spindleweir
--- a/servers/routing/engine_pace.cpp
+++ b/servers/routing/engine_pace.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
+#include <utility>
 
 namespace spindleweir {
 
@@ -18,8 +18,8 @@
 constexpr int kMostAtOnce = 3;
 /// An engine is not asked twice in this time by one router. Its report tells
 /// how it was at the last question that is 200 ms old: the first question after
-/// a while finds hardly any (411 words within 150 ms, 13 of 98 engines slow for
-/// 0.7 s: 3), the next one, 240 ms later, does.
+/// a while finds hardly any (411 reports within 150 ms, 13 of 98 engines slow
+/// for 0.7 s: 3), the next one, 240 ms later, does.
 constexpr Millis kAskGap = 240;
 /// For so long a question counts as a first one.
 constexpr Millis kSecondWithin = 1000;
@@ -37,7 +37,7 @@
 
 const char* NameOf(PaceSource aSource) {
   switch (aSource) {
-    case PaceSource::kWord:
+    case PaceSource::kReport:
       return "word";
     case PaceSource::kNews:
       return "news";
@@ -47,7 +47,8 @@
   return "";
 }
 
-void EnginePaces::OnTime(std::span<const std::string> aPath, Millis aFrom) {
+void EnginePaces::RecordOnTime(std::span<const std::string> aPath,
+                               Millis aFrom) {
   for (const std::string& instance : aPath) {
     Engine& engine = mEngines[instance];
     engine.mClearedFrom = std::max(engine.mClearedFrom, aFrom);
@@ -56,8 +57,8 @@
   }
 }
 
-void EnginePaces::Late(std::span<const std::string> aPath, Millis aFrom,
-                       Millis aNow) {
+void EnginePaces::RecordLate(std::span<const std::string> aPath, Millis aFrom,
+                             Millis aNow) {
   std::vector<Engine*> suspects;
   for (const std::string& instance : aPath) {
     if (mSlow.contains(instance)) {
@@ -82,19 +83,20 @@
   blamed.mBlamedAt = aNow;
 }
 
-bool EnginePaces::HoldsSlowWord(const Engine& aEngine, Millis aNow) const {
-  return aEngine.mWordAt >= 0 && aEngine.mWord >= mOptions.mSlowFrom &&
-         aNow - aEngine.mWordAt < mOptions.mWordHolds;
+bool EnginePaces::HoldsSlowReport(const Engine& aEngine, Millis aNow) const {
+  return aEngine.mReportedAt >= 0 &&
+         aEngine.mReportedPace >= mOptions.mSlowFrom &&
+         aNow - aEngine.mReportedAt < mOptions.mReportHolds;
 }
 
 bool EnginePaces::IsKnownSlow(const std::string& aInstance,
                               const Engine& aEngine, Millis aNow) const {
-  return HoldsSlowWord(aEngine, aNow) || mNews.contains(aInstance);
+  return HoldsSlowReport(aEngine, aNow) || mNews.contains(aInstance);
 }
 
 bool EnginePaces::IsBlamed(const Engine& aEngine) const {
   return aEngine.mBlames >= mOptions.mWitnesses &&
-         aEngine.mBlamedFrom >= aEngine.mWordAt - mOptions.mWordLag;
+         aEngine.mBlamedFrom >= aEngine.mReportedAt - mOptions.mReportLag;
 }
 
 int EnginePaces::TellersOf(const std::string& aInstance) const {
@@ -111,11 +113,18 @@
   mRefilledAt = aNow;
 }
 
+bool EnginePaces::IsDueAgain(const Engine& aEngine, Millis aNow, int aRouters,
+                             const std::function<double()>& aRandom) const {
+  const bool isNew = aEngine.mReportedAt >= 0 &&
+                     aNow - aEngine.mReportedAt < mOptions.mAskAgain;
+  return !isNew && aRandom() * std::max(1, aRouters) < kAgainChance;
+}
+
 std::vector<std::string> EnginePaces::ToAsk(
     Millis aNow, int aRouters, const std::function<double()>& aRandom) {
   Refill(aNow);
   std::vector<std::string> asked;
-  std::vector<std::tuple<bool, double, std::string>> suspects;
+  std::vector<Suspect> suspects;
   for (auto& [instance, engine] : mEngines) {
     const bool justAsked =
         engine.mAskedAt >= 0 && aNow - engine.mAskedAt < kAskGap;
@@ -123,9 +132,7 @@
       continue;
     }
     if (mSlow.contains(instance) && IsKnownSlow(instance, engine, aNow)) {
-      const bool isNew =
-          engine.mWordAt >= 0 && aNow - engine.mWordAt < mOptions.mAskAgain;
-      if (!isNew && aRandom() * std::max(1, aRouters) < kAgainChance) {
+      if (IsDueAgain(engine, aNow, aRouters, aRandom)) {
         engine.mAskedAt = aNow;
         asked.push_back(instance);
       }
@@ -140,53 +147,70 @@
       suspects.push_back({second, engine.mSuspicion + aRandom(), instance});
     }
   }
-  std::sort(suspects.rbegin(), suspects.rend());
+  AskSuspects(std::move(suspects), aNow, asked);
+  return asked;
+}
+
+void EnginePaces::AskSuspects(std::vector<Suspect> aSuspects, Millis aNow,
+                              std::vector<std::string>& aAsked) {
+  std::sort(aSuspects.rbegin(), aSuspects.rend());
   int left = kMostAtOnce;
-  for (const auto& [second, suspicion, instance] : suspects) {
-    const double kept = second ? 0 : mOptions.mBurst * kForSecond;
+  for (const Suspect& suspect : aSuspects) {
+    const double kept = suspect.mIsSecond ? 0 : mOptions.mBurst * kForSecond;
     if (mAllowance < 1 + kept || left-- <= 0) {
       break;
     }
     mAllowance -= 1;
-    Engine& engine = mEngines[instance];
+    Engine& engine = mEngines[suspect.mInstance];
     engine.mAskedAt = aNow;
     engine.mSuspicion = 0;
-    asked.push_back(instance);
+    aAsked.push_back(suspect.mInstance);
   }
-  return asked;
 }
 
-void EnginePaces::TakeWord(const std::string& aInstance, double aPace,
-                           Millis aNow) {
+void EnginePaces::TakeReport(const std::string& aInstance, double aPace,
+                             Millis aNow) {
+  const double reported = std::clamp(aPace, kWell, kMostPace);
+  if (reported >= mOptions.mSlowFrom) {
+    TakeSlowReport(aInstance, reported, aNow);
+  } else {
+    TakeWellReport(aInstance, reported, aNow);
+  }
+}
+
+void EnginePaces::TakeSlowReport(const std::string& aInstance, double aPace,
+                                 Millis aNow) {
   Engine& engine = mEngines[aInstance];
   const bool wasKnown = IsKnownSlow(aInstance, engine, aNow);
-  const double said = std::clamp(aPace, kWell, kMostPace);
   const bool second =
-      engine.mWordAt >= 0 && aNow - engine.mWordAt <= kSecondWithin;
-  if (said >= mOptions.mSlowFrom && !wasKnown && !second) {
+      engine.mReportedAt >= 0 && aNow - engine.mReportedAt <= kSecondWithin;
+  engine.mReportedAt = aNow;
+  if (!wasKnown && !second) {
     // It may tell of the time of a question long ago: engines that had been
     // slow were judged so again 7 to 17 s after they were well.
-    engine.mWord = kWell;
-    engine.mWordAt = aNow;
+    engine.mReportedPace = kWell;
     engine.mSuspicion++;
     engine.mQuietUntil = aNow;
     return;
   }
-  if (said >= mOptions.mSlowFrom) {
-    engine.mWord = said;
-    engine.mWordAt = aNow;
-    engine.mQuiet = 0;
-    mAllowance = std::min(mOptions.mBurst,
-                          mAllowance + (wasKnown ? 0 : mOptions.mFound));
-    return;
-  }
-  const bool wasSlow = mSlow.contains(aInstance) && wasKnown;
-  const bool toldWell = engine.mWasSlow && engine.mWord < mOptions.mSlowFrom &&
-                        aNow - engine.mWordAt < mOptions.mWordHolds;
-  engine.mWasSlow = wasSlow || toldWell;
+  engine.mReportedPace = aPace;
+  engine.mQuiet = 0;
+  mAllowance =
+      std::min(mOptions.mBurst, mAllowance + (wasKnown ? 0 : mOptions.mFound));
+}
+
+void EnginePaces::TakeWellReport(const std::string& aInstance, double aPace,
+                                 Millis aNow) {
+  Engine& engine = mEngines[aInstance];
+  const bool wasSlow =
+      mSlow.contains(aInstance) && IsKnownSlow(aInstance, engine, aNow);
+  const bool reportedWell = engine.mWasSlow &&
+                            engine.mReportedPace < mOptions.mSlowFrom &&
+                            aNow - engine.mReportedAt < mOptions.mReportHolds;
+  engine.mWasSlow = wasSlow || reportedWell;
   engine.mWellAt = engine.mWasSlow ? aNow : engine.mWellAt;
-  engine.mWord = said;
-  engine.mWordAt = aNow;
+  engine.mReportedPace = aPace;
+  engine.mReportedAt = aNow;
   mNews.erase(aInstance);
   engine.mQuiet =
       std::clamp(engine.mQuiet * 2, mOptions.mQuiet, mOptions.mMostQuiet);
@@ -199,17 +223,17 @@
       mNews.erase(instance);
       Engine& engine = mEngines[instance];
       engine.mWellAt = aNow;
-      const bool isNew = aNow - engine.mWordAt < mOptions.mAskAgain;
-      if (HoldsSlowWord(engine, aNow) && !isNew) {
-        engine.mWord = kWell;
+      const bool isNew = aNow - engine.mReportedAt < mOptions.mAskAgain;
+      if (HoldsSlowReport(engine, aNow) && !isNew) {
+        engine.mReportedPace = kWell;
       }
       continue;
     }
     const auto known = mEngines.find(instance);
-    // Words of before travel on for a while after one hears that it is well.
-    const bool isOld =
-        known != mEngines.end() && known->second.mWellAt >= 0 &&
-        aNow - known->second.mWellAt < mOptions.mWordHolds + mOptions.mNewsAge;
+    // Reports of before travel on for a while after one hears that it is well.
+    const bool isOld = known != mEngines.end() && known->second.mWellAt >= 0 &&
+                       aNow - known->second.mWellAt <
+                           mOptions.mReportHolds + mOptions.mNewsAge;
     if (share.mPaceTellers <= 0 || isOld) {
       continue;
     }
@@ -220,15 +244,16 @@
                        .mHeardAt = aNow};
   }
   std::erase_if(mNews, [&](const auto& aItem) {
-    return aNow - aItem.second.mHeardAt > mOptions.mWordHolds + mOptions.mFade;
+    return aNow - aItem.second.mHeardAt >
+           mOptions.mReportHolds + mOptions.mFade;
   });
 }
 
 void EnginePaces::Tell(LoadShares& aLoads, Millis aNow) const {
   for (const auto& [instance, engine] : mEngines) {
-    const bool holds =
-        engine.mWordAt >= 0 && aNow - engine.mWordAt < mOptions.mWordHolds;
-    const bool slow = engine.mWord >= mOptions.mSlowFrom;
+    const bool holds = engine.mReportedAt >= 0 &&
+                       aNow - engine.mReportedAt < mOptions.mReportHolds;
+    const bool slow = engine.mReportedPace >= mOptions.mSlowFrom;
     if (!holds || (!slow && !engine.mWasSlow)) {
       continue;
     }
@@ -238,7 +263,7 @@
       share.mWellTellers = 1;
       continue;
     }
-    share.mPacePercent = std::llround(engine.mWord * kPercent);
+    share.mPacePercent = std::llround(engine.mReportedPace * kPercent);
     share.mPaceTellers = 1;
   }
 }
@@ -255,20 +280,22 @@
 PaceChange EnginePaces::JudgeOne(const std::string& aInstance,
                                  const Engine& aEngine, Millis aNow) const {
   PaceChange judged{.mInstance = aInstance, .mLate = aEngine.mBlames};
-  const Millis wordAge = aEngine.mWordAt < 0 ? -1 : aNow - aEngine.mWordAt;
-  judged.mWordAge = wordAge;
+  const Millis reportAge =
+      aEngine.mReportedAt < 0 ? -1 : aNow - aEngine.mReportedAt;
+  judged.mReportAge = reportAge;
   const auto news = mNews.find(aInstance);
   judged.mTellers = TellersOf(aInstance);
-  if (wordAge >= 0) {
-    judged.mPace = aEngine.mWord >= mOptions.mSlowFrom
-                       ? Faded(aEngine.mWord, wordAge, mOptions.mWordHolds)
-                       : kWell;
+  if (reportAge >= 0) {
+    judged.mPace =
+        aEngine.mReportedPace >= mOptions.mSlowFrom
+            ? Faded(aEngine.mReportedPace, reportAge, mOptions.mReportHolds)
+            : kWell;
   }
-  // A word newer than what others tell goes before it.
-  const bool isNew = wordAge >= 0 && wordAge < mOptions.mAskAgain;
+  // A report newer than what others tell goes before it.
+  const bool isNew = reportAge >= 0 && reportAge < mOptions.mAskAgain;
   if (!isNew && news != mNews.end()) {
     const double told = Faded(news->second.mPace, aNow - news->second.mHeardAt,
-                              mOptions.mWordHolds);
+                              mOptions.mReportHolds);
     judged.mSource = told > judged.mPace ? PaceSource::kNews : judged.mSource;
     judged.mPace = std::max(told, judged.mPace);
   }
@@ -287,7 +314,7 @@
   }
   std::vector<PaceChange> changes;
   for (auto& [instance, engine] : mEngines) {
-    const bool quiet = engine.mWordAt < 0 && engine.mBlames == 0 &&
+    const bool quiet = engine.mReportedAt < 0 && engine.mBlames == 0 &&
                        !mSlow.contains(instance) && !mNews.contains(instance);
     if (quiet) {
       continue;
--- a/tests/servers/pace_test.cpp
+++ b/tests/servers/pace_test.cpp
@@ -27,8 +27,8 @@
 /// An engine says it twice: what it says first may be old.
 void SayTwice(EnginePaces& aPaces, const std::string& aInstance, double aPace,
               Millis aNow) {
-  aPaces.TakeWord(aInstance, aPace, aNow - 240);
-  aPaces.TakeWord(aInstance, aPace, aNow);
+  aPaces.TakeReport(aInstance, aPace, aNow - 240);
+  aPaces.TakeReport(aInstance, aPace, aNow);
 }
 
 /// Two in five engines twelve times slower for four seconds.
@@ -49,11 +49,11 @@
   const Path bc{"b", "c"};
   SECTION("who is on a late path is asked for its word") {
     EnginePaces paces;
-    paces.Late(ab, 1000, 1150);
+    paces.RecordLate(ab, 1000, 1150);
     CHECK(Asks(paces, "a", 1160));
     // What it says to the first question was true before the stream was late.
-    paces.TakeWord("a", 1, 1170);
-    paces.Late(ab, 1150, 1250);
+    paces.TakeReport("a", 1, 1170);
+    paces.RecordLate(ab, 1150, 1250);
     CHECK(!Asks(paces, "a", 1260));
     CHECK(Asks(paces, "a", 1420));
     SayTwice(paces, "a", 12, 1620);
@@ -65,37 +65,37 @@
   }
   SECTION("a first word that it is slow is asked for again") {
     EnginePaces paces;
-    paces.TakeWord("a", 12, 1000);
+    paces.TakeReport("a", 12, 1000);
     CHECK(paces.Judge(1000).empty());
     CHECK(Asks(paces, "a", 1250));
-    paces.TakeWord("a", 12, 1260);
+    paces.TakeReport("a", 12, 1260);
     CHECK(paces.Judge(1260).size() == 1);
   }
   SECTION("who is on a path that was in time meanwhile isn't") {
     EnginePaces paces;
-    paces.OnTime(bc, 1050);
-    paces.Late(ab, 1000, 1150);
+    paces.RecordOnTime(bc, 1050);
+    paces.RecordLate(ab, 1000, 1150);
     CHECK(paces.ToAsk(1610, 1, Half) == Path{"a"});
   }
   SECTION("a path in time from before says nothing") {
     EnginePaces paces;
-    paces.OnTime(bc, 900);
-    paces.Late(ab, 1000, 1150);
+    paces.RecordOnTime(bc, 900);
+    paces.RecordLate(ab, 1000, 1150);
     CHECK(Asks(paces, "b", 1610));
   }
   SECTION("a path is late for what is known to be slow in it, not for others") {
     EnginePaces paces;
     SayTwice(paces, "a", 12, 1000);
     paces.Judge(1000);
-    paces.Late(ab, 1000, 1150);
+    paces.RecordLate(ab, 1000, 1150);
     CHECK(paces.ToAsk(1610, 1, Half).empty());
   }
   SECTION("an engine that gives no word is judged by several streams alone") {
     EnginePaces paces;
-    paces.OnTime(bc, 1100);
+    paces.RecordOnTime(bc, 1100);
     for (Millis at = 1000; at < 1003; at++) {
       CHECK(paces.Judge(1150).empty());
-      paces.Late(ab, at, 1150);
+      paces.RecordLate(ab, at, 1150);
     }
     CHECK(paces.Judge(1150).size() == 1);
     CHECK(paces.PaceOf("a") > 1);
@@ -105,20 +105,20 @@
   }
   SECTION("but not against its word, where that is about the same time") {
     EnginePaces paces;
-    paces.TakeWord("a", 1, 1600);
-    paces.OnTime(bc, 1100);
+    paces.TakeReport("a", 1, 1600);
+    paces.RecordOnTime(bc, 1100);
     for (Millis at = 1000; at < 1010; at++) {
-      paces.Late(ab, at, 1150);
+      paces.RecordLate(ab, at, 1150);
     }
     CHECK(paces.Judge(1650).empty());
   }
   SECTION("its word of before they were late does not contradict them") {
     EnginePaces paces;
-    paces.OnTime(bc, 1100);
+    paces.RecordOnTime(bc, 1100);
     for (Millis at = 1000; at < 1010; at++) {
-      paces.Late(ab, at, 1150);
+      paces.RecordLate(ab, at, 1150);
     }
-    paces.TakeWord("a", 1, 1160);
+    paces.TakeReport("a", 1, 1160);
     CHECK(paces.Judge(1160).size() == 1);
     CHECK(paces.PaceOf("a") > 1);
   }
@@ -131,12 +131,13 @@
   // for 20 s, and all of which say that they are well.
   for (Millis now = 0; now < 20000; now += 20) {
     for (int i = 0; i < 100; i += 2) {
-      paces.Late(Path{"e" + std::to_string(i), "e" + std::to_string(i + 1)},
-                 now - 150, now);
+      paces.RecordLate(
+          Path{"e" + std::to_string(i), "e" + std::to_string(i + 1)}, now - 150,
+          now);
     }
     for (const std::string& instance : paces.ToAsk(now, 1, Half)) {
       asked++;
-      paces.TakeWord(instance, 1.2, now + 10);
+      paces.TakeReport(instance, 1.2, now + 10);
     }
     CHECK(paces.Judge(now).empty());
   }
@@ -156,7 +157,7 @@
     other.TakeNews(told, 1400);
     CHECK(other.Judge(1500).size() == 1);
     CHECK(other.PaceOf("a") == 8);
-    other.Late(Path{"a"}, 1400, 1550);
+    other.RecordLate(Path{"a"}, 1400, 1550);
     CHECK(other.ToAsk(1960, 1, Half).empty());
   }
   SECTION("two that tell are not twice as slow") {
@@ -169,7 +170,7 @@
   SECTION("a word of its own that is newer goes before") {
     EnginePaces other;
     other.TakeNews(told, 1400);
-    other.TakeWord("a", 1, 1500);
+    other.TakeReport("a", 1, 1500);
     other.Judge(1510);
     CHECK(other.PaceOf("a") == 1);
   }
@@ -185,7 +186,7 @@
     EnginePaces other;
     other.TakeNews(told, 1400);
     other.Judge(1400);
-    other.TakeWord("a", 1, 1900);
+    other.TakeReport("a", 1, 1900);
     LoadShares well;
     other.Tell(well, 2000);
     CHECK(well.at("a").mWellTellers == 1);
@@ -199,7 +200,7 @@
   SECTION("who was told nothing slow tells nothing") {
     EnginePaces other;
     LoadShares nothing;
-    other.TakeWord("a", 1, 1000);
+    other.TakeReport("a", 1, 1000);
     other.Tell(nothing, 1010);
     CHECK(nothing.empty());
   }
@@ -215,7 +216,7 @@
     CHECK(paces.ToAsk(1600, 1, always).empty());
     CHECK(paces.ToAsk(1700, 1, Never).empty());
     CHECK(paces.ToAsk(1720, 1, always) == Path{"a"});
-    paces.TakeWord("a", 1, 1730);
+    paces.TakeReport("a", 1, 1730);
     const std::vector<PaceChange> changes = paces.Judge(1740);
     REQUIRE(changes.size() == 1);
     CHECK(!changes[0].mSlow);
