--- a/daemons/relay/relay_admission.cpp
+++ b/daemons/relay/relay_admission.cpp
@@ -32,8 +32,8 @@
     mOpenedAt = now;
   }
   // What others let in at their opening stands in loads that are newer.
-  const bool told = now - mContext.LoadsAge() > mOpenedAt;
-  mOpening = mContext.Starting() && !told;
+  const bool known = now - mContext.LoadsAge() > mOpenedAt;
+  mOpening = mContext.Starting() && !known;
   return mOpening;
 }
 
@@ -91,7 +91,7 @@
   }
 }
 
-double RelayAdmission::Unseen(const std::string& aService) {
+double RelayAdmission::UnreportedRequests(const std::string& aService) {
   const auto it = mGates.find(aService);
   if (it == mGates.end() || !Opening()) {
     return 0;
@@ -101,17 +101,19 @@
          (it->second.mBegun + static_cast<double>(it->second.mWaiting.size()));
 }
 
-void RelayAdmission::Came(const std::string& aRoute, Millis aDeadline) {
-  mFirstDeadlines[aRoute].Came(aDeadline);
+void RelayAdmission::RecordDeadline(const std::string& aRoute,
+                                    Millis aDeadline) {
+  mFirstDeadlines[aRoute].Record(aDeadline);
 }
 
-bool RelayAdmission::HasComeBack(const std::string& aRoute,
-                                 Millis aDeadline) const {
+bool RelayAdmission::IsLikelyRetry(const std::string& aRoute,
+                                   Millis aDeadline) const {
   const auto it = mFirstDeadlines.find(aRoute);
-  return it != mFirstDeadlines.end() && it->second.HasComeBack(aDeadline);
+  return it != mFirstDeadlines.end() && it->second.IsLikelyRetry(aDeadline);
 }
 
-void RelayAdmission::Measure(const TrafficService& aService, Gate& aGate) {
+void RelayAdmission::MeasureCarried(const TrafficService& aService,
+                                    Gate& aGate) {
   const Millis now = SteadyNow();
   if (aGate.mCarriedAt >= 0 && now - aGate.mCarriedAt < kMeasureCarried) {
     return;
@@ -142,7 +144,8 @@
   }
 }
 
-Millis RelayAdmission::LoadLeft(const TrafficService& aService, Gate& aGate) {
+Millis RelayAdmission::LoadingTimeLeft(const TrafficService& aService,
+                                       Gate& aGate) {
   // The most layers that one engine holds: it loads as many at most.
   int layers = 0;
   for (const UpstreamRecord* engine : mContext.ReadyEngines(aService.mName)) {
@@ -169,14 +172,14 @@
       aCause == ReturnCause::kNoLease ? kLeaseBack : kPlainFree;
   if (aCause == ReturnCause::kFull && aService != nullptr &&
       aService->IsEngine()) {
-    Measure(*aService, gate);
+    MeasureCarried(*aService, gate);
     question.mFreePerMilli =
         std::max(0.0, gate.mCarried - mContext.ArrivalsOf(aService->mName));
     question.mFreeAfter =
-        gate.mCarried > 0 ? kPlainFree : LoadLeft(*aService, gate);
+        gate.mCarried > 0 ? kPlainFree : LoadingTimeLeft(*aService, gate);
   }
-  advice.mAnswer = gate.mReturns.Tell(question);
-  advice.mExpected = gate.mReturns.Expected(question.mNow);
+  advice.mAnswer = gate.mReturns.Assign(question);
+  advice.mCallers = gate.mReturns.Expected(question.mNow);
   return advice;
 }
 
--- a/daemons/relay/relay_admission.h
+++ b/daemons/relay/relay_admission.h
@@ -24,7 +24,7 @@
 struct ReturnAdvice {
   ReturnQuestion mQuestion;
   ReturnAnswer mAnswer;
-  int mExpected = 0;  ///< Callers that were told to come, with this one.
+  int mCallers = 0;  ///< Callers that were told to come, with this one.
 };
 
 /// Of one router. Single-threaded.
@@ -37,14 +37,17 @@
   /// Asks for a request of an engine service, again and again until it goes.
   StartDecision Ask(const void* aRequest, const TrafficService& aService,
                     const StartRequest& aFacts);
+  /// The request asks no more.
   void Leave(const void* aRequest);
-  /// Requests that other routers may have begun unseen in the opening.
-  double Unseen(const std::string& aService);
-  /// A request of a route came that has so much time.
-  void Came(const std::string& aRoute, Millis aDeadline);
-  /// Whether one with so much time has most likely been tried before.
-  bool HasComeBack(const std::string& aRoute, Millis aDeadline) const;
-  /// aService: nullptr where it is not known. aLeft: of the caller's time.
+  /// Requests that other routers may have begun in the opening and that are in
+  /// no loads yet.
+  double UnreportedRequests(const std::string& aService);
+  /// Counts a request of a route that has so much time.
+  void RecordDeadline(const std::string& aRoute, Millis aDeadline);
+  /// Whether a request with so much time is most likely a caller's retry.
+  bool IsLikelyRetry(const std::string& aRoute, Millis aDeadline) const;
+  /// When a refused caller should come back. aService: nullptr where it is not
+  /// known. aLeft: of the caller's time.
   ReturnAdvice Return(const TrafficService* aService, ReturnCause aCause,
                       Millis aLeft);
 
@@ -73,8 +76,10 @@
   void MeasureReading(const TrafficService& aService, Gate& aGate);
   /// Routers that share what was measured.
   double Sharers(const Gate& aGate) const;
-  void Measure(const TrafficService& aService, Gate& aGate);
-  Millis LoadLeft(const TrafficService& aService, Gate& aGate);
+  /// What the paths of the zone carry, or since when it has no whole one.
+  void MeasureCarried(const TrafficService& aService, Gate& aGate);
+  /// Until the layers that the zone lacks are most likely loaded.
+  Millis LoadingTimeLeft(const TrafficService& aService, Gate& aGate);
 
   RelayContext& mContext;
   std::map<std::string, Gate> mGates;                    ///< By service.
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -29,7 +29,7 @@
 /// caller leaves after two seconds without an event. While 40 in 100 of the
 /// engines were slow, 377 requests of 9,400 were refused at their second
 /// attempt, and first comers, which come back, took the places.
-constexpr Millis kHoldReturned = 1500;
+constexpr Millis kHoldRetries = 1500;
 
 /// Statuses by which callers take a request for not run, now or ever.
 bool PromisesNotRun(int aStatus) {
@@ -222,7 +222,7 @@
 }
 
 void RelayRequest::HandleBody(std::string_view aBytes) {
-  if (mAttempt->mHandedOn) {
+  if (mAttempt->mPassesThrough) {
     mExchange->Write(aBytes);
     PushBack();
     return;
@@ -232,11 +232,11 @@
     return;
   }
   if (!mContext.mMemory->Bounded() || mExchange->Started() ||
-      PromisesFalsely()) {
+      WouldMisreportNotRun()) {
     AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
     return;
   }
-  HandOn();
+  PassThrough();
 }
 
 bool RelayRequest::MayCollect() {
@@ -250,16 +250,16 @@
   return memory->MayCollect();
 }
 
-bool RelayRequest::PromisesFalsely() const {
+bool RelayRequest::WouldMisreportNotRun() const {
   // It did not say that it had not run: its status would be a promise of ours
   // that nobody made.
   return PromisesNotRun(mAttempt->mHead.mStatus) && !mRoute->Repeatable();
 }
 
-void RelayRequest::HandOn() {
+void RelayRequest::PassThrough() {
   // What fails from here on cannot be tried at another upstream: the caller
   // has the head, and perhaps more.
-  mAttempt->mHandedOn = true;
+  mAttempt->mPassesThrough = true;
   mKept.reset();
   const std::string* length =
       FindHeader(mAttempt->mHead.mHeaders, "Content-Length");
@@ -348,13 +348,13 @@
 
 void RelayRequest::HandleWholeAnswer() {
   const int status = mAttempt->mHead.mStatus;
-  if (mAttempt->mHandedOn) {
+  if (mAttempt->mPassesThrough) {
     mExchange->End();
     End(IsSuccess(status) ? "served" : "upstream_failed", status);
     return;
   }
   const bool isStream = mAttempt->mFacts.mIsStream && IsSuccess(status);
-  if (PromisesFalsely()) {
+  if (WouldMisreportNotRun()) {
     AttemptFailed(Ran::kUnknown, ResultCode::kOutcomeUnknown, true);
     return;
   }
@@ -369,7 +369,8 @@
       }
     } else {
       mContext.Succeeded(mAttempt->mInstance);
-      mContext.PlainTook(mService->mName, SteadyNow() - mAttempt->mStartedAt);
+      mContext.RecordPlainTime(mService->mName,
+                               SteadyNow() - mAttempt->mStartedAt);
     }
     if (mExchange->Started()) {
       // A resumed stream was answered with a failure.
@@ -428,11 +429,13 @@
 }
 
 bool RelayRequest::MayTryAgain(Ran aRan) const {
-  const bool handedOn = mAttempt != nullptr && mAttempt->mHandedOn;
-  const bool allowed = (aRan == Ran::kNo || mRoute->Repeatable()) && !handedOn;
+  const bool passesThrough = mAttempt != nullptr && mAttempt->mPassesThrough;
+  const bool allowed =
+      (aRan == Ran::kNo || mRoute->Repeatable()) && !passesThrough;
   const int sent = mSent + (aRan == Ran::kNo ? 0 : 1);
-  const int refusals =
-      mExchange->Started() || HasComeBack() ? kMostRefusedMidway : kMostRefused;
+  const int refusals = mExchange->Started() || IsLikelyRetry()
+                           ? kMostRefusedMidway
+                           : kMostRefused;
   return allowed && sent < mRoute->mAttempts && mRefused < refusals &&
          mNotSent < kMostNotSent && Remaining() > kLeastForAttempt &&
          !mExchange->Closed();
@@ -483,14 +486,14 @@
                                     [this, aCode] { PayForRetry(aCode); });
 }
 
-bool RelayRequest::HasComeBack() const {
-  return mContext.mAdmission->HasComeBack(mRoute->mName, mFacts.mDeadline);
+bool RelayRequest::IsLikelyRetry() const {
+  return mContext.mAdmission->IsLikelyRetry(mRoute->mName, mFacts.mDeadline);
 }
 
 bool RelayRequest::IsWorthWaiting() const {
   const Millis waited = SteadyNow() - mExchange->ReceivedAt();
-  const bool held = HasComeBack() && !mExchange->Started() &&
-                    waited < std::min(kHoldReturned, mFacts.mDeadline / 2);
+  const bool held = IsLikelyRetry() && !mExchange->Started() &&
+                    waited < std::min(kHoldRetries, mFacts.mDeadline / 2);
   if (held) {
     return !mExchange->Closed() && Remaining() > kAskForPathAgain;
   }
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -225,7 +225,7 @@
   return mPaths[aService].mArrivals.PerMilli(SteadyNow());
 }
 
-void RelayContext::PlainTook(const std::string& aService, Millis aTime) {
+void RelayContext::RecordPlainTime(const std::string& aService, Millis aTime) {
   double& usual = mPaths[aService].mUsualTime;
   const auto time = static_cast<double>(aTime);
   usual = usual > 0 ? usual + kTimeWeight * (time - usual) : time;
@@ -236,19 +236,20 @@
                                 std::size_t aBodyBytes) {
   ServicePaths& paths = mPaths[aRecord.mService];
   const auto own = mOwnLoads.find(aRecord.mInstance);
-  UpstreamView view;
-  view.mSlots = aRecord.mSlots;
-  view.mOwn =
+  UpstreamOccupancy occupancy;
+  occupancy.mSlots = aRecord.mSlots;
+  occupancy.mOwn =
       own == mOwnLoads.end() ? 0 : static_cast<double>(own->second.mRequests);
-  view.mOthers = LoadOf(aRecord.mInstance).mRequests - view.mOwn;
-  view.mBodyBytes = static_cast<double>(aBodyBytes);
-  view.mOwnBytes = view.mOwn * view.mBodyBytes;
-  view.mRouters = mRouters;
-  view.mOwnRate = paths.mArrivals.PerMilli(SteadyNow()) /
-                  static_cast<double>(std::max<std::size_t>(1, aUpstreams));
-  view.mUsualTime = std::llround(std::ceil(paths.mUsualTime));
-  view.mNewsAge = std::min(kOldestNews, LoadsAge());
-  return MaySendTo(view, mOptions.mUpstreams);
+  occupancy.mOthers = LoadOf(aRecord.mInstance).mRequests - occupancy.mOwn;
+  occupancy.mBodyBytes = static_cast<double>(aBodyBytes);
+  occupancy.mOwnBytes = occupancy.mOwn * occupancy.mBodyBytes;
+  occupancy.mRouters = mRouters;
+  occupancy.mOwnRate =
+      paths.mArrivals.PerMilli(SteadyNow()) /
+      static_cast<double>(std::max<std::size_t>(1, aUpstreams));
+  occupancy.mUsualTime = std::llround(std::ceil(paths.mUsualTime));
+  occupancy.mNewsAge = std::min(kOldestNews, LoadsAge());
+  return MaySendTo(occupancy, mOptions.mUpstreams);
 }
 
 const std::vector<const UpstreamRecord*>& RelayContext::ReadyEngines(
@@ -270,12 +271,13 @@
   const Millis now = SteadyNow();
   const double others = mRouters - 1;
   const Millis age = std::min(kOldestNews, LoadsAge());
-  const double seldom =
+  const double sinceNews =
       others * paths.mArrivals.PerMilli(now) * static_cast<double>(age);
   PathAnswer answer = paths.mChoice.Choose(
-      aQuestion, {.mUnseen = std::max(seldom, mAdmission->Unseen(aService)),
-                  .mRevision = mRegistry.Revision() + mPaces.Revision(),
-                  .mNow = now});
+      aQuestion,
+      {.mUnseen = std::max(sinceNews, mAdmission->UnreportedRequests(aService)),
+       .mRevision = mRegistry.Revision() + mPaces.Revision(),
+       .mNow = now});
   mCounters.Add("paths", answer.mPath.empty() ? "way=\"none\""
                          : answer.mDealt      ? "way=\"dealt\""
                                               : "way=\"cheapest\"");
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -108,7 +108,7 @@
   bool MaySendPlain(const UpstreamRecord& aRecord, std::size_t aUpstreams,
                     std::size_t aBodyBytes);
   /// A request of a plain service took so long at its upstream.
-  void PlainTook(const std::string& aService, Millis aTime);
+  void RecordPlainTime(const std::string& aService, Millis aTime);
   /// A request that asks for a path of engines, or an upstream.
   void PathAsked(const std::string& aService);
   /// Requests a millisecond that come here for it.
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -23,7 +23,7 @@
 /// Moves of one attempt to another path.
 constexpr int kMostMoves = 4;
 /// What is known of other streams' moves is older than this.
-constexpr Millis kLookAgain = 300;
+constexpr Millis kSearchAgain = 300;
 /// Many streams leave the same engines at the same moment, at all routers: the
 /// cheapest for one is dearer by up to so much for another.
 constexpr double kMoveSpread = 1;
@@ -173,11 +173,11 @@
 bool RelayRequest::LeaveSlow(Millis aNow) {
   const bool may = mAttempt != nullptr && !mAttempt->mPath.empty() && !mEnded &&
                    mAttempt->mOrder == nullptr && mAttempt->mMoves < kMostMoves;
-  if (!may ||
-      aNow - std::max(mAttempt->mMovedAt, mAttempt->mLookedAt) < kLookAgain) {
+  if (!may || aNow - std::max(mAttempt->mMovedAt, mAttempt->mSearchedAt) <
+                  kSearchAgain) {
     return false;
   }
-  mAttempt->mLookedAt = aNow;
+  mAttempt->mSearchedAt = aNow;
   const PathQuestion question = EngineQuestion();
   const PathPace held = ExpectPace(question, mAttempt->mPath);
   LayerPath next = WithoutSlow(SlowParts());
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -121,7 +121,7 @@
   if (mRoute->mResumable) {
     mLastEvent = mFacts.mLastEvent;
   }
-  mContext.mAdmission->Came(mRoute->mName, mFacts.mDeadline);
+  mContext.mAdmission->RecordDeadline(mRoute->mName, mFacts.mDeadline);
   PickService();
   mContext.RetriesOf(mService->mName).RequestStarted(SteadyNow());
   mContext.PathAsked(mService->mName);
@@ -149,24 +149,28 @@
     mPathTimer = mContext.mLoop.After(decision.mAfter, [this] { AwaitTurn(); });
     return;
   }
-  const bool goes = decision.mVerdict == StartVerdict::kGo;
+  CountTurn(decision);
+  if (decision.mVerdict != StartVerdict::kGo) {
+    Refuse(ResultCode::kUpstreamFull, ReturnCause::kFull);
+    return;
+  }
+  StartAttempt();
+}
+
+void RelayRequest::CountTurn(const StartDecision& aDecision) {
+  const bool goes = aDecision.mVerdict == StartVerdict::kGo;
   LogLine(LogLevel::kInfo, "opening")
       .Add("request", mFacts.mId)
       .Add("let_in", goes)
       .Add("waited_ms",
            static_cast<Json::Int64>(SteadyNow() - mExchange->ReceivedAt()))
-      .Add("turn_in_ms", static_cast<Json::Int64>(decision.mAfter))
-      .Add("tokens_ahead", decision.mAhead)
-      .Add("share_per_ms", decision.mShare)
-      .Add("waiting", decision.mWaiting)
+      .Add("turn_in_ms", static_cast<Json::Int64>(aDecision.mAfter))
+      .Add("tokens_ahead", aDecision.mAhead)
+      .Add("share_per_ms", aDecision.mShare)
+      .Add("waiting", aDecision.mWaiting)
       .Add("routers", mContext.mRouters);
   mContext.mCounters.Add("opening",
                          goes ? "outcome=\"let_in\"" : "outcome=\"refused\"");
-  if (!goes) {
-    Refuse(ResultCode::kUpstreamFull, ReturnCause::kFull);
-    return;
-  }
-  StartAttempt();
 }
 
 void RelayRequest::PickService() {
@@ -248,7 +252,7 @@
            static_cast<Json::Int64>(advice.mQuestion.mFreeAfter))
       .Add("free_per_ms", advice.mQuestion.mFreePerMilli)
       .Add("room_expected", advice.mAnswer.mExpected)
-      .Add("callers_told", advice.mExpected)
+      .Add("callers_told", advice.mCallers)
       .Add("retry_after_ms", static_cast<Json::Int64>(retryAfter));
   End("refused", status);
 }
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -51,13 +51,14 @@
     AnswerHead mHead;
     AnswerFacts mFacts;
     EventReader mEvents;
-    std::string mBody;       ///< Of an answer that is not a stream.
-    bool mHandedOn = false;  ///< It goes on as it comes, for lack of memory.
+    std::string mBody;  ///< Of an answer that is not a stream.
+    bool mPassesThrough =
+        false;  ///< It goes on as it comes, for lack of memory.
     std::unique_ptr<StreamCall> mCall;
     std::unique_ptr<StreamCall> mOrder;  ///< To move to another path.
     int mMoves = 0;
     Millis mMovedAt = 0;
-    Millis mLookedAt = 0;  ///< For a path without slow engines.
+    Millis mSearchedAt = 0;  ///< For a path without slow engines.
     std::vector<Reading> mReading;
     Millis mLeaveAt = 0;  ///< The first leaves: gone on elsewhere from then.
   };
@@ -101,6 +102,8 @@
   void PickService();
   /// Starts the first attempt as soon as the opening lets it in.
   void AwaitTurn();
+  /// Logs and counts how the opening ended for it.
+  void CountTurn(const StartDecision& aDecision);
   void StartAttempt();
   /// Tries again in a moment, where a stream has begun; false: not worth it.
   bool WaitForPath();
@@ -117,8 +120,9 @@
   void HandleBody(std::string_view aBytes);
   /// Whether the answer's status would tell the caller that its call has not
   /// run, though the upstream did not say so.
-  bool PromisesFalsely() const;
-  void HandOn();
+  bool WouldMisreportNotRun() const;
+  /// Starts the answer before it is whole, for lack of memory.
+  void PassThrough();
   /// Stops reading from the upstream where the caller is slow.
   void PushBack();
   /// Notes what is held of an answer that is collected; false: too much.
@@ -142,8 +146,8 @@
   /// Whether a stream has begun that its caller still waits for, or the request
   /// has come back and would be refused for good.
   bool IsWorthWaiting() const;
-  /// Whether its caller has tried before, and has most likely no further try.
-  bool HasComeBack() const;
+  /// Whether it is most likely a retry, and its caller has no further one.
+  bool IsLikelyRetry() const;
   /// aRan: of the attempt that is over.
   bool MayTryAgain(Ran aRan) const;
   void DropAttempt();
--- a/include/spindleweir/daemons/relay_router.h
+++ b/include/spindleweir/daemons/relay_router.h
@@ -66,10 +66,11 @@
   bool Ready() const;
   /// Takes a heartbeat of an upstream in place of control.
   void Beat(const UpstreamRecord& aRecord, const BeatDone& aDone);
-  /// aStart: of the incarnation that leaves; 0: not told.
+  /// Takes the notice that an upstream leaves. aStart: of the incarnation that
+  /// leaves; 0: not told.
   void Leave(const std::string& aInstance, const BeatDone& aDone,
              std::int64_t aStart = 0);
-  /// A heartbeat, or the word that one leaves, that cannot be used.
+  /// Counts a heartbeat, or a notice of leaving, that cannot be used.
   void BadBeat(const std::string& aInstance, const Error& aWhy);
   /// Takes new seeds.
   void SetSeeds(std::vector<Endpoint> aSeeds);
--- a/include/spindleweir/servers/limits/return_time.h
+++ b/include/spindleweir/servers/limits/return_time.h
@@ -25,7 +25,7 @@
 /// What a caller is told.
 struct ReturnAnswer {
   Millis mAfter = 0;
-  int mTold = 0;           ///< Callers that are to come at that time, with it.
+  int mAssigned = 0;       ///< Callers that are to come at that time, with it.
   bool mExpected = false;  ///< There should be room; else it is a guess.
 };
 
@@ -34,7 +34,8 @@
 /// that it waits, the time with the fewest of them.
 class ReturnTimes {
  public:
-  ReturnAnswer Tell(const ReturnQuestion& aQuestion);
+  /// Gives a caller its time and counts it there.
+  ReturnAnswer Assign(const ReturnQuestion& aQuestion);
   /// Callers that were told to come from now on.
   int Expected(Millis aNow) const;
 
@@ -42,8 +43,8 @@
   void Forget(Millis aNow);
   int& At(std::int64_t aSlot);
 
-  std::deque<int> mTold;    ///< By slot, from mFirst on.
-  std::int64_t mFirst = 0;  ///< The slot of the first.
+  std::deque<int> mAssigned;  ///< By slot, from mFirst on.
+  std::int64_t mFirst = 0;    ///< The slot of the first.
 };
 
 }  // namespace spindleweir
--- a/include/spindleweir/servers/limits/upstream_bound.h
+++ b/include/spindleweir/servers/limits/upstream_bound.h
@@ -9,8 +9,8 @@
 
 namespace spindleweir {
 
-/// One router's view of one upstream.
-struct UpstreamView {
+/// What runs at one upstream, as one router knows it.
+struct UpstreamOccupancy {
   int mSlots = 0;         ///< Requests that it runs at once; 0: not told.
   double mOwn = 0;        ///< Requests of this router under way there.
   double mOthers = 0;     ///< Of all others, as they were told.
@@ -25,8 +25,8 @@
 
 /// What an upstream can hold.
 struct UpstreamBoundOptions {
-  /// Requests it queues beside those that run, for each slot: the pages say "a
-  /// few"; one that has more refuses them itself.
+  /// Requests it queues beside those that run, for each slot: one that has
+  /// more refuses them itself.
   double mQueueEachSlot = 1;
   int mQueueAtLeast = 4;
   /// Of bodies that it holds at once; 0: not bounded.
@@ -37,6 +37,7 @@
 /// part whatever it knows, so that this half holds however late the news is.
 /// Beyond that it sends as long as what was told, and what others probably
 /// sent since, leave room.
-bool MaySendTo(const UpstreamView& aView, const UpstreamBoundOptions& aOptions);
+bool MaySendTo(const UpstreamOccupancy& aOccupancy,
+               const UpstreamBoundOptions& aOptions);
 
 }  // namespace spindleweir
--- a/servers/limits/first_deadline.cpp
+++ b/servers/limits/first_deadline.cpp
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-void FirstDeadline::Came(Millis aDeadline) {
+void FirstDeadline::Record(Millis aDeadline) {
   if (aDeadline <= 0) {
     return;
   }
@@ -26,7 +26,7 @@
   mUsual += (deadline > mUsual ? kUp : kDown) * (deadline - mUsual);
 }
 
-bool FirstDeadline::HasComeBack(Millis aDeadline) const {
+bool FirstDeadline::IsLikelyRetry(Millis aDeadline) const {
   return aDeadline > 0 &&
          static_cast<double>(aDeadline) < kFirstTryLeft * mUsual;
 }
--- a/servers/limits/return_time.cpp
+++ b/servers/limits/return_time.cpp
@@ -27,11 +27,11 @@
 }  // namespace
 
 void ReturnTimes::Forget(Millis aNow) {
-  while (!mTold.empty() && mFirst < aNow / kSlot) {
-    mTold.pop_front();
+  while (!mAssigned.empty() && mFirst < aNow / kSlot) {
+    mAssigned.pop_front();
     mFirst++;
   }
-  if (mTold.empty()) {
+  if (mAssigned.empty()) {
     mFirst = aNow / kSlot;
   }
 }
@@ -39,22 +39,22 @@
 int& ReturnTimes::At(std::int64_t aSlot) {
   const auto i =
       static_cast<std::size_t>(std::max<std::int64_t>(0, aSlot - mFirst));
-  if (mTold.size() <= i) {
-    mTold.resize(i + 1, 0);
+  if (mAssigned.size() <= i) {
+    mAssigned.resize(i + 1, 0);
   }
-  return mTold[i];
+  return mAssigned[i];
 }
 
 int ReturnTimes::Expected(Millis aNow) const {
   int count = 0;
-  for (std::size_t i = 0; i < mTold.size(); i++) {
+  for (std::size_t i = 0; i < mAssigned.size(); i++) {
     const bool comes = mFirst + static_cast<std::int64_t>(i) >= aNow / kSlot;
-    count += comes ? mTold[i] : 0;
+    count += comes ? mAssigned[i] : 0;
   }
   return count;
 }
 
-ReturnAnswer ReturnTimes::Tell(const ReturnQuestion& aQuestion) {
+ReturnAnswer ReturnTimes::Assign(const ReturnQuestion& aQuestion) {
   const Millis now = aQuestion.mNow;
   Forget(now);
   const Millis most = aQuestion.mLeft > 0
@@ -85,7 +85,7 @@
       chosen = slot;
     }
   }
-  answer.mTold = ++At(chosen);
+  answer.mAssigned = ++At(chosen);
   const auto within =
       static_cast<Millis>(aQuestion.mRandom * static_cast<double>(kSlot));
   answer.mAfter = std::clamp<Millis>(chosen * kSlot + within - now, from, most);
--- a/servers/limits/upstream_bound.cpp
+++ b/servers/limits/upstream_bound.cpp
@@ -9,12 +9,12 @@
 /// Requests that others sent since the news and that are still under way: they
 /// are asked as much as this router, and what came has mostly ended after the
 /// usual time.
-double Unseen(const UpstreamView& aView) {
-  const Millis time = aView.mUsualTime > 0
-                          ? std::min(aView.mNewsAge, aView.mUsualTime)
-                          : aView.mNewsAge;
-  return aView.mOwnRate * static_cast<double>(std::max<Millis>(0, time)) *
-         std::max(0, aView.mRouters - 1);
+double UnreportedRequests(const UpstreamOccupancy& aOccupancy) {
+  const Millis time = aOccupancy.mUsualTime > 0
+                          ? std::min(aOccupancy.mNewsAge, aOccupancy.mUsualTime)
+                          : aOccupancy.mNewsAge;
+  return aOccupancy.mOwnRate * static_cast<double>(std::max<Millis>(0, time)) *
+         std::max(0, aOccupancy.mRouters - 1);
 }
 
 /// The part of the bound that is divided evenly and holds whatever is known.
@@ -37,25 +37,26 @@
 
 }  // namespace
 
-bool MaySendTo(const UpstreamView& aView,
+bool MaySendTo(const UpstreamOccupancy& aOccupancy,
                const UpstreamBoundOptions& aOptions) {
-  if (aView.mSlots <= 0) {
+  if (aOccupancy.mSlots <= 0) {
     return true;
   }
   const double places =
-      aView.mSlots + std::max(static_cast<double>(aOptions.mQueueAtLeast),
-                              aOptions.mQueueEachSlot * aView.mSlots);
-  const double others = aView.mOthers + Unseen(aView);
-  if (!Fits(places, aView.mOwn, others, 1, aView.mRouters)) {
+      aOccupancy.mSlots + std::max(static_cast<double>(aOptions.mQueueAtLeast),
+                                   aOptions.mQueueEachSlot * aOccupancy.mSlots);
+  const double others = aOccupancy.mOthers + UnreportedRequests(aOccupancy);
+  if (!Fits(places, aOccupancy.mOwn, others, 1, aOccupancy.mRouters)) {
     return false;
   }
   if (aOptions.mBodyBytes <= 0) {
     return true;
   }
   // Others' bytes are not told: their requests count as large as the own.
-  const double each = (aView.mOwnBytes + aView.mBodyBytes) / (aView.mOwn + 1);
-  return Fits(aOptions.mBodyBytes, aView.mOwnBytes, others * each,
-              aView.mBodyBytes, aView.mRouters);
+  const double each =
+      (aOccupancy.mOwnBytes + aOccupancy.mBodyBytes) / (aOccupancy.mOwn + 1);
+  return Fits(aOptions.mBodyBytes, aOccupancy.mOwnBytes, others * each,
+              aOccupancy.mBodyBytes, aOccupancy.mRouters);
 }
 
 }  // namespace spindleweir
--- a/tests/servers/memory_test.cpp
+++ b/tests/servers/memory_test.cpp
@@ -273,7 +273,7 @@
   }
 
   bool Send(std::size_t aRouter, double aRate) {
-    UpstreamView view;
+    UpstreamOccupancy view;
     view.mSlots = 6;
     view.mOwn = mOwn[aRouter];
     view.mOthers = Sum(mTold.front()) - mTold.front()[aRouter];
@@ -362,7 +362,7 @@
     CHECK(senders.Send(0, 0.0001));
   }
   SECTION("bodies count by their bytes") {
-    UpstreamView view;
+    UpstreamOccupancy view;
     view.mSlots = 6;
     view.mOwn = 2;
     view.mOwnBytes = 8e6;
--- a/tests/servers/starts_test.cpp
+++ b/tests/servers/starts_test.cpp
@@ -194,11 +194,11 @@
       const Millis now = i * kRefusedWithin / mCallers;
       ReturnTimes& router = routers[random() % routers.size()];
       const ReturnAnswer told =
-          router.Tell({.mNow = now,
-                       .mLeft = kLeft,
-                       .mFreeAfter = 300,
-                       .mFreePerMilli = mFreePerMilli / mRouters,
-                       .mRandom = unit(random)});
+          router.Assign({.mNow = now,
+                         .mLeft = kLeft,
+                         .mFreeAfter = 300,
+                         .mFreePerMilli = mFreePerMilli / mRouters,
+                         .mRandom = unit(random)});
       // Before: 0.6 s and up to 0.8 s by chance, whatever comes free.
       const auto spread = static_cast<Millis>(600 + 800 * unit(random));
       back.push_back(now + (mPredicts ? told.mAfter : spread));
@@ -371,20 +371,20 @@
 Test(starts, a_time_to_come_back_keeps_its_bounds) {
   ReturnTimes times;
   SECTION("not before there may be room at all") {
-    const ReturnAnswer answer = times.Tell(
+    const ReturnAnswer answer = times.Assign(
         {.mNow = 50, .mLeft = 20000, .mFreeAfter = 1200, .mFreePerMilli = 1});
     CHECK(answer.mAfter >= 1200);
     CHECK(answer.mAfter < 1400);
     CHECK(answer.mExpected);
   }
   SECTION("within the third of its time that a caller waits") {
-    const ReturnAnswer answer = times.Tell(
+    const ReturnAnswer answer = times.Assign(
         {.mNow = 50, .mLeft = 900, .mFreeAfter = 5000, .mFreePerMilli = 1});
     CHECK(answer.mAfter == 300);
   }
   SECTION("nor so far away that the slots until then fill the memory") {
     const ReturnAnswer answer =
-        times.Tell({.mNow = 50, .mLeft = std::numeric_limits<Millis>::max()});
+        times.Assign({.mNow = 50, .mLeft = std::numeric_limits<Millis>::max()});
     CHECK(answer.mAfter <= 10000);
   }
   SECTION("where nothing comes free they are spread over all of it") {
@@ -392,7 +392,7 @@
     Millis most = 0;
     for (int i = 0; i < 40; i++) {
       const Millis after =
-          times.Tell({.mNow = 50, .mLeft = 12000, .mFreeAfter = 300}).mAfter;
+          times.Assign({.mNow = 50, .mLeft = 12000, .mFreeAfter = 300}).mAfter;
       least = std::min(least, after);
       most = std::max(most, after);
     }
@@ -400,7 +400,7 @@
     CHECK(most > 3500);
   }
   SECTION("those that were told before are gone when their time has passed") {
-    (void)times.Tell({.mNow = 50, .mLeft = 900, .mFreePerMilli = 1});
+    (void)times.Assign({.mNow = 50, .mLeft = 900, .mFreePerMilli = 1});
     CHECK(times.Expected(60) > 0);
     CHECK(times.Expected(20000) == 0);
   }
@@ -409,26 +409,26 @@
 Test(starts, who_has_come_back_is_told_by_the_time_it_has_left) {
   FirstDeadline deadline;
   SECTION("nothing is told before anyone came") {
-    CHECK(!deadline.HasComeBack(500));
+    CHECK(!deadline.IsLikelyRetry(500));
   }
   for (int i = 0; i < 200; i++) {
     // Of ten requests six are later tries.
-    deadline.Came(i % 10 < 4 ? 20000 : 12000);
+    deadline.Record(i % 10 < 4 ? 20000 : 12000);
   }
   SECTION("less time than at first is a later try") {
-    CHECK(deadline.HasComeBack(17000));
-    CHECK(!deadline.HasComeBack(20000));
-    CHECK(!deadline.HasComeBack(0));
+    CHECK(deadline.IsLikelyRetry(17000));
+    CHECK(!deadline.IsLikelyRetry(20000));
+    CHECK(!deadline.IsLikelyRetry(0));
   }
   SECTION("one caller with much more time changes nothing for the others") {
-    deadline.Came(30000);
-    CHECK(!deadline.HasComeBack(20000));
+    deadline.Record(30000);
+    CHECK(!deadline.IsLikelyRetry(20000));
   }
   SECTION("where all have more it follows") {
     for (int i = 0; i < 100; i++) {
-      deadline.Came(40000);
+      deadline.Record(40000);
     }
-    CHECK(deadline.HasComeBack(20000));
-    CHECK(!deadline.HasComeBack(40000));
+    CHECK(deadline.IsLikelyRetry(20000));
+    CHECK(!deadline.IsLikelyRetry(40000));
   }
 }
