--- a/bench/memory_measures.cpp
+++ b/bench/memory_measures.cpp
@@ -415,10 +415,7 @@
   int mDoubled = 0;
 
  private:
-  void Load(const Endpoint& aServer) {
-    StartLog("error", "control");
-    EventLoop loop;
-    std::map<std::string, int> runs;
+  ControlOptions ControlAtSeed() const {
     ControlOptions options;
     options.mZone = "z";
     options.mRpcListen = mSeed;
@@ -430,7 +427,14 @@
     options.mElectionTimeout = 50;
     options.mDocuments = PlainDocuments();
     options.mEngines = PlainEngines();
-    JoinedControl control(loop, std::move(options));
+    return options;
+  }
+
+  void Load(const Endpoint& aServer) {
+    StartLog("error", "control");
+    EventLoop loop;
+    std::map<std::string, int> runs;
+    JoinedControl control(loop, ControlAtSeed());
     std::vector<std::unique_ptr<LargeUpstream>> upstreams;
     for (int i = 0; i < kUpstreams; i++) {
       upstreams.push_back(std::make_unique<LargeUpstream>(loop, runs));
--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -23,7 +23,7 @@
 /// pause longer and longer between such attempts; without an answer they go on
 /// after a second.
 constexpr Millis kLeaderWait = 800;
-constexpr Millis kLookForLeader = 20;
+constexpr Millis kLeaderPoll = 20;
 /// The disks of the first start have this name, so that the first voters know
 /// each other's ids from the seeds alone.
 constexpr const char* kFirstDisk = "first";
@@ -109,10 +109,10 @@
       return;
     }
     mAwaiting.push_back({std::move(aGo), SteadyNow()});
-    LookForLeader();
+    PollLeader();
   }
 
-  void LookForLeader() {
+  void PollLeader() {
     const Millis now = SteadyNow();
     const bool heard = HearsLeader();
     const auto over = std::stable_partition(
@@ -122,10 +122,10 @@
     const std::vector<Awaiting> ready(std::make_move_iterator(over),
                                       std::make_move_iterator(mAwaiting.end()));
     mAwaiting.erase(over, mAwaiting.end());
-    mLookTimer =
+    mLeaderTimer =
         mAwaiting.empty()
             ? nullptr
-            : mContext.mLoop.After(kLookForLeader, [this] { LookForLeader(); });
+            : mContext.mLoop.After(kLeaderPoll, [this] { PollLeader(); });
     for (const Awaiting& item : ready) {
       LogLine(LogLevel::kInfo, "operator_waited")
           .Add("took_ms", static_cast<Json::Int64>(now - item.mSince))
@@ -160,7 +160,7 @@
   RpcMeter mMeter;
   LayerPlacer mPlacer;
   std::vector<Awaiting> mAwaiting;
-  std::unique_ptr<Timer> mLookTimer;
+  std::unique_ptr<Timer> mLeaderTimer;
   HttpServer mRpcServer;
 };
 
--- a/daemons/control/layer_placer.cpp
+++ b/daemons/control/layer_placer.cpp
@@ -61,10 +61,10 @@
 
 bool LayerPlacer::Holds(const HandedOrder& aOrder, std::int64_t aFence) {
   const UpstreamRecord* engine = mSync.Registry().Find(aOrder.mInstance);
-  const bool followed =
+  const bool restarted =
       engine != nullptr && aOrder.mStart > 0 && engine->mStart > aOrder.mStart;
   // A control that is no voter hears of no terms.
-  return !followed && mLog.Raft().Term() <= aFence;
+  return !restarted && mLog.Raft().Term() <= aFence;
 }
 
 void LayerPlacer::Step() {
@@ -112,8 +112,8 @@
     }
     const bool done = record->mLayers == it->second.mLayers;
     const bool forgotten = now - it->second.mSentAt > kOrderForgotten;
-    const bool followed = record->mStart != it->second.mStart;
-    if (done || it->second.Refused() || forgotten || followed) {
+    const bool restarted = record->mStart != it->second.mStart;
+    if (done || it->second.Refused() || forgotten || restarted) {
       mPending.erase(it);
       continue;
     }
--- a/servers/membership/upstream_check.cpp
+++ b/servers/membership/upstream_check.cpp
@@ -31,12 +31,20 @@
   }
 }
 
-void RequireAtLeast(std::int64_t aValue, const char* aWhat) {
+void RequireNotNegative(std::int64_t aValue, const char* aWhat) {
   if (aValue < 0) {
     Refuse(std::string(aWhat) + " must not be negative");
   }
 }
 
+/// What reports of one instance are ordered by.
+template <class Report>
+void RequireOrder(const Report& aReport) {
+  RequireInstance(aReport.mInstance);
+  RequireNotNegative(aReport.mSequence, "the sequence number");
+  RequireNotNegative(aReport.mStart, "the start");
+}
+
 bool IsIp(const std::string& aHost) {
   std::array<unsigned char, sizeof(in6_addr)> number{};
   const bool bracketed = aHost.starts_with('[') && aHost.ends_with(']');
@@ -71,10 +79,8 @@
 }
 
 void RequireUsable(const UpstreamRecord& aRecord) {
-  RequireInstance(aRecord.mInstance);
-  RequireAtLeast(aRecord.mSequence, "the sequence number");
-  RequireAtLeast(aRecord.mStart, "the start");
-  RequireAtLeast(aRecord.mHeardAgo, "the time since it was heard");
+  RequireOrder(aRecord);
+  RequireNotNegative(aRecord.mHeardAgo, "the time since it was heard");
   if (aRecord.mState < UpstreamState::kReady ||
       aRecord.mState > UpstreamState::kGone) {
     Refuse("the state is not known");
@@ -87,7 +93,7 @@
   if (!aRecord.mKind.empty()) {
     RequireName(aRecord.mKind, "the kind");
   }
-  RequireAtLeast(aRecord.mSlots, "the number of slots");
+  RequireNotNegative(aRecord.mSlots, "the number of slots");
   const LayerRange& layers = aRecord.mLayers;
   const bool none = layers == LayerRange{};
   if (!none && (layers.mFrom < 0 || layers.mFrom >= layers.mTo)) {
@@ -97,16 +103,12 @@
 }
 
 void RequireUsable(const UpstreamBeat& aBeat) {
-  RequireInstance(aBeat.mInstance);
-  RequireAtLeast(aBeat.mSequence, "the sequence number");
-  RequireAtLeast(aBeat.mStart, "the start");
-  RequireAtLeast(aBeat.mHeardAgo, "the time since it was heard");
+  RequireOrder(aBeat);
+  RequireNotNegative(aBeat.mHeardAgo, "the time since it was heard");
 }
 
 void RequireUsable(const SilentUpstream& aSilent) {
-  RequireInstance(aSilent.mInstance);
-  RequireAtLeast(aSilent.mSequence, "the sequence number");
-  RequireAtLeast(aSilent.mStart, "the start");
+  RequireOrder(aSilent);
 }
 
 BadWordPace::Turn BadWordPace::Note(Millis aNow) {
--- a/servers/streams/progress_watch.cpp
+++ b/servers/streams/progress_watch.cpp
@@ -1,6 +1,7 @@
 #include "spindleweir/servers/streams/progress_watch.h"
 
 #include <algorithm>
+#include <compare>
 
 namespace spindleweir {
 
@@ -17,6 +18,14 @@
 /// Events closer to each other than this waited together on their way here.
 constexpr Millis kApart = 20;
 
+/// A stream with the time of its last event, the earliest first.
+struct SilentSince {
+  Millis mHeardAt = 0;
+  StreamKey mKey = 0;
+
+  auto operator<=>(const SilentSince&) const = default;
+};
+
 /// What is known of one instance.
 struct Evidence {
   int mStreams = 0;
@@ -126,7 +135,7 @@
 
 std::vector<StreamKey> ProgressWatch::Through(
     const std::map<std::string, double>& aInstances) const {
-  std::vector<std::pair<Millis, StreamKey>> found;
+  std::vector<SilentSince> found;
   for (const auto& [key, stream] : mStreams) {
     const bool passes =
         std::any_of(stream.mInstances.begin(), stream.mInstances.end(),
@@ -134,13 +143,13 @@
                       return aInstances.contains(aInstance);
                     });
     if (passes) {
-      found.emplace_back(stream.mHeardAt, key);
+      found.push_back({stream.mHeardAt, key});
     }
   }
   std::sort(found.begin(), found.end());
   std::vector<StreamKey> keys;
-  for (const auto& [heardAt, key] : found) {
-    keys.push_back(key);
+  for (const SilentSince& silent : found) {
+    keys.push_back(silent.mKey);
   }
   return keys;
 }
