--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -24,7 +24,7 @@
 /// So often a loop notes that it runs.
 constexpr Millis kBeatPeriod = 50;
 /// A gap between two notes up to this is ordinary work: on a tenth of a core
-/// the users' platform gives the processor in slices that are 90 ms apart.
+/// a container gets the processor in slices that are 90 ms apart.
 constexpr Millis kOrdinaryGap = 150;
 
 /// Owns libevent events that call one function.
--- a/servers/limits/memory_account.cpp
+++ b/servers/limits/memory_account.cpp
@@ -8,8 +8,7 @@
 
 /// Of a process's memory. The rest is for the process itself (10 MB), the
 /// objects of requests, and what the allocator rounds up and does not give
-/// back: with 3,000 slow callers a router took 2.4 times what it held
-/// (spindleweir-bench memory).
+/// back: with 3,000 slow callers a router took 2.4 times what it held.
 constexpr double kPartOfMemory = 0.4;
 /// As many requests as this have their least side by side: a router takes
 /// 3,000 connections.
--- a/servers/routing/path_choice.cpp
+++ b/servers/routing/path_choice.cpp
@@ -44,7 +44,7 @@
   offer.mPlaces = left;
   // By what the path can carry, not by what it has left at the moment: with
   // news 1.5 s old and 700 requests a second that refused 0.052 of them, since
-  // all go where there was room; this refuses 0.001 (spindleweir-bench choice).
+  // all go where there was room; this refuses 0.001.
   offer.mWeight = aShare.Rate();
   return offer;
 }
