--- a/servers/limits/first_deadline.cpp
+++ b/servers/limits/first_deadline.cpp
@@ -21,7 +21,7 @@
 
 }  // namespace
 
-void FirstDeadline::Came(Millis aDeadline) {
+void FirstDeadline::Record(Millis aDeadline) {
   if (aDeadline <= 0) {
     return;
   }
@@ -33,7 +33,7 @@
   mUsual += (counted > mUsual ? kUp : kDown) * (counted - mUsual);
 }
 
-bool FirstDeadline::HasComeBack(Millis aDeadline) const {
+bool FirstDeadline::IsLikelyRetry(Millis aDeadline) const {
   return aDeadline > 0 &&
          static_cast<double>(aDeadline) < kFirstTryLeft * mUsual;
 }
--- a/servers/membership/upstream_check.cpp
+++ b/servers/membership/upstream_check.cpp
@@ -37,12 +37,20 @@
   }
 }
 
-void RequireAtLeast(std::int64_t aValue, const char* aWhat) {
+void RequireNotNegative(std::int64_t aValue, const char* aWhat) {
   if (aValue < 0) {
     Refuse(std::string(aWhat) + " must not be negative");
   }
 }
 
+/// What reports of one instance are ordered by.
+template <class Report>
+void RequireOrder(const Report& aReport) {
+  RequireInstance(aReport.mInstance);
+  RequireNotNegative(aReport.mSequence, "the sequence number");
+  RequireNotNegative(aReport.mStart, "the start");
+}
+
 bool IsIp(const std::string& aHost) {
   std::array<unsigned char, sizeof(in6_addr)> number{};
   const bool bracketed = aHost.starts_with('[') && aHost.ends_with(']');
@@ -67,7 +75,7 @@
 }  // namespace
 
 void RequireAge(Millis aAge) {
-  RequireAtLeast(aAge, "the time since it was heard");
+  RequireNotNegative(aAge, "the time since it was heard");
   if (aAge > kOldest) {
     Refuse("the time since it was heard must be at most 30 days");
   }
@@ -84,9 +92,7 @@
 }
 
 void RequireUsable(const UpstreamRecord& aRecord) {
-  RequireInstance(aRecord.mInstance);
-  RequireAtLeast(aRecord.mSequence, "the sequence number");
-  RequireAtLeast(aRecord.mStart, "the start");
+  RequireOrder(aRecord);
   RequireAge(aRecord.mHeardAgo);
   if (aRecord.mState < UpstreamState::kReady ||
       aRecord.mState > UpstreamState::kGone) {
@@ -100,7 +106,7 @@
   if (!aRecord.mKind.empty()) {
     RequireName(aRecord.mKind, "the kind");
   }
-  RequireAtLeast(aRecord.mSlots, "the number of slots");
+  RequireNotNegative(aRecord.mSlots, "the number of slots");
   const LayerRange& layers = aRecord.mLayers;
   const bool none = layers == LayerRange{};
   const bool good = layers.mFrom >= 0 && layers.mFrom < layers.mTo &&
@@ -112,16 +118,12 @@
 }
 
 void RequireUsable(const UpstreamBeat& aBeat) {
-  RequireInstance(aBeat.mInstance);
-  RequireAtLeast(aBeat.mSequence, "the sequence number");
-  RequireAtLeast(aBeat.mStart, "the start");
+  RequireOrder(aBeat);
   RequireAge(aBeat.mHeardAgo);
 }
 
 void RequireUsable(const SilentUpstream& aSilent) {
-  RequireInstance(aSilent.mInstance);
-  RequireAtLeast(aSilent.mSequence, "the sequence number");
-  RequireAtLeast(aSilent.mStart, "the start");
+  RequireOrder(aSilent);
 }
 
 BadWordPace::Turn BadWordPace::Note(Millis aNow) {
