Entries go again soon only where a call was turned away at once

Cause: any failed call to a voter, a time-out included, had its entries go again with the next heartbeat. On a choked link, where each call times out, up to 256 KB went with each heartbeat instead of each 0.4 s (read from the code).

Change: the voter is told after which time a call failed, and takes only failures within 0.2 s as word that nothing arrived.

--- a/tests/servers/starts_test.cpp
+++ b/tests/servers/starts_test.cpp
@@ -16,9 +16,9 @@
 
 /// A disk that takes no time.
 class QuickStorage : public RaftStorage {
- public:
+public:
   DurableState Load() override { return mState; }
-  void SaveHardState(const HardState& aState) override {
+  void SaveHardState(const HardState &aState) override {
     mState.mHardState = aState;
   }
   void Append(std::span<const LogEntry> aEntries) override {
@@ -28,14 +28,14 @@
     mState.mEntries.insert(mState.mEntries.end(), aEntries.begin(),
                            aEntries.end());
   }
-  void SaveSnapshot(const Snapshot& aSnapshot, std::span<const LogEntry> aRest,
-                    const HardState& aState) override {
+  void SaveSnapshot(const Snapshot &aSnapshot, std::span<const LogEntry> aRest,
+                    const HardState &aState) override {
     mState.mSnapshot = aSnapshot;
     mState.mEntries.assign(aRest.begin(), aRest.end());
     mState.mHardState = aState;
   }
 
- private:
+private:
   DurableState mState;
 };
 
@@ -46,7 +46,7 @@
 /// yet is turned away, all else takes two milliseconds; a vote as long as it is
 /// told.
 class VotersStart {
- public:
+public:
   VotersStart(std::vector<Millis> aStarts, std::uint64_t aSeed,
               Millis aVoteTakes = 2)
       : mStarts(std::move(aStarts)), mSeed(aSeed), mVoteTakes(aVoteTakes) {
@@ -72,7 +72,9 @@
     return kMost;
   }
 
- private:
+private:
+  static constexpr Millis kDelay = 2;
+
   struct OnTheWay {
     RaftMessage mMessage;
     Millis mAt;
@@ -80,7 +82,7 @@
 
   /// Of those that run.
   bool AllSettled() const {
-    return std::all_of(mNodes.begin(), mNodes.end(), [](const auto& aNode) {
+    return std::all_of(mNodes.begin(), mNodes.end(), [](const auto &aNode) {
       return aNode == nullptr || aNode->Settled();
     });
   }
@@ -98,29 +100,28 @@
     }
     const std::vector<OnTheWay> sent = std::move(mSent);
     mSent.clear();
-    for (const OnTheWay& item : sent) {
+    for (const OnTheWay &item : sent) {
       if (item.mAt > aNow) {
         mSent.push_back(item);
         continue;
       }
       const auto it =
           std::find(mIds.begin(), mIds.end(), item.mMessage.mTo) - mIds.begin();
-      RaftNode* to = mNodes[static_cast<std::size_t>(it)].get();
+      RaftNode *to = mNodes[static_cast<std::size_t>(it)].get();
       if (to != nullptr) {
         mNow = aNow;
         to->Receive(item.mMessage, aNow);
         continue;
       }
-      for (const auto& node : mNodes) {
+      for (const auto &node : mNodes) {
         if (node != nullptr) {
-          node->Undelivered(item.mMessage.mTo);
+          node->Undelivered(item.mMessage.mTo, kDelay);
         }
       }
     }
   }
 
   void Start(std::size_t aIndex, Millis aNow) {
-    constexpr Millis kDelay = 2;
     mStorages.push_back(std::make_unique<QuickStorage>());
     RaftOptions options;
     options.mId = mIds[aIndex];
@@ -129,13 +130,13 @@
     options.mHeartbeat = 70;
     options.mSeed = mSeed * mIds.size() + aIndex;
     options.mStorage = mStorages.back().get();
-    options.mSend = [this](const RaftMessage& aMessage) {
+    options.mSend = [this](const RaftMessage &aMessage) {
       const bool isVote = aMessage.mKind == RaftKind::kVoteReply;
       mSent.push_back({aMessage, mNow + (isVote ? mVoteTakes : kDelay)});
     };
-    options.mApply = [](const LogEntry&) {};
+    options.mApply = [](const LogEntry &) {};
     options.mMakeSnapshot = [] { return std::string(); };
-    options.mInstallSnapshot = [](const std::string&) {};
+    options.mInstallSnapshot = [](const std::string &) {};
     mNodes[aIndex] = std::make_unique<RaftNode>(std::move(options), aNow);
   }
 
@@ -149,6 +150,75 @@
   std::vector<OnTheWay> mSent;
 };
 
+/// A leader of three: one follows, calls to the other all fail.
+class FailingCalls {
+public:
+  explicit FailingCalls(Millis aFailAfter) : mFailAfter(aFailAfter) {
+    RaftOptions options;
+    options.mId = "leader";
+    options.mVoters = {"leader", "follower", "far"};
+    options.mStorage = &mStorage;
+    options.mSend = [this](const RaftMessage &aMessage) {
+      mSent.push_back(aMessage);
+    };
+    options.mApply = [](const LogEntry &) {};
+    options.mMakeSnapshot = [] { return std::string(); };
+    options.mInstallSnapshot = [](const std::string &) {};
+    mNode = std::make_unique<RaftNode>(std::move(options), mNow);
+  }
+
+  /// Messages with entries to the other, of those in nine heartbeats.
+  int WithEntries() {
+    while (mNode->Role() != RaftRole::kLeader) {
+      Step();
+    }
+    mWithEntries = 0;
+    mNode->Propose("p");
+    for (int i = 0; i < 90; i++) {
+      Step();
+    }
+    return mWithEntries;
+  }
+
+private:
+  void Step() {
+    mNow += 10;
+    mNode->Tick(mNow);
+    while (!mSent.empty()) {
+      const RaftMessage message = mSent.front();
+      mSent.erase(mSent.begin());
+      if (message.mTo == "far") {
+        mWithEntries += message.mEntries.empty() ? 0 : 1;
+        mNode->Undelivered("far", mFailAfter);
+        continue;
+      }
+      RaftMessage reply;
+      reply.mFrom = message.mTo;
+      reply.mTo = message.mFrom;
+      reply.mTerm = message.mTerm;
+      reply.mGranted = true;
+      reply.mRound = message.mRound;
+      reply.mKind = RaftKind::kAppendReply;
+      if (message.mKind == RaftKind::kAppend) {
+        reply.mIndex =
+            message.mIndex + static_cast<std::int64_t>(message.mEntries.size());
+      } else if (message.mKind == RaftKind::kPreVote) {
+        reply.mKind = RaftKind::kPreVoteReply;
+      } else {
+        reply.mKind = RaftKind::kVoteReply;
+      }
+      mNode->Receive(reply, mNow);
+    }
+  }
+
+  Millis mFailAfter;
+  Millis mNow = 0;
+  int mWithEntries = 0;
+  QuickStorage mStorage;
+  std::vector<RaftMessage> mSent;
+  std::unique_ptr<RaftNode> mNode;
+};
+
 /// Engines that each hold two of four layers.
 struct SmallZone {
   SmallZone() {
@@ -161,14 +231,14 @@
     Add("fast", {2, 4});
   }
 
-  void Add(const std::string& aKind, LayerRange aLayers) {
+  void Add(const std::string &aKind, LayerRange aLayers) {
     mRecords.push_back(std::make_unique<UpstreamRecord>(
         UpstreamRecord{.mKind = aKind, .mLayers = aLayers}));
   }
 
   double Capacity() const {
-    std::vector<const UpstreamRecord*> views;
-    for (const auto& record : mRecords) {
+    std::vector<const UpstreamRecord *> views;
+    for (const auto &record : mRecords) {
       views.push_back(record.get());
     }
     return ReadingCapacity(mProfile, views);
@@ -183,7 +253,7 @@
 struct ReturnPlay {
   int mRouters = 30;
   int mCallers = 600;
-  double mFreePerMilli = 0.2;  ///< Of all routers together.
+  double mFreePerMilli = 0.2; ///< Of all routers together.
   bool mPredicts = true;
 
   /// The share of the callers that find no place when they come back.
@@ -196,7 +266,7 @@
     std::vector<Millis> back;
     for (int i = 0; i < mCallers; i++) {
       const Millis now = i * kRefusedWithin / mCallers;
-      ReturnTimes& router = routers[random() % routers.size()];
+      ReturnTimes &router = routers[random() % routers.size()];
       const ReturnAnswer told =
           router.Tell({.mNow = now,
                        .mLeft = kLeft,
@@ -222,7 +292,7 @@
   }
 };
 
-}  // namespace
+} // namespace
 
 Test(starts, voters_that_start_apart_have_a_leader_soon) {
   std::vector<Millis> after;
@@ -257,6 +327,15 @@
   }
 }
 
+Test(starts, entries_go_again_soon_only_where_they_were_turned_away) {
+  SECTION("nobody listened: with the next heartbeat") {
+    CHECK(FailingCalls(2).WithEntries() >= 8);
+  }
+  SECTION("a time-out says nothing: after the usual time") {
+    CHECK(FailingCalls(1000).WithEntries() <= 3);
+  }
+}
+
 Test(starts, a_router_without_a_lease_asks_sooner) {
   const AskedControl lacking{
       .mPeriod = 150, .mIsNear = true, .mIsFirst = true, .mLacksLease = true};
