--- a/daemons/control/replicated_configuration.cpp
+++ b/daemons/control/replicated_configuration.cpp
@@ -18,23 +18,23 @@
 constexpr Millis kHeartbeatsPerTimeout = 5;
 constexpr std::size_t kBytesPerSnapshot = 1024 * 1024;
 
-} // namespace
+}  // namespace
 
-ReplicatedConfiguration::ReplicatedConfiguration(ControlContext &aContext)
+ReplicatedConfiguration::ReplicatedConfiguration(ControlContext& aContext)
     : mContext(aContext) {
   Open();
   mContext.mDispatcher.On(
-      rpc_method::kRaft, [this](const Json::Value &aMessage) {
+      rpc_method::kRaft, [this](const Json::Value& aMessage) {
         mRaft->Receive(FromJson<RaftMessage>(aMessage), SteadyNow());
         NoteLeader();
         return Json::Value(Json::objectValue);
       });
   mContext.mDispatcher.On(rpc_method::kGetConfiguration,
-                          [this](const Json::Value &aMessage) {
+                          [this](const Json::Value& aMessage) {
                             return ToJson(mMachine.History().Answer(
                                 FromJson<ConfigurationQuestion>(aMessage)));
                           });
-  mMachine.SignalAccepted().connect([this](const Configuration &) {
+  mMachine.SignalAccepted().connect([this](const Configuration&) {
     // A restart applies many at once; only the newest is worth telling.
     mSpreadTimer = mContext.mLoop.After(0, [this] { Spread(); });
   });
@@ -42,7 +42,7 @@
 }
 
 void ReplicatedConfiguration::Open() {
-  const ControlOptions &options = mContext.mOptions;
+  const ControlOptions& options = mContext.mOptions;
   auto storage = std::make_unique<RaftDiskStorage>(options.mData + "/raft.log");
   if (mFailedAt >= 0) {
     // What was written before a failed sync may never reach the disk, though
@@ -61,10 +61,10 @@
   raft.mSeed = static_cast<std::uint64_t>(WallNow()) ^
                std::hash<std::string>()(options.mId);
   raft.mStorage = storage.get();
-  raft.mSend = [this](const RaftMessage &aMessage) { Send(aMessage); };
-  raft.mApply = [this](const LogEntry &aEntry) { Apply(aEntry); };
+  raft.mSend = [this](const RaftMessage& aMessage) { Send(aMessage); };
+  raft.mApply = [this](const LogEntry& aEntry) { Apply(aEntry); };
   raft.mMakeSnapshot = [this] { return mMachine.Save(); };
-  raft.mInstallSnapshot = [this](const std::string &aData) {
+  raft.mInstallSnapshot = [this](const std::string& aData) {
     mMachine.Restore(aData);
   };
   mRaft = std::make_unique<RaftNode>(std::move(raft), SteadyNow());
@@ -88,7 +88,7 @@
   mFailedAt = now;
   try {
     Open();
-  } catch (const Error &error) {
+  } catch (const Error& error) {
     LogLine(LogLevel::kWarning, "storage_still_failing")
         .Add("why", error.what());
     return;
@@ -99,12 +99,12 @@
       .Add("index", static_cast<Json::Int64>(mRaft->LastIndex()));
 }
 
-void ReplicatedConfiguration::Send(const RaftMessage &aMessage) {
+void ReplicatedConfiguration::Send(const RaftMessage& aMessage) {
   const std::optional<Endpoint> peer = AddressOf(aMessage.mTo);
   if (peer.has_value()) {
     mContext.mRpc.Call(*peer, rpc_method::kRaft, ToJson(aMessage), kRaftTimeout,
                        [this, to = aMessage.mTo,
-                        began = SteadyNow()](const RpcResult &aResult) {
+                        began = SteadyNow()](const RpcResult& aResult) {
                          if (!aResult.mOk) {
                            mRaft->Undelivered(to, SteadyNow() - began);
                          }
@@ -112,12 +112,12 @@
   }
 }
 
-std::optional<Endpoint>
-ReplicatedConfiguration::AddressOf(const std::string &aId) const {
+std::optional<Endpoint> ReplicatedConfiguration::AddressOf(
+    const std::string& aId) const {
   if (mContext.Joins()) {
     return AddressOfControl(aId);
   }
-  const EntryVm *peer = mContext.mEntryVms.Current().Find(aId);
+  const EntryVm* peer = mContext.mEntryVms.Current().Find(aId);
   return peer == nullptr ? std::nullopt : std::optional(peer->mAddress);
 }
 
@@ -144,7 +144,7 @@
     }
     const Waiting late = std::move(it->second);
     it = mWaiting.erase(it);
-    for (const CommandDone &done : late.mDone) {
+    for (const CommandDone& done : late.mDone) {
       done(nullptr);
     }
   }
@@ -170,16 +170,16 @@
 void ReplicatedConfiguration::FailWaiting() {
   const std::map<std::string, Waiting> waiting = std::move(mWaiting);
   mWaiting.clear();
-  for (const auto &[id, item] : waiting) {
-    for (const CommandDone &done : item.mDone) {
+  for (const auto& [id, item] : waiting) {
+    for (const CommandDone& done : item.mDone) {
       done(nullptr);
     }
   }
 }
 
-void ReplicatedConfiguration::Submit(const Command &aCommand,
+void ReplicatedConfiguration::Submit(const Command& aCommand,
                                      CommandDone aDone) {
-  Waiting &waiting = mWaiting[aCommand.mId];
+  Waiting& waiting = mWaiting[aCommand.mId];
   waiting.mDone.push_back(std::move(aDone));
   waiting.mSince = SteadyNow();
   if (mRaft->Propose(DumpJson(ToJson(aCommand))) == 0) {
@@ -187,7 +187,7 @@
   }
 }
 
-void ReplicatedConfiguration::Apply(const LogEntry &aEntry) {
+void ReplicatedConfiguration::Apply(const LogEntry& aEntry) {
   const auto command = FromJson<Command>(ParseJson(aEntry.mPayload));
   const std::int64_t before = mMachine.Current().mVersion;
   const CommandResult result = mMachine.Apply(command);
@@ -204,7 +204,7 @@
   }
   const Waiting waiting = std::move(it->second);
   mWaiting.erase(it);
-  for (const CommandDone &done : waiting.mDone) {
+  for (const CommandDone& done : waiting.mDone) {
     done(&result);
   }
 }
@@ -214,19 +214,19 @@
 }
 
 bool ReplicatedConfiguration::ChangeVoters(
-    const std::vector<std::string> &aVoters) {
+    const std::vector<std::string>& aVoters) {
   return mRaft->ProposeVoters(aVoters) != 0;
 }
 
 void ReplicatedConfiguration::Spread() {
-  const Configuration &configuration = mMachine.Current();
+  const Configuration& configuration = mMachine.Current();
   mContext.mCounters.Set("configuration_version", configuration.mVersion);
-  const EntryVms &vms = mContext.mEntryVms.Current();
+  const EntryVms& vms = mContext.mEntryVms.Current();
   const bool leads = mRaft != nullptr && mRaft->Role() == RaftRole::kLeader;
   // What is new since the last time; a router that lacks more asks for it.
   const Json::Value message = ToJson(mMachine.History().Answer(mSpread));
   mSpread = mMachine.History().Question();
-  for (const EntryVm &router : vms.OfRole(EntryRole::kRouter)) {
+  for (const EntryVm& router : vms.OfRole(EntryRole::kRouter)) {
     // Each zone is served by its own control; the leader, which knows first,
     // tells all.
     if (leads || router.mZone == mContext.mOptions.mZone) {
@@ -236,4 +236,4 @@
   }
 }
 
-} // namespace spindleweir
+}  // namespace spindleweir
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -17,12 +17,13 @@
 /// Callers leave a stream after about two seconds without an event.
 constexpr Millis kPatience = 1800;
 
-} // namespace
+}  // namespace
 
-RelayRequest::RelayRequest(RelayContext &aContext,
+RelayRequest::RelayRequest(RelayContext& aContext,
                            std::shared_ptr<StreamExchange> aExchange,
                            std::function<void()> aOnEnd)
-    : mContext(aContext), mExchange(std::move(aExchange)),
+    : mContext(aContext),
+      mExchange(std::move(aExchange)),
       mOnEnd(std::move(aOnEnd)) {}
 
 RelayRequest::~RelayRequest() {
@@ -37,7 +38,9 @@
   }
 }
 
-Millis RelayRequest::Remaining() const { return mDeadline - SteadyNow(); }
+Millis RelayRequest::Remaining() const {
+  return mDeadline - SteadyNow();
+}
 
 void RelayRequest::Begin() {
   const std::weak_ptr<RelayRequest> self = weak_from_this();
@@ -55,7 +58,7 @@
   });
   try {
     mFacts = mContext.mOptions.mCallers.mReadRequest(mExchange->Head());
-  } catch (const Error &error) {
+  } catch (const Error& error) {
     Refuse(error.Code(), ReturnCause::kNever);
     return;
   }
@@ -102,7 +105,7 @@
     return;
   }
   if (mNeedsLease) {
-    const TrafficWorkspace *workspace = mTable->FindWorkspace(mFacts.mKey);
+    const TrafficWorkspace* workspace = mTable->FindWorkspace(mFacts.mKey);
     if (workspace == nullptr) {
       Refuse(ResultCode::kUnauthorized, ReturnCause::kNever);
       return;
@@ -171,12 +174,12 @@
 
 void RelayRequest::PickService() {
   double total = 0;
-  for (const RouteTarget &target : mRoute->mTargets) {
+  for (const RouteTarget& target : mRoute->mTargets) {
     total += target.mWeight;
   }
   double left = mContext.Random() * total;
-  const RouteTarget *picked = nullptr;
-  for (const RouteTarget &target : mRoute->mTargets) {
+  const RouteTarget* picked = nullptr;
+  for (const RouteTarget& target : mRoute->mTargets) {
     if (target.mWeight <= 0) {
       continue;
     }
@@ -189,7 +192,7 @@
   mService = mTable->FindService(picked->mService);
 }
 
-void RelayRequest::Forward(const AnswerHead &aHead, std::string_view aBody) {
+void RelayRequest::Forward(const AnswerHead& aHead, std::string_view aBody) {
   mExchange->Start(aHead.mStatus,
                    mContext.mOptions.mCallers.mWriteAnswer(aHead),
                    aBody.size());
@@ -267,8 +270,8 @@
   End("caller_gone", 0);
 }
 
-void RelayRequest::Count(const char *aOutcome, int aStatus) {
-  Counters &counters = mContext.mCounters;
+void RelayRequest::Count(const char* aOutcome, int aStatus) {
+  Counters& counters = mContext.mCounters;
   const std::string route = mRoute == nullptr ? "" : mRoute->mName;
   counters.Add("requests", "route=\"" + route + "\",outcome=\"" + aOutcome +
                                "\",status=\"" + std::to_string(aStatus) + "\"");
@@ -280,14 +283,14 @@
   }
 }
 
-void RelayRequest::End(const char *aOutcome, int aStatus) {
+void RelayRequest::End(const char* aOutcome, int aStatus) {
   if (mEnded) {
     return;
   }
   mEnded = true;
   Json::Value path(Json::arrayValue);
   if (mAttempt != nullptr) {
-    for (const PathPart &part : mAttempt->mPath) {
+    for (const PathPart& part : mAttempt->mPath) {
       path.append(part.mAddress + "=" + std::to_string(part.mLayers.mFrom) +
                   "-" + std::to_string(part.mLayers.mTo));
     }
@@ -327,4 +330,4 @@
   }
 }
 
-} // namespace spindleweir
+}  // namespace spindleweir
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -30,13 +30,13 @@
 /// up to a millisecond of a small VM, and events are to be passed on meanwhile.
 constexpr int kMostLookForPath = 4;
 
-} // namespace
+}  // namespace
 
-StreamGuard::StreamGuard(RelayContext &aContext) : mContext(aContext) {
+StreamGuard::StreamGuard(RelayContext& aContext) : mContext(aContext) {
   mTimer = mContext.mLoop.Every(kStepPeriod, [this] { Step(); });
 }
 
-StreamKey StreamGuard::Add(GuardedStream *aStream) {
+StreamKey StreamGuard::Add(GuardedStream* aStream) {
   const StreamKey key = mNext++;
   mStreams[key] = aStream;
   return key;
@@ -59,8 +59,8 @@
     // What came meanwhile has not been read yet: pauses prove nothing.
     return;
   }
-  for (const std::string &instance : mWatch.Suspects(now)) {
-    const Look &look = mProbes[instance];
+  for (const std::string& instance : mWatch.Suspects(now)) {
+    const Look& look = mProbes[instance];
     if (look.mCall == nullptr && now - look.mAt >= kProbeAgain) {
       Probe(instance);
     }
@@ -73,8 +73,8 @@
       firsts.insert(it->second->FirstInstance());
     }
   }
-  for (const std::string &first : firsts) {
-    const Look &look = mStates[first];
+  for (const std::string& first : firsts) {
+    const Look& look = mStates[first];
     if (!first.empty() && look.mCall == nullptr &&
         now - look.mAt >= kAskAgain) {
       AskState(first);
@@ -90,12 +90,12 @@
 }
 
 void StreamGuard::StepPaces(Millis aNow) {
-  EnginePaces &paces = mContext.mPaces;
-  for (const EventWait &late : mWatch.TakeLate(aNow)) {
+  EnginePaces& paces = mContext.mPaces;
+  for (const EventWait& late : mWatch.TakeLate(aNow)) {
     paces.Late(late.mInstances, late.mFrom, aNow);
   }
   const auto random = [this] { return mContext.Random(); };
-  for (const std::string &instance :
+  for (const std::string& instance :
        paces.ToAsk(aNow, mContext.mRouters, random)) {
     if (mStates[instance].mCall == nullptr) {
       mContext.mCounters.Add("pace_questions");
@@ -107,7 +107,7 @@
 }
 
 void StreamGuard::JudgePaces(Millis aNow) {
-  for (const PaceChange &change : mContext.mPaces.Judge(aNow)) {
+  for (const PaceChange& change : mContext.mPaces.Judge(aNow)) {
     mContext.mCounters.Add("paces_judged",
                            change.mSlow ? "as=\"slow\"" : "as=\"well\"");
     LogLine(LogLevel::kInfo, "engine_pace")
@@ -122,7 +122,7 @@
 }
 
 void StreamGuard::LeaveSlow(Millis aNow) {
-  const std::map<std::string, double> &slow = mContext.mPaces.Slow();
+  const std::map<std::string, double>& slow = mContext.mPaces.Slow();
   if (slow.empty()) {
     return;
   }
@@ -147,7 +147,7 @@
   mLookedAt = mContext.mRegistry.Revision();
   DropUnknown();
   std::set<std::string> leaving;
-  for (const UpstreamRecord *record : mContext.mRegistry.OfService("")) {
+  for (const UpstreamRecord* record : mContext.mRegistry.OfService("")) {
     const bool leaves = record->mState == UpstreamState::kLeaving ||
                         record->mState == UpstreamState::kGone;
     if (leaves && mLeftBehind.insert(record->mInstance).second) {
@@ -160,10 +160,10 @@
 }
 
 void StreamGuard::DropUnknown() {
-  const auto unknown = [this](const std::string &aInstance) {
+  const auto unknown = [this](const std::string& aInstance) {
     return mContext.mRegistry.Find(aInstance) == nullptr;
   };
-  const auto ended = [&unknown](const auto &aItem) {
+  const auto ended = [&unknown](const auto& aItem) {
     return aItem.second.mCall == nullptr && unknown(aItem.first);
   };
   std::erase_if(mLeftBehind, unknown);
@@ -177,18 +177,18 @@
   if (restarted.empty()) {
     return;
   }
-  for (const std::string &instance : restarted) {
+  for (const std::string& instance : restarted) {
     mLeftBehind.erase(instance);
   }
   LeaveBehind(restarted, MoveReason::kRestarted);
 }
 
-void StreamGuard::Probe(const std::string &aInstance) {
-  const UpstreamRecord *record = mContext.mRegistry.Find(aInstance);
+void StreamGuard::Probe(const std::string& aInstance) {
+  const UpstreamRecord* record = mContext.mRegistry.Find(aInstance);
   if (record == nullptr) {
     return;
   }
-  Look &look = mProbes[aInstance];
+  Look& look = mProbes[aInstance];
   look.mAt = SteadyNow();
   look.mStart = record->mStart;
   const auto connected = std::make_shared<bool>(false);
@@ -205,8 +205,8 @@
   look.mCall = StartStreamCall(mContext.mLoop, std::move(options));
 }
 
-void StreamGuard::ProbeEnded(const std::string &aInstance, bool aConnected) {
-  Look &look = mProbes[aInstance];
+void StreamGuard::ProbeEnded(const std::string& aInstance, bool aConnected) {
+  Look& look = mProbes[aInstance];
   const Millis took = SteadyNow() - look.mAt;
   // The call is on the stack: it goes in the next turn of the loop.
   const std::shared_ptr<StreamCall> call = std::move(look.mCall);
@@ -224,25 +224,25 @@
   LeaveBehind({aInstance}, MoveReason::kUnreachable);
 }
 
-void StreamGuard::AskState(const std::string &aInstance) {
-  const UpstreamRecord *record = mContext.mRegistry.Find(aInstance);
+void StreamGuard::AskState(const std::string& aInstance) {
+  const UpstreamRecord* record = mContext.mRegistry.Find(aInstance);
   if (record == nullptr) {
     return;
   }
-  Look &look = mStates[aInstance];
+  Look& look = mStates[aInstance];
   look.mAt = SteadyNow();
   look.mStart = record->mStart;
   look.mBody.clear();
   StreamCallOptions options = CallOf(mContext.mOptions.mEngines.mAskState(),
                                      record->mAddress, kAskTimeout);
   options.mOnData = [this, aInstance](std::string_view aBytes) {
-    std::string &body = mStates[aInstance].mBody;
+    std::string& body = mStates[aInstance].mBody;
     if (body.size() + aBytes.size() <= kMostReport) {
       body += aBytes;
     }
   };
   options.mOnEnd = [this, aInstance](StreamEnd aEnd) {
-    Look &ended = mStates[aInstance];
+    Look& ended = mStates[aInstance];
     const std::shared_ptr<StreamCall> call = std::move(ended.mCall);
     mContext.mLoop.Post([call] {});
     // Up to 256 KB, of each instance that was ever asked.
@@ -253,15 +253,15 @@
     }
     try {
       TakeState(aInstance, mContext.mOptions.mEngines.mReadState(body));
-    } catch (const Error &error) {
+    } catch (const Error& error) {
       mContext.mBadWords.Note("report", aInstance, error);
     }
   };
   look.mCall = StartStreamCall(mContext.mLoop, std::move(options));
 }
 
-void StreamGuard::TakeState(const std::string &aInstance,
-                            const EngineState &aState) {
+void StreamGuard::TakeState(const std::string& aInstance,
+                            const EngineState& aState) {
   const std::int64_t known = mStates[aInstance].mStart;
   if (known > 0 && aState.mStart > known) {
     // Its heartbeat has not come this far yet.
@@ -273,11 +273,11 @@
   mContext.mPaces.TakeWord(aInstance, aState.mPace, now);
   JudgePaces(now);
   std::set<std::string> addresses;
-  for (const StalledRequest &stalled : aState.mStalled) {
+  for (const StalledRequest& stalled : aState.mStalled) {
     addresses.insert(stalled.mAddress);
   }
   std::set<std::string> instances;
-  for (const UpstreamRecord *record : mContext.mRegistry.OfService("")) {
+  for (const UpstreamRecord* record : mContext.mRegistry.OfService("")) {
     const bool current = record->mState != UpstreamState::kGone;
     if (current && addresses.contains(record->mAddress)) {
       instances.insert(record->mInstance);
@@ -289,15 +289,15 @@
   }
 }
 
-void StreamGuard::LeaveBehind(const std::set<std::string> &aInstances,
+void StreamGuard::LeaveBehind(const std::set<std::string>& aInstances,
                               MoveReason aWhy) {
   // A stream that moves may end and take itself off the list.
-  const std::map<StreamKey, GuardedStream *> streams = mStreams;
-  for (const auto &[key, stream] : streams) {
+  const std::map<StreamKey, GuardedStream*> streams = mStreams;
+  for (const auto& [key, stream] : streams) {
     if (mStreams.contains(key)) {
       stream->MoveOff(aInstances, aWhy);
     }
   }
 }
 
-} // namespace spindleweir
+}  // namespace spindleweir
--- a/daemons/relay/stream_guard.h
+++ b/daemons/relay/stream_guard.h
@@ -16,19 +16,19 @@
 
 /// Why a stream should go on without an upstream.
 enum class MoveReason {
-  kLeaving,     ///< It serves on for some time.
-  kUnreachable, ///< It takes no connection: it is lost.
-  kStandsStill, ///< Streams that pass it do not come on.
-  kRestarted,   ///< It started again and knows nothing of them.
-  kSlow,        ///< Streams that pass it are late, or will be.
+  kLeaving,      ///< It serves on for some time.
+  kUnreachable,  ///< It takes no connection: it is lost.
+  kStandsStill,  ///< Streams that pass it do not come on.
+  kRestarted,    ///< It started again and knows nothing of them.
+  kSlow,         ///< Streams that pass it are late, or will be.
 };
 
 /// What the guard needs of a stream.
 class GuardedStream {
-public:
+ public:
   virtual ~GuardedStream() = default;
   /// Goes on without these instances, where it uses one of them.
-  virtual void MoveOff(const std::set<std::string> &aInstances,
+  virtual void MoveOff(const std::set<std::string>& aInstances,
                        MoveReason aWhy) = 0;
   /// Goes on without slow engines, where that is sooner. Returns whether it
   /// looked for another path, which takes its time.
@@ -39,31 +39,31 @@
 
 /// One per router.
 class StreamGuard {
-public:
-  explicit StreamGuard(RelayContext &aContext);
+ public:
+  explicit StreamGuard(RelayContext& aContext);
 
   /// Begins to watch a stream; the key is valid until Remove.
-  StreamKey Add(GuardedStream *aStream);
+  StreamKey Add(GuardedStream* aStream);
   void Remove(StreamKey aKey);
-  ProgressWatch &Watch() { return mWatch; }
+  ProgressWatch& Watch() { return mWatch; }
   /// Moves streams off incarnations that were followed by others. To be called
   /// once all news that came together are taken, and before new streams begin.
   void MoveOffRestarted();
   /// An event of a stream came.
   void Progress(StreamKey aKey, Millis aNow);
 
-private:
+ private:
   void Step();
   void StepPaces(Millis aNow);
   void JudgePaces(Millis aNow);
   void LeaveSlow(Millis aNow);
   /// Whether this process itself was late since then.
   bool LateSince(Millis aSince) const { return mLateAt >= aSince; }
-  void Probe(const std::string &aInstance);
-  void ProbeEnded(const std::string &aInstance, bool aConnected);
-  void AskState(const std::string &aInstance);
-  void TakeState(const std::string &aInstance, const EngineState &aState);
-  void LeaveBehind(const std::set<std::string> &aInstances, MoveReason aWhy);
+  void Probe(const std::string& aInstance);
+  void ProbeEnded(const std::string& aInstance, bool aConnected);
+  void AskState(const std::string& aInstance);
+  void TakeState(const std::string& aInstance, const EngineState& aState);
+  void LeaveBehind(const std::set<std::string>& aInstances, MoveReason aWhy);
   void MoveOffLeaving();
   /// Nothing is kept of instances that the registry has forgotten: each start
   /// of a replica may bring a new one.
@@ -73,21 +73,21 @@
   struct Look {
     std::unique_ptr<StreamCall> mCall;
     Millis mAt = -1;
-    std::int64_t mStart = 0; ///< Of the incarnation that is looked at.
+    std::int64_t mStart = 0;  ///< Of the incarnation that is looked at.
     std::string mBody;
   };
 
-  RelayContext &mContext;
+  RelayContext& mContext;
   ProgressWatch mWatch;
-  std::map<StreamKey, GuardedStream *> mStreams;
+  std::map<StreamKey, GuardedStream*> mStreams;
   std::map<std::string, Look> mProbes;
   std::map<std::string, Look> mStates;
-  std::set<std::string> mLeftBehind; ///< Leaving ones that were handled.
-  std::int64_t mLookedAt = 0;        ///< Revision of the registry.
+  std::set<std::string> mLeftBehind;  ///< Leaving ones that were handled.
+  std::int64_t mLookedAt = 0;         ///< Revision of the registry.
   StreamKey mNext = 1;
   Millis mSteppedAt = 0;
-  Millis mLateAt = -1; ///< When this process last was late itself.
+  Millis mLateAt = -1;  ///< When this process last was late itself.
   std::unique_ptr<Timer> mTimer;
 };
 
-} // namespace spindleweir
+}  // namespace spindleweir
--- a/include/spindleweir/servers/routing/engine_pace.h
+++ b/include/spindleweir/servers/routing/engine_pace.h
@@ -57,9 +57,9 @@
 
 /// How an engine came to be judged.
 enum class PaceSource {
-  kWord,    ///< It said so to this router.
-  kNews,    ///< It said so to other routers.
-  kStreams, ///< Late streams have it in common.
+  kWord,     ///< It said so to this router.
+  kNews,     ///< It said so to other routers.
+  kStreams,  ///< Late streams have it in common.
 };
 
 /// An engine that is judged slow, or well again.
@@ -68,15 +68,15 @@
   bool mSlow = false;
   double mPace = 1;
   PaceSource mSource = PaceSource::kWord;
-  Millis mWordAge = -1; ///< Of its word here; -1: none.
-  int mTellers = 0;     ///< Other routers that say so.
-  int mLate = 0;        ///< Late streams through it that blamed it.
+  Millis mWordAge = -1;  ///< Of its word here; -1: none.
+  int mTellers = 0;      ///< Other routers that say so.
+  int mLate = 0;         ///< Late streams through it that blamed it.
 };
 
 /// The paces as one router knows them. Decisions only: the time comes with
 /// each call.
 class EnginePaces {
-public:
+ public:
   explicit EnginePaces(EnginePaceOptions aOptions = {}) : mOptions(aOptions) {}
 
   /// An event that was waited for from aFrom on came in time by this path.
@@ -89,46 +89,47 @@
   /// asked. aRouters: that share the questions to known slow engines.
   /// aRandom: 0 to 1.
   std::vector<std::string> ToAsk(Millis aNow, int aRouters,
-                                 const std::function<double()> &aRandom);
+                                 const std::function<double()>& aRandom);
   /// What an engine said of itself, over 1 being slow.
-  void TakeWord(const std::string &aInstance, double aPace, Millis aNow);
+  void TakeWord(const std::string& aInstance, double aPace, Millis aNow);
   /// What other routers tell now. An engine of which they tell nothing any more
   /// keeps what they told last for as long as a word holds.
-  void TakeNews(const LoadShares &aOthers, Millis aNow);
+  void TakeNews(const LoadShares& aOthers, Millis aNow);
   /// Adds what this router tells the others.
-  void Tell(LoadShares &aLoads, Millis aNow) const;
+  void Tell(LoadShares& aLoads, Millis aNow) const;
 
   /// Judges anew; returns what changed. To be called every few dozen
   /// milliseconds, and after words and news.
   std::vector<PaceChange> Judge(Millis aNow);
   /// Times that an engine takes as long as its model says, as judged; 1: well.
-  double PaceOf(const std::string &aInstance) const;
+  double PaceOf(const std::string& aInstance) const;
   /// Grows whenever a judgement changes.
   std::int64_t Revision() const { return mRevision; }
   /// Engines judged slow, with their paces.
-  const std::map<std::string, double> &Slow() const { return mSlow; }
+  const std::map<std::string, double>& Slow() const { return mSlow; }
   /// Nothing known of an instance holds any more.
-  void Forget(const std::string &aInstance);
+  void Forget(const std::string& aInstance);
   /// The same of all instances of which aIsGone says so.
-  void ForgetAll(const std::function<bool(const std::string &)> &aIsGone);
+  void ForgetAll(const std::function<bool(const std::string&)>& aIsGone);
   /// Instances of which something is kept.
   std::size_t Known() const { return mEngines.size(); }
 
-private:
+ private:
   /// What is known of one engine.
   struct Engine {
-    Millis mClearedFrom = -1; ///< An event waited for from here on was on time.
+    Millis mClearedFrom =
+        -1;  ///< An event waited for from here on was on time.
     Millis mAskedAt = -1;
     Millis mWordAt = -1;
     double mWord = 1;
     Millis mQuietUntil = -1;
     Millis mQuiet = 0;
-    int mSuspicion = 0; ///< Late streams since it was asked or cleared.
+    int mSuspicion = 0;  ///< Late streams since it was asked or cleared.
     int mBlames = 0;
     Millis mBlamedFrom = -1;
     Millis mBlamedAt = -1;
-    Millis mWellAt = -1;   ///< Heard to be well again, after it was slow.
-    bool mWasSlow = false; ///< When it said that it is well.
+    Millis mWellAt = -1;    ///< Heard to be well again, after it was slow.
+    bool mWasSlow = false;  ///< When it said that it is well.
   };
 
   /// What other routers say of one engine.
@@ -139,16 +140,16 @@
   };
 
   /// Whether it says, or others tell, that it is slow.
-  bool IsKnownSlow(const std::string &aInstance, const Engine &aEngine,
+  bool IsKnownSlow(const std::string& aInstance, const Engine& aEngine,
                    Millis aNow) const;
   /// Whether streams blame it since the time that its word is about.
-  bool IsBlamed(const Engine &aEngine) const;
-  bool HoldsSlowWord(const Engine &aEngine, Millis aNow) const;
+  bool IsBlamed(const Engine& aEngine) const;
+  bool HoldsSlowWord(const Engine& aEngine, Millis aNow) const;
   /// A pace that fades once it is older than it holds.
   double Faded(double aPace, Millis aAge, Millis aHolds) const;
-  PaceChange JudgeOne(const std::string &aInstance, const Engine &aEngine,
+  PaceChange JudgeOne(const std::string& aInstance, const Engine& aEngine,
                       Millis aNow) const;
-  int TellersOf(const std::string &aInstance) const;
+  int TellersOf(const std::string& aInstance) const;
   void Refill(Millis aNow);
 
   EnginePaceOptions mOptions;
@@ -161,6 +162,6 @@
 };
 
 /// For logs.
-const char *NameOf(PaceSource aSource);
+const char* NameOf(PaceSource aSource);
 
-} // namespace spindleweir
+}  // namespace spindleweir
--- a/servers/consensus/raft_replication.cpp
+++ b/servers/consensus/raft_replication.cpp
@@ -14,9 +14,9 @@
 /// 256 KB each 0.1 s instead of each 0.4 s, and choked it further.
 constexpr Millis kTurnedAwayWithin = 200;
 
-} // namespace
+}  // namespace
 
-void RaftNode::HandleAppend(const RaftMessage &aMessage) {
+void RaftNode::HandleAppend(const RaftMessage& aMessage) {
   if (aMessage.mTerm < mHardState.mTerm) {
     Reply(aMessage, RaftKind::kAppendReply, false, LastIndex());
     return;
@@ -36,7 +36,7 @@
   Reply(aMessage, RaftKind::kAppendReply, true, last);
 }
 
-bool RaftNode::StoreEntries(const RaftMessage &aMessage) {
+bool RaftNode::StoreEntries(const RaftMessage& aMessage) {
   if (aMessage.mIndex > LastIndex()) {
     return false;
   }
@@ -45,7 +45,7 @@
     return false;
   }
   for (std::size_t i = 0; i < aMessage.mEntries.size(); i++) {
-    const LogEntry &entry = aMessage.mEntries[i];
+    const LogEntry& entry = aMessage.mEntries[i];
     const bool known =
         entry.mIndex <= mSnapshot.mIndex ||
         (entry.mIndex <= LastIndex() && TermAt(entry.mIndex) == entry.mTerm);
@@ -63,11 +63,11 @@
   return true;
 }
 
-void RaftNode::HandleAppendReply(const RaftMessage &aMessage) {
+void RaftNode::HandleAppendReply(const RaftMessage& aMessage) {
   if (mRole != RaftRole::kLeader || aMessage.mTerm != mHardState.mTerm) {
     return;
   }
-  Progress &progress = mProgress[aMessage.mFrom];
+  Progress& progress = mProgress[aMessage.mFrom];
   progress.mHeardAt = mNow;
   progress.mRound = std::max(progress.mRound, aMessage.mRound);
   if (aMessage.mGranted && aMessage.mIndex >= progress.mSentLast) {
@@ -94,7 +94,7 @@
   }
 }
 
-void RaftNode::Undelivered(const std::string &aTo, Millis aAfter) {
+void RaftNode::Undelivered(const std::string& aTo, Millis aAfter) {
   if (aAfter >= kTurnedAwayWithin) {
     return;
   }
@@ -106,7 +106,7 @@
   }
 }
 
-void RaftNode::HandleSnapshot(const RaftMessage &aMessage) {
+void RaftNode::HandleSnapshot(const RaftMessage& aMessage) {
   if (aMessage.mTerm < mHardState.mTerm) {
     Reply(aMessage, RaftKind::kAppendReply, false, LastIndex());
     return;
@@ -114,7 +114,7 @@
   BecomeFollower(aMessage.mTerm, aMessage.mFrom);
   mLeaderHeardAt = mNow;
   mHeardLeader = true;
-  const Snapshot &snapshot = aMessage.mSnapshot;
+  const Snapshot& snapshot = aMessage.mSnapshot;
   if (snapshot.mIndex > mCommit) {
     // Entries after it may have been acknowledged, and then count.
     std::vector<LogEntry> rest;
@@ -155,15 +155,15 @@
   if (mRoundTimes.size() > kRoundsKept) {
     mRoundTimes.pop_front();
   }
-  for (const std::string &id : mVoters) {
+  for (const std::string& id : mVoters) {
     if (id != mOptions.mId) {
       SendAppend(id);
     }
   }
 }
 
-void RaftNode::SendAppend(const std::string &aTo) {
-  Progress &progress = mProgress[aTo];
+void RaftNode::SendAppend(const std::string& aTo) {
+  Progress& progress = mProgress[aTo];
   RaftMessage message;
   message.mTo = aTo;
   message.mTerm = mHardState.mTerm;
@@ -197,7 +197,7 @@
   Send(std::move(message));
 }
 
-void RaftNode::AddEntries(Progress &aProgress, RaftMessage &aMessage) {
+void RaftNode::AddEntries(Progress& aProgress, RaftMessage& aMessage) {
   std::size_t bytes = 0;
   for (std::int64_t i = aProgress.mNext; i <= LastIndex(); i++) {
     bytes += EntryAt(i).mPayload.size();
@@ -218,7 +218,7 @@
       return;
     }
     std::size_t stored = IsVoter(mOptions.mId) ? 1 : 0;
-    for (const auto &[id, progress] : mProgress) {
+    for (const auto& [id, progress] : mProgress) {
       const bool has = progress.mMatch >= i;
       stored += (id != mOptions.mId && IsVoter(id) && has) ? 1 : 0;
     }
@@ -265,4 +265,4 @@
   mEntries = rest;
 }
 
-} // namespace spindleweir
+}  // namespace spindleweir
--- a/servers/routing/engine_pace.cpp
+++ b/servers/routing/engine_pace.cpp
@@ -33,23 +33,23 @@
 /// A change of a pace below this part isn't news to those who divide paths.
 constexpr double kSamePace = 0.25;
 
-} // namespace
+}  // namespace
 
-const char *NameOf(PaceSource aSource) {
+const char* NameOf(PaceSource aSource) {
   switch (aSource) {
-  case PaceSource::kWord:
-    return "word";
-  case PaceSource::kNews:
-    return "news";
-  case PaceSource::kStreams:
-    return "streams";
+    case PaceSource::kWord:
+      return "word";
+    case PaceSource::kNews:
+      return "news";
+    case PaceSource::kStreams:
+      return "streams";
   }
   return "";
 }
 
 void EnginePaces::OnTime(std::span<const std::string> aPath, Millis aFrom) {
-  for (const std::string &instance : aPath) {
-    Engine &engine = mEngines[instance];
+  for (const std::string& instance : aPath) {
+    Engine& engine = mEngines[instance];
     engine.mClearedFrom = std::max(engine.mClearedFrom, aFrom);
     engine.mSuspicion = 0;
     engine.mBlames = 0;
@@ -58,23 +58,23 @@
 
 void EnginePaces::Late(std::span<const std::string> aPath, Millis aFrom,
                        Millis aNow) {
-  std::vector<Engine *> suspects;
-  for (const std::string &instance : aPath) {
+  std::vector<Engine*> suspects;
+  for (const std::string& instance : aPath) {
     if (mSlow.contains(instance)) {
       return;
     }
-    Engine &engine = mEngines[instance];
+    Engine& engine = mEngines[instance];
     if (engine.mClearedFrom <= aFrom) {
       suspects.push_back(&engine);
     }
   }
-  for (Engine *engine : suspects) {
+  for (Engine* engine : suspects) {
     engine->mSuspicion++;
   }
   if (suspects.size() != 1) {
     return;
   }
-  Engine &blamed = *suspects.front();
+  Engine& blamed = *suspects.front();
   const bool fresh =
       blamed.mBlames > 0 && aNow - blamed.mBlamedAt < mOptions.mBlameHolds;
   blamed.mBlames = fresh ? blamed.mBlames + 1 : 1;
@@ -82,22 +82,22 @@
   blamed.mBlamedAt = aNow;
 }
 
-bool EnginePaces::HoldsSlowWord(const Engine &aEngine, Millis aNow) const {
+bool EnginePaces::HoldsSlowWord(const Engine& aEngine, Millis aNow) const {
   return aEngine.mWordAt >= 0 && aEngine.mWord >= mOptions.mSlowFrom &&
          aNow - aEngine.mWordAt < mOptions.mWordHolds;
 }
 
-bool EnginePaces::IsKnownSlow(const std::string &aInstance,
-                              const Engine &aEngine, Millis aNow) const {
+bool EnginePaces::IsKnownSlow(const std::string& aInstance,
+                              const Engine& aEngine, Millis aNow) const {
   return HoldsSlowWord(aEngine, aNow) || mNews.contains(aInstance);
 }
 
-bool EnginePaces::IsBlamed(const Engine &aEngine) const {
+bool EnginePaces::IsBlamed(const Engine& aEngine) const {
   return aEngine.mBlames >= mOptions.mWitnesses &&
          aEngine.mBlamedFrom >= aEngine.mWordAt - mOptions.mWordLag;
 }
 
-int EnginePaces::TellersOf(const std::string &aInstance) const {
+int EnginePaces::TellersOf(const std::string& aInstance) const {
   const auto it = mNews.find(aInstance);
   return it == mNews.end() ? 0 : it->second.mTellers;
 }
@@ -111,13 +111,12 @@
   mRefilledAt = aNow;
 }
 
-std::vector<std::string>
-EnginePaces::ToAsk(Millis aNow, int aRouters,
-                   const std::function<double()> &aRandom) {
+std::vector<std::string> EnginePaces::ToAsk(
+    Millis aNow, int aRouters, const std::function<double()>& aRandom) {
   Refill(aNow);
   std::vector<std::string> asked;
   std::vector<std::tuple<bool, double, std::string>> suspects;
-  for (auto &[instance, engine] : mEngines) {
+  for (auto& [instance, engine] : mEngines) {
     const bool justAsked =
         engine.mAskedAt >= 0 && aNow - engine.mAskedAt < kAskGap;
     if (justAsked) {
@@ -143,13 +142,13 @@
   }
   std::sort(suspects.rbegin(), suspects.rend());
   int left = kMostAtOnce;
-  for (const auto &[second, suspicion, instance] : suspects) {
+  for (const auto& [second, suspicion, instance] : suspects) {
     const double kept = second ? 0 : mOptions.mBurst * kForSecond;
     if (mAllowance < 1 + kept || left-- <= 0) {
       break;
     }
     mAllowance -= 1;
-    Engine &engine = mEngines[instance];
+    Engine& engine = mEngines[instance];
     engine.mAskedAt = aNow;
     engine.mSuspicion = 0;
     asked.push_back(instance);
@@ -157,9 +156,9 @@
   return asked;
 }
 
-void EnginePaces::TakeWord(const std::string &aInstance, double aPace,
+void EnginePaces::TakeWord(const std::string& aInstance, double aPace,
                            Millis aNow) {
-  Engine &engine = mEngines[aInstance];
+  Engine& engine = mEngines[aInstance];
   const bool wasKnown = IsKnownSlow(aInstance, engine, aNow);
   const double said = std::clamp(aPace, kWell, kMostPace);
   const bool second =
@@ -194,11 +193,11 @@
   engine.mQuietUntil = aNow + engine.mQuiet;
 }
 
-void EnginePaces::TakeNews(const LoadShares &aOthers, Millis aNow) {
-  for (const auto &[instance, share] : aOthers) {
+void EnginePaces::TakeNews(const LoadShares& aOthers, Millis aNow) {
+  for (const auto& [instance, share] : aOthers) {
     if (share.mWellTellers > 0) {
       mNews.erase(instance);
-      Engine &engine = mEngines[instance];
+      Engine& engine = mEngines[instance];
       engine.mWellAt = aNow;
       const bool isNew = aNow - engine.mWordAt < mOptions.mAskAgain;
       if (HoldsSlowWord(engine, aNow) && !isNew) {
@@ -220,20 +219,20 @@
                        .mTellers = static_cast<int>(share.mPaceTellers),
                        .mHeardAt = aNow};
   }
-  std::erase_if(mNews, [&](const auto &aItem) {
+  std::erase_if(mNews, [&](const auto& aItem) {
     return aNow - aItem.second.mHeardAt > mOptions.mWordHolds + mOptions.mFade;
   });
 }
 
-void EnginePaces::Tell(LoadShares &aLoads, Millis aNow) const {
-  for (const auto &[instance, engine] : mEngines) {
+void EnginePaces::Tell(LoadShares& aLoads, Millis aNow) const {
+  for (const auto& [instance, engine] : mEngines) {
     const bool holds =
         engine.mWordAt >= 0 && aNow - engine.mWordAt < mOptions.mWordHolds;
     const bool slow = engine.mWord >= mOptions.mSlowFrom;
     if (!holds || (!slow && !engine.mWasSlow)) {
       continue;
     }
-    LoadShare &share = aLoads[instance];
+    LoadShare& share = aLoads[instance];
     share.mInstance = instance;
     if (!slow) {
       share.mWellTellers = 1;
@@ -253,8 +252,8 @@
   return kWell + (aPace - kWell) * std::max(0.0, left);
 }
 
-PaceChange EnginePaces::JudgeOne(const std::string &aInstance,
-                                 const Engine &aEngine, Millis aNow) const {
+PaceChange EnginePaces::JudgeOne(const std::string& aInstance,
+                                 const Engine& aEngine, Millis aNow) const {
   PaceChange judged{.mInstance = aInstance, .mLate = aEngine.mBlames};
   const Millis wordAge = aEngine.mWordAt < 0 ? -1 : aNow - aEngine.mWordAt;
   judged.mWordAge = wordAge;
@@ -283,11 +282,11 @@
 }
 
 std::vector<PaceChange> EnginePaces::Judge(Millis aNow) {
-  for (const auto &[instance, news] : mNews) {
+  for (const auto& [instance, news] : mNews) {
     mEngines.try_emplace(instance);
   }
   std::vector<PaceChange> changes;
-  for (auto &[instance, engine] : mEngines) {
+  for (auto& [instance, engine] : mEngines) {
     const bool quiet = engine.mWordAt < 0 && engine.mBlames == 0 &&
                        !mSlow.contains(instance) && !mNews.contains(instance);
     if (quiet) {
@@ -315,28 +314,28 @@
   return changes;
 }
 
-double EnginePaces::PaceOf(const std::string &aInstance) const {
+double EnginePaces::PaceOf(const std::string& aInstance) const {
   const auto it = mSlow.find(aInstance);
   return it == mSlow.end() ? kWell : it->second;
 }
 
-void EnginePaces::Forget(const std::string &aInstance) {
+void EnginePaces::Forget(const std::string& aInstance) {
   mEngines.erase(aInstance);
   mNews.erase(aInstance);
   mRevision += mSlow.erase(aInstance) > 0 ? 1 : 0;
 }
 
 void EnginePaces::ForgetAll(
-    const std::function<bool(const std::string &)> &aIsGone) {
+    const std::function<bool(const std::string&)>& aIsGone) {
   std::vector<std::string> gone;
-  for (const auto &[instance, engine] : mEngines) {
+  for (const auto& [instance, engine] : mEngines) {
     if (aIsGone(instance)) {
       gone.push_back(instance);
     }
   }
-  for (const std::string &instance : gone) {
+  for (const std::string& instance : gone) {
     Forget(instance);
   }
 }
 
-} // namespace spindleweir
+}  // namespace spindleweir
--- a/tests/daemons/restart_test.cpp
+++ b/tests/daemons/restart_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-UpstreamRecord Record(const std::string &aInstance, UpstreamState aState) {
+UpstreamRecord Record(const std::string& aInstance, UpstreamState aState) {
   return {.mInstance = aInstance,
           .mService = "s",
           .mAddress = "10.0.0.1:" + aInstance,
@@ -19,7 +19,7 @@
           .mLayers = {2, 5}};
 }
 
-} // namespace
+}  // namespace
 
 Test(restart, after_a_stop_of_all_upstreams_are_known_before_they_report) {
   RelayStory story(kLongStart);
@@ -144,7 +144,7 @@
   OperatorAnswer answer;
   int answers = 0;
   story.mControl->Publish(Document(Traffic(3)),
-                          [&](const OperatorAnswer &aAnswer) {
+                          [&](const OperatorAnswer& aAnswer) {
                             answer = aAnswer;
                             answers++;
                           });
@@ -159,7 +159,7 @@
     story.StartControl();
     OperatorAnswer read;
     bool ended = false;
-    story.mControl->Read([&](const OperatorAnswer &aAnswer) {
+    story.mControl->Read([&](const OperatorAnswer& aAnswer) {
       read = aAnswer;
       ended = true;
     });
--- a/tests/fuzz/raft_fuzz.cpp
+++ b/tests/fuzz/raft_fuzz.cpp
@@ -15,9 +15,9 @@
 
 /// A disk that keeps all that was saved; a crash loses nothing of it.
 class MemoryStorage : public RaftStorage {
-public:
+ public:
   DurableState Load() override { return mState; }
-  void SaveHardState(const HardState &aState) override {
+  void SaveHardState(const HardState& aState) override {
     FailIfAsked();
     mState.mHardState = aState;
   }
@@ -29,8 +29,8 @@
     mState.mEntries.insert(mState.mEntries.end(), aEntries.begin(),
                            aEntries.end());
   }
-  void SaveSnapshot(const Snapshot &aSnapshot, std::span<const LogEntry> aRest,
-                    const HardState &aState) override {
+  void SaveSnapshot(const Snapshot& aSnapshot, std::span<const LogEntry> aRest,
+                    const HardState& aState) override {
     FailIfAsked();
     mState.mSnapshot = aSnapshot;
     mState.mEntries.assign(aRest.begin(), aRest.end());
@@ -39,7 +39,7 @@
 
   bool mFail = false;
 
-private:
+ private:
   void FailIfAsked() const {
     if (mFail) {
       throw Error(ResultCode::kStorageFailed, "asked to fail");
@@ -50,18 +50,18 @@
 
 /// Voters, a network that loses, reorders and doubles, and the oracle.
 class World {
-public:
+ public:
   World(int aVoters, bool aPlantedDefect) : mDefect(aPlantedDefect) {
     for (int i = 0; i < aVoters; i++) {
       mIds.push_back("v" + std::to_string(i));
     }
-    for (const std::string &id : mIds) {
+    for (const std::string& id : mIds) {
       mStorages[id] = std::make_unique<MemoryStorage>();
       Start(id);
     }
   }
 
-  void Start(const std::string &aId) {
+  void Start(const std::string& aId) {
     mApplied[aId].clear();
     if (mDefect) {
       // The planted defect: a voter that forgets what it promised.
@@ -73,21 +73,21 @@
     options.mSeed = ++mSeed;
     options.mEntriesPerSnapshot = 8;
     options.mStorage = mStorages[aId].get();
-    options.mSend = [this](const RaftMessage &aMessage) {
+    options.mSend = [this](const RaftMessage& aMessage) {
       mNetwork.push_back(aMessage);
     };
-    options.mApply = [this, aId](const LogEntry &aEntry) {
+    options.mApply = [this, aId](const LogEntry& aEntry) {
       mApplied[aId].push_back(aEntry.mPayload);
       Judge(aId);
     };
     options.mMakeSnapshot = [this, aId] {
       std::string data;
-      for (const std::string &payload : mApplied[aId]) {
+      for (const std::string& payload : mApplied[aId]) {
         data += payload + ",";
       }
       return data;
     };
-    options.mInstallSnapshot = [this, aId](const std::string &aData) {
+    options.mInstallSnapshot = [this, aId](const std::string& aData) {
       mApplied[aId].clear();
       for (std::size_t at = 0; at < aData.size();) {
         const std::size_t end = aData.find(',', at);
@@ -100,8 +100,8 @@
   }
 
   /// The oracle: all voters' histories are prefixes of one history.
-  void Judge(const std::string &aId) {
-    const std::vector<std::string> &own = mApplied[aId];
+  void Judge(const std::string& aId) {
+    const std::vector<std::string>& own = mApplied[aId];
     for (std::size_t i = 0; i < own.size(); i++) {
       if (i == mAccepted.size()) {
         mAccepted.push_back(own[i]);
@@ -111,57 +111,57 @@
   }
 
   void Step(int aDice) {
-    const std::string &id =
+    const std::string& id =
         mIds[static_cast<std::size_t>(aDice / 16) % mIds.size()];
     switch (aDice % 16) {
-    case 0:
-      mNodes[id]->Propose("p" + std::to_string(++mProposals));
-      break;
-    case 1:
-      if (mCrashes < 40) {
-        mCrashes++;
-        Start(id);
-      }
-      break;
-    case 2:
-      mCut = mCut == id ? "" : id;
-      break;
-    case 3:
-      if (!mNetwork.empty()) {
-        const auto it =
-            mNetwork.begin() + aDice / 16 % static_cast<int>(mNetwork.size());
-        // Its sender may learn of it, also where a double still arrives.
-        if (mProposals % 2 == 0) {
-          mNodes[it->mFrom]->Undelivered(it->mTo, 0);
+      case 0:
+        mNodes[id]->Propose("p" + std::to_string(++mProposals));
+        break;
+      case 1:
+        if (mCrashes < 40) {
+          mCrashes++;
+          Start(id);
         }
-        mNetwork.erase(it);
-      }
-      break;
-    case 4:
-      if (!mNetwork.empty() && mNetwork.size() < 500) {
-        mNetwork.push_back(
-            mNetwork[static_cast<std::size_t>(aDice / 16) % mNetwork.size()]);
-      }
-      break;
-    case 5:
-      mNow += aDice / 16 % 400;
-      mNodes[id]->Tick(mNow);
-      break;
-    case 6:
-      mNow += 60;
-      for (const std::string &each : mIds) {
-        mNodes[each]->Tick(mNow);
-      }
-      break;
-    case 7:
-      mNodes[id]->ConfirmRead([this, id, seen = mAccepted.size()](bool aYes) {
-        // A confirmed read shows all that was accepted when it was asked.
-        mGood = mGood && (!aYes || mApplied[id].size() >= seen);
-      });
-      break;
-    default:
-      Deliver(static_cast<std::size_t>(aDice / 16));
-      break;
+        break;
+      case 2:
+        mCut = mCut == id ? "" : id;
+        break;
+      case 3:
+        if (!mNetwork.empty()) {
+          const auto it =
+              mNetwork.begin() + aDice / 16 % static_cast<int>(mNetwork.size());
+          // Its sender may learn of it, also where a double still arrives.
+          if (mProposals % 2 == 0) {
+            mNodes[it->mFrom]->Undelivered(it->mTo, 0);
+          }
+          mNetwork.erase(it);
+        }
+        break;
+      case 4:
+        if (!mNetwork.empty() && mNetwork.size() < 500) {
+          mNetwork.push_back(
+              mNetwork[static_cast<std::size_t>(aDice / 16) % mNetwork.size()]);
+        }
+        break;
+      case 5:
+        mNow += aDice / 16 % 400;
+        mNodes[id]->Tick(mNow);
+        break;
+      case 6:
+        mNow += 60;
+        for (const std::string& each : mIds) {
+          mNodes[each]->Tick(mNow);
+        }
+        break;
+      case 7:
+        mNodes[id]->ConfirmRead([this, id, seen = mAccepted.size()](bool aYes) {
+          // A confirmed read shows all that was accepted when it was asked.
+          mGood = mGood && (!aYes || mApplied[id].size() >= seen);
+        });
+        break;
+      default:
+        Deliver(static_cast<std::size_t>(aDice / 16));
+        break;
     }
   }
 
@@ -184,20 +184,20 @@
     const std::size_t before = mAccepted.size();
     for (int i = 0; i < 400; i++) {
       mNow += 50;
-      for (const std::string &id : mIds) {
+      for (const std::string& id : mIds) {
         mNodes[id]->Tick(mNow);
       }
       for (int n = 0; n < 2000 && !mNetwork.empty(); n++) {
         Deliver(0);
       }
       if (i == 200) {
-        for (const std::string &id : mIds) {
+        for (const std::string& id : mIds) {
           mNodes[id]->Propose("last");
         }
       }
     }
     bool equal = mAccepted.size() > before;
-    for (const std::string &id : mIds) {
+    for (const std::string& id : mIds) {
       equal = equal && mApplied[id].size() == mAccepted.size();
     }
     return equal;
@@ -210,7 +210,7 @@
   std::vector<std::string> mIds;
   Millis mNow = 0;
 
-private:
+ private:
   bool mDefect;
   std::map<std::string, std::vector<std::string>> mApplied;
   std::vector<RaftMessage> mNetwork;
@@ -223,7 +223,7 @@
 };
 
 /// Runs dice against a world; false where the oracle was contradicted.
-bool Survives(int aVoters, const std::vector<int> &aDice, bool aDefect) {
+bool Survives(int aVoters, const std::vector<int>& aDice, bool aDefect) {
   World world(aVoters, aDefect);
   for (int dice : aDice) {
     world.Step(dice);
@@ -239,7 +239,7 @@
                                               rc::gen::inRange(0, 16 * 1024));
 }
 
-} // namespace
+}  // namespace
 
 Test(raft_fuzz, what_is_accepted_stays_on_three_voters) {
   cr_assert(rc::check("three voters",
@@ -273,9 +273,9 @@
   options.mId = "v0";
   options.mVoters = {"v0"};
   options.mStorage = &storage;
-  options.mSend = [](const RaftMessage &) {};
-  options.mApply = [](const LogEntry &) {};
-  options.mInstallSnapshot = [](const std::string &) {};
+  options.mSend = [](const RaftMessage&) {};
+  options.mApply = [](const LogEntry&) {};
+  options.mInstallSnapshot = [](const std::string&) {};
   const RaftNode first(options, 0);
   options.mVoters.clear();
   RaftNode second(options, 0);
@@ -292,12 +292,12 @@
   options.mId = "v0";
   options.mVoters = {"v0", "v1", "v2"};
   options.mStorage = &storage;
-  options.mSend = [&](const RaftMessage &aMessage) {
+  options.mSend = [&](const RaftMessage& aMessage) {
     sent.push_back(aMessage);
   };
-  options.mApply = [](const LogEntry &) {};
+  options.mApply = [](const LogEntry&) {};
   options.mMakeSnapshot = [] { return std::string(); };
-  options.mInstallSnapshot = [](const std::string &) {};
+  options.mInstallSnapshot = [](const std::string&) {};
   RaftNode node(options, 0);
   RaftMessage append;
   append.mFrom = "v1";
@@ -320,7 +320,7 @@
 Test(raft, a_voter_whose_disk_fails_promises_nothing_more) {
   World world(3, false);
   cr_assert(world.Settle());
-  for (const std::string &id : world.mIds) {
+  for (const std::string& id : world.mIds) {
     if (world.mNodes[id]->Role() == RaftRole::kLeader) {
       world.mStorages[id]->mFail = true;
       CHECK(world.mNodes[id]->Propose("x") == 0);
@@ -331,7 +331,7 @@
   SECTION("the others go on") {
     for (int i = 0; i < 100; i++) {
       world.mNow += 50;
-      for (const std::string &id : world.mIds) {
+      for (const std::string& id : world.mIds) {
         world.mNodes[id]->Tick(world.mNow);
       }
       for (std::size_t n = 0; n < 100; n++) {
@@ -339,7 +339,7 @@
       }
     }
     int leaders = 0;
-    for (const std::string &id : world.mIds) {
+    for (const std::string& id : world.mIds) {
       leaders += world.mNodes[id]->Leads() ? 1 : 0;
     }
     CHECK(leaders == 1);
@@ -349,8 +349,8 @@
 Test(raft, a_lost_voter_is_replaced_one_step_at_a_time) {
   World world(3, false);
   cr_assert(world.Settle());
-  for (const std::string &id : world.mIds) {
-    RaftNode &node = *world.mNodes[id];
+  for (const std::string& id : world.mIds) {
+    RaftNode& node = *world.mNodes[id];
     if (!node.Leads()) {
       continue;
     }
@@ -360,7 +360,7 @@
     }
     SECTION("one is taken, and no second before it is accepted") {
       std::vector<std::string> fewer;
-      for (const std::string &voter : world.mIds) {
+      for (const std::string& voter : world.mIds) {
         if (voter == id || fewer.empty() || fewer.back() == id) {
           fewer.push_back(voter);
         }
--- a/tests/servers/pace_test.cpp
+++ b/tests/servers/pace_test.cpp
@@ -11,17 +11,21 @@
 
 using Path = std::vector<std::string>;
 
-double Half() { return 0.5; }
+double Half() {
+  return 0.5;
+}
 
-double Never() { return 0.99; }
+double Never() {
+  return 0.99;
+}
 
-bool Asks(EnginePaces &aPaces, const std::string &aInstance, Millis aNow) {
+bool Asks(EnginePaces& aPaces, const std::string& aInstance, Millis aNow) {
   const std::vector<std::string> asked = aPaces.ToAsk(aNow, 1, Half);
   return std::find(asked.begin(), asked.end(), aInstance) != asked.end();
 }
 
 /// An engine says it twice: what it says first may be old.
-void SayTwice(EnginePaces &aPaces, const std::string &aInstance, double aPace,
+void SayTwice(EnginePaces& aPaces, const std::string& aInstance, double aPace,
               Millis aNow) {
   aPaces.TakeWord(aInstance, aPace, aNow - 240);
   aPaces.TakeWord(aInstance, aPace, aNow);
@@ -38,7 +42,7 @@
   return play;
 }
 
-} // namespace
+}  // namespace
 
 Test(pace, what_is_slow_is_found_in_late_streams) {
   const Path ab{"a", "b"};
@@ -130,7 +134,7 @@
       paces.Late(Path{"e" + std::to_string(i), "e" + std::to_string(i + 1)},
                  now - 150, now);
     }
-    for (const std::string &instance : paces.ToAsk(now, 1, Half)) {
+    for (const std::string& instance : paces.ToAsk(now, 1, Half)) {
       asked++;
       paces.TakeWord(instance, 1.2, now + 10);
     }
@@ -233,7 +237,7 @@
   SECTION("nothing is kept of engines that are gone") {
     EnginePaces paces = slow;
     paces.OnTime(Path{"b"}, 1050);
-    paces.ForgetAll([](const std::string &aId) { return aId == "a"; });
+    paces.ForgetAll([](const std::string& aId) { return aId == "a"; });
     CHECK(paces.Known() == 1);
     CHECK(paces.PaceOf("a") == 1);
     CHECK(paces.Judge(1100).empty());
@@ -302,7 +306,7 @@
   question.mTokens = fleet.mProfile.mUsualPrompt + fleet.mProfile.mUsualAnswer;
   question.mReadTokens = fleet.mProfile.mUsualPrompt;
   question.mAnswerTokens = fleet.mProfile.mUsualAnswer;
-  for (const UpstreamRecord &record : records) {
+  for (const UpstreamRecord& record : records) {
     question.mEngines.push_back(&record);
   }
   unsigned drawn = 0;
@@ -311,7 +315,7 @@
     return static_cast<double>(drawn >> 8U) / (1U << 24U);
   };
   bool allSlow = false;
-  question.mLoadOf = [&allSlow](const std::string &aInstance) {
+  question.mLoadOf = [&allSlow](const std::string& aInstance) {
     const bool own = aInstance.starts_with("zone-1");
     return EngineLoad{.mPace = own || allSlow ? 12.0 : 1.0};
   };
@@ -322,7 +326,7 @@
       const PathAnswer answer =
           choice.Choose(question, {.mUnseen = 5000, .mRevision = 1});
       REQUIRE(!answer.mPath.empty());
-      const std::string &first = answer.mPath.front().mInstance;
+      const std::string& first = answer.mPath.front().mInstance;
       own += answer.mDealt && first.starts_with("zone-1") ? 1 : 0;
     }
     return own;
--- a/tests/servers/starts_test.cpp
+++ b/tests/servers/starts_test.cpp
@@ -16,9 +16,9 @@
 
 /// A disk that takes no time.
 class QuickStorage : public RaftStorage {
-public:
+ public:
   DurableState Load() override { return mState; }
-  void SaveHardState(const HardState &aState) override {
+  void SaveHardState(const HardState& aState) override {
     mState.mHardState = aState;
   }
   void Append(std::span<const LogEntry> aEntries) override {
@@ -28,14 +28,14 @@
     mState.mEntries.insert(mState.mEntries.end(), aEntries.begin(),
                            aEntries.end());
   }
-  void SaveSnapshot(const Snapshot &aSnapshot, std::span<const LogEntry> aRest,
-                    const HardState &aState) override {
+  void SaveSnapshot(const Snapshot& aSnapshot, std::span<const LogEntry> aRest,
+                    const HardState& aState) override {
     mState.mSnapshot = aSnapshot;
     mState.mEntries.assign(aRest.begin(), aRest.end());
     mState.mHardState = aState;
   }
 
-private:
+ private:
   DurableState mState;
 };
 
@@ -46,7 +46,7 @@
 /// yet is turned away, all else takes two milliseconds; a vote as long as it is
 /// told.
 class VotersStart {
-public:
+ public:
   VotersStart(std::vector<Millis> aStarts, std::uint64_t aSeed,
               Millis aVoteTakes = 2)
       : mStarts(std::move(aStarts)), mSeed(aSeed), mVoteTakes(aVoteTakes) {
@@ -72,7 +72,7 @@
     return kMost;
   }
 
-private:
+ private:
   static constexpr Millis kDelay = 2;
 
   struct OnTheWay {
@@ -82,7 +82,7 @@
 
   /// Of those that run.
   bool AllSettled() const {
-    return std::all_of(mNodes.begin(), mNodes.end(), [](const auto &aNode) {
+    return std::all_of(mNodes.begin(), mNodes.end(), [](const auto& aNode) {
       return aNode == nullptr || aNode->Settled();
     });
   }
@@ -100,20 +100,20 @@
     }
     const std::vector<OnTheWay> sent = std::move(mSent);
     mSent.clear();
-    for (const OnTheWay &item : sent) {
+    for (const OnTheWay& item : sent) {
       if (item.mAt > aNow) {
         mSent.push_back(item);
         continue;
       }
       const auto it =
           std::find(mIds.begin(), mIds.end(), item.mMessage.mTo) - mIds.begin();
-      RaftNode *to = mNodes[static_cast<std::size_t>(it)].get();
+      RaftNode* to = mNodes[static_cast<std::size_t>(it)].get();
       if (to != nullptr) {
         mNow = aNow;
         to->Receive(item.mMessage, aNow);
         continue;
       }
-      for (const auto &node : mNodes) {
+      for (const auto& node : mNodes) {
         if (node != nullptr) {
           node->Undelivered(item.mMessage.mTo, kDelay);
         }
@@ -130,13 +130,13 @@
     options.mHeartbeat = 70;
     options.mSeed = mSeed * mIds.size() + aIndex;
     options.mStorage = mStorages.back().get();
-    options.mSend = [this](const RaftMessage &aMessage) {
+    options.mSend = [this](const RaftMessage& aMessage) {
       const bool isVote = aMessage.mKind == RaftKind::kVoteReply;
       mSent.push_back({aMessage, mNow + (isVote ? mVoteTakes : kDelay)});
     };
-    options.mApply = [](const LogEntry &) {};
+    options.mApply = [](const LogEntry&) {};
     options.mMakeSnapshot = [] { return std::string(); };
-    options.mInstallSnapshot = [](const std::string &) {};
+    options.mInstallSnapshot = [](const std::string&) {};
     mNodes[aIndex] = std::make_unique<RaftNode>(std::move(options), aNow);
   }
 
@@ -152,18 +152,18 @@
 
 /// A leader of three: one follows, calls to the other all fail.
 class FailingCalls {
-public:
+ public:
   explicit FailingCalls(Millis aFailAfter) : mFailAfter(aFailAfter) {
     RaftOptions options;
     options.mId = "leader";
     options.mVoters = {"leader", "follower", "far"};
     options.mStorage = &mStorage;
-    options.mSend = [this](const RaftMessage &aMessage) {
+    options.mSend = [this](const RaftMessage& aMessage) {
       mSent.push_back(aMessage);
     };
-    options.mApply = [](const LogEntry &) {};
+    options.mApply = [](const LogEntry&) {};
     options.mMakeSnapshot = [] { return std::string(); };
-    options.mInstallSnapshot = [](const std::string &) {};
+    options.mInstallSnapshot = [](const std::string&) {};
     mNode = std::make_unique<RaftNode>(std::move(options), mNow);
   }
 
@@ -180,7 +180,7 @@
     return mWithEntries;
   }
 
-private:
+ private:
   void Step() {
     mNow += 10;
     mNode->Tick(mNow);
@@ -231,14 +231,14 @@
     Add("fast", {2, 4});
   }
 
-  void Add(const std::string &aKind, LayerRange aLayers) {
+  void Add(const std::string& aKind, LayerRange aLayers) {
     mRecords.push_back(std::make_unique<UpstreamRecord>(
         UpstreamRecord{.mKind = aKind, .mLayers = aLayers}));
   }
 
   double Capacity() const {
-    std::vector<const UpstreamRecord *> views;
-    for (const auto &record : mRecords) {
+    std::vector<const UpstreamRecord*> views;
+    for (const auto& record : mRecords) {
       views.push_back(record.get());
     }
     return ReadingCapacity(mProfile, views);
@@ -253,7 +253,7 @@
 struct ReturnPlay {
   int mRouters = 30;
   int mCallers = 600;
-  double mFreePerMilli = 0.2; ///< Of all routers together.
+  double mFreePerMilli = 0.2;  ///< Of all routers together.
   bool mPredicts = true;
 
   /// The share of the callers that find no place when they come back.
@@ -266,7 +266,7 @@
     std::vector<Millis> back;
     for (int i = 0; i < mCallers; i++) {
       const Millis now = i * kRefusedWithin / mCallers;
-      ReturnTimes &router = routers[random() % routers.size()];
+      ReturnTimes& router = routers[random() % routers.size()];
       const ReturnAnswer told =
           router.Tell({.mNow = now,
                        .mLeft = kLeft,
@@ -292,7 +292,7 @@
   }
 };
 
-} // namespace
+}  // namespace
 
 Test(starts, voters_that_start_apart_have_a_leader_soon) {
   std::vector<Millis> after;
