--- a/daemons/control/replicated_configuration.cpp
+++ b/daemons/control/replicated_configuration.cpp
@@ -103,9 +103,10 @@
   const std::optional<Endpoint> peer = AddressOf(aMessage.mTo);
   if (peer.has_value()) {
     mContext.mRpc.Call(*peer, rpc_method::kRaft, ToJson(aMessage), kRaftTimeout,
-                       [this, to = aMessage.mTo](const RpcResult& aResult) {
+                       [this, to = aMessage.mTo,
+                        began = SteadyNow()](const RpcResult& aResult) {
                          if (!aResult.mOk) {
-                           mRaft->Undelivered(to);
+                           mRaft->Undelivered(to, SteadyNow() - began);
                          }
                        });
   }
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -121,7 +121,10 @@
   if (mRoute->mResumable) {
     mLastEvent = mFacts.mLastEvent;
   }
-  mContext.mAdmission->RecordDeadline(mRoute->mName, mFacts.mDeadline);
+  // No request of the route has more time than its time-out, whatever its
+  // caller says: one number must not set what is usual for the others.
+  mContext.mAdmission->RecordDeadline(
+      mRoute->mName, std::min(mFacts.mDeadline, mRoute->mTimeout));
   PickService();
   mContext.RetriesOf(mService->mName).RequestStarted(SteadyNow());
   mContext.PathAsked(mService->mName);
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -1,5 +1,7 @@
 #include "daemons/relay/stream_guard.h"
 
+#include <utility>
+
 #include "daemons/engine_call.h"
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/log.h"
@@ -143,9 +145,7 @@
     return;
   }
   mLookedAt = mContext.mRegistry.Revision();
-  std::erase_if(mLeftBehind, [this](const std::string& aInstance) {
-    return mContext.mRegistry.Find(aInstance) == nullptr;
-  });
+  DropUnknown();
   std::set<std::string> leaving;
   for (const UpstreamRecord* record : mContext.mRegistry.OfService("")) {
     const bool leaves = record->mState == UpstreamState::kLeaving ||
@@ -159,6 +159,19 @@
   }
 }
 
+void StreamGuard::DropUnknown() {
+  const auto unknown = [this](const std::string& aInstance) {
+    return mContext.mRegistry.Find(aInstance) == nullptr;
+  };
+  const auto ended = [&unknown](const auto& aItem) {
+    return aItem.second.mCall == nullptr && unknown(aItem.first);
+  };
+  std::erase_if(mLeftBehind, unknown);
+  std::erase_if(mProbes, ended);
+  std::erase_if(mStates, ended);
+  mContext.mPaces.ForgetAll(unknown);
+}
+
 void StreamGuard::MoveOffRestarted() {
   const std::set<std::string> restarted = mContext.TakeRestarted();
   if (restarted.empty()) {
@@ -232,12 +245,14 @@
     Look& ended = mStates[aInstance];
     const std::shared_ptr<StreamCall> call = std::move(ended.mCall);
     mContext.mLoop.Post([call] {});
+    // Up to 256 KB, of each instance that was ever asked.
+    const std::string body = std::exchange(ended.mBody, {});
     const bool restarted = ended.mStart != mContext.StartOf(aInstance);
     if (aEnd != StreamEnd::kComplete || restarted) {
       return;
     }
     try {
-      TakeState(aInstance, mContext.mOptions.mEngines.mReadState(ended.mBody));
+      TakeState(aInstance, mContext.mOptions.mEngines.mReadState(body));
     } catch (const Error& error) {
       mContext.mBadWords.Note("report", aInstance, error);
     }
--- a/daemons/relay/stream_guard.h
+++ b/daemons/relay/stream_guard.h
@@ -65,6 +65,9 @@
   void TakeState(const std::string& aInstance, const EngineState& aState);
   void LeaveBehind(const std::set<std::string>& aInstances, MoveReason aWhy);
   void MoveOffLeaving();
+  /// Nothing is kept of instances that the registry has forgotten: each start
+  /// of a replica may bring a new one.
+  void DropUnknown();
 
   /// A look at one instance.
   struct Look {
--- a/include/spindleweir/servers/consensus/raft_node.h
+++ b/include/spindleweir/servers/consensus/raft_node.h
@@ -50,9 +50,10 @@
 
   void Tick(Millis aNow);
   void Receive(const RaftMessage& aMessage, Millis aNow);
-  /// A message to another voter did not arrive, as far as is known: what it
-  /// held goes again with the next heartbeat.
-  void Undelivered(const std::string& aTo);
+  /// The call with a message to another voter failed so long after it began.
+  /// One that was turned away at once did not arrive: what it held goes again
+  /// with the next heartbeat.
+  void Undelivered(const std::string& aTo, Millis aAfter);
 
   /// Adds a command to the log. Returns its index, or 0 where this voter does
   /// not lead. Acceptance is known when mApply is called for that index with
--- a/include/spindleweir/servers/routing/engine_pace.h
+++ b/include/spindleweir/servers/routing/engine_pace.h
@@ -111,6 +111,10 @@
   const std::map<std::string, double>& Slow() const { return mSlow; }
   /// Nothing known of an instance holds any more.
   void Forget(const std::string& aInstance);
+  /// The same of all instances of which aIsGone says so.
+  void ForgetAll(const std::function<bool(const std::string&)>& aIsGone);
+  /// Instances of which something is kept.
+  std::size_t Known() const { return mEngines.size(); }
 
  private:
   /// What is known of one engine.
--- a/servers/consensus/raft_replication.cpp
+++ b/servers/consensus/raft_replication.cpp
@@ -8,6 +8,11 @@
 namespace {
 
 constexpr std::size_t kRoundsKept = 128;
+/// Where nobody listens a call ends within a round trip, a few milliseconds
+/// between zones, and this leaves room for a late process. A time-out says
+/// nothing: on a choked link entries went again with each heartbeat, up to
+/// 256 KB each 0.1 s instead of each 0.4 s, and choked it further.
+constexpr Millis kTurnedAwayWithin = 200;
 
 }  // namespace
 
@@ -89,7 +94,10 @@
   }
 }
 
-void RaftNode::Undelivered(const std::string& aTo) {
+void RaftNode::Undelivered(const std::string& aTo, Millis aAfter) {
+  if (aAfter >= kTurnedAwayWithin) {
+    return;
+  }
   const auto it = mProgress.find(aTo);
   if (mRole == RaftRole::kLeader && it != mProgress.end()) {
     // A voter that started after its leader's first entry was sent knew of no
--- a/servers/routing/engine_pace.cpp
+++ b/servers/routing/engine_pace.cpp
@@ -352,4 +352,17 @@
   mRevision += mSlow.erase(aInstance) > 0 ? 1 : 0;
 }
 
+void EnginePaces::ForgetAll(
+    const std::function<bool(const std::string&)>& aIsGone) {
+  std::vector<std::string> gone;
+  for (const auto& [instance, engine] : mEngines) {
+    if (aIsGone(instance)) {
+      gone.push_back(instance);
+    }
+  }
+  for (const std::string& instance : gone) {
+    Forget(instance);
+  }
+}
+
 }  // namespace spindleweir
--- a/tests/daemons/restart_test.cpp
+++ b/tests/daemons/restart_test.cpp
@@ -214,6 +214,21 @@
   }
 }
 
+Test(restart, one_deadline_beyond_the_time_out_makes_no_others_later_tries) {
+  RelayStory story;
+  story.Begin();
+  ScriptedUpstream engine(story.mLoop, "engine");
+  story.BeginEngine(engine);
+  constexpr Millis kDay = 86400000;
+  CHECK(story.Call("/stream/x", "key", kDay).mStatus == 200);
+  engine.Next(std::vector<UpstreamAct>(4, UpstreamAct::kRefuse));
+  SECTION("a first try is refused at once, to come back") {
+    // All the time that the route gives.
+    CHECK(story.Call("/stream/x", "key", 5000).mStatus == 503);
+    CHECK(story.RunsOfLast() + engine.Runs(story.Last()) == 0);
+  }
+}
+
 Test(restart, a_call_that_has_come_back_is_not_held) {
   // One retry a minute.
   RelayStory story(kShortStart,
--- a/tests/fuzz/raft_fuzz.cpp
+++ b/tests/fuzz/raft_fuzz.cpp
@@ -132,7 +132,7 @@
               mNetwork.begin() + aDice / 16 % static_cast<int>(mNetwork.size());
           // Its sender may learn of it, also where a double still arrives.
           if (mProposals % 2 == 0) {
-            mNodes[it->mFrom]->Undelivered(it->mTo);
+            mNodes[it->mFrom]->Undelivered(it->mTo, 0);
           }
           mNetwork.erase(it);
         }
--- a/tests/servers/pace_test.cpp
+++ b/tests/servers/pace_test.cpp
@@ -235,6 +235,14 @@
     CHECK(paces.PaceOf("a") == 1);
     CHECK(paces.Judge(1100).empty());
   }
+  SECTION("nothing is kept of engines that are gone") {
+    EnginePaces paces = slow;
+    paces.RecordOnTime(Path{"b"}, 1050);
+    paces.ForgetAll([](const std::string& aId) { return aId == "a"; });
+    CHECK(paces.Known() == 1);
+    CHECK(paces.PaceOf("a") == 1);
+    CHECK(paces.Judge(1100).empty());
+  }
 }
 
 Test(pace, paces_travel_with_the_loads) {
--- a/tests/servers/starts_test.cpp
+++ b/tests/servers/starts_test.cpp
@@ -73,6 +73,8 @@
   }
 
  private:
+  static constexpr Millis kDelay = 2;
+
   struct OnTheWay {
     RaftMessage mMessage;
     Millis mAt;
@@ -113,14 +115,13 @@
       }
       for (const auto& node : mNodes) {
         if (node != nullptr) {
-          node->Undelivered(item.mMessage.mTo);
+          node->Undelivered(item.mMessage.mTo, kDelay);
         }
       }
     }
   }
 
   void Start(std::size_t aIndex, Millis aNow) {
-    constexpr Millis kDelay = 2;
     mStorages.push_back(std::make_unique<QuickStorage>());
     RaftOptions options;
     options.mId = mIds[aIndex];
@@ -149,6 +150,75 @@
   std::vector<OnTheWay> mSent;
 };
 
+/// A leader of three: one follows, calls to the other all fail.
+class FailingCalls {
+ public:
+  explicit FailingCalls(Millis aFailAfter) : mFailAfter(aFailAfter) {
+    RaftOptions options;
+    options.mId = "leader";
+    options.mVoters = {"leader", "follower", "far"};
+    options.mStorage = &mStorage;
+    options.mSend = [this](const RaftMessage& aMessage) {
+      mSent.push_back(aMessage);
+    };
+    options.mApply = [](const LogEntry&) {};
+    options.mMakeSnapshot = [] { return std::string(); };
+    options.mInstallSnapshot = [](const std::string&) {};
+    mNode = std::make_unique<RaftNode>(std::move(options), mNow);
+  }
+
+  /// Messages with entries to the other, of those in nine heartbeats.
+  int WithEntries() {
+    while (mNode->Role() != RaftRole::kLeader) {
+      Step();
+    }
+    mWithEntries = 0;
+    mNode->Propose("p");
+    for (int i = 0; i < 90; i++) {
+      Step();
+    }
+    return mWithEntries;
+  }
+
+ private:
+  void Step() {
+    mNow += 10;
+    mNode->Tick(mNow);
+    while (!mSent.empty()) {
+      const RaftMessage message = mSent.front();
+      mSent.erase(mSent.begin());
+      if (message.mTo == "far") {
+        mWithEntries += message.mEntries.empty() ? 0 : 1;
+        mNode->Undelivered("far", mFailAfter);
+        continue;
+      }
+      RaftMessage reply;
+      reply.mFrom = message.mTo;
+      reply.mTo = message.mFrom;
+      reply.mTerm = message.mTerm;
+      reply.mGranted = true;
+      reply.mRound = message.mRound;
+      reply.mKind = RaftKind::kAppendReply;
+      if (message.mKind == RaftKind::kAppend) {
+        reply.mIndex =
+            message.mIndex + static_cast<std::int64_t>(message.mEntries.size());
+      } else if (message.mKind == RaftKind::kPreVote) {
+        reply.mKind = RaftKind::kPreVoteReply;
+      } else {
+        reply.mKind = RaftKind::kVoteReply;
+      }
+      mNode->Receive(reply, mNow);
+    }
+  }
+
+  Millis mFailAfter;
+  Millis mNow = 0;
+  int mWithEntries = 0;
+  QuickStorage mStorage;
+  std::vector<RaftMessage> mSent;
+  std::unique_ptr<RaftNode> mNode;
+};
+
 /// Engines that each hold two of four layers.
 struct SmallZone {
   SmallZone() {
@@ -257,6 +327,15 @@
   }
 }
 
+Test(starts, entries_go_again_soon_only_where_they_were_turned_away) {
+  SECTION("nobody listened: with the next heartbeat") {
+    CHECK(FailingCalls(2).WithEntries() >= 8);
+  }
+  SECTION("a time-out says nothing: after the usual time") {
+    CHECK(FailingCalls(1000).WithEntries() <= 3);
+  }
+}
+
 Test(starts, a_router_without_a_lease_asks_sooner) {
   const AskedControl lacking{
       .mPeriod = 150, .mIsNear = true, .mIsFirst = true, .mLacksLease = true};
