What takes an upstream's answer stands in a file of its own

relay_attempt.cpp had grown to 527 lines with two jobs: sending and trying again, and taking answers. The second moves as it stands to relay_answer.cpp. No behaviour changes.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -1,4 +1,4 @@
-/// The parts of a request that send it to upstreams and take their answers.
+/// The parts of a request that send it to upstreams and try again.
 #include "daemons/relay/relay_request.h"
 
 #include <algorithm>
@@ -9,14 +9,9 @@
 
 namespace {
 
-constexpr int kRequestTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
 constexpr Millis kSilencePeriod = 100;
 /// An upstream that failed is left alone for so long.
 constexpr Millis kAvoidAfterLoss = 1500;
-constexpr Millis kAvoidAfterRefusal = 300;
 /// Attempts that did not leave this process, and that upstreams refused.
 constexpr int kMostNotSent = 3;
 constexpr int kMostRefused = 3;
@@ -31,12 +26,6 @@
 /// attempt, and first comers, which come back, took the places.
 constexpr Millis kHoldRetries = 1500;
 
-/// Statuses by which callers take a request for not run, now or ever.
-bool PromisesNotRun(int aStatus) {
-  return aStatus == kRequestTimeout || aStatus == kMisdirected ||
-         aStatus == kTooManyRequests || aStatus == kUnavailable;
-}
-
 }  // namespace
 
 void RelayRequest::StartAttempt() {
@@ -183,218 +172,6 @@
   }
 }
 
-void RelayRequest::HandleHead(const AnswerHead& aHead) {
-  mAttempt->mHead = aHead;
-  mAttempt->mFacts = mContext.mOptions.mCallers.mReadAnswer(aHead, mFacts);
-  const AnswerFacts& facts = mAttempt->mFacts;
-  if (!facts.mOurs) {
-    AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
-    return;
-  }
-  if (facts.mRan == Ran::kNo) {
-    for (const PathPart& part : mAttempt->mPath) {
-      if (part.mAddress == facts.mCulprit) {
-        mContext.Failed(part.mInstance, kAvoidAfterRefusal);
-      }
-    }
-    AttemptFailed(Ran::kNo, ResultCode::kUpstreamFull, true);
-    return;
-  }
-  const bool usable =
-      !IsSuccess(aHead.mStatus) || (facts.mSigned && !facts.mIsEncoded);
-  if (!usable) {
-    AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
-  }
-}
-
-void RelayRequest::HandleData(std::string_view aBytes) {
-  if (mAttempt == nullptr) {
-    return;
-  }
-  mAttempt->mHeardAt = SteadyNow();
-  const bool isStream =
-      mAttempt->mFacts.mIsStream && IsSuccess(mAttempt->mHead.mStatus);
-  if (isStream) {
-    HandleEvents(aBytes);
-    return;
-  }
-  HandleBody(aBytes);
-}
-
-void RelayRequest::HandleBody(std::string_view aBytes) {
-  if (mAttempt->mPassesThrough) {
-    mExchange->Write(aBytes);
-    PushBack();
-    return;
-  }
-  mAttempt->mBody += aBytes;
-  if (MayCollect()) {
-    return;
-  }
-  if (!mContext.mMemory->Bounded() || mExchange->Started() ||
-      WouldMisreportNotRun()) {
-    AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
-    return;
-  }
-  PassThrough();
-}
-
-bool RelayRequest::MayCollect() {
-  const std::shared_ptr<MemoryHold>& memory = mExchange->Memory();
-  if (memory == nullptr) {
-    return true;
-  }
-  memory->Set(HeldKind::kPartial, mAttempt->mBody.size() +
-                                      mAttempt->mEvents.Rest().size() +
-                                      (mKept ? mKept->mBody.size() : 0));
-  return memory->MayCollect();
-}
-
-bool RelayRequest::WouldMisreportNotRun() const {
-  // It did not say that it had not run: its status would be a promise of ours
-  // that nobody made.
-  return PromisesNotRun(mAttempt->mHead.mStatus) && !mRoute->Repeatable();
-}
-
-void RelayRequest::PassThrough() {
-  // What fails from here on cannot be tried at another upstream: the caller
-  // has the head, and perhaps more.
-  mAttempt->mPassesThrough = true;
-  mKept.reset();
-  const std::string* length =
-      FindHeader(mAttempt->mHead.mHeaders, "Content-Length");
-  std::optional<std::size_t> bytes;
-  if (length != nullptr) {
-    bytes = std::stoull(*length);
-  }
-  mExchange->Start(mAttempt->mHead.mStatus,
-                   mContext.mOptions.mCallers.mWriteAnswer(mAttempt->mHead),
-                   bytes);
-  mExchange->Write(mAttempt->mBody);
-  mAttempt->mBody = std::string();
-  (void)MayCollect();
-  mContext.mCounters.Add("memory_handed_on");
-  PushBack();
-}
-
-void RelayRequest::PushBack() {
-  if (mExchange->MayBringMore()) {
-    return;
-  }
-  mAttempt->mCall->Pause(true);
-  mContext.mGuard->Watch().Suspend(mKey);
-  mContext.mCounters.Add("memory_pauses");
-}
-
-void RelayRequest::ClaimMemory() {
-  const std::shared_ptr<MemoryHold>& memory = mExchange->Memory();
-  if (memory != nullptr) {
-    memory->SetClaim(mRoute->Repeatable() ? MemoryClaim::kRepeatable
-                                          : MemoryClaim::kRanOnce);
-  }
-}
-
-void RelayRequest::HandleEvents(std::string_view aBytes) {
-  const std::vector<RelayedEvent> events = mAttempt->mEvents.Take(aBytes);
-  for (const RelayedEvent& event : events) {
-    const bool known = event.mId.has_value() && mLastEvent.has_value() &&
-                       *event.mId <= *mLastEvent;
-    if (known) {
-      continue;
-    }
-    if (!mExchange->Started()) {
-      mExchange->Start(mAttempt->mHead.mStatus,
-                       mContext.mOptions.mCallers.mWriteAnswer(mAttempt->mHead),
-                       std::nullopt);
-    }
-    const Millis now = SteadyNow();
-    mContext.mGuard->Progress(mKey, now);
-    EndReading();
-    if (mFirstEventAt == 0) {
-      mFirstEventAt = now;
-    } else {
-      mLongestPause = std::max(mLongestPause, now - mLastEventAt);
-    }
-    mLastEventAt = now;
-    mEvents++;
-    mExchange->Write(event.mBytes);
-    if (event.mId.has_value()) {
-      mLastEvent = event.mId;
-    }
-  }
-  (void)MayCollect();
-  PushBack();
-}
-
-void RelayRequest::HandleEnd(StreamEnd aEnd) {
-  if (mAttempt == nullptr) {
-    return;
-  }
-  switch (aEnd) {
-    case StreamEnd::kNotSent:
-      AttemptFailed(Ran::kNo, ResultCode::kNoUpstream, false);
-      return;
-    case StreamEnd::kLost:
-      AttemptFailed(Ran::kUnknown, ResultCode::kOutcomeUnknown, true);
-      return;
-    case StreamEnd::kGarbled:
-      AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
-      return;
-    case StreamEnd::kComplete:
-      HandleWholeAnswer();
-      return;
-  }
-}
-
-void RelayRequest::HandleWholeAnswer() {
-  const int status = mAttempt->mHead.mStatus;
-  if (mAttempt->mPassesThrough) {
-    mExchange->End();
-    End(IsSuccess(status) ? "served" : "upstream_failed", status);
-    return;
-  }
-  const bool isStream = mAttempt->mFacts.mIsStream && IsSuccess(status);
-  if (WouldMisreportNotRun()) {
-    AttemptFailed(Ran::kUnknown, ResultCode::kOutcomeUnknown, true);
-    return;
-  }
-  if (!isStream) {
-    const bool failed = status >= 500;
-    if (failed) {
-      mContext.Failed(mAttempt->mInstance, 0);
-      if (MayTryAgain(Ran::kYes)) {
-        mKept = KeptAnswer{mAttempt->mHead, mAttempt->mBody};
-        AttemptFailed(Ran::kYes, ResultCode::kOutcomeUnknown, true);
-        return;
-      }
-    } else {
-      mContext.Succeeded(mAttempt->mInstance);
-      mContext.RecordPlainTime(mService->mName,
-                               SteadyNow() - mAttempt->mStartedAt);
-    }
-    if (mExchange->Started()) {
-      // A resumed stream was answered with a failure.
-      AttemptFailed(Ran::kYes, ResultCode::kStreamBroken, true);
-      return;
-    }
-    Forward(mAttempt->mHead, mAttempt->mBody);
-    return;
-  }
-  if (!mAttempt->mEvents.Rest().empty()) {
-    // It ended inside an event: it is not whole, whatever its framing says.
-    AttemptFailed(Ran::kUnknown, ResultCode::kStreamBroken, true);
-    return;
-  }
-  mContext.Succeeded(mAttempt->mInstance);
-  if (!mExchange->Started()) {
-    mExchange->Start(status,
-                     mContext.mOptions.mCallers.mWriteAnswer(mAttempt->mHead),
-                     std::nullopt);
-  }
-  mExchange->End();
-  End("served", status);
-}
-
 double RelayRequest::KnownFillOf(const std::string& aAddress) const {
   for (const PathPart& part : mAttempt->mPath) {
     const UpstreamRecord* engine = mContext.mRegistry.Find(part.mInstance);
