A router that knows no number of routers asks as seldom as usual

By reading: routers that have just started took themselves for the only one, so that the bound on how soon they ask while they lack a lease did not hold for any of them: 300 asked three controls each 75 to 150 ms, where 150 to 600 is usual. The test's router now knows of 8; one that knows of none has a section of its own.

--- a/servers/membership/ask_schedule.cpp
+++ b/servers/membership/ask_schedule.cpp
@@ -76,6 +76,13 @@
   return aControl.mIsNear ? near : near * kLackingOthers;
 }
 
+/// Whether so few routers ask that controls have time for more. One that has
+/// just started does not know: all of 300 that did took themselves for the only
+/// one, asked thrice as often as usual, and no control got to a configuration.
+bool AsksSooner(const AskedControl& aControl) {
+  return aControl.mRouters > 1 && aControl.mRouters <= kMostAskingSooner;
+}
+
 }  // namespace
 
 Millis AskAgainAfter(const AskedControl& aControl) {
@@ -88,7 +95,7 @@
       backOff == 1 ? 1 : kLeastSpread + (1 - kLeastSpread) * aControl.mSpread;
   double usual = static_cast<double>(
       aControl.mIsNear ? period : OthersPeriod(aControl, period));
-  if (aControl.mLacksLease && aControl.mRouters <= kMostAskingSooner) {
+  if (aControl.mLacksLease && AsksSooner(aControl)) {
     const double lacking =
         static_cast<double>(period) * LackingFactor(aControl, period);
     usual = std::min(usual, lacking);
--- a/tests/servers/starts_test.cpp
+++ b/tests/servers/starts_test.cpp
@@ -337,8 +337,11 @@
 }
 
 Test(starts, a_router_without_a_lease_asks_sooner) {
-  const AskedControl lacking{
-      .mPeriod = 150, .mIsNear = true, .mIsFirst = true, .mLacksLease = true};
+  const AskedControl lacking{.mPeriod = 150,
+                             .mIsNear = true,
+                             .mIsFirst = true,
+                             .mLacksLease = true,
+                             .mRouters = 8};
   SECTION("the nearest twice as often, the others four times") {
     CHECK(AskAgainAfter(lacking) == 75);
     AskedControl far = lacking;
@@ -354,6 +357,13 @@
     large.mIsNear = false;
     CHECK(AskAgainAfter(large) == 600);
   }
+  SECTION("nor one that does not know yet how many there are") {
+    AskedControl alone = lacking;
+    alone.mRouters = 1;
+    CHECK(AskAgainAfter(alone) == 150);
+    alone.mIsNear = false;
+    CHECK(AskAgainAfter(alone) == 600);
+  }
   SECTION("and not at all where there are so many that controls have no time") {
     AskedControl many = lacking;
     many.mRouters = 300;
