--- a/tests/daemons/deployment.cpp
+++ b/tests/daemons/deployment.cpp
@@ -85,7 +85,7 @@
 }
 
 Deployment::Deployment(DeploymentOptions aOptions)
-    : mOptions(aOptions), mClient(mLoop) {
+    : mOptions(std::move(aOptions)), mClient(mLoop) {
   if (getenv("TEST_LOG") != nullptr) {
     StartLog(getenv("TEST_LOG"), "test");
   }
--- a/tests/daemons/relay_story.cpp
+++ b/tests/daemons/relay_story.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-/// Longer than a busy machine lets a process stand still: without a lease routers
-/// refuse, and rightly.
+/// Longer than a busy machine lets a process stand still: without a lease
+/// routers refuse, and rightly.
 constexpr Millis kLease = 2500;
 
 /// A loopback address that no other process of the tests uses: 127.64.0.0/10 by
