--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -194,6 +194,7 @@
       .Add("dealt", mAttempt->mDealt)
       .Add("loads_age_ms", static_cast<Json::Int64>(mContext.LoadsAge()))
       .Add("request", mFacts.mId)
+      .Add("content", Content())
       .Add("instance", mAttempt->mInstance)
       .Add("code", static_cast<int>(aCode))
       .Add("ran", std::string(NameOf(aRan)))
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -6,6 +6,7 @@
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/daemons/answers.h"
+#include "spindleweir/servers/limits/request_content.h"
 
 namespace spindleweir {
 
@@ -196,6 +197,16 @@
   mService = mTable->FindService(picked->mService);
 }
 
+const std::string& RelayRequest::Content() const {
+  if (mContent.empty()) {
+    mContent = RequestContent({.mWorkspace = mWorkspace,
+                               .mHost = mFacts.mHost,
+                               .mTarget = mExchange->Head().mTarget,
+                               .mBody = mExchange->Body()});
+  }
+  return mContent;
+}
+
 void RelayRequest::Forward(const AnswerHead& aHead, std::string_view aBody) {
   mExchange->Start(aHead.mStatus,
                    mContext.mOptions.mCallers.mWriteAnswer(aHead),
@@ -309,6 +320,7 @@
       .Add("service", mService == nullptr ? "" : mService->mName)
       .Add("instance", mAttempt == nullptr ? "" : mAttempt->mInstance)
       .Add("path", path)
+      .Add("content", IsSuccess(aStatus) ? "" : Content())
       .Add("sent", mSent + (mAttempt == nullptr ? 0 : 1))
       .Add("events", mEvents)
       .Add("first_ms", static_cast<Json::Int64>(
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -156,6 +156,9 @@
   bool IsCurrent() const;
   void GiveUp(ResultCode aCode);
   void Refuse(ResultCode aCode, ReturnCause aCause);
+  /// Tells requests of the same workspace, path and body from all others,
+  /// whatever id they come under: a digest.
+  const std::string& Content() const;
   void Forward(const AnswerHead& aHead, std::string_view aBody);
   void End(const char* aOutcome, int aStatus);
   void Count(const char* aOutcome, int aStatus);
@@ -170,6 +173,7 @@
   const TrafficRoute* mRoute = nullptr;
   const TrafficService* mService = nullptr;
   std::string mWorkspace;
+  mutable std::string mContent;  ///< Empty: not asked for yet.
   bool mNeedsLease = false;
   Millis mDeadline = 0;  ///< Steady.
   std::unique_ptr<Attempt> mAttempt;
