Test: a request that crashes upstreams comes again at another router (fails)

Cause: what is known of a request's crashes ends with its try at one router. Change: a story of two routers and 24 upstreams, each of which ends when it begins the request; scripted upstreams can crash, a story has further routers.

--- a/standins/scripted_upstream.cpp
+++ b/standins/scripted_upstream.cpp
@@ -16,16 +16,27 @@
 }  // namespace
 
 ScriptedUpstream::ScriptedUpstream(EventLoop& aLoop, std::string aInstance)
-    : mInstance(std::move(aInstance)),
-      mFailure(kServerError),
-      mServer(aLoop,
-              {.mListen = {"127.0.0.1", 0},
-               .mHandle =
-                   [this](const std::shared_ptr<StreamExchange>& aExchange) {
-                     Handle(aExchange);
-                   },
-               .mRefuse = [](StreamExchange& aExchange,
-                             ResultCode) { aExchange.Abort(); }}) {}
+    : mLoop(aLoop), mInstance(std::move(aInstance)), mFailure(kServerError) {
+  mServer = std::make_unique<StreamServer>(
+      aLoop, StreamServerOptions{
+                 .mListen = {"127.0.0.1", 0},
+                 .mHandle =
+                     [this](const std::shared_ptr<StreamExchange>& aExchange) {
+                       Handle(aExchange);
+                     },
+                 .mRefuse = [](StreamExchange& aExchange,
+                               ResultCode) { aExchange.Abort(); }});
+  mAddress = mServer->Address().Text();
+}
+
+void ScriptedUpstream::Crash() {
+  if (mCrashed) {
+    return;
+  }
+  mCrashed = true;
+  // One of its calls is on the stack.
+  mLoop.Post([this] { mServer.reset(); });
+}
 
 void ScriptedUpstream::Next(std::vector<UpstreamAct> aActs) {
   mActs.assign(aActs.begin(), aActs.end());
@@ -58,6 +69,10 @@
   const std::string* request =
       FindHeader(aExchange->Head().mHeaders, "X-Request");
   mRuns[request == nullptr ? "" : *request]++;
+  if (!mCrashOn.empty() && aExchange->Head().mTarget.ends_with(mCrashOn)) {
+    Crash();
+    return;
+  }
   aExchange->OnClosed([this] { mClosed++; });
   if (act == UpstreamAct::kSilent) {
     return;
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -32,9 +32,13 @@
   void SetBytes(std::size_t aBytes) { mBytes = aBytes; }
   /// The body that a request gets then.
   static std::string BodyOf(const std::string& aRequest, std::size_t aBytes);
+  /// Whatever begins to run a request whose target ends so ends itself.
+  void CrashOn(std::string aTargetEnd) { mCrashOn = std::move(aTargetEnd); }
+  /// Whether it crashed: all connections reset, its port refuses.
+  bool Crashed() const { return mCrashed; }
   /// The status of what fails.
   void FailWith(int aStatus) { mFailure = aStatus; }
-  std::string Address() const { return mServer.Address().Text(); }
+  const std::string& Address() const { return mAddress; }
   const std::string& Instance() const { return mInstance; }
   /// How often a request ran here.
   int Runs(const std::string& aRequest) const;
@@ -47,14 +51,19 @@
  private:
   void Handle(const std::shared_ptr<StreamExchange>& aExchange);
   void Stream(StreamExchange& aExchange, UpstreamAct aAct);
+  void Crash();
 
+  EventLoop& mLoop;
   std::string mInstance;
   std::deque<UpstreamAct> mActs;
   std::map<std::string, int> mRuns;
   int mClosed = 0;
   std::size_t mBytes = 0;
   int mFailure;
-  StreamServer mServer;
+  std::string mCrashOn;
+  bool mCrashed = false;
+  std::unique_ptr<StreamServer> mServer;
+  std::string mAddress;
 };
 
 }  // namespace spindleweir
--- a/tests/daemons/relay_story.cpp
+++ b/tests/daemons/relay_story.cpp
@@ -85,8 +85,12 @@
 }
 
 void RelayStory::StartRouter() {
+  mRouter = MakeRouter("router");
+}
+
+std::unique_ptr<RelayRouter> RelayStory::MakeRouter(const std::string& aId) {
   RelayOptions options;
-  options.mId = "router";
+  options.mId = aId;
   options.mZone = "z";
   options.mListen = {"127.0.0.1", 0};
   options.mSeeds = {mSeed};
@@ -99,7 +103,7 @@
   options.mMemoryBytes = mMemoryBytes;
   options.mCallers = PlainCallers();
   options.mEngines = PlainEngines();
-  mRouter = std::make_unique<RelayRouter>(mLoop, std::move(options));
+  return std::make_unique<RelayRouter>(mLoop, std::move(options));
 }
 
 void RelayStory::StartControl() {
@@ -203,10 +207,16 @@
 
 Answer RelayStory::Call(const std::string& aTarget, const std::string& aKey,
                         Millis aDeadline) {
+  return CallAt(*mRouter, aTarget, aKey, aDeadline);
+}
+
+Answer RelayStory::CallAt(const RelayRouter& aRouter,
+                          const std::string& aTarget, const std::string& aKey,
+                          Millis aDeadline) {
   Answer answer;
   bool ended = false;
   StreamCallOptions options;
-  options.mServer = mRouter->Address();
+  options.mServer = aRouter.Address();
   options.mMethod = "POST";
   options.mTarget = aTarget;
   options.mHeaders = {{"Host", "shop"},
--- a/tests/daemons/relay_story.h
+++ b/tests/daemons/relay_story.h
@@ -45,6 +45,8 @@
   void StartControl();
   /// A router that knows nothing yet.
   void StartRouter();
+  /// One more beside it.
+  std::unique_ptr<RelayRouter> MakeRouter(const std::string& aId);
 
   /// False where it does not come true within the loop's bound.
   bool RunUntil(const std::function<bool()>& aCondition);
@@ -68,6 +70,9 @@
   /// caller says that it has left, in milliseconds; 0: nothing.
   Answer Call(const std::string& aTarget, const std::string& aKey = "key",
               Millis aDeadline = 0);
+  /// The same at another router than the first.
+  Answer CallAt(const RelayRouter& aRouter, const std::string& aTarget,
+                const std::string& aKey = "key", Millis aDeadline = 0);
 
   /// The id of the last request.
   std::string Last() const { return "r" + std::to_string(mRequest); }
