Requests that crash upstreams are counted over all routers and barred

Cause: what a router learnt of a request's crashes ended with its try. A request that crashes whatever begins to run it came again under another id at another VM, which knew nothing: two upstreams a try, without end. Change: a lost attempt makes the router look whether the upstream still takes connections; if it does not, the newest attempts lost there are suspects. At three crashes that it did not survive a request is refused at once (2011, not run). What completes is excused. Verdicts are kept on each control's disk. Stand-in of the outcome stories: a connection that brings nothing is a look, no request, and a reset forgets what came.

--- a/core/result_code.cpp
+++ b/core/result_code.cpp
@@ -65,6 +65,9 @@
                    "The upstreams that could take it are full."},
     ResultCodeInfo{kMemoryFull, "MemoryFull", 503, Ran::kNo,
                    "This process holds as much for others as it may."},
+    ResultCodeInfo{kCrashesUpstreams, "CrashesUpstreams", 503, Ran::kNo,
+                   "Upstreams crashed under this request before; it is run no "
+                   "more."},
     ResultCodeInfo{kOutcomeUnknown, "OutcomeUnknown", 502, Ran::kUnknown,
                    "The upstream was lost after dispatch; it may have run."},
     ResultCodeInfo{kStreamBroken, "StreamBroken", 502, Ran::kUnknown,
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -27,6 +27,8 @@
 constexpr Millis kAskedEvery = 150;
 constexpr double kEachAsker = 3.5;
 constexpr int kLifeBytes = 6;
+/// Records of crashes in one answer: some 40 KB.
+constexpr std::size_t kMostCrashes = 256;
 /// After this time all routers have asked, and those of the last start count
 /// for nothing any more.
 constexpr Millis kRoutersBefore = 3000;
@@ -53,7 +55,9 @@
                    traffic.FindService(aService) != nullptr;
           },
           mBefore.mFresh),
-      mParts(aContext.mLoop, aContext.mCounters) {
+      mParts(aContext.mLoop, aContext.mCounters),
+      mCrashStore(aContext.mOptions.mData + "/barred") {
+  mCrashStore.Load(mCrashes, SteadyNow(), mContext.mBadWords.At("disk"));
   LogLine(LogLevel::kInfo, "stamp_read")
       .Add("upstreams_fresh", mBefore.mFresh)
       .Add("routers", mBefore.mRouters);
@@ -134,6 +138,7 @@
       kAskedEvery,
       static_cast<Millis>(kEachAsker * static_cast<double>(mAskedAt.size())));
   AddLoads(aQuestion, answer);
+  AddCrashes(aQuestion, answer);
   mParts.Count(aQuestion, answer);
   return answer;
 }
@@ -182,6 +187,37 @@
   }
 }
 
+void SyncService::TakeCrashes(const std::vector<Json::Value>& aRows,
+                              const std::string& aBy) {
+  const Millis now = SteadyNow();
+  for (const CrashRecord& record :
+       ReadCrashes(aRows, mContext.mBadWords.At("crashes"))) {
+    const bool was = mCrashes.IsBarred(record.mContent);
+    mCrashes.Merge(record, now);
+    const bool is = mCrashes.IsBarred(record.mContent);
+    if (was != is) {
+      LogLine(LogLevel::kWarning, is ? "request_barred" : "request_not_barred")
+          .Add("content", record.mContent)
+          .Add("by", aBy)
+          .Add("crashes", static_cast<int>(record.mCrashes.size()));
+    }
+  }
+  mContext.mCounters.Set("requests_barred",
+                         static_cast<std::int64_t>(mCrashes.Barred()));
+  mCrashStore.Save(mCrashes, now);
+}
+
+void SyncService::AddCrashes(const SyncQuestion& aQuestion,
+                             SyncAnswer& aAnswer) {
+  const bool fromControl = !aQuestion.mControl.mId.empty();
+  const std::int64_t known =
+      aQuestion.mKnows == mLife ? aQuestion.mKnowsCrashes : 0;
+  const CrashLedger::Changes changes =
+      mCrashes.Since(known, !fromControl, kMostCrashes, SteadyNow());
+  aAnswer.mCrashes = WriteRows(changes.mRecords);
+  aAnswer.mCrashRevision = changes.mUpTo;
+}
+
 void SyncService::ConfirmOwn(Millis aNow) {
   const Millis confirmed = mLog.Raft().ConfirmedAt();
   if (confirmed >= 0) {
@@ -195,6 +231,7 @@
     mDirectory.Heard(aQuestion.mControl, now);
     return;
   }
+  TakeCrashes(aQuestion.mCrashes, aQuestion.mProcess);
   mAskedAt[aQuestion.mProcess] = now;
   mUpstreams.Asked(aQuestion);
   std::erase_if(mAskedAt, [now](const auto& aItem) {
@@ -269,6 +306,7 @@
   question.mKnows = source.mLife;
   question.mRevision = source.mRevision;
   question.mKnowsLoads = source.mLoadsNumber;
+  question.mKnowsCrashes = source.mCrashRevision;
   question.mConfiguration = Traffic().mVersion;
   const Millis askedAt = SteadyNow();
   mContext.mRpc.Call(aAddress, rpc_method::kSync, ToJson(question), kAskTimeout,
@@ -311,9 +349,13 @@
     mDirectory.Heard(info, now);
   }
   mUpstreams.Take(aAnswer, source.mId);
+  source.mCrashRevision = aAnswer.mCrashRevision;
+  TakeCrashes(aAnswer.mCrashes, source.mId);
 }
 
 void SyncService::KeepUpstreams() {
+  mCrashes.Forget(SteadyNow());
+  mCrashStore.Save(mCrashes, SteadyNow());
   // Disks hang for seconds at times. A leader does without the file, so that
   // nobody waits for it then; all others have the same upstreams.
   if (!mLog.Raft().Leads() || mLog.Raft().Voters().size() == 1) {
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "daemons/control/answer_parts.h"
+#include "daemons/control/crash_store.h"
 #include "daemons/control/replicated_configuration.h"
 #include "daemons/control/start_stamp.h"
 #include "daemons/control/upstream_intake.h"
@@ -41,7 +42,8 @@
   struct Source {
     std::string mLife;
     std::int64_t mRevision = 0;
-    std::int64_t mLoadsNumber = 0;  ///< Of its routers' loads, heard last.
+    std::int64_t mLoadsNumber = 0;    ///< Of its routers' loads, heard last.
+    std::int64_t mCrashRevision = 0;  ///< Of its crash ledger, known so far.
     bool mAsking = false;
     Millis mHeardAt = 0;
     std::string mId;  ///< Of the control that answered last.
@@ -71,6 +73,10 @@
   /// Routers that there are, as far as is known.
   int Routers(Millis aNow);
   void AddLoads(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
+  /// Takes records of crashes; those that newly bar a request are kept on disk.
+  void TakeCrashes(const std::vector<Json::Value>& aRows,
+                   const std::string& aBy);
+  void AddCrashes(const SyncQuestion& aQuestion, SyncAnswer& aAnswer);
   ControlInfo Self() const;
 
   ControlContext& mContext;
@@ -91,6 +97,8 @@
   UpstreamIntake mUpstreams;
   AnswerParts mParts;
   LoadBook mLoads{LoadBookOptions{}};
+  CrashLedger mCrashes;
+  CrashStore mCrashStore;
   std::map<std::string, Source> mSources;  ///< By address.
   std::string mToldLeader;                 ///< Of the newest term told.
   std::int64_t mToldTerm = 0;
--- a/daemons/relay/relay_answer.cpp
+++ b/daemons/relay/relay_answer.cpp
@@ -68,6 +68,7 @@
     return;
   }
   mAttempt->mBody += aBytes;
+  mAttempt->mHadEvents = true;
   if (MayCollect()) {
     return;
   }
@@ -136,6 +137,7 @@
 
 void RelayRequest::HandleEvents(std::string_view aBytes) {
   const std::vector<RelayedEvent> events = mAttempt->mEvents.Take(aBytes);
+  mAttempt->mHadEvents = mAttempt->mHadEvents || !events.empty();
   for (const RelayedEvent& event : events) {
     const bool known = event.mId.has_value() && mLastEvent.has_value() &&
                        *event.mId <= *mLastEvent;
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -28,7 +28,17 @@
 
 }  // namespace
 
+bool RelayRequest::IsBarred() const {
+  return mContext.mCrashes.Ledger().BarsAny() &&
+         mContext.mCrashes.IsBarred(Content());
+}
+
 void RelayRequest::StartAttempt() {
+  if (IsBarred()) {
+    mContext.mCounters.Add("barred_requests");
+    GiveUp(ResultCode::kCrashesUpstreams);
+    return;
+  }
   mAttempt = std::make_unique<Attempt>();
   mAttempt->mStartedAt = SteadyNow();
   mAttempt->mHeardAt = mAttempt->mStartedAt;
@@ -127,7 +137,7 @@
   }
   const UpstreamRecord* record = mContext.mRegistry.Find(mAttempt->mInstance);
   return record != nullptr && IsCurrent() && !Ends(record->mState) &&
-         Remaining() > 0;
+         Remaining() > 0 && !IsBarred();
 }
 
 bool RelayRequest::IsCurrent() const {
@@ -216,7 +226,15 @@
                            : kMostRefused;
   return allowed && sent < mRoute->mAttempts && mRefused < refusals &&
          mNotSent < kMostNotSent && Remaining() > kLeastForAttempt &&
-         !mExchange->Closed();
+         !mExchange->Closed() && !IsBarred();
+}
+
+void RelayRequest::NoteLost(const std::string& aInstance, std::int64_t aStart) {
+  mContext.mGuard->AttemptLost({.mInstance = aInstance,
+                                .mStart = aStart,
+                                .mContent = Content(),
+                                .mBegunAt = mAttempt->mStartedAt,
+                                .mHadEvents = mAttempt->mHadEvents});
 }
 
 void RelayRequest::AttemptFailed(Ran aRan, ResultCode aCode, bool aWasSent) {
@@ -233,6 +251,9 @@
   if ((aRan == Ran::kUnknown || !aWasSent) && IsCurrent()) {
     mContext.Failed(mAttempt->mInstance, kAvoidAfterLoss);
   }
+  if (aRan == Ran::kUnknown && aWasSent) {
+    NoteLost(mAttempt->mInstance, mAttempt->mStart);
+  }
   DropAttempt();
   if (!mayTryAgain) {
     GiveUp(aCode);
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -13,6 +13,7 @@
 #include "spindleweir/daemons/relay_router.h"
 #include "spindleweir/daemons/sync_messages.h"
 #include "spindleweir/drivers/rpc_channel.h"
+#include "spindleweir/servers/limits/crash_watch.h"
 #include "spindleweir/servers/limits/memory_account.h"
 #include "spindleweir/servers/membership/beat_taker.h"
 #include "spindleweir/servers/membership/control_directory.h"
@@ -130,6 +131,7 @@
   UpstreamRegistry mRegistry;
   BeatTaker mTaker;
   EnginePaces mPaces;
+  CrashWatch mCrashes;
   int mRouters = 1;  ///< That share limits, as far as is known.
   bool mStopping = false;
   StreamGuard* mGuard = nullptr;         ///< Set once all parts are made.
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -110,6 +110,13 @@
     return;
   }
   if (!hit(path.front())) {
+    if (aWhy == MoveReason::kUnreachable) {
+      for (const PathPart& part : path) {
+        if (hit(part)) {
+          NoteLost(part.mInstance, mContext.StartOf(part.mInstance));
+        }
+      }
+    }
     LayerPath next = Without(aInstances);
     if (!next.empty()) {
       Repath(std::move(next), aWhy);
@@ -346,6 +353,7 @@
     return false;
   }
   LogFailure(Ran::kUnknown, aCode);
+  NoteLost(mAttempt->mInstance, mAttempt->mStart);
   mMayHaveRun = true;
   mSent++;
   DropAttempt();
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -231,7 +231,10 @@
   }
   if (!mMayHaveRun) {
     const bool refusal = InfoOf(aCode).mRan == Ran::kNo;
-    Refuse(refusal ? aCode : ResultCode::kNoUpstream, ReturnCause::kFull);
+    // Whoever is barred has no time at which to come back.
+    Refuse(refusal ? aCode : ResultCode::kNoUpstream,
+           aCode == ResultCode::kCrashesUpstreams ? ReturnCause::kNever
+                                                  : ReturnCause::kFull);
     return;
   }
   Refuse(InfoOf(aCode).mRan == Ran::kNo ? ResultCode::kOutcomeUnknown : aCode,
@@ -303,6 +306,9 @@
     return;
   }
   mEnded = true;
+  if (IsSuccess(aStatus)) {
+    mContext.mCrashes.Completed(Content(), SteadyNow());
+  }
   Json::Value path(Json::arrayValue);
   if (mAttempt != nullptr) {
     for (const PathPart& part : mAttempt->mPath) {
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -51,7 +51,8 @@
     AnswerHead mHead;
     AnswerFacts mFacts;
     EventReader mEvents;
-    std::string mBody;  ///< Of an answer that is not a stream.
+    std::string mBody;        ///< Of an answer that is not a stream.
+    bool mHadEvents = false;  ///< One came, or a part of a whole answer.
     bool mPassesThrough =
         false;  ///< It goes on as it comes, for lack of memory.
     std::unique_ptr<StreamCall> mCall;
@@ -135,6 +136,8 @@
   /// Leaves an attempt that may still go on for a better one; false, and
   /// nothing changes, where there is none.
   bool SwitchAttempt(ResultCode aCode);
+  /// The attempt is lost, or a part of its path: an upstream may have crashed.
+  void NoteLost(const std::string& aInstance, std::int64_t aStart);
   void LogFailure(Ran aRan, ResultCode aCode) const;
   /// The share of an engine's room that is promised, by the loads known here;
   /// -1: it is no part of the path.
@@ -159,6 +162,8 @@
   /// Tells requests of the same workspace, path and body from all others,
   /// whatever id they come under: a digest.
   const std::string& Content() const;
+  /// Whether upstreams crashed under it, here or elsewhere, too often.
+  bool IsBarred() const;
   void Forward(const AnswerHead& aHead, std::string_view aBody);
   void End(const char* aOutcome, int aStatus);
   void Count(const char* aOutcome, int aStatus);
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -60,10 +60,10 @@
     return;
   }
   for (const std::string& instance : mWatch.Suspects(now)) {
-    const Look& look = mProbes[instance];
-    if (look.mCall == nullptr && now - look.mAt >= kProbeAgain) {
-      Probe(instance);
-    }
+    ProbeIfDue(instance, now);
+  }
+  for (const std::string& instance : mContext.mCrashes.Unsettled(now)) {
+    ProbeIfDue(instance, now);
   }
   StepPaces(now);
   std::set<std::string> firsts;
@@ -183,9 +183,45 @@
   LeaveBehind(restarted, MoveReason::kRestarted);
 }
 
+void StreamGuard::ProbeIfDue(const std::string& aInstance, Millis aNow) {
+  const Look& look = mProbes[aInstance];
+  if (look.mCall == nullptr && aNow - look.mAt >= kProbeAgain) {
+    Probe(aInstance);
+  }
+}
+
+void StreamGuard::AttemptLost(LostAttempt aAttempt) {
+  const std::string instance = aAttempt.mInstance;
+  const Millis now = SteadyNow();
+  mContext.mCrashes.Lost(std::move(aAttempt), now);
+  ProbeIfDue(instance, now);
+}
+
+void StreamGuard::CountCrash(const std::string& aInstance) {
+  const std::vector<std::string> contents =
+      mContext.mCrashes.Ended(aInstance, SteadyNow());
+  if (contents.empty()) {
+    return;
+  }
+  mContext.mCounters.Add("crashes_seen");
+  Json::Value suspects(Json::arrayValue);
+  Json::Value barred(Json::arrayValue);
+  for (const std::string& content : contents) {
+    suspects.append(content);
+    if (mContext.mCrashes.IsBarred(content)) {
+      barred.append(content);
+    }
+  }
+  LogLine(LogLevel::kWarning, "upstream_crashed")
+      .Add("instance", aInstance)
+      .Add("suspects", suspects)
+      .Add("barred", barred);
+}
+
 void StreamGuard::Probe(const std::string& aInstance) {
   const UpstreamRecord* record = mContext.mRegistry.Find(aInstance);
   if (record == nullptr) {
+    CountCrash(aInstance);
     return;
   }
   Look& look = mProbes[aInstance];
@@ -214,7 +250,15 @@
   mContext.mCounters.Add("probes");
   const bool refused = took < kProbeTimeout;
   const bool restarted = look.mStart != mContext.StartOf(aInstance);
-  if (aConnected || restarted || (!refused && LateSince(look.mAt))) {
+  if (restarted) {
+    CountCrash(aInstance);
+    return;
+  }
+  if (aConnected) {
+    mContext.mCrashes.StillThere(aInstance);
+    return;
+  }
+  if (!refused && LateSince(look.mAt)) {
     return;
   }
   LogLine(LogLevel::kInfo, "upstream_unreachable")
@@ -222,6 +266,10 @@
       .Add("after_ms", static_cast<Json::Int64>(took));
   mContext.Unreachable(aInstance, kUnreachableFor);
   LeaveBehind({aInstance}, MoveReason::kUnreachable);
+  if (refused) {
+    // Without an answer it may as well be cut off.
+    CountCrash(aInstance);
+  }
 }
 
 void StreamGuard::AskState(const std::string& aInstance) {
--- a/daemons/relay/stream_guard.h
+++ b/daemons/relay/stream_guard.h
@@ -49,6 +49,8 @@
   /// Moves streams off incarnations that were followed by others. To be called
   /// once all news that came together are taken, and before new streams begin.
   void MoveOffRestarted();
+  /// An attempt was lost at an instance: finds out whether it crashed.
+  void AttemptLost(LostAttempt aAttempt);
   /// An event of a stream came.
   void Progress(StreamKey aKey, Millis aNow);
 
@@ -61,6 +63,10 @@
   bool LateSince(Millis aSince) const { return mLateAt >= aSince; }
   void Probe(const std::string& aInstance);
   void ProbeEnded(const std::string& aInstance, bool aConnected);
+  /// Looks at an instance, unless that is under way or was just done.
+  void ProbeIfDue(const std::string& aInstance, Millis aNow);
+  /// An instance crashed: counts it for the requests that it may be by.
+  void CountCrash(const std::string& aInstance);
   void AskState(const std::string& aInstance);
   void TakeState(const std::string& aInstance, const EngineState& aState);
   void LeaveBehind(const std::set<std::string>& aInstances, MoveReason aWhy);
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -28,6 +28,8 @@
 /// Others are asked seldom only while it answers within so many of its periods:
 /// a silence of it is made up for as fast as the others used to be asked.
 constexpr Millis kFreshPeriods = 3;
+/// Records of crashes in one question: some 20 KB.
+constexpr std::size_t kMostCrashes = 128;
 
 }  // namespace
 
@@ -81,6 +83,7 @@
   if (now - mForgotAt >= kForgetPeriod) {
     mForgotAt = now;
     mContext.mRegistry.ForgetEnded(now);
+    mContext.mCrashes.Forget(now);
   }
   if (now - mLoadsAt > kLoadsKept) {
     mContext.ForgetOtherLoads();
@@ -103,6 +106,31 @@
   return untold.mNumber;
 }
 
+std::int64_t SyncLink::AddCrashes(const Source& aSource,
+                                  SyncQuestion& aQuestion) {
+  aQuestion.mKnowsCrashes = aSource.mCrashRevision;
+  const CrashLedger::Changes changes = mContext.mCrashes.Ledger().Since(
+      aSource.mCrashesTold, false, kMostCrashes, SteadyNow());
+  aQuestion.mCrashes = WriteRows(changes.mRecords);
+  return changes.mUpTo;
+}
+
+void SyncLink::TakeCrashes(Source& aSource, const SyncAnswer& aAnswer) {
+  aSource.mCrashRevision = aAnswer.mCrashRevision;
+  for (const CrashRecord& record :
+       ReadCrashes(aAnswer.mCrashes, mContext.mBadWords.At("crashes"))) {
+    const bool was = mContext.mCrashes.IsBarred(record.mContent);
+    mContext.mCrashes.Take(record, SteadyNow());
+    const bool is = mContext.mCrashes.IsBarred(record.mContent);
+    if (was != is) {
+      LogLine(LogLevel::kWarning, is ? "request_barred" : "request_not_barred")
+          .Add("content", record.mContent)
+          .Add("by", aAnswer.mSelf.mId)
+          .Add("crashes", static_cast<int>(record.mCrashes.size()));
+    }
+  }
+}
+
 void SyncLink::Ask(const Endpoint& aAddress) {
   Source& source = mSources[aAddress.Text()];
   source.mAsking = true;
@@ -127,22 +155,27 @@
     question.mLoads = LoadTable::Of(own);
     question.mTellsLoads = mTold.Tell(std::move(own));
   }
+  const std::int64_t crashes = AddCrashes(source, question);
   const Millis askedAt = source.mAskedAt;
   const Millis timeout = AskTimeout(Asked(aAddress.Text()));
-  mContext.mRpc.Call(
-      aAddress, rpc_method::kSync, ToJson(question), timeout,
-      [this, aAddress, askedAt, life, beats](const RpcResult& aResult) {
-        mSources[aAddress.Text()].mAsking = false;
-        if (!aResult.mOk) {
-          Failed(aAddress, askedAt);
-          return;
-        }
-        const auto answer = FromJson<SyncAnswer>(aResult.mAnswer);
-        if (beats > 0 && answer.mLife == life) {
-          mContext.mTaker.Told(life, beats);
-        }
-        Take(aAddress, answer, askedAt);
-      });
+  mContext.mRpc.Call(aAddress, rpc_method::kSync, ToJson(question), timeout,
+                     [this, aAddress, askedAt, life, beats,
+                      crashes](const RpcResult& aResult) {
+                       mSources[aAddress.Text()].mAsking = false;
+                       if (!aResult.mOk) {
+                         Failed(aAddress, askedAt);
+                         return;
+                       }
+                       const auto answer =
+                           FromJson<SyncAnswer>(aResult.mAnswer);
+                       if (beats > 0 && answer.mLife == life) {
+                         mContext.mTaker.Told(life, beats);
+                       }
+                       if (answer.mLife == life) {
+                         mSources[aAddress.Text()].mCrashesTold = crashes;
+                       }
+                       Take(aAddress, answer, askedAt);
+                     });
 }
 
 void SyncLink::Failed(const Endpoint& aAddress, Millis aAskedAt) {
@@ -193,6 +226,8 @@
   Source& source = mSources[aAddress.Text()];
   if (source.mLife != aAnswer.mLife) {
     source.mLoadsNumber = 0;
+    // A process that started again knows what is on its disk, at most.
+    source.mCrashesTold = 0;
   }
   source.mLife = aAnswer.mLife;
   source.mRevision = aAnswer.mRevision;
@@ -218,6 +253,7 @@
     TakeUpstream(record, aAnswer.mSelf.mId);
   }
   mContext.mGuard->MoveOffRestarted();
+  TakeCrashes(source, aAnswer);
   if (aAddress.Text() == mNear) {
     mNearAt = now;
     TakeLoads(source, aAnswer, aAskedAt);
--- a/daemons/relay/sync_link.h
+++ b/daemons/relay/sync_link.h
@@ -31,6 +31,8 @@
     int mFailures = 0;         ///< Without a word, since it answered last.
     bool mWasRefused = false;  ///< Nobody listened there at the last question.
     double mSpread = 1;        ///< Chance, of the newest question.
+    std::int64_t mCrashRevision = 0;  ///< Of its crash ledger, known so far.
+    std::int64_t mCrashesTold = 0;    ///< Of the own ledger, told to its life.
   };
 
   void Step();
@@ -40,6 +42,10 @@
   /// Adds the heartbeats taken here that the control asked has not been told.
   /// Returns their number.
   std::int64_t AddBeats(const Source& aSource, SyncQuestion& aQuestion);
+  /// Adds what the own crash ledger has that the control asked has not been
+  /// told. Returns the revision that it is up to.
+  std::int64_t AddCrashes(const Source& aSource, SyncQuestion& aQuestion);
+  void TakeCrashes(Source& aSource, const SyncAnswer& aAnswer);
   void Take(const Endpoint& aAddress, const SyncAnswer& aAnswer,
             Millis aAskedAt);
   /// Takes the work of other routers.
--- a/include/spindleweir/core/result_code.h
+++ b/include/spindleweir/core/result_code.h
@@ -44,6 +44,7 @@
   kLeaseExpired = 2008,
   kUpstreamFull = 2009,
   kMemoryFull = 2010,
+  kCrashesUpstreams = 2011,
   kOutcomeUnknown = 3001,
   kStreamBroken = 3002,
   kInProgress = 3003,
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "spindleweir/servers/limits/crash_ledger.h"
 #include "spindleweir/servers/membership/control_directory.h"
 #include "spindleweir/servers/membership/upstream_feed.h"
 #include "spindleweir/servers/membership/upstream_table.h"
@@ -53,6 +54,11 @@
   /// Of the loads that are told; 0: none are. They replace what was told.
   std::int64_t mTellsLoads = 0;
   LoadTable mLoads;
+  /// The revision of the answerer's crash ledger that is known.
+  std::int64_t mKnowsCrashes = 0;
+  /// Of a router: what its ledger has that the answerer was not told: rows of
+  /// CrashRecord, see ReadCrashes.
+  std::vector<Json::Value> mCrashes;
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -71,6 +77,8 @@
     aCodec.Sparse("knows_loads", mKnowsLoads);
     aCodec.Sparse("tells_loads", mTellsLoads);
     aCodec.Sparse("loads", mLoads);
+    aCodec.Sparse("knows_crashes", mKnowsCrashes);
+    aCodec.Sparse("crashes", mCrashes);
   }
 };
 
@@ -102,6 +110,10 @@
   Millis mLoadsAgo = 0;           ///< Since they were summed up.
   /// The number of what who asks told that is among them; 0: nothing.
   std::int64_t mSummedLoads = 0;
+  /// Rows of CrashRecord that are new to who asks; to a router, of requests
+  /// that are or were barred.
+  std::vector<Json::Value> mCrashes;
+  std::int64_t mCrashRevision = 0;  ///< Known with them.
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -124,6 +136,8 @@
     aCodec.Sparse("loads_number", mLoadsNumber);
     aCodec.Sparse("loads_ago_ms", mLoadsAgo);
     aCodec.Sparse("summed_loads", mSummedLoads);
+    aCodec.Sparse("crashes", mCrashes);
+    aCodec.Sparse("crash_revision", mCrashRevision);
   }
 };
 
--- a/tests/daemons/outcome_test.cpp
+++ b/tests/daemons/outcome_test.cpp
@@ -68,8 +68,12 @@
     return mFd >= 0;
   }
 
-  /// Takes what has come; true once a connection is there.
+  /// Takes what has come; true once a connection is there. One that ends and
+  /// brought nothing was a look whether the upstream is there, and no request.
   bool Take() {
+    if (mEnded && mGot.empty()) {
+      Next();
+    }
     Accept();
     char buf[65536];
     ssize_t n = 0;
@@ -89,7 +93,7 @@
   void Reset() {
     const linger now{.l_onoff = 1, .l_linger = 0};
     (void)setsockopt(mFd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-    Close();
+    Next();
   }
 
   /// Goes on to the next connection.
