Barred requests stay barred over restarts; disks lost while all else loses power

Cause: two of the new rules had no test: verdicts must outlive a stop of all processes, and what was acknowledged must outlive lost disks where all other machines lose power at the same moment. Change: stories for both. The replicated log is fuzzed with one disk of three and two of five lost and all others started from theirs; a voter without its disk that votes under its old name is the planted defect.

--- a/tests/daemons/crashing_request_test.cpp
+++ b/tests/daemons/crashing_request_test.cpp
@@ -8,6 +8,8 @@
 /// The evidence: log lines of lost attempts that had brought no event, in
 /// pairs, each pair under another id and mostly at another router, 0.1 to 0.4 s
 /// apart, with no other fault near them.
+#include "daemons/control/crash_store.h"
+#include "spindleweir/drivers/file_tools.h"
 #include "tests/daemons/relay_story.h"
 
 using namespace spindleweir;
@@ -80,3 +82,81 @@
     CHECK(story.mStory.CallAt(*story.mOther, "/look/x").mStatus == 200);
   }
 }
+
+Test(crashing_request, stays_barred_when_all_processes_start_again) {
+  CrashStory story;
+  story.ComeAgain();
+  RelayStory& all = story.mStory;
+  REQUIRE(ReadFile(all.mFolder.Path("data/barred")).has_value());
+  all.mRouter.reset();
+  story.mOther.reset();
+  all.mControl.reset();
+  all.StartControl();
+  all.StartRouter();
+  for (const auto& upstream : story.mUpstreams) {
+    if (!upstream->Crashed()) {
+      all.Beat(*upstream, UpstreamState::kReady);
+    }
+  }
+  REQUIRE(all.RunUntil([&all] { return all.mRouter->Ready(); }));
+  const int before = story.Crashed();
+  SECTION("the first try after the start is refused already") {
+    CHECK(all.Call(kCrashing).mStatus == 503);
+    CHECK(story.Crashed() == before);
+  }
+  SECTION("others are served") {
+    CHECK(all.Call("/look/x").mStatus == 200);
+  }
+}
+
+Test(crashing_request, costs_what_was_lost_with_it_no_place) {
+  // A request that is under way at an upstream that ends, and is served by the
+  // next one, has crashed nothing.
+  CrashStory story;
+  SECTION("however often upstreams end under it, since it completes between") {
+    for (int i = 0; i < 5; i++) {
+      ScriptedUpstream ends(story.mStory.mLoop, "ends" + std::to_string(i));
+      ends.CrashOn("innocent");
+      story.mStory.Beat(ends, UpstreamState::kReady);
+      for (int n = 0; !ends.Crashed(); n++) {
+        REQUIRE(n < 2000);
+        CHECK(story.mStory.Call("/look/innocent").mStatus == 200);
+      }
+    }
+    CHECK(story.mStory.Call("/look/innocent").mStatus == 200);
+  }
+}
+
+Test(crash_store, keeps_what_is_barred_and_nothing_else) {
+  const TemporaryFolder folder;
+  const BadRowHook noBad = [](const std::string&, const Error&) {
+    cr_assert_fail("a row cannot be used");
+  };
+  CrashLedger before;
+  for (const char* incarnation : {"a@1", "b@1", "c@1"}) {
+    before.Crashed("barred", incarnation, 0);
+  }
+  before.Crashed("suspect", "a@1", 0);
+  CrashStore(folder.Path("barred")).Save(before, 10);
+  SECTION("a process that starts again bars the same") {
+    CrashLedger after;
+    CrashStore(folder.Path("barred")).Load(after, 0, noBad);
+    CHECK(after.IsBarred("barred") && after.CrashesOf("suspect") == 0);
+  }
+  SECTION("a torn file bars nothing, and is no error") {
+    const std::string kept = ReadFile(folder.Path("barred")).value();
+    ReplaceFile(folder.Path("torn"), kept.substr(0, kept.size() / 2));
+    CrashLedger after;
+    CrashStore(folder.Path("torn")).Load(after, 0, noBad);
+    CHECK(!after.BarsAny());
+  }
+  SECTION("a disk that refuses is tried again") {
+    CrashStore store(folder.Path("later/barred"));
+    store.Save(before, 0);
+    PrepareFolder(folder.Path("later"));
+    store.Save(before, 100);
+    CHECK(!ReadFile(folder.Path("later/barred")).has_value());
+    store.Save(before, 5000);
+    CHECK(ReadFile(folder.Path("later/barred")).has_value());
+  }
+}
--- a/tests/fuzz/raft_fuzz.cpp
+++ b/tests/fuzz/raft_fuzz.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 #include "spindleweir/servers/consensus/raft_node.h"
 #include "tests/test_tools.h"
@@ -173,7 +174,9 @@
                     static_cast<std::ptrdiff_t>(aWhich % mNetwork.size());
     const RaftMessage message = *it;
     mNetwork.erase(it);
-    if (message.mFrom != mCut && message.mTo != mCut) {
+    const bool gone =
+        mGone.contains(message.mFrom) || mGone.contains(message.mTo);
+    if (!gone && message.mFrom != mCut && message.mTo != mCut) {
       mNodes[message.mTo]->Receive(message, mNow);
     }
   }
@@ -205,6 +208,55 @@
 
   bool Good() const { return mGood; }
 
+  /// Power is lost everywhere, and some disks with it: what was on its way is
+  /// gone, all others start from their disks. A voter is what its disk says it
+  /// is, so that one without comes back as another and has no vote here; the
+  /// planted defect lets it vote under its old name.
+  void LosePowerAndDisks(int aLost, bool aVotesAgain) {
+    mNetwork.clear();
+    mCut.clear();
+    for (const std::string& id : mIds) {
+      const bool lost = aLost-- > 0;
+      if (lost) {
+        mStorages[id] = std::make_unique<MemoryStorage>();
+      }
+      if (lost && !aVotesAgain) {
+        mGone.insert(id);
+      } else {
+        Start(id);
+      }
+    }
+  }
+
+  /// Whether those that are left agree on all that was accepted, and go on.
+  bool RestGoesOn() {
+    const std::size_t before = mAccepted.size();
+    for (int i = 0; i < 400; i++) {
+      mNow += 50;
+      for (const std::string& id : mIds) {
+        if (!mGone.contains(id)) {
+          mNodes[id]->Tick(mNow);
+        }
+      }
+      for (int n = 0; n < 2000 && !mNetwork.empty(); n++) {
+        Deliver(0);
+      }
+      if (i == 200) {
+        for (const std::string& id : mIds) {
+          if (!mGone.contains(id)) {
+            mNodes[id]->Propose("last");
+          }
+        }
+      }
+    }
+    bool equal = mAccepted.size() > before;
+    for (const std::string& id : mIds) {
+      equal = equal &&
+              (mGone.contains(id) || mApplied[id].size() == mAccepted.size());
+    }
+    return equal;
+  }
+
   std::map<std::string, std::unique_ptr<MemoryStorage>> mStorages;
   std::map<std::string, std::unique_ptr<RaftNode>> mNodes;
   std::vector<std::string> mIds;
@@ -216,6 +268,7 @@
   std::vector<RaftMessage> mNetwork;
   std::vector<std::string> mAccepted;
   std::string mCut;
+  std::set<std::string> mGone;  ///< Their disks are lost.
   int mProposals = 0;
   int mCrashes = 0;
   std::uint64_t mSeed = 0;
@@ -251,6 +304,39 @@
                       [] { RC_ASSERT(Survives(5, *Dice(1500), false)); }));
 }
 
+/// False where something accepted is lost with these disks, or the rest stops.
+bool SurvivesLostDisks(int aVoters, int aLost, const std::vector<int>& aDice,
+                       bool aVotesAgain) {
+  World world(aVoters, false);
+  for (int dice : aDice) {
+    world.Step(dice);
+  }
+  world.LosePowerAndDisks(aLost, aVotesAgain);
+  return world.RestGoesOn() && world.Good();
+}
+
+Test(raft_fuzz, what_is_accepted_survives_lost_disks_and_lost_power_of_all) {
+  cr_assert(rc::check("one disk of three", [] {
+    RC_ASSERT(SurvivesLostDisks(3, 1, *Dice(600), false));
+  }));
+  cr_assert(rc::check("two disks of five", [] {
+    RC_ASSERT(SurvivesLostDisks(5, 2, *Dice(600), false));
+  }));
+}
+
+Test(raft_fuzz, a_voter_that_lost_its_disk_and_votes_is_caught) {
+  std::mt19937 random(7);
+  bool caught = false;
+  for (int round = 0; round < 400 && !caught; round++) {
+    std::vector<int> dice;
+    for (int i = 0; i < 600; i++) {
+      dice.push_back(std::uniform_int_distribution<int>(0, 16383)(random));
+    }
+    caught = !SurvivesLostDisks(5, 3, dice, true);
+  }
+  CHECK(caught);
+}
+
 Test(raft_fuzz, a_voter_that_forgets_is_caught) {
   // The check must be able to fail: a planted defect has to be found.
   std::mt19937 random(5);
