A VM that was suspended takes all ages for as old as they are

Cause: the steady clock and libevent's timers leave out the time in which a VM is suspended. A router that went on after 8 s took its lease of 2.5 s for valid and passed requests on with keys that might be revoked; deadlines and all other timers fired as much too late. An event loop compares both clocks each 50 ms; after a suspension it makes due what became due meanwhile, in order, and sets the others anew. Waits for others' silence still leave out a standstill.

--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -2,7 +2,9 @@
 
 #include <event2/event.h>
 #include <signal.h>
+#include <time.h>
 
+#include <algorithm>
 #include <vector>
 
 #include "spindleweir/core/error.h"
@@ -27,6 +29,24 @@
 /// a container gets the processor in slices that are 90 ms apart.
 constexpr Millis kOrdinaryGap = 150;
 
+/// Milliseconds by the clock of libevent's timers.
+Millis TimerNow() {
+  timespec now{};
+  (void)clock_gettime(CLOCK_MONOTONIC, &now);
+  return now.tv_sec * kMillisPerSecond +
+         now.tv_nsec / (kMicrosPerMilli * kMicrosPerMilli);
+}
+
+/// Time in which this VM was suspended since it was booted.
+Millis SuspendedInAll() {
+  return SteadyNow() - TimerNow();
+}
+
+/// The two clocks are not read at the same moment.
+constexpr Millis kClockSlack = 5;
+
+}  // namespace
+
 /// Owns libevent events that call one function.
 class EventTimer : public Timer {
  public:
@@ -35,27 +55,70 @@
     for (event* item : mEvents) {
       event_free(item);
     }
+    if (mTimers != nullptr) {
+      mTimers->erase(mPlace);
+    }
   }
   EventTimer(const EventTimer&) = delete;
   EventTimer& operator=(const EventTimer&) = delete;
 
-  void Add(event_base* aBase, int aFd, short aWhat, const timeval* aDelay) {
+  void Add(event_base* aBase, int aFd, short aWhat) {
     event* item = event_new(aBase, aFd, aWhat, &EventTimer::Fire, this);
     mEvents.push_back(item);
-    event_add(item, aDelay);
+    event_add(item, nullptr);
+  }
+
+  /// Waits for a time. aPeriod: between calls; 0: there is one only.
+  void AddTime(event_base* aBase, std::list<EventTimer*>& aTimers,
+               Millis aDelay, Millis aPeriod) {
+    const int what = EV_TIMEOUT | (aPeriod > 0 ? EV_PERSIST : 0);
+    event* item =
+        event_new(aBase, -1, static_cast<short>(what), &EventTimer::Fire, this);
+    mEvents.push_back(item);
+    mPeriod = aPeriod;
+    mDueAt = SteadyNow() + aDelay;
+    const timeval tv = ToTimeval(aDelay);
+    event_add(item, &tv);
+    mTimers = &aTimers;
+    mPlace = aTimers.insert(aTimers.end(), this);
+  }
+
+  Millis DueAt() const { return mDueAt; }
+
+  /// Waits for what is left until it is due. What is done again and again is
+  /// done at once: libevent takes no other time for its next call alone.
+  void SetAnew(Millis aNow) {
+    event* item = mEvents.front();
+    if (event_pending(item, EV_TIMEOUT, nullptr) == 0) {
+      return;
+    }
+    if (mPeriod > 0 || mDueAt <= aNow) {
+      event_active(item, EV_TIMEOUT, 0);
+      return;
+    }
+    const timeval tv = ToTimeval(mDueAt - aNow);
+    event_add(item, &tv);
   }
 
  private:
   static void Fire(evutil_socket_t, short, void* aSelf) {
+    auto* self = static_cast<EventTimer*>(aSelf);
+    self->mDueAt = SteadyNow() + self->mPeriod;
     // The call may destroy the timer, so that it runs from a copy.
-    const std::function<void()> call = static_cast<EventTimer*>(aSelf)->mCall;
+    const std::function<void()> call = self->mCall;
     call();
   }
 
   std::function<void()> mCall;
   std::vector<event*> mEvents;
+  Millis mPeriod = 0;
+  Millis mDueAt = 0;
+  std::list<EventTimer*>* mTimers = nullptr;  ///< Of the loop.
+  std::list<EventTimer*>::iterator mPlace;
 };
 
+namespace {
+
 /// A timer that is set again for what its loop has not yet run of the delay.
 class RunningTimer : public Timer {
  public:
@@ -88,7 +151,10 @@
 
 }  // namespace
 
-EventLoop::EventLoop() : mBase(event_base_new()), mBeatAt(SteadyNow()) {
+EventLoop::EventLoop()
+    : mBase(event_base_new()),
+      mBeatAt(SteadyNow()),
+      mSuspended(SuspendedInAll()) {
   if (mBase == nullptr) {
     throw Error(ResultCode::kInternal, "no event loop to be had");
   }
@@ -119,8 +185,7 @@
 std::unique_ptr<Timer> EventLoop::After(Millis aDelay,
                                         std::function<void()> aCall) {
   auto timer = std::make_unique<EventTimer>(std::move(aCall));
-  const timeval tv = ToTimeval(aDelay);
-  timer->Add(mBase, -1, EV_TIMEOUT, &tv);
+  timer->AddTime(mBase, mTimers, aDelay, 0);
   return timer;
 }
 
@@ -132,8 +197,7 @@
 std::unique_ptr<Timer> EventLoop::Every(Millis aPeriod,
                                         std::function<void()> aCall) {
   auto timer = std::make_unique<EventTimer>(std::move(aCall));
-  const timeval tv = ToTimeval(aPeriod);
-  timer->Add(mBase, -1, EV_TIMEOUT | EV_PERSIST, &tv);
+  timer->AddTime(mBase, mTimers, aPeriod, aPeriod);
   return timer;
 }
 
@@ -155,6 +219,24 @@
   auto* self = static_cast<EventLoop*>(aSelf);
   self->mStoodStill = self->StoodStill();
   self->mBeatAt = SteadyNow();
+  self->MakeUpForSuspension();
+}
+
+void EventLoop::MakeUpForSuspension() {
+  const Millis suspended = SuspendedInAll();
+  if (suspended - mSuspended <= kClockSlack) {
+    return;
+  }
+  mSuspended = suspended;
+  std::vector<EventTimer*> timers(mTimers.begin(), mTimers.end());
+  std::stable_sort(timers.begin(), timers.end(),
+                   [](const EventTimer* aLeft, const EventTimer* aRight) {
+                     return aLeft->DueAt() < aRight->DueAt();
+                   });
+  const Millis now = SteadyNow();
+  for (EventTimer* timer : timers) {
+    timer->SetAnew(now);
+  }
 }
 
 Millis EventLoop::StoodStill() const {
@@ -164,14 +246,14 @@
 
 std::unique_ptr<Timer> EventLoop::OnStopSignal(std::function<void()> aCall) {
   auto timer = std::make_unique<EventTimer>(std::move(aCall));
-  timer->Add(mBase, SIGTERM, EV_SIGNAL | EV_PERSIST, nullptr);
-  timer->Add(mBase, SIGINT, EV_SIGNAL | EV_PERSIST, nullptr);
+  timer->Add(mBase, SIGTERM, EV_SIGNAL | EV_PERSIST);
+  timer->Add(mBase, SIGINT, EV_SIGNAL | EV_PERSIST);
   return timer;
 }
 
 std::unique_ptr<Timer> EventLoop::OnReloadSignal(std::function<void()> aCall) {
   auto timer = std::make_unique<EventTimer>(std::move(aCall));
-  timer->Add(mBase, SIGHUP, EV_SIGNAL | EV_PERSIST, nullptr);
+  timer->Add(mBase, SIGHUP, EV_SIGNAL | EV_PERSIST);
   return timer;
 }
 
--- a/include/spindleweir/drivers/event_loop.h
+++ b/include/spindleweir/drivers/event_loop.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <vector>
 
@@ -12,6 +13,8 @@
 
 namespace spindleweir {
 
+class EventTimer;
+
 /// A timer; destroying it cancels it.
 class Timer {
  public:
@@ -60,12 +63,17 @@
   static void RunPosted(int aFd, short aWhat, void* aSelf);
 
   static void Beat(int aFd, short aWhat, void* aSelf);
+  /// Sets all timers anew where the VM was suspended: libevent's clock does not
+  /// count that time, and each would be as much too late.
+  void MakeUpForSuspension();
 
   event_base* mBase;
   event* mPostEvent;
   event* mBeatEvent;
   Millis mBeatAt;  ///< Steady; when the loop was last seen to run.
   Millis mStoodStill = 0;
+  Millis mSuspended = 0;           ///< In all, as the timers are set.
+  std::list<EventTimer*> mTimers;  ///< Those that wait for a time.
   std::vector<std::function<void()>> mPosted;
 };
 
