A router's first window keeps back what the process before it may have spent

Cause: the allowance for retries is bounded over all routers in any window, and each process counted what it itself spent: one that started again took its whole part of the slack anew. Change: in its first window a process takes of the slack only the part that none takes later (0.3, since 0.7 is used). One story waits a window before it begins. Measured: eight routers that spend, end, start and spend: 272 retries before, at most 200 allowed; the new test fails before and passes after.

--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -210,7 +210,9 @@
 }
 
 RetryAllowance& RelayContext::RetriesOf(const std::string& aService) {
-  return mRetries.try_emplace(aService, mOptions.mRetries).first->second;
+  RetryAllowanceOptions options = mOptions.mRetries;
+  options.mStartedAt = mStartedAt;
+  return mRetries.try_emplace(aService, options).first->second;
 }
 
 PipeAllowance& RelayContext::PipeOf(const std::string& aService) {
--- a/include/spindleweir/servers/routing/retry_allowance.h
+++ b/include/spindleweir/servers/routing/retry_allowance.h
@@ -15,6 +15,10 @@
   double mSlack = 200;  ///< Beside the ratio, over all routers.
   /// What is kept back, since windows and routers do not match exactly.
   double mUsed = 0.7;
+  /// When this process started, steady; -1: longer ago than a window. What the
+  /// one before it on this VM spent is not known: until a window has passed, of
+  /// the slack only that part is taken which no process takes later.
+  Millis mStartedAt = -1;
 };
 
 /// The allowance of one service on one router.
@@ -38,6 +42,8 @@
   };
 
   Slice& Current(Millis aNow);
+  /// The part of the slack that may be taken.
+  double SlackUsed(Millis aNow) const;
 
   RetryAllowanceOptions mOptions;
   std::deque<Slice> mSlices;
--- a/servers/routing/retry_allowance.cpp
+++ b/servers/routing/retry_allowance.cpp
@@ -25,6 +25,14 @@
   Current(aNow).mRequests += 1;
 }
 
+double RetryAllowance::SlackUsed(Millis aNow) const {
+  // Eight routers that were all ended and started again spent their slack twice
+  // in one window: 272 retries where 200 are allowed beside the ratio.
+  const bool fresh =
+      mOptions.mStartedAt >= 0 && aNow - mOptions.mStartedAt < mOptions.mWindow;
+  return fresh ? 1 - mOptions.mUsed : mOptions.mUsed;
+}
+
 double RetryAllowance::Left(int aRouters, Millis aNow) {
   Current(aNow);
   double requests = 0;
@@ -34,7 +42,8 @@
     retries += slice.mRetries;
   }
   const double part = mOptions.mSlack / std::max(1, aRouters);
-  return (mOptions.mRatio * requests + part) * mOptions.mUsed - retries;
+  return mOptions.mRatio * requests * mOptions.mUsed + part * SlackUsed(aNow) -
+         retries;
 }
 
 bool RetryAllowance::TrySpend(int aRouters, Millis aNow) {
--- a/tests/daemons/relay_test.cpp
+++ b/tests/daemons/relay_test.cpp
@@ -173,6 +173,8 @@
   RelayStory story(kShortStart,
                    {.mRatio = 0, .mWindow = 400, .mSlack = 1, .mUsed = 1});
   story.Begin();
+  // Before, it keeps back what a process before it may have spent.
+  story.Wait(400);
   story.mA.Next({UpstreamAct::kCut});
   story.mB.Next({UpstreamAct::kCut});
   CHECK(story.Call("/look/1").mStatus == 502);
--- a/tests/servers/streams_test.cpp
+++ b/tests/servers/streams_test.cpp
@@ -77,3 +77,36 @@
     CHECK(allowance.Left(8, 30000) == 10);
   }
 }
+
+Test(streams, retries_stay_within_their_share_over_a_restart_of_all_routers) {
+  // The bound is on what all routers send in a window, those included that
+  // ended in it: each start took its whole share anew.
+  constexpr int kRouters = 8;
+  constexpr Millis kRestart = 20000;
+  const RetryAllowanceOptions before{.mSlack = 200, .mStartedAt = 0};
+  const RetryAllowanceOptions after{.mSlack = 200, .mStartedAt = kRestart};
+  int spent = 0;
+  const auto spend = [&spent](const RetryAllowanceOptions& aOptions,
+                              Millis aNow) {
+    for (int i = 0; i < kRouters; i++) {
+      RetryAllowance allowance(aOptions);
+      while (allowance.TrySpend(kRouters, aNow)) {
+        spent++;
+      }
+    }
+  };
+  spend(before, kRestart - 1);
+  const int once = spent;
+  spend(after, kRestart);
+  SECTION("whatever those that ended have spent") {
+    CHECK(spent <= 200);
+  }
+  SECTION("a start leaves some") {
+    CHECK(spent > once);
+  }
+  SECTION("and all again once a window has passed") {
+    spent = 0;
+    spend(after, kRestart + after.mWindow);
+    CHECK(spent == once);
+  }
+}
