The memory story runs short of memory, not of slots

Cause: of its failures, where memory_cut stayed 0: the account never grew tight (at most 2.1 MB of 3.2 were held). The two upstreams have six slots each, and slow calls made the routers expect more there than there was: 450 to 850 requests were turned away as full. The slow callers that were let in ended by the route's time-out of 5 s, and no others came: nobody had to be cut, and rightly. A load only changed which of the two came first. The product did as it should. Change: upstreams of that story have slots enough, so that memory is what runs short, and slow callers come on until it does. All checks stay.

--- a/tests/daemons/memory_story_test.cpp
+++ b/tests/daemons/memory_story_test.cpp
@@ -119,6 +119,9 @@
 Test(memory, callers_that_read_well_are_served_beside_those_that_do_not) {
   RelayStory story;
   story.mMemoryBytes = kMemory;
+  // Memory is what runs short: with few slots, full upstreams turn most slow
+  // callers away before, and nobody has to be cut.
+  story.mSlots = 1000;
   story.StartRouter();
   story.Begin();
   story.mA.SetBytes(kAnswer);
@@ -140,7 +143,12 @@
       CHECK(story.RunsOfLast() == 1);
     }
   }
+  // Slow callers end by the route's time-out of 5 s, and upstreams that are
+  // full turn further ones away: they come on until there is no room.
+  auto more = story.mLoop.Every(
+      100, [&crowd] { crowd.Add(5, "/look/slow", Slow::kReadsNothing); });
   REQUIRE(story.RunUntil([&] { return crowd.Gauge("memory_cut") > 0; }));
+  more.reset();
   CHECK(crowd.mMostHeld > bound / 4);
   CHECK(crowd.mMostHeld <= bound);
   SECTION("none of the slow callers' requests ran twice") {
--- a/tests/daemons/relay_story.cpp
+++ b/tests/daemons/relay_story.cpp
@@ -170,7 +170,7 @@
         .mService = "counter",
         .mAddress = aUpstream.Address(),
         .mZone = "z",
-        .mSlots = 6,
+        .mSlots = mSlots,
         .mState = aState});
 }
 
--- a/tests/daemons/relay_story.h
+++ b/tests/daemons/relay_story.h
@@ -92,6 +92,7 @@
   int mRequest = 0;
   Millis mStartWait;
   RetryAllowanceOptions mRetries;
+  int mSlots = 6;                ///< Of each upstream.
   std::size_t mMemoryBytes = 0;  ///< Of routers that are started from now on.
   int mOwnBeats;           ///< Heartbeats a second that control takes itself.
   int mDocumentsRead = 0;  ///< By control.
