Engines that end at once are no run of crashes under one request

Cause: a lost attempt counted for each engine of its path that ended. Change: an attempt counts for the engine that began it alone.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -229,9 +229,12 @@
          !mExchange->Closed() && !IsBarred();
 }
 
-void RelayRequest::NoteLost(const std::string& aInstance, std::int64_t aStart) {
-  mContext.mGuard->AttemptLost({.mInstance = aInstance,
-                                .mStart = aStart,
+void RelayRequest::NoteLost() {
+  // Of the first of its path alone: where several engines end at once, what
+  // passed them all would count as having crashed each. 4 crashes in a moment
+  // barred requests that had crashed nothing.
+  mContext.mGuard->AttemptLost({.mInstance = mAttempt->mInstance,
+                                .mStart = mAttempt->mStart,
                                 .mContent = Content(),
                                 .mBegunAt = mAttempt->mStartedAt,
                                 .mHadEvents = mAttempt->mHadEvents});
@@ -252,7 +255,7 @@
     mContext.Failed(mAttempt->mInstance, kAvoidAfterLoss);
   }
   if (aRan == Ran::kUnknown && aWasSent) {
-    NoteLost(mAttempt->mInstance, mAttempt->mStart);
+    NoteLost();
   }
   DropAttempt();
   if (!mayTryAgain) {
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -110,13 +110,6 @@
     return;
   }
   if (!hit(path.front())) {
-    if (aWhy == MoveReason::kUnreachable) {
-      for (const PathPart& part : path) {
-        if (hit(part)) {
-          NoteLost(part.mInstance, mContext.StartOf(part.mInstance));
-        }
-      }
-    }
     LayerPath next = Without(aInstances);
     if (!next.empty()) {
       Repath(std::move(next), aWhy);
@@ -353,7 +346,7 @@
     return false;
   }
   LogFailure(Ran::kUnknown, aCode);
-  NoteLost(mAttempt->mInstance, mAttempt->mStart);
+  NoteLost();
   mMayHaveRun = true;
   mSent++;
   DropAttempt();
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -136,8 +136,8 @@
   /// Leaves an attempt that may still go on for a better one; false, and
   /// nothing changes, where there is none.
   bool SwitchAttempt(ResultCode aCode);
-  /// The attempt is lost, or a part of its path: an upstream may have crashed.
-  void NoteLost(const std::string& aInstance, std::int64_t aStart);
+  /// The attempt is lost: its upstream may have crashed.
+  void NoteLost();
   void LogFailure(Ran aRan, ResultCode aCode) const;
   /// The share of an engine's room that is promised, by the loads known here;
   /// -1: it is no part of the path.
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -34,7 +34,8 @@
   static std::string BodyOf(const std::string& aRequest, std::size_t aBytes);
   /// Whatever begins to run a request whose target ends so ends itself.
   void CrashOn(std::string aTargetEnd) { mCrashOn = std::move(aTargetEnd); }
-  /// Whether it crashed: all connections reset, its port refuses.
+  /// Ends it: all connections are lost, its port refuses.
+  void Crash();
   bool Crashed() const { return mCrashed; }
   /// The status of what fails.
   void FailWith(int aStatus) { mFailure = aStatus; }
@@ -51,7 +52,6 @@
  private:
   void Handle(const std::shared_ptr<StreamExchange>& aExchange);
   void Stream(StreamExchange& aExchange, UpstreamAct aAct);
-  void Crash();
 
   EventLoop& mLoop;
   std::string mInstance;
--- a/tests/daemons/crashing_request_test.cpp
+++ b/tests/daemons/crashing_request_test.cpp
@@ -127,6 +127,43 @@
   }
 }
 
+Test(crashing_request, is_none_that_passed_engines_which_end_at_once) {
+  RelayStory story;
+  ScriptedUpstream first(story.mLoop, "first");
+  ScriptedUpstream second(story.mLoop, "second");
+  story.BeginEngine(first);
+  const auto hold = [&story](const ScriptedUpstream& aEngine, int aFrom) {
+    story.Beat({.mInstance = aEngine.Instance(),
+                .mService = "model",
+                .mAddress = aEngine.Address(),
+                .mZone = "z",
+                .mKind = "k",
+                .mSlots = 6,
+                .mLayers = {aFrom, aFrom + 4}});
+  };
+  hold(first, 0);
+  hold(second, 4);
+  story.Wait(600);
+  first.Next({UpstreamAct::kSilent});
+  const int before = first.AllRuns();
+  StreamCallOptions options;
+  options.mServer = story.mRouter->Address();
+  options.mMethod = "POST";
+  options.mTarget = "/stream/x";
+  options.mHeaders = {{"Host", "shop"}, {"X-Request", "p"}, {"X-Key", "key"}};
+  bool ended = false;
+  options.mOnEnd = [&](StreamEnd) { ended = true; };
+  const auto call = StartStreamCall(story.mLoop, std::move(options));
+  REQUIRE(story.RunUntil([&] { return first.AllRuns() > before; }));
+  second.Crash();
+  first.Crash();
+  REQUIRE(story.RunUntil([&] { return ended; }));
+  story.Wait(600);
+  SECTION("it is a suspect for the one that began it") {
+    CHECK(story.mRouter->OwnCounters().Value("crashes_seen") == 1);
+  }
+}
+
 Test(crash_store, keeps_what_is_barred_and_nothing_else) {
   const TemporaryFolder folder;
   const BadRowHook noBad = [](const std::string&, const Error&) {
