Sight: what a refusal for lack of room was judged by, how many routers are counted

A refusal at a plain service logged none of its inputs, and a control did not show its count of routers, so that three hypotheses could not be told apart. Now: 'room' in the line 'refused', a line 'routers_known' of a router whose number changed, two gauges of control. No decision changes.

--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -272,6 +272,7 @@
   const Millis confirmed = raft.ConfirmedAt();
   counters.Set("confirmed_ago_ms",
                confirmed < 0 ? -1 : SteadyNow() - confirmed);
+  mParts->mSync.RefreshGauges();
   counters.Set("upstreams_known",
                static_cast<std::int64_t>(mParts->mSync.Registry().Size()));
 }
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -153,6 +153,12 @@
   return true;
 }
 
+void SyncService::RefreshGauges() {
+  const Millis now = SteadyNow();
+  mContext.mCounters.Set("routers_here", mLoads.OwnRouters(now));
+  mContext.mCounters.Set("routers_known", Routers(now));
+}
+
 int SyncService::Routers(Millis aNow) {
   // After a start many tell two controls within moments, and count twice: with
   // 66 for 35 each let in half of what it could, and refused 48.
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -36,6 +36,8 @@
   const TrafficConfiguration& Traffic();
   /// Sets the seeds anew.
   void SetSeeds(std::vector<Endpoint> aSeeds);
+  /// Sets the gauges of the routers that are counted.
+  void RefreshGauges();
 
  private:
   /// How much of another control's registry is known.
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -74,8 +74,15 @@
   question.mZone = mContext.mOptions.mZone;
   question.mUpstreams = mContext.mRegistry.OfService(mService->mName);
   const std::size_t known = question.mUpstreams.size();
+  mWithoutRoom.reset();
   std::erase_if(question.mUpstreams, [this, known](const auto* aRecord) {
-    return !mContext.MaySendPlain(*aRecord, known, mExchange->Body().size());
+    const UpstreamOccupancy occupancy =
+        mContext.OccupancyOf(*aRecord, known, mExchange->Body().size());
+    const bool full = !MaySendTo(occupancy, mContext.mOptions.mUpstreams);
+    if (full) {
+      mWithoutRoom = occupancy;
+    }
+    return full;
   });
   mLacksRoom = question.mUpstreams.size() < known;
   question.mAvoid = mTried;
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -233,9 +233,9 @@
   usual = usual > 0 ? usual + kTimeWeight * (time - usual) : time;
 }
 
-bool RelayContext::MaySendPlain(const UpstreamRecord& aRecord,
-                                std::size_t aUpstreams,
-                                std::size_t aBodyBytes) {
+UpstreamOccupancy RelayContext::OccupancyOf(const UpstreamRecord& aRecord,
+                                            std::size_t aUpstreams,
+                                            std::size_t aBodyBytes) {
   ServicePaths& paths = mPaths[aRecord.mService];
   const auto own = mOwnLoads.find(aRecord.mInstance);
   UpstreamOccupancy occupancy;
@@ -251,7 +251,18 @@
       static_cast<double>(std::max<std::size_t>(1, aUpstreams));
   occupancy.mUsualTime = std::llround(std::ceil(paths.mUsualTime));
   occupancy.mNewsAge = std::min(kOldestNews, LoadsAge());
-  return MaySendTo(occupancy, mOptions.mUpstreams);
+  return occupancy;
+}
+
+void RelayContext::SetRouters(int aRouters, const std::string& aToldBy) {
+  if (aRouters == mRouters) {
+    return;
+  }
+  LogLine(LogLevel::kInfo, "routers_known")
+      .Add("routers", aRouters)
+      .Add("before", mRouters)
+      .Add("by", aToldBy);
+  mRouters = aRouters;
 }
 
 const std::vector<const UpstreamRecord*>& RelayContext::ReadyEngines(
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -104,10 +104,14 @@
   /// The upstreams of a service that are ready.
   const std::vector<const UpstreamRecord*>& ReadyEngines(
       const std::string& aService);
-  /// Whether an upstream of a plain service, one of so many, can hold one more
-  /// request with such a body.
-  bool MaySendPlain(const UpstreamRecord& aRecord, std::size_t aUpstreams,
-                    std::size_t aBodyBytes);
+  /// What is known of the work at an upstream of a plain service, one of so
+  /// many, where one more request with such a body may be sent to it.
+  UpstreamOccupancy OccupancyOf(const UpstreamRecord& aRecord,
+                                std::size_t aUpstreams,
+                                std::size_t aBodyBytes);
+  /// Takes the number of routers that share limits. aToldBy: a control, for the
+  /// log.
+  void SetRouters(int aRouters, const std::string& aToldBy);
   /// A request of a plain service took so long at its upstream.
   void RecordPlainTime(const std::string& aService, Millis aTime);
   /// A request that asks for a path of engines, or an upstream.
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -17,6 +17,7 @@
 constexpr Millis kLookAgain = 20;
 /// Callers leave a stream after about two seconds without an event.
 constexpr Millis kPatience = 1800;
+constexpr double kMillisPerSecond = 1000;
 
 }  // namespace
 
@@ -241,6 +242,22 @@
          ReturnCause::kNever);
 }
 
+Json::Value RelayRequest::RoomLacked() const {
+  Json::Value room(Json::objectValue);
+  if (!mWithoutRoom.has_value()) {
+    return room;
+  }
+  room["slots"] = mWithoutRoom->mSlots;
+  room["own"] = mWithoutRoom->mOwn;
+  room["others_told"] = mWithoutRoom->mOthers;
+  room["others_unreported"] = UnreportedRequests(*mWithoutRoom);
+  room["routers"] = mWithoutRoom->mRouters;
+  room["own_per_s"] = mWithoutRoom->mOwnRate * kMillisPerSecond;
+  room["usual_ms"] = static_cast<Json::Int64>(mWithoutRoom->mUsualTime);
+  room["news_ms"] = static_cast<Json::Int64>(mWithoutRoom->mNewsAge);
+  return room;
+}
+
 void RelayRequest::Refuse(ResultCode aCode, ReturnCause aCause) {
   const int status = InfoOf(aCode).mHttpStatus;
   const Millis passed = SteadyNow() - mExchange->ReceivedAt();
@@ -265,6 +282,7 @@
       .Add("lease_age_ms",
            static_cast<Json::Int64>(mContext.mLease.Age(SteadyNow())))
       .Add("held_ms", static_cast<Json::Int64>(passed))
+      .Add("room", RoomLacked())
       .Add("free_after_ms",
            static_cast<Json::Int64>(advice.mQuestion.mFreeAfter))
       .Add("free_per_ms", advice.mQuestion.mFreePerMilli)
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -159,6 +159,9 @@
   bool IsCurrent() const;
   void GiveUp(ResultCode aCode);
   void Refuse(ResultCode aCode, ReturnCause aCause);
+  /// The inputs by which an upstream of a plain service was found full, for
+  /// the log; empty: none was.
+  Json::Value RoomLacked() const;
   /// Tells requests of the same workspace, path and body from all others,
   /// whatever id they come under: a digest.
   const std::string& Content() const;
@@ -190,6 +193,8 @@
   int mNotSent = 0;    ///< Attempts that did not.
   bool mMayHaveRun = false;
   bool mLacksRoom = false;
+  /// An upstream that the newest choice left out for lack of room.
+  std::optional<UpstreamOccupancy> mWithoutRoom;
   std::optional<std::int64_t> mLastEvent;  ///< Given to the caller.
   Millis mFirstEventAt = 0;
   Millis mLastEventAt = 0;
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -258,7 +258,8 @@
     mNearAt = now;
     TakeLoads(source, aAnswer, aAskedAt);
   }
-  mContext.mRouters = std::max(mContext.mRouters, aAnswer.mRouters);
+  mContext.SetRouters(std::max(mContext.mRouters, aAnswer.mRouters),
+                      aAnswer.mSelf.mId);
   for (const TrafficNews& news : aAnswer.mNews) {
     mContext.Accept(news);
   }
--- a/include/spindleweir/servers/limits/upstream_bound.h
+++ b/include/spindleweir/servers/limits/upstream_bound.h
@@ -33,6 +33,10 @@
   double mBodyBytes = 0;
 };
 
+/// Requests that others sent since the news and that are still under way, by
+/// what this router is asked itself.
+double UnreportedRequests(const UpstreamOccupancy& aOccupancy);
+
 /// The decision. Half of the bound is divided evenly: each router may use its
 /// part whatever it knows, so that this half holds however late the news is.
 /// Beyond that it sends as long as what was told, and what others probably
--- a/servers/limits/upstream_bound.cpp
+++ b/servers/limits/upstream_bound.cpp
@@ -6,17 +6,6 @@
 
 namespace {
 
-/// Requests that others sent since the news and that are still under way: they
-/// are asked as much as this router, and what came has mostly ended after the
-/// usual time.
-double UnreportedRequests(const UpstreamOccupancy& aOccupancy) {
-  const Millis time = aOccupancy.mUsualTime > 0
-                          ? std::min(aOccupancy.mNewsAge, aOccupancy.mUsualTime)
-                          : aOccupancy.mNewsAge;
-  return aOccupancy.mOwnRate * static_cast<double>(std::max<Millis>(0, time)) *
-         std::max(0, aOccupancy.mRouters - 1);
-}
-
 /// The part of the bound that is divided evenly and holds whatever is known.
 /// The other half is for those who are asked more.
 constexpr double kEvenPart = 0.5;
@@ -37,6 +26,16 @@
 
 }  // namespace
 
+double UnreportedRequests(const UpstreamOccupancy& aOccupancy) {
+  // Others are asked as much as this router, and what came has mostly ended
+  // after the usual time.
+  const Millis time = aOccupancy.mUsualTime > 0
+                          ? std::min(aOccupancy.mNewsAge, aOccupancy.mUsualTime)
+                          : aOccupancy.mNewsAge;
+  return aOccupancy.mOwnRate * static_cast<double>(std::max<Millis>(0, time)) *
+         std::max(0, aOccupancy.mRouters - 1);
+}
+
 bool MaySendTo(const UpstreamOccupancy& aOccupancy,
                const UpstreamBoundOptions& aOptions) {
   if (aOccupancy.mSlots <= 0) {
