--- /dev/null
+++ b/tests/daemons/large_fleet_test.cpp
@@ -0,0 +1,77 @@
+// A service of a large fleet that all routers refused for a whole day.
+//
+// Callers saw each of their calls refused as "full" within a millisecond, at
+// any router, from the first second to the last, while the service's upstreams
+// got nothing; routes that a later configuration added to it were refused
+// alike. No upstream, VM or link was at fault.
+#include "spindleweir/core/json_codec.h"
+#include "spindleweir/daemons/sync_messages.h"
+#include "spindleweir/drivers/rpc_channel.h"
+#include "tests/daemons/relay_story.h"
+
+using namespace spindleweir;
+
+namespace {
+
+/// Routers that tell control of themselves once; they do nothing else.
+void TellOfRouters(RelayStory& aStory, int aCount) {
+  HttpClient client(aStory.mLoop);
+  RpcChannel rpc(client, "secret");
+  int answered = 0;
+  for (int i = 0; i < aCount; i++) {
+    SyncQuestion question;
+    question.mProcess = "other" + std::to_string(i) + "/1";
+    question.mZone = "z";
+    question.mTellsLoads = 1;
+    rpc.Call(aStory.mSeed, rpc_method::kSync, ToJson(question), 20000,
+             [&answered](const RpcResult& aResult) {
+               answered += aResult.mOk ? 1 : 0;
+             });
+  }
+  REQUIRE(aStory.RunUntil([&] { return answered == aCount; }));
+}
+
+std::int64_t KnownRouters(RelayRouter& aRouter) {
+  aRouter.RefreshGauges();
+  return aRouter.OwnCounters().Value("routers_known");
+}
+
+}  // namespace
+
+Test(large_fleet, a_service_that_never_answered_is_sent_its_first_request) {
+  RelayStory story;
+  REQUIRE(story.Publish(Document(Traffic(7))).mCode == ResultCode::kOk);
+  story.Beat(story.mA, UpstreamState::kReady);
+  REQUIRE(story.RunUntil([&story] { return story.mRouter->Ready(); }));
+  TellOfRouters(story, 300);
+  REQUIRE(
+      story.RunUntil([&story] { return KnownRouters(*story.mRouter) > 290; }));
+  SECTION("though hundreds of routers share it, and none knows its time") {
+    CHECK(story.Call("/look/x").mStatus == 200);
+    CHECK(story.Call("/pay/x").mStatus == 200);
+  }
+  SECTION("nor is one that comes by a route of a later configuration") {
+    TrafficConfiguration traffic = Traffic(8);
+    traffic.mRoutes.push_back(traffic.mRoutes.front());
+    traffic.mRoutes.back().mName = "added";
+    traffic.mRoutes.back().mPrefix = "/added/";
+    REQUIRE(story.Publish(Document(traffic)).mCode == ResultCode::kOk);
+    int status = 404;
+    for (int i = 0; status == 404; i++) {
+      REQUIRE(i < 200);
+      status = story.Call("/added/x").mStatus;
+      story.Wait(10);
+    }
+    CHECK(status == 200);
+  }
+}
+
+Test(large_fleet, routers_that_ended_are_not_counted_for_ever) {
+  RelayStory story;
+  story.Begin();
+  std::unique_ptr<RelayRouter> second = story.MakeRouter("second");
+  REQUIRE(
+      story.RunUntil([&story] { return KnownRouters(*story.mRouter) == 2; }));
+  second.reset();
+  CHECK(story.RunUntil([&story] { return KnownRouters(*story.mRouter) == 1; }));
+}
