A request no longer counts itself in the rate that others are taken to be asked at

A router takes others for asked as much as itself; the request that asks was counted first, so that in a large fleet, where a router gets one call in four seconds, its rate was found 2 to 13 times too high: 13 to 171 unseen requests at an upstream that holds 12 and had none. The rate is now that of the arrivals beside the one that asks, which is what another router sees on average.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -75,9 +75,11 @@
   question.mUpstreams = mContext.mRegistry.OfService(mService->mName);
   const std::size_t known = question.mUpstreams.size();
   mWithoutRoom.reset();
-  std::erase_if(question.mUpstreams, [this, known](const auto* aRecord) {
-    const UpstreamOccupancy occupancy =
-        mContext.OccupancyOf(*aRecord, known, mExchange->Body().size());
+  const PlainQuestion plain{.mUpstreams = known,
+                            .mBodyBytes = mExchange->Body().size(),
+                            .mArrivedAt = mAskedAt};
+  std::erase_if(question.mUpstreams, [this, &plain](const auto* aRecord) {
+    const UpstreamOccupancy occupancy = mContext.OccupancyOf(*aRecord, plain);
     const bool full = !MaySendTo(occupancy, mContext.mOptions.mUpstreams);
     if (full) {
       mWithoutRoom = occupancy;
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -234,21 +234,21 @@
 }
 
 UpstreamOccupancy RelayContext::OccupancyOf(const UpstreamRecord& aRecord,
-                                            std::size_t aUpstreams,
-                                            std::size_t aBodyBytes) {
+                                            const PlainQuestion& aQuestion) {
   ServicePaths& paths = mPaths[aRecord.mService];
+  const Millis now = SteadyNow();
   const auto own = mOwnLoads.find(aRecord.mInstance);
   UpstreamOccupancy occupancy;
   occupancy.mSlots = aRecord.mSlots;
   occupancy.mOwn =
       own == mOwnLoads.end() ? 0 : static_cast<double>(own->second.mRequests);
   occupancy.mOthers = LoadOf(aRecord.mInstance).mRequests - occupancy.mOwn;
-  occupancy.mBodyBytes = static_cast<double>(aBodyBytes);
+  occupancy.mBodyBytes = static_cast<double>(aQuestion.mBodyBytes);
   occupancy.mOwnBytes = occupancy.mOwn * occupancy.mBodyBytes;
   occupancy.mRouters = mRouters;
   occupancy.mOwnRate =
-      paths.mArrivals.PerMilli(SteadyNow()) /
-      static_cast<double>(std::max<std::size_t>(1, aUpstreams));
+      paths.mArrivals.PerMilliWithout(aQuestion.mArrivedAt, now) /
+      static_cast<double>(std::max<std::size_t>(1, aQuestion.mUpstreams));
   occupancy.mUsualTime = std::llround(std::ceil(paths.mUsualTime));
   occupancy.mNewsAge = std::min(kOldestNews, LoadsAge());
   return occupancy;
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -49,6 +49,13 @@
   double mUsualTime = 0;  ///< Of a request of a plain service; 0: not known.
 };
 
+/// A request that may be sent to an upstream of a plain service.
+struct PlainQuestion {
+  std::size_t mUpstreams = 1;  ///< That the service has.
+  std::size_t mBodyBytes = 0;
+  Millis mArrivedAt = 0;  ///< When it was counted as an arrival.
+};
+
 class RelayAdmission;
 class StreamGuard;
 
@@ -104,11 +111,10 @@
   /// The upstreams of a service that are ready.
   const std::vector<const UpstreamRecord*>& ReadyEngines(
       const std::string& aService);
-  /// What is known of the work at an upstream of a plain service, one of so
-  /// many, where one more request with such a body may be sent to it.
+  /// What is known of the work at an upstream of a plain service, where one
+  /// more request may be sent to it.
   UpstreamOccupancy OccupancyOf(const UpstreamRecord& aRecord,
-                                std::size_t aUpstreams,
-                                std::size_t aBodyBytes);
+                                const PlainQuestion& aQuestion);
   /// Takes the number of routers that share limits. aToldBy: a control, for the
   /// log.
   void SetRouters(int aRouters, const std::string& aToldBy);
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -129,6 +129,7 @@
       mRoute->mName, std::min(mFacts.mDeadline, mRoute->mTimeout));
   PickService();
   mContext.RetriesOf(mService->mName).RequestStarted(SteadyNow());
+  mAskedAt = SteadyNow();
   mContext.PathAsked(mService->mName);
   AwaitTurn();
 }
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -184,6 +184,7 @@
   mutable std::string mContent;  ///< Empty: not asked for yet.
   bool mNeedsLease = false;
   Millis mDeadline = 0;  ///< Steady.
+  Millis mAskedAt = 0;   ///< When it was counted as asking for an upstream.
   std::unique_ptr<Attempt> mAttempt;
   std::optional<KeptAnswer> mKept;
   std::set<std::string> mTried;
--- a/include/spindleweir/servers/routing/arrival_rate.h
+++ b/include/spindleweir/servers/routing/arrival_rate.h
@@ -12,6 +12,10 @@
   void Add(Millis aNow);
   /// Arrivals a millisecond.
   double PerMilli(Millis aNow) const;
+  /// The same without one that arrived at aArrivedAt, the last or an earlier
+  /// one. Who asks how much others are asked must not count itself: where
+  /// arrivals are rare it would find several times what they are.
+  double PerMilliWithout(Millis aArrivedAt, Millis aNow) const;
 
  private:
   double Faded(Millis aNow) const;
--- a/servers/routing/arrival_rate.cpp
+++ b/servers/routing/arrival_rate.cpp
@@ -1,5 +1,6 @@
 #include "spindleweir/servers/routing/arrival_rate.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace spindleweir {
@@ -26,4 +27,10 @@
   return Faded(aNow) / kMemory;
 }
 
+double ArrivalRate::PerMilliWithout(Millis aArrivedAt, Millis aNow) const {
+  const double one =
+      std::exp(-static_cast<double>(aNow - aArrivedAt) / kMemory);
+  return std::max(0.0, Faded(aNow) - one) / kMemory;
+}
+
 }  // namespace spindleweir
--- a/tests/servers/choice_test.cpp
+++ b/tests/servers/choice_test.cpp
@@ -161,6 +161,22 @@
   }
 }
 
+Test(arrivals, who_asks_how_much_others_are_asked_does_not_count_itself) {
+  ArrivalRate rate;
+  rate.Add(10000);
+  SECTION("one call in a long time is no rate of one each two seconds") {
+    CHECK(rate.PerMilliWithout(10000, 10000) == 0);
+    CHECK(rate.PerMilliWithout(10000, 10300) == 0);
+    CHECK(rate.PerMilli(10000) == 0.0005);
+  }
+  SECTION("of two, the other counts") {
+    rate.Add(10500);
+    CHECK(std::abs(rate.PerMilliWithout(10500, 10500) -
+                   std::exp(-0.25) / 2000) < 1e-12);
+    CHECK(std::abs(rate.PerMilliWithout(10000, 10500) - 1.0 / 2000) < 1e-12);
+  }
+}
+
 Test(choice, arrivals_are_counted_by_their_age) {
   ArrivalRate rate;
   CHECK(rate.PerMilli(1000) == 0);
