The number of routers that share limits comes down as well as up

Callers were refused by shares cut for routers that are not there. Each router kept the greatest number that any control had ever told it; after a start routers tell two controls within moments and count twice, so that all held 333 to 342 for 195 until they ended, and nothing showed it. Now a smaller number holds once no greater one was told for a window of retries.

--- a/daemons/relay/relay_admission.cpp
+++ b/daemons/relay/relay_admission.cpp
@@ -65,7 +65,7 @@
 }
 
 double RelayAdmission::Sharers(const Gate& aGate) const {
-  return std::max(1.0, mContext.mRouters / aGate.mReading.mParts);
+  return std::max(1.0, mContext.Routers() / aGate.mReading.mParts);
 }
 
 StartDecision RelayAdmission::Ask(const void* aRequest,
@@ -97,7 +97,7 @@
     return 0;
   }
   // As many as here at each of the others.
-  return (mContext.mRouters - 1) *
+  return (mContext.Routers() - 1) *
          (it->second.mBegun + static_cast<double>(it->second.mWaiting.size()));
 }
 
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -282,7 +282,7 @@
 
 void RelayRequest::PayForRetry(ResultCode aCode) {
   if (mContext.RetriesOf(mService->mName)
-          .TrySpend(mContext.mRouters, SteadyNow())) {
+          .TrySpend(mContext.Routers(), SteadyNow())) {
     mContext.mCounters.Add("retries");
     StartAttempt();
     return;
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -48,6 +48,7 @@
       mMemory(std::make_shared<MemoryAccount>(MemoryOf(mOptions))),
       mLease(mOptions.mLeaseLength),
       mOtherLoadsTrueAt(SteadyNow()),
+      mRouters({.mKept = mOptions.mRetries.mWindow}),
       mRandom(std::random_device{}()),
       mStartedAt(SteadyNow()) {
   mDirectory.SetSeeds(mOptions.mSeeds);
@@ -245,7 +246,7 @@
   occupancy.mOthers = LoadOf(aRecord.mInstance).mRequests - occupancy.mOwn;
   occupancy.mBodyBytes = static_cast<double>(aQuestion.mBodyBytes);
   occupancy.mOwnBytes = occupancy.mOwn * occupancy.mBodyBytes;
-  occupancy.mRouters = mRouters;
+  occupancy.mRouters = Routers();
   occupancy.mOwnRate =
       paths.mArrivals.PerMilliWithout(aQuestion.mArrivedAt, now) /
       static_cast<double>(std::max<std::size_t>(1, aQuestion.mUpstreams));
@@ -257,15 +258,15 @@
   return occupancy;
 }
 
-void RelayContext::SetRouters(int aRouters, const std::string& aToldBy) {
-  if (aRouters == mRouters) {
-    return;
+void RelayContext::TakeRouters(int aRouters, const std::string& aToldBy) {
+  const int before = Routers();
+  mRouters.Take(aRouters, SteadyNow());
+  if (Routers() != before) {
+    LogLine(LogLevel::kInfo, "routers_known")
+        .Add("routers", Routers())
+        .Add("before", before)
+        .Add("by", aToldBy);
   }
-  LogLine(LogLevel::kInfo, "routers_known")
-      .Add("routers", aRouters)
-      .Add("before", mRouters)
-      .Add("by", aToldBy);
-  mRouters = aRouters;
 }
 
 const std::vector<const UpstreamRecord*>& RelayContext::ReadyEngines(
@@ -285,7 +286,7 @@
                                       const PathQuestion& aQuestion) {
   ServicePaths& paths = mPaths[aService];
   const Millis now = SteadyNow();
-  const double others = mRouters - 1;
+  const double others = Routers() - 1;
   const Millis age = std::min(kOldestNews, LoadsAge());
   const double sinceNews =
       others * paths.mArrivals.PerMilli(now) * static_cast<double>(age);
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -15,6 +15,7 @@
 #include "spindleweir/drivers/rpc_channel.h"
 #include "spindleweir/servers/limits/crash_watch.h"
 #include "spindleweir/servers/limits/memory_account.h"
+#include "spindleweir/servers/limits/router_count.h"
 #include "spindleweir/servers/limits/usual_time.h"
 #include "spindleweir/servers/membership/beat_taker.h"
 #include "spindleweir/servers/membership/control_directory.h"
@@ -117,9 +118,10 @@
   /// more request may be sent to it.
   UpstreamOccupancy OccupancyOf(const UpstreamRecord& aRecord,
                                 const PlainQuestion& aQuestion);
-  /// Takes the number of routers that share limits. aToldBy: a control, for the
-  /// log.
-  void SetRouters(int aRouters, const std::string& aToldBy);
+  /// Routers that share limits, as far as is known.
+  int Routers() const { return mRouters.Value(); }
+  /// A control, aToldBy, told how many there are.
+  void TakeRouters(int aRouters, const std::string& aToldBy);
   /// A request of a plain service took so long at its upstream.
   void RecordPlainTime(const std::string& aService, Millis aTime);
   /// A request that asks for a path of engines, or an upstream.
@@ -144,7 +146,6 @@
   BeatTaker mTaker;
   EnginePaces mPaces;
   CrashWatch mCrashes;
-  int mRouters = 1;  ///< That share limits, as far as is known.
   bool mStopping = false;
   StreamGuard* mGuard = nullptr;         ///< Set once all parts are made.
   RelayAdmission* mAdmission = nullptr;  ///< The same.
@@ -162,6 +163,7 @@
   std::map<std::string, RetryAllowance> mRetries;
   std::map<std::string, PipeAllowance> mPipes;
   std::map<std::string, ServicePaths> mPaths;  ///< By service.
+  RouterCount mRouters;
   std::mt19937_64 mRandom;
   Millis mStartedAt;
 };
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -61,7 +61,7 @@
   question.mTokens = mFacts.mPromptTokens + question.mAnswerTokens;
   question.mFill = kPathFill;
   question.mMayCross = mContext.PipeOf(mService->mName)
-                           .Allows(engine, mContext.mRouters, SteadyNow());
+                           .Allows(engine, mContext.Routers(), SteadyNow());
   const std::function<double()> random = [this] { return mContext.Random(); };
   EngineSample sample = SampleEngines(mContext.ReadyEngines(mService->mName),
                                       question.mZone, aReach, random);
@@ -342,7 +342,7 @@
       found ? mContext.mRegistry.Find(next->mInstance) : nullptr;
   const bool other = first != nullptr && next->mInstance != mAttempt->mInstance;
   if (!other || !mContext.RetriesOf(mService->mName)
-                     .TrySpend(mContext.mRouters, SteadyNow())) {
+                     .TrySpend(mContext.Routers(), SteadyNow())) {
     return false;
   }
   LogFailure(Ran::kUnknown, aCode);
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -174,7 +174,7 @@
       .Add("tokens_ahead", aDecision.mAhead)
       .Add("share_per_ms", aDecision.mShare)
       .Add("waiting", aDecision.mWaiting)
-      .Add("routers", mContext.mRouters);
+      .Add("routers", mContext.Routers());
   mContext.mCounters.Add("opening",
                          goes ? "outcome=\"let_in\"" : "outcome=\"refused\"");
 }
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -249,7 +249,7 @@
                static_cast<std::int64_t>(mParts->mRequests.size()));
   counters.Set("connections",
                static_cast<std::int64_t>(mParts->mServer.Connections()));
-  counters.Set("routers_known", context.mRouters);
+  counters.Set("routers_known", context.Routers());
   mParts->SetMemoryGauges();
   int states[4] = {0, 0, 0, 0};
   for (const UpstreamRecord* record : context.mRegistry.OfService("")) {
@@ -265,7 +265,7 @@
   double left = 0;
   for (const TrafficService& service :
        context.Table()->Configuration().mServices) {
-    left += context.RetriesOf(service.mName).Left(context.mRouters, now);
+    left += context.RetriesOf(service.mName).Left(context.Routers(), now);
   }
   counters.Set("retries_left", static_cast<std::int64_t>(left));
 }
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -96,7 +96,7 @@
   }
   const auto random = [this] { return mContext.Random(); };
   for (const std::string& instance :
-       paces.ToAsk(aNow, mContext.mRouters, random)) {
+       paces.ToAsk(aNow, mContext.Routers(), random)) {
     if (mStates[instance].mCall == nullptr) {
       mContext.mCounters.Add("pace_questions");
       AskState(instance);
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -55,7 +55,7 @@
           .mHearsNear = NearIsFresh(),
           .mCosts = mContext.mOptions.mCosts,
           .mLacksLease = LacksLease(),
-          .mRouters = mContext.mRouters,
+          .mRouters = mContext.Routers(),
           .mSpread = source.mSpread};
 }
 
@@ -258,8 +258,7 @@
     mNearAt = now;
     TakeLoads(source, aAnswer, aAskedAt);
   }
-  mContext.SetRouters(std::max(mContext.mRouters, aAnswer.mRouters),
-                      aAnswer.mSelf.mId);
+  mContext.TakeRouters(aAnswer.mRouters, aAnswer.mSelf.mId);
   for (const TrafficNews& news : aAnswer.mNews) {
     mContext.Accept(news);
   }
--- a/include/spindleweir/servers/routing/load_book.h
+++ b/include/spindleweir/servers/routing/load_book.h
@@ -94,6 +94,11 @@
   /// A router, or another control, that said nothing for so long counts for
   /// nothing any more.
   Millis mKept = 2500;
+  /// The number of another control's routers is kept for longer: where control
+  /// is cut in two they go on sending to the same upstreams, and must not be
+  /// taken for gone. Too many for a while leave room unused; too few let all
+  /// routers together take more than there is.
+  Millis mRoutersKept = 60000;
   /// The sum of all is made anew, and packed, at most this often: writing 195
   /// rows for each of 68 askers a second took a control 0.027 of a core.
   Millis mSumEvery = 100;
@@ -136,7 +141,7 @@
   const PackedLoads& PackedOwn(Millis aNow);
   /// Routers that tell this control.
   int OwnRouters(Millis aNow);
-  /// Routers that tell any control.
+  /// Routers that tell any control, also one that fell silent lately.
   int AllRouters(Millis aNow);
   /// Upstreams that at least so many routers cannot connect to.
   std::set<std::string> Unreachable(std::int64_t aWitnesses, Millis aNow);
@@ -148,7 +153,11 @@
     std::int64_t mNumber = 0;  ///< Of mShares.
     std::int64_t mSummed = 0;  ///< Of what stands in the sum.
     Millis mToldAt = 0;
-    int mRouters = 1;
+  };
+  /// How many routers tell another control.
+  struct Count {
+    int mRouters = 0;
+    Millis mToldAt = 0;
   };
 
   void Forget(Millis aNow);
@@ -160,6 +169,7 @@
   LoadBookOptions mOptions;
   std::map<std::string, Teller> mRouters;   ///< By process.
   std::map<std::string, Teller> mControls;  ///< By address.
+  std::map<std::string, Count> mCounts;     ///< The same.
   LoadShares mSum;
   /// Of mSum, by zone, "" being all; made when they are asked for.
   std::map<std::string, PackedLoads> mPackedSums;
--- a/servers/routing/load_book.cpp
+++ b/servers/routing/load_book.cpp
@@ -133,14 +133,13 @@
   Teller& teller = mControls[aControl];
   teller.mShares = std::move(aShares);
   teller.mToldAt = aNow;
-  teller.mRouters = aRouters;
+  mCounts[aControl] = {.mRouters = aRouters, .mToldAt = aNow};
 }
 
 void LoadBook::HearOfControl(const std::string& aControl, int aRouters,
                              Millis aNow) {
-  Teller& teller = mControls[aControl];
-  teller.mToldAt = aNow;
-  teller.mRouters = aRouters;
+  mControls[aControl].mToldAt = aNow;
+  mCounts[aControl] = {.mRouters = aRouters, .mToldAt = aNow};
 }
 
 bool LoadBook::IsOld(Millis aMadeAt, std::size_t aRows, int aRowsEachMilli,
@@ -150,6 +149,9 @@
 }
 
 void LoadBook::Forget(Millis aNow) {
+  std::erase_if(mCounts, [&](const auto& aItem) {
+    return aNow - aItem.second.mToldAt > mOptions.mRoutersKept;
+  });
   for (auto* tellers : {&mRouters, &mControls}) {
     const std::size_t gone = std::erase_if(*tellers, [&](const auto& aItem) {
       return aNow - aItem.second.mToldAt > mOptions.mKept;
@@ -225,8 +227,8 @@
 
 int LoadBook::AllRouters(Millis aNow) {
   int n = OwnRouters(aNow);
-  for (const auto& [control, teller] : mControls) {
-    n += teller.mRouters;
+  for (const auto& [control, count] : mCounts) {
+    n += count.mRouters;
   }
   return n;
 }
