A router counts once though its process starts again

A control kept the work and the count of a router's process by the process, so that for 2.5 s after a stop of all routers each counted twice and each took half of its share. Now by the router; the successor's word replaces the predecessor's.

Tried beside it and left out: a router that asks without telling its work is taken for moved to another control at once.

--- a/include/spindleweir/servers/routing/load_book.h
+++ b/include/spindleweir/servers/routing/load_book.h
@@ -118,8 +118,10 @@
  public:
   explicit LoadBook(LoadBookOptions aOptions) : mOptions(aOptions) {}
 
-  /// A router tells all of its work; this replaces what it told before.
-  /// aNumber: of what it told, from 1.
+  /// A router tells all of its work; this replaces what it told before, and
+  /// what the process before it on its VM did: where all routers start again
+  /// each would count twice. aProcess: "ROUTER/START". aNumber: of what it
+  /// told, from 1.
   void Tell(const std::string& aProcess, std::int64_t aNumber,
             LoadShares aShares, Millis aNow);
   /// Another control tells the work of the routers that tell it, and how many
@@ -149,6 +151,7 @@
  private:
   /// What one router, or one control, told.
   struct Teller {
+    std::string mProcess;  ///< Of a router.
     LoadShares mShares;
     std::int64_t mNumber = 0;  ///< Of mShares.
     std::int64_t mSummed = 0;  ///< Of what stands in the sum.
@@ -167,7 +170,7 @@
              Millis aNow) const;
 
   LoadBookOptions mOptions;
-  std::map<std::string, Teller> mRouters;   ///< By process.
+  std::map<std::string, Teller> mRouters;   ///< By router.
   std::map<std::string, Teller> mControls;  ///< By address.
   std::map<std::string, Count> mCounts;     ///< The same.
   LoadShares mSum;
--- a/servers/routing/load_book.cpp
+++ b/servers/routing/load_book.cpp
@@ -36,6 +36,11 @@
   }
 }
 
+/// The router that a process is of.
+std::string RouterOf(const std::string& aProcess) {
+  return aProcess.substr(0, aProcess.find('/'));
+}
+
 }  // namespace
 
 void LoadShare::Add(const LoadShare& aOther, int aSign) {
@@ -122,7 +127,8 @@
 
 void LoadBook::Tell(const std::string& aProcess, std::int64_t aNumber,
                     LoadShares aShares, Millis aNow) {
-  Teller& teller = mRouters[aProcess];
+  Teller& teller = mRouters[RouterOf(aProcess)];
+  teller.mProcess = aProcess;
   teller.mNumber = aNumber;
   teller.mShares = std::move(aShares);
   teller.mToldAt = aNow;
@@ -203,8 +209,9 @@
 }
 
 std::int64_t LoadBook::SummedOf(const std::string& aProcess) const {
-  const auto it = mRouters.find(aProcess);
-  return it == mRouters.end() ? 0 : it->second.mSummed;
+  const auto it = mRouters.find(RouterOf(aProcess));
+  const bool told = it != mRouters.end() && it->second.mProcess == aProcess;
+  return told ? it->second.mSummed : 0;
 }
 
 const PackedLoads& LoadBook::PackedOwn(Millis aNow) {
--- a/tests/servers/sources_test.cpp
+++ b/tests/servers/sources_test.cpp
@@ -221,6 +221,21 @@
   }
 }
 
+Test(loads, a_router_counts_once_though_its_process_starts_again) {
+  LoadBook book({.mKept = 2500});
+  ToldLoads told;
+  book.Tell("r1/a", told.Tell(Work("u", 3)), Work("u", 3), 0);
+  book.Tell("r2/a", told.Tell(Work("u", 4)), Work("u", 4), 0);
+  SECTION("the work of the process before it goes") {
+    book.Tell("r1/b", 1, Work("u", 1), 100);
+    CHECK(book.OwnRouters(100) == 2);
+    CHECK(UnpackLoads(book.PackedSum("z", ZoneOfAll, 100).mText)
+              .at("u")
+              .mRequests == 5);
+    CHECK(book.SummedOf("r1/a") == 0 && book.SummedOf("r1/b") == 1);
+  }
+}
+
 Test(loads, the_number_of_routers_comes_down_as_well_as_up) {
   RouterCount count({.mKept = 10000});
   SECTION("before any word a router takes itself for the only one") {
