--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -259,6 +259,11 @@
   counters.Set("upstreams_silent", states[1]);
   counters.Set("upstreams_leaving", states[2]);
   counters.Set("upstreams_gone", states[3]);
+  std::int64_t begun = 0;
+  for (const auto& [instance, load] : context.OwnLoads()) {
+    begun += load.mFirsts;
+  }
+  counters.Set("attempts_told", begun);
   if (context.Table() == nullptr) {
     return;
   }
--- a/tests/daemons/large_fleet_test.cpp
+++ b/tests/daemons/large_fleet_test.cpp
@@ -46,6 +46,11 @@
   return aRouter.OwnCounters().Value("routers_known");
 }
 
+std::int64_t AttemptsTold(RelayRouter& aRouter) {
+  aRouter.RefreshGauges();
+  return aRouter.OwnCounters().Value("attempts_told");
+}
+
 }  // namespace
 
 Test(large_fleet, a_service_that_never_answered_is_sent_its_first_request) {
@@ -74,6 +79,9 @@
     }
     CHECK(status == 200);
   }
+  SECTION("what ended is not told as work that goes on") {
+    CHECK(AttemptsTold(*story.mRouter) == 0);
+  }
 }
 
 // Each router held the greatest number of routers that any control had ever
