A router that stops no longer ends while it listens

Callers that keep a stopping router among their targets had answers cut off: the process ended with its port open, and took in calls it never read. The test fails without the one line that closes the port and passes with it. What remains is who connects in the instant of the close.

--- a/daemons/router/router_daemon.cpp
+++ b/daemons/router/router_daemon.cpp
@@ -59,6 +59,7 @@
   std::unique_ptr<Timer> mDrainTimer;
   std::unique_ptr<Timer> mRefuseTimer;
   Millis mIdleSince = 0;  ///< At a stop: the last request ended; 0: not yet.
+  bool mListens = true;
 };
 
 RouterDaemon::RouterDaemon(EventLoop& aLoop, RouterOptions aOptions)
@@ -112,11 +113,18 @@
         parts.mIdleSince =
             parts.mIdleSince == 0 ? SteadyNow() : parts.mIdleSince;
         const bool late = SteadyNow() - parts.mIdleSince > kReceiptsGrace;
-        if (context.mOutbox.Size() == 0 || late) {
-          LogLine(LogLevel::kInfo, "stopped")
-              .Add("receipts_left", static_cast<int>(context.mOutbox.Size()));
-          context.mLoop.Stop();
+        if (context.mOutbox.Size() > 0 && !late) {
+          return;
+        }
+        if (parts.mListens) {
+          // Who connected until now is answered within another period.
+          parts.mListens = false;
+          parts.mCallerServer.StopListening();
+          return;
         }
+        LogLine(LogLevel::kInfo, "stopped")
+            .Add("receipts_left", static_cast<int>(context.mOutbox.Size()));
+        context.mLoop.Stop();
       });
   mParts->mStopTimer =
       context.mLoop.After(context.mOptions.mStopGrace, [&context] {
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -199,23 +199,34 @@
                                         EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
                                         EVHTTP_REQ_PATCH);
   evhttp_set_gencb(mHttp, &HttpServer::HandleRequest, this);
-  evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(
+  mSocket = evhttp_bind_socket_with_handle(
       mHttp, mOptions.mListen.mHost.c_str(),
       static_cast<std::uint16_t>(mOptions.mListen.mPort));
-  if (socket == nullptr) {
+  if (mSocket == nullptr) {
     evhttp_free(mHttp);
     throw Error(ResultCode::kCannotListen,
                 "cannot listen on " + mOptions.mListen.Text());
   }
-  mAddress = AddressOf(socket, mOptions.mListen);
+  mAddress = AddressOf(mSocket, mOptions.mListen);
 }
 
 HttpServer::~HttpServer() {
   evhttp_free(mHttp);
 }
 
+void HttpServer::StopListening() {
+  if (mSocket != nullptr) {
+    evhttp_del_accept_socket(mHttp, mSocket);
+    mSocket = nullptr;
+  }
+}
+
 void HttpServer::HandleRequest(evhttp_request* aRequest, void* aSelf) {
   auto* self = static_cast<HttpServer*>(aSelf);
+  if (self->mSocket == nullptr) {
+    evhttp_add_header(evhttp_request_get_output_headers(aRequest), "Connection",
+                      "close");
+  }
   const auto exchange = std::make_shared<HttpExchange>(aRequest);
   exchange->mSelf = exchange;
   exchange->WatchClose();
--- a/include/spindleweir/drivers/http_server.h
+++ b/include/spindleweir/drivers/http_server.h
@@ -11,6 +11,7 @@
 #include "spindleweir/drivers/event_loop.h"
 
 struct evhttp;
+struct evhttp_bound_socket;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -90,11 +91,15 @@
 
   /// The address with the port in force.
   const Endpoint& Address() const { return mAddress; }
+  /// Takes no new connection. Those that there are get their answers, and close
+  /// with them: a process that ends at once cuts off who has just connected.
+  void StopListening();
 
  private:
   static void HandleRequest(evhttp_request* aRequest, void* aSelf);
 
   evhttp* mHttp;
+  evhttp_bound_socket* mSocket = nullptr;  ///< nullptr: does not listen.
   HttpServerOptions mOptions;
   Endpoint mAddress;
 };
--- a/tests/daemons/failure_test.cpp
+++ b/tests/daemons/failure_test.cpp
@@ -1,4 +1,8 @@
 /// What callers see of a deployment under failures.
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <filesystem>
 #include <utility>
 
@@ -9,6 +13,18 @@
 
 namespace {
 
+bool Connects(const Endpoint& aServer) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aServer.mPort));
+  (void)inet_pton(AF_INET, aServer.mHost.c_str(), &address.sin_addr);
+  const bool connects =
+      connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+  close(fd);
+  return connects;
+}
+
 constexpr int kTokens = 40;
 
 /// The last chain that router 0 chose for the answer under way.
@@ -268,6 +284,23 @@
   CHECK(late->Text() == Deployment::Expected("late", 3));
 }
 
+// Callers that keep a stopping router among their targets until it is gone had
+// calls cut that its process had just taken: it ended while it still listened.
+Test(failures, a_router_that_ends_does_not_listen_any_more) {
+  Deployment deployment({.mZones = 1});
+  deployment.Begin();
+  const Endpoint address = deployment.mRouters[0]->CallerAddress();
+  deployment.mRouters[0]->Stop();
+  SECTION("it does as long as it may be sent requests") {
+    CHECK(Connects(address));
+  }
+  // The loop stops by itself, and the process would end.
+  deployment.mLoop.Run();
+  SECTION("who comes at its end is not taken in to be cut") {
+    CHECK(!Connects(address));
+  }
+}
+
 Test(failures, a_router_that_dies_after_dispatch_causes_no_second_run) {
   Deployment deployment({.mServiceDelay = 400});
   deployment.Begin();
