--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -9,6 +9,7 @@
 DEFINE_string(targets, "", "history: file of processes to talk to");
 DEFINE_string(record, "", "history: file to record to");
 DEFINE_string(drainable, "", "history: VM that operators drain");
+DEFINE_bool(keep, false, "history: callers keep their connections");
 DEFINE_uint32(seed, 1, "history: seed");
 DEFINE_int32(layers, 12, "history, check: layers of the model");
 DEFINE_bool(json, false, "print one JSON object a line");
@@ -55,6 +56,7 @@
     RunHistoryLoad({.mTargets = FLAGS_targets,
                     .mRecord = FLAGS_record,
                     .mDrainable = FLAGS_drainable,
+                    .mKeeps = FLAGS_keep,
                     .mSeed = FLAGS_seed,
                     .mLength = static_cast<Millis>(FLAGS_seconds * 1000),
                     .mLayers = FLAGS_layers});
--- a/bench/commands.h
+++ b/bench/commands.h
@@ -31,6 +31,7 @@
   std::string mTargets;    ///< File of "NAME KIND IP:PORT" lines.
   std::string mRecord;     ///< File for what they see.
   std::string mDrainable;  ///< A VM that operators drain and take back.
+  bool mKeeps = false;     ///< Callers keep their connections to routers.
   unsigned mSeed = 1;
   Millis mLength = 10000;
   int mLayers = 12;
--- /dev/null
+++ b/soak/faults.sh
@@ -0,0 +1,88 @@
+# Faults that overlap, at random from a seed: sourced by scripts/history, whose
+# names it uses. In a round one process may stand still while others are stopped,
+# killed or started again; a stop may be asked for twice, or end by a kill. A
+# router that stops stays among the callers' targets until its process is gone.
+
+soak_ours=(router-0 router-1 router-2 control-0 control-1 control-2)
+soak_engines=()
+for z in 0 1 2; do
+  for n in 1 2 3 4 5 6; do soak_engines+=("gpu-$z-$n"); done
+done
+frozen="" stopping=""
+
+# A process that is neither still nor stopping now; one in two is an engine.
+pick_name() {
+  local name
+  while :; do
+    name=${soak_ours[RANDOM % ${#soak_ours[@]}]}
+    if ((RANDOM % 2)); then
+      name=${soak_engines[RANDOM % ${#soak_engines[@]}]}
+    fi
+    case " $frozen $stopping " in *" $name "*) ;; *) break ;; esac
+  done
+  picked=$name
+}
+
+freeze_one() {
+  pick_name
+  frozen=$picked
+  kill -STOP "$(pid "$frozen")"
+}
+
+thaw() {
+  [ -z "$frozen" ] || kill -CONT "$(pid "$frozen")"
+  frozen=""
+}
+
+kill_now() { # NAME
+  note kill name "$1"
+  kill -KILL "$(pid "$1")" && wait "$(pid "$1")" 2>/dev/null || true
+}
+
+# Asks for a planned stop, now and then twice; ended by end_stops.
+ask_to_stop() { # NAME
+  note stop name "$1"
+  kill -TERM "$(pid "$1")"
+  if ((RANDOM % 3 == 0)); then
+    kill -TERM "$(pid "$1")" 2>/dev/null || true
+  fi
+  stopping="$stopping $1"
+}
+
+# Waits for those that were asked to stop; one in four is killed meanwhile.
+end_stops() {
+  local name
+  for name in $stopping; do
+    if ((RANDOM % 4 == 0)); then
+      kill_now "$name"
+    else
+      wait "$(pid "$name")" || echo "$name did not end with 0"
+    fi
+    restart "$name"
+  done
+  stopping=""
+}
+
+strike() {
+  faults=$((faults + 1))
+  pick_name
+  case $picked-$((RANDOM % 2)) in
+  router-*-0 | control-*-0) ask_to_stop "$picked" ;;
+  *)
+    kill_now "$picked"
+    restart "$picked"
+    ;;
+  esac
+}
+
+soak_faults() { # END, of SECONDS
+  while [ $SECONDS -lt "$1" ]; do
+    sleep 0.$((RANDOM % 9 + 1))
+    if ((RANDOM % 2)); then freeze_one; fi
+    strike
+    if ((RANDOM % 2)); then strike; fi
+    sleep 0.$((RANDOM % 9 + 1))
+    thaw
+    end_stops
+  done
+}
