--- a/include/spindleweir/servers/limits/usual_time.h
+++ b/include/spindleweir/servers/limits/usual_time.h
@@ -12,8 +12,8 @@
   Millis mKept = 5000;
 };
 
-/// The time of one service at one router. Decisions only: the time of day comes
-/// with each call.
+/// The time of one service at one router. Decisions only: the time comes with
+/// each call.
 class UsualTime {
  public:
   explicit UsualTime(UsualTimeOptions aOptions) : mOptions(aOptions) {}
