--- a/bench/history_load.cpp
+++ b/bench/history_load.cpp
@@ -173,19 +173,19 @@
     const bool ended = aStream.ends_with("data: [DONE]\n\n");
     record["matches"] = ended ? text == expected : expected.starts_with(text);
     record["tokens"] = aTokens;
-    SetOutcome(record, ended, error);
-    if (!aResult.mComplete && !aResult.mSent) {
-      record["outcome"] = "refused";
-    }
-    record["received"] = static_cast<Json::UInt64>(aStream.size());
+    SetOutcome(record, ended, error, aResult);
     return record;
   }
 
   /// "whole", "error" with what it says, "refused" where nobody was reached,
   /// or "cut".
   static void SetOutcome(Json::Value& aRecord, bool aWhole,
-                         const std::string& aError) {
+                         const std::string& aError, const HttpResult& aResult) {
     aRecord["outcome"] = aWhole ? "whole" : "cut";
+    if (!aResult.mComplete && !aResult.mSent) {
+      aRecord["outcome"] = "refused";
+      return;
+    }
     if (aWhole || !aError.starts_with("{")) {
       return;
     }
@@ -217,10 +217,7 @@
                        begin = WallMicros()](const HttpResult& aResult) {
       Json::Value record(Json::objectValue);
       const bool whole = aResult.mComplete && aResult.mStatus == 200;
-      SetOutcome(record, whole, aResult.mBody);
-      if (!aResult.mComplete && !aResult.mSent) {
-        record["outcome"] = "refused";
-      }
+      SetOutcome(record, whole, aResult.mBody, aResult);
       record["key"] = aKey;
       record["router"] = name;
       record["begin_us"] = static_cast<Json::Int64>(begin);
--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -34,11 +34,6 @@
   frozen=""
 }
 
-kill_now() { # NAME
-  note kill name "$1"
-  kill -KILL "$(pid "$1")" && wait "$(pid "$1")" 2>/dev/null || true
-}
-
 # Asks for a planned stop, now and then twice; ended by end_stops.
 ask_to_stop() { # NAME
   note stop name "$1"
@@ -54,7 +49,7 @@
   local name
   for name in $stopping; do
     if ((RANDOM % 4 == 0)); then
-      kill_now "$name"
+      kill_noted "$name"
     else
       wait "$(pid "$name")" || echo "$name did not end with 0"
     fi
@@ -69,7 +64,7 @@
   case $picked-$((RANDOM % 2)) in
   router-*-0 | control-*-0) ask_to_stop "$picked" ;;
   *)
-    kill_now "$picked"
+    kill_noted "$picked"
     restart "$picked"
     ;;
   esac
