Sight: what a request that can't go on lacks; a router's end is told from a caller's

A stream that is broken off logged the attempt that failed and nothing of the 1.5 s after it, in which it may have waited for a retry, a path or room. A line 'lacks' says which, with the retries left and the routers that share them; 'lacked' stands in the last line of the request. What a stop cuts at the end of its grace is 'router_ended', no more 'caller_gone', and a cause of its own among the losses. No decision is changed.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -28,6 +28,41 @@
 
 }  // namespace
 
+const char* RelayRequest::LackName(Lack aLack) {
+  switch (aLack) {
+    case Lack::kNothing:
+      return "";
+    case Lack::kAttempts:
+      return "attempts";
+    case Lack::kRetries:
+      return "retries";
+    case Lack::kPath:
+      return "path";
+    case Lack::kRoom:
+      return "room";
+  }
+  return "";
+}
+
+void RelayRequest::SetLack(Lack aLack) {
+  if (aLack == mLack) {
+    return;
+  }
+  mLack = aLack;
+  const Millis now = SteadyNow();
+  LogLine(LogLevel::kInfo, "lacks")
+      .Add("request", mFacts.mId)
+      .Add("what", LackName(aLack))
+      .Add("sent", mSent)
+      .Add("refused", mRefused)
+      .Add("retries_left",
+           mContext.RetriesOf(mService->mName).Left(mContext.Routers(), now))
+      .Add("routers", mContext.Routers())
+      .Add("events", mEvents)
+      .Add("since_event_ms",
+           static_cast<Json::Int64>(mEvents == 0 ? -1 : now - mLastEventAt));
+}
+
 bool RelayRequest::IsBarred() const {
   return mContext.mCrashes.Ledger().BarsAny() &&
          mContext.mCrashes.IsBarred(Content());
@@ -49,12 +84,14 @@
       found ? mContext.mRegistry.Find(mAttempt->mInstance) : nullptr;
   if (first == nullptr) {
     mAttempt.reset();
+    SetLack(mLacksRoom ? Lack::kRoom : Lack::kPath);
     if (WaitForPath()) {
       return;
     }
     GiveUp(mLacksRoom ? ResultCode::kUpstreamFull : ResultCode::kNoUpstream);
     return;
   }
+  mLack = Lack::kNothing;
   Send(*first);
 }
 
@@ -269,6 +306,7 @@
   }
   DropAttempt();
   if (!mayTryAgain) {
+    SetLack(Lack::kAttempts);
     GiveUp(aCode);
     return;
   }
@@ -287,6 +325,7 @@
     StartAttempt();
     return;
   }
+  SetLack(Lack::kRetries);
   if (!IsWorthWaiting()) {
     GiveUp(aCode);
     return;
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -147,6 +147,7 @@
   EnginePaces mPaces;
   CrashWatch mCrashes;
   bool mStopping = false;
+  bool mEnding = false;  ///< Nothing is answered any more.
   StreamGuard* mGuard = nullptr;         ///< Set once all parts are made.
   RelayAdmission* mAdmission = nullptr;  ///< The same.
 
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -304,7 +304,8 @@
 
 void RelayRequest::HandleCallerGone() {
   DropAttempt();
-  End("caller_gone", 0);
+  // The end of this process closes its callers' connections, too.
+  End(mContext.mEnding ? "router_ended" : "caller_gone", 0);
 }
 
 void RelayRequest::Count(const char* aOutcome, int aStatus) {
@@ -339,6 +340,7 @@
   LogLine(IsSuccess(aStatus) ? LogLevel::kInfo : LogLevel::kWarning, "request")
       .Add("request", mFacts.mId)
       .Add("outcome", aOutcome)
+      .Add("lacked", LackName(mLack))
       .Add("status", aStatus)
       .Add("route", mRoute == nullptr ? "" : mRoute->mName)
       .Add("workspace", mWorkspace)
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -64,6 +64,9 @@
     Millis mLeaveAt = 0;  ///< The first leaves: gone on elsewhere from then.
   };
 
+  /// What a request that can't go on has too little of.
+  enum class Lack { kNothing, kAttempts, kRetries, kPath, kRoom };
+
   /// A whole answer of an upstream that is used where no better one comes.
   struct KeptAnswer {
     AnswerHead mHead;
@@ -158,6 +161,9 @@
   /// what becomes of it says nothing of a successor.
   bool IsCurrent() const;
   void GiveUp(ResultCode aCode);
+  /// Notes, and logs where it is new, what keeps it from going on.
+  void SetLack(Lack aLack);
+  static const char* LackName(Lack aLack);
   void Refuse(ResultCode aCode, ReturnCause aCause);
   /// The inputs by which an upstream of a plain service was found full, for
   /// the log; empty: none was.
@@ -194,6 +200,7 @@
   int mNotSent = 0;    ///< Attempts that did not.
   bool mMayHaveRun = false;
   bool mLacksRoom = false;
+  Lack mLack = Lack::kNothing;  ///< Since its last attempt.
   /// An upstream that the newest choice left out for lack of room.
   std::optional<UpstreamOccupancy> mWithoutRoom;
   std::optional<std::int64_t> mLastEvent;  ///< Given to the caller.
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -295,6 +295,7 @@
     if (mParts->mRequests.empty() || over) {
       LogLine(LogLevel::kInfo, "stopped")
           .Add("open_requests", static_cast<int>(mParts->mRequests.size()));
+      context.mEnding = true;
       context.mLoop.Stop();
     }
   });
--- a/include/spindleweir/servers/explain/loss_report.h
+++ b/include/spindleweir/servers/explain/loss_report.h
@@ -24,6 +24,7 @@
   kOtherRefusal,
   kBrokenOff,       ///< The stream was cut and nothing could go on with it.
   kUpstreamFailed,  ///< The upstream ran it and answered a failure.
+  kRouterEnded,     ///< A planned stop cut it at the end of its grace.
   kCallerGone,
   kFirstLate,  ///< Late by its first event.
   kResumed,    ///< Late, cut and taken up by another attempt.
--- a/servers/explain/loss_report.cpp
+++ b/servers/explain/loss_report.cpp
@@ -33,6 +33,8 @@
       return "broken off";
     case LossCause::kUpstreamFailed:
       return "upstream failed";
+    case LossCause::kRouterEnded:
+      return "router ended";
     case LossCause::kCallerGone:
       return "caller gone";
     case LossCause::kFirstLate:
@@ -119,6 +121,9 @@
   if (outcome == "upstream_failed") {
     return LossCause::kUpstreamFailed;
   }
+  if (outcome == "router_ended") {
+    return LossCause::kRouterEnded;
+  }
   if (outcome == "caller_gone") {
     return LossCause::kCallerGone;
   }
--- a/servers/explain/request_story.cpp
+++ b/servers/explain/request_story.cpp
@@ -149,6 +149,8 @@
                    std::to_string(NumberOf(*end, "events")) +
                    " events, since nothing could go on with it: " +
                    CauseOfAttempt(*failed);
+    const std::string lacked = TextOf(*end, "lacked");
+    story.mCause += lacked.empty() ? "" : " It lacked " + lacked + ".";
     return story;
   }
   const bool late =
