Tests: a router's streams need more retries than its part, a begun stream has time left (fail)

What callers saw: streams ended by a reset 1.5 s after their last event, of 20 s that their route gives, while their router ran on.

The first test has a router among ten that share 40 retries of a window; one upstream cuts a dozen of its streams, and nobody else needs one. The second has one retry, which comes free after 2 s of a stream's 5.

--- /dev/null
+++ b/tests/daemons/cut_streams_test.cpp
@@ -0,0 +1,108 @@
+/// What users saw: streams ended by a reset midway, 1.5 s after their last event and with most of their
+/// time left, though their router ran and their engine had not broken off. The order of events: an
+/// engine is lost, or leaves; a router of many finds a dozen streams without their engine, begins the
+/// first few anew, and has no retry left for the others.
+#include <algorithm>
+
+#include "tests/daemons/relay_story.h"
+
+using namespace spindleweir;
+
+namespace {
+
+constexpr int kStreams = 24;
+constexpr Millis kWindow = 2000;
+
+/// One caller's stream.
+struct Stream {
+  std::unique_ptr<StreamCall> mCall;
+  std::string mBody;
+  bool mEnded = false;
+  bool mWhole = false;
+};
+
+std::unique_ptr<Stream> Open(RelayStory& aStory, const std::string& aId) {
+  auto stream = std::make_unique<Stream>();
+  StreamCallOptions options;
+  options.mServer = aStory.mRouter->Address();
+  options.mMethod = "POST";
+  options.mTarget = "/stream/1";
+  options.mHeaders = {{"Host", "shop"}, {"X-Request", aId}, {"X-Key", "key"}};
+  options.mOnData = [stream = stream.get()](std::string_view aBytes) {
+    stream->mBody += aBytes;
+  };
+  options.mOnEnd = [stream = stream.get()](StreamEnd aEnd) {
+    stream->mEnded = true;
+    stream->mWhole = aEnd == StreamEnd::kComplete;
+  };
+  stream->mCall = StartStreamCall(aStory.mLoop, std::move(options));
+  return stream;
+}
+
+std::string WholeBody() {
+  std::string body;
+  for (int id = 1; id <= ScriptedUpstream::kEvents; id++) {
+    body += "id: " + std::to_string(id) + "\ndata: x\n\n";
+  }
+  return body;
+}
+
+}  // namespace
+
+Test(cut_streams, one_router_may_need_more_retries_than_its_equal_part) {
+  // Nine others share what may be sent again: 40 in a window, 4 of them its own.
+  RelayStory story(kShortStart,
+                   {.mRatio = 0, .mWindow = kWindow, .mSlack = 40, .mUsed = 1});
+  story.Begin();
+  story.TellOfRouters(9);
+  REQUIRE(story.RunUntil([&story] { return KnownRouters(*story.mRouter) == 10; }));
+  // Before, it keeps back what a process before it may have spent.
+  story.Wait(kWindow);
+  story.TellOfRouters(9);
+  SECTION("one upstream cuts a dozen of its streams, nobody else needs one") {
+    story.mA.Next(std::vector<UpstreamAct>(kStreams, UpstreamAct::kCut));
+    std::vector<std::unique_ptr<Stream>> streams;
+    for (int i = 0; i < kStreams; i++) {
+      streams.push_back(Open(story, "s" + std::to_string(i)));
+    }
+    REQUIRE(story.RunUntil([&streams] {
+      return std::all_of(streams.begin(), streams.end(),
+                         [](const auto& aStream) { return aStream->mEnded; });
+    }));
+    int whole = 0;
+    int again = 0;
+    for (int i = 0; i < kStreams; i++) {
+      const std::string id = "s" + std::to_string(i);
+      whole += streams[i]->mWhole && streams[i]->mBody == WholeBody() ? 1 : 0;
+      again += story.mA.Runs(id) + story.mB.Runs(id) - 1;
+    }
+    CHECK(again >= 8);
+    CHECK(whole == kStreams);
+  }
+}
+
+Test(cut_streams, a_begun_stream_is_not_broken_off_while_it_has_time) {
+  // One retry in 2 s, and it is spent.
+  RelayStory story(kShortStart,
+                   {.mRatio = 0, .mWindow = kWindow, .mSlack = 1, .mUsed = 1});
+  story.Begin();
+  story.Wait(kWindow);
+  story.mA.Next({UpstreamAct::kCut});
+  story.mB.Next({UpstreamAct::kCut});
+  CHECK(story.Call("/look/1").mStatus == 502);
+  SECTION("its retry comes free 2 s later, of the 5 s that its route gives") {
+    story.mA.Next({UpstreamAct::kCut});
+    story.mB.Next({UpstreamAct::kCut});
+    const std::string id = "r" + std::to_string(story.mRequest + 1);
+    const auto watch = story.mLoop.Every(1, [&story, &id] {
+      if (story.mA.Runs(id) > 0) {
+        story.mB.Next({});
+      } else if (story.mB.Runs(id) > 0) {
+        story.mA.Next({});
+      }
+    });
+    const Answer answer = story.Call("/stream/1");
+    CHECK(answer.mEnd == StreamEnd::kComplete);
+    CHECK(answer.mBody == WholeBody());
+  }
+}
--- a/tests/daemons/large_fleet_test.cpp
+++ b/tests/daemons/large_fleet_test.cpp
@@ -15,37 +15,12 @@
 // call in two seconds and no known time; with the rate alone mended 6 were left
 // on the same day, and the upstreams got 1,106 calls in place of none.
 #include "spindleweir/core/json_codec.h"
-#include "spindleweir/daemons/sync_messages.h"
-#include "spindleweir/drivers/rpc_channel.h"
 #include "tests/daemons/relay_story.h"
 
 using namespace spindleweir;
 
 namespace {
 
-/// Routers that tell control of themselves once; they do nothing else.
-void TellOfRouters(RelayStory& aStory, int aCount) {
-  HttpClient client(aStory.mLoop);
-  RpcChannel rpc(client, "secret");
-  int answered = 0;
-  for (int i = 0; i < aCount; i++) {
-    SyncQuestion question;
-    question.mProcess = "other" + std::to_string(i) + "/1";
-    question.mZone = "z";
-    question.mTellsLoads = 1;
-    rpc.Call(aStory.mSeed, rpc_method::kSync, ToJson(question), 20000,
-             [&answered](const RpcResult& aResult) {
-               answered += aResult.mOk ? 1 : 0;
-             });
-  }
-  REQUIRE(aStory.RunUntil([&] { return answered == aCount; }));
-}
-
-std::int64_t KnownRouters(RelayRouter& aRouter) {
-  aRouter.RefreshGauges();
-  return aRouter.OwnCounters().Value("routers_known");
-}
-
 std::int64_t AttemptsTold(RelayRouter& aRouter) {
   aRouter.RefreshGauges();
   return aRouter.OwnCounters().Value("attempts_told");
@@ -58,7 +33,7 @@
   REQUIRE(story.Publish(Document(Traffic(7))).mCode == ResultCode::kOk);
   story.Beat(story.mA, UpstreamState::kReady);
   REQUIRE(story.RunUntil([&story] { return story.mRouter->Ready(); }));
-  TellOfRouters(story, 300);
+  story.TellOfRouters(300);
   REQUIRE(
       story.RunUntil([&story] { return KnownRouters(*story.mRouter) > 290; }));
   SECTION("though hundreds of routers share it, and none knows its time") {
--- a/tests/daemons/relay_story.cpp
+++ b/tests/daemons/relay_story.cpp
@@ -10,6 +10,8 @@
 #include <cstdint>
 
 #include "spindleweir/core/json_codec.h"
+#include "spindleweir/daemons/sync_messages.h"
+#include "spindleweir/drivers/rpc_channel.h"
 #include "standins/plain_protocol.h"
 
 namespace spindleweir {
@@ -160,6 +162,28 @@
   return answer;
 }
 
+void RelayStory::TellOfRouters(int aCount) {
+  HttpClient client(mLoop);
+  RpcChannel rpc(client, "secret");
+  int answered = 0;
+  for (int i = 0; i < aCount; i++) {
+    SyncQuestion question;
+    question.mProcess = "other" + std::to_string(i) + "/1";
+    question.mZone = "z";
+    question.mTellsLoads = 1;
+    rpc.Call(mSeed, rpc_method::kSync, ToJson(question), 20000,
+             [&answered](const RpcResult& aResult) {
+               answered += aResult.mOk ? 1 : 0;
+             });
+  }
+  REQUIRE(RunUntil([&] { return answered == aCount; }));
+}
+
+std::int64_t KnownRouters(RelayRouter& aRouter) {
+  aRouter.RefreshGauges();
+  return aRouter.OwnCounters().Value("routers_known");
+}
+
 void RelayStory::Wait(Millis aTime) {
   const Millis until = SteadyNow() + aTime;
   RunUntil([until] { return SteadyNow() >= until; });
--- a/tests/daemons/relay_story.h
+++ b/tests/daemons/relay_story.h
@@ -36,6 +36,9 @@
 TrafficConfiguration Traffic(std::int64_t aVersion);
 std::string Document(const TrafficConfiguration& aTraffic);
 
+/// How many routers one takes to be there.
+std::int64_t KnownRouters(RelayRouter& aRouter);
+
 /// The system under test.
 struct RelayStory {
   explicit RelayStory(Millis aStartWait = kShortStart,
@@ -59,6 +62,9 @@
 
   void Wait(Millis aTime);
 
+  /// Routers that tell control of themselves once; they do nothing else.
+  void TellOfRouters(int aCount);
+
   /// A heartbeat, until it is acknowledged.
   void Beat(const ScriptedUpstream& aUpstream, UpstreamState aState);
   void Beat(UpstreamRecord aRecord);
