A planned stop takes what ends in time, answers what is left, and ends last

What callers saw: streams taken after the signal and cut 7.7 s after it, requests closed without an answer, and logs that said their callers had left.

Cause: whatever came was taken for 2.8 s, by no look at the time it needs; the process ended while it listened and while answers were unread, and what it closed was logged as left. The stop is a part of its own now (PlannedStop). A request is taken if its route's usual duration (95 of 100 answers) fits in what is left, else refused as not run, to come back at once elsewhere (StopIntake). The port closes once nothing is under way, the process ends when no connection is left, and at the end of the grace whoever has no answer gets one. What it cuts is 'router_ended'.

--- /dev/null
+++ b/daemons/relay/planned_stop.cpp
@@ -0,0 +1,77 @@
+#include "daemons/relay/planned_stop.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "spindleweir/core/log.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr Millis kPeriod = 100;
+/// The balancer sends callers here until it has seen twice, a second apart, that
+/// this router is not ready.
+constexpr Millis kServe = 2500;
+/// Of a grace that is shorter than usual.
+constexpr Millis kServePart = 3;
+/// For the last answers to leave this process before it is killed.
+constexpr Millis kMargin = 300;
+
+}  // namespace
+
+PlannedStop::PlannedStop(RelayContext& aContext, StreamServer& aServer,
+                         PlannedStopHooks aHooks)
+    : mContext(aContext), mServer(aServer), mHooks(std::move(aHooks)) {}
+
+Millis PlannedStop::GraceOf(const RelayOptions& aOptions) {
+  return aOptions.mStopGrace - kMargin;
+}
+
+void PlannedStop::Begin() {
+  if (mContext.mStopping) {
+    return;
+  }
+  mContext.mStopping = true;
+  mBegunAt = SteadyNow();
+  mContext.mStopIntake.Stop(mBegunAt);
+  mServer.SetClosing();
+  LogLine(LogLevel::kInfo, "stopping")
+      .Add("open_requests", mHooks.mOpenRequests());
+  mTimer = mContext.mLoop.Every(kPeriod, [this] { Step(); });
+}
+
+void PlannedStop::Step() {
+  const Millis since = SteadyNow() - mBegunAt;
+  const Millis grace = GraceOf(mContext.mOptions);
+  if (since < std::min(kServe, grace / kServePart)) {
+    return;
+  }
+  mServer.CloseIdle();
+  const bool over = since > grace;
+  if (over) {
+    mHooks.mEndRequests();
+  }
+  if (mHooks.mOpenRequests() > 0) {
+    return;
+  }
+  if (mListens) {
+    // Who has connected until now is answered in another step.
+    mListens = false;
+    mServer.StopListening();
+    return;
+  }
+  if (mServer.Connections() == 0 || over) {
+    End();
+  }
+}
+
+void PlannedStop::End() {
+  LogLine(LogLevel::kInfo, "stopped")
+      .Add("open_requests", mHooks.mOpenRequests())
+      .Add("connections", static_cast<int>(mServer.Connections()))
+      .Add("took_ms", static_cast<Json::Int64>(SteadyNow() - mBegunAt));
+  mContext.mLoop.Stop();
+}
+
+}  // namespace spindleweir
--- a/daemons/relay/relay_admission.h
+++ b/daemons/relay/relay_admission.h
@@ -17,7 +17,8 @@
 enum class ReturnCause {
   kFull,     ///< No room at the upstreams, or none there.
   kNoLease,  ///< This router may not act, or knows nothing yet.
-  kNever,    ///< It need not come back.
+  kElsewhere,  ///< At once: another router takes it.
+  kNever,      ///< It need not come back.
 };
 
 /// A time to come back with what it was predicted from.
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "daemons/relay/planned_stop.h"
 #include "daemons/relay/relay_admission.h"
 #include "spindleweir/core/log.h"
 
@@ -47,6 +48,7 @@
       mRpc(mClient, mOptions.mClusterKey),
       mMemory(std::make_shared<MemoryAccount>(MemoryOf(mOptions))),
       mLease(mOptions.mLeaseLength),
+      mStopIntake({.mGrace = PlannedStop::GraceOf(mOptions)}),
       mOtherLoadsTrueAt(SteadyNow()),
       mRouters({.mKept = mOptions.mRetries.mWindow}),
       mRandom(std::random_device{}()),
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -16,6 +16,7 @@
 #include "spindleweir/servers/limits/crash_watch.h"
 #include "spindleweir/servers/limits/memory_account.h"
 #include "spindleweir/servers/limits/router_count.h"
+#include "spindleweir/servers/limits/stop_intake.h"
 #include "spindleweir/servers/limits/usual_time.h"
 #include "spindleweir/servers/membership/beat_taker.h"
 #include "spindleweir/servers/membership/control_directory.h"
@@ -147,8 +148,8 @@
   BeatTaker mTaker;
   EnginePaces mPaces;
   CrashWatch mCrashes;
+  StopIntake mStopIntake;
   bool mStopping = false;
-  bool mEnding = false;  ///< Nothing is answered any more.
   StreamGuard* mGuard = nullptr;         ///< Set once all parts are made.
   RelayAdmission* mAdmission = nullptr;  ///< The same.
   RetryWishes* mRetryWishes = nullptr;   ///< The same.
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -19,6 +19,18 @@
 constexpr Millis kPatience = 1800;
 constexpr double kMillisPerSecond = 1000;
 
+ReturnCause CauseOf(ResultCode aGivenUpFor) {
+  switch (aGivenUpFor) {
+    case ResultCode::kCrashesUpstreams:
+      // Whoever is barred has no time at which to come back.
+      return ReturnCause::kNever;
+    case ResultCode::kStopping:
+      return ReturnCause::kElsewhere;
+    default:
+      return ReturnCause::kFull;
+  }
+}
+
 }  // namespace
 
 RelayRequest::RelayRequest(RelayContext& aContext,
@@ -117,6 +129,10 @@
   const Millis wait = mFacts.mDeadline > 0
                           ? std::min(mFacts.mDeadline, mRoute->mTimeout)
                           : mRoute->mTimeout;
+  if (!mContext.mStopIntake.Takes(mRoute->mName, wait, SteadyNow())) {
+    Refuse(ResultCode::kStopping, ReturnCause::kElsewhere);
+    return;
+  }
   mDeadline = mExchange->ReceivedAt() + wait;
   mTimeout = mContext.mLoop.After(std::max<Millis>(0, Remaining()),
                                   [this] { HandleTimeout(); });
@@ -233,10 +249,7 @@
   }
   if (!mMayHaveRun) {
     const bool refusal = InfoOf(aCode).mRan == Ran::kNo;
-    // Whoever is barred has no time at which to come back.
-    Refuse(refusal ? aCode : ResultCode::kNoUpstream,
-           aCode == ResultCode::kCrashesUpstreams ? ReturnCause::kNever
-                                                  : ReturnCause::kFull);
+    Refuse(refusal ? aCode : ResultCode::kNoUpstream, CauseOf(aCode));
     return;
   }
   Refuse(InfoOf(aCode).mRan == Ran::kNo ? ResultCode::kOutcomeUnknown : aCode,
@@ -264,7 +277,9 @@
   const Millis passed = SteadyNow() - mExchange->ReceivedAt();
   ReturnAdvice advice;
   advice.mAnswer.mAfter = -1;
-  if (aCause != ReturnCause::kNever) {
+  if (aCause == ReturnCause::kElsewhere) {
+    advice.mAnswer.mAfter = 0;
+  } else if (aCause != ReturnCause::kNever) {
     const Millis left = mFacts.mDeadline > 0
                             ? std::max<Millis>(1, mFacts.mDeadline - passed)
                             : 0;
@@ -293,19 +308,33 @@
   End("refused", status);
 }
 
-void RelayRequest::HandleTimeout() {
+void RelayRequest::AbandonAttempt() {
   if (mAttempt != nullptr && mAttempt->mCall != nullptr) {
     mMayHaveRun = mMayHaveRun || mAttempt->mCall->Sent();
   }
   DropAttempt();
+}
+
+void RelayRequest::HandleTimeout() {
+  AbandonAttempt();
   mKept.reset();
   GiveUp(ResultCode::kDeadlineExceeded);
 }
 
+void RelayRequest::EndByStop() {
+  AbandonAttempt();
+  if (!mExchange->Started()) {
+    GiveUp(ResultCode::kStopping);
+    return;
+  }
+  mExchange->OnClosed(nullptr);
+  mExchange->Abort();
+  End("router_ended", 0);
+}
+
 void RelayRequest::HandleCallerGone() {
   DropAttempt();
-  // The end of this process closes its callers' connections, too.
-  End(mContext.mEnding ? "router_ended" : "caller_gone", 0);
+  End("caller_gone", 0);
 }
 
 void RelayRequest::Count(const char* aOutcome, int aStatus) {
@@ -328,6 +357,8 @@
   mEnded = true;
   if (IsSuccess(aStatus)) {
     mContext.mCrashes.Completed(Content(), SteadyNow());
+    mContext.mStopIntake.Record(mRoute->mName,
+                                SteadyNow() - mExchange->ReceivedAt());
   }
   Json::Value path(Json::arrayValue);
   if (mAttempt != nullptr) {
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -31,6 +31,8 @@
   RelayRequest& operator=(const RelayRequest&) = delete;
 
   void Begin();
+  /// This process ends. Who has no answer yet gets one, a stream is cut.
+  void EndByStop();
 
  private:
   /// What an engine must read before an event can come.
@@ -164,6 +166,8 @@
   /// Whether the incarnation that the attempt was sent to is the one known:
   /// what becomes of it says nothing of a successor.
   bool IsCurrent() const;
+  /// Drops the attempt, whose upstream may have begun.
+  void AbandonAttempt();
   void GiveUp(ResultCode aCode);
   /// Notes, and logs where it is new, what keeps it from going on.
   void SetLack(Lack aLack);
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -3,6 +3,7 @@
 #include <unordered_set>
 
 #include "daemons/relay/beat_relay.h"
+#include "daemons/relay/planned_stop.h"
 #include "daemons/relay/relay_admission.h"
 #include "daemons/relay/relay_request.h"
 #include "daemons/relay/retry_wishes.h"
@@ -17,12 +18,6 @@
 /// While a zone has no whole path, callers are better sent elsewhere; but not
 /// for ever, since then all zones may have none.
 constexpr Millis kWaitForPaths = 12000;
-constexpr Millis kStopPeriod = 100;
-/// After a stop signal callers that are still sent here are served.
-constexpr Millis kServeAfterStop = 2500;
-constexpr Millis kStopMargin = 300;
-/// What comes later than this after a stop signal might not end in time.
-constexpr Millis kTakeAfterStop = 2800;
 
 }  // namespace
 
@@ -55,7 +50,11 @@
              .mMemory = mContext.mMemory,
              .mOnCut = [this](
                            std::size_t aCallers,
-                           std::size_t aBytes) { LogCut(aCallers, aBytes); }}) {
+                           std::size_t aBytes) { LogCut(aCallers, aBytes); }}),
+        mStop(mContext, mServer,
+              {.mOpenRequests =
+                   [this] { return static_cast<int>(mRequests.size()); },
+               .mEndRequests = [this] { EndRequests(); }}) {
     mContext.mGuard = &mGuard;
     mContext.mAdmission = &mAdmission;
     mContext.mRetryWishes = &mRetryWishes;
@@ -63,10 +62,6 @@
 
   void Handle(const std::shared_ptr<StreamExchange>& aExchange) {
     ApplyLimits();
-    if (mContext.mStopping && SteadyNow() - mStoppedAt > kTakeAfterStop) {
-      Refuse(*aExchange, ResultCode::kStopping);
-      return;
-    }
     // Each request ends itself; the set only keeps it until then.
     std::shared_ptr<RelayRequest> request;
     const auto key = std::make_shared<RelayRequest*>(nullptr);
@@ -82,11 +77,20 @@
     request->Begin();
   }
 
+  void EndRequests() {
+    // Each takes itself off the list.
+    const std::unordered_map<RelayRequest*, std::shared_ptr<RelayRequest>>
+        open = mRequests;
+    for (const auto& [key, request] : open) {
+      request->EndByStop();
+    }
+  }
+
   void Refuse(StreamExchange& aExchange, ResultCode aCode) {
     mContext.mCounters.Add("refused_unread");
     LogLine(LogLevel::kInfo, "refused_unread")
         .Add("code", static_cast<int>(aCode));
-    Millis retryAfter = aCode == ResultCode::kStopping ? 0 : -1;
+    Millis retryAfter = -1;
     if (aCode == ResultCode::kMemoryFull) {
       retryAfter = MemoryAccount::ReturnAfter(mContext.Random());
       mContext.mCounters.Add("memory_refused");
@@ -193,8 +197,7 @@
   std::int64_t mLimitsOf = 0;
   std::unordered_map<RelayRequest*, std::shared_ptr<RelayRequest>> mRequests;
   StreamServer mServer;
-  Millis mStoppedAt = 0;
-  std::unique_ptr<Timer> mStopTimer;
+  PlannedStop mStop;
 };
 
 RelayRouter::RelayRouter(EventLoop& aLoop, RelayOptions aOptions)
@@ -280,29 +283,7 @@
 }
 
 void RelayRouter::Stop() {
-  RelayContext& context = mParts->mContext;
-  if (context.mStopping) {
-    return;
-  }
-  context.mStopping = true;
-  mParts->mStoppedAt = SteadyNow();
-  mParts->mServer.SetClosing();
-  LogLine(LogLevel::kInfo, "stopping")
-      .Add("open_requests", static_cast<int>(mParts->mRequests.size()));
-  mParts->mStopTimer = context.mLoop.Every(kStopPeriod, [this, &context] {
-    const Millis since = SteadyNow() - mParts->mStoppedAt;
-    if (since < kServeAfterStop) {
-      return;
-    }
-    mParts->mServer.CloseIdle();
-    const bool over = since > context.mOptions.mStopGrace - kStopMargin;
-    if (mParts->mRequests.empty() || over) {
-      LogLine(LogLevel::kInfo, "stopped")
-          .Add("open_requests", static_cast<int>(mParts->mRequests.size()));
-      context.mEnding = true;
-      context.mLoop.Stop();
-    }
-  });
+  mParts->mStop.Begin();
 }
 
 }  // namespace spindleweir
--- /dev/null
+++ b/include/spindleweir/servers/limits/stop_intake.h
@@ -0,0 +1,47 @@
+/// Which requests a router still takes once it was asked to stop: those that
+/// will have ended when it must. The others go elsewhere at once, unharmed; a
+/// stream that is cut midway costs its caller seconds.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "spindleweir/core/clock.h"
+
+namespace spindleweir {
+
+struct StopIntakeOptions {
+  /// After the signal; what is in flight then is cut.
+  Millis mGrace = 7700;
+  /// Nothing is taken later than this after the signal: it might be cut while
+  /// its upstream runs it.
+  Millis mTakeWithin = 2800;
+  /// Answers of a route that its usual duration is learnt from.
+  std::size_t mKept = 64;
+  /// The part of them that ended within the usual duration.
+  double mQuantile = 0.95;
+};
+
+/// Decisions only: the time comes with each call.
+class StopIntake {
+ public:
+  explicit StopIntake(StopIntakeOptions aOptions) : mOptions(aOptions) {}
+
+  /// A request of a route was answered whole after aTook.
+  void Record(const std::string& aRoute, Millis aTook);
+  /// The signal came.
+  void Stop(Millis aNow) { mStoppedAt = aNow; }
+  /// aLeft: until its caller, or its route, gives it up.
+  bool Takes(const std::string& aRoute, Millis aLeft, Millis aNow) const;
+  /// How long a request of a route takes; 0: none was answered yet.
+  Millis UsualDuration(const std::string& aRoute) const;
+
+ private:
+  StopIntakeOptions mOptions;
+  std::map<std::string, std::deque<Millis>> mTook;  ///< By route.
+  Millis mStoppedAt = -1;                           ///< -1: not asked to.
+};
+
+}  // namespace spindleweir
--- a/standins/scripted_upstream.cpp
+++ b/standins/scripted_upstream.cpp
@@ -77,6 +77,12 @@
   if (act == UpstreamAct::kSilent) {
     return;
   }
+  if (act == UpstreamAct::kLate) {
+    mLate.push_back(mLoop.After(kLateBy, [this, aExchange] {
+      aExchange->Reply(kOk, {{"X-Signature", mInstance}}, "by " + mInstance);
+    }));
+    return;
+  }
   if (aExchange->Head().mTarget.starts_with("/stream/")) {
     Stream(*aExchange, act);
     return;
@@ -118,6 +124,9 @@
       return;
     }
     aExchange.Write("id: " + std::to_string(id) + "\ndata: x\n\n");
+    if (aAct == UpstreamAct::kStall) {
+      return;
+    }
   }
   aExchange.End();
 }
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -18,6 +18,8 @@
   kCut,     ///< Runs it and breaks off: a stream after two events.
   kFail,    ///< Runs it and answers 500, or as FailWith() said.
   kSilent,  ///< Runs it and says nothing.
+  kStall,   ///< Runs it; a stream: one event, and nothing more.
+  kLate,    ///< Runs it and answers whole after kLateBy.
 };
 
 /// One upstream on a port of its own.
@@ -47,6 +49,7 @@
   /// Callers that closed before their answer's end.
   int Closed() const { return mClosed; }
 
+  static constexpr Millis kLateBy = 2100;
   static constexpr int kEvents = 5;  ///< Of a stream, with ids from 1.
 
  private:
@@ -62,6 +65,7 @@
   int mFailure;
   std::string mCrashOn;
   bool mCrashed = false;
+  std::vector<std::unique_ptr<Timer>> mLate;
   std::unique_ptr<StreamServer> mServer;
   std::string mAddress;
 };
--- a/tests/daemons/relay_story.cpp
+++ b/tests/daemons/relay_story.cpp
@@ -99,7 +99,7 @@
   options.mTakesAt = kTakesAt;
   options.mClusterKey = "secret";
   options.mLeaseLength = kLease;
-  options.mStopGrace = 2000;
+  options.mStopGrace = mStopGrace;
   options.mStartWait = mStartWait;
   options.mRetries = mRetries;
   options.mMemoryBytes = mMemoryBytes;
--- a/tests/daemons/relay_story.h
+++ b/tests/daemons/relay_story.h
@@ -100,6 +100,7 @@
   RetryAllowanceOptions mRetries;
   int mSlots = 6;                ///< Of each upstream.
   std::size_t mMemoryBytes = 0;  ///< Of routers that are started from now on.
+  Millis mStopGrace = 2000;      ///< The same.
   int mOwnBeats;           ///< Heartbeats a second that control takes itself.
   int mDocumentsRead = 0;  ///< By control.
 };
