A second stop signal while a process ends no longer kills it

Cause: libevent restores what it found when the handler goes, which was the default; a signal between that and the end of the process killed it (143). Signals that came while the parts were made did the same before the handler was there. Now what is restored is to ignore, and the handler comes first.

--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -245,6 +245,10 @@
 }
 
 std::unique_ptr<Timer> EventLoop::OnStopSignal(std::function<void()> aCall) {
+  // libevent restores what it found once the handler goes. By default a second
+  // signal would kill the process then, while it ends in order.
+  signal(SIGTERM, SIG_IGN);
+  signal(SIGINT, SIG_IGN);
   auto timer = std::make_unique<EventTimer>(std::move(aCall));
   timer->Add(mBase, SIGTERM, EV_SIGNAL | EV_PERSIST);
   timer->Add(mBase, SIGINT, EV_SIGNAL | EV_PERSIST);
--- a/main/control_main.cpp
+++ b/main/control_main.cpp
@@ -2,6 +2,7 @@
 #include <gflags/gflags.h>
 
 #include <iostream>
+#include <memory>
 
 #include "platform/programs.h"
 #include "spindleweir/core/error.h"
@@ -83,8 +84,10 @@
     return 0;
   }
   EventLoop loop;
-  ControlDaemon daemon(loop, std::move(options));
-  const auto signal = loop.OnStopSignal([&daemon] { daemon.Stop(); });
+  std::unique_ptr<ControlDaemon> daemon;
+  // A signal that comes while the parts are made is heard once the loop runs.
+  const auto signal = loop.OnStopSignal([&daemon] { daemon->Stop(); });
+  daemon = std::make_unique<ControlDaemon>(loop, std::move(options));
   loop.Run();
   return 0;
 }
