Stops: how long a request takes is judged by its expected tokens

What a token takes is known from any answer. 'expected_tokens' stands in the last line of a request.

--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -129,10 +129,6 @@
   const Millis wait = mFacts.mDeadline > 0
                           ? std::min(mFacts.mDeadline, mRoute->mTimeout)
                           : mRoute->mTimeout;
-  if (!mContext.mStopIntake.Takes(mRoute->mName, wait, SteadyNow())) {
-    Refuse(ResultCode::kStopping, ReturnCause::kElsewhere);
-    return;
-  }
   mDeadline = mExchange->ReceivedAt() + wait;
   mTimeout = mContext.mLoop.After(std::max<Millis>(0, Remaining()),
                                   [this] { HandleTimeout(); });
@@ -144,6 +140,11 @@
   mContext.mAdmission->RecordDeadline(
       mRoute->mName, std::min(mFacts.mDeadline, mRoute->mTimeout));
   PickService();
+  if (!mContext.mStopIntake.Takes(mService->mName, mFacts.mExpectedTokens, wait,
+                                  SteadyNow())) {
+    Refuse(ResultCode::kStopping, ReturnCause::kElsewhere);
+    return;
+  }
   mContext.RetriesOf(mService->mName).RequestStarted(SteadyNow());
   mAskedAt = SteadyNow();
   mContext.PathAsked(mService->mName);
@@ -357,7 +358,7 @@
   mEnded = true;
   if (IsSuccess(aStatus)) {
     mContext.mCrashes.Completed(Content(), SteadyNow());
-    mContext.mStopIntake.Record(mRoute->mName,
+    mContext.mStopIntake.Record(mService->mName, mFacts.mExpectedTokens,
                                 SteadyNow() - mExchange->ReceivedAt());
   }
   Json::Value path(Json::arrayValue);
@@ -381,6 +382,7 @@
       .Add("content", IsSuccess(aStatus) ? "" : Content())
       .Add("sent", mSent + (mAttempt == nullptr ? 0 : 1))
       .Add("events", mEvents)
+      .Add("expected_tokens", mFacts.mExpectedTokens)
       .Add("first_ms", static_cast<Json::Int64>(
                            mFirstEventAt == 0 ? -1 : mFirstEventAt - received))
       .Add("longest_pause_ms", static_cast<Json::Int64>(mLongestPause))
--- a/include/spindleweir/servers/limits/stop_intake.h
+++ b/include/spindleweir/servers/limits/stop_intake.h
@@ -18,7 +18,7 @@
   /// Nothing is taken later than this after the signal: it might be cut while
   /// its upstream runs it.
   Millis mTakeWithin = 2800;
-  /// Answers of a route that its usual duration is learnt from.
+  /// Answers of a service that its usual pace is learnt from.
   std::size_t mKept = 64;
   /// The part of them that ended within the usual duration.
   double mQuantile = 0.95;
@@ -29,19 +29,24 @@
  public:
   explicit StopIntake(StopIntakeOptions aOptions) : mOptions(aOptions) {}
 
-  /// A request of a route was answered whole after aTook.
-  void Record(const std::string& aRoute, Millis aTook);
+  /// A request of a service was answered whole after aTook. aWork: tokens that
+  /// its caller expected, below 1: not told. Long answers end late, so that
+  /// durations alone would tell of the short ones of a process that has just
+  /// started; what each token takes does not.
+  void Record(const std::string& aService, double aWork, Millis aTook);
   /// The signal came.
   void Stop(Millis aNow) { mStoppedAt = aNow; }
   /// aLeft: until its caller, or its route, gives it up.
-  bool Takes(const std::string& aRoute, Millis aLeft, Millis aNow) const;
-  /// How long a request of a route takes; 0: none was answered yet.
-  Millis UsualDuration(const std::string& aRoute) const;
+  bool Takes(const std::string& aService, double aWork, Millis aLeft,
+             Millis aNow) const;
+  /// How long such a request takes; 0: none was answered yet.
+  Millis UsualDuration(const std::string& aService, double aWork) const;
 
  private:
   StopIntakeOptions mOptions;
-  std::map<std::string, std::deque<Millis>> mTook;  ///< By route.
-  Millis mStoppedAt = -1;                           ///< -1: not asked to.
+  /// Milliseconds for each token, by service.
+  std::map<std::string, std::deque<double>> mPaces;
+  Millis mStoppedAt = -1;  ///< -1: not asked to.
 };
 
 }  // namespace spindleweir
--- a/tests/daemons/planned_stop_test.cpp
+++ b/tests/daemons/planned_stop_test.cpp
@@ -8,6 +8,8 @@
 ///
 /// The evidence: 11 streams of one day cut 7.7 s after the signal, most of them
 /// taken after it, each logged 1 ms after "stopped".
+#include <algorithm>
+
 #include "tests/daemons/relay_story.h"
 
 using namespace spindleweir;
@@ -69,21 +71,29 @@
 
 Test(planned_stop, what_cannot_end_in_time_is_sent_elsewhere_at_once) {
   StopStory story;
-  story.mA.Next({UpstreamAct::kLate});
-  story.mB.Next({UpstreamAct::kLate});
-  CHECK(story.Call("/pay/1").mStatus == 200);
+  constexpr int kLateCalls = 8;
+  story.mA.Next(std::vector<UpstreamAct>(kLateCalls, UpstreamAct::kLate));
+  story.mB.Next(std::vector<UpstreamAct>(kLateCalls, UpstreamAct::kLate));
+  std::vector<std::unique_ptr<StopStory::Open>> late;
+  for (int i = 0; i < kLateCalls; i++) {
+    late.push_back(story.Start("/pay/1", "late" + std::to_string(i)));
+  }
+  REQUIRE(story.RunUntil([&late] {
+    return std::all_of(late.begin(), late.end(),
+                       [](const auto& aOpen) { return aOpen->mEnded; });
+  }));
   story.mA.Next({});
   story.mB.Next({});
   story.mRouter->Stop();
-  SECTION("a call of a route that takes longer than is left") {
+  SECTION("a call of a service that takes longer than is left") {
     const Answer answer = story.Call("/pay/1");
     CHECK(answer.mStatus == 503);
     CHECK(story.RunsOfLast() == 0);
     const std::string* after = FindHeader(answer.mHeaders, "Retry-After");
     CHECK(after != nullptr && std::stod(*after) == 0);
   }
-  SECTION("one that takes a moment is served") {
-    CHECK(story.Call("/look/1").mStatus == 200);
+  SECTION("one whose caller waits for less than what is left is served") {
+    CHECK(story.Call("/look/1", "key", 1000).mStatus == 200);
   }
 }
 
