A stream that is broken off keeps what was written to its caller

Cause, by the same look at real sockets: a router that broke a stream off reset the connection, and a reset discards what the caller has not read, so that it went on from an older event, or had none. Chunks, or a length, tell already that the answer is not whole: it ends in order now. To callers of HTTP/1.0, who know neither, the reset stays. The test fails with a reset.

--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -240,7 +240,7 @@
 void RelayRequest::GiveUp(ResultCode aCode) {
   if (mExchange->Started()) {
     mExchange->OnClosed(nullptr);
-    mExchange->Abort();
+    mExchange->BreakOff();
     End("broken_off", 0);
     return;
   }
@@ -329,7 +329,7 @@
     return;
   }
   mExchange->OnClosed(nullptr);
-  mExchange->Abort();
+  mExchange->BreakOff();
   End("router_ended", 0);
 }
 
--- a/drivers/stream_server.cpp
+++ b/drivers/stream_server.cpp
@@ -136,6 +136,17 @@
   }
 }
 
+void StreamExchange::BreakOff() {
+  const bool framed = mStarted && mHead.mMinor > 0;
+  if (!framed) {
+    Abort();
+    return;
+  }
+  if (mConnection != nullptr) {
+    mConnection->FinishExchange(false);
+  }
+}
+
 std::size_t StreamExchange::PendingBytes() const {
   return mConnection == nullptr ? 0 : mConnection->PendingBytes();
 }
--- a/include/spindleweir/drivers/stream_server.h
+++ b/include/spindleweir/drivers/stream_server.h
@@ -45,8 +45,12 @@
   void Reply(int aStatus, const HttpHeaders& aHeaders, std::string_view aBody);
   /// The connection closes after this answer.
   void CloseAfter() { mHead.mKeepAlive = false; }
-  /// Breaks the answer off, so that it cannot be taken for complete.
+  /// Breaks the answer off with a reset, so that it cannot be taken for
+  /// complete.
   void Abort();
+  /// The same, but its caller reads all that was written, where chunks or a
+  /// length tell that more was due.
+  void BreakOff();
 
   bool Started() const { return mStarted; }
   /// Whether the answer ended or the caller's connection is gone.
--- a/tests/drivers/stream_test.cpp
+++ b/tests/drivers/stream_test.cpp
@@ -3,6 +3,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
 #include "tests/test_tools.h"
@@ -321,6 +323,39 @@
   }
 }
 
+// The same class: a stream that is broken off was reset, and with it what its
+// caller had not read yet, though chunks or a length already tell that it is not
+// whole.
+Test(stream, what_was_written_before_a_stream_is_broken_off_is_read) {
+  constexpr std::size_t kBytes = 1000 * 1000;
+  for (const char* version : {"1.1", "1.0"}) {
+    Server server(Account(8 * kBytes));
+    server.mHandle = [](StreamExchange& aExchange) {
+      aExchange.Start(200, {}, std::nullopt);
+      aExchange.Write(std::string(kBytes, 'x'));
+      aExchange.BreakOff();
+    };
+    PlainCaller caller(server.mServer.Address());
+    caller.Send(server, std::string("GET /x HTTP/") + version +
+                            "\r\nHost: h\r\n\r\n");
+    REQUIRE(server.RunUntil([&] {
+      caller.Read();
+      return caller.mEnded;
+    }));
+    const auto read = static_cast<std::size_t>(std::count(
+        caller.mReceived.begin(), caller.mReceived.end(), 'x'));
+    if (std::string_view(version) == "1.1") {
+      CHECK(read == kBytes);
+      CHECK(!caller.mWasReset);
+      CHECK(!caller.mReceived.ends_with("0\r\n\r\n"));
+      continue;
+    }
+    SECTION("without chunks nothing but a reset tells that it is not whole") {
+      CHECK(caller.mWasReset);
+    }
+  }
+}
+
 // The same class: who had connected, and was not accepted yet, was reset with
 // the port.
 Test(stream, who_has_connected_before_the_port_closes_is_answered) {
