A soak of routers that relay, on a platform's wire

The soak drove the product's own interface only. scripts/relay-soak starts three routers and three controls that find each other by seeds, callers that keep their connections, streams of 0.2 to 3 s, engines that end and leave, and an operator who changes the configuration every 0.1 to 0.9 s, under the overlapping faults of soak/faults.sh. Judged: own answers, whole and in order; nothing cut, or closed unanswered, but by a kill of its router; what may run once runs once; 'not run' is true; the newest version is read back.

--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -1,13 +1,15 @@
-# Faults that overlap, at random from a seed: sourced by scripts/history, whose
-# names it uses. In a round one process may stand still while others are stopped,
+# Faults that overlap, at random from a seed: sourced by scripts/history and
+# scripts/relay-soak, whose names it uses. In a round one process may stand still while others are stopped,
 # killed or started again; a stop may be asked for twice, or end by a kill. A
 # router that stops stays among the callers' targets until its process is gone.
 
 soak_ours=(router-0 router-1 router-2 control-0 control-1 control-2)
-soak_engines=()
-for z in 0 1 2; do
-  for n in 1 2 3 4 5 6; do soak_engines+=("gpu-$z-$n"); done
-done
+if ! declare -p soak_engines >/dev/null 2>&1; then
+  soak_engines=()
+  for z in 0 1 2; do
+    for n in 1 2 3 4 5 6; do soak_engines+=("gpu-$z-$n"); done
+  done
+fi
 frozen="" stopping=""
 
 # A process that is neither still nor stopping now; one in two is an engine.
@@ -15,7 +17,7 @@
   local name
   while :; do
     name=${soak_ours[RANDOM % ${#soak_ours[@]}]}
-    if ((RANDOM % 2)); then
+    if ((${#soak_engines[@]} > 0 && RANDOM % 2)); then
       name=${soak_engines[RANDOM % ${#soak_engines[@]}]}
     fi
     case " $frozen $stopping " in *" $name "*) ;; *) break ;; esac
@@ -51,7 +53,7 @@
     if ((RANDOM % 4 == 0)); then
       kill_noted "$name"
     else
-      wait "$(pid "$name")" || echo "$name did not end with 0"
+      wait "$(pid "$name")" || echo "$name ended with $?, last line: $(tail -n 1 "$run/$name.log")"
     fi
     restart "$name"
   done
--- /dev/null
+++ b/tests/platform/soak/soak_main.cpp
@@ -0,0 +1,354 @@
+/// spindleweir-soak: callers that keep their connections, upstreams that come
+/// and go, and an operator who changes the configuration again and again, before
+/// real processes of the system on a platform's wire. The processes, and what is
+/// done to them, are scripts/relay-soak's. It ends with 1 where a promise was
+/// broken.
+#include <gflags/gflags.h>
+
+#include <iostream>
+#include <sstream>
+
+#include "spindleweir/core/json_codec.h"
+#include "spindleweir/core/settings.h"
+#include "spindleweir/drivers/file_tools.h"
+#include "tests/platform/soak/soak_caller.h"
+#include "tests/platform/soak/soak_upstream.h"
+
+DEFINE_string(routers, "", "NAME=IP:PORT of each, by commas");
+DEFINE_string(controls, "", "IP:PORT of each, by commas");
+DEFINE_string(faults, "", "record of the fault script");
+DEFINE_string(up_file, "", "made once all routers have a configuration");
+DEFINE_uint32(seed, 1, "of all that is at random here");
+DEFINE_int32(seconds, 15, "how long callers come");
+DEFINE_int32(callers, 24, "that come at the same time");
+
+namespace spindleweir {
+namespace {
+
+constexpr int kZones = 3;
+constexpr int kEnginesOfZone = 3;
+constexpr Millis kChangeTimeout = 1500;
+constexpr Millis kLastWait = 30000;
+constexpr int kMostChangePause = 900;
+constexpr int kMostFaultPause = 3000;
+
+/// The operator's side: one version after the other, acknowledged or not.
+class SoakOperator {
+ public:
+  SoakOperator(EventLoop& aLoop, std::vector<Endpoint> aControls,
+               std::mt19937& aRandom)
+      : mLoop(aLoop), mControls(std::move(aControls)), mRandom(aRandom) {}
+
+  void Change() {
+    mVersion++;
+    Send(Document(mVersion), 0);
+  }
+
+  bool Acknowledged() const { return mAcknowledged > 0; }
+
+  /// Asks until a version comes that is not older than what was acknowledged.
+  void ReadBack(std::function<void(bool)> aDone) {
+    mBody.clear();
+    Call("GET", "/-/Config.Read", "", 0, [this, aDone](int aStatus) {
+      const bool good =
+          aStatus == 200 &&
+          ParseJson(mBody)["version"].asInt64() >= mAcknowledged;
+      if (good || ++mReads > kMostReads) {
+        aDone(good);
+        return;
+      }
+      mTimer = mLoop.After(kReadAgain, [this, aDone] { ReadBack(aDone); });
+    });
+  }
+
+  /// The pause before the next change is the caller's.
+  std::function<void()> mOnSettled;
+
+ private:
+  static constexpr int kMostReads = 60;
+  static constexpr Millis kReadAgain = 250;
+  static constexpr int kMostTries = 6;
+
+  static Json::Value Route(const std::string& aName, const char* aKind,
+                           const char* aService, int aTimeout) {
+    Json::Value route(Json::objectValue);
+    route["name"] = aName;
+    route["host"] = "soak.example";
+    route["pathPrefix"] = "/" + aName + "/";
+    route["kind"] = aKind;
+    route["timeoutMs"] = aTimeout;
+    route["targetLatencyMs"] = 500;
+    route["gap_aim_ms"] = 250;
+    route["maxAttempts"] = 2;
+    route["resumable"] = std::string(aKind) == "streaming";
+    route["service"] = aService;
+    return route;
+  }
+
+  /// What callers use stays in each; the rest changes with the version.
+  std::string Document(std::int64_t aVersion) {
+    Json::Value document(Json::objectValue);
+    document["version"] = static_cast<Json::Int64>(aVersion);
+    const int timeout = aVersion % 2 == 0 ? 20000 : 19000;
+    Json::Value& routes = document["routes"];
+    routes.append(Route("stream", "streaming", "model", timeout));
+    routes.append(Route("look", "safe", "plain", 5000));
+    routes.append(Route("pay", "unsafe", "plain", 5000));
+    for (int i = 0; i < aVersion % 7; i++) {
+      routes.append(Route("other" + std::to_string(i), "safe", "plain", 5000));
+    }
+    Json::Value engine = ParseJson(
+        R"({"slots":192,"kvCapacityTokens":100000,"kvTokenBytes":1000,
+        "linkMbps":400000,"stride":3,"models":[{"name":"m","load_s":0.1}],
+        "step_ms":1,"read_per_s":100000,"chunk":512,"loads_at_once":5,
+        "usual":{"prompt":10,"answer":200},"layer_mb":100,"act_bytes":1000,
+        "pipe_mbps":26000,"kinds":[{"name":"soak","mb":72000,"pace":1}]})");
+    engine["layers"] = SoakUpstream::kLayers;
+    Json::Value model(Json::objectValue);
+    model["name"] = "model";
+    model["engine"] = engine;
+    Json::Value plain(Json::objectValue);
+    plain["name"] = "plain";
+    document["services"].append(model);
+    document["services"].append(plain);
+    Json::Value tenant(Json::objectValue);
+    tenant["name"] = "soak";
+    tenant["apiKeys"].append("soak-key");
+    if (aVersion % 3 == 0) {
+      tenant["apiKeys"].append("other-key");
+    }
+    document["tenants"].append(tenant);
+    return DumpJson(document);
+  }
+
+  void Send(const std::string& aDocument, int aTry) {
+    const std::int64_t version = mVersion;
+    Call("POST", "/-/Config.Replace", aDocument, 0,
+         [this, aDocument, aTry, version](int aStatus) {
+           if (aStatus == 200) {
+             mAcknowledged = version;
+           } else if (aTry < kMostTries) {
+             mTimer = mLoop.After(100, [this, aDocument, aTry] {
+               Send(aDocument, aTry + 1);
+             });
+             return;
+           }
+           mOnSettled();
+         });
+  }
+
+  /// Calls a control at random, and where it says that another leads, that.
+  void Call(const std::string& aMethod, const std::string& aTarget,
+            const std::string& aBody, int aSteps,
+            std::function<void(int)> aDone, const std::string& aAt = "") {
+    StreamCallOptions options;
+    options.mServer =
+        aAt.empty() ? mControls[std::uniform_int_distribution<std::size_t>(
+                          0, mControls.size() - 1)(mRandom)]
+                    : ParseEndpoint(aAt, "leader");
+    options.mMethod = aMethod;
+    options.mTarget = aTarget;
+    options.mHeaders = {{"Host", "control"},
+                        {"Content-Type", "application/json"}};
+    options.mBody = aBody;
+    options.mTimeout = kChangeTimeout;
+    const auto head = std::make_shared<AnswerHead>();
+    options.mOnHead = [head](const AnswerHead& aHead) { *head = aHead; };
+    options.mOnData = [this](std::string_view aBytes) { mBody += aBytes; };
+    options.mOnEnd = [=, this](StreamEnd aEnd) {
+      constexpr std::string_view kScheme = "http://";
+      const std::string* to = FindHeader(head->mHeaders, "Location");
+      if (head->mStatus == 307 && to != nullptr && aSteps < 2) {
+        const std::string address = to->substr(
+            kScheme.size(), to->find('/', kScheme.size()) - kScheme.size());
+        mBody.clear();
+        Call(aMethod, aTarget, aBody, aSteps + 1, aDone, address);
+        return;
+      }
+      aDone(aEnd == StreamEnd::kComplete ? head->mStatus : 0);
+    };
+    // The call before may be on the stack.
+    mLoop.Post([before = std::shared_ptr<StreamCall>(std::move(mCall))] {});
+    mCall = StartStreamCall(mLoop, std::move(options));
+  }
+
+  EventLoop& mLoop;
+  std::vector<Endpoint> mControls;
+  std::mt19937& mRandom;
+  std::int64_t mVersion = 0;
+  std::int64_t mAcknowledged = 0;
+  int mReads = 0;
+  std::string mBody;
+  std::unique_ptr<StreamCall> mCall;
+  std::unique_ptr<Timer> mTimer;
+};
+
+std::vector<SoakKill> ReadKills(const std::string& aPath) {
+  std::vector<SoakKill> kills;
+  std::istringstream lines(ReadFile(aPath).value_or(""));
+  for (std::string line; std::getline(lines, line);) {
+    const Json::Value record = ParseJson(line);
+    if (record["what"] == "kill") {
+      kills.push_back({record["name"].asString(), record["wall_us"].asInt64()});
+    }
+  }
+  return kills;
+}
+
+/// All that the soak plays beside the processes.
+class Soak {
+ public:
+  Soak()
+      : mRandom(FLAGS_seed),
+        mOperator(mLoop, Endpoints(SplitList(FLAGS_controls)), mRandom) {
+    for (const std::string& item : SplitList(FLAGS_routers)) {
+      const std::size_t at = item.find('=');
+      mRouters.push_back(
+          {item.substr(0, at), ParseEndpoint(item.substr(at + 1), "router")});
+    }
+  }
+
+  int Run() {
+    for (int zone = 0; zone < kZones; zone++) {
+      for (int i = 0; i < kEnginesOfZone; i++) {
+        AddUpstream(zone, "engine-" + std::to_string(i), true);
+      }
+      AddUpstream(zone, "plain", false);
+    }
+    mOperator.mOnSettled = [this] { Settled(); };
+    mOperator.Change();
+    const auto end = mLoop.After(kLastWait + Length(), [this] { Finish(); });
+    mLoop.Run();
+    const int broken =
+        mRecord.Judge(ReadKills(FLAGS_faults)) + (mReadBack ? 0 : 1);
+    std::cout << (mReadBack ? "" : "BROKEN: the newest version is lost\n")
+              << "seed " << FLAGS_seed << ": " << broken << " broken\n";
+    return broken == 0 ? 0 : 1;
+  }
+
+ private:
+  static std::vector<Endpoint> Endpoints(const std::vector<std::string>& aTexts) {
+    std::vector<Endpoint> endpoints;
+    for (const std::string& text : aTexts) {
+      endpoints.push_back(ParseEndpoint(text, "control"));
+    }
+    return endpoints;
+  }
+
+  static Millis Length() { return Millis{FLAGS_seconds} * 1000; }
+
+  int Pick(int aFrom, int aTo) {
+    return std::uniform_int_distribution<int>(aFrom, aTo)(mRandom);
+  }
+
+  void AddUpstream(int aZone, const std::string& aName, bool aEngine) {
+    const std::string zone = "zone-" + std::to_string(aZone);
+    mUpstreams.push_back(std::make_unique<SoakUpstream>(
+        mLoop, aName + "-" + zone,
+        SoakUpstreamOptions{.mService = aEngine ? "model" : "plain",
+                            .mZone = zone,
+                            .mEngine = aEngine,
+                            .mControls = Endpoints(SplitList(FLAGS_controls)),
+                            .mRecord = &mRecord}));
+  }
+
+  /// A change has ended; the first one begins it all.
+  void Settled() {
+    if (!mBegun && mOperator.Acknowledged()) {
+      mBegun = true;
+      mBeginTimer = mLoop.After(kWarmUp, [this] { Begin(); });
+    }
+    if (!mEnding) {
+      mChangeTimer = mLoop.After(Pick(100, kMostChangePause),
+                                 [this] { mOperator.Change(); });
+    }
+  }
+
+  void Begin() {
+    ReplaceFile(FLAGS_up_file, "up");
+    for (int i = 0; i < FLAGS_callers; i++) {
+      mCallers.push_back(std::make_unique<SoakCaller>(
+          mLoop, "c" + std::to_string(i),
+          SoakCallerOptions{.mRouters = mRouters,
+                            .mRecord = &mRecord,
+                            .mRandom = &mRandom,
+                            .mGoesOn = [this] { return !mEnding; }}));
+    }
+    Strike();
+    mEndTimer = mLoop.After(Length(), [this] {
+      mEnding = true;
+      mEndTimer = mLoop.Every(100, [this] { EndIfIdle(); });
+    });
+  }
+
+  /// An engine ends, or leaves; one at a time in a zone.
+  void Strike() {
+    mStrikeTimer = mLoop.After(Pick(500, kMostFaultPause), [this] {
+      const int zone = Pick(0, kZones - 1);
+      const int first = zone * (kEnginesOfZone + 1);
+      bool steady = !mEnding;
+      for (int i = 0; i < kEnginesOfZone; i++) {
+        steady = steady && mUpstreams[first + i]->Steady();
+      }
+      if (steady) {
+        SoakUpstream& engine = *mUpstreams[first + Pick(0, kEnginesOfZone - 1)];
+        Pick(0, 1) == 0 ? engine.Crash() : engine.Leave();
+      }
+      Strike();
+    });
+  }
+
+  void EndIfIdle() {
+    for (const auto& caller : mCallers) {
+      if (caller->Busy()) {
+        return;
+      }
+    }
+    Finish();
+  }
+
+  void Finish() {
+    if (mFinishing) {
+      return;
+    }
+    mFinishing = true;
+    mOperator.ReadBack([this](bool aGood) {
+      mReadBack = aGood;
+      mLoop.Stop();
+    });
+  }
+
+  /// Engines are given their layers, and routers know them.
+  static constexpr Millis kWarmUp = 2500;
+
+  EventLoop mLoop;
+  std::mt19937 mRandom;
+  SoakRecord mRecord;
+  SoakOperator mOperator;
+  std::vector<SoakRouter> mRouters;
+  std::vector<std::unique_ptr<SoakUpstream>> mUpstreams;
+  std::vector<std::unique_ptr<SoakCaller>> mCallers;
+  bool mBegun = false;
+  bool mEnding = false;
+  bool mFinishing = false;
+  bool mReadBack = false;
+  std::unique_ptr<Timer> mBeginTimer;
+  std::unique_ptr<Timer> mChangeTimer;
+  std::unique_ptr<Timer> mStrikeTimer;
+  std::unique_ptr<Timer> mEndTimer;
+};
+
+int Run(const std::vector<std::string>&) {
+  RequireSetting(FLAGS_routers, "--routers");
+  RequireSetting(FLAGS_controls, "--controls");
+  return Soak().Run();
+}
+
+}  // namespace
+}  // namespace spindleweir
+
+int main(int aArgc, char** aArgv) {
+  return spindleweir::RunProgram(
+      aArgc, aArgv, "callers, upstreams and an operator for a soak",
+      spindleweir::Run);
+}
--- /dev/null
+++ b/tests/platform/soak/soak_record.cpp
@@ -0,0 +1,100 @@
+#include "tests/platform/soak/soak_record.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iostream>
+
+namespace spindleweir {
+
+namespace {
+
+/// Attempts that a route of the soak gives a request.
+constexpr int kAttempts = 2;
+/// A kill is noted some milliseconds before it is done.
+constexpr std::int64_t kNotedBefore = 500000;
+
+bool PromisesNotRun(int aStatus) {
+  return aStatus == 429 || aStatus == 503 || aStatus == 408 || aStatus == 421;
+}
+
+bool WasKilled(const SoakRequest& aRequest,
+               const std::vector<SoakKill>& aKills) {
+  return std::any_of(aKills.begin(), aKills.end(), [&](const SoakKill& aKill) {
+    return aKill.mName == aRequest.mRouter &&
+           aKill.mAt > aRequest.mSentAt - kNotedBefore &&
+           aKill.mAt < aRequest.mEndedAt;
+  });
+}
+
+}  // namespace
+
+std::int64_t WallMicros() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+SoakRequest* SoakRecord::Find(const std::string& aId) {
+  const auto it = mRequests.find(aId);
+  return it == mRequests.end() ? nullptr : &it->second;
+}
+
+std::string SoakRecord::Broken(const SoakRequest& aRequest,
+                               const std::vector<SoakKill>& aKills) {
+  if (aRequest.mOnce && aRequest.mRuns > 1) {
+    return "ran twice";
+  }
+  const bool whole = aRequest.mEnd == SoakEnd::kWhole;
+  if (whole && PromisesNotRun(aRequest.mStatus) && aRequest.mRuns > 0) {
+    return "ran, though the answer promises that it did not";
+  }
+  if (whole && aRequest.mStatus == 200 && aRequest.mBody != aRequest.mWanted) {
+    return "another body than its own";
+  }
+  if (whole && aRequest.mStatus >= 300 && aRequest.mStatus < 500 &&
+      !PromisesNotRun(aRequest.mStatus)) {
+    return "refused though every configuration allows it";
+  }
+  const bool ended = aRequest.mEnd == SoakEnd::kNoAnswer ||
+                     aRequest.mEnd == SoakEnd::kCut;
+  // A request that crosses the end of a connection may go unread.
+  const bool crossed = aRequest.mEnd == SoakEnd::kNoAnswer &&
+                       aRequest.mReused && aRequest.mRuns == 0;
+  const bool usedUp = aRequest.mLostRuns >= kAttempts;
+  if (ended && !crossed && !usedUp && !WasKilled(aRequest, aKills)) {
+    return aRequest.mEnd == SoakEnd::kCut ? "cut in its answer"
+                                          : "no answer at all";
+  }
+  return "";
+}
+
+int SoakRecord::Judge(const std::vector<SoakKill>& aKills) const {
+  std::map<std::string, int> seen;
+  int broken = 0;
+  for (const auto& [id, request] : mRequests) {
+    constexpr const char* kEnds[] = {"open", "whole", "no answer", "cut",
+                                     "left"};
+    const auto end = static_cast<std::size_t>(request.mEnd);
+    seen[request.mEnd == SoakEnd::kWhole ? std::to_string(request.mStatus)
+                                         : kEnds[end]]++;
+    const std::string why = Broken(request, aKills);
+    if (!why.empty()) {
+      broken++;
+      std::cout << "BROKEN: " << id << " at " << request.mRouter << ": " << why
+                << "; status " << request.mStatus << ", runs "
+                << request.mRuns << ", lost " << request.mLostRuns << ", sent "
+                << request.mSentAt << ", took "
+                << (request.mEndedAt - request.mSentAt) / 1000 << " ms, reused "
+                << request.mReused << ", bytes " << request.mBody.size()
+                << "\n";
+    }
+  }
+  std::cout << mRequests.size() << " requests:";
+  for (const auto& [end, count] : seen) {
+    std::cout << " " << end << " " << count;
+  }
+  std::cout << "\n";
+  return broken;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/tests/platform/soak/soak_record.h
@@ -0,0 +1,61 @@
+/// What callers and upstreams of a soak saw of each request, and the judgement.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace spindleweir {
+
+/// How a caller's request ended.
+enum class SoakEnd {
+  kOpen,      ///< It has not.
+  kWhole,     ///< A whole answer came.
+  kNoAnswer,  ///< The connection ended, and no byte of an answer came.
+  kCut,       ///< It ended within the answer.
+  kLeft,      ///< The caller lost patience.
+};
+
+/// One request with all its runs.
+struct SoakRequest {
+  std::string mRouter;
+  bool mStream = false;
+  bool mReused = false;  ///< Its connection had served another before.
+  std::int64_t mSentAt = 0;   ///< Wall microseconds.
+  std::int64_t mEndedAt = 0;  ///< The same.
+  SoakEnd mEnd = SoakEnd::kOpen;
+  int mStatus = 0;
+  std::string mBody;
+  std::string mWanted;  ///< The body of a success.
+  int mRuns = 0;
+  int mLostRuns = 0;  ///< Cut by their upstream's end.
+  bool mOnce = false;  ///< It may run once at most.
+};
+
+/// A process was killed, by the fault script's record.
+struct SoakKill {
+  std::string mName;
+  std::int64_t mAt = 0;  ///< Wall microseconds.
+};
+
+std::int64_t WallMicros();
+
+/// All requests of a soak, by their id.
+class SoakRecord {
+ public:
+  SoakRequest& At(const std::string& aId) { return mRequests[aId]; }
+  /// The same, or nullptr.
+  SoakRequest* Find(const std::string& aId);
+  /// Prints what was seen, and what breaks a promise; returns how much does.
+  int Judge(const std::vector<SoakKill>& aKills) const;
+
+ private:
+  /// Empty: no promise is broken.
+  static std::string Broken(const SoakRequest& aRequest,
+                            const std::vector<SoakKill>& aKills);
+
+  std::map<std::string, SoakRequest> mRequests;
+};
+
+}  // namespace spindleweir
--- /dev/null
+++ b/tests/platform/soak/soak_upstream.cpp
@@ -0,0 +1,198 @@
+#include "tests/platform/soak/soak_upstream.h"
+
+#include "spindleweir/core/json_codec.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr Millis kBeatEvery = 300;
+constexpr Millis kBackAfter = 400;
+constexpr Millis kServesOnFor = 2600;
+constexpr int kSlots = 192;
+constexpr const char* kId = "Spindleweir-Request-Id";
+constexpr const char* kSeal = "Spindleweir-Response-Seal";
+
+std::string ValueOf(const HttpHeaders& aHeaders, const char* aName) {
+  const std::string* value = FindHeader(aHeaders, aName);
+  return value == nullptr ? "" : *value;
+}
+
+}  // namespace
+
+std::string SoakEvents(const std::string& aId, int aFrom, int aTo) {
+  std::string events;
+  for (int id = aFrom; id <= aTo; id++) {
+    events += "id: " + std::to_string(id) + "\ndata: " + aId + "\n\n";
+  }
+  return events;
+}
+
+SoakUpstream::SoakUpstream(EventLoop& aLoop, std::string aName,
+                           SoakUpstreamOptions aOptions)
+    : mLoop(aLoop), mName(std::move(aName)), mOptions(std::move(aOptions)) {
+  Start();
+}
+
+void SoakUpstream::Start() {
+  mInstance = mName + "-" + std::to_string(++mStarts);
+  mBorn = WallMicros() / 1000;
+  mFrom = mTo = mOrders = 0;
+  mLeaving = false;
+  mServer = std::make_unique<StreamServer>(
+      mLoop, StreamServerOptions{
+                 .mListen = {"127.0.0.1", 0},
+                 .mHandle =
+                     [this](const std::shared_ptr<StreamExchange>& aExchange) {
+                       Handle(aExchange);
+                     },
+                 .mRefuse = [](StreamExchange& aExchange,
+                               ResultCode) { aExchange.Abort(); }});
+  mBeatTimer = mLoop.Every(kBeatEvery, [this] { Beat(); });
+  mStepTimer = mLoop.Every(kEventEvery, [this] { Step(); });
+  Beat();
+}
+
+void SoakUpstream::End() {
+  for (const Run& run : mRuns) {
+    SoakRequest* request = mOptions.mRecord->Find(run.mId);
+    if (request != nullptr && !run.mExchange->Closed()) {
+      request->mLostRuns++;
+    }
+  }
+  mRuns.clear();
+  mBeatTimer.reset();
+  mStepTimer.reset();
+  mServer.reset();
+  mTurnTimer = mLoop.After(kBackAfter, [this] { Start(); });
+}
+
+void SoakUpstream::Crash() {
+  End();
+}
+
+void SoakUpstream::Leave() {
+  mLeaving = true;
+  Beat();
+  mTurnTimer = mLoop.After(kServesOnFor, [this] {
+    Tell("/-/Instances.Leave/" + mInstance, "{}");
+    // One of its timers is on the stack.
+    mLoop.Post([this] { End(); });
+  });
+}
+
+void SoakUpstream::Beat() {
+  Json::Value body(Json::objectValue);
+  body["service"] = mOptions.mService;
+  body["address"] = mServer->Address().Text();
+  body["zone"] = mOptions.mZone;
+  body["slots"] = kSlots;
+  body["state"] = mLeaving ? "draining" : "ready";
+  body["seq"] = static_cast<Json::Int64>(++mSequence);
+  body["born"] = static_cast<Json::Int64>(mBorn);
+  if (mOptions.mEngine) {
+    body["kind"] = "soak";
+    if (mTo > mFrom) {
+      body["layers"]["from"] = mFrom;
+      body["layers"]["targetVersion"] = mTo;
+    }
+  }
+  Tell("/-/Instances.Heartbeat/" + mInstance, DumpJson(body));
+}
+
+void SoakUpstream::Tell(const std::string& aTarget, const std::string& aBody) {
+  StreamCallOptions options;
+  options.mServer = mOptions.mControls[mControl];
+  options.mMethod = "POST";
+  options.mTarget = aTarget;
+  options.mHeaders = {{"Host", "control"}, {"Content-Type", "application/json"}};
+  options.mBody = aBody;
+  options.mTimeout = kBeatEvery - kEventEvery;
+  const auto status = std::make_shared<int>(0);
+  options.mOnHead = [status](const AnswerHead& aHead) {
+    *status = aHead.mStatus;
+  };
+  options.mOnEnd = [this, status](StreamEnd) {
+    if (*status != 200) {
+      mControl = (mControl + 1) % mOptions.mControls.size();
+    }
+  };
+  // The call before may be on the stack.
+  mLoop.Post([before = std::shared_ptr<StreamCall>(std::move(mCall))] {});
+  mCall = StartStreamCall(mLoop, std::move(options));
+}
+
+void SoakUpstream::Handle(const std::shared_ptr<StreamExchange>& aExchange) {
+  const RequestHead& head = aExchange->Head();
+  if (head.mTarget == "/-/order") {
+    TakeOrder(*aExchange);
+  } else if (head.mTarget == "/-/report") {
+    Report(*aExchange);
+  } else if (ValueOf(head.mHeaders, "Spindleweir-Expect-Instance") !=
+             mInstance) {
+    aExchange->Reply(421, {{"Spindleweir-Not-Executed", "1"}}, "");
+  } else {
+    RunRequest(aExchange);
+  }
+}
+
+void SoakUpstream::TakeOrder(StreamExchange& aExchange) {
+  const Json::Value order = ParseJson(aExchange.Body());
+  if (order["op"] == "place") {
+    mFrom = order["from"].asInt();
+    mTo = order["targetVersion"].asInt();
+    mOrders++;
+  }
+  aExchange.Reply(200, {}, "{}");
+}
+
+void SoakUpstream::Report(StreamExchange& aExchange) {
+  Json::Value report(Json::objectValue);
+  report["born"] = static_cast<Json::Int64>(mBorn);
+  report["seq"] = mOrders;
+  report["running"] = static_cast<int>(mRuns.size());
+  report["layers"]["from"] = mFrom;
+  report["layers"]["targetVersion"] = mTo;
+  aExchange.Reply(200, {{"Content-Type", "application/json"}},
+                  DumpJson(report));
+}
+
+void SoakUpstream::RunRequest(
+    const std::shared_ptr<StreamExchange>& aExchange) {
+  const RequestHead& head = aExchange->Head();
+  const std::string id = ValueOf(head.mHeaders, kId);
+  SoakRequest* request = mOptions.mRecord->Find(id);
+  if (request == nullptr) {
+    aExchange->Abort();
+    return;
+  }
+  request->mRuns++;
+  const HttpHeaders headers = {
+      {kId, id}, {kSeal, mInstance}, {"Content-Type", "text/event-stream"}};
+  if (!mOptions.mEngine) {
+    aExchange->Reply(200, {{kId, id}, {kSeal, mInstance}}, "by " + id);
+    return;
+  }
+  aExchange->Start(200, headers, std::nullopt);
+  const std::string after = ValueOf(head.mHeaders, "Last-Event-Id");
+  const std::string& target = head.mTarget;
+  const int last = std::stoi(target.substr(target.rfind('/') + 1));
+  mRuns.push_back({.mExchange = aExchange,
+                   .mId = id,
+                   .mNext = after.empty() ? 1 : std::stoi(after) + 1,
+                   .mLast = last});
+}
+
+void SoakUpstream::Step() {
+  std::erase_if(mRuns, [](const Run& aRun) { return aRun.mExchange->Closed(); });
+  for (Run& run : mRuns) {
+    if (run.mNext > run.mLast) {
+      run.mExchange->End();
+      continue;
+    }
+    run.mExchange->Write(SoakEvents(run.mId, run.mNext, run.mNext));
+    run.mNext++;
+  }
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/tests/platform/soak/soak_upstream.h
@@ -0,0 +1,79 @@
+/// An engine or a plain service of a soak, as the platform's are: it registers
+/// itself, streams events, takes orders, leaves, and ends.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "spindleweir/drivers/stream_client.h"
+#include "spindleweir/drivers/stream_server.h"
+#include "tests/platform/soak/soak_record.h"
+
+namespace spindleweir {
+
+struct SoakUpstreamOptions {
+  std::string mService;
+  std::string mZone;
+  bool mEngine = false;
+  std::vector<Endpoint> mControls;
+  SoakRecord* mRecord = nullptr;
+};
+
+class SoakUpstream {
+ public:
+  SoakUpstream(EventLoop& aLoop, std::string aName,
+               SoakUpstreamOptions aOptions);
+
+  /// Ends at once, without a word, and starts again under another id.
+  void Crash();
+  /// Says that it leaves, serves on for a while, and is followed by another.
+  void Leave();
+  bool Steady() const { return mServer != nullptr && !mLeaving; }
+
+  static constexpr int kLayers = 8;
+  static constexpr Millis kEventEvery = 20;
+
+ private:
+  /// One stream that runs.
+  struct Run {
+    std::shared_ptr<StreamExchange> mExchange;
+    std::string mId;
+    int mNext = 1;
+    int mLast = 0;
+  };
+
+  void Start();
+  void End();
+  void Beat();
+  void Tell(const std::string& aTarget, const std::string& aBody);
+  void Handle(const std::shared_ptr<StreamExchange>& aExchange);
+  void RunRequest(const std::shared_ptr<StreamExchange>& aExchange);
+  void TakeOrder(StreamExchange& aExchange);
+  void Report(StreamExchange& aExchange);
+  void Step();
+
+  EventLoop& mLoop;
+  std::string mName;
+  SoakUpstreamOptions mOptions;
+  std::string mInstance;
+  int mStarts = 0;
+  std::int64_t mSequence = 0;
+  std::int64_t mBorn = 0;
+  int mFrom = 0;
+  int mTo = 0;
+  int mOrders = 0;
+  bool mLeaving = false;
+  std::size_t mControl = 0;  ///< That was reached last.
+  std::vector<Run> mRuns;
+  std::unique_ptr<StreamServer> mServer;
+  std::unique_ptr<StreamCall> mCall;
+  std::unique_ptr<Timer> mBeatTimer;
+  std::unique_ptr<Timer> mStepTimer;
+  std::unique_ptr<Timer> mTurnTimer;
+};
+
+/// The body of a stream from one event to another.
+std::string SoakEvents(const std::string& aId, int aFrom, int aTo);
+
+}  // namespace spindleweir
