--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -10,7 +10,7 @@
     for n in 1 2 3 4 5 6; do soak_engines+=("gpu-$z-$n"); done
   done
 fi
-frozen="" stopping=""
+frozen="" stopping="" bad_ends=0
 
 # A process that is neither still nor stopping now; one in two is an engine.
 pick_name() {
@@ -46,6 +46,20 @@
   stopping="$stopping $1"
 }
 
+# A planned stop ends with 0. A signal that finds a process before it has logged
+# its start finds no handler either; it has done nothing yet.
+ended_badly() { # NAME CODE
+  local begun started
+  begun=$(awk -v n="$1" '$1 == n' "$run/pids" | wc -l)
+  started=$(grep -c '"event":"started"' "$run/$1.log" || true)
+  if [ "$started" -ge "$begun" ]; then
+    echo "$1 ended with $2, last line: $(tail -n 1 "$run/$1.log")"
+    bad_ends=$((bad_ends + 1))
+  else
+    echo "$1 was asked to stop before it had started: $2"
+  fi
+}
+
 # Waits for those that were asked to stop; one in four is killed meanwhile.
 end_stops() {
   local name
@@ -53,7 +67,7 @@
     if ((RANDOM % 4 == 0)); then
       kill_noted "$name"
     else
-      wait "$(pid "$name")" || echo "$name ended with $?, last line: $(tail -n 1 "$run/$name.log")"
+      wait "$(pid "$name")" || ended_badly "$name" $?
     fi
     restart "$name"
   done
--- a/tests/platform/soak/soak_main.cpp
+++ b/tests/platform/soak/soak_main.cpp
@@ -20,7 +20,7 @@
 DEFINE_string(up_file, "", "made once all routers have a configuration");
 DEFINE_uint32(seed, 1, "of all that is at random here");
 DEFINE_int32(seconds, 15, "how long callers come");
-DEFINE_int32(callers, 24, "that come at the same time");
+DEFINE_int32(callers, 48, "that come at the same time");
 
 namespace spindleweir {
 namespace {
