--- a/daemons/relay/planned_stop.cpp
+++ b/daemons/relay/planned_stop.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr Millis kPeriod = 100;
-/// The balancer sends callers here until it has seen twice, a second apart, that
-/// this router is not ready.
+/// The balancer sends callers here until it has seen twice, a second apart,
+/// that this router is not ready.
 constexpr Millis kServe = 2500;
 /// Of a grace that is shorter than usual.
 constexpr Millis kServePart = 3;
--- a/daemons/relay/relay_admission.h
+++ b/daemons/relay/relay_admission.h
@@ -15,8 +15,8 @@
 
 /// Why a caller is to come back.
 enum class ReturnCause {
-  kFull,     ///< No room at the upstreams, or none there.
-  kNoLease,  ///< This router may not act, or knows nothing yet.
+  kFull,       ///< No room at the upstreams, or none there.
+  kNoLease,    ///< This router may not act, or knows nothing yet.
   kElsewhere,  ///< At once: another router takes it.
   kNever,      ///< It need not come back.
 };
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -202,10 +202,10 @@
   std::unique_ptr<Attempt> mAttempt;
   std::optional<KeptAnswer> mKept;
   std::set<std::string> mTried;
-  StreamKey mKey = 0;  ///< Of the guard; 0: not watched.
-  int mSent = 0;       ///< Attempts that ran, or may have run.
-  int mRefused = 0;    ///< Attempts that an upstream refused to run.
-  int mNotSent = 0;    ///< Attempts that did not.
+  StreamKey mKey = 0;          ///< Of the guard; 0: not watched.
+  int mSent = 0;               ///< Attempts that ran, or may have run.
+  int mRefused = 0;            ///< Attempts that an upstream refused to run.
+  int mNotSent = 0;            ///< Attempts that did not.
   Millis mGrantAwaitedAt = 0;  ///< Since when it waits for a retry; 0: not.
   bool mMayHaveRun = false;
   bool mLacksRoom = false;
--- a/drivers/stream_connection.cpp
+++ b/drivers/stream_connection.cpp
@@ -219,8 +219,8 @@
 
 bool StreamConnection::HasArrived() const {
   // What the loop has not read yet stands in the socket, what was read and not
-  // parsed in the buffer. Closed with either, the connection would be reset, and
-  // with it what its caller has not read of the answer before.
+  // parsed in the buffer. Closed with either, the connection would be reset,
+  // and with it what its caller has not read of the answer before.
   int n = 0;
   const bool inSocket =
       ioctl(bufferevent_getfd(mBuffer), FIONREAD, &n) == 0 && n > 0;
--- a/include/spindleweir/servers/routing/retry_pool.h
+++ b/include/spindleweir/servers/routing/retry_pool.h
@@ -1,6 +1,6 @@
-/// The part of all routers' retries that is not divided among them. One upstream
-/// that is lost takes a dozen streams of one router and none of others: equal
-/// parts run out at the first while the others' lie idle.
+/// The part of all routers' retries that is not divided among them. One
+/// upstream that is lost takes a dozen streams of one router and none of
+/// others: equal parts run out at the first while the others' lie idle.
 #pragma once
 
 #include "spindleweir/core/clock.h"
--- a/servers/routing/retry_allowance.cpp
+++ b/servers/routing/retry_allowance.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr int kSlices = 10;
-/// A window that is counted at control must cover the moment of use: a hundredth
-/// of the usual one, and more than a few steps of who waits.
+/// A window that is counted at control must cover the moment of use: a
+/// hundredth of the usual one, and more than a few steps of who waits.
 constexpr Millis kCreditLasts = 100;
 
 }  // namespace
--- a/tests/daemons/cut_streams_test.cpp
+++ b/tests/daemons/cut_streams_test.cpp
@@ -1,10 +1,11 @@
-/// What users saw: streams ended by a reset midway, 1.5 s after their last event and with most of their
-/// time left, though their router ran and their engine had not broken off. The order of events: an
-/// engine is lost, or leaves; a router of many finds a dozen streams without their engine, begins the
-/// first few anew, and has no retry left for the others. The cause: the bound
-/// on what may be sent once more holds for all routers, and each had an equal
-/// part of it, 3 to 7 in ten seconds, while what one upstream's loss needs is
-/// uneven: 9 at one router, none at most others.
+/// What users saw: streams ended by a reset midway, 1.5 s after their last
+/// event and with most of their time left, though their router ran and their
+/// engine had not broken off. The order of events: an engine is lost, or
+/// leaves; a router of many finds a dozen streams without their engine, begins
+/// the first few anew, and has no retry left for the others. The cause: the
+/// bound on what may be sent once more holds for all routers, and each had an
+/// equal part of it, 3 to 7 in ten seconds, while what one upstream's loss
+/// needs is uneven: 9 at one router, none at most others.
 ///
 /// The evidence: a stream's line "lacks", "retries", with 0.55 left at a router
 /// of 85, and "broken_off" 1.5 s later; in the same ten seconds all routers
@@ -57,16 +58,17 @@
 }  // namespace
 
 Test(cut_streams, one_router_may_need_more_retries_than_its_equal_part) {
-  // Nine others share what may be sent again: 40 in a window, 4 of them its own.
-  RelayStory story(kShortStart,
-                   {.mRatio = 0,
-                    .mWindow = kWindow,
-                    .mSlack = 40,
-                    .mUsed = 1,
-                    .mPooled = kUsualPooledRetries});
+  // Nine others share what may be sent again: 40 in a window, 4 of them its
+  // own.
+  RelayStory story(kShortStart, {.mRatio = 0,
+                                 .mWindow = kWindow,
+                                 .mSlack = 40,
+                                 .mUsed = 1,
+                                 .mPooled = kUsualPooledRetries});
   story.Begin();
   story.TellOfRouters(9);
-  REQUIRE(story.RunUntil([&story] { return KnownRouters(*story.mRouter) == 10; }));
+  REQUIRE(
+      story.RunUntil([&story] { return KnownRouters(*story.mRouter) == 10; }));
   // Before, it keeps back what a process before it may have spent.
   story.Wait(kWindow);
   story.TellOfRouters(9);
@@ -95,8 +97,8 @@
 // The second cause: whatever a begun stream lacked, a retry, a path or room, it
 // was broken off 1.5 s after its last event, as if its caller had left; callers
 // wait two seconds and more, and say themselves when they leave. Evidence: five
-// streams of one day, each ended 1,450 to 1,510 ms after its last event, with 16
-// to 18 of its 20 s left, while the engines came back 3.5 s later.
+// streams of one day, each ended 1,450 to 1,510 ms after its last event, with
+// 16 to 18 of its 20 s left, while the engines came back 3.5 s later.
 Test(cut_streams, a_begun_stream_is_not_broken_off_while_it_has_time) {
   // One retry in 2 s, and it is spent.
   RelayStory story(kShortStart,
--- a/tests/daemons/planned_stop_test.cpp
+++ b/tests/daemons/planned_stop_test.cpp
@@ -102,9 +102,8 @@
   story.mA.Next({UpstreamAct::kSilent});
   story.mB.Next({UpstreamAct::kSilent});
   const auto open = story.Start("/pay/1", "left");
-  REQUIRE(story.RunUntil([&story] {
-    return story.mA.Runs("left") + story.mB.Runs("left") == 1;
-  }));
+  REQUIRE(story.RunUntil(
+      [&story] { return story.mA.Runs("left") + story.mB.Runs("left") == 1; }));
   story.mRouter->Stop();
   CHECK(story.RunUntil([&open] { return open->mEnded; }));
   SECTION("it may have run: no promise that it did not") {
@@ -120,9 +119,8 @@
   story.mB.SetBytes(kBytes);
   const auto open = story.Start("/pay/1", "slow");
   open->mCall->Pause(true);
-  REQUIRE(story.RunUntil([&story] {
-    return EndedAs(*story.mRouter, "pay", "served", 200) == 1;
-  }));
+  REQUIRE(story.RunUntil(
+      [&story] { return EndedAs(*story.mRouter, "pay", "served", 200) == 1; }));
   story.mRouter->Stop();
   const auto resume =
       story.mLoop.After(1200, [&open] { open->mCall->Pause(false); });
--- a/tests/drivers/stop_signal_test.cpp
+++ b/tests/drivers/stop_signal_test.cpp
@@ -1,8 +1,8 @@
 // What was seen: a control that was asked to stop ended with code 143 in place
-// of 0, once each in two of fifty soaks. The order of events: a stop signal, the
-// loop ends, the handler goes with it, a second signal finds the default, which
-// kills. Evidence: 40 of 40 stops with signals one after the other ended so, and
-// 0 of 40 with one signal.
+// of 0, once each in two of fifty soaks. The order of events: a stop signal,
+// the loop ends, the handler goes with it, a second signal finds the default,
+// which kills. Evidence: 40 of 40 stops with signals one after the other ended
+// so, and 0 of 40 with one signal.
 #include <signal.h>
 
 #include "spindleweir/drivers/event_loop.h"
--- a/tests/drivers/stream_test.cpp
+++ b/tests/drivers/stream_test.cpp
@@ -310,8 +310,8 @@
   for (const char* keep : {"", "Connection: close\r\n"}) {
     PlainCaller caller(server.mServer.Address());
     const int before = server.mHandled;
-    caller.Send(server, "GET /x HTTP/1.1\r\nHost: h\r\n" +
-                            std::string(keep) + "\r\n");
+    caller.Send(server,
+                "GET /x HTTP/1.1\r\nHost: h\r\n" + std::string(keep) + "\r\n");
     REQUIRE(server.RunUntil([&] { return server.mHandled > before; }));
     server.mServer.CloseIdle();
     CHECK(server.RunUntil([&] {
@@ -324,8 +324,8 @@
 }
 
 // The same class: a stream that is broken off was reset, and with it what its
-// caller had not read yet, though chunks or a length already tell that it is not
-// whole.
+// caller had not read yet, though chunks or a length already tell that it is
+// not whole.
 Test(stream, what_was_written_before_a_stream_is_broken_off_is_read) {
   constexpr std::size_t kBytes = 1000 * 1000;
   for (const char* version : {"1.1", "1.0"}) {
@@ -336,14 +336,14 @@
       aExchange.BreakOff();
     };
     PlainCaller caller(server.mServer.Address());
-    caller.Send(server, std::string("GET /x HTTP/") + version +
-                            "\r\nHost: h\r\n\r\n");
+    caller.Send(server,
+                std::string("GET /x HTTP/") + version + "\r\nHost: h\r\n\r\n");
     REQUIRE(server.RunUntil([&] {
       caller.Read();
       return caller.mEnded;
     }));
-    const auto read = static_cast<std::size_t>(std::count(
-        caller.mReceived.begin(), caller.mReceived.end(), 'x'));
+    const auto read = static_cast<std::size_t>(
+        std::count(caller.mReceived.begin(), caller.mReceived.end(), 'x'));
     if (std::string_view(version) == "1.1") {
       CHECK(read == kBytes);
       CHECK(!caller.mWasReset);
--- a/tests/platform/soak/soak_caller.cpp
+++ b/tests/platform/soak/soak_caller.cpp
@@ -27,13 +27,17 @@
   Next();
 }
 
-SoakCaller::~SoakCaller() { Disconnect(); }
+SoakCaller::~SoakCaller() {
+  Disconnect();
+}
 
 int SoakCaller::Pick(int aFrom, int aTo) {
   return std::uniform_int_distribution<int>(aFrom, aTo)(*mOptions.mRandom);
 }
 
-SoakRequest& SoakCaller::Request() { return mOptions.mRecord->At(mId); }
+SoakRequest& SoakCaller::Request() {
+  return mOptions.mRecord->At(mId);
+}
 
 void SoakCaller::Next() {
   if (!mOptions.mGoesOn()) {
@@ -82,12 +86,11 @@
   request.mStream = kind < 6;
   request.mOnce = kind >= 8;
   const int events = Pick(kFewestEvents, kMostEvents);
-  const std::string target =
-      request.mStream ? "/stream/" + std::to_string(events)
-      : request.mOnce ? "/pay/1"
-                      : "/look/1";
-  request.mWanted =
-      request.mStream ? SoakEvents(mId, 1, events) : "by " + mId;
+  const std::string target = request.mStream
+                                 ? "/stream/" + std::to_string(events)
+                             : request.mOnce ? "/pay/1"
+                                             : "/look/1";
+  request.mWanted = request.mStream ? SoakEvents(mId, 1, events) : "by " + mId;
   const std::string body = "b" + mId;
   const std::string text =
       "POST " + target +
@@ -134,8 +137,7 @@
   }
   self->Disconnect();
   if (self->mOnConnection == 0) {
-    self->mTimer =
-        self->mLoop.After(kConnectAgain, [self] { self->Next(); });
+    self->mTimer = self->mLoop.After(kConnectAgain, [self] { self->Next(); });
   }
 }
 
--- a/tests/platform/soak/soak_main.cpp
+++ b/tests/platform/soak/soak_main.cpp
@@ -1,8 +1,8 @@
 /// spindleweir-soak: callers that keep their connections, upstreams that come
-/// and go, and an operator who changes the configuration again and again, before
-/// real processes of the system on a platform's wire. The processes, and what is
-/// done to them, are scripts/relay-soak's. It ends with 1 where a promise was
-/// broken.
+/// and go, and an operator who changes the configuration again and again,
+/// before real processes of the system on a platform's wire. The processes, and
+/// what is done to them, are scripts/relay-soak's. It ends with 1 where a
+/// promise was broken.
 #include <gflags/gflags.h>
 
 #include <iostream>
@@ -47,12 +47,11 @@
   bool Acknowledged() const { return mAcknowledged > 0; }
 
   /// Asks until a version comes that is not older than what was acknowledged.
-  void ReadBack(std::function<void(bool)> aDone) {
+  void ReadBack(const std::function<void(bool)>& aDone) {
     mBody.clear();
     Call("GET", "/-/Config.Read", "", 0, [this, aDone](int aStatus) {
-      const bool good =
-          aStatus == 200 &&
-          ParseJson(mBody)["version"].asInt64() >= mAcknowledged;
+      const bool good = aStatus == 200 &&
+                        ParseJson(mBody)["version"].asInt64() >= mAcknowledged;
       if (good || ++mReads > kMostReads) {
         aDone(good);
         return;
@@ -128,9 +127,8 @@
            if (aStatus == 200) {
              mAcknowledged = version;
            } else if (aTry < kMostTries) {
-             mTimer = mLoop.After(100, [this, aDocument, aTry] {
-               Send(aDocument, aTry + 1);
-             });
+             mTimer = mLoop.After(
+                 100, [this, aDocument, aTry] { Send(aDocument, aTry + 1); });
              return;
            }
            mOnSettled();
@@ -140,7 +138,8 @@
   /// Calls a control at random, and where it says that another leads, that.
   void Call(const std::string& aMethod, const std::string& aTarget,
             const std::string& aBody, int aSteps,
-            std::function<void(int)> aDone, const std::string& aAt = "") {
+            const std::function<void(int)>& aDone,
+            const std::string& aAt = "") {
     StreamCallOptions options;
     options.mServer =
         aAt.empty() ? mControls[std::uniform_int_distribution<std::size_t>(
@@ -227,7 +226,8 @@
   }
 
  private:
-  static std::vector<Endpoint> Endpoints(const std::vector<std::string>& aTexts) {
+  static std::vector<Endpoint> Endpoints(
+      const std::vector<std::string>& aTexts) {
     std::vector<Endpoint> endpoints;
     for (const std::string& text : aTexts) {
       endpoints.push_back(ParseEndpoint(text, "control"));
--- a/tests/platform/soak/soak_record.cpp
+++ b/tests/platform/soak/soak_record.cpp
@@ -55,8 +55,8 @@
       !PromisesNotRun(aRequest.mStatus)) {
     return "refused though every configuration allows it";
   }
-  const bool ended = aRequest.mEnd == SoakEnd::kNoAnswer ||
-                     aRequest.mEnd == SoakEnd::kCut;
+  const bool ended =
+      aRequest.mEnd == SoakEnd::kNoAnswer || aRequest.mEnd == SoakEnd::kCut;
   // A request that crosses the end of a connection may go unread.
   const bool crossed = aRequest.mEnd == SoakEnd::kNoAnswer &&
                        aRequest.mReused && aRequest.mRuns == 0;
@@ -81,8 +81,8 @@
     if (!why.empty()) {
       broken++;
       std::cout << "BROKEN: " << id << " at " << request.mRouter << ": " << why
-                << "; status " << request.mStatus << ", runs "
-                << request.mRuns << ", lost " << request.mLostRuns << ", sent "
+                << "; status " << request.mStatus << ", runs " << request.mRuns
+                << ", lost " << request.mLostRuns << ", sent "
                 << request.mSentAt << ", took "
                 << (request.mEndedAt - request.mSentAt) / 1000 << " ms, reused "
                 << request.mReused << ", bytes " << request.mBody.size()
--- a/tests/platform/soak/soak_record.h
+++ b/tests/platform/soak/soak_record.h
@@ -21,7 +21,7 @@
 struct SoakRequest {
   std::string mRouter;
   bool mStream = false;
-  bool mReused = false;  ///< Its connection had served another before.
+  bool mReused = false;       ///< Its connection had served another before.
   std::int64_t mSentAt = 0;   ///< Wall microseconds.
   std::int64_t mEndedAt = 0;  ///< The same.
   SoakEnd mEnd = SoakEnd::kOpen;
@@ -29,7 +29,7 @@
   std::string mBody;
   std::string mWanted;  ///< The body of a success.
   int mRuns = 0;
-  int mLostRuns = 0;  ///< Cut by their upstream's end.
+  int mLostRuns = 0;   ///< Cut by their upstream's end.
   bool mOnce = false;  ///< It may run once at most.
 };
 
--- a/tests/platform/soak/soak_upstream.cpp
+++ b/tests/platform/soak/soak_upstream.cpp
@@ -105,7 +105,8 @@
   options.mServer = mOptions.mControls[mControl];
   options.mMethod = "POST";
   options.mTarget = aTarget;
-  options.mHeaders = {{"Host", "control"}, {"Content-Type", "application/json"}};
+  options.mHeaders = {{"Host", "control"},
+                      {"Content-Type", "application/json"}};
   options.mBody = aBody;
   options.mTimeout = kBeatEvery - kEventEvery;
   const auto status = std::make_shared<int>(0);
@@ -184,7 +185,8 @@
 }
 
 void SoakUpstream::Step() {
-  std::erase_if(mRuns, [](const Run& aRun) { return aRun.mExchange->Closed(); });
+  std::erase_if(mRuns,
+                [](const Run& aRun) { return aRun.mExchange->Closed(); });
   for (Run& run : mRuns) {
     if (run.mNext > run.mLast) {
       run.mExchange->End();
