A router that stood still takes no engine for silent

What callers saw: a stream reset a moment after it had lost an engine.

Cause: silence was measured by the clock. After a standstill timers come before what waits in the sockets. It is measured by the time that the loop runs now, as elsewhere in the product; this was the place that had been missed. Evidence: eight streams with the same 921 ms of silence in one millisecond, 0.9 s after the router's line before.

--- a/daemons/relay/relay_answer.cpp
+++ b/daemons/relay/relay_answer.cpp
@@ -52,6 +52,7 @@
     return;
   }
   mAttempt->mHeardAt = SteadyNow();
+  mAttempt->mSilentSince = mContext.mLoop.RunningNow();
   const bool isStream =
       mAttempt->mFacts.mIsStream && IsSuccess(mAttempt->mHead.mStatus);
   if (isStream) {
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -82,6 +82,7 @@
   mAttempt = std::make_unique<Attempt>();
   mAttempt->mStartedAt = SteadyNow();
   mAttempt->mHeardAt = mAttempt->mStartedAt;
+  mAttempt->mSilentSince = mContext.mLoop.RunningNow();
   mLacksRoom = false;
   const bool found = mService->IsEngine() ? ChooseEnginePath(*mAttempt)
                                           : ChoosePlainUpstream(*mAttempt);
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -288,6 +288,7 @@
   CountLoad(-1);
   mAttempt->mPath = std::move(aPath);
   mAttempt->mMovedAt = SteadyNow();
+  mAttempt->mSilentSince = mContext.mLoop.RunningNow();
   CountLoad(1);
   BeginReading(added);
   WatchAttempt();
@@ -323,7 +324,9 @@
     SwitchAttempt(ResultCode::kOutcomeUnknown);
     return;
   }
-  const Millis silent = now - std::max(mAttempt->mHeardAt, mAttempt->mMovedAt);
+  // Not by the clock: after a standstill of this process timers come before
+  // what waits in its sockets, and all its streams would begin anew elsewhere.
+  const Millis silent = mContext.mLoop.RunningNow() - mAttempt->mSilentSince;
   const bool begun = mAttempt->mHeardAt > mAttempt->mStartedAt;
   const Millis most = begun ? kSilenceBetween : kSilenceBeforeFirst;
   if (silent >= most) {
@@ -353,6 +356,7 @@
   mAttempt = std::move(next);
   mAttempt->mStartedAt = SteadyNow();
   mAttempt->mHeardAt = mAttempt->mStartedAt;
+  mAttempt->mSilentSince = mContext.mLoop.RunningNow();
   Send(*first);
   return true;
 }
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -50,6 +50,8 @@
     bool mDealt = false;  ///< The path was dealt, not the cheapest.
     Millis mStartedAt = 0;
     Millis mHeardAt = 0;
+    /// Since when it says nothing, by EventLoop::RunningNow().
+    Millis mSilentSince = 0;
     AnswerHead mHead;
     AnswerFacts mFacts;
     EventReader mEvents;
--- a/standins/scripted_upstream.cpp
+++ b/standins/scripted_upstream.cpp
@@ -84,7 +84,7 @@
     return;
   }
   if (aExchange->Head().mTarget.starts_with("/stream/")) {
-    Stream(*aExchange, act);
+    Stream(aExchange, act);
     return;
   }
   if (act == UpstreamAct::kCut) {
@@ -110,25 +110,42 @@
   return body;
 }
 
-void ScriptedUpstream::Stream(StreamExchange& aExchange, UpstreamAct aAct) {
+void ScriptedUpstream::Pace(const std::shared_ptr<StreamExchange>& aExchange,
+                            int aId) {
+  if (aId > kEvents) {
+    aExchange->End();
+    return;
+  }
+  aExchange->Write("id: " + std::to_string(aId) + "\ndata: x\n\n");
+  mLate.push_back(mLoop.After(
+      kPaceBy, [this, aExchange, aId] { Pace(aExchange, aId + 1); }));
+}
+
+void ScriptedUpstream::Stream(const std::shared_ptr<StreamExchange>& aStream,
+                              UpstreamAct aAct) {
   constexpr int kCutAfter = 2;
-  aExchange.Start(
+  StreamExchange& exchange = *aStream;
+  exchange.Start(
       kOk, {{"X-Signature", mInstance}, {"Content-Type", "text/event-stream"}},
       std::nullopt);
-  const int first = After(aExchange.Head()) + 1;
+  const int first = After(exchange.Head()) + 1;
+  if (aAct == UpstreamAct::kPaced) {
+    Pace(aStream, first);
+    return;
+  }
   for (int id = first; id <= kEvents; id++) {
     if (aAct == UpstreamAct::kCut && id - first >= kCutAfter) {
-      aExchange.Write("id: " + std::to_string(id) + "\nda");
+      exchange.Write("id: " + std::to_string(id) + "\nda");
       // In order to break off after what was written, not before it.
-      aExchange.OnDrained([exchange = &aExchange] { exchange->Abort(); });
+      exchange.OnDrained([exchange = &exchange] { exchange->Abort(); });
       return;
     }
-    aExchange.Write("id: " + std::to_string(id) + "\ndata: x\n\n");
+    exchange.Write("id: " + std::to_string(id) + "\ndata: x\n\n");
     if (aAct == UpstreamAct::kStall) {
       return;
     }
   }
-  aExchange.End();
+  exchange.End();
 }
 
 }  // namespace spindleweir
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -19,6 +19,7 @@
   kFail,    ///< Runs it and answers 500, or as FailWith() said.
   kSilent,  ///< Runs it and says nothing.
   kStall,   ///< Runs it; a stream: one event, and nothing more.
+  kPaced,   ///< Runs it; a stream: its events kPaceBy apart.
   kLate,    ///< Runs it and answers whole after kLateBy.
 };
 
@@ -49,12 +50,15 @@
   /// Callers that closed before their answer's end.
   int Closed() const { return mClosed; }
 
+  static constexpr Millis kPaceBy = 50;
   static constexpr Millis kLateBy = 2100;
   static constexpr int kEvents = 5;  ///< Of a stream, with ids from 1.
 
  private:
   void Handle(const std::shared_ptr<StreamExchange>& aExchange);
-  void Stream(StreamExchange& aExchange, UpstreamAct aAct);
+  void Stream(const std::shared_ptr<StreamExchange>& aStream, UpstreamAct aAct);
+  /// Writes this event and, in time, those after it.
+  void Pace(const std::shared_ptr<StreamExchange>& aExchange, int aId);
 
   EventLoop& mLoop;
   std::string mInstance;
--- a/tests/daemons/cut_streams_test.cpp
+++ b/tests/daemons/cut_streams_test.cpp
@@ -11,6 +11,8 @@
 /// of 85, and "broken_off" 1.5 s later; in the same ten seconds all routers
 /// together had sent 121 once more, of 790 that the bound allows.
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 #include "tests/daemons/relay_story.h"
 
@@ -20,6 +22,8 @@
 
 constexpr int kStreams = 24;
 constexpr Millis kWindow = 2000;
+/// Longer than an engine may be silent.
+constexpr Millis kStill = 1300;
 
 /// One caller's stream.
 struct Stream {
@@ -94,6 +98,37 @@
   }
 }
 
+// What was seen: a stream was broken off a moment after it had lost an engine,
+// its two attempts used. The order of events: the router's process stands still
+// for 0.9 s, as any may that waits for a processor; it wakes, and the look for
+// silent streams comes before the events that wait in its sockets; all its
+// streams begin anew on other engines, though each engine had gone on sending;
+// 0.4 s later one of these engines is lost. The cause: the time in which the
+// process stood still counted as silence of its engines. Evidence: eight
+// streams with the same 921 ms of silence, in one millisecond, of two engines,
+// 0.9 s after the router's last line; each engine ran on.
+Test(cut_streams, a_router_that_stood_still_takes_no_engine_for_silent) {
+  RelayStory story;
+  ScriptedUpstream first(story.mLoop, "first");
+  ScriptedUpstream second(story.mLoop, "second");
+  story.Begin();
+  story.BeginEngine(first);
+  story.BeatEngine(second);
+  REQUIRE(story.RunUntil([&story] {
+    story.mRouter->RefreshGauges();
+    return story.mRouter->OwnCounters().Value("upstreams_ready") == 4;
+  }));
+  const std::vector<UpstreamAct> paced(2, UpstreamAct::kPaced);
+  first.Next(paced);
+  second.Next(paced);
+  const auto stream = Open(story, "still");
+  REQUIRE(story.RunUntil([&stream] { return !stream->mBody.empty(); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(kStill));
+  CHECK(story.RunUntil([&stream] { return stream->mEnded; }));
+  CHECK(stream->mWhole && stream->mBody == WholeBody());
+  CHECK(first.Runs("still") + second.Runs("still") == 1);
+}
+
 // The second cause: whatever a begun stream lacked, a retry, a path or room, it
 // was broken off 1.5 s after its last event, as if its caller had left; callers
 // wait two seconds and more, and say themselves when they leave. Evidence: five
--- a/tests/daemons/relay_story.cpp
+++ b/tests/daemons/relay_story.cpp
@@ -216,6 +216,15 @@
   traffic.mServices.push_back(model);
   traffic.mRoutes.back().mTargets = {{"model", 1}};
   REQUIRE(Publish(Document(traffic)).mCode == ResultCode::kOk);
+  BeatEngine(aEngine);
+  for (int i = 0; aEngine.AllRuns() == 0; i++) {
+    REQUIRE(i < 200);
+    Call("/stream/x");
+    Wait(10);
+  }
+}
+
+void RelayStory::BeatEngine(const ScriptedUpstream& aEngine) {
   Beat({.mInstance = aEngine.Instance(),
         .mService = "model",
         .mAddress = aEngine.Address(),
@@ -223,11 +232,6 @@
         .mKind = "k",
         .mSlots = 6,
         .mLayers = {0, 8}});
-  for (int i = 0; aEngine.AllRuns() == 0; i++) {
-    REQUIRE(i < 200);
-    Call("/stream/x");
-    Wait(10);
-  }
 }
 
 Answer RelayStory::Call(const std::string& aTarget, const std::string& aKey,
--- a/tests/daemons/relay_story.h
+++ b/tests/daemons/relay_story.h
@@ -71,6 +71,8 @@
 
   /// An engine that holds all layers of the service "model".
   void BeginEngine(const ScriptedUpstream& aEngine);
+  /// One more beside it.
+  void BeatEngine(const ScriptedUpstream& aEngine);
 
   /// A request with the next id, until its answer ends. aDeadline: what its
   /// caller says that it has left, in milliseconds; 0: nothing.
