--- a/drivers/stream_connection.cpp
+++ b/drivers/stream_connection.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kReadAheadBytes = 64 * 1024;
 /// A caller that was refused gets this long to read the answer.
 constexpr Millis kLingerAfterRefusal = 1000;
+/// From a connection to its first request: some round trips, and one lost packet.
+constexpr Millis kFirstRequest = 500;
 
 /// The length that a head gives; 0: none, or chunks.
 std::size_t LengthOf(const HttpHeaders& aHeaders) {
@@ -151,6 +153,7 @@
 
 bool StreamConnection::BeginRequest() {
   mBegun = true;
+  mAsked = true;
   mBodyChecked = false;
   ArmTimer();
   if (mMemory == nullptr) {
@@ -214,7 +217,9 @@
 
 bool StreamConnection::Idle() const {
   const bool waits = mExchange == nullptr && !mBegun && !mCloseAfter;
-  return waits && PendingBytes() == 0 && !HasArrived();
+  // Who has just connected is about to ask.
+  const bool fresh = !mAsked && SteadyNow() - mAcceptedAt < kFirstRequest;
+  return waits && !fresh && PendingBytes() == 0 && !HasArrived();
 }
 
 bool StreamConnection::HasArrived() const {
--- a/drivers/stream_connection.h
+++ b/drivers/stream_connection.h
@@ -77,6 +77,8 @@
   std::string mBody;
   std::shared_ptr<StreamExchange> mExchange;
   std::unique_ptr<Timer> mTimer;
+  Millis mAcceptedAt = SteadyNow();
+  bool mAsked = false;       ///< A request has come, or begun to.
   bool mBegun = false;       ///< A byte of the request being read has come.
   bool mCloseAfter = false;  ///< Close once all is written.
   bool mReading = false;
--- a/tests/drivers/stream_test.cpp
+++ b/tests/drivers/stream_test.cpp
@@ -301,6 +301,33 @@
   }
 }
 
+// A caller that had connected 1 ms before a closing of idle connections found the
+// end when it sent its first request, while the router still took new ones.
+Test(stream, closing_what_is_idle_spares_who_has_just_connected) {
+  Server server;
+  server.mHandle = [](StreamExchange& aExchange) {
+    aExchange.Reply(200, {}, "yes");
+  };
+  PlainCaller caller(server.mServer.Address());
+  PlainCaller silent(server.mServer.Address());
+  REQUIRE(
+      server.RunUntil([&] { return server.mServer.Connections() == 2; }));
+  server.mServer.CloseIdle();
+  caller.SendNow("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(server.RunUntil([&] {
+    caller.Read();
+    return caller.mEnded || caller.mReceived.ends_with("yes");
+  }));
+  CHECK(caller.mReceived.ends_with("yes"));
+  SECTION("one that goes on to say nothing is closed") {
+    CHECK(server.RunUntil([&] {
+      server.mServer.CloseIdle();
+      silent.Read();
+      return silent.mEnded;
+    }));
+  }
+}
+
 Test(stream, closing_what_is_idle_waits_for_slow_callers) {
   constexpr std::size_t kBytes = 4 * 1000 * 1000;
   Server server(Account(8 * kBytes));
