--- a/tests/platform/soak/soak_record.h
+++ b/tests/platform/soak/soak_record.h
@@ -29,7 +29,8 @@
   std::string mBody;
   std::string mWanted;  ///< The body of a success.
   int mRuns = 0;
-  int mLostRuns = 0;   ///< Cut by their upstream's end.
+  /// At upstreams that ended, or said that they will, while they ran.
+  int mLostRuns = 0;
   bool mOnce = false;  ///< It may run once at most.
 };
 
