A router of the own interface ends with no connection open

Callers saw a call cut by a router that was asked to stop: it had begun 0.6 ms before the router ended, on a connection that its caller kept. The cause: the router closed its port and ended with its kept connections open, so that a call that had just arrived, or crossed the end, was reset. evhttp tells of no connection that waits.

The server keeps an account of its connections from their first request on, by the callback of their close, and knows from the buffer's callback when a request has begun to come. At a planned stop each answer closes its connection, idle ones are shut down in order, and the process ends once none is left. A port with somebody who waits to be accepted is not closed before that one is taken.

--- a/daemons/router/router_daemon.cpp
+++ b/daemons/router/router_daemon.cpp
@@ -47,6 +47,11 @@
                mApi.Handle(aExchange);
              }}) {}
 
+  /// One look at a planned stop, after the balancer's time to see it.
+  void StepStop();
+  /// Receipts are waited for in vain where all of control is stopped too.
+  bool ReceiptsAreWaitedFor();
+
   RouterContext mContext;
   RpcDispatcher mDispatcher;
   PeerLink mPeers;
@@ -62,6 +67,34 @@
   bool mListens = true;
 };
 
+bool RouterDaemon::Parts::ReceiptsAreWaitedFor() {
+  mIdleSince = mIdleSince == 0 ? SteadyNow() : mIdleSince;
+  const bool late = SteadyNow() - mIdleSince > kReceiptsGrace;
+  return mContext.mOutbox.Size() > 0 && !late;
+}
+
+void RouterDaemon::Parts::StepStop() {
+  if (!mContext.mRefusing) {
+    return;
+  }
+  // A call on a connection that ends with the process would get no answer.
+  mCallerServer.CloseIdle();
+  if (mContext.mOpenRequests > 0 || ReceiptsAreWaitedFor()) {
+    return;
+  }
+  if (mListens) {
+    // Who connected until now is answered within another period.
+    mListens = !mCallerServer.StopListening();
+    return;
+  }
+  if (mCallerServer.Connections() > 0) {
+    return;
+  }
+  LogLine(LogLevel::kInfo, "stopped")
+      .Add("receipts_left", static_cast<int>(mContext.mOutbox.Size()));
+  mContext.mLoop.Stop();
+}
+
 RouterDaemon::RouterDaemon(EventLoop& aLoop, RouterOptions aOptions)
     : mParts(std::make_unique<Parts>(aLoop, std::move(aOptions))) {
   mParts->mContext.mEntryVms.Check();
@@ -98,34 +131,14 @@
   LogLine(LogLevel::kInfo, "stopping")
       .Add("open_requests", context.mOpenRequests);
   mParts->mStewardship.Stop();
+  mParts->mCallerServer.SetClosing();
   // Until the balancer has seen that this router is not ready, what it still
   // sends is served.
   mParts->mRefuseTimer = context.mLoop.After(
       context.mOptions.mStopUnready, [&context] { context.mRefusing = true; });
   // What is in flight ends, and its receipts are handed over.
   mParts->mDrainTimer =
-      context.mLoop.Every(kUnreadyBeforeClose, [this, &context] {
-        if (!context.mRefusing || context.mOpenRequests > 0) {
-          return;
-        }
-        // Receipts are waited for in vain where all of control is stopped too.
-        Parts& parts = *mParts;
-        parts.mIdleSince =
-            parts.mIdleSince == 0 ? SteadyNow() : parts.mIdleSince;
-        const bool late = SteadyNow() - parts.mIdleSince > kReceiptsGrace;
-        if (context.mOutbox.Size() > 0 && !late) {
-          return;
-        }
-        if (parts.mListens) {
-          // Who connected until now is answered within another period.
-          parts.mListens = false;
-          parts.mCallerServer.StopListening();
-          return;
-        }
-        LogLine(LogLevel::kInfo, "stopped")
-            .Add("receipts_left", static_cast<int>(context.mOutbox.Size()));
-        context.mLoop.Stop();
-      });
+      context.mLoop.Every(kUnreadyBeforeClose, [this] { mParts->StepStop(); });
   mParts->mStopTimer =
       context.mLoop.After(context.mOptions.mStopGrace, [&context] {
         LogLine(LogLevel::kWarning, "stop_grace_over")
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -7,7 +7,11 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <poll.h>
 
+#include <vector>
+
+#include "drivers/http_connection.h"
 #include "spindleweir/core/error.h"
 
 namespace spindleweir {
@@ -63,8 +67,10 @@
 
 }  // namespace
 
-HttpExchange::HttpExchange(evhttp_request* aRequest)
-    : mRequest(aRequest),
+HttpExchange::HttpExchange(HttpConnection& aConnection,
+                           evhttp_request* aRequest)
+    : mConnection(&aConnection),
+      mRequest(aRequest),
       mMethod(MethodName(evhttp_request_get_command(aRequest))),
       mPath(PathOf(aRequest)),
       mBody(BodyOf(aRequest)) {}
@@ -143,33 +149,27 @@
   return evbuffer_get_length(bufferevent_get_output(bev));
 }
 
-void HttpExchange::HandleClose(evhttp_connection*, void* aSelf) {
-  const std::shared_ptr<HttpExchange> self =
-      static_cast<HttpExchange*>(aSelf)->mSelf;
-  if (self == nullptr) {
-    return;
-  }
-  evhttp_request* request = self->mRequest;
-  self->mRequest = nullptr;
-  self->mSelf.reset();
+void HttpExchange::CallerLeft() {
+  evhttp_request* request = mRequest;
+  mRequest = nullptr;
+  mConnection = nullptr;
   if (evhttp_request_get_connection(request) == nullptr) {
     // evhttp left it to who would answer: 0.5 KB and its headers for each
     // caller that leaves before the end.
     evhttp_request_free(request);
   }
-  const std::function<void()> call = std::move(self->mOnClosed);
+  const std::function<void()> call = std::move(mOnClosed);
   if (call) {
     call();
   }
 }
 
 void HttpExchange::WatchClose() {
-  evhttp_connection* connection = evhttp_request_get_connection(mRequest);
-  evhttp_connection_set_closecb(connection, &HttpExchange::HandleClose, this);
   // Only reading shows that the caller left. A further request on the
   // connection has to wait, so the read callback is taken off meanwhile;
   // evhttp sets its own again after the answer.
-  bufferevent* bev = evhttp_connection_get_bufferevent(connection);
+  bufferevent* bev = evhttp_connection_get_bufferevent(
+      evhttp_request_get_connection(mRequest));
   bufferevent_data_cb write = nullptr;
   bufferevent_event_cb event = nullptr;
   void* context = nullptr;
@@ -180,11 +180,12 @@
 }
 
 void HttpExchange::Detach() {
-  evhttp_connection_set_closecb(evhttp_request_get_connection(mRequest),
-                                nullptr, nullptr);
+  HttpConnection* connection = mConnection;
   mRequest = nullptr;
+  mConnection = nullptr;
   mOnClosed = nullptr;
-  mSelf.reset();
+  // It may hold the last reference to this.
+  connection->FinishExchange();
 }
 
 HttpServer::HttpServer(EventLoop& aLoop, HttpServerOptions aOptions)
@@ -214,21 +215,64 @@
   evhttp_free(mHttp);
 }
 
-void HttpServer::StopListening() {
-  if (mSocket != nullptr) {
-    evhttp_del_accept_socket(mHttp, mSocket);
-    mSocket = nullptr;
+bool HttpServer::StopListening() {
+  if (mSocket == nullptr) {
+    return true;
+  }
+  pollfd waiting{.fd = evhttp_bound_socket_get_fd(mSocket),
+                 .events = POLLIN,
+                 .revents = 0};
+  if (poll(&waiting, 1, 0) > 0) {
+    return false;
+  }
+  evhttp_del_accept_socket(mHttp, mSocket);
+  mSocket = nullptr;
+  mClosing = true;
+  return true;
+}
+
+void HttpServer::CloseIdle() {
+  std::vector<evhttp_connection*> lingered;
+  for (const auto& [handle, connection] : mConnections) {
+    if (connection->Idle()) {
+      connection->CloseInOrder();
+    }
+    if (connection->Lingered()) {
+      lingered.push_back(handle);
+    }
+  }
+  for (evhttp_connection* handle : lingered) {
+    evhttp_connection_free(handle);
+  }
+}
+
+HttpConnection& HttpServer::ConnectionOf(evhttp_request* aRequest) {
+  evhttp_connection* handle = evhttp_request_get_connection(aRequest);
+  std::unique_ptr<HttpConnection>& connection = mConnections[handle];
+  if (connection == nullptr) {
+    connection = std::make_unique<HttpConnection>(*this, handle);
   }
+  return *connection;
+}
+
+void HttpServer::Remove(evhttp_connection* aHandle) {
+  mConnections.erase(aHandle);
 }
 
 void HttpServer::HandleRequest(evhttp_request* aRequest, void* aSelf) {
   auto* self = static_cast<HttpServer*>(aSelf);
-  if (self->mSocket == nullptr) {
+  HttpConnection& connection = self->ConnectionOf(aRequest);
+  if (connection.Closing()) {
+    // Its answer could not be told. The write fails and closes.
+    evhttp_send_error(aRequest, HTTP_SERVUNAVAIL, nullptr);
+    return;
+  }
+  if (self->mClosing) {
     evhttp_add_header(evhttp_request_get_output_headers(aRequest), "Connection",
                       "close");
   }
-  const auto exchange = std::make_shared<HttpExchange>(aRequest);
-  exchange->mSelf = exchange;
+  const auto exchange = std::make_shared<HttpExchange>(connection, aRequest);
+  connection.BeginExchange(exchange);
   exchange->WatchClose();
   self->mOptions.mHandle(exchange);
 }
--- a/include/spindleweir/drivers/http_server.h
+++ b/include/spindleweir/drivers/http_server.h
@@ -5,7 +5,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
+#include <unordered_map>
 
 #include "spindleweir/core/settings.h"
 #include "spindleweir/drivers/event_loop.h"
@@ -17,6 +17,8 @@
 
 namespace spindleweir {
 
+class HttpConnection;
+
 /// One header of a request or an answer.
 struct HttpHeader {
   std::string mName;
@@ -27,7 +29,7 @@
 /// connection, and then does nothing.
 class HttpExchange {
  public:
-  explicit HttpExchange(evhttp_request* aRequest);
+  HttpExchange(HttpConnection& aConnection, evhttp_request* aRequest);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
@@ -57,18 +59,18 @@
   void OnClosed(std::function<void()> aCall) { mOnClosed = std::move(aCall); }
 
  private:
+  friend class HttpConnection;
   friend class HttpServer;
-  static void HandleClose(evhttp_connection* aConnection, void* aSelf);
+  void CallerLeft();
   void WatchClose();
   void Detach();
 
+  HttpConnection* mConnection;  ///< nullptr: it or the exchange has ended.
   evhttp_request* mRequest;
   std::string mMethod;
   std::string mPath;
   std::string mBody;
   std::function<void()> mOnClosed;
-  /// Keeps this alive while libevent holds a pointer to it.
-  std::shared_ptr<HttpExchange> mSelf;
 };
 
 /// How a server listens.
@@ -91,17 +93,31 @@
 
   /// The address with the port in force.
   const Endpoint& Address() const { return mAddress; }
-  /// Takes no new connection. Those that there are get their answers, and close
-  /// with them: a process that ends at once cuts off who has just connected.
-  void StopListening();
+  /// From now on every answer closes its connection.
+  void SetClosing() { mClosing = true; }
+  /// Closes in order the connections that wait for another request, and those
+  /// for good whose callers did not close their side within a second. To be
+  /// called again until there are none.
+  void CloseIdle();
+  /// Takes no new connection. False: somebody has connected who is not accepted
+  /// yet, and would be reset; to be called again.
+  bool StopListening();
+  /// Those on which a request has come.
+  std::size_t Connections() const { return mConnections.size(); }
 
  private:
+  friend class HttpConnection;
   static void HandleRequest(evhttp_request* aRequest, void* aSelf);
+  HttpConnection& ConnectionOf(evhttp_request* aRequest);
+  void Remove(evhttp_connection* aHandle);
 
   evhttp* mHttp;
   evhttp_bound_socket* mSocket = nullptr;  ///< nullptr: does not listen.
   HttpServerOptions mOptions;
   Endpoint mAddress;
+  bool mClosing = false;
+  std::unordered_map<evhttp_connection*, std::unique_ptr<HttpConnection>>
+      mConnections;
 };
 
 }  // namespace spindleweir
--- /dev/null
+++ b/tests/drivers/plain_caller.h
@@ -0,0 +1,65 @@
+/// A caller that is a plain socket, for tests of servers.
+#pragma once
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <string_view>
+
+#include "spindleweir/core/settings.h"
+#include "tests/test_tools.h"
+
+namespace spindleweir {
+
+/// A caller with a small window that reads when it is told to.
+class PlainCaller {
+ public:
+  explicit PlainCaller(const Endpoint& aServer)
+      : mFd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+    constexpr int kWindow = 2048;
+    (void)setsockopt(mFd, SOL_SOCKET, SO_RCVBUF, &kWindow, sizeof(kWindow));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(aServer.mPort));
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    (void)connect(mFd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  }
+  ~PlainCaller() { close(mFd); }
+  PlainCaller(const PlainCaller&) = delete;
+  PlainCaller& operator=(const PlainCaller&) = delete;
+
+  /// Sends once, as soon as it is connected.
+  void Send(EventLoop& aLoop, std::string_view aBytes) const {
+    bool sent = false;
+    REQUIRE(RunLoopUntil(aLoop, [&] {
+      sent = sent || send(mFd, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) > 0;
+      return sent;
+    }));
+  }
+  /// Sends at once: what is connected, on loopback, takes it.
+  void SendNow(std::string_view aBytes) const {
+    CHECK(send(mFd, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(aBytes.size()));
+  }
+  void Read() {
+    char buf[4096];
+    const ssize_t n = recv(mFd, buf, sizeof(buf), 0);
+    mEnded = mEnded || n == 0;
+    mWasReset = mWasReset || (n < 0 && errno == ECONNRESET);
+    mEnded = mEnded || mWasReset;
+    if (n > 0) {
+      mReceived.append(buf, static_cast<std::size_t>(n));
+    }
+  }
+
+  std::string mReceived;
+  bool mEnded = false;
+  bool mWasReset = false;
+
+ private:
+  int mFd;
+};
+
+}  // namespace spindleweir
--- a/tests/drivers/stream_test.cpp
+++ b/tests/drivers/stream_test.cpp
@@ -7,6 +7,7 @@
 
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
+#include "tests/drivers/plain_caller.h"
 #include "tests/test_tools.h"
 
 using namespace spindleweir;
@@ -110,55 +111,6 @@
       MemoryAccountOptions{.mBound = aBound, .mWindow = 8 * 1024});
 }
 
-/// A caller with a small window that reads when it is told to.
-class PlainCaller {
- public:
-  explicit PlainCaller(const Endpoint& aServer)
-      : mFd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
-    constexpr int kWindow = 2048;
-    (void)setsockopt(mFd, SOL_SOCKET, SO_RCVBUF, &kWindow, sizeof(kWindow));
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<std::uint16_t>(aServer.mPort));
-    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    (void)connect(mFd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  }
-  ~PlainCaller() { close(mFd); }
-  PlainCaller(const PlainCaller&) = delete;
-  PlainCaller& operator=(const PlainCaller&) = delete;
-
-  /// Sends once, as soon as it is connected.
-  void Send(Server& aServer, std::string_view aBytes) const {
-    bool sent = false;
-    REQUIRE(aServer.RunUntil([&] {
-      sent = sent || send(mFd, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) > 0;
-      return sent;
-    }));
-  }
-  /// Sends at once: what is connected, on loopback, takes it.
-  void SendNow(std::string_view aBytes) const {
-    CHECK(send(mFd, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) ==
-          static_cast<ssize_t>(aBytes.size()));
-  }
-  void Read() {
-    char buf[4096];
-    const ssize_t n = recv(mFd, buf, sizeof(buf), 0);
-    mEnded = mEnded || n == 0;
-    mWasReset = mWasReset || (n < 0 && errno == ECONNRESET);
-    mEnded = mEnded || mWasReset;
-    if (n > 0) {
-      mReceived.append(buf, static_cast<std::size_t>(n));
-    }
-  }
-
-  std::string mReceived;
-  bool mEnded = false;
-  bool mWasReset = false;
-
- private:
-  int mFd;
-};
-
 }  // namespace
 
 Test(stream, answers_come_whole_or_are_known_to_be_broken) {
@@ -243,7 +195,7 @@
     aExchange.Reply(200, {}, std::string(kBytes, 'x'));
   };
   PlainCaller caller(server.mServer.Address());
-  caller.Send(server,
+  caller.Send(server.mLoop,
               "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
   bool late = false;
   const auto pause = server.mLoop.After(1500, [&late] { late = true; });
@@ -273,7 +225,7 @@
   };
   PlainCaller caller(server.mServer.Address());
   const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
-  caller.Send(server, request);
+  caller.Send(server.mLoop, request);
   REQUIRE(server.RunUntil([&] {
     caller.Read();
     return caller.mReceived.ends_with("yes");
@@ -336,7 +288,7 @@
   for (const char* keep : {"", "Connection: close\r\n"}) {
     PlainCaller caller(server.mServer.Address());
     const int before = server.mHandled;
-    caller.Send(server,
+    caller.Send(server.mLoop,
                 "GET /x HTTP/1.1\r\nHost: h\r\n" + std::string(keep) + "\r\n");
     REQUIRE(server.RunUntil([&] { return server.mHandled > before; }));
     server.mServer.CloseIdle();
@@ -364,7 +316,7 @@
       aExchange.BreakOff();
     };
     PlainCaller caller(server.mServer.Address());
-    caller.Send(server,
+    caller.Send(server.mLoop,
                 std::string("GET /x HTTP/") + version + "\r\nHost: h\r\n\r\n");
     REQUIRE(server.RunUntil([&] {
       caller.Read();
@@ -420,8 +372,8 @@
   server.mHandle = nullptr;
   PlainCaller first(server.mServer.Address());
   PlainCaller second(server.mServer.Address());
-  first.Send(server, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
-  second.Send(server, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  first.Send(server.mLoop, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  second.Send(server.mLoop, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
   REQUIRE(server.RunUntil([&] { return server.mHandled == 3; }));
   CHECK(server.Call() == StreamEnd::kComplete && server.mStatus == 503);
   CHECK(server.mHandled == 3);
@@ -446,7 +398,7 @@
   std::vector<std::unique_ptr<PlainCaller>> callers;
   for (int i = 0; i < 4; i++) {
     callers.push_back(std::make_unique<PlainCaller>(server.mServer.Address()));
-    callers.back()->Send(server, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    callers.back()->Send(server.mLoop, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
     REQUIRE(server.RunUntil([&] { return server.mHandled == i + 1; }));
   }
   // The last one reads on; one of the others goes.
