A client does not use a kept connection that has ended

A call on a kept connection whose end had arrived, but was not read by the loop yet, got no answer, and nobody knew whether it had run. The pool now looks at the socket before it gives a connection out: an end, or bytes that nobody asked for, and the call gets a new one.

Measured: a_connection_that_has_ended_is_not_used_again fails without the look (no answer) and passes with it.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -5,8 +5,10 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 
 namespace spindleweir {
 
@@ -36,6 +38,20 @@
   EvhttpCall* mCall = nullptr;
 };
 
+/// Whether its server has closed it, or sent what nobody asked for, which the
+/// loop has not read yet: a call on it would get no answer.
+bool HasEnded(evhttp_connection* aConnection) {
+  const int fd =
+      bufferevent_getfd(evhttp_connection_get_bufferevent(aConnection));
+  if (fd < 0) {
+    // It is opened anew with its next call.
+    return false;
+  }
+  char byte = 0;
+  const ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 /// A connection to be freed, and the link that its callbacks use until then.
 struct DoomedConnection {
   evhttp_connection* mConnection;
@@ -84,13 +100,16 @@
 
   evhttp_connection* Take(const std::string& aServer) {
     std::vector<evhttp_connection*>& list = mIdle[aServer];
-    if (list.empty()) {
-      return nullptr;
+    while (!list.empty()) {
+      evhttp_connection* connection = list.back();
+      list.pop_back();
+      if (!HasEnded(connection)) {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        return connection;
+      }
+      Doom(connection);
     }
-    evhttp_connection* connection = list.back();
-    list.pop_back();
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    return connection;
+    return nullptr;
   }
 
   /// Frees the connection in the next turn of the loop, and with it what its
--- a/tests/drivers/http_test.cpp
+++ b/tests/drivers/http_test.cpp
@@ -174,6 +174,21 @@
   }
 }
 
+// A caller used a kept connection after its server's end of it had arrived, and
+// before the loop had read that: its call got no answer.
+Test(http, a_connection_that_has_ended_is_not_used_again) {
+  Pair pair;
+  pair.mHandle = [&] { pair.mExchange->Reply(200, "text/plain", "yes"); };
+  pair.mClient.StartDetached(pair.Call("x"));
+  REQUIRE(pair.RunUntil([&] { return pair.mResult.has_value(); }));
+  REQUIRE(pair.mResult->mComplete);
+  pair.mResult.reset();
+  pair.mServer.CloseIdle();
+  pair.mClient.StartDetached(pair.Call("x"));
+  REQUIRE(pair.RunUntil([&] { return pair.mResult.has_value(); }));
+  CHECK(pair.mResult->mComplete && pair.mResult->mBody == "yes");
+}
+
 Test(http, streams_are_cancelled_from_both_sides) {
   Pair pair;
   std::string got;
