A refused order to move is undone, and another path looked for

Four streams fell silent for two seconds, until their callers left: an engine of their paths left, the router ordered them to another that had no room, and took the refused order for done. Loads were told of an engine that held nothing, the silence counted from the order anew, and no other path was looked for.

A refused order now gives back the path, its loads and the time of silence; what was refused is avoided, and the move is tried with other engines, at most as often as before. A slow engine's streams stay where they are.

--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -29,6 +29,21 @@
 constexpr double kMoveSpread = 1;
 /// Tokens of an event, where it is not told.
 constexpr double kTokensPerEvent = 3;
+/// An order that was answered with this or more changed nothing.
+constexpr int kLeastRefusal = 400;
+
+/// Those of the first path, with their layers, that the second has not.
+LayerPath PartsOnlyIn(const LayerPath& aPath, const LayerPath& aOther) {
+  LayerPath parts;
+  std::set_difference(aPath.begin(), aPath.end(), aOther.begin(), aOther.end(),
+                      std::back_inserter(parts),
+                      [](const PathPart& aLeft, const PathPart& aRight) {
+                        return aLeft.mLayers.mFrom < aRight.mLayers.mFrom ||
+                               (aLeft.mLayers.mFrom == aRight.mLayers.mFrom &&
+                                aLeft.mInstance < aRight.mInstance);
+                      });
+  return parts;
+}
 
 const char* NameOf(MoveReason aWhy) {
   switch (aWhy) {
@@ -213,6 +228,8 @@
     question.mAvoid.insert(part.mInstance);
   }
   question.mAvoid.insert(aInstances.begin(), aInstances.end());
+  question.mAvoid.insert(mAttempt->mRefusedParts.begin(),
+                         mAttempt->mRefusedParts.end());
   LayerPath next;
   for (std::size_t i = 0; i < mAttempt->mPath.size(); i++) {
     const PathPart& part = mAttempt->mPath[i];
@@ -260,15 +277,7 @@
   options.mOnHead = [status](const AnswerHead& aHead) {
     *status = aHead.mStatus;
   };
-  options.mOnEnd = [this, status](StreamEnd) {
-    LogLine(LogLevel::kInfo, "repath_answered")
-        .Add("request", mFacts.mId)
-        .Add("status", *status);
-    if (mAttempt != nullptr) {
-      const std::shared_ptr<StreamCall> order = std::move(mAttempt->mOrder);
-      mContext.mLoop.Post([order] {});
-    }
-  };
+  options.mOnEnd = [this, status, aWhy](StreamEnd) { EndOrder(*status, aWhy); };
   LogLine(LogLevel::kInfo, "repath")
       .Add("request", mFacts.mId)
       .Add("why", NameOf(aWhy))
@@ -276,25 +285,60 @@
       .Add("silent_ms",
            static_cast<Json::Int64>(SteadyNow() - mAttempt->mHeardAt));
   mContext.mCounters.Add("moves", std::string("why=\"") + NameOf(aWhy) + "\"");
-  LayerPath added;
-  std::set_difference(aPath.begin(), aPath.end(), mAttempt->mPath.begin(),
-                      mAttempt->mPath.end(), std::back_inserter(added),
-                      [](const PathPart& aLeft, const PathPart& aRight) {
-                        return aLeft.mLayers.mFrom < aRight.mLayers.mFrom ||
-                               (aLeft.mLayers.mFrom == aRight.mLayers.mFrom &&
-                                aLeft.mInstance < aRight.mInstance);
-                      });
-  EndReading();
-  CountLoad(-1);
-  mAttempt->mPath = std::move(aPath);
+  const LayerPath added = PartsOnlyIn(aPath, mAttempt->mPath);
+  mAttempt->mPathBefore = mAttempt->mPath;
+  mAttempt->mSilentBefore = mAttempt->mSilentSince;
+  SetPath(std::move(aPath));
   mAttempt->mMovedAt = SteadyNow();
   mAttempt->mSilentSince = mContext.mLoop.RunningNow();
-  CountLoad(1);
   BeginReading(added);
   WatchAttempt();
   mAttempt->mOrder = StartStreamCall(mContext.mLoop, std::move(options));
 }
 
+void RelayRequest::SetPath(LayerPath aPath) {
+  EndReading();
+  CountLoad(-1);
+  mAttempt->mPath = std::move(aPath);
+  CountLoad(1);
+}
+
+void RelayRequest::EndOrder(int aStatus, MoveReason aWhy) {
+  LogLine(LogLevel::kInfo, "repath_answered")
+      .Add("request", mFacts.mId)
+      .Add("status", aStatus);
+  if (mAttempt == nullptr || mAttempt->mOrder == nullptr) {
+    return;
+  }
+  // It is on the stack.
+  const std::shared_ptr<StreamCall> order = std::move(mAttempt->mOrder);
+  mContext.mLoop.Post([order] {});
+  if (aStatus >= kLeastRefusal) {
+    UndoMove(aWhy);
+  }
+}
+
+void RelayRequest::UndoMove(MoveReason aWhy) {
+  const LayerPath refused = mAttempt->mPath;
+  const LayerPath before = std::move(mAttempt->mPathBefore);
+  std::set<std::string> left;
+  for (const PathPart& part : PartsOnlyIn(before, refused)) {
+    left.insert(part.mInstance);
+  }
+  for (const PathPart& part : PartsOnlyIn(refused, before)) {
+    mAttempt->mRefusedParts.insert(part.mInstance);
+  }
+  SetPath(before);
+  const bool heardSince = mAttempt->mHeardAt > mAttempt->mMovedAt;
+  if (!heardSince) {
+    mAttempt->mSilentSince = mAttempt->mSilentBefore;
+  }
+  WatchAttempt();
+  if (aWhy != MoveReason::kSlow) {
+    MoveOff(left, aWhy);
+  }
+}
+
 void RelayRequest::WatchAttempt() {
   if (mAttempt == nullptr || mAttempt->mPath.empty()) {
     return;
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -61,6 +61,10 @@
         false;  ///< It goes on as it comes, for lack of memory.
     std::unique_ptr<StreamCall> mCall;
     std::unique_ptr<StreamCall> mOrder;  ///< To move to another path.
+    LayerPath mPathBefore;               ///< The order's, for its refusal.
+    Millis mSilentBefore = 0;            ///< mSilentSince before the order.
+    /// Parts of paths that its first engine refused to move to.
+    std::set<std::string> mRefusedParts;
     int mMoves = 0;
     Millis mMovedAt = 0;
     Millis mSearchedAt = 0;  ///< For a path without slow engines.
@@ -92,6 +96,12 @@
   LayerPath WithoutIn(PathQuestion aQuestion,
                       const std::set<std::string>& aInstances);
   void Repath(LayerPath aPath, MoveReason aWhy);
+  /// The order was answered; 0: it was not.
+  void EndOrder(int aStatus, MoveReason aWhy);
+  /// The engines go on with the path that they had: so does what is told of it,
+  /// and another one is looked for.
+  void UndoMove(MoveReason aWhy);
+  void SetPath(LayerPath aPath);
   void WatchAttempt();
   void StopWatching();
   /// Notes that these parts read all tokens so far.
--- a/standins/plain_protocol.cpp
+++ b/standins/plain_protocol.cpp
@@ -76,8 +76,14 @@
             return EngineMessage{.mMethod = "POST", .mTarget = "/place"};
           },
       .mWriteRepath =
-          [](const RepathOrder&) {
-            return EngineMessage{.mMethod = "POST", .mTarget = "/repath"};
+          [](const RepathOrder& aOrder) {
+            EngineMessage message{.mMethod = "POST",
+                                  .mTarget = kRepathTarget,
+                                  .mHeaders = {{"Host", "engine"}}};
+            for (const PathPart& part : *aOrder.mPath) {
+              message.mBody += part.mInstance + " ";
+            }
+            return message;
           },
       .mAskState =
           [] { return EngineMessage{.mMethod = "GET", .mTarget = "/state"}; },
--- a/standins/plain_protocol.h
+++ b/standins/plain_protocol.h
@@ -12,6 +12,8 @@
 /// The product's own words as JSON.
 DocumentProtocol PlainDocuments();
 /// Orders and reports as JSON; engines are not used by it.
+/// Where an order to move a request goes; its body names the path.
+inline constexpr const char* kRepathTarget = "/repath";
 EngineProtocol PlainEngines();
 
 }  // namespace spindleweir
--- a/standins/scripted_upstream.cpp
+++ b/standins/scripted_upstream.cpp
@@ -1,10 +1,13 @@
 #include "standins/scripted_upstream.h"
 
+#include "standins/plain_protocol.h"
+
 namespace spindleweir {
 
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kConflict = 409;
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 
@@ -57,6 +60,10 @@
 
 void ScriptedUpstream::Handle(
     const std::shared_ptr<StreamExchange>& aExchange) {
+  if (aExchange->Head().mTarget == kRepathTarget) {
+    Move(*aExchange);
+    return;
+  }
   UpstreamAct act = UpstreamAct::kAnswer;
   if (!mActs.empty()) {
     act = mActs.front();
@@ -100,6 +107,13 @@
                    {{"X-Signature", mInstance}}, body);
 }
 
+void ScriptedUpstream::Move(StreamExchange& aOrder) {
+  mMoves.push_back(aOrder.Body());
+  const bool refused = mRefusedMoves > 0;
+  mRefusedMoves -= refused ? 1 : 0;
+  aOrder.Reply(refused ? kConflict : kOk, {}, "");
+}
+
 std::string ScriptedUpstream::BodyOf(const std::string& aRequest,
                                      std::size_t aBytes) {
   std::string body;
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -40,6 +40,11 @@
   /// Ends it: all connections are lost, its port refuses.
   void Crash();
   bool Crashed() const { return mCrashed; }
+  /// Of the next orders to move a request so many are refused, for lack of room
+  /// somewhere.
+  void RefuseMoves(int aCount) { mRefusedMoves = aCount; }
+  /// The paths of all such orders, as instances with a space after each.
+  const std::vector<std::string>& Moves() const { return mMoves; }
   /// The status of what fails.
   void FailWith(int aStatus) { mFailure = aStatus; }
   const std::string& Address() const { return mAddress; }
@@ -56,6 +61,7 @@
 
  private:
   void Handle(const std::shared_ptr<StreamExchange>& aExchange);
+  void Move(StreamExchange& aOrder);
   void Stream(const std::shared_ptr<StreamExchange>& aStream, UpstreamAct aAct);
   /// Writes this event and, in time, those after it.
   void Pace(const std::shared_ptr<StreamExchange>& aExchange, int aId);
@@ -66,6 +72,8 @@
   std::map<std::string, int> mRuns;
   int mClosed = 0;
   std::size_t mBytes = 0;
+  int mRefusedMoves = 0;
+  std::vector<std::string> mMoves;
   int mFailure;
   std::string mCrashOn;
   bool mCrashed = false;
--- /dev/null
+++ b/tests/daemons/refused_move_test.cpp
@@ -0,0 +1,55 @@
+/// What was seen: four streams on one engine fell silent for two seconds, until
+/// their callers left, each with most of its time left. The order of events: an
+/// engine on their paths leaves; their router orders them to others; one of
+/// these has no room, and the order is refused. The cause: the router took the
+/// order for done. It told loads of engines that held nothing, did not look for
+/// another path, and let the silence count anew. Evidence: "repath_answered"
+/// with 409 at 941 ms, and nothing of these streams until their callers left.
+#include "tests/daemons/relay_story.h"
+
+using namespace spindleweir;
+
+namespace {
+
+constexpr LayerRange kFront = {0, 4};
+constexpr LayerRange kBack = {4, 8};
+
+}  // namespace
+
+Test(refused_move, another_path_is_looked_for) {
+  RelayStory story;
+  ScriptedUpstream front(story.mLoop, "front");
+  ScriptedUpstream leaving(story.mLoop, "leaving");
+  ScriptedUpstream one(story.mLoop, "one");
+  ScriptedUpstream two(story.mLoop, "two");
+  story.Begin();
+  story.BeginModel();
+  story.BeatEngine(leaving, kBack);
+  story.BeatEngine(front, kFront);
+  story.AwaitCall(front);
+  front.Next({UpstreamAct::kStall});
+  bool begun = false;
+  StreamCallOptions options;
+  options.mServer = story.mRouter->Address();
+  options.mMethod = "POST";
+  options.mTarget = "/stream/1";
+  options.mHeaders = {
+      {"Host", "shop"}, {"X-Request", "moved"}, {"X-Key", "key"}};
+  options.mOnData = [&begun](std::string_view) { begun = true; };
+  const auto call = StartStreamCall(story.mLoop, std::move(options));
+  REQUIRE(story.RunUntil([&begun] { return begun; }));
+  story.BeatEngine(one, kBack);
+  story.BeatEngine(two, kBack);
+  REQUIRE(story.RunUntil([&story] {
+    story.mRouter->RefreshGauges();
+    return story.mRouter->OwnCounters().Value("upstreams_ready") == 6;
+  }));
+  front.RefuseMoves(1);
+  story.BeatEngine(leaving, kBack, UpstreamState::kLeaving);
+  REQUIRE(story.RunUntil([&front] { return front.Moves().size() >= 2; }));
+  CHECK(front.Moves()[0] != front.Moves()[1]);
+  for (const std::string& path : front.Moves()) {
+    CHECK(path == "front one " || path == "front two ");
+  }
+  CHECK(front.Runs("moved") == 1);
+}
--- a/tests/daemons/relay_story.cpp
+++ b/tests/daemons/relay_story.cpp
@@ -206,17 +206,27 @@
   REQUIRE(RunUntil([&] { return acknowledged; }));
 }
 
-void RelayStory::BeginEngine(const ScriptedUpstream& aEngine) {
+void RelayStory::BeginModel() {
   TrafficConfiguration traffic = Traffic(8);
   TrafficService model{.mName = "model"};
   model.mEngine.mLayers = 8;
   model.mEngine.mUsualAnswer = 10;
   model.mEngine.mTokenBytes = 1;
+  model.mEngine.mLinkMbps = 1000;
+  model.mEngine.mReadPerSecond = 1000;
   model.mEngine.mKinds = {{.mName = "k", .mMemoryMb = 100}};
   traffic.mServices.push_back(model);
   traffic.mRoutes.back().mTargets = {{"model", 1}};
   REQUIRE(Publish(Document(traffic)).mCode == ResultCode::kOk);
+}
+
+void RelayStory::BeginEngine(const ScriptedUpstream& aEngine) {
+  BeginModel();
   BeatEngine(aEngine);
+  AwaitCall(aEngine);
+}
+
+void RelayStory::AwaitCall(const ScriptedUpstream& aEngine) {
   for (int i = 0; aEngine.AllRuns() == 0; i++) {
     REQUIRE(i < 200);
     Call("/stream/x");
@@ -224,14 +234,16 @@
   }
 }
 
-void RelayStory::BeatEngine(const ScriptedUpstream& aEngine) {
+void RelayStory::BeatEngine(const ScriptedUpstream& aEngine, LayerRange aLayers,
+                            UpstreamState aState) {
   Beat({.mInstance = aEngine.Instance(),
         .mService = "model",
         .mAddress = aEngine.Address(),
         .mZone = "z",
         .mKind = "k",
         .mSlots = 6,
-        .mLayers = {0, 8}});
+        .mState = aState,
+        .mLayers = aLayers});
 }
 
 Answer RelayStory::Call(const std::string& aTarget, const std::string& aKey,
--- a/tests/daemons/relay_story.h
+++ b/tests/daemons/relay_story.h
@@ -69,10 +69,15 @@
   void Beat(const ScriptedUpstream& aUpstream, UpstreamState aState);
   void Beat(UpstreamRecord aRecord);
 
-  /// An engine that holds all layers of the service "model".
+  /// A configuration with a service "model" of eight layers, for /stream/.
+  void BeginModel();
+  /// The same with an engine that holds all layers and gets calls.
   void BeginEngine(const ScriptedUpstream& aEngine);
-  /// One more beside it.
-  void BeatEngine(const ScriptedUpstream& aEngine);
+  /// Calls until this engine got one.
+  void AwaitCall(const ScriptedUpstream& aEngine);
+  /// One more engine.
+  void BeatEngine(const ScriptedUpstream& aEngine, LayerRange aLayers = {0, 8},
+                  UpstreamState aState = UpstreamState::kReady);
 
   /// A request with the next id, until its answer ends. aDeadline: what its
   /// caller says that it has left, in milliseconds; 0: nothing.
