A process that is asked to read its settings while it starts is not ended by it

SIGHUP ended a router or control that was still making its parts: the handler stood last, and the default kills. A tool that tells all processes to reload, at the moment of a restart, took them down.

--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -255,6 +255,10 @@
   return timer;
 }
 
+void EventLoop::IgnoreReloadSignal() {
+  signal(SIGHUP, SIG_IGN);
+}
+
 std::unique_ptr<Timer> EventLoop::OnReloadSignal(std::function<void()> aCall) {
   auto timer = std::make_unique<EventTimer>(std::move(aCall));
   timer->Add(mBase, SIGHUP, EV_SIGNAL | EV_PERSIST);
--- a/include/spindleweir/drivers/event_loop.h
+++ b/include/spindleweir/drivers/event_loop.h
@@ -47,6 +47,9 @@
   void Post(std::function<void()> aCall);
   /// Calls aCall at SIGTERM and at SIGINT.
   std::unique_ptr<Timer> OnStopSignal(std::function<void()> aCall);
+  /// SIGHUP ends no process that is about to read its settings: what it asks
+  /// for is done by that. Before anything else; OnReloadSignal() ends it.
+  static void IgnoreReloadSignal();
   /// Calls aCall at SIGHUP.
   std::unique_ptr<Timer> OnReloadSignal(std::function<void()> aCall);
 
--- a/tests/drivers/stop_signal_test.cpp
+++ b/tests/drivers/stop_signal_test.cpp
@@ -37,3 +37,22 @@
   loop.Run();
   CHECK(asked);
 }
+
+// A router that was asked to read its settings again, a moment after it had
+// been started, was ended by that: it had no handler until all its parts stood.
+Test(stop_signal,
+     a_reload_asked_for_before_the_settings_are_read_ends_nothing) {
+  EventLoop::IgnoreReloadSignal();
+  raise(SIGHUP);
+  EventLoop loop;
+  int asked = 0;
+  const auto handler = loop.OnReloadSignal([&] {
+    asked++;
+    loop.Stop();
+  });
+  SECTION("one that comes later is heard") {
+    raise(SIGHUP);
+    loop.Run();
+    CHECK(asked == 1);
+  }
+}
