A test that fails at times says what it was answered

failures/a_router_that_dies_after_dispatch_causes_no_second_run failed twice beside load with nothing but 'not 409': the status and the body of the answer stand in its report now, so that the next failure can be traced. The check is the same.

--- a/tests/daemons/failure_test.cpp
+++ b/tests/daemons/failure_test.cpp
@@ -315,7 +315,9 @@
   deployment.mRouters[0].reset();
   const auto second = pay(1);
   REQUIRE(deployment.RunUntil([&] { return second->mDone; }));
-  CHECK(second->mHttp.mStatus == 409 && second->Ran() == "unknown");
+  CHECK_FOUND(
+      second->mHttp.mStatus == 409 && second->Ran() == "unknown",
+      std::to_string(second->mHttp.mStatus) + " " + second->mHttp.mBody);
   CHECK(deployment.ServiceRuns() == 1);
 }
 
--- a/tests/test_tools.h
+++ b/tests/test_tools.h
@@ -53,5 +53,9 @@
 #define SECTION(aText) if (const spindleweir::Section section(aText); true)
 #define CHECK(aCondition) \
   cr_expect(aCondition, "%s: %s", spindleweir::Section::Path(), #aCondition)
+/// The same, telling what was found instead: a std::string.
+#define CHECK_FOUND(aCondition, aFound)                                   \
+  cr_expect(aCondition, "%s: %s, found %s", spindleweir::Section::Path(), \
+            #aCondition, (aFound).c_str())
 #define REQUIRE(aCondition) \
   cr_assert(aCondition, "%s: %s", spindleweir::Section::Path(), #aCondition)
