Soak: networks that fail, clocks that step, slow disks, reloads

A link before each engine resets all its connections, holds answers or both directions back for 2.5 s, or passes bytes in steps; a library loaded before routers and controls steps their wall clock by up to 20 s and lengthens each sync of their disk; they get SIGHUP. A process that ends by itself counts as a failure in all soaks now: nobody looked before.

Full and torn disks, and hundreds of processes, are not in it.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -12,7 +12,11 @@
 start() {
   local name=$1 program=$2
   shift 2
-  "$bin/$program" --port_file="$run/$name.port" "$@" \
+  local -a before=()
+  if [ -n "${soak_shim:-}" ]; then
+    before=(env "LD_PRELOAD=$soak_shim" "SOAK_SHIM=$run/$name.shim")
+  fi
+  "${before[@]}" "$bin/$program" --port_file="$run/$name.port" "$@" \
     >>"$run/$name.log" 2>&1 &
   echo "$name $!" >>"$run/pids"
 }
--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -10,7 +10,7 @@
     for n in 1 2 3 4 5 6; do soak_engines+=("gpu-$z-$n"); done
   done
 fi
-frozen="" stopping="" bad_ends=0
+frozen="" stopping="" disturbed="" bad_ends=0
 
 # A process that is neither still nor stopping now; one in two is an engine.
 pick_name() {
@@ -46,13 +46,18 @@
   stopping="$stopping $1"
 }
 
-# A planned stop ends with 0. A signal that finds a process before it has logged
-# its start finds no handler either; it has done nothing yet.
-ended_badly() { # NAME CODE
+# Whether the newest process of a name has logged its start.
+has_started() { # NAME
   local begun started
   begun=$(awk -v n="$1" '$1 == n' "$run/pids" | wc -l)
   started=$(grep -c '"event":"started"' "$run/$1.log" || true)
-  if [ "$started" -ge "$begun" ]; then
+  [ "$started" -ge "$begun" ]
+}
+
+# A planned stop ends with 0. A signal that finds a process before it has logged
+# its start finds no handler either; it has done nothing yet.
+ended_badly() { # NAME CODE
+  if has_started "$1"; then
     echo "$1 ended with $2, last line: $(tail -n 1 "$run/$1.log")"
     bad_ends=$((bad_ends + 1))
   else
@@ -60,6 +65,17 @@
   fi
 }
 
+# Counts those that are gone and were not ended here.
+count_ended_alone() {
+  local name
+  for name in "${soak_ours[@]}" "${soak_engines[@]}"; do
+    if ! grep -q '^State:[[:space:]]*[^Z[:space:]]' "/proc/$(pid "$name")/status" 2>/dev/null; then
+      echo "$name ended by itself, last line: $(tail -n 1 "$run/$name.log")"
+      bad_ends=$((bad_ends + 1))
+    fi
+  done
+}
+
 # Waits for those that were asked to stop; one in four is killed meanwhile.
 end_stops() {
   local name
@@ -74,9 +90,39 @@
   stopping=""
 }
 
+# Steps the clock of a process by up to 20 s and slows its disk in this round.
+disturb() { # NAME
+  calm
+  disturbed=$1 step=$((RANDOM % 40001 - 20000))
+  set_shim "$((RANDOM % 2 * (RANDOM % 400)))"
+}
+
+# The clock stays where it is.
+calm() {
+  [ -z "$disturbed" ] || set_shim 0
+  disturbed=""
+}
+
+set_shim() { # SYNC_MS
+  echo "$step $1" >"$run/shim.new"
+  mv "$run/shim.new" "$run/$disturbed.shim"
+}
+
+# Ends nothing: in one of two, for soaks with such faults; false: not this time.
+strike_lightly() {
+  case $((RANDOM % 4)) in
+  0) has_started "$picked" && kill -HUP "$(pid "$picked")" ;;
+  1) disturb "$picked" ;;
+  *) false ;;
+  esac
+}
+
 strike() {
   faults=$((faults + 1))
   pick_name
+  if [ -n "${soak_shim:-}" ] && strike_lightly; then
+    return
+  fi
   case $picked-$((RANDOM % 2)) in
   router-*-0 | control-*-0) ask_to_stop "$picked" ;;
   *)
@@ -94,6 +140,8 @@
     if ((RANDOM % 2)); then strike; fi
     sleep 0.$((RANDOM % 9 + 1))
     thaw
+    calm
     end_stops
   done
+  count_ended_alone
 }
--- a/tests/platform/soak/soak_main.cpp
+++ b/tests/platform/soak/soak_main.cpp
@@ -1,8 +1,8 @@
 /// spindleweir-soak: callers that keep their connections, upstreams that come
-/// and go, and an operator who changes the configuration again and again,
-/// before real processes of the system on a platform's wire. The processes, and
-/// what is done to them, are scripts/relay-soak's. It ends with 1 where a
-/// promise was broken.
+/// and go, a network that fails, and an operator who changes the configuration
+/// again and again, before real processes of the system on a platform's wire.
+/// The processes, and what is done to them, are scripts/relay-soak's. It ends
+/// with 1 where a promise was broken.
 #include <gflags/gflags.h>
 
 #include <algorithm>
@@ -22,6 +22,7 @@
 DEFINE_string(up_file, "", "made once all routers have a configuration");
 DEFINE_uint32(seed, 1, "of all that is at random here");
 DEFINE_int32(seconds, 15, "how long callers come");
+DEFINE_bool(links, false, "the network to engines fails too");
 DEFINE_int32(callers, 48, "that come at the same time");
 
 namespace spindleweir {
@@ -31,6 +32,8 @@
 constexpr int kEnginesOfZone = 3;
 constexpr Millis kChangeTimeout = 1500;
 constexpr Millis kLastWait = 30000;
+constexpr int kWaysToEnd = 2;
+constexpr int kWaysOfLinks = 4;
 constexpr int kMostChangePause = 900;
 constexpr int kMostFaultPause = 3000;
 
@@ -289,7 +292,19 @@
     });
   }
 
-  /// An engine ends, or leaves; one at a time in a zone.
+  void Hit(SoakUpstream& aEngine) {
+    const int ways = kWaysToEnd + (FLAGS_links ? kWaysOfLinks : 0);
+    const int how = Pick(0, ways - 1);
+    if (how == 0) {
+      aEngine.Crash();
+    } else if (how == 1) {
+      aEngine.Leave();
+    } else {
+      aEngine.FailLink(how - kWaysToEnd);
+    }
+  }
+
+  /// An engine ends, or leaves, or its network fails; one at a time in a zone.
   void Strike() {
     mStrikeTimer = mLoop.After(Pick(500, kMostFaultPause), [this] {
       const int zone = Pick(0, kZones - 1);
@@ -300,7 +315,7 @@
       }
       if (steady) {
         SoakUpstream& engine = *mUpstreams[first + Pick(0, kEnginesOfZone - 1)];
-        Pick(0, 1) == 0 ? engine.Crash() : engine.Leave();
+        Hit(engine);
       }
       Strike();
     });
--- /dev/null
+++ b/tests/platform/soak/soak_shim.cpp
@@ -0,0 +1,115 @@
+/// Loaded before a process of a soak: steps its wall clock and slows its disk,
+/// as the file that SOAK_SHIM names says: "OFFSET_MS SYNC_MS", read again at
+/// most twenty times a second. The steady clock stays what it is.
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <sys/time.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cstdlib>
+
+namespace {
+
+constexpr long kReadEveryMs = 50;
+constexpr long kMsPerSecond = 1000;
+constexpr long kNsPerMs = 1000000;
+constexpr long kNsPerSecond = 1000000000;
+
+std::atomic<long> sOffset{0};
+std::atomic<long> sSync{0};
+std::atomic<long> sReadAt{0};
+
+template <class Function>
+Function* Next(const char* aName) {
+  return reinterpret_cast<Function*>(dlsym(RTLD_NEXT, aName));
+}
+
+int RealClock(clockid_t aClock, timespec* aTime) {
+  static auto* const real = Next<int(clockid_t, timespec*)>("clock_gettime");
+  return real(aClock, aTime);
+}
+
+void Refresh() {
+  timespec steady{};
+  RealClock(CLOCK_MONOTONIC, &steady);
+  const long now = steady.tv_sec * kMsPerSecond + steady.tv_nsec / kNsPerMs;
+  if (now - sReadAt < kReadEveryMs) {
+    return;
+  }
+  sReadAt = now;
+  const char* path = getenv("SOAK_SHIM");
+  const int fd = path == nullptr ? -1 : open(path, O_RDONLY | O_CLOEXEC);
+  char text[64] = {};
+  if (fd >= 0 && read(fd, text, sizeof(text) - 1) > 0) {
+    char* end = text;
+    sOffset = strtol(text, &end, 10);
+    sSync = strtol(end, nullptr, 10);
+  }
+  if (fd >= 0) {
+    close(fd);
+  }
+}
+
+void WaitForDisk() {
+  Refresh();
+  const long wait = sSync;
+  const timespec time{.tv_sec = wait / kMsPerSecond,
+                      .tv_nsec = wait % kMsPerSecond * kNsPerMs};
+  nanosleep(&time, nullptr);
+}
+
+}  // namespace
+
+extern "C" {
+
+int clock_gettime(clockid_t aClock, timespec* aTime) noexcept {
+  const int result = RealClock(aClock, aTime);
+  if (result != 0 || aClock != CLOCK_REALTIME) {
+    return result;
+  }
+  Refresh();
+  const long offset = sOffset;
+  aTime->tv_sec += offset / kMsPerSecond;
+  aTime->tv_nsec += offset % kMsPerSecond * kNsPerMs;
+  if (aTime->tv_nsec < 0) {
+    aTime->tv_nsec += kNsPerSecond;
+    aTime->tv_sec--;
+  } else if (aTime->tv_nsec >= kNsPerSecond) {
+    aTime->tv_nsec -= kNsPerSecond;
+    aTime->tv_sec++;
+  }
+  return 0;
+}
+
+int gettimeofday(timeval* aTime, void*) noexcept {
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  aTime->tv_sec = now.tv_sec;
+  aTime->tv_usec = now.tv_nsec / 1000;
+  return 0;
+}
+
+time_t time(time_t* aTime) noexcept {
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  if (aTime != nullptr) {
+    *aTime = now.tv_sec;
+  }
+  return now.tv_sec;
+}
+
+int fsync(int aFd) {
+  static auto* const real = Next<int(int)>("fsync");
+  WaitForDisk();
+  return real(aFd);
+}
+
+int fdatasync(int aFd) {
+  static auto* const real = Next<int(int)>("fdatasync");
+  WaitForDisk();
+  return real(aFd);
+}
+
+}  // extern "C"
--- a/tests/platform/soak/soak_upstream.cpp
+++ b/tests/platform/soak/soak_upstream.cpp
@@ -48,6 +48,7 @@
                      },
                  .mRefuse = [](StreamExchange& aExchange,
                                ResultCode) { aExchange.Abort(); }});
+  mLink = std::make_unique<SoakLink>(mLoop, mServer->Address());
   mBeatTimer = mLoop.Every(kBeatEvery, [this] { Beat(); });
   mStepTimer = mLoop.Every(kEventEvery, [this] { Step(); });
   Beat();
@@ -68,6 +69,7 @@
   mRuns.clear();
   mBeatTimer.reset();
   mStepTimer.reset();
+  mLink.reset();
   mServer.reset();
   mTurnTimer = mLoop.After(kBackAfter, [this] { Start(); });
 }
@@ -76,6 +78,28 @@
   End();
 }
 
+void SoakUpstream::FailLink(int aHow) {
+  constexpr Millis kShort = 400;
+  constexpr Millis kLong = 2500;
+  switch (aHow) {
+    case 0:
+      CountLost();
+      mLink->Reset();
+      break;
+    case 1:
+      // Routers take it for silent.
+      CountLost();
+      mLink->Hold(kLong, false);
+      break;
+    case 2:
+      CountLost();
+      mLink->Hold(kLong, true);
+      break;
+    default:
+      mLink->Slow(kShort);
+  }
+}
+
 void SoakUpstream::Leave() {
   mLeaving = true;
   CountLost();
@@ -90,7 +114,7 @@
 void SoakUpstream::Beat() {
   Json::Value body(Json::objectValue);
   body["service"] = mOptions.mService;
-  body["address"] = mServer->Address().Text();
+  body["address"] = mLink->Address();
   body["zone"] = mOptions.mZone;
   body["slots"] = kSlots;
   body["state"] = mLeaving ? "draining" : "ready";
--- a/tests/platform/soak/soak_upstream.h
+++ b/tests/platform/soak/soak_upstream.h
@@ -8,6 +8,7 @@
 
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
+#include "tests/platform/soak/soak_link.h"
 #include "tests/platform/soak/soak_record.h"
 
 namespace spindleweir {
@@ -29,6 +30,8 @@
   void Crash();
   /// Says that it leaves, serves on for a while, and is followed by another.
   void Leave();
+  /// The network to it fails in some way: 0 to 3. Its process runs on.
+  void FailLink(int aHow);
   bool Steady() const { return mServer != nullptr && !mLeaving; }
 
   static constexpr int kLayers = 8;
@@ -70,6 +73,7 @@
   std::size_t mControl = 0;  ///< That was reached last.
   std::vector<Run> mRuns;
   std::unique_ptr<StreamServer> mServer;
+  std::unique_ptr<SoakLink> mLink;
   std::unique_ptr<StreamCall> mCall;
   std::unique_ptr<Timer> mBeatTimer;
   std::unique_ptr<Timer> mStepTimer;
