Soak: full disks and torn ends of logs

In a round a process's disk may be full: each sync fails, and the log is written anew once there is room. A process that is killed and kept a log finds zeros at its end when it starts again, as after a write that had begun.

--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -90,24 +90,34 @@
   stopping=""
 }
 
-# Steps the clock of a process by up to 20 s and slows its disk in this round.
+# Steps the clock of a process by up to 20 s; in this round its disk is slow or
+# full.
 disturb() { # NAME
   calm
   disturbed=$1 step=$((RANDOM % 40001 - 20000))
-  set_shim "$((RANDOM % 2 * (RANDOM % 400)))"
+  set_shim "$((RANDOM % 2 * (RANDOM % 400)))" "$((RANDOM % 3 == 0))"
 }
 
 # The clock stays where it is.
 calm() {
-  [ -z "$disturbed" ] || set_shim 0
+  [ -z "$disturbed" ] || set_shim 0 0
   disturbed=""
 }
 
-set_shim() { # SYNC_MS
-  echo "$step $1" >"$run/shim.new"
+set_shim() { # SYNC_MS FULL
+  echo "$step $1 $2" >"$run/shim.new"
   mv "$run/shim.new" "$run/$disturbed.shim"
 }
 
+# A control that is gone had begun to write when it was killed: what is not
+# synced ends in zeros.
+tear() { # NAME
+  local log
+  for log in "$run/data-$1"/*.log; do
+    [ ! -s "$log" ] || head -c $((RANDOM % 200)) /dev/zero >>"$log"
+  done
+}
+
 # Ends nothing: in one of two, for soaks with such faults; false: not this time.
 strike_lightly() {
   case $((RANDOM % 4)) in
@@ -127,6 +137,7 @@
   router-*-0 | control-*-0) ask_to_stop "$picked" ;;
   *)
     kill_noted "$picked"
+    [ -z "${soak_shim:-}" ] || tear "$picked"
     restart "$picked"
     ;;
   esac
--- a/tests/platform/soak/soak_shim.cpp
+++ b/tests/platform/soak/soak_shim.cpp
@@ -1,6 +1,7 @@
-/// Loaded before a process of a soak: steps its wall clock and slows its disk,
-/// as the file that SOAK_SHIM names says: "OFFSET_MS SYNC_MS", read again at
-/// most twenty times a second. The steady clock stays what it is.
+/// Loaded before a process of a soak: steps its wall clock, slows its disk or
+/// lets it be full, as the file that SOAK_SHIM names says: "OFFSET_MS SYNC_MS
+/// FULL", read again at most twenty times a second. The steady clock stays what
+/// it is.
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <sys/time.h>
@@ -8,6 +9,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
 #include <cstdlib>
 
 namespace {
@@ -19,6 +21,7 @@
 
 std::atomic<long> sOffset{0};
 std::atomic<long> sSync{0};
+std::atomic<bool> sFull{false};
 std::atomic<long> sReadAt{0};
 
 template <class Function>
@@ -45,19 +48,26 @@
   if (fd >= 0 && read(fd, text, sizeof(text) - 1) > 0) {
     char* end = text;
     sOffset = strtol(text, &end, 10);
-    sSync = strtol(end, nullptr, 10);
+    sSync = strtol(end, &end, 10);
+    sFull = strtol(end, nullptr, 10) != 0;
   }
   if (fd >= 0) {
     close(fd);
   }
 }
 
-void WaitForDisk() {
+/// One call of the system that brings a file to the disk.
+int SyncBy(int (*aReal)(int), int aFd) {
   Refresh();
+  if (sFull) {
+    errno = ENOSPC;
+    return -1;
+  }
   const long wait = sSync;
   const timespec time{.tv_sec = wait / kMsPerSecond,
                       .tv_nsec = wait % kMsPerSecond * kNsPerMs};
   nanosleep(&time, nullptr);
+  return aReal(aFd);
 }
 
 }  // namespace
@@ -102,14 +112,12 @@
 
 int fsync(int aFd) {
   static auto* const real = Next<int(int)>("fsync");
-  WaitForDisk();
-  return real(aFd);
+  return SyncBy(real, aFd);
 }
 
 int fdatasync(int aFd) {
   static auto* const real = Next<int(int)>("fdatasync");
-  WaitForDisk();
-  return real(aFd);
+  return SyncBy(real, aFd);
 }
 
 }  // extern "C"
