--- a/tests/platform/soak/soak_link.h
+++ b/tests/platform/soak/soak_link.h
@@ -29,6 +29,8 @@
   /// For so long nothing passes towards routers, or, with aBothWays, at all. No
   /// connection ends by it, and nothing is lost.
   void Hold(Millis aTime, bool aBothWays);
+  /// Whether no answer passes now.
+  bool Silent() const { return mHoldsAnswers && mStepTimer == nullptr; }
   /// For so long bytes pass in steps only.
   void Slow(Millis aTime);
 
--- a/tests/platform/soak/soak_upstream.cpp
+++ b/tests/platform/soak/soak_upstream.cpp
@@ -212,6 +212,10 @@
                    .mId = id,
                    .mNext = after.empty() ? 1 : std::stoi(after) + 1,
                    .mLast = last});
+  if (mLink->Silent()) {
+    // Its router hears nothing of it.
+    CountLost();
+  }
 }
 
 void SoakUpstream::Step() {
