Tests: one way to open a call in the stories of relaying routers

Four tests and the story itself each wrote how a call is begun and watched, and two how whichever upstream runs a request first cuts it. RelayStory::Open and CutNextOnce serve them all; the checks are the same. A comment that stood at the wrong declaration is put right.

--- a/standins/plain_protocol.h
+++ b/standins/plain_protocol.h
@@ -11,9 +11,9 @@
 CallerProtocol PlainCallers();
 /// The product's own words as JSON.
 DocumentProtocol PlainDocuments();
-/// Orders and reports as JSON; engines are not used by it.
 /// Where an order to move a request goes; its body names the path.
 inline constexpr const char* kRepathTarget = "/repath";
+/// Orders and reports as JSON.
 EngineProtocol PlainEngines();
 
 }  // namespace spindleweir
--- a/tests/daemons/cut_streams_test.cpp
+++ b/tests/daemons/cut_streams_test.cpp
@@ -25,32 +25,6 @@
 /// Longer than an engine may be silent.
 constexpr Millis kStill = 1300;
 
-/// One caller's stream.
-struct Stream {
-  std::unique_ptr<StreamCall> mCall;
-  std::string mBody;
-  bool mEnded = false;
-  bool mWhole = false;
-};
-
-std::unique_ptr<Stream> Open(RelayStory& aStory, const std::string& aId) {
-  auto stream = std::make_unique<Stream>();
-  StreamCallOptions options;
-  options.mServer = aStory.mRouter->Address();
-  options.mMethod = "POST";
-  options.mTarget = "/stream/1";
-  options.mHeaders = {{"Host", "shop"}, {"X-Request", aId}, {"X-Key", "key"}};
-  options.mOnData = [stream = stream.get()](std::string_view aBytes) {
-    stream->mBody += aBytes;
-  };
-  options.mOnEnd = [stream = stream.get()](StreamEnd aEnd) {
-    stream->mEnded = true;
-    stream->mWhole = aEnd == StreamEnd::kComplete;
-  };
-  stream->mCall = StartStreamCall(aStory.mLoop, std::move(options));
-  return stream;
-}
-
 std::string WholeBody() {
   std::string body;
   for (int id = 1; id <= ScriptedUpstream::kEvents; id++) {
@@ -59,6 +33,11 @@
   return body;
 }
 
+bool IsWhole(const OpenCall& aStream) {
+  return aStream.mAnswer.mEnd == StreamEnd::kComplete &&
+         aStream.mAnswer.mBody == WholeBody();
+}
+
 }  // namespace
 
 Test(cut_streams, one_router_may_need_more_retries_than_its_equal_part) {
@@ -80,9 +59,9 @@
   story.TellOfRouters(9);
   SECTION("one upstream cuts a dozen of its streams, nobody else needs one") {
     story.mA.Next(std::vector<UpstreamAct>(kStreams, UpstreamAct::kCut));
-    std::vector<std::unique_ptr<Stream>> streams;
+    std::vector<std::unique_ptr<OpenCall>> streams;
     for (int i = 0; i < kStreams; i++) {
-      streams.push_back(Open(story, "s" + std::to_string(i)));
+      streams.push_back(story.Open("/stream/1", "s" + std::to_string(i)));
     }
     REQUIRE(story.RunUntil([&streams] {
       return std::all_of(streams.begin(), streams.end(),
@@ -92,7 +71,7 @@
     int again = 0;
     for (int i = 0; i < kStreams; i++) {
       const std::string id = "s" + std::to_string(i);
-      whole += streams[i]->mWhole && streams[i]->mBody == WholeBody() ? 1 : 0;
+      whole += IsWhole(*streams[i]) ? 1 : 0;
       again += story.mA.Runs(id) + story.mB.Runs(id) - 1;
     }
     CHECK(again >= 8);
@@ -123,11 +102,11 @@
   const std::vector<UpstreamAct> paced(2, UpstreamAct::kPaced);
   first.Next(paced);
   second.Next(paced);
-  const auto stream = Open(story, "still");
-  REQUIRE(story.RunUntil([&stream] { return !stream->mBody.empty(); }));
+  const auto stream = story.Open("/stream/1", "still");
+  REQUIRE(story.RunUntil([&stream] { return !stream->mAnswer.mBody.empty(); }));
   std::this_thread::sleep_for(std::chrono::milliseconds(kStill));
   CHECK(story.RunUntil([&stream] { return stream->mEnded; }));
-  CHECK(stream->mWhole && stream->mBody == WholeBody());
+  CHECK(IsWhole(*stream));
   CHECK(first.Runs("still") + second.Runs("still") == 1);
 }
 
@@ -146,16 +125,7 @@
   story.mB.Next({UpstreamAct::kCut});
   CHECK(story.Call("/look/1").mStatus == 502);
   SECTION("its retry comes free 2 s later, of the 5 s that its route gives") {
-    story.mA.Next({UpstreamAct::kCut});
-    story.mB.Next({UpstreamAct::kCut});
-    const std::string id = "r" + std::to_string(story.mRequest + 1);
-    const auto watch = story.mLoop.Every(1, [&story, &id] {
-      if (story.mA.Runs(id) > 0) {
-        story.mB.Next({});
-      } else if (story.mB.Runs(id) > 0) {
-        story.mA.Next({});
-      }
-    });
+    const auto watch = story.CutNextOnce();
     const Answer answer = story.Call("/stream/1");
     CHECK(answer.mEnd == StreamEnd::kComplete);
     CHECK(answer.mBody == WholeBody());
--- a/tests/daemons/planned_stop_test.cpp
+++ b/tests/daemons/planned_stop_test.cpp
@@ -36,35 +36,6 @@
     StartRouter();
     Begin();
   }
-
-  /// One call with its end.
-  struct Open {
-    std::unique_ptr<StreamCall> mCall;
-    Answer mAnswer;
-    bool mEnded = false;
-  };
-
-  std::unique_ptr<Open> Start(const std::string& aTarget,
-                              const std::string& aId) {
-    auto open = std::make_unique<Open>();
-    StreamCallOptions options;
-    options.mServer = mRouter->Address();
-    options.mMethod = "POST";
-    options.mTarget = aTarget;
-    options.mHeaders = {{"Host", "shop"}, {"X-Request", aId}, {"X-Key", "key"}};
-    options.mOnHead = [open = open.get()](const AnswerHead& aHead) {
-      open->mAnswer.mStatus = aHead.mStatus;
-    };
-    options.mOnData = [open = open.get()](std::string_view aBytes) {
-      open->mAnswer.mBody += aBytes;
-    };
-    options.mOnEnd = [open = open.get()](StreamEnd aEnd) {
-      open->mAnswer.mEnd = aEnd;
-      open->mEnded = true;
-    };
-    open->mCall = StartStreamCall(mLoop, std::move(options));
-    return open;
-  }
 };
 
 }  // namespace
@@ -74,9 +45,9 @@
   constexpr int kLateCalls = 8;
   story.mA.Next(std::vector<UpstreamAct>(kLateCalls, UpstreamAct::kLate));
   story.mB.Next(std::vector<UpstreamAct>(kLateCalls, UpstreamAct::kLate));
-  std::vector<std::unique_ptr<StopStory::Open>> late;
+  std::vector<std::unique_ptr<OpenCall>> late;
   for (int i = 0; i < kLateCalls; i++) {
-    late.push_back(story.Start("/pay/1", "late" + std::to_string(i)));
+    late.push_back(story.Open("/pay/1", "late" + std::to_string(i)));
   }
   REQUIRE(story.RunUntil([&late] {
     return std::all_of(late.begin(), late.end(),
@@ -101,7 +72,7 @@
   StopStory story;
   story.mA.Next({UpstreamAct::kSilent});
   story.mB.Next({UpstreamAct::kSilent});
-  const auto open = story.Start("/pay/1", "left");
+  const auto open = story.Open("/pay/1", "left");
   REQUIRE(story.RunUntil(
       [&story] { return story.mA.Runs("left") + story.mB.Runs("left") == 1; }));
   story.mRouter->Stop();
@@ -117,7 +88,7 @@
   StopStory story;
   story.mA.SetBytes(kBytes);
   story.mB.SetBytes(kBytes);
-  const auto open = story.Start("/pay/1", "slow");
+  const auto open = story.Open("/pay/1", "slow");
   open->mCall->Pause(true);
   REQUIRE(story.RunUntil(
       [&story] { return EndedAs(*story.mRouter, "pay", "served", 200) == 1; }));
@@ -136,7 +107,7 @@
   ScriptedUpstream engine(story.mLoop, "engine");
   story.BeginEngine(engine);
   engine.Next({UpstreamAct::kStall});
-  const auto open = story.Start("/stream/1", "cut");
+  const auto open = story.Open("/stream/1", "cut");
   REQUIRE(story.RunUntil([&open] { return !open->mAnswer.mBody.empty(); }));
   story.mRouter->Stop();
   CHECK(story.RunUntil([&open] { return open->mEnded; }));
--- a/tests/daemons/refused_move_test.cpp
+++ b/tests/daemons/refused_move_test.cpp
@@ -28,16 +28,8 @@
   story.BeatEngine(front, kFront);
   story.AwaitCall(front);
   front.Next({UpstreamAct::kStall});
-  bool begun = false;
-  StreamCallOptions options;
-  options.mServer = story.mRouter->Address();
-  options.mMethod = "POST";
-  options.mTarget = "/stream/1";
-  options.mHeaders = {
-      {"Host", "shop"}, {"X-Request", "moved"}, {"X-Key", "key"}};
-  options.mOnData = [&begun](std::string_view) { begun = true; };
-  const auto call = StartStreamCall(story.mLoop, std::move(options));
-  REQUIRE(story.RunUntil([&begun] { return begun; }));
+  const auto open = story.Open("/stream/1", "moved");
+  REQUIRE(story.RunUntil([&open] { return !open->mAnswer.mBody.empty(); }));
   story.BeatEngine(one, kBack);
   story.BeatEngine(two, kBack);
   REQUIRE(story.RunUntil([&story] {
--- a/tests/daemons/relay_story.cpp
+++ b/tests/daemons/relay_story.cpp
@@ -254,30 +254,58 @@
 Answer RelayStory::CallAt(const RelayRouter& aRouter,
                           const std::string& aTarget, const std::string& aKey,
                           Millis aDeadline) {
-  Answer answer;
-  bool ended = false;
+  const auto open = OpenAt(aRouter, {.mTarget = aTarget,
+                                     .mId = "r" + std::to_string(++mRequest),
+                                     .mKey = aKey,
+                                     .mDeadline = aDeadline});
+  REQUIRE(RunUntil([&open] { return open->mEnded; }));
+  return open->mAnswer;
+}
+
+std::unique_ptr<OpenCall> RelayStory::Open(const std::string& aTarget,
+                                           const std::string& aId) {
+  return OpenAt(*mRouter, {.mTarget = aTarget, .mId = aId});
+}
+
+std::unique_ptr<OpenCall> RelayStory::OpenAt(const RelayRouter& aRouter,
+                                             const CallFacts& aFacts) {
+  auto open = std::make_unique<OpenCall>();
   StreamCallOptions options;
   options.mServer = aRouter.Address();
   options.mMethod = "POST";
-  options.mTarget = aTarget;
-  options.mHeaders = {{"Host", "shop"},
-                      {"X-Request", "r" + std::to_string(++mRequest)},
-                      {"X-Key", aKey}};
-  if (aDeadline > 0) {
-    options.mHeaders.push_back({"X-Deadline", std::to_string(aDeadline)});
+  options.mTarget = aFacts.mTarget;
+  options.mHeaders = {
+      {"Host", "shop"}, {"X-Request", aFacts.mId}, {"X-Key", aFacts.mKey}};
+  if (aFacts.mDeadline > 0) {
+    options.mHeaders.push_back(
+        {"X-Deadline", std::to_string(aFacts.mDeadline)});
   }
-  options.mOnHead = [&](const AnswerHead& aHead) {
-    answer.mStatus = aHead.mStatus;
-    answer.mHeaders = aHead.mHeaders;
+  options.mOnHead = [open = open.get()](const AnswerHead& aHead) {
+    open->mAnswer.mStatus = aHead.mStatus;
+    open->mAnswer.mHeaders = aHead.mHeaders;
   };
-  options.mOnData = [&](std::string_view aBytes) { answer.mBody += aBytes; };
-  options.mOnEnd = [&](StreamEnd aEnd) {
-    answer.mEnd = aEnd;
-    ended = true;
+  options.mOnData = [open = open.get()](std::string_view aBytes) {
+    open->mAnswer.mBody += aBytes;
   };
-  const auto call = StartStreamCall(mLoop, std::move(options));
-  REQUIRE(RunUntil([&] { return ended; }));
-  return answer;
+  options.mOnEnd = [open = open.get()](StreamEnd aEnd) {
+    open->mAnswer.mEnd = aEnd;
+    open->mEnded = true;
+  };
+  open->mCall = StartStreamCall(mLoop, std::move(options));
+  return open;
+}
+
+std::unique_ptr<Timer> RelayStory::CutNextOnce() {
+  mA.Next({UpstreamAct::kCut});
+  mB.Next({UpstreamAct::kCut});
+  const std::string id = "r" + std::to_string(mRequest + 1);
+  return mLoop.Every(1, [this, id] {
+    if (mA.Runs(id) > 0) {
+      mB.Next({});
+    } else if (mB.Runs(id) > 0) {
+      mA.Next({});
+    }
+  });
 }
 
 void RelayStory::Begin() {
--- a/tests/daemons/relay_story.h
+++ b/tests/daemons/relay_story.h
@@ -30,6 +30,22 @@
   std::string mBody;
 };
 
+/// A request that is under way, with what has come of its answer.
+struct OpenCall {
+  std::unique_ptr<StreamCall> mCall;
+  Answer mAnswer;
+  bool mEnded = false;
+};
+
+/// What a caller's request says of itself.
+struct CallFacts {
+  std::string mTarget;
+  std::string mId;
+  std::string mKey = "key";
+  Millis mDeadline =
+      0;  ///< Milliseconds that its caller has left; 0: not said.
+};
+
 /// A port that is free, at an address of loopback that is this process's own.
 Endpoint FreeEndpoint();
 /// Routes /pay/, /look/ and /stream/ to the service "counter".
@@ -87,6 +103,16 @@
   Answer CallAt(const RelayRouter& aRouter, const std::string& aTarget,
                 const std::string& aKey = "key", Millis aDeadline = 0);
 
+  /// Begins a request at a router, which ends on its own.
+  std::unique_ptr<OpenCall> OpenAt(const RelayRouter& aRouter,
+                                   const CallFacts& aFacts);
+  /// The same at the first router.
+  std::unique_ptr<OpenCall> Open(const std::string& aTarget,
+                                 const std::string& aId);
+  /// Whichever upstream runs the next request first cuts it, the other one
+  /// serves it, for as long as the timer is there.
+  std::unique_ptr<Timer> CutNextOnce();
+
   /// The id of the last request.
   std::string Last() const { return "r" + std::to_string(mRequest); }
   int RunsOfLast() const { return mA.Runs(Last()) + mB.Runs(Last()); }
--- a/tests/daemons/relay_test.cpp
+++ b/tests/daemons/relay_test.cpp
@@ -180,16 +180,7 @@
   CHECK(story.Call("/look/1").mStatus == 502);
   CHECK(story.RunsOfLast() == 2);
   SECTION("whichever upstream cuts it, it ends at the other") {
-    story.mA.Next({UpstreamAct::kCut});
-    story.mB.Next({UpstreamAct::kCut});
-    const std::string id = "r" + std::to_string(story.mRequest + 1);
-    const auto watch = story.mLoop.Every(1, [&story, &id] {
-      if (story.mA.Runs(id) > 0) {
-        story.mB.Next({});
-      } else if (story.mB.Runs(id) > 0) {
-        story.mA.Next({});
-      }
-    });
+    const auto watch = story.CutNextOnce();
     const Answer answer = story.Call("/stream/1");
     CHECK(answer.mStatus == 200);
     CHECK(answer.mEnd == StreamEnd::kComplete);
