Limits that upstreams name are read and logged

Sight for the incident, no decision. No line of a router said who had been told of a limit, so that three hypotheses could not be told apart: nobody reads the header; each router keeps to the whole limit by itself; word comes late.

The platform's header becomes LimitWord of an answer (a decimal number; what cannot be read changes nothing), NamedLimits notes the newest for each upstream, limit_named says what is news and by which answer, and a request's last line has the limit known.

--- a/daemons/relay/relay_answer.cpp
+++ b/daemons/relay/relay_answer.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "daemons/relay/relay_request.h"
+#include "spindleweir/core/log.h"
 
 namespace spindleweir {
 
@@ -31,6 +32,7 @@
     AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
     return;
   }
+  TakeLimit(facts.mLimit);
   if (facts.mRan == Ran::kNo) {
     for (const PathPart& part : mAttempt->mPath) {
       if (part.mAddress == facts.mCulprit) {
@@ -47,6 +49,23 @@
   }
 }
 
+void RelayRequest::TakeLimit(const LimitWord& aWord) {
+  const std::string& instance = mAttempt->mInstance;
+  const bool isNews =
+      aWord.mClear && IsCurrent() &&
+      mContext.mLimits.Answered(instance, aWord.mPerSecond,
+                                mAttempt->mStartedAt, SteadyNow());
+  if (isNews || !aWord.mClear) {
+    LogLine(LogLevel::kInfo, "limit_named")
+        .Add("instance", instance)
+        .Add("request", mFacts.mId)
+        .Add("clear", aWord.mClear)
+        .Add("per_second", aWord.mPerSecond.value_or(-1))
+        .Add("asked_ms",
+             static_cast<Json::Int64>(SteadyNow() - mAttempt->mStartedAt));
+  }
+}
+
 void RelayRequest::HandleData(std::string_view aBytes) {
   if (mAttempt == nullptr) {
     return;
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -65,6 +65,7 @@
   mExperience[instance].mAvoidUntil = SteadyNow() + kPathsDividedAnew;
   mOtherLoads.erase(instance);
   mPaces.Forget(instance);
+  mLimits.Forget(instance);
   mRestarted.insert(instance);
   mCounters.Add("upstreams_restarted");
   LogLine(LogLevel::kInfo, "upstream_restarted")
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -15,6 +15,7 @@
 #include "spindleweir/drivers/rpc_channel.h"
 #include "spindleweir/servers/limits/crash_watch.h"
 #include "spindleweir/servers/limits/memory_account.h"
+#include "spindleweir/servers/limits/named_limits.h"
 #include "spindleweir/servers/limits/router_count.h"
 #include "spindleweir/servers/limits/stop_intake.h"
 #include "spindleweir/servers/limits/usual_time.h"
@@ -147,6 +148,7 @@
   UpstreamRegistry mRegistry;
   BeatTaker mTaker;
   EnginePaces mPaces;
+  NamedLimits mLimits;
   CrashWatch mCrashes;
   StopIntake mStopIntake;
   bool mStopping = false;
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -380,6 +380,9 @@
       .Add("instance", mAttempt == nullptr ? "" : mAttempt->mInstance)
       .Add("path", path)
       .Add("content", IsSuccess(aStatus) ? "" : Content())
+      .Add("limit", mAttempt == nullptr
+                        ? -1
+                        : mContext.mLimits.Of(mAttempt->mInstance).value_or(-1))
       .Add("sent", mSent + (mAttempt == nullptr ? 0 : 1))
       .Add("events", mEvents)
       .Add("expected_tokens", mFacts.mExpectedTokens)
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -130,6 +130,8 @@
   void Send(const UpstreamRecord& aFirst);
   bool MaySend() const;
   void HandleHead(const AnswerHead& aHead);
+  /// Takes what an answer says of its upstream's limit.
+  void TakeLimit(const LimitWord& aWord);
   void HandleData(std::string_view aBytes);
   void HandleEnd(StreamEnd aEnd);
   void HandleEvents(std::string_view aBytes);
--- a/include/spindleweir/daemons/traffic_protocols.h
+++ b/include/spindleweir/daemons/traffic_protocols.h
@@ -40,6 +40,17 @@
   int mPriority = -1;                      ///< 0 to 9; -1: not said.
 };
 
+/// What an upstream's answer says of how often it may be asked.
+struct LimitWord {
+  /// False: it says something that cannot be read.
+  bool mClear = true;
+  /// Requests a second that it takes from all routers together; none: as many
+  /// as there are.
+  std::optional<double> mPerSecond;
+
+  bool operator==(const LimitWord&) const = default;
+};
+
 /// What an upstream's answer says beside its body.
 struct AnswerFacts {
   Ran mRan = Ran::kUnknown;
@@ -48,6 +59,7 @@
   bool mIsStream = false;   ///< Its body is a stream of events.
   bool mIsEncoded = false;  ///< Its body was changed on the way.
   std::string mCulprit;     ///< Address of the upstream that refused.
+  LimitWord mLimit;
 };
 
 /// Callers' requests and upstreams' answers.
--- a/standins/plain_protocol.cpp
+++ b/standins/plain_protocol.cpp
@@ -39,6 +39,10 @@
   facts.mSigned = FindHeader(aHead.mHeaders, "X-Signature") != nullptr;
   facts.mIsStream =
       ValueOf(aHead.mHeaders, "Content-Type") == "text/event-stream";
+  const std::string limit = ValueOf(aHead.mHeaders, "X-Limit");
+  if (!limit.empty()) {
+    facts.mLimit.mPerSecond = std::stod(limit);
+  }
   return facts;
 }
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -119,6 +119,20 @@
                             facts)
                .mOurs);
   }
+  SECTION("limits that upstreams name") {
+    const auto limit = [&](const char* aText) {
+      return protocol
+          .mReadAnswer({.mStatus = 200, .mHeaders = {{"Server-Limit", aText}}},
+                       facts)
+          .mLimit;
+    };
+    CHECK(protocol.mReadAnswer({.mStatus = 200}, facts).mLimit == LimitWord());
+    CHECK(limit("2.2") == (LimitWord{.mPerSecond = 2.2}));
+    CHECK(limit("0") == (LimitWord{.mPerSecond = 0}));
+    for (const char* text : {"", "-1", "nan", "inf", "2,2", "2 a second"}) {
+      CHECK(limit(text) == (LimitWord{.mClear = false}));
+    }
+  }
   SECTION("bad heads are refused with a number") {
     RequestHead none = Head();
     none.mHeaders.erase(none.mHeaders.begin() + 1);
