--- a/standins/scripted_upstream.cpp
+++ b/standins/scripted_upstream.cpp
@@ -1,5 +1,7 @@
 #include "standins/scripted_upstream.h"
 
+#include <algorithm>
+
 #include "standins/plain_protocol.h"
 
 namespace spindleweir {
@@ -45,6 +47,26 @@
   mActs.assign(aActs.begin(), aActs.end());
 }
 
+HttpHeaders ScriptedUpstream::Saying(HttpHeaders aHeaders) const {
+  if (mLimit.has_value()) {
+    aHeaders.push_back({"X-Limit", std::to_string(*mLimit)});
+  }
+  return aHeaders;
+}
+
+int ScriptedUpstream::MostArrivalsIn(Millis aWindow, Millis aFrom) const {
+  int most = 0;
+  for (auto first = mArrivals.begin(); first != mArrivals.end(); first++) {
+    if (*first < aFrom) {
+      continue;
+    }
+    const auto last =
+        std::upper_bound(first, mArrivals.end(), *first + aWindow);
+    most = std::max(most, static_cast<int>(last - first));
+  }
+  return most;
+}
+
 int ScriptedUpstream::Runs(const std::string& aRequest) const {
   const auto it = mRuns.find(aRequest);
   return it == mRuns.end() ? 0 : it->second;
@@ -64,13 +86,14 @@
     Move(*aExchange);
     return;
   }
+  mArrivals.push_back(SteadyNow());
   UpstreamAct act = UpstreamAct::kAnswer;
   if (!mActs.empty()) {
     act = mActs.front();
     mActs.pop_front();
   }
   if (act == UpstreamAct::kRefuse) {
-    aExchange->Reply(kUnavailable, {{"X-Ran", "no"}}, "");
+    aExchange->Reply(kUnavailable, Saying({{"X-Ran", "no"}}), "");
     return;
   }
   const std::string* request =
@@ -86,7 +109,8 @@
   }
   if (act == UpstreamAct::kLate) {
     mLate.push_back(mLoop.After(kLateBy, [this, aExchange] {
-      aExchange->Reply(kOk, {{"X-Signature", mInstance}}, "by " + mInstance);
+      aExchange->Reply(kOk, Saying({{"X-Signature", mInstance}}),
+                       "by " + mInstance);
     }));
     return;
   }
@@ -95,7 +119,7 @@
     return;
   }
   if (act == UpstreamAct::kCut) {
-    aExchange->Start(kOk, {{"X-Signature", mInstance}}, 100);
+    aExchange->Start(kOk, Saying({{"X-Signature", mInstance}}), 100);
     aExchange->Write("part");
     aExchange->Abort();
     return;
@@ -104,7 +128,7 @@
                                ? BodyOf(*request, mBytes)
                                : "by " + mInstance;
   aExchange->Reply(act == UpstreamAct::kFail ? mFailure : kOk,
-                   {{"X-Signature", mInstance}}, body);
+                   Saying({{"X-Signature", mInstance}}), body);
 }
 
 void ScriptedUpstream::Move(StreamExchange& aOrder) {
@@ -139,9 +163,10 @@
                               UpstreamAct aAct) {
   constexpr int kCutAfter = 2;
   StreamExchange& exchange = *aStream;
-  exchange.Start(
-      kOk, {{"X-Signature", mInstance}, {"Content-Type", "text/event-stream"}},
-      std::nullopt);
+  exchange.Start(kOk,
+                 Saying({{"X-Signature", mInstance},
+                         {"Content-Type", "text/event-stream"}}),
+                 std::nullopt);
   const int first = After(exchange.Head()) + 1;
   if (aAct == UpstreamAct::kPaced) {
     Pace(aStream, first);
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,11 @@
   void RefuseMoves(int aCount) { mRefusedMoves = aCount; }
   /// The paths of all such orders, as instances with a space after each.
   const std::vector<std::string>& Moves() const { return mMoves; }
+  /// From now on its answers name a limit, in requests a second; none: they
+  /// name none.
+  void NameLimit(std::optional<double> aPerSecond) { mLimit = aPerSecond; }
+  /// The most requests that came within such a time, of those since aFrom.
+  int MostArrivalsIn(Millis aWindow, Millis aFrom) const;
   /// The status of what fails.
   void FailWith(int aStatus) { mFailure = aStatus; }
   const std::string& Address() const { return mAddress; }
@@ -61,6 +67,8 @@
 
  private:
   void Handle(const std::shared_ptr<StreamExchange>& aExchange);
+  /// Headers with what it says in all answers.
+  HttpHeaders Saying(HttpHeaders aHeaders) const;
   void Move(StreamExchange& aOrder);
   void Stream(const std::shared_ptr<StreamExchange>& aStream, UpstreamAct aAct);
   /// Writes this event and, in time, those after it.
@@ -70,6 +78,8 @@
   std::string mInstance;
   std::deque<UpstreamAct> mActs;
   std::map<std::string, int> mRuns;
+  std::vector<Millis> mArrivals;
+  std::optional<double> mLimit;
   int mClosed = 0;
   std::size_t mBytes = 0;
   int mRefusedMoves = 0;
