Routers keep to limits that upstreams name, each by its part of the demand

Callers saw nothing; an upstream in need got 34 requests in 4 s after it had named 2 a second, as many as before. Cause: nothing read the limit, and no decision knew a bound on one upstream that holds over all routers. Class: a bound over all processes that each must keep to without asking, where the need is uneven. Change: NamedLimits. A limit begins with an answer to any router and is told with the loads; each router's part follows its part of the demand (equal parts while that is not known); what is left unused is void after a second and one request's time; it ends with an answer that names none to a later request. One list, HeldBack(), is asked before each first attempt, further attempt and stream that goes on elsewhere, for plain services and for engines that begin paths.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -122,6 +122,10 @@
   question.mUpstreams = mContext.mRegistry.OfService(mService->mName);
   const std::size_t known = question.mUpstreams.size();
   mWithoutRoom.reset();
+  const std::set<std::string> held = mContext.HeldBack();
+  std::erase_if(question.mUpstreams, [&held](const auto* aRecord) {
+    return held.contains(aRecord->mInstance);
+  });
   const PlainQuestion plain{.mUpstreams = known,
                             .mBodyBytes = mExchange->Body().size(),
                             .mTarget = mRoute->mTarget,
@@ -161,6 +165,10 @@
   }
   mLacksRoom = answer.mLacksRoom;
   if (answer.mPath.empty()) {
+    // It may only be that nobody may be asked just now.
+    const bool held = !question.mNotFirst.empty();
+    question.mNotFirst.clear();
+    mLacksRoom = mLacksRoom || (held && !ChoosePath(question).mPath.empty());
     return false;
   }
   SpendPipe(question, answer);
@@ -227,6 +235,7 @@
   options.mOnHead = [this](const AnswerHead& aHead) { HandleHead(aHead); };
   options.mOnData = [this](std::string_view aBytes) { HandleData(aBytes); };
   options.mOnEnd = [this](StreamEnd aEnd) { HandleEnd(aEnd); };
+  mContext.mLimits.Sent(mAttempt->mInstance);
   mTried.insert(mAttempt->mInstance);
   CountLoad(1);
   BeginReading(mAttempt->mPath);
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -28,6 +28,11 @@
 /// lately, or within its route's target where that is shorter: the target is
 /// what callers bear, many times what a call takes.
 constexpr Millis kExpectedTime = 100;
+/// Of its requests a router sends this part to an upstream of another zone,
+/// where one of its own zone may not be sent to.
+constexpr double kToOtherZones = 0.1;
+constexpr double kMillisPerSecond = 1000;
+constexpr double kThousandths = 1000;
 
 MemoryAccountOptions MemoryOf(const RelayOptions& aOptions) {
   MemoryAccountOptions options =
@@ -48,6 +53,11 @@
       mRpc(mClient, mOptions.mClusterKey),
       mMemory(std::make_shared<MemoryAccount>(MemoryOf(mOptions))),
       mLease(mOptions.mLeaseLength),
+      mLimits({.mDemandOf =
+                   [this](const std::string& aInstance) {
+                     return DemandOf(aInstance);
+                   },
+               .mRandom = [this] { return Random(); }}),
       mStopIntake({.mGrace = PlannedStop::GraceOf(mOptions)}),
       mOtherLoadsTrueAt(SteadyNow()),
       mRouters({.mKept = mOptions.mRetries.mWindow}),
@@ -76,6 +86,23 @@
       .Add("to", aSuccessor.mLayers.mTo);
 }
 
+LimitDemand RelayContext::DemandOf(const std::string& aInstance) {
+  LimitDemand demand{.mRouters = Routers()};
+  const UpstreamRecord* record = mRegistry.Find(aInstance);
+  if (record != nullptr) {
+    const bool near = record->mZone == mOptions.mZone;
+    demand.mOwn = ArrivalsOf(record->mService) * kMillisPerSecond *
+                  (near ? 1 : kToOtherZones);
+  }
+  const auto others = mOtherLoads.find(aInstance);
+  if (others != mOtherLoads.end()) {
+    demand.mOthersKnown = true;
+    demand.mOthers =
+        static_cast<double>(others->second.mWantedThousandths) / kThousandths;
+  }
+  return demand;
+}
+
 std::int64_t RelayContext::StartOf(const std::string& aInstance) const {
   const UpstreamRecord* record = mRegistry.Find(aInstance);
   return record == nullptr ? 0 : record->mStart;
@@ -154,6 +181,7 @@
     }
   }
   mPaces.Tell(loads, now);
+  mLimits.Tell(loads, now);
   return loads;
 }
 
@@ -161,6 +189,7 @@
   mOtherLoads = std::move(aLoads);
   mOtherLoadsTrueAt = aTrueAt;
   mPaces.TakeNews(mOtherLoads, SteadyNow());
+  mLimits.TakeNews(mOtherLoads, SteadyNow());
 }
 
 void RelayContext::ForgetOtherLoads() {
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -109,6 +109,9 @@
     return std::exchange(mRestarted, {});
   }
   double FailuresOf(const std::string& aInstance) const;
+  /// Instances that no request may be sent to at present, whatever else there
+  /// is: first attempts, further ones and moves alike.
+  std::set<std::string> HeldBack() { return mLimits.Held(SteadyNow()); }
   /// Instances that are not to be used at present.
   std::set<std::string> Avoided() const;
 
@@ -159,6 +162,7 @@
  private:
   /// What was learnt of the one before says nothing of its successor.
   void ForgetPredecessor(const UpstreamRecord& aSuccessor);
+  LimitDemand DemandOf(const std::string& aInstance);
 
   std::shared_ptr<const RouteTable> mTable;
   LoadShares mOwnLoads;
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -86,6 +86,7 @@
     return mContext.LoadOf(aInstance);
   };
   question.mAvoid = mContext.Avoided();
+  question.mNotFirst = mContext.HeldBack();
   question.mRandom = random;
   return question;
 }
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -300,6 +300,7 @@
            static_cast<Json::Int64>(mContext.mLease.Age(SteadyNow())))
       .Add("held_ms", static_cast<Json::Int64>(passed))
       .Add("room", RoomLacked())
+      .Add("held_back", static_cast<int>(mContext.HeldBack().size()))
       .Add("free_after_ms",
            static_cast<Json::Int64>(advice.mQuestion.mFreeAfter))
       .Add("free_per_ms", advice.mQuestion.mFreePerMilli)
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -84,6 +84,9 @@
     mForgotAt = now;
     mContext.mRegistry.ForgetEnded(now);
     mContext.mCrashes.Forget(now);
+    mContext.mLimits.Keep([this](const std::string& aInstance) {
+      return mContext.mRegistry.Find(aInstance) != nullptr;
+    });
   }
   if (now - mLoadsAt > kLoadsKept) {
     mContext.ForgetOtherLoads();
--- a/include/spindleweir/servers/routing/layer_path.h
+++ b/include/spindleweir/servers/routing/layer_path.h
@@ -48,6 +48,8 @@
   std::function<EngineLoad(const std::string&)> mLoadOf;
   /// Engines that are not to be used, by instance.
   std::set<std::string> mAvoid;
+  /// Engines that no path may begin at, by instance.
+  std::set<std::string> mNotFirst;
   /// Spreads requests that choose at the same moment; may be empty.
   std::function<double()> mRandom;
   /// By how much of its cost an engine may look dearer to one choice than to
--- a/include/spindleweir/servers/routing/load_book.h
+++ b/include/spindleweir/servers/routing/load_book.h
@@ -29,6 +29,15 @@
   std::int64_t mPacePercent = 0;
   /// Routers that it told since that it is well again.
   std::int64_t mWellTellers = 0;
+  /// Routers that it named a limit to, and the sum of what it named, in
+  /// thousandths of a request a second.
+  std::int64_t mLimitTellers = 0;
+  std::int64_t mLimitThousandths = 0;
+  /// Routers that saw its limit end lately.
+  std::int64_t mLimitEnds = 0;
+  /// Requests a second, in thousandths, that could be sent to it if it had no
+  /// limit.
+  std::int64_t mWantedThousandths = 0;
 
   void Add(const LoadShare& aOther, int aSign);
   bool Empty() const;
@@ -50,6 +59,10 @@
   std::vector<std::int64_t> mPaceTellers;
   std::vector<std::int64_t> mPacePercent;
   std::vector<std::int64_t> mWellTellers;
+  std::vector<std::int64_t> mLimitTellers;
+  std::vector<std::int64_t> mLimitThousandths;
+  std::vector<std::int64_t> mLimitEnds;
+  std::vector<std::int64_t> mWantedThousandths;
 
   static LoadTable Of(const LoadShares& aShares);
   /// Throws kBadField where the columns differ in length.
@@ -66,6 +79,10 @@
     aCodec.Sparse("pace_tellers", mPaceTellers);
     aCodec.Sparse("pace_percent", mPacePercent);
     aCodec.Sparse("well_tellers", mWellTellers);
+    aCodec.Sparse("limit_tellers", mLimitTellers);
+    aCodec.Sparse("limit_thousandths", mLimitThousandths);
+    aCodec.Sparse("limit_ends", mLimitEnds);
+    aCodec.Sparse("wanted_thousandths", mWantedThousandths);
   }
 };
 
--- a/servers/routing/layer_path.cpp
+++ b/servers/routing/layer_path.cpp
@@ -148,7 +148,7 @@
         continue;
       }
       const bool isFirst = here.mCandidate < 0 && !mQuestion.mFromEngine;
-      if (isFirst && !HasPlace(candidate)) {
+      if (isFirst && !MayBegin(candidate)) {
         continue;
       }
       const double hop = HopCost(here, candidate);
@@ -177,7 +177,10 @@
   }
 
   /// Whether one request more may have it as its first.
-  bool HasPlace(const Candidate& aCandidate) const {
+  bool MayBegin(const Candidate& aCandidate) const {
+    if (mQuestion.mNotFirst.contains(aCandidate.mRecord->mInstance)) {
+      return false;
+    }
     return !mWithinRoom ||
            aCandidate.mLoad.mFirsts + 1 <= PlacesOf(*aCandidate.mRecord);
   }
--- a/servers/routing/load_book.cpp
+++ b/servers/routing/load_book.cpp
@@ -52,12 +52,17 @@
   mPaceTellers += aSign * aOther.mPaceTellers;
   mPacePercent += aSign * aOther.mPacePercent;
   mWellTellers += aSign * aOther.mWellTellers;
+  mLimitTellers += aSign * aOther.mLimitTellers;
+  mLimitThousandths += aSign * aOther.mLimitThousandths;
+  mLimitEnds += aSign * aOther.mLimitEnds;
+  mWantedThousandths += aSign * aOther.mWantedThousandths;
 }
 
 bool LoadShare::Empty() const {
   return mRequests == 0 && mTokenLayers == 0 && mFirsts == 0 &&
          mReadTokenLayers == 0 && mUnreachable == 0 && mPaceTellers == 0 &&
-         mWellTellers == 0;
+         mWellTellers == 0 && mLimitTellers == 0 && mLimitEnds == 0 &&
+         mWantedThousandths == 0;
 }
 
 LoadTable LoadTable::Of(const LoadShares& aShares) {
@@ -75,11 +80,17 @@
     table.mPaceTellers.push_back(share.mPaceTellers);
     table.mPacePercent.push_back(share.mPacePercent);
     table.mWellTellers.push_back(share.mWellTellers);
+    table.mLimitTellers.push_back(share.mLimitTellers);
+    table.mLimitThousandths.push_back(share.mLimitThousandths);
+    table.mLimitEnds.push_back(share.mLimitEnds);
+    table.mWantedThousandths.push_back(share.mWantedThousandths);
   }
   for (Column* column :
        {&table.mRequests, &table.mTokenLayers, &table.mFirsts,
         &table.mReadTokenLayers, &table.mUnreachable, &table.mPaceTellers,
-        &table.mPacePercent, &table.mWellTellers}) {
+        &table.mPacePercent, &table.mWellTellers, &table.mLimitTellers,
+        &table.mLimitThousandths, &table.mLimitEnds,
+        &table.mWantedThousandths}) {
     DropZeros(*column);
   }
   return table;
@@ -89,7 +100,8 @@
   const std::size_t n = mInstances.size();
   for (const Column* column :
        {&mRequests, &mTokenLayers, &mFirsts, &mReadTokenLayers, &mUnreachable,
-        &mPaceTellers, &mPacePercent, &mWellTellers}) {
+        &mPaceTellers, &mPacePercent, &mWellTellers, &mLimitTellers,
+        &mLimitThousandths, &mLimitEnds, &mWantedThousandths}) {
     if (!column->empty() && column->size() != n) {
       throw Error(ResultCode::kBadField, "columns of loads differ in length");
     }
@@ -104,7 +116,11 @@
                              .mUnreachable = At(mUnreachable, i),
                              .mPaceTellers = At(mPaceTellers, i),
                              .mPacePercent = At(mPacePercent, i),
-                             .mWellTellers = At(mWellTellers, i)};
+                             .mWellTellers = At(mWellTellers, i),
+                             .mLimitTellers = At(mLimitTellers, i),
+                             .mLimitThousandths = At(mLimitThousandths, i),
+                             .mLimitEnds = At(mLimitEnds, i),
+                             .mWantedThousandths = At(mWantedThousandths, i)};
   }
   return shares;
 }
--- a/servers/routing/path_choice.cpp
+++ b/servers/routing/path_choice.cpp
@@ -29,6 +29,7 @@
 /// What a path offers by the loads that are known; nothing where it is full.
 Offer OfferOf(const PathQuestion& aQuestion, const SharedPath& aShare) {
   const bool avoided =
+      aQuestion.mNotFirst.contains(aShare.mPath.front().mInstance) ||
       std::any_of(aShare.mPath.begin(), aShare.mPath.end(),
                   [&aQuestion](const PathPart& aPart) {
                     return aQuestion.mAvoid.contains(aPart.mInstance);
