--- a/daemons/relay/relay_answer.cpp
+++ b/daemons/relay/relay_answer.cpp
@@ -33,6 +33,7 @@
     return;
   }
   TakeLimit(facts.mLimit);
+  TakeLeaving(facts.mLeaves);
   if (facts.mRan == Ran::kNo) {
     for (const PathPart& part : mAttempt->mPath) {
       if (part.mAddress == facts.mCulprit) {
@@ -66,6 +67,17 @@
   }
 }
 
+void RelayRequest::TakeLeaving(bool aLeaves) {
+  const UpstreamRecord* record = mContext.mRegistry.Find(mAttempt->mInstance);
+  if (!aLeaves || record == nullptr || !IsCurrent() || Ends(record->mState)) {
+    return;
+  }
+  LogLine(LogLevel::kInfo, "leaving_said")
+      .Add("instance", mAttempt->mInstance)
+      .Add("request", mFacts.mId)
+      .Add("state", static_cast<int>(record->mState));
+}
+
 void RelayRequest::HandleData(std::string_view aBytes) {
   if (mAttempt == nullptr) {
     return;
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -159,6 +159,10 @@
     answer = mContext.ChoosePathOf(mService->mName, question);
   }
   if (answer.mPath.empty() && !answer.mLacksRoom) {
+    LogLine(LogLevel::kInfo, "nobody_left")
+        .Add("request", mFacts.mId)
+        .Add("avoided", static_cast<int>(question.mAvoid.size()))
+        .Add("held_back", static_cast<int>(question.mNotFirst.size()));
     // Better one that failed lately than none.
     question.mAvoid.clear();
     answer = ChoosePath(question);
@@ -276,6 +280,7 @@
       .Add("ran", std::string(NameOf(aRan)))
       .Add("status", mAttempt->mHead.mStatus)
       .Add("culprit", mAttempt->mFacts.mCulprit)
+      .Add("rest_ms", static_cast<Json::Int64>(mAttempt->mFacts.mRest))
       .Add("took_ms",
            static_cast<Json::Int64>(SteadyNow() - mAttempt->mStartedAt))
       .Add("silent_ms",
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -132,6 +132,8 @@
   void HandleHead(const AnswerHead& aHead);
   /// Takes what an answer says of its upstream's limit.
   void TakeLimit(const LimitWord& aWord);
+  /// Takes an answer's word that its upstream leaves.
+  void TakeLeaving(bool aLeaves);
   void HandleData(std::string_view aBytes);
   void HandleEnd(StreamEnd aEnd);
   void HandleEvents(std::string_view aBytes);
--- a/include/spindleweir/daemons/traffic_protocols.h
+++ b/include/spindleweir/daemons/traffic_protocols.h
@@ -60,6 +60,10 @@
   bool mIsEncoded = false;  ///< Its body was changed on the way.
   std::string mCulprit;     ///< Address of the upstream that refused.
   LimitWord mLimit;
+  /// It turned the request away, and wants nothing from this process for so
+  /// long; 0: not said.
+  Millis mRest = 0;
+  bool mLeaves = false;  ///< Its upstream takes no new work any more.
 };
 
 /// Callers' requests and upstreams' answers.
--- a/standins/plain_protocol.cpp
+++ b/standins/plain_protocol.cpp
@@ -43,6 +43,9 @@
   if (!limit.empty()) {
     facts.mLimit.mPerSecond = std::stod(limit);
   }
+  const std::string rest = ValueOf(aHead.mHeaders, "X-Rest");
+  facts.mRest = rest.empty() ? 0 : std::stoll(rest);
+  facts.mLeaves = FindHeader(aHead.mHeaders, "X-Leaves") != nullptr;
   return facts;
 }
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -133,6 +133,32 @@
       CHECK(limit(text) == (LimitWord{.mClear = false}));
     }
   }
+  SECTION("how long an upstream that turned a request away wants nothing") {
+    const auto rest = [&](int aStatus, const char* aText) {
+      return protocol
+          .mReadAnswer(
+              {.mStatus = aStatus, .mHeaders = {{"Retry-After", aText}}}, facts)
+          .mRest;
+    };
+    CHECK(rest(503, "3") == 3000);
+    CHECK(rest(503, "0.2504") == 251);
+    CHECK(rest(503, "1e9") == 0);
+    CHECK(rest(503, "99999999") == 3600000);
+    CHECK(rest(503, "Thu, 03 Dec 2026 11:00:00 GMT") == 0);
+    CHECK(rest(503, "-1") == 0);
+    CHECK(rest(200, "3") == 0);
+  }
+  SECTION("that it leaves") {
+    const auto leaves = [&](const char* aText) {
+      return protocol
+          .mReadAnswer(
+              {.mStatus = 200, .mHeaders = {{"Server-Leaving", aText}}}, facts)
+          .mLeaves;
+    };
+    CHECK(!protocol.mReadAnswer({.mStatus = 200}, facts).mLeaves);
+    CHECK(leaves("1"));
+    CHECK(!leaves("0"));
+  }
   SECTION("bad heads are refused with a number") {
     RequestHead none = Head();
     none.mHeaders.erase(none.mHeaders.begin() + 1);
