--- a/standins/scripted_upstream.cpp
+++ b/standins/scripted_upstream.cpp
@@ -51,9 +51,18 @@
   if (mLimit.has_value()) {
     aHeaders.push_back({"X-Limit", std::to_string(*mLimit)});
   }
+  if (mRest.value_or(0) > 0) {
+    aHeaders.push_back({"X-Rest", std::to_string(*mRest)});
+  }
   return aHeaders;
 }
 
+int ScriptedUpstream::ArrivalsSince(Millis aFrom) const {
+  return static_cast<int>(
+      std::count_if(mArrivals.begin(), mArrivals.end(),
+                    [aFrom](Millis aAt) { return aAt >= aFrom; }));
+}
+
 int ScriptedUpstream::MostArrivalsIn(Millis aWindow, Millis aFrom) const {
   int most = 0;
   for (auto first = mArrivals.begin(); first != mArrivals.end(); first++) {
@@ -92,7 +101,7 @@
     act = mActs.front();
     mActs.pop_front();
   }
-  if (act == UpstreamAct::kRefuse) {
+  if (act == UpstreamAct::kRefuse || mRest.has_value()) {
     aExchange->Reply(kUnavailable, Saying({{"X-Ran", "no"}}), "");
     return;
   }
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -49,6 +49,13 @@
   /// From now on its answers name a limit, in requests a second; none: they
   /// name none.
   void NameLimit(std::optional<double> aPerSecond) { mLimit = aPerSecond; }
+  /// From now on it turns all requests away and asks for so much rest; 0: it
+  /// does not ask for any.
+  void TurnAway(Millis aRest) { mRest = aRest; }
+  /// It runs requests again.
+  void TakeAgain() { mRest.reset(); }
+  /// The requests that came since.
+  int ArrivalsSince(Millis aFrom) const;
   /// The most requests that came within such a time, of those since aFrom.
   int MostArrivalsIn(Millis aWindow, Millis aFrom) const;
   /// The status of what fails.
@@ -80,6 +87,7 @@
   std::map<std::string, int> mRuns;
   std::vector<Millis> mArrivals;
   std::optional<double> mLimit;
+  std::optional<Millis> mRest;  ///< That it asks for, while it turns away.
   int mClosed = 0;
   std::size_t mBytes = 0;
   int mRefusedMoves = 0;
