Routers keep the rests that upstreams ask for, whoever else is there

An upstream that had asked a router for 3 s of rest got 5 to 7 requests from it meanwhile; callers were answered 503 after up to four refusals in 16 ms. Cause: nothing read the rest, and what failed lately is tried again where no path is left. Class: a list of whom not to use that is set aside when it is inconvenient, where one kind of entry must not be.

--- a/daemons/relay/relay_answer.cpp
+++ b/daemons/relay/relay_answer.cpp
@@ -34,6 +34,9 @@
   }
   TakeLimit(facts.mLimit);
   TakeLeaving(facts.mLeaves);
+  if (facts.mRest > 0 && IsCurrent()) {
+    mContext.mRests.Ask(mAttempt->mInstance, facts.mRest, SteadyNow());
+  }
   if (facts.mRan == Ran::kNo) {
     for (const PathPart& part : mAttempt->mPath) {
       if (part.mAddress == facts.mCulprit) {
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -206,6 +206,7 @@
   }
   const UpstreamRecord* record = mContext.mRegistry.Find(mAttempt->mInstance);
   return record != nullptr && IsCurrent() && !Ends(record->mState) &&
+         !mContext.mRests.Holds(mAttempt->mInstance, SteadyNow()) &&
          Remaining() > 0 && !IsBarred();
 }
 
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -76,6 +76,7 @@
   mOtherLoads.erase(instance);
   mPaces.Forget(instance);
   mLimits.Forget(instance);
+  mRests.Forget(instance);
   mRestarted.insert(instance);
   mCounters.Add("upstreams_restarted");
   LogLine(LogLevel::kInfo, "upstream_restarted")
@@ -228,6 +229,13 @@
   return it->second.mFailures * std::exp2(-age / kFailureHalfLife);
 }
 
+std::set<std::string> RelayContext::HeldBack() {
+  const Millis now = SteadyNow();
+  std::set<std::string> held = mLimits.Held(now);
+  held.merge(mRests.Held(now));
+  return held;
+}
+
 std::set<std::string> RelayContext::Avoided() const {
   std::set<std::string> avoided;
   const Millis now = SteadyNow();
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -16,6 +16,7 @@
 #include "spindleweir/servers/limits/crash_watch.h"
 #include "spindleweir/servers/limits/memory_account.h"
 #include "spindleweir/servers/limits/named_limits.h"
+#include "spindleweir/servers/limits/rest_periods.h"
 #include "spindleweir/servers/limits/router_count.h"
 #include "spindleweir/servers/limits/stop_intake.h"
 #include "spindleweir/servers/limits/usual_time.h"
@@ -111,7 +112,7 @@
   double FailuresOf(const std::string& aInstance) const;
   /// Instances that no request may be sent to at present, whatever else there
   /// is: first attempts, further ones and moves alike.
-  std::set<std::string> HeldBack() { return mLimits.Held(SteadyNow()); }
+  std::set<std::string> HeldBack();
   /// Instances that are not to be used at present.
   std::set<std::string> Avoided() const;
 
@@ -152,6 +153,7 @@
   BeatTaker mTaker;
   EnginePaces mPaces;
   NamedLimits mLimits;
+  RestPeriods mRests;
   CrashWatch mCrashes;
   StopIntake mStopIntake;
   bool mStopping = false;
