A refusal that names no culprit counts against who answered

Callers were answered 503 after three more refusals by the same engine within some milliseconds, while other engines were free. Cause: a refusal counted against a part of the path only where the answer named it; where it named none, as engines that shed load do and plain upstreams always, it counted against nobody, and the next attempt was chosen by what was known before it. Change: it counts against the part that is named, else against the upstream that answered.

--- a/daemons/relay/relay_answer.cpp
+++ b/daemons/relay/relay_answer.cpp
@@ -38,11 +38,7 @@
     mContext.mRests.Ask(mAttempt->mInstance, facts.mRest, SteadyNow());
   }
   if (facts.mRan == Ran::kNo) {
-    for (const PathPart& part : mAttempt->mPath) {
-      if (part.mAddress == facts.mCulprit) {
-        mContext.Failed(part.mInstance, kAvoidAfterRefusal);
-      }
-    }
+    mContext.Failed(Refuser(), kAvoidAfterRefusal);
     AttemptFailed(Ran::kNo, ResultCode::kUpstreamFull, true);
     return;
   }
@@ -53,6 +49,15 @@
   }
 }
 
+const std::string& RelayRequest::Refuser() const {
+  const LayerPath& path = mAttempt->mPath;
+  const auto it =
+      std::find_if(path.begin(), path.end(), [this](const PathPart& aPart) {
+        return aPart.mAddress == mAttempt->mFacts.mCulprit;
+      });
+  return it == path.end() ? mAttempt->mInstance : it->mInstance;
+}
+
 void RelayRequest::TakeLimit(const LimitWord& aWord) {
   const std::string& instance = mAttempt->mInstance;
   const bool isNews =
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -130,6 +130,9 @@
   void Send(const UpstreamRecord& aFirst);
   bool MaySend() const;
   void HandleHead(const AnswerHead& aHead);
+  /// Who refused the attempt: the part of its path that the answer names, else
+  /// the upstream that answered.
+  const std::string& Refuser() const;
   /// Takes what an answer says of its upstream's limit.
   void TakeLimit(const LimitWord& aWord);
   /// Takes an answer's word that its upstream leaves.
--- a/tests/daemons/upstream_rest_test.cpp
+++ b/tests/daemons/upstream_rest_test.cpp
@@ -112,3 +112,16 @@
   }
   CHECK(engines.mSecond.ArrivalsSince(from) <= kMostInRest);
 }
+
+Test(upstream_rest,
+     is_not_needed_for_a_request_to_go_elsewhere_after_a_refusal) {
+  RelayStory story;
+  TwoEngines engines(story);
+  engines.mFirst.TurnAway(0);
+  const Millis from = SteadyNow();
+  constexpr int kCalls = 10;
+  for (int i = 0; i < kCalls; i++) {
+    CHECK(story.Call("/stream/1").mStatus == kOk);
+  }
+  CHECK(engines.mFirst.ArrivalsSince(from) <= kCalls / 2);
+}
