--- a/daemons/relay/relay_answer.cpp
+++ b/daemons/relay/relay_answer.cpp
@@ -13,8 +13,6 @@
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
-/// An upstream that refused is left alone for so long.
-constexpr Millis kAvoidAfterRefusal = 300;
 
 /// Statuses by which callers take a request for not run, now or ever.
 bool PromisesNotRun(int aStatus) {
@@ -38,7 +36,7 @@
     mContext.mRests.Ask(mAttempt->mInstance, facts.mRest, SteadyNow());
   }
   if (facts.mRan == Ran::kNo) {
-    mContext.Failed(Refuser(), kAvoidAfterRefusal);
+    mContext.Refused(Refuser());
     AttemptFailed(Ran::kNo, ResultCode::kUpstreamFull, true);
     return;
   }
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -139,7 +139,8 @@
     return full;
   });
   mLacksRoom = question.mUpstreams.size() < known;
-  question.mAvoid = mTried;
+  question.mAvoid = mContext.Avoided();
+  question.mAvoid.insert(mTried.begin(), mTried.end());
   question.mRequestsOf = [this](const std::string& aInstance) {
     return mContext.LoadOf(aInstance).mRequests;
   };
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -33,6 +33,8 @@
 constexpr double kToOtherZones = 0.1;
 constexpr double kMillisPerSecond = 1000;
 constexpr double kThousandths = 1000;
+/// An upstream that refused is left alone for so long.
+constexpr Millis kAvoidAfterRefusal = 300;
 
 MemoryAccountOptions MemoryOf(const RelayOptions& aOptions) {
   MemoryAccountOptions options =
@@ -214,6 +216,11 @@
   experience.mAvoidUntil = std::max(experience.mAvoidUntil, now + aAvoidFor);
 }
 
+void RelayContext::Refused(const std::string& aInstance) {
+  Millis& until = mExperience[aInstance].mAvoidUntil;
+  until = std::max(until, SteadyNow() + kAvoidAfterRefusal);
+}
+
 void RelayContext::Unreachable(const std::string& aInstance, Millis aFor) {
   Failed(aInstance, aFor);
   UpstreamExperience& experience = mExperience[aInstance];
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -100,6 +100,8 @@
 
   void Succeeded(const std::string& aInstance);
   void Failed(const std::string& aInstance, Millis aAvoidFor);
+  /// It refused to run a request, which is no failure of what it runs.
+  void Refused(const std::string& aInstance);
   /// No connection could be made.
   void Unreachable(const std::string& aInstance, Millis aFor);
   /// The start of the incarnation that is known; 0: none, or not told.
