--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -33,8 +33,11 @@
 constexpr double kToOtherZones = 0.1;
 constexpr double kMillisPerSecond = 1000;
 constexpr double kThousandths = 1000;
-/// An upstream that refused is left alone for so long.
+/// An upstream that refused is left alone for so long, twice as long each time
+/// that it refuses again after it, up to a bound.
 constexpr Millis kAvoidAfterRefusal = 300;
+constexpr Millis kMostAfterRefusals = 3000;
+constexpr int kMostDoublings = 4;
 
 MemoryAccountOptions MemoryOf(const RelayOptions& aOptions) {
   MemoryAccountOptions options =
@@ -204,6 +207,7 @@
   const auto it = mExperience.find(aInstance);
   if (it != mExperience.end()) {
     it->second.mFailures *= 1 - kOutcomeWeight;
+    it->second.mRefusals = 0;
   }
 }
 
@@ -217,8 +221,16 @@
 }
 
 void RelayContext::Refused(const std::string& aInstance) {
-  Millis& until = mExperience[aInstance].mAvoidUntil;
-  until = std::max(until, SteadyNow() + kAvoidAfterRefusal);
+  UpstreamExperience& experience = mExperience[aInstance];
+  const Millis now = SteadyNow();
+  if (now < experience.mAvoidUntil) {
+    // Requests that were under way together are refused together.
+    return;
+  }
+  experience.mAvoidUntil =
+      now + std::min(kMostAfterRefusals,
+                     kAvoidAfterRefusal << experience.mRefusals);
+  experience.mRefusals = std::min(experience.mRefusals + 1, kMostDoublings);
 }
 
 void RelayContext::Unreachable(const std::string& aInstance, Millis aFor) {
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -42,6 +42,7 @@
   double mFailures = 0;  ///< Moving share of attempts that failed, 0 to 1.
   Millis mFailedAt = -1;
   Millis mAvoidUntil = -1;
+  int mRefusals = 0;  ///< In a row, each after the time of the one before.
   Millis mUnreachableUntil = -1;
 };
 
