Routers take an upstream's word in an answer that it leaves

Cause: a router knew the state of an upstream from control alone; one that says in its answers that it leaves went on getting requests until control's word came, or for as long as control could not be heard. Change: such an answer is taken as control's word is, in the router's registry, by which all choices, the look before bytes leave and the streams that move go already. A late heartbeat does not take it back. upstream_leave_test: all three stories failed before (a plain service, its refusals, an engine), pass since.

--- a/daemons/relay/relay_answer.cpp
+++ b/daemons/relay/relay_answer.cpp
@@ -82,6 +82,11 @@
       .Add("instance", mAttempt->mInstance)
       .Add("request", mFacts.mId)
       .Add("state", static_cast<int>(record->mState));
+  // As word of control: no other choice has to know of it. Control hears of it
+  // from the upstream itself; all routers telling it would be many.
+  UpstreamRecord leaving = *record;
+  leaving.mState = UpstreamState::kLeaving;
+  mContext.mRegistry.Merge(leaving, SteadyNow());
 }
 
 void RelayRequest::HandleData(std::string_view aBytes) {
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -228,8 +228,8 @@
     return;
   }
   experience.mAvoidUntil =
-      now + std::min(kMostAfterRefusals,
-                     kAvoidAfterRefusal << experience.mRefusals);
+      now +
+      std::min(kMostAfterRefusals, kAvoidAfterRefusal << experience.mRefusals);
   experience.mRefusals = std::min(experience.mRefusals + 1, kMostDoublings);
 }
 
--- a/standins/scripted_upstream.cpp
+++ b/standins/scripted_upstream.cpp
@@ -51,6 +51,9 @@
   if (mLimit.has_value()) {
     aHeaders.push_back({"X-Limit", std::to_string(*mLimit)});
   }
+  if (mLeaves) {
+    aHeaders.push_back({"X-Leaves", "1"});
+  }
   if (mRest.value_or(0) > 0) {
     aHeaders.push_back({"X-Rest", std::to_string(*mRest)});
   }
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -54,6 +54,8 @@
   void TurnAway(Millis aRest) { mRest = aRest; }
   /// It runs requests again.
   void TakeAgain() { mRest.reset(); }
+  /// From now on its answers say that it leaves.
+  void SayLeaving() { mLeaves = true; }
   /// The requests that came since.
   int ArrivalsSince(Millis aFrom) const;
   /// The most requests that came within such a time, of those since aFrom.
@@ -87,6 +89,7 @@
   std::map<std::string, int> mRuns;
   std::vector<Millis> mArrivals;
   std::optional<double> mLimit;
+  bool mLeaves = false;
   std::optional<Millis> mRest;  ///< That it asks for, while it turns away.
   int mClosed = 0;
   std::size_t mBytes = 0;
--- /dev/null
+++ b/tests/daemons/upstream_leave_test.cpp
@@ -0,0 +1,87 @@
+/// Upstreams that say in their answers that they leave get no new requests,
+/// whatever control knows of them.
+#include "tests/daemons/relay_story.h"
+
+using namespace spindleweir;
+
+namespace {
+
+constexpr Millis kPause = 20;
+constexpr int kOk = 200;
+constexpr int kCalls = 50;
+
+/// Calls until an answer of this upstream came.
+void AwaitAnswer(RelayStory& aStory, const ScriptedUpstream& aUpstream,
+                 const std::string& aTarget) {
+  const Millis from = SteadyNow();
+  for (int i = 0; aUpstream.ArrivalsSince(from) == 0; i++) {
+    REQUIRE(i < 200);
+    aStory.Call(aTarget);
+    aStory.Wait(kPause);
+  }
+}
+
+int CallOften(RelayStory& aStory, const std::string& aTarget) {
+  int served = 0;
+  for (int i = 0; i < kCalls; i++) {
+    served += aStory.Call(aTarget).mStatus == kOk ? 1 : 0;
+  }
+  return served;
+}
+
+}  // namespace
+
+Test(upstream_leave, told_in_an_answer_of_a_plain_service_holds) {
+  RelayStory story;
+  story.Begin();
+  story.mA.SayLeaving();
+  AwaitAnswer(story, story.mA, "/look/1");
+  const Millis from = SteadyNow();
+  CHECK(CallOften(story, "/look/1") == kCalls);
+  CHECK(story.mA.ArrivalsSince(from) == 0);
+  SECTION("a late heartbeat that calls it ready does not bring it back") {
+    story.Beat(story.mA, UpstreamState::kReady);
+    story.Wait(500);
+    CHECK(CallOften(story, "/look/1") == kCalls);
+    CHECK(story.mA.ArrivalsSince(from) == 0);
+  }
+  SECTION("neither does it that the other one fails") {
+    story.mB.Next({UpstreamAct::kCut, UpstreamAct::kCut});
+    story.Call("/look/1");
+    CHECK(story.mA.ArrivalsSince(from) == 0);
+  }
+}
+
+Test(upstream_leave, told_in_a_refusal_holds) {
+  RelayStory story;
+  story.Begin();
+  story.mA.SayLeaving();
+  story.mA.TurnAway(0);
+  AwaitAnswer(story, story.mA, "/look/1");
+  const Millis from = SteadyNow();
+  story.mA.TakeAgain();
+  // Refusals alone are soon forgotten.
+  story.Wait(500);
+  CHECK(CallOften(story, "/look/1") == kCalls);
+  CHECK(story.mA.ArrivalsSince(from) == 0);
+}
+
+Test(upstream_leave, told_in_an_answer_of_an_engine_holds) {
+  RelayStory story;
+  ScriptedUpstream leaving(story.mLoop, "e1");
+  ScriptedUpstream other(story.mLoop, "e2");
+  story.Begin();
+  story.BeginEngine(leaving);
+  story.BeatEngine(other);
+  story.Wait(500);
+  leaving.SayLeaving();
+  AwaitAnswer(story, leaving, "/stream/1");
+  const Millis from = SteadyNow();
+  CHECK(CallOften(story, "/stream/1") == kCalls);
+  CHECK(leaving.ArrivalsSince(from) == 0);
+  SECTION("streams that go on elsewhere do not go there either") {
+    other.Next({UpstreamAct::kCut});
+    CHECK(story.Call("/stream/1").mEnd == StreamEnd::kComplete);
+    CHECK(leaving.ArrivalsSince(from) == 0);
+  }
+}
