Soak: upstreams that name limits, ask for rest, and say that they leave

Judged by what upstreams got, with the users' bounds; what a router sent after something was done to it is excused, as the users do.

--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -28,11 +28,15 @@
 freeze_one() {
   pick_name
   frozen=$picked
+  note freeze name "$frozen"
   kill -STOP "$(pid "$frozen")"
 }
 
 thaw() {
-  [ -z "$frozen" ] || kill -CONT "$(pid "$frozen")"
+  if [ -n "$frozen" ]; then
+    kill -CONT "$(pid "$frozen")"
+    note thaw name "$frozen"
+  fi
   frozen=""
 }
 
--- a/tests/platform/soak/soak_main.cpp
+++ b/tests/platform/soak/soak_main.cpp
@@ -23,6 +23,7 @@
 DEFINE_uint32(seed, 1, "of all that is at random here");
 DEFINE_int32(seconds, 15, "how long callers come");
 DEFINE_bool(links, false, "the network to engines fails too");
+DEFINE_bool(needs, false, "upstreams name limits and ask for rest too");
 DEFINE_int32(callers, 48, "that come at the same time");
 
 namespace spindleweir {
@@ -34,6 +35,7 @@
 constexpr Millis kLastWait = 30000;
 constexpr int kWaysToEnd = 2;
 constexpr int kWaysOfLinks = 4;
+constexpr int kLongestNeedPause = 2500;
 constexpr int kMostChangePause = 900;
 constexpr int kMostFaultPause = 3000;
 
@@ -205,6 +207,16 @@
   return kills;
 }
 
+std::vector<SoakFault> ReadFaults(const std::string& aPath) {
+  std::vector<SoakFault> faults;
+  std::istringstream lines(ReadFile(aPath).value_or(""));
+  for (std::string line; std::getline(lines, line);) {
+    const Json::Value record = ParseJson(line);
+    faults.push_back({record["name"].asString(), record["wall_us"].asInt64()});
+  }
+  return faults;
+}
+
 /// All that the soak plays beside the processes.
 class Soak {
  public:
@@ -229,8 +241,8 @@
     mOperator.Change();
     const auto end = mLoop.After(kLastWait + Length(), [this] { Finish(); });
     mLoop.Run();
-    const int broken =
-        mRecord.Judge(ReadKills(FLAGS_faults)) + (mReadBack ? 0 : 1);
+    const int broken = mRecord.Judge(ReadKills(FLAGS_faults)) + JudgeNeeds() +
+                       (mReadBack ? 0 : 1);
     std::cout << (mReadBack ? "" : "BROKEN: the newest version is lost\n")
               << "seed " << FLAGS_seed << ": " << broken << " broken\n";
     return broken == 0 ? 0 : 1;
@@ -263,6 +275,34 @@
                             .mRecord = &mRecord}));
   }
 
+  int JudgeNeeds() const {
+    const std::vector<SoakFault> faults = ReadFaults(FLAGS_faults);
+    std::size_t needs = 0;
+    int broken = 0;
+    for (const auto& upstream : mUpstreams) {
+      needs += upstream->Needs().size();
+      for (const SoakNeed& need : upstream->Needs()) {
+        broken += need.Judge(faults);
+      }
+    }
+    std::cout << needs << " upstreams in need\n";
+    return broken;
+  }
+
+  /// One upstream after the other asks for less; several may at a time.
+  void AskForLess() {
+    mNeedTimer = mLoop.After(Pick(300, kLongestNeedPause), [this] {
+      const auto n = static_cast<int>(mUpstreams.size());
+      SoakUpstream& upstream = *mUpstreams[Pick(0, n - 1)];
+      const NeedKind kind =
+          Pick(0, 1) == 0 ? NeedKind::kLimit : NeedKind::kRest;
+      if (!mEnding && upstream.Steady()) {
+        upstream.Need(kind);
+      }
+      AskForLess();
+    });
+  }
+
   /// A change has ended; the first one begins it all.
   void Settled() {
     if (!mBegun && mOperator.Acknowledged()) {
@@ -286,6 +326,9 @@
                             .mGoesOn = [this] { return !mEnding; }}));
     }
     Strike();
+    if (FLAGS_needs) {
+      AskForLess();
+    }
     mEndTimer = mLoop.After(Length(), [this] {
       mEnding = true;
       mEndTimer = mLoop.Every(100, [this] { EndIfIdle(); });
@@ -358,6 +401,7 @@
   std::unique_ptr<Timer> mBeginTimer;
   std::unique_ptr<Timer> mChangeTimer;
   std::unique_ptr<Timer> mStrikeTimer;
+  std::unique_ptr<Timer> mNeedTimer;
   std::unique_ptr<Timer> mEndTimer;
 };
 
--- a/tests/platform/soak/soak_record.h
+++ b/tests/platform/soak/soak_record.h
@@ -41,6 +41,12 @@
   std::int64_t mTo = 0;    ///< The same, after it.
 };
 
+/// Something was done to a process, by the fault script's record.
+struct SoakFault {
+  std::string mName;
+  std::int64_t mAt = 0;  ///< Wall microseconds.
+};
+
 std::int64_t WallMicros();
 
 /// All requests of a soak, by their id.
--- a/tests/platform/soak/soak_upstream.cpp
+++ b/tests/platform/soak/soak_upstream.cpp
@@ -66,6 +66,9 @@
 
 void SoakUpstream::End() {
   CountLost();
+  if (!mNeeds.empty() && mNeeds.back().Asks(WallMicros())) {
+    mNeeds.back().End(WallMicros());
+  }
   mRuns.clear();
   mBeatTimer.reset();
   mStepTimer.reset();
@@ -78,6 +81,26 @@
   End();
 }
 
+void SoakUpstream::Need(NeedKind aKind) {
+  const std::int64_t now = WallMicros();
+  if (mNeeds.empty() || !mNeeds.back().Asks(now)) {
+    mNeeds.emplace_back(aKind, mInstance, now);
+  }
+}
+
+HttpHeaders SoakUpstream::Saying(const SoakRequest& aRequest,
+                                 HttpHeaders aHeaders) {
+  const std::int64_t now = WallMicros();
+  if (!mNeeds.empty() && mNeeds.back().Asks(now)) {
+    const HttpHeaders needs = mNeeds.back().Arrived(aRequest.mRouter, now);
+    aHeaders.insert(aHeaders.end(), needs.begin(), needs.end());
+  }
+  if (mLeaving) {
+    aHeaders.push_back({"Server-Leaving", "1"});
+  }
+  return aHeaders;
+}
+
 void SoakUpstream::FailLink(int aHow) {
   constexpr Millis kShort = 400;
   constexpr Millis kLong = 2500;
@@ -197,13 +220,17 @@
     aExchange->Abort();
     return;
   }
+  if (!mNeeds.empty() && mNeeds.back().TurnsAway(WallMicros())) {
+    aExchange->Reply(503, Saying(*request, {{kId, id}}), "");
+    return;
+  }
   request->mRuns++;
-  const HttpHeaders headers = {
-      {kId, id}, {kSeal, mInstance}, {"Content-Type", "text/event-stream"}};
+  HttpHeaders headers = Saying(*request, {{kId, id}, {kSeal, mInstance}});
   if (!mOptions.mEngine) {
-    aExchange->Reply(200, {{kId, id}, {kSeal, mInstance}}, "by " + id);
+    aExchange->Reply(200, headers, "by " + id);
     return;
   }
+  headers.push_back({"Content-Type", "text/event-stream"});
   aExchange->Start(200, headers, std::nullopt);
   const std::string after = ValueOf(head.mHeaders, "Last-Event-Id");
   const std::string& target = head.mTarget;
--- a/tests/platform/soak/soak_upstream.h
+++ b/tests/platform/soak/soak_upstream.h
@@ -9,6 +9,7 @@
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
 #include "tests/platform/soak/soak_link.h"
+#include "tests/platform/soak/soak_need.h"
 #include "tests/platform/soak/soak_record.h"
 
 namespace spindleweir {
@@ -30,6 +31,10 @@
   void Crash();
   /// Says that it leaves, serves on for a while, and is followed by another.
   void Leave();
+  /// It asks for less for some seconds.
+  void Need(NeedKind aKind);
+  /// All such times, to be judged.
+  const std::vector<SoakNeed>& Needs() const { return mNeeds; }
   /// The network to it fails in some way: 0 to 3. Its process runs on.
   void FailLink(int aHow);
   bool Steady() const { return mServer != nullptr && !mLeaving; }
@@ -54,6 +59,8 @@
   void Beat();
   void Tell(const std::string& aTarget, const std::string& aBody);
   void Handle(const std::shared_ptr<StreamExchange>& aExchange);
+  /// What answers say beside their own: that it leaves, that it is in need.
+  HttpHeaders Saying(const SoakRequest& aRequest, HttpHeaders aHeaders);
   void RunRequest(const std::shared_ptr<StreamExchange>& aExchange);
   void TakeOrder(StreamExchange& aExchange);
   void Report(StreamExchange& aExchange);
@@ -72,6 +79,7 @@
   bool mLeaving = false;
   std::size_t mControl = 0;  ///< That was reached last.
   std::vector<Run> mRuns;
+  std::vector<SoakNeed> mNeeds;  ///< The last may still last.
   std::unique_ptr<StreamServer> mServer;
   std::unique_ptr<SoakLink> mLink;
   std::unique_ptr<StreamCall> mCall;
