Limits: word of an end counts only against older namings

Found by a new fuzz of NamedLimits against one who sees all answers (, after 89 cases), before any caller saw it: an upstream that named its limit again was taken by another router for unlimited. Two causes: an end was told for 5 s and believed against what had been named 2.5 s before, so that an older end won; and an answer to a request sent before a router had heard of the limit from others ended it. Change: an end is told for 2.5 s and believed against what was named 5 s before; an answer ends only what was known when its request was sent. named_limits_fuzz: 5,000 cases pass (it failed before); upstream_limit_test passes.

--- a/servers/limits/named_limits.cpp
+++ b/servers/limits/named_limits.cpp
@@ -43,7 +43,8 @@
     return isNews;
   }
   // An answer that was on its way when the limit was named says nothing.
-  if (it == mLimits.end() || aBegunAt <= it->second.mNamedAt) {
+  if (it == mLimits.end() ||
+      aBegunAt <= std::max(it->second.mNamedAt, it->second.mKnownAt)) {
     return false;
   }
   Forget(aInstance);
@@ -73,7 +74,7 @@
     const auto known = mLimits.find(instance);
     const bool namedLately = known != mLimits.end() &&
                              known->second.mNamedAt >= 0 &&
-                             aNow - known->second.mNamedAt <= mOptions.mNewsAge;
+                             aNow - known->second.mNamedAt <= 2 * mOptions.mNewsAge;
     if (share.mLimitEnds > 0 && !namedLately) {
       mLimits.erase(instance);
       continue;
@@ -107,7 +108,7 @@
     }
   }
   for (const auto& [instance, endedAt] : mEndedAt) {
-    if (aNow - endedAt <= 2 * mOptions.mNewsAge) {
+    if (aNow - endedAt <= mOptions.mNewsAge) {
       aLoads[instance].mInstance = instance;
       aLoads[instance].mLimitEnds = 1;
     }
--- a/tests/servers/named_limits_test.cpp
+++ b/tests/servers/named_limits_test.cpp
@@ -204,8 +204,13 @@
     other.Tell(ended, 100);
     one.TakeNews(ended, 110);
     CHECK(one.Of("a") == 2.5);
-    one.TakeNews(ended, 3000);
+    one.TakeNews(ended, 5000);
+    CHECK(one.Of("a") == 2.5);
+    one.TakeNews(ended, 5020);
     CHECK(!one.Of("a").has_value());
+    LoadShares later;
+    other.Tell(later, 2600);
+    CHECK(later.empty());
   }
 }
 
