A begun stream waits for an engine that refuses, and does not use up its attempts at it

Cause: where no path is left, those that failed lately are tried again, and those that had just refused among them; eight refusals are what a begun stream has. Change: who can wait (a begun stream, a request that has come back) is not sent to an engine that refused a moment ago, and looks again as for any path that is missing; others are, as before. Test: upstream_rest/of_the_only_engine_is_waited_for_by_a_begun_stream: broken off before, whole after. daemons_tests whole in the release build.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -164,8 +164,10 @@
         .Add("request", mFacts.mId)
         .Add("avoided", static_cast<int>(question.mAvoid.size()))
         .Add("held_back", static_cast<int>(question.mNotFirst.size()));
-    // Better one that failed lately than none.
-    question.mAvoid.clear();
+    // Better one that failed lately than none. But one that refuses would do so
+    // until all attempts are used: who can wait does.
+    question.mAvoid =
+        IsWorthWaiting() ? mContext.RefusedLately() : std::set<std::string>();
     answer = ChoosePath(question);
   }
   mLacksRoom = answer.mLacksRoom;
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -223,11 +223,11 @@
 void RelayContext::Refused(const std::string& aInstance) {
   UpstreamExperience& experience = mExperience[aInstance];
   const Millis now = SteadyNow();
-  if (now < experience.mAvoidUntil) {
+  if (now < experience.mRefusedUntil) {
     // Requests that were under way together are refused together.
     return;
   }
-  experience.mAvoidUntil =
+  experience.mRefusedUntil =
       now +
       std::min(kMostAfterRefusals, kAvoidAfterRefusal << experience.mRefusals);
   experience.mRefusals = std::min(experience.mRefusals + 1, kMostDoublings);
@@ -255,8 +255,19 @@
   return held;
 }
 
+std::set<std::string> RelayContext::RefusedLately() const {
+  const Millis now = SteadyNow();
+  std::set<std::string> refused;
+  for (const auto& [instance, experience] : mExperience) {
+    if (now < experience.mRefusedUntil) {
+      refused.insert(instance);
+    }
+  }
+  return refused;
+}
+
 std::set<std::string> RelayContext::Avoided() const {
-  std::set<std::string> avoided;
+  std::set<std::string> avoided = RefusedLately();
   const Millis now = SteadyNow();
   for (const auto& [instance, experience] : mExperience) {
     if (now < experience.mAvoidUntil) {
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -42,6 +42,7 @@
   double mFailures = 0;  ///< Moving share of attempts that failed, 0 to 1.
   Millis mFailedAt = -1;
   Millis mAvoidUntil = -1;
+  Millis mRefusedUntil = -1;
   int mRefusals = 0;  ///< In a row, each after the time of the one before.
   Millis mUnreachableUntil = -1;
 };
@@ -116,7 +117,9 @@
   /// Instances that no request may be sent to at present, whatever else there
   /// is: first attempts, further ones and moves alike.
   std::set<std::string> HeldBack();
-  /// Instances that are not to be used at present.
+  /// Instances that refused to run a request a moment ago.
+  std::set<std::string> RefusedLately() const;
+  /// Instances that are not to be used at present, these among them.
   std::set<std::string> Avoided() const;
 
   RetryAllowance& RetriesOf(const std::string& aService);
--- a/tests/daemons/upstream_rest_test.cpp
+++ b/tests/daemons/upstream_rest_test.cpp
@@ -125,3 +125,25 @@
   }
   CHECK(engines.mFirst.ArrivalsSince(from) <= kCalls / 2);
 }
+
+Test(upstream_rest, of_the_only_engine_is_waited_for_by_a_begun_stream) {
+  RelayStory story;
+  TwoEngines engines(story);
+  engines.mFirst.Next({UpstreamAct::kStall});
+  const auto open = story.Open("/stream/1", "begun");
+  REQUIRE(story.RunUntil([&open] { return !open->mAnswer.mBody.empty(); }));
+  story.BeatEngine(engines.mFirst, {0, 8}, UpstreamState::kLeaving);
+  REQUIRE(story.RunUntil([&story] {
+    story.mRouter->RefreshGauges();
+    return story.mRouter->OwnCounters().Value("upstreams_ready") == 3;
+  }));
+  SECTION("which refuses for a moment, without asking for any") {
+    engines.mSecond.TurnAway(0);
+    engines.mFirst.Crash();
+    story.Wait(kTold);
+    engines.mSecond.TakeAgain();
+    CHECK(story.RunUntil([&open] { return open->mEnded; }));
+    CHECK(open->mAnswer.mEnd == StreamEnd::kComplete);
+    CHECK(engines.mSecond.Runs("begun") == 1);
+  }
+}
