--- a/include/spindleweir/servers/limits/named_limits.h
+++ b/include/spindleweir/servers/limits/named_limits.h
@@ -36,8 +36,8 @@
   /// limits are used at all by callers that come seldom.
   Millis mCreditHolds = 1000;
   double mKeptBesides = 1;
-  /// Who saw a limit end tells so for this long, and word takes as long at most:
-  /// what was named within both may have been named after the end.
+  /// Who saw a limit end tells so for this long, and word takes as long at
+  /// most: what was named within both may have been named after the end.
   Millis mNewsAge = 2500;
   /// An upstream that takes nothing at all is asked this often, in requests a
   /// second of all routers: only an answer tells that its limit has ended.
--- a/servers/limits/named_limits.cpp
+++ b/servers/limits/named_limits.cpp
@@ -72,15 +72,14 @@
   });
   for (const auto& [instance, share] : aOthers) {
     const auto known = mLimits.find(instance);
-    const bool namedLately = known != mLimits.end() &&
-                             known->second.mNamedAt >= 0 &&
-                             aNow - known->second.mNamedAt <= 2 * mOptions.mNewsAge;
+    const bool namedHere =
+        known != mLimits.end() && known->second.mNamedAt >= 0;
+    const bool namedLately =
+        namedHere && aNow - known->second.mNamedAt <= 2 * mOptions.mNewsAge;
     if (share.mLimitEnds > 0 && !namedLately) {
       mLimits.erase(instance);
       continue;
     }
-    const bool namedHere =
-        known != mLimits.end() && known->second.mNamedAt >= 0;
     // Those who were told before it ended tell of it for a while.
     if (share.mLimitTellers > 0 && !namedHere && !mEndedAt.contains(instance)) {
       Know(instance,
