Controls that do not vote fetch accepted configurations from others

Cause: the traffic configuration of a control came from the replicated log alone, which only voters receive, at most 7. In a fleet of 25 controls 18 had none to send; a router polls three controls, and where all three were such it got no configuration and no lease.

Change: answers between controls name the version held; of several that report a newer one the first is asked for it. Former controls ignore the new fields.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -133,7 +133,10 @@
   UpdateLocalConfirmation(now);
   answer.mConfirmedVersion = mConfirmation.Version();
   answer.mConfirmedAgo = mConfirmation.Age(now);
-  if (!fromControl) {
+  if (fromControl) {
+    answer.mHeldVersion = Traffic().mVersion;
+  }
+  if (!fromControl || aRequest.mWantsConfiguration) {
     answer.mConfigurationUpdates =
         mTraffic.UpdatesSince(aRequest.mConfiguration);
   }
@@ -315,7 +318,7 @@
   }
 }
 
-void SyncService::Poll(const Endpoint& aAddress) {
+void SyncService::Poll(const Endpoint& aAddress, bool aFetches) {
   PeerControl& peer = mPeerControls[aAddress.Text()];
   if (peer.mPolling) {
     return;
@@ -330,17 +333,21 @@
   request.mRevision = peer.mRevision;
   request.mKnownLoads = peer.mLoadsSequence;
   request.mKnownCrashRevision = peer.mCrashRevision;
+  request.mWantsConfiguration = aFetches;
   request.mConfiguration = Traffic().mVersion;
   const Millis polledAt = SteadyNow();
-  mContext.mRpc.Call(aAddress, rpc_method::kSync, ToJson(request), kPollTimeout,
-                     [this, aAddress, polledAt](const RpcResult& aResult) {
-                       mPeerControls[aAddress.Text()].mPolling = false;
-                       if (aResult.mOk) {
-                         ApplyAnswer(aAddress,
-                                     FromJson<SyncAnswer>(aResult.mAnswer),
-                                     polledAt);
-                       }
-                     });
+  mContext.mRpc.Call(
+      aAddress, rpc_method::kSync, ToJson(request), kPollTimeout,
+      [this, aAddress, polledAt, aFetches](const RpcResult& aResult) {
+        mPeerControls[aAddress.Text()].mPolling = false;
+        if (aFetches) {
+          mFetch.End();
+        }
+        if (aResult.mOk) {
+          ApplyAnswer(aAddress, FromJson<SyncAnswer>(aResult.mAnswer),
+                      polledAt);
+        }
+      });
 }
 
 void SyncService::ApplyAnswer(const Endpoint& aAddress,
@@ -378,6 +385,28 @@
 }
 
 void SyncService::SaveState() {
+  ApplyConfigurationUpdates(aAnswer);
+  if (mFetch.TryStart(Traffic().mVersion, aAnswer.mHeldVersion, now)) {
+    Poll(aAddress, true);
+  }
+}
+
+void SyncService::ApplyConfigurationUpdates(const SyncAnswer& aAnswer) {
+  for (const TrafficUpdate& update : aAnswer.mConfigurationUpdates) {
+    const TrafficConfiguration& held = Traffic();
+    const bool isApplicable =
+        update.mVersion > held.mVersion &&
+        (update.mBaseVersion == 0 || update.mBaseVersion == held.mVersion);
+    if (!isApplicable) {
+      return;
+    }
+    mTraffic.Add(ApplyTrafficUpdate(&held, update));
+    mContext.mCounters.Set("traffic_version", update.mVersion);
+    mContext.mCounters.Add("configurations_fetched");
+    LogLine(LogLevel::kInfo, "configuration_fetched")
+        .Add("version", static_cast<Json::Int64>(update.mVersion))
+        .Add("from", aAnswer.mSelf.mId);
+  }
   mCrashes.RemoveExpired(SteadyNow());
   mCrashStore.Save(mCrashes, SteadyNow());
   // Disks can hang for seconds. A leader does not write these files, so that no
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -15,6 +15,7 @@
 #include "daemons/control/start_stamp.h"
 #include "daemons/control/upstream_intake.h"
 #include "spindleweir/daemons/sync_messages.h"
+#include "spindleweir/servers/routes/configuration_fetch.h"
 #include "spindleweir/servers/routes/newest_confirmation.h"
 #include "spindleweir/servers/routing/retry_pool.h"
 
@@ -60,7 +61,8 @@
   void PollControls();
   /// Ids of the controls that answered within kContactTimeout.
   std::vector<std::string> ReachableControls() const;
-  void Poll(const Endpoint& aAddress);
+  /// aFetches: the answer should hold newer configurations.
+  void Poll(const Endpoint& aAddress, bool aFetches = false);
   /// Polls a new leader for its confirmation at once. Waiting for the next poll
   /// of all controls gives routers of other zones their lease up to 0.3 s
   /// later.
@@ -71,6 +73,8 @@
   void UpdateLocalConfirmation(Millis aNow);
   void UpdateVoters();
   void SaveState();
+  /// Takes over configurations that were fetched from another control.
+  void ApplyConfigurationUpdates(const SyncAnswer& aAnswer);
   /// Whether this process has no contact with a majority of the controls: then
   /// it is cut off itself, and silent upstreams may well be running.
   bool IsCutOff() const;
@@ -96,6 +100,7 @@
   /// the whole log at once: parsing each of 118 versions of 600 routes takes a
   /// new leader with 0.15 cores 2.7 s, and only the newest is needed.
   std::optional<PublishedDocument> mUnparsed;
+  ConfigurationFetch mFetch{ConfigurationFetchOptions{}};
   std::map<std::string, Millis> mPolledAt;  ///< By router.
   NewestConfirmation mConfirmation;
   StartStamp mStamp;
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -74,6 +74,9 @@
   /// Upstreams that the poller considers silent: rows of SilentUpstream, see
   /// ReadRows.
   std::vector<Json::Value> mSilent;
+  /// From a control: it requests the versions after mConfiguration. Routers
+  /// always receive them.
+  bool mWantsConfiguration = false;
   /// From a router: the nearest control, to which it reports its loads,
   /// answered it recently.
   bool mNearestAnswers = false;
@@ -109,6 +112,7 @@
     aCodec.Sparse("hears_near", mNearestAnswers);
     aCodec.Sparse("takes_at", mCollectorAddress);
     aCodec.Sparse("taken_upstreams", mCollectedUpstreams);
+    aCodec.Sparse("wants_configuration", mWantsConfiguration);
     aCodec.Sparse("taken_beats", mCollectedHeartbeats);
     aCodec.Sparse("knows_loads", mKnownLoads);
     aCodec.Sparse("tells_loads", mReportsLoads);
@@ -140,6 +144,8 @@
       mConfigurationUpdates;  ///< After the poller's version, in order.
   int mRouters = 1;           ///< That report their loads to any control.
   int mOwnRouters = 0;        ///< That report them to this control.
+  /// Version that the answerer holds. To a control only.
+  std::int64_t mHeldVersion = 0;
   Millis mPollInterval = 0;   ///< Of routers in the answerer's zone.
   /// To a router: loads of all routers; to a control: loads of the routers that
   /// report to the answerer. Empty if the poller has those of mLoadsNumber.
@@ -170,6 +176,7 @@
     aCodec.Field("routers", mRouters);
     aCodec.Sparse("own_routers", mOwnRouters);
     aCodec.Sparse("ask_every_ms", mPollInterval);
+    aCodec.Sparse("holds", mHeldVersion);
     aCodec.Sparse("packed_loads", mPackedLoads);
     aCodec.Sparse("loads_number", mLoadsNumber);
     aCodec.Sparse("loads_ago_ms", mLoadsAge);
