--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -104,11 +104,21 @@
   /// Whether this control leads, or has recent contact with or a recent report
   /// of the leader.
   bool HasLeaderContact() const {
+    return Votes() ? mLog.Raft().HasLeaderContact(SteadyNow())
+                   : !mSync.ReportedLeader().empty();
+  }
+
+  bool Votes() const {
     const std::vector<std::string>& voters = mLog.Raft().Voters();
-    const bool votes = std::find(voters.begin(), voters.end(),
-                                 mContext.mOptions.mId) != voters.end();
-    return votes ? mLog.Raft().HasLeaderContact(SteadyNow())
-                 : !mSync.ReportedLeader().empty();
+    return std::find(voters.begin(), voters.end(), mContext.mOptions.mId) !=
+           voters.end();
+  }
+
+  /// Id of the leader, as far as is known; empty: unknown. A control that no
+  /// longer votes has the leader of that time in its log.
+  std::string KnownLeader() const {
+    const std::string& leader = mLog.Raft().Leader();
+    return Votes() && !leader.empty() ? leader : mSync.ReportedLeader();
   }
 
   /// Calls aRun once HasLeaderContact() holds, or after kLeaderWaitTimeout.
@@ -147,9 +157,7 @@
 
   /// The answer of a control that does not lead: names the leader, if known.
   OperatorAnswer NotLeader() const {
-    const std::string leader = mLog.Raft().Leader().empty()
-                                   ? mSync.ReportedLeader()
-                                   : mLog.Raft().Leader();
+    const std::string leader = KnownLeader();
     const ControlInfo* info =
         leader.empty() ? nullptr : mSync.Directory().Find(leader);
     if (info == nullptr || leader == mContext.mOptions.mId) {
--- a/servers/consensus/raft_node.cpp
+++ b/servers/consensus/raft_node.cpp
@@ -297,8 +297,16 @@
   std::int64_t index = 0;
   RunUnlessFailed([this, &aVoters, &index] {
     const std::int64_t next = LastIndex() + 1;
+    const std::vector<std::string> before = mVoters;
     AppendToLog({.mVoters = aVoters});
     index = next;
+    for (const std::string& id : before) {
+      if (!IsVoter(id)) {
+        // No later message goes to it. Without the entry it would take itself
+        // for a voter without a leader.
+        SendAppend(id);
+      }
+    }
   });
   return index;
 }
--- a/tests/fuzz/raft_fuzz.cpp
+++ b/tests/fuzz/raft_fuzz.cpp
@@ -455,3 +455,28 @@
   }
   cr_assert_fail("no leader");
 }
+
+// A voter that was removed while it ran learned nothing of it: it took itself
+// for a voter without a leader, and asked for votes until its process ended.
+Test(raft, a_removed_voter_learns_that_it_votes_no_longer) {
+  RaftCluster cluster(3, false);
+  cr_assert(cluster.HealAndConverge());
+  const auto leader = std::find_if(
+      cluster.mIds.begin(), cluster.mIds.end(),
+      [&](const std::string& aId) { return cluster.mNodes[aId]->Leads(); });
+  cr_assert(leader != cluster.mIds.end());
+  const std::string removed =
+      cluster.mIds.front() == *leader ? cluster.mIds[1] : cluster.mIds.front();
+  std::vector<std::string> fewer = cluster.mIds;
+  std::erase(fewer, removed);
+  REQUIRE(cluster.mNodes[*leader]->ProposeVoters(fewer) != 0);
+  for (int i = 0; i < 100; i++) {
+    cluster.Deliver(0);
+  }
+  CHECK(cluster.mNodes[removed]->Voters() == fewer);
+  SECTION("it asks for no votes") {
+    cluster.mNow += 5000;
+    cluster.mNodes[removed]->Tick(cluster.mNow);
+    CHECK(cluster.mNodes[removed]->Role() == RaftRole::kFollower);
+  }
+}
