A router leaves a control that does not send the newest version

Cause: a router polled its three controls as long as they answered, also where none of them sent a version that all of them said was confirmed.

Change: a control that for 1.5 s confirms a newer version than it has sent is avoided for 3 s like one that does not answer, counted in sources_behind_total, with a line control_behind.

Measured: sources_test (the three sources of a router are replaced by three others). Not shown by a run with processes of both versions.

--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -288,3 +288,20 @@
 }
 
 }  // namespace spindleweir
+  CheckLag(aAddress, aAnswer);
+}
+
+void SyncLink::CheckLag(const Endpoint& aAddress, const SyncAnswer& aAnswer) {
+  const Millis now = SteadyNow();
+  const SourceVersions versions{
+      .mHeld = mContext.Table() == nullptr ? 0 : mContext.Table()->Version(),
+      .mConfirmed = aAnswer.mConfirmedAgo < 0 ? 0 : aAnswer.mConfirmedVersion};
+  if (!mLag.OnAnswer(aAddress.Text(), versions, now)) {
+    return;
+  }
+  mFailedAt.insert_or_assign(aAddress.Text(), now);
+  mContext.mCounters.Add("sources_behind");
+  LogLine(LogLevel::kWarning, "control_behind")
+      .Add("address", aAddress.Text())
+      .Add("held", static_cast<Json::Int64>(versions.mHeld))
+      .Add("confirmed", static_cast<Json::Int64>(versions.mConfirmed));
--- a/daemons/relay/sync_link.h
+++ b/daemons/relay/sync_link.h
@@ -8,6 +8,7 @@
 
 #include "daemons/relay/relay_context.h"
 #include "spindleweir/servers/membership/poll_schedule.h"
+#include "spindleweir/servers/membership/source_lag.h"
 #include "spindleweir/servers/routing/reported_loads.h"
 
 namespace spindleweir {
@@ -63,6 +64,8 @@
   /// Whether the nearest control has answered within its recent poll intervals.
   bool IsNearestFresh() const;
   /// The inputs that decide when a control is polled again.
+  /// Avoids a control that does not send a version which it knows of.
+  void CheckLag(const Endpoint& aAddress, const SyncAnswer& aAnswer);
   PolledControl PollInputOf(const std::string& aAddress);
 
   RelayContext& mContext;
@@ -79,6 +82,7 @@
   Millis mNearestAnsweredAt = 0;
   Millis mLoadsReceivedAt = 0;  ///< When loads of peers were received last.
   std::unique_ptr<Timer> mTimer;
+  SourceLag mLag{SourceLagOptions{}};
 };
 
 }  // namespace spindleweir
--- a/tests/servers/sources_test.cpp
+++ b/tests/servers/sources_test.cpp
@@ -1,7 +1,10 @@
+#include <algorithm>
+
 #include "spindleweir/core/error.h"
 #include "spindleweir/servers/limits/router_count.h"
 #include "spindleweir/servers/membership/poll_schedule.h"
 #include "spindleweir/servers/membership/source_choice.h"
+#include "spindleweir/servers/membership/source_lag.h"
 #include "spindleweir/servers/routes/configuration_lease.h"
 #include "spindleweir/servers/routes/newest_confirmation.h"
 #include "spindleweir/servers/routing/load_aggregator.h"
@@ -171,6 +174,40 @@
   }
 }
 
+// A router whose three sources all lacked the newest version polled them, and
+// no others, for as long as they answered.
+Test(sources, a_control_that_lacks_the_newest_version_is_replaced) {
+  const ControlDirectory directory = SixControls();
+  SourceChoiceInput input = InputOf(directory, "r1");
+  const auto chosen = ChooseSources(input);
+  SourceLag lag({.mTolerance = 1500});
+  const SourceVersions behind{.mHeld = 4, .mConfirmed = 5};
+  const SourceVersions current{.mHeld = 5, .mConfirmed = 5};
+  SECTION("not at once: the version may be on its way") {
+    CHECK(!lag.OnAnswer("a", behind, 1000));
+    CHECK(!lag.OnAnswer("a", behind, 2499));
+  }
+  SECTION("not if it sent the version meanwhile") {
+    CHECK(!lag.OnAnswer("a", current, 2500));
+    CHECK(!lag.OnAnswer("a", behind, 3000));
+  }
+  SECTION("once it stays behind, others are polled for a while") {
+    for (const Endpoint& address : chosen) {
+      CHECK(!lag.OnAnswer(address.Text(), behind, 1000));
+      CHECK(lag.OnAnswer(address.Text(), behind, 2500));
+      input.mFailedAt[address.Text()] = 2500;
+    }
+    input.mNow = 2500;
+    for (const Endpoint& address : ChooseSources(input)) {
+      CHECK(std::find(chosen.begin(), chosen.end(), address) == chosen.end());
+    }
+  }
+  SECTION("a control that knows of no newer version is not behind") {
+    CHECK(!lag.OnAnswer("b", {.mHeld = 5, .mConfirmed = 0}, 5000));
+    CHECK(!lag.OnAnswer("b", {.mHeld = 5, .mConfirmed = 4}, 9000));
+  }
+}
+
 Test(sources, all_controls_send_upstream_changes_if_upstreams_are_few) {
   const PollingRouter near{.mIsNearest = true, .mNearestAnswers = true};
   const PollingRouter far{.mIsNearest = false, .mNearestAnswers = true};
