Intervals and windows of polls follow the number of routers and controls

Change: the poll schedule decides these too. 300 ms between controls up to 25 of them, 12 ms for each above; contact ends after five intervals; reports, pollers and the nearest's contact outlast four, eight and three intervals, and never less than before. At the sizes of today nothing changes.

--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -27,6 +27,7 @@
     "  placement      against the best, an equal split and a greedy one\n"
     "  choice         many routers with late news against one that sees all\n"
     "  control        what each part of control's work costs by engines\n"
+    "  polls          what polls cost a control by kind and number of routers\n"
     "  slopes         what docs/CAPACITY.md is worked out from\n"
     "  memory         3,000 slow callers beside 200 that read well\n"
     "  history        callers and operators for scripts/history\n"
@@ -47,6 +48,7 @@
                                  {"placement", MeasurePlacement},
                                  {"choice", MeasureChoice},
                                  {"control", MeasureControl},
+                                 {"polls", MeasurePolls},
                                  {"slopes", MeasureSlopes},
                                  {"memory", MeasureMemory}};
 
--- a/bench/commands.h
+++ b/bench/commands.h
@@ -25,6 +25,7 @@
 void MeasureControl(const BenchOptions& aOptions);
 void MeasureSlopes(const BenchOptions& aOptions);
 void MeasureMemory(const BenchOptions& aOptions);
+void MeasurePolls(const BenchOptions& aOptions);
 
 /// What the callers and operators of a history are to do.
 struct HistoryOptions {
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr Millis kPollInterval = 300;
 constexpr Millis kPollTimeout = 1000;
 constexpr Millis kStepInterval = 500;
 /// Controls are in contact with each other, so the list of all controls is
@@ -22,21 +21,12 @@
 constexpr Millis kControlListInterval = 1000;
 /// The list holds the controls that were seen within this window.
 constexpr Millis kControlListWindow = 10000;
-/// A router that has not polled for this time is no longer counted.
-constexpr Millis kPollerRetention = 2500;
-/// Interval at which a router polls a control of its own zone: at least
-/// kMinRouterPollInterval, and at least kPollIntervalPerRouter milliseconds for
-/// each router that polls, so that a control's load does not grow with them.
-constexpr Millis kMinRouterPollInterval = 150;
-constexpr double kPollIntervalPerRouter = 3.5;
 constexpr int kIncarnationBytes = 6;
 /// Limit of an answer's crash records: about 40 KB.
 constexpr std::size_t kMaxCrashesPerAnswer = 256;
 /// After this time all routers have polled, and the number of routers of the
 /// previous run is no longer used.
 constexpr Millis kPreviousRunWindow = 3000;
-/// Another control that has not answered for this time is not in contact.
-constexpr Millis kContactTimeout = 1500;
 /// Number of routers that must report that they cannot reach an upstream.
 constexpr int kMinUnreachableReporters = 2;
 
@@ -76,7 +66,6 @@
         return ToJson(Answer(FromJson<SyncRequest>(aMessage)));
       });
   mLog.SignalTermCommitted().connect([this] { PollLeader(); });
-  mPollTimer = mContext.mLoop.Every(kPollInterval, [this] { PollControls(); });
   mStepTimer = mContext.mLoop.Every(kStepInterval, [this] {
     UpdateVoters();
     SaveState();
@@ -142,10 +131,7 @@
   }
   answer.mRouters = RouterCount(now);
   answer.mOwnRouters = mLoads.LocalRouters(now);
-  answer.mPollInterval =
-      std::max(kMinRouterPollInterval,
-               static_cast<Millis>(kPollIntervalPerRouter *
-                                   static_cast<double>(mPolledAt.size())));
+  answer.mPollInterval = RouterPollInterval(mPolledAt.size());
   AddLoads(aRequest, answer);
   AddCrashes(aRequest, answer);
   mAnswerSizes.Count(aRequest, answer);
@@ -256,8 +242,9 @@
   MergeCrashes(aRequest.mCrashes, aRequest.mProcess);
   mPolledAt[aRequest.mProcess] = now;
   mUpstreams.OnPolled(aRequest);
-  std::erase_if(mPolledAt, [now](const auto& aItem) {
-    return now - aItem.second > kPollerRetention;
+  const Millis interval = RouterPollInterval(mPolledAt.size());
+  std::erase_if(mPolledAt, [&](const auto& aItem) {
+    return now - aItem.second > PollerRetention(interval);
   });
   if (aRequest.mReportsLoads > 0) {
     mLoads.OnRouterReport(
@@ -273,21 +260,16 @@
 }
 
 bool SyncService::IsCutOff() const {
-  const Millis now = SteadyNow();
-  std::size_t inContact = 1;
-  for (const auto& [address, peer] : mPeerControls) {
-    inContact +=
-        peer.mLastSeenAt > 0 && now - peer.mLastSeenAt < kContactTimeout ? 1
-                                                                         : 0;
-  }
+  const std::size_t inContact = 1 + ReachableControls().size();
   return inContact * 2 <= mLog.Raft().Voters().size();
 }
 
 std::vector<std::string> SyncService::ReachableControls() const {
-  const Millis now = SteadyNow();
+  const Millis earliest =
+      SteadyNow() - ControlContactTimeout(mPeerControls.size());
   std::vector<std::string> ids;
   for (const auto& [address, peer] : mPeerControls) {
-    if (peer.mLastSeenAt > 0 && now - peer.mLastSeenAt < kContactTimeout) {
+    if (peer.mLastSeenAt > 0 && peer.mLastSeenAt > earliest) {
       ids.push_back(peer.mId);
     }
   }
@@ -299,7 +281,8 @@
     mUpstreams.Expire();
   }
   const Endpoint self = mContext.mOptions.mRpcListen;
-  for (const Endpoint& address : mDirectory.Addresses(SteadyNow())) {
+  const std::vector<Endpoint> all = mDirectory.Addresses(SteadyNow());
+  for (const Endpoint& address : all) {
     if (address != self) {
       Poll(address);
     }
@@ -307,8 +290,10 @@
 }
 
 std::string SyncService::ReportedLeader() const {
-  return SteadyNow() - mLeaderReportedAt < kContactTimeout ? mReportedLeader
-                                                           : "";
+  const Millis timeout = ControlContactTimeout(mPeerControls.size());
+  return SteadyNow() - mLeaderReportedAt < timeout ? mReportedLeader : "";
+  mPollTimer = mContext.mLoop.After(ControlPollInterval(all.size()),
+                                    [this] { PollControls(); });
 }
 
 void SyncService::PollLeader() {
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -59,7 +59,7 @@
   SyncAnswer Answer(const SyncRequest& aRequest);
   void RecordPoller(const SyncRequest& aRequest);
   void PollControls();
-  /// Ids of the controls that answered within kContactTimeout.
+  /// Ids of the other controls that are in contact.
   std::vector<std::string> ReachableControls() const;
   /// aFetches: the answer should hold newer configurations.
   void Poll(const Endpoint& aAddress, bool aFetches = false);
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -20,15 +20,10 @@
 /// Interval between removals of ended upstreams, each of which goes through all
 /// upstreams.
 constexpr Millis kCleanUpInterval = 1000;
-/// Loads of peers are dropped at this age: they are no longer representative.
-constexpr Millis kPeerLoadsRetention = 2500;
 constexpr int kIncarnationNameBytes = 6;
 /// A request that failed within this time was refused: one that gets no answer
 /// fails after at least 300 ms.
 constexpr Millis kRefusalWindow = 200;
-/// The nearest control counts as in contact if it answered within this time:
-/// apart from its back-off it is polled at least every half second.
-constexpr Millis kNearestContactWindow = 1500;
 /// The other controls are polled rarely only while the nearest one answers
 /// within this many of its poll intervals, so that its silence is noticed as
 /// fast as if all were polled at the same rate.
@@ -52,6 +47,11 @@
              kFreshIntervals * it->second.mPollInterval;
 }
 
+Millis SyncLink::NearestInterval() const {
+  const auto it = mSources.find(mNearest);
+  return it == mSources.end() ? 0 : it->second.mPollInterval;
+}
+
 PolledControl SyncLink::PollInputOf(const std::string& aAddress) {
   const Source& source = mSources[aAddress];
   return {.mInterval = source.mPollInterval,
@@ -95,7 +95,7 @@
       return mContext.mRegistry.Find(aInstance) != nullptr;
     });
   }
-  if (now - mLoadsReceivedAt > kPeerLoadsRetention) {
+  if (now - mLoadsReceivedAt > LoadsRetention(NearestInterval())) {
     mContext.ClearPeerLoads();
   }
   mTimer = mContext.mLoop.After(
@@ -159,8 +159,8 @@
       mContext.Table() == nullptr ? 0 : mContext.Table()->Version();
   request.mSilent = WriteRows(mContext.mRegistry.SilentUpstreams());
   request.mNearestAnswers =
-      mNearestAnsweredAt > 0 &&
-      SteadyNow() - mNearestAnsweredAt < kNearestContactWindow;
+      mNearestAnsweredAt > 0 && SteadyNow() - mNearestAnsweredAt <
+                                    NearestContactWindow(NearestInterval());
   request.mCollectorAddress =
       mContext.mStopping ? "" : mContext.mOptions.mHeartbeatAddress;
   const std::string incarnation = source.mIncarnation;
@@ -303,9 +303,6 @@
     mContext.mLease.Confirm(aAnswer.mConfirmedVersion, held, aPolledAt,
                             aAnswer.mConfirmedAgo);
   }
-}
-
-}  // namespace spindleweir
   CheckLag(aAddress, aAnswer);
 }
 
@@ -323,3 +320,6 @@
       .Add("address", aAddress.Text())
       .Add("held", static_cast<Json::Int64>(versions.mHeld))
       .Add("confirmed", static_cast<Json::Int64>(versions.mConfirmed));
+}
+
+}  // namespace spindleweir
--- a/daemons/relay/sync_link.h
+++ b/daemons/relay/sync_link.h
@@ -64,11 +64,13 @@
   void ApplyUpstream(const UpstreamRecord& aRecord, const std::string& aBy,
                      UpstreamChanges& aChanges);
   void OnPollFailed(const Endpoint& aAddress, Millis aPolledAt);
+  /// Avoids a control that does not send a version which it knows of.
+  void CheckLag(const Endpoint& aAddress, const SyncAnswer& aAnswer);
   /// Whether the nearest control has answered within its recent poll intervals.
   bool IsNearestFresh() const;
+  /// Poll interval that the nearest control asks for; 0: not known yet.
+  Millis NearestInterval() const;
   /// The inputs that decide when a control is polled again.
-  /// Avoids a control that does not send a version which it knows of.
-  void CheckLag(const Endpoint& aAddress, const SyncAnswer& aAnswer);
   PolledControl PollInputOf(const std::string& aAddress);
 
   RelayContext& mContext;
@@ -80,12 +82,12 @@
   ReportedLoads mReportedLoads;
   /// Time of the latest failure, by address.
   std::map<std::string, Millis> mFailedAt;
+  SourceLag mLag{SourceLagOptions{}};
   Millis mCleanedUpAt = 0;  ///< When ended upstreams were last removed.
   /// When the control at mNearest answered last.
   Millis mNearestAnsweredAt = 0;
   Millis mLoadsReceivedAt = 0;  ///< When loads of peers were received last.
   std::unique_ptr<Timer> mTimer;
-  SourceLag mLag{SourceLagOptions{}};
 };
 
 }  // namespace spindleweir
--- a/include/spindleweir/servers/membership/poll_schedule.h
+++ b/include/spindleweir/servers/membership/poll_schedule.h
@@ -1,4 +1,5 @@
-/// When a router polls a control again, and how long it waits for the answer.
+/// When routers and controls poll a control again, and how long they wait for
+/// the answer.
 #pragma once
 
 #include <cstddef>
@@ -39,6 +40,31 @@
 /// How long to wait for the answer to a poll.
 Millis PollTimeout(const PolledControl& aControl);
 
+/// The interval that a control asks for, at which a router polls its nearest
+/// control. It grows with the routers that poll the control, so that its load
+/// does not. aPollers: including those that it is not the nearest of.
+Millis RouterPollInterval(std::size_t aPollers);
+
+/// How long the loads in a poll or its answer count without newer ones, if the
+/// nearest control is polled at aInterval.
+Millis LoadsRetention(Millis aInterval);
+
+/// How long a router counts as polling a control without another poll.
+/// aInterval: at which it polls its nearest control.
+Millis PollerRetention(Millis aInterval);
+
+/// How long the nearest control counts as in contact without another answer.
+Millis NearestContactWindow(Millis aInterval);
+
+/// Interval at which a control polls each of aControls controls. It grows with
+/// their number once there are many, so that the polls per second of each
+/// control do not.
+Millis ControlPollInterval(std::size_t aControls);
+
+/// Time without an answer after which one of aControls controls counts as out
+/// of contact with another.
+Millis ControlContactTimeout(std::size_t aControls);
+
 /// What a control knows of a router that polls it.
 struct PollingRouter {
   bool mIsNearest = false;       ///< The router reports its loads here.
--- a/include/spindleweir/servers/routing/load_aggregator.h
+++ b/include/spindleweir/servers/routing/load_aggregator.h
@@ -147,6 +147,11 @@
   explicit LoadAggregator(LoadAggregatorOptions aOptions)
       : mOptions(aOptions) {}
 
+  /// The processes report less often the more of them there are.
+  void SetReportRetention(Millis aRetention) {
+    mOptions.mReportRetention = aRetention;
+  }
+
   /// Stores the complete load of a router. It replaces the previous report of
   /// the router, also that of an earlier process on the same VM: otherwise each
   /// router would count twice after a restart of all routers. aProcess:
--- a/servers/membership/poll_schedule.cpp
+++ b/servers/membership/poll_schedule.cpp
@@ -49,6 +49,24 @@
 /// The part of a delay after failures that is not random.
 constexpr double kMinJitterShare = 0.5;
 
+constexpr Millis kMinRouterPollInterval = 150;
+constexpr double kPollIntervalPerRouter = 3.5;
+/// Least retention of loads, of pollers and of the contact with the nearest
+/// control, and the poll intervals that each must outlast: a window that stood
+/// still would end between two polls once there are many routers.
+constexpr Millis kMinLoadsRetention = 2500;
+constexpr Millis kLoadsRetentionIntervals = 4;
+constexpr Millis kMinPollerRetention = 2500;
+constexpr Millis kPollerRetentionIntervals = 8;
+constexpr Millis kMinNearestContactWindow = 1500;
+constexpr Millis kNearestContactIntervals = 3;
+/// Interval at which controls poll each other, and the least for each control:
+/// one then sends and answers at most 84 of these polls a second.
+constexpr Millis kControlPollInterval = 300;
+constexpr Millis kPollIntervalPerControl = 12;
+/// Polls of another control without an answer after which it is out of contact.
+constexpr Millis kUnansweredControlPolls = 5;
+
 /// With more upstreams only the nearest control sends their changes.
 constexpr std::size_t kMaxUpstreamsSentByAll = 400;
 
@@ -109,6 +127,34 @@
   return static_cast<Millis>(delay * backoff * jitter);
 }
 
+Millis RouterPollInterval(std::size_t aPollers) {
+  const double shortest =
+      kPollIntervalPerRouter * static_cast<double>(aPollers);
+  return std::max(kMinRouterPollInterval, static_cast<Millis>(shortest));
+}
+
+Millis LoadsRetention(Millis aInterval) {
+  return std::max(kMinLoadsRetention, kLoadsRetentionIntervals * aInterval);
+}
+
+Millis PollerRetention(Millis aInterval) {
+  return std::max(kMinPollerRetention, kPollerRetentionIntervals * aInterval);
+}
+
+Millis NearestContactWindow(Millis aInterval) {
+  return std::max(kMinNearestContactWindow,
+                  kNearestContactIntervals * aInterval);
+}
+
+Millis ControlPollInterval(std::size_t aControls) {
+  return std::max(kControlPollInterval,
+                  kPollIntervalPerControl * static_cast<Millis>(aControls));
+}
+
+Millis ControlContactTimeout(std::size_t aControls) {
+  return kUnansweredControlPolls * ControlPollInterval(aControls);
+}
+
 bool SendsUpstreamChanges(const PollingRouter& aRouter,
                           std::size_t aUpstreams) {
   return aUpstreams <= kMaxUpstreamsSentByAll || aRouter.mIsNearest ||
--- a/tests/servers/sources_test.cpp
+++ b/tests/servers/sources_test.cpp
@@ -174,6 +174,68 @@
   }
 }
 
+Test(sources, polls_of_a_control_do_not_grow_with_the_routers) {
+  // Each router polls one control as its nearest and two others.
+  const auto pollsPerSecond = [](std::size_t aRouters, std::size_t aControls) {
+    const std::size_t nearest = aRouters / aControls;
+    const Millis interval = RouterPollInterval(3 * nearest);
+    const PolledControl other{.mInterval = interval, .mNearestAnswers = true};
+    return 1000.0 * static_cast<double>(nearest) /
+               static_cast<double>(interval) +
+           1000.0 * static_cast<double>(2 * nearest) /
+               static_cast<double>(NextPollDelay(other));
+  };
+  CHECK(RouterPollInterval(10) == 150);
+  SECTION("1,000 and 2,000 routers, at 25 controls and at twice as many") {
+    CHECK(pollsPerSecond(1000, 25) <= 145);
+    CHECK(pollsPerSecond(2000, 25) <= 145);
+    CHECK(pollsPerSecond(2000, 50) <= 145);
+  }
+}
+
+// What is told was kept for 2.5 s and the nearest control counted as in contact
+// for 1.5 s, while a router of a control with 300 polled each 1.05 s and others
+// each 4.2 s: routers were dropped from the count between two polls.
+Test(sources, windows_outlast_the_polls_of_many_routers) {
+  SECTION("few routers: as long as before") {
+    CHECK(LoadsRetention(150) == 2500);
+    CHECK(PollerRetention(150) == 2500);
+    CHECK(NearestContactWindow(150) == 1500);
+  }
+  SECTION("25 controls of 1,000, 2,000 and 8,000 routers") {
+    for (const std::size_t routers :
+         {std::size_t{1000}, std::size_t{2000}, std::size_t{8000}}) {
+      const Millis interval = RouterPollInterval(3 * routers / 25);
+      const Millis others =
+          NextPollDelay({.mInterval = interval, .mNearestAnswers = true});
+      CHECK(LoadsRetention(interval) >= 3 * interval);
+      CHECK(NearestContactWindow(interval) >= 3 * interval);
+      CHECK(PollerRetention(interval) >= 2 * others);
+    }
+  }
+}
+
+// All controls polled each other at one interval, so that their polls grew with
+// the square of their number.
+Test(sources, polls_between_controls_grow_with_their_number_only) {
+  const auto pollsPerSecond = [](std::size_t aControls) {
+    return 1000.0 * static_cast<double>(aControls - 1) /
+           static_cast<double>(ControlPollInterval(aControls));
+  };
+  SECTION("few controls poll each other three times a second") {
+    CHECK(ControlPollInterval(6) == 300);
+    CHECK(ControlPollInterval(25) == 300);
+    CHECK(ControlContactTimeout(25) == 1500);
+  }
+  SECTION("of many, each sends no more polls than each of 25") {
+    for (const std::size_t n : {std::size_t{50}, std::size_t{100}}) {
+      CHECK(pollsPerSecond(n) <= 84);
+      CHECK(pollsPerSecond(n) >= pollsPerSecond(25));
+      CHECK(ControlContactTimeout(n) == 5 * ControlPollInterval(n));
+    }
+  }
+}
+
 // A router whose three sources all lacked the newest version polled them, and
 // no others, for as long as they answered.
 Test(sources, a_control_that_lacks_the_newest_version_is_replaced) {
