A control reports changes of upstreams that it received itself

Cause: each control sent each other one all changes that it knew, also those that it had from others: with 25 controls each change reached each control 24 times.

Change: the registry stores whose message made a change. A poller names the incarnations of the controls that answer it, and is sent what the answerer received itself and what it has from others than these. What a control reported to some before it failed, the others get from them: a poller that notices the failure goes back to the revisions that it knew when the failed one last answered. Pollers of the former version name none and get all.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -291,6 +291,17 @@
 
 std::string SyncService::ReportedLeader() const {
   const Millis timeout = ControlContactTimeout(mPeerControls.size());
+  mPollTimer = mContext.mLoop.After(ControlPollInterval(all.size()),
+                                    [this] { PollControls(); });
+}
+
+std::vector<std::string> SyncService::AnsweringIncarnations() {
+  std::vector<std::string> answering = mRevisions.Answering(
+      ControlContactTimeout(mPeerControls.size()), SteadyNow());
+  if (!answering.empty()) {
+    answering.push_back(mIncarnation);
+  }
+  return answering;
   return SteadyNow() - mLeaderReportedAt < timeout ? mReportedLeader : "";
   mPollTimer = mContext.mLoop.After(ControlPollInterval(all.size()),
                                     [this] { PollControls(); });
@@ -315,7 +326,8 @@
   request.mControl = Self();
   request.mAnsweringControls = ReachableControls();
   request.mKnownIncarnation = peer.mIncarnation;
-  request.mRevision = peer.mRevision;
+  request.mRevision = mRevisions.Known(aAddress.Text());
+  request.mAnsweringIncarnations = AnsweringIncarnations();
   request.mKnownLoads = peer.mLoadsSequence;
   request.mKnownCrashRevision = peer.mCrashRevision;
   request.mWantsConfiguration = aFetches;
@@ -341,10 +353,14 @@
   PeerControl& peer = mPeerControls[aAddress.Text()];
   const bool sameIncarnation = peer.mIncarnation == aAnswer.mIncarnation;
   peer.mIncarnation = aAnswer.mIncarnation;
-  peer.mRevision = aAnswer.mRevision;
   peer.mLastSeenAt = now;
   peer.mId = aAnswer.mSelf.mId;
   if (!aAnswer.mLeader.empty() && aAnswer.mTerm >= mReportedTerm) {
+  mRevisions.OnAnswer({.mAddress = aAddress.Text(),
+                       .mIncarnation = aAnswer.mIncarnation,
+                       .mRevision = aAnswer.mRevision,
+                       .mPolledAt = aPolledAt},
+                      now);
     mReportedLeader = aAnswer.mLeader;
     mReportedTerm = aAnswer.mTerm;
     mLeaderReportedAt = now;
@@ -364,7 +380,7 @@
   for (const ControlInfo& info : aAnswer.mControls) {
     mDirectory.OnSeen(info, now);
   }
-  mUpstreams.ApplyAnswer(aAnswer, peer.mId);
+  mUpstreams.ApplyAnswer(aAnswer);
   peer.mCrashRevision = aAnswer.mCrashRevision;
   MergeCrashes(aAnswer.mCrashes, peer.mId);
 }
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -15,6 +15,7 @@
 #include "daemons/control/start_stamp.h"
 #include "daemons/control/upstream_intake.h"
 #include "spindleweir/daemons/sync_messages.h"
+#include "spindleweir/servers/membership/peer_revisions.h"
 #include "spindleweir/servers/routes/configuration_fetch.h"
 #include "spindleweir/servers/routes/newest_confirmation.h"
 #include "spindleweir/servers/routing/retry_pool.h"
@@ -48,7 +49,6 @@
   /// The state of another control that is known here.
   struct PeerControl {
     std::string mIncarnation;
-    std::int64_t mRevision = 0;
     std::int64_t mLoadsSequence = 0;  ///< Last received loads of its routers.
     std::int64_t mCrashRevision = 0;  ///< Last received of its crash ledger.
     bool mPolling = false;
@@ -64,6 +64,9 @@
   /// aFetches: the answer should hold newer configurations.
   void Poll(const Endpoint& aAddress, bool aFetches = false);
   /// Polls a new leader for its confirmation at once. Waiting for the next poll
+  /// Notices which controls have ceased to answer. Returns the incarnations of
+  /// the others and of this one; none while no other answers.
+  std::vector<std::string> AnsweringIncarnations();
   /// of all controls gives routers of other zones their lease up to 0.3 s
   /// later.
   void PollLeader();
@@ -116,6 +119,7 @@
   std::int64_t mReportedTerm = 0;
   Millis mLeaderReportedAt = 0;
   std::unique_ptr<Timer> mPollTimer;
+  PeerRevisions mRevisions{PeerRevisionsOptions{}};
   std::unique_ptr<Timer> mStepTimer;
 };
 
--- a/daemons/control/upstream_intake.cpp
+++ b/daemons/control/upstream_intake.cpp
@@ -92,19 +92,18 @@
   }
 }
 
-void UpstreamIntake::ApplyAnswer(const SyncAnswer& aAnswer,
-                                 const std::string& aBy) {
+void UpstreamIntake::ApplyAnswer(const SyncAnswer& aAnswer) {
   const Millis now = SteadyNow();
   for (const UpstreamUpdate& update : aAnswer.mUpstreamUpdates) {
     for (const UpstreamRecord& record :
          mContext.mInvalidMessages.Unpack("news", update)) {
-      mRegistry.Merge(record, now, aBy);
+      mRegistry.Merge(record, now, aAnswer.mIncarnation);
     }
   }
   for (const UpstreamHeartbeat& heartbeat :
        mContext.mInvalidMessages.UnpackHeartbeats("news",
                                                   aAnswer.mHeartbeats)) {
-    mRegistry.MergeHeartbeat(heartbeat, now, aBy);
+    mRegistry.MergeHeartbeat(heartbeat, now, aAnswer.mIncarnation);
   }
 }
 
@@ -117,17 +116,19 @@
   const bool fromControl = !aRequest.mControl.mId.empty();
   const PollingRouter poller{.mIsNearest = aRequest.mReportsLoads > 0,
                              .mNearestAnswers = aRequest.mNearestAnswers};
+  const std::set<std::string> answering(aRequest.mAnsweringIncarnations.begin(),
+                                        aRequest.mAnsweringIncarnations.end());
   FeedUpdates feed{.mUpdates = {}, .mRevision = known};
-  if (fromControl || SendsUpstreamChanges(poller, mRegistry.Size())) {
+  if (fromControl && !answering.empty()) {
+    feed = mReporterFeeds.UpdatesSince(mRegistry, known, answering, now);
+  } else if (fromControl || SendsUpstreamChanges(poller, mRegistry.Size())) {
     feed = mFeed.UpdatesSince(mRegistry, known, now);
   }
   aAnswer.mRevision = feed.mRevision;
   aAnswer.mUpstreamUpdates = std::move(feed.mUpdates);
   if (fromControl) {
-    const std::set<std::string> reachable(aRequest.mAnsweringControls.begin(),
-                                          aRequest.mAnsweringControls.end());
     aAnswer.mHeartbeats = ToJson(HeartbeatTable::Of(
-        mRegistry.HeartbeatsSince(known, feed.mRevision, now, reachable)));
+        mRegistry.HeartbeatsSince(known, feed.mRevision, now, answering)));
   }
   const std::vector<SilentUpstream> silent = ReadRows<SilentUpstream>(
       aRequest.mSilent, mContext.mInvalidMessages.HookFor("news"));
--- a/daemons/control/upstream_intake.h
+++ b/daemons/control/upstream_intake.h
@@ -12,6 +12,7 @@
 #include "spindleweir/daemons/heartbeat_answer.h"
 #include "spindleweir/daemons/sync_messages.h"
 #include "spindleweir/servers/membership/collector_choice.h"
+#include "spindleweir/servers/membership/reporter_feeds.h"
 
 namespace spindleweir {
 
@@ -41,9 +42,8 @@
   /// A router polled: applies the heartbeats that it collected, and records
   /// where it collects them, if it does.
   void OnPolled(const SyncRequest& aRequest);
-  /// Applies the upstreams and heartbeats of another control's answer. aBy: its
-  /// id.
-  void ApplyAnswer(const SyncAnswer& aAnswer, const std::string& aBy);
+  /// Applies the upstreams and heartbeats of another control's answer.
+  void ApplyAnswer(const SyncAnswer& aAnswer);
   /// Adds the changes of the registry that the poller lacks. aIncarnation: the
   /// incarnation of this process.
   void Answer(const SyncRequest& aRequest, const std::string& aIncarnation,
@@ -73,7 +73,8 @@
   UpstreamRegistry mRegistry;
   UpstreamStore mStore;
   CollectorChoice mCollectorChoice;
-  UpstreamFeed mFeed{UpstreamFeedOptions{}};
+  UpstreamFeed mFeed{UpstreamFeedOptions{}};  ///< All changes.
+  ReporterFeeds mReporterFeeds;               ///< For other controls.
 };
 
 }  // namespace spindleweir
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -67,16 +67,19 @@
                          ///< router polls.
   /// From a control: ids of the controls that answered it recently.
   std::vector<std::string> mAnsweringControls;
+  /// The same as incarnations, with the poller's own: it receives their changes
+  /// of upstreams from them. Empty: it sends none, and receives all changes.
+  std::vector<std::string> mAnsweringIncarnations;
   std::string mKnownIncarnation;    ///< The answerer's incarnation to which the
                                     ///< known numbers below belong.
   std::int64_t mRevision = 0;       ///< Known revision of its registry.
   std::int64_t mConfiguration = 0;  ///< Version that the poller holds.
-  /// Upstreams that the poller considers silent: rows of SilentUpstream, see
-  /// ReadRows.
-  std::vector<Json::Value> mSilent;
   /// From a control: it requests the versions after mConfiguration. Routers
   /// always receive them.
   bool mWantsConfiguration = false;
+  /// Upstreams that the poller considers silent: rows of SilentUpstream, see
+  /// ReadRows.
+  std::vector<Json::Value> mSilent;
   /// From a router: the nearest control, to which it reports its loads,
   /// answered it recently.
   bool mNearestAnswers = false;
@@ -105,14 +108,15 @@
     aCodec.Sparse("zone", mZone);
     aCodec.Sparse("control", mControl);
     aCodec.Sparse("hears", mAnsweringControls);
+    aCodec.Sparse("hears_lives", mAnsweringIncarnations);
     aCodec.Sparse("knows", mKnownIncarnation);
     aCodec.Sparse("revision", mRevision);
     aCodec.Sparse("configuration", mConfiguration);
+    aCodec.Sparse("wants_configuration", mWantsConfiguration);
     aCodec.Sparse("silent", mSilent);
     aCodec.Sparse("hears_near", mNearestAnswers);
     aCodec.Sparse("takes_at", mCollectorAddress);
     aCodec.Sparse("taken_upstreams", mCollectedUpstreams);
-    aCodec.Sparse("wants_configuration", mWantsConfiguration);
     aCodec.Sparse("taken_beats", mCollectedHeartbeats);
     aCodec.Sparse("knows_loads", mKnownLoads);
     aCodec.Sparse("tells_loads", mReportsLoads);
@@ -140,12 +144,12 @@
   /// had been accepted; -1: not known.
   std::int64_t mConfirmedVersion = 0;
   Millis mConfirmedAgo = -1;
+  /// Version that the answerer holds. To a control only.
+  std::int64_t mHeldVersion = 0;
   std::vector<TrafficUpdate>
       mConfigurationUpdates;  ///< After the poller's version, in order.
   int mRouters = 1;           ///< That report their loads to any control.
   int mOwnRouters = 0;        ///< That report them to this control.
-  /// Version that the answerer holds. To a control only.
-  std::int64_t mHeldVersion = 0;
   Millis mPollInterval = 0;   ///< Of routers in the answerer's zone.
   /// To a router: loads of all routers; to a control: loads of the routers that
   /// report to the answerer. Empty if the poller has those of mLoadsNumber.
@@ -172,11 +176,11 @@
     aCodec.Sparse("not_silent", mNotSilent);
     aCodec.Field("confirmed_version", mConfirmedVersion);
     aCodec.Field("confirmed_ago_ms", mConfirmedAgo);
+    aCodec.Sparse("holds", mHeldVersion);
     aCodec.Sparse("news", mConfigurationUpdates);
     aCodec.Field("routers", mRouters);
     aCodec.Sparse("own_routers", mOwnRouters);
     aCodec.Sparse("ask_every_ms", mPollInterval);
-    aCodec.Sparse("holds", mHeldVersion);
     aCodec.Sparse("packed_loads", mPackedLoads);
     aCodec.Sparse("loads_number", mLoadsNumber);
     aCodec.Sparse("loads_ago_ms", mLoadsAge);
--- a/include/spindleweir/servers/membership/upstream_feed.h
+++ b/include/spindleweir/servers/membership/upstream_feed.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
   /// The full list, for pollers that know nothing, is packed again at the
   /// earliest after this time and after one millisecond for each of its rows.
   Millis mFullListInterval = 500;
+  /// Only the changes of this reporter; without one, all changes.
+  std::optional<std::string> mReporter;
 };
 
 /// The feed of one control process. It packs each change once for all pollers:
--- a/include/spindleweir/servers/membership/upstream_registry.h
+++ b/include/spindleweir/servers/membership/upstream_registry.h
@@ -148,9 +148,9 @@
   /// leave without a start time (0) ends the incarnation that is known.
   LeaveOutcome ApplyLeave(const std::string& aInstance, Millis aNow,
                           std::int64_t aStart = 0);
-  /// Merges a record of another registry. aReporter: the control process that
-  /// sent it; empty: a router that collected the heartbeat, which counts as
-  /// received here.
+  /// Merges a record of another registry. aReporter: the incarnation of the
+  /// control that sent it; empty: a router that collected the heartbeat, which
+  /// counts as received here.
   bool Merge(const UpstreamRecord& aRecord, Millis aNow,
              const std::string& aReporter = "");
   /// Merges a heartbeat without changes that another process received. Returns
@@ -170,9 +170,13 @@
   std::int64_t Revision() const { return mRevision; }
   /// The revision of the newest change that was more than a heartbeat.
   std::int64_t LastChangeRevision() const { return mLastChangeRevision; }
-  /// The records that changed after a revision.
-  std::vector<UpstreamRecord> ChangedSince(std::int64_t aRevision,
-                                           Millis aNow) const;
+  /// The records that changed after a revision; with aReporter only those that
+  /// this reporter's message changed, "" for what was received or decided here.
+  std::vector<UpstreamRecord> ChangedSince(
+      std::int64_t aRevision, Millis aNow,
+      const std::optional<std::string>& aReporter = std::nullopt) const;
+  /// The reporters of the changes after a revision.
+  std::set<std::string> ChangeReporters(std::int64_t aRevision) const;
   /// The heartbeats after a revision, for another registry that knows the
   /// changes up to aKnown. Upstreams that changed later are left out, since a
   /// heartbeat must not be known before the change that came with it. Also left
@@ -211,7 +215,9 @@
     std::string mReporter;
   };
   struct Item : Incarnation {
-    std::int64_t mChangeRevision = 0;     ///< Of the last change.
+    std::int64_t mChangeRevision = 0;  ///< Of the last change.
+    /// Whose message made it; empty: received or decided here.
+    std::string mChangeReporter;
     std::int64_t mHeartbeatRevision = 0;  ///< Of the last heartbeat.
     /// Another incarnation of its name was known before.
     bool mHasPredecessor = false;
@@ -245,7 +251,7 @@
   /// Drops an incarnation that was not seen for a minute; a pending one takes
   /// its place. Returns whether none is left.
   bool DropExpired(Item& aItem, Millis aNow);
-  void MarkChanged(Item& aItem);
+  void MarkChanged(Item& aItem, const std::string& aReporter);
   /// Ends the upstreams that were at the address of a new one before.
   void EndPredecessors(const UpstreamRecord& aRecord);
   /// Removes a record that is no longer held from mInstancesByAddress.
--- a/servers/membership/upstream_feed.cpp
+++ b/servers/membership/upstream_feed.cpp
@@ -23,7 +23,7 @@
     return;
   }
   const std::vector<UpstreamRecord> changed =
-      aRegistry.ChangedSince(mRevision, aNow);
+      aRegistry.ChangedSince(mRevision, aNow, mOptions.mReporter);
   mRevision = revision;
   mCheckedAt = aNow;
   if (changed.empty()) {
@@ -52,7 +52,8 @@
       aNow - mFullList.mPackedAt < interval) {
     return;
   }
-  const std::vector<UpstreamRecord> all = aRegistry.ChangedSince(0, aNow);
+  const std::vector<UpstreamRecord> all =
+      aRegistry.ChangedSince(0, aNow, mOptions.mReporter);
   mFullList = {.mTo = mRevision,
                .mPackedAt = aNow,
                .mRows = all.size(),
--- a/servers/membership/upstream_registry.cpp
+++ b/servers/membership/upstream_registry.cpp
@@ -77,11 +77,12 @@
     return false;
   }
   item.mRecord.mState = UpstreamState::kReady;
-  MarkChanged(item);
+  MarkChanged(item, aReporter);
   return true;
 }
 
-void UpstreamRegistry::MarkChanged(Item& aItem) {
+void UpstreamRegistry::MarkChanged(Item& aItem, const std::string& aReporter) {
+  aItem.mChangeReporter = aReporter;
   aItem.mChangeRevision = mLastChangeRevision = ++mRevision;
   aItem.mHeartbeatRevision = mRevision;
 }
@@ -167,7 +168,7 @@
   }
   const bool changed = !SameForRouters(before, aItem.mRecord);
   if (changed) {
-    MarkChanged(aItem);
+    MarkChanged(aItem, aReporter);
   }
   return changed;
 }
@@ -232,7 +233,7 @@
   aItem.mHasPredecessor = false;
   aItem.mLeftUnseenAt = -1;
   aItem.mPending.reset();
-  MarkChanged(aItem);
+  MarkChanged(aItem, aItem.mReporter);
   // A gone incarnation does not end the one that has its address now.
   const bool isPresent = aItem.mRecord.mState != UpstreamState::kGone;
   if (isPresent && !aItem.mRecord.mAddress.empty()) {
@@ -316,7 +317,7 @@
 
 void UpstreamRegistry::End(Item& aItem) {
   aItem.mRecord.mState = UpstreamState::kGone;
-  MarkChanged(aItem);
+  MarkChanged(aItem, "");
 }
 
 std::vector<UpstreamRecord> UpstreamRegistry::Expire(Millis aSilenceTimeout,
@@ -332,7 +333,7 @@
     if (item.mRecord.mState == UpstreamState::kReady &&
         silent > aSilenceTimeout) {
       item.mRecord.mState = UpstreamState::kSilent;
-      MarkChanged(item);
+      MarkChanged(item, "");
       becameSilent.push_back(item.mRecord);
       becameSilent.back().mLastSeenAgo = silent;
     }
@@ -378,11 +379,25 @@
   }
 }
 
+std::set<std::string> UpstreamRegistry::ChangeReporters(
+    std::int64_t aRevision) const {
+  std::set<std::string> reporters;
+  for (const auto& [instance, item] : mItems) {
+    if (item.mChangeRevision > aRevision) {
+      reporters.insert(item.mChangeReporter);
+    }
+  }
+  return reporters;
+}
+
 std::vector<UpstreamRecord> UpstreamRegistry::ChangedSince(
-    std::int64_t aRevision, Millis aNow) const {
+    std::int64_t aRevision, Millis aNow,
+    const std::optional<std::string>& aReporter) const {
   std::vector<UpstreamRecord> records;
   for (const auto& [instance, item] : mItems) {
-    if (item.mChangeRevision > aRevision) {
+    const bool isWanted =
+        !aReporter.has_value() || item.mChangeReporter == *aReporter;
+    if (isWanted && item.mChangeRevision > aRevision) {
       records.push_back(item.mRecord);
       records.back().mLastSeenAgo = aNow - item.mLastSeenAt;
     }
--- a/tests/servers/feed_test.cpp
+++ b/tests/servers/feed_test.cpp
@@ -1,7 +1,10 @@
+#include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 
 #include "spindleweir/core/error.h"
+#include "spindleweir/servers/membership/reporter_feeds.h"
 #include "spindleweir/servers/membership/upstream_feed.h"
 #include "spindleweir/servers/membership/upstream_table.h"
 #include "tests/test_tools.h"
@@ -13,7 +16,8 @@
 UpstreamRecord Record(int aNumber, std::int64_t aSequence) {
   return {.mInstance = "i" + std::to_string(aNumber),
           .mService = "model",
-          .mAddress = "10.0.0." + std::to_string(aNumber) + ":80",
+          .mAddress = "10.0." + std::to_string(aNumber / 250) + "." +
+                      std::to_string(aNumber % 250) + ":80",
           .mZone = aNumber % 2 == 0 ? "even" : "odd",
           .mKind = "k",
           .mSlots = 6,
@@ -164,3 +168,79 @@
           ResultCode::kBadField);
   }
 }
+
+namespace {
+
+/// Rows of changes that all controls together received.
+struct Transfers {
+  std::size_t mRows = 0;
+  bool mComplete = false;  ///< All controls know all upstreams.
+};
+
+/// aControls controls, to which aUpstreams upstreams report one change each, in
+/// turn; then all controls poll each other. aNamed: the pollers name the
+/// controls that answer them.
+Transfers Exchange(int aControls, int aUpstreams, bool aNamed) {
+  std::vector<UpstreamRegistry> registries(static_cast<std::size_t>(aControls));
+  std::vector<ReporterFeeds> feeds(registries.size());
+  std::set<std::string> all;
+  for (int i = 0; i < aControls; i++) {
+    all.insert("c" + std::to_string(i));
+  }
+  for (int i = 0; i < aUpstreams; i++) {
+    registries[static_cast<std::size_t>(i % aControls)].ApplyHeartbeat(
+        Record(i, 1), 1000);
+  }
+  Transfers transfers;
+  std::vector<std::vector<std::int64_t>> known(
+      registries.size(), std::vector<std::int64_t>(registries.size(), 0));
+  for (Millis now : {1300, 1600, 1900}) {
+    for (std::size_t to = 0; to < registries.size(); to++) {
+      for (std::size_t from = 0; from < registries.size(); from++) {
+        if (from == to) {
+          continue;
+        }
+        const FeedUpdates updates = feeds[from].UpdatesSince(
+            registries[from], known[to][from],
+            aNamed ? all : std::set<std::string>{}, now);
+        known[to][from] = updates.mRevision;
+        for (const UpstreamUpdate& update : updates.mUpdates) {
+          for (const UpstreamRecord& record : UnpackUpstreams(update.mText)) {
+            transfers.mRows++;
+            registries[to].Merge(record, now, "c" + std::to_string(from));
+          }
+        }
+      }
+    }
+  }
+  transfers.mComplete = std::all_of(
+      registries.begin(), registries.end(), [&](const auto& aRegistry) {
+        return aRegistry.Size() == static_cast<std::size_t>(aUpstreams);
+      });
+  return transfers;
+}
+
+}  // namespace
+
+// Each control forwarded to each other one what it had from all the others:
+// with 25 controls each change arrived 24 times at each, two thirds of all
+// bytes between zones after a start.
+Test(feed, a_change_reaches_each_control_once_however_many_there_are) {
+  struct Case {
+    int mControls;
+    int mUpstreams;
+  };
+  for (const Case fleet : {Case{6, 300}, Case{25, 3000}, Case{50, 6000}}) {
+    const auto others = static_cast<std::size_t>(fleet.mControls - 1);
+    const Transfers transfers =
+        Exchange(fleet.mControls, fleet.mUpstreams, true);
+    CHECK(transfers.mComplete);
+    CHECK(transfers.mRows ==
+          others * static_cast<std::size_t>(fleet.mUpstreams));
+  }
+  SECTION("a poller that names no controls receives all from each") {
+    const Transfers transfers = Exchange(6, 300, false);
+    CHECK(transfers.mComplete);
+    CHECK(transfers.mRows > 3 * 5 * 300);
+  }
+}
