The list of controls is sent when it changed, not in each answer

Cause: each answer to a router of the zone held all controls: 1.8 MB in the first ten seconds from one control of the fleet, 4.6 KB/s for each router, half of what control may cost a VM, growing with the controls; building it was most of the work of an answer that brings nothing new.

Change: the list goes to a poller at its first poll, when other controls are in it, and each 5 s to routers, each second to controls as before. The leader, 40 bytes, goes to controls in each answer. Pollers that come no more are forgotten.

Measured by counts (sources_test): 12 lists a minute at 25 and at 50 controls for a router that polls 150 times.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -15,10 +15,6 @@
 
 constexpr Millis kPollTimeout = 1000;
 constexpr Millis kStepInterval = 500;
-/// Controls are in contact with each other, so the list of all controls is
-/// sent to another control only this often: for six of them it is 640 of the
-/// 2,670 bytes of an exchange.
-constexpr Millis kControlListInterval = 1000;
 /// The list holds the controls that were seen within this window.
 constexpr Millis kControlListWindow = 10000;
 constexpr int kIncarnationBytes = 6;
@@ -111,13 +107,7 @@
   answer.mSelf = Self();
   answer.mIncarnation = mIncarnation;
   const bool fromControl = !aRequest.mControl.mId.empty();
-  const PollingRouter poller{.mIsNearest = aRequest.mReportsLoads > 0,
-                             .mNearestAnswers = aRequest.mNearestAnswers};
-  if (fromControl ? SendsControlsTo(aRequest, now) : SendsControlList(poller)) {
-    answer.mControls = mDirectory.SeenWithin(kControlListWindow, now);
-    answer.mLeader = mLog.Raft().Leader();
-    answer.mTerm = mLog.Raft().Term();
-  }
+  AddControls(aRequest, answer);
   mUpstreams.Answer(aRequest, mIncarnation, answer);
   UpdateLocalConfirmation(now);
   answer.mConfirmedVersion = mConfirmation.Version();
@@ -138,14 +128,26 @@
   return answer;
 }
 
-bool SyncService::SendsControlsTo(const SyncRequest& aRequest, Millis aNow) {
-  const bool first = aRequest.mKnownIncarnation != mIncarnation;
-  Millis& sentAt = mControlsSentAt[aRequest.mControl.mId];
-  if (!first && aNow - sentAt < kControlListInterval) {
-    return false;
+void SyncService::AddControls(const SyncRequest& aRequest,
+                              SyncAnswer& aAnswer) {
+  const Millis now = SteadyNow();
+  const ListPoller poller{
+      .mProcess = aRequest.mProcess,
+      .mIsControl = !aRequest.mControl.mId.empty(),
+      .mIsFirst = aRequest.mKnownIncarnation != mIncarnation};
+  const PollingRouter router{.mIsNearest = aRequest.mReportsLoads > 0,
+                             .mNearestAnswers = aRequest.mNearestAnswers};
+  if (poller.mIsControl) {
+    aAnswer.mLeader = mLog.Raft().Leader();
+    aAnswer.mTerm = mLog.Raft().Term();
+  } else if (!SendsControlList(router)) {
+    return;
+  }
+  std::vector<ControlInfo> list =
+      mDirectory.SeenWithin(kControlListWindow, now);
+  if (mListSchedule.IsDue(poller, list, now)) {
+    aAnswer.mControls = std::move(list);
   }
-  sentAt = aNow;
-  return true;
 }
 
 RouterShare SyncService::Routers() {
@@ -246,6 +248,8 @@
   std::erase_if(mPolledAt, [&](const auto& aItem) {
     return now - aItem.second > PollerRetention(interval);
   });
+  mLoads.SetReportRetention(std::max(
+      LoadsRetention(interval), ControlContactTimeout(mPeerControls.size())));
   if (aRequest.mReportsLoads > 0) {
     mLoads.OnRouterReport(
         aRequest.mProcess, aRequest.mReportsLoads,
@@ -287,10 +291,6 @@
       Poll(address);
     }
   }
-}
-
-std::string SyncService::ReportedLeader() const {
-  const Millis timeout = ControlContactTimeout(mPeerControls.size());
   mPollTimer = mContext.mLoop.After(ControlPollInterval(all.size()),
                                     [this] { PollControls(); });
 }
@@ -302,9 +302,11 @@
     answering.push_back(mIncarnation);
   }
   return answering;
+}
+
+std::string SyncService::ReportedLeader() const {
+  const Millis timeout = ControlContactTimeout(mPeerControls.size());
   return SteadyNow() - mLeaderReportedAt < timeout ? mReportedLeader : "";
-  mPollTimer = mContext.mLoop.After(ControlPollInterval(all.size()),
-                                    [this] { PollControls(); });
 }
 
 void SyncService::PollLeader() {
@@ -325,13 +327,13 @@
   request.mZone = mContext.mOptions.mZone;
   request.mControl = Self();
   request.mAnsweringControls = ReachableControls();
+  request.mAnsweringIncarnations = AnsweringIncarnations();
   request.mKnownIncarnation = peer.mIncarnation;
   request.mRevision = mRevisions.Known(aAddress.Text());
-  request.mAnsweringIncarnations = AnsweringIncarnations();
   request.mKnownLoads = peer.mLoadsSequence;
   request.mKnownCrashRevision = peer.mCrashRevision;
-  request.mWantsConfiguration = aFetches;
   request.mConfiguration = Traffic().mVersion;
+  request.mWantsConfiguration = aFetches;
   const Millis polledAt = SteadyNow();
   mContext.mRpc.Call(
       aAddress, rpc_method::kSync, ToJson(request), kPollTimeout,
@@ -354,13 +356,13 @@
   const bool sameIncarnation = peer.mIncarnation == aAnswer.mIncarnation;
   peer.mIncarnation = aAnswer.mIncarnation;
   peer.mLastSeenAt = now;
-  peer.mId = aAnswer.mSelf.mId;
-  if (!aAnswer.mLeader.empty() && aAnswer.mTerm >= mReportedTerm) {
   mRevisions.OnAnswer({.mAddress = aAddress.Text(),
                        .mIncarnation = aAnswer.mIncarnation,
                        .mRevision = aAnswer.mRevision,
                        .mPolledAt = aPolledAt},
                       now);
+  peer.mId = aAnswer.mSelf.mId;
+  if (!aAnswer.mLeader.empty() && aAnswer.mTerm >= mReportedTerm) {
     mReportedLeader = aAnswer.mLeader;
     mReportedTerm = aAnswer.mTerm;
     mLeaderReportedAt = now;
@@ -383,9 +385,6 @@
   mUpstreams.ApplyAnswer(aAnswer);
   peer.mCrashRevision = aAnswer.mCrashRevision;
   MergeCrashes(aAnswer.mCrashes, peer.mId);
-}
-
-void SyncService::SaveState() {
   ApplyConfigurationUpdates(aAnswer);
   if (mFetch.TryStart(Traffic().mVersion, aAnswer.mHeldVersion, now)) {
     Poll(aAddress, true);
@@ -408,6 +407,9 @@
         .Add("version", static_cast<Json::Int64>(update.mVersion))
         .Add("from", aAnswer.mSelf.mId);
   }
+}
+
+void SyncService::SaveState() {
   mCrashes.RemoveExpired(SteadyNow());
   mCrashStore.Save(mCrashes, SteadyNow());
   // Disks can hang for seconds. A leader does not write these files, so that no
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -15,6 +15,7 @@
 #include "daemons/control/start_stamp.h"
 #include "daemons/control/upstream_intake.h"
 #include "spindleweir/daemons/sync_messages.h"
+#include "spindleweir/servers/membership/control_list_schedule.h"
 #include "spindleweir/servers/membership/peer_revisions.h"
 #include "spindleweir/servers/routes/configuration_fetch.h"
 #include "spindleweir/servers/routes/newest_confirmation.h"
@@ -63,27 +64,27 @@
   std::vector<std::string> ReachableControls() const;
   /// aFetches: the answer should hold newer configurations.
   void Poll(const Endpoint& aAddress, bool aFetches = false);
-  /// Polls a new leader for its confirmation at once. Waiting for the next poll
   /// Notices which controls have ceased to answer. Returns the incarnations of
   /// the others and of this one; none while no other answers.
   std::vector<std::string> AnsweringIncarnations();
+  /// Polls a new leader for its confirmation at once. Waiting for the next poll
   /// of all controls gives routers of other zones their lease up to 0.3 s
   /// later.
   void PollLeader();
   void ApplyAnswer(const Endpoint& aAddress, const SyncAnswer& aAnswer,
                    Millis aPolledAt);
+  /// Takes over configurations that were fetched from another control.
+  void ApplyConfigurationUpdates(const SyncAnswer& aAnswer);
   /// Applies the confirmation of this control itself, if it leads.
   void UpdateLocalConfirmation(Millis aNow);
   void UpdateVoters();
   void SaveState();
-  /// Takes over configurations that were fetched from another control.
-  void ApplyConfigurationUpdates(const SyncAnswer& aAnswer);
   /// Whether this process has no contact with a majority of the controls: then
   /// it is cut off itself, and silent upstreams may well be running.
   bool IsCutOff() const;
-  /// Whether the answer to another control holds the list of controls; records
-  /// when it was last sent.
-  bool SendsControlsTo(const SyncRequest& aRequest, Millis aNow);
+  /// Adds the list of controls, if the poller is due for it, and for a control
+  /// the leader.
+  void AddControls(const SyncRequest& aRequest, SyncAnswer& aAnswer);
   /// Number of all routers, as far as is known; at least 1.
   int RouterCount(Millis aNow);
   void AddLoads(const SyncRequest& aRequest, SyncAnswer& aAnswer);
@@ -96,14 +97,14 @@
   ControlContext& mContext;
   ReplicatedConfiguration& mLog;
   std::string mIncarnation;
-  std::map<std::string, Millis> mControlsSentAt;  ///< By the poller's id.
+  ControlListSchedule mListSchedule{ControlListOptions{}};
   ControlDirectory mDirectory;
   TrafficHistory mTraffic;
+  ConfigurationFetch mFetch{ConfigurationFetchOptions{}};
   /// The newest committed document, until Traffic() parses it. A start commits
   /// the whole log at once: parsing each of 118 versions of 600 routes takes a
   /// new leader with 0.15 cores 2.7 s, and only the newest is needed.
   std::optional<PublishedDocument> mUnparsed;
-  ConfigurationFetch mFetch{ConfigurationFetchOptions{}};
   std::map<std::string, Millis> mPolledAt;  ///< By router.
   NewestConfirmation mConfirmation;
   StartStamp mStamp;
@@ -115,11 +116,11 @@
   CrashLedger mCrashes;
   CrashStore mCrashStore;
   std::map<std::string, PeerControl> mPeerControls;  ///< By address.
+  PeerRevisions mRevisions{PeerRevisionsOptions{}};
   std::string mReportedLeader;  ///< Leader of the newest reported term.
   std::int64_t mReportedTerm = 0;
   Millis mLeaderReportedAt = 0;
   std::unique_ptr<Timer> mPollTimer;
-  PeerRevisions mRevisions{PeerRevisionsOptions{}};
   std::unique_ptr<Timer> mStepTimer;
 };
 
--- a/tests/servers/sources_test.cpp
+++ b/tests/servers/sources_test.cpp
@@ -2,6 +2,7 @@
 
 #include "spindleweir/core/error.h"
 #include "spindleweir/servers/limits/router_count.h"
+#include "spindleweir/servers/membership/control_list_schedule.h"
 #include "spindleweir/servers/membership/poll_schedule.h"
 #include "spindleweir/servers/membership/source_choice.h"
 #include "spindleweir/servers/membership/source_lag.h"
@@ -174,6 +175,53 @@
   }
 }
 
+// Each answer to a router held all controls: with 25 of them 4.6 KB/s for each
+// router, half of what control may cost a VM, and most of the work of an answer
+// that brings nothing new.
+Test(sources, the_list_of_controls_is_not_in_each_answer) {
+  const auto listOf = [](int aControls) {
+    std::vector<ControlInfo> list;
+    for (int i = 0; i < aControls; i++) {
+      list.push_back({.mId = ControlId({"10.0.0.1", 7000 + i}, "first")});
+    }
+    return list;
+  };
+  SECTION("a router that polls for a minute gets it each five seconds") {
+    for (const int controls : {25, 50}) {
+      ControlListSchedule schedule{ControlListOptions{}};
+      int lists = 0;
+      for (Millis now = 0; now < 60000; now += 400) {
+        lists += schedule.IsDue({.mProcess = "r", .mIsFirst = now == 0},
+                                listOf(controls), now)
+                     ? 1
+                     : 0;
+      }
+      CHECK(lists == 12);
+    }
+  }
+  ControlListSchedule schedule{ControlListOptions{}};
+  REQUIRE(schedule.IsDue({.mProcess = "r"}, listOf(25), 0));
+  REQUIRE(schedule.IsDue({.mProcess = "c", .mIsControl = true}, listOf(25), 0));
+  SECTION("a control each second") {
+    CHECK(!schedule.IsDue({.mProcess = "c", .mIsControl = true}, listOf(25),
+                          999));
+    CHECK(schedule.IsDue({.mProcess = "c", .mIsControl = true}, listOf(25),
+                         1000));
+  }
+  SECTION("at once when a control appears, or after a restart") {
+    CHECK(!schedule.IsDue({.mProcess = "r"}, listOf(25), 1100));
+    CHECK(schedule.IsDue({.mProcess = "r"}, listOf(26), 1200));
+    CHECK(!schedule.IsDue({.mProcess = "r"}, listOf(26), 1300));
+    CHECK(
+        schedule.IsDue({.mProcess = "r", .mIsFirst = true}, listOf(26), 1400));
+  }
+  SECTION("processes that poll no more are forgotten") {
+    CHECK(schedule.Pollers() == 2);
+    CHECK(schedule.IsDue({.mProcess = "other"}, listOf(25), 40000));
+    CHECK(schedule.Pollers() == 1);
+  }
+}
+
 Test(sources, polls_of_a_control_do_not_grow_with_the_routers) {
   // Each router polls one control as its nearest and two others.
   const auto pollsPerSecond = [](std::size_t aRouters, std::size_t aControls) {
