--- a/bench/poll_costs.cpp
+++ b/bench/poll_costs.cpp
@@ -17,6 +17,8 @@
 
 constexpr int kZones = 5;
 constexpr int kRoutersPerControl = 40;
+/// Each router polls its nearest control and two others.
+constexpr std::size_t kPollersPerControl = 120;
 constexpr int kUpstreamsPerRouter = 3;
 /// Upstreams that a router sends requests to at one time.
 constexpr int kBusyUpstreams = 12;
@@ -87,8 +89,7 @@
   }
 
   void Run() {
-    const auto pollers = static_cast<std::size_t>(3 * kRoutersPerControl);
-    const Millis interval = RouterPollInterval(pollers);
+    const Millis interval = RouterPollInterval(kPollersPerControl);
     const Millis others =
         NextPollDelay({.mInterval = interval, .mNearestAnswers = true});
     const Millis between =
@@ -156,8 +157,8 @@
     SyncRequest request{.mProcess = "c1", .mZone = "zone-0"};
     request.mControl = {.mId = "10.0.0.1:7440#first", .mZone = "zone-0"};
     for (int i = 1; i < mControls; i++) {
-      request.mAnsweringControls.push_back("10.0.0." + std::to_string(i) +
-                                           ":7440#first");
+      request.mAnsweringIncarnations.push_back("c" +
+                                               std::to_string(100000 + i));
     }
     const auto between = static_cast<int>(
         ControlPollInterval(static_cast<std::size_t>(mControls)));
--- a/include/spindleweir/servers/membership/upstream_feed.h
+++ b/include/spindleweir/servers/membership/upstream_feed.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "spindleweir/servers/membership/upstream_registry.h"
@@ -48,7 +49,8 @@
 /// cores.
 class UpstreamFeed {
  public:
-  explicit UpstreamFeed(UpstreamFeedOptions aOptions) : mOptions(aOptions) {}
+  explicit UpstreamFeed(UpstreamFeedOptions aOptions)
+      : mOptions(std::move(aOptions)) {}
 
   /// What a poller that knows revision aKnown lacks; 0: it knows nothing.
   FeedUpdates UpdatesSince(const UpstreamRegistry& aRegistry,
--- a/servers/membership/control_list_schedule.cpp
+++ b/servers/membership/control_list_schedule.cpp
@@ -24,8 +24,8 @@
   const auto [it, isNew] = mSent.try_emplace(aPoller.mProcess);
   Sent& sent = it->second;
   sent.mPolledAt = aNow;
-  const Millis interval = aPoller.mIsControl ? mOptions.mControlInterval
-                                             : mOptions.mRouterInterval;
+  const Millis interval =
+      aPoller.mIsControl ? mOptions.mControlInterval : mOptions.mRouterInterval;
   const bool isDue = isNew || aPoller.mIsFirst || sent.mDigest != digest ||
                      aNow - sent.mAt >= interval;
   if (isDue) {
