Polls between controls name the answering controls once

Cause: since a poll names the incarnations of the controls that answer the poller, it held them twice: 24 ids of 25 bytes beside 24 incarnations of 15.

Change: the ids are gone. A control of the former version that answers a new one then forwards all heartbeats, which costs bytes while both versions run, and nothing else.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -326,7 +326,6 @@
   request.mProcess = mContext.mOptions.mId;
   request.mZone = mContext.mOptions.mZone;
   request.mControl = Self();
-  request.mAnsweringControls = ReachableControls();
   request.mAnsweringIncarnations = AnsweringIncarnations();
   request.mKnownIncarnation = peer.mIncarnation;
   request.mRevision = mRevisions.Known(aAddress.Text());
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -65,10 +65,9 @@
   std::string mZone;
   ControlInfo mControl;  ///< Of a polling control; without id if a
                          ///< router polls.
-  /// From a control: ids of the controls that answered it recently.
-  std::vector<std::string> mAnsweringControls;
-  /// The same as incarnations, with the poller's own: it receives their changes
-  /// of upstreams from them. Empty: it sends none, and receives all changes.
+  /// From a control: incarnations of the controls that answered it recently,
+  /// and its own. It receives the changes and heartbeats of upstreams that they
+  /// know of from them; all, if it sends none.
   std::vector<std::string> mAnsweringIncarnations;
   std::string mKnownIncarnation;    ///< The answerer's incarnation to which the
                                     ///< known numbers below belong.
@@ -107,7 +106,6 @@
     aCodec.Required("process", mProcess);
     aCodec.Sparse("zone", mZone);
     aCodec.Sparse("control", mControl);
-    aCodec.Sparse("hears", mAnsweringControls);
     aCodec.Sparse("hears_lives", mAnsweringIncarnations);
     aCodec.Sparse("knows", mKnownIncarnation);
     aCodec.Sparse("revision", mRevision);
