--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -66,8 +66,9 @@
   ControlInfo mControl;  ///< Of a polling control; without id if a
                          ///< router polls.
   /// From a control: incarnations of the controls that answered it recently,
-  /// and its own. It receives the changes and heartbeats of upstreams that they
-  /// know of from them; all, if it sends none.
+  /// and its own. The answer leaves out the changes and heartbeats of upstreams
+  /// that these reported, since the poller receives them from these. Empty: it
+  /// leaves out none.
   std::vector<std::string> mAnsweringIncarnations;
   /// From a control: it requests no upstreams yet.
   bool mSkipsUpstreams = false;
--- a/include/spindleweir/servers/membership/control_list_schedule.h
+++ b/include/spindleweir/servers/membership/control_list_schedule.h
@@ -27,16 +27,16 @@
   Millis mRetention = 30000;
 };
 
-/// Decides which answers hold the list. It grows with the controls, and was the
-/// greatest part of an answer that brings nothing new. Takes the time with each
-/// call.
+/// Decides which answers hold the list. It grows with the controls, and would
+/// be the greatest part of an answer that brings nothing new. Takes the time
+/// with each call.
 class ControlListSchedule {
  public:
   explicit ControlListSchedule(ControlListOptions aOptions)
       : mOptions(aOptions) {}
 
-  /// Whether aPoller is due for aList: at its first poll, when other controls
-  /// are in the list than before, and after the interval. True counts as sent.
+  /// Whether aPoller is due for aList: at its first poll, when the controls in
+  /// the list have changed, and after the interval. True counts as sent.
   bool IsDue(const ListPoller& aPoller, const std::vector<ControlInfo>& aList,
              Millis aNow);
   std::size_t Pollers() const { return mSent.size(); }
--- a/servers/membership/peer_revisions.cpp
+++ b/servers/membership/peer_revisions.cpp
@@ -38,7 +38,7 @@
   peer.mAnswers = true;
   peer.mAnsweredPollAt = std::max(peer.mAnsweredPollAt, aAnswer.mPolledAt);
   peer.mSeenAt = aNow;
-  // An answer to an earlier poll lacks what this process went back for.
+  // An answer to a poll from before it went back lacks what it went back for.
   if (aAnswer.mPolledAt > peer.mWentBackAt) {
     Store(peer, aAnswer.mRevision, aNow);
   }
@@ -48,7 +48,7 @@
                           Millis aNow) const {
   aPeer.mRevision = aRevision;
   aPeer.mCheckpoints.push_back({aNow, aRevision});
-  // The newest of those that are too old says what was known before the rest.
+  // One checkpoint older than the retention stays: it holds until the next.
   while (aPeer.mCheckpoints.size() > 1 &&
          aNow - aPeer.mCheckpoints[1].mAt > mOptions.mRetention) {
     aPeer.mCheckpoints.pop_front();
--- a/servers/membership/reporter_feeds.cpp
+++ b/servers/membership/reporter_feeds.cpp
@@ -27,7 +27,8 @@
     }
     FeedUpdates updates =
         FeedOf(reporter).UpdatesSince(aRegistry, aKnown, aNow);
-    // Each feed packs at times of its own: the poller knows what all have.
+    // Each feed packs at its own times, so the poller knows for certain only
+    // what all of them have packed.
     all.mRevision = std::min(all.mRevision, updates.mRevision);
     std::move(updates.mUpdates.begin(), updates.mUpdates.end(),
               std::back_inserter(all.mUpdates));
--- a/tests/servers/feed_test.cpp
+++ b/tests/servers/feed_test.cpp
@@ -273,8 +273,7 @@
 }  // namespace
 
 // Each control forwarded to each other one what it had from all the others:
-// with 25 controls each change arrived 24 times at each, two thirds of all
-// bytes between zones after a start.
+// with 25 controls each change arrived 24 times at each.
 Test(feed, a_change_reaches_each_control_once_however_many_there_are) {
   struct Case {
     int mControls;
