Open requests end with their router

What callers saw: nothing in a daemon, whose loop has stopped by then. A program that embeds the library used freed memory when an upstream answered after its router was gone.

Cause: a request handler held a reference to itself until its own end. Found by a run of failures/a_router_crash_after_dispatch_causes_no_second_run (address sanitizer) that was stopped for 1.5 s, 30 ms after its first call was routed: heap-use-after-free in UpstreamView::Succeeded, called by ServiceCall::HandleResult of a destroyed RouterDaemon; the same with 3.5 s.

Change: the router's OpenRequests own the handlers and are destroyed with it.

Measured: destroyed_router/ignores_the_answer_to_an_open_service_call failed before (the same report), ignores_the_tokens_of_an_open_completion passed before; both pass.

--- a/daemons/router/caller_api.cpp
+++ b/daemons/router/caller_api.cpp
@@ -86,7 +86,7 @@
     aExchange->Reply(kHttpOk, kTextType, "ready\n");
   } else if (path == "/metrics") {
     RequireMethod(*aExchange, "GET");
-    mContext.mCounters.Set("open_requests", mContext.mOpenRequests);
+    mContext.mCounters.Set("open_requests", mContext.mOpenRequests.Count());
     mContext.mCounters.Set("queued_requests", static_cast<std::int64_t>(
                                                   mContext.mLimiter.Queued()));
     mContext.mCounters.Set("receipts_lost", mContext.mOutbox.Lost());
--- a/daemons/router/peer_link.cpp
+++ b/daemons/router/peer_link.cpp
@@ -286,7 +286,7 @@
   state["stopping"] = mContext.mStopping;
   state["configuration_version"] =
       static_cast<Json::Int64>(mContext.AcceptedConfiguration().mVersion);
-  state["open_requests"] = mContext.mOpenRequests;
+  state["open_requests"] = mContext.mOpenRequests.Count();
   state["leaving"] = Json::Value(Json::arrayValue);
   for (const std::string& vm : mContext.mLeaving.Vms()) {
     state["leaving"].append(vm);
--- a/daemons/router/request_handler.cpp
+++ b/daemons/router/request_handler.cpp
@@ -19,8 +19,8 @@
 }
 
 void RequestHandler::Open(std::shared_ptr<void> aSelf) {
-  mSelf = std::move(aSelf);
-  mContext.mOpenRequests++;
+  mSelf = aSelf.get();
+  mContext.mOpenRequests.Add(std::move(aSelf));
 }
 
 void RequestHandler::RequestAdmission(
@@ -89,9 +89,8 @@
     mHoldsSlot = false;
     mContext.ReleaseSlot(mRequest.mWorkspace.mName);
   }
-  mContext.mOpenRequests--;
   // A member function of this object is still on the stack.
-  mContext.mLoop.Post([self = std::move(mSelf)] {});
+  mContext.mLoop.Post([self = mContext.mOpenRequests.Remove(mSelf)] {});
 }
 
 }  // namespace spindleweir
--- a/daemons/router/request_handler.h
+++ b/daemons/router/request_handler.h
@@ -29,8 +29,8 @@
   }
 };
 
-/// Base class for the handling of one request. The object owns itself from
-/// Open() until after Close().
+/// Base class for the handling of one request. The router's
+/// OpenRequests own the object from Open() to Close().
 class RequestHandler {
  protected:
   /// aTarget: name of the model or service.
@@ -68,7 +68,7 @@
 
  private:
   std::uint64_t mTicket = 0;
-  std::shared_ptr<void> mSelf;
+  const void* mSelf = nullptr;  ///< Key in OpenRequests.
 };
 
 }  // namespace spindleweir
--- a/daemons/router/router_context.h
+++ b/daemons/router/router_context.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "daemons/router/open_requests.h"
 #include "spindleweir/core/counters.h"
 #include "spindleweir/daemons/entry_vms_file.h"
 #include "spindleweir/daemons/router_daemon.h"
@@ -74,7 +75,7 @@
   /// A stop has begun: /readyz fails, so that the load balancer moves away.
   bool mStopping = false;
   bool mRejectingRequests = false;  ///< New requests fail with kStopping.
-  int mOpenRequests = 0;
+  OpenRequests mOpenRequests;
 
  private:
   /// Calls the callback of each request that the limiter admitted or rejected.
--- a/daemons/router/router_daemon.cpp
+++ b/daemons/router/router_daemon.cpp
@@ -81,7 +81,7 @@
   }
   // A request on an idle connection would get no answer once the process ends.
   mCallerServer.CloseIdle();
-  if (mContext.mOpenRequests > 0 || AwaitsReceipts()) {
+  if (mContext.mOpenRequests.Count() > 0 || AwaitsReceipts()) {
     return;
   }
   if (mListening) {
@@ -131,7 +131,7 @@
   context.mStopping = true;
   context.mReady = false;
   LogLine(LogLevel::kInfo, "stopping")
-      .Add("open_requests", context.mOpenRequests);
+      .Add("open_requests", context.mOpenRequests.Count());
   mParts->mStewardship.Stop();
   mParts->mCallerServer.SetClosing();
   // Requests are served until the load balancer has noticed that this router
@@ -145,7 +145,7 @@
   mParts->mStopTimer =
       context.mLoop.After(context.mOptions.mStopGrace, [&context] {
         LogLine(LogLevel::kWarning, "stop_grace_over")
-            .Add("open_requests", context.mOpenRequests)
+            .Add("open_requests", context.mOpenRequests.Count())
             .Add("receipts", static_cast<int>(context.mOutbox.Size()));
         context.mLoop.Stop();
       });
