Outcomes of claims that are due again end with their router

What callers saw: nothing in a daemon; a program that embeds the library used freed memory up to 500 ms after its router was gone.

Change: ClaimClient owns these timers.

Measured: destroyed_router/sends_no_outcome_of_a_claim_again failed before (heap-use-after-free from EventTimer::Fire); it passes.

--- a/daemons/router/claim_client.cpp
+++ b/daemons/router/claim_client.cpp
@@ -180,11 +180,11 @@
           }
           return;
         }
-        const auto timer = std::make_shared<std::unique_ptr<Timer>>();
-        *timer = mContext.mLoop.After(
+        const std::int64_t id = mNextRetry++;
+        mRetryTimers[id] = mContext.mLoop.After(
             kReportRetryDelay,
-            [this, timer, aKeeper, aMessage, aAttemptsLeft, aOnAcknowledged] {
-              timer->reset();
+            [this, id, aKeeper, aMessage, aAttemptsLeft, aOnAcknowledged] {
+              mRetryTimers.erase(id);
               SendUntilAcknowledged(aKeeper, aMessage, aAttemptsLeft - 1,
                                     aOnAcknowledged);
             });
--- a/daemons/router/claim_client.h
+++ b/daemons/router/claim_client.h
@@ -2,7 +2,9 @@
 /// outcomes.
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -44,6 +46,9 @@
                              const std::function<void()>& aOnAcknowledged);
 
   RouterContext& mContext;
+  /// Reports that are due again; they end with the router.
+  std::map<std::int64_t, std::unique_ptr<Timer>> mRetryTimers;
+  std::int64_t mNextRetry = 0;
 };
 
 /// The result code for a verdict that rejects a call.
--- a/tests/daemons/destroyed_router_test.cpp
+++ b/tests/daemons/destroyed_router_test.cpp
@@ -39,3 +39,15 @@
   deployment.RunFor(kSettleTime);
   CHECK(stream->mDone);
 }
+
+Test(destroyed_router, sends_no_outcome_of_a_claim_again) {
+  Deployment deployment({.mZones = 1, .mServiceDelay = kServiceDelay});
+  deployment.Begin();
+  const auto call = Pay(deployment);
+  REQUIRE(deployment.RunUntil([&] { return deployment.ServiceRuns() == 1; }));
+  deployment.mControls.clear();
+  REQUIRE(deployment.RunUntil([&] { return call->mDone; }));
+  CHECK(call->mHttp.mStatus == 200);
+  deployment.mRouters[0].reset();
+  deployment.RunFor(kSettleTime);
+}
