The stand-in of a service counts the time in which its loop runs

failures/a_router_crash_after_dispatch_causes_no_second_run failed twice beside load. Cause: the service of the test shares a loop with the routers, and its 0.4 s went by the clock: after a stall its answer arrived before the test could destroy the router, and the resend rightly got the stored answer.

The test and its check are unchanged; no run showed a second run or an answer that is wrong.

--- a/standins/service_standin.cpp
+++ b/standins/service_standin.cpp
@@ -41,12 +41,15 @@
   answer["run"] = run;
   answer["path"] = aExchange->Path();
   answer["echo"] = aExchange->Body();
-  mAnswers[run] = mLoop.After(mOptions.mDelay, [this, run, aExchange, answer] {
-    // The timer runs a copy of this callback, so erasing the timer here is
-    // safe.
-    mAnswers.erase(run);
-    ReplyJson(*aExchange, kHttpOk, answer);
-  });
+  // In running time: a service that shares a process with its callers stands
+  // still when they do, so that a call is still open when they go on.
+  mAnswers[run] = mLoop.AfterRunning(
+      mOptions.mDelay, [this, run, aExchange, answer] {
+        // The timer runs a copy of this callback, so erasing the timer here is
+        // safe.
+        mAnswers.erase(run);
+        ReplyJson(*aExchange, kHttpOk, answer);
+      });
 }
 
 }  // namespace spindleweir
