Calls of the stream client wait by the time in which the loop runs

What callers saw: a router that stood still for half a second gave up the connections that it was making; their upstreams counted as unreachable for 1.5 s, and after three in a row a request was refused.

Cause: the timers of StreamCall went by the clock and fire, after a stall, before deferred callbacks.

--- a/drivers/stream_client.cpp
+++ b/drivers/stream_client.cpp
@@ -65,10 +65,12 @@
       FinishLater(StreamEnd::kNotSent);
       return;
     }
-    mConnectTimer = mLoop.After(mOptions.mConnectTimeout,
-                                [this] { Finish(StreamEnd::kNotSent); });
+    // In running time: after a stall the timers fire before the connections and
+    // answers that came meanwhile are noticed.
+    mConnectTimer = mLoop.AfterRunning(
+        mOptions.mConnectTimeout, [this] { Finish(StreamEnd::kNotSent); });
     if (mOptions.mTimeout > 0) {
-      mTimer = mLoop.After(mOptions.mTimeout, [this] {
+      mTimer = mLoop.AfterRunning(mOptions.mTimeout, [this] {
         Finish(mSent ? StreamEnd::kLost : StreamEnd::kNotSent);
       });
     }
--- a/tests/drivers/stream_test.cpp
+++ b/tests/drivers/stream_test.cpp
@@ -4,6 +4,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
@@ -14,6 +16,10 @@
 
 namespace {
 
+constexpr Millis kTimeout = 300;
+/// Of the whole process.
+constexpr std::chrono::milliseconds kStall(700);
+
 /// A server with a handler that a test sets.
 struct Server {
   explicit Server(std::shared_ptr<MemoryBudget> aMemory = nullptr)
@@ -446,3 +452,42 @@
   CHECK(one != std::string::npos && two != std::string::npos && one < two);
   CHECK(server.mHandled == 2);
 }
+
+// Guards against calls that fail although the server accepted them: a client
+// that was stalled for longer than its timeout dropped a connection that had
+// been made meanwhile, and an answer that it had not read yet.
+Test(stream, a_stalled_client_does_not_give_up_calls) {
+  Server server;
+  int ended = 0;
+  int complete = 0;
+  const auto start = [&] {
+    StreamCallOptions options;
+    options.mServer = server.mServer.Address();
+    options.mHeaders = {{"Host", "h"}};
+    options.mConnectTimeout = kTimeout;
+    options.mTimeout = kTimeout;
+    options.mOnEnd = [&](StreamEnd aEnd) {
+      ended++;
+      complete += aEnd == StreamEnd::kComplete ? 1 : 0;
+    };
+    return StartStreamCall(server.mLoop, std::move(options));
+  };
+  SECTION("while it connects") {
+    server.mHandle = [](StreamExchange& aExchange) {
+      aExchange.Reply(200, {}, "served");
+    };
+    const auto call = start();
+    std::this_thread::sleep_for(kStall);
+    REQUIRE(server.RunUntil([&] { return ended == 1; }));
+    CHECK(complete == 1);
+  }
+  SECTION("while the answer waits in its socket") {
+    server.mHandle = [](StreamExchange& aExchange) {
+      aExchange.Reply(200, {}, "served");
+      std::this_thread::sleep_for(kStall);
+    };
+    const auto call = start();
+    REQUIRE(server.RunUntil([&] { return ended == 2; }));
+    CHECK(complete == 2);
+  }
+}
