A begun stream outlives attempts that cannot be sent

Attempts that are not sent were limited to three, however fast they fail.

Change: a request that is worth waiting for looks for a path again later instead. Others are refused after three, as before.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -307,11 +307,30 @@
                            ? kMaxRefusalsMidway
                            : kMaxRefusals;
   return allowed && sent < mRoute->mMaxAttempts &&
-         mRefusedAttempts < refusals && mUnsentAttempts < kMaxUnsent &&
+         mRefusedAttempts < refusals && HasUnsentAttemptsLeft() &&
          Remaining() > kMinTimeForAttempt && !mExchange->Closed() &&
          !IsBarred();
 }
 
+bool RelayRequest::HasUnsentAttemptsLeft() const {
+  return mUnsentAttempts < kMaxUnsent || IsWorthWaiting();
+}
+
+void RelayRequest::RetryUnsent(ResultCode aCode) {
+  mContext.mCounters.Add("retries");
+  if (mUnsentAttempts < kMaxUnsent) {
+    StartAttempt();
+    return;
+  }
+  // The known upstreams can't be reached: they may have ended without being
+  // reported yet. Further attempts wait for others, since the connections to
+  // the same ones would be refused within a millisecond.
+  SetLack(Lack::kPath);
+  if (!WaitForPath()) {
+    GiveUp(aCode);
+  }
+}
+
 void RelayRequest::RecordLostAttempt() {
   // Only the first stage of the path is reported. If several engines end at
   // once, a request whose path passed all of them would count as having crashed
@@ -347,8 +366,7 @@
     return;
   }
   if (!aWasSent) {
-    mContext.mCounters.Add("retries");
-    StartAttempt();
+    RetryUnsent(aCode);
     return;
   }
   RetryOrGiveUp(aCode);
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -194,6 +194,11 @@
   bool IsLikelyRetry() const;
   /// aRan: whether the attempt that ended was run.
   bool MayTryAgain(Ran aRan) const;
+  /// Whether the request may be tried again after an attempt that was not sent:
+  /// a few times, or as long as it is worth waiting.
+  bool HasUnsentAttemptsLeft() const;
+  /// Tries again after an attempt that was not sent.
+  void RetryUnsent(ResultCode aCode);
   void DropAttempt();
   /// Whether the attempt was sent to the incarnation that is known now. Its
   /// outcome says nothing about a successor.
--- a/tests/daemons/cut_streams_test.cpp
+++ b/tests/daemons/cut_streams_test.cpp
@@ -16,6 +16,9 @@
 constexpr Millis kWindow = 2000;
 /// Longer than the stall timeout of an engine.
 constexpr Millis kSuspension = 1300;
+/// Long enough for a control to report an engine that ended, and shorter than
+/// callers wait for an event.
+constexpr Millis kEngineGap = 500;
 
 std::string FullBody() {
   std::string body;
@@ -121,3 +124,29 @@
     CHECK(answer.mBody == FullBody());
   }
 }
+
+// A started stream whose only engine had ended was sent to it three more times
+// within a millisecond, since no other engine was known, and then cut: attempts
+// that could not be sent were limited, however fast they failed.
+Test(cut_streams, a_started_stream_waits_while_its_only_engine_is_unreachable) {
+  RelayFixture fixture;
+  ScriptedUpstream ending(fixture.mLoop, "ending");
+  ScriptedUpstream joining(fixture.mLoop, "joining");
+  fixture.Begin();
+  fixture.BeginEngine(ending);
+  ending.QueueActions({UpstreamAction::kStall});
+  const auto stream = fixture.Open("/stream/1", "begun");
+  REQUIRE(
+      fixture.RunUntil([&stream] { return !stream->mAnswer.mBody.empty(); }));
+  ending.Crash();
+  SECTION("no other engine is known yet") {
+    fixture.Wait(kEngineGap);
+    CHECK(!stream->mEnded);
+  }
+  SECTION("an engine joins") {
+    fixture.SendEngineHeartbeat(joining);
+    REQUIRE(fixture.RunUntil([&stream] { return stream->mEnded; }));
+    CHECK(IsComplete(*stream));
+    CHECK(joining.Runs("begun") == 1);
+  }
+}
