Each router counts once, at whichever control it reports

Cause: controls added up numbers of routers. One that changed its control was in two of them: after each start for 2.5 s, after the end of a control for up to a minute.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -1,6 +1,7 @@
 #include "daemons/control/sync_service.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "spindleweir/core/digest.h"
 #include "spindleweir/core/json_codec.h"
@@ -121,6 +122,7 @@
   }
   answer.mRouters = RouterCount(now);
   answer.mOwnRouters = mLoads.LocalRouters(now);
+  AddRouterList(aRequest, answer);
   answer.mPollInterval = RouterPollInterval(mPolledAt.size());
   AddLoads(aRequest, answer);
   AddCrashes(aRequest, answer);
@@ -171,6 +173,18 @@
              : std::max(1, mLoads.AllRouters(aNow));
 }
 
+void SyncService::AddRouterList(const SyncRequest& aRequest,
+                                SyncAnswer& aAnswer) {
+  if (aRequest.mControl.mId.empty()) {
+    return;
+  }
+  RouterNumbers routers = mLoads.LocalRouterNumbers(SteadyNow());
+  aAnswer.mRouterListTag = RouterListTag(routers);
+  if (aAnswer.mRouterListTag != aRequest.mKnownRouterList) {
+    aAnswer.mOwnRouterList = std::move(routers);
+  }
+}
+
 void SyncService::AddLoads(const SyncRequest& aRequest, SyncAnswer& aAnswer) {
   const Millis now = SteadyNow();
   const bool fromControl = !aRequest.mControl.mId.empty();
@@ -256,6 +270,8 @@
         UsableRows(aRequest.mLoads, mContext.mInvalidMessages.HookFor("loads"))
             .ToShares(),
         now);
+  } else {
+    mLoads.OnRouterMoved(aRequest.mProcess);
   }
 }
 
@@ -330,6 +346,7 @@
   request.mKnownIncarnation = peer.mIncarnation;
   request.mRevision = mRevisions.Known(aAddress.Text());
   request.mSkipsUpstreams = !mRevisions.RequestsUpstreams(aAddress.Text());
+  request.mKnownRouterList = mLoads.RouterListTagOf(aAddress.Text());
   request.mKnownLoads = peer.mLoadsSequence;
   request.mKnownCrashRevision = peer.mCrashRevision;
   request.mConfiguration = Traffic().mVersion;
@@ -379,6 +396,9 @@
                            aAnswer.mOwnRouters, now);
     peer.mLoadsSequence = aAnswer.mLoadsNumber;
   }
+  if (aAnswer.mRouterListTag != mLoads.RouterListTagOf(aAddress.Text())) {
+    mLoads.OnControlRouters(aAddress.Text(), aAnswer.mOwnRouterList);
+  }
   mDirectory.OnSeen(aAnswer.mSelf, now);
   for (const ControlInfo& info : aAnswer.mControls) {
     mDirectory.OnSeen(info, now);
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -87,6 +87,8 @@
   void AddControls(const SyncRequest& aRequest, SyncAnswer& aAnswer);
   /// Number of all routers, as far as is known; at least 1.
   int RouterCount(Millis aNow);
+  /// Adds the routers that report here, if a control does not know the list.
+  void AddRouterList(const SyncRequest& aRequest, SyncAnswer& aAnswer);
   void AddLoads(const SyncRequest& aRequest, SyncAnswer& aAnswer);
   /// Merges crash records, and stores the barred requests if they have changed.
   void MergeCrashes(const std::vector<Json::Value>& aRows,
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -92,6 +92,9 @@
   /// Collected heartbeats that changed nothing else: a HeartbeatTable, see
   /// ReadHeartbeats.
   Json::Value mCollectedHeartbeats;
+  /// From a control: the tag of the router list that it received last from the
+  /// answerer; see RouterListTag().
+  std::int64_t mKnownRouterList = 0;
   /// Sequence number of the loads that were received last from the answerer.
   std::int64_t mKnownLoads = 0;
   /// Sequence number of mLoads, which replace those reported before; 0: no
@@ -120,6 +123,7 @@
     aCodec.Sparse("takes_at", mCollectorAddress);
     aCodec.Sparse("taken_upstreams", mCollectedUpstreams);
     aCodec.Sparse("taken_beats", mCollectedHeartbeats);
+    aCodec.Sparse("knows_router_list", mKnownRouterList);
     aCodec.Sparse("knows_loads", mKnownLoads);
     aCodec.Sparse("tells_loads", mReportsLoads);
     aCodec.Sparse("loads", mLoads);
@@ -152,6 +156,9 @@
       mConfigurationUpdates;  ///< After the poller's version, in order.
   int mRouters = 1;           ///< That report their loads to any control.
   int mOwnRouters = 0;        ///< That report them to this control.
+  /// To a control: which routers these are, unless it knows this list.
+  RouterNumbers mOwnRouterList;
+  std::int64_t mRouterListTag = 0;
   Millis mPollInterval = 0;   ///< Of routers in the answerer's zone.
   /// To a router: loads of all routers; to a control: loads of the routers that
   /// report to the answerer. Empty if the poller has those of mLoadsNumber.
@@ -182,6 +189,8 @@
     aCodec.Sparse("news", mConfigurationUpdates);
     aCodec.Field("routers", mRouters);
     aCodec.Sparse("own_routers", mOwnRouters);
+    aCodec.Sparse("own_router_list", mOwnRouterList);
+    aCodec.Sparse("router_list_tag", mRouterListTag);
     aCodec.Sparse("ask_every_ms", mPollInterval);
     aCodec.Sparse("packed_loads", mPackedLoads);
     aCodec.Sparse("loads_number", mLoadsNumber);
--- a/include/spindleweir/servers/routing/load_aggregator.h
+++ b/include/spindleweir/servers/routing/load_aggregator.h
@@ -8,10 +8,12 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "spindleweir/core/clock.h"
 #include "spindleweir/servers/membership/upstream_check.h"
+#include "spindleweir/servers/routing/router_census.h"
 
 namespace spindleweir {
 
@@ -145,7 +147,7 @@
 class LoadAggregator {
  public:
   explicit LoadAggregator(LoadAggregatorOptions aOptions)
-      : mOptions(aOptions) {}
+      : mOptions(aOptions), mCensus(aOptions.mRouterCountRetention) {}
 
   /// The processes report less often the more of them there are.
   void SetReportRetention(Millis aRetention) {
@@ -158,6 +160,9 @@
   /// "ROUTER/START". aSequence: sequence number of the report, from 1.
   void OnRouterReport(const std::string& aProcess, std::int64_t aSequence,
                       LoadShares aShares, Millis aNow);
+  /// Drops the report of a router that reports to another control now, so that
+  /// it does not count at both until its report expires.
+  void OnRouterMoved(const std::string& aProcess);
   /// Stores the summed load of the routers that report to another control, and
   /// their number.
   void OnControlReport(const std::string& aControl, LoadShares aShares,
@@ -168,6 +173,15 @@
   void OnControlUnchanged(const std::string& aControl, int aRouters,
                           Millis aNow);
 
+  /// Stores which routers report to another control.
+  void OnControlRouters(const std::string& aControl, RouterNumbers aRouters) {
+    mCensus.OnList(aControl, std::move(aRouters));
+  }
+  /// The tag of the last such list; 0: none.
+  std::int64_t RouterListTagOf(const std::string& aControl) const {
+    return mCensus.TagOf(aControl);
+  }
+
   /// The load of all routers, whether reported here or to other controls, for a
   /// router in aZone.
   const PackedLoads& PackedSum(const std::string& aZone,
@@ -179,6 +193,8 @@
   const PackedLoads& PackedLocal(Millis aNow);
   /// Number of routers that report to this control.
   int LocalRouters(Millis aNow);
+  /// These routers.
+  RouterNumbers LocalRouterNumbers(Millis aNow);
   /// Number of routers that report to any control, including controls that
   /// became silent within the retention time.
   int AllRouters(Millis aNow);
@@ -195,13 +211,9 @@
     std::int64_t mIncluded = 0;  ///< Sequence that the sum includes.
     Millis mReceivedAt = 0;
   };
-  /// The number of routers that report to another control.
-  struct ControlRouters {
-    int mRouters = 0;
-    Millis mReceivedAt = 0;
-  };
-
   void DropExpired(Millis aNow);
+  /// Reports were dropped: what was built from them is out of date.
+  void OnRoutersDropped();
   void UpdateSum(Millis aNow);
   /// Whether a sum of aRows rows that was built at aBuiltAt must be rebuilt.
   bool IsStale(Millis aBuiltAt, std::size_t aRows, int aRowsPerMilli,
@@ -210,7 +222,9 @@
   LoadAggregatorOptions mOptions;
   std::map<std::string, Report> mRouters;               ///< By router.
   std::map<std::string, Report> mControls;              ///< By address.
-  std::map<std::string, ControlRouters> mRouterCounts;  ///< By address.
+  RouterCensus mCensus;
+  /// The routers of mRouters changed since they were passed to mCensus.
+  bool mRoutersChanged = false;
   LoadShares mSum;
   /// Serialized forms of mSum by zone, "" for all zones; built on demand.
   std::map<std::string, PackedLoads> mPackedSums;
--- a/servers/routing/load_aggregator.cpp
+++ b/servers/routing/load_aggregator.cpp
@@ -149,26 +149,42 @@
 void LoadAggregator::OnRouterReport(const std::string& aProcess,
                                     std::int64_t aSequence, LoadShares aShares,
                                     Millis aNow) {
-  Report& report = mRouters[RouterOf(aProcess)];
+  const auto [it, isNew] = mRouters.try_emplace(RouterOf(aProcess));
+  mRoutersChanged = mRoutersChanged || isNew;
+  Report& report = it->second;
   report.mProcess = aProcess;
   report.mSequence = aSequence;
   report.mShares = std::move(aShares);
   report.mReceivedAt = aNow;
 }
 
+void LoadAggregator::OnRouterMoved(const std::string& aProcess) {
+  const auto it = mRouters.find(RouterOf(aProcess));
+  if (it != mRouters.end() && it->second.mProcess == aProcess) {
+    mRouters.erase(it);
+    OnRoutersDropped();
+  }
+}
+
+void LoadAggregator::OnRoutersDropped() {
+  mRoutersChanged = true;
+  mSummedAt = -1;
+  mPackedLocal.mBuiltAt = -1;
+}
+
 void LoadAggregator::OnControlReport(const std::string& aControl,
                                      LoadShares aShares, int aRouters,
                                      Millis aNow) {
   Report& report = mControls[aControl];
   report.mShares = std::move(aShares);
   report.mReceivedAt = aNow;
-  mRouterCounts[aControl] = {.mRouters = aRouters, .mReceivedAt = aNow};
+  mCensus.OnContact(aControl, aRouters, aNow);
 }
 
 void LoadAggregator::OnControlUnchanged(const std::string& aControl,
                                         int aRouters, Millis aNow) {
   mControls[aControl].mReceivedAt = aNow;
-  mRouterCounts[aControl] = {.mRouters = aRouters, .mReceivedAt = aNow};
+  mCensus.OnContact(aControl, aRouters, aNow);
 }
 
 bool LoadAggregator::IsStale(Millis aBuiltAt, std::size_t aRows,
@@ -179,16 +195,12 @@
 }
 
 void LoadAggregator::DropExpired(Millis aNow) {
-  std::erase_if(mRouterCounts, [&](const auto& aItem) {
-    return aNow - aItem.second.mReceivedAt > mOptions.mRouterCountRetention;
-  });
   for (auto* reports : {&mRouters, &mControls}) {
     const std::size_t gone = std::erase_if(*reports, [&](const auto& aItem) {
       return aNow - aItem.second.mReceivedAt > mOptions.mReportRetention;
     });
     if (gone > 0) {
-      mSummedAt = -1;
-      mPackedLocal.mBuiltAt = -1;
+      OnRoutersDropped();
     }
   }
 }
@@ -260,12 +272,23 @@
   return static_cast<int>(mRouters.size());
 }
 
+RouterNumbers LoadAggregator::LocalRouterNumbers(Millis aNow) {
+  DropExpired(aNow);
+  RouterNumbers numbers;
+  for (const auto& [router, report] : mRouters) {
+    numbers.push_back(RouterNumber(router));
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
 int LoadAggregator::AllRouters(Millis aNow) {
-  int n = LocalRouters(aNow);
-  for (const auto& [control, count] : mRouterCounts) {
-    n += count.mRouters;
+  DropExpired(aNow);
+  if (mRoutersChanged) {
+    mCensus.SetLocal(LocalRouterNumbers(aNow));
+    mRoutersChanged = false;
   }
-  return n;
+  return mCensus.Total(aNow);
 }
 
 std::set<std::string> LoadAggregator::UnreachableUpstreams(
