The soak's stall timer ends with its request

Cause: SoakCaller sets one timer for its next request, which replaces the stall timer of the last answer; at the end of a soak there is no next one, and the timer ends a request that is gone if other callers take 6 s longer.

Change: the end of a request ends its timer; the stall timeout is an option.

--- a/tests/platform/soak/soak_caller.cpp
+++ b/tests/platform/soak/soak_caller.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Longer than any process of a soak is suspended.
-constexpr Millis kStallTimeout = 6000;
 constexpr Millis kReconnectDelay = 50;
 constexpr int kMaxThinkTime = 150;
 constexpr int kMinEvents = 10;
@@ -102,7 +100,8 @@
       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   mReader = std::make_unique<HttpMessageReader>(MessageSide::kAnswers);
   bufferevent_write(mBuffer, text.data(), text.size());
-  mTimer = mLoop.After(kStallTimeout, [this] { End(SoakEnd::kTimedOut); });
+  mTimer = mLoop.After(mOptions.mStallTimeout,
+                       [this] { End(SoakEnd::kTimedOut); });
 }
 
 void SoakCaller::HandleRead(bufferevent*, void* aSelf) {
@@ -121,7 +120,8 @@
       End(SoakEnd::kComplete);
       return;
     }
-    mTimer = mLoop.After(kStallTimeout, [this] { End(SoakEnd::kTimedOut); });
+    mTimer = mLoop.After(mOptions.mStallTimeout,
+                       [this] { End(SoakEnd::kTimedOut); });
   }
 }
 
@@ -155,6 +155,8 @@
     keep = keep && (connection == nullptr || *connection != "close");
   }
   mReader.reset();
+  // Its stall timer must not find a request that has ended.
+  mTimer.reset();
   if (!keep) {
     Disconnect();
   }
--- a/tests/platform/soak/soak_caller.h
+++ b/tests/platform/soak/soak_caller.h
@@ -27,6 +27,9 @@
   std::mt19937* mRandom = nullptr;
   /// Returns whether further requests may be sent.
   std::function<bool()> mMaySend;
+  /// Ends a request without an answer. Longer than any process of a soak is
+  /// suspended.
+  Millis mStallTimeout = 6000;
 };
 
 /// Sends requests one after the other until the end of the soak.
