Reports to a control expire by the time in which it runs

What callers saw: a control that got no processor for 2.5 to 4.2 s dropped all its routers on waking, though their next reports waited unread. Routers that were told that they are alone send an upstream more than it bears, and poll more often.

Cause: reports and pollers expired by the clock.

Measured: large_fleet/a_stalled_control_does_not_forget_routers fails before (31 routers are not known after 4.5 s) and passes.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -120,8 +120,8 @@
     answer.mConfigurationUpdates =
         mTraffic.UpdatesSince(aRequest.mConfiguration);
   }
-  answer.mRouters = RouterCount(now);
-  answer.mOwnRouters = mLoads.LocalRouters(now);
+  answer.mRouters = RouterCount();
+  answer.mOwnRouters = mLoads.LocalRouters(ReportTime());
   AddRouterList(aRequest, answer);
   answer.mPollInterval = RouterPollInterval(mPolledAt.size());
   AddLoads(aRequest, answer);
@@ -153,24 +153,27 @@
 }
 
 RouterShare SyncService::Routers() {
-  const Millis now = SteadyNow();
-  return {.mLocal = mLoads.LocalRouters(now), .mTotal = RouterCount(now)};
+  return {.mLocal = mLoads.LocalRouters(ReportTime()),
+          .mTotal = RouterCount()};
 }
 
 void SyncService::RefreshGauges() {
-  const Millis now = SteadyNow();
-  mContext.mCounters.Set("routers_here", mLoads.LocalRouters(now));
-  mContext.mCounters.Set("routers_known", RouterCount(now));
+  mContext.mCounters.Set("routers_here", mLoads.LocalRouters(ReportTime()));
+  mContext.mCounters.Set("routers_known", RouterCount());
+}
+
+Millis SyncService::ReportTime() const {
+  return mContext.mLoop.RunningNow();
 }
 
-int SyncService::RouterCount(Millis aNow) {
+int SyncService::RouterCount() {
   // Right after a start many routers report to two controls within a short time
   // and are counted twice: with a count of 66 for 35 routers each admitted half
   // of what it could, and 48 requests were refused.
-  const bool isStarting = aNow - mStartedAt < kPreviousRunWindow;
+  const bool isStarting = SteadyNow() - mStartedAt < kPreviousRunWindow;
   return isStarting && mPreviousRun.mRouters > 0
              ? mPreviousRun.mRouters
-             : std::max(1, mLoads.AllRouters(aNow));
+             : std::max(1, mLoads.AllRouters(ReportTime()));
 }
 
 void SyncService::AddRouterList(const SyncRequest& aRequest,
@@ -178,7 +181,7 @@
   if (aRequest.mControl.mId.empty()) {
     return;
   }
-  RouterNumbers routers = mLoads.LocalRouterNumbers(SteadyNow());
+  RouterNumbers routers = mLoads.LocalRouterNumbers(ReportTime());
   aAnswer.mRouterListTag = RouterListTag(routers);
   if (aAnswer.mRouterListTag != aRequest.mKnownRouterList) {
     aAnswer.mOwnRouterList = std::move(routers);
@@ -186,7 +189,7 @@
 }
 
 void SyncService::AddLoads(const SyncRequest& aRequest, SyncAnswer& aAnswer) {
-  const Millis now = SteadyNow();
+  const Millis now = ReportTime();
   const bool fromControl = !aRequest.mControl.mId.empty();
   if (!fromControl && aRequest.mReportsLoads == 0) {
     return;
@@ -250,11 +253,11 @@
 }
 
 void SyncService::RecordPoller(const SyncRequest& aRequest) {
-  const Millis now = SteadyNow();
   if (!aRequest.mControl.mId.empty()) {
-    mDirectory.OnSeen(aRequest.mControl, now);
+    mDirectory.OnSeen(aRequest.mControl, SteadyNow());
     return;
   }
+  const Millis now = ReportTime();
   MergeCrashes(aRequest.mCrashes, aRequest.mProcess);
   mPolledAt[aRequest.mProcess] = now;
   mUpstreams.OnPolled(aRequest);
@@ -276,7 +279,7 @@
 }
 
 std::set<std::string> SyncService::Unreachable() {
-  return mLoads.UnreachableUpstreams(kMinUnreachableReporters, SteadyNow());
+  return mLoads.UnreachableUpstreams(kMinUnreachableReporters, ReportTime());
 }
 
 bool SyncService::IsCutOff() const {
@@ -388,12 +391,13 @@
   mConfirmation.Update(aAnswer.mConfirmedVersion, aPolledAt,
                        aAnswer.mConfirmedAgo);
   if (aAnswer.mLoadsNumber == peer.mLoadsSequence && sameIncarnation) {
-    mLoads.OnControlUnchanged(aAddress.Text(), aAnswer.mOwnRouters, now);
+    mLoads.OnControlUnchanged(aAddress.Text(), aAnswer.mOwnRouters,
+                              ReportTime());
   } else {
     mLoads.OnControlReport(aAddress.Text(),
                            mContext.mInvalidMessages.UnpackLoadShares(
                                "loads", aAnswer.mPackedLoads),
-                           aAnswer.mOwnRouters, now);
+                           aAnswer.mOwnRouters, ReportTime());
     peer.mLoadsSequence = aAnswer.mLoadsNumber;
   }
   if (aAnswer.mRouterListTag != mLoads.RouterListTagOf(aAddress.Text())) {
@@ -437,9 +441,8 @@
   // process waits for it meanwhile; the other controls store the same
   // upstreams. A single voter has no such substitute and writes them.
   if (!mLog.Raft().Leads() || mLog.Raft().Voters().size() == 1) {
-    const Millis now = SteadyNow();
     mUpstreams.Save();
-    mStamp.Save(RouterCount(now), WallNow(), now);
+    mStamp.Save(RouterCount(), WallNow(), SteadyNow());
   }
 }
 
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -86,7 +86,11 @@
   /// the leader.
   void AddControls(const SyncRequest& aRequest, SyncAnswer& aAnswer);
   /// Number of all routers, as far as is known; at least 1.
-  int RouterCount(Millis aNow);
+  int RouterCount();
+  /// The clock by which reports of routers expire: the time in which this
+  /// process runs. While it stands still, newer reports wait unread in its
+  /// sockets.
+  Millis ReportTime() const;
   /// Adds the routers that report here, if a control does not know the list.
   void AddRouterList(const SyncRequest& aRequest, SyncAnswer& aAnswer);
   void AddLoads(const SyncRequest& aRequest, SyncAnswer& aAnswer);
--- a/tests/daemons/large_fleet_test.cpp
+++ b/tests/daemons/large_fleet_test.cpp
@@ -10,6 +10,9 @@
 // refused refused all. All of 894 such refusals reported no work, a rate of at
 // least one call in two seconds and no known response time. With the rate alone
 // corrected, 6 refusals remained on the same day.
+#include <chrono>
+#include <thread>
+
 #include "spindleweir/core/json_codec.h"
 #include "tests/daemons/relay_fixture.h"
 
@@ -69,3 +72,24 @@
   CHECK(fixture.RunUntil(
       [&fixture] { return KnownRouters(*fixture.mRouter) == 1; }));
 }
+
+// A control that stood still for longer than reports are retained dropped all
+// routers on waking, while their next reports waited unread: it told the first
+// router that polled it that there was no other, and to poll as often as if it
+// were alone.
+Test(large_fleet, a_stalled_control_does_not_forget_routers) {
+  RelayFixture fixture(kShortWarmUp, {.mWindow = 500});
+  fixture.Begin();
+  fixture.ReportRouters(30);
+  REQUIRE(fixture.RunUntil(
+      [&fixture] { return KnownRouters(*fixture.mRouter) == 31; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(4500));
+  SECTION("reports expire by the time in which the process runs") {
+    fixture.Wait(700);
+    CHECK(KnownRouters(*fixture.mRouter) == 31);
+  }
+  SECTION("routers that have ended are dropped nevertheless") {
+    CHECK(fixture.RunUntil(
+        [&fixture] { return KnownRouters(*fixture.mRouter) == 1; }));
+  }
+}
