The soak counts requests that its network held back as lost attempts

Cause, from the kept logs: the first engine's network was paused both ways for 2.5 s (two other streams there pause for 858 ms until it ends); the router left after 1 s and had its second attempt at an engine that ended. Both attempts of the route were lost, which the verdict excepts; but the held request ran, for nobody, when the pause ended, and counted as a run that went on. The product was right.

Change: the soak's network reports requests that it held until their router or their engine was gone. The verdict and its bounds are unchanged.

--- a/tests/platform/soak/soak_link.cpp
+++ b/tests/platform/soak/soak_link.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace spindleweir {
 
@@ -34,8 +35,8 @@
 
 }  // namespace
 
-SoakLink::SoakLink(EventLoop& aLoop, const Endpoint& aTarget)
-    : mLoop(aLoop), mTarget(aTarget) {
+SoakLink::SoakLink(EventLoop& aLoop, const Endpoint& aTarget, LostHook aOnLost)
+    : mLoop(aLoop), mTarget(aTarget), mOnLost(std::move(aOnLost)) {
   sockaddr_in address = AddressOf({"127.0.0.1", 0});
   mListener = evconnlistener_new_bind(
       aLoop.Base(), &SoakLink::HandleAccept, this,
@@ -135,6 +136,7 @@
                                  return &aConnection->mRouter == &aSide ||
                                         &aConnection->mUpstream == &aSide;
                                });
+  ReportHeldBytes((*it)->mRouter);
   FreeBuffer(aSide.mOther->mBuffer, aReset);
   FreeBuffer(aSide.mBuffer, aReset);
   mConnections.erase(it);
@@ -146,10 +148,22 @@
   }
 }
 
+void SoakLink::ReportHeldBytes(const Side& aRouter) const {
+  evbuffer* buf = bufferevent_get_input(aRouter.mBuffer);
+  std::string bytes(evbuffer_get_length(buf), '\0');
+  if (!bytes.empty()) {
+    evbuffer_copyout(buf, bytes.data(), bytes.size());
+    mOnLost(bytes);
+  }
+}
+
 void SoakLink::ForwardAll() {
   for (std::size_t i = mConnections.size(); i-- > 0;) {
     Side& router = mConnections[i]->mRouter;
     Side& upstream = mConnections[i]->mUpstream;
+    if (router.mEnded) {
+      ReportHeldBytes(router);
+    }
     Forward(router);
     Forward(upstream);
     // Closing one side frees both, so at most one is checked.
--- a/tests/platform/soak/soak_link.h
+++ b/tests/platform/soak/soak_link.h
@@ -2,6 +2,7 @@
 /// resets, pauses or slows connections.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,8 +18,12 @@
 
 class SoakLink {
  public:
+  /// Called with the bytes of a request that was held back until its router, or
+  /// its upstream, had closed the connection.
+  using LostHook = std::function<void(const std::string& aBytes)>;
+
   /// Listens on its own port and forwards connections to aTarget.
-  SoakLink(EventLoop& aLoop, const Endpoint& aTarget);
+  SoakLink(EventLoop& aLoop, const Endpoint& aTarget, LostHook aOnLost);
   ~SoakLink();
   SoakLink(const SoakLink&) = delete;
   SoakLink& operator=(const SoakLink&) = delete;
@@ -58,12 +63,15 @@
   bool IsPaused(const Side& aSide) const;
   void Forward(Side& aSide);
   void ForwardAll();
+  /// Reports the bytes that were received from a router and not forwarded.
+  void ReportHeldBytes(const Side& aRouter) const;
   static void CloseIfDone(Side& aSide);
   /// Frees both ends, with a reset or an orderly close.
   void Close(Side& aSide, bool aReset);
 
   EventLoop& mLoop;
   Endpoint mTarget;
+  LostHook mOnLost;
   std::string mAddress;
   evconnlistener* mListener = nullptr;
   bool mAnswersPaused = false;
--- a/tests/platform/soak/soak_upstream.cpp
+++ b/tests/platform/soak/soak_upstream.cpp
@@ -48,7 +48,9 @@
                      },
                  .mRefuse = [](StreamExchange& aExchange,
                                ResultCode) { aExchange.Abort(); }});
-  mLink = std::make_unique<SoakLink>(mLoop, mServer->Address());
+  mLink = std::make_unique<SoakLink>(
+      mLoop, mServer->Address(),
+      [this](const std::string& aBytes) { CountHeldRequest(aBytes); });
   mHeartbeatTimer =
       mLoop.Every(kHeartbeatInterval, [this] { SendHeartbeat(); });
   mEventTimer = mLoop.Every(kEventInterval, [this] { WriteEvents(); });
@@ -65,6 +67,20 @@
   }
 }
 
+void SoakUpstream::CountHeldRequest(const std::string& aBytes) {
+  const std::string name = std::string(kId) + ": ";
+  const std::size_t at = aBytes.find(name);
+  if (at == std::string::npos) {
+    return;
+  }
+  const std::size_t from = at + name.size();
+  SoakRequest* request = mOptions.mRecord->Find(
+      aBytes.substr(from, aBytes.find("\r\n", from) - from));
+  if (request != nullptr) {
+    request->mLostRuns++;
+  }
+}
+
 void SoakUpstream::End() {
   CountLostRuns();
   if (!mLoadReductions.empty() &&
--- a/tests/platform/soak/soak_upstream.h
+++ b/tests/platform/soak/soak_upstream.h
@@ -61,6 +61,9 @@
   /// Counts the open runs as lost: the upstream ends or announces its end, or
   /// its network fails.
   void CountLostRuns();
+  /// Counts a request as lost that the network held back for too long; aBytes:
+  /// what it held.
+  void CountHeldRequest(const std::string& aBytes);
   void SendHeartbeat();
   void PostToControl(const std::string& aTarget, const std::string& aBody);
   void Handle(const std::shared_ptr<StreamExchange>& aExchange);
