--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -153,8 +153,7 @@
 }
 
 RouterShare SyncService::Routers() {
-  return {.mLocal = mLoads.LocalRouters(ReportTime()),
-          .mTotal = RouterCount()};
+  return {.mLocal = mLoads.LocalRouters(ReportTime()), .mTotal = RouterCount()};
 }
 
 void SyncService::RefreshGauges() {
--- a/drivers/stream_client.cpp
+++ b/drivers/stream_client.cpp
@@ -67,8 +67,8 @@
     }
     // In running time: after a stall the timers fire before the connections and
     // answers that came meanwhile are noticed.
-    mConnectTimer = mLoop.AfterRunning(
-        mOptions.mConnectTimeout, [this] { Finish(StreamEnd::kNotSent); });
+    mConnectTimer = mLoop.AfterRunning(mOptions.mConnectTimeout,
+                                       [this] { Finish(StreamEnd::kNotSent); });
     if (mOptions.mTimeout > 0) {
       mTimer = mLoop.AfterRunning(mOptions.mTimeout, [this] {
         Finish(mSent ? StreamEnd::kLost : StreamEnd::kNotSent);
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -159,7 +159,7 @@
   /// To a control: which routers these are, unless it knows this list.
   RouterNumbers mOwnRouterList;
   std::int64_t mRouterListTag = 0;
-  Millis mPollInterval = 0;   ///< Of routers in the answerer's zone.
+  Millis mPollInterval = 0;  ///< Of routers in the answerer's zone.
   /// To a router: loads of all routers; to a control: loads of the routers that
   /// report to the answerer. Empty if the poller has those of mLoadsNumber.
   std::string mPackedLoads;
--- a/include/spindleweir/servers/routing/load_aggregator.h
+++ b/include/spindleweir/servers/routing/load_aggregator.h
@@ -220,8 +220,8 @@
                Millis aNow) const;
 
   LoadAggregatorOptions mOptions;
-  std::map<std::string, Report> mRouters;               ///< By router.
-  std::map<std::string, Report> mControls;              ///< By address.
+  std::map<std::string, Report> mRouters;   ///< By router.
+  std::map<std::string, Report> mControls;  ///< By address.
   RouterCensus mCensus;
   /// The routers of mRouters changed since they were passed to mCensus.
   bool mRoutersChanged = false;
--- a/standins/service_standin.cpp
+++ b/standins/service_standin.cpp
@@ -43,8 +43,8 @@
   answer["echo"] = aExchange->Body();
   // In running time: a service that shares a process with its callers stands
   // still when they do, so that a call is still open when they go on.
-  mAnswers[run] = mLoop.AfterRunning(
-      mOptions.mDelay, [this, run, aExchange, answer] {
+  mAnswers[run] =
+      mLoop.AfterRunning(mOptions.mDelay, [this, run, aExchange, answer] {
         // The timer runs a copy of this callback, so erasing the timer here is
         // safe.
         mAnswers.erase(run);
--- a/tests/platform/soak/soak_caller.cpp
+++ b/tests/platform/soak/soak_caller.cpp
@@ -100,8 +100,8 @@
       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   mReader = std::make_unique<HttpMessageReader>(MessageSide::kAnswers);
   bufferevent_write(mBuffer, text.data(), text.size());
-  mTimer = mLoop.After(mOptions.mStallTimeout,
-                       [this] { End(SoakEnd::kTimedOut); });
+  mTimer =
+      mLoop.After(mOptions.mStallTimeout, [this] { End(SoakEnd::kTimedOut); });
 }
 
 void SoakCaller::HandleRead(bufferevent*, void* aSelf) {
@@ -121,7 +121,7 @@
       return;
     }
     mTimer = mLoop.After(mOptions.mStallTimeout,
-                       [this] { End(SoakEnd::kTimedOut); });
+                         [this] { End(SoakEnd::kTimedOut); });
   }
 }
 
--- a/tests/platform/soak/soak_test.cpp
+++ b/tests/platform/soak/soak_test.cpp
@@ -24,20 +24,19 @@
   EventLoop loop;
   int answered = 0;
   StreamServer router(
-      loop,
-      {.mListen = {"127.0.0.1", 0},
-       .mHandle =
-           [&answered](const std::shared_ptr<StreamExchange>& aExchange) {
-             // In two parts: the second one is awaited by the stall timer.
-             aExchange->Start(200, {}, 2);
-             aExchange->Write("a");
-             aExchange->Write("b");
-             aExchange->End();
-             answered++;
-           },
-       .mRefuse = [](StreamExchange& aExchange, ResultCode) {
-         aExchange.Abort();
-       }});
+      loop, {.mListen = {"127.0.0.1", 0},
+             .mHandle =
+                 [&answered](const std::shared_ptr<StreamExchange>& aExchange) {
+                   // In two parts: the second one is awaited by the stall
+                   // timer.
+                   aExchange->Start(200, {}, 2);
+                   aExchange->Write("a");
+                   aExchange->Write("b");
+                   aExchange->End();
+                   answered++;
+                 },
+             .mRefuse = [](StreamExchange& aExchange,
+                           ResultCode) { aExchange.Abort(); }});
   SoakRecord record;
   std::mt19937 random(1);
   SoakCaller caller(loop, "c",
@@ -67,9 +66,8 @@
              heartbeat = aExchange->Body();
              aExchange->Reply(200, {}, "{}");
            },
-       .mRefuse = [](StreamExchange& aExchange, ResultCode) {
-         aExchange.Abort();
-       }});
+       .mRefuse = [](StreamExchange& aExchange,
+                     ResultCode) { aExchange.Abort(); }});
   SoakRecord record;
   record.At("held");
   record.At("kept");
@@ -83,8 +81,8 @@
   REQUIRE(RunLoopUntil(loop, [&] { return !heartbeat.empty(); }));
   const auto send = [&](const char* aId) {
     StreamCallOptions options;
-    options.mServer = ParseEndpoint(
-        ParseJson(heartbeat)["address"].asString(), "address of an engine");
+    options.mServer = ParseEndpoint(ParseJson(heartbeat)["address"].asString(),
+                                    "address of an engine");
     options.mMethod = "POST";
     options.mTarget = "/stream/2";
     options.mHeaders = {{"Host", "h"},
--- a/tests/servers/router_census_test.cpp
+++ b/tests/servers/router_census_test.cpp
@@ -3,8 +3,8 @@
 /// control has ended its last number was added for a minute to the routers that
 /// report elsewhere by then. Three counted as six, and each had half of the
 /// retries that it should have.
-#include "spindleweir/servers/routing/load_aggregator.h"
 #include "spindleweir/servers/routing/router_census.h"
+#include "spindleweir/servers/routing/load_aggregator.h"
 #include "tests/test_tools.h"
 
 using namespace spindleweir;
