--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -166,9 +166,8 @@
 }
 
 int SyncService::RouterCount() {
-  // Right after a start many routers report to two controls within a short time
-  // and are counted twice: with a count of 66 for 35 routers each admitted half
-  // of what it could, and 48 requests were refused.
+  // Right after a start only some of the routers have reported. Each of them
+  // would take a greater share of what all may do than is its own.
   const bool isStarting = SteadyNow() - mStartedAt < kPreviousRunWindow;
   return isStarting && mPreviousRun.mRouters > 0
              ? mPreviousRun.mRouters
--- a/daemons/router/request_handler.h
+++ b/daemons/router/request_handler.h
@@ -29,8 +29,8 @@
   }
 };
 
-/// Base class for the handling of one request. The router's
-/// OpenRequests own the object from Open() to Close().
+/// Base class for the handling of one request. The router's OpenRequests own
+/// the object from Open() to Close().
 class RequestHandler {
  protected:
   /// aTarget: name of the model or service.
--- a/include/spindleweir/servers/limits/router_count.h
+++ b/include/spindleweir/servers/limits/router_count.h
@@ -16,11 +16,10 @@
   Millis mRetention = 10000;
 };
 
-/// The number of routers as one router knows it. It goes down as well as up:
-/// after a start, routers report to two control processes within moments and
-/// are counted twice. A maximum that never went down would make the shares of
-/// all routers too small for good. The class only decides; the time is passed
-/// to each call.
+/// The number of routers as one router knows it. It goes down as well as up: a
+/// maximum that never went down would make the shares of all routers too small
+/// for good after some of them have ended. The class only decides; the time is
+/// passed to each call.
 class RouterCount {
  public:
   explicit RouterCount(RouterCountOptions aOptions) : mOptions(aOptions) {}
