Routers count how connections to upstreams came about

The log told a refused connection from one that timed out only by how long an attempt took. The counter upstream_connections has both, and those that were made; all calls of a router to upstreams pass one place, in which a test can inject links that fail. No decision changes.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -254,7 +254,7 @@
   CountLoad(1);
   BeginPrefill(mAttempt->mPath);
   WatchAttempt();
-  mAttempt->mCall = StartStreamCall(mContext.mLoop, std::move(options));
+  mAttempt->mCall = mContext.CallUpstream(std::move(options));
   const bool watched = mRoute->mKind == RouteKind::kStream;
   if (watched && mSilenceTimer == nullptr) {
     mSilenceTimer =
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -383,6 +383,26 @@
   return answer;
 }
 
+std::unique_ptr<StreamCall> RelayContext::CallUpstream(
+    StreamCallOptions aOptions) {
+  const Millis startedAt = SteadyNow();
+  const Millis timeout = aOptions.mConnectTimeout;
+  aOptions.mMaySend = [this, maySend = std::move(aOptions.mMaySend)] {
+    mCounters.Add("upstream_connections", "outcome=\"made\"");
+    return !maySend || maySend();
+  };
+  aOptions.mOnEnd = [this, startedAt, timeout,
+                     onEnd = std::move(aOptions.mOnEnd)](StreamEnd aEnd) {
+    if (aEnd == StreamEnd::kNotSent) {
+      mCounters.Add("upstream_connections", SteadyNow() - startedAt < timeout
+                                                ? "outcome=\"refused\""
+                                                : "outcome=\"timed_out\"");
+    }
+    onEnd(aEnd);
+  };
+  return mOptions.mStartCall(mLoop, std::move(aOptions));
+}
+
 double RelayContext::Random() {
   return std::uniform_real_distribution<double>(0, 1)(mRandom);
 }
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -13,6 +13,7 @@
 #include "spindleweir/daemons/relay_router.h"
 #include "spindleweir/daemons/sync_messages.h"
 #include "spindleweir/drivers/rpc_channel.h"
+#include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/servers/limits/advertised_limits.h"
 #include "spindleweir/servers/limits/backoff_periods.h"
 #include "spindleweir/servers/limits/crash_watch.h"
@@ -157,6 +158,8 @@
   PathResult ChoosePathFor(const std::string& aService,
                            const PathQuery& aQuery);
   double Random();
+  /// Starts a call to an upstream and counts how its connection came about.
+  std::unique_ptr<StreamCall> CallUpstream(StreamCallOptions aOptions);
 
   EventLoop& mLoop;
   RelayOptions mOptions;
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -303,7 +303,7 @@
   mAttempt->mSilentSince = mContext.mLoop.RunningNow();
   BeginPrefill(added);
   WatchAttempt();
-  mAttempt->mMoveOrder = StartStreamCall(mContext.mLoop, std::move(options));
+  mAttempt->mMoveOrder = mContext.CallUpstream(std::move(options));
 }
 
 void RelayRequest::SetPath(LayerPath aPath) {
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -239,7 +239,7 @@
   options.mOnEnd = [this, aInstance, connected](StreamEnd) {
     ProbeEnded(aInstance, *connected);
   };
-  check.mCall = StartStreamCall(mContext.mLoop, std::move(options));
+  check.mCall = mContext.CallUpstream(std::move(options));
 }
 
 void StreamGuard::ProbeEnded(const std::string& aInstance, bool aConnected) {
@@ -308,7 +308,7 @@
       mContext.mInvalidMessages.Record("report", aInstance, error);
     }
   };
-  check.mCall = StartStreamCall(mContext.mLoop, std::move(options));
+  check.mCall = mContext.CallUpstream(std::move(options));
 }
 
 void StreamGuard::ApplyState(const std::string& aInstance,
--- a/include/spindleweir/daemons/relay_router.h
+++ b/include/spindleweir/daemons/relay_router.h
@@ -12,6 +12,7 @@
 #include "spindleweir/daemons/heartbeat_answer.h"
 #include "spindleweir/daemons/traffic_protocols.h"
 #include "spindleweir/drivers/event_loop.h"
+#include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/servers/limits/upstream_bound.h"
 #include "spindleweir/servers/routing/relative_costs.h"
 #include "spindleweir/servers/routing/retry_allowance.h"
@@ -51,6 +52,8 @@
   UpstreamBoundOptions mUpstreams;     ///< For plain services.
   CallerProtocol mCallers;
   EngineProtocol mEngines;
+  /// Starts each call to an upstream; tests inject links that fail.
+  StartCallHook mStartCall = &StartStreamCall;
 };
 
 /// One router in an event loop.
--- a/include/spindleweir/drivers/stream_client.h
+++ b/include/spindleweir/drivers/stream_client.h
@@ -58,4 +58,8 @@
 std::unique_ptr<StreamCall> StartStreamCall(EventLoop& aLoop,
                                             StreamCallOptions aOptions);
 
+/// Starts calls as StartStreamCall does.
+using StartCallHook = std::function<std::unique_ptr<StreamCall>(
+    EventLoop& aLoop, StreamCallOptions aOptions)>;
+
 }  // namespace spindleweir
--- a/tests/daemons/relay_fixture.cpp
+++ b/tests/daemons/relay_fixture.cpp
@@ -89,10 +89,13 @@
   mRouter = MakeRouter("router");
 }
 
-std::unique_ptr<RelayRouter> RelayFixture::MakeRouter(const std::string& aId) {
+std::unique_ptr<RelayRouter> RelayFixture::MakeRouter(
+    const std::string& aId, StartCallHook aStartCall,
+    const std::string& aZone) {
   RelayOptions options;
   options.mId = aId;
-  options.mZone = "z";
+  options.mZone = aZone;
+  options.mStartCall = std::move(aStartCall);
   options.mListen = {"127.0.0.1", 0};
   options.mSeeds = {mSeed};
   options.mHeartbeatAddress = kCollectorAddress;
--- a/tests/daemons/relay_fixture.h
+++ b/tests/daemons/relay_fixture.h
@@ -65,7 +65,9 @@
   /// Starts a router without any data.
   void StartRouter();
   /// Starts one more router.
-  std::unique_ptr<RelayRouter> MakeRouter(const std::string& aId);
+  std::unique_ptr<RelayRouter> MakeRouter(
+      const std::string& aId, StartCallHook aStartCall = &StartStreamCall,
+      const std::string& aZone = "z");
 
   /// Runs the loop until aCondition holds; false if the loop's time limit
   /// passes first.
