--- /dev/null
+++ b/tests/daemons/link_cut.h
@@ -0,0 +1,45 @@
+/// The links of one router to upstreams, which a test can cut.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "spindleweir/drivers/stream_client.h"
+
+namespace spindleweir {
+
+/// What calls notice of a cut.
+enum class CutMode {
+  kNone,
+  kHang,       ///< Open calls fall silent, new connections time out.
+  kReset,      ///< Open calls are lost, new connections are refused.
+  kRefuseNew,  ///< Open calls go on, new connections are refused.
+};
+
+/// Must outlive the calls that its hook starts.
+class LinkCut {
+ public:
+  /// For RelayOptions::mStartCall.
+  StartCallHook Hook();
+  /// Cuts the links to these addresses.
+  void Cut(CutMode aMode, std::set<std::string> aAddresses);
+  void Heal() { mMode = CutMode::kNone; }
+  /// New connections to these addresses since the last cut or repair.
+  int Tried() const { return mTried; }
+
+ private:
+  class Link;
+
+  bool IsCut(const std::string& aAddress) const {
+    return mMode != CutMode::kNone && mAddresses.contains(aAddress);
+  }
+
+  CutMode mMode = CutMode::kNone;
+  std::set<std::string> mAddresses;
+  std::list<Link*> mLinks;
+  int mTried = 0;
+};
+
+}  // namespace spindleweir
