Routers that lose their links to upstreams call them by way of other routers

Callers saw: VMs cut off from all upstreams refused nearly all requests (12 of 156 first tries served, others 275 of 277), after 1.5 s where connections hang. Cause: each call had one way, a connection of the router's own, and its loss was blamed on the upstream: cut VMs reported sound engines as unreachable, so that sound routers avoided them and control replaced two.

A call whose connection is refused or not there after 0.1 s is handed to another router, which makes it and relays the answer. An answer without the forwarder's mark proves that it sent nothing, so that a call runs once at most; a forwarder never hands a call on. Control offers each router some others. A router with three failed links and no connection since goes by others at once and tries its own links four times a second. Who cannot reach an upstream asks others before it tells anybody.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -124,6 +124,10 @@
   answer.mOwnRouters = mLoads.LocalRouters(ReportTime());
   AddRouterList(aRequest, answer);
   answer.mPollInterval = RouterPollInterval(mPolledAt.size());
+  if (aRequest.mWantsForwarders) {
+    answer.mForwarders =
+        mForwarders.For(aRequest.mProcess, aRequest.mZone, now);
+  }
   AddLoads(aRequest, answer);
   AddCrashes(aRequest, answer);
   mAnswerSizes.Count(aRequest, answer);
@@ -258,6 +262,10 @@
   const Millis now = ReportTime();
   MergeCrashes(aRequest.mCrashes, aRequest.mProcess);
   mPolledAt[aRequest.mProcess] = now;
+  mForwarders.OnPolled(
+      aRequest.mProcess,
+      {.mAddress = aRequest.mForwardingAddress, .mZone = aRequest.mZone},
+      SteadyNow());
   mUpstreams.OnPolled(aRequest);
   const Millis interval = RouterPollInterval(mPolledAt.size());
   std::erase_if(mPolledAt, [&](const auto& aItem) {
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -118,6 +118,7 @@
   Millis mStartedAt;
   UpstreamIntake mUpstreams;
   AnswerSizeMeter mAnswerSizes;
+  ForwarderOffer mForwarders;
   LoadAggregator mLoads{LoadAggregatorOptions{}};
   CrashLedger mCrashes;
   CrashStore mCrashStore;
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -237,7 +237,7 @@
   options.mTarget = mExchange->Head().mTarget;
   options.mHeaders =
       mContext.mOptions.mCallers.mWriteRequest(mExchange->Head(), dispatch);
-  options.mBody = mExchange->Body();
+  options.mSharedBody = mExchange->Body();
   options.mMemory = mExchange->Memory();
   options.mMaySend = [this] {
     const bool may = MaySend();
@@ -254,7 +254,8 @@
   CountLoad(1);
   BeginPrefill(mAttempt->mPath);
   WatchAttempt();
-  mAttempt->mCall = mContext.CallUpstream(std::move(options));
+  mAttempt->mCall = std::make_unique<UpstreamCall>(mContext, aFirst.mInstance,
+                                                   std::move(options));
   const bool watched = mRoute->mKind == RouteKind::kStream;
   if (watched && mSilenceTimer == nullptr) {
     mSilenceTimer =
@@ -291,6 +292,8 @@
       .Add("ran", std::string(NameOf(aRan)))
       .Add("status", mAttempt->mHead.mStatus)
       .Add("culprit", mAttempt->mFacts.mCulprit)
+      .Add("forwarder",
+           mAttempt->mCall == nullptr ? "" : mAttempt->mCall->Forwarder())
       .Add("rest_ms", static_cast<Json::Int64>(mAttempt->mFacts.mBackoff))
       .Add("took_ms",
            static_cast<Json::Int64>(SteadyNow() - mAttempt->mStartedAt))
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -43,7 +43,9 @@
 MemoryBudgetOptions MemoryOf(const RelayOptions& aOptions) {
   MemoryBudgetOptions options =
       MemoryBudgetOptions::ForMemory(aOptions.mMemoryBytes);
-  options.mMaxDescriptors = aOptions.mDescriptors;
+  // The rest is for calls that are forwarded for others.
+  options.mMaxDescriptors =
+      aOptions.mDescriptors - aOptions.mDescriptors / kForwardingDivisor;
   if (aOptions.mSocketBufferBytes > 0) {
     options.mSocketBuffer = aOptions.mSocketBufferBytes;
   }
@@ -83,6 +85,7 @@
   mSlowdowns.Forget(instance);
   mLimits.Forget(instance);
   mBackoffs.Forget(instance);
+  mLinks.Forget(instance);
   mRestarted.insert(instance);
   mCounters.Add("upstreams_restarted");
   LogLine(LogLevel::kInfo, "upstream_restarted")
@@ -248,6 +251,14 @@
   history.mUnreachableUntil = SteadyNow() + aFor;
 }
 
+void RelayContext::EndAvoidance(const std::string& aInstance) {
+  const auto it = mHistories.find(aInstance);
+  if (it != mHistories.end()) {
+    it->second.mAvoidUntil = -1;
+    it->second.mUnreachableUntil = -1;
+  }
+}
+
 double RelayContext::FailureShareOf(const std::string& aInstance) const {
   const auto it = mHistories.find(aInstance);
   if (it == mHistories.end() || it->second.mFailedAt < 0) {
@@ -383,26 +394,6 @@
   return answer;
 }
 
-std::unique_ptr<StreamCall> RelayContext::CallUpstream(
-    StreamCallOptions aOptions) {
-  const Millis startedAt = SteadyNow();
-  const Millis timeout = aOptions.mConnectTimeout;
-  aOptions.mMaySend = [this, maySend = std::move(aOptions.mMaySend)] {
-    mCounters.Add("upstream_connections", "outcome=\"made\"");
-    return !maySend || maySend();
-  };
-  aOptions.mOnEnd = [this, startedAt, timeout,
-                     onEnd = std::move(aOptions.mOnEnd)](StreamEnd aEnd) {
-    if (aEnd == StreamEnd::kNotSent) {
-      mCounters.Add("upstream_connections", SteadyNow() - startedAt < timeout
-                                                ? "outcome=\"refused\""
-                                                : "outcome=\"timed_out\"");
-    }
-    onEnd(aEnd);
-  };
-  return mOptions.mStartCall(mLoop, std::move(aOptions));
-}
-
 double RelayContext::Random() {
   return std::uniform_real_distribution<double>(0, 1)(mRandom);
 }
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -13,7 +13,6 @@
 #include "spindleweir/daemons/relay_router.h"
 #include "spindleweir/daemons/sync_messages.h"
 #include "spindleweir/drivers/rpc_channel.h"
-#include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/servers/limits/advertised_limits.h"
 #include "spindleweir/servers/limits/backoff_periods.h"
 #include "spindleweir/servers/limits/crash_watch.h"
@@ -22,6 +21,7 @@
 #include "spindleweir/servers/limits/shutdown_admission.h"
 #include "spindleweir/servers/limits/typical_time.h"
 #include "spindleweir/servers/membership/control_directory.h"
+#include "spindleweir/servers/membership/forwarder_choice.h"
 #include "spindleweir/servers/membership/heartbeat_collector.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
 #include "spindleweir/servers/routes/configuration_lease.h"
@@ -35,9 +35,14 @@
 #include "spindleweir/servers/routing/load_aggregator.h"
 #include "spindleweir/servers/routing/path_chooser.h"
 #include "spindleweir/servers/routing/retry_allowance.h"
+#include "spindleweir/servers/routing/upstream_links.h"
 
 namespace spindleweir {
 
+/// The part (1/N) of a router's descriptors, and of its memory if that is not
+/// needed for its own callers, for calls that it forwards for others.
+inline constexpr std::size_t kForwardingDivisor = 8;
+
 /// Outcomes that this router observed at an upstream.
 struct UpstreamHistory {
   /// Exponentially weighted share of failed attempts, 0 to 1.
@@ -158,8 +163,9 @@
   PathResult ChoosePathFor(const std::string& aService,
                            const PathQuery& aQuery);
   double Random();
-  /// Starts a call to an upstream and counts how its connection came about.
-  std::unique_ptr<StreamCall> CallUpstream(StreamCallOptions aOptions);
+  /// Ends the effect of failed connections: the upstream is reached by way of
+  /// other routers.
+  void EndAvoidance(const std::string& aInstance);
 
   EventLoop& mLoop;
   RelayOptions mOptions;
@@ -175,6 +181,10 @@
   EngineSlowdowns mSlowdowns;
   AdvertisedLimits mLimits;
   BackoffPeriods mBackoffs;
+  UpstreamLinks mLinks;
+  ForwarderList mForwarders;
+  /// Where this router forwards calls of others; empty: nowhere.
+  std::string mForwardingAddress;
   CrashWatch mCrashes;
   ShutdownAdmission mShutdownAdmission;
   bool mStopping = false;
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -59,6 +59,8 @@
       return "restarted";
     case MoveReason::kSlow:
       return "slow";
+    case MoveReason::kLinkLost:
+      return "link lost";
   }
   return "";
 }
@@ -127,6 +129,14 @@
   if (std::none_of(path.begin(), path.end(), hit)) {
     return;
   }
+  if (aReason == MoveReason::kLinkLost) {
+    const bool isHit = hit(path.front()) && mAttempt->mCall != nullptr &&
+                       !mAttempt->mCall->IsForwarded();
+    if (isHit) {
+      SwitchAttempt(ResultCode::kOutcomeUnknown, true);
+    }
+    return;
+  }
   if (!hit(path.front())) {
     LayerPath next = ReplaceStages(aInstances);
     if (!next.empty()) {
@@ -303,7 +313,8 @@
   mAttempt->mSilentSince = mContext.mLoop.RunningNow();
   BeginPrefill(added);
   WatchAttempt();
-  mAttempt->mMoveOrder = mContext.CallUpstream(std::move(options));
+  mAttempt->mMoveOrder = std::make_unique<UpstreamCall>(
+      mContext, mAttempt->mInstance, std::move(options));
 }
 
 void RelayRequest::SetPath(LayerPath aPath) {
@@ -391,7 +402,7 @@
   }
 }
 
-bool RelayRequest::SwitchAttempt(ResultCode aCode) {
+bool RelayRequest::SwitchAttempt(ResultCode aCode, bool aMayStay) {
   if (!MayTryAgain(Ran::kUnknown)) {
     return false;
   }
@@ -400,9 +411,9 @@
                                           : ChoosePlainUpstream(*next);
   const UpstreamRecord* first =
       found ? mContext.mRegistry.Find(next->mInstance) : nullptr;
-  const bool isOther =
-      first != nullptr && next->mInstance != mAttempt->mInstance;
-  if (!isOther || !TrySpendRetry()) {
+  const bool isBetter =
+      first != nullptr && (aMayStay || next->mInstance != mAttempt->mInstance);
+  if (!isBetter || !TrySpendRetry()) {
     return false;
   }
   LogFailure(Ran::kUnknown, aCode);
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -381,6 +381,9 @@
       .Add("workspace", mWorkspace)
       .Add("service", mService == nullptr ? "" : mService->mName)
       .Add("instance", mAttempt == nullptr ? "" : mAttempt->mInstance)
+      .Add("forwarder", mAttempt == nullptr || mAttempt->mCall == nullptr
+                            ? ""
+                            : mAttempt->mCall->Forwarder())
       .Add("path", path)
       .Add("content", IsSuccess(aStatus) ? "" : Content())
       .Add("limit",
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -10,6 +10,7 @@
 
 #include "daemons/relay/relay_admission.h"
 #include "daemons/relay/stream_guard.h"
+#include "daemons/relay/upstream_call.h"
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
 #include "spindleweir/servers/routing/path_timing.h"
@@ -63,9 +64,9 @@
     bool mHadEvents = false;
     /// For lack of memory the answer is relayed without being collected.
     bool mPassesThrough = false;
-    std::unique_ptr<StreamCall> mCall;
+    std::unique_ptr<UpstreamCall> mCall;
     /// Order to the first stage to move to another path.
-    std::unique_ptr<StreamCall> mMoveOrder;
+    std::unique_ptr<UpstreamCall> mMoveOrder;
     LayerPath mPreviousPath;  ///< Path before the order, in case it is refused.
     Millis mPreviousSilentSince = 0;  ///< mSilentSince before the order.
     /// Stages of paths to which the first stage refused to move.
@@ -169,8 +170,9 @@
   void HandleCallerGone();
 
   /// Replaces an attempt that may still proceed by a better one. Returns false,
-  /// without a change, if there is none.
-  bool SwitchAttempt(ResultCode aCode);
+  /// without a change, if there is none. aMayStay: the better one may begin at
+  /// the same upstream.
+  bool SwitchAttempt(ResultCode aCode, bool aMayStay = false);
   /// Reports the attempt as lost: its upstream may have crashed.
   void RecordLostAttempt();
   void LogFailure(Ran aRan, ResultCode aCode) const;
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -1,7 +1,9 @@
 #include "spindleweir/daemons/relay_router.h"
 
+#include <optional>
 #include <unordered_set>
 
+#include "daemons/relay/forwarding_server.h"
 #include "daemons/relay/heartbeat_relay.h"
 #include "daemons/relay/planned_stop.h"
 #include "daemons/relay/relay_admission.h"
@@ -53,12 +55,22 @@
                    LogEviction(aCallers, aBytes);
                  }}),
         mStop(mContext, mServer,
-              {.mOpenRequests =
-                   [this] { return static_cast<int>(mRequests.size()); },
+              {.mOpenRequests = [this] { return OpenRequests(); },
                .mEndRequests = [this] { EndRequests(); }}) {
     mContext.mGuard = &mGuard;
     mContext.mAdmission = &mAdmission;
     mContext.mRetryCreditRequester = &mRetryCreditRequester;
+    if (!mContext.mOptions.mForwardingListen.mHost.empty()) {
+      mForwarding.emplace(mContext);
+      mContext.mForwardingAddress = mForwarding->Address().Text();
+    }
+  }
+
+  /// Requests of callers, and calls that are forwarded for other routers.
+  int OpenRequests() const {
+    const std::size_t forwarded =
+        mForwarding.has_value() ? mForwarding->OpenCalls() : 0;
+    return static_cast<int>(mRequests.size() + forwarded);
   }
 
   void Handle(const std::shared_ptr<StreamExchange>& aExchange) {
@@ -86,6 +98,9 @@
     for (const auto& [key, request] : open) {
       request->EndByStop();
     }
+    if (mForwarding.has_value()) {
+      mForwarding->EndCalls();
+    }
   }
 
   void Refuse(StreamExchange& aExchange, ResultCode aCode) {
@@ -199,6 +214,7 @@
   std::int64_t mLimitsVersion = 0;
   std::unordered_map<RelayRequest*, std::shared_ptr<RelayRequest>> mRequests;
   StreamServer mServer;
+  std::optional<ForwardingServer> mForwarding;
   PlannedStop mStop;
 };
 
--- a/daemons/relay/stream_guard.h
+++ b/daemons/relay/stream_guard.h
@@ -21,6 +21,8 @@
   kStalled,      ///< Streams through it make no progress.
   kRestarted,    ///< It restarted and has lost its streams.
   kSlow,         ///< Streams through it are late, or will be.
+  /// This router's own connections to it are lost; other routers reach it.
+  kLinkLost,
 };
 
 /// Interface of a stream to the guard.
@@ -37,6 +39,13 @@
   virtual std::string FirstInstance() const = 0;
 };
 
+/// What another router found out about an instance.
+enum class ForwarderFinding {
+  kReached,
+  kUnreachable,
+  kNone,  ///< It did not answer, or could not know.
+};
+
 /// One per router. Not thread-safe.
 class StreamGuard {
  public:
@@ -55,16 +64,25 @@
   void OnAttemptLost(LostAttempt aAttempt);
   /// Called when an event of a stream arrived.
   void OnEvent(StreamKey aKey, Millis aNow);
+  /// Whether this process itself was delayed since then.
+  bool WasLateSince(Millis aSince) const { return mLateAt >= aSince; }
 
  private:
   void Step();
   void UpdateSlowdowns(Millis aNow);
   void EvaluateSlowdowns(Millis aNow);
   void MoveOffSlow(Millis aNow);
-  /// Whether this process itself was delayed since then.
-  bool WasLateSince(Millis aSince) const { return mLateAt >= aSince; }
   void Probe(const std::string& aInstance);
   void ProbeEnded(const std::string& aInstance, bool aConnected);
+  /// Asks other routers, one after the other, whether they reach an instance
+  /// that this one doesn't. aRefused: the instance refused this router's
+  /// connection.
+  void ProbeByForwarders(const std::string& aInstance, bool aRefused);
+  void ProbeByNextForwarder(const std::string& aInstance, bool aRefused);
+  void ForwarderProbeEnded(const std::string& aInstance,
+                           ForwarderFinding aFinding, bool aRefused);
+  /// No router reaches the instance.
+  void OnUnreachable(const std::string& aInstance, bool aRefused);
   /// Probes an instance, unless a probe is in progress or was done recently.
   void ProbeIfDue(const std::string& aInstance, Millis aNow);
   /// Counts a crash of the instance against the requests that may have caused
@@ -82,6 +100,8 @@
   /// A probe of an instance, or a poll of its state.
   struct InstanceCheck {
     std::unique_ptr<StreamCall> mCall;
+    /// Addresses of other routers: the one asked last, then those to be asked.
+    std::vector<std::string> mForwarders;
     Millis mAt = -1;
     std::int64_t mStart = 0;  ///< Of the incarnation that is checked.
     std::string mBody;
--- a/daemons/relay/sync_link.cpp
+++ b/daemons/relay/sync_link.cpp
@@ -163,6 +163,8 @@
                                     NearestContactWindow(NearestInterval());
   request.mCollectorAddress =
       mContext.mStopping ? "" : mContext.mOptions.mHeartbeatAddress;
+  AddForwarding(request);
+  const bool wantsForwarders = request.mWantsForwarders;
   const std::string incarnation = source.mIncarnation;
   std::int64_t heartbeats = 0;
   if (aAddress.Text() == mNearest) {
@@ -177,8 +179,8 @@
   const Millis timeout = PollTimeout(PollInputOf(aAddress.Text()));
   mContext.mRpc.Call(
       aAddress, rpc_method::kSync, ToJson(request), timeout,
-      [this, aAddress, polledAt, incarnation, heartbeats,
-       crashes](const RpcResult& aResult) {
+      [this, aAddress, polledAt, incarnation, heartbeats, crashes,
+       wantsForwarders](const RpcResult& aResult) {
         mSources[aAddress.Text()].mPolling = false;
         if (!aResult.mOk) {
           OnPollFailed(aAddress, polledAt);
@@ -191,10 +193,22 @@
         if (answer.mIncarnation == incarnation) {
           mSources[aAddress.Text()].mAcknowledgedCrashes = crashes;
         }
+        if (wantsForwarders) {
+          mContext.mForwarders.Set(answer.mForwarders, SteadyNow());
+        }
         ApplyAnswer(aAddress, answer, polledAt);
       });
 }
 
+void SyncLink::AddForwarding(SyncRequest& aRequest) {
+  const Millis now = SteadyNow();
+  const bool cutOff = mContext.mLinks.IsCutOff(now);
+  if (!cutOff && !mContext.mStopping) {
+    aRequest.mForwardingAddress = mContext.mForwardingAddress;
+  }
+  aRequest.mWantsForwarders = mContext.mForwarders.IsDue(cutOff, now);
+}
+
 void SyncLink::OnPollFailed(const Endpoint& aAddress, Millis aPolledAt) {
   mContext.mCounters.Add("sync_failures");
   Source& source = mSources[aAddress.Text()];
--- a/daemons/relay/sync_link.h
+++ b/daemons/relay/sync_link.h
@@ -48,6 +48,9 @@
   /// must not act on what it has.
   bool LacksConfigurationOrLease() const;
   void Poll(const Endpoint& aAddress);
+  /// Adds whether this router forwards calls, and whether it needs others that
+  /// do.
+  void AddForwarding(SyncRequest& aRequest);
   /// Adds collected heartbeats that the polled control has not acknowledged.
   /// Returns their number.
   std::int64_t AddHeartbeats(const Source& aSource, SyncRequest& aRequest);
--- a/drivers/stream_client.cpp
+++ b/drivers/stream_client.cpp
@@ -55,7 +55,7 @@
       return;
     }
     if (bounded) {
-      SetHeld(BufferKind::kUnsent, mOptions.mBody.size());
+      SetHeld(BufferKind::kUnsent, Body().size());
       evbuffer_add_cb(bufferevent_get_output(mBuffer), &BufferCall::HandleSent,
                       this);
     }
@@ -127,6 +127,11 @@
     }
   }
 
+  std::string_view Body() const {
+    return mOptions.mSharedBody.empty() ? std::string_view(mOptions.mBody)
+                                        : mOptions.mSharedBody;
+  }
+
   void CountCall(int aSign) {
     if (mOptions.mMemory != nullptr) {
       mOptions.mMemory->Budget().AddCall(mOptions.mMemory->Number(), aSign);
@@ -183,18 +188,19 @@
     for (const HttpHeader& header : mOptions.mHeaders) {
       head += header.mName + ": " + header.mValue + "\r\n";
     }
-    const bool hasBody =
-        !mOptions.mBody.empty() || mOptions.mMethod == "POST" ||
-        mOptions.mMethod == "PUT" || mOptions.mMethod == "PATCH";
+    const std::string_view body = Body();
+    const bool hasBody = !body.empty() || mOptions.mMethod == "POST" ||
+                         mOptions.mMethod == "PUT" ||
+                         mOptions.mMethod == "PATCH";
     if (hasBody) {
-      head +=
-          "Content-Length: " + std::to_string(mOptions.mBody.size()) + "\r\n";
+      head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
     head += "Connection: close\r\n\r\n";
     mSent = true;
     bufferevent_write(mBuffer, head.data(), head.size());
-    bufferevent_write(mBuffer, mOptions.mBody.data(), mOptions.mBody.size());
+    bufferevent_write(mBuffer, body.data(), body.size());
     mOptions.mBody = std::string();
+    mOptions.mSharedBody = {};
     bufferevent_enable(mBuffer, EV_READ | EV_WRITE);
   }
 
--- a/include/spindleweir/daemons/relay_router.h
+++ b/include/spindleweir/daemons/relay_router.h
@@ -27,6 +27,9 @@
   std::vector<Endpoint> mSeeds;  ///< RPC addresses of some controls.
   /// "IP:PORT" at which this router receives heartbeats; empty: none.
   std::string mHeartbeatAddress;
+  /// Address at which this router forwards calls of routers that have lost
+  /// their links to upstreams; without a host: it forwards none.
+  Endpoint mForwardingListen;
   std::string mClusterKey;
   /// A configuration that control has not confirmed for this time is not used.
   Millis mLeaseLength = 4000;
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -9,6 +9,7 @@
 
 #include "spindleweir/servers/limits/crash_ledger.h"
 #include "spindleweir/servers/membership/control_directory.h"
+#include "spindleweir/servers/membership/forwarder_choice.h"
 #include "spindleweir/servers/membership/upstream_feed.h"
 #include "spindleweir/servers/membership/upstream_table.h"
 #include "spindleweir/servers/routes/traffic_change.h"
@@ -87,6 +88,11 @@
   bool mNearestAnswers = false;
   /// "IP:PORT" at which a router collects heartbeats; empty: it collects none.
   std::string mCollectorAddress;
+  /// "IP:PORT" at which a router forwards calls of others; empty: it forwards
+  /// none at present.
+  std::string mForwardingAddress;
+  /// From a router: it requests routers that forward its calls.
+  bool mWantsForwarders = false;
   std::string mCollectedUpstreams;  ///< Collected records that changed: see
                                     ///< PackUpstreams.
   /// Collected heartbeats that changed nothing else: a HeartbeatTable, see
@@ -121,6 +127,8 @@
     aCodec.Sparse("silent", mSilent);
     aCodec.Sparse("hears_near", mNearestAnswers);
     aCodec.Sparse("takes_at", mCollectorAddress);
+    aCodec.Sparse("forwards_at", mForwardingAddress);
+    aCodec.Sparse("wants_forwarders", mWantsForwarders);
     aCodec.Sparse("taken_upstreams", mCollectedUpstreams);
     aCodec.Sparse("taken_beats", mCollectedHeartbeats);
     aCodec.Sparse("knows_router_list", mKnownRouterList);
@@ -160,6 +168,8 @@
   RouterNumbers mOwnRouterList;
   std::int64_t mRouterListTag = 0;
   Millis mPollInterval = 0;  ///< Of routers in the answerer's zone.
+  /// Routers that forward calls of the poller, if it requested them.
+  std::vector<ForwarderInfo> mForwarders;
   /// To a router: loads of all routers; to a control: loads of the routers that
   /// report to the answerer. Empty if the poller has those of mLoadsNumber.
   std::string mPackedLoads;
@@ -192,6 +202,7 @@
     aCodec.Sparse("own_router_list", mOwnRouterList);
     aCodec.Sparse("router_list_tag", mRouterListTag);
     aCodec.Sparse("ask_every_ms", mPollInterval);
+    aCodec.Sparse("forwarders", mForwarders);
     aCodec.Sparse("packed_loads", mPackedLoads);
     aCodec.Sparse("loads_number", mLoadsNumber);
     aCodec.Sparse("loads_ago_ms", mLoadsAge);
--- a/include/spindleweir/drivers/stream_client.h
+++ b/include/spindleweir/drivers/stream_client.h
@@ -30,6 +30,9 @@
   std::string mTarget = "/";
   HttpHeaders mHeaders;
   std::string mBody;
+  /// The body in place of mBody, valid until the request was sent; so that
+  /// several calls may share one.
+  std::string_view mSharedBody;
   Millis mConnectTimeout = 500;
   Millis mTimeout = 0;  ///< From start to end; 0: none.
   /// Accounts for its unsent and unread bytes; nullptr: not accounted for.
--- a/tests/daemons/relay_fixture.cpp
+++ b/tests/daemons/relay_fixture.cpp
@@ -99,6 +99,7 @@
   options.mListen = {"127.0.0.1", 0};
   options.mSeeds = {mSeed};
   options.mHeartbeatAddress = kCollectorAddress;
+  options.mForwardingListen = {"127.0.0.1", 0};
   options.mClusterKey = "secret";
   options.mLeaseLength = kLease;
   options.mStopGrace = mStopGrace;
