--- a/daemons/relay/upstream_call.cpp
+++ b/daemons/relay/upstream_call.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// A connection to a sound upstream takes a round trip; after many of them
+/// A connection to a sound upstream takes a round trip; after several of them
 /// another router is asked as well.
-constexpr Millis kForwardDelay = 100;
+constexpr Millis kForwardDelay = 40;
 constexpr Millis kForwarderConnectTimeout = 150;
 constexpr std::size_t kMaxForwarders = 3;
 
