--- a/daemons/relay/upstream_call.cpp
+++ b/daemons/relay/upstream_call.cpp
@@ -81,6 +81,7 @@
   options.mConnectTimeout = mOptions.mConnectTimeout;
   options.mMaySend = [this] {
     mContext.mLinks.OnConnected(mInstance, SteadyNow());
+    mDirectState = Direct::kReady;
     return false;
   };
   options.mOnEnd = [this](StreamEnd) { Release(std::move(mTrial)); };
--- a/tests/daemons/relay_fixture.cpp
+++ b/tests/daemons/relay_fixture.cpp
@@ -99,13 +99,15 @@
   options.mListen = {"127.0.0.1", 0};
   options.mSeeds = {mSeed};
   options.mHeartbeatAddress = kCollectorAddress;
-  options.mForwardingListen = {"127.0.0.1", 0};
+  mForwarding = FreeEndpoint();
+  options.mForwardingListen = mForwarding;
   options.mClusterKey = "secret";
   options.mLeaseLength = kLease;
   options.mStopGrace = mStopGrace;
   options.mStartWait = mStartWait;
   options.mRetries = mRetries;
   options.mMemoryBytes = mMemoryBytes;
+  options.mDescriptors = mDescriptors;
   options.mCallers = PlainCallerProtocol();
   options.mEngines = PlainEngineProtocol();
   return std::make_unique<RelayRouter>(mLoop, std::move(options));
--- a/tests/daemons/relay_fixture.h
+++ b/tests/daemons/relay_fixture.h
@@ -139,9 +139,12 @@
   RetryAllowanceOptions mRetries;
   int mSlots = 6;                ///< Of each upstream's heartbeats.
   std::size_t mMemoryBytes = 0;  ///< Of routers started from now on.
+  std::size_t mDescriptors = 0;  ///< The same.
   Millis mStopGrace = 2000;      ///< The same.
-  int mMaxLocalHeartbeats;       ///< Per second, of control.
-  int mDocumentsRead = 0;        ///< Documents that control has parsed.
+  /// Where the router started last forwards calls of others.
+  Endpoint mForwarding;
+  int mMaxLocalHeartbeats;  ///< Per second, of control.
+  int mDocumentsRead = 0;   ///< Documents that control has parsed.
 };
 
 }  // namespace spindleweir
