Routers of the product's own interface hand requests on while they are cut off

Callers saw: a router whose links to all upstreams had failed refused every request (no instance is usable), or held it until its deadline where connections hang. The links of tests may outlive their switch (found by address reuse when a test of the old code crashed).

--- a/daemons/router/caller_api.cpp
+++ b/daemons/router/caller_api.cpp
@@ -1,8 +1,10 @@
 #include "daemons/router/caller_api.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "daemons/router/completion.h"
+#include "daemons/router/forwarded_request.h"
 #include "daemons/router/service_call.h"
 #include "spindleweir/core/digest.h"
 #include "spindleweir/core/log.h"
@@ -20,6 +22,7 @@
 constexpr Millis kMaxDeadline = 3600 * 1000;
 constexpr int kMaxPriority = 10;
 constexpr Millis kNotReadyRetryAfter = 1000;
+constexpr std::size_t kMaxRoutersTried = 3;
 
 /// Parses an integer header. Throws kBadHeader if it is malformed or out of
 /// bounds.
@@ -48,12 +51,16 @@
 
 }  // namespace
 
-CallerApi::CallerApi(RouterContext& aContext)
-    : mContext(aContext), mClaims(aContext) {}
+CallerApi::CallerApi(RouterContext& aContext,
+                     std::function<std::vector<Endpoint>()> aOtherRouters)
+    : mContext(aContext),
+      mOtherRouters(std::move(aOtherRouters)),
+      mClaims(aContext) {}
 
-void CallerApi::Handle(const std::shared_ptr<HttpExchange>& aExchange) {
+void CallerApi::Handle(const std::shared_ptr<HttpExchange>& aExchange,
+                       Origin aOrigin) {
   try {
-    Route(aExchange);
+    Route(aExchange, aOrigin);
   } catch (const Error& error) {
     mContext.mCounters.Add(
         "requests", "code=\"" + std::string(InfoOf(error.Code()).mName) + "\"");
@@ -66,7 +73,8 @@
   }
 }
 
-void CallerApi::Route(const std::shared_ptr<HttpExchange>& aExchange) {
+void CallerApi::Route(const std::shared_ptr<HttpExchange>& aExchange,
+                      Origin aOrigin) {
   if (aExchange->Body().size() > kMaxBodyBytes) {
     throw Error(ResultCode::kBodyTooLarge,
                 "request body must be at most 1048576 bytes");
@@ -98,14 +106,38 @@
     ListModels(aExchange);
   } else if (path == "/v1/chat/completions" || path == "/v1/completions") {
     RequireMethod(*aExchange, "POST");
-    StartCompletion(aExchange, path == "/v1/chat/completions");
+    const bool isChat = path == "/v1/chat/completions";
+    const bool isForwarded =
+        aOrigin == Origin::kCaller &&
+        Forward(aExchange, ReadCompletion(aExchange->Body(), isChat).mStream);
+    if (!isForwarded) {
+      StartCompletion(aExchange, isChat);
+    }
   } else if (path.starts_with(kServicePrefix)) {
-    StartService(aExchange);
+    if (aOrigin == Origin::kRouter || !Forward(aExchange, false)) {
+      StartService(aExchange);
+    }
   } else {
     throw Error(ResultCode::kNotFound, "unknown path " + path);
   }
 }
 
+bool CallerApi::Forward(const std::shared_ptr<HttpExchange>& aExchange,
+                        bool aStreams) {
+  if (!mContext.mView.IsCutOff(mContext.mLoop.RunningNow())) {
+    return false;
+  }
+  std::vector<Endpoint> routers = mOtherRouters();
+  if (routers.empty()) {
+    return false;
+  }
+  routers.resize(std::min(routers.size(), kMaxRoutersTried));
+  std::make_shared<ForwardedRequest>(mContext, CheckRequest(aExchange),
+                                     std::move(routers), aStreams)
+      ->Begin();
+  return true;
+}
+
 CallerRequest CallerApi::CheckRequest(
     const std::shared_ptr<HttpExchange>& aExchange) {
   if (mContext.mRejectingRequests) {
--- a/daemons/router/peer_link.cpp
+++ b/daemons/router/peer_link.cpp
@@ -107,6 +107,28 @@
   }
 }
 
+std::vector<Endpoint> PeerLink::OtherRouters() {
+  std::vector<std::pair<double, Endpoint>> ranked;
+  for (const EntryVm& vm : mContext.mEntryVms.Current().All()) {
+    const bool usable = vm.mRole == EntryRole::kRouter &&
+                        vm.mId != mContext.mOptions.mId &&
+                        mMembers.IsUsable(vm.mId);
+    if (usable) {
+      const bool isRemote = vm.mZone != mContext.mOptions.mZone;
+      ranked.emplace_back(mContext.Random() + (isRemote ? 1 : 0), vm.mAddress);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft.first < aRight.first;
+            });
+  std::vector<Endpoint> addresses;
+  for (auto& [rank, address] : ranked) {
+    addresses.push_back(std::move(address));
+  }
+  return addresses;
+}
+
 PeerState PeerLink::LocalState() {
   PeerState state;
   state.mFrom = mContext.mOptions.mId;
--- a/daemons/router/peer_link.h
+++ b/daemons/router/peer_link.h
@@ -18,6 +18,9 @@
   PeerLink(RouterContext& aContext, RpcDispatcher& aDispatcher);
 
   const MemberTable& Members() const { return mMembers; }
+  /// RPC addresses of the other routers that are not known to have crashed,
+  /// those of this zone first, otherwise in random order.
+  std::vector<Endpoint> OtherRouters();
 
  private:
   void RegisterMethods(RpcDispatcher& aDispatcher);
--- a/daemons/router/router_context.cpp
+++ b/daemons/router/router_context.cpp
@@ -20,7 +20,7 @@
     : mLoop(aLoop),
       mOptions(std::move(aOptions)),
       mIncarnation(WallNow()),
-      mClient(aLoop),
+      mClient(aLoop, mOptions.mLinkFailureOf),
       mRpc(mClient, mOptions.mClusterKey),
       mEngines(mClient),
       mEntryVms(aLoop, mOptions.mEntryVms),
--- a/daemons/router/router_daemon.cpp
+++ b/daemons/router/router_daemon.cpp
@@ -1,6 +1,7 @@
 #include "spindleweir/daemons/router_daemon.h"
 
 #include "daemons/router/caller_api.h"
+#include "daemons/router/forwarded_request.h"
 #include "daemons/router/peer_link.h"
 #include "daemons/router/stewardship.h"
 #include "spindleweir/core/json_codec.h"
@@ -29,7 +30,7 @@
         mDispatcher(mContext.mOptions.mClusterKey),
         mPeers(mContext, mDispatcher),
         mStewardship(mContext, mDispatcher),
-        mApi(mContext),
+        mApi(mContext, [this] { return mPeers.OtherRouters(); }),
         mWatcher(aLoop, mContext.mClient, mContext.mView,
                  {.mPlatform = mContext.mOptions.mPlatform}),
         mRpcServer(aLoop,
@@ -37,7 +38,7 @@
                     .mMaximumBodyBytes = kMaxRpcBodyBytes,
                     .mHandle =
                         [this](const std::shared_ptr<HttpExchange>& aExchange) {
-                          mDispatcher.Handle(*aExchange);
+                          HandleRpc(aExchange);
                         }}),
         mCallerServer(
             aLoop,
@@ -47,6 +48,9 @@
                mApi.Handle(aExchange);
              }}) {}
 
+  /// Handles a message of a control or a router, or a caller's request that
+  /// another router has handed on.
+  void HandleRpc(const std::shared_ptr<HttpExchange>& aExchange);
   /// Continues a planned stop, once new requests are rejected: waits for open
   /// requests and receipts, stops listening, then ends the event loop.
   void ContinueStop();
@@ -69,6 +73,17 @@
   bool mListening = true;
 };
 
+void RouterDaemon::Parts::HandleRpc(
+    const std::shared_ptr<HttpExchange>& aExchange) {
+  const std::string_view key =
+      aExchange->Header(ForwardedRequest::kClusterKeyHeader);
+  if (!key.empty() && key == mContext.mOptions.mClusterKey) {
+    mApi.Handle(aExchange, CallerApi::Origin::kRouter);
+    return;
+  }
+  mDispatcher.Handle(*aExchange);
+}
+
 bool RouterDaemon::Parts::AwaitsReceipts() {
   mIdleSince = mIdleSince == 0 ? SteadyNow() : mIdleSince;
   const bool expired = SteadyNow() - mIdleSince > kReceiptsTimeout;
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -154,7 +154,11 @@
   EvhttpCall(const EvhttpCall&) = delete;
   EvhttpCall& operator=(const EvhttpCall&) = delete;
 
-  void Begin() {
+  void Begin(LinkFailure aFailure) {
+    if (aFailure != LinkFailure::kNone) {
+      BeginWithoutConnection(aFailure == LinkFailure::kRefuse);
+      return;
+    }
     if (!mOptions.mNewConnection) {
       mConnection = mPool->Take(mServer);
     }
@@ -192,6 +196,14 @@
   }
 
  private:
+  /// The connection is refused, or never comes about.
+  void BeginWithoutConnection(bool aIsRefused) {
+    if (aIsRefused || mOptions.mTimeout > 0) {
+      mTimer = mLoop.AfterRunning(aIsRefused ? 0 : mOptions.mTimeout,
+                                  [this] { Finish(false); });
+    }
+  }
+
   void SendRequest() {
     evhttp_request* request =
         evhttp_request_new(&EvhttpCall::HandleDone, mLink.get());
@@ -318,14 +330,21 @@
   bool mPaused = false;
 };
 
-HttpClient::HttpClient(EventLoop& aLoop)
-    : mLoop(aLoop), mPool(std::make_shared<Pool>(aLoop)) {}
+HttpClient::HttpClient(EventLoop& aLoop, LinkFailureHook aFailureOf)
+    : mLoop(aLoop),
+      mFailureOf(std::move(aFailureOf)),
+      mPool(std::make_shared<Pool>(aLoop)) {}
 
 HttpClient::~HttpClient() = default;
 
+LinkFailure HttpClient::FailureOf(const Endpoint& aServer) const {
+  return mFailureOf ? mFailureOf(aServer) : LinkFailure::kNone;
+}
+
 std::unique_ptr<HttpCall> HttpClient::Start(HttpCallOptions aOptions) {
+  const LinkFailure failure = FailureOf(aOptions.mServer);
   auto call = std::make_unique<EvhttpCall>(mLoop, mPool, std::move(aOptions));
-  call->Begin();
+  call->Begin(failure);
   return call;
 }
 
@@ -342,10 +361,11 @@
       mDestroyTimer = mLoop.After(0, [this] { DestroyEndedCalls(); });
     }
   };
+  const LinkFailure failure = FailureOf(aOptions.mServer);
   auto call = std::make_unique<EvhttpCall>(mLoop, mPool, std::move(aOptions));
   EvhttpCall* started = call.get();
   mDetached[id] = std::move(call);
-  started->Begin();
+  started->Begin(failure);
 }
 
 void HttpClient::DestroyEndedCalls() {
--- a/include/spindleweir/daemons/router_daemon.h
+++ b/include/spindleweir/daemons/router_daemon.h
@@ -6,6 +6,7 @@
 
 #include "spindleweir/core/settings.h"
 #include "spindleweir/drivers/event_loop.h"
+#include "spindleweir/drivers/http_client.h"
 #include "spindleweir/servers/routing/chain_chooser.h"
 
 namespace spindleweir {
@@ -31,6 +32,8 @@
       mChooseChain = ChooseChain;
   /// Called with the version of each configuration that comes into force.
   std::function<void(std::int64_t)> mOnConfiguration;
+  /// Tests inject links that fail.
+  LinkFailureHook mLinkFailureOf;
   Millis mStopUnready = 2000;  ///< Serves for this time after becoming
                                ///< unready.
   Millis mStopGrace = 60000;   ///< For requests in flight at a planned stop.
--- a/include/spindleweir/drivers/http_client.h
+++ b/include/spindleweir/drivers/http_client.h
@@ -43,6 +43,11 @@
   std::function<void(const HttpResult&)> mOnDone;
 };
 
+/// How new connections to an address fail.
+enum class LinkFailure { kNone, kHang, kRefuse };
+/// Tests inject failing links.
+using LinkFailureHook = std::function<LinkFailure(const Endpoint&)>;
+
 /// A running call; destroying it cancels it.
 class HttpCall {
  public:
@@ -54,7 +59,7 @@
 /// Starts calls and pools idle connections.
 class HttpClient {
  public:
-  explicit HttpClient(EventLoop& aLoop);
+  explicit HttpClient(EventLoop& aLoop, LinkFailureHook aFailureOf = nullptr);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -68,9 +73,11 @@
   friend class EvhttpCall;
   struct Pool;
 
+  LinkFailure FailureOf(const Endpoint& aServer) const;
   void DestroyEndedCalls();
 
   EventLoop& mLoop;
+  LinkFailureHook mFailureOf;
   std::shared_ptr<Pool> mPool;
   std::map<std::int64_t, std::unique_ptr<HttpCall>> mDetached;
   std::vector<std::int64_t> mEnded;  ///< Detached calls to be destroyed.
--- a/include/spindleweir/servers/routing/upstream_view.h
+++ b/include/spindleweir/servers/routing/upstream_view.h
@@ -35,6 +35,9 @@
 /// Timeouts and ejection limits of an UpstreamView.
 struct UpstreamViewOptions {
   Millis mReportLifetime = 3000;  ///< Older reports are ignored.
+  /// Without any report for this time the router's links are lost. Engines are
+  /// asked for one four times in it.
+  Millis mCutOffSilence = 1000;
   int mFailuresToEject = 2;
   Millis mEjection = 2000;  ///< Doubled with each further failure.
   Millis mMaxEjection = 15000;
@@ -81,6 +84,9 @@
   /// reported, or was silent long enough to count as gone. A plan made earlier
   /// would cover only a part of the engines.
   bool Complete(const std::string& aZone, Millis aNow) const;
+  /// Whether no engine reports any more, though several did: rather than all of
+  /// them, the links of this router have failed.
+  bool IsCutOff(Millis aNow) const;
   /// Returns the reports of engines that reported within aWithin.
   std::vector<EngineReport> LiveEngines(const std::string& aZone,
                                         Millis aWithin, Millis aNow) const;
--- a/servers/routing/upstream_view.cpp
+++ b/servers/routing/upstream_view.cpp
@@ -52,6 +52,20 @@
   mListedSinceEnd.insert(aVm);
 }
 
+bool UpstreamView::IsCutOff(Millis aNow) const {
+  int reporters = 0;
+  for (const auto& [vm, upstream] : mUpstreams) {
+    if (!upstream.mService.empty() || upstream.mReportedAt < 0) {
+      continue;
+    }
+    if (aNow - upstream.mReportedAt < mOptions.mCutOffSilence) {
+      return false;
+    }
+    reporters++;
+  }
+  return reporters > 1;
+}
+
 void UpstreamView::ListEnded(Millis aNow) {
   for (auto it = mUpstreams.begin(); it != mUpstreams.end();) {
     Upstream& upstream = it->second;
--- a/tests/daemons/deployment.cpp
+++ b/tests/daemons/deployment.cpp
@@ -163,6 +163,11 @@
   options.mPlatform = mPlatform->Address();
   options.mClusterKey = kClusterKey;
   options.mStopUnready = mOptions.mStopUnready;
+  if (mOptions.mLinkFailureOf) {
+    options.mLinkFailureOf = [this, aIndex](const Endpoint& aServer) {
+      return mOptions.mLinkFailureOf(aIndex, aServer);
+    };
+  }
   mRouters[static_cast<std::size_t>(aIndex)] =
       std::make_unique<RouterDaemon>(mLoop, options);
 }
--- a/tests/daemons/deployment.h
+++ b/tests/daemons/deployment.h
@@ -28,6 +28,8 @@
   Millis mStopUnready = 100;
   /// If set, all RPC messages to control processes pass through it.
   RpcDelayHook mDelay;
+  /// If set, how connections of a router, given by its index, fail.
+  std::function<LinkFailure(int aRouter, const Endpoint&)> mLinkFailureOf;
 };
 
 /// The state and result of a caller's request.
--- a/tests/daemons/link_cut.cpp
+++ b/tests/daemons/link_cut.cpp
@@ -9,14 +9,14 @@
 class LinkCut::Link : public StreamCall {
  public:
   Link(LinkCut& aCut, EventLoop& aLoop, StreamCallOptions aOptions)
-      : mCut(aCut),
+      : mLinks(aCut.mLinks),
         mLoop(aLoop),
         mAddress(aOptions.mServer.Text()),
         mOnEnd(std::move(aOptions.mOnEnd)) {
-    mCut.mLinks.push_back(this);
-    if (mCut.IsCut(mAddress)) {
-      mCut.mTried++;
-      const bool hangs = mCut.mMode == CutMode::kHang;
+    mLinks->push_back(this);
+    if (aCut.IsCut(mAddress)) {
+      aCut.mTried++;
+      const bool hangs = aCut.mMode == CutMode::kHang;
       mTimer = mLoop.After(hangs ? aOptions.mConnectTimeout : 0,
                            [this] { End(StreamEnd::kNotSent); });
       return;
@@ -38,7 +38,7 @@
     mCall = StartStreamCall(mLoop, std::move(aOptions));
   }
 
-  ~Link() override { mCut.mLinks.remove(this); }
+  ~Link() override { mLinks->remove(this); }
   Link(const Link&) = delete;
   Link& operator=(const Link&) = delete;
 
@@ -82,7 +82,7 @@
     }
   }
 
-  LinkCut& mCut;
+  std::shared_ptr<std::list<Link*>> mLinks;
   EventLoop& mLoop;
   std::string mAddress;
   std::function<void(StreamEnd)> mOnEnd;
@@ -101,7 +101,7 @@
   mMode = aMode;
   mAddresses = std::move(aAddresses);
   mTried = 0;
-  const std::vector<Link*> links(mLinks.begin(), mLinks.end());
+  const std::vector<Link*> links(mLinks->begin(), mLinks->end());
   for (Link* link : links) {
     if (mAddresses.contains(link->Address())) {
       link->Cut(aMode);
--- a/tests/daemons/link_cut.h
+++ b/tests/daemons/link_cut.h
@@ -18,7 +18,7 @@
   kRefuseNew,  ///< Open calls go on, new connections are refused.
 };
 
-/// Must outlive the calls that its hook starts.
+/// Its calls may outlive it: they are then cut no more.
 class LinkCut {
  public:
   /// For RelayOptions::mStartCall.
@@ -38,7 +38,8 @@
 
   CutMode mMode = CutMode::kNone;
   std::set<std::string> mAddresses;
-  std::list<Link*> mLinks;
+  std::shared_ptr<std::list<Link*>> mLinks =
+      std::make_shared<std::list<Link*>>();
   int mTried = 0;
 };
 
