A call that nobody forwards tries its own link once more, for 0.1 s

Cause: a router that counted as cut off and whose forwarders were all busy refused in 5 ms without having tried its own link in that call, though it tries it four times a second only; sound routers whose upstreams refused three connections in a row were among them. Forwarders log why they take a call or not.

--- a/daemons/relay/forwarding_server.cpp
+++ b/daemons/relay/forwarding_server.cpp
@@ -96,6 +96,13 @@
   const UpstreamRecord* upstream =
       allowed ? mContext.mRegistry.Find(facts->mInstance) : nullptr;
   if (upstream == nullptr || !HasRoom()) {
+    LogLine(LogLevel::kInfo, "not_forwarded")
+        .Add("instance", facts.has_value() ? facts->mInstance : "")
+        .Add("why", NameOf(ForwardingRefusal::kBusy))
+        .Add("allowed", allowed)
+        .Add("known", upstream != nullptr)
+        .Add("stopping", mContext.mStopping)
+        .Add("memory_short", mContext.mMemory->IsUnderPressure());
     Refuse(*aExchange, ForwardingRefusal::kBusy);
     return;
   }
--- a/daemons/relay/upstream_call.cpp
+++ b/daemons/relay/upstream_call.cpp
@@ -11,6 +11,8 @@
 /// another router is asked as well.
 constexpr Millis kForwardDelay = 40;
 constexpr Millis kForwarderConnectTimeout = 150;
+/// For a link that counts as lost, if no router forwards the call.
+constexpr Millis kLastConnectTimeout = 100;
 constexpr std::size_t kMaxForwarders = 3;
 
 }  // namespace
@@ -37,7 +39,7 @@
   const bool isLost =
       mContext.mLinks.IsLost(mInstance, now) && !mContext.mForwarders.Empty();
   if (!isLost) {
-    StartDirect();
+    StartDirect(mOptions.mConnectTimeout);
     mForwardTimer = mContext.mLoop.AfterRunning(kForwardDelay, [this] {
       if (mForwarder == nullptr) {
         (void)StartForwarder();
@@ -62,10 +64,10 @@
   return options;
 }
 
-void UpstreamCall::StartDirect() {
+void UpstreamCall::StartDirect(Millis aConnectTimeout) {
   StreamCallOptions options = OptionsOfWay();
   options.mServer = mOptions.mServer;
-  options.mConnectTimeout = mOptions.mConnectTimeout;
+  options.mConnectTimeout = aConnectTimeout;
   options.mMaySend = [this] { return MaySendDirectly(); };
   options.mOnHead = mOptions.mOnHead;
   options.mOnData = mOptions.mOnData;
@@ -214,12 +216,18 @@
     mContext.mForwarders.OnFailed(mForwarderAddress, SteadyNow());
   }
   if (mDirectState == Direct::kReady) {
-    StartDirect();
+    StartDirect(mOptions.mConnectTimeout);
     return;
   }
-  if (!StartForwarder() && mDirect == nullptr) {
-    Finish(StreamEnd::kNotSent);
+  if (StartForwarder() || mDirect != nullptr) {
+    return;
+  }
+  if (mDirectStartedAt == 0) {
+    // Nobody forwards it: the own link may not be lost after all.
+    StartDirect(std::min(mOptions.mConnectTimeout, kLastConnectTimeout));
+    return;
   }
+  Finish(StreamEnd::kNotSent);
 }
 
 void UpstreamCall::Pause(bool aPaused) {
--- a/daemons/relay/upstream_call.h
+++ b/daemons/relay/upstream_call.h
@@ -43,7 +43,7 @@
   };
 
   void Begin();
-  void StartDirect();
+  void StartDirect(Millis aConnectTimeout);
   /// Tries whether a lost link is back.
   void StartTrial();
   bool MaySendDirectly();
@@ -71,7 +71,7 @@
   std::string mForwarderAddress;         ///< Of the current one.
   bool mForwardersListed = false;
   Direct mDirectState = Direct::kNone;
-  Millis mDirectStartedAt = 0;
+  Millis mDirectStartedAt = 0;  ///< 0: not tried.
   bool mSentDirectly = false;
   bool mSentByForwarder = false;
   bool mIsHeldBack = false;  ///< The caller's hook forbade to send.
