Headers by which routers name upstreams replace those of a caller

A caller that sent X-Forward-To itself would have chosen the upstream of a call that another router makes: the forwarder read the first header of that name, the router added a second one. Found by reading; the test failed so (two headers left, the caller's read). The router's replace them now.

--- a/daemons/relay/forwarding_protocol.cpp
+++ b/daemons/relay/forwarding_protocol.cpp
@@ -28,6 +28,8 @@
 }  // namespace
 
 void AddForwardingFacts(const ForwardingFacts& aFacts, HttpHeaders& aHeaders) {
+  // A caller may have sent headers of the same names.
+  (void)TakeForwardingFacts(aHeaders);
   if (FindHeader(aHeaders, "Host") == nullptr) {
     // Servers refuse requests without it.
     aHeaders.push_back({"Host", aFacts.mInstance});
--- a/daemons/relay/forwarding_protocol.h
+++ b/daemons/relay/forwarding_protocol.h
@@ -32,7 +32,7 @@
 /// The result of a call that only connects, on its way back.
 inline constexpr int kForwardingConnected = 204;
 
-/// Adds the headers of aFacts.
+/// Sets the headers of aFacts, in place of any of the same names.
 void AddForwardingFacts(const ForwardingFacts& aFacts, HttpHeaders& aHeaders);
 /// Reads and removes the headers of AddForwardingFacts(); nullopt if they are
 /// missing.
--- a/tests/daemons/forwarding_protocol_test.cpp
+++ b/tests/daemons/forwarding_protocol_test.cpp
@@ -22,6 +22,14 @@
       CHECK(ReadForwardingRefusal(headers) == refusal);
     }
   }
+  SECTION("a caller cannot name another upstream") {
+    HttpHeaders headers = {{"Host", "shop"}, {"x-forward-to", "other"}};
+    AddForwardingFacts({.mKey = "key", .mInstance = "chosen"}, headers);
+    const std::optional<ForwardingFacts> facts = TakeForwardingFacts(headers);
+    REQUIRE(facts.has_value());
+    CHECK(facts->mInstance == "chosen");
+    CHECK(headers.size() == 1);
+  }
   SECTION("requests without the facts are no calls to forward") {
     HttpHeaders headers = {{"Host", "shop"}};
     CHECK(!TakeForwardingFacts(headers).has_value());
