One class a file: what control offers, what a router tries; probes of the guard

A stopping router waits for the connections of its forwarding server, not for its calls alone: the last bytes of an answer may still be unsent when the call has ended.

--- a/daemons/relay/forwarding_server.h
+++ b/daemons/relay/forwarding_server.h
@@ -23,8 +23,9 @@
   ForwardingServer& operator=(const ForwardingServer&) = delete;
 
   const Endpoint& Address() const { return mServer.Address(); }
-  /// The number of calls that are being forwarded.
-  std::size_t OpenCalls() const { return mCalls.size(); }
+  /// The number of calls that are being forwarded, or whose answers are not
+  /// read to the end yet.
+  std::size_t OpenCalls() const { return mServer.Connections(); }
   /// Ends all calls.
   void EndCalls();
 
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -21,7 +21,7 @@
 #include "spindleweir/servers/limits/shutdown_admission.h"
 #include "spindleweir/servers/limits/typical_time.h"
 #include "spindleweir/servers/membership/control_directory.h"
-#include "spindleweir/servers/membership/forwarder_choice.h"
+#include "spindleweir/servers/membership/forwarder_list.h"
 #include "spindleweir/servers/membership/heartbeat_collector.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
 #include "spindleweir/servers/routes/configuration_lease.h"
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -1,10 +1,8 @@
 #include "daemons/relay/stream_guard.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "daemons/engine_call.h"
-#include "daemons/relay/forwarding_protocol.h"
 #include "daemons/relay/upstream_call.h"
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/log.h"
@@ -17,16 +15,6 @@
 /// A step that is this late shows that this process was not scheduled.
 constexpr Millis kLateThreshold = 45;
 constexpr Millis kLateWindow = 60;
-/// An upstream that doesn't accept a connection within this time has crashed or
-/// is disconnected: the round trip between zones takes a few milliseconds.
-constexpr Millis kProbeTimeout = 40;
-constexpr Millis kProbeInterval = 150;
-constexpr Millis kAvoidAfterUnreachable = 2000;
-/// A forwarder answers once its own connection has come about or timed out.
-constexpr Millis kForwarderProbeTimeout = 250;
-constexpr std::size_t kMaxForwarders = 3;
-/// A router that connected to any upstream within this time has its links.
-constexpr Millis kLinkProofWindow = 500;
 /// If a stream pauses for this time although all of its upstreams are
 /// reachable, its first stage is polled for the stalled stages.
 constexpr Millis kStatePollAfter = 300;
@@ -192,197 +180,6 @@
   MoveStreamsOff(restarted, MoveReason::kRestarted);
 }
 
-void StreamGuard::ProbeIfDue(const std::string& aInstance, Millis aNow) {
-  const InstanceCheck& check = mProbes[aInstance];
-  if (check.mCall == nullptr && aNow - check.mAt >= kProbeInterval) {
-    Probe(aInstance);
-  }
-}
-
-void StreamGuard::OnAttemptLost(LostAttempt aAttempt) {
-  const std::string instance = aAttempt.mInstance;
-  const Millis now = SteadyNow();
-  mContext.mCrashes.OnAttemptLost(std::move(aAttempt), now);
-  ProbeIfDue(instance, now);
-}
-
-void StreamGuard::CountCrash(const std::string& aInstance) {
-  const std::vector<std::string> contents =
-      mContext.mCrashes.OnUpstreamCrashed(aInstance, SteadyNow());
-  if (contents.empty()) {
-    return;
-  }
-  mContext.mCounters.Add("crashes_seen");
-  Json::Value suspects(Json::arrayValue);
-  Json::Value barred(Json::arrayValue);
-  for (const std::string& content : contents) {
-    suspects.append(content);
-    if (mContext.mCrashes.IsBarred(content)) {
-      barred.append(content);
-    }
-  }
-  LogLine(LogLevel::kWarning, "upstream_crashed")
-      .Add("instance", aInstance)
-      .Add("suspects", suspects)
-      .Add("barred", barred);
-}
-
-void StreamGuard::Probe(const std::string& aInstance) {
-  const UpstreamRecord* record = mContext.mRegistry.Find(aInstance);
-  if (record == nullptr) {
-    CountCrash(aInstance);
-    return;
-  }
-  InstanceCheck& check = mProbes[aInstance];
-  check.mAt = SteadyNow();
-  check.mStart = record->mStart;
-  const bool isLost = mContext.mLinks.IsLost(aInstance, check.mAt) &&
-                      !mContext.mForwarders.Empty();
-  if (isLost) {
-    ProbeByForwarders(aInstance, false);
-    return;
-  }
-  const auto connected = std::make_shared<bool>(false);
-  StreamCallOptions options;
-  options.mServer = ParseEndpoint(record->mAddress, "address of an upstream");
-  options.mConnectTimeout = kProbeTimeout;
-  options.mMaySend = [connected] {
-    *connected = true;
-    return false;
-  };
-  options.mOnEnd = [this, aInstance, connected](StreamEnd) {
-    ProbeEnded(aInstance, *connected);
-  };
-  check.mCall =
-      mContext.mOptions.mStartCall(mContext.mLoop, std::move(options));
-}
-
-void StreamGuard::ProbeEnded(const std::string& aInstance, bool aConnected) {
-  InstanceCheck& check = mProbes[aInstance];
-  const Millis took = SteadyNow() - check.mAt;
-  // The call is on the stack: it is destroyed in the next turn of the loop.
-  const std::shared_ptr<StreamCall> call = std::move(check.mCall);
-  mContext.mLoop.Post([call] {});
-  mContext.mCounters.Add("probes");
-  const bool refused = took < kProbeTimeout;
-  const bool restarted = check.mStart != mContext.StartOf(aInstance);
-  if (restarted) {
-    CountCrash(aInstance);
-    return;
-  }
-  if (aConnected) {
-    mContext.mLinks.OnConnected(aInstance, SteadyNow());
-    mContext.mCrashes.OnUpstreamAlive(aInstance);
-    return;
-  }
-  if (!refused && WasLateSince(check.mAt)) {
-    return;
-  }
-  LogLine(LogLevel::kInfo, "upstream_unreachable")
-      .Add("instance", aInstance)
-      .Add("after_ms", static_cast<Json::Int64>(took));
-  mContext.mLinks.OnFailed(aInstance, SteadyNow());
-  if (mContext.mForwarders.Empty()) {
-    OnUnreachable(aInstance, refused);
-    return;
-  }
-  // Its streams move at once; other processes are told only if the upstream is
-  // to blame and not a link of this router.
-  mContext.RecordFailure(aInstance, kAvoidAfterUnreachable);
-  MoveStreamsOff({aInstance}, MoveReason::kUnreachable);
-  ProbeByForwarders(aInstance, refused);
-}
-
-void StreamGuard::OnUnreachable(const std::string& aInstance, bool aRefused) {
-  mContext.RecordUnreachable(aInstance, kAvoidAfterUnreachable);
-  MoveStreamsOff({aInstance}, MoveReason::kUnreachable);
-  if (aRefused) {
-    // Only a refused connection proves a crash: without an answer the upstream
-    // may also be disconnected.
-    CountCrash(aInstance);
-  }
-}
-
-void StreamGuard::ProbeByForwarders(const std::string& aInstance,
-                                    bool aRefused) {
-  std::vector<std::string>& forwarders = mProbes[aInstance].mForwarders;
-  forwarders = mContext.mForwarders.Order(
-      mContext.mOptions.mZone, [this] { return mContext.Random(); },
-      SteadyNow());
-  forwarders.resize(std::min(forwarders.size(), kMaxForwarders));
-  ProbeByNextForwarder(aInstance, aRefused);
-}
-
-void StreamGuard::ProbeByNextForwarder(const std::string& aInstance,
-                                       bool aRefused) {
-  InstanceCheck& check = mProbes[aInstance];
-  const auto finding =
-      std::make_shared<ForwarderFinding>(ForwarderFinding::kNone);
-  StreamCallOptions options;
-  options.mServer =
-      ParseEndpoint(check.mForwarders.front(), "address of a forwarder");
-  AddForwardingFacts({.mKey = mContext.mOptions.mClusterKey,
-                      .mInstance = aInstance,
-                      .mOnlyConnect = true},
-                     options.mHeaders);
-  options.mConnectTimeout = kForwarderProbeTimeout;
-  options.mTimeout = kForwarderProbeTimeout;
-  options.mOnHead = [finding](const AnswerHead& aHead) {
-    HttpHeaders headers = aHead.mHeaders;
-    if (TakeForwardedMark(headers)) {
-      *finding = ForwarderFinding::kReached;
-    } else if (ReadForwardingRefusal(headers) ==
-               ForwardingRefusal::kUnreachable) {
-      *finding = ForwarderFinding::kUnreachable;
-    }
-  };
-  options.mOnEnd = [this, aInstance, finding, aRefused](StreamEnd) {
-    ForwarderProbeEnded(aInstance, *finding, aRefused);
-  };
-  check.mCall =
-      mContext.mOptions.mStartCall(mContext.mLoop, std::move(options));
-}
-
-void StreamGuard::ForwarderProbeEnded(const std::string& aInstance,
-                                      ForwarderFinding aFinding,
-                                      bool aRefused) {
-  InstanceCheck& check = mProbes[aInstance];
-  // The call is on the stack: it is destroyed in the next turn of the loop.
-  const std::shared_ptr<StreamCall> call = std::move(check.mCall);
-  mContext.mLoop.Post([call] {});
-  const Millis now = SteadyNow();
-  if (check.mStart != mContext.StartOf(aInstance)) {
-    CountCrash(aInstance);
-    return;
-  }
-  if (aFinding == ForwarderFinding::kReached) {
-    LogLine(LogLevel::kInfo, "link_lost")
-        .Add("instance", aInstance)
-        .Add("forwarder", check.mForwarders.front())
-        .Add("cut_off", mContext.mLinks.IsCutOff(now));
-    mContext.mLinks.OnForwarded(aInstance, now);
-    mContext.EndAvoidance(aInstance);
-    mContext.mCrashes.OnUpstreamAlive(aInstance);
-    MoveStreamsOff({aInstance}, MoveReason::kLinkLost);
-    return;
-  }
-  if (aFinding == ForwarderFinding::kUnreachable) {
-    OnUnreachable(aInstance, aRefused);
-    return;
-  }
-  mContext.mForwarders.OnFailed(check.mForwarders.front(), now);
-  check.mForwarders.erase(check.mForwarders.begin());
-  if (!check.mForwarders.empty()) {
-    ProbeByNextForwarder(aInstance, aRefused);
-    return;
-  }
-  // Nobody knows. A router that has its links believes itself.
-  if (!mContext.mLinks.IsCutOff(now) &&
-      mContext.mLinks.HasConnectedSince(now - kLinkProofWindow)) {
-    OnUnreachable(aInstance, aRefused);
-  }
-}
-
 void StreamGuard::PollState(const std::string& aInstance) {
   const UpstreamRecord* record = mContext.mRegistry.Find(aInstance);
   if (record == nullptr) {
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -9,7 +9,7 @@
 
 #include "spindleweir/servers/limits/crash_ledger.h"
 #include "spindleweir/servers/membership/control_directory.h"
-#include "spindleweir/servers/membership/forwarder_choice.h"
+#include "spindleweir/servers/membership/forwarder_offer.h"
 #include "spindleweir/servers/membership/upstream_feed.h"
 #include "spindleweir/servers/membership/upstream_table.h"
 #include "spindleweir/servers/routes/traffic_change.h"
--- a/tests/daemons/cut_off_vm_test.cpp
+++ b/tests/daemons/cut_off_vm_test.cpp
@@ -156,6 +156,10 @@
   CheckEngineStreams(CutMode::kReset);
 }
 
+Test(cut_off_vm, serves_streams_of_engines_while_only_new_connections_fail) {
+  CheckEngineStreams(CutMode::kRefuseNew);
+}
+
 // Streams hung until their connections timed out, and ended incomplete.
 Test(cut_off_vm, continues_its_streams_by_way_of_another_vm) {
   for (const CutMode mode : {CutMode::kHang, CutMode::kReset}) {
--- a/tests/daemons/link_cut.cpp
+++ b/tests/daemons/link_cut.cpp
@@ -15,7 +15,6 @@
         mOnEnd(std::move(aOptions.mOnEnd)) {
     mLinks->push_back(this);
     if (aCut.IsCut(mAddress)) {
-      aCut.mTried++;
       const bool hangs = aCut.mMode == CutMode::kHang;
       mTimer = mLoop.After(hangs ? aOptions.mConnectTimeout : 0,
                            [this] { End(StreamEnd::kNotSent); });
@@ -100,7 +99,6 @@
 void LinkCut::Cut(CutMode aMode, std::set<std::string> aAddresses) {
   mMode = aMode;
   mAddresses = std::move(aAddresses);
-  mTried = 0;
   const std::vector<Link*> links(mLinks->begin(), mLinks->end());
   for (Link* link : links) {
     if (mAddresses.contains(link->Address())) {
--- a/tests/daemons/link_cut.h
+++ b/tests/daemons/link_cut.h
@@ -26,8 +26,6 @@
   /// Cuts the links to these addresses.
   void Cut(CutMode aMode, std::set<std::string> aAddresses);
   void Heal() { mMode = CutMode::kNone; }
-  /// New connections to these addresses since the last cut or repair.
-  int Tried() const { return mTried; }
 
  private:
   class Link;
@@ -40,7 +38,6 @@
   std::set<std::string> mAddresses;
   std::shared_ptr<std::list<Link*>> mLinks =
       std::make_shared<std::list<Link*>>();
-  int mTried = 0;
 };
 
 }  // namespace spindleweir
--- a/tests/servers/forwarder_choice_test.cpp
+++ b/tests/servers/forwarder_list_test.cpp
@@ -1,4 +1,4 @@
-#include "spindleweir/servers/membership/forwarder_choice.h"
+#include "spindleweir/servers/membership/forwarder_list.h"
 
 #include <map>
 
