Test of cut-off routers without a sound one: none of them stops the loop

Trace: the test made its third router unusable by a planned stop, which ends the event loop that all processes of the test share once its grace is over (0.6 s), so that a slower run of the calls waited in a loop that had stopped. The third router is cut off instead, which asks more: three that may not hand a call around.

--- a/tests/daemons/cut_off_vm_test.cpp
+++ b/tests/daemons/cut_off_vm_test.cpp
@@ -247,14 +247,16 @@
   }
 }
 
-// Two routers that are cut off must not hand a call to each other in turn.
+// Routers that are cut off must not hand a call to each other in turn.
 Test(cut_off_vm, is_refused_at_once_by_others_that_are_cut_off) {
   CutOffVm vm;
+  LinkCut otherCut;
+  vm.mFixture.mRouter = vm.mFixture.MakeRouter("other", otherCut.Hook());
   LinkCut secondCut;
   const auto second = vm.mFixture.MakeRouter("second", secondCut.Hook());
   vm.CutOff(CutMode::kReset);
   secondCut.Cut(CutMode::kReset, vm.Upstreams());
-  vm.mFixture.mRouter->Stop();
+  otherCut.Cut(CutMode::kReset, vm.Upstreams());
   SECTION("calls are refused as not run") {
     for (int i = 0; i < kCalls; i++) {
       CHECK(vm.CallAtCutRouter("/pay/x").mStatus == 503);
