A control that starts on a full disk waits for it; it ended with 4008

What callers saw: two controls that were killed and started again while their disk was full ended at once.

Cause: a running control whose syncs fail promises nothing and tries again; a starting one threw from a constructor (DiskLog::OpenForAppend syncs). The same held for all else that a start writes: the data folder, identity, first voters, claims.log, receipts.log, the claims' marker, and the port files of routers and controls.

Change: JoinedControl and ControlDaemon listen first, then start all that needs the disk as a whole (JoinedServices, ControlServices), every 0.5 s until the disk accepts it. Until then they serve nothing: calls are answered with 4008 (heartbeats as not accepted), so that callers go on to another control, and the others treat it as one that is down. It is seen by the log (storage_failed, storage_still_failing, storage_regained with the file), the gauge and /readyz. A port file is repeated beside the service. Safe first: a start writes each log and the identity anew (file, rename, folder) before anything rests on them, since data whose sync failed in an earlier process can be read back and a later sync of the same file succeeds without it. Damaged logs, the identity of another control and a lack of rights are still an error at once, also on a full disk; the latter has a number of its own now (5006), and a log that cannot be read is no longer taken for an empty one.

--- a/daemons/control/claim_service.cpp
+++ b/daemons/control/claim_service.cpp
@@ -24,7 +24,7 @@
         mLog->Sync();
       }}) {
   mLog = std::make_unique<DiskLog>(
-      mContext.mOptions.mData + "/claims.log",
+      mContext.mOptions.mData + "/" + kClaimLogFile,
       [this](std::string_view aRecord) {
         try {
           mKeeper.Restore(FromJson<ClaimRecord>(ParseJson(aRecord)));
--- a/daemons/control/claim_service.h
+++ b/daemons/control/claim_service.h
@@ -11,6 +11,9 @@
 
 namespace spindleweir {
 
+/// Name of the log of claims in the data folder.
+inline constexpr const char* kClaimLogFile = "claims.log";
+
 /// Answers the claim messages of routers. Each record is synced to disk before
 /// the answer that promises it is sent.
 class ClaimService {
--- a/daemons/control/control_context.h
+++ b/daemons/control/control_context.h
@@ -1,6 +1,7 @@
 /// The objects that the parts of a control process share.
 #pragma once
 
+#include "daemons/control/storage_state.h"
 #include "daemons/invalid_messages.h"
 #include "spindleweir/core/counters.h"
 #include "spindleweir/daemons/control_daemon.h"
@@ -12,9 +13,12 @@
 
 /// Shared state of one control process. Single-threaded.
 struct ControlContext {
-  ControlContext(EventLoop& aLoop, ControlOptions aOptions)
+  ControlContext(EventLoop& aLoop, ControlOptions aOptions, Counters& aCounters,
+                 StorageState& aStorage)
       : mLoop(aLoop),
         mOptions(std::move(aOptions)),
+        mCounters(aCounters),
+        mStorage(aStorage),
         mClient(aLoop),
         mRpc(mClient, mOptions.mClusterKey),
         mDispatcher(mOptions.mClusterKey),
@@ -25,10 +29,11 @@
 
   EventLoop& mLoop;
   ControlOptions mOptions;
+  Counters& mCounters;
+  StorageState& mStorage;
   HttpClient mClient;
   RpcChannel mRpc;
   RpcDispatcher mDispatcher;
-  Counters mCounters;
   InvalidMessages mInvalidMessages{mCounters};
   EntryVmsFile mEntryVms;
 };
--- a/daemons/control/control_daemon.cpp
+++ b/daemons/control/control_daemon.cpp
@@ -1,9 +1,11 @@
 #include "spindleweir/daemons/control_daemon.h"
 
-#include "daemons/control/operator_api.h"
-#include "spindleweir/core/json_codec.h"
+#include "daemons/control/control_services.h"
+#include "daemons/control/storage_start.h"
+#include "daemons/control/waiting_api.h"
+#include "daemons/port_file.h"
 #include "spindleweir/core/log.h"
-#include "spindleweir/drivers/file_tools.h"
+#include "spindleweir/daemons/answers.h"
 
 namespace spindleweir {
 
@@ -11,69 +13,84 @@
 
 constexpr std::size_t kMaxRpcBytes = 64 * 1024 * 1024;
 
-/// Prepares the data folder before any part opens a file in it.
-ControlOptions PrepareDataFolder(ControlOptions aOptions) {
-  PrepareFolder(aOptions.mData);
-  return aOptions;
-}
-
 }  // namespace
 
 /// The parts of a control process, in the order of their construction.
 struct ControlDaemon::Parts {
   Parts(EventLoop& aLoop, ControlOptions aOptions)
-      : mContext(aLoop, PrepareDataFolder(std::move(aOptions))),
-        mLog(mContext),
-        mClaims(mContext),
-        mReceipts(mContext),
-        mInventory(mContext,
-                   [this] { return mLog.Machine().Current().mVersion; }),
-        mApi(mContext, mLog, mInventory, mReceipts, mClaims),
+      : mLoop(aLoop),
+        mOptions(std::move(aOptions)),
+        mStorage(mCounters, mOptions.mData),
         mRpcServer(aLoop,
-                   {.mListen = mContext.mOptions.mRpcListen,
+                   {.mListen = mOptions.mRpcListen,
                     .mMaximumBodyBytes = kMaxRpcBytes,
                     .mHandle =
                         [this](const std::shared_ptr<HttpExchange>& aExchange) {
-                          mContext.mDispatcher.Handle(*aExchange);
+                          HandleRpc(*aExchange);
                         }}),
         mOperatorServer(
-            aLoop,
-            {.mListen = mContext.mOptions.mOperatorListen,
-             .mMaximumBodyBytes = kMaxRpcBytes,
-             .mHandle = [this](const std::shared_ptr<HttpExchange>& aExchange) {
-               mApi.Handle(aExchange);
-             }}) {}
-
-  ControlContext mContext;
-  ReplicatedConfiguration mLog;
-  ClaimService mClaims;
-  ReceiptService mReceipts;
-  Inventory mInventory;
-  OperatorApi mApi;
+            aLoop, {.mListen = mOptions.mOperatorListen,
+                    .mMaximumBodyBytes = kMaxRpcBytes,
+                    .mHandle =
+                        [this](const std::shared_ptr<HttpExchange>& aExchange) {
+                          HandleOperator(aExchange);
+                        }}),
+        mPortFile(aLoop, mOptions.mPortFile,
+                  {{"operator", mOperatorServer.Address()},
+                   {"rpc", mRpcServer.Address()}}),
+        mStart(aLoop, mStorage,
+               {.mLogs = {mOptions.mData + "/" + kRaftLogFile,
+                          mOptions.mData + "/" + kClaimLogFile,
+                          mOptions.mData + "/" + kReceiptLogFile},
+                .mStart = [this] { StartServices(); }}) {}
+
+  void StartServices() {
+    mServices =
+        std::make_unique<ControlServices>(mLoop, mOptions, mCounters, mStorage);
+    LogLine(LogLevel::kInfo, "started")
+        .Add("zone", mOptions.mZone)
+        .Add("operator", mOperatorServer.Address().Text())
+        .Add("rpc", mRpcServer.Address().Text())
+        .Add("version", static_cast<Json::Int64>(mServices->Version()));
+  }
+
+  void HandleRpc(HttpExchange& aExchange) {
+    if (mServices == nullptr) {
+      ReplyError(aExchange, {.mCode = ResultCode::kStorageFailed});
+      return;
+    }
+    mServices->HandleRpc(aExchange);
+  }
+
+  void HandleOperator(const std::shared_ptr<HttpExchange>& aExchange) {
+    if (mServices == nullptr) {
+      AnswerWhileWaiting(*aExchange, mCounters);
+      return;
+    }
+    mServices->HandleOperator(aExchange);
+  }
+
+  EventLoop& mLoop;
+  ControlOptions mOptions;
+  Counters mCounters;
+  StorageState mStorage;
+  /// nullptr while the start waits for the disk.
+  std::unique_ptr<ControlServices> mServices;
   HttpServer mRpcServer;
   HttpServer mOperatorServer;
+  PortFile mPortFile;
+  StorageStart mStart;
 };
 
 ControlDaemon::ControlDaemon(EventLoop& aLoop, ControlOptions aOptions)
-    : mParts(std::make_unique<Parts>(aLoop, std::move(aOptions))) {
-  mParts->mContext.mEntryVms.Check();
-  const ControlOptions& options = mParts->mContext.mOptions;
-  if (!options.mPortFile.empty()) {
-    Json::Value ports(Json::objectValue);
-    ports["operator"] = OperatorAddress().Text();
-    ports["rpc"] = RpcAddress().Text();
-    ReplaceFile(options.mPortFile, DumpJson(ports));
-  }
-  LogLine(LogLevel::kInfo, "started")
-      .Add("zone", options.mZone)
-      .Add("operator", OperatorAddress().Text())
-      .Add("rpc", RpcAddress().Text())
-      .Add("version",
-           static_cast<Json::Int64>(mParts->mLog.Machine().Current().mVersion));
-}
+    : mParts(std::make_unique<Parts>(aLoop, std::move(aOptions))) {}
 
 ControlDaemon::~ControlDaemon() = default;
 
+bool ControlDaemon::HasStarted() const {
+  return mParts->mServices != nullptr;
+}
+
 const Endpoint& ControlDaemon::OperatorAddress() const {
   return mParts->mOperatorServer.Address();
 }
@@ -85,7 +102,7 @@
 void ControlDaemon::Stop() {
   // Everything that was acknowledged is on the disk already.
   const LogLine line(LogLevel::kInfo, "stopped");
-  mParts->mContext.mLoop.Stop();
+  mParts->mLoop.Stop();
 }
 
 }  // namespace spindleweir
--- /dev/null
+++ b/daemons/control/control_identity.cpp
@@ -0,0 +1,53 @@
+#include "daemons/control/control_identity.h"
+
+#include "spindleweir/core/digest.h"
+#include "spindleweir/core/error.h"
+#include "spindleweir/drivers/file_tools.h"
+#include "spindleweir/servers/membership/control_directory.h"
+
+namespace spindleweir {
+
+namespace {
+
+constexpr int kDiskNameBytes = 8;
+/// Name of each disk at the first start, so that the first voters can derive
+/// each other's ids from the seeds.
+constexpr const char* kInitialDiskName = "first";
+
+/// Returns the name of this disk, which is stored on it; an empty disk gets a
+/// new one.
+std::string DiskName(const ControlOptions& aOptions) {
+  const std::string path = aOptions.mData + "/identity";
+  const std::string owner = aOptions.mRpcListen.Text() + "#";
+  const std::string stored = ReadDataFile(path);
+  if (!stored.empty() && !stored.starts_with(owner)) {
+    throw Error(ResultCode::kDataCorrupt,
+                path + " belongs to " + stored + ", not to " + owner);
+  }
+  std::string name =
+      aOptions.mFirstStart ? kInitialDiskName : RandomHex(kDiskNameBytes);
+  if (!stored.empty()) {
+    name = stored.substr(owner.size());
+  }
+  // A name that is read back may be lost with the next loss of power, if an
+  // earlier process could not sync it. A vote under a lost name would be
+  // forgotten, so that it is written again.
+  ReplaceFile(path, owner + name);
+  return name;
+}
+
+}  // namespace
+
+ControlOptions PrepareIdentity(ControlOptions aOptions) {
+  PrepareFolder(aOptions.mData);
+  aOptions.mId = ControlId(aOptions.mRpcListen, DiskName(aOptions));
+  aOptions.mInitialVoters.clear();
+  if (aOptions.mFirstStart) {
+    for (const Endpoint& seed : aOptions.mSeeds) {
+      aOptions.mInitialVoters.push_back(ControlId(seed, kInitialDiskName));
+    }
+  }
+  return aOptions;
+}
+
+}  // namespace spindleweir
--- /dev/null
+++ b/daemons/control/control_identity.h
@@ -0,0 +1,15 @@
+/// The identity of a control that finds the others by seeds: its address and
+/// the name of its disk.
+#pragma once
+
+#include "spindleweir/daemons/control_daemon.h"
+
+namespace spindleweir {
+
+/// Prepares the data folder and makes the identity on it durable; returns the
+/// options with the id of this control and, at the first start, the ids of the
+/// first voters. Throws kDataCorrupt if the disk belongs to another address,
+/// kDataUnwritable, or kStorageFailed if the disk fails.
+ControlOptions PrepareIdentity(ControlOptions aOptions);
+
+}  // namespace spindleweir
--- a/daemons/control/operator_api.cpp
+++ b/daemons/control/operator_api.cpp
@@ -120,6 +120,12 @@
     aExchange->Reply(kHttpOk, "text/plain", "ok\n");
     return;
   }
+  if (path == "/readyz") {
+    RequireMethod(*aExchange, "GET");
+    RequireStorage();
+    aExchange->Reply(kHttpOk, "text/plain", "ready\n");
+    return;
+  }
   if (path == "/metrics") {
     RequireMethod(*aExchange, "GET");
     mContext.mCounters.Set("claims", static_cast<std::int64_t>(mClaims.Size()));
@@ -172,6 +178,12 @@
   }
 }
 
+void OperatorApi::RequireStorage() const {
+  if (mContext.mStorage.Failed()) {
+    throw Error(ResultCode::kStorageFailed, "the disk of this VM failed");
+  }
+}
+
 void OperatorApi::RequireLeader(const Exchange& aExchange) {
   if (mLog.Raft().Failed()) {
     throw Error(ResultCode::kStorageFailed, "the disk of this VM failed");
@@ -357,7 +369,7 @@
   control["term"] = static_cast<Json::Int64>(raft.Term());
   control["commit_index"] = static_cast<Json::Int64>(raft.CommitIndex());
   control["last_index"] = static_cast<Json::Int64>(raft.LastIndex());
-  control["storage_failed"] = raft.Failed();
+  control["storage_failed"] = mContext.mStorage.Failed();
   control["claims_abstain"] = mClaims.Abstains();
   control["claims"] = static_cast<Json::UInt64>(mClaims.Size());
   control["receipts"] = static_cast<Json::UInt64>(mReceipts.Size());
--- a/daemons/control/operator_api.h
+++ b/daemons/control/operator_api.h
@@ -29,6 +29,8 @@
   using Exchange = std::shared_ptr<HttpExchange>;
 
   void Route(const Exchange& aExchange);
+  /// Throws kStorageFailed while the disk accepts no writes.
+  void RequireStorage() const;
   /// Throws kStorageFailed, kNoQuorum if no leader is known, or kNotLeader
   /// after adding a Location header with the leader's address.
   void RequireLeader(const Exchange& aExchange);
--- a/daemons/control/receipt_service.cpp
+++ b/daemons/control/receipt_service.cpp
@@ -20,7 +20,7 @@
 ReceiptService::ReceiptService(ControlContext& aContext)
     : mContext(aContext), mStore(aContext.mOptions.mReceipts) {
   mLog = std::make_unique<DiskLog>(
-      mContext.mOptions.mData + "/receipts.log",
+      mContext.mOptions.mData + "/" + kReceiptLogFile,
       [this](std::string_view aRecord) {
         try {
           mStore.Add(FromJson<Receipt>(ParseJson(aRecord)));
--- a/daemons/control/receipt_service.h
+++ b/daemons/control/receipt_service.h
@@ -11,6 +11,9 @@
 
 namespace spindleweir {
 
+/// Name of the log of receipts in the data folder.
+inline constexpr const char* kReceiptLogFile = "receipts.log";
+
 /// Stores the receipt batches of routers. A batch is acknowledged once it is
 /// synced to disk.
 class ReceiptService {
--- a/daemons/control/replicated_configuration.cpp
+++ b/daemons/control/replicated_configuration.cpp
@@ -13,8 +13,6 @@
 constexpr Millis kRaftTimeout = 1000;
 constexpr Millis kPushTimeout = 1000;
 constexpr Millis kCommitTimeout = 4000;
-/// Time after which a failed disk is opened again.
-constexpr Millis kReopenDelay = 500;
 constexpr Millis kHeartbeatsPerTimeout = 5;
 constexpr std::size_t kSnapshotThresholdBytes = 1024 * 1024;
 
@@ -43,13 +41,8 @@
 
 void ReplicatedConfiguration::Open() {
   const ControlOptions& options = mContext.mOptions;
-  auto storage = std::make_unique<RaftDiskStorage>(options.mData + "/raft.log");
-  if (mFailedAt >= 0) {
-    // Data written before a failed sync may never reach the disk although it
-    // can be read back, so all of it is written again.
-    const DurableState state = storage->Load();
-    storage->SaveSnapshot(state.mSnapshot, state.mEntries, state.mHardState);
-  }
+  auto storage =
+      std::make_unique<RaftDiskStorage>(options.mData + "/" + kRaftLogFile);
   RaftOptions raft;
   raft.mId = options.mId;
   if (storage->Empty()) {
@@ -75,28 +68,22 @@
   const Millis now = SteadyNow();
   if (mFailedAt < 0) {
     mFailedAt = now;
-    mContext.mCounters.Set("storage_failed", 1);
-    LogLine(LogLevel::kError, "storage_failed")
-        .Add("code", static_cast<int>(ResultCode::kStorageFailed))
-        .Add("data", mContext.mOptions.mData);
+    mContext.mStorage.OnFailed(kRaftLogFile, "a write or sync failed");
     FailPending();
     return;
   }
-  if (now - mFailedAt < kReopenDelay) {
+  if (now - mFailedAt < kStorageRetryInterval) {
     return;
   }
   mFailedAt = now;
   try {
     Open();
   } catch (const Error& error) {
-    LogLine(LogLevel::kWarning, "storage_still_failing")
-        .Add("why", error.what());
+    mContext.mStorage.OnFailed(kRaftLogFile, error.what());
     return;
   }
   mFailedAt = -1;
-  mContext.mCounters.Set("storage_failed", 0);
-  LogLine(LogLevel::kInfo, "storage_regained")
-      .Add("index", static_cast<Json::Int64>(mRaft->LastIndex()));
+  mContext.mStorage.OnUsable(kRaftLogFile);
 }
 
 void ReplicatedConfiguration::Send(const RaftMessage& aMessage) {
--- a/daemons/control/replicated_configuration.h
+++ b/daemons/control/replicated_configuration.h
@@ -19,6 +19,9 @@
 
 namespace spindleweir {
 
+/// Name of the replicated log in the data folder.
+inline constexpr const char* kRaftLogFile = "raft.log";
+
 /// Called with the result of a command; nullptr if it is unknown: there is no
 /// majority, or this process no longer leads.
 using CommandDone = std::function<void(const CommandResult*)>;
@@ -53,7 +56,8 @@
 
   /// Opens the log and rebuilds the state from disk, as a restart does.
   void Open();
-  /// Fails the pending commands and retries Open() every kReopenDelay.
+  /// Fails the pending commands and retries Open() every
+  /// kStorageRetryInterval.
   void ReopenAfterFailure();
   void Send(const RaftMessage& aMessage);
   std::optional<Endpoint> AddressOf(const std::string& aId) const;
--- /dev/null
+++ b/daemons/control/storage_state.cpp
@@ -0,0 +1,32 @@
+#include "daemons/control/storage_state.h"
+
+#include "spindleweir/core/log.h"
+#include "spindleweir/core/result_code.h"
+
+namespace spindleweir {
+
+StorageState::StorageState(Counters& aCounters, std::string aFolder)
+    : mCounters(aCounters), mFolder(std::move(aFolder)) {
+  mCounters.Set("storage_failed", 0);
+}
+
+void StorageState::OnFailed(const std::string& aFile, const std::string& aWhy) {
+  const bool isNew = mFailed.insert(aFile).second;
+  mCounters.Set("storage_failed", 1);
+  LogLine(isNew ? LogLevel::kError : LogLevel::kWarning,
+          isNew ? "storage_failed" : "storage_still_failing")
+      .Add("code", static_cast<int>(ResultCode::kStorageFailed))
+      .Add("data", mFolder)
+      .Add("file", aFile)
+      .Add("why", aWhy);
+}
+
+void StorageState::OnUsable(const std::string& aFile) {
+  if (mFailed.erase(aFile) == 0) {
+    return;
+  }
+  mCounters.Set("storage_failed", Failed() ? 1 : 0);
+  LogLine(LogLevel::kInfo, "storage_regained").Add("file", aFile);
+}
+
+}  // namespace spindleweir
--- a/daemons/router/router_daemon.cpp
+++ b/daemons/router/router_daemon.cpp
@@ -1,14 +1,13 @@
 #include "spindleweir/daemons/router_daemon.h"
 
+#include "daemons/port_file.h"
 #include "daemons/router/caller_api.h"
 #include "daemons/router/forwarded_request.h"
 #include "daemons/router/peer_link.h"
 #include "daemons/router/stewardship.h"
-#include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/daemons/answers.h"
 #include "spindleweir/daemons/upstream_watcher.h"
-#include "spindleweir/drivers/file_tools.h"
 
 namespace spindleweir {
 
@@ -41,12 +40,15 @@
                           HandleRpc(aExchange);
                         }}),
         mCallerServer(
-            aLoop,
-            {.mListen = mContext.mOptions.mListen,
-             .mMaximumBodyBytes = kMaxCallerBodyBytes,
-             .mHandle = [this](const std::shared_ptr<HttpExchange>& aExchange) {
-               mApi.Handle(aExchange);
-             }}) {}
+            aLoop, {.mListen = mContext.mOptions.mListen,
+                    .mMaximumBodyBytes = kMaxCallerBodyBytes,
+                    .mHandle =
+                        [this](const std::shared_ptr<HttpExchange>& aExchange) {
+                          mApi.Handle(aExchange);
+                        }}),
+        mPortFile(aLoop, mContext.mOptions.mPortFile,
+                  {{"listen", mCallerServer.Address()},
+                   {"rpc", mRpcServer.Address()}}) {}
 
   /// Handles a message of a control or a router, or a caller's request that
   /// another router has handed on.
@@ -66,6 +68,7 @@
   UpstreamWatcher mWatcher;
   HttpServer mRpcServer;
   HttpServer mCallerServer;
+  PortFile mPortFile;
   std::unique_ptr<Timer> mStopTimer;
   std::unique_ptr<Timer> mDrainTimer;
   std::unique_ptr<Timer> mRejectTimer;
@@ -116,12 +119,6 @@
     : mParts(std::make_unique<Parts>(aLoop, std::move(aOptions))) {
   mParts->mContext.mEntryVms.Check();
   const RouterOptions& options = mParts->mContext.mOptions;
-  if (!options.mPortFile.empty()) {
-    Json::Value ports(Json::objectValue);
-    ports["listen"] = CallerAddress().Text();
-    ports["rpc"] = RpcAddress().Text();
-    ReplaceFile(options.mPortFile, DumpJson(ports));
-  }
   LogLine(LogLevel::kInfo, "started")
       .Add("zone", options.mZone)
       .Add("listen", CallerAddress().Text())
--- a/drivers/disk_log.cpp
+++ b/drivers/disk_log.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstdint>
-#include <cstring>
 #include <system_error>
 
 #include "spindleweir/core/digest.h"
@@ -20,7 +19,6 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kHeaderBytes = 16;
 constexpr std::size_t kMaxPayloadBytes = 256 * 1024 * 1024;
-constexpr int kFileMode = 0600;
 
 template <class T>
 void PutNumber(std::string& aOut, T aNumber) {
@@ -77,51 +75,64 @@
   return last ? RecordState::kTorn : RecordState::kDamaged;
 }
 
+/// Calls aRecord with each complete record and returns their total size. Throws
+/// kDataCorrupt for damage other than an incomplete last record.
+std::size_t CompleteBytes(
+    std::string_view aBytes, const std::string& aPath,
+    const std::function<void(std::string_view)>& aRecord) {
+  std::string_view rest = aBytes;
+  while (!rest.empty()) {
+    std::string_view payload;
+    const RecordState state = InspectRecord(rest, payload);
+    if (state == RecordState::kDamaged) {
+      throw Error(ResultCode::kDataCorrupt,
+                  aPath + " is damaged at byte " +
+                      std::to_string(aBytes.size() - rest.size()));
+    }
+    if (state == RecordState::kTorn) {
+      break;
+    }
+    aRecord(payload);
+    rest.remove_prefix(kHeaderBytes + payload.size());
+  }
+  return aBytes.size() - rest.size();
+}
+
 }  // namespace
 
 DiskLog::DiskLog(std::string aPath,
                  const std::function<void(std::string_view)>& aRecord)
     : mPath(std::move(aPath)) {
-  Replay(aRecord);
+  std::string bytes = ReadDataFile(mPath);
+  mBytes = CompleteBytes(bytes, mPath, aRecord);
+  bytes.resize(mBytes);
+  // Data whose sync failed, in this process or in an earlier one, can be read
+  // back but may never reach the disk, so all of it is written again.
+  ReplaceFile(mPath, bytes);
   OpenForAppend();
 }
 
+void DiskLog::Check(const std::string& aPath) {
+  CompleteBytes(ReadDataFile(aPath), aPath, [](std::string_view) {});
+}
+
 DiskLog::~DiskLog() {
   if (mFd >= 0) {
     close(mFd);
   }
 }
 
-void DiskLog::Replay(const std::function<void(std::string_view)>& aRecord) {
-  const std::string bytes = ReadFile(mPath).value_or("");
-  std::string_view rest = bytes;
-  while (!rest.empty()) {
-    std::string_view payload;
-    const RecordState state = InspectRecord(rest, payload);
-    if (state == RecordState::kDamaged) {
-      throw Error(ResultCode::kDataCorrupt,
-                  mPath + " is damaged at byte " +
-                      std::to_string(bytes.size() - rest.size()));
-    }
-    if (state == RecordState::kTorn) {
-      break;
-    }
-    aRecord(payload);
-    rest.remove_prefix(kHeaderBytes + payload.size());
+void DiskLog::OpenForAppend() {
+  mFd = open(mPath.c_str(), O_WRONLY);
+  if (mFd < 0 || lseek(mFd, 0, SEEK_END) < 0) {
+    Fail();
   }
-  mBytes = bytes.size() - rest.size();
 }
 
-void DiskLog::OpenForAppend() {
-  mFd = open(mPath.c_str(), O_WRONLY | O_CREAT, kFileMode);
-  const bool succeeded = mFd >= 0 &&
-                         ftruncate(mFd, static_cast<off_t>(mBytes)) == 0 &&
-                         lseek(mFd, 0, SEEK_END) >= 0 && fsync(mFd) == 0;
-  if (!succeeded) {
-    mFailed = true;
-    const std::error_code ec(errno, std::generic_category());
-    throw Error(ResultCode::kStorageFailed, mPath + ": " + ec.message());
-  }
+void DiskLog::Fail() {
+  const std::error_code ec(errno, std::generic_category());
+  mFailed = true;
+  throw Error(ResultCode::kStorageFailed, mPath + ": " + ec.message());
 }
 
 void DiskLog::CheckUsable() const {
@@ -142,26 +153,16 @@
 
 void DiskLog::Sync() {
   CheckUsable();
-  std::string_view rest = mPending;
-  while (!rest.empty()) {
-    const ssize_t n = write(mFd, rest.data(), rest.size());
-    if (n < 0) {
-      break;
-    }
-    rest.remove_prefix(static_cast<std::size_t>(n));
-  }
-  if (!rest.empty() || fdatasync(mFd) != 0) {
-    mFailed = true;
-    const std::error_code ec(errno, std::generic_category());
-    throw Error(ResultCode::kStorageFailed, mPath + ": " + ec.message());
+  if (!WriteAll(mFd, mPending) || fdatasync(mFd) != 0) {
+    Fail();
   }
   mBytes += mPending.size();
   mPending.clear();
 }
 
 void DiskLog::Rewrite(const std::function<void(DiskLog&)>& aFill) {
-  CheckUsable();
   mPending.clear();
+  mFailed = false;
   aFill(*this);
   const std::string bytes = std::move(mPending);
   mPending.clear();
--- a/drivers/file_tools.cpp
+++ b/drivers/file_tools.cpp
@@ -3,8 +3,9 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
-#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -17,37 +18,63 @@
 namespace {
 
 constexpr int kFileMode = 0600;
+constexpr std::size_t kReadBytes = 64 * 1024;
 
-[[noreturn]] void ThrowStorageFailed(const std::string& aWhat) {
+/// Throws the error that errno names: kDataUnwritable if this process lacks the
+/// right, else kStorageFailed.
+[[noreturn]] void ThrowFileError(const std::string& aWhat) {
   const std::error_code ec(errno, std::generic_category());
-  throw Error(ResultCode::kStorageFailed, aWhat + ": " + ec.message());
+  const bool lacksRight = ec == std::errc::permission_denied ||
+                          ec == std::errc::operation_not_permitted ||
+                          ec == std::errc::read_only_file_system;
+  throw Error(
+      lacksRight ? ResultCode::kDataUnwritable : ResultCode::kStorageFailed,
+      aWhat + ": " + ec.message());
 }
 
+/// An open file; closes it at the end of the scope.
+class OpenFile {
+ public:
+  OpenFile(const std::string& aPath, int aFlags)
+      : mFd(open(aPath.c_str(), aFlags, kFileMode)) {}
+  ~OpenFile() {
+    if (mFd >= 0) {
+      close(mFd);
+    }
+  }
+  OpenFile(const OpenFile&) = delete;
+  OpenFile& operator=(const OpenFile&) = delete;
+
+  int Fd() const { return mFd; }
+
+ private:
+  int mFd;
+};
+
 void WriteAndSync(const std::string& aPath, std::string_view aBytes) {
-  const int fd = open(aPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC, kFileMode);
-  if (fd < 0) {
-    ThrowStorageFailed("cannot open " + aPath);
+  const OpenFile file(aPath, O_WRONLY | O_CREAT | O_TRUNC);
+  if (file.Fd() < 0) {
+    ThrowFileError("cannot open " + aPath);
   }
-  const ssize_t n = write(fd, aBytes.data(), aBytes.size());
-  const bool succeeded =
-      n == static_cast<ssize_t>(aBytes.size()) && fsync(fd) == 0;
-  close(fd);
-  if (!succeeded) {
-    ThrowStorageFailed("cannot write " + aPath);
+  if (!WriteAll(file.Fd(), aBytes) || fsync(file.Fd()) != 0) {
+    ThrowFileError("cannot write " + aPath);
   }
 }
 
 void SyncFolder(const std::string& aPath) {
-  const int fd = open(aPath.c_str(), O_RDONLY | O_DIRECTORY);
-  const bool succeeded = fd >= 0 && fsync(fd) == 0;
-  if (fd >= 0) {
-    close(fd);
-  }
-  if (!succeeded) {
-    ThrowStorageFailed("cannot sync " + aPath);
+  const OpenFile folder(aPath, O_RDONLY | O_DIRECTORY);
+  if (folder.Fd() < 0 || fsync(folder.Fd()) != 0) {
+    ThrowFileError("cannot sync " + aPath);
   }
 }
 
+/// Whether the disk is full or broken, as opposed to a wrong path or a lack of
+/// rights.
+bool IsDiskError(const std::error_code& aError) {
+  return aError == std::errc::no_space_on_device ||
+         aError == std::errc::io_error || aError.value() == EDQUOT;
+}
+
 }  // namespace
 
 std::optional<std::string> ReadFile(const std::string& aPath) {
@@ -60,24 +87,72 @@
   return buf.str();
 }
 
+std::string ReadDataFile(const std::string& aPath) {
+  const OpenFile file(aPath, O_RDONLY);
+  if (file.Fd() < 0 && errno == ENOENT) {
+    return "";
+  }
+  std::string bytes;
+  std::array<char, kReadBytes> buf;
+  ssize_t n = file.Fd() < 0 ? -1 : 1;
+  while (n > 0) {
+    n = read(file.Fd(), buf.data(), buf.size());
+    bytes.append(buf.data(), static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+  }
+  if (n < 0) {
+    ThrowFileError("cannot read " + aPath);
+  }
+  return bytes;
+}
+
+bool WriteAll(int aFd, std::string_view aBytes) {
+  while (!aBytes.empty()) {
+    const ssize_t n = write(aFd, aBytes.data(), aBytes.size());
+    if (n < 0) {
+      return false;
+    }
+    aBytes.remove_prefix(static_cast<std::size_t>(n));
+  }
+  return true;
+}
+
 void ReplaceFile(const std::string& aPath, std::string_view aBytes) {
   const std::string temporary = aPath + ".new";
-  WriteAndSync(temporary, aBytes);
-  if (rename(temporary.c_str(), aPath.c_str()) != 0) {
-    ThrowStorageFailed("cannot rename " + temporary);
+  try {
+    WriteAndSync(temporary, aBytes);
+    if (rename(temporary.c_str(), aPath.c_str()) != 0) {
+      ThrowFileError("cannot rename " + temporary);
+    }
+  } catch (const Error&) {
+    // On a full disk, an incomplete file takes space that others need.
+    (void)unlink(temporary.c_str());
+    throw;
   }
+  SyncFolder(FolderOf(aPath));
+}
+
+std::string FolderOf(const std::string& aPath) {
   const std::filesystem::path folder =
       std::filesystem::path(aPath).parent_path();
-  SyncFolder(folder.empty() ? "." : folder.string());
+  return folder.empty() ? "." : folder.string();
+}
+
+void RequireFolder(const std::string& aPath) {
+  if (access(aPath.c_str(), W_OK | X_OK) != 0) {
+    const std::error_code ec(errno, std::generic_category());
+    throw Error(ResultCode::kDataUnwritable,
+                "the folder " + aPath + " cannot be written: " + ec.message());
+  }
 }
 
 void PrepareFolder(const std::string& aPath) {
   std::error_code ec;
   std::filesystem::create_directories(aPath, ec);
-  if (ec || access(aPath.c_str(), W_OK | X_OK) != 0) {
-    throw Error(ResultCode::kDataUnwritable,
-                "the data folder " + aPath + " cannot be written");
+  if (ec && IsDiskError(ec)) {
+    throw Error(ResultCode::kStorageFailed,
+                "cannot create " + aPath + ": " + ec.message());
   }
+  RequireFolder(aPath);
 }
 
 }  // namespace spindleweir
--- a/include/spindleweir/daemons/control_daemon.h
+++ b/include/spindleweir/daemons/control_daemon.h
@@ -46,14 +46,20 @@
   EngineProtocol mEngines;
 };
 
-/// One control process in an event loop.
+/// One control process in an event loop. While its disk does not accept what a
+/// start writes, it waits for the disk: it listens, and operators see its
+/// state, but it serves nothing.
 class ControlDaemon {
  public:
+  /// Throws kCannotListen, kDataCorrupt, kDataUnwritable. A start that waited
+  /// for the disk throws the last two from the event loop.
   ControlDaemon(EventLoop& aLoop, ControlOptions aOptions);
   ~ControlDaemon();
   ControlDaemon(const ControlDaemon&) = delete;
   ControlDaemon& operator=(const ControlDaemon&) = delete;
 
+  /// Whether the start is complete; false while it waits for the disk.
+  bool HasStarted() const;
   const Endpoint& OperatorAddress() const;
   const Endpoint& RpcAddress() const;
   void Stop();
--- a/include/spindleweir/daemons/joined_control.h
+++ b/include/spindleweir/daemons/joined_control.h
@@ -27,20 +27,23 @@
 
 using OperatorDone = std::function<void(const OperatorAnswer&)>;
 
-/// One control process in an event loop.
+/// One control process in an event loop. While its disk does not accept what a
+/// start writes, it waits for the disk: it listens and counts, but accepts no
+/// call.
 class JoinedControl {
  public:
-  /// Throws kBadSetting, kCannotListen, kDataCorrupt, kDataUnwritable.
+  /// Throws kBadSetting, kCannotListen, kDataCorrupt, kDataUnwritable. A start
+  /// that waited for the disk throws the last two from the event loop.
   JoinedControl(EventLoop& aLoop, ControlOptions aOptions);
   ~JoinedControl();
   JoinedControl(const JoinedControl&) = delete;
   JoinedControl& operator=(const JoinedControl&) = delete;
 
   /// Publishes a configuration under the version that it carries; aDone is
-  /// called once.
+  /// called once; with kStorageFailed until HasStarted().
   void Publish(const std::string& aDocument, const OperatorDone& aDone);
   /// Reads the newest document; kNoQuorum if the document held here may not be
-  /// the newest.
+  /// the newest; kStorageFailed until HasStarted().
   void Read(const OperatorDone& aDone);
   /// Applies a heartbeat; aDone is called as soon as it may be acknowledged.
   /// Throws kUnknownService.
@@ -53,6 +56,8 @@
   /// Counts and logs a heartbeat or leave notice that is invalid.
   void OnInvalidHeartbeat(const std::string& aInstance, const Error& aWhy);
 
+  /// Whether the start is complete; false while it waits for the disk.
+  bool HasStarted() const;
   /// Replaces the seeds.
   void SetSeeds(std::vector<Endpoint> aSeeds);
   Counters& OwnCounters();
--- a/include/spindleweir/servers/consensus/raft_storage.h
+++ b/include/spindleweir/servers/consensus/raft_storage.h
@@ -15,8 +15,9 @@
   std::vector<LogEntry> mEntries;  ///< Entries after the snapshot.
 };
 
-/// Each call returns once its data is durable. Throws kStorageFailed if that
-/// can't be guaranteed; the voter then stops taking part.
+/// Each call returns once its data is durable. Throws kStorageFailed or
+/// kDataUnwritable if that can't be guaranteed; the voter then stops taking
+/// part.
 class RaftStorage {
  public:
   virtual ~RaftStorage() = default;
--- a/servers/consensus/raft_node.cpp
+++ b/servers/consensus/raft_node.cpp
@@ -60,7 +60,9 @@
   try {
     aStep();
   } catch (const Error& error) {
-    if (error.Code() != ResultCode::kStorageFailed) {
+    const bool isStorageError = error.Code() == ResultCode::kStorageFailed ||
+                                error.Code() == ResultCode::kDataUnwritable;
+    if (!isStorageError) {
       throw;
     }
     // The state on disk is unknown, so this voter can't vote or acknowledge
--- /dev/null
+++ b/tests/failing_disk.cpp
@@ -0,0 +1,238 @@
+#include "tests/failing_disk.h"
+
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <climits>
+#include <cstdarg>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <utility>
+
+#include "spindleweir/drivers/file_tools.h"
+
+namespace spindleweir {
+
+namespace {
+
+/// A file as the disk has it.
+struct StoredFile {
+  std::string mSynced;     ///< Content at the last sync that succeeded.
+  bool mIsNamed = false;   ///< The folder was synced with this name.
+  bool mLostData = false;  ///< A sync failed, and the file was not begun anew.
+};
+
+struct State {
+  std::vector<std::string> mFolders;
+  std::set<DiskCall> mCalls;
+  int mError = 0;
+  int mAfter = 0;
+  int mFailures = 0;
+  std::map<std::string, StoredFile> mFiles;
+  /// Files that a rename replaced, until the folder is synced.
+  std::map<std::string, StoredFile> mReplaced;
+};
+
+State* sState = nullptr;
+
+bool IsUnder(const std::string& aPath, const std::string& aFolder) {
+  return aPath == aFolder || aPath.starts_with(aFolder + "/");
+}
+
+bool Refuses(DiskCall aCall, const std::string& aPath) {
+  if (sState == nullptr || !sState->mCalls.contains(aCall)) {
+    return false;
+  }
+  const bool isUnder = std::any_of(
+      sState->mFolders.begin(), sState->mFolders.end(),
+      [&aPath](const std::string& aFolder) { return IsUnder(aPath, aFolder); });
+  if (!isUnder) {
+    return false;
+  }
+  if (sState->mAfter > 0) {
+    sState->mAfter--;
+    return false;
+  }
+  sState->mFailures++;
+  errno = sState->mError;
+  return true;
+}
+
+std::string PathOf(int aFd) {
+  const std::string link = "/proc/self/fd/" + std::to_string(aFd);
+  std::array<char, PATH_MAX> path{};
+  const ssize_t n = readlink(link.c_str(), path.data(), path.size());
+  return {path.data(), static_cast<std::size_t>(std::max<ssize_t>(n, 0))};
+}
+
+/// The same for an open file.
+bool Refuses(DiskCall aCall, int aFd) {
+  return sState != nullptr && sState->mCalls.contains(aCall) &&
+         Refuses(aCall, PathOf(aFd));
+}
+
+void OnOpened(const std::string& aPath, int aFlags) {
+  if (sState != nullptr && (aFlags & O_TRUNC) != 0) {
+    sState->mFiles[aPath].mLostData = false;
+  }
+}
+
+void OnSynced(const std::string& aPath, bool aSucceeded) {
+  if (sState == nullptr) {
+    return;
+  }
+  if (std::filesystem::is_directory(aPath)) {
+    for (auto& [path, file] : sState->mFiles) {
+      file.mIsNamed = file.mIsNamed || (aSucceeded && IsUnder(path, aPath));
+    }
+    std::erase_if(sState->mReplaced, [&](const auto& aItem) {
+      return aSucceeded && IsUnder(aItem.first, aPath);
+    });
+    return;
+  }
+  StoredFile& file = sState->mFiles[aPath];
+  file.mLostData = file.mLostData || !aSucceeded;
+  if (!file.mLostData) {
+    file.mSynced = ReadFile(aPath).value_or("");
+  }
+}
+
+void OnRenamed(const std::string& aFrom, const std::string& aTo) {
+  if (sState == nullptr) {
+    return;
+  }
+  const auto old = sState->mFiles.find(aTo);
+  if (old != sState->mFiles.end() && old->second.mIsNamed) {
+    sState->mReplaced.emplace(aTo, old->second);
+  }
+  sState->mFiles[aTo] = sState->mFiles[aFrom];
+  sState->mFiles[aTo].mIsNamed = false;
+  sState->mFiles.erase(aFrom);
+}
+
+template <class Function>
+Function* RealFunction(const char* aName) {
+  return reinterpret_cast<Function*>(dlsym(RTLD_NEXT, aName));
+}
+
+}  // namespace
+
+std::set<DiskCall> CallsOfFullDisk() {
+  return {DiskCall::kMakeFolder, DiskCall::kOpen, DiskCall::kWrite,
+          DiskCall::kSync};
+}
+
+FailingDisk::FailingDisk() {
+  sState = new State();
+}
+
+FailingDisk::~FailingDisk() {
+  delete std::exchange(sState, nullptr);
+}
+
+void FailingDisk::Fail(std::vector<std::string> aFolders,
+                       std::set<DiskCall> aCalls, int aError, int aAfter) {
+  sState->mFolders = std::move(aFolders);
+  sState->mCalls = std::move(aCalls);
+  sState->mError = aError;
+  sState->mAfter = aAfter;
+}
+
+void FailingDisk::Recover() {
+  sState->mCalls.clear();
+}
+
+int FailingDisk::Failures() const {
+  return sState->mFailures;
+}
+
+void FailingDisk::LosePower(const std::string& aFolder) {
+  std::map<std::string, StoredFile> durable;
+  for (const auto& [path, file] : sState->mFiles) {
+    if (IsUnder(path, aFolder) && file.mIsNamed) {
+      durable[path] = file;
+    }
+  }
+  for (const auto& [path, file] : sState->mReplaced) {
+    if (IsUnder(path, aFolder)) {
+      durable[path] = file;
+    }
+  }
+  std::filesystem::remove_all(aFolder);
+  std::filesystem::create_directories(aFolder);
+  for (const auto& [path, file] : durable) {
+    std::ofstream(path, std::ios::binary) << file.mSynced;
+  }
+}
+
+}  // namespace spindleweir
+
+using namespace spindleweir;
+
+/// These stand in the place of the C library's, for all that the program links.
+extern "C" {
+
+int mkdir(const char* aPath, mode_t aMode) noexcept {
+  static auto* const real = RealFunction<int(const char*, mode_t)>("mkdir");
+  return Refuses(DiskCall::kMakeFolder, aPath) ? -1 : real(aPath, aMode);
+}
+
+int open(const char* aPath, int aFlags, ...) {
+  static auto* const real = RealFunction<int(const char*, int, ...)>("open");
+  const bool creates = (aFlags & O_CREAT) != 0;
+  va_list arguments;
+  va_start(arguments, aFlags);
+  const mode_t mode = creates ? va_arg(arguments, mode_t) : 0;
+  va_end(arguments);
+  if (creates && Refuses(DiskCall::kOpen, aPath)) {
+    return -1;
+  }
+  OnOpened(aPath, aFlags);
+  return real(aPath, aFlags, mode);
+}
+
+ssize_t write(int aFd, const void* aBytes, size_t aSize) {
+  static auto* const real =
+      RealFunction<ssize_t(int, const void*, size_t)>("write");
+  return Refuses(DiskCall::kWrite, aFd) ? -1 : real(aFd, aBytes, aSize);
+}
+
+int ftruncate(int aFd, off_t aSize) noexcept {
+  static auto* const real = RealFunction<int(int, off_t)>("ftruncate");
+  return Refuses(DiskCall::kTruncate, aFd) ? -1 : real(aFd, aSize);
+}
+
+int fsync(int aFd) {
+  static auto* const real = RealFunction<int(int)>("fsync");
+  const int result = Refuses(DiskCall::kSync, aFd) ? -1 : real(aFd);
+  const int error = errno;
+  OnSynced(PathOf(aFd), result == 0);
+  errno = error;
+  return result;
+}
+
+int fdatasync(int aFd) {
+  return fsync(aFd);
+}
+
+int rename(const char* aFrom, const char* aTo) noexcept {
+  static auto* const real =
+      RealFunction<int(const char*, const char*)>("rename");
+  if (Refuses(DiskCall::kRename, std::string(aTo))) {
+    return -1;
+  }
+  const int result = real(aFrom, aTo);
+  if (result == 0) {
+    OnRenamed(aFrom, aTo);
+  }
+  return result;
+}
+
+}  // extern "C"
