Claims and receipts are usable again once the disk is, without a restart

The marker is tried again with the copy's timer. All of them count in the gauge storage_failed, which compaction set and nothing cleared.

--- a/daemons/control/claim_service.cpp
+++ b/daemons/control/claim_service.cpp
@@ -14,25 +14,21 @@
 constexpr Millis kPageTimeout = 5000;
 /// A file of at least this size is rewritten with the current records only.
 constexpr std::size_t kCompactBytes = 16 * 1024 * 1024;
+constexpr const char* kMarkerFile = "claims.whole";
 
 }  // namespace
 
 ClaimService::ClaimService(ControlContext& aContext)
     : mContext(aContext),
-      mKeeper({.mPersist = [this](const ClaimRecord& aRecord) {
-        mLog->Append(DumpJson(ToJson(aRecord)));
-        mLog->Sync();
-      }}) {
-  mLog = std::make_unique<DiskLog>(
-      mContext.mOptions.mData + "/" + kClaimLogFile,
-      [this](std::string_view aRecord) {
-        try {
-          mKeeper.Restore(FromJson<ClaimRecord>(ParseJson(aRecord)));
-        } catch (const Error& error) {
-          throw Error(ResultCode::kDataCorrupt,
-                      std::string("claims: ") + error.what());
-        }
-      });
+      mKeeper({.mPersist =
+                   [this](const ClaimRecord& aRecord) {
+                     const std::string record = DumpJson(ToJson(aRecord));
+                     mLog.Write({&record, 1});
+                   }}),
+      mLog(aContext,
+           {.mFile = kClaimLogFile,
+            .mRestore = [this](std::string_view aRecord) { Restore(aRecord); },
+            .mFill = [this](DiskLog& aLog) { Fill(aLog); }}) {
   mContext.mDispatcher.On(rpc_method::kClaim, [this](
                                                   const Json::Value& aMessage) {
     mContext.mCounters.Add("claim_messages");
@@ -44,7 +40,7 @@
       });
   // A marker file is needed because a complete keeper may have no claims yet.
   const bool first = !mContext.mOptions.mInitialVoters.empty();
-  if (first && mLog->Bytes() == 0) {
+  if (first && mLog.Bytes() == 0) {
     MarkComplete();
   }
   if (!ReadFile(MarkerPath()).has_value()) {
@@ -57,8 +53,23 @@
   mCompactTimer = mContext.mLoop.Every(kCompactInterval, [this] { Compact(); });
 }
 
+void ClaimService::Restore(std::string_view aRecord) {
+  try {
+    mKeeper.Restore(FromJson<ClaimRecord>(ParseJson(aRecord)));
+  } catch (const Error& error) {
+    throw Error(ResultCode::kDataCorrupt,
+                std::string("claims: ") + error.what());
+  }
+}
+
+void ClaimService::Fill(DiskLog& aLog) const {
+  for (const auto& [key, record] : mKeeper.Records()) {
+    aLog.Append(DumpJson(ToJson(record)));
+  }
+}
+
 std::string ClaimService::MarkerPath() const {
-  return mContext.mOptions.mData + "/claims.whole";
+  return mContext.mOptions.mData + "/" + kMarkerFile;
 }
 
 void ClaimService::MarkComplete() {
@@ -79,12 +90,23 @@
     }
   }
   if (all && !mCopiedKeepers.empty()) {
+    EndAbstention();
+  }
+}
+
+void ClaimService::EndAbstention() {
+  try {
     MarkComplete();
-    mKeeper.EndAbstention();
-    mCopyTimer.reset();
-    LogLine(LogLevel::kInfo, "claims_taken_over")
-        .Add("claims", static_cast<int>(mKeeper.Size()));
+  } catch (const Error& error) {
+    // Without its marker on disk, a restart would abstain again.
+    mContext.mStorage.OnFailed(kMarkerFile, error.what());
+    return;
   }
+  mContext.mStorage.OnUsable(kMarkerFile);
+  mKeeper.EndAbstention();
+  mCopyTimer.reset();
+  LogLine(LogLevel::kInfo, "claims_taken_over")
+      .Add("claims", static_cast<int>(mKeeper.Size()));
 }
 
 void ClaimService::RequestPage(const std::string& aKeeper,
@@ -120,19 +142,9 @@
 }
 
 void ClaimService::Compact() {
-  try {
-    mKeeper.Expire(WallNow());
-    if (mLog->Bytes() < kCompactBytes) {
-      return;
-    }
-    mLog->Rewrite([this](DiskLog& aLog) {
-      for (const auto& [key, record] : mKeeper.Records()) {
-        aLog.Append(DumpJson(ToJson(record)));
-      }
-    });
-  } catch (const Error& error) {
-    mContext.mCounters.Set("storage_failed", 1);
-    LogLine(LogLevel::kError, "claims_not_compacted").Add("why", error.what());
+  mKeeper.Expire(WallNow());
+  if (mLog.Bytes() >= kCompactBytes) {
+    mLog.Compact();
   }
 }
 
--- a/daemons/control/claim_service.h
+++ b/daemons/control/claim_service.h
@@ -5,8 +5,7 @@
 #include <set>
 #include <string>
 
-#include "daemons/control/control_context.h"
-#include "spindleweir/drivers/disk_log.h"
+#include "daemons/control/recovering_log.h"
 #include "spindleweir/servers/claims/claim_keeper.h"
 
 namespace spindleweir {
@@ -24,20 +23,26 @@
   bool Abstains() const { return mKeeper.Abstains(); }
 
  private:
+  void Restore(std::string_view aRecord);
+  /// Adds all current claims to a log.
+  void Fill(DiskLog& aLog) const;
   /// Removes expired records, and rewrites the file if it is large.
   void Compact();
   std::string MarkerPath() const;
-  /// Writes the marker file: this keeper lacks no records.
+  /// Writes the marker file: this keeper lacks no records. Throws as
+  /// ReplaceFile().
   void MarkComplete();
   /// Requests the records of all other keepers; ends the abstention once each
   /// of them has been copied.
   void CopyFromPeers();
+  /// Ends the abstention, once the disk accepts the marker file.
+  void EndAbstention();
   /// Requests a page of a keeper's records after the key aAfter.
   void RequestPage(const std::string& aKeeper, const std::string& aAfter);
 
   ControlContext& mContext;
-  std::unique_ptr<DiskLog> mLog;
   ClaimKeeper mKeeper;
+  RecoveringLog mLog;
   std::set<std::string> mCopiedKeepers;   ///< All records are copied.
   std::set<std::string> mPendingKeepers;  ///< A page is requested.
   std::unique_ptr<Timer> mCopyTimer;
--- a/daemons/control/receipt_service.cpp
+++ b/daemons/control/receipt_service.cpp
@@ -18,30 +18,15 @@
 }  // namespace
 
 ReceiptService::ReceiptService(ControlContext& aContext)
-    : mContext(aContext), mStore(aContext.mOptions.mReceipts) {
-  mLog = std::make_unique<DiskLog>(
-      mContext.mOptions.mData + "/" + kReceiptLogFile,
-      [this](std::string_view aRecord) {
-        try {
-          mStore.Add(FromJson<Receipt>(ParseJson(aRecord)));
-          mRecords++;
-        } catch (const Error& error) {
-          throw Error(ResultCode::kDataCorrupt,
-                      std::string("receipts: ") + error.what());
-        }
-      });
+    : mContext(aContext),
+      mStore(aContext.mOptions.mReceipts),
+      mLog(aContext,
+           {.mFile = kReceiptLogFile,
+            .mRestore = [this](std::string_view aRecord) { Restore(aRecord); },
+            .mFill = [this](DiskLog& aLog) { Fill(aLog); }}) {
   mContext.mDispatcher.On(rpc_method::kStoreReceipts,
                           [this](const Json::Value& aMessage) {
-                            const auto batch = FromJson<ReceiptBatch>(aMessage);
-                            for (const Receipt& receipt : batch.mReceipts) {
-                              mLog->Append(DumpJson(ToJson(receipt)));
-                            }
-                            mLog->Sync();
-                            for (const Receipt& receipt : batch.mReceipts) {
-                              mStore.Add(receipt);
-                              mRecords++;
-                            }
-                            CompactIfLarge();
+                            Store(FromJson<ReceiptBatch>(aMessage));
                             return Json::Value(Json::objectValue);
                           });
   mContext.mDispatcher.On(
@@ -56,16 +41,37 @@
       });
 }
 
-void ReceiptService::CompactIfLarge() {
-  if (mRecords < 2 * mContext.mOptions.mReceipts) {
-    return;
+void ReceiptService::Restore(std::string_view aRecord) {
+  try {
+    mStore.Add(FromJson<Receipt>(ParseJson(aRecord)));
+    mRecords++;
+  } catch (const Error& error) {
+    throw Error(ResultCode::kDataCorrupt,
+                std::string("receipts: ") + error.what());
+  }
+}
+
+void ReceiptService::Fill(DiskLog& aLog) {
+  const std::vector<Receipt> receipts = mStore.All();
+  for (const Receipt& receipt : receipts) {
+    aLog.Append(DumpJson(ToJson(receipt)));
+  }
+  mRecords = receipts.size();
+}
+
+void ReceiptService::Store(const ReceiptBatch& aBatch) {
+  std::vector<std::string> records;
+  for (const Receipt& receipt : aBatch.mReceipts) {
+    records.push_back(DumpJson(ToJson(receipt)));
+  }
+  mLog.Write(records);
+  for (const Receipt& receipt : aBatch.mReceipts) {
+    mStore.Add(receipt);
+    mRecords++;
+  }
+  if (mRecords >= 2 * mContext.mOptions.mReceipts) {
+    mLog.Compact();
   }
-  mLog->Rewrite([this](DiskLog& aLog) {
-    for (const Receipt& receipt : mStore.All()) {
-      aLog.Append(DumpJson(ToJson(receipt)));
-    }
-  });
-  mRecords = mStore.Size();
 }
 
 void ReceiptService::Find(const std::string& aRequest,
--- a/daemons/control/receipt_service.h
+++ b/daemons/control/receipt_service.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <string>
 
-#include "daemons/control/control_context.h"
-#include "spindleweir/drivers/disk_log.h"
+#include "daemons/control/recovering_log.h"
+#include "spindleweir/daemons/peer_messages.h"
 #include "spindleweir/servers/receipts/receipt_store.h"
 
 namespace spindleweir {
@@ -27,13 +27,16 @@
   std::size_t Size() const { return mStore.Size(); }
 
  private:
-  void Store(const Receipt& aReceipt);
-  void CompactIfLarge();
+  void Restore(std::string_view aRecord);
+  /// Adds all stored receipts to a log, which then has no others.
+  void Fill(DiskLog& aLog);
+  /// Stores a batch durably; throws kStorageFailed if the disk fails.
+  void Store(const ReceiptBatch& aBatch);
 
   ControlContext& mContext;
   ReceiptStore mStore;
-  std::unique_ptr<DiskLog> mLog;
   std::size_t mRecords = 0;  ///< Records in the file, obsolete ones included.
+  RecoveringLog mLog;
 };
 
 }  // namespace spindleweir
--- a/tests/daemons/full_disk_service_test.cpp
+++ b/tests/daemons/full_disk_service_test.cpp
@@ -115,6 +115,54 @@
   }
 }
 
+/// Guards against a keeper whose log, once a sync failed, was unusable until a
+/// restart.
+Test(full_disk_service, claims_and_receipts_of_a_running_control_come_back) {
+  Fixture fixture;
+  fixture.mDeployment.Begin();
+  fixture.mDeployment.mControls[2].reset();
+  CHECK(fixture.Pay("order-1")->mHttp.mStatus == 200);
+  fixture.mDisk.Fail({fixture.Data(0)}, CallsOfFullDisk(), ENOSPC);
+  SECTION("a call that may run once is refused without its majority") {
+    CHECK(fixture.Pay("order-2")->ErrorCode() ==
+          static_cast<int>(ResultCode::kNoClaimQuorum));
+    CHECK(fixture.Ask(0, "/readyz").mStatus == 503);
+  }
+  SECTION("once the disk is back, calls run, without a restart") {
+    fixture.mDisk.Recover();
+    REQUIRE(fixture.AwaitReady(0));
+    CHECK(fixture.mDeployment.RunUntil(
+        [&] { return fixture.Pay("order-3")->mHttp.mStatus == 200; }));
+  }
+  SECTION("and an answered call is not run again") {
+    const int runs = fixture.mDeployment.ServiceRuns();
+    CHECK(fixture.Pay("order-1")->mHttp.mStatus == 200);
+    CHECK(fixture.mDeployment.ServiceRuns() == runs);
+  }
+}
+
+/// Guards against an empty keeper that ended when the disk did not accept the
+/// marker of its claims.
+Test(full_disk_service, an_empty_keeper_waits_with_its_marker_for_the_disk) {
+  Fixture fixture;
+  fixture.mDeployment.Begin();
+  CHECK(fixture.Pay("order-1")->mHttp.mStatus == 200);
+  fixture.mDeployment.mControls[0].reset();
+  std::filesystem::remove_all(fixture.Data(0));
+  fixture.Restart(0);
+  REQUIRE(fixture.AwaitStarted(0));
+  fixture.mDisk.Fail({fixture.Data(0)}, CallsOfFullDisk(), ENOSPC);
+  const auto abstains = [&] {
+    return fixture.Ask(0, "/v1/state").mBody.find("\"claims_abstain\":true") !=
+           std::string::npos;
+  };
+  fixture.mDeployment.RunFor(2000);
+  CHECK(abstains());
+  fixture.mDisk.Recover();
+  CHECK(fixture.mDeployment.RunUntil([&] { return !abstains(); }));
+  CHECK(fixture.AwaitReady(0));
+}
+
 /// Guards against processes that ended when the disk did not accept the file
 /// that names their ports.
 Test(full_disk_service, a_port_file_holds_up_nothing) {
