Tests of a start on a failing disk judge what a loss of power leaves

Cause: two planted defects passed: logs that a start doesn't write anew, and an identity that is taken for durable because it can be read. With three controls one sound log was enough for the read, and the stand-in of the disk made a name durable with the next sync of its folder though one had failed before.

--- a/tests/daemons/full_disk_start_test.cpp
+++ b/tests/daemons/full_disk_start_test.cpp
@@ -51,6 +51,10 @@
     return ReadFile(Data(aWhich) + "/identity").value_or("");
   }
 
+  std::string LogOf(int aWhich) const {
+    return ReadFile(Data(aWhich) + "/raft.log").value_or("");
+  }
+
   FailingDisk mDisk;
 };
 
@@ -238,13 +242,22 @@
     SECTION("the next change is accepted") {
       CHECK(fixture.Publish(DocumentOf(3)).mCode == ResultCode::kOk);
     }
-    SECTION("all lose power, and have it and their identities") {
-      const std::string identity = fixture.IdentityOf(0);
-      fixture.StopAll();
-      for (int i = 0; i < ControlGroup::kControls; i++) {
+    // A control that has not written its log anew yet has promised nothing.
+    REQUIRE(RunLoopUntil(fixture.mLoop, [&fixture] {
+      return fixture.AllStarted() && fixture.FailedGauge(0) == 0 &&
+             fixture.FailedGauge(1) == 0 && fixture.FailedGauge(2) == 0;
+    }));
+    fixture.StopAll();
+    for (int i = 0; i < ControlGroup::kControls; i++) {
+      SECTION("each control has what it promised after a loss of power") {
+        const std::string identity = fixture.IdentityOf(i);
+        const std::string log = fixture.LogOf(i);
         fixture.mDisk.LosePower(fixture.Data(i));
+        CHECK(fixture.IdentityOf(i) == identity);
+        CHECK(fixture.LogOf(i) == log);
       }
-      CHECK(fixture.IdentityOf(0) == identity);
+    }
+    SECTION("and they go on from there") {
       fixture.StartAll(false);
       CHECK(fixture.Read().mDocument == DocumentOf(3));
     }
--- a/tests/failing_disk.cpp
+++ b/tests/failing_disk.cpp
@@ -27,6 +27,7 @@
   std::string mSynced;     ///< Content at the last sync that succeeded.
   bool mIsNamed = false;   ///< The folder was synced with this name.
   bool mLostData = false;  ///< A sync failed, and the file was not begun anew.
+  bool mLostName = false;  ///< The same for its name and the folder.
 };
 
 struct State {
@@ -90,10 +91,13 @@
   }
   if (std::filesystem::is_directory(aPath)) {
     for (auto& [path, file] : sState->mFiles) {
-      file.mIsNamed = file.mIsNamed || (aSucceeded && IsUnder(path, aPath));
+      if (IsUnder(path, aPath) && !file.mIsNamed) {
+        file.mLostName = file.mLostName || !aSucceeded;
+        file.mIsNamed = !file.mLostName;
+      }
     }
-    std::erase_if(sState->mReplaced, [&](const auto& aItem) {
-      return aSucceeded && IsUnder(aItem.first, aPath);
+    std::erase_if(sState->mReplaced, [](const auto& aItem) {
+      return sState->mFiles[aItem.first].mIsNamed;
     });
     return;
   }
@@ -114,6 +118,7 @@
   }
   sState->mFiles[aTo] = sState->mFiles[aFrom];
   sState->mFiles[aTo].mIsNamed = false;
+  sState->mFiles[aTo].mLostName = false;
   sState->mFiles.erase(aFrom);
 }
 
