--- a/drivers/file_tools.cpp
+++ b/drivers/file_tools.cpp
@@ -3,7 +3,6 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <filesystem>
@@ -92,17 +91,21 @@
   if (file.Fd() < 0 && errno == ENOENT) {
     return "";
   }
+  if (file.Fd() < 0) {
+    ThrowFileError("cannot open " + aPath);
+  }
   std::string bytes;
   std::array<char, kReadBytes> buf;
-  ssize_t n = file.Fd() < 0 ? -1 : 1;
-  while (n > 0) {
-    n = read(file.Fd(), buf.data(), buf.size());
-    bytes.append(buf.data(), static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
-  }
-  if (n < 0) {
-    ThrowFileError("cannot read " + aPath);
+  for (;;) {
+    const ssize_t n = read(file.Fd(), buf.data(), buf.size());
+    if (n < 0) {
+      ThrowFileError("cannot read " + aPath);
+    }
+    if (n == 0) {
+      return bytes;
+    }
+    bytes.append(buf.data(), static_cast<std::size_t>(n));
   }
-  return bytes;
 }
 
 bool WriteAll(int aFd, std::string_view aBytes) {
--- a/tests/daemons/full_disk_start_test.cpp
+++ b/tests/daemons/full_disk_start_test.cpp
@@ -157,8 +157,9 @@
   REQUIRE(fixture.Publish(DocumentOf(1)).mCode == ResultCode::kOk);
   const std::string identity = fixture.IdentityOf(0);
   std::int64_t newest = 1;
-  for (const DiskCall call : {DiskCall::kOpen, DiskCall::kWrite,
-                              DiskCall::kSync, DiskCall::kRename}) {
+  for (const DiskCall call :
+       {DiskCall::kOpen, DiskCall::kWrite, DiskCall::kTruncate, DiskCall::kSync,
+        DiskCall::kRename}) {
     bool waited = true;
     for (int after = 0; waited; after++) {
       fixture.Kill(0);
