A process tells when its event loop stood still, and for what

A loop that did not run for over 150 ms now logs loop_waited with the time in syncs on its own thread and the processor time it used, and counts it in loop_wait_ms.

--- a/daemons/control/control_daemon.cpp
+++ b/daemons/control/control_daemon.cpp
@@ -3,6 +3,7 @@
 #include "daemons/control/control_services.h"
 #include "daemons/control/storage_start.h"
 #include "daemons/control/waiting_api.h"
+#include "daemons/loop_wait_log.h"
 #include "daemons/port_file.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/daemons/answers.h"
@@ -20,6 +21,7 @@
   Parts(EventLoop& aLoop, ControlOptions aOptions)
       : mLoop(aLoop),
         mOptions(std::move(aOptions)),
+        mWaitLog(aLoop, mCounters),
         mStorage(mCounters, mOptions.mData),
         mRpcServer(aLoop,
                    {.mListen = mOptions.mRpcListen,
@@ -73,6 +75,7 @@
   EventLoop& mLoop;
   ControlOptions mOptions;
   Counters mCounters;
+  LoopWaitLog mWaitLog;
   StorageState mStorage;
   /// nullptr while the start waits for the disk.
   std::unique_ptr<ControlServices> mServices;
--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -5,6 +5,7 @@
 #include "daemons/control/control_identity.h"
 #include "daemons/control/joined_services.h"
 #include "daemons/control/storage_start.h"
+#include "daemons/loop_wait_log.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/daemons/answers.h"
 
@@ -21,6 +22,7 @@
   Parts(EventLoop& aLoop, ControlOptions aOptions)
       : mLoop(aLoop),
         mOptions(std::move(aOptions)),
+        mWaitLog(aLoop, mCounters),
         mStorage(mCounters, mOptions.mData),
         mRpcServer(aLoop,
                    {.mListen = mOptions.mRpcListen,
@@ -52,6 +54,7 @@
   EventLoop& mLoop;
   ControlOptions mOptions;
   Counters mCounters;
+  LoopWaitLog mWaitLog;
   StorageState mStorage;
   /// Seeds that were set later. They don't change the first voters, which all
   /// controls derive from the same list.
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <unordered_set>
 
+#include "daemons/loop_wait_log.h"
 #include "daemons/relay/forwarding_server.h"
 #include "daemons/relay/heartbeat_relay.h"
 #include "daemons/relay/planned_stop.h"
@@ -27,6 +28,7 @@
 struct RelayRouter::Parts {
   Parts(EventLoop& aLoop, RelayOptions aOptions)
       : mContext(aLoop, std::move(aOptions)),
+        mWaitLog(aLoop, mContext.mCounters),
         mMeter(aLoop, mContext.mRpc, mContext.mCounters,
                {.mZone = mContext.mOptions.mZone,
                 .mZoneOf =
@@ -216,6 +218,7 @@
   }
 
   RelayContext mContext;
+  LoopWaitLog mWaitLog;
   RpcMeter mMeter;
   StreamGuard mGuard;
   RelayAdmission mAdmission;
--- a/daemons/router/router_daemon.cpp
+++ b/daemons/router/router_daemon.cpp
@@ -1,5 +1,6 @@
 #include "spindleweir/daemons/router_daemon.h"
 
+#include "daemons/loop_wait_log.h"
 #include "daemons/port_file.h"
 #include "daemons/router/caller_api.h"
 #include "daemons/router/forwarded_request.h"
@@ -26,6 +27,7 @@
 struct RouterDaemon::Parts {
   Parts(EventLoop& aLoop, RouterOptions aOptions)
       : mContext(aLoop, std::move(aOptions)),
+        mWaitLog(aLoop, mContext.mCounters),
         mDispatcher(mContext.mOptions.mClusterKey),
         mPeers(mContext, mDispatcher),
         mStewardship(mContext, mDispatcher),
@@ -61,6 +63,7 @@
   bool AwaitsReceipts();
 
   RouterContext mContext;
+  LoopWaitLog mWaitLog;
   RpcDispatcher mDispatcher;
   PeerLink mPeers;
   Stewardship mStewardship;
--- a/drivers/disk_log.cpp
+++ b/drivers/disk_log.cpp
@@ -153,7 +153,7 @@
 
 void DiskLog::Sync() {
   CheckUsable();
-  if (!WriteAll(mFd, mPending) || fdatasync(mFd) != 0) {
+  if (!WriteAll(mFd, mPending) || !SyncFile(mFd, true)) {
     Fail();
   }
   mBytes += mPending.size();
--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "spindleweir/core/error.h"
+#include "spindleweir/drivers/file_tools.h"
 
 namespace spindleweir {
 
@@ -37,6 +38,14 @@
          now.tv_nsec / (kMicrosPerMilli * kMicrosPerMilli);
 }
 
+/// Processor time that the calling thread has used.
+Millis ThreadTime() {
+  timespec used{};
+  (void)clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+  return used.tv_sec * kMillisPerSecond +
+         used.tv_nsec / (kMicrosPerMilli * kMicrosPerMilli);
+}
+
 /// Time for which this VM was suspended since boot.
 Millis TotalSuspendedTime() {
   return SteadyNow() - TimerNow();
@@ -217,9 +226,18 @@
 
 void EventLoop::HandleTick(int, short, void* aSelf) {
   auto* self = static_cast<EventLoop*>(aSelf);
+  const Millis computed = ThreadTime();
+  const LoopWait wait{.mTook = SteadyNow() - self->mLastTickAt,
+                      .mInSyncs = TimeInSyncs() - self->mSyncedAtTick,
+                      .mComputed = computed - self->mComputedAtTick};
   self->mStalledTime = self->StalledTime();
   self->mLastTickAt = SteadyNow();
+  self->mSyncedAtTick = TimeInSyncs();
+  self->mComputedAtTick = computed;
   self->RearmTimers();
+  if (wait.mTook > kMaxNormalGap && self->mWaitHook) {
+    self->mWaitHook(wait);
+  }
 }
 
 void EventLoop::RearmTimers() {
--- a/drivers/file_tools.cpp
+++ b/drivers/file_tools.cpp
@@ -19,6 +19,8 @@
 constexpr int kFileMode = 0600;
 constexpr std::size_t kReadBytes = 64 * 1024;
 
+thread_local Millis sTimeInSyncs = 0;
+
 /// Throws the error that errno names: kDataUnwritable if this process lacks the
 /// right, else kStorageFailed.
 [[noreturn]] void ThrowFileError(const std::string& aWhat) {
@@ -55,14 +57,14 @@
   if (file.Fd() < 0) {
     ThrowFileError("cannot open " + aPath);
   }
-  if (!WriteAll(file.Fd(), aBytes) || fsync(file.Fd()) != 0) {
+  if (!WriteAll(file.Fd(), aBytes) || !SyncFile(file.Fd())) {
     ThrowFileError("cannot write " + aPath);
   }
 }
 
 void SyncFolder(const std::string& aPath) {
   const OpenFile folder(aPath, O_RDONLY | O_DIRECTORY);
-  if (folder.Fd() < 0 || fsync(folder.Fd()) != 0) {
+  if (folder.Fd() < 0 || !SyncFile(folder.Fd())) {
     ThrowFileError("cannot sync " + aPath);
   }
 }
@@ -119,6 +121,19 @@
   return true;
 }
 
+bool SyncFile(int aFd, bool aDataOnly) {
+  const Millis began = SteadyNow();
+  const int result = aDataOnly ? fdatasync(aFd) : fsync(aFd);
+  const int error = errno;
+  sTimeInSyncs += SteadyNow() - began;
+  errno = error;
+  return result == 0;
+}
+
+Millis TimeInSyncs() {
+  return sTimeInSyncs;
+}
+
 void ReplaceFile(const std::string& aPath, std::string_view aBytes) {
   const std::string temporary = aPath + ".new";
   try {
--- a/include/spindleweir/drivers/event_loop.h
+++ b/include/spindleweir/drivers/event_loop.h
@@ -15,6 +15,13 @@
 
 class EventTimer;
 
+/// A time in which an event loop did not run.
+struct LoopWait {
+  Millis mTook = 0;
+  Millis mInSyncs = 0;   ///< Of it, in syncs to disk on the loop's thread.
+  Millis mComputed = 0;  ///< Of it, processor time of the loop's thread.
+};
+
 /// A timer; destroying it cancels it.
 class Timer {
  public:
@@ -61,6 +68,10 @@
   /// SteadyNow() without StalledTime(): by this clock nothing expires that
   /// could not have been renewed.
   Millis RunningNow() const { return SteadyNow() - StalledTime(); }
+  /// Calls aHook after each wait that counts in StalledTime().
+  void SetWaitHook(std::function<void(const LoopWait&)> aHook) {
+    mWaitHook = std::move(aHook);
+  }
 
  private:
   static void RunPosted(int aFd, short aWhat, void* aSelf);
@@ -73,7 +84,10 @@
   event_base* mBase;
   event* mPostEvent;
   event* mTickEvent;
-  Millis mLastTickAt;  ///< By SteadyNow(); the loop last ran then.
+  Millis mLastTickAt;          ///< By SteadyNow(); the loop last ran then.
+  Millis mSyncedAtTick = 0;    ///< TimeInSyncs() at mLastTickAt.
+  Millis mComputedAtTick = 0;  ///< The thread's processor time then.
+  std::function<void(const LoopWait&)> mWaitHook;
   Millis mStalledTime = 0;
   Millis mSuspended = 0;           ///< Total that the timers account for.
   std::list<EventTimer*> mTimers;  ///< All pending timeouts.
--- a/include/spindleweir/drivers/file_tools.h
+++ b/include/spindleweir/drivers/file_tools.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "spindleweir/core/clock.h"
+
 namespace spindleweir {
 
 /// The content of the file, or nothing if it cannot be opened.
@@ -19,6 +21,13 @@
 /// failed.
 bool WriteAll(int aFd, std::string_view aBytes);
 
+/// Syncs an open file, or with aDataOnly its content; false, with the error in
+/// errno, if that failed.
+bool SyncFile(int aFd, bool aDataOnly = false);
+
+/// Milliseconds that the calling thread has spent in SyncFile(), in all.
+Millis TimeInSyncs();
+
 /// Atomically replaces the file: writes and syncs a temporary file, renames it
 /// and syncs the folder. Throws kDataUnwritable if this process lacks the
 /// right, else kStorageFailed; the file then has its old or its new content,
