A voter promises what is durable, and waits for no write

RaftStorage begins writes and tells which are durable. Heartbeats, pre-votes and reads need no write and are answered at once. A candidate asks for votes while it writes its own, and leads once that is durable; answers name the candidacy, so that votes for an earlier process don't count. A newer term alone is not written: it goes with the next vote or entry, one sync less for each term. After a vote the timer runs from the moment it is durable, lasts as long as recent writes did, and doubles with each election beyond the third that fails; no pre-vote is granted while an election may still succeed. A leader whose disk hangs gives way if others commit without it.

A storage that returns once its data is durable works as before. servers_tests startup and fuzz_tests raft pass.

--- a/include/spindleweir/servers/consensus/raft_messages.h
+++ b/include/spindleweir/servers/consensus/raft_messages.h
@@ -71,12 +71,17 @@
   std::string mTo;
   std::int64_t mTerm = 0;
   /// kAppend: index of the entry before mEntries. Vote requests: the sender's
-  /// last index. Append replies: the last index that matches the leader's log,
-  /// or, if refused, the index after which the leader should continue.
+  /// last index. Append replies: the last durable index that matches the leader's
+  /// log, or, if refused, the index after which the leader should continue.
   std::int64_t mIndex = 0;
   std::int64_t mLogTerm = 0;  ///< Term of the entry at mIndex.
   std::int64_t mCommit = 0;
-  std::int64_t mRound = 0;  ///< The leader's broadcast round; replies echo it.
+  /// The leader's broadcast round, or the number of a candidacy; replies echo
+  /// it.
+  std::int64_t mRound = 0;
+  /// Append replies: the last index that matches the leader's log, durable or
+  /// not; mIndex counts durable entries only.
+  std::int64_t mReceived = 0;
   bool mGranted = false;    ///< In replies: whether the request is granted.
   std::vector<LogEntry> mEntries;
   Snapshot mSnapshot;
@@ -93,6 +98,7 @@
     aCodec.Field("log_term", mLogTerm);
     aCodec.Field("commit", mCommit);
     aCodec.Field("round", mRound);
+    aCodec.Sparse("received", mReceived);
     aCodec.Field("granted", mGranted);
     aCodec.Field("entries", mEntries);
     if (mKind == RaftKind::kSnapshot) {
--- a/include/spindleweir/servers/consensus/raft_node.h
+++ b/include/spindleweir/servers/consensus/raft_node.h
@@ -1,7 +1,8 @@
 /// One voter of the replicated log (Raft: Ongaro and Ousterhout 2014, with
 /// pre-vote, and a leader that steps down without answers from a majority).
 /// Uses no sockets, files or clocks directly: the caller passes in the time
-/// and the messages.
+/// and the messages. Never waits for its storage: what rests on a write is sent
+/// or counted once the write is durable, and all else goes on meanwhile.
 #pragma once
 
 #include <deque>
@@ -14,6 +15,7 @@
 #include <vector>
 
 #include "spindleweir/core/clock.h"
+#include "spindleweir/servers/consensus/pending_writes.h"
 #include "spindleweir/servers/consensus/raft_messages.h"
 #include "spindleweir/servers/consensus/raft_storage.h"
 
@@ -26,7 +28,9 @@
   std::string mId;
   /// The initial voters, used if the storage holds none; saved from then on.
   std::vector<std::string> mVoters;
-  Millis mElectionTimeout = 500;  ///< Minimum; the maximum is twice this.
+  /// Time without a leader's message after which an election begins: at least
+  /// this, at most twice. Elections that fail make it longer.
+  Millis mElectionTimeout = 500;
   Millis mHeartbeatInterval = 100;
   std::size_t mMaxEntriesPerMessage = 64;
   /// Maximum payload bytes in a message that holds more than one entry.
@@ -57,6 +61,8 @@
 
   void Tick(Millis aNow);
   void Receive(const RaftMessage& aMessage, Millis aNow);
+  /// Writes of the storage have become durable, or have failed.
+  void OnStorageProgress(Millis aNow);
   /// A call that carried a message to aTo failed aAfter milliseconds after it
   /// began. If it failed within a short time, the connection was refused and
   /// the message did not arrive: its entries are sent again with the next
@@ -97,6 +103,12 @@
   std::int64_t LastIndex() const;
   std::int64_t FirstLogIndex() const { return mSnapshot.mIndex + 1; }
   const std::vector<std::string>& Voters() const { return mVoters; }
+  /// How long the oldest write that is not durable has taken so far; 0: none.
+  Millis PendingWriteAge(Millis aNow) const {
+    return mWrites.OldestAge(aNow);
+  }
+  /// Candidacies of this voter that ended without its becoming the leader.
+  std::int64_t FailedElections() const { return mFailedElections; }
 
  private:
   /// What the leader knows of another voter.
@@ -120,8 +132,14 @@
     std::function<void(bool)> mDone;
   };
 
-  /// Runs aStep unless the storage has failed; if it fails now, steps down for
-  /// good.
+  /// A message that may be sent once a write is durable.
+  struct HeldMessage {
+    std::int64_t mWrite;
+    RaftMessage mMessage;
+  };
+
+  /// Runs aStep unless the storage has failed, then what waited for writes that
+  /// are durable now; if the storage fails, steps down for good.
   void RunUnlessFailed(const std::function<void()>& aStep);
   void Step(const RaftMessage& aMessage);
   void HandlePreVote(const RaftMessage& aMessage);
@@ -131,15 +149,37 @@
   void HandleAppendReply(const RaftMessage& aMessage);
   void HandleSnapshot(const RaftMessage& aMessage);
   bool StoreEntries(const RaftMessage& aMessage);
-
+  /// The leader's log and this one are the same up to aLast.
+  void OnLogMatches(std::int64_t aLast);
+
+  /// Begins to write the hard state, if it has changed.
+  void WriteHardState();
+  void WriteEntries(std::span<const LogEntry> aEntries);
+  void WriteSnapshot(const Snapshot& aSnapshot,
+                     std::span<const LogEntry> aRemaining);
+  /// Does what waited for writes that have become durable; false if none have.
+  bool FinishWrites();
+  /// Sends a message once all that was written so far is durable.
+  void SendWhenDurable(RaftMessage aMessage);
+
+  /// Steps down if a majority is out of contact or no longer needs this leader.
+  bool StepDownIfUseless();
   void StartPreVote();
   void StartElection();
+  /// Counts the vote of this candidate for itself, which is durable now.
+  void CountOwnVote();
+  void EndCandidacy();
+  /// Whether this voter's vote is not durable yet, or was so recently that the
+  /// votes of others may still be on their way to the same candidate.
+  bool IsElectionRunning() const;
   void BecomeLeader();
   void BecomeFollower(std::int64_t aTerm, const std::string& aLeader);
   void BroadcastVote(RaftKind aKind, std::int64_t aTerm);
   void BroadcastAppend();
   void SendAppend(const std::string& aTo);
   void AddEntries(Progress& aProgress, RaftMessage& aMessage);
+  RaftMessage MakeReply(const RaftMessage& aTo, RaftKind aKind, bool aGranted,
+                        std::int64_t aIndex) const;
   void Reply(const RaftMessage& aTo, RaftKind aKind, bool aGranted,
              std::int64_t aIndex);
   void Send(RaftMessage aMessage);
@@ -149,12 +189,17 @@
   void FinishReads();
   void FailReads();
   void AppendToLog(LogEntry aEntry);
-  void RestartElectionTimer();
+  void RestartElectionTimer(Millis aTimeout);
   /// Until a first contact with a leader: sets the timer to a random number of
   /// heartbeat intervals in this range, so that voters which start together
   /// elect a leader soon. Safety doesn't depend on a minimum timeout, since
-  /// terms and votes are stored before they are sent.
+  /// votes are stored before they are sent.
   void RestartElectionTimer(Millis aMinHeartbeats, Millis aMaxHeartbeats);
+  /// Sets the timer to the time that an election may take from now on; called
+  /// again when this voter's own vote is durable.
+  void RestartVoteTimer();
+  /// The election timeout after the elections that have failed.
+  Millis GrownElectionTimeout() const;
 
   bool IsVoter(const std::string& aId) const;
   bool IsMajority(std::size_t aCount) const;
@@ -184,7 +229,23 @@
   Millis mHeartbeatAt = 0;
   Millis mLeaderLastSeenAt = 0;
   bool mHasSeenLeader = false;  ///< Since the process started.
-  int mElectionsSeen = 0;       ///< Candidacies and votes granted.
+  /// Candidacies and votes granted since the last contact with a leader.
+  int mElectionsSeen = 0;
+  std::int64_t mFailedElections = 0;
+  /// The last index up to which the log is known to be that of the leader of
+  /// mMatchTerm.
+  std::int64_t mMatch = 0;
+  std::int64_t mMatchTerm = 0;
+  PendingWrites mWrites;
+  /// Whether mHardState has a newer term than was written. It is written with
+  /// the next vote or entry of that term, since nothing else rests on it.
+  bool mHardStateChanged = false;
+  std::deque<HeldMessage> mHeld;
+  std::int64_t mVoteWrite = 0;  ///< The write of the last vote; 0: none.
+  Millis mVoteDurableAt = 0;    ///< When that write became durable.
+  /// Number of this voter's last candidacy. It starts at random, so that votes
+  /// for a candidacy of an earlier process don't count for a later one.
+  std::int64_t mCandidacy = 0;
   bool mFailed = false;
 };
 
--- a/include/spindleweir/servers/consensus/raft_storage.h
+++ b/include/spindleweir/servers/consensus/raft_storage.h
@@ -1,6 +1,9 @@
-/// Persistent storage of a voter.
+/// Persistent storage of a voter. Writing may take as long as the disk does
+/// without holding up the voter.
 #pragma once
 
+#include <cstdint>
+#include <limits>
 #include <span>
 #include <vector>
 
@@ -15,9 +18,10 @@
   std::vector<LogEntry> mEntries;  ///< Entries after the snapshot.
 };
 
-/// Each call returns once its data is durable. Throws kStorageFailed or
-/// kDataUnwritable if that can't be guaranteed; the voter then stops taking
-/// part.
+/// Each call begins a write. Writes become durable in the order of the calls,
+/// and the voter promises nothing that rests on one before DurableWrites()
+/// includes it. Any method throws kStorageFailed or kDataUnwritable once a write
+/// has failed; the voter then stops taking part.
 class RaftStorage {
  public:
   virtual ~RaftStorage() = default;
@@ -31,6 +35,11 @@
   virtual void SaveSnapshot(const Snapshot& aSnapshot,
                             std::span<const LogEntry> aRemaining,
                             const HardState& aState) = 0;
+  /// How many of the writes begun so far are durable. A storage whose calls
+  /// return once their data is durable needs not override this.
+  virtual std::int64_t DurableWrites() {
+    return std::numeric_limits<std::int64_t>::max();
+  }
 };
 
 }  // namespace spindleweir
--- a/servers/consensus/raft_node.cpp
+++ b/servers/consensus/raft_node.cpp
@@ -1,6 +1,7 @@
 #include "spindleweir/servers/consensus/raft_node.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "spindleweir/core/error.h"
 
@@ -10,24 +11,9 @@
 
 /// A leader without contact for this many heartbeat intervals may have failed.
 constexpr Millis kLeaderContactHeartbeats = 2;
-/// Until a first contact with a leader, an unsuccessful pre-vote is repeated
-/// after one to this many heartbeat intervals: the other voters may not have
-/// been listening yet, and a pre-vote doesn't disturb a running leader. With
-/// the regular election timeout, three voters that start within 0.25 s of each
-/// other took up to 0.7 s to elect a leader.
-constexpr Millis kMaxPreVoteHeartbeats = 3;
-/// Until a first contact with a leader, an election without a winner is
-/// repeated after two to this many heartbeat intervals. Three of five voters
-/// that restart together need all three votes, and two simultaneous candidates
-/// deny them to each other; with two lost disks, electing a leader took 0.53 s.
-constexpr Millis kMaxElectionHeartbeats = 4;
-/// After this many elections without a leader the regular election timeout
-/// applies. If a vote (disk sync and call) takes 0.4 s, as on slow disks after
-/// a restart of all voters, a candidacy of 2 to 4 heartbeat intervals of 70 ms
-/// ends before its votes arrive: three voters may then lack a leader for 5 s
-/// and longer.
-constexpr int kMaxFastElections = 3;
-
+/// A leader whose disk has not confirmed a write for this time gives way, if
+/// changes are committed without it.
+constexpr Millis kMaxLeaderWrite = 5000;
 }  // namespace
 
 RaftNode::RaftNode(RaftOptions aOptions, Millis aNow)
@@ -38,6 +24,9 @@
   mEntries = std::move(state.mEntries);
   mCommit = mSnapshot.mIndex;
   mApplied = mSnapshot.mIndex;
+  mWrites.SetDurableIndex(LastIndex());
+  mCandidacy = std::uniform_int_distribution<std::int64_t>(
+      1, std::numeric_limits<std::int32_t>::max())(mRandom);
   mLeaderLastSeenAt = aNow - mOptions.mElectionTimeout;
   if (mSnapshot.mIndex > 0) {
     mOptions.mInstallSnapshot(mSnapshot.mData);
@@ -45,7 +34,7 @@
   if (mSnapshot.mVoters.empty() && !mOptions.mVoters.empty()) {
     // A restart may pass no voters, so the initial ones are saved too.
     mSnapshot.mVoters = mOptions.mVoters;
-    mOptions.mStorage->SaveSnapshot(mSnapshot, mEntries, mHardState);
+    WriteSnapshot(mSnapshot, mEntries);
   }
   RefreshVoters();
   // No leader is known, so an early pre-vote disturbs none.
@@ -59,6 +48,8 @@
   }
   try {
     aStep();
+    while (FinishWrites()) {
+    }
   } catch (const Error& error) {
     const bool isStorageError = error.Code() == ResultCode::kStorageFailed ||
                                 error.Code() == ResultCode::kDataUnwritable;
@@ -70,37 +61,99 @@
     mFailed = true;
     mRole = RaftRole::kFollower;
     mLeader.clear();
+    mHeld.clear();
     FailReads();
   }
 }
 
+void RaftNode::WriteHardState() {
+  if (!mHardStateChanged) {
+    return;
+  }
+  mOptions.mStorage->SaveHardState(mHardState);
+  mHardStateChanged = false;
+  mWrites.Begin(LastIndex(), mNow);
+}
+
+void RaftNode::WriteEntries(std::span<const LogEntry> aEntries) {
+  WriteHardState();
+  mOptions.mStorage->Append(aEntries);
+  mWrites.Truncate(aEntries.front().mIndex - 1);
+  mWrites.Begin(aEntries.back().mIndex, mNow);
+}
+
+void RaftNode::WriteSnapshot(const Snapshot& aSnapshot,
+                             std::span<const LogEntry> aRemaining) {
+  mOptions.mStorage->SaveSnapshot(aSnapshot, aRemaining, mHardState);
+  mHardStateChanged = false;
+  mWrites.Begin(
+      aSnapshot.mIndex + static_cast<std::int64_t>(aRemaining.size()), mNow);
+}
+
+bool RaftNode::FinishWrites() {
+  if (mWrites.Empty() ||
+      !mWrites.Finish(mOptions.mStorage->DurableWrites(), mNow)) {
+    return false;
+  }
+  while (!mHeld.empty() && !mWrites.IsPending(mHeld.front().mWrite)) {
+    const RaftMessage message = std::move(mHeld.front().mMessage);
+    mHeld.pop_front();
+    Send(message);
+  }
+  if (mVoteWrite != 0 && !mWrites.IsPending(mVoteWrite)) {
+    mVoteWrite = 0;
+    mVoteDurableAt = mNow;
+    if (mLeader.empty()) {
+      RestartVoteTimer();
+    }
+    CountOwnVote();
+  }
+  if (mRole == RaftRole::kLeader) {
+    AdvanceCommit();
+    FinishReads();
+  }
+  return true;
+}
+
+void RaftNode::OnStorageProgress(Millis aNow) {
+  mNow = aNow;
+  RunUnlessFailed([] {});
+}
+
 void RaftNode::Tick(Millis aNow) {
   mNow = aNow;
   RunUnlessFailed([this] {
     if (mRole == RaftRole::kLeader) {
-      std::size_t seen = 1;
-      for (const auto& [id, progress] : mProgress) {
-        const bool recent =
-            mNow - progress.mLastSeenAt < 2 * mOptions.mElectionTimeout;
-        seen += (IsVoter(id) && recent) ? 1 : 0;
-      }
-      if (!IsMajority(seen)) {
-        // The leader is partitioned from a majority. Stepping down fails
-        // pending reads now instead of leaving them open.
-        BecomeFollower(mHardState.mTerm, "");
-        return;
-      }
-      if (mNow >= mHeartbeatAt) {
+      if (!StepDownIfUseless() && mNow >= mHeartbeatAt) {
         BroadcastAppend();
       }
       return;
     }
-    if (mNow >= mElectionAt && IsVoter(mOptions.mId)) {
+    // A voter whose own vote is not on its disk yet can't win an election.
+    if (mNow >= mElectionAt && mVoteWrite == 0 && IsVoter(mOptions.mId)) {
       StartPreVote();
     }
   });
 }
 
+bool RaftNode::StepDownIfUseless() {
+  std::size_t seen = 1;
+  for (const auto& [id, progress] : mProgress) {
+    const bool recent =
+        mNow - progress.mLastSeenAt < 2 * mOptions.mElectionTimeout;
+    seen += (IsVoter(id) && recent) ? 1 : 0;
+  }
+  // Stepping down fails pending reads now instead of leaving them open.
+  const bool isPartitioned = !IsMajority(seen);
+  // A majority commits without this disk, so that one of it can lead.
+  const bool isLeftBehind = mWrites.OldestAge(mNow) >= kMaxLeaderWrite &&
+                            mCommit > mWrites.DurableIndex();
+  if (isPartitioned || isLeftBehind) {
+    BecomeFollower(mHardState.mTerm, "");
+  }
+  return isPartitioned || isLeftBehind;
+}
+
 void RaftNode::Receive(const RaftMessage& aMessage, Millis aNow) {
   mNow = aNow;
   if (aMessage.mTo != mOptions.mId) {
@@ -143,129 +196,6 @@
   }
 }
 
-void RaftNode::HandlePreVote(const RaftMessage& aMessage) {
-  // A pre-vote is refused while a leader is in contact, so that a voter which
-  // rejoins after a long time doesn't disturb it.
-  const bool noLeaderContact =
-      mRole != RaftRole::kLeader &&
-      mNow - mLeaderLastSeenAt >= mOptions.mElectionTimeout;
-  const bool granted = noLeaderContact && aMessage.mTerm > mHardState.mTerm &&
-                       LogIsCurrent(aMessage);
-  RaftMessage reply;
-  reply.mKind = RaftKind::kPreVoteReply;
-  reply.mTo = aMessage.mFrom;
-  reply.mTerm = granted ? aMessage.mTerm : mHardState.mTerm;
-  reply.mGranted = granted;
-  Send(reply);
-}
-
-void RaftNode::HandleVote(const RaftMessage& aMessage) {
-  const bool voteAvailable =
-      mHardState.mVotedFor.empty() || mHardState.mVotedFor == aMessage.mFrom;
-  const bool granted = aMessage.mTerm == mHardState.mTerm && voteAvailable &&
-                       LogIsCurrent(aMessage);
-  if (granted) {
-    mHardState.mVotedFor = aMessage.mFrom;
-    mOptions.mStorage->SaveHardState(mHardState);
-    mElectionsSeen++;
-    RestartElectionTimer();
-  }
-  Reply(aMessage, RaftKind::kVoteReply, granted, 0);
-}
-
-void RaftNode::HandleVoteReply(const RaftMessage& aMessage) {
-  const bool pre = aMessage.mKind == RaftKind::kPreVoteReply;
-  const RaftRole requiredRole =
-      pre ? RaftRole::kPreCandidate : RaftRole::kCandidate;
-  const std::int64_t term = pre ? mHardState.mTerm + 1 : mHardState.mTerm;
-  if (mRole != requiredRole || aMessage.mTerm != term || !aMessage.mGranted ||
-      !IsVoter(aMessage.mFrom)) {
-    return;
-  }
-  mVotes.insert(aMessage.mFrom);
-  if (!IsMajority(mVotes.size())) {
-    return;
-  }
-  if (pre) {
-    StartElection();
-  } else {
-    BecomeLeader();
-  }
-}
-
-void RaftNode::StartPreVote() {
-  mRole = RaftRole::kPreCandidate;
-  mLeader.clear();
-  mVotes = {mOptions.mId};
-  RestartElectionTimer(1, kMaxPreVoteHeartbeats);
-  if (IsMajority(mVotes.size())) {
-    StartElection();
-    return;
-  }
-  BroadcastVote(RaftKind::kPreVote, mHardState.mTerm + 1);
-}
-
-void RaftNode::StartElection() {
-  mRole = RaftRole::kCandidate;
-  mHardState.mTerm++;
-  mHardState.mVotedFor = mOptions.mId;
-  mOptions.mStorage->SaveHardState(mHardState);
-  mVotes = {mOptions.mId};
-  mElectionsSeen++;
-  if (mElectionsSeen > kMaxFastElections) {
-    RestartElectionTimer();
-  } else {
-    RestartElectionTimer(2, kMaxElectionHeartbeats);
-  }
-  if (IsMajority(mVotes.size())) {
-    BecomeLeader();
-    return;
-  }
-  BroadcastVote(RaftKind::kVote, mHardState.mTerm);
-}
-
-void RaftNode::BroadcastVote(RaftKind aKind, std::int64_t aTerm) {
-  for (const std::string& id : mVoters) {
-    if (id == mOptions.mId) {
-      continue;
-    }
-    RaftMessage message;
-    message.mKind = aKind;
-    message.mTo = id;
-    message.mTerm = aTerm;
-    message.mIndex = LastIndex();
-    message.mLogTerm = TermAt(LastIndex());
-    Send(message);
-  }
-}
-
-void RaftNode::BecomeLeader() {
-  mRole = RaftRole::kLeader;
-  mLeader = mOptions.mId;
-  mHasSeenLeader = true;
-  mProgress.clear();
-  mRoundTimes.clear();
-  for (const std::string& id : mVoters) {
-    mProgress[id] = {.mNext = LastIndex() + 1, .mLastSeenAt = mNow};
-  }
-  // Entries of earlier terms are committed only together with one of this term
-  // (Raft, section 5.4.2), so a new leader appends an empty entry.
-  AppendToLog({});
-}
-
-void RaftNode::BecomeFollower(std::int64_t aTerm, const std::string& aLeader) {
-  if (mRole == RaftRole::kLeader) {
-    FailReads();
-  }
-  mRole = RaftRole::kFollower;
-  mLeader = aLeader;
-  if (aTerm > mHardState.mTerm) {
-    mHardState = {.mTerm = aTerm, .mVotedFor = ""};
-    mOptions.mStorage->SaveHardState(mHardState);
-  }
-  RestartElectionTimer();
-}
-
 std::int64_t RaftNode::Propose(const std::string& aPayload) {
   std::int64_t index = 0;
   RunUnlessFailed([this, &aPayload, &index] {
@@ -391,8 +321,8 @@
          TermAt(mCommit) == mHardState.mTerm;
 }
 
-void RaftNode::Reply(const RaftMessage& aTo, RaftKind aKind, bool aGranted,
-                     std::int64_t aIndex) {
+RaftMessage RaftNode::MakeReply(const RaftMessage& aTo, RaftKind aKind,
+                                bool aGranted, std::int64_t aIndex) const {
   RaftMessage reply;
   reply.mKind = aKind;
   reply.mTo = aTo.mFrom;
@@ -400,7 +330,12 @@
   reply.mGranted = aGranted;
   reply.mIndex = aIndex;
   reply.mRound = aTo.mRound;
-  Send(std::move(reply));
+  return reply;
+}
+
+void RaftNode::Reply(const RaftMessage& aTo, RaftKind aKind, bool aGranted,
+                     std::int64_t aIndex) {
+  Send(MakeReply(aTo, aKind, aGranted, aIndex));
 }
 
 void RaftNode::Send(RaftMessage aMessage) {
@@ -408,21 +343,13 @@
   mOptions.mSend(aMessage);
 }
 
-void RaftNode::RestartElectionTimer() {
-  std::uniform_int_distribution<Millis> spread(0, mOptions.mElectionTimeout);
-  mElectionAt = mNow + mOptions.mElectionTimeout + spread(mRandom);
-}
-
-void RaftNode::RestartElectionTimer(Millis aMinHeartbeats,
-                                    Millis aMaxHeartbeats) {
-  if (mHasSeenLeader) {
-    RestartElectionTimer();
+void RaftNode::SendWhenDurable(RaftMessage aMessage) {
+  if (mWrites.Empty()) {
+    Send(std::move(aMessage));
     return;
   }
-  std::uniform_int_distribution<Millis> spread(
-      aMinHeartbeats * mOptions.mHeartbeatInterval,
-      aMaxHeartbeats * mOptions.mHeartbeatInterval);
-  mElectionAt = mNow + spread(mRandom);
+  mHeld.push_back(
+      {.mWrite = mWrites.Newest(), .mMessage = std::move(aMessage)});
 }
 
 bool RaftNode::IsVoter(const std::string& aId) const {
--- a/servers/consensus/raft_replication.cpp
+++ b/servers/consensus/raft_replication.cpp
@@ -33,9 +33,23 @@
   }
   const std::int64_t last =
       aMessage.mIndex + static_cast<std::int64_t>(aMessage.mEntries.size());
+  OnLogMatches(last);
   mCommit = std::max(mCommit, std::min(aMessage.mCommit, last));
   ApplyCommitted();
-  Reply(aMessage, RaftKind::kAppendReply, true, last);
+  RaftMessage reply = MakeReply(aMessage, RaftKind::kAppendReply, true, last);
+  reply.mReceived = mMatch;
+  if (!aMessage.mEntries.empty() && last > mWrites.DurableIndex()) {
+    SendWhenDurable(std::move(reply));
+    return;
+  }
+  // A heartbeat confirms the leader, whatever the disk does meanwhile.
+  reply.mIndex = std::min(mMatch, mWrites.DurableIndex());
+  Send(std::move(reply));
+}
+
+void RaftNode::OnLogMatches(std::int64_t aLast) {
+  mMatch = mMatchTerm == mHardState.mTerm ? std::max(mMatch, aLast) : aLast;
+  mMatchTerm = mHardState.mTerm;
 }
 
 bool RaftNode::StoreEntries(const RaftMessage& aMessage) {
@@ -55,7 +69,7 @@
       continue;
     }
     const auto newEntries = std::span(aMessage.mEntries).subspan(i);
-    mOptions.mStorage->Append(newEntries);
+    WriteEntries(newEntries);
     mEntries.resize(
         static_cast<std::size_t>(entry.mIndex - mSnapshot.mIndex - 1));
     mEntries.insert(mEntries.end(), newEntries.begin(), newEntries.end());
@@ -72,7 +86,8 @@
   Progress& progress = mProgress[aMessage.mFrom];
   progress.mLastSeenAt = mNow;
   progress.mRound = std::max(progress.mRound, aMessage.mRound);
-  if (aMessage.mGranted && aMessage.mIndex >= progress.mLastInFlight) {
+  const std::int64_t received = std::max(aMessage.mIndex, aMessage.mReceived);
+  if (aMessage.mGranted && received >= progress.mLastInFlight) {
     progress.mLastInFlight = 0;
   }
   if (!aMessage.mGranted) {
@@ -88,10 +103,10 @@
     return;
   }
   progress.mMatch = std::max(progress.mMatch, aMessage.mIndex);
-  progress.mNext = std::max(progress.mNext, progress.mMatch + 1);
+  progress.mNext = std::max(progress.mNext, received + 1);
   AdvanceCommit();
   FinishReads();
-  if (progress.mNext <= LastIndex()) {
+  if (progress.mNext <= LastIndex() && progress.mLastInFlight == 0) {
     SendAppend(aMessage.mFrom);
   }
 }
@@ -131,7 +146,7 @@
               static_cast<std::ptrdiff_t>(snapshot.mIndex - mSnapshot.mIndex),
           mEntries.end());
     }
-    mOptions.mStorage->SaveSnapshot(snapshot, remaining, mHardState);
+    WriteSnapshot(snapshot, remaining);
     mSnapshot = snapshot;
     mEntries = std::move(remaining);
     mCommit = snapshot.mIndex;
@@ -139,16 +154,17 @@
     RefreshVoters();
     mOptions.mInstallSnapshot(snapshot.mData);
   }
-  Reply(aMessage, RaftKind::kAppendReply, true, snapshot.mIndex);
+  OnLogMatches(snapshot.mIndex);
+  SendWhenDurable(
+      MakeReply(aMessage, RaftKind::kAppendReply, true, snapshot.mIndex));
 }
 
 void RaftNode::AppendToLog(LogEntry aEntry) {
   aEntry.mIndex = LastIndex() + 1;
   aEntry.mTerm = mHardState.mTerm;
-  mOptions.mStorage->Append(std::span(&aEntry, 1));
+  WriteEntries(std::span(&aEntry, 1));
   mEntries.push_back(std::move(aEntry));
   RefreshVoters();
-  AdvanceCommit();
   BroadcastAppend();
 }
 
@@ -224,7 +240,8 @@
     if (TermAt(i) != mHardState.mTerm) {
       return;
     }
-    std::size_t stored = IsVoter(mOptions.mId) ? 1 : 0;
+    const bool isDurable = mWrites.DurableIndex() >= i;
+    std::size_t stored = (IsVoter(mOptions.mId) && isDurable) ? 1 : 0;
     for (const auto& [id, progress] : mProgress) {
       const bool has = progress.mMatch >= i;
       stored += (id != mOptions.mId && IsVoter(id) && has) ? 1 : 0;
@@ -267,7 +284,7 @@
   snapshot.mData = mOptions.mMakeSnapshot();
   const std::vector<LogEntry> remaining(
       mEntries.begin() + static_cast<std::ptrdiff_t>(applied), mEntries.end());
-  mOptions.mStorage->SaveSnapshot(snapshot, remaining, mHardState);
+  WriteSnapshot(snapshot, remaining);
   mSnapshot = std::move(snapshot);
   mEntries = remaining;
 }
