Log writes leave the event loop

The log of a control is written by a thread of its own now (LogWriter on DiskThread); records that arrive during a sync, or in one iteration of the loop, share the next one. The list of upstreams, the stamp and the barred requests are replaced on a second thread.

--- a/bench/capacity_slopes.cpp
+++ b/bench/capacity_slopes.cpp
@@ -196,8 +196,15 @@
   ConfigurationMachine machine;
   constexpr int kChanges = 1000;
   double cpu = CpuMicros();
+  EventLoop loop;
   {
-    RaftDiskStorage storage(aFolder + "/raft.log");
+    RaftNode* voter = nullptr;
+    RaftDiskStorage storage(
+        loop, aFolder + "/raft.log",
+        {.mOnProgress = [&voter, &loop] {
+          voter->OnStorageProgress(SteadyNow());
+          loop.Stop();
+        }});
     RaftOptions options;
     options.mId = "v";
     options.mVoters = {"v"};
@@ -211,11 +218,18 @@
       machine.Restore(aData);
     };
     RaftNode node(options, 0);
-    node.Tick(100000);
+    voter = &node;
+    node.Tick(SteadyNow());
+    while (!node.Leads()) {
+      loop.Run();
+    }
     for (int i = 0; i < kChanges; i++) {
       command.mId = "command-" + std::to_string(i);
       command.mDrain = i % 2 == 0;
-      node.Propose(DumpJson(ToJson(command)));
+      const std::int64_t index = node.Propose(DumpJson(ToJson(command)));
+      while (node.CommitIndex() < index) {
+        loop.Run();
+      }
     }
     Print(aOptions, "an accepted change on one voter",
           (CpuMicros() - cpu) / kChanges, "us");
@@ -226,7 +240,12 @@
   cpu = CpuMicros();
   const auto begin = std::chrono::steady_clock::now();
   ConfigurationMachine again;
-  RaftDiskStorage storage(aFolder + "/raft.log");
+  RaftNode* restarted = nullptr;
+  RaftDiskStorage storage(loop, aFolder + "/raft.log",
+                          {.mOnProgress = [&restarted, &loop] {
+                            restarted->OnStorageProgress(SteadyNow());
+                            loop.Stop();
+                          }});
   RaftOptions options;
   options.mId = "v";
   options.mStorage = &storage;
@@ -239,7 +258,11 @@
     again.Restore(aData);
   };
   RaftNode node(options, 0);
-  node.Tick(100000);
+  restarted = &node;
+  node.Tick(SteadyNow());
+  while (!node.Leads()) {
+    loop.Run();
+  }
   const double millis = std::chrono::duration<double, std::milli>(
                             std::chrono::steady_clock::now() - begin)
                             .count();
--- a/daemons/control/control_context.h
+++ b/daemons/control/control_context.h
@@ -6,6 +6,7 @@
 #include "spindleweir/core/counters.h"
 #include "spindleweir/daemons/control_daemon.h"
 #include "spindleweir/daemons/entry_vms_file.h"
+#include "spindleweir/drivers/disk_thread.h"
 #include "spindleweir/drivers/rpc_channel.h"
 #include "spindleweir/drivers/rpc_dispatcher.h"
 
@@ -19,6 +20,7 @@
         mOptions(std::move(aOptions)),
         mCounters(aCounters),
         mStorage(aStorage),
+        mFileThread(aLoop),
         mClient(aLoop),
         mRpc(mClient, mOptions.mClusterKey),
         mDispatcher(mOptions.mClusterKey),
@@ -31,6 +33,8 @@
   ControlOptions mOptions;
   Counters& mCounters;
   StorageState& mStorage;
+  /// Replaces the small files of the data folder, whose loss costs time only.
+  DiskThread mFileThread;
   HttpClient mClient;
   RpcChannel mRpc;
   RpcDispatcher mDispatcher;
--- a/daemons/control/crash_store.cpp
+++ b/daemons/control/crash_store.cpp
@@ -66,7 +66,8 @@
 void CrashStore::Save(const CrashLedger& aLedger, Millis aNow) {
   const bool delayed = (mFailedAt >= 0 && aNow - mFailedAt < kRetryInterval) ||
                        (mSavedAt >= 0 && aNow - mSavedAt < kSaveInterval);
-  if (aLedger.BarredRevision() == mSavedRevision || delayed) {
+  const std::int64_t revision = aLedger.BarredRevision();
+  if (revision == mSavedRevision || delayed || mIsSaving) {
     return;
   }
   StoredCrashes stored;
@@ -76,15 +77,24 @@
     stored.mRows.push_back(ToJson(record));
   }
   const std::string text = DumpJson(ToJson(stored));
-  try {
-    ReplaceFile(mPath, DigestOf(text) + kDigestSeparator + text);
-    mSavedRevision = aLedger.BarredRevision();
-    mSavedAt = aNow;
-    mFailedAt = -1;
-  } catch (const Error& error) {
-    mFailedAt = aNow;
-    LogWarning("barred_not_kept", error);
+  mIsSaving = true;
+  mReplace(mPath, DigestOf(text) + kDigestSeparator + text,
+           [this, revision, aNow](const std::optional<Error>& aError) {
+             OnSaved(revision, aNow, aError);
+           });
+}
+
+void CrashStore::OnSaved(std::int64_t aRevision, Millis aBegan,
+                         const std::optional<Error>& aError) {
+  mIsSaving = false;
+  if (aError.has_value()) {
+    mFailedAt = aBegan;
+    LogWarning("barred_not_kept", *aError);
+    return;
   }
+  mSavedRevision = aRevision;
+  mSavedAt = aBegan;
+  mFailedAt = -1;
 }
 
 }  // namespace spindleweir
--- a/daemons/control/crash_store.h
+++ b/daemons/control/crash_store.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "spindleweir/drivers/file_replacement.h"
 #include "spindleweir/servers/limits/crash_ledger.h"
 
 namespace spindleweir {
@@ -14,18 +15,26 @@
 /// remaining ones still have it.
 class CrashStore {
  public:
-  explicit CrashStore(std::string aPath) : mPath(std::move(aPath)) {}
+  explicit CrashStore(std::string aPath,
+                      ReplaceHook aReplace = &ReplaceAndWait)
+      : mPath(std::move(aPath)), mReplace(std::move(aReplace)) {}
 
   /// Merges the records of the file into aLedger. Ignores a missing or torn
   /// file; aOnInvalidRow is called for each row that cannot be used.
   void Load(CrashLedger& aLedger, Millis aNow,
             const InvalidRowHook& aOnInvalidRow);
   /// Writes the file if the set of barred requests has changed since the last
-  /// save, at most once a second. A failed write is retried after two seconds.
+  /// save, at most once a second and not while it is being written. A failed
+  /// write is retried after two seconds.
   void Save(const CrashLedger& aLedger, Millis aNow);
 
  private:
+  void OnSaved(std::int64_t aRevision, Millis aBegan,
+               const std::optional<Error>& aError);
+
   std::string mPath;
+  ReplaceHook mReplace;
+  bool mIsSaving = false;
   std::int64_t mSavedRevision = 0;  ///< Revision of the verdicts in the file.
   Millis mSavedAt = -1;             ///< Time of the last save.
   Millis mFailedAt = -1;            ///< Time of the last failed write.
--- a/daemons/control/replicated_configuration.cpp
+++ b/daemons/control/replicated_configuration.cpp
@@ -41,8 +41,9 @@
 
 void ReplicatedConfiguration::Open() {
   const ControlOptions& options = mContext.mOptions;
-  auto storage =
-      std::make_unique<RaftDiskStorage>(options.mData + "/" + kRaftLogFile);
+  auto storage = std::make_unique<RaftDiskStorage>(
+      mContext.mLoop, options.mData + "/" + kRaftLogFile,
+      LogWriterHooks{.mOnProgress = [this] { OnStorageProgress(); }});
   RaftOptions raft;
   raft.mId = options.mId;
   if (storage->Empty()) {
@@ -64,6 +65,11 @@
   mStorage = std::move(storage);
 }
 
+void ReplicatedConfiguration::OnStorageProgress() {
+  mRaft->OnStorageProgress(SteadyNow());
+  UpdateLeader();
+}
+
 void ReplicatedConfiguration::ReopenAfterFailure() {
   const Millis now = SteadyNow();
   if (mFailedAt < 0) {
--- a/daemons/control/replicated_configuration.h
+++ b/daemons/control/replicated_configuration.h
@@ -56,6 +56,8 @@
 
   /// Opens the log and rebuilds the state from disk, as a restart does.
   void Open();
+  /// Writes of the log have become durable, or have failed.
+  void OnStorageProgress();
   /// Fails the pending commands and retries Open() every
   /// kStorageRetryInterval.
   void ReopenAfterFailure();
--- a/daemons/control/start_stamp.cpp
+++ b/daemons/control/start_stamp.cpp
@@ -33,18 +33,21 @@
 }
 
 void StartStamp::Save(int aRouters, Millis aWallNow, Millis aNow) {
-  if (mLastAttemptAt >= 0 && aNow - mLastAttemptAt < kSaveInterval) {
+  const bool due = mLastAttemptAt < 0 || aNow - mLastAttemptAt >= kSaveInterval;
+  if (!due || mIsSaving) {
     return;
   }
   mLastAttemptAt = aNow;
-  try {
-    ReplaceFile(mPath,
-                std::to_string(aRouters) + " " + std::to_string(aWallNow));
-  } catch (const Error& error) {
-    LogLine(LogLevel::kWarning, "stamp_not_kept")
-        .Add("code", static_cast<int>(error.Code()))
-        .Add("why", error.what());
-  }
+  mIsSaving = true;
+  mReplace(mPath, std::to_string(aRouters) + " " + std::to_string(aWallNow),
+           [this](const std::optional<Error>& aError) {
+             mIsSaving = false;
+             if (aError.has_value()) {
+               LogLine(LogLevel::kWarning, "stamp_not_kept")
+                   .Add("code", static_cast<int>(aError->Code()))
+                   .Add("why", aError->what());
+             }
+           });
 }
 
 }  // namespace spindleweir
--- a/daemons/control/start_stamp.h
+++ b/daemons/control/start_stamp.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "spindleweir/core/clock.h"
+#include "spindleweir/drivers/file_replacement.h"
 
 namespace spindleweir {
 
@@ -25,17 +26,22 @@
 /// One file. If it is lost, the next start takes longer; nothing else is lost.
 class StartStamp {
  public:
-  explicit StartStamp(std::string aPath) : mPath(std::move(aPath)) {}
+  explicit StartStamp(std::string aPath,
+                      ReplaceHook aReplace = &ReplaceAndWait)
+      : mPath(std::move(aPath)), mReplace(std::move(aReplace)) {}
 
   /// Returns zero routers and a list that is not fresh if the file is missing
   /// or invalid. aWallNow: wall-clock time in milliseconds.
   PreviousRun Load(Millis aWallNow) const;
-  /// Writes the number of routers and the time, at most every five seconds.
+  /// Writes the number of routers and the time, at most every five seconds
+  /// and not while it is being written.
   /// aNow: time of the steady clock.
   void Save(int aRouters, Millis aWallNow, Millis aNow);
 
  private:
   std::string mPath;
+  ReplaceHook mReplace;
+  bool mIsSaving = false;
   Millis mLastAttemptAt = -1;
 };
 
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -34,7 +34,8 @@
     : mContext(aContext),
       mLog(aLog),
       mIncarnation(RandomHex(kIncarnationBytes)),
-      mStamp(aContext.mOptions.mData + "/stamp"),
+      mStamp(aContext.mOptions.mData + "/stamp",
+             ReplaceOn(aContext.mFileThread)),
       mPreviousRun(mStamp.Load(WallNow())),
       mStartedAt(SteadyNow()),
       mUpstreams(
@@ -46,7 +47,8 @@
           },
           mPreviousRun.mUpstreamsFresh),
       mAnswerSizes(aContext.mLoop, aContext.mCounters),
-      mCrashStore(aContext.mOptions.mData + "/barred") {
+      mCrashStore(aContext.mOptions.mData + "/barred",
+                  ReplaceOn(aContext.mFileThread)) {
   mCrashStore.Load(mCrashes, SteadyNow(),
                    mContext.mInvalidMessages.HookFor("disk"));
   LogLine(LogLevel::kInfo, "stamp_read")
@@ -442,9 +444,9 @@
 void SyncService::SaveState() {
   mCrashes.RemoveExpired(SteadyNow());
   mCrashStore.Save(mCrashes, SteadyNow());
-  // Disks can hang for seconds. A leader does not write these files, so that no
-  // process waits for it meanwhile; the other controls store the same
-  // upstreams. A single voter has no such substitute and writes them.
+  // A leader does not write these files, so that its log has the disk for
+  // itself; the other controls store the same upstreams. A single voter has no
+  // such substitute and writes them.
   if (!mLog.Raft().Leads() || mLog.Raft().Voters().size() == 1) {
     mUpstreams.Save();
     mStamp.Save(RouterCount(), WallNow(), SteadyNow());
--- a/daemons/control/upstream_intake.cpp
+++ b/daemons/control/upstream_intake.cpp
@@ -42,7 +42,8 @@
     : mContext(aContext),
       mDirectory(aDirectory),
       mKnowsService(std::move(aKnowsService)),
-      mStore(aContext.mOptions.mData + "/upstreams"),
+      mStore(aContext.mOptions.mData + "/upstreams",
+             ReplaceOn(aContext.mFileThread)),
       mCollectorChoice(
           {.mMaxLocalHeartbeats = aContext.mOptions.mMaxLocalHeartbeats}) {
   if (aRestores) {
--- a/daemons/control/upstream_store.cpp
+++ b/daemons/control/upstream_store.cpp
@@ -57,19 +57,29 @@
 
 void UpstreamStore::Save(const UpstreamRegistry& aRegistry, Millis aNow) {
   const bool due = mLastAttemptAt < 0 || aNow - mLastAttemptAt >= kSaveInterval;
-  if (!due || aRegistry.LastChangeRevision() == mSavedRevision) {
+  const std::int64_t revision = aRegistry.LastChangeRevision();
+  if (!due || mIsSaving || revision == mSavedRevision) {
     return;
   }
   mLastAttemptAt = aNow;
+  mIsSaving = true;
   const std::string text = PackUpstreams(ReadyUpstreams(aRegistry));
-  try {
-    ReplaceFile(mPath, DigestOf(text) + kDigestSeparator + text);
-    mSavedRevision = aRegistry.LastChangeRevision();
-  } catch (const Error& error) {
-    LogLine(LogLevel::kWarning, "upstreams_not_kept")
-        .Add("code", static_cast<int>(error.Code()))
-        .Add("why", error.what());
+  mReplace(mPath, DigestOf(text) + kDigestSeparator + text,
+           [this, revision](const std::optional<Error>& aError) {
+             OnSaved(revision, aError);
+           });
+}
+
+void UpstreamStore::OnSaved(std::int64_t aRevision,
+                            const std::optional<Error>& aError) {
+  mIsSaving = false;
+  if (!aError.has_value()) {
+    mSavedRevision = aRevision;
+    return;
   }
+  LogLine(LogLevel::kWarning, "upstreams_not_kept")
+      .Add("code", static_cast<int>(aError->Code()))
+      .Add("why", aError->what());
 }
 
 }  // namespace spindleweir
--- a/daemons/control/upstream_store.h
+++ b/daemons/control/upstream_store.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "spindleweir/core/clock.h"
+#include "spindleweir/drivers/file_replacement.h"
 #include "spindleweir/servers/membership/upstream_check.h"
 #include "spindleweir/servers/membership/upstream_registry.h"
 
@@ -17,7 +18,9 @@
 /// to run them.
 class UpstreamStore {
  public:
-  explicit UpstreamStore(std::string aPath) : mPath(std::move(aPath)) {}
+  explicit UpstreamStore(std::string aPath,
+                         ReplaceHook aReplace = &ReplaceAndWait)
+      : mPath(std::move(aPath)), mReplace(std::move(aReplace)) {}
 
   /// Merges the upstreams of the file into aRegistry, as last seen at aNow, and
   /// returns their number. Ignores a missing or torn file; aOnInvalidRow is
@@ -25,11 +28,16 @@
   std::size_t Load(UpstreamRegistry& aRegistry, Millis aNow,
                    const InvalidRowHook& aOnInvalidRow = {}) const;
   /// Writes the file if the registry has changed since the last save, at most
-  /// every two seconds. A failed write is retried then.
+  /// every two seconds and not while it is being written. A failed write is
+  /// retried then.
   void Save(const UpstreamRegistry& aRegistry, Millis aNow);
 
  private:
+  void OnSaved(std::int64_t aRevision, const std::optional<Error>& aError);
+
   std::string mPath;
+  ReplaceHook mReplace;
+  bool mIsSaving = false;
   std::int64_t mSavedRevision = 0;  ///< Registry revision of the file.
   Millis mLastAttemptAt = -1;
 };
--- a/drivers/raft_disk_storage.cpp
+++ b/drivers/raft_disk_storage.cpp
@@ -15,9 +15,13 @@
 
 }  // namespace
 
-RaftDiskStorage::RaftDiskStorage(const std::string& aPath) {
-  mLog = std::make_unique<DiskLog>(
-      aPath, [this](std::string_view aRecord) { Replay(aRecord); });
+RaftDiskStorage::RaftDiskStorage(EventLoop& aLoop, const std::string& aPath,
+                                 LogWriterHooks aHooks) {
+  mWriter = std::make_unique<LogWriter>(
+      aLoop,
+      std::make_unique<DiskLog>(
+          aPath, [this](std::string_view aRecord) { Replay(aRecord); }),
+      std::move(aHooks));
 }
 
 void RaftDiskStorage::Replay(std::string_view aRecord) {
@@ -47,27 +51,33 @@
 }
 
 void RaftDiskStorage::SaveHardState(const HardState& aState) {
-  mLog->Append(MakeRecord("state", aState));
-  mLog->Sync();
+  mWriter->Append({MakeRecord("state", aState)});
 }
 
 void RaftDiskStorage::Append(std::span<const LogEntry> aEntries) {
+  std::vector<std::string> records;
   for (const LogEntry& entry : aEntries) {
-    mLog->Append(MakeRecord("entry", entry));
+    records.push_back(MakeRecord("entry", entry));
   }
-  mLog->Sync();
+  mWriter->Append(std::move(records));
 }
 
 void RaftDiskStorage::SaveSnapshot(const Snapshot& aSnapshot,
                                    std::span<const LogEntry> aNewerEntries,
                                    const HardState& aState) {
-  mLog->Rewrite([&](DiskLog& aLog) {
-    aLog.Append(MakeRecord("state", aState));
-    aLog.Append(MakeRecord("snapshot", aSnapshot));
-    for (const LogEntry& entry : aNewerEntries) {
-      aLog.Append(MakeRecord("entry", entry));
-    }
-  });
+  std::vector<std::string> records{MakeRecord("state", aState),
+                                   MakeRecord("snapshot", aSnapshot)};
+  for (const LogEntry& entry : aNewerEntries) {
+    records.push_back(MakeRecord("entry", entry));
+  }
+  mWriter->Replace(std::move(records));
+}
+
+std::int64_t RaftDiskStorage::DurableWrites() {
+  if (mWriter->Failure().has_value()) {
+    throw Error(*mWriter->Failure());
+  }
+  return mWriter->Durable();
 }
 
 }  // namespace spindleweir
--- a/tests/drivers/disk_log_test.cpp
+++ b/tests/drivers/disk_log_test.cpp
@@ -110,8 +110,10 @@
 Test(raft_disk_storage, state_entries_and_snapshot_are_restored) {
   const TemporaryFolder folder;
   const std::string path = folder.Path("raft.log");
+  EventLoop loop;
+  const LogWriterHooks hooks{.mOnProgress = [] {}};
   {
-    RaftDiskStorage storage(path);
+    RaftDiskStorage storage(loop, path, hooks);
     CHECK(storage.Empty());
     storage.SaveHardState({.mTerm = 3, .mVotedFor = "a"});
     const std::vector<LogEntry> entries = {{1, 1, "x", {}}, {2, 1, "y", {}}};
@@ -119,9 +121,10 @@
     // A later leader replaces the second one.
     const std::vector<LogEntry> replaced = {{2, 3, "z", {}}};
     storage.Append(replaced);
+    REQUIRE(RunLoopUntil(loop, [&] { return storage.DurableWrites() == 3; }));
   }
   {
-    RaftDiskStorage storage(path);
+    RaftDiskStorage storage(loop, path, hooks);
     const DurableState state = storage.Load();
     CHECK(state.mHardState.mTerm == 3 && state.mHardState.mVotedFor == "a");
     REQUIRE(state.mEntries.size() == 2);
@@ -129,8 +132,9 @@
     const std::vector<LogEntry> rest = {{3, 3, "r", {}}};
     storage.SaveSnapshot({.mIndex = 2, .mTerm = 3, .mData = "state"}, rest,
                          {.mTerm = 4});
+    REQUIRE(RunLoopUntil(loop, [&] { return storage.DurableWrites() == 1; }));
   }
-  RaftDiskStorage storage(path);
+  RaftDiskStorage storage(loop, path, hooks);
   const DurableState state = storage.Load();
   CHECK(state.mSnapshot.mIndex == 2 && state.mSnapshot.mData == "state");
   CHECK(state.mHardState.mTerm == 4);
--- a/tests/failing_disk.cpp
+++ b/tests/failing_disk.cpp
@@ -14,6 +14,7 @@
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <mutex>
 #include <utility>
 
 #include "spindleweir/drivers/file_tools.h"
@@ -42,12 +43,18 @@
 };
 
 State* sState = nullptr;
+/// Guards *sState: controls write on threads of their own. Recursive, since
+/// reading a file to record its content opens it.
+std::recursive_mutex sMutex;
+
+using Lock = std::lock_guard<std::recursive_mutex>;
 
 bool IsUnder(const std::string& aPath, const std::string& aFolder) {
   return aPath == aFolder || aPath.starts_with(aFolder + "/");
 }
 
 bool Refuses(DiskCall aCall, const std::string& aPath) {
+  const Lock lock(sMutex);
   if (sState == nullptr || !sState->mCalls.contains(aCall)) {
     return false;
   }
@@ -75,17 +82,20 @@
 
 /// The same for an open file.
 bool Refuses(DiskCall aCall, int aFd) {
+  const Lock lock(sMutex);
   return sState != nullptr && sState->mCalls.contains(aCall) &&
          Refuses(aCall, PathOf(aFd));
 }
 
 void OnOpened(const std::string& aPath, int aFlags) {
+  const Lock lock(sMutex);
   if (sState != nullptr && (aFlags & O_TRUNC) != 0) {
     sState->mFiles[aPath].mLostData = false;
   }
 }
 
 void OnSynced(const std::string& aPath, bool aSucceeded) {
+  const Lock lock(sMutex);
   if (sState == nullptr) {
     return;
   }
@@ -109,6 +119,7 @@
 }
 
 void OnRenamed(const std::string& aFrom, const std::string& aTo) {
+  const Lock lock(sMutex);
   if (sState == nullptr) {
     return;
   }
@@ -135,15 +146,18 @@
 }
 
 FailingDisk::FailingDisk() {
+  const Lock lock(sMutex);
   sState = new State();
 }
 
 FailingDisk::~FailingDisk() {
+  const Lock lock(sMutex);
   delete std::exchange(sState, nullptr);
 }
 
 void FailingDisk::Fail(std::vector<std::string> aFolders,
                        std::set<DiskCall> aCalls, int aError, int aAfter) {
+  const Lock lock(sMutex);
   sState->mFolders = std::move(aFolders);
   sState->mCalls = std::move(aCalls);
   sState->mError = aError;
@@ -151,14 +165,17 @@
 }
 
 void FailingDisk::Recover() {
+  const Lock lock(sMutex);
   sState->mCalls.clear();
 }
 
 int FailingDisk::Failures() const {
+  const Lock lock(sMutex);
   return sState->mFailures;
 }
 
 void FailingDisk::LosePower(const std::string& aFolder) {
+  const Lock lock(sMutex);
   std::map<std::string, StoredFile> durable;
   for (const auto& [path, file] : sState->mFiles) {
     if (IsUnder(path, aFolder) && file.mIsNamed) {
