Control opens its log off the loop, and tells how long its disk takes

A failed log is opened anew on the thread of the files; at a start identity and log are written at the same time.

--- a/bench/capacity_slopes.cpp
+++ b/bench/capacity_slopes.cpp
@@ -199,12 +199,11 @@
   EventLoop loop;
   {
     RaftNode* voter = nullptr;
-    RaftDiskStorage storage(
-        loop, aFolder + "/raft.log",
-        {.mOnProgress = [&voter, &loop] {
-          voter->OnStorageProgress(SteadyNow());
-          loop.Stop();
-        }});
+    RaftDiskStorage storage(loop, OpenRaftLog(aFolder + "/raft.log"),
+                            {.mOnProgress = [&voter, &loop] {
+                              voter->OnStorageProgress(SteadyNow());
+                              loop.Stop();
+                            }});
     RaftOptions options;
     options.mId = "v";
     options.mVoters = {"v"};
@@ -241,7 +240,7 @@
   const auto begin = std::chrono::steady_clock::now();
   ConfigurationMachine again;
   RaftNode* restarted = nullptr;
-  RaftDiskStorage storage(loop, aFolder + "/raft.log",
+  RaftDiskStorage storage(loop, OpenRaftLog(aFolder + "/raft.log"),
                           {.mOnProgress = [&restarted, &loop] {
                             restarted->OnStorageProgress(SteadyNow());
                             loop.Stop();
--- a/daemons/control/control_context.h
+++ b/daemons/control/control_context.h
@@ -7,6 +7,7 @@
 #include "spindleweir/daemons/control_daemon.h"
 #include "spindleweir/daemons/entry_vms_file.h"
 #include "spindleweir/drivers/disk_thread.h"
+#include "spindleweir/drivers/file_replacement.h"
 #include "spindleweir/drivers/rpc_channel.h"
 #include "spindleweir/drivers/rpc_dispatcher.h"
 
@@ -29,6 +30,14 @@
   /// Whether the other controls are found by seeds, not by a list of entry VMs.
   bool Joins() const { return !mOptions.mSeeds.empty(); }
 
+  /// Replaces a file of the data folder without holding up the loop.
+  ReplaceHook ReplaceInBackground() {
+    return ReplaceOn(
+        mFileThread, [this](const std::string& aPath, Millis aTook) {
+          mStorage.OnSynced(aPath.substr(aPath.rfind('/') + 1), aTook);
+        });
+  }
+
   EventLoop& mLoop;
   ControlOptions mOptions;
   Counters& mCounters;
--- a/daemons/control/control_identity.cpp
+++ b/daemons/control/control_identity.cpp
@@ -39,7 +39,6 @@
 }  // namespace
 
 ControlOptions PrepareIdentity(ControlOptions aOptions) {
-  PrepareFolder(aOptions.mData);
   aOptions.mId = ControlId(aOptions.mRpcListen, DiskName(aOptions));
   aOptions.mInitialVoters.clear();
   if (aOptions.mFirstStart) {
--- a/daemons/control/control_identity.h
+++ b/daemons/control/control_identity.h
@@ -6,7 +6,7 @@
 
 namespace spindleweir {
 
-/// Prepares the data folder and makes the identity on it durable; returns the
+/// Makes the identity in the data folder, which must exist, durable; returns the
 /// options with the id of this control and, at the first start, the ids of the
 /// first voters. Throws kDataCorrupt if the disk belongs to another address,
 /// kDataUnwritable, or kStorageFailed if the disk fails.
--- a/daemons/control/control_services.cpp
+++ b/daemons/control/control_services.cpp
@@ -18,7 +18,7 @@
                                  Counters& aCounters, StorageState& aStorage)
     : mContext(aLoop, PrepareDataFolder(std::move(aOptions)), aCounters,
                aStorage),
-      mLog(mContext),
+      mLog(mContext, OpenRaftLog(mContext.mOptions.mData + "/" + kRaftLogFile)),
       mClaims(mContext),
       mReceipts(mContext),
       mInventory(mContext,
--- a/daemons/control/crash_store.h
+++ b/daemons/control/crash_store.h
@@ -15,8 +15,7 @@
 /// remaining ones still have it.
 class CrashStore {
  public:
-  explicit CrashStore(std::string aPath,
-                      ReplaceHook aReplace = &ReplaceAndWait)
+  explicit CrashStore(std::string aPath, ReplaceHook aReplace = &ReplaceAndWait)
       : mPath(std::move(aPath)), mReplace(std::move(aReplace)) {}
 
   /// Merges the records of the file into aLedger. Ignores a missing or torn
--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -1,5 +1,6 @@
 #include "spindleweir/daemons/joined_control.h"
 
+#include <future>
 #include <optional>
 
 #include "daemons/control/control_identity.h"
@@ -8,6 +9,7 @@
 #include "daemons/loop_wait_log.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/daemons/answers.h"
+#include "spindleweir/drivers/file_tools.h"
 
 namespace spindleweir {
 
@@ -36,8 +38,15 @@
                 .mStart = [this] { StartServices(); }}) {}
 
   void StartServices() {
+    PrepareFolder(mOptions.mData);
+    // Both are written anew, each with two syncs, at the same time.
+    std::future<OpenRaftLog> log = std::async(
+        std::launch::async, [path = mOptions.mData + "/" + kRaftLogFile] {
+          return OpenRaftLog(path);
+        });
+    ControlOptions options = PrepareIdentity(mOptions);
     mServices = std::make_unique<JoinedServices>(
-        mLoop, PrepareIdentity(mOptions), mCounters, mStorage);
+        mLoop, std::move(options), log.get(), mCounters, mStorage);
     if (mNewSeeds.has_value()) {
       mServices->SetSeeds(*mNewSeeds);
     }
--- a/daemons/control/joined_services.cpp
+++ b/daemons/control/joined_services.cpp
@@ -26,9 +26,10 @@
 }  // namespace
 
 JoinedServices::JoinedServices(EventLoop& aLoop, ControlOptions aOptions,
-                               Counters& aCounters, StorageState& aStorage)
+                               OpenRaftLog aLog, Counters& aCounters,
+                               StorageState& aStorage)
     : mContext(aLoop, std::move(aOptions), aCounters, aStorage),
-      mLog(mContext),
+      mLog(mContext, std::move(aLog)),
       mSync(mContext, mLog),
       mMeter(aLoop, mContext.mRpc, mContext.mCounters,
              {.mZone = mContext.mOptions.mZone,
--- a/daemons/control/joined_services.h
+++ b/daemons/control/joined_services.h
@@ -21,10 +21,10 @@
 /// The services of one control, in the order of their construction.
 class JoinedServices {
  public:
-  /// aOptions: as PrepareIdentity() returns them. Throws kStorageFailed,
-  /// kDataCorrupt or kDataUnwritable.
-  JoinedServices(EventLoop& aLoop, ControlOptions aOptions, Counters& aCounters,
-                 StorageState& aStorage);
+  /// aOptions: as PrepareIdentity() returns them. aLog: the replicated log in
+  /// their data folder.
+  JoinedServices(EventLoop& aLoop, ControlOptions aOptions, OpenRaftLog aLog,
+                 Counters& aCounters, StorageState& aStorage);
 
   /// Answers a message of a router or another control.
   void HandleRpc(HttpExchange& aExchange) {
--- a/daemons/control/replicated_configuration.cpp
+++ b/daemons/control/replicated_configuration.cpp
@@ -18,9 +18,10 @@
 
 }  // namespace
 
-ReplicatedConfiguration::ReplicatedConfiguration(ControlContext& aContext)
+ReplicatedConfiguration::ReplicatedConfiguration(ControlContext& aContext,
+                                                 OpenRaftLog aLog)
     : mContext(aContext) {
-  Open();
+  Use(std::move(aLog));
   mContext.mDispatcher.On(
       rpc_method::kRaft, [this](const Json::Value& aMessage) {
         mRaft->Receive(FromJson<RaftMessage>(aMessage), SteadyNow());
@@ -39,11 +40,15 @@
   mTimer = mContext.mLoop.Every(kTickInterval, [this] { Tick(); });
 }
 
-void ReplicatedConfiguration::Open() {
+void ReplicatedConfiguration::Use(OpenRaftLog aLog) {
   const ControlOptions& options = mContext.mOptions;
   auto storage = std::make_unique<RaftDiskStorage>(
-      mContext.mLoop, options.mData + "/" + kRaftLogFile,
-      LogWriterHooks{.mOnProgress = [this] { OnStorageProgress(); }});
+      mContext.mLoop, std::move(aLog),
+      LogWriterHooks{.mOnProgress = [this] { OnStorageProgress(); },
+                     .mOnSynced =
+                         [this](Millis aTook) {
+                           mContext.mStorage.OnSynced(kRaftLogFile, aTook);
+                         }});
   RaftOptions raft;
   raft.mId = options.mId;
   if (storage->Empty()) {
@@ -78,18 +83,26 @@
     FailPending();
     return;
   }
-  if (now - mFailedAt < kStorageRetryInterval) {
+  if (mIsReopening || now - mFailedAt < kStorageRetryInterval) {
     return;
   }
   mFailedAt = now;
-  try {
-    Open();
-  } catch (const Error& error) {
-    mContext.mStorage.OnFailed(kRaftLogFile, error.what());
-    return;
-  }
-  mFailedAt = -1;
-  mContext.mStorage.OnUsable(kRaftLogFile);
+  mIsReopening = true;
+  const auto log = std::make_shared<std::optional<OpenRaftLog>>();
+  mContext.mFileThread.Run(
+      [log, path = mContext.mOptions.mData + "/" + kRaftLogFile] {
+        log->emplace(path);
+      },
+      [this, log](const DiskResult& aResult) {
+        mIsReopening = false;
+        if (aResult.mError.has_value()) {
+          mContext.mStorage.OnFailed(kRaftLogFile, aResult.mError->what());
+          return;
+        }
+        mFailedAt = -1;
+        Use(std::move(**log));
+        mContext.mStorage.OnUsable(kRaftLogFile);
+      });
 }
 
 void ReplicatedConfiguration::Send(const RaftMessage& aMessage) {
@@ -143,7 +156,20 @@
   }
 }
 
+void ReplicatedConfiguration::CountFailedElections() {
+  const std::int64_t failed = mRaft->FailedElections();
+  if (failed > mFailedElections) {
+    mContext.mCounters.Add("elections_failed", {}, failed - mFailedElections);
+    LogLine(LogLevel::kInfo, "election_failed")
+        .Add("term", static_cast<Json::Int64>(mRaft->Term()))
+        .Add("failed", static_cast<Json::Int64>(failed));
+  }
+  // A log that was opened again counts from zero.
+  mFailedElections = failed;
+}
+
 void ReplicatedConfiguration::UpdateLeader() {
+  CountFailedElections();
   if (mRaft->Leader() != mLoggedLeader) {
     mLoggedLeader = mRaft->Leader();
     LogLine(LogLevel::kInfo, "leader")
--- a/daemons/control/replicated_configuration.h
+++ b/daemons/control/replicated_configuration.h
@@ -29,7 +29,7 @@
 /// One member of the replicated log, with its storage and state machine.
 class ReplicatedConfiguration {
  public:
-  explicit ReplicatedConfiguration(ControlContext& aContext);
+  ReplicatedConfiguration(ControlContext& aContext, OpenRaftLog aLog);
 
   /// Proposes a command; aDone is called once.
   void Submit(const Command& aCommand, CommandDone aDone);
@@ -54,13 +54,15 @@
     Millis mSince = 0;
   };
 
-  /// Opens the log and rebuilds the state from disk, as a restart does.
-  void Open();
+  /// Rebuilds the state from a log that was read, as a restart does.
+  void Use(OpenRaftLog aLog);
   /// Writes of the log have become durable, or have failed.
   void OnStorageProgress();
-  /// Fails the pending commands and retries Open() every
-  /// kStorageRetryInterval.
+  /// Fails the pending commands and opens the log anew every
+  /// kStorageRetryInterval, until the disk accepts that.
   void ReopenAfterFailure();
+  /// Logs and counts the candidacies of this voter that have failed.
+  void CountFailedElections();
   void Send(const RaftMessage& aMessage);
   std::optional<Endpoint> AddressOf(const std::string& aId) const;
   void Apply(const LogEntry& aEntry);
@@ -82,6 +84,8 @@
   std::int64_t mTermWithCommit = 0;  ///< Last term that the signal was for.
   sigc::signal<void> mSignalTermCommitted;
   Millis mFailedAt = -1;  ///< Last failure of the storage; -1: it works.
+  bool mIsReopening = false;
+  std::int64_t mFailedElections = 0;  ///< Those that were logged.
   std::unique_ptr<Timer> mTimer;
   std::unique_ptr<Timer> mPushTimer;
 };
--- a/daemons/control/start_stamp.h
+++ b/daemons/control/start_stamp.h
@@ -26,8 +26,7 @@
 /// One file. If it is lost, the next start takes longer; nothing else is lost.
 class StartStamp {
  public:
-  explicit StartStamp(std::string aPath,
-                      ReplaceHook aReplace = &ReplaceAndWait)
+  explicit StartStamp(std::string aPath, ReplaceHook aReplace = &ReplaceAndWait)
       : mPath(std::move(aPath)), mReplace(std::move(aReplace)) {}
 
   /// Returns zero routers and a list that is not fresh if the file is missing
--- a/daemons/control/storage_state.cpp
+++ b/daemons/control/storage_state.cpp
@@ -5,6 +5,14 @@
 
 namespace spindleweir {
 
+namespace {
+
+/// Writes with their sync that take longer are logged. A disk that does nothing
+/// else takes a few milliseconds.
+constexpr Millis kSlowSync = 100;
+
+}  // namespace
+
 StorageState::StorageState(Counters& aCounters, std::string aFolder)
     : mCounters(aCounters), mFolder(std::move(aFolder)) {
   mCounters.Set("storage_failed", 0);
@@ -21,6 +29,15 @@
       .Add("why", aWhy);
 }
 
+void StorageState::OnSynced(const std::string& aFile, Millis aTook) {
+  mCounters.Observe("sync_ms", aTook);
+  if (aTook > kSlowSync) {
+    LogLine(LogLevel::kInfo, "sync_slow")
+        .Add("file", aFile)
+        .Add("took_ms", static_cast<Json::Int64>(aTook));
+  }
+}
+
 void StorageState::OnUsable(const std::string& aFile) {
   if (mFailed.erase(aFile) == 0) {
     return;
--- a/daemons/control/storage_state.h
+++ b/daemons/control/storage_state.h
@@ -20,6 +20,8 @@
  public:
   StorageState(Counters& aCounters, std::string aFolder);
 
+  /// Counts how long a write with its sync took; logs a slow one.
+  void OnSynced(const std::string& aFile, Millis aTook);
   /// Logs the failure: as an error the first time, then as a warning.
   void OnFailed(const std::string& aFile, const std::string& aWhy);
   /// Logs that the file is durable, if it had failed.
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -35,7 +35,7 @@
       mLog(aLog),
       mIncarnation(RandomHex(kIncarnationBytes)),
       mStamp(aContext.mOptions.mData + "/stamp",
-             ReplaceOn(aContext.mFileThread)),
+             aContext.ReplaceInBackground()),
       mPreviousRun(mStamp.Load(WallNow())),
       mStartedAt(SteadyNow()),
       mUpstreams(
@@ -48,7 +48,7 @@
           mPreviousRun.mUpstreamsFresh),
       mAnswerSizes(aContext.mLoop, aContext.mCounters),
       mCrashStore(aContext.mOptions.mData + "/barred",
-                  ReplaceOn(aContext.mFileThread)) {
+                  aContext.ReplaceInBackground()) {
   mCrashStore.Load(mCrashes, SteadyNow(),
                    mContext.mInvalidMessages.HookFor("disk"));
   LogLine(LogLevel::kInfo, "stamp_read")
--- a/daemons/control/upstream_intake.cpp
+++ b/daemons/control/upstream_intake.cpp
@@ -43,7 +43,7 @@
       mDirectory(aDirectory),
       mKnowsService(std::move(aKnowsService)),
       mStore(aContext.mOptions.mData + "/upstreams",
-             ReplaceOn(aContext.mFileThread)),
+             aContext.ReplaceInBackground()),
       mCollectorChoice(
           {.mMaxLocalHeartbeats = aContext.mOptions.mMaxLocalHeartbeats}) {
   if (aRestores) {
--- a/drivers/file_replacement.cpp
+++ b/drivers/file_replacement.cpp
@@ -17,12 +17,14 @@
   aDone(failure);
 }
 
-ReplaceHook ReplaceOn(DiskThread& aThread) {
-  return [&aThread](const std::string& aPath, std::string aBytes,
-                    ReplacedHook aDone) {
+ReplaceHook ReplaceOn(DiskThread& aThread, ReplaceTimeHook aOnReplaced) {
+  return [&aThread, onReplaced = std::move(aOnReplaced)](
+             const std::string& aPath, std::string aBytes, ReplacedHook aDone) {
     aThread.Run(
         [aPath, bytes = std::move(aBytes)] { ReplaceFile(aPath, bytes); },
-        [done = std::move(aDone)](const DiskResult& aResult) {
+        [aPath, onReplaced,
+         done = std::move(aDone)](const DiskResult& aResult) {
+          onReplaced(aPath, aResult.mTook);
           done(aResult.mError);
         });
   };
--- a/drivers/log_writer.cpp
+++ b/drivers/log_writer.cpp
@@ -72,9 +72,7 @@
   }
   if (aResult.mError.has_value()) {
     mFailure = aResult.mError;
-    if (!mNext.mReplaces) {
-      mNext = {};
-    }
+    mNext = {};
   } else {
     mDurable = aNewest;
     mBytes = mLog->Bytes();
--- a/drivers/raft_disk_storage.cpp
+++ b/drivers/raft_disk_storage.cpp
@@ -15,16 +15,12 @@
 
 }  // namespace
 
-RaftDiskStorage::RaftDiskStorage(EventLoop& aLoop, const std::string& aPath,
-                                 LogWriterHooks aHooks) {
-  mWriter = std::make_unique<LogWriter>(
-      aLoop,
-      std::make_unique<DiskLog>(
-          aPath, [this](std::string_view aRecord) { Replay(aRecord); }),
-      std::move(aHooks));
+OpenRaftLog::OpenRaftLog(const std::string& aPath) {
+  mLog = std::make_unique<DiskLog>(
+      aPath, [this](std::string_view aRecord) { Replay(aRecord); });
 }
 
-void RaftDiskStorage::Replay(std::string_view aRecord) {
+void OpenRaftLog::Replay(std::string_view aRecord) {
   mEmpty = false;
   try {
     const Json::Value record = ParseJson(aRecord);
@@ -50,8 +46,14 @@
   }
 }
 
+RaftDiskStorage::RaftDiskStorage(EventLoop& aLoop, OpenRaftLog aLog,
+                                 LogWriterHooks aHooks)
+    : mState(std::move(aLog.mState)),
+      mEmpty(aLog.mEmpty),
+      mWriter(aLoop, std::move(aLog.mLog), std::move(aHooks)) {}
+
 void RaftDiskStorage::SaveHardState(const HardState& aState) {
-  mWriter->Append({MakeRecord("state", aState)});
+  mWriter.Append({MakeRecord("state", aState)});
 }
 
 void RaftDiskStorage::Append(std::span<const LogEntry> aEntries) {
@@ -59,7 +61,7 @@
   for (const LogEntry& entry : aEntries) {
     records.push_back(MakeRecord("entry", entry));
   }
-  mWriter->Append(std::move(records));
+  mWriter.Append(std::move(records));
 }
 
 void RaftDiskStorage::SaveSnapshot(const Snapshot& aSnapshot,
@@ -70,14 +72,14 @@
   for (const LogEntry& entry : aNewerEntries) {
     records.push_back(MakeRecord("entry", entry));
   }
-  mWriter->Replace(std::move(records));
+  mWriter.Replace(std::move(records));
 }
 
 std::int64_t RaftDiskStorage::DurableWrites() {
-  if (mWriter->Failure().has_value()) {
-    throw Error(*mWriter->Failure());
+  if (mWriter.Failure().has_value()) {
+    throw Error(*mWriter.Failure());
   }
-  return mWriter->Durable();
+  return mWriter.Durable();
 }
 
 }  // namespace spindleweir
--- a/include/spindleweir/drivers/file_replacement.h
+++ b/include/spindleweir/drivers/file_replacement.h
@@ -14,15 +14,18 @@
 using ReplacedHook = std::function<void(const std::optional<Error>& aError)>;
 
 /// Replaces a file as ReplaceFile() does, then calls aDone.
-using ReplaceHook = std::function<void(
-    const std::string& aPath, std::string aBytes, ReplacedHook aDone)>;
+using ReplaceHook = std::function<void(const std::string& aPath,
+                                       std::string aBytes, ReplacedHook aDone)>;
 
 /// Waits for the disk.
 void ReplaceAndWait(const std::string& aPath, std::string aBytes,
                     ReplacedHook aDone);
 
-/// Returns a hook that leaves the wait to a thread, which must exist for as long
-/// as the hook is used.
-ReplaceHook ReplaceOn(DiskThread& aThread);
+/// Called with the path of a file and the time that replacing it took.
+using ReplaceTimeHook = std::function<void(const std::string&, Millis)>;
+
+/// Returns a hook that leaves the wait to a thread, which must exist for as
+/// long as the hook is used.
+ReplaceHook ReplaceOn(DiskThread& aThread, ReplaceTimeHook aOnReplaced);
 
 }  // namespace spindleweir
--- a/include/spindleweir/drivers/log_writer.h
+++ b/include/spindleweir/drivers/log_writer.h
@@ -35,10 +35,11 @@
   /// more each time. Throws kStorageFailed after a failure.
   std::int64_t Append(std::vector<std::string> aRecords);
   /// Begins to replace all records. Allowed after a failure, which it ends if
-  /// it succeeds.
+  /// it succeeds. Writes that wait when another one fails are never begun.
   std::int64_t Replace(std::vector<std::string> aRecords);
 
-  /// The number of the last write that is durable, and with it all earlier ones.
+  /// The number of the last write that is durable, and with it all earlier
+  /// ones.
   std::int64_t Durable() const { return mDurable; }
   /// Why a write failed; empty: none has since the last successful Replace().
   const std::optional<Error>& Failure() const { return mFailure; }
--- a/include/spindleweir/drivers/raft_disk_storage.h
+++ b/include/spindleweir/drivers/raft_disk_storage.h
@@ -11,16 +11,28 @@
 
 namespace spindleweir {
 
+/// A voter's log file that has been read, and written anew.
+struct OpenRaftLog {
+  /// Waits for the disk; may run on any thread. Throws kDataCorrupt,
+  /// kDataUnwritable or kStorageFailed.
+  explicit OpenRaftLog(const std::string& aPath);
+
+  DurableState mState;
+  bool mEmpty = true;  ///< It had no records: the voter never ran before.
+  std::unique_ptr<DiskLog> mLog;
+
+ private:
+  void Replay(std::string_view aRecord);
+};
+
 /// Stores "state", "entry" and "snapshot" records; a snapshot rewrites the
 /// file. Writes on a thread of its own.
 class RaftDiskStorage : public RaftStorage {
  public:
-  /// Reads the file, and writes it anew before it returns. Throws kDataCorrupt,
-  /// kDataUnwritable or kStorageFailed. aHooks: called once writes have become
-  /// durable or have failed.
-  RaftDiskStorage(EventLoop& aLoop, const std::string& aPath,
-                  LogWriterHooks aHooks);
+  /// aHooks: called once writes have become durable or have failed.
+  RaftDiskStorage(EventLoop& aLoop, OpenRaftLog aLog, LogWriterHooks aHooks);
 
+  /// The state as of the start.
   DurableState Load() override { return mState; }
   void SaveHardState(const HardState& aState) override;
   void Append(std::span<const LogEntry> aEntries) override;
@@ -29,16 +41,14 @@
                     const HardState& aState) override;
   std::int64_t DurableWrites() override;
 
-  /// Whether the log had no records: the voter never ran before.
+  /// Whether the log had no records at the start.
   bool Empty() const { return mEmpty; }
-  std::size_t Bytes() const { return mWriter->Bytes(); }
+  std::size_t Bytes() const { return mWriter.Bytes(); }
 
  private:
-  void Replay(std::string_view aRecord);
-
   DurableState mState;  ///< As read at the start; not updated afterwards.
-  bool mEmpty = true;
-  std::unique_ptr<LogWriter> mWriter;
+  bool mEmpty;
+  LogWriter mWriter;
 };
 
 }  // namespace spindleweir
--- a/include/spindleweir/servers/consensus/raft_messages.h
+++ b/include/spindleweir/servers/consensus/raft_messages.h
@@ -71,8 +71,9 @@
   std::string mTo;
   std::int64_t mTerm = 0;
   /// kAppend: index of the entry before mEntries. Vote requests: the sender's
-  /// last index. Append replies: the last durable index that matches the leader's
-  /// log, or, if refused, the index after which the leader should continue.
+  /// last index. Append replies: the last durable index that matches the
+  /// leader's log, or, if refused, the index after which the leader should
+  /// continue.
   std::int64_t mIndex = 0;
   std::int64_t mLogTerm = 0;  ///< Term of the entry at mIndex.
   std::int64_t mCommit = 0;
@@ -82,7 +83,7 @@
   /// Append replies: the last index that matches the leader's log, durable or
   /// not; mIndex counts durable entries only.
   std::int64_t mReceived = 0;
-  bool mGranted = false;    ///< In replies: whether the request is granted.
+  bool mGranted = false;  ///< In replies: whether the request is granted.
   std::vector<LogEntry> mEntries;
   Snapshot mSnapshot;
 
--- a/include/spindleweir/servers/consensus/raft_node.h
+++ b/include/spindleweir/servers/consensus/raft_node.h
@@ -104,9 +104,7 @@
   std::int64_t FirstLogIndex() const { return mSnapshot.mIndex + 1; }
   const std::vector<std::string>& Voters() const { return mVoters; }
   /// How long the oldest write that is not durable has taken so far; 0: none.
-  Millis PendingWriteAge(Millis aNow) const {
-    return mWrites.OldestAge(aNow);
-  }
+  Millis PendingWriteAge(Millis aNow) const { return mWrites.OldestAge(aNow); }
   /// Candidacies of this voter that ended without its becoming the leader.
   std::int64_t FailedElections() const { return mFailedElections; }
 
--- a/include/spindleweir/servers/consensus/raft_storage.h
+++ b/include/spindleweir/servers/consensus/raft_storage.h
@@ -20,8 +20,8 @@
 
 /// Each call begins a write. Writes become durable in the order of the calls,
 /// and the voter promises nothing that rests on one before DurableWrites()
-/// includes it. Any method throws kStorageFailed or kDataUnwritable once a write
-/// has failed; the voter then stops taking part.
+/// includes it. Any method throws kStorageFailed or kDataUnwritable once a
+/// write has failed; the voter then stops taking part.
 class RaftStorage {
  public:
   virtual ~RaftStorage() = default;
--- a/servers/consensus/raft_election.cpp
+++ b/servers/consensus/raft_election.cpp
@@ -206,8 +206,8 @@
 }
 
 Millis RaftNode::GrownElectionTimeout() const {
-  const int failed = std::clamp(mElectionsSeen - kMaxFastElections, 0,
-                                kMaxDoublings);
+  const int failed =
+      std::clamp(mElectionsSeen - kMaxFastElections, 0, kMaxDoublings);
   return mOptions.mElectionTimeout << failed;
 }
 
--- a/servers/consensus/raft_node.cpp
+++ b/servers/consensus/raft_node.cpp
@@ -86,8 +86,8 @@
                              std::span<const LogEntry> aRemaining) {
   mOptions.mStorage->SaveSnapshot(aSnapshot, aRemaining, mHardState);
   mHardStateChanged = false;
-  mWrites.Begin(
-      aSnapshot.mIndex + static_cast<std::int64_t>(aRemaining.size()), mNow);
+  mWrites.Begin(aSnapshot.mIndex + static_cast<std::int64_t>(aRemaining.size()),
+                mNow);
 }
 
 bool RaftNode::FinishWrites() {
--- a/tests/drivers/disk_log_test.cpp
+++ b/tests/drivers/disk_log_test.cpp
@@ -113,7 +113,7 @@
   EventLoop loop;
   const LogWriterHooks hooks{.mOnProgress = [] {}};
   {
-    RaftDiskStorage storage(loop, path, hooks);
+    RaftDiskStorage storage(loop, OpenRaftLog(path), hooks);
     CHECK(storage.Empty());
     storage.SaveHardState({.mTerm = 3, .mVotedFor = "a"});
     const std::vector<LogEntry> entries = {{1, 1, "x", {}}, {2, 1, "y", {}}};
@@ -124,7 +124,7 @@
     REQUIRE(RunLoopUntil(loop, [&] { return storage.DurableWrites() == 3; }));
   }
   {
-    RaftDiskStorage storage(loop, path, hooks);
+    RaftDiskStorage storage(loop, OpenRaftLog(path), hooks);
     const DurableState state = storage.Load();
     CHECK(state.mHardState.mTerm == 3 && state.mHardState.mVotedFor == "a");
     REQUIRE(state.mEntries.size() == 2);
@@ -134,7 +134,7 @@
                          {.mTerm = 4});
     REQUIRE(RunLoopUntil(loop, [&] { return storage.DurableWrites() == 1; }));
   }
-  RaftDiskStorage storage(loop, path, hooks);
+  RaftDiskStorage storage(loop, OpenRaftLog(path), hooks);
   const DurableState state = storage.Load();
   CHECK(state.mSnapshot.mIndex == 2 && state.mSnapshot.mData == "state");
   CHECK(state.mHardState.mTerm == 4);
