--- a/servers/consensus/raft_replication.cpp
+++ b/servers/consensus/raft_replication.cpp
@@ -146,6 +146,10 @@
               static_cast<std::ptrdiff_t>(snapshot.mIndex - mSnapshot.mIndex),
           mEntries.end());
     }
+    if (!sameLog) {
+      // Beyond the commit the disk holds another log until then.
+      mWrites.Truncate(mCommit);
+    }
     WriteSnapshot(snapshot, remaining);
     mSnapshot = snapshot;
     mEntries = std::move(remaining);
--- a/tests/fuzz/raft_storage_fuzz.cpp
+++ b/tests/fuzz/raft_storage_fuzz.cpp
@@ -450,3 +450,57 @@
 Test(raft_storage_fuzz, detects_skipped_syncs) {
   CHECK(Finds({.mDefect = StorageDefect::kSkipsSyncs}));
 }
+
+// A voter counted entries of its former log for a snapshot not yet on its disk.
+Test(raft_storage, a_pending_snapshot_is_not_told_as_durable) {
+  DelayedStorage storage;
+  std::vector<RaftMessage> sent;
+  RaftOptions options;
+  options.mId = "v0";
+  options.mVoters = {"v0", "v1", "v2"};
+  options.mStorage = &storage;
+  options.mSend = [&](const RaftMessage& aMessage) {
+    sent.push_back(aMessage);
+  };
+  options.mApply = [](const LogEntry&) {};
+  options.mMakeSnapshot = [] { return std::string(); };
+  options.mInstallSnapshot = [](const std::string&) {};
+  RaftNode node(options, 0);
+  RaftMessage append;
+  append.mFrom = "v1";
+  append.mTo = "v0";
+  append.mTerm = 1;
+  for (std::int64_t i = 1; i <= 4; i++) {
+    append.mEntries.push_back({i, 1, "p" + std::to_string(i), {}});
+  }
+  node.Receive(append, 1);
+  storage.Sync(storage.Pending());
+  node.OnStorageProgress(2);
+  REQUIRE(sent.back().mGranted && sent.back().mIndex == 4);
+  RaftMessage snapshot;
+  snapshot.mKind = RaftKind::kSnapshot;
+  snapshot.mFrom = "v2";
+  snapshot.mTo = "v0";
+  snapshot.mTerm = 2;
+  snapshot.mSnapshot = {.mIndex = 3, .mTerm = 2, .mVoters = options.mVoters};
+  node.Receive(snapshot, 3);
+  RaftMessage heartbeat;
+  heartbeat.mFrom = "v2";
+  heartbeat.mTo = "v0";
+  heartbeat.mTerm = 2;
+  heartbeat.mIndex = 3;
+  heartbeat.mLogTerm = 2;
+  node.Receive(heartbeat, 4);
+  SECTION(
+      "a heartbeat is answered at once, and counts nothing of another log") {
+    REQUIRE(sent.back().mGranted);
+    CHECK(sent.back().mIndex == 0);
+    CHECK(sent.back().mReceived == 3);
+  }
+  SECTION("the snapshot counts once it is durable") {
+    storage.Sync(storage.Pending());
+    node.OnStorageProgress(5);
+    node.Receive(heartbeat, 6);
+    CHECK(sent.back().mIndex == 3);
+  }
+}
