Votes count until the next candidacy; a start on another's folder touches nothing

- A candidate whose time was over dropped votes that were still being written, while the voters refused the next election for the sake of this one.
With disks of different speed, elections could go on until timeouts had grown.
Votes count until the next candidacy begins.
- A control that was started on the folder of another one replaced that one's log before its identity was checked.
It is checked first now; the log and the identity are still written at the same time.
- First voters are in the log before the services start, as before this change.
- A log that failed is opened anew on a thread that nothing else waits for, and only once its writer is idle.
- Candidacy numbers come from the random device, not from the wall clock.
- What a thread throws besides Error is an error of its work; only signals of the process are blocked there.

--- a/daemons/control/control_identity.cpp
+++ b/daemons/control/control_identity.cpp
@@ -14,31 +14,29 @@
 /// each other's ids from the seeds.
 constexpr const char* kInitialDiskName = "first";
 
+std::string IdentityPath(const ControlOptions& aOptions) {
+  return aOptions.mData + "/identity";
+}
+
 /// Returns the name of this disk, which is stored on it; an empty disk gets a
 /// new one.
 std::string DiskName(const ControlOptions& aOptions) {
-  const std::string path = aOptions.mData + "/identity";
+  const std::string path = IdentityPath(aOptions);
   const std::string owner = aOptions.mRpcListen.Text() + "#";
   const std::string stored = ReadDataFile(path);
   if (!stored.empty() && !stored.starts_with(owner)) {
     throw Error(ResultCode::kDataCorrupt,
                 path + " belongs to " + stored + ", not to " + owner);
   }
-  std::string name =
-      aOptions.mFirstStart ? kInitialDiskName : RandomHex(kDiskNameBytes);
   if (!stored.empty()) {
-    name = stored.substr(owner.size());
+    return stored.substr(owner.size());
   }
-  // A name that is read back may be lost with the next loss of power, if an
-  // earlier process could not sync it. A vote under a lost name would be
-  // forgotten, so that it is written again.
-  ReplaceFile(path, owner + name);
-  return name;
+  return aOptions.mFirstStart ? kInitialDiskName : RandomHex(kDiskNameBytes);
 }
 
 }  // namespace
 
-ControlOptions PrepareIdentity(ControlOptions aOptions) {
+ControlOptions ReadIdentity(ControlOptions aOptions) {
   aOptions.mId = ControlId(aOptions.mRpcListen, DiskName(aOptions));
   aOptions.mInitialVoters.clear();
   if (aOptions.mFirstStart) {
@@ -49,4 +47,11 @@
   return aOptions;
 }
 
+void WriteIdentity(const ControlOptions& aOptions) {
+  // A name that was read back may be lost with the next loss of power, if an
+  // earlier process could not sync it. A vote under a lost name would be
+  // forgotten, so that it is written again.
+  ReplaceFile(IdentityPath(aOptions), aOptions.mId);
+}
+
 }  // namespace spindleweir
--- a/daemons/control/control_identity.h
+++ b/daemons/control/control_identity.h
@@ -6,10 +6,12 @@
 
 namespace spindleweir {
 
-/// Makes the identity in the data folder, which must exist, durable; returns the
-/// options with the id of this control and, at the first start, the ids of the
-/// first voters. Throws kDataCorrupt if the disk belongs to another address,
-/// kDataUnwritable, or kStorageFailed if the disk fails.
-ControlOptions PrepareIdentity(ControlOptions aOptions);
+/// Returns the options with the id of this control and, at the first start, the
+/// ids of the first voters. Writes nothing. Throws kDataCorrupt if the data
+/// folder belongs to another address, kDataUnwritable or kStorageFailed.
+ControlOptions ReadIdentity(ControlOptions aOptions);
+
+/// Makes the id of the options durable. Throws as ReplaceFile().
+void WriteIdentity(const ControlOptions& aOptions);
 
 }  // namespace spindleweir
--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -39,14 +39,16 @@
 
   void StartServices() {
     PrepareFolder(mOptions.mData);
-    // Both are written anew, each with two syncs, at the same time.
-    std::future<OpenRaftLog> log = std::async(
-        std::launch::async, [path = mOptions.mData + "/" + kRaftLogFile] {
-          return OpenRaftLog(path);
-        });
-    ControlOptions options = PrepareIdentity(mOptions);
+    ControlOptions options = ReadIdentity(mOptions);
+    // Both files are written anew, each with two syncs, at the same time.
+    std::future<OpenRaftLog> log = std::async(std::launch::async, [&options] {
+      return OpenRaftLog(options.mData + "/" + kRaftLogFile,
+                         options.mInitialVoters);
+    });
+    WriteIdentity(options);
+    OpenRaftLog openLog = log.get();
     mServices = std::make_unique<JoinedServices>(
-        mLoop, std::move(options), log.get(), mCounters, mStorage);
+        mLoop, std::move(options), std::move(openLog), mCounters, mStorage);
     if (mNewSeeds.has_value()) {
       mServices->SetSeeds(*mNewSeeds);
     }
--- a/daemons/control/joined_services.h
+++ b/daemons/control/joined_services.h
@@ -21,7 +21,7 @@
 /// The services of one control, in the order of their construction.
 class JoinedServices {
  public:
-  /// aOptions: as PrepareIdentity() returns them. aLog: the replicated log in
+  /// aOptions: as ReadIdentity() returns them. aLog: the replicated log in
   /// their data folder.
   JoinedServices(EventLoop& aLoop, ControlOptions aOptions, OpenRaftLog aLog,
                  Counters& aCounters, StorageState& aStorage);
--- a/daemons/control/replicated_configuration.cpp
+++ b/daemons/control/replicated_configuration.cpp
@@ -1,5 +1,7 @@
 #include "daemons/control/replicated_configuration.h"
 
+#include <random>
+
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/daemons/peer_messages.h"
@@ -51,14 +53,11 @@
                          }});
   RaftOptions raft;
   raft.mId = options.mId;
-  if (storage->Empty()) {
-    raft.mVoters = options.mInitialVoters;
-  }
   raft.mElectionTimeout = options.mElectionTimeout;
   raft.mHeartbeatInterval = options.mElectionTimeout / kHeartbeatsPerTimeout;
   raft.mSnapshotThresholdBytes = kSnapshotThresholdBytes;
-  raft.mSeed = static_cast<std::uint64_t>(WallNow()) ^
-               std::hash<std::string>()(options.mId);
+  // Not from the clock, which may return to the time of an earlier start.
+  raft.mSeed = std::random_device()();
   raft.mStorage = storage.get();
   raft.mSend = [this](const RaftMessage& aMessage) { Send(aMessage); };
   raft.mApply = [this](const LogEntry& aEntry) { Apply(aEntry); };
@@ -83,15 +82,20 @@
     FailPending();
     return;
   }
-  if (mIsReopening || now - mFailedAt < kStorageRetryInterval) {
+  if (mIsReopening || !mStorage->IsIdle() ||
+      now - mFailedAt < kStorageRetryInterval) {
     return;
   }
   mFailedAt = now;
   mIsReopening = true;
   const auto log = std::make_shared<std::optional<OpenRaftLog>>();
-  mContext.mFileThread.Run(
-      [log, path = mContext.mOptions.mData + "/" + kRaftLogFile] {
-        log->emplace(path);
+  if (mReopenThread == nullptr) {
+    mReopenThread = std::make_unique<DiskThread>(mContext.mLoop);
+  }
+  mReopenThread->Run(
+      [log, path = mContext.mOptions.mData + "/" + kRaftLogFile,
+       voters = mContext.mOptions.mInitialVoters] {
+        log->emplace(path, voters);
       },
       [this, log](const DiskResult& aResult) {
         mIsReopening = false;
--- a/daemons/control/replicated_configuration.h
+++ b/daemons/control/replicated_configuration.h
@@ -85,7 +85,8 @@
   sigc::signal<void> mSignalTermCommitted;
   Millis mFailedAt = -1;  ///< Last failure of the storage; -1: it works.
   bool mIsReopening = false;
-  std::int64_t mFailedElections = 0;  ///< Those that were logged.
+  std::unique_ptr<DiskThread> mReopenThread;  ///< Since the first failure.
+  std::int64_t mFailedElections = 0;          ///< Those that were logged.
   std::unique_ptr<Timer> mTimer;
   std::unique_ptr<Timer> mPushTimer;
 };
--- a/drivers/disk_thread.cpp
+++ b/drivers/disk_thread.cpp
@@ -12,12 +12,16 @@
 
 namespace {
 
-/// Starts a thread that receives no signals: they are the event loop's.
+/// Starts a thread that receives no signals for the process: they are the event
+/// loop's.
 std::thread StartWithoutSignals(std::function<void()> aRun) {
-  sigset_t all;
+  sigset_t blocked;
   sigset_t before;
-  sigfillset(&all);
-  pthread_sigmask(SIG_SETMASK, &all, &before);
+  sigemptyset(&blocked);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&blocked, signal);
+  }
+  pthread_sigmask(SIG_BLOCK, &blocked, &before);
   std::thread thread(std::move(aRun));
   pthread_sigmask(SIG_SETMASK, &before, nullptr);
   return thread;
@@ -71,6 +75,8 @@
       job.mWork();
     } catch (const Error& error) {
       job.mResult.mError = error;
+    } catch (const std::exception& error) {
+      job.mResult.mError = Error(ResultCode::kInternal, error.what());
     }
     job.mResult.mTook = SteadyNow() - began;
     lock.lock();
--- a/drivers/raft_disk_storage.cpp
+++ b/drivers/raft_disk_storage.cpp
@@ -15,9 +15,16 @@
 
 }  // namespace
 
-OpenRaftLog::OpenRaftLog(const std::string& aPath) {
+OpenRaftLog::OpenRaftLog(const std::string& aPath,
+                         const std::vector<std::string>& aInitialVoters) {
   mLog = std::make_unique<DiskLog>(
       aPath, [this](std::string_view aRecord) { Replay(aRecord); });
+  if (mEmpty && !aInitialVoters.empty()) {
+    // A restart may pass no voters.
+    mState.mSnapshot.mVoters = aInitialVoters;
+    mLog->Append(MakeRecord("snapshot", mState.mSnapshot));
+    mLog->Sync();
+  }
 }
 
 void OpenRaftLog::Replay(std::string_view aRecord) {
--- a/include/spindleweir/drivers/log_writer.h
+++ b/include/spindleweir/drivers/log_writer.h
@@ -43,6 +43,8 @@
   std::int64_t Durable() const { return mDurable; }
   /// Why a write failed; empty: none has since the last successful Replace().
   const std::optional<Error>& Failure() const { return mFailure; }
+  /// Whether no write is under way or waits.
+  bool IsIdle() const { return !mIsWriting && mNext.mNewest == 0; }
   /// Bytes of the file, as of the last write that is durable.
   std::size_t Bytes() const { return mBytes; }
 
--- a/include/spindleweir/drivers/raft_disk_storage.h
+++ b/include/spindleweir/drivers/raft_disk_storage.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "spindleweir/drivers/disk_log.h"
 #include "spindleweir/drivers/log_writer.h"
@@ -15,7 +16,9 @@
 struct OpenRaftLog {
   /// Waits for the disk; may run on any thread. Throws kDataCorrupt,
   /// kDataUnwritable or kStorageFailed.
-  explicit OpenRaftLog(const std::string& aPath);
+  /// aInitialVoters: stored as the voters if the file has no records.
+  explicit OpenRaftLog(const std::string& aPath,
+                       const std::vector<std::string>& aInitialVoters = {});
 
   DurableState mState;
   bool mEmpty = true;  ///< It had no records: the voter never ran before.
@@ -43,6 +46,8 @@
 
   /// Whether the log had no records at the start.
   bool Empty() const { return mEmpty; }
+  /// Whether nothing waits to be written.
+  bool IsIdle() const { return mWriter.IsIdle(); }
   std::size_t Bytes() const { return mWriter.Bytes(); }
 
  private:
--- a/include/spindleweir/servers/consensus/raft_messages.h
+++ b/include/spindleweir/servers/consensus/raft_messages.h
@@ -24,7 +24,8 @@
   }
 };
 
-/// Term and vote of a voter, saved to disk before they are sent to others.
+/// Term and vote of a voter. A vote is durable before it is sent to others; a
+/// term is with the first vote or entry in it.
 struct HardState {
   std::int64_t mTerm = 0;
   std::string mVotedFor;  ///< Empty: no vote cast in this term.
--- a/include/spindleweir/servers/consensus/raft_node.h
+++ b/include/spindleweir/servers/consensus/raft_node.h
@@ -160,12 +160,16 @@
   /// Sends a message once all that was written so far is durable.
   void SendWhenDurable(RaftMessage aMessage);
 
-  /// Steps down if a majority is out of contact or no longer needs this leader.
-  bool StepDownIfUseless();
+  /// On a leader: whether a majority of the voters has not answered lately.
+  bool HasLostQuorum() const;
+  /// On a leader: whether its disk hangs while a majority commits without it,
+  /// so that one of that majority can lead.
+  bool IsLeftBehind() const;
   void StartPreVote();
   void StartElection();
-  /// Counts the vote of this candidate for itself, which is durable now.
-  void CountOwnVote();
+  /// Counts a vote for the candidacy that this voter stands for.
+  void CountVote(const std::string& aFrom);
+  /// Ends the candidacy without success, if there is one.
   void EndCandidacy();
   /// Whether this voter's vote is not durable yet, or was so recently that the
   /// votes of others may still be on their way to the same candidate.
@@ -218,7 +222,11 @@
   std::int64_t mRound = 0;
   std::deque<RoundTime> mRoundTimes;  ///< Of this term as leader, oldest first.
   std::size_t mBytesSinceSnapshot = 0;  ///< Payload bytes applied.
-  std::set<std::string> mVotes;
+  std::set<std::string> mPreVotes;
+  /// Whether votes for this voter's last candidacy may still make it the
+  /// leader, also while it already asks for the next pre-votes.
+  bool mIsStanding = false;
+  std::set<std::string> mVotes;  ///< For that candidacy.
   std::map<std::string, Progress> mProgress;
   std::vector<PendingRead> mPendingReads;
   std::mt19937_64 mRandom;
@@ -231,9 +239,9 @@
   int mElectionsSeen = 0;
   std::int64_t mFailedElections = 0;
   /// The last index up to which the log is known to be that of the leader of
-  /// mMatchTerm.
-  std::int64_t mMatch = 0;
-  std::int64_t mMatchTerm = 0;
+  /// mLeaderMatchTerm.
+  std::int64_t mLeaderMatch = 0;
+  std::int64_t mLeaderMatchTerm = 0;
   PendingWrites mWrites;
   /// Whether mHardState has a newer term than was written. It is written with
   /// the next vote or entry of that term, since nothing else rests on it.
--- a/servers/consensus/raft_election.cpp
+++ b/servers/consensus/raft_election.cpp
@@ -66,36 +66,29 @@
 }
 
 void RaftNode::HandleVoteReply(const RaftMessage& aMessage) {
-  const bool pre = aMessage.mKind == RaftKind::kPreVoteReply;
-  const RaftRole requiredRole =
-      pre ? RaftRole::kPreCandidate : RaftRole::kCandidate;
-  const std::int64_t term = pre ? mHardState.mTerm + 1 : mHardState.mTerm;
-  if (mRole != requiredRole || aMessage.mTerm != term || !aMessage.mGranted ||
-      !IsVoter(aMessage.mFrom)) {
+  if (!aMessage.mGranted || !IsVoter(aMessage.mFrom)) {
     return;
   }
-  if (!pre && aMessage.mRound != mCandidacy) {
-    return;
-  }
-  mVotes.insert(aMessage.mFrom);
-  // Without its own vote on disk a candidate might stand in this term again
-  // after a restart, with another log.
-  if (!IsMajority(mVotes.size()) || !mVotes.contains(mOptions.mId)) {
+  if (aMessage.mKind == RaftKind::kPreVoteReply) {
+    const bool isAwaited = mRole == RaftRole::kPreCandidate &&
+                           aMessage.mTerm == mHardState.mTerm + 1;
+    if (isAwaited && mPreVotes.insert(aMessage.mFrom).second &&
+        IsMajority(mPreVotes.size())) {
+      StartElection();
+    }
     return;
   }
-  if (pre) {
-    StartElection();
-  } else {
-    BecomeLeader();
+  if (mIsStanding && aMessage.mTerm == mHardState.mTerm &&
+      aMessage.mRound == mCandidacy) {
+    CountVote(aMessage.mFrom);
   }
 }
 
-void RaftNode::CountOwnVote() {
-  if (mRole != RaftRole::kCandidate) {
-    return;
-  }
-  mVotes.insert(mOptions.mId);
-  if (IsMajority(mVotes.size())) {
+void RaftNode::CountVote(const std::string& aFrom) {
+  mVotes.insert(aFrom);
+  // Without its own vote on disk a candidate might stand in this term again
+  // after a restart, with another log.
+  if (IsMajority(mVotes.size()) && mVotes.contains(mOptions.mId)) {
     BecomeLeader();
   }
 }
@@ -106,12 +99,13 @@
 }
 
 void RaftNode::StartPreVote() {
-  EndCandidacy();
+  // Votes for a candidacy whose time is over still count until the next one:
+  // the disks of the others may be slower than this voter's.
   mRole = RaftRole::kPreCandidate;
   mLeader.clear();
-  mVotes = {mOptions.mId};
+  mPreVotes = {mOptions.mId};
   RestartElectionTimer(1, kMaxPreVoteHeartbeats);
-  if (IsMajority(mVotes.size())) {
+  if (IsMajority(mPreVotes.size())) {
     StartElection();
     return;
   }
@@ -119,6 +113,8 @@
 }
 
 void RaftNode::StartElection() {
+  EndCandidacy();
+  mIsStanding = true;
   mRole = RaftRole::kCandidate;
   mHardState.mTerm++;
   mHardState.mVotedFor = mOptions.mId;
@@ -134,9 +130,10 @@
 }
 
 void RaftNode::EndCandidacy() {
-  if (mRole == RaftRole::kCandidate) {
+  if (mIsStanding) {
     mFailedElections++;
   }
+  mIsStanding = false;
 }
 
 void RaftNode::BroadcastVote(RaftKind aKind, std::int64_t aTerm) {
@@ -156,6 +153,7 @@
 }
 
 void RaftNode::BecomeLeader() {
+  mIsStanding = false;
   mRole = RaftRole::kLeader;
   mLeader = mOptions.mId;
   mHasSeenLeader = true;
--- a/servers/consensus/raft_node.cpp
+++ b/servers/consensus/raft_node.cpp
@@ -35,6 +35,7 @@
     // A restart may pass no voters, so the initial ones are saved too.
     mSnapshot.mVoters = mOptions.mVoters;
     WriteSnapshot(mSnapshot, mEntries);
+    FinishWrites();
   }
   RefreshVoters();
   // No leader is known, so an early pre-vote disturbs none.
@@ -106,7 +107,9 @@
     if (mLeader.empty()) {
       RestartVoteTimer();
     }
-    CountOwnVote();
+    if (mIsStanding) {
+      CountVote(mOptions.mId);
+    }
   }
   if (mRole == RaftRole::kLeader) {
     AdvanceCommit();
@@ -124,7 +127,10 @@
   mNow = aNow;
   RunUnlessFailed([this] {
     if (mRole == RaftRole::kLeader) {
-      if (!StepDownIfUseless() && mNow >= mHeartbeatAt) {
+      if (HasLostQuorum() || IsLeftBehind()) {
+        // Fails pending reads now instead of leaving them open.
+        BecomeFollower(mHardState.mTerm, "");
+      } else if (mNow >= mHeartbeatAt) {
         BroadcastAppend();
       }
       return;
@@ -139,22 +145,19 @@
   });
 }
 
-bool RaftNode::StepDownIfUseless() {
+bool RaftNode::HasLostQuorum() const {
   std::size_t seen = 1;
   for (const auto& [id, progress] : mProgress) {
     const bool recent =
         mNow - progress.mLastSeenAt < 2 * mOptions.mElectionTimeout;
     seen += (IsVoter(id) && recent) ? 1 : 0;
   }
-  // Stepping down fails pending reads now instead of leaving them open.
-  const bool isPartitioned = !IsMajority(seen);
-  // A majority commits without this disk, so that one of it can lead.
-  const bool isLeftBehind = mWrites.OldestAge(mNow) >= kMaxLeaderWrite &&
-                            mCommit > mWrites.DurableIndex();
-  if (isPartitioned || isLeftBehind) {
-    BecomeFollower(mHardState.mTerm, "");
-  }
-  return isPartitioned || isLeftBehind;
+  return !IsMajority(seen);
+}
+
+bool RaftNode::IsLeftBehind() const {
+  return mWrites.OldestAge(mNow) >= kMaxLeaderWrite &&
+         mCommit > mWrites.DurableIndex();
 }
 
 void RaftNode::Receive(const RaftMessage& aMessage, Millis aNow) {
--- a/servers/consensus/raft_replication.cpp
+++ b/servers/consensus/raft_replication.cpp
@@ -37,19 +37,20 @@
   mCommit = std::max(mCommit, std::min(aMessage.mCommit, last));
   ApplyCommitted();
   RaftMessage reply = MakeReply(aMessage, RaftKind::kAppendReply, true, last);
-  reply.mReceived = mMatch;
+  reply.mReceived = mLeaderMatch;
   if (!aMessage.mEntries.empty() && last > mWrites.DurableIndex()) {
     SendWhenDurable(std::move(reply));
     return;
   }
   // A heartbeat confirms the leader, whatever the disk does meanwhile.
-  reply.mIndex = std::min(mMatch, mWrites.DurableIndex());
+  reply.mIndex = std::min(mLeaderMatch, mWrites.DurableIndex());
   Send(std::move(reply));
 }
 
 void RaftNode::OnLogMatches(std::int64_t aLast) {
-  mMatch = mMatchTerm == mHardState.mTerm ? std::max(mMatch, aLast) : aLast;
-  mMatchTerm = mHardState.mTerm;
+  const bool isSameLeader = mLeaderMatchTerm == mHardState.mTerm;
+  mLeaderMatch = isSameLeader ? std::max(mLeaderMatch, aLast) : aLast;
+  mLeaderMatchTerm = mHardState.mTerm;
 }
 
 bool RaftNode::StoreEntries(const RaftMessage& aMessage) {
--- a/tests/daemons/lost_disk_test.cpp
+++ b/tests/daemons/lost_disk_test.cpp
@@ -25,3 +25,25 @@
     }
   }
 }
+
+// A control that was started on the folder of another one replaced that one's
+// log, which went on writing to a file without a name.
+Test(lost_disk, a_control_on_the_folder_of_another_leaves_its_log_alone) {
+  ControlGroup controls;
+  REQUIRE(controls.Publish(Document(Traffic(6))).mCode == ResultCode::kOk);
+  ControlOptions options = controls.OptionsOf(0, false);
+  options.mRpcListen = FreeEndpoint();
+  SECTION("it is refused") {
+    CHECK(CodeThrownBy([&] {
+            const JoinedControl other(controls.mLoop, options);
+          }) == ResultCode::kDataCorrupt);
+  }
+  SECTION("the owner's later changes survive a kill of all") {
+    const std::string document = Document(Traffic(7));
+    REQUIRE(controls.Publish(document).mCode == ResultCode::kOk);
+    controls.StopAll();
+    std::filesystem::remove_all(controls.Data(1));
+    controls.StartAll(false);
+    CHECK(controls.Read().mDocument == document);
+  }
+}
--- a/tests/fuzz/raft_fuzz.cpp
+++ b/tests/fuzz/raft_fuzz.cpp
@@ -480,3 +480,51 @@
     CHECK(cluster.mNodes[removed]->Role() == RaftRole::kFollower);
   }
 }
+
+// Votes from slow disks were dropped once the candidate's own time was over,
+// while the voters refused the next election for the sake of this one.
+Test(raft, votes_count_until_the_next_candidacy) {
+  MemoryStorage storage;
+  std::vector<RaftMessage> sent;
+  RaftOptions options;
+  options.mId = "v0";
+  options.mVoters = {"v0", "v1", "v2"};
+  options.mStorage = &storage;
+  options.mSend = [&](const RaftMessage& aMessage) {
+    sent.push_back(aMessage);
+  };
+  options.mApply = [](const LogEntry&) {};
+  options.mInstallSnapshot = [](const std::string&) {};
+  RaftNode node(options, 0);
+  const auto granted = [&](RaftKind aKind, const RaftMessage& aRequest) {
+    RaftMessage reply;
+    reply.mKind = aKind;
+    reply.mFrom = "v1";
+    reply.mTo = "v0";
+    reply.mTerm = aRequest.mTerm;
+    reply.mRound = aRequest.mRound;
+    reply.mGranted = true;
+    return reply;
+  };
+  Millis now = 2 * options.mElectionTimeout;
+  node.Tick(now);
+  REQUIRE(node.Role() == RaftRole::kPreCandidate);
+  node.Receive(granted(RaftKind::kPreVoteReply, sent.back()), now);
+  REQUIRE(node.Role() == RaftRole::kCandidate);
+  const RaftMessage request = sent.back();
+  now += 10 * options.mElectionTimeout;
+  node.Tick(now);
+  REQUIRE(node.Role() == RaftRole::kPreCandidate);
+  SECTION("a vote for another candidacy doesn't count") {
+    RaftMessage other = granted(RaftKind::kVoteReply, request);
+    other.mRound++;
+    node.Receive(other, now);
+    CHECK(node.Role() == RaftRole::kPreCandidate);
+  }
+  SECTION("a late vote for the last one does") {
+    node.Receive(granted(RaftKind::kVoteReply, request), now);
+    CHECK(node.Role() == RaftRole::kLeader);
+    CHECK(node.Term() == request.mTerm);
+    CHECK(node.FailedElections() == 0);
+  }
+}
