Disks that stood still once hold up elections no longer

A voter lets an election run for as long as its recent writes took. After a disk had stood still for 20 s, that was 20 to 40 s more, and pre-votes were refused as long: with quick disks again, three of five voters had a leader up to 20 s after their disks were back, four of five up to 37 s after.

The time is bounded now by the longest election timeout after failed elections (2.8 s on the controls), which covers two syncs of 1.2 s.

The test failed before: all disks stand still until 20 s after the power is back; bound 12 s after that; found 20.0 s with three of five (syncs of 5 ms) and 37.0 s with a disk that does not return (50 to 150 ms). The other plays of slow_elections pass as before.

--- a/include/spindleweir/servers/consensus/raft_node.h
+++ b/include/spindleweir/servers/consensus/raft_node.h
@@ -200,6 +200,8 @@
   /// Sets the timer to the time that an election may take from now on; called
   /// again when this voter's own vote is durable.
   void RestartVoteTimer();
+  /// How long the vote of another voter may take, going by this one's writes.
+  Millis ExpectedVoteTime() const;
   /// The election timeout after the elections that have failed.
   Millis GrownElectionTimeout() const;
 
--- a/servers/consensus/raft_election.cpp
+++ b/servers/consensus/raft_election.cpp
@@ -94,8 +94,7 @@
 }
 
 bool RaftNode::IsElectionRunning() const {
-  return mVoteWrite != 0 ||
-         mNow - mVoteDurableAt < mWrites.RecentDuration(mNow);
+  return mVoteWrite != 0 || mNow - mVoteDurableAt < ExpectedVoteTime();
 }
 
 void RaftNode::StartPreVote() {
@@ -209,9 +208,16 @@
   return mOptions.mElectionTimeout << failed;
 }
 
+Millis RaftNode::ExpectedVoteTime() const {
+  // A disk that stood still once would otherwise hold up elections for as long
+  // again after it has returned.
+  return std::min(mWrites.RecentDuration(mNow),
+                  mOptions.mElectionTimeout << kMaxDoublings);
+}
+
 void RaftNode::RestartVoteTimer() {
   // The votes of the others may take as long as this voter's writes do.
-  const Millis vote = mWrites.RecentDuration(mNow);
+  const Millis vote = ExpectedVoteTime();
   if (mRole == RaftRole::kCandidate && mElectionsSeen <= kMaxFastElections) {
     RestartElectionTimer(2, kMaxElectionHeartbeats);
     mElectionAt += vote;
--- a/tests/servers/slow_elections.cpp
+++ b/tests/servers/slow_elections.cpp
@@ -110,15 +110,16 @@
     return;
   }
   aVoter.mIsSyncing = true;
-  At(mNow + DrawSync(), [this, &aVoter, writes] {
-    if (aVoter.mHangs) {
-      return;
-    }
-    aVoter.mStorage.Sync(writes);
-    aVoter.mIsSyncing = false;
-    aVoter.mNode->OnStorageProgress(mNow);
-    BeginSync(aVoter);
-  });
+  At(std::max(mNow + DrawSync(), kStart + mOptions.mStall),
+     [this, &aVoter, writes] {
+       if (aVoter.mHangs) {
+         return;
+       }
+       aVoter.mStorage.Sync(writes);
+       aVoter.mIsSyncing = false;
+       aVoter.mNode->OnStorageProgress(mNow);
+       BeginSync(aVoter);
+     });
 }
 
 SlowElection::Voter* SlowElection::Leader() {
--- a/tests/servers/slow_elections.h
+++ b/tests/servers/slow_elections.h
@@ -30,6 +30,7 @@
   int mRunning = 5;
   Millis mMinSync = 5;
   Millis mMaxSync = 5;
+  Millis mStall = 0;  ///< Once the voters run, no sync ends before this.
   HangingDisk mHangingDisk = HangingDisk::kNone;
   Millis mPause = 0;  ///< From a committed change to the next one.
 };
--- a/tests/servers/slow_elections_test.cpp
+++ b/tests/servers/slow_elections_test.cpp
@@ -97,3 +97,18 @@
         kMaxElectionTimeout, 1);
   }
 }
+
+Test(slow_elections, disks_that_stood_still_once_hold_up_elections_no_longer) {
+  constexpr Millis kStall = 20000;
+  SECTION("with all voters") {
+    CheckAllRanges({.mStall = kStall}, kStall, 0);
+  }
+  SECTION("with three of five") {
+    CheckAllRanges({.mRunning = 3, .mStall = kStall}, kStall, 0);
+  }
+  SECTION("with a disk that does not return") {
+    CheckAllRanges(
+        {.mStall = kStall, .mHangingDisk = HangingDisk::kFromTheStart},
+        kStall + kMaxElectionTimeout, 0);
+  }
+}
