Claims and receipts leave the event loop; answers wait for their records

Cause: the keeper of claims and the store of receipts synced each record on the thread that reads all messages of a control, so that on a disk whose syncs take 0.15 to 1.2 s polls, votes and heartbeats waited as well.

Change: RecoveringLog writes by a LogWriter and says when what was written is durable or has failed. RpcDispatcher::OnDeferred() lets a method answer later. A keeper keeps a record whose write failed in memory (docs/design/at-most-once.md weighs it); receipts are found and acknowledged once they are durable. An empty keeper writes its marker after what it copied is durable, both off the loop. Waits for claims, reports and receipts are longer than two syncs of 1.2 s.

--- a/daemons/control/claim_service.cpp
+++ b/daemons/control/claim_service.cpp
@@ -15,6 +15,7 @@
 /// A file of at least this size is rewritten with the current records only.
 constexpr std::size_t kCompactBytes = 16 * 1024 * 1024;
 constexpr const char* kMarkerFile = "claims.whole";
+constexpr const char* kMarkerText = "this keeper lacks no claims\n";
 
 }  // namespace
 
@@ -22,26 +23,30 @@
     : mContext(aContext),
       mKeeper({.mPersist =
                    [this](const ClaimRecord& aRecord) {
-                     const std::string record = DumpJson(ToJson(aRecord));
-                     mLog.Write({&record, 1});
+                     mLog.Write({DumpJson(ToJson(aRecord))});
                    }}),
       mLog(aContext,
            {.mFile = kClaimLogFile,
             .mRestore = [this](std::string_view aRecord) { Restore(aRecord); },
-            .mFill = [this](DiskLog& aLog) { Fill(aLog); }}) {
-  mContext.mDispatcher.On(rpc_method::kClaim, [this](
-                                                  const Json::Value& aMessage) {
-    mContext.mCounters.Add("claim_messages");
-    return ToJson(mKeeper.Handle(FromJson<ClaimMessage>(aMessage), WallNow()));
-  });
-  mContext.mDispatcher.On(
-      rpc_method::kClaimPage, [this](const Json::Value& aMessage) {
-        return ToJson(mKeeper.Page(FromJson<ClaimPageRequest>(aMessage)));
+            .mRecords = [this] { return AllRecords(); }}) {
+  mContext.mDispatcher.OnDeferred(
+      rpc_method::kClaim,
+      [this](const Json::Value& aMessage, const RpcReplyHook& aReply) {
+        mContext.mCounters.Add("claim_messages");
+        ReplyAfterWrites(
+            ToJson(mKeeper.Handle(FromJson<ClaimMessage>(aMessage), WallNow())),
+            aReply);
+      });
+  mContext.mDispatcher.OnDeferred(
+      rpc_method::kClaimPage,
+      [this](const Json::Value& aMessage, const RpcReplyHook& aReply) {
+        ReplyAfterWrites(
+            ToJson(mKeeper.Page(FromJson<ClaimPageRequest>(aMessage))), aReply);
       });
   // A marker file is needed because a complete keeper may have no claims yet.
   const bool first = !mContext.mOptions.mInitialVoters.empty();
   if (first && mLog.Bytes() == 0) {
-    MarkComplete();
+    ReplaceFile(MarkerPath(), kMarkerText);
   }
   if (!ReadFile(MarkerPath()).has_value()) {
     mKeeper.Abstain();
@@ -62,18 +67,24 @@
   }
 }
 
-void ClaimService::Fill(DiskLog& aLog) const {
+std::vector<std::string> ClaimService::AllRecords() const {
+  std::vector<std::string> records;
+  records.reserve(mKeeper.Size());
   for (const auto& [key, record] : mKeeper.Records()) {
-    aLog.Append(DumpJson(ToJson(record)));
+    records.push_back(DumpJson(ToJson(record)));
   }
+  return records;
 }
 
-std::string ClaimService::MarkerPath() const {
-  return mContext.mOptions.mData + "/" + kMarkerFile;
+void ClaimService::ReplyAfterWrites(const Json::Value& aAnswer,
+                                    const RpcReplyHook& aReply) {
+  mLog.AfterWrites([aAnswer, aReply](const std::optional<Error>& aError) {
+    aReply(aError.has_value() ? RpcAnswer(*aError) : RpcAnswer(aAnswer));
+  });
 }
 
-void ClaimService::MarkComplete() {
-  ReplaceFile(MarkerPath(), "this keeper lacks no claims\n");
+std::string ClaimService::MarkerPath() const {
+  return mContext.mOptions.mData + "/" + kMarkerFile;
 }
 
 void ClaimService::CopyFromPeers() {
@@ -89,17 +100,33 @@
       RequestPage(keeper.mId, "");
     }
   }
-  if (all && !mCopiedKeepers.empty()) {
+  if (all && !mCopiedKeepers.empty() && !mIsEndingAbstention) {
     EndAbstention();
   }
 }
 
 void ClaimService::EndAbstention() {
-  try {
-    MarkComplete();
-  } catch (const Error& error) {
+  mIsEndingAbstention = true;
+  mLog.AfterWrites([this](const std::optional<Error>& aError) {
+    if (aError.has_value()) {
+      mIsEndingAbstention = false;
+      return;
+    }
+    WriteMarker();
+  });
+}
+
+void ClaimService::WriteMarker() {
+  mContext.ReplaceInBackground()(
+      MarkerPath(), kMarkerText,
+      [this](const std::optional<Error>& aError) { OnMarked(aError); });
+}
+
+void ClaimService::OnMarked(const std::optional<Error>& aError) {
+  mIsEndingAbstention = false;
+  if (aError.has_value()) {
     // Without its marker on disk, a restart would abstain again.
-    mContext.mStorage.OnFailed(kMarkerFile, error.what());
+    mContext.mStorage.OnFailed(kMarkerFile, aError->what());
     return;
   }
   mContext.mStorage.OnUsable(kMarkerFile);
--- a/daemons/control/claim_service.h
+++ b/daemons/control/claim_service.h
@@ -13,8 +13,8 @@
 /// Name of the log of claims in the data folder.
 inline constexpr const char* kClaimLogFile = "claims.log";
 
-/// Answers the claim messages of routers. Each record is synced to disk before
-/// the answer that promises it is sent.
+/// Answers the claim messages of routers. An answer is sent once all that was
+/// written before it is durable; it is an error if that fails.
 class ClaimService {
  public:
   explicit ClaimService(ControlContext& aContext);
@@ -24,19 +24,21 @@
 
  private:
   void Restore(std::string_view aRecord);
-  /// Adds all current claims to a log.
-  void Fill(DiskLog& aLog) const;
+  std::vector<std::string> AllRecords() const;
+  /// Sends the answer once it rests on durable records only.
+  void ReplyAfterWrites(const Json::Value& aAnswer, const RpcReplyHook& aReply);
   /// Removes expired records, and rewrites the file if it is large.
   void Compact();
   std::string MarkerPath() const;
-  /// Writes the marker file: this keeper lacks no records. Throws as
-  /// ReplaceFile().
-  void MarkComplete();
   /// Requests the records of all other keepers; ends the abstention once each
   /// of them has been copied.
   void CopyFromPeers();
-  /// Ends the abstention, once the disk accepts the marker file.
+  /// Ends the abstention, once the copied records are durable and then the
+  /// marker file, which tells that this keeper lacks none. A failure leaves the
+  /// next attempt to CopyFromPeers().
   void EndAbstention();
+  void WriteMarker();
+  void OnMarked(const std::optional<Error>& aError);
   /// Requests a page of a keeper's records after the key aAfter.
   void RequestPage(const std::string& aKeeper, const std::string& aAfter);
 
@@ -45,6 +47,7 @@
   RecoveringLog mLog;
   std::set<std::string> mCopiedKeepers;   ///< All records are copied.
   std::set<std::string> mPendingKeepers;  ///< A page is requested.
+  bool mIsEndingAbstention = false;       ///< It waits for the disk.
   std::unique_ptr<Timer> mCopyTimer;
   std::unique_ptr<Timer> mCompactTimer;
 };
--- a/daemons/control/control_daemon.cpp
+++ b/daemons/control/control_daemon.cpp
@@ -28,7 +28,7 @@
                     .mMaximumBodyBytes = kMaxRpcBytes,
                     .mHandle =
                         [this](const std::shared_ptr<HttpExchange>& aExchange) {
-                          HandleRpc(*aExchange);
+                          HandleRpc(aExchange);
                         }}),
         mOperatorServer(
             aLoop, {.mListen = mOptions.mOperatorListen,
@@ -56,9 +56,9 @@
         .Add("version", static_cast<Json::Int64>(mServices->Version()));
   }
 
-  void HandleRpc(HttpExchange& aExchange) {
+  void HandleRpc(const std::shared_ptr<HttpExchange>& aExchange) {
     if (mServices == nullptr) {
-      ReplyError(aExchange, {.mCode = ResultCode::kStorageFailed});
+      ReplyError(*aExchange, {.mCode = ResultCode::kStorageFailed});
       return;
     }
     mServices->HandleRpc(aExchange);
--- a/daemons/control/control_services.h
+++ b/daemons/control/control_services.h
@@ -26,7 +26,7 @@
   /// The configuration's version, as far as it is known here.
   std::int64_t Version() const { return mLog.Machine().Current().mVersion; }
   /// Answers a message of a router or another control.
-  void HandleRpc(HttpExchange& aExchange) {
+  void HandleRpc(const std::shared_ptr<HttpExchange>& aExchange) {
     mContext.mDispatcher.Handle(aExchange);
   }
   /// Answers an operator's request.
--- a/daemons/control/joined_control.cpp
+++ b/daemons/control/joined_control.cpp
@@ -31,7 +31,7 @@
                     .mMaximumBodyBytes = kMaxRpcBytes,
                     .mHandle =
                         [this](const std::shared_ptr<HttpExchange>& aExchange) {
-                          HandleRpc(*aExchange);
+                          HandleRpc(aExchange);
                         }}),
         mStart(aLoop, mStorage,
                {.mLogs = {mOptions.mData + "/" + kRaftLogFile},
@@ -54,9 +54,9 @@
     }
   }
 
-  void HandleRpc(HttpExchange& aExchange) {
+  void HandleRpc(const std::shared_ptr<HttpExchange>& aExchange) {
     if (mServices == nullptr) {
-      ReplyError(aExchange, {.mCode = ResultCode::kStorageFailed});
+      ReplyError(*aExchange, {.mCode = ResultCode::kStorageFailed});
       return;
     }
     mServices->HandleRpc(aExchange);
--- a/daemons/control/joined_services.h
+++ b/daemons/control/joined_services.h
@@ -27,7 +27,7 @@
                  Counters& aCounters, StorageState& aStorage);
 
   /// Answers a message of a router or another control.
-  void HandleRpc(HttpExchange& aExchange) {
+  void HandleRpc(const std::shared_ptr<HttpExchange>& aExchange) {
     mContext.mDispatcher.Handle(aExchange);
   }
   /// As the methods of JoinedControl.
--- a/daemons/control/receipt_service.cpp
+++ b/daemons/control/receipt_service.cpp
@@ -1,5 +1,9 @@
 #include "daemons/control/receipt_service.h"
 
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/daemons/peer_messages.h"
 
@@ -15,6 +19,15 @@
   std::function<void(const Receipt*)> mDone;
 };
 
+std::vector<std::string> RecordsOf(const std::vector<Receipt>& aReceipts) {
+  std::vector<std::string> records;
+  records.reserve(aReceipts.size());
+  for (const Receipt& receipt : aReceipts) {
+    records.push_back(DumpJson(ToJson(receipt)));
+  }
+  return records;
+}
+
 }  // namespace
 
 ReceiptService::ReceiptService(ControlContext& aContext)
@@ -23,12 +36,12 @@
       mLog(aContext,
            {.mFile = kReceiptLogFile,
             .mRestore = [this](std::string_view aRecord) { Restore(aRecord); },
-            .mFill = [this](DiskLog& aLog) { Fill(aLog); }}) {
-  mContext.mDispatcher.On(rpc_method::kStoreReceipts,
-                          [this](const Json::Value& aMessage) {
-                            Store(FromJson<ReceiptBatch>(aMessage));
-                            return Json::Value(Json::objectValue);
-                          });
+            .mRecords = [this] { return AllRecords(); }}) {
+  mContext.mDispatcher.OnDeferred(
+      rpc_method::kStoreReceipts,
+      [this](const Json::Value& aMessage, const RpcReplyHook& aReply) {
+        Store(FromJson<ReceiptBatch>(aMessage), aReply);
+      });
   mContext.mDispatcher.On(
       rpc_method::kFindReceipt, [this](const Json::Value& aMessage) {
         const auto query = FromJson<ReceiptQuery>(aMessage);
@@ -51,29 +64,44 @@
   }
 }
 
-void ReceiptService::Fill(DiskLog& aLog) {
-  const std::vector<Receipt> receipts = mStore.All();
-  for (const Receipt& receipt : receipts) {
-    aLog.Append(DumpJson(ToJson(receipt)));
+std::vector<std::string> ReceiptService::AllRecords() {
+  std::vector<std::string> records = RecordsOf(mStore.All());
+  for (const ReceiptBatch& batch : mUnsynced) {
+    std::vector<std::string> unsynced = RecordsOf(batch.mReceipts);
+    std::move(unsynced.begin(), unsynced.end(), std::back_inserter(records));
   }
-  mRecords = receipts.size();
+  mRecords = records.size();
+  return records;
 }
 
-void ReceiptService::Store(const ReceiptBatch& aBatch) {
-  std::vector<std::string> records;
-  for (const Receipt& receipt : aBatch.mReceipts) {
-    records.push_back(DumpJson(ToJson(receipt)));
-  }
-  mLog.Write(records);
-  for (const Receipt& receipt : aBatch.mReceipts) {
-    mStore.Add(receipt);
-    mRecords++;
-  }
+void ReceiptService::Store(ReceiptBatch aBatch, const RpcReplyHook& aReply) {
+  std::vector<std::string> records = RecordsOf(aBatch.mReceipts);
+  const std::size_t n = records.size();
+  mLog.Write(std::move(records));
+  mRecords += n;
+  mUnsynced.push_back(std::move(aBatch));
+  mLog.AfterWrites([this, aReply](const std::optional<Error>& aError) {
+    OnStored(aError);
+    aReply(aError.has_value() ? RpcAnswer(*aError)
+                              : RpcAnswer(Json::Value(Json::objectValue)));
+  });
   if (mRecords >= 2 * mContext.mOptions.mReceipts) {
     mLog.Compact();
   }
 }
 
+void ReceiptService::OnStored(const std::optional<Error>& aError) {
+  const ReceiptBatch batch = std::move(mUnsynced.front());
+  mUnsynced.pop_front();
+  if (aError.has_value()) {
+    // The router sends it again.
+    return;
+  }
+  for (const Receipt& receipt : batch.mReceipts) {
+    mStore.Add(receipt);
+  }
+}
+
 void ReceiptService::Find(const std::string& aRequest,
                           std::function<void(const Receipt*)> aDone) {
   if (const Receipt* receipt = mStore.Find(aRequest)) {
--- a/daemons/control/receipt_service.h
+++ b/daemons/control/receipt_service.h
@@ -1,6 +1,7 @@
 /// The receipt store of a control process and its log file.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,13 +29,18 @@
 
  private:
   void Restore(std::string_view aRecord);
-  /// Adds all stored receipts to a log, which then has no others.
-  void Fill(DiskLog& aLog);
-  /// Stores a batch durably; throws kStorageFailed if the disk fails.
-  void Store(const ReceiptBatch& aBatch);
+  /// All receipts as records, for a file that has no others.
+  std::vector<std::string> AllRecords();
+  /// Begins to store a batch; acknowledges it once it is durable. Throws
+  /// kStorageFailed if the disk fails.
+  void Store(ReceiptBatch aBatch, const RpcReplyHook& aReply);
+  /// The oldest batch that was written is durable, or has failed.
+  void OnStored(const std::optional<Error>& aError);
 
   ControlContext& mContext;
   ReceiptStore mStore;
+  /// Batches that are written, oldest first: found by nobody until then.
+  std::deque<ReceiptBatch> mUnsynced;
   std::size_t mRecords = 0;  ///< Records in the file, obsolete ones included.
   RecoveringLog mLog;
 };
--- a/daemons/router/claim_client.cpp
+++ b/daemons/router/claim_client.cpp
@@ -11,8 +11,10 @@
 namespace {
 
 constexpr const char* kClaimMethod = "claim.ask";
-constexpr Millis kAcquireTimeout = 1000;
-constexpr Millis kReportTimeout = 2000;
+/// A keeper on a slow disk answers after two syncs of up to 1.2 s each: the one
+/// that runs when the message comes, and its own.
+constexpr Millis kAcquireTimeout = 3000;
+constexpr Millis kReportTimeout = 4000;
 constexpr Millis kReportRetryDelay = 500;
 constexpr int kMaxReportAttempts = 240;
 /// Maximum delay of an answer while the keepers store it; a round trip with
--- a/daemons/router/peer_link.cpp
+++ b/daemons/router/peer_link.cpp
@@ -14,7 +14,9 @@
 constexpr Millis kReceiptInterval = 200;
 constexpr Millis kProbeTimeout = 800;
 constexpr Millis kPullTimeout = 1000;
-constexpr Millis kReceiptTimeout = 2000;
+/// A control on a slow disk acknowledges a batch after two syncs of up to 1.2
+/// s.
+constexpr Millis kReceiptTimeout = 4000;
 constexpr std::size_t kReceiptsPerBatch = 256;
 
 MemberTableOptions MakeMemberOptions(RouterContext& aContext) {
--- a/daemons/router/router_daemon.cpp
+++ b/daemons/router/router_daemon.cpp
@@ -87,7 +87,7 @@
     mApi.Handle(aExchange, CallerApi::Origin::kRouter);
     return;
   }
-  mDispatcher.Handle(*aExchange);
+  mDispatcher.Handle(aExchange);
 }
 
 bool RouterDaemon::Parts::AwaitsReceipts() {
--- a/include/spindleweir/servers/claims/claim_keeper.h
+++ b/include/spindleweir/servers/claims/claim_keeper.h
@@ -17,19 +17,25 @@
   Millis mLifetime = 24 * 60 * 60 * 1000;  ///< Retention of a claim.
   std::size_t mMaxClaims = 200000;
   std::size_t mMaximumAnswerBytes = 64 * 1024;
-  /// Writes a record to durable storage; throws kStorageFailed if it cannot.
+  /// Begins to write a record to durable storage; throws kStorageFailed if it
+  /// is refused at once.
   std::function<void(const ClaimRecord&)> mPersist;
 };
 
 /// The records of one keeper. A key is granted to one owner only, until its
 /// record expires. Restore() loads a record that was persisted before.
+///
+/// A reply or a page may rest on any record so far, so it must not be sent
+/// before all of them are durable. If that fails, the sender must get an error;
+/// the records remain, since a key that was claimed must not be granted to
+/// another owner.
 class ClaimKeeper {
  public:
   explicit ClaimKeeper(ClaimKeeperOptions aOptions);
 
   void Restore(const ClaimRecord& aRecord);
-  /// Applies one message. Throws kStorageFailed if the record could not be
-  /// persisted; the stored claims are then unchanged. Throws kNotReady,
+  /// Applies one message. Throws kStorageFailed if the record was refused; the
+  /// stored claims are then unchanged. Throws kNotReady,
   /// kOverLimit or kBadField if the keeper abstains, is full or does not know
   /// the operation.
   ClaimReply Handle(const ClaimMessage& aMessage, Millis aWallNow);
--- a/tests/failing_disk.h
+++ b/tests/failing_disk.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "spindleweir/core/clock.h"
+
 namespace spindleweir {
 
 /// Calls that write, in the order in which a file is replaced.
@@ -33,6 +35,13 @@
   /// Number of calls that have failed.
   int Failures() const;
 
+  /// From now on each sync of these files, or of files under these folders,
+  /// waits until ReleaseSyncs(), but no longer than aLongest.
+  void HoldSyncs(std::vector<std::string> aPaths, Millis aLongest = 10000);
+  void ReleaseSyncs();
+  /// Number of syncs that wait now.
+  int HeldSyncs() const;
+
   /// Leaves of the files in a folder what is durable: the content at the last
   /// sync, under the name at the last sync of the folder. What a failed sync
   /// covered is lost, even if a later sync of the same file succeeds.
