--- a/tests/platform/soak/soak_shim.cpp
+++ b/tests/platform/soak/soak_shim.cpp
@@ -1,7 +1,8 @@
 /// Preloaded into processes of a soak: shifts the wall clock, delays syncs to
 /// disk or fails them as on a full disk. The file named by SOAK_SHIM holds
-/// "OFFSET_MS SYNC_MS FULL" and is read at most twenty times a second. The
-/// steady clock isn't changed.
+/// "OFFSET_MS SYNC_MS FULL [SPREAD_MS]" and is read at most twenty times a
+/// second. A sync takes from SYNC_MS to SYNC_MS + SPREAD_MS longer, drawn anew
+/// each time. The steady clock isn't changed.
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <sys/time.h>
@@ -11,6 +12,7 @@
 #include <atomic>
 #include <cerrno>
 #include <cstdlib>
+#include <random>
 
 namespace {
 
@@ -21,6 +23,7 @@
 
 std::atomic<long> sOffset{0};
 std::atomic<long> sSync{0};
+std::atomic<long> sSpread{0};
 std::atomic<bool> sFull{false};
 std::atomic<long> sReadAt{0};
 
@@ -50,13 +53,23 @@
     char* end = text;
     sOffset = strtol(text, &end, 10);
     sSync = strtol(end, &end, 10);
-    sFull = strtol(end, nullptr, 10) != 0;
+    sFull = strtol(end, &end, 10) != 0;
+    sSpread = strtol(end, nullptr, 10);
   }
   if (fd >= 0) {
     close(fd);
   }
 }
 
+long DrawSyncMs() {
+  const long spread = sSpread;
+  if (spread <= 0) {
+    return sSync;
+  }
+  thread_local std::minstd_rand engine{std::random_device{}()};
+  return sSync + std::uniform_int_distribution<long>(0, spread)(engine);
+}
+
 /// Delays or fails a call of aReal, which syncs a file to disk.
 int SyncWith(int (*aReal)(int), int aFd) {
   Refresh();
@@ -64,7 +77,7 @@
     errno = ENOSPC;
     return -1;
   }
-  const long wait = sSync;
+  const long wait = DrawSyncMs();
   const timespec time{.tv_sec = wait / kMsPerSecond,
                       .tv_nsec = wait % kMsPerSecond * kNsPerMs};
   nanosleep(&time, nullptr);
