--- a/servers/consensus/raft_replication.cpp
+++ b/servers/consensus/raft_replication.cpp
@@ -69,6 +69,10 @@
     if (isStored) {
       continue;
     }
+    if (entry.mIndex <= mCommit) {
+      // Who would replace a committed entry has no log that may be followed.
+      return false;
+    }
     const auto newEntries = std::span(aMessage.mEntries).subspan(i);
     WriteEntries(newEntries);
     mEntries.resize(
--- a/tests/fuzz/raft_fuzz.cpp
+++ b/tests/fuzz/raft_fuzz.cpp
@@ -528,3 +528,35 @@
     CHECK(node.FailedElections() == 0);
   }
 }
+
+// A voter whose committed entries were replaced read behind the end of its log.
+Test(raft, a_committed_entry_is_not_replaced) {
+  MemoryStorage storage;
+  std::vector<RaftMessage> sent;
+  RaftOptions options;
+  options.mId = "v0";
+  options.mVoters = {"v0", "v1", "v2"};
+  options.mStorage = &storage;
+  options.mSend = [&](const RaftMessage& aMessage) {
+    sent.push_back(aMessage);
+  };
+  options.mApply = [](const LogEntry&) {};
+  options.mInstallSnapshot = [](const std::string&) {};
+  RaftNode node(options, 0);
+  RaftMessage append;
+  append.mFrom = "v1";
+  append.mTo = "v0";
+  append.mTerm = 1;
+  append.mCommit = 3;
+  for (std::int64_t i = 1; i <= 3; i++) {
+    append.mEntries.push_back({i, 1, "p" + std::to_string(i), {}});
+  }
+  node.Receive(append, 1);
+  REQUIRE(node.CommitIndex() == 3);
+  append.mFrom = "v2";
+  append.mTerm = 2;
+  append.mEntries = {{1, 2, "other", {}}};
+  node.Receive(append, 2);
+  CHECK(!sent.back().mGranted);
+  CHECK(node.LastIndex() == 3);
+}
