--- a/drivers/file_replacement.cpp
+++ b/drivers/file_replacement.cpp
@@ -6,8 +6,8 @@
 
 namespace spindleweir {
 
-void ReplaceAndWait(const std::string& aPath, std::string aBytes,
-                    ReplacedHook aDone) {
+void ReplaceAndWait(const std::string& aPath, const std::string& aBytes,
+                    const ReplacedHook& aDone) {
   std::optional<Error> failure;
   try {
     ReplaceFile(aPath, aBytes);
--- a/include/spindleweir/drivers/file_replacement.h
+++ b/include/spindleweir/drivers/file_replacement.h
@@ -18,8 +18,8 @@
                                        std::string aBytes, ReplacedHook aDone)>;
 
 /// Waits for the disk.
-void ReplaceAndWait(const std::string& aPath, std::string aBytes,
-                    ReplacedHook aDone);
+void ReplaceAndWait(const std::string& aPath, const std::string& aBytes,
+                    const ReplacedHook& aDone);
 
 /// Called with the path of a file and the time that replacing it took.
 using ReplaceTimeHook = std::function<void(const std::string&, Millis)>;
--- a/servers/consensus/raft_election.cpp
+++ b/servers/consensus/raft_election.cpp
@@ -9,14 +9,12 @@
 
 /// Until a first contact with a leader, an unsuccessful pre-vote is repeated
 /// after one to this many heartbeat intervals: the other voters may not have
-/// been listening yet, and a pre-vote doesn't disturb a running leader. With
-/// the regular election timeout, three voters that start within 0.25 s of each
-/// other took up to 0.7 s to elect a leader.
+/// been listening yet, and a pre-vote doesn't disturb a running leader.
 constexpr Millis kMaxPreVoteHeartbeats = 3;
 /// Until a first contact with a leader, an election without a winner is
 /// repeated after two to this many heartbeat intervals. Three of five voters
 /// that restart together need all three votes, and two simultaneous candidates
-/// deny them to each other; with two lost disks, electing a leader took 0.53 s.
+/// deny them to each other.
 constexpr Millis kMaxElectionHeartbeats = 4;
 /// After this many elections without a leader the regular election timeout
 /// applies, and doubles with each further one: the votes may take longer than
