The measure of the log's slopes ticks its voter

It waited for ever: a voter whose first write is pending doesn't stand before it is durable, and nobody called Tick() again.

--- a/bench/capacity_slopes.cpp
+++ b/bench/capacity_slopes.cpp
@@ -185,6 +185,11 @@
   }
 }
 
+/// Calls Tick() of a voter each millisecond, as long as the timer exists.
+std::unique_ptr<Timer> TickEachMillisecond(EventLoop& aLoop, RaftNode& aNode) {
+  return aLoop.Every(1, [&aNode] { aNode.Tick(SteadyNow()); });
+}
+
 void MeasureLog(const BenchOptions& aOptions, const std::string& aFolder) {
   Command command;
   command.mId = "0123456789abcdef01234567";
@@ -216,9 +221,9 @@
     options.mInstallSnapshot = [&machine](const std::string& aData) {
       machine.Restore(aData);
     };
-    RaftNode node(options, 0);
+    RaftNode node(options, SteadyNow() - options.mElectionTimeout);
     voter = &node;
-    node.Tick(SteadyNow());
+    const auto tick = TickEachMillisecond(loop, node);
     while (!node.Leads()) {
       loop.Run();
     }
@@ -256,9 +261,9 @@
   options.mInstallSnapshot = [&again](const std::string& aData) {
     again.Restore(aData);
   };
-  RaftNode node(options, 0);
+  RaftNode node(options, SteadyNow() - options.mElectionTimeout);
   restarted = &node;
-  node.Tick(SteadyNow());
+  const auto tick = TickEachMillisecond(loop, node);
   while (!node.Leads()) {
     loop.Run();
   }
