A leader takes no answer that names more than its log

A voter that forgets its state leads one term twice, and an answer to its first log sent the second one past its end. Such an answer is ignored now; with voters that keep their state there is none.

--- a/servers/consensus/raft_replication.cpp
+++ b/servers/consensus/raft_replication.cpp
@@ -88,10 +88,14 @@
   if (mRole != RaftRole::kLeader || aMessage.mTerm != mHardState.mTerm) {
     return;
   }
+  const std::int64_t received = std::max(aMessage.mIndex, aMessage.mReceived);
+  if (aMessage.mGranted && received > LastIndex()) {
+    // Nobody can have more of this leader's log than there is.
+    return;
+  }
   Progress& progress = mProgress[aMessage.mFrom];
   progress.mLastSeenAt = mNow;
   progress.mRound = std::max(progress.mRound, aMessage.mRound);
-  const std::int64_t received = std::max(aMessage.mIndex, aMessage.mReceived);
   if (aMessage.mGranted && received >= progress.mLastInFlight) {
     progress.mLastInFlight = 0;
   }
