A log line and a counter for each retry that is sent say what paid for it

Nothing told arrivals that spend nothing from parts that are too large. retry_sent names the request, its service and whether the router's own allowance, a credit of control or nothing paid, and how long ago.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -217,6 +217,23 @@
          Remaining() > 0 && !IsBarred();
 }
 
+void RelayRequest::LogRetry() const {
+  if (mRanAttempts + mRefusedAttempts == 0) {
+    return;
+  }
+  LogLine(LogLevel::kInfo, "retry_sent")
+      .Add("request", mFacts.mId)
+      .Add("service", mService->mName)
+      .Add("instance", mAttempt->mInstance)
+      .Add("by_credit", mSpentCredit)
+      .Add("spent_ago_ms",
+           static_cast<Json::Int64>(
+               mRetrySpentAt == 0 ? -1 : SteadyNow() - mRetrySpentAt));
+  mContext.mCounters.Add("retries_sent", mRetrySpentAt == 0 ? "by=\"none\""
+                                         : mSpentCredit     ? "by=\"credit\""
+                                                            : "by=\"own\"");
+}
+
 bool RelayRequest::IsCurrent() const {
   return mContext.StartOf(mAttempt->mInstance) == mAttempt->mStart;
 }
@@ -241,6 +258,7 @@
     const bool may = MaySend();
     if (may) {
       ClaimMemory();
+      LogRetry();
     }
     return may;
   };
@@ -351,6 +369,7 @@
   const bool mayTryAgain = MayTryAgain(aRan);
   LogFailure(aRan, aCode);
   mMayHaveRun = mMayHaveRun || aRan != Ran::kNo;
+  mRetrySpentAt = aWasSent ? 0 : mRetrySpentAt;
   if (aRan != Ran::kNo) {
     mRanAttempts++;
   } else if (aWasSent) {
@@ -378,8 +397,12 @@
 }
 
 bool RelayRequest::TrySpendRetry() {
-  if (mContext.RetryAllowanceOf(mService->mName)
-          .TrySpend(mContext.Routers(), SteadyNow())) {
+  RetryAllowance& allowance = mContext.RetryAllowanceOf(mService->mName);
+  const Millis now = SteadyNow();
+  const bool hasCredit = allowance.HasCredit(now);
+  if (allowance.TrySpend(mContext.Routers(), now)) {
+    mRetrySpentAt = now;
+    mSpentCredit = hasCredit;
     return true;
   }
   // An equal share of the retry limit is used up quickly if many requests of
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -147,6 +147,8 @@
   bool ChoosePlainUpstream(Attempt& aAttempt);
   void Send(const UpstreamRecord& aFirst);
   bool MaySend() const;
+  /// Logs an attempt that reaches upstreams beyond the request's first one.
+  void LogRetry() const;
   void HandleHead(const AnswerHead& aHead);
   /// The instance that refused the attempt: the stage of its path that the
   /// answer names, otherwise the upstream that answered.
@@ -277,6 +279,9 @@
   int mRanAttempts = 0;      ///< Attempts that ran, or may have run.
   int mRefusedAttempts = 0;  ///< Attempts that an upstream refused to run.
   int mUnsentAttempts = 0;   ///< Attempts that were not sent.
+  /// When a retry was spent for the next attempt; 0: none was.
+  Millis mRetrySpentAt = 0;
+  bool mSpentCredit = false;  ///< It was one that control had granted.
   /// Start of the wait for a retry credit; 0 if it doesn't wait.
   Millis mCreditAwaitedAt = 0;
   bool mMayHaveRun = false;
--- a/include/spindleweir/servers/routing/retry_allowance.h
+++ b/include/spindleweir/servers/routing/retry_allowance.h
@@ -47,6 +47,8 @@
   /// Adds retries that control granted. Control counts them as spent at this
   /// time, so that they expire soon if they are not used.
   void AddCredits(int aRetries, Millis aNow);
+  /// Whether the next retry would be one that control granted.
+  bool HasCredit(Millis aNow) const { return ValidCredits(aNow) > 0; }
 
  private:
   /// Counts of a tenth of a window.
