--- a/daemons/control/control_identity.cpp
+++ b/daemons/control/control_identity.cpp
@@ -37,6 +37,8 @@
 }  // namespace
 
 ControlOptions ReadIdentity(ControlOptions aOptions) {
+  aOptions.mIsNewDeployment =
+      aOptions.mFirstStart && ReadDataFile(IdentityPath(aOptions)).empty();
   aOptions.mId = ControlId(aOptions.mRpcListen, DiskName(aOptions));
   aOptions.mInitialVoters.clear();
   if (aOptions.mFirstStart) {
--- a/daemons/control/joined_services.cpp
+++ b/daemons/control/joined_services.cpp
@@ -37,11 +37,15 @@
                   [this](const Endpoint& aAddress) {
                     return mSync.Directory().ZoneAt(aAddress);
                   }}),
-      mRetries(mContext, {.mRouters = [this] { return mSync.Routers(); },
-                          .mKnowsService =
-                              [this](const std::string& aService) {
-                                return mSync.Traffic().FindService(aService) !=
-                                       nullptr;
+      mRetries(mContext, {.mVoters = [this] { return Voters(); },
+                          .mServices =
+                              [this] {
+                                std::vector<std::string> names;
+                                for (const TrafficService& service :
+                                     mSync.Traffic().mServices) {
+                                  names.push_back(service.mName);
+                                }
+                                return names;
                               }}),
       mPlacer(mContext, mLog, mSync) {
   LogStarted();
@@ -61,6 +65,12 @@
                  : !mSync.ReportedLeader().empty();
 }
 
+VoterState JoinedServices::Voters() const {
+  return {.mVoters = static_cast<int>(mLog.Raft().Voters().size()),
+          .mIsVoter = Votes(),
+          .mHasLeaderContact = mLog.Raft().HasLeaderContact(SteadyNow())};
+}
+
 bool JoinedServices::Votes() const {
   const std::vector<std::string>& voters = mLog.Raft().Voters();
   return std::find(voters.begin(), voters.end(), mContext.mOptions.mId) !=
@@ -195,6 +205,7 @@
   counters.Set("confirmed_ago_ms",
                confirmed < 0 ? -1 : SteadyNow() - confirmed);
   mSync.RefreshGauges();
+  mRetries.RefreshGauges();
   counters.Set("upstreams_known",
                static_cast<std::int64_t>(mSync.Registry().Size()));
 }
--- a/daemons/control/joined_services.h
+++ b/daemons/control/joined_services.h
@@ -51,6 +51,7 @@
   /// of the leader.
   bool HasLeaderContact() const;
   bool Votes() const;
+  VoterState Voters() const;
   /// Id of the leader, as far as is known; empty: unknown. A control that no
   /// longer votes has the leader of that time in its log.
   std::string KnownLeader() const;
--- a/daemons/control/retry_service.cpp
+++ b/daemons/control/retry_service.cpp
@@ -1,5 +1,6 @@
 #include "daemons/control/retry_service.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "spindleweir/core/json_codec.h"
@@ -7,36 +8,130 @@
 
 namespace spindleweir {
 
+namespace {
+
+constexpr Millis kStepInterval = 500;
+constexpr double kThousandths = 1000;
+
+}  // namespace
+
 RetryService::RetryService(ControlContext& aContext, RetryServiceHooks aHooks)
     : mContext(aContext),
       mHooks(std::move(aHooks)),
-      mOptions(aContext.mOptions.mRetries) {
-  mOptions.mStartedAt = SteadyNow();
+      mStore(aContext.mOptions.mData + "/retries",
+             aContext.ReplaceInBackground()),
+      mInherited(mStore.Load()),
+      mStartedAt(SteadyNow()),
+      mShare({.mStartedAt = mStartedAt,
+              .mPrevious = PreviousStart(),
+              .mGrantRetention =
+                  RetryGrantRetention(aContext.mOptions.mRetries)}) {
+  Step();
+  mStepTimer = mContext.mLoop.Every(kStepInterval, [this] { Step(); });
   mContext.mDispatcher.On(
       rpc_method::kRetries, [this](const Json::Value& aMessage) {
         return ToJson(Answer(FromJson<RetryCreditRequest>(aMessage)));
       });
 }
 
+PreviousGrants RetryService::PreviousStart() const {
+  if (mContext.mOptions.mIsNewDeployment) {
+    return PreviousGrants::kNone;
+  }
+  return mInherited.has_value() ? PreviousGrants::kRecorded
+                                : PreviousGrants::kUnknown;
+}
+
+double RetryService::Share() {
+  const Millis now = SteadyNow();
+  mShare.Update(mHooks.mVoters(), now);
+  return mShare.Value(now);
+}
+
+RetryPool& RetryService::PoolOf(const std::string& aService) {
+  const auto it = mPools.find(aService);
+  if (it != mPools.end()) {
+    return it->second;
+  }
+  int inherited = 0;
+  if (mInherited.has_value() && mInherited->contains(aService)) {
+    inherited = mInherited->at(aService);
+  }
+  const RetryPool pool(mContext.mOptions.mRetries, inherited, mStartedAt);
+  return mPools.emplace(aService, pool).first->second;
+}
+
+void RetryService::Step() {
+  for (const std::string& service : mHooks.mServices()) {
+    PoolOf(service);
+  }
+  RecordIfDue();
+}
+
+void RetryService::RecordIfDue() {
+  const double share = Share();
+  const Millis now = SteadyNow();
+  const bool isDue =
+      std::any_of(mPools.begin(), mPools.end(), [share, now](auto& aItem) {
+        return aItem.second.NeedsRecord(share, now);
+      });
+  if (!isDue || mIsRecording) {
+    return;
+  }
+  RetryStore::Numbers numbers;
+  for (auto& [service, pool] : mPools) {
+    numbers[service] = pool.BeginRecord(share, now);
+  }
+  mIsRecording = true;
+  mStore.Save(numbers, [this, numbers](bool aIsDurable) {
+    mIsRecording = false;
+    for (const auto& [service, number] : numbers) {
+      PoolOf(service).EndRecord(aIsDurable);
+    }
+    if (aIsDurable) {
+      RecordIfDue();
+    }
+  });
+}
+
 RetryCreditGrant RetryService::Answer(const RetryCreditRequest& aRequest) {
-  if (!mHooks.mKnowsService(aRequest.mService)) {
+  const std::vector<std::string> services = mHooks.mServices();
+  const bool isKnown = std::find(services.begin(), services.end(),
+                                 aRequest.mService) != services.end();
+  if (!isKnown) {
     return {};
   }
-  RetryPool& pool =
-      mPools.try_emplace(aRequest.mService, mOptions).first->second;
-  const RouterShare routers = mHooks.mRouters();
+  RetryPool& pool = PoolOf(aRequest.mService);
+  const double share = Share();
   const Millis now = SteadyNow();
-  const RetryCreditGrant grant{pool.Grant(aRequest.mWanted, routers, now)};
+  const RetryCreditGrant grant{pool.Grant(aRequest.mWanted, share, now)};
+  RecordIfDue();
   mContext.mCounters.Add("retries_granted", {}, grant.mGranted);
   LogLine(LogLevel::kInfo, "retries_granted")
       .Add("router", aRequest.mProcess)
       .Add("service", aRequest.mService)
       .Add("wanted", aRequest.mWanted)
       .Add("granted", grant.mGranted)
-      .Add("left", pool.Available(routers, now))
-      .Add("routers_here", routers.mLocal)
-      .Add("routers", routers.mTotal);
+      .Add("outstanding", pool.Granted(now))
+      .Add("left", pool.Available(share, now))
+      .Add("share", share);
   return grant;
 }
 
+void RetryService::RefreshGauges() {
+  const Millis now = SteadyNow();
+  const double share = Share();
+  std::int64_t outstanding = 0;
+  double left = 0;
+  for (auto& [service, pool] : mPools) {
+    outstanding += pool.Granted(now);
+    left += std::max(0.0, pool.Available(share, now));
+  }
+  Counters& counters = mContext.mCounters;
+  counters.Set("retry_share_thousandths",
+               static_cast<std::int64_t>(share * kThousandths));
+  counters.Set("retries_outstanding", outstanding);
+  counters.Set("retries_grantable", static_cast<std::int64_t>(left));
+}
+
 }  // namespace spindleweir
--- /dev/null
+++ b/daemons/control/retry_store.cpp
@@ -0,0 +1,80 @@
+#include "daemons/control/retry_store.h"
+
+#include <utility>
+#include <vector>
+
+#include "spindleweir/core/error.h"
+#include "spindleweir/core/json_codec.h"
+#include "spindleweir/core/log.h"
+#include "spindleweir/drivers/file_tools.h"
+
+namespace spindleweir {
+
+namespace {
+
+struct StoredNumber {
+  std::string mService;
+  int mRetries = 0;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("service", mService);
+    aCodec.Required("retries", mRetries);
+  }
+};
+
+/// Content of the file.
+struct StoredNumbers {
+  std::vector<StoredNumber> mItems;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Required("granted", mItems);
+  }
+};
+
+void LogWarning(const char* aEvent, const Error& aError) {
+  LogLine(LogLevel::kWarning, aEvent)
+      .Add("code", static_cast<int>(aError.Code()))
+      .Add("why", aError.what());
+}
+
+}  // namespace
+
+std::optional<RetryStore::Numbers> RetryStore::Load() const {
+  const std::optional<std::string> text = ReadFile(mPath);
+  if (!text.has_value()) {
+    return std::nullopt;
+  }
+  try {
+    Numbers numbers;
+    for (const StoredNumber& item :
+         FromJson<StoredNumbers>(ParseJson(*text)).mItems) {
+      if (item.mRetries < 0) {
+        return std::nullopt;
+      }
+      numbers[item.mService] = item.mRetries;
+    }
+    return numbers;
+  } catch (const Error& error) {
+    LogWarning("retries_unreadable", error);
+    return std::nullopt;
+  }
+}
+
+void RetryStore::Save(const Numbers& aNumbers,
+                      std::function<void(bool)> aDone) {
+  StoredNumbers stored;
+  for (const auto& [service, retries] : aNumbers) {
+    stored.mItems.push_back({.mService = service, .mRetries = retries});
+  }
+  mReplace(mPath, DumpJson(ToJson(stored)),
+           [done = std::move(aDone)](const std::optional<Error>& aError) {
+             if (aError.has_value()) {
+               LogWarning("retries_not_kept", *aError);
+             }
+             done(!aError.has_value());
+           });
+}
+
+}  // namespace spindleweir
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -157,10 +157,6 @@
   }
 }
 
-RouterShare SyncService::Routers() {
-  return {.mLocal = mLoads.LocalRouters(ReportTime()), .mTotal = RouterCount()};
-}
-
 void SyncService::RefreshGauges() {
   mContext.mCounters.Set("routers_here", mLoads.LocalRouters(ReportTime()));
   mContext.mCounters.Set("routers_known", RouterCount());
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -19,7 +19,6 @@
 #include "spindleweir/servers/membership/peer_revisions.h"
 #include "spindleweir/servers/routes/configuration_fetch.h"
 #include "spindleweir/servers/routes/newest_confirmation.h"
-#include "spindleweir/servers/routing/retry_pool.h"
 
 namespace spindleweir {
 
@@ -40,9 +39,6 @@
   /// committed document if that has not been done yet.
   const TrafficConfiguration& Traffic();
   void SetSeeds(std::vector<Endpoint> aSeeds);
-  /// The number of routers that report their loads to this control, and of all
-  /// routers.
-  RouterShare Routers();
   /// Sets the gauges routers_here and routers_known.
   void RefreshGauges();
 
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -22,7 +22,6 @@
 constexpr Millis kMaxPathRetryDelay = 500;
 constexpr Millis kGapDivisor = 8;
 constexpr Millis kMinTimeForAttempt = 20;
-constexpr Millis kRetryCreditPollInterval = 20;
 /// How long any request waits for control to grant a retry credit: a call takes
 /// some milliseconds, and twice as long on a busy router.
 constexpr Millis kCreditTimeout = 60;
@@ -62,9 +61,8 @@
       .Add("what", LackName(aLack))
       .Add("sent", mRanAttempts)
       .Add("refused", mRefusedAttempts)
-      .Add("retries_left", mContext.RetryAllowanceOf(mService->mName)
-                               .Available(mContext.Routers(), now))
-      .Add("routers", mContext.Routers())
+      .Add("retries_left",
+           mContext.RetryAllowanceOf(mService->mName).Available(now))
       .Add("events", mEvents)
       .Add("since_event_ms",
            static_cast<Json::Int64>(mEvents == 0 ? -1 : now - mLastEventAt));
@@ -98,6 +96,13 @@
                           : ResultCode::kNoUpstream);
     return;
   }
+  // The retry may have been spent before a wait for a path, too long ago to
+  // count for the window in which it reaches the upstream.
+  if (!HoldsRetry()) {
+    mAttempt.reset();
+    RetryOrGiveUp(mRetryCode);
+    return;
+  }
   mLack = Lack::kNothing;
   Send(*first);
 }
@@ -217,8 +222,18 @@
          Remaining() > 0 && !IsBarred();
 }
 
+bool RelayRequest::IsFirstSent() const {
+  return mRanAttempts + mRefusedAttempts == 0;
+}
+
+bool RelayRequest::HoldsRetry() {
+  const bool isSpent =
+      mRetrySpentAt > 0 && SteadyNow() - mRetrySpentAt <= kMaxRetrySendDelay;
+  return IsFirstSent() || isSpent || TrySpendRetry();
+}
+
 void RelayRequest::LogRetry() const {
-  if (mRanAttempts + mRefusedAttempts == 0) {
+  if (IsFirstSent()) {
     return;
   }
   LogLine(LogLevel::kInfo, "retry_sent")
@@ -227,11 +242,9 @@
       .Add("instance", mAttempt->mInstance)
       .Add("by_credit", mSpentCredit)
       .Add("spent_ago_ms",
-           static_cast<Json::Int64>(
-               mRetrySpentAt == 0 ? -1 : SteadyNow() - mRetrySpentAt));
-  mContext.mCounters.Add("retries_sent", mRetrySpentAt == 0 ? "by=\"none\""
-                                         : mSpentCredit     ? "by=\"credit\""
-                                                            : "by=\"own\"");
+           static_cast<Json::Int64>(SteadyNow() - mRetrySpentAt));
+  mContext.mCounters.Add("retries_sent",
+                         mSpentCredit ? "by=\"credit\"" : "by=\"own\"");
 }
 
 bool RelayRequest::IsCurrent() const {
@@ -255,7 +268,7 @@
   options.mSharedBody = mExchange->Body();
   options.mMemory = mExchange->Memory();
   options.mMaySend = [this] {
-    const bool may = MaySend();
+    const bool may = MaySend() && HoldsRetry();
     if (may) {
       ClaimMemory();
       LogRetry();
@@ -400,14 +413,13 @@
   RetryAllowance& allowance = mContext.RetryAllowanceOf(mService->mName);
   const Millis now = SteadyNow();
   const bool hasCredit = allowance.HasCredit(now);
-  if (allowance.TrySpend(mContext.Routers(), now)) {
+  if (allowance.TrySpend(now)) {
     mRetrySpentAt = now;
     mSpentCredit = hasCredit;
     return true;
   }
-  // An equal share of the retry limit is used up quickly if many requests of
-  // this router fail at one upstream, while the shares of other routers remain
-  // unused.
+  // The own allowance is used up quickly if many requests of this router fail
+  // at one upstream.
   mContext.mRetryCreditRequester->Request(mService->mName, this);
   return false;
 }
@@ -415,12 +427,12 @@
 bool RelayRequest::MayWaitForCredit() {
   const Millis now = SteadyNow();
   mCreditAwaitedAt = mCreditAwaitedAt == 0 ? now : mCreditAwaitedAt;
-  return mContext.mOptions.mRetries.mPooledShare > 0 &&
-         now - mCreditAwaitedAt < kCreditTimeout && !mExchange->Closed() &&
+  return now - mCreditAwaitedAt < kCreditTimeout && !mExchange->Closed() &&
          Remaining() > kCreditTimeout;
 }
 
 void RelayRequest::RetryOrGiveUp(ResultCode aCode) {
+  mRetryCode = aCode;
   if (TrySpendRetry()) {
     mContext.mCounters.Add("retries");
     mCreditAwaitedAt = 0;
--- a/daemons/relay/relay_context.cpp
+++ b/daemons/relay/relay_context.cpp
@@ -306,9 +306,7 @@
 }
 
 RetryAllowance& RelayContext::RetryAllowanceOf(const std::string& aService) {
-  RetryAllowanceOptions options = mOptions.mRetries;
-  options.mStartedAt = mStartedAt;
-  return mRetries.try_emplace(aService, options).first->second;
+  return mRetries.try_emplace(aService, mOptions.mRetries).first->second;
 }
 
 InterZoneBudget& RelayContext::InterZoneBudgetOf(const std::string& aService) {
--- a/daemons/relay/relay_context.h
+++ b/daemons/relay/relay_context.h
@@ -208,7 +208,7 @@
   Millis mPeerLoadsAsOf;
   std::map<std::string, UpstreamHistory> mHistories;
   std::set<std::string> mRestarted;
-  std::map<std::string, RetryAllowance> mRetries;
+  std::map<std::string, RetryAllowance> mRetries;  ///< By service.
   std::map<std::string, InterZoneBudget> mInterZoneBudgets;
   std::map<std::string, ServiceRouting> mServiceRouting;  ///< By service.
   RouterCount mRouters;
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -411,6 +411,24 @@
   }
 }
 
+void RelayRequest::SwitchWithCredit(ResultCode aCode, bool aMayStay) {
+  if (!MayWaitForCredit()) {
+    mCreditAwaitedAt = 0;
+    return;
+  }
+  const Millis startedAt = mAttempt->mStartedAt;
+  const Millis lastDataAt = mAttempt->mLastDataAt;
+  mSwitchTimer = mContext.mLoop.After(
+      kRetryCreditPollInterval, [this, aCode, aMayStay, startedAt, lastDataAt] {
+        const bool isUnchanged = mAttempt != nullptr &&
+                                 mAttempt->mStartedAt == startedAt &&
+                                 mAttempt->mLastDataAt == lastDataAt;
+        if (isUnchanged) {
+          SwitchAttempt(aCode, aMayStay);
+        }
+      });
+}
+
 bool RelayRequest::SwitchAttempt(ResultCode aCode, bool aMayStay) {
   if (!MayTryAgain(Ran::kUnknown)) {
     return false;
@@ -422,9 +440,14 @@
       found ? mContext.mRegistry.Find(next->mInstance) : nullptr;
   const bool isBetter =
       first != nullptr && (aMayStay || next->mInstance != mAttempt->mInstance);
-  if (!isBetter || !TrySpendRetry()) {
+  if (!isBetter) {
+    return false;
+  }
+  if (!TrySpendRetry()) {
+    SwitchWithCredit(aCode, aMayStay);
     return false;
   }
+  mCreditAwaitedAt = 0;
   LogFailure(Ran::kUnknown, aCode);
   RecordLostAttempt();
   mMayHaveRun = true;
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -435,6 +435,7 @@
   mTimeout.reset();
   mSilenceTimer.reset();
   mPathTimer.reset();
+  mSwitchTimer.reset();
   // The call may release the last reference: no member may be used after it.
   const std::function<void()> call = std::move(mOnEnd);
   mOnEnd = nullptr;
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -19,6 +19,9 @@
 
 namespace spindleweir {
 
+/// Interval at which a request that waits for a retry credit checks for it.
+inline constexpr Millis kRetryCreditPollInterval = 20;
+
 /// Exists until its answer has ended or its caller has disconnected.
 class RelayRequest : public std::enable_shared_from_this<RelayRequest>,
                      private GuardedStream {
@@ -147,6 +150,11 @@
   bool ChoosePlainUpstream(Attempt& aAttempt);
   void Send(const UpstreamRecord& aFirst);
   bool MaySend() const;
+  /// Whether no attempt has reached an upstream yet.
+  bool IsFirstSent() const;
+  /// Whether the attempt may reach an upstream: it is the first one that does,
+  /// or a retry was spent for it a moment ago or just now.
+  bool HoldsRetry();
   /// Logs an attempt that reaches upstreams beyond the request's first one.
   void LogRetry() const;
   void HandleHead(const AnswerHead& aHead);
@@ -182,6 +190,9 @@
   /// without a change, if there is none. aMayStay: the better one may begin at
   /// the same upstream.
   bool SwitchAttempt(ResultCode aCode, bool aMayStay = false);
+  /// Tries to switch again in a moment, when control may have granted a credit,
+  /// unless the attempt goes on meanwhile.
+  void SwitchWithCredit(ResultCode aCode, bool aMayStay);
   /// Reports the attempt as lost: its upstream may have crashed.
   void RecordLostAttempt();
   void LogFailure(Ran aRan, ResultCode aCode) const;
@@ -282,6 +293,8 @@
   /// When a retry was spent for the next attempt; 0: none was.
   Millis mRetrySpentAt = 0;
   bool mSpentCredit = false;  ///< It was one that control had granted.
+  /// Why the latest attempt failed.
+  ResultCode mRetryCode = ResultCode::kNoUpstream;
   /// Start of the wait for a retry credit; 0 if it doesn't wait.
   Millis mCreditAwaitedAt = 0;
   bool mMayHaveRun = false;
@@ -299,6 +312,7 @@
   std::unique_ptr<Timer> mTimeout;
   std::unique_ptr<Timer> mSilenceTimer;
   std::unique_ptr<Timer> mPathTimer;
+  std::unique_ptr<Timer> mSwitchTimer;
 };
 
 }  // namespace spindleweir
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -319,8 +319,7 @@
   double left = 0;
   for (const TrafficService& service :
        context.Table()->Configuration().mServices) {
-    left += context.RetryAllowanceOf(service.mName)
-                .Available(context.Routers(), now);
+    left += context.RetryAllowanceOf(service.mName).Available(now);
   }
   counters.Set("retries_left", static_cast<std::int64_t>(left));
 }
--- a/daemons/relay/retry_credit_requester.cpp
+++ b/daemons/relay/retry_credit_requester.cpp
@@ -1,6 +1,7 @@
 #include "daemons/relay/retry_credit_requester.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "daemons/relay/sync_link.h"
 #include "spindleweir/core/json_codec.h"
@@ -12,10 +13,7 @@
 namespace {
 
 constexpr Millis kRequestTimeout = 300;
-/// Delay after a partial grant: a pool is refilled in tenths of a window, and
-/// all routers may request credits.
-constexpr Millis kShortGrantDelay = 200;
-/// Maximum per call, so that one router doesn't take the whole pool.
+/// Maximum per call, so that one router doesn't take a whole share.
 constexpr int kMaxRequested = 32;
 
 }  // namespace
@@ -28,48 +26,62 @@
                                    const void* aRequest) {
   PendingRequests& pending = mPending[aService];
   pending.mRequests.insert(aRequest);
-  if (!pending.mPolling && SteadyNow() >= pending.mNotBefore) {
+  if (!pending.mPolling) {
     Send(aService, pending);
   }
 }
 
 void RetryCreditRequester::Send(const std::string& aService,
                                 PendingRequests& aPending) {
-  const bool pooled = mContext.mOptions.mRetries.mPooledShare > 0;
-  if (!pooled || mLink.Controls().empty()) {
-    aPending.mRequests.clear();
-    return;
-  }
-  const int requested =
+  const std::vector<Endpoint>& polled = mLink.Controls();
+  const Millis now = SteadyNow();
+  const std::optional<Endpoint> control =
+      polled.empty() ? std::nullopt
+                     : aPending.mSources.Next(
+                           polled.front(), mContext.mDirectory.Addresses(now),
+                           now, [this] { return mContext.Random(); });
+  const int wanted =
       std::min(kMaxRequested, static_cast<int>(aPending.mRequests.size()));
+  // Requests that still need a credit ask again.
   aPending.mRequests.clear();
+  if (!control.has_value()) {
+    return;
+  }
   aPending.mPolling = true;
+  const Question question{.mService = aService,
+                          .mControl = *control,
+                          .mWanted = wanted,
+                          .mSentAt = now};
   const RetryCreditRequest message{.mProcess = mContext.mOptions.mId,
                                    .mService = aService,
-                                   .mWanted = requested};
+                                   .mWanted = wanted};
   mContext.mRpc.Call(
-      mLink.Controls().front(), rpc_method::kRetries, ToJson(message),
-      kRequestTimeout, [this, aService, requested](const RpcResult& aResult) {
+      *control, rpc_method::kRetries, ToJson(message), kRequestTimeout,
+      [this, question](const RpcResult& aResult) {
         const int granted =
             aResult.mOk ? FromJson<RetryCreditGrant>(aResult.mAnswer).mGranted
                         : 0;
-        ApplyGrant(aService, requested, granted);
+        ApplyGrant(question, granted);
       });
 }
 
-void RetryCreditRequester::ApplyGrant(const std::string& aService,
-                                      int aRequested, int aGranted) {
-  PendingRequests& pending = mPending[aService];
+void RetryCreditRequester::ApplyGrant(const Question& aQuestion, int aGranted) {
+  PendingRequests& pending = mPending[aQuestion.mService];
+  const Millis now = SteadyNow();
   pending.mPolling = false;
-  pending.mNotBefore =
-      aGranted < aRequested ? SteadyNow() + kShortGrantDelay : 0;
+  pending.mSources.OnAnswer(aQuestion.mControl, aQuestion.mWanted, aGranted,
+                            now);
+  RetryAllowance& allowance = mContext.RetryAllowanceOf(aQuestion.mService);
   if (aGranted > 0) {
-    mContext.RetryAllowanceOf(aService).AddCredits(aGranted, SteadyNow());
+    allowance.AddCredits(aGranted, aQuestion.mSentAt);
   }
   LogLine(LogLevel::kInfo, "retries_granted")
-      .Add("service", aService)
-      .Add("wanted", aRequested)
-      .Add("granted", aGranted);
+      .Add("service", aQuestion.mService)
+      .Add("control", aQuestion.mControl.Text())
+      .Add("wanted", aQuestion.mWanted)
+      .Add("granted", aGranted)
+      .Add("took_ms", static_cast<Json::Int64>(now - aQuestion.mSentAt))
+      .Add("left", allowance.Available(now));
   mContext.mCounters.Add("retries_granted", {}, aGranted);
 }
 
--- a/daemons/relay/retry_credit_requester.h
+++ b/daemons/relay/retry_credit_requester.h
@@ -1,5 +1,5 @@
-/// Requests retry credits from control when this router's own allowance is used
-/// up.
+/// Requests retry credits from controls when this router's own allowance is
+/// used up.
 #pragma once
 
 #include <map>
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "daemons/relay/relay_context.h"
+#include "spindleweir/servers/routing/credit_sources.h"
 
 namespace spindleweir {
 
@@ -27,11 +28,19 @@
   struct PendingRequests {
     std::set<const void*> mRequests;  ///< Not yet reported to control.
     bool mPolling = false;
-    Millis mNotBefore = 0;
+    CreditSources mSources;
+  };
+
+  /// One request to a control, for a number of credits.
+  struct Question {
+    std::string mService;
+    Endpoint mControl;
+    int mWanted = 0;
+    Millis mSentAt = 0;
   };
 
   void Send(const std::string& aService, PendingRequests& aPending);
-  void ApplyGrant(const std::string& aService, int aRequested, int aGranted);
+  void ApplyGrant(const Question& aQuestion, int aGranted);
 
   RelayContext& mContext;
   SyncLink& mLink;
--- a/include/spindleweir/daemons/control_daemon.h
+++ b/include/spindleweir/daemons/control_daemon.h
@@ -37,11 +37,14 @@
   std::vector<Endpoint> mSeeds;  ///< RPC addresses of some controls.
   bool mFirstStart = false;      ///< The whole deployment starts for
   ///< the first time.
+  /// Set by ReadIdentity(): a first start on an empty disk, so that no process
+  /// of this control has granted anything before.
+  bool mIsNewDeployment = false;
   Millis mHeartbeatInterval = 1200;  ///< Of upstreams.
   /// Heartbeats per second above which control refers upstreams to collectors;
   /// see CollectorChoiceOptions.
   int mMaxLocalHeartbeats = 50;
-  RetryAllowanceOptions mRetries;  ///< The same as the routers'.
+  RetryLimits mRetries;  ///< The same as the routers'.
   DocumentProtocol mDocuments;
   EngineProtocol mEngines;
 };
--- a/include/spindleweir/daemons/relay_router.h
+++ b/include/spindleweir/daemons/relay_router.h
@@ -41,7 +41,7 @@
   Millis mStartWait = 1500;
   /// All requests must have ended within this time after a stop signal.
   Millis mStopGrace = 8000;
-  RetryAllowanceOptions mRetries;
+  RetryLimits mRetries;
   RelativeCosts mCosts;
   /// Memory of the process; 0: not known, and the memory held for callers is
   /// only limited for each of them.
--- a/include/spindleweir/servers/limits/router_count.h
+++ b/include/spindleweir/servers/limits/router_count.h
@@ -2,9 +2,10 @@
 /// processes.
 #pragma once
 
-#include <deque>
+#include <algorithm>
 
 #include "spindleweir/core/clock.h"
+#include "spindleweir/servers/limits/recent_maximum.h"
 
 namespace spindleweir {
 
@@ -22,23 +23,17 @@
 /// passed to each call.
 class RouterCount {
  public:
-  explicit RouterCount(RouterCountOptions aOptions) : mOptions(aOptions) {}
+  explicit RouterCount(RouterCountOptions aOptions)
+      : mReports(aOptions.mRetention) {}
 
   /// A control process reported how many routers it knows.
   void OnReport(int aRouters, Millis aNow);
   /// The greatest number that was reported within mRetention before the newest
   /// report; 1 before the first. Without new reports it does not change.
-  int Value() const { return mReports.empty() ? 1 : mReports.front().mRouters; }
+  int Value() const { return std::max(1, mReports.Value()); }
 
  private:
-  struct Report {
-    int mRouters = 1;
-    Millis mAt = 0;
-  };
-
-  RouterCountOptions mOptions;
-  /// In order of time, each smaller than the one before.
-  std::deque<Report> mReports;
+  RecentMaximum mReports;
 };
 
 }  // namespace spindleweir
--- a/include/spindleweir/servers/routing/retry_allowance.h
+++ b/include/spindleweir/servers/routing/retry_allowance.h
@@ -1,7 +1,7 @@
-/// Limits how many requests may be retried: a share of the requests of a
-/// sliding window, plus this router's part of a slack that all routers share,
-/// plus the credits that control grants from the pooled rest (see
-/// retry_pool.h).
+/// Limits how many requests one router may retry. The limit over all routers is
+/// a share of the requests of a window, and a slack. The share of its own
+/// requests is each router's own, so that it needs no word of others; the slack
+/// is granted by controls as credits (see retry_pool.h).
 #pragma once
 
 #include <deque>
@@ -10,65 +10,70 @@
 
 namespace spindleweir {
 
-/// Default share of the slack that is pooled. With less in the pool, the loss
-/// of one engine exhausts it; with less divided among the routers, a router
-/// without contact to a control has none.
-inline constexpr double kDefaultPooledRetries = 0.5;
-
 /// Limits that hold for all routers together.
-struct RetryAllowanceOptions {
+struct RetryLimits {
   double mRatio = 0.2;  ///< Of the requests in a window.
   Millis mWindow = 10000;
   double mSlack = 200;  ///< In addition to the ratio, over all routers.
-  /// Share of the limits that is used; the rest is a margin, since the windows
-  /// of the routers are not aligned.
-  double mUsableShare = 0.7;
-  /// Share of the slack that is not divided: control grants it to the routers
-  /// that need it. A single router has the whole slack.
-  double mPooledShare = 0;
-  /// Steady time of the process start; -1: more than a window ago. The retries
-  /// of the previous process on this VM are unknown: in the first window, only
-  /// that part of the slack is available which processes do not use after it.
-  Millis mStartedAt = -1;
+  /// Share of the limits that is used. The rest is a margin, since a retry
+  /// reaches its upstream some time after it was spent.
+  double mUsableShare = 0.95;
 };
 
-/// The retry allowance of one service on one router.
+/// How long a router may use a credit, counted from its request to control,
+/// which is earlier than the grant.
+inline constexpr Millis kRetryCreditLifetime = 400;
+/// A retry that was spent longer ago must be spent again before it is sent.
+inline constexpr Millis kMaxRetrySendDelay = 200;
+
+/// For how long a control counts what it granted: until the last retry that a
+/// credit allows has left every window.
+constexpr Millis RetryGrantRetention(const RetryLimits& aLimits) {
+  return aLimits.mWindow + kRetryCreditLifetime + kMaxRetrySendDelay;
+}
+
+/// The retry allowance of one service on one router. In any window it spends at
+/// most what the requests of that window earn and what it had saved when the
+/// window began, which is bounded by the requests of the window before. Both
+/// together are within the ratio, so that the sum over all routers is as well,
+/// whoever starts or ends: a process that starts has saved nothing.
 class RetryAllowance {
  public:
-  explicit RetryAllowance(RetryAllowanceOptions aOptions)
-      : mOptions(aOptions) {}
+  explicit RetryAllowance(RetryLimits aLimits) : mLimits(aLimits) {}
 
   void RequestStarted(Millis aNow);
-  /// Takes one retry; returns false if none is available. aRouters: number of
-  /// routers that share the slack, at least 1.
-  bool TrySpend(double aRouters, Millis aNow);
+  /// Takes one retry; returns false if none is available.
+  bool TrySpend(Millis aNow);
   /// Retries that are available now.
-  double Available(double aRouters, Millis aNow);
-  /// Adds retries that control granted. Control counts them as spent at this
-  /// time, so that they expire soon if they are not used.
-  void AddCredits(int aRetries, Millis aNow);
+  double Available(Millis aNow);
+  /// Adds retries that control granted. aRequestedAt: when they were requested.
+  void AddCredits(int aRetries, Millis aRequestedAt);
   /// Whether the next retry would be one that control granted.
-  bool HasCredit(Millis aNow) const { return ValidCredits(aNow) > 0; }
+  bool HasCredit(Millis aNow);
 
  private:
-  /// Counts of a tenth of a window.
+  /// Requests of a part of a window.
   struct Slice {
     Millis mFrom = 0;
     double mRequests = 0;
-    double mRetries = 0;
+  };
+  /// Granted retries that are not used yet.
+  struct Credits {
+    int mRetries = 0;
+    Millis mExpiresAt = 0;
   };
 
-  Slice& CurrentSlice(Millis aNow);
-  /// Share of the slack that is available.
-  double UsableSlackShare(Millis aNow) const;
-
-  /// Granted retries that are neither used nor expired.
-  int ValidCredits(Millis aNow) const;
+  /// Forgets requests that left the window, and what they allowed to save;
+  /// drops expired credits.
+  void Expire(Millis aNow);
+  /// The most that may be saved.
+  double MaxSaved() const;
 
-  RetryAllowanceOptions mOptions;
+  RetryLimits mLimits;
   std::deque<Slice> mSlices;
-  int mCredits = 0;
-  Millis mCreditedAt = 0;
+  double mRequests = 0;  ///< Of all slices.
+  double mSaved = 0;     ///< Retries that requests earned, not spent yet.
+  std::deque<Credits> mCredits;
 };
 
 }  // namespace spindleweir
--- a/include/spindleweir/servers/routing/retry_pool.h
+++ b/include/spindleweir/servers/routing/retry_pool.h
@@ -1,35 +1,62 @@
-/// The share of the retry slack that is not divided among the routers. The loss
-/// of one upstream breaks a dozen streams of one router and none of others: the
-/// first one would exhaust its equal part while the parts of others stay
-/// unused.
+/// The slack of a limit on retries, which controls grant to the routers that
+/// need it. The loss of one upstream breaks a dozen streams of one router and
+/// none of others: equal parts would be exhausted there and unused elsewhere.
 #pragma once
 
+#include <deque>
+
 #include "spindleweir/core/clock.h"
 #include "spindleweir/servers/routing/retry_allowance.h"
 
 namespace spindleweir {
 
-/// Number of routers that report to one control process, and of all routers.
-struct RouterShare {
-  int mLocal = 0;
-  int mTotal = 1;
-};
-
-/// Grants retries of one service from one control process's part of the pool.
-/// The part is proportional to the routers that report to it, so that all
-/// controls together keep to the limit without coordination.
+/// Grants retries of one service from one control's share of the slack, and
+/// counts each until it has left every window, whoever received it and whether
+/// that router still exists. The count outlives this process too: a number that
+/// it does not exceed is recorded on disk before retries are granted, and the
+/// next process counts that number as granted at its start. The number is a
+/// little ahead of the grants, so that these need not wait for the disk.
 class RetryPool {
  public:
-  /// aOptions: those of the routers, with mStartedAt of the control process.
-  explicit RetryPool(const RetryAllowanceOptions& aOptions);
+  /// aInherited: the number that the process before has recorded.
+  RetryPool(RetryLimits aLimits, int aInherited, Millis aStartedAt);
 
-  /// Grants up to aWanted retries to a router; returns how many.
-  int Grant(int aWanted, RouterShare aRouters, Millis aNow);
-  /// Retries that could be granted now.
-  double Available(RouterShare aRouters, Millis aNow);
+  /// Grants up to aWanted retries to a router; returns how many. aShare: this
+  /// control's share of the slack, from 0 to 1 (see PoolShare).
+  int Grant(int aWanted, double aShare, Millis aNow);
+  /// Retries that could be granted now; below zero if the share has become
+  /// smaller than what was granted.
+  double Available(double aShare, Millis aNow);
+  /// Granted retries that still count.
+  int Granted(Millis aNow);
+
+  /// Whether the recorded number should be written anew.
+  bool NeedsRecord(double aShare, Millis aNow);
+  /// Begins to record a number; returns it. A smaller one than before limits
+  /// the grants from now on, a greater one once it is durable.
+  int BeginRecord(double aShare, Millis aNow);
+  /// The writing has ended. aIsDurable: with success.
+  void EndRecord(bool aIsDurable);
 
  private:
-  RetryAllowance mAllowance;
+  /// Retries that were granted at one time.
+  struct Grants {
+    Millis mAt = 0;
+    int mRetries = 0;
+  };
+
+  /// The retries that this control may have granted in a window.
+  double Part(double aShare) const;
+  /// How far the recorded number is ahead of the grants.
+  int Headroom(double aShare) const;
+  /// The number that would be recorded now.
+  int RecordTarget(double aShare, Millis aNow);
+
+  RetryLimits mLimits;
+  int mRecorded;  ///< On disk there is this number or a greater one.
+  int mWriting;   ///< The number that was written last.
+  std::deque<Grants> mGrants;
+  int mGranted = 0;  ///< Sum of mGrants.
 };
 
 }  // namespace spindleweir
--- a/servers/limits/router_count.cpp
+++ b/servers/limits/router_count.cpp
@@ -6,13 +6,7 @@
   if (aRouters < 1) {
     return;
   }
-  while (!mReports.empty() && mReports.back().mRouters <= aRouters) {
-    mReports.pop_back();
-  }
-  mReports.push_back({.mRouters = aRouters, .mAt = aNow});
-  while (aNow - mReports.front().mAt > mOptions.mRetention) {
-    mReports.pop_front();
-  }
+  mReports.Record(aRouters, aNow);
 }
 
 }  // namespace spindleweir
--- a/servers/routing/retry_allowance.cpp
+++ b/servers/routing/retry_allowance.cpp
@@ -6,70 +6,79 @@
 
 namespace {
 
-constexpr int kSlicesPerWindow = 10;
-/// Lifetime of granted retries. The window in which control counted them must
-/// cover their use: this is a hundredth of a typical window, and longer than a
-/// few wait steps of a request.
-constexpr Millis kCreditLifetime = 100;
+constexpr int kSlicesPerWindow = 50;
+/// The ratio is split between what requests earn for the window in which they
+/// start and what may be saved up for the next one. The parts add up to one: a
+/// window may have the savings of the window before in addition to its own.
+constexpr double kEarnedShare = 0.6;
+constexpr double kSavedShare = 1 - kEarnedShare;
 
 }  // namespace
 
-RetryAllowance::Slice& RetryAllowance::CurrentSlice(Millis aNow) {
-  const Millis length =
-      std::max<Millis>(1, mOptions.mWindow / kSlicesPerWindow);
-  if (mSlices.empty() || aNow - mSlices.back().mFrom >= length) {
-    mSlices.push_back({.mFrom = aNow});
-  }
-  while (aNow - mSlices.front().mFrom > mOptions.mWindow) {
+double RetryAllowance::MaxSaved() const {
+  return mLimits.mRatio * mLimits.mUsableShare * kSavedShare * mRequests;
+}
+
+void RetryAllowance::Expire(Millis aNow) {
+  // A slice leaves as a whole when its first request does.
+  while (!mSlices.empty() && aNow - mSlices.front().mFrom >= mLimits.mWindow) {
+    mRequests -= mSlices.front().mRequests;
     mSlices.pop_front();
   }
-  return mSlices.back();
+  mSaved = std::min(mSaved, MaxSaved());
+  std::erase_if(mCredits, [aNow](const Credits& aCredits) {
+    return aNow > aCredits.mExpiresAt;
+  });
 }
 
 void RetryAllowance::RequestStarted(Millis aNow) {
-  CurrentSlice(aNow).mRequests += 1;
-}
-
-double RetryAllowance::UsableSlackShare(Millis aNow) const {
-  // Without this, eight routers that all restarted would spend their slack
-  // twice in one window: 272 retries where the slack is 200.
-  const bool justStarted =
-      mOptions.mStartedAt >= 0 && aNow - mOptions.mStartedAt < mOptions.mWindow;
-  return justStarted ? 1 - mOptions.mUsableShare : mOptions.mUsableShare;
+  Expire(aNow);
+  const Millis length = std::max<Millis>(1, mLimits.mWindow / kSlicesPerWindow);
+  if (mSlices.empty() || aNow - mSlices.back().mFrom >= length) {
+    mSlices.push_back({.mFrom = aNow});
+  }
+  mSlices.back().mRequests += 1;
+  mRequests += 1;
+  mSaved =
+      std::min(mSaved + mLimits.mRatio * mLimits.mUsableShare * kEarnedShare,
+               MaxSaved());
 }
 
-void RetryAllowance::AddCredits(int aRetries, Millis aNow) {
-  mCredits = ValidCredits(aNow) + aRetries;
-  mCreditedAt = aNow;
+void RetryAllowance::AddCredits(int aRetries, Millis aRequestedAt) {
+  mCredits.push_back({.mRetries = aRetries,
+                      .mExpiresAt = aRequestedAt + kRetryCreditLifetime});
 }
 
-int RetryAllowance::ValidCredits(Millis aNow) const {
-  return aNow - mCreditedAt <= kCreditLifetime ? mCredits : 0;
+bool RetryAllowance::HasCredit(Millis aNow) {
+  Expire(aNow);
+  return std::any_of(
+      mCredits.begin(), mCredits.end(),
+      [](const Credits& aCredits) { return aCredits.mRetries > 0; });
 }
 
-double RetryAllowance::Available(double aRouters, Millis aNow) {
-  CurrentSlice(aNow);
-  double requests = 0;
-  double retries = 0;
-  for (const Slice& slice : mSlices) {
-    requests += slice.mRequests;
-    retries += slice.mRetries;
+double RetryAllowance::Available(Millis aNow) {
+  Expire(aNow);
+  double available = mSaved;
+  for (const Credits& credits : mCredits) {
+    available += credits.mRetries;
   }
-  const double dividedShare = aRouters > 1 ? 1 - mOptions.mPooledShare : 1;
-  const double slack = mOptions.mSlack * dividedShare / std::max(1.0, aRouters);
-  return mOptions.mRatio * requests * mOptions.mUsableShare +
-         slack * UsableSlackShare(aNow) - retries + ValidCredits(aNow);
+  return available;
 }
 
-bool RetryAllowance::TrySpend(double aRouters, Millis aNow) {
-  if (Available(aRouters, aNow) < 1) {
-    return false;
-  }
-  if (ValidCredits(aNow) > 0) {
-    mCredits--;
+bool RetryAllowance::TrySpend(Millis aNow) {
+  Expire(aNow);
+  // Credits first: they expire.
+  const auto it = std::find_if(
+      mCredits.begin(), mCredits.end(),
+      [](const Credits& aCredits) { return aCredits.mRetries > 0; });
+  if (it != mCredits.end()) {
+    it->mRetries--;
     return true;
   }
-  CurrentSlice(aNow).mRetries += 1;
+  if (mSaved < 1) {
+    return false;
+  }
+  mSaved -= 1;
   return true;
 }
 
--- a/tests/daemons/cut_streams_test.cpp
+++ b/tests/daemons/cut_streams_test.cpp
@@ -36,12 +36,10 @@
 }  // namespace
 
 Test(cut_streams, one_router_may_use_more_retries_than_its_equal_share) {
-  // Ten routers share 40 retries per window; the local share is 4.
-  RelayFixture fixture(kShortWarmUp, {.mRatio = 0,
-                                      .mWindow = kWindow,
-                                      .mSlack = 40,
-                                      .mUsableShare = 1,
-                                      .mPooledShare = kDefaultPooledRetries});
+  // Ten routers share 40 retries per window; an equal part would be 4.
+  RelayFixture fixture(
+      kShortWarmUp,
+      {.mRatio = 0, .mWindow = kWindow, .mSlack = 40, .mUsableShare = 1});
   // Either upstream has slots for all streams, so that capacity does not
   // matter.
   fixture.mSlots = 2 * kStreams;
@@ -49,8 +47,7 @@
   fixture.ReportRouters(9);
   REQUIRE(fixture.RunUntil(
       [&fixture] { return KnownRouters(*fixture.mRouter) == 10; }));
-  // In the first window a router withholds the retries that its predecessor may
-  // have used.
+  // Others that ended may have spent the retries of this window.
   fixture.Wait(kWindow);
   fixture.ReportRouters(9);
   SECTION("one upstream cuts its streams, no other router needs a retry") {
--- a/tests/daemons/relay_fixture.cpp
+++ b/tests/daemons/relay_fixture.cpp
@@ -73,7 +73,7 @@
   return DumpJson(ToJson(aTraffic));
 }
 
-RelayFixture::RelayFixture(Millis aWarmUp, RetryAllowanceOptions aRetries,
+RelayFixture::RelayFixture(Millis aWarmUp, RetryLimits aRetries,
                            int aMaxLocalHeartbeats)
     : mA(mLoop, "a"),
       mB(mLoop, "b"),
--- a/tests/daemons/relay_fixture.h
+++ b/tests/daemons/relay_fixture.h
@@ -58,7 +58,7 @@
 /// The processes under test and what they are connected to.
 struct RelayFixture {
   explicit RelayFixture(Millis aWarmUp = kShortWarmUp,
-                        RetryAllowanceOptions aRetries = {},
+                        RetryLimits aRetries = {},
                         int aMaxLocalHeartbeats = 50);
 
   /// Starts a control on the fixture's data folder, which is empty at first.
@@ -140,7 +140,7 @@
   std::int64_t mSequence = 0;
   int mRequest = 0;
   Millis mStartWait;
-  RetryAllowanceOptions mRetries;
+  RetryLimits mRetries;
   int mSlots = 6;                ///< Of each upstream's heartbeats.
   std::size_t mMemoryBytes = 0;  ///< Of routers started from now on.
   std::size_t mDescriptors = 0;  ///< The same.
--- a/tests/fuzz/retry_limit_fuzz.cpp
+++ b/tests/fuzz/retry_limit_fuzz.cpp
@@ -1,12 +1,16 @@
-/// Fuzzing of the limit on retries: over any series of kills, cuts, freezes and
-/// restarts of routers and controls, with all routers asking for all that they
-/// can get, no window has more retries than the limit allows.
+/// Fuzzing of the limit on retries: over any series of kills, cuts, freezes,
+/// restarts and replacements of routers and controls, with all routers asking
+/// for all that they can get, no window has more retries than the limit allows.
 #include <algorithm>
+#include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "spindleweir/servers/limits/pool_share.h"
 #include "spindleweir/servers/routing/retry_allowance.h"
 #include "spindleweir/servers/routing/retry_pool.h"
 #include "tests/test_tools.h"
@@ -23,6 +27,7 @@
 constexpr double kRatio = 0.2;
 constexpr double kSlack = 198;
 constexpr int kWanted = 32;
+constexpr Millis kAskTimeout = 300;
 constexpr int kPlays = 60;
 
 /// What may happen to processes in a play.
@@ -30,6 +35,17 @@
   bool mRouters = false;   ///< Kills, restarts and freezes of routers.
   bool mControls = false;  ///< The same of controls.
   bool mLinks = false;     ///< Cuts between routers and controls, late answers.
+  bool mVoters = false;    ///< Voters are cut off, removed and replaced.
+};
+
+/// Faults that are built in, to see that the plays detect them.
+enum class Defect {
+  kNone,
+  kSharesGrowAtOnce,    ///< A control has the shares of those that are down.
+  kStartsForgetGrants,  ///< A control that starts grants at once.
+  kNewVotersDoNotWait,  ///< A new voter grants beside the one it replaces.
+  kCreditsFromArrival,  ///< A credit's time begins when it arrives.
+  kUnpaidRetries,       ///< One of ten retries spends nothing.
 };
 
 /// Credits on their way from a control to a router.
@@ -47,41 +63,48 @@
   Millis mDownUntil = 0;
   Millis mFrozenUntil = 0;
   Millis mAskedAt = -1;  ///< -1: no request to a control is under way.
-  int mHome = 0;         ///< The control that it reports to.
 };
 
 struct Control {
   std::unique_ptr<RetryPool> mPool;
+  std::unique_ptr<PoolShare> mShare;
   Millis mDownUntil = 0;
   Millis mFrozenUntil = 0;
+  Millis mCutOffUntil = 0;     ///< From the other controls.
+  bool mIsVoter = true;        ///< As a majority has decided.
+  VoterState mKnown;           ///< As this control knows, also after a restart.
+  std::optional<int> mOnDisk;  ///< The number that is recorded.
+  int mWriting = 0;
+  Millis mWrittenAt = -1;  ///< When a write will be durable; -1: none runs.
 };
 
 /// Routers and controls, each with its own part of the limit, and a record of
 /// the requests and retries of all.
 class Play {
  public:
-  Play(unsigned aSeed, Troubles aTroubles)
+  Play(unsigned aSeed, Troubles aTroubles, Defect aDefect = Defect::kNone)
       : mRandom(aSeed),
         mTroubles(aTroubles),
+        mDefect(aDefect),
         mRouters(kRouters),
-        mControls(kControls),
-        mCutUntil(kRouters * kControls, 0) {
+        mControls(kControls) {
     for (int i = 0; i < kRouters; i++) {
-      mRouters[Index(i)].mHome = i % kControls;
       StartRouter(i);
     }
     for (Control& control : mControls) {
-      StartControl(control);
+      control.mKnown = {.mVoters = kControls, .mIsVoter = true};
+      StartControl(control, PreviousGrants::kNone);
     }
   }
 
   void Run() {
     for (mNow = 0; mNow < kPlayed; mNow += kStep) {
       mRequests.push_back(0);
-      mRetries.push_back(0);
       if (Chance(0.04)) {
         MakeTrouble();
       }
+      ShareVoters();
+      RecordGrants();
       StartRequests();
       DeliverAnswers();
       if (mNow >= mTurnsAt) {
@@ -113,7 +136,7 @@
       return total;
     };
     double over = -kSlack;
-    const auto steps = static_cast<std::ptrdiff_t>(mRetries.size());
+    const auto steps = static_cast<std::ptrdiff_t>(mRequests.size());
     for (std::ptrdiff_t from = 0; from < steps; from++) {
       const double requests =
           std::max({sum(mRequests, from), sum(mRequests, from - window / 2),
@@ -149,27 +172,61 @@
     return mNow >= aProcess.mDownUntil && mNow >= aProcess.mFrozenUntil;
   }
 
-  RetryAllowanceOptions OptionsOfStart() const {
-    return {.mRatio = kRatio,
-            .mWindow = kWindow,
-            .mSlack = kSlack,
-            .mPooledShare = kDefaultPooledRetries,
-            .mStartedAt = mNow};
-  }
+  static constexpr RetryLimits kLimits = {
+      .mRatio = kRatio, .mWindow = kWindow, .mSlack = kSlack};
 
   void StartRouter(int aRouter) {
     Router& router = mRouters[Index(aRouter)];
-    router.mAllowance = std::make_unique<RetryAllowance>(OptionsOfStart());
+    router.mAllowance = std::make_unique<RetryAllowance>(kLimits);
     router.mIncarnation++;
     router.mAskedAt = -1;
   }
 
-  void StartControl(Control& aControl) {
-    aControl.mPool = std::make_unique<RetryPool>(OptionsOfStart());
+  void StartControl(Control& aControl, PreviousGrants aPrevious) {
+    aControl.mPool = std::make_unique<RetryPool>(
+        kLimits, aControl.mOnDisk.value_or(0), mNow);
+    aControl.mShare = std::make_unique<PoolShare>(
+        PoolShareOptions{.mStartedAt = mNow,
+                         .mPrevious = aPrevious,
+                         .mGrantRetention = RetryGrantRetention(kLimits)});
+    aControl.mKnown.mHasLeaderContact = false;
+    aControl.mShare->Update(aControl.mKnown, mNow);
+  }
+
+  /// What is being written when a control ends may be kept or not.
+  void RestartControl(Control& aControl) {
+    if (aControl.mWrittenAt >= 0 && Chance(0.5)) {
+      aControl.mOnDisk = aControl.mWriting;
+    }
+    aControl.mWrittenAt = -1;
+    if (mDefect == Defect::kStartsForgetGrants) {
+      aControl.mOnDisk = 0;
+    }
+    StartControl(aControl, aControl.mOnDisk.has_value()
+                               ? PreviousGrants::kRecorded
+                               : PreviousGrants::kUnknown);
+  }
+
+  void RecordGrants() {
+    for (Control& control : mControls) {
+      if (!IsRunning(control)) {
+        continue;
+      }
+      if (control.mWrittenAt >= 0 && mNow >= control.mWrittenAt) {
+        control.mWrittenAt = -1;
+        control.mOnDisk = control.mWriting;
+        control.mPool->EndRecord(true);
+      }
+      const double share = ShareOf(control);
+      if (control.mWrittenAt < 0 && control.mPool->NeedsRecord(share, mNow)) {
+        control.mWriting = control.mPool->BeginRecord(share, mNow);
+        control.mWrittenAt = mNow + Time(Chance(0.1) ? 3000 : 2 * kStep);
+      }
+    }
   }
 
   void MakeTrouble() {
-    const int kind = Below(6);
+    const int kind = Below(8);
     const Millis length = Time(Chance(0.3) ? 15000 : 2000);
     if (kind < 2 && mTroubles.mRouters) {
       KillRouters();
@@ -178,20 +235,81 @@
       mRouters[Index(Below(kRouters))].mFrozenUntil = mNow + length;
     }
     if (kind == 3 && mTroubles.mControls) {
-      Control& control = mControls[Index(Below(kControls))];
+      Control& control = AnyControl();
+      RestartControl(control);
       control.mDownUntil = mNow + length;
-      StartControl(control);
     }
     if (kind == 4 && mTroubles.mControls) {
-      mControls[Index(Below(kControls))].mFrozenUntil = mNow + length;
+      AnyControl().mFrozenUntil = mNow + length;
     }
     if (kind == 5 && mTroubles.mLinks) {
       for (int i = 0; i < kRouters; i++) {
         if (Chance(0.5)) {
-          CutOf(i, Below(kControls)) = mNow + length;
+          mCutUntil[{i, Below(static_cast<int>(mControls.size()))}] =
+              mNow + length;
         }
       }
     }
+    if (kind == 6 && mTroubles.mVoters) {
+      AnyControl().mCutOffUntil = mNow + length;
+    }
+    if (kind == 7 && mTroubles.mVoters) {
+      ReplaceVoter();
+    }
+  }
+
+  Control& AnyControl() {
+    return mControls[Index(Below(static_cast<int>(mControls.size())))];
+  }
+
+  int Voters() const {
+    return static_cast<int>(
+        std::count_if(mControls.begin(), mControls.end(),
+                      [](const Control& aItem) { return aItem.mIsVoter; }));
+  }
+
+  /// An empty control takes the place of a voter, which may run on. Both vote
+  /// for a moment, unless the old one is removed first.
+  void ReplaceVoter() {
+    Control& old = AnyControl();
+    if (!old.mIsVoter || Voters() != kControls) {
+      return;
+    }
+    if (Chance(0.5)) {
+      old.mIsVoter = false;
+      ShareVoters();
+    }
+    if (mDefect == Defect::kNewVotersDoNotWait) {
+      Control next;
+      next.mKnown = {.mVoters = Voters(), .mIsVoter = true};
+      StartControl(next, PreviousGrants::kNone);
+      old.mIsVoter = false;
+      mControls.push_back(std::move(next));
+      return;
+    }
+    old.mCutOffUntil = Chance(0.5) ? mNow + kPlayed : old.mCutOffUntil;
+    Control next;
+    StartControl(next, PreviousGrants::kUnknown);
+    next.mIsVoter = true;
+    const auto index = static_cast<std::size_t>(&old - mControls.data());
+    mControls.push_back(std::move(next));
+    ShareVoters();
+    mControls[index].mIsVoter = false;
+  }
+
+  /// The controls that a leader reaches learn of the voters.
+  void ShareVoters() {
+    for (Control& control : mControls) {
+      if (!IsRunning(control)) {
+        continue;
+      }
+      const bool hasContact = control.mIsVoter && mNow >= control.mCutOffUntil;
+      if (hasContact) {
+        control.mKnown = {.mVoters = Voters(), .mIsVoter = true};
+      }
+      control.mKnown.mHasLeaderContact = hasContact;
+      control.mShare->Update(control.mKnown, mNow);
+    }
   }
 
   /// Kills one router or most of them, which start again soon.
@@ -205,10 +323,6 @@
     }
   }
 
-  Millis& CutOf(int aRouter, int aControl) {
-    return mCutUntil[Index(aRouter * kControls + aControl)];
-  }
-
   void StartRequests() {
     if (mNow % 1000 == 0) {
       mPerStep = Chance(0.2) ? 0 : 2 * Real();
@@ -224,39 +338,46 @@
     }
   }
 
-  int RunningRouters() const {
-    int running = 0;
-    for (const Router& router : mRouters) {
-      running += IsRunning(router) ? 1 : 0;
-    }
-    return std::max(1, running);
+  /// A retry reaches its upstream up to the longest time after it was spent.
+  void RecordRetry() {
+    const auto delay =
+        static_cast<std::size_t>(Time(kMaxRetrySendDelay - kStep) / kStep);
+    mRetries[mRequests.size() - 1 + delay]++;
   }
 
   void SpendAll(int aRouter) {
     Router& router = mRouters[Index(aRouter)];
-    while (router.mAllowance->TrySpend(RunningRouters(), mNow)) {
-      mRetries.back()++;
+    while (router.mAllowance->TrySpend(mNow)) {
+      RecordRetry();
+      if (mDefect == Defect::kUnpaidRetries && Chance(0.2)) {
+        RecordRetry();
+      }
+    }
+  }
+
+  double ShareOf(const Control& aControl) const {
+    if (mDefect != Defect::kSharesGrowAtOnce) {
+      return aControl.mShare->Value(mNow);
     }
+    const auto running = std::count_if(
+        mControls.begin(), mControls.end(),
+        [this](const Control& aItem) { return IsRunning(aItem); });
+    return 1.0 / static_cast<double>(running);
   }
 
-  /// Asks the control that the router reports to, or the next one.
+  /// Asks any control that it reaches.
   void Ask(int aRouter) {
     Router& router = mRouters[Index(aRouter)];
-    if (router.mAskedAt >= 0 && mNow - router.mAskedAt < 300) {
+    if (router.mAskedAt >= 0 && mNow - router.mAskedAt < kAskTimeout) {
       return;
     }
-    const Control& home = mControls[Index(router.mHome)];
-    if (!IsRunning(home) || mNow < CutOf(aRouter, router.mHome)) {
-      router.mHome = (router.mHome + 1) % kControls;
+    const int number = Below(static_cast<int>(mControls.size()));
+    Control& control = mControls[Index(number)];
+    if (!IsRunning(control) || mNow < mCutUntil[{aRouter, number}]) {
       return;
     }
     router.mAskedAt = mNow;
-    int local = 0;
-    for (const Router& other : mRouters) {
-      local += IsRunning(other) && other.mHome == router.mHome ? 1 : 0;
-    }
-    const int granted = mControls[Index(router.mHome)].mPool->Grant(
-        kWanted, {.mLocal = local, .mTotal = RunningRouters()}, mNow);
+    const int granted = control.mPool->Grant(kWanted, ShareOf(control), mNow);
     const Millis delay =
         mTroubles.mLinks && Chance(0.1) ? Time(3000) : Time(2 * kStep);
     mAnswers.push_back(
@@ -270,7 +391,9 @@
         return false;
       }
       if (IsRunning(router) && aAnswer.mIncarnation == router.mIncarnation) {
-        router.mAllowance->AddCredits(aAnswer.mGranted, mNow);
+        const bool fromArrival = mDefect == Defect::kCreditsFromArrival;
+        router.mAllowance->AddCredits(aAnswer.mGranted,
+                                      fromArrival ? mNow : aAnswer.mAskedAt);
         router.mAskedAt = -1;
       }
       return true;
@@ -279,9 +402,11 @@
 
   std::mt19937 mRandom;
   Troubles mTroubles;
+  Defect mDefect;
   std::vector<Router> mRouters;
   std::vector<Control> mControls;
-  std::vector<Millis> mCutUntil;  ///< By router and control.
+  /// By router and control.
+  std::map<std::pair<int, int>, Millis> mCutUntil;
   std::vector<Answer> mAnswers;
   Millis mNow = 0;
   /// Whether all ask for all, or nobody for anything, and until when.
@@ -289,10 +414,12 @@
   Millis mTurnsAt = 0;
   double mPerStep = 1;         ///< Requests.
   std::vector<int> mRequests;  ///< By step.
-  std::vector<int> mRetries;   ///< By step.
+  /// By the step in which they reach an upstream.
+  std::vector<int> mRetries =
+      std::vector<int>((kPlayed + kMaxRetrySendDelay) / kStep + 1, 0);
 };
 
-/// Plays all seeds; returns what was found.
+/// Plays all seeds.
 void CheckLimit(Troubles aTroubles) {
   double most = -kSlack;
   unsigned worst = 0;
@@ -312,6 +439,17 @@
   CHECK_FOUND(spent > kPlays * static_cast<int>(kSlack), std::to_string(spent));
 }
 
+bool IsDetected(Defect aDefect, Troubles aTroubles) {
+  for (unsigned seed = 1; seed <= kPlays; seed++) {
+    Play play(seed, aTroubles, aDefect);
+    play.Run();
+    if (play.MostOver() > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 // Slices forgot what was spent at their end a tenth of the window too early.
@@ -335,5 +473,18 @@
 }
 
 Test(retry_limit_fuzz, holds_in_all_troubles_together) {
-  CheckLimit({.mRouters = true, .mControls = true, .mLinks = true});
+  CheckLimit(
+      {.mRouters = true, .mControls = true, .mLinks = true, .mVoters = true});
+}
+
+Test(retry_limit_fuzz, holds_while_voters_are_cut_off_and_replaced) {
+  CheckLimit({.mVoters = true});
+}
+
+Test(retry_limit_fuzz, planted_defects_are_detected) {
+  CHECK(IsDetected(Defect::kSharesGrowAtOnce, {.mControls = true}));
+  CHECK(IsDetected(Defect::kStartsForgetGrants, {.mControls = true}));
+  CHECK(IsDetected(Defect::kNewVotersDoNotWait, {.mVoters = true}));
+  CHECK(IsDetected(Defect::kCreditsFromArrival, {.mLinks = true}));
+  CHECK(IsDetected(Defect::kUnpaidRetries, {}));
 }
--- a/tests/servers/streams_test.cpp
+++ b/tests/servers/streams_test.cpp
@@ -60,54 +60,66 @@
   RetryAllowance allowance(
       {.mRatio = 0.2, .mWindow = 10000, .mSlack = 80, .mUsableShare = 1});
   int spent = 0;
-  SECTION("the slack is divided among the routers") {
-    while (allowance.TrySpend(8, 0)) {
+  const auto spend = [&](Millis aNow) {
+    while (allowance.TrySpend(aNow)) {
       spent++;
     }
-    CHECK(spent == 10);
+  };
+  SECTION("a router has nothing of the slack without asking control") {
+    spend(0);
+    CHECK(spent == 0);
   }
-  SECTION("requests add their ratio until they leave the window") {
+  SECTION("requests earn retries, of which two fifths of the ratio are saved") {
     for (int i = 0; i < 100; i++) {
       allowance.RequestStarted(5000);
     }
-    while (allowance.TrySpend(8, 5000)) {
-      spent++;
+    spend(5000);
+    CHECK(spent == 8);
+  }
+  SECTION("further requests earn three fifths of the ratio") {
+    for (int i = 0; i < 100; i++) {
+      allowance.RequestStarted(6000);
+      spend(6000);
+    }
+    CHECK(spent == 8 + 12);
+  }
+  SECTION("savings are lost with the requests that leave the window") {
+    for (int i = 0; i < 100; i++) {
+      allowance.RequestStarted(7000);
     }
-    CHECK(spent == 30);
-    CHECK(allowance.Available(8, 30000) == 10);
+    CHECK(allowance.Available(16000) >= 8);
+    CHECK(allowance.Available(30000) == 0);
   }
 }
 
-Test(streams, retries_stay_within_the_slack_when_all_routers_restart) {
+Test(streams, retries_stay_within_the_ratio_when_all_routers_restart) {
   // The limit covers all router processes of a window, including those that
-  // ended in it. It was exceeded when each new process used its whole share
+  // ended in it. It was exceeded when each new process had a part of its own
   // again.
   constexpr int kRouters = 8;
-  constexpr Millis kRestart = 20000;
-  const RetryAllowanceOptions before{.mSlack = 200, .mStartedAt = 0};
-  const RetryAllowanceOptions after{.mSlack = 200, .mStartedAt = kRestart};
+  constexpr int kRequests = 100;
   int spent = 0;
-  const auto spend = [&spent](const RetryAllowanceOptions& aOptions,
-                              Millis aNow) {
+  const auto spend = [&spent](int aRequests) {
     for (int i = 0; i < kRouters; i++) {
-      RetryAllowance allowance(aOptions);
-      while (allowance.TrySpend(kRouters, aNow)) {
-        spent++;
+      RetryAllowance allowance({.mSlack = 200});
+      for (int n = 0; n < aRequests; n++) {
+        allowance.RequestStarted(0);
+        while (allowance.TrySpend(0)) {
+          spent++;
+        }
       }
     }
   };
-  spend(before, kRestart - 1);
+  spend(kRequests);
   const int once = spent;
-  spend(after, kRestart);
-  SECTION("the previous processes may have spent all of their share") {
-    CHECK(spent <= 200);
+  CHECK(once >= 0.1 * kRouters * kRequests);
+  SECTION("processes that start have nothing before requests have earned it") {
+    spend(1);
+    CHECK(spent == once);
   }
-  SECTION("new processes have some retries") {
+  SECTION("both together are within the ratio of all requests") {
+    spend(kRequests);
     CHECK(spent > once);
-  }
-  SECTION("after a full window they have their whole share") {
-    spent = 0;
-    spend(after, kRestart + after.mWindow);
-    CHECK(spent == once);
+    CHECK(spent <= 0.2 * kRouters * (2 * kRequests + 1));
   }
 }
