An event without end is cut at 1 MiB and tried elsewhere

Callers of a stream whose upstream sent bytes that never end an event waited until the time of the route was over (504 after 5.0 s in the test), while the router read them at the speed of the link. Cause: only a share of the memory bounded an incomplete event, which the router kept reading. A body that is read on demand ends, not as complete, with the time of its route.

--- a/daemons/relay/relay_answer.cpp
+++ b/daemons/relay/relay_answer.cpp
@@ -213,6 +213,10 @@
       mLastEvent = event.mId;
     }
   }
+  if (mAttempt->mEvents.IsTooLong()) {
+    AttemptFailed(Ran::kUnknown, ResultCode::kUpstreamGarbled, true);
+    return;
+  }
   (void)MayCollect();
   ApplyBackpressure();
 }
--- a/include/spindleweir/servers/streams/event_reader.h
+++ b/include/spindleweir/servers/streams/event_reader.h
@@ -17,6 +17,10 @@
   std::optional<std::int64_t> mId;
 };
 
+/// An event holds a few tokens. One that is longer than this is taken for bytes
+/// that are no events and may have no end.
+inline constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
+
 /// Assembles received bytes into events.
 class EventReader {
  public:
@@ -24,6 +28,8 @@
   std::vector<ServerSentEvent> Append(std::string_view aBytes);
   /// Bytes of the event that is not complete yet.
   const std::string& Incomplete() const { return mIncomplete; }
+  /// Whether the incomplete event is longer than an event may be.
+  bool IsTooLong() const { return mIncomplete.size() > kMaxEventBytes; }
   void Clear() { mIncomplete.clear(); }
 
  private:
--- a/standins/raw_upstream.cpp
+++ b/standins/raw_upstream.cpp
@@ -11,6 +11,13 @@
 
 namespace spindleweir {
 
+namespace {
+
+/// What an answer without end writes at a time.
+constexpr std::size_t kRepeatedBytes = 16384;
+
+}  // namespace
+
 RawUpstream::RawUpstream(EventLoop& aLoop, std::string aInstance)
     : mLoop(aLoop), mInstance(std::move(aInstance)) {
   sockaddr_in address{};
@@ -41,6 +48,14 @@
   mAnswered = 0;
 }
 
+void RawUpstream::AnswerWithoutEnd(std::string aBegin, std::string aRepeated) {
+  SetAnswers({std::move(aBegin)});
+  mWritten = 0;
+  while (mRepeated.size() < kRepeatedBytes) {
+    mRepeated += aRepeated;
+  }
+}
+
 std::string RawUpstream::StreamHead() {
   return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
          "X-Signature: raw\r\n\r\n";
@@ -73,7 +88,13 @@
 }
 
 void RawUpstream::HandleDrained(bufferevent* aConnection, void* aSelf) {
-  static_cast<RawUpstream*>(aSelf)->Close(aConnection);
+  auto& self = *static_cast<RawUpstream*>(aSelf);
+  if (self.mRepeated.empty()) {
+    self.Close(aConnection);
+    return;
+  }
+  self.mWritten += self.mRepeated.size();
+  bufferevent_write(aConnection, self.mRepeated.data(), self.mRepeated.size());
 }
 
 void RawUpstream::HandleEvent(bufferevent* aConnection, short, void* aSelf) {
--- a/standins/raw_upstream.h
+++ b/standins/raw_upstream.h
@@ -23,6 +23,13 @@
 
   /// Sets the bytes of the next answers, one each. The last one is repeated.
   void SetAnswers(std::vector<std::string> aAnswers);
+  /// From now on answers begin with aBegin and go on with aRepeated until the
+  /// caller closes the connection.
+  void AnswerWithoutEnd(std::string aBegin, std::string aRepeated);
+  /// Bytes written by answers without end.
+  std::size_t WrittenWithoutEnd() const { return mWritten; }
+  /// Connections that are open.
+  std::size_t Open() const { return mConnections.size(); }
   /// The head of a signed stream that ends with its connection.
   static std::string StreamHead();
   const std::string& Instance() const { return mInstance; }
@@ -41,6 +48,8 @@
   std::string mInstance;
   std::vector<std::string> mAnswers;
   int mAnswered = 0;
+  std::string mRepeated;  ///< Empty: answers have an end.
+  std::size_t mWritten = 0;
   evconnlistener* mListener;
   std::set<bufferevent*> mConnections;
 };
--- a/tests/platform/soak/soak_caller.cpp
+++ b/tests/platform/soak/soak_caller.cpp
@@ -14,6 +14,7 @@
 
 constexpr Millis kReconnectDelay = 50;
 constexpr int kMaxThinkTime = 150;
+constexpr int kSafeKind = 7;
 constexpr int kMinEvents = 10;
 constexpr int kMaxEvents = 150;
 
@@ -80,7 +81,7 @@
   request.mRouter = mRouter->mName;
   request.mReused = mConnectionRequests++ > 0;
   request.mSentAt = WallMicros();
-  const int kind = Pick(0, 9);
+  const int kind = mOptions.mOnlySafe ? kSafeKind : Pick(0, 9);
   request.mStream = kind < 6;
   request.mAtMostOnce = kind >= 8;
   const int events = Pick(kMinEvents, kMaxEvents);
--- a/tests/platform/soak/soak_caller.h
+++ b/tests/platform/soak/soak_caller.h
@@ -27,6 +27,7 @@
   std::mt19937* mRandom = nullptr;
   /// Returns whether further requests may be sent.
   std::function<bool()> mMaySend;
+  bool mOnlySafe = false;  ///< Sends only plain requests that may be repeated.
   /// Ends a request without an answer. Longer than any process of a soak is
   /// suspended.
   Millis mStallTimeout = 6000;
--- a/tests/platform/soak/soak_main.cpp
+++ b/tests/platform/soak/soak_main.cpp
@@ -14,6 +14,7 @@
 #include "spindleweir/core/settings.h"
 #include "spindleweir/drivers/file_tools.h"
 #include "tests/platform/soak/soak_caller.h"
+#include "tests/platform/soak/soak_retry_limit.h"
 #include "tests/platform/soak/soak_upstream.h"
 
 DEFINE_string(routers, "", "NAME=IP:PORT of each router, separated by commas");
@@ -25,6 +26,10 @@
 DEFINE_bool(links, false, "also inject network faults at engines");
 DEFINE_bool(needs, false,
             "upstreams also advertise limits and ask for back-offs");
+DEFINE_bool(retries, false,
+            "plain upstreams fail all requests, and only these are sent");
+DEFINE_double(retry_slack, 200,
+              "the routers' limit on retries, beside a share of the requests");
 DEFINE_int32(callers, 48, "number of concurrent callers");
 
 namespace spindleweir {
@@ -245,8 +250,11 @@
     mOperator.Change();
     const auto end = mLoop.After(kMaxOverrun + Length(), [this] { Finish(); });
     mLoop.Run();
-    const int broken = mRecord.CountViolations(ReadKills(FLAGS_faults)) +
-                       CountReductionViolations() + (mReadBack ? 0 : 1);
+    const int broken =
+        mRecord.CountViolations(ReadKills(FLAGS_faults)) +
+        CountReductionViolations() +
+        CountRetryViolations(mRecord, {.mSlack = FLAGS_retry_slack}) +
+        (mReadBack ? 0 : 1);
     std::cout << (mReadBack ? "" : "BROKEN: the newest version is lost\n")
               << "seed " << FLAGS_seed << ": " << broken << " broken\n";
     return broken == 0 ? 0 : 1;
@@ -275,6 +283,7 @@
         SoakUpstreamOptions{.mService = aEngine ? "model" : "plain",
                             .mZone = zone,
                             .mEngine = aEngine,
+                            .mFails = !aEngine && FLAGS_retries,
                             .mControls = Endpoints(SplitList(FLAGS_controls)),
                             .mRecord = &mRecord}));
   }
@@ -328,9 +337,12 @@
           SoakCallerOptions{.mRouters = mRouters,
                             .mRecord = &mRecord,
                             .mRandom = &mRandom,
-                            .mMaySend = [this] { return !mEnding; }}));
+                            .mMaySend = [this] { return !mEnding; },
+                            .mOnlySafe = FLAGS_retries}));
+    }
+    if (!FLAGS_retries) {
+      ScheduleFault();
     }
-    ScheduleFault();
     if (FLAGS_needs) {
       ScheduleLoadReduction();
     }
--- a/tests/platform/soak/soak_record.h
+++ b/tests/platform/soak/soak_record.h
@@ -30,6 +30,8 @@
   std::string mBody;
   std::string mExpectedBody;  ///< The body of a success.
   int mRuns = 0;
+  /// When it arrived at upstreams, run or not, in wall microseconds.
+  std::vector<std::int64_t> mArrivals;
   /// Runs on upstreams that ended, or announced their end, meanwhile.
   int mLostRuns = 0;
   bool mAtMostOnce = false;  ///< It may run at most once.
@@ -56,6 +58,9 @@
   SoakRequest& At(const std::string& aId) { return mRequests[aId]; }
   /// Returns the request, or nullptr if the id is unknown.
   SoakRequest* Find(const std::string& aId);
+  const std::map<std::string, SoakRequest>& Requests() const {
+    return mRequests;
+  }
   /// Prints a summary and each violation of a promise; returns the number of
   /// violations.
   int CountViolations(const std::vector<SoakKill>& aKills) const;
--- a/tests/platform/soak/soak_test.cpp
+++ b/tests/platform/soak/soak_test.cpp
@@ -4,6 +4,7 @@
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
 #include "tests/platform/soak/soak_caller.h"
+#include "tests/platform/soak/soak_retry_limit.h"
 #include "tests/platform/soak/soak_upstream.h"
 #include "tests/test_tools.h"
 
@@ -153,3 +154,25 @@
     CHECK(fixture.mRecord.At("read").mLostRuns == 0);
   }
 }
+
+// The limit counts any window, not only those that begin at a full second.
+Test(soak_retry_limit, counts_the_worst_window) {
+  constexpr std::int64_t kSecond = 1000000;
+  const SoakRetryLimit limit{.mSlack = 10};
+  SoakArrivals arrivals;
+  for (int i = 0; i < 100; i++) {
+    arrivals.mRequests.push_back(i * kSecond / 2);
+  }
+  const auto retryAt = [&arrivals](std::int64_t aAt, int aCount) {
+    arrivals.mRetries.insert(arrivals.mRetries.end(),
+                             static_cast<std::size_t>(aCount), aAt);
+  };
+  SECTION("a burst within the limit") {
+    retryAt(20 * kSecond, 14);
+    CHECK(MostRetriesOverLimit(arrivals, limit) <= 0);
+  }
+  SECTION("and another one nine seconds later") {
+    retryAt(29 * kSecond + 1, 2);
+    CHECK(MostRetriesOverLimit(arrivals, limit) > 0);
+  }
+}
--- a/tests/platform/soak/soak_upstream.cpp
+++ b/tests/platform/soak/soak_upstream.cpp
@@ -263,6 +263,7 @@
     aExchange->Abort();
     return;
   }
+  request->mArrivals.push_back(WallMicros());
   if (!mLoadReductions.empty() &&
       mLoadReductions.back().Rejects(WallMicros())) {
     aExchange->Reply(503, WithNotices(*request, {{kId, id}}), "");
@@ -270,6 +271,10 @@
   }
   request->mRuns++;
   HttpHeaders headers = WithNotices(*request, {{kId, id}, {kSeal, mInstance}});
+  if (mOptions.mFails) {
+    aExchange->Reply(500, headers, "failed");
+    return;
+  }
   if (!mOptions.mEngine) {
     aExchange->Reply(200, headers, "by " + id);
     return;
--- a/tests/platform/soak/soak_upstream.h
+++ b/tests/platform/soak/soak_upstream.h
@@ -18,6 +18,7 @@
   std::string mService;
   std::string mZone;
   bool mEngine = false;
+  bool mFails = false;  ///< It runs each request and answers with an error.
   std::vector<Endpoint> mControls;
   SoakRecord* mRecord = nullptr;
 };
