A head without end fails an HTTP call at 64 KiB

Control's calls to upstreams collected a head that never ended until they timed out, at the speed of the link: evhttp bounds bodies only where it is told, and heads not at all.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -174,6 +174,8 @@
     mInputCallback = evbuffer_add_cb(mInput, &EvhttpCall::HandleInput, this);
     evhttp_connection_set_max_body_size(
         mConnection, static_cast<ev_ssize_t>(mOptions.mMaximumAnswerBytes));
+    evhttp_connection_set_max_headers_size(
+        mConnection, static_cast<ev_ssize_t>(mOptions.mMaximumHeadBytes));
     if (mOptions.mTimeout > 0) {
       // Without AfterRunning() a router that was stalled for 1.3 s treated all
       // claim keepers as silent, with their answers unread in its sockets.
--- a/include/spindleweir/drivers/http_client.h
+++ b/include/spindleweir/drivers/http_client.h
@@ -36,7 +36,8 @@
   std::vector<HttpHeader> mHeaders;
   Millis mTimeout = 2000;       ///< From start to end; 0: none.
   bool mNewConnection = false;  ///< Doesn't use a pooled connection.
-  std::size_t mMaximumAnswerBytes = 8 * 1024 * 1024;
+  std::size_t mMaximumAnswerBytes = 8 * 1024 * 1024;  ///< Of the body.
+  std::size_t mMaximumHeadBytes = 64 * 1024;
   /// If set, receives the body of a 200 answer as it arrives.
   std::function<void(std::string_view)> mOnData;
   /// Called exactly once, unless the call is cancelled.
--- a/tests/drivers/http_test.cpp
+++ b/tests/drivers/http_test.cpp
@@ -8,6 +8,7 @@
 
 #include "spindleweir/drivers/http_client.h"
 #include "spindleweir/drivers/http_server.h"
+#include "standins/raw_upstream.h"
 #include "tests/test_tools.h"
 
 using namespace spindleweir;
@@ -304,3 +305,26 @@
     close(fd);
   }
 }
+
+// A head without end was collected until the call timed out.
+Test(http, a_head_without_end_fails_the_call_soon) {
+  constexpr std::size_t kMostRead = std::size_t{8} * 1024 * 1024;
+  EventLoop loop;
+  HttpClient client(loop);
+  RawUpstream server(loop, "raw");
+  for (const char* repeated : {"x", "x: y\r\n"}) {
+    server.AnswerWithoutEnd("HTTP/1.1 200 OK\r\nX: ", repeated);
+    std::optional<HttpResult> result;
+    const Millis begun = SteadyNow();
+    const auto call =
+        client.Start({.mServer = ParseEndpoint(server.Address(), "server"),
+                      .mTimeout = kCallTimeout,
+                      .mOnDone = [&result](const HttpResult& aResult) {
+                        result = aResult;
+                      }});
+    REQUIRE(RunLoopUntil(loop, [&result] { return result.has_value(); }));
+    CHECK(!result->mComplete);
+    CHECK(SteadyNow() - begun < kCallTimeout / 2);
+    CHECK(server.WrittenWithoutEnd() < kMostRead);
+  }
+}
