--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -163,3 +163,25 @@
   done
   count_unexpected_ends
 }
+
+# Kills and restarts all routers at once, or the controls in turn, again and
+# again; one process is suspended in half of the rounds.
+kill_in_turn() { # END, of SECONDS
+  local name kind
+  while [ $SECONDS -lt "$1" ]; do
+    sleep "$((RANDOM % 2 + 1)).$((RANDOM % 10))"
+    if ((RANDOM % 2)); then suspend_one; fi
+    kind=router
+    if ((RANDOM % 3 == 0)); then kind=control; fi
+    for name in "${soak_processes[@]}"; do
+      if [[ $name == $kind-* && $name != "$suspended" ]]; then
+        faults=$((faults + 1))
+        kill_noted "$name"
+        restart "$name"
+        [ $kind = router ] || sleep 0.$((RANDOM % 5 + 5))
+      fi
+    done
+    resume_suspended
+  done
+  count_unexpected_ends
+}
