--- a/daemons/control/crash_store.cpp
+++ b/daemons/control/crash_store.cpp
@@ -2,6 +2,7 @@
 
 #include <limits>
 
+#include "daemons/control/file_warning.h"
 #include "spindleweir/core/digest.h"
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/json_codec.h"
@@ -31,12 +32,6 @@
   return std::to_string(FastHash(aText));
 }
 
-void LogWarning(const char* aEvent, const Error& aError) {
-  LogLine(LogLevel::kWarning, aEvent)
-      .Add("code", static_cast<int>(aError.Code()))
-      .Add("why", aError.what());
-}
-
 }  // namespace
 
 void CrashStore::Load(CrashLedger& aLedger, Millis aNow,
@@ -55,7 +50,7 @@
     }
   } catch (const Error& error) {
     // Written by a build with another format.
-    LogWarning("barred_unreadable", error);
+    LogFileWarning("barred_unreadable", error);
   }
   mSavedRevision = aLedger.BarredRevision();
   LogLine(LogLevel::kInfo, "barred_read")
@@ -89,7 +84,7 @@
   mIsSaving = false;
   if (aError.has_value()) {
     mFailedAt = aBegan;
-    LogWarning("barred_not_kept", *aError);
+    LogFileWarning("barred_not_kept", *aError);
     return;
   }
   mSavedRevision = aRevision;
--- a/daemons/control/retry_store.cpp
+++ b/daemons/control/retry_store.cpp
@@ -3,9 +3,9 @@
 #include <utility>
 #include <vector>
 
+#include "daemons/control/file_warning.h"
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/json_codec.h"
-#include "spindleweir/core/log.h"
 #include "spindleweir/drivers/file_tools.h"
 
 namespace spindleweir {
@@ -33,12 +33,6 @@
   }
 };
 
-void LogWarning(const char* aEvent, const Error& aError) {
-  LogLine(LogLevel::kWarning, aEvent)
-      .Add("code", static_cast<int>(aError.Code()))
-      .Add("why", aError.what());
-}
-
 }  // namespace
 
 std::optional<RetryStore::Numbers> RetryStore::Load() const {
@@ -57,7 +51,7 @@
     }
     return numbers;
   } catch (const Error& error) {
-    LogWarning("retries_unreadable", error);
+    LogFileWarning("retries_unreadable", error);
     return std::nullopt;
   }
 }
@@ -71,7 +65,7 @@
   mReplace(mPath, DumpJson(ToJson(stored)),
            [done = std::move(aDone)](const std::optional<Error>& aError) {
              if (aError.has_value()) {
-               LogWarning("retries_not_kept", *aError);
+               LogFileWarning("retries_not_kept", *aError);
              }
              done(!aError.has_value());
            });
--- a/daemons/control/start_stamp.cpp
+++ b/daemons/control/start_stamp.cpp
@@ -3,8 +3,8 @@
 #include <cstdlib>
 #include <sstream>
 
+#include "daemons/control/file_warning.h"
 #include "spindleweir/core/error.h"
-#include "spindleweir/core/log.h"
 #include "spindleweir/drivers/file_tools.h"
 
 namespace spindleweir {
@@ -43,9 +43,7 @@
            [this](const std::optional<Error>& aError) {
              mIsSaving = false;
              if (aError.has_value()) {
-               LogLine(LogLevel::kWarning, "stamp_not_kept")
-                   .Add("code", static_cast<int>(aError->Code()))
-                   .Add("why", aError->what());
+               LogFileWarning("stamp_not_kept", *aError);
              }
            });
 }
--- a/daemons/control/upstream_store.cpp
+++ b/daemons/control/upstream_store.cpp
@@ -1,8 +1,8 @@
 #include "daemons/control/upstream_store.h"
 
+#include "daemons/control/file_warning.h"
 #include "spindleweir/core/digest.h"
 #include "spindleweir/core/error.h"
-#include "spindleweir/core/log.h"
 #include "spindleweir/drivers/file_tools.h"
 #include "spindleweir/servers/membership/upstream_table.h"
 
@@ -48,9 +48,7 @@
     }
   } catch (const Error& error) {
     // Written by a build with another format.
-    LogLine(LogLevel::kWarning, "upstreams_unreadable")
-        .Add("code", static_cast<int>(error.Code()))
-        .Add("why", error.what());
+    LogFileWarning("upstreams_unreadable", error);
   }
   return count;
 }
@@ -77,9 +75,7 @@
     mSavedRevision = aRevision;
     return;
   }
-  LogLine(LogLevel::kWarning, "upstreams_not_kept")
-      .Add("code", static_cast<int>(aError->Code()))
-      .Add("why", aError->what());
+  LogFileWarning("upstreams_not_kept", *aError);
 }
 
 }  // namespace spindleweir
