--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 
-#include "daemons/relay/retry_credit_requester.h"
 #include "spindleweir/core/log.h"
 
 namespace spindleweir {
@@ -22,9 +21,6 @@
 constexpr Millis kMaxPathRetryDelay = 500;
 constexpr Millis kGapDivisor = 8;
 constexpr Millis kMinTimeForAttempt = 20;
-/// How long any request waits for control to grant a retry credit: a call takes
-/// some milliseconds, and twice as long on a busy router.
-constexpr Millis kCreditTimeout = 60;
 /// How long a request that is most likely a retry is held while there is no
 /// capacity; its caller leaves after two seconds without an event. Without this
 /// hold, while 40 % of the engines were slow, 377 of 9,400 requests were
@@ -222,31 +218,6 @@
          Remaining() > 0 && !IsBarred();
 }
 
-bool RelayRequest::IsFirstSent() const {
-  return mRanAttempts + mRefusedAttempts == 0;
-}
-
-bool RelayRequest::HoldsRetry() {
-  const bool isSpent =
-      mRetrySpentAt > 0 && SteadyNow() - mRetrySpentAt <= kMaxRetrySendDelay;
-  return IsFirstSent() || isSpent || TrySpendRetry();
-}
-
-void RelayRequest::LogRetry() const {
-  if (IsFirstSent()) {
-    return;
-  }
-  LogLine(LogLevel::kInfo, "retry_sent")
-      .Add("request", mFacts.mId)
-      .Add("service", mService->mName)
-      .Add("instance", mAttempt->mInstance)
-      .Add("by_credit", mSpentCredit)
-      .Add("spent_ago_ms",
-           static_cast<Json::Int64>(SteadyNow() - mRetrySpentAt));
-  mContext.mCounters.Add("retries_sent",
-                         mSpentCredit ? "by=\"credit\"" : "by=\"own\"");
-}
-
 bool RelayRequest::IsCurrent() const {
   return mContext.StartOf(mAttempt->mInstance) == mAttempt->mStart;
 }
@@ -409,49 +380,6 @@
   RetryOrGiveUp(aCode);
 }
 
-bool RelayRequest::TrySpendRetry() {
-  RetryAllowance& allowance = mContext.RetryAllowanceOf(mService->mName);
-  const Millis now = SteadyNow();
-  const bool hasCredit = allowance.HasCredit(now);
-  if (allowance.TrySpend(now)) {
-    mRetrySpentAt = now;
-    mSpentCredit = hasCredit;
-    return true;
-  }
-  // The own allowance is used up quickly if many requests of this router fail
-  // at one upstream.
-  mContext.mRetryCreditRequester->Request(mService->mName, this);
-  return false;
-}
-
-bool RelayRequest::MayWaitForCredit() {
-  const Millis now = SteadyNow();
-  mCreditAwaitedAt = mCreditAwaitedAt == 0 ? now : mCreditAwaitedAt;
-  return now - mCreditAwaitedAt < kCreditTimeout && !mExchange->Closed() &&
-         Remaining() > kCreditTimeout;
-}
-
-void RelayRequest::RetryOrGiveUp(ResultCode aCode) {
-  mRetryCode = aCode;
-  if (TrySpendRetry()) {
-    mContext.mCounters.Add("retries");
-    mCreditAwaitedAt = 0;
-    StartAttempt();
-    return;
-  }
-  SetLack(Lack::kRetries);
-  if (!IsWorthWaiting() && !MayWaitForCredit()) {
-    GiveUp(aCode);
-    return;
-  }
-  // Retries of the window become available one by one, and control grants
-  // others. Breaking a stream off at once loses all that its caller has read.
-  // That happened to 4 to 6 streams of a release of 15 engines, each refused by
-  // its second engine within 4 ms of the cut.
-  mPathTimer = mContext.mLoop.After(kRetryCreditPollInterval,
-                                    [this, aCode] { RetryOrGiveUp(aCode); });
-}
-
 bool RelayRequest::IsLikelyRetry() const {
   // Callers of plain services have about a second: holding a request for half
   // of it loses more requests than refusing it at once.
--- a/daemons/relay/relay_moves.cpp
+++ b/daemons/relay/relay_moves.cpp
@@ -411,24 +411,6 @@
   }
 }
 
-void RelayRequest::SwitchWithCredit(ResultCode aCode, bool aMayStay) {
-  if (!MayWaitForCredit()) {
-    mCreditAwaitedAt = 0;
-    return;
-  }
-  const Millis startedAt = mAttempt->mStartedAt;
-  const Millis lastDataAt = mAttempt->mLastDataAt;
-  mSwitchTimer = mContext.mLoop.After(
-      kRetryCreditPollInterval, [this, aCode, aMayStay, startedAt, lastDataAt] {
-        const bool isUnchanged = mAttempt != nullptr &&
-                                 mAttempt->mStartedAt == startedAt &&
-                                 mAttempt->mLastDataAt == lastDataAt;
-        if (isUnchanged) {
-          SwitchAttempt(aCode, aMayStay);
-        }
-      });
-}
-
 bool RelayRequest::SwitchAttempt(ResultCode aCode, bool aMayStay) {
   if (!MayTryAgain(Ran::kUnknown)) {
     return false;
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -19,9 +19,6 @@
 
 namespace spindleweir {
 
-/// Interval at which a request that waits for a retry credit checks for it.
-inline constexpr Millis kRetryCreditPollInterval = 20;
-
 /// Exists until its answer has ended or its caller has disconnected.
 class RelayRequest : public std::enable_shared_from_this<RelayRequest>,
                      private GuardedStream {
