Failed writes of what control granted are repeated after 2 s; services that left the configuration stay counted

By reading: a full disk would have had a write and a log line for each question, and a service that went and came back within a window after a restart would have been forgotten.

--- a/daemons/control/retry_service.cpp
+++ b/daemons/control/retry_service.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Millis kStepInterval = 500;
+/// Time until the next write after one that failed.
+constexpr Millis kWriteRetryInterval = 2000;
 constexpr double kThousandths = 1000;
 
 }  // namespace
@@ -26,6 +28,10 @@
               .mPrevious = PreviousStart(),
               .mGrantRetention =
                   RetryGrantRetention(aContext.mOptions.mRetries)}) {
+  for (const auto& [service, retries] :
+       mInherited.value_or(RetryStore::Numbers())) {
+    PoolOf(service);
+  }
   Step();
   mStepTimer = mContext.mLoop.Every(kStepInterval, [this] { Step(); });
   mContext.mDispatcher.On(
@@ -75,7 +81,9 @@
       std::any_of(mPools.begin(), mPools.end(), [share, now](auto& aItem) {
         return aItem.second.NeedsRecord(share, now);
       });
-  if (!isDue || mIsRecording) {
+  const bool isDelayed =
+      mWriteFailedAt >= 0 && now - mWriteFailedAt < kWriteRetryInterval;
+  if (!isDue || isDelayed || mIsRecording) {
     return;
   }
   RetryStore::Numbers numbers;
@@ -88,9 +96,8 @@
     for (const auto& [service, number] : numbers) {
       PoolOf(service).EndRecord(aIsDurable);
     }
-    if (aIsDurable) {
-      RecordIfDue();
-    }
+    mWriteFailedAt = aIsDurable ? -1 : SteadyNow();
+    RecordIfDue();
   });
 }
 
--- a/daemons/control/retry_service.h
+++ b/daemons/control/retry_service.h
@@ -54,6 +54,7 @@
   PoolShare mShare;
   std::map<std::string, RetryPool> mPools;  ///< By service.
   bool mIsRecording = false;
+  Millis mWriteFailedAt = -1;  ///< -1: the last write succeeded.
   std::unique_ptr<Timer> mStepTimer;
 };
 
