A retry is spent once its connection is made, and may wait 0.7 s for an engine

What is spent is checked when the connection is made; an attempt without a retry waits for one and is not counted as a failure of the upstream.

--- a/daemons/relay/relay_answer.cpp
+++ b/daemons/relay/relay_answer.cpp
@@ -227,6 +227,11 @@
   }
   switch (aEnd) {
     case StreamEnd::kNotSent:
+      if (mAttempt->mLacksRetry) {
+        DropAttempt();
+        RetryOrGiveUp(mRetryCode);
+        return;
+      }
       AttemptFailed(Ran::kNo, ResultCode::kNoUpstream, false);
       return;
     case StreamEnd::kLost:
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -92,13 +92,6 @@
                           : ResultCode::kNoUpstream);
     return;
   }
-  // The retry may have been spent before a wait for a path, too long ago to
-  // count for the window in which it reaches the upstream.
-  if (!HoldsRetry()) {
-    mAttempt.reset();
-    RetryOrGiveUp(mRetryCode);
-    return;
-  }
   mLack = Lack::kNothing;
   Send(*first);
 }
@@ -239,6 +232,8 @@
   options.mSharedBody = mExchange->Body();
   options.mMemory = mExchange->Memory();
   options.mMaySend = [this] {
+    // The retry may have been spent before a wait for a path, too long ago to
+    // count for the window in which it reaches the upstream.
     const bool may = MaySend() && HoldsRetry();
     if (may) {
       ClaimMemory();
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -72,6 +72,8 @@
     /// Stages of paths to which the first stage refused to move.
     std::set<std::string> mRefusedStages;
     int mMoves = 0;
+    /// It was not sent for lack of a retry.
+    bool mLacksRetry = false;
     Millis mMovedAt = 0;
     Millis mSearchedAt = 0;  ///< Last search for a path without slow engines.
     std::vector<PrefillWork> mPrefills;
@@ -149,8 +151,9 @@
   bool MaySend() const;
   /// Whether no attempt has reached an upstream yet.
   bool IsFirstSent() const;
-  /// Whether the attempt may reach an upstream: it is the first one that does,
-  /// or a retry was spent for it a moment ago or just now.
+  /// Whether the attempt, whose connection is made, may reach its upstream: it
+  /// is the first one that does, or a retry was spent for it a moment ago or
+  /// just now.
   bool HoldsRetry();
   /// Logs an attempt that reaches upstreams beyond the request's first one.
   void LogRetry() const;
--- a/daemons/relay/relay_retries.cpp
+++ b/daemons/relay/relay_retries.cpp
@@ -23,7 +23,8 @@
 bool RelayRequest::HoldsRetry() {
   const bool isSpent =
       mRetrySpentAt > 0 && SteadyNow() - mRetrySpentAt <= kMaxRetrySendDelay;
-  return IsFirstSent() || isSpent || TrySpendRetry();
+  mAttempt->mLacksRetry = !IsFirstSent() && !isSpent && !TrySpendRetry();
+  return !mAttempt->mLacksRetry;
 }
 
 void RelayRequest::LogRetry() const {
--- a/include/spindleweir/servers/routing/retry_allowance.h
+++ b/include/spindleweir/servers/routing/retry_allowance.h
@@ -17,14 +17,15 @@
   double mSlack = 200;  ///< In addition to the ratio, over all routers.
   /// Share of the limits that is used. The rest is a margin, since a retry
   /// reaches its upstream some time after it was spent.
-  double mUsableShare = 0.95;
+  double mUsableShare = 0.9;
 };
 
 /// How long a router may use a credit, counted from its request to control,
 /// which is earlier than the grant.
-inline constexpr Millis kRetryCreditLifetime = 400;
-/// A retry that was spent longer ago must be spent again before it is sent.
-inline constexpr Millis kMaxRetrySendDelay = 200;
+inline constexpr Millis kRetryCreditLifetime = 300;
+/// A retry that was spent longer ago must be spent again before it is sent. An
+/// attempt may wait a moment for an engine to come back.
+inline constexpr Millis kMaxRetrySendDelay = 700;
 
 /// For how long a control counts what it granted: until the last retry that a
 /// credit allows has left every window.
--- a/tests/daemons/cut_streams_test.cpp
+++ b/tests/daemons/cut_streams_test.cpp
@@ -147,3 +147,36 @@
     CHECK(joining.Runs("begun") == 1);
   }
 }
+
+// A retry that was spent before a wait for an engine reached the next one in
+// another window, in which it was not counted.
+Test(cut_streams, a_retry_that_waited_for_an_engine_is_spent_when_it_is_sent) {
+  // The limit is one retry per 2 s.
+  RelayFixture fixture(
+      kShortWarmUp,
+      {.mRatio = 0, .mWindow = kWindow, .mSlack = 1, .mUsableShare = 1});
+  ScriptedUpstream ending(fixture.mLoop, "ending");
+  ScriptedUpstream joining(fixture.mLoop, "joining");
+  fixture.Begin();
+  fixture.BeginEngine(ending);
+  ending.QueueActions({UpstreamAction::kStall});
+  const auto stream = fixture.Open("/stream/1", "begun");
+  REQUIRE(
+      fixture.RunUntil([&stream] { return !stream->mAnswer.mBody.empty(); }));
+  Counters& counters = fixture.mRouter->OwnCounters();
+  ending.Crash();
+  REQUIRE(fixture.RunUntil(
+      [&counters] { return counters.Value("retries_granted") == 1; }));
+  SECTION("another engine joins when the retry has been spent for a while") {
+    fixture.Wait(kMaxRetrySendDelay + kEngineGap / 2);
+    fixture.SendEngineHeartbeat(joining);
+    fixture.Wait(kEngineGap);
+    CHECK(joining.Runs("begun") == 0);
+  }
+  SECTION("the stream goes on with the next retry that the limit allows") {
+    REQUIRE(fixture.RunUntil([&stream] { return stream->mEnded; }));
+    CHECK(IsComplete(*stream));
+    CHECK(joining.Runs("begun") == 1);
+    CHECK(counters.Value("retries_granted") == 2);
+  }
+}
