--- a/daemons/control/retry_service.cpp
+++ b/daemons/control/retry_service.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr Millis kStepInterval = 500;
+/// Time until a service that is new in the configuration has a pool.
+constexpr Millis kStepInterval = 50;
 /// Time until the next write after one that failed.
 constexpr Millis kWriteRetryInterval = 2000;
 constexpr double kThousandths = 1000;
--- a/servers/routing/credit_sources.cpp
+++ b/servers/routing/credit_sources.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr Millis kMinBackoff = 200;
+/// A request that has sent nothing to its caller waits for a few such times.
+constexpr Millis kMinBackoff = 20;
 constexpr Millis kMaxBackoff = 1600;
 
 }  // namespace
--- a/tests/servers/retry_pool_test.cpp
+++ b/tests/servers/retry_pool_test.cpp
@@ -248,11 +248,11 @@
     CHECK(!next(0).has_value());
   }
   SECTION("they are asked again, ever less often") {
-    CHECK(next(200) == near);
-    sources.OnAnswer(near, 5, 0, 200);
-    sources.OnAnswer(far, 5, 0, 200);
-    sources.OnAnswer(gone, 5, 0, 200);
-    CHECK(!next(500).has_value());
-    CHECK(next(600).has_value());
+    CHECK(next(20) == near);
+    sources.OnAnswer(near, 5, 0, 20);
+    sources.OnAnswer(far, 5, 0, 20);
+    sources.OnAnswer(gone, 5, 0, 20);
+    CHECK(!next(50).has_value());
+    CHECK(next(60).has_value());
   }
 }
