--- a/daemons/relay/retry_credit_requester.cpp
+++ b/daemons/relay/retry_credit_requester.cpp
@@ -26,13 +26,18 @@
                                    const void* aRequest) {
   PendingRequests& pending = mPending[aService];
   pending.mRequests.insert(aRequest);
-  if (!pending.mPolling) {
-    Send(aService, pending);
+  if (pending.mPolling) {
+    return;
   }
+  const int wanted =
+      std::min(kMaxRequested, static_cast<int>(pending.mRequests.size()));
+  // Requests that still need a credit then ask again.
+  pending.mRequests.clear();
+  Ask(aService, pending, wanted);
 }
 
-void RetryCreditRequester::Send(const std::string& aService,
-                                PendingRequests& aPending) {
+void RetryCreditRequester::Ask(const std::string& aService,
+                               PendingRequests& aPending, int aWanted) {
   const std::vector<Endpoint>& polled = mLink.Controls();
   const Millis now = SteadyNow();
   const std::optional<Endpoint> control =
@@ -40,21 +45,17 @@
                      : aPending.mSources.Next(
                            polled.front(), mContext.mDirectory.Addresses(now),
                            now, [this] { return mContext.Random(); });
-  const int wanted =
-      std::min(kMaxRequested, static_cast<int>(aPending.mRequests.size()));
-  // Requests that still need a credit ask again.
-  aPending.mRequests.clear();
   if (!control.has_value()) {
     return;
   }
   aPending.mPolling = true;
   const Question question{.mService = aService,
                           .mControl = *control,
-                          .mWanted = wanted,
+                          .mWanted = aWanted,
                           .mSentAt = now};
   const RetryCreditRequest message{.mProcess = mContext.mOptions.mId,
                                    .mService = aService,
-                                   .mWanted = wanted};
+                                   .mWanted = aWanted};
   mContext.mRpc.Call(
       *control, rpc_method::kRetries, ToJson(message), kRequestTimeout,
       [this, question](const RpcResult& aResult) {
@@ -83,6 +84,10 @@
       .Add("took_ms", static_cast<Json::Int64>(now - aQuestion.mSentAt))
       .Add("left", allowance.Available(now));
   mContext.mCounters.Add("retries_granted", {}, aGranted);
+  if (aGranted < aQuestion.mWanted) {
+    // Not every control has a share, and shares are spent at different times.
+    Ask(aQuestion.mService, pending, aQuestion.mWanted - aGranted);
+  }
 }
 
 }  // namespace spindleweir
--- a/daemons/relay/retry_credit_requester.h
+++ b/daemons/relay/retry_credit_requester.h
@@ -39,7 +39,9 @@
     Millis mSentAt = 0;
   };
 
-  void Send(const std::string& aService, PendingRequests& aPending);
+  /// Asks the next control that may be asked now, if there is one.
+  void Ask(const std::string& aService, PendingRequests& aPending, int aWanted);
+  /// Adds what was granted; asks the next control for the rest.
   void ApplyGrant(const Question& aQuestion, int aGranted);
 
   RelayContext& mContext;
