A new service has retries at once; a request waits while a control is asked for its credit

Now one number on disk stands for all new services, and a request waits up to 0.3 s while a control has not answered.

--- a/daemons/control/retry_service.cpp
+++ b/daemons/control/retry_service.cpp
@@ -14,6 +14,9 @@
 constexpr Millis kStepInterval = 50;
 /// Time until the next write after one that failed.
 constexpr Millis kWriteRetryInterval = 2000;
+/// Stands for all services that have no number on disk yet, so that a service
+/// can be granted retries as soon as it is in the configuration.
+constexpr const char* kNewServices = "";
 constexpr double kThousandths = 1000;
 
 }  // namespace
@@ -33,6 +36,7 @@
        mInherited.value_or(RetryStore::Numbers())) {
     PoolOf(service);
   }
+  PoolOf(kNewServices);
   Step();
   mStepTimer = mContext.mLoop.Every(kStepInterval, [this] { Step(); });
   mContext.mDispatcher.On(
@@ -60,11 +64,15 @@
   if (it != mPools.end()) {
     return it->second;
   }
-  int inherited = 0;
-  if (mInherited.has_value() && mInherited->contains(aService)) {
-    inherited = mInherited->at(aService);
+  const RetryStore::Numbers stored = mInherited.value_or(RetryStore::Numbers());
+  const bool hasOwn = stored.contains(aService);
+  const auto known = stored.find(hasOwn ? aService : kNewServices);
+  const int inherited = known == stored.end() ? 0 : known->second;
+  RetryPool pool(mContext.mOptions.mRetries, inherited, mStartedAt);
+  const auto common = mPools.find(kNewServices);
+  if (!hasOwn && common != mPools.end()) {
+    pool.UseRecord(common->second.Recorded());
   }
-  const RetryPool pool(mContext.mOptions.mRetries, inherited, mStartedAt);
   return mPools.emplace(aService, pool).first->second;
 }
 
@@ -132,6 +140,9 @@
   std::int64_t outstanding = 0;
   double left = 0;
   for (auto& [service, pool] : mPools) {
+    if (service == kNewServices) {
+      continue;
+    }
     outstanding += pool.Granted(now);
     left += std::max(0.0, pool.Available(share, now));
   }
--- a/daemons/relay/relay_retries.cpp
+++ b/daemons/relay/relay_retries.cpp
@@ -13,6 +13,8 @@
 /// How long any request waits for control to grant a retry credit: a call takes
 /// some milliseconds, and twice as long on a busy router.
 constexpr Millis kCreditTimeout = 60;
+/// The same while a control has not answered, as long as a call to it takes.
+constexpr Millis kMaxCreditWait = 300;
 
 }  // namespace
 
@@ -60,7 +62,10 @@
 bool RelayRequest::MayWaitForCredit() {
   const Millis now = SteadyNow();
   mCreditAwaitedAt = mCreditAwaitedAt == 0 ? now : mCreditAwaitedAt;
-  return now - mCreditAwaitedAt < kCreditTimeout && !mExchange->Closed() &&
+  const bool isAsking =
+      mContext.mRetryCreditRequester->IsAsking(mService->mName);
+  const Millis limit = isAsking ? kMaxCreditWait : kCreditTimeout;
+  return now - mCreditAwaitedAt < limit && !mExchange->Closed() &&
          Remaining() > kCreditTimeout;
 }
 
--- a/daemons/relay/retry_credit_requester.cpp
+++ b/daemons/relay/retry_credit_requester.cpp
@@ -36,6 +36,11 @@
   Ask(aService, pending, wanted);
 }
 
+bool RetryCreditRequester::IsAsking(const std::string& aService) const {
+  const auto it = mPending.find(aService);
+  return it != mPending.end() && it->second.mPolling;
+}
+
 void RetryCreditRequester::Ask(const std::string& aService,
                                PendingRequests& aPending, int aWanted) {
   const std::vector<Endpoint>& polled = mLink.Controls();
--- a/daemons/relay/retry_credit_requester.h
+++ b/daemons/relay/retry_credit_requester.h
@@ -22,6 +22,8 @@
   /// Notes that aRequest, an opaque key, needs a credit. Repeated calls before
   /// the next message to control count once.
   void Request(const std::string& aService, const void* aRequest);
+  /// Whether a control has not answered yet.
+  bool IsAsking(const std::string& aService) const;
 
  private:
   /// Requests that need a credit for one service.
--- a/include/spindleweir/servers/routing/retry_pool.h
+++ b/include/spindleweir/servers/routing/retry_pool.h
@@ -30,6 +30,11 @@
   /// Granted retries that still count.
   int Granted(Millis aNow);
 
+  /// The number that is known to be on disk.
+  int Recorded() const { return mRecorded; }
+  /// For a pool without a number of its own: this one is on disk for it.
+  void UseRecord(int aRetries) { mRecorded = mWriting = aRetries; }
+
   /// Whether the recorded number should be written anew.
   bool NeedsRecord(double aShare, Millis aNow);
   /// Begins to record a number; returns it. A smaller one than before limits
