--- a/daemons/router/peer_link.cpp
+++ b/daemons/router/peer_link.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr Millis kTickInterval = 50;
-constexpr Millis kShareInterval = 100;
 constexpr Millis kReceiptInterval = 200;
 constexpr Millis kProbeTimeout = 800;
 constexpr Millis kPullTimeout = 1000;
--- a/standins/raw_upstream.cpp
+++ b/standins/raw_upstream.cpp
@@ -48,7 +48,8 @@
   mAnswered = 0;
 }
 
-void RawUpstream::AnswerWithoutEnd(std::string aBegin, std::string aRepeated) {
+void RawUpstream::AnswerWithoutEnd(std::string aBegin,
+                                   std::string_view aRepeated) {
   SetAnswers({std::move(aBegin)});
   mWritten = 0;
   while (mRepeated.size() < kRepeatedBytes) {
--- a/standins/raw_upstream.h
+++ b/standins/raw_upstream.h
@@ -7,6 +7,7 @@
 
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "spindleweir/drivers/event_loop.h"
@@ -25,7 +26,7 @@
   void SetAnswers(std::vector<std::string> aAnswers);
   /// From now on answers begin with aBegin and go on with aRepeated until the
   /// caller closes the connection.
-  void AnswerWithoutEnd(std::string aBegin, std::string aRepeated);
+  void AnswerWithoutEnd(std::string aBegin, std::string_view aRepeated);
   /// Bytes written by answers without end.
   std::size_t WrittenWithoutEnd() const { return mWritten; }
   /// Connections that are open.
--- a/tests/daemons/endless_answer_test.cpp
+++ b/tests/daemons/endless_answer_test.cpp
@@ -35,10 +35,10 @@
 
   /// The answer that a caller gets; the upstream's connections are closed then.
   Answer Call(const std::string& aTarget, std::string aBegin,
-              std::string aRepeated) {
-    mUpstream.AnswerWithoutEnd(std::move(aBegin), std::move(aRepeated));
+              std::string_view aRepeated) {
+    mUpstream.AnswerWithoutEnd(std::move(aBegin), aRepeated);
     const Millis begun = SteadyNow();
-    const Answer answer = mFixture.Call(aTarget);
+    Answer answer = mFixture.Call(aTarget);
     mTook = SteadyNow() - begun;
     CHECK(mFixture.RunUntil([this] { return mUpstream.Open() == 0; }));
     return answer;
