Controls remember rates that upstreams named, for routers that start after all have ended

An upstream in need got more than the rate that it had named. Cause: the account ended with its holders. A router knows a limit from answers or from others' reports; after a series of kills nobody knew it until the next answers, and each start sent freely. Change: RecentLimits on each control remembers what routers reported for 5 s and tells it to routers while none reports it. It is not told to other controls, and nothing is remembered for 10 s after an end that a router saw. Gauges limits_known, limit_credits, limits_remembered, counter limited_requests_sent. load_share is split off load_aggregator: moved text only.

--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -160,6 +160,8 @@
 void SyncService::RefreshGauges() {
   mContext.mCounters.Set("routers_here", mLoads.LocalRouters(ReportTime()));
   mContext.mCounters.Set("routers_known", RouterCount());
+  mContext.mCounters.Set("limits_remembered",
+                         static_cast<std::int64_t>(mLoads.RecentLimitCount()));
 }
 
 Millis SyncService::ReportTime() const {
--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -244,7 +244,9 @@
   options.mOnHead = [this](const AnswerHead& aHead) { HandleHead(aHead); };
   options.mOnData = [this](std::string_view aBytes) { HandleData(aBytes); };
   options.mOnEnd = [this](StreamEnd aEnd) { HandleEnd(aEnd); };
-  mContext.mLimits.OnRequestSent(mAttempt->mInstance);
+  if (mContext.mLimits.OnRequestSent(mAttempt->mInstance)) {
+    mContext.mCounters.Add("limited_requests_sent");
+  }
   mTried.insert(mAttempt->mInstance);
   CountLoad(1);
   BeginTrial();
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -294,6 +294,9 @@
   counters.Set("connection_limit",
                static_cast<std::int64_t>(context.mConnections.Limit()));
   counters.Set("routers_known", context.Routers());
+  counters.Set("limits_known",
+               static_cast<std::int64_t>(context.mLimits.Count()));
+  counters.Set("limit_credits", context.mLimits.Credits());
   const CrashLedger& crashes = context.mCrashes.Ledger();
   counters.Set("parts_barred",
                static_cast<std::int64_t>(crashes.BarredParts()));
--- a/include/spindleweir/servers/limits/advertised_limits.h
+++ b/include/spindleweir/servers/limits/advertised_limits.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "spindleweir/core/clock.h"
-#include "spindleweir/servers/routing/load_aggregator.h"
+#include "spindleweir/servers/routing/load_share.h"
 
 namespace spindleweir {
 
@@ -74,8 +74,13 @@
   std::optional<double> LimitOf(const std::string& aInstance) const;
   /// The upstreams that no request may be sent to at present.
   std::set<std::string> HeldUpstreams(Millis aNow);
-  /// A request is sent to an upstream that was not held.
-  void OnRequestSent(const std::string& aInstance);
+  /// A request is sent to an upstream that was not held. Returns whether the
+  /// upstream has a limit.
+  bool OnRequestSent(const std::string& aInstance);
+  /// Number of upstreams with a limit.
+  std::size_t Count() const { return mLimits.size(); }
+  /// Requests that may be sent now to upstreams with a limit.
+  int Credits() const;
 
  private:
   struct Limit {
--- a/include/spindleweir/servers/routing/load_aggregator.h
+++ b/include/spindleweir/servers/routing/load_aggregator.h
@@ -7,106 +7,15 @@
 #include <map>
 #include <set>
 #include <string>
-#include <string_view>
 #include <utility>
-#include <vector>
 
 #include "spindleweir/core/clock.h"
-#include "spindleweir/servers/membership/upstream_check.h"
+#include "spindleweir/servers/limits/recent_limits.h"
+#include "spindleweir/servers/routing/load_share.h"
 #include "spindleweir/servers/routing/router_census.h"
 
 namespace spindleweir {
 
-/// The load that one router, or several together, put on one upstream.
-struct LoadShare {
-  std::string mInstance;
-  std::int64_t mRequests = 0;
-  /// Memory reserved for these requests, in tokens times layers.
-  std::int64_t mTokenLayers = 0;
-  /// Requests of which it runs the first stage.
-  std::int64_t mFirstStageRequests = 0;
-  /// Prefill work that it has not done yet, in tokens times layers.
-  std::int64_t mPrefillTokenLayers = 0;
-  /// Routers that cannot connect to it.
-  std::int64_t mUnreachableReporters = 0;
-  /// Routers to which the engine reported that it is slow, and the sum of the
-  /// slowdown factors that it reported, in percent.
-  std::int64_t mSlowdownReporters = 0;
-  std::int64_t mSlowdownPercent = 0;
-  /// Routers to which the engine reported since then that it runs at normal
-  /// speed again.
-  std::int64_t mRecoveryReporters = 0;
-  /// Routers to which the upstream advertised a rate limit, and the sum of
-  /// these limits, in thousandths of a request per second.
-  std::int64_t mLimitReporters = 0;
-  std::int64_t mLimitThousandths = 0;
-  /// Routers that recently saw its limit end.
-  std::int64_t mLimitEndReporters = 0;
-  /// Requests that would be sent to it if it had no limit, in thousandths of a
-  /// request per second.
-  std::int64_t mDemandThousandths = 0;
-
-  void Add(const LoadShare& aOther, int aSign);
-  bool Empty() const;
-  bool operator==(const LoadShare&) const = default;
-};
-
-/// Load shares by instance.
-using LoadShares = std::map<std::string, LoadShare>;
-
-/// Load shares in transfer format: one column per field, so that field names
-/// are not repeated in each row. A column that holds only zeros is omitted.
-struct LoadTable {
-  std::vector<std::string> mInstances;
-  std::vector<std::int64_t> mRequests;
-  std::vector<std::int64_t> mTokenLayers;
-  std::vector<std::int64_t> mFirstStageRequests;
-  std::vector<std::int64_t> mPrefillTokenLayers;
-  std::vector<std::int64_t> mUnreachableReporters;
-  std::vector<std::int64_t> mSlowdownReporters;
-  std::vector<std::int64_t> mSlowdownPercent;
-  std::vector<std::int64_t> mRecoveryReporters;
-  std::vector<std::int64_t> mLimitReporters;
-  std::vector<std::int64_t> mLimitThousandths;
-  std::vector<std::int64_t> mLimitEndReporters;
-  std::vector<std::int64_t> mDemandThousandths;
-
-  static LoadTable Of(const LoadShares& aShares);
-  /// Throws kBadField if the columns differ in length.
-  LoadShares ToShares() const;
-
-  template <class Codec>
-  void Fields(Codec& aCodec) {
-    aCodec.Sparse("instances", mInstances);
-    aCodec.Sparse("requests", mRequests);
-    aCodec.Sparse("token_layers", mTokenLayers);
-    aCodec.Sparse("firsts", mFirstStageRequests);
-    aCodec.Sparse("read_token_layers", mPrefillTokenLayers);
-    aCodec.Sparse("unreachable", mUnreachableReporters);
-    aCodec.Sparse("pace_tellers", mSlowdownReporters);
-    aCodec.Sparse("pace_percent", mSlowdownPercent);
-    aCodec.Sparse("well_tellers", mRecoveryReporters);
-    aCodec.Sparse("limit_tellers", mLimitReporters);
-    aCodec.Sparse("limit_thousandths", mLimitThousandths);
-    aCodec.Sparse("limit_ends", mLimitEndReporters);
-    aCodec.Sparse("wanted_thousandths", mDemandThousandths);
-  }
-};
-
-/// Returns the table without its invalid rows: those with an invalid instance
-/// name or a negative number, and those beyond the end of a shorter column.
-/// Each of them is passed to aOnBad.
-LoadTable UsableRows(const LoadTable& aTable, const InvalidRowHook& aOnBad);
-
-/// Serializes load shares for transfer between processes; "" stands for no
-/// shares.
-std::string PackLoads(const LoadShares& aShares);
-/// Parses the result of PackLoads(). Throws kDataCorrupt, kBadJson or kBadField
-/// if the text is malformed. With a hook, invalid rows are passed to the hook
-/// and left out instead.
-LoadShares UnpackLoads(std::string_view aPacked,
-                       const InvalidRowHook& aOnBad = {});
-
 /// Serialized load shares, as they are returned to any number of pollers.
 struct PackedLoads {
   std::string mText;
@@ -140,6 +49,7 @@
   int mLocalRowsPerMilli = 1;
   /// If the sum has more rows, a router gets only the rows of its zone.
   std::size_t mMaxUnfilteredRows = 400;
+  RecentLimitsOptions mRecentLimits;
 };
 
 /// Sums the load reports that one control process receives from routers and
@@ -147,7 +57,9 @@
 class LoadAggregator {
  public:
   explicit LoadAggregator(LoadAggregatorOptions aOptions)
-      : mOptions(aOptions), mCensus(aOptions.mRouterCountRetention) {}
+      : mOptions(aOptions),
+        mCensus(aOptions.mRouterCountRetention),
+        mRecentLimits(aOptions.mRecentLimits) {}
 
   /// The processes report less often the more of them there are.
   void SetReportRetention(Millis aRetention) {
@@ -202,6 +114,9 @@
   std::set<std::string> UnreachableUpstreams(std::int64_t aMinReporters,
                                              Millis aNow);
 
+  /// Limits of upstreams that were reported a short time ago.
+  std::size_t RecentLimitCount() const { return mRecentLimits.Count(); }
+
  private:
   /// The last report of one router or one control.
   struct Report {
@@ -226,6 +141,7 @@
   /// The routers of mRouters changed since they were passed to mCensus.
   bool mRoutersChanged = false;
   LoadShares mSum;
+  RecentLimits mRecentLimits;
   /// Serialized forms of mSum by zone, "" for all zones; built on demand.
   std::map<std::string, PackedLoads> mPackedSums;
   std::int64_t mPackedSequence = 0;  ///< The newest of mPackedSums.
--- a/servers/limits/advertised_limits.cpp
+++ b/servers/limits/advertised_limits.cpp
@@ -174,11 +174,21 @@
   return held;
 }
 
-void AdvertisedLimits::OnRequestSent(const std::string& aInstance) {
+bool AdvertisedLimits::OnRequestSent(const std::string& aInstance) {
   const auto it = mLimits.find(aInstance);
-  if (it != mLimits.end() && it->second.mCredits > 0) {
-    it->second.mCredits--;
+  if (it == mLimits.end()) {
+    return false;
+  }
+  it->second.mCredits = std::max(0, it->second.mCredits - 1);
+  return true;
+}
+
+int AdvertisedLimits::Credits() const {
+  int credits = 0;
+  for (const auto& [instance, limit] : mLimits) {
+    credits += limit.mCredits;
   }
+  return credits;
 }
 
 }  // namespace spindleweir
--- a/servers/routing/load_check.h
+++ b/servers/routing/load_check.h
@@ -3,7 +3,7 @@
 
 #include <json/value.h>
 
-#include "spindleweir/servers/routing/load_aggregator.h"
+#include "spindleweir/servers/routing/load_share.h"
 
 namespace spindleweir {
 
