--- a/standins/scripted_upstream.cpp
+++ b/standins/scripted_upstream.cpp
@@ -81,6 +81,11 @@
   return most;
 }
 
+int ScriptedUpstream::Arrivals(const std::string& aRequest) const {
+  const auto it = mArrivalsOf.find(aRequest);
+  return it == mArrivalsOf.end() ? 0 : it->second;
+}
+
 int ScriptedUpstream::Runs(const std::string& aRequest) const {
   const auto it = mRuns.find(aRequest);
   return it == mRuns.end() ? 0 : it->second;
@@ -110,6 +115,10 @@
     return;
   }
   mArrivals.push_back(SteadyNow());
+  const std::string* request =
+      FindHeader(aExchange->Head().mHeaders, "X-Request");
+  const std::string id = request == nullptr ? "" : *request;
+  mArrivalsOf[id]++;
   UpstreamAction action = UpstreamAction::kAnswer;
   if (!mPendingActions.empty()) {
     action = mPendingActions.front();
@@ -119,9 +128,7 @@
     aExchange->Reply(kUnavailable, WithNotices({{"X-Ran", "no"}}), "");
     return;
   }
-  const std::string* request =
-      FindHeader(aExchange->Head().mHeaders, "X-Request");
-  mRuns[request == nullptr ? "" : *request]++;
+  mRuns[id]++;
   if (CrashesOn(aExchange->Head())) {
     Crash();
     return;
--- a/standins/scripted_upstream.h
+++ b/standins/scripted_upstream.h
@@ -72,6 +72,8 @@
   void SetFailureStatus(int aStatus) { mFailureStatus = aStatus; }
   const std::string& Address() const { return mAddress; }
   const std::string& Instance() const { return mInstance; }
+  /// Returns how often the request arrived, whether it was run or not.
+  int Arrivals(const std::string& aRequest) const;
   /// Returns how often this upstream ran the request.
   int Runs(const std::string& aRequest) const;
   int TotalRuns() const;
@@ -100,6 +102,7 @@
   std::deque<UpstreamAction> mPendingActions;
   std::map<std::string, int> mRuns;
   std::vector<Millis> mArrivals;
+  std::map<std::string, int> mArrivalsOf;  ///< By request.
   std::optional<double> mLimit;
   bool mLeaving = false;
   std::optional<Millis> mBackoff;  ///< Set while it rejects all requests.
