A router that starts has saved nothing of a workspace's rate

A workspace could get more than its rate. Cause: each start had half a second of its part saved up, however many in a window. Change: the bucket fills from the start of the process.

--- a/daemons/router/router_context.cpp
+++ b/daemons/router/router_context.cpp
@@ -27,7 +27,8 @@
       mView({}),
       mLimiter(
           {.mMaximumInFlight = mOptions.mMaximumInFlight,
-           .mMaximumQueue = static_cast<std::size_t>(mOptions.mMaximumQueue)}),
+           .mMaximumQueue = static_cast<std::size_t>(mOptions.mMaximumQueue),
+           .mStartedAt = SteadyNow()}),
       mRetryBudget({}),
       mOutbox(kMaxOutboxReceipts),
       mRandom(std::random_device{}()),
--- a/include/spindleweir/servers/limits/workspace_limiter.h
+++ b/include/spindleweir/servers/limits/workspace_limiter.h
@@ -28,6 +28,9 @@
   int mMaximumInFlight = 512;        ///< Of all workspaces together.
   std::size_t mMaximumQueue = 1024;  ///< Of all workspaces together.
   Millis mMaximumWait = 2000;        ///< In the queue.
+  /// Of this process; -1: long ago. A process that starts has saved nothing of
+  /// a rate, since the process before may just have spent it.
+  Millis mStartedAt = -1;
 };
 
 /// A request for admission.
@@ -84,7 +87,7 @@
     WorkspaceLimits mLimits;
     int mInFlight = 0;
     double mTokens = 0;     ///< In the token bucket of the rate.
-    Millis mFilledAt = -1;  ///< -1: never.
+    Millis mFilledAt = -1;  ///< -1: not since the start.
     /// Rises by 1 / mWeight with each admitted request. The queue of the
     /// workspace with the least value is served next.
     double mVirtualTime = 0;
--- a/servers/limits/workspace_limiter.cpp
+++ b/servers/limits/workspace_limiter.cpp
@@ -57,14 +57,13 @@
 
 void WorkspaceLimiter::Refill(Workspace& aWorkspace, Millis aNow) const {
   const double burst = BurstOf(aWorkspace.mLimits);
-  if (aWorkspace.mFilledAt < 0) {
-    aWorkspace.mTokens = burst;
-  } else {
-    const auto passed = static_cast<double>(aNow - aWorkspace.mFilledAt);
-    aWorkspace.mTokens +=
-        aWorkspace.mLimits.mRequestsPerSecond * passed / kMillisPerSecond;
-    aWorkspace.mTokens = std::min(aWorkspace.mTokens, burst);
-  }
+  const Millis from =
+      aWorkspace.mFilledAt < 0 ? mOptions.mStartedAt : aWorkspace.mFilledAt;
+  const double gained = from < 0 ? burst
+                                 : aWorkspace.mLimits.mRequestsPerSecond *
+                                       static_cast<double>(aNow - from) /
+                                       kMillisPerSecond;
+  aWorkspace.mTokens = std::min(burst, aWorkspace.mTokens + gained);
   aWorkspace.mFilledAt = aNow;
 }
 
--- a/tests/daemons/memory_test.cpp
+++ b/tests/daemons/memory_test.cpp
@@ -150,7 +150,9 @@
     crowd.Add(5, "/look/slow", Slow::kReadsNothing);
     for (const char* target : {"/look/good", "/pay/good"}) {
       const Answer answer = CallUntilServed(fixture, target);
-      CHECK(answer.mStatus == 200 && answer.mEnd == StreamEnd::kComplete);
+      CHECK_FOUND(answer.mStatus == 200 && answer.mEnd == StreamEnd::kComplete,
+                  std::string(target) + ": " + std::to_string(answer.mStatus) +
+                      " " + answer.mBody.substr(0, 300));
       CHECK(answer.mBody == ScriptedUpstream::BodyOf(fixture.Last(), kAnswer));
       CHECK(fixture.RunsOfLast() == 1);
     }
--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -100,6 +100,46 @@
   }
 }
 
+// Each start had half a second of its part of the rate saved up.
+Test(limits, routers_that_start_again_and_again_keep_to_the_rate) {
+  constexpr int kRouters = 7;
+  constexpr double kPerSecond = 70;
+  constexpr Millis kWindow = 10000;
+  /// What all routers together may have saved up is half a second of the rate.
+  constexpr double kMaxAdmitted = kPerSecond * (kWindow / 1000.0 + 0.5);
+  std::vector<WorkspaceLimiter> limiters;
+  const auto start = [](Millis aAt) {
+    WorkspaceLimiter limiter({.mMaximumWait = 0, .mStartedAt = aAt});
+    limiter.SetLimits("w", {.mMaximumConcurrent = 1e6,
+                            .mRequestsPerSecond = kPerSecond / kRouters});
+    return limiter;
+  };
+  for (int i = 0; i < kRouters; i++) {
+    limiters.push_back(start(0));
+  }
+  int admitted = 0;
+  const auto count =
+      [&admitted](const std::vector<AdmissionOutcome>& aOutcomes) {
+        for (const AdmissionOutcome& outcome : aOutcomes) {
+          admitted += outcome.mCode == ResultCode::kOk ? 1 : 0;
+        }
+      };
+  std::uint64_t ticket = 0;
+  for (Millis now = kWindow; now < 2 * kWindow; now += 10) {
+    for (std::size_t i = 0; i < limiters.size(); i++) {
+      if (i > 0 && now % 1000 == 0) {
+        limiters[i] = start(now);
+      }
+      count(limiters[i].Submit(Request(++ticket, "w"), now));
+      count(limiters[i].Tick(now));
+    }
+  }
+  CHECK_FOUND(admitted <= kMaxAdmitted, std::to_string(admitted));
+  SECTION("most of the rate is used nevertheless") {
+    CHECK_FOUND(admitted > 0.8 * kMaxAdmitted, std::to_string(admitted));
+  }
+}
+
 Test(limits, time_in_the_queue_is_bounded) {
   WorkspaceLimiter limiter({.mMaximumWait = 1000});
   limiter.SetLimits("w", {.mMaximumConcurrent = 1, .mRequestsPerSecond = 1e6});
