--- a/tests/fuzz/limit_series_fuzz.cpp
+++ b/tests/fuzz/limit_series_fuzz.cpp
@@ -5,7 +5,6 @@
 #include <array>
 #include <deque>
 #include <memory>
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,6 +12,7 @@
 #include "spindleweir/servers/limits/advertised_limits.h"
 #include "spindleweir/servers/limits/router_count.h"
 #include "spindleweir/servers/routing/load_aggregator.h"
+#include "tests/fuzz/play_random.h"
 #include "tests/test_tools.h"
 
 using namespace spindleweir;
@@ -98,7 +98,7 @@
 
   void Run() {
     for (mNow = 0; mNow < kPlayed; mNow += kStep) {
-      if (mNow > kWindow && Chance(0.02)) {
+      if (mNow > kWindow && mRandom.Chance(0.02)) {
         MakeTrouble();
       }
       DeliverAnswers();
@@ -106,10 +106,9 @@
       for (int i = 0; i < kRouters; i++) {
         Poll(i);
       }
-      const int count = std::poisson_distribution<int>(kRequestsPerSecond *
-                                                       kStep / 1000)(mRandom);
+      const int count = mRandom.Count(kRequestsPerSecond * kStep / 1000);
       for (int i = 0; i < count; i++) {
-        Send(Below(kRouters));
+        Send(mRandom.Below(kRouters));
       }
     }
   }
@@ -128,18 +127,6 @@
   }
 
  private:
-  static std::size_t Index(int aNumber) {
-    return static_cast<std::size_t>(aNumber);
-  }
-  double Real() {
-    return std::uniform_real_distribution<double>(0, 1)(mRandom);
-  }
-  bool Chance(double aProbability) { return Real() < aProbability; }
-  int Below(int aNumber) {
-    return std::uniform_int_distribution<int>(0, aNumber - 1)(mRandom);
-  }
-  Millis Time(Millis aMost) { return static_cast<Millis>(Real() * aMost); }
-
   template <class Process>
   bool IsRunning(const Process& aProcess) const {
     return mNow >= aProcess.mDownUntil;
@@ -160,7 +147,7 @@
     router.mLimits = std::make_unique<AdvertisedLimits>(AdvertisedLimitsOptions{
         .mDemandOf =
             [this, aRouter](const std::string&) { return DemandOf(aRouter); },
-        .mRandom = [this] { return Real(); }});
+        .mRandom = [this] { return mRandom.Real(); }});
   }
 
   void StartControl(Control& aControl, Millis aAt) {
@@ -195,31 +182,31 @@
   }
 
   void MakeTrouble() {
-    const int kind = Below(6);
-    const Millis length = Time(Chance(0.3) ? 15000 : 2000);
+    const int kind = mRandom.Below(6);
+    const Millis length = mRandom.Time(mRandom.Chance(0.3) ? 15000 : 2000);
     if (kind < 2 && mTroubles.mRouters) {
-      const double share = Chance(0.5) ? 0.9 : 0.1;
+      const double share = mRandom.Chance(0.5) ? 0.9 : 0.1;
       for (int i = 0; i < kRouters; i++) {
-        if (Chance(share)) {
+        if (mRandom.Chance(share)) {
           KillRouter(i);
         }
       }
     }
     if (kind == 2 && mTroubles.mRouters) {
-      mRouters[Index(Below(kRouters))].mFrozenUntil = mNow + length;
+      mRouters[Index(mRandom.Below(kRouters))].mFrozenUntil = mNow + length;
     }
     if (kind == 3 && mTroubles.mControls) {
-      KillControl(mControls[Index(Below(kControls))], length);
+      KillControl(mControls[Index(mRandom.Below(kControls))], length);
     }
     if (kind == 4 && mTroubles.mLinks) {
-      const double share = Real();
+      const double share = mRandom.Real();
       for (Millis& until : mCutUntil) {
-        until = Chance(share) ? mNow + length : until;
+        until = mRandom.Chance(share) ? mNow + length : until;
       }
     }
     if (kind == 5 && mTroubles.mStops) {
       for (Control& control : mControls) {
-        KillControl(control, Time(1000));
+        KillControl(control, mRandom.Time(1000));
       }
       for (int i = 0; i < kRouters; i++) {
         KillRouter(i);
@@ -234,7 +221,7 @@
   }
 
   void KillRouter(int aRouter) {
-    mRouters[Index(aRouter)].mDownUntil = mNow + Time(1000);
+    mRouters[Index(aRouter)].mDownUntil = mNow + mRandom.Time(1000);
     StartRouter(aRouter);
   }
 
@@ -298,7 +285,7 @@
       router.mPeers.clear();
     }
     if (!Reaches(aRouter, router.mControl)) {
-      router.mControl = Below(kControls);
+      router.mControl = mRandom.Below(kControls);
       return;
     }
     LoadShares own;
@@ -342,7 +329,7 @@
         {aRouter, router.mIncarnation, mNow, mNow + kAnswerTime});
   }
 
-  std::mt19937 mRandom;
+  PlayRandom mRandom;
   Troubles mTroubles;
   Defect mDefect;
   std::array<Router, kRouters> mRouters;
--- a/tests/fuzz/retry_limit_fuzz.cpp
+++ b/tests/fuzz/retry_limit_fuzz.cpp
@@ -5,7 +5,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,6 +12,7 @@
 #include "spindleweir/servers/limits/pool_share.h"
 #include "spindleweir/servers/routing/retry_allowance.h"
 #include "spindleweir/servers/routing/retry_pool.h"
+#include "tests/fuzz/play_random.h"
 #include "tests/test_tools.h"
 
 using namespace spindleweir;
@@ -101,7 +101,7 @@
   void Run() {
     for (mNow = 0; mNow < kPlayed; mNow += kStep) {
       mRequests.push_back(0);
-      if (Chance(0.04)) {
+      if (mRandom.Chance(0.04)) {
         MakeTrouble();
       }
       ShareVoters();
@@ -110,7 +110,7 @@
       DeliverAnswers();
       if (mNow >= mTurnsAt) {
         mWants = !mWants;
-        mTurnsAt = mNow + Time(kWindow);
+        mTurnsAt = mNow + mRandom.Time(kWindow);
       }
       for (int i = 0; i < kRouters; i++) {
         if (mWants && IsRunning(mRouters[Index(i)])) {
@@ -156,18 +156,6 @@
   }
 
  private:
-  static std::size_t Index(int aNumber) {
-    return static_cast<std::size_t>(aNumber);
-  }
-  double Real() {
-    return std::uniform_real_distribution<double>(0, 1)(mRandom);
-  }
-  bool Chance(double aProbability) { return Real() < aProbability; }
-  int Below(int aNumber) {
-    return std::uniform_int_distribution<int>(0, aNumber - 1)(mRandom);
-  }
-  Millis Time(Millis aMost) { return static_cast<Millis>(Real() * aMost); }
-
   template <class Process>
   bool IsRunning(const Process& aProcess) const {
     return mNow >= aProcess.mDownUntil && mNow >= aProcess.mFrozenUntil;
@@ -196,7 +184,7 @@
 
   /// What is being written when a control ends may be kept or not.
   void RestartControl(Control& aControl) {
-    if (aControl.mWrittenAt >= 0 && Chance(0.5)) {
+    if (aControl.mWrittenAt >= 0 && mRandom.Chance(0.5)) {
       aControl.mOnDisk = aControl.mWriting;
     }
     aControl.mWrittenAt = -1;
@@ -221,19 +209,20 @@
       const double share = ShareOf(control);
       if (control.mWrittenAt < 0 && control.mPool->NeedsRecord(share, mNow)) {
         control.mWriting = control.mPool->BeginRecord(share, mNow);
-        control.mWrittenAt = mNow + Time(Chance(0.1) ? 3000 : 2 * kStep);
+        control.mWrittenAt =
+            mNow + mRandom.Time(mRandom.Chance(0.1) ? 3000 : 2 * kStep);
       }
     }
   }
 
   void MakeTrouble() {
-    const int kind = Below(8);
-    const Millis length = Time(Chance(0.3) ? 15000 : 2000);
+    const int kind = mRandom.Below(8);
+    const Millis length = mRandom.Time(mRandom.Chance(0.3) ? 15000 : 2000);
     if (kind < 2 && mTroubles.mRouters) {
       KillRouters();
     }
     if (kind == 2 && mTroubles.mRouters) {
-      mRouters[Index(Below(kRouters))].mFrozenUntil = mNow + length;
+      mRouters[Index(mRandom.Below(kRouters))].mFrozenUntil = mNow + length;
     }
     if (kind == 3 && mTroubles.mControls) {
       Control& control = AnyControl();
@@ -245,8 +234,8 @@
     }
     if (kind == 5 && mTroubles.mLinks) {
       for (int i = 0; i < kRouters; i++) {
-        if (Chance(0.5)) {
-          mCutUntil[{i, Below(static_cast<int>(mControls.size()))}] =
+        if (mRandom.Chance(0.5)) {
+          mCutUntil[{i, mRandom.Below(static_cast<int>(mControls.size()))}] =
               mNow + length;
         }
       }
@@ -260,7 +249,7 @@
   }
 
   Control& AnyControl() {
-    return mControls[Index(Below(static_cast<int>(mControls.size())))];
+    return mControls[Index(mRandom.Below(static_cast<int>(mControls.size())))];
   }
 
   int Voters() const {
@@ -276,7 +265,7 @@
     if (!old.mIsVoter || Voters() != kControls) {
       return;
     }
-    if (Chance(0.5)) {
+    if (mRandom.Chance(0.5)) {
       old.mIsVoter = false;
       ShareVoters();
     }
@@ -288,7 +277,7 @@
       mControls.push_back(std::move(next));
       return;
     }
-    old.mCutOffUntil = Chance(0.5) ? mNow + kPlayed : old.mCutOffUntil;
+    old.mCutOffUntil = mRandom.Chance(0.5) ? mNow + kPlayed : old.mCutOffUntil;
     Control next;
     StartControl(next, PreviousGrants::kUnknown);
     next.mIsVoter = true;
@@ -315,10 +304,10 @@
 
   /// Kills one router or most of them, which start again soon.
   void KillRouters() {
-    const double share = Chance(0.5) ? 0.9 : 0.1;
+    const double share = mRandom.Chance(0.5) ? 0.9 : 0.1;
     for (int i = 0; i < kRouters; i++) {
-      if (Chance(share)) {
-        mRouters[Index(i)].mDownUntil = mNow + Time(1000);
+      if (mRandom.Chance(share)) {
+        mRouters[Index(i)].mDownUntil = mNow + mRandom.Time(1000);
         StartRouter(i);
       }
     }
@@ -326,11 +315,11 @@
 
   void StartRequests() {
     if (mNow % 1000 == 0) {
-      mPerStep = Chance(0.2) ? 0 : 2 * Real();
+      mPerStep = mRandom.Chance(0.2) ? 0 : 2 * mRandom.Real();
     }
-    const int count = std::poisson_distribution<int>(mPerStep)(mRandom);
+    const int count = mRandom.Count(mPerStep);
     for (int i = 0; i < count; i++) {
-      Router& router = mRouters[Index(Below(kRouters))];
+      Router& router = mRouters[Index(mRandom.Below(kRouters))];
       if (IsRunning(router)) {
         router.mAllowance->RequestStarted(mNow);
       }
@@ -341,8 +330,8 @@
 
   /// A retry reaches its upstream up to the longest time after it was spent.
   void RecordRetry() {
-    const auto delay =
-        static_cast<std::size_t>(Time(kMaxRetrySendDelay - kStep) / kStep);
+    const auto delay = static_cast<std::size_t>(
+        mRandom.Time(kMaxRetrySendDelay - kStep) / kStep);
     mRetries[mRequests.size() - 1 + delay]++;
   }
 
@@ -350,7 +339,7 @@
     Router& router = mRouters[Index(aRouter)];
     while (router.mAllowance->TrySpend(mNow)) {
       RecordRetry();
-      if (mDefect == Defect::kUnpaidRetries && Chance(0.5)) {
+      if (mDefect == Defect::kUnpaidRetries && mRandom.Chance(0.5)) {
         RecordRetry();
       }
     }
@@ -372,7 +361,7 @@
     if (router.mAskedAt >= 0 && mNow - router.mAskedAt < kAskTimeout) {
       return;
     }
-    const int number = Below(static_cast<int>(mControls.size()));
+    const int number = mRandom.Below(static_cast<int>(mControls.size()));
     Control& control = mControls[Index(number)];
     if (!IsRunning(control) || mNow < mCutUntil[{aRouter, number}]) {
       return;
@@ -380,9 +369,9 @@
     router.mAskedAt = mNow;
     const int granted = control.mPool->Grant(kWanted, ShareOf(control), mNow);
     // Late answers come together, when a stalled link recovers.
-    const bool isLate = mTroubles.mLinks && Chance(0.5);
+    const bool isLate = mTroubles.mLinks && mRandom.Chance(0.5);
     const Millis delay =
-        isLate ? kStallPeriod - mNow % kStallPeriod : Time(2 * kStep);
+        isLate ? kStallPeriod - mNow % kStallPeriod : mRandom.Time(2 * kStep);
     mAnswers.push_back(
         {aRouter, router.mIncarnation, mNow, mNow + delay, granted});
   }
@@ -403,7 +392,7 @@
     });
   }
 
-  std::mt19937 mRandom;
+  PlayRandom mRandom;
   Troubles mTroubles;
   Defect mDefect;
   std::vector<Router> mRouters;
