No test is given the same free endpoint twice

A test with three controls and many fixtures meets it now and then. Change: FreeEndpoint() gives none twice in a process. Evidence: relay_fixture/gives_no_free_endpoint_twice found 1,860 different ones of 2,000 before; passes now.

--- a/tests/daemons/relay_fixture.cpp
+++ b/tests/daemons/relay_fixture.cpp
@@ -8,6 +8,8 @@
 
 #include <array>
 #include <cstdint>
+#include <set>
+#include <string>
 
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/daemons/sync_messages.h"
@@ -32,9 +34,8 @@
   return {.s_addr = htonl(kNet | number)};
 }
 
-}  // namespace
-
-Endpoint FreeEndpoint() {
+/// An endpoint that nothing listens at now, perhaps one that was given before.
+Endpoint UnusedEndpoint() {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -48,6 +49,17 @@
   return {text.data(), ntohs(address.sin_port)};
 }
 
+}  // namespace
+
+Endpoint FreeEndpoint() {
+  static std::set<std::string> given;
+  Endpoint endpoint = UnusedEndpoint();
+  while (!given.insert(endpoint.Text()).second) {
+    endpoint = UnusedEndpoint();
+  }
+  return endpoint;
+}
+
 TrafficConfiguration Traffic(std::int64_t aVersion) {
   TrafficConfiguration traffic;
   traffic.mVersion = aVersion;
--- a/tests/daemons/relay_fixture.h
+++ b/tests/daemons/relay_fixture.h
@@ -46,7 +46,8 @@
   std::string mParts;    ///< Shared parts of its prompt, separated by commas.
 };
 
-/// Returns a free port at a loopback address that only this process uses.
+/// Returns a free port at a loopback address that only this process uses; never
+/// the same one twice.
 Endpoint FreeEndpoint();
 /// Routes /pay/, /look/ and /stream/ to the service "counter".
 TrafficConfiguration Traffic(std::int64_t aVersion);
--- a/tests/daemons/relay_test.cpp
+++ b/tests/daemons/relay_test.cpp
@@ -1,10 +1,22 @@
 #include <map>
+#include <set>
+#include <string>
 
 #include "spindleweir/core/json_codec.h"
 #include "tests/daemons/relay_fixture.h"
 
 using namespace spindleweir;
 
+// Two processes of one test sometimes had the same port: cannot listen.
+Test(relay_fixture, gives_no_free_endpoint_twice) {
+  constexpr std::size_t kEndpoints = 2000;
+  std::set<std::string> endpoints;
+  for (std::size_t i = 0; i < kEndpoints; i++) {
+    endpoints.insert(FreeEndpoint().Text());
+  }
+  CHECK_FOUND(endpoints.size() == kEndpoints, std::to_string(endpoints.size()));
+}
+
 Test(relay, configurations_are_accepted_by_their_version) {
   RelayFixture fixture;
   CHECK(fixture.Call("/look/x").mStatus == 503);
