unpaid_retry waits until what may be spent is spent, instead of asking once

The bound of 10 held. Cause, by reading: a call waits 60 ms for a credit, 300 ms while a control is asked, and control and router share a loop that was slow; the check asserted a time. Not traced by a log. Change: calls are sent in rounds until more than 5 retries were spent, then 20 more; the window is 60 s, so that no more than 10 may be spent in the whole test. Both bounds are as before, the upper one holds for longer.

--- a/tests/daemons/unpaid_retry_test.cpp
+++ b/tests/daemons/unpaid_retry_test.cpp
@@ -14,12 +14,18 @@
 
 constexpr int kCalls = 4;
 constexpr double kSlack = 10;
+/// Longer than a test takes, so that nothing is spent twice by right.
+constexpr Millis kWindow = 60000;
+/// A busy control may grant too late for some calls.
+constexpr int kRounds = 50;
 
 /// A router with two upstreams, which count what arrives at them.
 struct RetryCount {
   explicit RetryCount(double aSlack)
-      : mFixture(kShortWarmUp,
-                 {.mRatio = 0, .mSlack = aSlack, .mUsableShare = 1}) {}
+      : mFixture(kShortWarmUp, {.mRatio = 0,
+                                .mWindow = kWindow,
+                                .mSlack = aSlack,
+                                .mUsableShare = 1}) {}
 
   int Arrivals(const std::string& aRequest) const {
     return mFixture.mA.Arrivals(aRequest) + mFixture.mB.Arrivals(aRequest);
@@ -94,10 +100,13 @@
   RetryCount count(kSlack);
   count.mFixture.mSlots = 6 * kCalls;
   count.mFixture.Begin();
-  const int retries =
-      count.RetriesOf("/look/1", UpstreamAction::kFail, 5 * kCalls);
-  CHECK_FOUND(retries <= kSlack, std::to_string(retries));
+  int retries = 0;
+  for (int round = 0; round < kRounds && retries <= kSlack / 2; round++) {
+    retries += count.RetriesOf("/look/1", UpstreamAction::kFail);
+  }
   SECTION("what may be spent is spent") {
     CHECK_FOUND(retries > kSlack / 2, std::to_string(retries));
   }
+  retries += count.RetriesOf("/look/1", UpstreamAction::kFail, 5 * kCalls);
+  CHECK_FOUND(retries <= kSlack, std::to_string(retries));
 }
