--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,6 +25,15 @@
             "tenants": [{"name": "hule930", "apiKeys": [KEY], "priority": 1}]}
 
 
+async def follow(d, old, new):
+    """The operator's list, and the settings files after it, lag by seedLagS."""
+    await asyncio.sleep(BOUNDS["seedLagS"])
+    port = d.ports["control"]
+    d.controls[d.controls.index(f"{d.nodes[old][2]}:{port}")] = f"{d.nodes[new][2]}:{port}"
+    for name in d.processes:
+        d.settings(name, False)
+
+
 async def case(d, record, trouble):
     await d.begin(document(3))
     replicas = [Replica(d, "ledger", zone) for zone in ("hall-a", "hall-b", "hall-c")]
@@ -41,6 +50,7 @@
         return sum(1 for _, _, a in answers if a and a.status == 200)
 
     record.say(f"before: {await served(12)} of 12 requests served")
+    followers = []
     for old in list(d.control_names[:2]):
         if trouble:
             d.signal(old, signal.SIGTERM)
@@ -51,14 +61,11 @@
             await asyncio.sleep(SUCCESSOR_AFTER_S)
             new = old[:-1] + "2"
             d.nodes[new] = ("control", d.nodes[old][1], d.address())
-            # The operator's list and the settings files follow at once.
-            port = d.ports["control"]
-            at = d.controls.index(f"{d.nodes[old][2]}:{port}")
-            d.controls[at] = f"{d.nodes[new][2]}:{port}"
             d.start(new)
-            for name in d.processes:
-                d.settings(name, False)
+            followers.append(asyncio.create_task(follow(d, old, new)))
         await asyncio.sleep(STEP_S)
+    for follower in followers:
+        await follower
     begun = now()
     document_read = await d.read(READ_BACK_S)
     took = now() - begun
