--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,89 +1,70 @@
-"""A faulty replica sends bytes after the head of a 204. Do they reach the
-consumer, on a channel that it keeps?"""
+"""A replica's leave is acknowledged; right after it all processes are killed.
+Does the replica still get work more than drainMs after the ack?"""
 import asyncio
 import os
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "tools"))
-from deployment import (BOUNDS, FAILURES, LIMITS, Replica, main, now, plain_route,  # noqa: E402
-                        plain_service, read_message, request_id, write_head)
+from deployment import (BOUNDS, CannotRun, Replica, consume, main, now, plain_route,  # noqa: E402
+                        plain_service)
 
 HOST, KEY = "proofs.example", "n2ctnfzs989anu6wsjnb"
-REQUESTS, CHANNELS = 300, 6
-SPOILT_EACH = 50  # One answer in 50, as x = .02 of `garble`.
+CONTACT, DRAIN = BOUNDS["contactMs"] / 1000, BOUNDS["drainMs"] / 1000
+ACK_TO_KILL_S = 0.05
+DOWN_S = 0.8
+SERVES_ON_S = 12
 
 
-class FaultyReplica(Replica):
-    """Says 204, which ends with its head, and sends more after it."""
-    trouble, count = True, 0
-
-    async def run(self, request, rid, method, target, writer):
-        FaultyReplica.count += 1
-        if FaultyReplica.count % SPOILT_EACH or not self.trouble:
-            await super().run(request, rid, method, target, writer)
-            return
-        surplus = b"no proof for this page\n"
-        self.d.record.add("spoilt", request=rid)
-        await self.send(writer, 204, [("Spindleweir-Request-Id", rid),
-                                      ("Spindleweir-Response-Seal", f"seal.{rid}")], surplus)
-
-
-async def channel(d, router, count, unread):
-    """A consumer that keeps its channel and reads by the protocol: a 204 has no
-    body. Notes bytes that come while no request waits, or are no answer."""
-    ip, port = d.front(router).rsplit(":", 1)
-    reader = writer = None
-    for i in range(count):
-        if writer is None:
-            reader, writer = await asyncio.open_connection(ip, int(port))
-        rid = request_id()
-        head = [("Host", HOST), ("Spindleweir-Request-Id", rid), ("Spindleweir-Deadline-Ms", "4000"),
-                ("Authorization", "Bearer " + KEY), ("Content-Length", "1")]
-        d.record.add("sent", request=rid, router=router)
-        try:
-            writer.write(write_head(f"POST /proofs/{i} HTTP/1.1", head) + b"x")
-            answer = await asyncio.wait_for(read_message(reader, True, "POST"), 4)
-            d.record.add("answered", request=rid, status=answer.status,
-                         answer_of=answer.header("Spindleweir-Request-Id"))
-            close = (answer.header("Connection") or "").lower() == "close"
-        except FAILURES:
-            d.record.add("no answer", request=rid)
-            close = True
-        try:
-            # No request waits: what comes now belongs to none.
-            more = await asyncio.wait_for(reader.read(4096), 0.1)
-        except (asyncio.TimeoutError, OSError):
-            more = b""
-        if more:
-            unread.append((rid, more))
-            d.record.add("bytes without a request", after=rid, bytes=more.decode("latin-1"))
-            close = True
-        if close:
-            writer.close()
-            writer = None
-    if writer is not None:
-        writer.close()
+def document(version):
+    return {"version": version, "services": [plain_service("ledger")],
+            "routes": [plain_route("proof-page", HOST, "/proofs/", "ledger")],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+            "tenants": [{"name": "hule930", "apiKeys": [KEY], "priority": 1}]}
 
 
 async def case(d, record, trouble):
-    await d.begin({"version": 3, "services": [plain_service("ledger")],
-                   "routes": [plain_route("proof-page", HOST, "/proofs/", "ledger")], "limits": LIMITS,
-                   "tenants": [{"name": "hule930", "apiKeys": [KEY], "priority": 1}]})
-    FaultyReplica.trouble = trouble
-    replicas = [FaultyReplica(d, "ledger", zone) for zone in ("hall-a", "hall-b", "hall-c")]
+    await d.begin(document(3))
+    replicas = [Replica(d, "ledger", zone) for zone in ("hall-a", "hall-b", "hall-c")]
     for replica in replicas:
         await replica.begin()
     await d.await_ready()
-    await asyncio.sleep(BOUNDS["contactMs"] / 1000 + 0.5)
-    unread = []
-    await asyncio.gather(*(channel(d, d.router_names[i % 3], REQUESTS // CHANNELS, unread)
-                           for i in range(CHANNELS)))
-    for replica in replicas:
+    await asyncio.sleep(CONTACT + 5)
+    leaver = replicas[0]
+    acked = await leaver.leave()
+    if acked is None:
+        raise CannotRun("the leave was not acknowledged")
+    await asyncio.sleep(ACK_TO_KILL_S)
+    started = now()
+    if trouble:
+        names = list(d.nodes)
+        d.kill(*names)
+        await asyncio.sleep(DOWN_S)
+        for name in names:
+            d.start(name)
+        started = now()
+        await d.await_ready()
+    # Requests from all routers until the replica ends, SERVES_ON_S after the ack.
+    tries, i = [], 0
+    while now() < acked + SERVES_ON_S:
+        tries.append(asyncio.create_task(consume(
+            d, d.router_names[i % 3], "POST", HOST, f"/proofs/{i}", KEY, body=b"x")))
+        i += 1
+        await asyncio.sleep(0.02)
+    await leaver.end()
+    results = await asyncio.gather(*tries)
+    for replica in replicas[1:]:
         await replica.end()
-    record.say(f"{FaultyReplica.count} requests ran, {FaultyReplica.count // SPOILT_EACH if trouble else 0} "
-               f"spoilt answers; bytes that are no answer came on {len(unread)} channels")
-    return not unread
+    sent = {rid: at for rid, at, _ in results}
+    # In touch again contactMs after the processes were started.
+    from_then = max(acked + DRAIN, started + CONTACT)
+    late = [(at, rid) for at, rid, _ in leaver.runs if at > from_then and rid in sent]
+    record.say(f"{sum(1 for _, _, a in results if a and a.status == 200)} of {len(results)} served; "
+               f"{len(late)} requests reached the replica that left later than {DRAIN} s after the "
+               f"ack, from routers in touch; the last one "
+               f"{max((at - acked for at, _ in late), default=0):.1f} s after it")
+    return not late
 
 
 if __name__ == "__main__":
