--- a/core/json_codec.cpp
+++ b/core/json_codec.cpp
@@ -62,6 +62,14 @@
   return std::move(out).str();
 }
 
+Json::Value ListOf(const std::vector<std::string>& aTexts) {
+  Json::Value list(Json::arrayValue);
+  for (const std::string& text : aTexts) {
+    list.append(text);
+  }
+  return list;
+}
+
 std::string JsonReader::FieldPath::Text() const {
   if (mName == nullptr) {
     return mParent->Text() + "[" + std::to_string(mIndex) + "]";
--- a/daemons/control/joined_services.cpp
+++ b/daemons/control/joined_services.cpp
@@ -5,6 +5,7 @@
 
 #include "spindleweir/core/digest.h"
 #include "spindleweir/core/error.h"
+#include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
 #include "spindleweir/core/packing.h"
 
@@ -57,7 +58,10 @@
       .Add("id", options.mId)
       .Add("zone", options.mZone)
       .Add("first_start", options.mFirstStart)
-      .Add("version", static_cast<Json::Int64>(mSync.Traffic().mVersion));
+      .Add("version", static_cast<Json::Int64>(mSync.Traffic().mVersion))
+      .Add("voters", ListOf(mLog.Raft().Voters()))
+      .Add("term", static_cast<Json::Int64>(mLog.Raft().Term()))
+      .Add("index", static_cast<Json::Int64>(mLog.Raft().LastIndex()));
 }
 
 bool JoinedServices::HasLeaderContact() const {
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -10,14 +10,13 @@
 #include "spindleweir/core/packing.h"
 #include "spindleweir/servers/limits/crash_exchange.h"
 #include "spindleweir/servers/membership/poll_schedule.h"
-#include "spindleweir/servers/membership/voter_plan.h"
 
 namespace spindleweir {
 
 namespace {
 
 constexpr Millis kPollTimeout = 1000;
-constexpr Millis kStepInterval = 500;
+constexpr Millis kSaveInterval = 500;
 /// The list holds the controls that were seen within this window.
 constexpr Millis kControlListWindow = 10000;
 constexpr int kIncarnationBytes = 6;
@@ -48,7 +47,9 @@
           mPreviousRun.mUpstreamsFresh),
       mAnswerSizes(aContext.mLoop, aContext.mCounters),
       mCrashStore(aContext.mOptions.mData + "/barred",
-                  aContext.ReplaceInBackground()) {
+                  aContext.ReplaceInBackground()),
+      mVoters(aContext, aLog, mDirectory,
+              [this] { return ReachableControls(); }) {
   mCrashStore.Load(mCrashes, SteadyNow(),
                    mContext.mInvalidMessages.HookFor("disk"));
   LogLine(LogLevel::kInfo, "stamp_read")
@@ -65,10 +66,7 @@
         return ToJson(Answer(FromJson<SyncRequest>(aMessage)));
       });
   mLog.SignalTermCommitted().connect([this] { PollLeader(); });
-  mStepTimer = mContext.mLoop.Every(kStepInterval, [this] {
-    UpdateVoters();
-    SaveState();
-  });
+  mSaveTimer = mContext.mLoop.Every(kSaveInterval, [this] { SaveState(); });
   PollControls();
 }
 
@@ -451,24 +449,4 @@
   }
 }
 
-void SyncService::UpdateVoters() {
-  if (!mLog.Raft().Leads()) {
-    return;
-  }
-  VoterPlanInput input;
-  input.mSelf = mContext.mOptions.mId;
-  input.mVoters = mLog.Raft().Voters();
-  input.mDirectory = &mDirectory;
-  input.mNow = SteadyNow();
-  const std::vector<std::string> next = NextVoters(input);
-  if (next == input.mVoters || !mLog.ChangeVoters(next)) {
-    return;
-  }
-  Json::Value list(Json::arrayValue);
-  for (const std::string& id : next) {
-    list.append(id);
-  }
-  LogLine(LogLevel::kInfo, "voters_changing").Add("voters", list);
-}
-
 }  // namespace spindleweir
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -14,6 +14,7 @@
 #include "daemons/control/replicated_configuration.h"
 #include "daemons/control/start_stamp.h"
 #include "daemons/control/upstream_intake.h"
+#include "daemons/control/voter_manager.h"
 #include "spindleweir/daemons/sync_messages.h"
 #include "spindleweir/servers/membership/control_list_schedule.h"
 #include "spindleweir/servers/membership/peer_revisions.h"
@@ -73,7 +74,6 @@
   void ApplyConfigurationUpdates(const SyncAnswer& aAnswer);
   /// Applies the confirmation of this control itself, if it leads.
   void UpdateLocalConfirmation(Millis aNow);
-  void UpdateVoters();
   void SaveState();
   /// Whether this process has no contact with a majority of the controls: then
   /// it is cut off itself, and silent upstreams may well be running.
@@ -123,8 +123,9 @@
   std::string mReportedLeader;  ///< Leader of the newest reported term.
   std::int64_t mReportedTerm = 0;
   Millis mLeaderReportedAt = 0;
+  VoterManager mVoters;
   std::unique_ptr<Timer> mPollTimer;
-  std::unique_ptr<Timer> mStepTimer;
+  std::unique_ptr<Timer> mSaveTimer;
 };
 
 }  // namespace spindleweir
--- a/include/spindleweir/core/json_codec.h
+++ b/include/spindleweir/core/json_codec.h
@@ -28,6 +28,9 @@
 /// Writes compact JSON on one line.
 std::string DumpJson(const Json::Value& aValue);
 
+/// A JSON array of strings.
+Json::Value ListOf(const std::vector<std::string>& aTexts);
+
 /// Writes the fields of a message into a JSON object.
 class JsonWriter {
  public:
