Fuzz of successors, by the classes alone: fails on this code

What callers see: after core machines are replaced and a closing fault within the stated tolerance follows, no configuration is read back and nothing is served, for good.

Added: plays of 3, 5 and 7 voters with raft_node, control_directory and voter_plan as on a control; machines killed, stopped, planned or wiped, in series and several at a time; kills of all amid them; disks of up to 20 or 200 ms; last a closing fault right after an acknowledgement. Bounds are the users': catch-up 4 s, recovery 12 s.

The sixth, planted defects, can't fail before the others pass.

--- /dev/null
+++ b/tests/fuzz/successors_fuzz.cpp
@@ -0,0 +1,76 @@
+/// Fuzzing of the voters that follow their machines: what was acknowledged is
+/// read back, and a leader is there in time, whatever is replaced or wiped
+/// within what a minority may lose.
+#include <string>
+
+#include "tests/fuzz/successor_play.h"
+#include "tests/test_tools.h"
+
+using namespace spindleweir;
+
+namespace {
+
+constexpr unsigned kPlays = 60;
+
+/// Plays until one fails; its seed and story, or empty.
+std::string FirstFailure(SuccessorPlayOptions aOptions) {
+  int replaced = 0;
+  for (unsigned seed = 1; seed <= kPlays; seed++) {
+    aOptions.mSeed = seed;
+    const SuccessorPlayResult result = SuccessorPlay(aOptions).Play();
+    replaced += result.mReplaced;
+    if (!result.mIsConsistent || !result.mHasRecovered) {
+      return "seed " + std::to_string(seed) +
+             (result.mIsConsistent ? "" : ", contradiction") + "\n" +
+             result.mStory;
+    }
+  }
+  // If nothing were replaced, the plays would prove nothing.
+  return replaced >= static_cast<int>(kPlays) ? "" : "too few replacements";
+}
+
+}  // namespace
+
+// Guards against a closing fault that ended the core for good, because a
+// successor did not vote yet after the catch-up time.
+Test(successors_fuzz, three_voters_survive_any_fault_after_the_catch_up_time) {
+  const std::string failure = FirstFailure({.mVoters = 3});
+  CHECK_FOUND(failure.empty(), failure);
+}
+
+Test(successors_fuzz, five_voters_survive_any_fault_after_the_catch_up_time) {
+  const std::string failure = FirstFailure({.mVoters = 5});
+  CHECK_FOUND(failure.empty(), failure);
+}
+
+Test(successors_fuzz, seven_voters_survive_any_fault_after_the_catch_up_time) {
+  const std::string failure = FirstFailure({.mVoters = 7});
+  CHECK_FOUND(failure.empty(), failure);
+}
+
+Test(successors_fuzz, slow_disks_hold_up_no_successor) {
+  for (const int voters : {3, 5, 7}) {
+    const std::string failure =
+        FirstFailure({.mVoters = voters, .mMaxSync = 200});
+    CHECK_FOUND(failure.empty(), failure);
+  }
+}
+
+Test(successors_fuzz, a_kill_of_all_amid_replacements_is_survived) {
+  for (const int voters : {3, 5, 7}) {
+    const std::string failure =
+        FirstFailure({.mVoters = voters, .mKillsAll = true});
+    CHECK_FOUND(failure.empty(), failure);
+  }
+}
+
+Test(successors_fuzz, planted_defects_are_caught) {
+  SECTION("disks tell entries as durable before they are") {
+    CHECK(!FirstFailure({.mMaxSync = 200,
+                         .mDefect = SuccessorDefect::kTellsEntriesEarly})
+               .empty());
+  }
+  SECTION("a control that lost its disk votes under its old name") {
+    CHECK(!FirstFailure({.mDefect = SuccessorDefect::kKeepsName}).empty());
+  }
+}
