--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -164,6 +164,73 @@
   count_unexpected_ends
 }
 
+# Replaces the VM of a control, or takes its disk away.
+replace_control() { # NAME
+  local old=$1 new=control-$((${1##*-} + 3)) pause
+  pause=$((RANDOM % 2)).$((RANDOM % 10))
+  faults=$((faults + 1))
+  case $((RANDOM % 4)) in
+  0)
+    echo "$old is killed, then $new starts"
+    kill_noted "$old"
+    sleep "$pause"
+    ;;
+  1)
+    echo "$old is stopped, then $new starts"
+    stop_control "$old"
+    sleep "$pause"
+    ;;
+  2)
+    echo "$old is killed and loses its disk"
+    kill_noted "$old"
+    rm -rf "$run/data-$old"
+    sleep "$pause"
+    restart "$old"
+    return
+    ;;
+  3)
+    echo "$new starts, then $old is stopped"
+    start_one "$new" false
+    sleep "$((RANDOM % 5)).$((RANDOM % 10))"
+    stop_control "$old"
+    soak_processes=("${soak_processes[@]/%$old/$new}")
+    return
+    ;;
+  esac
+  start_one "$new" false
+  soak_processes=("${soak_processes[@]/%$old/$new}")
+}
+
+stop_control() { # NAME
+  note stop name "$1"
+  kill -TERM "$(pid "$1")"
+  wait "$(pid "$1")" || count_failed_stop "$1" $?
+}
+
+# Replaces one control after the other, each once the one before has had its
+# time; routers are stopped and killed meanwhile. Last, all processes are killed
+# and one control loses its disk.
+replace_in_series() { # END, of SECONDS
+  local controls lost name routers=(router-0 router-1 router-2)
+  while [ $SECONDS -lt "$1" ]; do
+    mapfile -t controls < <(printf '%s\n' "${soak_processes[@]}" | grep control-)
+    replace_control "${controls[RANDOM % 3]}"
+    list_controls
+    name=${routers[RANDOM % 3]}
+    kill_noted "$name"
+    restart "$name"
+    sleep 4.1 # The catch-up time of the settings, in which they follow too.
+    for name in "${soak_processes[@]}"; do settings "$name" false; done
+  done
+  mapfile -t controls < <(printf '%s\n' "${soak_processes[@]}" | grep control-)
+  lost=${controls[RANDOM % 3]}
+  echo "all killed, disk of $lost lost"
+  for name in "${soak_processes[@]}"; do kill_noted "$name"; done
+  rm -rf "$run/data-$lost"
+  for name in "${soak_processes[@]}"; do restart "$name"; done
+  count_unexpected_ends
+}
+
 # Kills and restarts all routers at once, or the controls in turn, again and
 # again; one process is suspended in half of the rounds.
 kill_in_turn() { # END, of SECONDS
--- a/tests/platform/soak/soak_main.cpp
+++ b/tests/platform/soak/soak_main.cpp
@@ -19,6 +19,9 @@
 
 DEFINE_string(routers, "", "NAME=IP:PORT of each router, separated by commas");
 DEFINE_string(controls, "", "IP:PORT of each control, separated by commas");
+DEFINE_string(
+    controls_file, "",
+    "file with the addresses that replace --controls, once it is there");
 DEFINE_string(faults, "", "record of the fault script");
 DEFINE_string(up_file, "", "file created when the load starts");
 DEFINE_uint32(seed, 1, "seed of all random choices");
@@ -44,6 +47,7 @@
 constexpr int kMaxReductionPause = 2500;
 constexpr int kMaxChangePause = 900;
 constexpr int kMaxFaultPause = 3000;
+constexpr Millis kControlsInterval = 200;
 
 /// The operator: sends one configuration version after the other, whether or
 /// not the previous one was acknowledged.
@@ -58,6 +62,9 @@
     Send(Document(mVersion), 0);
   }
 
+  void SetControls(std::vector<Endpoint> aControls) {
+    mControls = std::move(aControls);
+  }
   bool Acknowledged() const { return mAcknowledged > 0; }
 
   /// Polls until the version read is at least the acknowledged one; passes
@@ -246,6 +253,7 @@
       }
       AddUpstream(zone, "plain", false);
     }
+    mControlsTimer = mLoop.Every(kControlsInterval, [this] { ReadControls(); });
     mOperator.mOnSettled = [this] { OnChangeSettled(); };
     mOperator.Change();
     const auto end = mLoop.After(kMaxOverrun + Length(), [this] { Finish(); });
@@ -270,6 +278,21 @@
     return endpoints;
   }
 
+  /// Takes over the controls that the fault script names; it replaces the file
+  /// as a whole.
+  void ReadControls() {
+    const std::string text = ReadFile(FLAGS_controls_file).value_or("");
+    if (text == mControlsText || text.empty()) {
+      return;
+    }
+    mControlsText = text;
+    const std::vector<Endpoint> controls = Endpoints(SplitList(text));
+    mOperator.SetControls(controls);
+    for (const auto& upstream : mUpstreams) {
+      upstream->SetControls(controls);
+    }
+  }
+
   static Millis Length() { return Millis{FLAGS_seconds} * 1000; }
 
   int Pick(int aFrom, int aTo) {
@@ -409,6 +432,7 @@
   std::mt19937 mRandom;
   SoakRecord mRecord;
   SoakOperator mOperator;
+  std::string mControlsText;  ///< As read last.
   std::vector<SoakRouter> mRouters;
   std::vector<std::unique_ptr<SoakUpstream>> mUpstreams;
   std::vector<std::unique_ptr<SoakCaller>> mCallers;
@@ -416,6 +440,7 @@
   bool mEnding = false;
   bool mFinishing = false;
   bool mReadBack = false;
+  std::unique_ptr<Timer> mControlsTimer;
   std::unique_ptr<Timer> mStartTimer;
   std::unique_ptr<Timer> mChangeTimer;
   std::unique_ptr<Timer> mFaultTimer;
--- a/tests/platform/soak/soak_upstream.cpp
+++ b/tests/platform/soak/soak_upstream.cpp
@@ -195,6 +195,11 @@
   PostToControl("/-/Instances.Heartbeat/" + mInstance, DumpJson(body));
 }
 
+void SoakUpstream::SetControls(std::vector<Endpoint> aControls) {
+  mControl %= aControls.size();
+  mOptions.mControls = std::move(aControls);
+}
+
 void SoakUpstream::PostToControl(const std::string& aTarget,
                                  const std::string& aBody) {
   StreamCallOptions options;
--- a/tests/platform/soak/soak_upstream.h
+++ b/tests/platform/soak/soak_upstream.h
@@ -33,6 +33,8 @@
   /// Announces that it leaves, goes on serving for kLeaveDuration, and is
   /// replaced by a new instance.
   void Leave();
+  /// Sends its heartbeats to these controls from now on.
+  void SetControls(std::vector<Endpoint> aControls);
   /// Asks for less load for some seconds.
   void ReduceLoad(ReductionKind aKind);
   /// All such periods, for checking.
