Waits of the settings: an operator's change, and a router without a path

Change: a change waits for its commit as long as the deployment allows for an acknowledgement (ackMs; 4 s fixed until now, 4 to 8 s are stated), and a router without a complete path is not ready for four fifths of the recovery time (recoverS; 12 s fixed until now, 12 to 18 s are stated: at 12 s it became ready when service had to be back already).

Measured: platform_tests 7 of 7, with the new section on stated times and losses.

--- a/daemons/control/replicated_configuration.cpp
+++ b/daemons/control/replicated_configuration.cpp
@@ -14,7 +14,6 @@
 constexpr Millis kTickInterval = 20;
 constexpr Millis kRaftTimeout = 1000;
 constexpr Millis kPushTimeout = 1000;
-constexpr Millis kCommitTimeout = 4000;
 constexpr Millis kHeartbeatsPerTimeout = 5;
 constexpr std::size_t kSnapshotThresholdBytes = 1024 * 1024;
 
@@ -148,7 +147,7 @@
   }
   const Millis now = SteadyNow();
   for (auto it = mPendingCommands.begin(); it != mPendingCommands.end();) {
-    if (now - it->second.mSince < kCommitTimeout) {
+    if (now - it->second.mSince < mContext.mOptions.mCommitTimeout) {
       ++it;
       continue;
     }
--- a/daemons/relay/relay_router.cpp
+++ b/daemons/relay/relay_router.cpp
@@ -16,14 +16,6 @@
 
 namespace spindleweir {
 
-namespace {
-
-/// While a zone has no complete path, callers are better sent to other zones.
-/// The time is limited because all zones may have none.
-constexpr Millis kMaxPathWait = 12000;
-
-}  // namespace
-
 /// The components of a relaying router, in order of construction.
 struct RelayRouter::Parts {
   Parts(EventLoop& aLoop, RelayOptions aOptions)
@@ -255,7 +247,8 @@
   if (context.Table()->NeedsKeys() && !context.HasValidLease()) {
     return false;
   }
-  return mParts->HasPaths() || SteadyNow() - mParts->mStartedAt > kMaxPathWait;
+  return mParts->HasPaths() ||
+         SteadyNow() - mParts->mStartedAt > context.mOptions.mMaxPathWait;
 }
 
 void RelayRouter::ApplyHeartbeat(const UpstreamRecord& aRecord,
--- a/include/spindleweir/daemons/control_daemon.h
+++ b/include/spindleweir/daemons/control_daemon.h
@@ -29,6 +29,8 @@
   Endpoint mPlatform;
   std::string mPortFile;
   Millis mElectionTimeout = 500;
+  /// How long an operator's change may wait for its commit.
+  Millis mCommitTimeout = 4000;
   Millis mPlanLifetime = 600000;
   std::size_t mReceipts = 100000;  ///< Max. number stored on this VM.
 
--- a/include/spindleweir/daemons/relay_router.h
+++ b/include/spindleweir/daemons/relay_router.h
@@ -39,6 +39,10 @@
   /// requests, whereas waiting serves all but 1 %. Callers leave a stream after
   /// about two seconds without an event.
   Millis mStartWait = 1500;
+  /// How long a router that has just started is not ready for want of a
+  /// complete path: callers are better sent to other zones, but all may have
+  /// none.
+  Millis mMaxPathWait = 12000;
   /// All requests must have ended within this time after a stop signal.
   Millis mStopGrace = 8000;
   RetryLimits mRetries;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -318,6 +318,22 @@
     CHECK(RelayOptionsOf(told).mMemoryBytes == 160 * 1000 * 1000);
     CHECK(RelayOptionsOf(told).mDescriptors == 3800);
   }
+  // Guards against waits that stay as they are where a deployment states
+  // others.
+  SECTION("times and losses that the deployment states are in force") {
+    BootSettings told = settings;
+    told.mAckWithin = 6000;
+    told.mRecoverSeconds = 15;
+    told.mCatchUpSeconds = 6;
+    told.mToleratedMachines = 2;
+    told.mGraceSeconds = 10;
+    CHECK(ControlOptionsOf(told).mCommitTimeout == 6000);
+    CHECK(ControlOptionsOf(told).mCatchUp == 6000);
+    CHECK(ControlOptionsOf(told).mTolerated == 2);
+    CHECK(ControlOptionsOf(told).mStopTimeout < 10000);
+    CHECK(RelayOptionsOf(told).mMaxPathWait < 15000);
+    CHECK(RelayOptionsOf(told).mStopGrace == 10000);
+  }
   CHECK(ControlOptionsOf(settings).mFirstStart);
   CHECK(CodeThrownBy([] { ParseBootSettings("{}"); }) == ResultCode::kBadField);
   CHECK(CodeThrownBy([] {
