A removed voter can't block elections: who doesn't vote gets committed entries only

What callers would see: a fault amid a planned hand-over left a core without a leader, for good.

Cause: a voter was sent the entry that removes it at once. When that entry reached only it and a leader that then lost its disk, its log was newer than those of the others, so that it refused them its vote, and by the entry it didn't vote itself and didn't stand.

Change: controls that don't vote are sent what is committed and no more. A removed voter is told once its removal is committed; one that asks for votes, because it missed that, is sent the log.

--- a/include/spindleweir/servers/consensus/raft_node.h
+++ b/include/spindleweir/servers/consensus/raft_node.h
@@ -194,7 +194,15 @@
   void SendAppend(const std::string& aTo);
   /// Sends a learner what it lacks, or a heartbeat if none was sent for long.
   void SendToLearner(const std::string& aTo);
-  void AddEntries(Progress& aProgress, RaftMessage& aMessage);
+  /// aLast: the last entry that may be sent.
+  void AddEntries(Progress& aProgress, RaftMessage& aMessage,
+                  std::int64_t aLast);
+  /// The last entry that a control may be sent. One that doesn't vote gets what
+  /// is committed only: with a newer log than the voters of the last change it
+  /// would refuse them its vote, and by that log not stand itself.
+  std::int64_t LastEntryFor(const std::string& aId) const;
+  /// Tells voters that were removed, once that is committed.
+  void NotifyRemovedVoters();
   RaftMessage MakeReply(const RaftMessage& aTo, RaftKind aKind, bool aGranted,
                         std::int64_t aIndex) const;
   void Reply(const RaftMessage& aTo, RaftKind aKind, bool aGranted,
@@ -234,6 +242,8 @@
   std::vector<LogEntry> mEntries;
   std::vector<std::string> mVoters;
   std::vector<std::string> mLearners;  ///< On a leader.
+  /// On a leader: voters whose removal is not committed yet.
+  std::vector<std::string> mRemovedVoters;
   std::string mLeader;
   std::int64_t mCommit = 0;
   std::int64_t mApplied = 0;
--- a/servers/consensus/raft_election.cpp
+++ b/servers/consensus/raft_election.cpp
@@ -34,6 +34,10 @@
   const bool granted = noLeaderContact && !IsElectionRunning() &&
                        aMessage.mTerm > mHardState.mTerm &&
                        LogIsCurrent(aMessage);
+  if (mRole == RaftRole::kLeader && !IsVoter(aMessage.mFrom)) {
+    // It hasn't heard that it was removed, or it would not ask.
+    SendAppend(aMessage.mFrom);
+  }
   RaftMessage reply;
   reply.mKind = RaftKind::kPreVoteReply;
   reply.mTo = aMessage.mFrom;
@@ -168,6 +172,7 @@
   mElectionsSeen = 0;
   mProgress.clear();
   mLearners.clear();
+  mRemovedVoters.clear();
   mRoundTimes.clear();
   for (const std::string& id : mVoters) {
     mProgress[id] = {.mNext = LastIndex() + 1, .mLastSeenAt = mNow};
--- a/servers/consensus/raft_node.cpp
+++ b/servers/consensus/raft_node.cpp
@@ -242,9 +242,7 @@
     index = next;
     for (const std::string& id : before) {
       if (!IsVoter(id)) {
-        // No later message goes to it. Without the entry it would take itself
-        // for a voter without a leader.
-        SendAppend(id);
+        mRemovedVoters.push_back(id);
       }
     }
   });
--- a/servers/consensus/raft_replication.cpp
+++ b/servers/consensus/raft_replication.cpp
@@ -117,7 +117,8 @@
   progress.mNext = std::max(progress.mNext, received + 1);
   AdvanceCommit();
   FinishReads();
-  if (progress.mNext <= LastIndex() && progress.mLastInFlight == 0) {
+  const bool isBehind = progress.mNext <= LastEntryFor(aMessage.mFrom);
+  if (isBehind && progress.mLastInFlight == 0) {
     SendAppend(aMessage.mFrom);
   }
 }
@@ -207,7 +208,7 @@
 void RaftNode::SendToLearner(const std::string& aTo) {
   const Progress& progress = mProgress[aTo];
   const bool isBehind =
-      progress.mNext <= LastIndex() && progress.mLastInFlight == 0;
+      progress.mNext <= LastEntryFor(aTo) && progress.mLastInFlight == 0;
   const bool isDue = mNow - progress.mContactAt >=
                      kLearnerHeartbeats * mOptions.mHeartbeatInterval;
   if (isBehind || isDue) {
@@ -246,14 +247,30 @@
   message.mIndex = progress.mNext - 1;
   message.mLogTerm = TermAt(message.mIndex);
   if (!inFlight) {
-    AddEntries(progress, message);
+    AddEntries(progress, message, LastEntryFor(aTo));
   }
   Send(std::move(message));
 }
 
-void RaftNode::AddEntries(Progress& aProgress, RaftMessage& aMessage) {
+std::int64_t RaftNode::LastEntryFor(const std::string& aId) const {
+  return IsVoter(aId) ? LastIndex() : mCommit;
+}
+
+void RaftNode::NotifyRemovedVoters() {
+  if (!VotersAreCommitted()) {
+    return;
+  }
+  // Without the entry one would take itself for a voter without a leader.
+  for (const std::string& id : mRemovedVoters) {
+    SendAppend(id);
+  }
+  mRemovedVoters.clear();
+}
+
+void RaftNode::AddEntries(Progress& aProgress, RaftMessage& aMessage,
+                          std::int64_t aLast) {
   std::size_t bytes = 0;
-  for (std::int64_t i = aProgress.mNext; i <= LastIndex(); i++) {
+  for (std::int64_t i = aProgress.mNext; i <= aLast; i++) {
     bytes += EntryAt(i).mPayload.size();
     const bool full =
         aMessage.mEntries.size() >= mOptions.mMaxEntriesPerMessage ||
@@ -282,6 +299,7 @@
       mCommit = i;
       ApplyCommitted();
       BroadcastAppend();
+      NotifyRemovedVoters();
       return;
     }
   }
--- a/tests/servers/learners_test.cpp
+++ b/tests/servers/learners_test.cpp
@@ -94,6 +94,11 @@
   leader.Sync();
   CHECK(!leader.SentTo("d", RaftKind::kAppend).empty());
   CHECK(!leader.mNode->HoldsLog("d"));
+  SECTION("it is sent what is committed, and no more") {
+    for (const RaftMessage& message : leader.SentTo("d", RaftKind::kAppend)) {
+      CHECK(message.mEntries.empty() || message.mEntries.back().mIndex < index);
+    }
+  }
   SECTION("its answer commits nothing") {
     leader.Receive(RaftKind::kAppendReply, "d", index);
     CHECK(leader.mNode->CommitIndex() < index);
