A silent voter goes after another has joined, so that two voters never carry the core

What callers would see: a voter was cut off or frozen for some seconds, the disk of another was lost with the power of all amid its replacement, and no control led again, though the first came back with its disk.

Cause: a silent voter was removed before the candidate joined. For one or two commits as many disks as may be lost were one too many, while the silent one could still return.

Change: the candidate, which holds the log, joins first; the lost voter goes next, at 3 voters by way of 4, at 7 by way of 8. Only one whose disk is known to be gone goes first. Candidates are chosen by the zones of those that stay. One too many that came back goes too. Who runs, is lost or can join moves to voter_state (moved text).

--- a/include/spindleweir/servers/membership/voter_plan.h
+++ b/include/spindleweir/servers/membership/voter_plan.h
@@ -40,11 +40,12 @@
 /// The voters after the next step; unchanged if none is due. Only candidates
 /// that hold the log join.
 ///
-/// - A voter that lost its disk, has ended as planned or is silent for too long
-///   is removed once a candidate can take its place; with an even number of
-///   voters, or with two that are lost, also without one.
-/// - A voter that was asked to end but still runs is removed after a candidate
-///   has joined.
+/// - A voter that lost its disk is removed once a candidate can take its place.
+/// - A voter that has ended as planned, is silent for too long or was asked to
+///   end is removed after a candidate has joined in its place, so that the loss
+///   of any one is survived meanwhile.
+/// - With an even number of voters, or with two more than mTolerated requires,
+///   such a voter is removed also without a candidate.
 /// - Candidates join if the number is even, or in pairs up to the maximum, so
 ///   that it becomes odd; those of the zone with the fewest voters join first.
 ///   No pair joins if it gives one zone so many voters that its loss would end
--- a/servers/membership/voter_changes.cpp
+++ b/servers/membership/voter_changes.cpp
@@ -37,7 +37,7 @@
     return {};
   }
   aRaft.SetLearners(NextLearners(input));
-  const std::vector<std::string> next = NextVoters(input);
+  std::vector<std::string> next = NextVoters(input);
   if (next == input.mVoters || aRaft.ProposeVoters(next) == 0) {
     return {};
   }
--- a/servers/membership/voter_plan.cpp
+++ b/servers/membership/voter_plan.cpp
@@ -6,22 +6,15 @@
 #include <span>
 #include <utility>
 
+#include "servers/membership/voter_state.h"
+
 namespace spindleweir {
 
 namespace {
 
-using VoterIds = std::vector<std::string>;
-
-/// A control that was asked to end counts as running for this time after it was
-/// last seen: more than two of its polls.
-constexpr Millis kStoppingWindow = 700;
 /// The least number of voters that survives the loss of one.
 constexpr std::size_t kMinVoters = 3;
 
-bool Contains(const VoterIds& aList, const std::string& aId) {
-  return std::find(aList.begin(), aList.end(), aId) != aList.end();
-}
-
 /// The zone of a control; empty: unknown.
 std::string ZoneOf(const ControlDirectory& aDirectory, const std::string& aId) {
   const ControlInfo* info = aDirectory.Find(aId);
@@ -46,91 +39,6 @@
   return aCount * 2 > aVoters;
 }
 
-/// How long a control has been silent, as far as this process knows.
-Millis SilenceOf(const VoterPlanInput& aInput, const std::string& aId) {
-  const Millis silent = aInput.mDirectory->TimeSinceSeen(aId, aInput.mNow);
-  return silent < 0 ? aInput.mWatchedFor : std::min(silent, aInput.mWatchedFor);
-}
-
-/// Whether a control runs, as far as the leader knows.
-bool Runs(const VoterPlanInput& aInput, const std::string& aId) {
-  const ControlDirectory& directory = *aInput.mDirectory;
-  const Millis silent = directory.TimeSinceSeen(aId, aInput.mNow);
-  const Millis window =
-      directory.IsStopping(aId) ? kStoppingWindow : aInput.mCandidateWindow;
-  const bool isSeen = silent >= 0 && silent <= window;
-  return aId == aInput.mSelf || (isSeen && !directory.IsReplaced(aId));
-}
-
-/// Whether a voter will not come back with its disk, or not for long.
-bool IsLost(const VoterPlanInput& aInput, const std::string& aId) {
-  if (aId == aInput.mSelf || Runs(aInput, aId)) {
-    return false;
-  }
-  return aInput.mDirectory->IsReplaced(aId) ||
-         aInput.mDirectory->IsStopping(aId) ||
-         SilenceOf(aInput, aId) > aInput.mSilenceTimeout;
-}
-
-/// The voters that are lost: first those without a disk, then the others, those
-/// silent for longest first.
-VoterIds LostVoters(const VoterPlanInput& aInput) {
-  VoterIds lost;
-  std::copy_if(aInput.mVoters.begin(), aInput.mVoters.end(),
-               std::back_inserter(lost),
-               [&](const std::string& aId) { return IsLost(aInput, aId); });
-  const auto rank = [&aInput](const std::string& aId) {
-    return std::pair(!aInput.mDirectory->IsReplaced(aId),
-                     -SilenceOf(aInput, aId));
-  };
-  std::stable_sort(
-      lost.begin(), lost.end(),
-      [&rank](const std::string& aLeft, const std::string& aRight) {
-        return rank(aLeft) < rank(aRight);
-      });
-  return lost;
-}
-
-/// A voter that was asked to end and still runs; empty: none.
-std::string LeavingVoter(const VoterPlanInput& aInput) {
-  const auto it = std::find_if(aInput.mVoters.begin(), aInput.mVoters.end(),
-                               [&aInput](const std::string& aId) {
-                                 return aId != aInput.mSelf &&
-                                        aInput.mDirectory->IsStopping(aId) &&
-                                        Runs(aInput, aId);
-                               });
-  return it == aInput.mVoters.end() ? "" : *it;
-}
-
-/// Controls that can become voters.
-VoterIds Candidates(const VoterPlanInput& aInput) {
-  VoterIds candidates;
-  for (const ControlInfo& info :
-       aInput.mDirectory->SeenWithin(aInput.mCandidateWindow, aInput.mNow)) {
-    const bool usable = !Contains(aInput.mVoters, info.mId) &&
-                        info.mId != aInput.mSelf &&
-                        !aInput.mDirectory->IsStopping(info.mId) &&
-                        !aInput.mDirectory->IsReplaced(info.mId);
-    if (usable) {
-      candidates.push_back(info.mId);
-    }
-  }
-  return candidates;
-}
-
-bool HoldsLog(const VoterPlanInput& aInput, const std::string& aId) {
-  return !aInput.mHoldsLog || aInput.mHoldsLog(aId);
-}
-
-/// Candidates that can become voters at once.
-VoterIds ReadyCandidates(const VoterPlanInput& aInput) {
-  VoterIds candidates = Candidates(aInput);
-  std::erase_if(candidates, [&aInput](const std::string& aId) {
-    return !HoldsLog(aInput, aId);
-  });
-  return candidates;
-}
-
 /// The candidate of the zone with the fewest voters; the first of several.
 std::string BestCandidate(std::span<const std::string> aCandidates,
                           const VoterIds& aVoters,
@@ -157,6 +65,23 @@
   return aVoters;
 }
 
+/// The voters that are not lost and were not asked to end.
+VoterIds Staying(const VoterPlanInput& aInput) {
+  VoterIds staying = aInput.mVoters;
+  std::erase_if(staying, [&aInput](const std::string& aId) {
+    return IsLost(aInput, aId) || aInput.mDirectory->IsStopping(aId);
+  });
+  return staying;
+}
+
+/// The voters with the candidate that suits those best which stay.
+VoterIds Joined(const VoterPlanInput& aInput, const VoterIds& aCandidates) {
+  VoterIds voters = aInput.mVoters;
+  voters.push_back(
+      BestCandidate(aCandidates, Staying(aInput), *aInput.mDirectory));
+  return voters;
+}
+
 /// Voters that run, as far as the leader knows.
 std::size_t RunningVoters(const VoterPlanInput& aInput) {
   return static_cast<std::size_t>(std::count_if(
@@ -251,18 +176,21 @@
   const VoterIds lost = LostVoters(aInput);
   const std::string leaving = LeavingVoter(aInput);
   const VoterIds& voters = aInput.mVoters;
-  const ControlDirectory& directory = *aInput.mDirectory;
   if (ready.empty()) {
     return Without(voters, VoterToDrop(aInput, lost, leaving));
   }
   if (!lost.empty()) {
-    // The lost voter is removed first: then no majority depends on the one that
-    // joins.
-    return Without(voters, lost.front());
+    // The candidate joins first, so that as many disks as before may be lost
+    // while the lost voter may still come back with its own. One whose disk is
+    // gone can't; without it no majority depends on the candidate.
+    const bool canJoin =
+        IsMajority(RunningVoters(aInput) + 1, voters.size() + 1) &&
+        !aInput.mDirectory->IsReplaced(lost.front());
+    return canJoin ? Joined(aInput, ready) : Without(voters, lost.front());
   }
   const bool joins = !leaving.empty() || ShouldMove(aInput, ready);
   if ((joins && CanTakeOneMore(aInput)) || PairCanJoin(aInput, ready)) {
-    return WithBestCandidate(voters, ready, directory);
+    return Joined(aInput, ready);
   }
   return voters;
 }
@@ -274,25 +202,28 @@
   const ControlDirectory& directory = *aInput.mDirectory;
   const std::string leaving = LeavingVoter(aInput);
   const bool canSpare = CanSpareRunningVoter(aInput);
-  if (!leaving.empty() && voters.size() > kMinVoters && canSpare) {
+  const bool canShrink = voters.size() > kMinVoters;
+  if (!lost.empty() && canShrink) {
+    return Without(voters, lost.front());
+  }
+  if (!leaving.empty() && canShrink && canSpare) {
     return Without(voters, leaving);
   }
+  if (voters.size() > aInput.mMaxVoters && canSpare) {
+    // One that was silent came back after another had joined in its place.
+    return Without(voters, VoterOfLargestZone(aInput));
+  }
   VoterIds joined = voters;
   if (!ready.empty() && voters.size() < aInput.mMaxVoters) {
-    joined = WithBestCandidate(voters, ready, directory);
+    joined = Joined(aInput, ready);
   }
-  const bool canShrink = voters.size() > MinVoters(aInput);
-  if (lost.empty() && canShrink && canSpare &&
-      !SurvivesZoneLoss(voters, directory) &&
+  if (canShrink && canSpare && !SurvivesZoneLoss(voters, directory) &&
       !SurvivesZoneLoss(joined, directory)) {
-    const VoterIds moved = Without(voters, VoterOfLargestZone(aInput));
+    VoterIds moved = Without(voters, VoterOfLargestZone(aInput));
     if (joined == voters || SurvivesZoneLoss(moved, directory)) {
       return moved;
     }
   }
-  if (joined == voters && canShrink && !lost.empty()) {
-    return Without(voters, lost.front());
-  }
   return joined;
 }
 
@@ -317,10 +248,7 @@
   std::stable_partition(
       candidates.begin(), candidates.end(),
       [&aInput](const std::string& aId) { return HoldsLog(aInput, aId); });
-  VoterIds staying = aInput.mVoters;
-  std::erase_if(staying, [&aInput](const std::string& aId) {
-    return IsLost(aInput, aId) || aInput.mDirectory->IsStopping(aId);
-  });
+  VoterIds staying = Staying(aInput);
   VoterIds learners;
   // A control that hands over must learn that it is no voter any more.
   for (const ControlInfo& info :
