An empty list of workspaces admits no key; it counted as none

Class: an empty list taken for one that isn't stated. The document's reader dropped the difference, RouteTable::NeedsKeys() asked whether the list was empty, and a change between two versions could say "no workspaces" but not which of the two was meant.

Change: the codec has optional fields, which tell "stated and empty" from "not stated"; null in the field's place is stated. TrafficConfiguration says whether workspaces were stated, and so do full and changed configurations on their way to routers and to other controls. The disk and the log hold the operator's text, so that nothing changes there.

Earlier builds send an empty list for both cases. Therefore the wire has a field of its own instead of a list that may be missing: with that, a router would lock all callers out of a deployment without keys while it is upgraded. A change from an earlier build that leaves the workspaces alone keeps what is held.

--- a/include/spindleweir/core/json_codec.h
+++ b/include/spindleweir/core/json_codec.h
@@ -12,6 +12,7 @@
 #include <json/value.h>
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -41,6 +42,13 @@
     // Names are string literals, so they need no copy.
     mObject[Json::StaticString(aName)] = Write(aValue);
   }
+  /// Omits a value that isn't stated; writes one that is, also if it is empty.
+  template <class T>
+  void Field(const char* aName, std::optional<T>& aValue) {
+    if (aValue.has_value()) {
+      Field(aName, *aValue);
+    }
+  }
   template <class T>
   void Required(const char* aName, T& aValue) {
     Field(aName, aValue);
@@ -130,6 +138,13 @@
       Read(*value, FieldPath{mPath, aName}, aValue);
     }
   }
+  /// A field that is there is stated, also if it is empty or null.
+  template <class T>
+  void Field(const char* aName, std::optional<T>& aValue) {
+    if (mObject.isMember(aName)) {
+      Field(aName, aValue.emplace());
+    }
+  }
   template <class T>
   void Required(const char* aName, T& aValue) {
     if (!mObject.isMember(aName)) {
--- a/include/spindleweir/servers/routes/route_table.h
+++ b/include/spindleweir/servers/routes/route_table.h
@@ -28,7 +28,7 @@
   const TrafficWorkspace* FindWorkspace(const std::string& aKey) const;
   const TrafficService* FindService(const std::string& aName) const;
   /// Whether callers need a key on routes that are not public.
-  bool NeedsKeys() const { return !mConfiguration.mWorkspaces.empty(); }
+  bool NeedsKeys() const { return mConfiguration.NeedsKeys(); }
 
  private:
   TrafficConfiguration mConfiguration;
--- a/include/spindleweir/servers/routes/traffic_change.h
+++ b/include/spindleweir/servers/routes/traffic_change.h
@@ -22,6 +22,7 @@
   std::vector<TrafficService> mServices;
   std::vector<TrafficWorkspace> mWorkspaces;
   bool mRemovesWorkspaces = false;  ///< The new version has no workspaces.
+  bool mStatesWorkspaces = false;   ///< As in the new version, if they changed.
   TrafficLimits mLimits;
 
   template <class Codec>
@@ -33,6 +34,7 @@
     aCodec.Field("services", mServices);
     aCodec.Field("workspaces", mWorkspaces);
     aCodec.Field("opens", mRemovesWorkspaces);
+    aCodec.Field("states_workspaces", mStatesWorkspaces);
     aCodec.Field("limits", mLimits);
   }
 };
--- a/include/spindleweir/servers/routes/traffic_configuration.h
+++ b/include/spindleweir/servers/routes/traffic_configuration.h
@@ -218,9 +218,15 @@
   std::vector<TrafficRoute> mRoutes;
   std::vector<TrafficService> mServices;
   std::vector<TrafficWorkspace> mWorkspaces;
+  /// Whether the operator stated a list of workspaces, also if it is empty:
+  /// no key is valid then, whereas without a list callers need none. Processes
+  /// that don't send this field send an empty list for both.
+  bool mStatesWorkspaces = false;
   TrafficLimits mLimits;
 
   const TrafficService* FindService(const std::string& aName) const;
+  /// Whether callers need a key on routes that are not public.
+  bool NeedsKeys() const { return mStatesWorkspaces || !mWorkspaces.empty(); }
 
   template <class Codec>
   void Fields(Codec& aCodec) {
@@ -228,6 +234,7 @@
     aCodec.Field("routes", mRoutes);
     aCodec.Field("services", mServices);
     aCodec.Field("workspaces", mWorkspaces);
+    aCodec.Field("states_workspaces", mStatesWorkspaces);
     aCodec.Field("limits", mLimits);
   }
 };
--- a/servers/routes/traffic_change.cpp
+++ b/servers/routes/traffic_change.cpp
@@ -109,9 +109,12 @@
   if (aBase.mServices != aNext.mServices) {
     change.mServices = aNext.mServices;
   }
-  if (aBase.mWorkspaces != aNext.mWorkspaces) {
+  const bool sameKeys = aBase.mWorkspaces == aNext.mWorkspaces &&
+                        aBase.NeedsKeys() == aNext.NeedsKeys();
+  if (!sameKeys) {
     change.mWorkspaces = aNext.mWorkspaces;
     change.mRemovesWorkspaces = aNext.mWorkspaces.empty();
+    change.mStatesWorkspaces = aNext.mStatesWorkspaces;
   }
   return change;
 }
@@ -132,6 +135,8 @@
   const bool sameKeys =
       aChange.mWorkspaces.empty() && !aChange.mRemovesWorkspaces;
   next.mWorkspaces = sameKeys ? aBase.mWorkspaces : aChange.mWorkspaces;
+  next.mStatesWorkspaces =
+      sameKeys ? aBase.mStatesWorkspaces : aChange.mStatesWorkspaces;
   RoutesByPattern routes = ByPattern(aBase.mRoutes);
   for (const RoutePattern& pattern : aChange.mRemoved) {
     routes.erase(pattern);
--- a/tests/core/json_codec_test.cpp
+++ b/tests/core/json_codec_test.cpp
@@ -1,4 +1,9 @@
 #include "spindleweir/core/json_codec.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
 #include "spindleweir/servers/configuration/configuration.h"
 #include "tests/test_tools.h"
 
@@ -41,6 +46,43 @@
   }
 }
 
+namespace {
+
+struct Listed {
+  std::optional<std::vector<std::string>> mNames;
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Field("names", mNames);
+  }
+};
+
+}  // namespace
+
+// An empty list of keys was taken for none at all, which needs no keys.
+Test(json_codec, an_empty_list_differs_from_one_that_is_not_stated) {
+  const auto read = [](const char* aText) {
+    return FromJson<Listed>(ParseJson(aText), true).mNames;
+  };
+  using Names = std::vector<std::string>;
+  SECTION("read") {
+    CHECK(!read("{}").has_value());
+    CHECK(read(R"({"names":[]})") == Names());
+    CHECK(read(R"({"names":["a"]})") == Names({"a"}));
+  }
+  SECTION("null is stated too: the field is there") {
+    CHECK(read(R"({"names":null})") == Names());
+  }
+  SECTION("written") {
+    CHECK(DumpJson(ToJson(Listed{})) == "{}");
+    CHECK(DumpJson(ToJson(Listed{.mNames = Names()})) == R"({"names":[]})");
+  }
+  SECTION("another type is refused") {
+    CHECK(CodeThrownBy([&] { read(R"({"names":{}})"); }) ==
+          ResultCode::kBadField);
+  }
+}
+
 Test(json_codec, a_configuration_survives_a_round_trip) {
   Configuration first;
   first.mVersion = 7;
--- a/tests/daemons/relay_test.cpp
+++ b/tests/daemons/relay_test.cpp
@@ -114,6 +114,81 @@
   CHECK(fixture.RunsOfLast() == 0);
 }
 
+namespace {
+
+/// Publishes a configuration with a route of its own, and waits until it is in
+/// force at the router.
+void PublishWithRoute(RelayFixture& aFixture, TrafficConfiguration aTraffic) {
+  const std::string name = "v" + std::to_string(aTraffic.mVersion);
+  aTraffic.mRoutes.push_back(aTraffic.mRoutes.front());
+  aTraffic.mRoutes.back().mName = name;
+  aTraffic.mRoutes.back().mPrefix = "/" + name + "/";
+  REQUIRE(aFixture.Publish(Document(aTraffic)).mCode == ResultCode::kOk);
+  for (int i = 0; aFixture.Call("/" + name + "/x").mStatus == 404; i++) {
+    REQUIRE(i < 200);
+    aFixture.Wait(10);
+  }
+}
+
+/// Whether neither a key of an earlier configuration, nor an unknown one, nor
+/// none at all runs a request.
+bool RefusesAllKeys(RelayFixture& aFixture) {
+  for (const char* key : {"key", "never-held", ""}) {
+    const bool refused = aFixture.Call("/look/x", key).mStatus == 401;
+    if (!refused || aFixture.RunsOfLast() > 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+// A configuration that took the last workspace away opened the routers: the
+// key that it took away went on running requests, and so did any other text.
+Test(relay, an_empty_list_of_workspaces_admits_no_key) {
+  RelayFixture fixture;
+  fixture.Begin();
+  TrafficConfiguration traffic = Traffic(8);
+  traffic.mWorkspaces.clear();
+  traffic.mStatesWorkspaces = true;
+  PublishWithRoute(fixture, traffic);
+  SECTION("once it is in force") {
+    CHECK(RefusesAllKeys(fixture));
+  }
+  SECTION("nor does a later one that leaves the workspaces alone") {
+    traffic.mVersion = 9;
+    PublishWithRoute(fixture, traffic);
+    CHECK(RefusesAllKeys(fixture));
+  }
+  SECTION("nor after router and control start again, control from its disk") {
+    const std::string document = fixture.Read().mDocument;
+    fixture.mRouter.reset();
+    fixture.mControl.reset();
+    fixture.StartControl();
+    fixture.StartRouter();
+    REQUIRE(fixture.RunUntil([&] { return fixture.mRouter->Ready(); }));
+    CHECK(RefusesAllKeys(fixture));
+    CHECK(fixture.Read().mDocument == document);
+  }
+  SECTION("a configuration without a list needs no keys") {
+    traffic.mVersion = 10;
+    traffic.mStatesWorkspaces = false;
+    PublishWithRoute(fixture, traffic);
+    fixture.SendHeartbeat(fixture.mA, UpstreamState::kReady);
+    for (int i = 0; fixture.Call("/look/x", "").mStatus != 200; i++) {
+      REQUIRE(i < 200);
+      fixture.Wait(10);
+    }
+  }
+  SECTION("and an empty list admits none again") {
+    traffic.mVersion = 11;
+    traffic.mStatesWorkspaces = true;
+    PublishWithRoute(fixture, traffic);
+    CHECK(RefusesAllKeys(fixture));
+  }
+}
+
 Test(relay, an_unsafe_request_runs_at_most_once) {
   RelayFixture fixture;
   fixture.Begin();
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -83,6 +83,34 @@
   }
 }
 
+// An empty list of tenants was taken for none, and opened the deployment to
+// every key.
+Test(platform, an_empty_list_of_tenants_still_needs_keys) {
+  const auto read = [](const std::string& aTenants) {
+    return ReadConfigurationDocument(
+        R"({"version":7,"routes":[],"services":[])" + aTenants + "}");
+  };
+  SECTION("no key is valid") {
+    CHECK(read(R"(,"tenants":[])").NeedsKeys());
+    CHECK(read(R"(,"tenants":[])").mWorkspaces.empty());
+    CHECK(read(R"(,"tenants":[{"name":"t","apiKeys":[]}])").NeedsKeys());
+    CHECK(read(R"(,"tenants":[{"name":"t"}])").NeedsKeys());
+  }
+  SECTION("nor with null in its place: the tenants are present") {
+    CHECK(read(R"(,"tenants":null)").NeedsKeys());
+  }
+  SECTION("a document without tenants needs none") {
+    CHECK(!read("").NeedsKeys());
+  }
+  SECTION("the product's words keep the difference") {
+    for (const char* tenants : {"", R"(,"tenants":[])"}) {
+      const TrafficConfiguration first = read(tenants);
+      const auto copy = FromJson<TrafficConfiguration>(ToJson(first));
+      CHECK(copy.NeedsKeys() == first.NeedsKeys());
+    }
+  }
+}
+
 Test(platform, headers_of_requests_and_answers) {
   const CallerProtocol protocol = CallerHeaders();
   const RequestFacts facts = protocol.mReadRequest(Head());
--- a/tests/servers/traffic_change_test.cpp
+++ b/tests/servers/traffic_change_test.cpp
@@ -2,6 +2,7 @@
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/packing.h"
+#include "spindleweir/servers/routes/route_table.h"
 #include "tests/test_tools.h"
 
 using namespace spindleweir;
@@ -105,6 +106,88 @@
   }
 }
 
+namespace {
+
+/// What a router holds that has the first version, or none, and is brought to
+/// the newest one.
+TrafficConfiguration Updated(TrafficHistory& aHistory,
+                             const TrafficConfiguration* aHeld) {
+  const auto updates =
+      aHistory.UpdatesSince(aHeld == nullptr ? 0 : aHeld->mVersion);
+  REQUIRE(!updates.empty());
+  TrafficConfiguration current;
+  for (const TrafficUpdate& update : updates) {
+    // Each update travels as JSON.
+    const auto received = FromJson<TrafficUpdate>(ToJson(update));
+    current = ApplyTrafficUpdate(aHeld, received);
+    aHeld = &current;
+  }
+  return current;
+}
+
+}  // namespace
+
+// A version whose list of workspaces is empty opened routers to every key.
+Test(traffic, an_empty_list_of_workspaces_needs_keys_at_routers) {
+  TrafficHistory history;
+  const TrafficConfiguration first = Version(1, {Route("/a/", 10)});
+  history.Add(first);
+  TrafficConfiguration next = Version(2, {Route("/a/", 10)});
+  next.mWorkspaces.clear();
+  next.mStatesWorkspaces = true;
+  history.Add(next);
+  const auto needsKeys = [&history](const TrafficConfiguration* aHeld) {
+    const RouteTable table(Updated(history, aHeld));
+    CHECK(table.Version() == history.Current().mVersion);
+    CHECK(table.FindWorkspace("k1") == nullptr);
+    return table.NeedsKeys();
+  };
+  SECTION("by a change and by the full configuration") {
+    CHECK(needsKeys(&first));
+    CHECK(needsKeys(nullptr));
+  }
+  SECTION("a later version that changes a route keeps it") {
+    next.mVersion = 3;
+    next.mRoutes[0].mTimeout = 20;
+    history.Add(next);
+    CHECK(needsKeys(&first));
+    CHECK(needsKeys(nullptr));
+  }
+  const TrafficConfiguration third = history.Current();
+  SECTION("one without a list needs none") {
+    next.mVersion = 4;
+    next.mStatesWorkspaces = false;
+    history.Add(next);
+    CHECK(!needsKeys(&third));
+    CHECK(!needsKeys(&first));
+    CHECK(!needsKeys(nullptr));
+  }
+  const TrafficConfiguration fourth = history.Current();
+  SECTION("and an empty list needs them again") {
+    next.mVersion = 5;
+    next.mStatesWorkspaces = true;
+    history.Add(next);
+    CHECK(needsKeys(&fourth));
+    CHECK(needsKeys(&third));
+    CHECK(needsKeys(nullptr));
+  }
+}
+
+// Routers and controls of an earlier build send lists, but not whether they
+// were stated: those with workspaces were, and a router must not open.
+Test(traffic, a_list_with_workspaces_needs_keys_from_any_build) {
+  TrafficConfiguration sent = Version(1, {Route("/a/", 10)});
+  CHECK(!sent.mStatesWorkspaces);
+  CHECK(RouteTable(sent).NeedsKeys());
+  SECTION("a change that leaves the workspaces alone keeps an empty list") {
+    sent.mWorkspaces.clear();
+    sent.mStatesWorkspaces = true;
+    const auto change = FromJson<TrafficChange>(
+        ParseJson(R"({"base":1,"version":2,"services":[],"workspaces":[]})"));
+    CHECK(RouteTable(ApplyTrafficChange(sent, change)).NeedsKeys());
+  }
+}
+
 Test(traffic, an_update_for_one_route_of_many_is_small) {
   // Guards against sending the full configuration for each new version: with
   // 1,400 routes on a grown copy of the users' platform, control had no time
