A version without services removes them at routers and other controls too

What was seen: a router or control that got such a version as a change kept the services of the version before: it went on counting them as known, and so did what asks for them (KnowsService(), the registry's filter).

Change: a change tells by a flag that the new version has no services. Routes were told apart already (removed and new ones by name), limits are always sent whole. Routers of an earlier build ignore the flag and keep what they did.

--- a/include/spindleweir/servers/routes/traffic_change.h
+++ b/include/spindleweir/servers/routes/traffic_change.h
@@ -18,11 +18,13 @@
   std::int64_t mVersion = 0;
   std::vector<RoutePattern> mRemoved;
   std::vector<TrafficRoute> mRoutes;  ///< New or changed.
-  /// Each list is complete, or empty if it did not change.
+  /// Each list is complete, or empty if it did not change or if the new version
+  /// has no such items; the flags tell these apart.
   std::vector<TrafficService> mServices;
+  bool mRemovesServices = false;
   std::vector<TrafficWorkspace> mWorkspaces;
-  bool mRemovesWorkspaces = false;  ///< The new version has no workspaces.
-  bool mStatesWorkspaces = false;   ///< As in the new version, if they changed.
+  bool mRemovesWorkspaces = false;
+  bool mStatesWorkspaces = false;  ///< As in the new version, if they changed.
   TrafficLimits mLimits;
 
   template <class Codec>
@@ -32,6 +34,7 @@
     aCodec.Field("removed", mRemoved);
     aCodec.Field("routes", mRoutes);
     aCodec.Field("services", mServices);
+    aCodec.Field("removes_services", mRemovesServices);
     aCodec.Field("workspaces", mWorkspaces);
     aCodec.Field("opens", mRemovesWorkspaces);
     aCodec.Field("states_workspaces", mStatesWorkspaces);
--- a/servers/routes/traffic_change.cpp
+++ b/servers/routes/traffic_change.cpp
@@ -108,6 +108,7 @@
   }
   if (aBase.mServices != aNext.mServices) {
     change.mServices = aNext.mServices;
+    change.mRemovesServices = aNext.mServices.empty();
   }
   const bool sameKeys = aBase.mWorkspaces == aNext.mWorkspaces &&
                         aBase.NeedsKeys() == aNext.NeedsKeys();
@@ -130,8 +131,9 @@
   TrafficConfiguration next;
   next.mVersion = aChange.mVersion;
   next.mLimits = aChange.mLimits;
-  next.mServices =
-      aChange.mServices.empty() ? aBase.mServices : aChange.mServices;
+  const bool sameServices =
+      aChange.mServices.empty() && !aChange.mRemovesServices;
+  next.mServices = sameServices ? aBase.mServices : aChange.mServices;
   const bool sameKeys =
       aChange.mWorkspaces.empty() && !aChange.mRemovesWorkspaces;
   next.mWorkspaces = sameKeys ? aBase.mWorkspaces : aChange.mWorkspaces;
--- a/tests/servers/traffic_change_test.cpp
+++ b/tests/servers/traffic_change_test.cpp
@@ -188,6 +188,23 @@
   }
 }
 
+// Routers kept the services of the version before one without any.
+Test(traffic, a_version_without_services_removes_them_at_routers) {
+  TrafficHistory history;
+  const TrafficConfiguration first = Version(1, {Route("/a/", 10)});
+  history.Add(first);
+  TrafficConfiguration none = Version(2, {});
+  none.mServices.clear();
+  CheckTrafficConfiguration(none);
+  history.Add(none);
+  CHECK(Updated(history, &first).mServices.empty());
+  CHECK(Updated(history, nullptr).mServices.empty());
+  SECTION("and a later one brings them back") {
+    history.Add(Version(3, {Route("/a/", 10)}));
+    CHECK(Updated(history, &first).mServices.size() == 1);
+  }
+}
+
 Test(traffic, an_update_for_one_route_of_many_is_small) {
   // Guards against sending the full configuration for each new version: with
   // 1,400 routes on a grown copy of the users' platform, control had no time
