A request without a key runs in no workspace

What callers saw: where a workspace's list of keys holds an empty text, requests without any key were admitted and ran as that workspace's.

Change: RouteTable keeps no empty key, so that it can't be found.

--- a/servers/routes/route_table.cpp
+++ b/servers/routes/route_table.cpp
@@ -33,7 +33,10 @@
   }
   for (const TrafficWorkspace& workspace : mConfiguration.mWorkspaces) {
     for (const std::string& key : workspace.mKeys) {
-      mByKey[key] = &workspace;
+      // A request without a key has an empty one.
+      if (!key.empty()) {
+        mByKey[key] = &workspace;
+      }
     }
   }
   for (const TrafficService& service : mConfiguration.mServices) {
--- a/tests/daemons/relay_test.cpp
+++ b/tests/daemons/relay_test.cpp
@@ -189,6 +189,18 @@
   }
 }
 
+// A request without a key ran in a workspace that holds an empty one.
+Test(relay, an_empty_key_admits_no_request) {
+  RelayFixture fixture;
+  fixture.Begin();
+  TrafficConfiguration traffic = Traffic(8);
+  traffic.mWorkspaces[0].mKeys.emplace_back();
+  PublishWithRoute(fixture, traffic);
+  CHECK(fixture.Call("/look/x", "").mStatus == 401);
+  CHECK(fixture.RunsOfLast() == 0);
+  CHECK(fixture.Call("/look/x", "key").mStatus == 200);
+}
+
 Test(relay, an_unsafe_request_runs_at_most_once) {
   RelayFixture fixture;
   fixture.Begin();
--- a/tests/servers/routes_test.cpp
+++ b/tests/servers/routes_test.cpp
@@ -80,6 +80,21 @@
   CHECK(table.FindWorkspace("") == nullptr);
 }
 
+// A request without a key ran in a workspace that holds an empty one.
+Test(routes, an_empty_key_admits_no_request) {
+  TrafficConfiguration configuration = Configuration();
+  configuration.mWorkspaces[0].mKeys = {"", "k1"};
+  const RouteTable table(configuration);
+  CHECK(table.FindWorkspace("") == nullptr);
+  CHECK(table.FindWorkspace("k1")->mName == "school");
+  SECTION("though it is the only one") {
+    configuration.mWorkspaces[0].mKeys = {""};
+    const RouteTable single(configuration);
+    CHECK(single.FindWorkspace("") == nullptr);
+    CHECK(single.NeedsKeys());
+  }
+}
+
 Test(routes, a_lease_runs_from_the_time_of_the_poll) {
   ConfigurationLease lease(4000);
   CHECK(!lease.IsValid(0));
