A late heartbeat no longer shuts out the upstream that runs

Seen by callers: after a replica had crashed before its first heartbeat arrived and another one ran at its address, that first heartbeat came.

Cause: UpstreamRegistry took the heartbeat that came last at an address for the process that started last and marked the others as gone for good, on controls and on routers. Upstreams that tell no start and take a new name at each start cannot be ordered so. The class: an inference about another process was stored as if that process had said it. The same held where a clock that was set back made the ended one look newer, and for records of silence: a router that got one of an ended incarnation ended the running one.

Now an incarnation that has its address taken is replaced: gone where it is known, but its next newer heartbeat makes it ready and replaces the other one. Only its own leave ends it for good, and other processes are told that it is silent, so that none of them ends it. One late heartbeat does not replace an incarnation that sent two or more: both are ready until either is heard again. So one that runs is out of use until its next heartbeat at most, in whatever order heartbeats come. Streams move off an instance again if it is replaced a second time, and a replaced one that says it leaves is told to other controls before the acknowledgement.

No existing check was changed.

--- a/daemons/control/upstream_intake.cpp
+++ b/daemons/control/upstream_intake.cpp
@@ -166,6 +166,7 @@
   }
   const bool leaves = aRecord.mState == UpstreamState::kLeaving &&
                       (before == nullptr || !IsLeavingOrGone(before->mState) ||
+                       mRegistry.IsReplaced(aRecord.mInstance) ||
                        before->mStart < aRecord.mStart);
   if (mRegistry.ApplyHeartbeat(aRecord, SteadyNow())) {
     LogChanged("upstream_changed", aRecord);
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -159,9 +159,9 @@
   ForgetUnknown();
   std::set<std::string> leaving;
   for (const UpstreamRecord* record : mContext.mRegistry.OfService("")) {
-    const bool leaves = record->mState == UpstreamState::kLeaving ||
-                        record->mState == UpstreamState::kGone;
-    if (leaves && mHandledLeaving.insert(record->mInstance).second) {
+    if (!IsLeavingOrGone(record->mState)) {
+      mHandledLeaving.erase(record->mInstance);
+    } else if (mHandledLeaving.insert(record->mInstance).second) {
       leaving.insert(record->mInstance);
     }
   }
--- a/include/spindleweir/servers/membership/upstream_registry.h
+++ b/include/spindleweir/servers/membership/upstream_registry.h
@@ -17,12 +17,12 @@
 namespace spindleweir {
 
 /// The state of an incarnation. It never goes back to an earlier one, except
-/// from kSilent.
+/// from kSilent, and from kGone if another one has its address only.
 enum class UpstreamState {
   kReady,
   kSilent,   ///< No heartbeat for too long; it may be dead or cut off.
   kLeaving,  ///< Accepts no new work.
-  kGone,     ///< Has left for good.
+  kGone,     ///< Has left for good, or another one has its address.
 };
 
 /// Layers [mFrom, mTo) of a model; empty if both are equal.
@@ -131,6 +131,11 @@
 /// Start times come from the upstreams' own clocks. If such a clock was set
 /// back, the new incarnation looks older than the one before. It is then stored
 /// as pending, and replaces the other once that was not seen for a minute.
+///
+/// An address has one process at a time. Of several incarnations there, the one
+/// whose heartbeat was heard last replaces the others: they are gone. Since it
+/// may be late, one that has not left itself is ready again with its next
+/// heartbeat, and other processes are told that it is silent.
 class UpstreamRegistry {
  public:
   /// Called with the successor when an incarnation is replaced by another of
@@ -188,6 +193,8 @@
       std::int64_t aRevision, std::int64_t aKnown, Millis aNow,
       const std::set<std::string>& aReporters = {}) const;
 
+  /// The upstreams that are silent or replaced, and those that are ready beside
+  /// another at their address: a newer heartbeat of theirs is to be asked for.
   std::vector<SilentUpstream> SilentUpstreams() const;
   /// The upstreams of a list that this registry has a newer heartbeat of, seen
   /// within aWindow. While a cut splits control, an upstream's heartbeats may
@@ -197,6 +204,8 @@
       Millis aNow) const;
 
   const UpstreamRecord* Find(const std::string& aInstance) const;
+  /// Whether an upstream is gone only since another one has its address.
+  bool IsReplaced(const std::string& aInstance) const;
   /// All records of a service, or of all services if it is empty.
   std::vector<const UpstreamRecord*> OfService(
       const std::string& aService) const;
@@ -213,12 +222,17 @@
     Millis mFirstSeenAt = 0;
     /// Sender of the newest heartbeat; empty: received here.
     std::string mReporter;
+    /// It is gone only since another one has its address.
+    bool mIsReplaced = false;
   };
   struct Item : Incarnation {
     std::int64_t mChangeRevision = 0;  ///< Of the last change.
     /// Whose message made it; empty: received or decided here.
     std::string mChangeReporter;
     std::int64_t mHeartbeatRevision = 0;  ///< Of the last heartbeat.
+    /// Heartbeats since another incarnation replaced it at its address, its
+    /// first one included.
+    int mHeartbeats = 0;
     /// Another incarnation of its name was known before.
     bool mHasPredecessor = false;
     /// A leave without a start arrived at this time, before any other message;
@@ -252,10 +266,26 @@
   /// its place. Returns whether none is left.
   bool DropExpired(Item& aItem, Millis aNow);
   void MarkChanged(Item& aItem, const std::string& aReporter);
-  /// Ends the upstreams that were at the address of a new one before.
-  void EndPredecessors(const UpstreamRecord& aRecord);
+  /// The other incarnations at its address that are not gone.
+  std::vector<std::string> OthersAtAddress(const UpstreamRecord& aRecord) const;
+  /// An incarnation is held now: it replaces the others at its address, or is
+  /// silent if one of them is later.
+  void OnFirstHeartbeat(Item& aAdded);
+  /// The sequence of the held incarnation has risen, so that it may replace
+  /// others at its address. aWasSilent: it was silent or replaced before.
+  void OnNewerHeartbeat(Item& aItem, bool aWasSilent);
+  /// Whether a newer heartbeat of aItem shows that aOther has ended.
+  static bool Outlives(const Item& aItem, const Item& aOther);
+  /// Another incarnation has its address, as far as is known.
+  void Replace(Item& aItem);
+  /// Adds the upstreams that are ready beside another at their address.
+  void AppendSharing(std::vector<SilentUpstream>& aSilent) const;
   /// Removes a record that is no longer held from mInstancesByAddress.
   void RemoveFromAddress(const UpstreamRecord& aRecord);
+  /// The state that other processes are told: only what has left is gone.
+  static UpstreamState StateToReport(const Incarnation& aIncarnation);
+  /// Sets the state; a replaced one that is silent remains replaced.
+  static void SetState(Incarnation& aIncarnation, UpstreamState aState);
   /// The state of an incarnation after a record of it.
   static UpstreamState StateAfter(const Incarnation& aIncarnation,
                                   const UpstreamRecord& aRecord,
--- a/servers/membership/upstream_registry.cpp
+++ b/servers/membership/upstream_registry.cpp
@@ -21,6 +21,10 @@
 /// Greatest difference between two reported times of the same heartbeat.
 constexpr Millis kLastSeenTolerance = 1000;
 
+/// A single heartbeat does not replace an incarnation at its address that sent
+/// this many: it may be late.
+constexpr int kSteadyHeartbeats = 2;
+
 /// Whether a record says only that some incarnation of the instance has left.
 bool IsLeaveOnly(const UpstreamRecord& aRecord) {
   return aRecord.mStart == 0 && aRecord.mState == UpstreamState::kGone &&
@@ -73,10 +77,15 @@
     return false;
   }
   item.mHeartbeatRevision = ++mRevision;
-  if (item.mRecord.mState != UpstreamState::kSilent) {
+  const UpstreamState before = item.mRecord.mState;
+  const bool wasSilent = StateToReport(item) == UpstreamState::kSilent;
+  if (wasSilent) {
+    SetState(item, UpstreamState::kReady);
+  }
+  OnNewerHeartbeat(item, wasSilent);
+  if (item.mRecord.mState == before) {
     return false;
   }
-  item.mRecord.mState = UpstreamState::kReady;
   MarkChanged(item, aReporter);
   return true;
 }
@@ -90,22 +99,34 @@
 UpstreamState UpstreamRegistry::StateAfter(const Incarnation& aIncarnation,
                                            const UpstreamRecord& aRecord,
                                            Millis aSeenAt) {
-  const UpstreamRecord& before = aIncarnation.mRecord;
-  if (aRecord.mSequence > before.mSequence) {
+  const std::int64_t sequence = aIncarnation.mRecord.mSequence;
+  const UpstreamState before = StateToReport(aIncarnation);
+  if (aRecord.mSequence > sequence) {
     // An upstream that leaves does not come back before its next start.
-    const bool back =
-        IsLeavingOrGone(before.mState) && aRecord.mState < before.mState;
-    return back ? before.mState : aRecord.mState;
+    const bool back = IsLeavingOrGone(before) && aRecord.mState < before;
+    return back ? before : aRecord.mState;
   }
-  const bool ends =
-      IsLeavingOrGone(aRecord.mState) && aRecord.mState > before.mState;
+  const bool ends = IsLeavingOrGone(aRecord.mState) && aRecord.mState > before;
   // A report may mark the upstream as silent only if it knows the same newest
   // heartbeat. Its time is less exact the more processes forwarded it.
   const bool silent = aRecord.mState == UpstreamState::kSilent &&
-                      before.mState == UpstreamState::kReady &&
-                      aRecord.mSequence == before.mSequence &&
+                      before == UpstreamState::kReady &&
+                      aRecord.mSequence == sequence &&
                       aSeenAt + kLastSeenTolerance >= aIncarnation.mLastSeenAt;
-  return ends || silent ? aRecord.mState : before.mState;
+  return ends || silent ? aRecord.mState : before;
+}
+
+UpstreamState UpstreamRegistry::StateToReport(const Incarnation& aIncarnation) {
+  return aIncarnation.mIsReplaced ? UpstreamState::kSilent
+                                  : aIncarnation.mRecord.mState;
+}
+
+void UpstreamRegistry::SetState(Incarnation& aIncarnation,
+                                UpstreamState aState) {
+  aIncarnation.mIsReplaced =
+      aIncarnation.mIsReplaced && aState == UpstreamState::kSilent;
+  aIncarnation.mRecord.mState =
+      aIncarnation.mIsReplaced ? UpstreamState::kGone : aState;
 }
 
 bool UpstreamRegistry::Apply(const UpstreamRecord& aRecord, Millis aSeenAt,
@@ -145,7 +166,7 @@
     aIncarnation.mContentSequence = aRecord.mSequence;
     aIncarnation.mRecord.mSequence = std::max(before, aRecord.mSequence);
   }
-  aIncarnation.mRecord.mState = state;
+  SetState(aIncarnation, state);
   if (aRecord.mSequence >= before) {
     // A record that a newer one has overtaken does not show that it is alive.
     aIncarnation.mLastSeenAt = std::max(aIncarnation.mLastSeenAt, aSeenAt);
@@ -158,6 +179,7 @@
 bool UpstreamRegistry::ApplySame(Item& aItem, const UpstreamRecord& aRecord,
                                  Millis aSeenAt, const std::string& aReporter) {
   const UpstreamRecord before = aItem.mRecord;
+  const bool wasSilent = StateToReport(aItem) == UpstreamState::kSilent;
   UpdateFromRecord(aItem, aRecord, aSeenAt, aReporter);
   if (aItem.mRecord.mAddress != before.mAddress) {
     RemoveFromAddress(before);
@@ -165,6 +187,7 @@
   }
   if (aItem.mRecord.mSequence > before.mSequence) {
     aItem.mHeartbeatRevision = ++mRevision;
+    OnNewerHeartbeat(aItem, wasSilent);
   }
   const bool changed = !SameForRouters(before, aItem.mRecord);
   if (changed) {
@@ -203,7 +226,7 @@
   // did not report it and another does. After a restart the sequence begins
   // again.
   const bool startLearned = before.mRecord.mStart == 0 &&
-                            !IsLeavingOrGone(before.mRecord.mState) &&
+                            !IsLeavingOrGone(StateToReport(before)) &&
                             aRecord.mSequence > before.mRecord.mSequence;
   const bool succeeds = !unknown && !startLearned;
   const bool left =
@@ -233,34 +256,97 @@
   aItem.mHasPredecessor = false;
   aItem.mLeftUnseenAt = -1;
   aItem.mPending.reset();
+  aItem.mHeartbeats = 1;
   MarkChanged(aItem, aItem.mReporter);
-  // A gone incarnation does not end the one that has its address now.
+  // A gone incarnation does not replace the one that has its address now.
   const bool isPresent = aItem.mRecord.mState != UpstreamState::kGone;
   if (isPresent && !aItem.mRecord.mAddress.empty()) {
-    EndPredecessors(aItem.mRecord);
+    mInstancesByAddress[aItem.mRecord.mAddress].insert(aItem.mRecord.mInstance);
+    OnFirstHeartbeat(aItem);
   }
 }
 
-void UpstreamRegistry::EndPredecessors(const UpstreamRecord& aRecord) {
-  // An address has one process at a time: the one before has ended.
-  Item& added = mItems[aRecord.mInstance];
-  std::set<std::string>& atAddress = mInstancesByAddress[aRecord.mAddress];
-  for (const std::string& instance : atAddress) {
-    Item& item = mItems[instance];
-    if (item.mRecord.mState == UpstreamState::kGone) {
-      continue;
+std::vector<std::string> UpstreamRegistry::OthersAtAddress(
+    const UpstreamRecord& aRecord) const {
+  std::vector<std::string> others;
+  const auto it = mInstancesByAddress.find(aRecord.mAddress);
+  if (it == mInstancesByAddress.end()) {
+    return others;
+  }
+  for (const std::string& instance : it->second) {
+    const bool isOther =
+        instance != aRecord.mInstance &&
+        mItems.at(instance).mRecord.mState != UpstreamState::kGone;
+    if (isOther) {
+      others.push_back(instance);
     }
-    const bool looksOlder = added.mRecord.mStart < item.mRecord.mStart;
-    if (item.mLastSeenAt <= added.mLastSeenAt && !looksOlder) {
-      End(item);
-    } else if (added.mRecord.mState == UpstreamState::kReady) {
-      // The report of the other one is later, or its start is. Forwarded times
-      // may be inexact, and clocks may step, so the added upstream is silent
-      // until its next heartbeat.
-      added.mRecord.mState = UpstreamState::kSilent;
+  }
+  return others;
+}
+
+void UpstreamRegistry::OnFirstHeartbeat(Item& aAdded) {
+  const std::vector<std::string> others = OthersAtAddress(aAdded.mRecord);
+  const bool isSilent = aAdded.mRecord.mState == UpstreamState::kSilent;
+  const bool isLast =
+      std::all_of(others.begin(), others.end(), [&](const std::string& aOther) {
+        const Item& other = mItems.at(aOther);
+        return other.mLastSeenAt <= aAdded.mLastSeenAt &&
+               other.mRecord.mStart <= aAdded.mRecord.mStart;
+      });
+  if (isSilent && !isLast) {
+    Replace(aAdded);
+  } else if (isLast && !isSilent) {
+    for (const std::string& other : others) {
+      Replace(mItems.at(other));
     }
+  } else if (aAdded.mRecord.mState == UpstreamState::kReady) {
+    // The report of another one is later, or its start is. Forwarded times may
+    // be inexact, and clocks may step, so the added upstream is silent until
+    // its next heartbeat.
+    aAdded.mRecord.mState = UpstreamState::kSilent;
   }
-  atAddress.insert(aRecord.mInstance);
+}
+
+void UpstreamRegistry::OnNewerHeartbeat(Item& aItem, bool aWasSilent) {
+  if (aItem.mRecord.mState == UpstreamState::kSilent ||
+      aItem.mRecord.mState == UpstreamState::kGone) {
+    return;
+  }
+  aItem.mHeartbeats++;
+  for (const std::string& instance : OthersAtAddress(aItem.mRecord)) {
+    Item& other = mItems.at(instance);
+    const bool isLater = other.mLastSeenAt > aItem.mLastSeenAt;
+    if (!isLater && Outlives(aItem, other)) {
+      Replace(other);
+    }
+    if (isLater && aWasSilent &&
+        other.mRecord.mState != UpstreamState::kSilent) {
+      // A forwarded heartbeat from before the other one's.
+      Replace(aItem);
+    }
+  }
+}
+
+bool UpstreamRegistry::Outlives(const Item& aItem, const Item& aOther) {
+  if (aItem.mRecord.mStart != aOther.mRecord.mStart) {
+    return aItem.mRecord.mStart > aOther.mRecord.mStart;
+  }
+  // One heartbeat may be late by seconds. Where the other one was heard several
+  // times, both are used until either is heard again.
+  return aItem.mHeartbeats >= kSteadyHeartbeats ||
+         aOther.mHeartbeats < kSteadyHeartbeats;
+}
+
+void UpstreamRegistry::Replace(Item& aItem) {
+  aItem.mHeartbeats = 0;
+  const bool mayReturn = !IsLeavingOrGone(aItem.mRecord.mState);
+  End(aItem);
+  aItem.mIsReplaced = mayReturn;
+}
+
+bool UpstreamRegistry::IsReplaced(const std::string& aInstance) const {
+  const auto it = mItems.find(aInstance);
+  return it != mItems.end() && it->second.mIsReplaced;
 }
 
 LeaveOutcome UpstreamRegistry::ApplyLeave(const std::string& aInstance,
@@ -287,7 +373,7 @@
     return LeaveOutcome::kAlreadyKnown;
   }
   item.mLastSeenAt = aNow;
-  if (item.mRecord.mState == UpstreamState::kGone) {
+  if (StateToReport(item) == UpstreamState::kGone) {
     return LeaveOutcome::kAlreadyKnown;
   }
   End(item);
@@ -308,7 +394,7 @@
     return LeaveOutcome::kInDoubt;
   }
   item.mLastSeenAt = std::max(item.mLastSeenAt, aSeenAt);
-  if (item.mRecord.mState == UpstreamState::kGone) {
+  if (StateToReport(item) == UpstreamState::kGone) {
     return LeaveOutcome::kAlreadyKnown;
   }
   End(item);
@@ -316,6 +402,7 @@
 }
 
 void UpstreamRegistry::End(Item& aItem) {
+  aItem.mIsReplaced = false;
   aItem.mRecord.mState = UpstreamState::kGone;
   MarkChanged(aItem, "");
 }
@@ -399,6 +486,7 @@
         !aReporter.has_value() || item.mChangeReporter == *aReporter;
     if (isWanted && item.mChangeRevision > aRevision) {
       records.push_back(item.mRecord);
+      records.back().mState = StateToReport(item);
       records.back().mLastSeenAgo = aNow - item.mLastSeenAt;
     }
   }
@@ -425,13 +513,33 @@
 std::vector<SilentUpstream> UpstreamRegistry::SilentUpstreams() const {
   std::vector<SilentUpstream> silent;
   for (const auto& [instance, item] : mItems) {
-    if (item.mRecord.mState == UpstreamState::kSilent) {
+    if (StateToReport(item) == UpstreamState::kSilent) {
       silent.push_back({instance, item.mRecord.mSequence, item.mRecord.mStart});
     }
   }
+  AppendSharing(silent);
   return silent;
 }
 
+void UpstreamRegistry::AppendSharing(
+    std::vector<SilentUpstream>& aSilent) const {
+  for (const auto& [address, instances] : mInstancesByAddress) {
+    std::vector<SilentUpstream> ready;
+    if (instances.size() < 2) {
+      continue;
+    }
+    for (const std::string& instance : instances) {
+      const UpstreamRecord& record = mItems.at(instance).mRecord;
+      if (record.mState == UpstreamState::kReady) {
+        ready.push_back({instance, record.mSequence, record.mStart});
+      }
+    }
+    if (ready.size() > 1) {
+      aSilent.insert(aSilent.end(), ready.begin(), ready.end());
+    }
+  }
+}
+
 std::vector<UpstreamRecord> UpstreamRegistry::SeenLaterThan(
     const std::vector<SilentUpstream>& aSilent, Millis aWindow,
     Millis aNow) const {
--- a/tests/daemons/incarnation_test.cpp
+++ b/tests/daemons/incarnation_test.cpp
@@ -130,6 +130,42 @@
   }
 }
 
+// Guards against an upstream whose heartbeats are acknowledged and that gets no
+// requests: the first heartbeat of its predecessor came after its own.
+Test(incarnation, a_late_first_heartbeat_does_not_shut_out_the_running_one) {
+  RelayFixture story;
+  story.Begin();
+  story.PublishModel();
+  // Of another service, so that no request of this one is sent by its record.
+  UpstreamRecord late = EngineHeartbeatOf(story.mA, 0, 1, {});
+  late.mInstance = "ended";
+  CHECK(SendHeartbeat(story, late).mAccepted);
+  story.Wait(600);
+  story.SendHeartbeat(story.mA, UpstreamState::kReady);
+  SECTION("after its next heartbeat it gets requests again") {
+    const int before = story.mA.TotalRuns();
+    for (int i = 0; story.mA.TotalRuns() == before; i++) {
+      REQUIRE(i < 200);
+      CHECK(story.Call("/look/x").mStatus == 200);
+      story.Wait(5);
+    }
+    CHECK(ReadyAtRouter(story) == 2);
+  }
+  SECTION("further heartbeats of the ended one do not take it out of use") {
+    story.SendHeartbeat(story.mA, UpstreamState::kReady);
+    late.mSequence = 2;
+    CHECK(SendHeartbeat(story, late).mAccepted);
+    story.SendHeartbeat(story.mA, UpstreamState::kReady);
+    REQUIRE(story.RunUntil([&story] { return ReadyAtRouter(story) == 2; }));
+    const int before = story.mA.TotalRuns();
+    for (int i = 0; story.mA.TotalRuns() == before; i++) {
+      REQUIRE(i < 200);
+      CHECK(story.Call("/look/x").mStatus == 200);
+      story.Wait(5);
+    }
+  }
+}
+
 Test(incarnation, streams_of_the_previous_incarnation_move_at_once) {
   // A stream of an upstream that is only silent moves after about one second.
   constexpr Millis kSilenceMoveTime = 900;
--- a/tests/servers/registry_test.cpp
+++ b/tests/servers/registry_test.cpp
@@ -389,6 +389,79 @@
   }
 }
 
+// Guards against a running upstream that is never used again: the first
+// heartbeat of its predecessor came after its own.
+Test(registry, a_late_first_heartbeat_does_not_shut_out_the_running_upstream) {
+  UpstreamRegistry registry;
+  UpstreamRegistry other;
+  const auto tell = [&registry, &other](Millis aNow) {
+    for (const UpstreamRecord& record : registry.ChangedSince(0, aNow)) {
+      other.Merge(record, aNow, "first");
+    }
+  };
+  registry.ApplyHeartbeat(Record("running", 1), 1000);
+  registry.ApplyHeartbeat(Record("running", 2), 2200);
+  tell(2300);
+  registry.ApplyHeartbeat(Record("ended", 1), 2500);
+  tell(2600);
+  SECTION("its next heartbeat makes it ready everywhere") {
+    CHECK(registry.ApplyHeartbeat(Record("running", 3), 3400));
+    tell(3500);
+    for (const UpstreamRegistry* one : {&registry, &other}) {
+      CHECK(StateOf(*one, "running") == UpstreamState::kReady);
+      CHECK(StateOf(*one, "ended") == UpstreamState::kGone);
+    }
+  }
+  SECTION("so does one that another control reports without changes") {
+    UpstreamRegistry reached = other;
+    reached.ApplyHeartbeat(Record("ended", 2), 4000);
+    CHECK(reached.MergeHeartbeat({"running", 4, 100}, 4700));
+    CHECK(StateOf(reached, "running") == UpstreamState::kReady);
+    CHECK(StateOf(reached, "ended") == UpstreamState::kGone);
+  }
+  SECTION("a heartbeat that was known before does not") {
+    UpstreamRegistry late = other;
+    late.ApplyHeartbeat(Record("ended", 2), 4000);
+    late.ApplyHeartbeat(Record("ended", 3), 4100);
+    late.ApplyHeartbeat(Record("running", 3), 4200);
+    CHECK(StateOf(late, "running") == UpstreamState::kGone);
+  }
+  SECTION("a heartbeat of the ended one does not take it out of use") {
+    registry.ApplyHeartbeat(Record("running", 4), 4600);
+    CHECK(registry.ApplyHeartbeat(Record("ended", 2), 5000));
+    CHECK(StateOf(registry, "running") == UpstreamState::kReady);
+    registry.ApplyHeartbeat(Record("running", 5), 5800);
+    CHECK(StateOf(registry, "running") == UpstreamState::kReady);
+    CHECK(StateOf(registry, "ended") == UpstreamState::kGone);
+  }
+  SECTION("an upstream that left does not come back") {
+    registry.ApplyHeartbeat(Record("ended", 9), 6000);
+    registry.ApplyHeartbeat(Record("ended", 10), 6100);
+    CHECK(registry.IsReplaced("running"));
+    CHECK(registry.ApplyLeave("running", 6200) == LeaveOutcome::kEnded);
+    CHECK(!registry.IsReplaced("running"));
+    registry.ApplyHeartbeat(Record("running", 6), 7000);
+    CHECK(StateOf(registry, "running") == UpstreamState::kGone);
+    tell(7100);
+    CHECK(other.ApplyLeave("running", 7200) == LeaveOutcome::kAlreadyKnown);
+  }
+}
+
+// Guards against the same where the clock was set back between the two starts.
+Test(registry,
+     a_start_that_looks_newer_does_not_shut_out_the_running_upstream) {
+  UpstreamRegistry registry;
+  UpstreamRecord running = Record("running", 1);
+  running.mStart = 100;
+  UpstreamRecord ended = Record("ended", 1);
+  ended.mStart = 300;
+  registry.ApplyHeartbeat(running, 1000);
+  registry.ApplyHeartbeat(ended, 1500);
+  running.mSequence = 2;
+  CHECK(registry.ApplyHeartbeat(running, 2200));
+  CHECK(StateOf(registry, "running") == UpstreamState::kReady);
+}
+
 Test(registry, processes_of_the_former_version_send_no_starts) {
   UpstreamRegistry registry;
   SECTION("their reports are ordered by sequence") {
