Answers that have no body end with their head, from upstreams and to callers

What callers saw: bytes that an upstream sends after the head of a 204 or 304 came on a kept connection while no request waited, where they pass for the next answer. A 304 that states the length of its page was waited for and ended as 502. HEAD to a stream was answered with a last chunk ("0", two empty lines) after its head.

Cause: where an answer ends was decided in four places. The parser library reads a 204 or 304 by its Content-Length, Forward() and Reply() knew of HEAD only, Start() framed any status, and the forwarding server alone knew of 204 and 304.

Class: bytes beyond the end of an answer. MayHaveBody() now says it once: the reader ends 1xx, 204 and 304 at their head, and StreamExchange writes neither framing nor bytes after a head that ends its answer, whoever writes.

--- a/daemons/relay/forwarding_server.cpp
+++ b/daemons/relay/forwarding_server.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 constexpr int kUnavailable = 503;
 /// Many round trips between zones; the router that asks tries others after it.
 constexpr Millis kConnectTimeout = 150;
@@ -32,9 +30,6 @@
 
 /// The length that the head states; nullopt: none.
 std::optional<std::size_t> LengthOf(const AnswerHead& aHead) {
-  if (aHead.mStatus == kNoContent || aHead.mStatus == kNotModified) {
-    return 0;
-  }
   const std::string* text = FindHeader(aHead.mHeaders, "Content-Length");
   std::size_t length = 0;
   const bool parsed =
--- a/daemons/relay/relay_request.cpp
+++ b/daemons/relay/relay_request.cpp
@@ -252,13 +252,8 @@
 }
 
 void RelayRequest::Forward(const AnswerHead& aHead, std::string_view aBody) {
-  mExchange->Start(aHead.mStatus,
-                   mContext.mOptions.mCallers.mWriteAnswer(aHead),
-                   aBody.size());
-  if (mExchange->Head().mMethod != "HEAD") {
-    mExchange->Write(aBody);
-  }
-  mExchange->End();
+  mExchange->Reply(aHead.mStatus,
+                   mContext.mOptions.mCallers.mWriteAnswer(aHead), aBody);
   End(IsSuccess(aHead.mStatus) ? "served" : "upstream_failed", aHead.mStatus);
 }
 
--- a/drivers/http_message.cpp
+++ b/drivers/http_message.cpp
@@ -16,6 +16,12 @@
   return aStatus >= 200 && aStatus < 300;
 }
 
+bool MayHaveBody(int aStatus) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return aStatus / 100 != 1 && aStatus != kNoContent && aStatus != kNotModified;
+}
+
 const std::string* FindHeader(const HttpHeaders& aHeaders,
                               std::string_view aName) {
   for (const HttpHeader& header : aHeaders) {
@@ -124,12 +130,15 @@
     self.mRequest.mKeepAlive = http_should_keep_alive(aParser) != 0;
     self.mRequest.mMinor = aParser->http_minor;
     self.mAnswer.mStatus = static_cast<int>(aParser->status_code);
-    self.mAnswer.mUntilClose =
-        EndsWithConnection(aParser) != 0 && !self.mNoBody;
+    const bool hasNoBody = self.mNoBody || (!self.mIsRequest &&
+                                            !MayHaveBody(self.mAnswer.mStatus));
+    self.mAnswer.mUntilClose = !hasNoBody && EndsWithConnection(aParser);
     (self.mIsRequest ? self.mRequest.mHeaders : self.mAnswer.mHeaders) =
         std::move(self.mHeaders);
     self.mState = ReadState::kBody;
-    return self.mNoBody ? 1 : 0;
+    // The parser would read a body by a Content-Length that such an answer may
+    // state, and bytes that belong to no answer would be taken for it.
+    return hasNoBody ? 1 : 0;
   }
 
   static int HandleBody(http_parser* aParser, const char* aAt, std::size_t aN) {
@@ -152,17 +161,9 @@
     return 0;
   }
 
-  static int EndsWithConnection(const http_parser* aParser) {
-    if (aParser->type == HTTP_REQUEST) {
-      return 0;
-    }
-    const unsigned status = aParser->status_code;
-    if (status / 100 == 1 || status == 204 || status == 304) {
-      return 0;
-    }
-    const bool framed = (aParser->flags & F_CHUNKED) != 0 ||
-                        (aParser->flags & F_CONTENTLENGTH) != 0;
-    return framed ? 0 : 1;
+  static bool EndsWithConnection(const http_parser* aParser) {
+    return aParser->type == HTTP_RESPONSE &&
+           (aParser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
   }
 
   static const http_parser_settings& Settings() {
--- a/drivers/stream_server.cpp
+++ b/drivers/stream_server.cpp
@@ -81,13 +81,14 @@
   for (const HttpHeader& header : aHeaders) {
     head += header.mName + ": " + header.mValue + "\r\n";
   }
-  // HTTP/1.0 has no chunks: the answer ends with the connection.
-  mChunked = !aLength.has_value() && mHead.mMinor > 0;
-  if (aLength.has_value()) {
+  mHasBody = mHead.mMethod != "HEAD" && MayHaveBody(aStatus);
+  mChunked = mHasBody && !aLength.has_value() && mHead.mMinor > 0;
+  if (aLength.has_value() && MayHaveBody(aStatus)) {
     head += "Content-Length: " + std::to_string(*aLength) + "\r\n";
   } else if (mChunked) {
     head += "Transfer-Encoding: chunked\r\n";
-  } else {
+  } else if (mHasBody) {
+    // HTTP/1.0 has no chunks: the answer ends with the connection.
     mHead.mKeepAlive = false;
   }
   if (!mHead.mKeepAlive || mConnection->ServerClosing()) {
@@ -98,7 +99,9 @@
 }
 
 void StreamExchange::Write(std::string_view aBytes) {
-  if (mConnection == nullptr || aBytes.empty()) {
+  // After a head that ends its answer, the caller would take these bytes for
+  // the next one.
+  if (mConnection == nullptr || aBytes.empty() || !mHasBody) {
     return;
   }
   if (!mChunked) {
@@ -124,9 +127,7 @@
 void StreamExchange::Reply(int aStatus, const HttpHeaders& aHeaders,
                            std::string_view aBody) {
   Start(aStatus, aHeaders, aBody.size());
-  if (mHead.mMethod != "HEAD") {
-    Write(aBody);
-  }
+  Write(aBody);
   End();
 }
 
--- a/include/spindleweir/drivers/http_message.h
+++ b/include/spindleweir/drivers/http_message.h
@@ -27,6 +27,9 @@
 std::size_t CountHeader(const HttpHeaders& aHeaders, std::string_view aName);
 /// Whether a status is 2xx.
 bool IsSuccess(int aStatus);
+/// Whether an answer with this status may have a body. One with 1xx, 204 or 304
+/// ends with its head, whatever its headers state.
+bool MayHaveBody(int aStatus);
 /// Whether a header is hop-by-hop and not forwarded: Connection, the headers
 /// that it lists, and the framing.
 bool IsConnectionHeader(const HttpHeaders& aHeaders, std::string_view aName);
--- a/include/spindleweir/drivers/stream_server.h
+++ b/include/spindleweir/drivers/stream_server.h
@@ -35,7 +35,9 @@
   const std::string& Body() const { return mBody; }
   Millis ReceivedAt() const { return mReceivedAt; }
 
-  /// Starts the answer. aLength: of the body; none: the body is chunked.
+  /// Starts the answer. aLength: of the body; none: the body is chunked. An
+  /// answer to HEAD or with a status that has no body ends with its head: what
+  /// is written to it is dropped.
   void Start(int aStatus, const HttpHeaders& aHeaders,
              std::optional<std::size_t> aLength);
   void Write(std::string_view aBytes);
@@ -77,6 +79,7 @@
   Millis mReceivedAt;
   bool mStarted = false;
   bool mChunked = false;
+  bool mHasBody = true;
   std::shared_ptr<MemoryHold> mMemory;
   std::function<void()> mOnClosed;
   std::function<void()> mOnDrained;
--- a/tests/drivers/http_message_test.cpp
+++ b/tests/drivers/http_message_test.cpp
@@ -96,6 +96,33 @@
   }
 }
 
+// Guards against bytes after a head that ends its answer: they were read as its
+// body by the length that the head states.
+Test(http_message, answers_without_a_body_end_with_their_head) {
+  for (const char* status : {"204 No Content", "304 Not Modified"}) {
+    const std::string start = std::string("HTTP/1.1 ") + status + "\r\n";
+    for (const char* framing :
+         {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+      const std::string head = start + framing + "\r\n";
+      std::string body;
+      std::size_t used = 0;
+      CHECK(StateOf(MessageSide::kAnswers, head, &body, &used) ==
+            ReadState::kComplete);
+      CHECK(StateOf(MessageSide::kAnswers, head + "extra", &body, &used) ==
+            ReadState::kComplete);
+      CHECK(body.empty() && used == head.size());
+    }
+  }
+  SECTION("an interim answer has no body either") {
+    std::string body;
+    CHECK(StateOf(MessageSide::kAnswers,
+                  "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                  &body) == ReadState::kComplete);
+    CHECK(body == "ok");
+  }
+}
+
 Test(http_message, hop_by_hop_headers_are_recognized) {
   const HttpHeaders headers = {
       {"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"X-End", "2"}};
--- a/tests/drivers/stream_test.cpp
+++ b/tests/drivers/stream_test.cpp
@@ -453,6 +453,49 @@
   CHECK(server.mHandled == 2);
 }
 
+// Guards against bytes on a kept connection that its caller takes for the next
+// answer: a body, or the last chunk, after a head that ends its answer.
+Test(stream, nothing_follows_a_head_that_ends_its_answer) {
+  Server server;
+  std::string method = "GET";
+  int status = 200;
+  std::optional<std::size_t> length;
+  server.mHandle = [&](StreamExchange& aExchange) {
+    if (aExchange.Head().mTarget == "/next") {
+      aExchange.Reply(200, {}, "next");
+      return;
+    }
+    aExchange.Start(status, {}, length);
+    aExchange.Write("extra");
+    aExchange.End();
+  };
+  const auto checkFollowed = [&] {
+    for (const std::optional<std::size_t> stated :
+         {std::optional<std::size_t>(), std::optional<std::size_t>(5)}) {
+      length = stated;
+      const std::string answers = server.Raw(
+          method +
+          " /x HTTP/1.1\r\nHost: h\r\n\r\n"
+          "GET /next HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+      const std::size_t end = answers.find("\r\n\r\n") + 4;
+      CHECK_FOUND(answers.substr(end).starts_with("HTTP/1.1 200"), answers);
+    }
+  };
+  SECTION("a 204") {
+    status = 204;
+    checkFollowed();
+  }
+  SECTION("a 304") {
+    status = 304;
+    checkFollowed();
+  }
+  SECTION("an answer to HEAD") {
+    method = "HEAD";
+    status = 200;
+    checkFollowed();
+  }
+}
+
 // Guards against calls that fail although the server accepted them: a client
 // that was stalled for longer than its timeout dropped a connection that had
 // been made meanwhile, and an answer that it had not read yet.
