An order names the engine it is for; a lost address gets one order, not one a step

What was seen: an engine crashed, its address went to a smaller one of another service, and layers moved: control ordered the crashed engine to hold 34 layers, and the new one took the order, 59,500 MB for 21,600.

Cause: an order was addressed by where its engine was only. The sender knew the instance and didn't write it, though a crashed engine counts as ready for longer than its address is kept free.

Class: a message for one process that goes to whoever has its address. PlaceOrder names the instance, and the platform's message carries it, so that any other engine answers 421. That answer alone would be followed by the same order at each step until the engine counts as silent; it proves that the engine has ended, so that the placer now plans without it until it is heard of again (a newer heartbeat or start). The log says engine_address_lost.

The test of platform fails without the header.

Open, the same class: orders to move streams and state requests name no engine yet; a probe takes any process that accepts a connection for the engine; the paths of requests name stages by address alone, as the protocol has it.

--- a/daemons/control/layer_placer.cpp
+++ b/daemons/control/layer_placer.cpp
@@ -21,6 +21,7 @@
 constexpr Millis kOrderEffectTimeout = 15000;
 constexpr int kHttpOk = 200;
 constexpr int kHttpAccepted = 202;
+constexpr int kHttpMisdirected = 421;
 constexpr int kHttpUnavailable = 503;
 /// If there are more orders than this at once, all controls send a part of
 /// them: 3,000 orders take 0.6 s of a core, which is 4 s on a leader that has
@@ -76,8 +77,12 @@
 void LayerPlacer::Step() {
   if (!mLog.Raft().Leads()) {
     mPending.clear();
+    mLostAddresses.clear();
     return;
   }
+  std::erase_if(mLostAddresses, [this](const auto& aItem) {
+    return mSync.Registry().Find(aItem.first) == nullptr;
+  });
   for (const TrafficService& service : mSync.Traffic().mServices) {
     if (service.IsEngine()) {
       PlaceService(service);
@@ -99,6 +104,17 @@
          aNow - stability.mSince >= kMaxStabilityWait;
 }
 
+bool LayerPlacer::IsUsable(const UpstreamRecord& aEngine,
+                           const std::set<std::string>& aLost) const {
+  if (aEngine.mState != UpstreamState::kReady ||
+      aLost.contains(aEngine.mInstance)) {
+    return false;
+  }
+  const auto it = mLostAddresses.find(aEngine.mInstance);
+  return it == mLostAddresses.end() || aEngine.mStart != it->second.mStart ||
+         aEngine.mSequence > it->second.mSequence;
+}
+
 void LayerPlacer::PlaceService(const TrafficService& aService) {
   const Millis now = SteadyNow();
   const std::set<std::string> lost = mSync.Unreachable();
@@ -107,8 +123,7 @@
   std::deque<UpstreamRecord> pendingEngines;
   for (const UpstreamRecord* record :
        mSync.Registry().OfService(aService.mName)) {
-    if (record->mState != UpstreamState::kReady ||
-        lost.contains(record->mInstance)) {
+    if (!IsUsable(*record, lost)) {
       mPending.erase(record->mInstance);
       continue;
     }
@@ -261,6 +276,21 @@
       it->second.mStart == aOrder.mStart) {
     it->second.mStatus = aStatus;
   }
+  if (aStatus == kHttpMisdirected) {
+    RecordLostAddress(aOrder);
+  }
+}
+
+void LayerPlacer::RecordLostAddress(const ForwardedOrder& aOrder) {
+  const UpstreamRecord* engine = mSync.Registry().Find(aOrder.mInstance);
+  if (engine == nullptr || engine->mStart != aOrder.mStart) {
+    return;
+  }
+  mLostAddresses[aOrder.mInstance] = {.mStart = engine->mStart,
+                                      .mSequence = engine->mSequence};
+  LogLine(LogLevel::kWarning, "engine_address_lost")
+      .Add("instance", aOrder.mInstance)
+      .Add("address", aOrder.mAddress);
 }
 
 }  // namespace spindleweir
--- a/daemons/control/layer_placer.h
+++ b/daemons/control/layer_placer.h
@@ -30,6 +30,12 @@
 
     bool Refused() const;
   };
+  /// The newest heartbeat of an engine that was known when another process
+  /// answered at its address.
+  struct LostAddress {
+    std::int64_t mStart = 0;
+    std::int64_t mSequence = 0;
+  };
   /// Since when the number of a service's engines has been the same.
   struct Stability {
     std::size_t mCount = 0;
@@ -56,6 +62,9 @@
 
   void Step();
   void PlaceService(const TrafficService& aService);
+  /// Whether the engine can be sent orders.
+  bool IsUsable(const UpstreamRecord& aEngine,
+                const std::set<std::string>& aLost) const;
   /// Zones of which at least half of the engines are silent or unreachable.
   /// Such a zone is more likely cut off than its engines lost, and orders to it
   /// would arrive late.
@@ -81,13 +90,17 @@
   void OnOrderAnswered(const ForwardedOrder& aOrder, int aStatus);
   /// Records the status of an engine's answer if its order is still the newest.
   void RecordStatus(const ForwardedOrder& aOrder, int aStatus);
+  /// Another process answered at the engine's address, so that the engine has
+  /// ended: nothing is ordered there until it is heard of again.
+  void RecordLostAddress(const ForwardedOrder& aOrder);
 
   ControlContext& mContext;
   ReplicatedConfiguration& mLog;
   SyncService& mSync;
-  std::map<std::string, Pending> mPending;           ///< By instance.
-  std::map<std::string, Stability> mStability;       ///< By service.
-  std::map<std::string, PlanInput> mLastPlanInputs;  ///< By service.
+  std::map<std::string, Pending> mPending;            ///< By instance.
+  std::map<std::string, LostAddress> mLostAddresses;  ///< By instance.
+  std::map<std::string, Stability> mStability;        ///< By service.
+  std::map<std::string, PlanInput> mLastPlanInputs;   ///< By service.
   OrderSender mSender;
   std::string
       mForwardingLeader;  ///< Id of the leader that forwarded orders last.
--- a/daemons/control/order_sender.cpp
+++ b/daemons/control/order_sender.cpp
@@ -52,6 +52,7 @@
 void OrderSender::Start(const Waiting& aWaiting) {
   const ForwardedOrder& order = aWaiting.mOrder;
   PlaceOrder place;
+  place.mInstance = order.mInstance;
   place.mLayers = order.mLayers;
   place.mFence = aWaiting.mFence;
   StreamCallOptions options =
--- a/include/spindleweir/daemons/traffic_protocols.h
+++ b/include/spindleweir/daemons/traffic_protocols.h
@@ -94,6 +94,9 @@
 
 /// An order to an engine to hold layers.
 struct PlaceOrder {
+  /// Which engine is meant: another one may have its address by now, and must
+  /// not obey.
+  std::string mInstance;
   LayerRange mLayers;
   std::int64_t mFence = 0;
   std::optional<std::int64_t>
--- a/standins/plain_protocol.cpp
+++ b/standins/plain_protocol.cpp
@@ -86,8 +86,12 @@
 EngineProtocol PlainEngineProtocol() {
   return {
       .mWritePlace =
-          [](const PlaceOrder&) {
-            return EngineMessage{.mMethod = "POST", .mTarget = "/place"};
+          [](const PlaceOrder& aOrder) {
+            return EngineMessage{
+                .mMethod = "POST",
+                .mTarget = "/place",
+                .mHeaders = {{"Host", "engine"},
+                             {kExpectedInstanceHeader, aOrder.mInstance}}};
           },
       .mWriteRepath =
           [](const RepathOrder& aOrder) {
--- a/standins/plain_protocol.h
+++ b/standins/plain_protocol.h
@@ -19,6 +19,9 @@
 /// Target of an order that moves a request to another path; the body lists the
 /// instances of the new path.
 inline constexpr const char* kRepathTarget = "/repath";
+/// In messages to engines: the instance that is meant. Any other one answers
+/// 421.
+inline constexpr const char* kExpectedInstanceHeader = "X-Expect-Instance";
 /// Writes orders for engines as bare messages; every state read is empty.
 EngineProtocol PlainEngineProtocol();
 
--- a/tests/daemons/placing_test.cpp
+++ b/tests/daemons/placing_test.cpp
@@ -40,16 +40,19 @@
     options.mElectionTimeout = 50;
     options.mDocuments = PlainDocumentProtocol();
     options.mEngines = PlainEngineProtocol();
-    options.mEngines.mWritePlace = [](const PlaceOrder&) {
-      return EngineMessage{.mMethod = "POST",
-                           .mTarget = "/place",
-                           .mHeaders = {{"Host", "engine"}}};
-    };
     return std::make_unique<JoinedControl>(mLoop, std::move(options));
   }
 
   void Handle(StreamExchange& aCall) {
     mOrders++;
+    const std::string* named =
+        FindHeader(aCall.Head().mHeaders, kExpectedInstanceHeader);
+    mUnnamed += named == nullptr || named->empty() ? 1 : 0;
+    if (named != nullptr && *named == mReplaced) {
+      mMisdirected++;
+      aCall.Reply(421, {}, "");
+      return;
+    }
     aCall.Reply(mStatus, {}, "");
   }
 
@@ -80,7 +83,11 @@
   void SendHeartbeats() {
     mSequence++;
     for (int i = 0; i < kEngines; i++) {
-      mControl->ApplyHeartbeat({.mInstance = "i" + std::to_string(i),
+      const std::string instance = "i" + std::to_string(i);
+      if (instance == mSilent) {
+        continue;
+      }
+      mControl->ApplyHeartbeat({.mInstance = instance,
                                 .mStart = mStart,
                                 .mService = "model",
                                 .mAddress = AddressOf(i),
@@ -98,6 +105,10 @@
   std::unique_ptr<JoinedControl> mControl;
   std::unique_ptr<JoinedControl> mNonVoter;
   int mOrders = 0;
+  int mUnnamed = 0;       ///< Orders that name no engine.
+  std::string mReplaced;  ///< Another engine has the address of this one.
+  int mMisdirected = 0;   ///< Orders for mReplaced.
+  std::string mSilent;    ///< Sends no heartbeats.
   int mStatus = 202;
   std::int64_t mSequence = 0;
   std::int64_t mStart = 0;
@@ -162,3 +173,34 @@
   REQUIRE(RunLoopUntil(fixture.mLoop,
                        [&fixture] { return fixture.mOrders >= 2 * kEngines; }));
 }
+
+// Guards against an order to a crashed engine that the next one at its address
+// carries out, though it may belong to another service and lack the memory.
+Test(placing, an_order_names_its_engine_and_goes_to_a_lost_address_once) {
+  constexpr Millis kSeveralSteps = 1500;
+  PlacingFixture fixture;
+  fixture.mReplaced = "i7";
+  fixture.Publish();
+  fixture.SendHeartbeats();
+  fixture.mSilent = "i7";
+  const auto heartbeats =
+      fixture.mLoop.Every(500, [&fixture] { fixture.SendHeartbeats(); });
+  REQUIRE(RunLoopUntil(fixture.mLoop,
+                       [&fixture] { return fixture.mOrders >= kEngines; }));
+  CHECK(fixture.mUnnamed == 0);
+  SECTION("the engine counts as ended") {
+    bool waited = false;
+    const auto timer =
+        fixture.mLoop.After(kSeveralSteps, [&waited] { waited = true; });
+    REQUIRE(RunLoopUntil(fixture.mLoop, [&waited] { return waited; }));
+    CHECK_FOUND(fixture.mMisdirected == 1,
+                std::to_string(fixture.mMisdirected) + " orders");
+  }
+  SECTION("once it reports again, it is ordered again") {
+    const int before = fixture.mMisdirected;
+    fixture.mSilent.clear();
+    CHECK(RunLoopUntil(fixture.mLoop, [&fixture, before] {
+      return fixture.mMisdirected > before;
+    }));
+  }
+}
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -311,10 +311,11 @@
 
 Test(platform, orders_and_reports) {
   const EngineProtocol protocol = EngineMessages();
-  const Json::Value place = ParseJson(
-      protocol
-          .mWritePlace({.mLayers = {20, 31}, .mFence = 5, .mExpectedOrders = 2})
-          .mBody);
+  const EngineMessage order = protocol.mWritePlace({.mInstance = "i-1",
+                                                    .mLayers = {20, 31},
+                                                    .mFence = 5,
+                                                    .mExpectedOrders = 2});
+  const Json::Value place = ParseJson(order.mBody);
   CHECK(place["op"] == "place" && place["from"] == 20);
   CHECK(place["targetVersion"] == 31 && place["fence"] == 5);
   CHECK(place["expectedRev"] == 2);
@@ -329,6 +330,18 @@
         ResultCode::kMalformedJson);
 }
 
+// Guards against a message for a replica that has ended: the next one at its
+// address must be able to tell that it isn't meant.
+Test(platform, messages_to_engines_name_the_replica) {
+  const EngineProtocol protocol = EngineMessages();
+  const auto named = [](const EngineMessage& aMessage) {
+    const std::string* id =
+        FindHeader(aMessage.mHeaders, "Spindleweir-Expect-Instance");
+    return id == nullptr ? std::string() : *id;
+  };
+  CHECK(named(protocol.mWritePlace({.mInstance = "i-1"})) == "i-1");
+}
+
 Test(platform, settings) {
   const std::string good = R"({"id":"n","zone":"z","address":"10.0.0.4",
     "listen":"10.0.0.4:80","ready":"10.0.0.4:81","control":"10.0.0.4:82",
