A kept connection on which more than the answer came is not used again

What callers see: on the product's own interface, and in calls between its processes, bytes that a server sends beyond its answer are taken for the answer to the next call on that connection.

Cause: the client keeps a connection after a whole answer. Before it is used again the socket is checked for an end or unasked bytes, but not the buffer into which these bytes were read together with the answer.

Class: bytes beyond the end of an answer, from upstreams. A connection with unread bytes at the end of a call is closed. Bytes that come later were found already, by the check of the socket and by libevent's watch of idle connections. The router's calls to upstreams of the users' platform use a connection once.

Evidence: the new test without the fix: the second call gets "stale", the surplus, where its own answer says "next"; with it "next".

Measured: http 9 of 9, three times; drivers_tests 43 of 43 (release).

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -289,7 +289,9 @@
     mLink->mCall = nullptr;
     if (mConnection != nullptr) {
       RemoveBufferCallbacks();
-      if (aComplete && !mOptions.mNewConnection) {
+      // Bytes beyond the answer would be read as the answer to the next call.
+      const bool hasSurplus = evbuffer_get_length(mInput) > 0;
+      if (aComplete && !mOptions.mNewConnection && !hasSurplus) {
         mPool->Put(mServer, mConnection);
       } else {
         mPool->Retire(mConnection, mLink);
--- a/tests/drivers/http_test.cpp
+++ b/tests/drivers/http_test.cpp
@@ -8,6 +8,7 @@
 
 #include "spindleweir/drivers/http_client.h"
 #include "spindleweir/drivers/http_server.h"
+#include "spindleweir/drivers/stream_server.h"
 #include "standins/raw_upstream.h"
 #include "tests/test_tools.h"
 
@@ -328,3 +329,39 @@
     CHECK(server.WrittenWithoutEnd() < kMostRead);
   }
 }
+
+// Guards against bytes beyond an answer that are taken for the answer to the
+// next call on a kept connection.
+Test(http, bytes_beyond_an_answer_do_not_answer_the_next_call) {
+  EventLoop loop;
+  HttpClient client(loop);
+  int served = 0;
+  const StreamServer server(
+      loop, {.mListen = {"127.0.0.1", 0},
+             .mHandle =
+                 [&served](const std::shared_ptr<StreamExchange>& aExchange) {
+                   if (served++ > 0) {
+                     aExchange->Reply(200, {}, "next");
+                     return;
+                   }
+                   aExchange->Start(200, {}, 2);
+                   aExchange->Write(
+                       "okHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale");
+                   aExchange->End();
+                 },
+             .mRefuse = [](StreamExchange&, ResultCode) {}});
+  const auto bodyOfCall = [&] {
+    std::optional<HttpResult> result;
+    const auto call =
+        client.Start({.mServer = server.Address(),
+                      .mTimeout = kCallTimeout,
+                      .mOnDone = [&result](const HttpResult& aResult) {
+                        result = aResult;
+                      }});
+    REQUIRE(RunLoopUntil(loop, [&result] { return result.has_value(); }));
+    return result->mBody;
+  };
+  CHECK(bodyOfCall() == "ok");
+  const std::string next = bodyOfCall();
+  CHECK_FOUND(next == "next", next);
+}
