The product's own interface writes no body after a head that ends its answer

What callers saw: on a kept connection of the own interface, the body of an answer to HEAD, or with status 204 or 304, came after its head, where it passes for the next answer.

Cause: Reply() gives evhttp the body whatever the method and status, and evhttp writes it without a length. Streams were right: evhttp drops their chunks.

Class: an answer that may have no body. Reply() now asks MayHaveBody(), as the other server does.

Evidence: the new test without the fix fails 3 of its 6 checks (HEAD, 204, 304; the three streamed ones hold).

--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -13,6 +13,7 @@
 
 #include "drivers/http_connection.h"
 #include "spindleweir/core/error.h"
+#include "spindleweir/drivers/http_message.h"
 
 namespace spindleweir {
 
@@ -106,8 +107,12 @@
     return;
   }
   AddHeader("Content-Type", std::string(aType));
-  evbuffer* buf = evhttp_request_get_output_buffer(mRequest);
-  evbuffer_add(buf, aBody.data(), aBody.size());
+  // evhttp writes whatever it is given, also after a head that ends the answer,
+  // where the caller would take it for the next one.
+  if (mMethod != "HEAD" && MayHaveBody(aStatus)) {
+    evbuffer* buf = evhttp_request_get_output_buffer(mRequest);
+    evbuffer_add(buf, aBody.data(), aBody.size());
+  }
   evhttp_request* request = mRequest;
   Detach();
   evhttp_send_reply(request, aStatus, nullptr, nullptr);
--- a/tests/drivers/http_test.cpp
+++ b/tests/drivers/http_test.cpp
@@ -365,3 +365,56 @@
   const std::string next = bodyOfCall();
   CHECK_FOUND(next == "next", next);
 }
+
+// Guards against bytes on a kept connection that its caller takes for the next
+// answer: a body, or the last chunk, after a head that ends its answer.
+Test(http, nothing_follows_a_head_that_ends_its_answer) {
+  Pair pair;
+  const auto answersTo = [&pair](const std::string& aMethod) {
+    const int fd = ConnectTo(pair.mServer.Address());
+    SendText(fd, aMethod +
+                     " /x HTTP/1.1\r\nHost: h\r\n\r\n"
+                     "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::string got;
+    char buf[512];
+    CHECK(pair.RunUntil([&] {
+      const ssize_t n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+      got.append(buf, n > 0 ? static_cast<std::size_t>(n) : 0);
+      return got.ends_with("next");
+    }));
+    close(fd);
+    return got;
+  };
+  const auto checkFollowed = [](const std::string& aAnswers) {
+    const std::size_t end = aAnswers.find("\r\n\r\n") + 4;
+    CHECK_FOUND(aAnswers.substr(end).starts_with("HTTP/1.1 200"), aAnswers);
+  };
+  int status = 200;
+  bool isStream = false;
+  pair.mHandle = [&] {
+    if (pair.mExchange->Path() == "/next") {
+      pair.mExchange->Reply(200, "text/plain", "next");
+    } else if (isStream) {
+      pair.mExchange->StartStream(status, "text/plain");
+      pair.mExchange->Write("extra");
+      pair.mExchange->EndStream();
+    } else {
+      pair.mExchange->Reply(status, "text/plain", "extra");
+    }
+  };
+  for (const bool streamed : {false, true}) {
+    isStream = streamed;
+    SECTION("an answer to HEAD") {
+      status = 200;
+      checkFollowed(answersTo("HEAD"));
+    }
+    SECTION("a 204") {
+      status = 204;
+      checkFollowed(answersTo("GET"));
+    }
+    SECTION("a 304") {
+      status = 304;
+      checkFollowed(answersTo("GET"));
+    }
+  }
+}
