Leaves are on most of the voters' disks before they are acknowledged

Callers saw: all processes killed 50 ms after a leave was acknowledged, routers in touch sent requests to that replica until 4.5 s after the ack, drainMs being 2 s (DRAIN); one that ended then took them with it.

Cause: a leave was held in memory only, of whoever acknowledged it and of one more control, or without any other after 0.5 s. The file of upstreams, up to 2 s old and not written by a leader, had the replica as ready. A repeated leave was acknowledged since it was known. The class: an acknowledgement that rests on memory.

Now each control writes a file of those that leave or are gone, the leader too, on a thread of its own; leaves that come during a write share the next. A notice is answered once it is on that control's disk, and a leave acknowledged once more than half of the voters have it: who outlasts the tolerated loss of disks restores it. A router has no disk and counts controls alone.

--- a/daemons/control/control_context.h
+++ b/daemons/control/control_context.h
@@ -22,6 +22,7 @@
         mCounters(aCounters),
         mStorage(aStorage),
         mFileThread(aLoop),
+        mLeaveThread(aLoop),
         mClient(aLoop),
         mRpc(mClient, mOptions.mClusterKey),
         mDispatcher(mOptions.mClusterKey),
@@ -31,12 +32,9 @@
   bool Joins() const { return !mOptions.mSeeds.empty(); }
 
   /// Replaces a file of the data folder without holding up the loop.
-  ReplaceHook ReplaceInBackground() {
-    return ReplaceOn(
-        mFileThread, [this](const std::string& aPath, Millis aTook) {
-          mStorage.OnSynced(aPath.substr(aPath.rfind('/') + 1), aTook);
-        });
-  }
+  ReplaceHook ReplaceInBackground() { return ReplaceBy(mFileThread); }
+  /// The same for the file of leaves.
+  ReplaceHook ReplaceLeaves() { return ReplaceBy(mLeaveThread); }
 
   EventLoop& mLoop;
   ControlOptions mOptions;
@@ -44,11 +42,21 @@
   StorageState& mStorage;
   /// Replaces the small files of the data folder, whose loss costs time only.
   DiskThread mFileThread;
+  /// Acknowledgements wait for the file of leaves, which therefore doesn't wait
+  /// for the other files.
+  DiskThread mLeaveThread;
   HttpClient mClient;
   RpcChannel mRpc;
   RpcDispatcher mDispatcher;
   InvalidMessages mInvalidMessages{mCounters};
   EntryVmsFile mEntryVms;
+
+ private:
+  ReplaceHook ReplaceBy(DiskThread& aThread) {
+    return ReplaceOn(aThread, [this](const std::string& aPath, Millis aTook) {
+      mStorage.OnSynced(aPath.substr(aPath.rfind('/') + 1), aTook);
+    });
+  }
 };
 
 }  // namespace spindleweir
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -37,14 +37,18 @@
              aContext.ReplaceInBackground()),
       mPreviousRun(mStamp.Load(WallNow())),
       mStartedAt(SteadyNow()),
-      mUpstreams(
-          aContext, mDirectory,
-          [this](const std::string& aService) {
-            const TrafficConfiguration& traffic = Traffic();
-            return traffic.mVersion == 0 ||
-                   traffic.FindService(aService) != nullptr;
-          },
-          mPreviousRun.mUpstreamsFresh),
+      mUpstreams(aContext, mDirectory,
+                 {.mKnowsService =
+                      [this](const std::string& aService) {
+                        const TrafficConfiguration& traffic = Traffic();
+                        return traffic.mVersion == 0 ||
+                               traffic.FindService(aService) != nullptr;
+                      },
+                  .mVoters =
+                      [this] {
+                        return static_cast<int>(mLog.Raft().Voters().size());
+                      }},
+                 mPreviousRun.mUpstreamsFresh),
       mAnswerSizes(aContext.mLoop, aContext.mCounters),
       mCrashStore(aContext.mOptions.mData + "/barred",
                   aContext.ReplaceInBackground()),
@@ -463,11 +467,12 @@
 void SyncService::SaveState() {
   mCrashes.RemoveExpired(SteadyNow());
   mCrashStore.Save(mCrashes, SteadyNow());
+  mUpstreams.SaveLeaves();
   // A leader does not write these files, so that its log has the disk for
   // itself; the other controls store the same upstreams. A single voter has no
   // such substitute and writes them.
   if (!mLog.Raft().Leads() || mLog.Raft().Voters().size() == 1) {
-    mUpstreams.Save();
+    mUpstreams.SaveReady();
     mStamp.Save(RouterCount(), WallNow(), SteadyNow());
   }
 }
--- a/daemons/control/upstream_intake.cpp
+++ b/daemons/control/upstream_intake.cpp
@@ -16,9 +16,6 @@
 /// collector is noticed after one second, its upstreams send their heartbeats
 /// elsewhere within another, and these arrive with the next poll.
 constexpr Millis kCollectorLossDelay = 2400;
-/// A leave is acknowledged after this time even if no other control has
-/// confirmed the notice of it.
-constexpr Millis kNotifyTimeout = 500;
 /// Controls that were seen within this window are sent a notice of a leave.
 constexpr Millis kNotifyWindow = 2500;
 
@@ -38,40 +35,58 @@
 
 UpstreamIntake::UpstreamIntake(ControlContext& aContext,
                                const ControlDirectory& aDirectory,
-                               ServiceHook aKnowsService, bool aRestores)
+                               UpstreamIntakeHooks aHooks, bool aRestores)
     : mContext(aContext),
       mDirectory(aDirectory),
-      mKnowsService(std::move(aKnowsService)),
+      mHooks(std::move(aHooks)),
       mStore(aContext.mOptions.mData + "/upstreams",
              aContext.ReplaceInBackground()),
+      mLeaves(aContext.mOptions.mData + "/leaves", mRegistry,
+              aContext.ReplaceLeaves()),
       mCollectorChoice(
           {.mMaxLocalHeartbeats = aContext.mOptions.mMaxLocalHeartbeats}) {
-  if (aRestores) {
-    Restore();
-  }
+  Restore(aRestores);
   mRegistry.SetSuccessorHook([this](const UpstreamRecord& aRecord) {
     mContext.mCounters.Add("upstreams_restarted");
     LogChanged("upstream_restarted", aRecord);
   });
-  mContext.mDispatcher.On(rpc_method::kNotice,
-                          [this](const Json::Value& aMessage) {
-                            OnNotice(FromJson<UpstreamNotice>(aMessage));
-                            return Json::Value(Json::objectValue);
-                          });
+  mContext.mDispatcher.OnDeferred(
+      rpc_method::kNotice,
+      [this](const Json::Value& aMessage, const RpcReplyHook& aReply) {
+        OnNotice(FromJson<UpstreamNotice>(aMessage), aReply);
+      });
 }
 
-void UpstreamIntake::Restore() {
-  const std::size_t count = mStore.Load(
-      mRegistry, SteadyNow(), mContext.mInvalidMessages.HookFor("disk"));
+void UpstreamIntake::Restore(bool aWithReady) {
+  const InvalidRowHook hook = mContext.mInvalidMessages.HookFor("disk");
+  const std::size_t leaves =
+      mLeaves.Load(mRegistry, SteadyNow(), WallNow(), hook);
+  const std::size_t ready =
+      aWithReady ? mStore.Load(mRegistry, SteadyNow(), hook) : 0;
   LogLine(LogLevel::kInfo, "upstreams_restored")
-      .Add("count", static_cast<int>(count));
+      .Add("count", static_cast<int>(ready))
+      .Add("leaves", static_cast<int>(leaves));
 }
 
-void UpstreamIntake::OnNotice(const UpstreamNotice& aNotice) {
-  for (const UpstreamRecord& record : ReadRows<UpstreamRecord>(
-           aNotice.mUpstreams, mContext.mInvalidMessages.HookFor("news"))) {
+void UpstreamIntake::OnNotice(const UpstreamNotice& aNotice,
+                              const RpcReplyHook& aReply) {
+  const std::vector<UpstreamRecord> records = ReadRows<UpstreamRecord>(
+      aNotice.mUpstreams, mContext.mInvalidMessages.HookFor("news"));
+  if (records.size() < aNotice.mUpstreams.size()) {
+    throw Error(ResultCode::kBadHeartbeat, "a notice that cannot be used");
+  }
+  std::vector<std::string> instances;
+  for (const UpstreamRecord& record : records) {
     mRegistry.Merge(record, SteadyNow());
+    instances.push_back(record.mInstance);
   }
+  mLeaves.Store(instances, [this, aReply](bool aIsDurable) {
+    if (aIsDurable) {
+      aReply(ToJson(NoticeAnswer{mHooks.mVoters()}));
+    } else {
+      aReply(Error(ResultCode::kStorageFailed, "the leave is not on disk"));
+    }
+  });
 }
 
 void UpstreamIntake::OnPolled(const SyncRequest& aRequest) {
@@ -160,24 +175,20 @@
   const UpstreamRecord* before = mRegistry.Find(aRecord.mInstance);
   const bool isUnknown = before == nullptr &&
                          !IsLeavingOrGone(aRecord.mState) &&
-                         !mKnowsService(aRecord.mService);
+                         !mHooks.mKnowsService(aRecord.mService);
   if (isUnknown) {
     throw Error(ResultCode::kUnknownService, aRecord.mService);
   }
-  const bool leaves = aRecord.mState == UpstreamState::kLeaving &&
-                      (before == nullptr || !IsLeavingOrGone(before->mState) ||
-                       mRegistry.IsReplaced(aRecord.mInstance) ||
-                       before->mStart < aRecord.mStart);
   if (mRegistry.ApplyHeartbeat(aRecord, SteadyNow())) {
     LogChanged("upstream_changed", aRecord);
   }
-  if (!leaves) {
-    aDone({.mAccepted = true,
-           .mNextAddress = mCollectorChoice.OnHeartbeat(
-               aRecord.mInstance, aRecord.mZone, SteadyNow())});
+  if (IsLeavingOrGone(aRecord.mState)) {
+    AcknowledgeLeave(aRecord.mInstance, aDone);
     return;
   }
-  NotifyControls(aRecord.mInstance, aDone);
+  aDone({.mAccepted = true,
+         .mNextAddress = mCollectorChoice.OnHeartbeat(
+             aRecord.mInstance, aRecord.mZone, SteadyNow())});
 }
 
 void UpstreamIntake::ApplyLeave(const std::string& aInstance,
@@ -190,56 +201,79 @@
     aDone({.mAccepted = false, .mNextAddress = ""});
     return;
   }
-  if (outcome == LeaveOutcome::kAlreadyKnown) {
-    aDone({});
-    return;
+  if (outcome == LeaveOutcome::kEnded) {
+    LogLine(LogLevel::kInfo, "upstream_gone")
+        .Add("instance", aInstance)
+        .Add("start", static_cast<Json::Int64>(aStart));
   }
-  LogLine(LogLevel::kInfo, "upstream_gone")
-      .Add("instance", aInstance)
-      .Add("start", static_cast<Json::Int64>(aStart));
-  NotifyControls(aInstance, aDone);
+  AcknowledgeLeave(aInstance, aDone);
 }
 
-void UpstreamIntake::NotifyControls(const std::string& aInstance,
-                                    const HeartbeatDone& aDone) {
+void UpstreamIntake::AcknowledgeLeave(const std::string& aInstance,
+                                      const HeartbeatDone& aDone) {
   const UpstreamRecord* record = mRegistry.Find(aInstance);
-  const auto done = std::make_shared<HeartbeatDone>(aDone);
-  const auto finish = [done] {
-    const HeartbeatDone call = std::move(*done);
-    *done = nullptr;
-    if (call) {
-      call({});
-    }
-  };
-  bool notified = false;
-  for (const ControlInfo& info :
-       mDirectory.SeenWithin(kNotifyWindow, SteadyNow())) {
-    if (info.mId == mContext.mOptions.mId) {
-      continue;
+  // A late leave of an earlier incarnation: the one that is known stays.
+  const bool isLate = record == nullptr || !IsLeavingOrGone(record->mState);
+  if (isLate || mAcknowledged.Contains(aInstance, record->mStart)) {
+    aDone({});
+    return;
+  }
+  Replicate(*record, [this, aDone, instance = aInstance,
+                      start = record->mStart](bool aIsStored) {
+    if (aIsStored) {
+      mAcknowledged.Add(instance, start);
+    } else {
+      mContext.mCounters.Add("leaves_not_stored");
+      LogLine(LogLevel::kWarning, "leave_not_stored").Add("instance", instance);
     }
-    notified = true;
+    aDone({.mAccepted = aIsStored});
+  });
+}
+
+void UpstreamIntake::Replicate(const UpstreamRecord& aRecord,
+                               LeaveCopies::DoneHook aDone) {
+  std::vector<ControlInfo> others =
+      mDirectory.SeenWithin(kNotifyWindow, SteadyNow());
+  std::erase_if(others, [this](const ControlInfo& aInfo) {
+    return aInfo.mId == mContext.mOptions.mId;
+  });
+  const auto copies = std::make_shared<LeaveCopies>(
+      1 + static_cast<int>(others.size()), std::move(aDone));
+  const Json::Value message =
+      ToJson(UpstreamNotice{WriteRows<UpstreamRecord>({aRecord})});
+  for (const ControlInfo& info : others) {
     mContext.mRpc.Call(
-        AddressOfControl(info.mId), rpc_method::kNotice,
-        ToJson(UpstreamNotice{WriteRows<UpstreamRecord>({*record})}),
-        kNotifyTimeout, [finish](const RpcResult& aResult) {
+        AddressOfControl(info.mId), rpc_method::kNotice, message, kLeaveTimeout,
+        [copies](const RpcResult& aResult) {
           if (aResult.mOk) {
-            finish();
+            copies->OnStored(FromJson<NoticeAnswer>(aResult.mAnswer).mVoters);
+          } else {
+            copies->OnFailed();
           }
         });
   }
-  if (!notified) {
-    finish();
-    return;
-  }
-  const auto timer = std::make_shared<std::unique_ptr<Timer>>();
-  *timer = mContext.mLoop.After(kNotifyTimeout, [finish, timer] {
-    finish();
-    timer->reset();
+  // The disk may hang.
+  const std::int64_t number = ++mLastReplicated;
+  mTimers[number] = mContext.mLoop.After(kLeaveTimeout, [this, copies, number] {
+    copies->Refuse();
+    mTimers.erase(std::int64_t{number});
+  });
+  mLeaves.Store({aRecord.mInstance}, [this, copies](bool aIsDurable) {
+    if (aIsDurable) {
+      copies->OnStored(mHooks.mVoters());
+    } else {
+      copies->OnFailed();
+    }
   });
 }
 
-void UpstreamIntake::Save() {
+void UpstreamIntake::SaveReady() {
   mStore.Save(mRegistry, SteadyNow());
 }
 
+void UpstreamIntake::SaveLeaves() {
+  mAcknowledged.RemoveUnknown(mRegistry);
+  mLeaves.Save(SteadyNow());
+}
+
 }  // namespace spindleweir
--- a/daemons/relay/heartbeat_relay.cpp
+++ b/daemons/relay/heartbeat_relay.cpp
@@ -6,32 +6,6 @@
 
 namespace spindleweir {
 
-namespace {
-
-/// An upstream waits for one second, then calls another process.
-constexpr Millis kNoticeTimeout = 500;
-/// Number of controls that have to acknowledge that an upstream leaves.
-constexpr int kRequiredAcknowledgements = 2;
-
-/// Collects the acknowledgements of controls for one leaving upstream.
-struct Notification {
-  HeartbeatDone mDone;
-  int mAcknowledged = 0;
-  int mOpen = 0;  ///< Calls without an answer so far.
-
-  void OnAnswer(bool aOk) {
-    mOpen--;
-    mAcknowledged += aOk ? 1 : 0;
-    if (mDone && (mAcknowledged >= kRequiredAcknowledgements || mOpen == 0)) {
-      const HeartbeatDone done = std::move(mDone);
-      mDone = nullptr;
-      done({.mAccepted = mAcknowledged > 0, .mNextAddress = ""});
-    }
-  }
-};
-
-}  // namespace
-
 void HeartbeatRelay::ApplyHeartbeat(const UpstreamRecord& aRecord,
                                     const HeartbeatDone& aDone) {
   if (mContext.mStopping) {
@@ -45,8 +19,9 @@
     throw Error(ResultCode::kUnknownService, aRecord.mService);
   }
   mContext.mCounters.Add("heartbeats_taken");
-  if (mContext.mHeartbeatCollector.ApplyHeartbeat(aRecord, SteadyNow())) {
-    NotifyControls(aRecord, aDone);
+  mContext.mHeartbeatCollector.ApplyHeartbeat(aRecord, SteadyNow());
+  if (IsLeavingOrGone(aRecord.mState)) {
+    AcknowledgeLeave(aRecord, aDone);
     return;
   }
   aDone({});
@@ -61,33 +36,54 @@
     aDone({.mAccepted = false, .mNextAddress = ""});
     return;
   }
-  NotifyControls(*record, aDone);
+  AcknowledgeLeave(*record, aDone);
 }
 
-void HeartbeatRelay::NotifyControls(const UpstreamRecord& aRecord,
-                                    const HeartbeatDone& aDone) {
-  LogLine(LogLevel::kInfo, "upstream_leaves")
-      .Add("instance", aRecord.mInstance)
-      .Add("start", static_cast<Json::Int64>(aRecord.mStart))
-      .Add("state", static_cast<int>(aRecord.mState))
-      .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence));
-  mContext.mRegistry.Merge(aRecord, SteadyNow());
+void HeartbeatRelay::AcknowledgeLeave(const UpstreamRecord& aRecord,
+                                      const HeartbeatDone& aDone) {
+  if (mContext.mRegistry.Merge(aRecord, SteadyNow())) {
+    LogLine(LogLevel::kInfo, "upstream_leaves")
+        .Add("instance", aRecord.mInstance)
+        .Add("start", static_cast<Json::Int64>(aRecord.mStart))
+        .Add("state", static_cast<int>(aRecord.mState))
+        .Add("sequence", static_cast<Json::Int64>(aRecord.mSequence));
+  }
   mContext.mGuard->MoveOffRestarted();
+  mAcknowledged.RemoveUnknown(mContext.mRegistry);
+  if (mAcknowledged.Contains(aRecord.mInstance, aRecord.mStart)) {
+    aDone({});
+    return;
+  }
+  NotifyControls(aRecord, [this, aDone, instance = aRecord.mInstance,
+                           start = aRecord.mStart](bool aIsStored) {
+    if (aIsStored) {
+      mAcknowledged.Add(instance, start);
+    }
+    aDone({.mAccepted = aIsStored});
+  });
+}
+
+void HeartbeatRelay::NotifyControls(const UpstreamRecord& aRecord,
+                                    LeaveCopies::DoneHook aDone) {
   const std::vector<Endpoint>& controls = mLink.Controls();
   if (controls.empty()) {
-    aDone({.mAccepted = false, .mNextAddress = ""});
+    aDone(false);
     return;
   }
-  const auto notification = std::make_shared<Notification>();
-  notification->mDone = aDone;
-  notification->mOpen = static_cast<int>(controls.size());
+  const auto copies = std::make_shared<LeaveCopies>(
+      static_cast<int>(controls.size()), std::move(aDone));
   const Json::Value message =
       ToJson(UpstreamNotice{WriteRows<UpstreamRecord>({aRecord})});
   for (const Endpoint& address : controls) {
-    mContext.mRpc.Call(address, rpc_method::kNotice, message, kNoticeTimeout,
-                       [notification](const RpcResult& aResult) {
-                         notification->OnAnswer(aResult.mOk);
-                       });
+    mContext.mRpc.Call(
+        address, rpc_method::kNotice, message, kLeaveTimeout,
+        [copies](const RpcResult& aResult) {
+          if (aResult.mOk) {
+            copies->OnStored(FromJson<NoticeAnswer>(aResult.mAnswer).mVoters);
+          } else {
+            copies->OnFailed();
+          }
+        });
   }
 }
 
--- a/daemons/relay/heartbeat_relay.h
+++ b/daemons/relay/heartbeat_relay.h
@@ -7,6 +7,7 @@
 #include "daemons/relay/relay_context.h"
 #include "daemons/relay/sync_link.h"
 #include "spindleweir/daemons/heartbeat_answer.h"
+#include "spindleweir/servers/membership/leave_copies.h"
 
 namespace spindleweir {
 
@@ -22,13 +23,17 @@
                   std::int64_t aStart);
 
  private:
-  /// Acknowledges once two controls know, or if one knows and no other answered
-  /// in time. Two, because one may be lost right after its answer.
+  /// Acknowledges a leave once controls have it on enough disks: a router has
+  /// none itself.
+  void AcknowledgeLeave(const UpstreamRecord& aRecord,
+                        const HeartbeatDone& aDone);
+  /// aDone: whether it is on enough disks.
   void NotifyControls(const UpstreamRecord& aRecord,
-                      const HeartbeatDone& aDone);
+                      LeaveCopies::DoneHook aDone);
 
   RelayContext& mContext;
   SyncLink& mLink;
+  AcknowledgedLeaves mAcknowledged;
 };
 
 }  // namespace spindleweir
--- a/include/spindleweir/daemons/sync_messages.h
+++ b/include/spindleweir/daemons/sync_messages.h
@@ -21,7 +21,8 @@
 namespace rpc_method {
 /// A SyncRequest; answered by a SyncAnswer.
 inline constexpr const char* kSync = "control.sync";
-/// An UpstreamNotice.
+/// An UpstreamNotice; answered by a NoticeAnswer once its upstreams that leave
+/// are on this control's disk, by kStorageFailed if the disk fails.
 inline constexpr const char* kNotice = "control.notice";
 /// A RetryCreditRequest; answered by a RetryCreditGrant.
 inline constexpr const char* kRetries = "control.retries";
@@ -37,6 +38,16 @@
   }
 };
 
+/// The answer to an UpstreamNotice.
+struct NoticeAnswer {
+  int mVoters = 0;  ///< Voters that the control knows of; 0: unknown.
+
+  template <class Codec>
+  void Fields(Codec& aCodec) {
+    aCodec.Field("voters", mVoters);
+  }
+};
+
 /// A router requests credit for retries that its own share does not cover.
 struct RetryCreditRequest {
   std::string mProcess;  ///< Name of the router.
