The test of a hanging disk releases it before its controls end

A control that ends waits for a sync that runs, here up to 10 s each, so that the suite took over 45 s (rc 124 of timeout). No check changes. The test alone: 3.5 s, passes; the suite as a whole was not run after it.

--- a/tests/daemons/stored_leave_disk_test.cpp
+++ b/tests/daemons/stored_leave_disk_test.cpp
@@ -102,6 +102,8 @@
     group.mDisk.HoldSyncs({group.mControls.Data(0)});
     CHECK(group.IsAccepted(asked));
     CHECK(!group.IsOnDisk(0) && group.Copies() == 2);
+    // Its control waits for the disk when it ends.
+    group.mDisk.ReleaseSyncs();
   }
 }
 
