An upstream that was replaced at its address is not kept on disk as gone

Stored, it would have stayed gone after a restart. The list for the disk leaves it out, as the one for other processes does.

--- a/daemons/control/voter_manager.h
+++ b/daemons/control/voter_manager.h
@@ -48,7 +48,7 @@
   const ControlDirectory& mDirectory;
   VoterManagerHooks mHooks;
   VoterChanges mChanges;
-  std::function<void()> mEnd;  ///< Set once this control was asked to end.
+  std::function<void()> mEnd;       ///< Set once this control was asked to end.
   Millis mLeaderMissingSince = -1;  ///< -1: a leader is known.
   Millis mMissingLoggedAt = -1;     ///< Last log line on that; -1: none.
   std::unique_ptr<Timer> mTimer;
--- a/servers/membership/upstream_registry.cpp
+++ b/servers/membership/upstream_registry.cpp
@@ -496,7 +496,8 @@
 std::vector<UpstreamRecord> UpstreamRegistry::LeavingOrGone(Millis aNow) const {
   std::vector<UpstreamRecord> records;
   for (const auto& [instance, item] : mItems) {
-    if (IsLeavingOrGone(item.mRecord.mState)) {
+    // One that was replaced may come back.
+    if (IsLeavingOrGone(StateToReport(item))) {
       records.push_back(item.mRecord);
       records.back().mLastSeenAgo = aNow - item.mLastSeenAt;
     }
--- a/tests/servers/registry_test.cpp
+++ b/tests/servers/registry_test.cpp
@@ -444,6 +444,8 @@
     registry.ApplyHeartbeat(Record("ended", 9), 6000);
     registry.ApplyHeartbeat(Record("ended", 10), 6100);
     CHECK(registry.IsReplaced("running"));
+    // On disk as gone it would stay so after a restart.
+    CHECK(registry.LeavingOrGone(1000).empty());
     CHECK(registry.ApplyLeave("running", 6200) == LeaveOutcome::kEnded);
     CHECK(!registry.IsReplaced("running"));
     registry.ApplyHeartbeat(Record("running", 6), 7000);
