Limits that upstreams named are on the controls' disks

Seen: limit_series_fuzz, both listed tests: 27 and 21 requests in 4 s from routers that were told, 17 allowed, where all routers and controls end within a second or two.

Routers learn of a limit from others' reports, controls remembered it, and all of them ended. In the play with all troubles besides, a control that had heard one router of seven stored that number and told each router that starts to take the whole limit.

Change: each control writes the limits in force to a file when they change, the leader too, and remembers them at its start for as long as it would after a report. The number of routers that is stored is the greatest of the last ten seconds. The digest in front of the small files stood three times and is one module now (checked_file).

--- a/daemons/control/crash_store.cpp
+++ b/daemons/control/crash_store.cpp
@@ -2,12 +2,11 @@
 
 #include <limits>
 
+#include "daemons/control/checked_file.h"
 #include "daemons/control/file_warning.h"
-#include "spindleweir/core/digest.h"
 #include "spindleweir/core/error.h"
 #include "spindleweir/core/json_codec.h"
 #include "spindleweir/core/log.h"
-#include "spindleweir/drivers/file_tools.h"
 
 namespace spindleweir {
 
@@ -16,7 +15,6 @@
 /// A burst of crashes changes verdicts with each message, and all are written.
 constexpr Millis kSaveInterval = 1000;
 constexpr Millis kRetryInterval = 2000;
-constexpr char kDigestSeparator = ' ';
 
 /// Content of the file, after the digest.
 struct StoredCrashes {
@@ -28,23 +26,16 @@
   }
 };
 
-std::string DigestOf(std::string_view aText) {
-  return std::to_string(FastHash(aText));
-}
-
 }  // namespace
 
 void CrashStore::Load(CrashLedger& aLedger, Millis aNow,
                       const InvalidRowHook& aOnInvalidRow) {
-  const std::string stored = ReadFile(mPath).value_or("");
-  const std::size_t n = stored.find(kDigestSeparator);
-  if (n == std::string::npos ||
-      stored.substr(0, n) != DigestOf(std::string_view(stored).substr(n + 1))) {
+  const std::optional<std::string> stored = ReadCheckedFile(mPath);
+  if (!stored.has_value()) {
     return;
   }
   try {
-    const auto rows = FromJson<StoredCrashes>(
-        ParseJson(std::string_view(stored).substr(n + 1)));
+    const auto rows = FromJson<StoredCrashes>(ParseJson(*stored));
     for (const CrashRecord& record : ReadCrashes(rows.mRows, aOnInvalidRow)) {
       aLedger.Merge(record, aNow);
     }
@@ -71,9 +62,8 @@
   for (const CrashRecord& record : all.mRecords) {
     stored.mRows.push_back(ToJson(record));
   }
-  const std::string text = DumpJson(ToJson(stored));
   mIsSaving = true;
-  mReplace(mPath, DigestOf(text) + kDigestSeparator + text,
+  mReplace(mPath, WithDigest(DumpJson(ToJson(stored))),
            [this, revision, aNow](const std::optional<Error>& aError) {
              OnSaved(revision, aNow, aError);
            });
--- a/daemons/control/leave_store.cpp
+++ b/daemons/control/leave_store.cpp
@@ -3,10 +3,9 @@
 #include <algorithm>
 #include <sstream>
 
+#include "daemons/control/checked_file.h"
 #include "daemons/control/file_warning.h"
-#include "spindleweir/core/digest.h"
 #include "spindleweir/core/error.h"
-#include "spindleweir/drivers/file_tools.h"
 #include "spindleweir/servers/membership/upstream_table.h"
 
 namespace spindleweir {
@@ -17,10 +16,6 @@
 /// As long as a registry has an upstream that has ended.
 constexpr Millis kRetention = 60000;
 
-std::string DigestOf(std::string_view aText) {
-  return std::to_string(FastHash(aText));
-}
-
 /// Content of the file, after the digest.
 struct StoredLeaves {
   Millis mWallTime = 0;  ///< Of the write.
@@ -31,19 +26,16 @@
 
 /// Reads a file; nothing if it is missing or torn.
 std::optional<StoredLeaves> ReadLeaves(const std::string& aPath) {
-  const std::string stored = ReadFile(aPath).value_or("");
-  const std::size_t digestEnd = stored.find(' ');
-  if (digestEnd == std::string::npos ||
-      stored.substr(0, digestEnd) !=
-          DigestOf(std::string_view(stored).substr(digestEnd + 1))) {
+  const std::optional<std::string> stored = ReadCheckedFile(aPath);
+  if (!stored.has_value()) {
     return std::nullopt;
   }
-  std::istringstream text(stored.substr(digestEnd + 1));
+  std::istringstream text(*stored);
   StoredLeaves leaves;
   if (!(text >> leaves.mWallTime) || text.get() != ' ') {
     return std::nullopt;
   }
-  leaves.mPacked = text.str().substr(static_cast<std::size_t>(text.tellg()));
+  leaves.mPacked = stored->substr(static_cast<std::size_t>(text.tellg()));
   return leaves;
 }
 
@@ -131,7 +123,7 @@
       StoredLeaves{.mWallTime = WallNow(), .mPacked = PackUpstreams(records)}
           .Text();
   mReplace(
-      mPath, DigestOf(text) + ' ' + text,
+      mPath, WithDigest(text),
       [this, keys = std::move(keys), waiting = std::exchange(mWaiting, {})](
           const std::optional<Error>& aError) {
         OnWritten(keys, waiting, aError);
--- a/daemons/control/sync_service.cpp
+++ b/daemons/control/sync_service.cpp
@@ -52,11 +52,15 @@
       mAnswerSizes(aContext.mLoop, aContext.mCounters),
       mCrashStore(aContext.mOptions.mData + "/barred",
                   aContext.ReplaceInBackground()),
+      mLimitStore(aContext.mOptions.mData + "/limits",
+                  aContext.ReplaceInBackground()),
       mVoters(aContext, aLog, mDirectory,
               {.mReachable = [this] { return ReachableControls(); },
                .mHasToldOthers = [this] { return HasToldOthers(); }}) {
   mCrashStore.Load(mCrashes, SteadyNow(),
                    mContext.mInvalidMessages.HookFor("disk"));
+  RestoreLimits();
+  mRecentRouters.OnReport(mPreviousRun.mRouters, mStartedAt);
   LogLine(LogLevel::kInfo, "stamp_read")
       .Add("upstreams_fresh", mPreviousRun.mUpstreamsFresh)
       .Add("routers", mPreviousRun.mRouters);
@@ -103,6 +107,13 @@
           .mIsStopping = mVoters.IsStopping()};
 }
 
+void SyncService::RestoreLimits() {
+  const RecentLimits::Thousandths stored = mLimitStore.Load();
+  mLoads.RestoreLimits(stored, ReportTime());
+  LogLine(LogLevel::kInfo, "limits_read")
+      .Add("limits", static_cast<Json::UInt64>(stored.size()));
+}
+
 void SyncService::SetSeeds(std::vector<Endpoint> aSeeds) {
   mDirectory.SetSeeds(std::move(aSeeds));
 }
@@ -126,7 +137,7 @@
     answer.mConfigurationUpdates =
         mTraffic.UpdatesSince(aRequest.mConfiguration);
   }
-  answer.mRouters = RouterCount();
+  answer.mRouters = KnownRouters();
   answer.mOwnRouters = mLoads.LocalRouters(ReportTime());
   AddRouterList(aRequest, answer);
   answer.mPollInterval = RouterPollInterval(mPolledAt.size());
@@ -163,16 +174,17 @@
 
 void SyncService::RefreshGauges() {
   mContext.mCounters.Set("routers_here", mLoads.LocalRouters(ReportTime()));
-  mContext.mCounters.Set("routers_known", RouterCount());
-  mContext.mCounters.Set("limits_remembered",
-                         static_cast<std::int64_t>(mLoads.RecentLimitCount()));
+  mContext.mCounters.Set("routers_known", KnownRouters());
+  mContext.mCounters.Set(
+      "limits_remembered",
+      static_cast<std::int64_t>(mLoads.RememberedLimits().Count()));
 }
 
 Millis SyncService::ReportTime() const {
   return mContext.mLoop.RunningNow();
 }
 
-int SyncService::RouterCount() {
+int SyncService::KnownRouters() {
   // Right after a start only some of the routers have reported. Each of them
   // would take a greater share of what all may do than is its own.
   const bool isStarting = SteadyNow() - mStartedAt < kPreviousRunWindow;
@@ -465,15 +477,18 @@
 }
 
 void SyncService::SaveState() {
+  // Some routers may just have ended or be out of contact.
+  mRecentRouters.OnReport(KnownRouters(), SteadyNow());
   mCrashes.RemoveExpired(SteadyNow());
   mCrashStore.Save(mCrashes, SteadyNow());
+  mLimitStore.Save(mLoads.RememberedLimits().InForce(), SteadyNow());
   mUpstreams.SaveLeaves();
   // A leader does not write these files, so that its log has the disk for
   // itself; the other controls store the same upstreams. A single voter has no
   // such substitute and writes them.
   if (!mLog.Raft().Leads() || mLog.Raft().Voters().size() == 1) {
     mUpstreams.SaveReady();
-    mStamp.Save(RouterCount(), WallNow(), SteadyNow());
+    mStamp.Save(mRecentRouters.Value(), WallNow(), SteadyNow());
   }
 }
 
--- a/daemons/control/sync_service.h
+++ b/daemons/control/sync_service.h
@@ -11,11 +11,13 @@
 
 #include "daemons/control/answer_size_meter.h"
 #include "daemons/control/crash_store.h"
+#include "daemons/control/limit_store.h"
 #include "daemons/control/replicated_configuration.h"
 #include "daemons/control/start_stamp.h"
 #include "daemons/control/upstream_intake.h"
 #include "daemons/control/voter_manager.h"
 #include "spindleweir/daemons/sync_messages.h"
+#include "spindleweir/servers/limits/router_count.h"
 #include "spindleweir/servers/membership/control_list_schedule.h"
 #include "spindleweir/servers/membership/peer_revisions.h"
 #include "spindleweir/servers/routes/configuration_fetch.h"
@@ -81,6 +83,8 @@
   /// Applies the confirmation of this control itself, if it leads.
   void UpdateLocalConfirmation(Millis aNow);
   void SaveState();
+  /// Remembers the limits of upstreams that the process before stored.
+  void RestoreLimits();
   /// Whether this process has no contact with a majority of the controls: then
   /// it is cut off itself, and silent upstreams may well be running.
   bool IsCutOff() const;
@@ -88,7 +92,7 @@
   /// the leader.
   void AddControls(const SyncRequest& aRequest, SyncAnswer& aAnswer);
   /// Number of all routers, as far as is known; at least 1.
-  int RouterCount();
+  int KnownRouters();
   /// The clock by which reports of routers expire: the time in which this
   /// process runs. While it stands still, newer reports wait unread in its
   /// sockets.
@@ -117,6 +121,8 @@
   NewestConfirmation mConfirmation;
   StartStamp mStamp;
   PreviousRun mPreviousRun;  ///< Used until the routers have polled.
+  /// The number of routers that is stored for the next start.
+  RouterCount mRecentRouters{RouterCountOptions{}};
   Millis mStartedAt;
   UpstreamIntake mUpstreams;
   AnswerSizeMeter mAnswerSizes;
@@ -124,6 +130,7 @@
   LoadAggregator mLoads{LoadAggregatorOptions{}};
   CrashLedger mCrashes;
   CrashStore mCrashStore;
+  LimitStore mLimitStore;
   std::map<std::string, PeerControl> mPeerControls;  ///< By address.
   PeerRevisions mRevisions{PeerRevisionsOptions{}};
   std::string mReportedLeader;  ///< Leader of the newest reported term.
--- a/daemons/control/upstream_store.cpp
+++ b/daemons/control/upstream_store.cpp
@@ -1,9 +1,8 @@
 #include "daemons/control/upstream_store.h"
 
+#include "daemons/control/checked_file.h"
 #include "daemons/control/file_warning.h"
-#include "spindleweir/core/digest.h"
 #include "spindleweir/core/error.h"
-#include "spindleweir/drivers/file_tools.h"
 #include "spindleweir/servers/membership/upstream_table.h"
 
 namespace spindleweir {
@@ -11,11 +10,6 @@
 namespace {
 
 constexpr Millis kSaveInterval = 2000;
-constexpr char kDigestSeparator = ' ';
-
-std::string DigestOf(std::string_view aText) {
-  return std::to_string(FastHash(aText));
-}
 
 /// Returns the upstreams that may be used. Those that are leaving are not
 /// stored, so that a restart does not restore them.
@@ -33,16 +27,14 @@
 
 std::size_t UpstreamStore::Load(UpstreamRegistry& aRegistry, Millis aNow,
                                 const InvalidRowHook& aOnInvalidRow) const {
-  const std::string stored = ReadFile(mPath).value_or("");
-  const std::size_t n = stored.find(kDigestSeparator);
-  if (n == std::string::npos ||
-      stored.substr(0, n) != DigestOf(std::string_view(stored).substr(n + 1))) {
+  const std::optional<std::string> stored = ReadCheckedFile(mPath);
+  if (!stored.has_value()) {
     return 0;
   }
   std::size_t count = 0;
   try {
-    for (const UpstreamRecord& record : UnpackUpstreams(
-             std::string_view(stored).substr(n + 1), aOnInvalidRow)) {
+    for (const UpstreamRecord& record :
+         UnpackUpstreams(*stored, aOnInvalidRow)) {
       aRegistry.Merge(record, aNow);
       count++;
     }
@@ -61,8 +53,7 @@
   }
   mLastAttemptAt = aNow;
   mIsSaving = true;
-  const std::string text = PackUpstreams(ReadyUpstreams(aRegistry));
-  mReplace(mPath, DigestOf(text) + kDigestSeparator + text,
+  mReplace(mPath, WithDigest(PackUpstreams(ReadyUpstreams(aRegistry))),
            [this, revision](const std::optional<Error>& aError) {
              OnSaved(revision, aError);
            });
--- a/include/spindleweir/servers/limits/recent_limits.h
+++ b/include/spindleweir/servers/limits/recent_limits.h
@@ -1,5 +1,6 @@
 /// Limits that upstreams advertised a short time ago, as a control remembers
-/// them when no router reports them any more.
+/// them when no router reports them any more, and stores them for its next
+/// start.
 #pragma once
 
 #include <cstddef>
@@ -22,10 +23,14 @@
 };
 
 /// Routers that start learn of limits from the reports of others. If all of
-/// them end within a short time, only a control still knows of a limit. The
-/// class only decides; the time is passed to each call.
+/// them end within a short time, only a control still knows of a limit; if all
+/// controls end as well, only their disks. The class only decides; the time is
+/// passed to each call.
 class RecentLimits {
  public:
+  /// Limits by instance, in thousandths of a request per second.
+  using Thousandths = std::map<std::string, std::int64_t>;
+
   explicit RecentLimits(RecentLimitsOptions aOptions) : mOptions(aOptions) {}
 
   /// Remembers the limits in the reports of all routers, and adds those that
@@ -33,6 +38,11 @@
   void Apply(LoadShares& aReports, Millis aNow);
   /// Limits that were in force when they were last reported.
   std::size_t Count() const;
+  /// These limits, to be stored.
+  Thousandths InForce() const;
+  /// Remembers limits that an earlier process stored, as if they had been
+  /// reported now: how long ago they were is not known.
+  void Restore(const Thousandths& aStored, Millis aNow);
 
  private:
   struct Limit {
--- a/include/spindleweir/servers/routing/load_aggregator.h
+++ b/include/spindleweir/servers/routing/load_aggregator.h
@@ -115,7 +115,11 @@
                                              Millis aNow);
 
   /// Limits of upstreams that were reported a short time ago.
-  std::size_t RecentLimitCount() const { return mRecentLimits.Count(); }
+  const RecentLimits& RememberedLimits() const { return mRecentLimits; }
+  /// Remembers limits that an earlier process stored.
+  void RestoreLimits(const RecentLimits::Thousandths& aStored, Millis aNow) {
+    mRecentLimits.Restore(aStored, aNow);
+  }
 
  private:
   /// The last report of one router or one control.
--- a/servers/limits/recent_limits.cpp
+++ b/servers/limits/recent_limits.cpp
@@ -32,6 +32,23 @@
                     [](const auto& aItem) { return !aItem.second.mHasEnded; }));
 }
 
+RecentLimits::Thousandths RecentLimits::InForce() const {
+  Thousandths inForce;
+  for (const auto& [instance, limit] : mLimits) {
+    if (!limit.mHasEnded) {
+      inForce[instance] = limit.mThousandths;
+    }
+  }
+  return inForce;
+}
+
+void RecentLimits::Restore(const Thousandths& aStored, Millis aNow) {
+  for (const auto& [instance, thousandths] : aStored) {
+    mLimits.try_emplace(
+        instance, Limit{.mThousandths = thousandths, .mReportedAt = aNow});
+  }
+}
+
 void RecentLimits::Apply(LoadShares& aReports, Millis aNow) {
   std::erase_if(mLimits, [this, aNow](const auto& aItem) {
     return IsForgotten(aItem.second, aNow);
@@ -40,7 +57,10 @@
     Remember(report, aNow);
   }
   for (const auto& [instance, limit] : mLimits) {
-    if (limit.mHasEnded || limit.mReportedAt == aNow) {
+    const auto reported = aReports.find(instance);
+    const bool isReported =
+        reported != aReports.end() && reported->second.mLimitReporters > 0;
+    if (limit.mHasEnded || isReported) {
       continue;
     }
     LoadShare& share = aReports[instance];
--- a/tests/fuzz/limit_series_fuzz.cpp
+++ b/tests/fuzz/limit_series_fuzz.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -33,6 +34,10 @@
 constexpr Millis kCountRetention = 10000;
 /// A control that starts tells the number of the run before for so long.
 constexpr Millis kPreviousRunWindow = 3000;
+/// Between two writes of a control's file of limits.
+constexpr Millis kSaveInterval = 500;
+/// Of a write with its syncs.
+constexpr Millis kMaxWriteTime = 300;
 constexpr Millis kDemandPeriod = 2000;
 constexpr unsigned kPlays = 40;
 const std::string kUpstream = "a";
@@ -49,6 +54,7 @@
 enum class Defect {
   kNone,
   kControlsForgetLimits,  ///< Limits are known to running routers alone.
+  kDisksForgetLimits,     ///< Limits are known to running processes alone.
 };
 
 /// An answer of the upstream on its way to a router.
@@ -79,7 +85,12 @@
   std::unique_ptr<LoadAggregator> mLoads;
   Millis mStartedAt = 0;
   Millis mDownUntil = 0;
+  std::unique_ptr<RouterCount> mRecentRouters;
   int mPreviousRouters = 0;  ///< As the run before knew them, on its disk.
+  RecentLimits::Thousandths mFile;  ///< The limits on its disk.
+  std::optional<RecentLimits::Thousandths> mWriting;  ///< To be the file.
+  Millis mWrittenAt = 0;
+  Millis mSaveAt = 0;
 };
 
 /// Routers that report their loads to controls, and one upstream that always
@@ -87,7 +98,10 @@
 class Play {
  public:
   Play(unsigned aSeed, Troubles aTroubles, Defect aDefect = Defect::kNone)
-      : mRandom(aSeed), mTroubles(aTroubles), mDefect(aDefect) {
+      : mRandom(aSeed),
+        mDiskRandom(aSeed),
+        mTroubles(aTroubles),
+        mDefect(aDefect) {
     for (int i = 0; i < kRouters; i++) {
       StartRouter(i);
     }
@@ -103,6 +117,9 @@
       }
       DeliverAnswers();
       ExchangeLoads();
+      for (Control& control : mControls) {
+        SaveState(control);
+      }
       for (int i = 0; i < kRouters; i++) {
         Poll(i);
       }
@@ -157,6 +174,32 @@
       options.mRecentLimits.mRetention = 0;
     }
     aControl.mLoads = std::make_unique<LoadAggregator>(options);
+    aControl.mWriting.reset();
+    aControl.mSaveAt = aAt + kSaveInterval;
+    aControl.mRecentRouters =
+        std::make_unique<RouterCount>(RouterCountOptions{});
+    aControl.mRecentRouters->OnReport(aControl.mPreviousRouters, aAt);
+    aControl.mLoads->RestoreLimits(aControl.mFile, aAt);
+  }
+
+  /// What a control stores for its next start. One that is killed during a
+  /// write has the file of before.
+  void SaveState(Control& aControl) {
+    if (!IsRunning(aControl) || mDefect == Defect::kDisksForgetLimits) {
+      return;
+    }
+    if (aControl.mWriting.has_value() && mNow >= aControl.mWrittenAt) {
+      aControl.mFile = *std::exchange(aControl.mWriting, std::nullopt);
+    }
+    aControl.mRecentRouters->OnReport(RoutersKnownTo(aControl), mNow);
+    const RecentLimits::Thousandths limits =
+        aControl.mLoads->RememberedLimits().InForce();
+    const bool isDue = mNow >= aControl.mSaveAt;
+    if (isDue && !aControl.mWriting.has_value() && limits != aControl.mFile) {
+      aControl.mWriting = limits;
+      aControl.mWrittenAt = mNow + mDiskRandom.Time(kMaxWriteTime);
+      aControl.mSaveAt = mNow + kSaveInterval;
+    }
   }
 
   LimitDemand DemandOf(int aRouter) {
@@ -215,7 +258,7 @@
   }
 
   void KillControl(Control& aControl, Millis aLength) {
-    aControl.mPreviousRouters = RoutersKnownTo(aControl);
+    aControl.mPreviousRouters = aControl.mRecentRouters->Value();
     aControl.mDownUntil = mNow + aLength;
     StartControl(aControl, aControl.mDownUntil);
   }
@@ -330,6 +373,7 @@
   }
 
   PlayRandom mRandom;
+  PlayRandom mDiskRandom;
   Troubles mTroubles;
   Defect mDefect;
   std::array<Router, kRouters> mRouters;
@@ -369,9 +413,9 @@
   std::printf("most %d, used %.2f\n", most, used);
 }
 
-bool IsDetected(Defect aDefect) {
+bool IsDetected(Defect aDefect, Troubles aTroubles) {
   for (unsigned seed = 1; seed <= kPlays; seed++) {
-    Play play(seed, {.mRouters = true}, aDefect);
+    Play play(seed, aTroubles, aDefect);
     play.Run();
     if (play.MostInWindow() > kAllowed) {
       return true;
@@ -409,5 +453,6 @@
 }
 
 Test(limit_series_fuzz, planted_defects_are_detected) {
-  CHECK(IsDetected(Defect::kControlsForgetLimits));
+  CHECK(IsDetected(Defect::kControlsForgetLimits, {.mRouters = true}));
+  CHECK(IsDetected(Defect::kDisksForgetLimits, {.mStops = true}));
 }
--- a/tests/servers/recent_limits_test.cpp
+++ b/tests/servers/recent_limits_test.cpp
@@ -82,3 +82,21 @@
     CHECK(UnpackLoads(loads.PackedLocal(600).mText).empty());
   }
 }
+
+// A control that starts with all others knows limits from its disk only.
+Test(recent_limits, are_told_after_a_start_if_they_were_stored) {
+  RecentLimits before({.mRetention = 5000});
+  CHECK(LimitIn(before, Reported(2000), 0) == 2000);
+  RecentLimits limits({.mRetention = 5000});
+  limits.Restore(before.InForce(), 100);
+  SECTION("for a time, until routers have been answered") {
+    CHECK(LimitIn(limits, {}, 100) == 2000);
+    CHECK(LimitIn(limits, {}, 5100) == 2000);
+    CHECK(LimitIn(limits, {}, 5101) == 0);
+    CHECK(limits.InForce().empty());
+  }
+  SECTION("one that has ended is not stored") {
+    CHECK(LimitIn(limits, Ended(), 5200) == 0);
+    CHECK(limits.InForce().empty());
+  }
+}
