--- a/daemons/control/joined_services.cpp
+++ b/daemons/control/joined_services.cpp
@@ -146,7 +146,11 @@
   }
   TrafficConfiguration configuration;
   try {
-    configuration = mContext.mOptions.mDocuments.mRead(aDocument);
+    const DocumentProtocol& documents = mContext.mOptions.mDocuments;
+    configuration = documents.mRead(aDocument);
+    if (documents.mCheckNew) {
+      documents.mCheckNew(aDocument);
+    }
     CheckTrafficConfiguration(configuration);
   } catch (const Error& error) {
     LogLine(LogLevel::kWarning, "configuration_refused")
--- a/include/spindleweir/core/json_codec.h
+++ b/include/spindleweir/core/json_codec.h
@@ -61,6 +61,11 @@
       mObject[Json::StaticString(aName)] = std::move(value);
     }
   }
+  /// Omits an empty list, which restricts nothing.
+  template <class T>
+  void Restriction(const char* aName, std::vector<T>& aList) {
+    Sparse(aName, aList);
+  }
 
  private:
   static bool IsEmptyValue(const Json::Value& aValue) {
@@ -158,6 +163,17 @@
   void Sparse(const char* aName, T& aValue) {
     Field(aName, aValue);
   }
+  /// A list of what is allowed; without it all is. A strict reader refuses an
+  /// empty one, whose writer may mean that nothing is.
+  template <class T>
+  void Restriction(const char* aName, std::vector<T>& aList) {
+    Field(aName, aList);
+    if (mStrict && mObject.isMember(aName) && aList.empty()) {
+      throw Error(ResultCode::kBadField,
+                  FieldPath{mPath, aName}.Text() +
+                      " must list something, or be left out to allow all");
+    }
+  }
 
   /// If the reader is strict, throws kBadField for the first unknown field.
   void RejectUnknownFields() const;
--- a/include/spindleweir/daemons/traffic_protocols.h
+++ b/include/spindleweir/daemons/traffic_protocols.h
@@ -147,6 +147,9 @@
 struct DocumentProtocol {
   /// Throws kMalformedJson, kBadField or kBadConfiguration.
   std::function<TrafficConfiguration(std::string_view)> mRead;
+  /// Throws the same for a document that must not be accepted, although mRead
+  /// reads it: an earlier build may have accepted one like it. May be empty.
+  std::function<void(std::string_view)> mCheckNew;
 };
 
 }  // namespace spindleweir
--- a/include/spindleweir/servers/configuration/configuration.h
+++ b/include/spindleweir/servers/configuration/configuration.h
@@ -28,10 +28,10 @@
     aCodec.Required("name", mName);
     aCodec.Field("key", mKey);
     aCodec.Field("key_sha256", mKeySha256);
-    aCodec.Field("models", mModels);
-    aCodec.Field("services", mServices);
-    aCodec.Field("zones", mZones);
-    aCodec.Field("hardware", mHardware);
+    aCodec.Restriction("models", mModels);
+    aCodec.Restriction("services", mServices);
+    aCodec.Restriction("zones", mZones);
+    aCodec.Restriction("hardware", mHardware);
     aCodec.Field("max_concurrent", mMaximumConcurrent);
     aCodec.Field("requests_per_second", mRequestsPerSecond);
     aCodec.Field("weight", mWeight);
@@ -52,8 +52,8 @@
     aCodec.Required("name", mName);
     aCodec.Field("version", mVersion);
     aCodec.Required("layers", mLayers);
-    aCodec.Field("zones", mZones);
-    aCodec.Field("hardware", mHardware);
+    aCodec.Restriction("zones", mZones);
+    aCodec.Restriction("hardware", mHardware);
     aCodec.Field("share", mShare);
   }
 };
@@ -68,7 +68,7 @@
   void Fields(Codec& aCodec) {
     aCodec.Required("name", mName);
     aCodec.Field("repeatable", mRepeatable);
-    aCodec.Field("zones", mZones);
+    aCodec.Restriction("zones", mZones);
   }
 };
 
--- a/include/spindleweir/servers/routes/traffic_configuration.h
+++ b/include/spindleweir/servers/routes/traffic_configuration.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -239,6 +240,9 @@
   }
 };
 
+/// A host as routes match it: without its port, in lower case.
+std::string NormalizedHost(std::string_view aHost);
+
 /// Throws kBadConfiguration naming the first error: for example a route to an
 /// unknown service, two routes with one host and prefix, weights that add up to
 /// 0, a timeout of 0, or a key that two workspaces share.
--- a/servers/routes/route_table.cpp
+++ b/servers/routes/route_table.cpp
@@ -1,25 +1,9 @@
 #include "spindleweir/servers/routes/route_table.h"
 
 #include <algorithm>
-#include <cctype>
 
 namespace spindleweir {
 
-namespace {
-
-/// The host without its port, in lower case.
-std::string NormalizedHost(std::string_view aHost) {
-  const std::size_t colon = aHost.rfind(':');
-  std::string host(aHost.substr(0, colon));
-  std::transform(host.begin(), host.end(), host.begin(),
-                 [](unsigned char aByte) {
-                   return static_cast<char>(std::tolower(aByte));
-                 });
-  return host;
-}
-
-}  // namespace
-
 RouteTable::RouteTable(TrafficConfiguration aConfiguration)
     : mConfiguration(std::move(aConfiguration)) {
   for (const TrafficRoute& route : mConfiguration.mRoutes) {
--- a/servers/routes/traffic_configuration.cpp
+++ b/servers/routes/traffic_configuration.cpp
@@ -1,6 +1,7 @@
 #include "spindleweir/servers/routes/traffic_configuration.h"
 
 #include <algorithm>
+#include <cctype>
 #include <map>
 #include <set>
 
@@ -48,6 +49,19 @@
 
 }  // namespace
 
+std::string NormalizedHost(std::string_view aHost) {
+  const std::size_t colon = aHost.rfind(':');
+  // The colons of an IPv6 address stand in brackets.
+  const bool hasPort = colon != std::string_view::npos &&
+                       aHost.find(']', colon) == std::string_view::npos;
+  std::string host(hasPort ? aHost.substr(0, colon) : aHost);
+  std::transform(host.begin(), host.end(), host.begin(),
+                 [](unsigned char aByte) {
+                   return static_cast<char>(std::tolower(aByte));
+                 });
+  return host;
+}
+
 const AcceleratorKind* EngineProfile::FindKind(const std::string& aName) const {
   for (const AcceleratorKind& kind : mKinds) {
     if (kind.mName == aName) {
@@ -78,20 +92,22 @@
              "\": names must be unique and not empty");
     }
   }
-  std::set<std::string> places;
+  std::set<RoutePattern> patterns;
   for (const TrafficRoute& route : aConfiguration.mRoutes) {
     CheckRoute(aConfiguration, route);
-    if (!places.insert(route.mHost + route.mPrefix).second) {
+    const RoutePattern pattern{NormalizedHost(route.mHost), route.mPrefix};
+    if (!patterns.insert(pattern).second) {
       Reject("two routes match the host " + route.mHost + " and the prefix " +
              route.mPrefix);
     }
   }
-  std::map<std::string, std::string> owners;
+  // Names need not be unique: two of one name are two workspaces all the same.
+  std::map<std::string, const TrafficWorkspace*> owners;
   for (const TrafficWorkspace& workspace : aConfiguration.mWorkspaces) {
     for (const std::string& key : workspace.mKeys) {
-      const auto [it, fresh] = owners.emplace(key, workspace.mName);
-      if (!fresh && it->second != workspace.mName) {
-        Reject("workspaces " + it->second + " and " + workspace.mName +
+      const auto [it, fresh] = owners.emplace(key, &workspace);
+      if (!fresh && it->second != &workspace) {
+        Reject("workspaces " + it->second->mName + " and " + workspace.mName +
                " share a key");
       }
     }
--- a/tests/servers/configuration_test.cpp
+++ b/tests/servers/configuration_test.cpp
@@ -37,6 +37,41 @@
 
 }  // namespace
 
+/// Guards against a stated list of nothing taken for none: a workspace whose
+/// last zone an operator takes away could be processed in all of them.
+Test(configuration, an_intent_states_no_empty_restriction) {
+  const auto codeOf = [](const std::string& aText) {
+    return CodeThrownBy([&aText] { FromJson<Intent>(ParseJson(aText), true); });
+  };
+  for (const char* list : {"models", "services", "zones", "hardware"}) {
+    const std::string field = std::string("\"") + list + "\":";
+    CHECK(codeOf(R"({"workspaces":[{"name":"w",)" + field + "[]}]}") ==
+          ResultCode::kBadField);
+    CHECK(codeOf(R"({"workspaces":[{"name":"w",)" + field + "null}]}") ==
+          ResultCode::kBadField);
+    CHECK(codeOf(R"({"workspaces":[{"name":"w",)" + field + R"(["x"]}]})") ==
+          ResultCode::kOk);
+  }
+  CHECK(codeOf(R"({"models":[{"name":"m","layers":3,"zones":[]}]})") ==
+        ResultCode::kBadField);
+  CHECK(codeOf(R"({"models":[{"name":"m","layers":3,"hardware":[]}]})") ==
+        ResultCode::kBadField);
+  CHECK(codeOf(R"({"services":[{"name":"s","zones":[]}]})") ==
+        ResultCode::kBadField);
+  SECTION("one that is left out stays so on its way to other processes") {
+    const auto first =
+        FromJson<Intent>(ParseJson(R"({"workspaces":[{"name":"w"}]})"), true);
+    const std::string text = DumpJson(ToJson(first));
+    CHECK(codeOf(text) == ResultCode::kOk);
+    CHECK(text.find("zones") == std::string::npos);
+  }
+  SECTION("what an earlier build stored is read") {
+    const auto stored = FromJson<Intent>(
+        ParseJson(R"({"workspaces":[{"name":"w","zones":[]}]})"));
+    CHECK(stored.mWorkspaces[0].mZones.empty());
+  }
+}
+
 Test(configuration, a_plan_changes_nothing_until_it_is_confirmed) {
   ConfigurationMachine machine;
   int accepted = 0;
--- a/tests/servers/routes_test.cpp
+++ b/tests/servers/routes_test.cpp
@@ -68,6 +68,50 @@
   }
 }
 
+/// Guards against routes of which one hides the other: both match the same
+/// requests, though their hosts are written differently.
+Test(routes, two_ways_to_write_a_host_are_one_host) {
+  using Traffic = TrafficConfiguration;
+  constexpr ResultCode kRejected = ResultCode::kBadConfiguration;
+  for (const char* host : {"SHOP.example", "shop.example:80"}) {
+    CHECK(CodeOfCheck([host](Traffic& aConfiguration) {
+            aConfiguration.mRoutes[1].mHost = host;
+            aConfiguration.mRoutes[1].mPrefix = "/";
+          }) == kRejected);
+    CHECK(CodeOfCheck([host](Traffic& aConfiguration) {
+            aConfiguration.mRoutes[1].mHost = host;
+          }) == ResultCode::kOk);
+  }
+  SECTION("host and prefix are not run together") {
+    CHECK(CodeOfCheck([](Traffic& aConfiguration) {
+            aConfiguration.mRoutes[0].mHost = "h";
+            aConfiguration.mRoutes[0].mPrefix = "/x/";
+            aConfiguration.mRoutes[1].mHost = "h/x";
+            aConfiguration.mRoutes[1].mPrefix = "/";
+          }) == ResultCode::kOk);
+  }
+  SECTION("IPv6 addresses differ though they have colons") {
+    CHECK(CodeOfCheck([](Traffic& aConfiguration) {
+            aConfiguration.mRoutes[0].mHost = "[::1]";
+            aConfiguration.mRoutes[1].mHost = "[::2]";
+            aConfiguration.mRoutes[1].mPrefix = "/";
+          }) == ResultCode::kOk);
+    CHECK(NormalizedHost("[::1]:80") == "[::1]");
+  }
+}
+
+/// Guards against a key with two owners: the later one took it.
+Test(routes, two_workspaces_of_one_name_may_not_share_a_key) {
+  CHECK(CodeOfCheck([](TrafficConfiguration& aConfiguration) {
+          aConfiguration.mWorkspaces.push_back({"school", {"k2"}, 2});
+        }) == ResultCode::kBadConfiguration);
+  SECTION("one that lists a key twice has it") {
+    CHECK(CodeOfCheck([](TrafficConfiguration& aConfiguration) {
+            aConfiguration.mWorkspaces[0].mKeys = {"k1", "k1"};
+          }) == ResultCode::kOk);
+  }
+}
+
 Test(routes, the_longest_prefix_of_the_host_wins) {
   const RouteTable table(Configuration());
   CHECK(table.FindRoute("shop.example", "/orders/7")->mName == "orders");
