At the callers' door: what the standard asks of a server is done

Cause: the parser library lets versions, low statuses and blanks in names pass; headers that the protocol needs were dropped at a word of the other side; targets were matched as text only.

Change: the reader checks these; a target in absolute form becomes a path, its authority goes before Host; what the protocol needs, and Host, are never dropped. A path whose dot segments lead out of its route has no route: it must arrive unchanged, and an upstream that resolves it would answer what another route's callers need a key for. Within its route it goes on as it came.

Tests: http_message (three), stream (two), platform (two), routes (one).

--- a/core/result_code.cpp
+++ b/core/result_code.cpp
@@ -45,6 +45,8 @@
                    "The heartbeat cannot be read."},
     ResultCodeInfo{kUnknownService, "UnknownService", 404, Ran::kNo,
                    "The configuration in force has no such service."},
+    ResultCodeInfo{kHttpVersion, "HttpVersion", 505, Ran::kNo,
+                   "The request is not of HTTP/1."},
     ResultCodeInfo{kOverLimit, "OverLimit", 429, Ran::kNo,
                    "The workspace is over its limit."},
     ResultCodeInfo{kDeadlineTooShort, "DeadlineTooShort", 503, Ran::kNo,
--- a/drivers/http_message.cpp
+++ b/drivers/http_message.cpp
@@ -4,6 +4,7 @@
 #include <strings.h>
 
 #include <algorithm>
+#include <cctype>
 
 namespace spindleweir {
 
@@ -62,6 +63,34 @@
 
 }  // namespace
 
+bool ResolveTarget(RequestHead& aHead) {
+  constexpr std::string_view kScheme = "http://";
+  const std::string_view target = aHead.mTarget;
+  if (target.size() <= kScheme.size() ||
+      !SameHeaderName(target.substr(0, kScheme.size()), kScheme)) {
+    return target.starts_with('/');
+  }
+  const std::string_view rest = target.substr(kScheme.size());
+  const std::size_t n = std::min(rest.find_first_of("/?"), rest.size());
+  const std::string authority(rest.substr(0, n));
+  const bool isUsable =
+      !authority.empty() && authority.find('@') == std::string::npos;
+  if (!isUsable) {
+    return false;
+  }
+  std::string path(rest.substr(n));
+  if (!path.starts_with('/')) {
+    path.insert(0, 1, '/');
+  }
+  aHead.mTarget = std::move(path);
+  for (HttpHeader& header : aHead.mHeaders) {
+    if (SameHeaderName(header.mName, "Host")) {
+      header.mValue = authority;
+    }
+  }
+  return true;
+}
+
 bool IsConnectionHeader(const HttpHeaders& aHeaders, std::string_view aName) {
   constexpr std::string_view kNames[] = {
       "Connection",        "Keep-Alive", "Proxy-Connection", "TE",
@@ -71,6 +100,9 @@
       return true;
     }
   }
+  if (SameHeaderName(aName, "Host")) {
+    return false;
+  }
   for (const HttpHeader& header : aHeaders) {
     if (SameHeaderName(header.mName, "Connection") &&
         ListsName(header.mValue, aName)) {
@@ -80,6 +112,36 @@
   return false;
 }
 
+namespace {
+
+/// What http_parser's callback for the end of a head returns.
+constexpr int kReadsBody = 0;
+constexpr int kHasNoBody = 1;
+constexpr int kIsBad = 3;
+
+constexpr int kMinStatus = 100;
+
+/// Whether a name has the characters of a header's name only (RFC 9110, 5.6.2).
+/// http_parser lets blanks pass.
+bool IsToken(std::string_view aName) {
+  constexpr std::string_view kOthers = "!#$%&'*+-.^_`|~";
+  return !aName.empty() &&
+         std::all_of(aName.begin(), aName.end(),
+                     [kOthers](unsigned char aByte) {
+                       return std::isalnum(aByte) != 0 ||
+                              kOthers.find(static_cast<char>(aByte)) !=
+                                  std::string_view::npos;
+                     });
+}
+
+/// Removes blanks between a name and its colon.
+void TrimRight(std::string& aName) {
+  const std::size_t last = aName.find_last_not_of(" \t");
+  aName.erase(last == std::string::npos ? 0 : last + 1);
+}
+
+}  // namespace
+
 struct HttpMessageReader::Impl {
   explicit Impl(MessageSide aSide) {
     http_parser_init(&mParser, aSide == MessageSide::kRequests ? HTTP_REQUEST
@@ -123,6 +185,9 @@
   static int HandleHead(http_parser* aParser) {
     Impl& self = Of(aParser);
     self.mInBody = true;
+    if (!self.AcceptsHead()) {
+      return kIsBad;
+    }
     // Upgrades are not supported: the request is served as HTTP/1.1.
     aParser->upgrade = 0;
     self.mRequest.mMethod =
@@ -138,7 +203,26 @@
     self.mState = ReadState::kBody;
     // The parser would read a body by a Content-Length that such an answer may
     // state, and bytes that belong to no answer would be taken for it.
-    return hasNoBody ? 1 : 0;
+    return hasNoBody ? kHasNoBody : kReadsBody;
+  }
+
+  /// Checks what the parser lets pass. A blank before the colon hides a header
+  /// from one reader and not from the next, so that a request with one is bad
+  /// and an answer loses the blank (RFC 9112, 5.1).
+  bool AcceptsHead() {
+    mIsOtherVersion = mParser.http_major != 1;
+    if (mIsOtherVersion) {
+      return false;
+    }
+    if (!mIsRequest) {
+      for (HttpHeader& header : mHeaders) {
+        TrimRight(header.mName);
+      }
+      return static_cast<int>(mParser.status_code) >= kMinStatus;
+    }
+    return std::all_of(
+        mHeaders.begin(), mHeaders.end(),
+        [](const HttpHeader& aHeader) { return IsToken(aHeader.mName); });
   }
 
   static int HandleBody(http_parser* aParser, const char* aAt, std::size_t aN) {
@@ -186,6 +270,7 @@
   bool mInField = false;
   bool mInBody = false;
   bool mNoBody = false;
+  bool mIsOtherVersion = false;
   ReadState mState = ReadState::kHead;
   std::size_t mHeadBytes = 0;
   HttpHeaders mHeaders;
@@ -235,6 +320,10 @@
   return mImpl->mHeadBytes;
 }
 
+bool HttpMessageReader::IsOtherVersion() const {
+  return mImpl->mIsOtherVersion;
+}
+
 RequestHead& HttpMessageReader::Request() {
   return mImpl->mRequest;
 }
--- a/drivers/stream_connection.cpp
+++ b/drivers/stream_connection.cpp
@@ -315,7 +315,8 @@
   evbuffer_drain(bufferevent_get_input(mBuffer), n);
   const StreamServerLimits& limits = mServer.mOptions.mLimits;
   if (state == ReadState::kBad) {
-    Refuse(ResultCode::kMalformedHttp);
+    Refuse(mReader->IsOtherVersion() ? ResultCode::kHttpVersion
+                                     : ResultCode::kMalformedHttp);
     return;
   }
   if (state == ReadState::kHead) {
@@ -357,6 +358,7 @@
 void StreamConnection::Dispatch() {
   mTimer.reset();
   RequestHead head = std::move(mReader->Request());
+  const bool hasPath = ResolveTarget(head);
   mReader.reset();
   mExchange =
       std::make_shared<StreamExchange>(this, std::move(head), std::move(mBody));
@@ -367,8 +369,7 @@
     mMemory->SetHeld(BufferKind::kBody, exchange->Body().size());
   }
   const bool valid =
-      exchange->Head().mTarget.starts_with('/') &&
-      CountHeader(exchange->Head().mHeaders, "Host") == 1 &&
+      hasPath && CountHeader(exchange->Head().mHeaders, "Host") == 1 &&
       CountHeader(exchange->Head().mHeaders, "Authorization") <= 1;
   if (!valid) {
     mServer.mOptions.mRefuse(*exchange, ResultCode::kMalformedHttp);
--- a/drivers/stream_server.cpp
+++ b/drivers/stream_server.cpp
@@ -46,6 +46,8 @@
       return "Bad Gateway";
     case 503:
       return "Service Unavailable";
+    case 505:
+      return "HTTP Version Not Supported";
     case 504:
       return "Gateway Timeout";
     default:
--- a/include/spindleweir/core/result_code.h
+++ b/include/spindleweir/core/result_code.h
@@ -34,6 +34,7 @@
   kBadConfiguration = 1015,
   kBadHeartbeat = 1016,
   kUnknownService = 1017,
+  kHttpVersion = 1018,
   kOverLimit = 2001,
   kDeadlineTooShort = 2002,
   kNoUpstream = 2003,
--- a/include/spindleweir/drivers/http_message.h
+++ b/include/spindleweir/drivers/http_message.h
@@ -31,7 +31,7 @@
 /// ends with its head, whatever its headers state.
 bool MayHaveBody(int aStatus);
 /// Whether a header is hop-by-hop and not forwarded: Connection, the headers
-/// that it lists, and the framing.
+/// that it lists, and the framing. Host never is.
 bool IsConnectionHeader(const HttpHeaders& aHeaders, std::string_view aName);
 
 /// The head of a request.
@@ -43,6 +43,11 @@
   int mMinor = 1;  ///< HTTP/1.mMinor.
 };
 
+/// Turns a target in absolute form, http://AUTHORITY/PATH, into PATH, and
+/// replaces the value of Host with the authority, which has precedence. Returns
+/// whether the target is a path then.
+bool ResolveTarget(RequestHead& aHead);
+
 /// The head of an answer.
 struct AnswerHead {
   int mStatus = 0;
@@ -58,7 +63,7 @@
   kHead,      ///< The head is not complete.
   kBody,      ///< The head is complete.
   kComplete,  ///< The message is complete.
-  kBad,       ///< The bytes are not HTTP.
+  kBad,       ///< The bytes are not HTTP/1.
 };
 
 /// Parses one message.
@@ -76,6 +81,8 @@
 
   ReadState State() const;
   std::size_t HeadBytes() const;
+  /// The message is bad since it is of another version than HTTP/1.
+  bool IsOtherVersion() const;
   /// The heads are valid once State() is past kHead.
   RequestHead& Request();
   AnswerHead& Answer();
--- a/include/spindleweir/servers/routes/route_table.h
+++ b/include/spindleweir/servers/routes/route_table.h
@@ -21,7 +21,8 @@
   std::int64_t Version() const { return mConfiguration.mVersion; }
 
   /// The route of the host (without its port) with the longest prefix of the
-  /// target's path; nullptr if there is none.
+  /// target's path; nullptr if there is none, or if the path leads to another
+  /// one once its dot segments are resolved.
   const TrafficRoute* FindRoute(std::string_view aHost,
                                 std::string_view aTarget) const;
   /// The workspace of a key; nullptr if there is none.
--- a/servers/routes/route_table.cpp
+++ b/servers/routes/route_table.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "spindleweir/servers/routes/dot_segments.h"
+
 namespace spindleweir {
 
 RouteTable::RouteTable(TrafficConfiguration aConfiguration)
@@ -34,13 +36,21 @@
   if (it == mByHost.end()) {
     return nullptr;
   }
+  const auto longest = [&routes = it->second](std::string_view aPath) {
+    const auto found = std::find_if(routes.begin(), routes.end(),
+                                    [aPath](const TrafficRoute* aRoute) {
+                                      return aPath.starts_with(aRoute->mPrefix);
+                                    });
+    return found == routes.end() ? nullptr : *found;
+  };
   const std::string_view path = aTarget.substr(0, aTarget.find('?'));
-  for (const TrafficRoute* route : it->second) {
-    if (path.starts_with(route->mPrefix)) {
-      return route;
-    }
+  const TrafficRoute* route = longest(path);
+  if (!HasDotSegments(path)) {
+    return route;
   }
-  return nullptr;
+  // The path goes on as it came. An upstream that resolves it would answer what
+  // another route's callers need a key for.
+  return longest(WithoutDotSegments(path)) == route ? route : nullptr;
 }
 
 const TrafficWorkspace* RouteTable::FindWorkspace(
--- a/tests/drivers/http_message_test.cpp
+++ b/tests/drivers/http_message_test.cpp
@@ -63,6 +63,23 @@
           ReadState::kBad);
     CHECK(RequestState("nonsense\r\n\r\n") == ReadState::kBad);
   }
+  SECTION("a blank before the colon hides a header from some readers") {
+    CHECK(RequestState("GET / HTTP/1.1\r\nX-A : 1\r\n\r\n") == ReadState::kBad);
+    CHECK(RequestState("GET / HTTP/1.1\r\nX A: 1\r\n\r\n") == ReadState::kBad);
+    CHECK(RequestState("GET / HTTP/1.1\r\nX-A: 1\r\n\r\n") ==
+          ReadState::kComplete);
+  }
+  SECTION("other versions are refused as such") {
+    for (const char* version : {"2.0", "0.9", "3.0"}) {
+      HttpMessageReader reader(MessageSide::kRequests);
+      reader.Read(std::string("GET / HTTP/") + version + "\r\n\r\n");
+      CHECK(reader.State() == ReadState::kBad);
+      CHECK(reader.IsOtherVersion());
+    }
+    HttpMessageReader later(MessageSide::kRequests);
+    later.Read("GET / HTTP/1.2\r\n\r\n");
+    CHECK(later.State() == ReadState::kComplete);
+  }
   SECTION("a truncated chunk is not complete") {
     CHECK(RequestState("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
                        "5\r\nab") == ReadState::kBody);
@@ -90,6 +107,19 @@
                   "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") ==
           ReadState::kComplete);
   }
+  SECTION("a status below 100 is none") {
+    for (const char* status : {"99", "099", "0", "000"}) {
+      CHECK(StateOf(MessageSide::kAnswers,
+                    std::string("HTTP/1.1 ") + status +
+                        " X\r\nContent-Length: 0\r\n\r\n") == ReadState::kBad);
+    }
+  }
+  SECTION("an answer loses a blank before the colon") {
+    HttpMessageReader reader(MessageSide::kAnswers);
+    reader.Read("HTTP/1.1 200 OK\r\nX-A : 1\r\nContent-Length: 0\r\n\r\n");
+    CHECK(reader.State() == ReadState::kComplete);
+    CHECK(reader.Answer().mHeaders[0].mName == "X-A");
+  }
   SECTION("bytes that are not HTTP are bad") {
     CHECK(StateOf(MessageSide::kAnswers, "\x16\x03garbage\r\n\r\n") ==
           ReadState::kBad);
@@ -129,4 +159,26 @@
   CHECK(IsConnectionHeader(headers, "x-hop"));
   CHECK(IsConnectionHeader(headers, "Transfer-Encoding"));
   CHECK(!IsConnectionHeader(headers, "X-End"));
+  CHECK(!IsConnectionHeader({{"Connection", "Host"}}, "Host"));
+}
+
+/// Guards against a target in absolute form that was refused, though a server
+/// must take it.
+Test(http_message, the_authority_of_a_target_goes_before_host) {
+  const auto resolve = [](const std::string& aTarget) {
+    RequestHead head{.mTarget = aTarget, .mHeaders = {{"Host", "old"}}};
+    const bool hasPath = ResolveTarget(head);
+    return hasPath ? head.mHeaders[0].mValue + " " + head.mTarget : "";
+  };
+  CHECK(resolve("/a?b") == "old /a?b");
+  CHECK(resolve("http://new/a?b") == "new /a?b");
+  CHECK(resolve("HTTP://new:80/a") == "new:80 /a");
+  CHECK(resolve("http://new") == "new /");
+  CHECK(resolve("http://new?b") == "new /?b");
+  SECTION("what is no path and no such form is refused") {
+    for (const char* target : {"", "*", "a", "http://", "http:///a",
+                               "http://user@new/a", "https://new/a"}) {
+      CHECK(resolve(target).empty());
+    }
+  }
 }
--- a/tests/drivers/stream_test.cpp
+++ b/tests/drivers/stream_test.cpp
@@ -429,6 +429,15 @@
                    "Authorization: Bearer a\r\nAuthorization: Bearer b\r\n"
                    "\r\n") == "HTTP/1.1 400");
   }
+  SECTION("another version, or a blank before a colon") {
+    CHECK(statusOf("GET / HTTP/2.0\r\nHost: h\r\n\r\n") == "HTTP/1.1 505");
+    CHECK(statusOf("GET / HTTP/1.1\r\nHost: h\r\nX : 1\r\n\r\n") ==
+          "HTTP/1.1 400");
+  }
+  SECTION("a target in absolute form for no host") {
+    CHECK(statusOf("GET http:///x HTTP/1.1\r\nHost: h\r\n"
+                   "Connection: close\r\n\r\n") == "HTTP/1.1 400");
+  }
   SECTION("too large a head or a body") {
     CHECK(statusOf("GET / HTTP/1.1\r\nX: " + std::string(3000, 'x')) ==
           "HTTP/1.1 431");
@@ -439,6 +448,19 @@
   CHECK(server.mHandled == 0);
 }
 
+Test(stream, a_target_in_absolute_form_is_served) {
+  Server server;
+  server.mHandle = [](StreamExchange& aExchange) {
+    aExchange.Reply(200, {},
+                    aExchange.Head().mTarget + " " +
+                        *FindHeader(aExchange.Head().mHeaders, "Host"));
+  };
+  CHECK(server
+            .Raw("GET http://shop/x?y HTTP/1.1\r\nHost: other\r\n"
+                 "Connection: close\r\n\r\n")
+            .ends_with("\r\n\r\n/x?y shop"));
+}
+
 Test(stream, requests_on_one_connection_are_answered_in_turn) {
   Server server;
   server.mHandle = [](StreamExchange& aExchange) {
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -170,6 +170,47 @@
   CHECK(deadline("soon") == 0);
 }
 
+/// Guards against a key that is refused for the way its scheme is written.
+Test(platform, the_scheme_of_a_key_is_in_any_case) {
+  const auto key = [](const char* aText) {
+    RequestHead head = Head();
+    for (HttpHeader& header : head.mHeaders) {
+      if (header.mName == "Authorization") {
+        header.mValue = aText;
+      }
+    }
+    return CallerHeaders().mReadRequest(head).mKey;
+  };
+  CHECK(key("Bearer k") == "k");
+  CHECK(key("bearer k") == "k");
+  CHECK(key("BEARER   k") == "k");
+  for (const char* none :
+       {"", "Bearer", "Bearer ", "Basic k", "Bearerk", "k"}) {
+    CHECK(key(none).empty());
+  }
+}
+
+/// Guards against headers that the protocol needs, dropped since a Connection
+/// header lists them: the request was refused by each upstream for its missing
+/// id, and an answer came without its seal.
+Test(platform, a_connection_header_takes_no_needed_header_away) {
+  const CallerProtocol protocol = CallerHeaders();
+  RequestHead head = Head();
+  head.mHeaders.push_back(
+      {"Connection", "Spindleweir-Request-Id, host, X-Other"});
+  const HttpHeaders sent = protocol.mWriteRequest(head, {.mInstance = "i-1"});
+  CHECK(ValueOf(sent, "Spindleweir-Request-Id") == "9c41");
+  CHECK(ValueOf(sent, "Host") != "(none)");
+  CHECK(ValueOf(sent, "X-Other") == "(none)");
+  const HttpHeaders answer = protocol.mWriteAnswer(
+      {.mStatus = 200,
+       .mHeaders = {{"Connection", "Spindleweir-Response-Seal, X-Other"},
+                    {"Spindleweir-Response-Seal", "s"},
+                    {"X-Other", "1"}}});
+  CHECK(ValueOf(answer, "Spindleweir-Response-Seal") == "s");
+  CHECK(ValueOf(answer, "X-Other") == "(none)");
+}
+
 Test(platform, headers_of_requests_and_answers) {
   const CallerProtocol protocol = CallerHeaders();
   const RequestFacts facts = protocol.mReadRequest(Head());
--- a/tests/servers/routes_test.cpp
+++ b/tests/servers/routes_test.cpp
@@ -124,6 +124,37 @@
   CHECK(table.FindWorkspace("") == nullptr);
 }
 
+/// Guards against a public route as the way to another one: an upstream that
+/// resolves dot segments answered what needs a key.
+Test(routes, a_path_does_not_lead_out_of_its_route) {
+  TrafficConfiguration configuration = Configuration();
+  configuration.mRoutes = {Route("open", "/open/"),
+                           Route("orders", "/orders/")};
+  const RouteTable table(configuration);
+  const auto route = [&table](const char* aTarget) {
+    const TrafficRoute* found = table.FindRoute("shop.example", aTarget);
+    return found == nullptr ? std::string() : found->mName;
+  };
+  for (const char* target :
+       {"/open/../orders/7", "/open/%2e%2E/orders/7", "/open/.%2e/orders/7",
+        "/open/x/../../orders/7", "/open/..", "/open/../open/../orders/",
+        "/open/../../../etc"}) {
+    CHECK(route(target).empty());
+  }
+  SECTION("within its route it may") {
+    for (const char* target : {"/open/x/../y", "/open/./x", "/open/../open/x",
+                               "/open/x/%2e%2e", "/open/?/../orders/"}) {
+      CHECK(route(target) == "open");
+    }
+  }
+  SECTION("segments with other characters are none") {
+    for (const char* target :
+         {"/open/...", "/open/..x", "/open/.x/y", "/open/%2ex", "/open/%2"}) {
+      CHECK(route(target) == "open");
+    }
+  }
+}
+
 // A request without a key ran in a workspace that holds an empty one.
 Test(routes, an_empty_key_admits_no_request) {
   TrafficConfiguration configuration = Configuration();
