--- a/servers/membership/voter_plan.cpp
+++ b/servers/membership/voter_plan.cpp
@@ -91,6 +91,10 @@
 
 /// Whether the running voters are a majority beside one that joins.
 bool CanTakeOneMore(const VoterPlanInput& aInput) {
+  if (aInput.mVoters.size() == 1) {
+    // It has no other way to grow.
+    return true;
+  }
   // A majority must not depend on the one that joins.
   return IsMajority(RunningVoters(aInput), aInput.mVoters.size() + 1);
 }
--- a/tests/servers/retry_pool_test.cpp
+++ b/tests/servers/retry_pool_test.cpp
@@ -228,6 +228,38 @@
   }
 }
 
+/// Guards against shares that add up to more than the limit: two voters that
+/// were removed grant on until they miss their leader, and a control that
+/// starts assumes that one was removed.
+Test(pool_share, shares_add_up_to_one_though_two_voters_were_removed) {
+  std::vector<PoolShare> shares(kControls,
+                                ShareOfStart(kNow, PreviousGrants::kRecorded));
+  constexpr Millis kSettled = 60000;
+  const auto update = [&shares](std::size_t aWhich, int aVoters, Millis aNow) {
+    shares[aWhich].Update(
+        {.mVoters = aVoters, .mIsVoter = true, .mHasLeaderContact = true},
+        aNow);
+  };
+  for (Millis now = kNow; now < kNow + kSettled; now += 100) {
+    for (std::size_t i = 0; i < kControls; i++) {
+      update(i, kControls, now);
+    }
+  }
+  const Millis removed = kNow + kSettled;
+  for (std::size_t i = 0; i < kControls - 2; i++) {
+    update(i, kControls - 2, removed);
+  }
+  shares[0] = PoolShare({.mStartedAt = removed + 1000,
+                         .mPrevious = PreviousGrants::kRecorded,
+                         .mGrantRetention = kRetention});
+  double sum = 0;
+  update(0, kControls - 2, removed + 1000);
+  for (const PoolShare& share : shares) {
+    sum += share.Value(removed + 1000);
+  }
+  CHECK_FOUND(sum <= 1.0001, std::to_string(sum));
+}
+
 Test(credit_sources, ask_each_control_before_one_is_asked_again) {
   const Endpoint near{"10.0.0.1", 1};
   const Endpoint far{"10.0.0.2", 1};
--- a/tests/servers/voters_test.cpp
+++ b/tests/servers/voters_test.cpp
@@ -278,3 +278,38 @@
   CHECK(input.mVoters.size() == 3);
   CHECK(SurvivesZoneLoss(input.mVoters, directory));
 }
+
+/// Guards against fewer voters than as many disks as may be lost at once need,
+/// where most controls stand in one zone and no zone need be survived.
+Test(voters, grow_to_what_lost_disks_need_though_most_stand_in_one_zone) {
+  ControlDirectory directory = Fleet(3, 1);
+  directory.OnSeen(InfoOf(1, 2), kNow);
+  directory.OnSeen(InfoOf(1, 3), kNow);
+  VoterPlanInput input =
+      InputOf(directory, {IdOf(1, 1), IdOf(2, 1), IdOf(3, 1)});
+  input.mTolerated = 2;
+  CHECK(AtRest(input).size() == 5);
+}
+
+/// Guards against a single voter that stays alone beside candidates.
+Test(voters, grow_from_a_single_one) {
+  const ControlDirectory directory = Fleet(3, 1);
+  CHECK(AtRest(InputOf(directory, {IdOf(1, 1)})).size() == 3);
+}
+
+/// Guards against a single voter whose planned successor never takes over: both
+/// of two were needed, and one was gone.
+Test(voters, a_single_one_hands_over_to_its_successor) {
+  ControlDirectory directory = Fleet(1, 2);
+  ControlInfo old = InfoOf(1, 1);
+  old.mIsStopping = true;
+  directory.OnSeen(old, kNow);
+  VoterPlanInput input = InputOf(directory, {IdOf(1, 1)});
+  CHECK(!MayStop(input));
+  input.mVoters = NextVoters(input);
+  CHECK(input.mVoters.size() == 2);
+  CHECK(!MayStop(input));
+  input.mVoters = NextVoters(input);
+  CHECK(input.mVoters == std::vector<std::string>{IdOf(1, 2)});
+  CHECK(MayStop(input));
+}
