--- a/core/json_text.cpp
+++ b/core/json_text.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <cstdlib>
 #include <string>
 
 #include "spindleweir/core/error.h"
