A test of a cut-off router that no other VM helps, listed red: it blames its upstreams

cut_off_vm/does_not_blame_the_upstreams failed three times beside load: reports and a crash where there is none. By reading, the router asks other VMs to probe; where none answers within 0.25 s, it believes itself if it connected to any upstream within the last 0.5 s, which may have been before the cut.

What it needs is a proof of its own, by connecting to another upstream.

--- a/tests/daemons/cut_off_vm_test.cpp
+++ b/tests/daemons/cut_off_vm_test.cpp
@@ -24,6 +24,7 @@
 /// Two routers, one of which can be cut off from the upstreams.
 struct CutOffVm {
   explicit CutOffVm(const std::string& aZone = "z") : mFixture(kLongWarmUp) {
+    mForwarder = mFixture.mForwarding.Text();
     mRouter = mFixture.MakeRouter("cut", mCut.Hook(), aZone);
   }
 
@@ -77,6 +78,7 @@
 
   RelayFixture mFixture;
   LinkCut mCut;
+  std::string mForwarder;  ///< Where the other router forwards calls.
   std::unique_ptr<RelayRouter> mRouter;
 };
 
@@ -295,6 +297,33 @@
   }
 }
 
+/// Guards against a connection from before the cut as the proof that a router
+/// has its links: where no other VM answered in time, it blamed the upstreams.
+Test(cut_off_vm, does_not_blame_the_upstreams_though_no_other_vm_answers) {
+  for (const CutMode mode : {CutMode::kHang, CutMode::kReset}) {
+    CutOffVm vm;
+    vm.BeginEngines();
+    vm.mFixture.mA.QueueActions({UpstreamAction::kSlowStream});
+    vm.mFixture.mB.QueueActions({UpstreamAction::kSlowStream});
+    const auto stream =
+        vm.mFixture.OpenAt(*vm.mRouter, {.mTarget = "/stream/x", .mId = "s"});
+    REQUIRE(vm.mFixture.RunUntil(
+        [&stream] { return !stream->mAnswer.mBody.empty(); }));
+    std::set<std::string> cut = vm.Upstreams();
+    cut.insert(vm.mForwarder);
+    vm.mCut.Cut(mode, cut);
+    std::int64_t reports = 0;
+    for (int i = 0; i < 10; i++) {
+      vm.mFixture.Wait(100);
+      reports += UnreachableReports(vm.mFixture);
+    }
+    SECTION("it reports none as unreachable, and none as crashed") {
+      CHECK(reports == 0);
+      CHECK(vm.mRouter->OwnCounters().Value("crashes_seen") == 0);
+    }
+  }
+}
+
 Test(cut_off_vm, calls_upstreams_itself_once_its_links_are_back) {
   CutOffVm vm;
   vm.CutOff(CutMode::kHang);
