Voters grow to what tolerated disks need, though a zone then holds most

Five controls as 3 + 1 + 1 where two disks may be lost at once stayed at three voters, since the rule for zones went before that for disks: two lost disks then take what was acknowledged.

Change: below the number of voters that the tolerated disks need, a pair joins whatever its zones, and no voter is removed for its zone. What a lost disk alone held is lost; a lost zone comes back with its disks, and the users' pages call a core of which most is gone unstable. Above that number nothing changes.

--- a/include/spindleweir/servers/membership/voter_plan.h
+++ b/include/spindleweir/servers/membership/voter_plan.h
@@ -49,7 +49,8 @@
 /// - Candidates join if the number is even, or in pairs up to the maximum, so
 ///   that it becomes odd; those of the zone with the fewest voters join first.
 ///   No pair joins if it gives one zone so many voters that its loss would end
-///   the majority, or if too few voters run to be a majority without the pair.
+///   the majority, unless mTolerated requires it, or if too few voters run to
+///   be a majority without the pair.
 /// - Where a zone has too many, a candidate of another zone joins, then one of
 ///   its voters is removed.
 std::vector<std::string> NextVoters(const VoterPlanInput& aInput);
--- a/servers/membership/voter_plan.cpp
+++ b/servers/membership/voter_plan.cpp
@@ -105,6 +105,12 @@
   return running > 0 && IsMajority(running - 1, aInput.mVoters.size() - 1);
 }
 
+/// The number of voters below which none is removed without a substitute: as
+/// many disks as may be lost at once leave a majority of them.
+std::size_t MinVoters(const VoterPlanInput& aInput) {
+  return std::max(kMinVoters, 2 * aInput.mTolerated + 1);
+}
+
 /// Whether a pair of candidates should join an odd number of voters.
 bool PairCanJoin(const VoterPlanInput& aInput, const VoterIds& aCandidates) {
   const std::size_t n = aInput.mVoters.size();
@@ -112,6 +118,11 @@
   if (!hasRoom || !CanTakeOneMore(aInput)) {
     return false;
   }
+  if (n < MinVoters(aInput)) {
+    // A disk that is lost loses what it alone held. A zone that is lost comes
+    // back with its disks.
+    return true;
+  }
   const ControlDirectory& directory = *aInput.mDirectory;
   const VoterIds withOne =
       WithBestCandidate(aInput.mVoters, aCandidates, directory);
@@ -155,12 +166,6 @@
          counts[ZoneOf(directory, moved)];
 }
 
-/// The number of voters below which none is removed without a substitute: as
-/// many disks as may be lost at once leave a majority of them.
-std::size_t MinVoters(const VoterPlanInput& aInput) {
-  return std::max(kMinVoters, 2 * aInput.mTolerated + 1);
-}
-
 /// A voter that an odd number of voters is better off without, though nobody
 /// takes its place; empty: none.
 std::string VoterToDrop(const VoterPlanInput& aInput, const VoterIds& aLost,
@@ -221,8 +226,10 @@
   if (!ready.empty() && voters.size() < aInput.mMaxVoters) {
     joined = Joined(aInput, ready);
   }
-  if (canShrink && canSpare && !SurvivesZoneLoss(voters, directory) &&
-      !SurvivesZoneLoss(joined, directory)) {
+  const bool isZoneRuleDue = canSpare && voters.size() > MinVoters(aInput) &&
+                             !SurvivesZoneLoss(voters, directory) &&
+                             !SurvivesZoneLoss(joined, directory);
+  if (isZoneRuleDue) {
     VoterIds moved = Without(voters, VoterOfLargestZone(aInput));
     if (joined == voters || SurvivesZoneLoss(moved, directory)) {
       return moved;
