A control keeps among how many voters the retries were divided

Two of five voters removed within 5 s beside a control that starts: it assumed that one was removed lately, and the shares of all added up to 1.05 of the limit.

Cause: the number of voters before the start was in memory only. Change: it is recorded with what was granted, kept for as long as grants count, and a control that starts divides by it and one more, as before; where an earlier build recorded none, by the most that a deployment has. Nobody's share grows by this.

ShareOfStart of the test states the record that a real start has; the start without one has a section of its own. The fuzz of the limit records it likewise.

--- a/daemons/control/retry_service.cpp
+++ b/daemons/control/retry_service.cpp
@@ -30,10 +30,12 @@
       mStartedAt(SteadyNow()),
       mShare({.mStartedAt = mStartedAt,
               .mPrevious = PreviousStart(),
+              .mPreviousVoters =
+                  mInherited.value_or(RetryStore::Content()).mVoters,
               .mGrantRetention =
                   RetryGrantRetention(aContext.mOptions.mRetries)}) {
-  for (const auto& [service, retries] :
-       mInherited.value_or(RetryStore::Numbers())) {
+  mRecordedVoters = mInherited.value_or(RetryStore::Content()).mVoters;
+  for (const auto& [service, retries] : InheritedNumbers()) {
     PoolOf(service);
   }
   PoolOf(kNewServices);
@@ -53,6 +55,11 @@
                                 : PreviousGrants::kUnknown;
 }
 
+const RetryStore::Numbers& RetryService::InheritedNumbers() const {
+  static const RetryStore::Numbers none;
+  return mInherited.has_value() ? mInherited->mNumbers : none;
+}
+
 double RetryService::Share() {
   const Millis now = SteadyNow();
   mShare.Update(mHooks.mVoters(), now);
@@ -64,7 +71,7 @@
   if (it != mPools.end()) {
     return it->second;
   }
-  const RetryStore::Numbers stored = mInherited.value_or(RetryStore::Numbers());
+  const RetryStore::Numbers& stored = InheritedNumbers();
   const bool hasOwn = stored.contains(aService);
   const auto known = stored.find(hasOwn ? aService : kNewServices);
   const int inherited = known == stored.end() ? 0 : known->second;
@@ -86,7 +93,9 @@
 void RetryService::RecordIfDue() {
   const double share = Share();
   const Millis now = SteadyNow();
+  const int voters = mShare.RecentVoters();
   const bool isDue =
+      voters != mRecordedVoters ||
       std::any_of(mPools.begin(), mPools.end(), [share, now](auto& aItem) {
         return aItem.second.NeedsRecord(share, now);
       });
@@ -95,14 +104,18 @@
   if (!isDue || isDelayed || mIsRecording) {
     return;
   }
-  RetryStore::Numbers numbers;
+  RetryStore::Content content{.mNumbers = {}, .mVoters = voters};
   for (auto& [service, pool] : mPools) {
-    numbers[service] = pool.BeginRecord(share, now);
+    content.mNumbers[service] = pool.BeginRecord(share, now);
   }
   mIsRecording = true;
-  mStore.Save(numbers, [this, numbers](bool aIsDurable) {
+  mRecordedVoters = voters;
+  mStore.Save(content, [this, content](bool aIsDurable) {
     mIsRecording = false;
-    for (const auto& [service, number] : numbers) {
+    if (!aIsDurable) {
+      mRecordedVoters = 0;
+    }
+    for (const auto& [service, number] : content.mNumbers) {
       PoolOf(service).EndRecord(aIsDurable);
     }
     mWriteFailedAt = aIsDurable ? -1 : SteadyNow();
--- a/daemons/control/retry_service.h
+++ b/daemons/control/retry_service.h
@@ -39,6 +39,7 @@
   /// This control's present share of each pool.
   double Share();
   PreviousGrants PreviousStart() const;
+  const RetryStore::Numbers& InheritedNumbers() const;
   RetryPool& PoolOf(const std::string& aService);
   /// Adds pools of new services, and records what is to be granted.
   void Step();
@@ -49,10 +50,11 @@
   RetryServiceHooks mHooks;
   RetryStore mStore;
   /// What the process before has recorded; none: not known.
-  std::optional<RetryStore::Numbers> mInherited;
+  std::optional<RetryStore::Content> mInherited;
   Millis mStartedAt;
   PoolShare mShare;
   std::map<std::string, RetryPool> mPools;  ///< By service.
+  int mRecordedVoters = 0;                  ///< On disk, or being written.
   bool mIsRecording = false;
   Millis mWriteFailedAt = -1;  ///< -1: the last write succeeded.
   std::unique_ptr<Timer> mStepTimer;
--- a/daemons/control/retry_store.cpp
+++ b/daemons/control/retry_store.cpp
@@ -1,5 +1,6 @@
 #include "daemons/control/retry_store.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -26,40 +27,42 @@
 /// Content of the file.
 struct StoredNumbers {
   std::vector<StoredNumber> mItems;
+  int mVoters = 0;
 
   template <class Codec>
   void Fields(Codec& aCodec) {
     aCodec.Required("granted", mItems);
+    aCodec.Sparse("voters", mVoters);
   }
 };
 
 }  // namespace
 
-std::optional<RetryStore::Numbers> RetryStore::Load() const {
+std::optional<RetryStore::Content> RetryStore::Load() const {
   const std::optional<std::string> text = ReadFile(mPath);
   if (!text.has_value()) {
     return std::nullopt;
   }
   try {
-    Numbers numbers;
-    for (const StoredNumber& item :
-         FromJson<StoredNumbers>(ParseJson(*text)).mItems) {
+    const auto stored = FromJson<StoredNumbers>(ParseJson(*text));
+    Content content{.mNumbers = {}, .mVoters = std::max(0, stored.mVoters)};
+    for (const StoredNumber& item : stored.mItems) {
       if (item.mRetries < 0) {
         return std::nullopt;
       }
-      numbers[item.mService] = item.mRetries;
+      content.mNumbers[item.mService] = item.mRetries;
     }
-    return numbers;
+    return content;
   } catch (const Error& error) {
     LogFileWarning("retries_unreadable", error);
     return std::nullopt;
   }
 }
 
-void RetryStore::Save(const Numbers& aNumbers,
+void RetryStore::Save(const Content& aContent,
                       std::function<void(bool)> aDone) {
-  StoredNumbers stored;
-  for (const auto& [service, retries] : aNumbers) {
+  StoredNumbers stored{.mItems = {}, .mVoters = aContent.mVoters};
+  for (const auto& [service, retries] : aContent.mNumbers) {
     stored.mItems.push_back({.mService = service, .mRetries = retries});
   }
   mReplace(mPath, DumpJson(ToJson(stored)),
--- a/include/spindleweir/servers/limits/pool_share.h
+++ b/include/spindleweir/servers/limits/pool_share.h
@@ -23,6 +23,11 @@
 struct PoolShareOptions {
   Millis mStartedAt = 0;
   PreviousGrants mPrevious = PreviousGrants::kUnknown;
+  /// The greatest number of voters that the process before knew of lately; 0:
+  /// not known.
+  int mPreviousVoters = 0;
+  /// No deployment has more voters.
+  int mMaxVoters = 7;
   /// For how long what is granted counts.
   Millis mGrantRetention = 10000;
   /// A voter goes on granting for so long without a leader: elections take
@@ -36,8 +41,9 @@
 /// - a control that starts without knowing what it granted waits until all that
 ///   has expired;
 /// - a new voter waits as well until a removed one has ceased to grant;
-/// - with fewer voters the shares grow only after the same time, and a control
-///   that starts assumes that a voter has just been removed.
+/// - with fewer voters the shares grow only after the same time, also if the
+///   control starts again meanwhile: it assumes that there were as many as the
+///   process before knew of, and one more that was removed just before.
 /// The class only decides; the time is passed to each call.
 class PoolShare {
  public:
@@ -45,10 +51,16 @@
 
   /// Applies the present voters. Called often, and before each Value().
   void Update(const VoterState& aState, Millis aNow);
+  const PoolShareOptions& Options() const { return mOptions; }
   /// From 0 to 1.
   double Value(Millis aNow) const;
+  /// The greatest number of voters known of lately, to be kept for the next
+  /// process; 0: none is known yet.
+  int RecentVoters() const { return mVoters.Value(); }
 
  private:
+  /// A control that starts may find fewer voters than there were just before.
+  void AssumeFormerVoters(int aVoters, Millis aNow);
   /// Time after a change of the voters until all that controls with the former
   /// list granted has expired.
   Millis ChangeRetention() const {
@@ -57,6 +69,7 @@
 
   PoolShareOptions mOptions;
   RecentMaximum mVoters;
+  int mAssumedVoters = 0;  ///< For a while after the start.
   VoterState mState;
   bool mIsKnown = false;  ///< Voters were applied.
   Millis mOpensAt;
--- a/servers/limits/pool_share.cpp
+++ b/servers/limits/pool_share.cpp
@@ -19,7 +19,7 @@
     mOpensAt = std::max(mOpensAt, aNow + ChangeRetention());
   }
   if (!mIsKnown && mOptions.mPrevious != PreviousGrants::kNone) {
-    mVoters.Record(aState.mVoters + 1, aNow);
+    AssumeFormerVoters(aState.mVoters, aNow);
   }
   mVoters.Record(aState.mVoters, aNow);
   if (aState.mHasLeaderContact) {
@@ -29,13 +29,22 @@
   mIsKnown = true;
 }
 
+void PoolShare::AssumeFormerVoters(int aVoters, Millis aNow) {
+  const int before = mOptions.mPreviousVoters;
+  mVoters.Record(before, aNow);
+  mAssumedVoters =
+      before > 0 ? std::max(aVoters, before) + 1 : mOptions.mMaxVoters;
+}
+
 double PoolShare::Value(Millis aNow) const {
   const bool hasLeader =
       mLeaderSeenAt >= 0 && aNow - mLeaderSeenAt <= mOptions.mLeaderTimeout;
   if (!mState.mIsVoter || !hasLeader || aNow < mOpensAt) {
     return 0;
   }
-  return 1.0 / std::max(1, mVoters.Value());
+  const bool hasStarted = aNow - mOptions.mStartedAt <= ChangeRetention();
+  const int assumed = hasStarted ? mAssumedVoters : 0;
+  return 1.0 / std::max({1, assumed, mVoters.Value()});
 }
 
 }  // namespace spindleweir
--- a/tests/fuzz/retry_limit_fuzz.cpp
+++ b/tests/fuzz/retry_limit_fuzz.cpp
@@ -66,16 +66,22 @@
   Millis mAskedAt = -1;  ///< -1: no request to a control is under way.
 };
 
+/// What a control records.
+struct GrantRecord {
+  int mRetries = 0;
+  int mVoters = 0;
+};
+
 struct Control {
   std::unique_ptr<RetryPool> mPool;
   std::unique_ptr<PoolShare> mShare;
   Millis mDownUntil = 0;
   Millis mFrozenUntil = 0;
-  Millis mCutOffUntil = 0;     ///< From the other controls.
-  bool mIsVoter = true;        ///< As a majority has decided.
-  VoterState mKnown;           ///< As this control knows, also after a restart.
-  std::optional<int> mOnDisk;  ///< The number that is recorded.
-  int mWriting = 0;
+  Millis mCutOffUntil = 0;  ///< From the other controls.
+  bool mIsVoter = true;     ///< As a majority has decided.
+  VoterState mKnown;        ///< As this control knows, also after a restart.
+  std::optional<GrantRecord> mOnDisk;
+  GrantRecord mWriting;
   Millis mWrittenAt = -1;  ///< When a write will be durable; -1: none runs.
 };
 
@@ -172,11 +178,13 @@
   }
 
   void StartControl(Control& aControl, PreviousGrants aPrevious) {
-    aControl.mPool = std::make_unique<RetryPool>(
-        kLimits, aControl.mOnDisk.value_or(0), mNow);
+    const GrantRecord known = aControl.mOnDisk.value_or(GrantRecord());
+    aControl.mWriting = known;
+    aControl.mPool = std::make_unique<RetryPool>(kLimits, known.mRetries, mNow);
     aControl.mShare = std::make_unique<PoolShare>(
         PoolShareOptions{.mStartedAt = mNow,
                          .mPrevious = aPrevious,
+                         .mPreviousVoters = known.mVoters,
                          .mGrantRetention = RetryGrantRetention(kLimits)});
     aControl.mKnown.mHasLeaderContact = false;
     aControl.mShare->Update(aControl.mKnown, mNow);
@@ -189,7 +197,7 @@
     }
     aControl.mWrittenAt = -1;
     if (mDefect == Defect::kStartsForgetGrants) {
-      aControl.mOnDisk = 0;
+      aControl.mOnDisk = {.mRetries = 0, .mVoters = aControl.mWriting.mVoters};
     }
     StartControl(aControl, aControl.mOnDisk.has_value()
                                ? PreviousGrants::kRecorded
@@ -207,8 +215,12 @@
         control.mPool->EndRecord(true);
       }
       const double share = ShareOf(control);
-      if (control.mWrittenAt < 0 && control.mPool->NeedsRecord(share, mNow)) {
-        control.mWriting = control.mPool->BeginRecord(share, mNow);
+      const int voters = control.mShare->RecentVoters();
+      const bool isDue = voters != control.mWriting.mVoters ||
+                         control.mPool->NeedsRecord(share, mNow);
+      if (control.mWrittenAt < 0 && isDue) {
+        control.mWriting = {.mRetries = control.mPool->BeginRecord(share, mNow),
+                            .mVoters = voters};
         control.mWrittenAt =
             mNow + mRandom.Time(mRandom.Chance(0.1) ? 3000 : 2 * kStep);
       }
--- a/tests/servers/retry_pool_test.cpp
+++ b/tests/servers/retry_pool_test.cpp
@@ -47,6 +47,7 @@
 PoolShare ShareOfStart(Millis aStartedAt, PreviousGrants aPrevious) {
   PoolShare share({.mStartedAt = aStartedAt,
                    .mPrevious = aPrevious,
+                   .mPreviousVoters = kControls,
                    .mGrantRetention = kRetention});
   share.Update(
       {.mVoters = kControls, .mIsVoter = true, .mHasLeaderContact = true},
@@ -208,6 +209,13 @@
     CHECK(valueAt(share, kNow) == 1.0 / (kControls + 1));
     CHECK(valueAt(share, kNow + kRetention + 5001) == kShare);
   }
+  SECTION("it is known, but not among how many voters the limit was divided") {
+    PoolShare share({.mStartedAt = kNow,
+                     .mPrevious = PreviousGrants::kRecorded,
+                     .mGrantRetention = kRetention});
+    CHECK(valueAt(share, kNow) == 1.0 / share.Options().mMaxVoters);
+    CHECK(valueAt(share, kNow + kRetention + 5001) == kShare);
+  }
 }
 
 Test(pool_share, a_new_voter_waits_until_a_removed_one_grants_no_more) {
@@ -249,15 +257,22 @@
   for (std::size_t i = 0; i < kControls - 2; i++) {
     update(i, kControls - 2, removed);
   }
-  shares[0] = PoolShare({.mStartedAt = removed + 1000,
-                         .mPrevious = PreviousGrants::kRecorded,
-                         .mGrantRetention = kRetention});
-  double sum = 0;
-  update(0, kControls - 2, removed + 1000);
-  for (const PoolShare& share : shares) {
-    sum += share.Value(removed + 1000);
+  // With the number of voters that the process before recorded, and without.
+  for (const int recorded : {shares[0].RecentVoters(), 0}) {
+    shares[0] = PoolShare({.mStartedAt = removed + 1000,
+                           .mPrevious = PreviousGrants::kRecorded,
+                           .mPreviousVoters = recorded,
+                           .mGrantRetention = kRetention});
+    double sum = 0;
+    update(0, kControls - 2, removed + 1000);
+    for (const PoolShare& share : shares) {
+      sum += share.Value(removed + 1000);
+    }
+    CHECK_FOUND(sum <= 1.0001, std::to_string(sum));
+    SECTION("also at a second start, which knows what the first one recorded") {
+      CHECK(recorded == 0 || shares[0].RecentVoters() == kControls);
+    }
   }
-  CHECK_FOUND(sum <= 1.0001, std::to_string(sum));
 }
 
 Test(credit_sources, ask_each_control_before_one_is_asked_again) {
