A router that was out of contact keeps the number of routers for as much time in contact

A router cut off from all controls for over 10 s is told of the few routers that are back already, and its own greater number is older than its retention: it takes nearly the whole limit.

Change: RouterCount counts time in contact only; a gap between two reports counts 1 s at most.

--- a/include/spindleweir/servers/limits/router_count.h
+++ b/include/spindleweir/servers/limits/router_count.h
@@ -15,6 +15,10 @@
   /// spent its share of that window's retries. Control processes that have just
   /// started know only some of the routers, for a shorter time than this.
   Millis mRetention = 10000;
+  /// Reports that are further apart show that the process was out of contact, or
+  /// stood still. It counts as this long: the first report after it may come
+  /// from a control that not all routers have reached again.
+  Millis mMaxGap = 1000;
 };
 
 /// The number of routers as one router knows it. It goes down as well as up: a
@@ -24,16 +28,21 @@
 class RouterCount {
  public:
   explicit RouterCount(RouterCountOptions aOptions)
-      : mReports(aOptions.mRetention) {}
+      : mMaxGap(aOptions.mMaxGap), mReports(aOptions.mRetention) {}
 
   /// A control process reported how many routers it knows.
   void OnReport(int aRouters, Millis aNow);
   /// The greatest number that was reported within mRetention before the newest
-  /// report; 1 before the first. Without new reports it does not change.
+  /// report, not counting longer gaps than mMaxGap; 1 before the first. Without
+  /// new reports it does not change.
   int Value() const { return std::max(1, mReports.Value()); }
 
  private:
-  RecentMaximum mReports;
+  Millis mMaxGap;
+  Millis mReportedAt = -1;  ///< -1: never.
+  /// Time in contact since the first report.
+  Millis mContact = 0;
+  RecentMaximum mReports;  ///< By mContact.
 };
 
 }  // namespace spindleweir
