A request goes past upstreams that have ended, also to a silent one

Cause: three attempts that are not sent were the most of any request, though connections to ended upstreams are refused within a millisecond and a fourth upstream could run it; and of plain services no silent upstream was chosen while one counts as ready, even one that this request had just failed to reach.

Change: up to eight attempts that are not sent, while some upstream was not tried; what the request could not reach is left out of the choice. What may be sent is as before: an attempt that was not sent is none of the route's attempts.

Tests, each fails without the change (503): relay a_request_goes_past_upstreams_that_have_ended, past ended upstreams to a_silent_one.

--- a/daemons/relay/relay_attempt.cpp
+++ b/daemons/relay/relay_attempt.cpp
@@ -12,9 +12,12 @@
 constexpr Millis kSilenceCheckInterval = 100;
 /// An upstream whose attempt failed is avoided for this time.
 constexpr Millis kAvoidAfterLoss = 1500;
-/// Limits on attempts that were not sent, and on attempts that upstreams
-/// refused.
+/// Limits on attempts that were not sent: on all while some upstream was not
+/// tried, and else. Connections to upstreams that have ended are refused at
+/// once.
+constexpr int kMaxUnsentToOthers = 8;
 constexpr int kMaxUnsent = 3;
+/// Limits on attempts that upstreams refused.
 constexpr int kMaxRefusals = 3;
 constexpr int kMaxRefusalsMidway = 8;
 constexpr Millis kMinPathRetryDelay = 80;
@@ -135,6 +138,7 @@
     return full;
   });
   mLacksCapacity = query.mUpstreams.size() < known;
+  LeaveOutUnreached(query.mUpstreams);
   query.mAvoid = mContext.AvoidedInstances();
   query.mAvoid.insert(mTried.begin(), mTried.end());
   query.mRequestsOf = [this](const std::string& aInstance) {
@@ -148,6 +152,18 @@
   return !aAttempt.mInstance.empty();
 }
 
+void RelayRequest::LeaveOutUnreached(
+    std::vector<const UpstreamRecord*>& aUpstreams) const {
+  const auto isUnreached = [this](const UpstreamRecord* aRecord) {
+    return mUnreached.contains(aRecord->mInstance);
+  };
+  const bool anyOther =
+      !std::all_of(aUpstreams.begin(), aUpstreams.end(), isUnreached);
+  if (anyOther) {
+    std::erase_if(aUpstreams, isUnreached);
+  }
+}
+
 bool RelayRequest::ChooseEnginePath(Attempt& aAttempt) {
   PathQuery query = EngineQuery();
   PathResult answer = mContext.ChoosePathFor(mService->mName, query);
@@ -315,12 +331,26 @@
 }
 
 bool RelayRequest::HasUnsentAttemptsLeft() const {
-  return mUnsentAttempts < kMaxUnsent || IsWorthWaiting();
+  return MayTryOtherAtOnce() || IsWorthWaiting();
+}
+
+bool RelayRequest::MayTryOtherAtOnce() const {
+  if (mUnsentAttempts < kMaxUnsent) {
+    return true;
+  }
+  const std::vector<const UpstreamRecord*> upstreams =
+      mContext.mRegistry.OfService(mService->mName);
+  return mUnsentAttempts < kMaxUnsentToOthers &&
+         std::any_of(upstreams.begin(), upstreams.end(),
+                     [this](const UpstreamRecord* aRecord) {
+                       return !IsLeavingOrGone(aRecord->mState) &&
+                              !mTried.contains(aRecord->mInstance);
+                     });
 }
 
 void RelayRequest::RetryUnsent(ResultCode aCode) {
   mContext.mCounters.Add("retries");
-  if (mUnsentAttempts < kMaxUnsent) {
+  if (MayTryOtherAtOnce()) {
     StartAttempt();
     return;
   }
@@ -357,6 +387,7 @@
     mRefusedAttempts++;
   } else {
     mUnsentAttempts++;
+    mUnreached.insert(mAttempt->mInstance);
   }
   if ((aRan == Ran::kUnknown || !aWasSent) && IsCurrent()) {
     mContext.RecordFailure(mAttempt->mInstance, kAvoidAfterLoss);
--- a/daemons/relay/relay_request.h
+++ b/daemons/relay/relay_request.h
@@ -147,6 +147,9 @@
   bool WaitForPath();
   bool ChooseEnginePath(Attempt& aAttempt);
   bool ChoosePlainUpstream(Attempt& aAttempt);
+  /// Leaves out those that this request could not be sent to, unless all are:
+  /// one that seems silent may serve, one that has ended doesn't.
+  void LeaveOutUnreached(std::vector<const UpstreamRecord*>& aUpstreams) const;
   void Send(const UpstreamRecord& aFirst);
   bool MaySend() const;
   /// Whether no attempt has reached an upstream yet.
@@ -219,6 +222,9 @@
   /// Whether the request may be tried again after an attempt that was not sent:
   /// a few times, or as long as it is worth waiting.
   bool HasUnsentAttemptsLeft() const;
+  /// Whether another upstream may be tried at once after an attempt that was
+  /// not sent.
+  bool MayTryOtherAtOnce() const;
   /// Tries again after an attempt that was not sent.
   void RetryUnsent(ResultCode aCode);
   void DropAttempt();
@@ -286,6 +292,7 @@
   std::unique_ptr<Attempt> mAttempt;
   std::optional<FallbackAnswer> mFallback;
   std::set<std::string> mTried;
+  std::set<std::string> mUnreached;  ///< Instances of attempts not sent.
   StreamKey mKey = 0;        ///< Key in the stream guard; 0 if not watched.
   int mRanAttempts = 0;      ///< Attempts that ran, or may have run.
   int mRefusedAttempts = 0;  ///< Attempts that an upstream refused to run.
--- a/tests/daemons/relay_test.cpp
+++ b/tests/daemons/relay_test.cpp
@@ -53,6 +53,80 @@
   }
 }
 
+namespace {
+
+/// Upstreams of the router's zone that end without a word: five, more than the
+/// attempts of any request.
+struct EndedUpstreams {
+  explicit EndedUpstreams(RelayFixture& aFixture) : mFixture(aFixture) {
+    for (int i = 0; i < 5; i++) {
+      mItems.push_back(std::make_unique<ScriptedUpstream>(
+          aFixture.mLoop, "ended" + std::to_string(i)));
+      aFixture.SendHeartbeat(*mItems.back(), UpstreamState::kReady);
+    }
+  }
+
+  void End(std::int64_t aReady) {
+    RelayRouter& router = *mFixture.mRouter;
+    REQUIRE(mFixture.RunUntil([&router, aReady] {
+      router.RefreshGauges();
+      return router.Ready() &&
+             router.OwnCounters().Value("upstreams_ready") == aReady;
+    }));
+    for (const auto& upstream : mItems) {
+      upstream->Crash();
+    }
+  }
+
+  RelayFixture& mFixture;
+  std::vector<std::unique_ptr<ScriptedUpstream>> mItems;
+};
+
+UpstreamRecord InOtherZone(const ScriptedUpstream& aUpstream) {
+  return {.mInstance = aUpstream.Instance(),
+          .mService = "counter",
+          .mAddress = aUpstream.Address(),
+          .mZone = "far",
+          .mSlots = 2};
+}
+
+}  // namespace
+
+/// Guards against a refusal though an upstream could run the request: the first
+/// three that it met had ended, and it was sent to none.
+Test(relay, a_request_goes_past_upstreams_that_have_ended) {
+  RelayFixture fixture;
+  REQUIRE(fixture.Publish(Document(Traffic(7))).mCode == ResultCode::kOk);
+  ScriptedUpstream sound(fixture.mLoop, "sound");
+  SECTION("to one of another zone") {
+    EndedUpstreams ended(fixture);
+    fixture.SendHeartbeat(InOtherZone(sound));
+    ended.End(6);
+    CHECK(fixture.Call("/pay/x").mStatus == 200);
+    CHECK(sound.TotalRuns() == 1);
+  }
+}
+
+/// Guards against the same where the one that could run it counts as silent.
+Test(relay, a_request_goes_past_ended_upstreams_to_a_silent_one) {
+  RelayFixture fixture;
+  REQUIRE(fixture.Publish(Document(Traffic(7))).mCode == ResultCode::kOk);
+  ScriptedUpstream sound(fixture.mLoop, "sound");
+  fixture.SendHeartbeat(InOtherZone(sound));
+  REQUIRE(fixture.RunUntil([&fixture] {
+    fixture.mRouter->RefreshGauges();
+    return fixture.mRouter->OwnCounters().Value("upstreams_ready") == 1;
+  }));
+  REQUIRE(fixture.RunUntil([&fixture] {
+    fixture.mRouter->RefreshGauges();
+    return fixture.mRouter->OwnCounters().Value("upstreams_ready") == 0;
+  }));
+  EndedUpstreams ended(fixture);
+  ended.End(5);
+  CHECK(fixture.Call("/pay/x").mStatus == 200);
+  CHECK(sound.TotalRuns() == 1);
+}
+
 Test(relay, a_start_from_the_disk_reads_the_newest_configuration_only) {
   constexpr int kVersions = 20;
   RelayFixture fixture;
