Whose fault a lost upstream is: proof from after the loss, and refusals that others see

Cause: where no other VM answered, the router believed a connection of the last 0.5 s, from before the cut. And where its calls go by way of others, it asked these whether they reach the upstream, but not whether it had refused them, which alone proves a crash. Whether its own connection was refused it told by the time taken, which beside load says nothing.

Change: LinkCheck, taken out of the forwarding server, tries up to two other upstreams after the loss before the router blames one; clients tell a refused connection from a late one; forwarders pass a refusal on, in a header of its own beside the word that earlier builds read.

LinkCut refuses in its reset mode, as the links that it stands for do. TEST_LOG shows the logs of these tests, too.

--- a/daemons/relay/forwarding_protocol.cpp
+++ b/daemons/relay/forwarding_protocol.cpp
@@ -11,6 +11,8 @@
 constexpr const char* kOnlyConnectHeader = "X-Forward-Only-Connect";
 constexpr const char* kMarkHeader = "X-Forwarded-Answer";
 constexpr const char* kRefusalHeader = "X-Forward-Refusal";
+/// Beside "unreachable", which earlier builds read.
+constexpr const char* kRefusedHeader = "X-Forward-Refused";
 
 /// Removes all headers of that name; returns the value of the first.
 std::optional<std::string> Take(HttpHeaders& aHeaders, const char* aName) {
@@ -66,6 +68,8 @@
   switch (aRefusal) {
     case ForwardingRefusal::kUnreachable:
       return "unreachable";
+    case ForwardingRefusal::kRefused:
+      return "refused";
     case ForwardingRefusal::kCutOff:
       return "cut-off";
     case ForwardingRefusal::kBusy:
@@ -75,18 +79,26 @@
 }
 
 HttpHeaders WriteForwardingRefusal(ForwardingRefusal aRefusal) {
+  if (aRefusal == ForwardingRefusal::kRefused) {
+    return {{kRefusalHeader, NameOf(ForwardingRefusal::kUnreachable)},
+            {kRefusedHeader, "1"}};
+  }
   return {{kRefusalHeader, NameOf(aRefusal)}};
 }
 
 ForwardingRefusal ReadForwardingRefusal(const HttpHeaders& aHeaders) {
   const std::string* value = FindHeader(aHeaders, kRefusalHeader);
-  for (const ForwardingRefusal refusal :
-       {ForwardingRefusal::kUnreachable, ForwardingRefusal::kCutOff}) {
-    if (value != nullptr && *value == NameOf(refusal)) {
-      return refusal;
-    }
+  if (value == nullptr) {
+    return ForwardingRefusal::kBusy;
+  }
+  if (*value == NameOf(ForwardingRefusal::kUnreachable)) {
+    return FindHeader(aHeaders, kRefusedHeader) != nullptr
+               ? ForwardingRefusal::kRefused
+               : ForwardingRefusal::kUnreachable;
   }
-  return ForwardingRefusal::kBusy;
+  return *value == NameOf(ForwardingRefusal::kCutOff)
+             ? ForwardingRefusal::kCutOff
+             : ForwardingRefusal::kBusy;
 }
 
 }  // namespace spindleweir
--- a/daemons/relay/forwarding_protocol.h
+++ b/daemons/relay/forwarding_protocol.h
@@ -22,6 +22,7 @@
 /// Why a forwarder sent nothing.
 enum class ForwardingRefusal {
   kUnreachable,  ///< It reaches other upstreams, but not this one.
+  kRefused,      ///< The same, and this one refused its connection.
   kCutOff,       ///< It may have lost its own links.
   kBusy,         ///< It takes no more calls at present, or not from here.
 };
--- a/daemons/relay/forwarding_server.cpp
+++ b/daemons/relay/forwarding_server.cpp
@@ -15,8 +15,6 @@
 constexpr Millis kConnectTimeout = 150;
 /// A router that was delayed within this time takes no calls of others.
 constexpr Millis kDelayWindow = 200;
-/// Several round trips between zones.
-constexpr Millis kLinkCheckTimeout = 40;
 /// A head may grow by the forwarding headers and by what the router adds.
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 constexpr std::size_t kMaxBodyBytes = 64 * 1024 * 1024;
@@ -145,6 +143,7 @@
     mContext.mLinks.OnConnected(call.mFacts.mInstance, SteadyNow());
     return !call.mFacts.mOnlyConnect && !call.mExchange->Closed();
   };
+  options.mOnRefused = [&call] { call.mWasRefused = true; };
   options.mOnHead = [this, &call](const AnswerHead& aHead) {
     HandleHead(call, aHead);
   };
@@ -186,43 +185,22 @@
 }
 
 void ForwardingServer::CheckOwnLinks(ForwardedCall& aCall) {
-  const Millis now = SteadyNow();
-  mContext.mLinks.OnFailed(aCall.mFacts.mInstance, now);
-  std::vector<const UpstreamRecord*> others = mContext.mRegistry.OfService("");
-  std::erase_if(others, [&aCall](const UpstreamRecord* aRecord) {
-    return aRecord->mState != UpstreamState::kReady ||
-           aRecord->mInstance == aCall.mFacts.mInstance;
-  });
-  if (others.empty() || mContext.mLinks.IsCutOff(now)) {
-    EndUnsent(aCall, ForwardingRefusal::kCutOff);
-    return;
-  }
-  const auto index = static_cast<std::size_t>(
-      mContext.Random() * static_cast<double>(others.size()));
-  const UpstreamRecord& other = *others[std::min(index, others.size() - 1)];
-  const auto connected = std::make_shared<bool>(false);
-  StreamCallOptions options;
-  options.mServer = ParseEndpoint(other.mAddress, "address of an upstream");
-  options.mConnectTimeout = kLinkCheckTimeout;
-  options.mMaySend = [connected] {
-    *connected = true;
-    return false;
-  };
-  options.mOnEnd = [this, &aCall, connected,
-                    instance = other.mInstance](StreamEnd) {
-    if (*connected) {
-      mContext.mLinks.OnConnected(instance, SteadyNow());
-    } else {
-      mContext.mLinks.OnFailed(instance, SteadyNow());
-    }
-    EndUnsent(aCall, *connected ? ForwardingRefusal::kUnreachable
-                                : ForwardingRefusal::kCutOff);
-  };
+  mContext.mLinks.OnFailed(aCall.mFacts.mInstance, SteadyNow());
   // The ended call may be on the stack.
   mContext.mLoop.Post(
       [ended = std::shared_ptr<StreamCall>(std::move(aCall.mCall))] {});
-  aCall.mCall =
-      mContext.mOptions.mStartCall(mContext.mLoop, std::move(options));
+  const auto end = [this, &aCall](bool aHasLinks) {
+    const ForwardingRefusal fault = aCall.mWasRefused
+                                        ? ForwardingRefusal::kRefused
+                                        : ForwardingRefusal::kUnreachable;
+    EndUnsent(aCall, aHasLinks ? fault : ForwardingRefusal::kCutOff);
+  };
+  aCall.mLinkCheck = std::make_unique<LinkCheck>(
+      mContext,
+      LinkCheckOptions{.mInstance = aCall.mFacts.mInstance, .mOnEnd = end});
+  if (!aCall.mLinkCheck->Start()) {
+    EndUnsent(aCall, ForwardingRefusal::kCutOff);
+  }
 }
 
 void ForwardingServer::EndUnsent(ForwardedCall& aCall,
--- a/daemons/relay/forwarding_server.h
+++ b/daemons/relay/forwarding_server.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "daemons/relay/forwarding_protocol.h"
+#include "daemons/relay/link_check.h"
 #include "daemons/relay/relay_context.h"
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
@@ -35,8 +36,10 @@
     ForwardingFacts mFacts;
     HttpHeaders mHeaders;  ///< Of the request, for the upstream.
     std::unique_ptr<StreamCall> mCall;
+    std::unique_ptr<LinkCheck> mLinkCheck;
     Millis mStartedAt = 0;
     bool mConnected = false;
+    bool mWasRefused = false;  ///< The connection, by the upstream.
   };
 
   void Handle(const std::shared_ptr<StreamExchange>& aExchange);
--- a/daemons/relay/stream_guard.cpp
+++ b/daemons/relay/stream_guard.cpp
@@ -175,7 +175,8 @@
     return mContext.mRegistry.Find(aInstance) == nullptr;
   };
   const auto ended = [&unknown](const auto& aItem) {
-    return aItem.second.mCall == nullptr && unknown(aItem.first);
+    return aItem.second.mCall == nullptr &&
+           aItem.second.mLinkCheck == nullptr && unknown(aItem.first);
   };
   std::erase_if(mHandledLeaving, unknown);
   std::erase_if(mProbes, ended);
--- a/daemons/relay/stream_guard.h
+++ b/daemons/relay/stream_guard.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "daemons/relay/link_check.h"
 #include "daemons/relay/relay_context.h"
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/servers/streams/stall_detector.h"
@@ -43,7 +44,15 @@
 enum class ForwarderFinding {
   kReached,
   kUnreachable,
-  kNone,  ///< It did not answer, or could not know.
+  kRefused,  ///< Unreachable, and it refused the connection.
+  kNone,     ///< It did not answer, or could not know.
+};
+
+/// How a probe of this router's own ended.
+enum class ProbeOutcome {
+  kConnected,
+  kRefused,
+  kNoAnswer,  ///< In time.
 };
 
 /// One per router. Not thread-safe.
@@ -76,7 +85,7 @@
   void EvaluateSlowdowns(Millis aNow);
   void MoveOffSlow(Millis aNow);
   void Probe(const std::string& aInstance);
-  void ProbeEnded(const std::string& aInstance, bool aConnected);
+  void ProbeEnded(const std::string& aInstance, ProbeOutcome aOutcome);
   /// Asks other routers, one after the other, whether they reach an instance
   /// that this one doesn't. aRefused: the instance refused this router's
   /// connection.
@@ -84,6 +93,9 @@
   void ProbeByNextForwarder(const std::string& aInstance, bool aRefused);
   void ForwarderProbeEnded(const std::string& aInstance,
                            ForwarderFinding aFinding, bool aRefused);
+  /// No other router answered: blames the instance if this router connects to
+  /// another one now.
+  void BlameIfLinked(const std::string& aInstance, bool aRefused);
   /// No router reaches the instance.
   void OnUnreachable(const std::string& aInstance, bool aRefused);
   /// Probes an instance, unless a probe is in progress or was done recently.
@@ -103,6 +115,7 @@
   /// A probe of an instance, or a poll of its state.
   struct InstanceCheck {
     std::unique_ptr<StreamCall> mCall;
+    std::unique_ptr<LinkCheck> mLinkCheck;
     /// Addresses of other routers: the one asked last, then those to be asked.
     std::vector<std::string> mForwarders;
     Millis mAt = -1;
--- a/daemons/relay/stream_guard_probes.cpp
+++ b/daemons/relay/stream_guard_probes.cpp
@@ -20,14 +20,29 @@
 constexpr Millis kForwarderProbeTimeout = 250;
 constexpr std::size_t kMaxForwarders = 3;
 constexpr Json::ArrayIndex kMaxLoggedParts = 16;
-/// A router that connected to any upstream within this time has its links.
-constexpr Millis kLinkProofWindow = 500;
+/// Other upstreams that a router tries before it blames one: the first may have
+/// ended, too.
+constexpr std::size_t kMaxOthersTried = 2;
+
+ForwarderFinding FindingOf(ForwardingRefusal aRefusal) {
+  switch (aRefusal) {
+    case ForwardingRefusal::kUnreachable:
+      return ForwarderFinding::kUnreachable;
+    case ForwardingRefusal::kRefused:
+      return ForwarderFinding::kRefused;
+    case ForwardingRefusal::kCutOff:
+    case ForwardingRefusal::kBusy:
+      break;
+  }
+  return ForwarderFinding::kNone;
+}
 
 }  // namespace
 
 void StreamGuard::ProbeIfDue(const std::string& aInstance, Millis aNow) {
   const InstanceCheck& check = mProbes[aInstance];
-  if (check.mCall == nullptr && aNow - check.mAt >= kProbeInterval) {
+  const bool isChecked = check.mCall != nullptr || check.mLinkCheck != nullptr;
+  if (!isChecked && aNow - check.mAt >= kProbeInterval) {
     Probe(aInstance);
   }
 }
@@ -84,35 +99,37 @@
     ProbeByForwarders(aInstance, false);
     return;
   }
-  const auto connected = std::make_shared<bool>(false);
+  const auto outcome = std::make_shared<ProbeOutcome>(ProbeOutcome::kNoAnswer);
   StreamCallOptions options;
   options.mServer = ParseEndpoint(record->mAddress, "address of an upstream");
   options.mConnectTimeout = kProbeTimeout;
-  options.mMaySend = [connected] {
-    *connected = true;
+  options.mMaySend = [outcome] {
+    *outcome = ProbeOutcome::kConnected;
     return false;
   };
-  options.mOnEnd = [this, aInstance, connected](StreamEnd) {
-    ProbeEnded(aInstance, *connected);
+  options.mOnRefused = [outcome] { *outcome = ProbeOutcome::kRefused; };
+  options.mOnEnd = [this, aInstance, outcome](StreamEnd) {
+    ProbeEnded(aInstance, *outcome);
   };
   check.mCall =
       mContext.mOptions.mStartCall(mContext.mLoop, std::move(options));
 }
 
-void StreamGuard::ProbeEnded(const std::string& aInstance, bool aConnected) {
+void StreamGuard::ProbeEnded(const std::string& aInstance,
+                             ProbeOutcome aOutcome) {
   InstanceCheck& check = mProbes[aInstance];
   const Millis took = SteadyNow() - check.mAt;
   // The call is on the stack: it is destroyed in the next turn of the loop.
   const std::shared_ptr<StreamCall> call = std::move(check.mCall);
   mContext.mLoop.Post([call] {});
   mContext.mCounters.Add("probes");
-  const bool refused = took < kProbeTimeout;
+  const bool refused = aOutcome == ProbeOutcome::kRefused;
   const bool restarted = check.mStart != mContext.StartOf(aInstance);
   if (restarted) {
     CountCrash(aInstance);
     return;
   }
-  if (aConnected) {
+  if (aOutcome == ProbeOutcome::kConnected) {
     mContext.mLinks.OnConnected(aInstance, SteadyNow());
     mContext.mCrashes.OnUpstreamAlive(aInstance);
     return;
@@ -171,12 +188,9 @@
   options.mTimeout = kForwarderProbeTimeout;
   options.mOnHead = [finding](const AnswerHead& aHead) {
     HttpHeaders headers = aHead.mHeaders;
-    if (TakeForwardedMark(headers)) {
-      *finding = ForwarderFinding::kReached;
-    } else if (ReadForwardingRefusal(headers) ==
-               ForwardingRefusal::kUnreachable) {
-      *finding = ForwarderFinding::kUnreachable;
-    }
+    *finding = TakeForwardedMark(headers)
+                   ? ForwarderFinding::kReached
+                   : FindingOf(ReadForwardingRefusal(headers));
   };
   options.mOnEnd = [this, aInstance, finding, aRefused](StreamEnd) {
     ForwarderProbeEnded(aInstance, *finding, aRefused);
@@ -208,8 +222,9 @@
     MoveStreamsOff({aInstance}, MoveReason::kLinkLost);
     return;
   }
-  if (aFinding == ForwarderFinding::kUnreachable) {
-    OnUnreachable(aInstance, aRefused);
+  if (aFinding != ForwarderFinding::kNone) {
+    OnUnreachable(aInstance,
+                  aRefused || aFinding == ForwarderFinding::kRefused);
     return;
   }
   mContext.mForwarders.OnFailed(check.mForwarders.front(), now);
@@ -218,10 +233,29 @@
     ProbeByNextForwarder(aInstance, aRefused);
     return;
   }
-  // Nobody knows. A router that has its links believes itself.
-  if (!mContext.mLinks.IsCutOff(now) &&
-      mContext.mLinks.HasConnectedSince(now - kLinkProofWindow)) {
-    OnUnreachable(aInstance, aRefused);
+  BlameIfLinked(aInstance, aRefused);
+}
+
+void StreamGuard::BlameIfLinked(const std::string& aInstance, bool aRefused) {
+  InstanceCheck& check = mProbes[aInstance];
+  check.mLinkCheck = std::make_unique<LinkCheck>(
+      mContext,
+      LinkCheckOptions{.mInstance = aInstance,
+                       .mMaxTried = kMaxOthersTried,
+                       .mOnEnd = [this, aInstance, aRefused](bool aHasLinks) {
+                         mContext.mLoop.Post(
+                             [ended = std::shared_ptr<LinkCheck>(std::move(
+                                  mProbes[aInstance].mLinkCheck))] {});
+                         LogLine(LogLevel::kInfo, "own_links_checked")
+                             .Add("instance", aInstance)
+                             .Add("has_links", aHasLinks);
+                         if (aHasLinks) {
+                           OnUnreachable(aInstance, aRefused);
+                         }
+                       }});
+  if (!check.mLinkCheck->Start()) {
+    // Nobody knows whose fault it is.
+    check.mLinkCheck.reset();
   }
 }
 
--- a/daemons/relay/upstream_call.cpp
+++ b/daemons/relay/upstream_call.cpp
@@ -209,7 +209,9 @@
 
 void UpstreamCall::HandleForwarderRefused() {
   mSentByForwarder = false;
-  if (mRefusal == ForwardingRefusal::kUnreachable) {
+  const bool isUnreachable = mRefusal == ForwardingRefusal::kUnreachable ||
+                             mRefusal == ForwardingRefusal::kRefused;
+  if (isUnreachable) {
     // Others would not reach it either.
     mForwarders.clear();
   } else {
--- a/drivers/stream_client.cpp
+++ b/drivers/stream_client.cpp
@@ -162,6 +162,9 @@
       return;
     }
     if (!self->mSent) {
+      if (self->mOptions.mOnRefused) {
+        self->mOptions.mOnRefused();
+      }
       self->Finish(StreamEnd::kNotSent);
       return;
     }
--- a/include/spindleweir/drivers/stream_client.h
+++ b/include/spindleweir/drivers/stream_client.h
@@ -39,6 +39,9 @@
   std::shared_ptr<MemoryHold> mMemory;
   /// Called right before the first byte is sent; false: nothing is sent.
   std::function<bool()> mMaySend;
+  /// Called before mOnEnd if the connection was refused or reset before it
+  /// came about: something answered at the address, or its network did.
+  std::function<void()> mOnRefused;
   std::function<void(const AnswerHead&)> mOnHead;
   std::function<void(std::string_view)> mOnData;
   /// Called exactly once, unless the call is destroyed earlier.
--- a/include/spindleweir/servers/routing/upstream_links.h
+++ b/include/spindleweir/servers/routing/upstream_links.h
@@ -41,8 +41,6 @@
   bool IsLost(const std::string& aInstance, Millis aNow) const;
   /// Whether this router has lost its links to all upstreams.
   bool IsCutOff(Millis aNow) const;
-  /// Whether this router connected to any upstream at aSince or later.
-  bool HasConnectedSince(Millis aSince) const { return mConnectedAt >= aSince; }
   /// Whether to try a connection to an upstream whose link is lost. Counts as a
   /// trial if so.
   bool StartTrial(Millis aNow);
--- a/tests/daemons/cut_off_vm_test.cpp
+++ b/tests/daemons/cut_off_vm_test.cpp
@@ -324,6 +324,25 @@
   }
 }
 
+/// Guards against crashes that are never counted: a router whose calls go by
+/// way of others asked them whether they reach the upstream, but not whether it
+/// had refused them, so that the request went on to end upstreams.
+Test(cut_off_vm, counts_a_crash_that_its_forwarder_sees) {
+  for (const CutMode mode : {CutMode::kHang, CutMode::kReset}) {
+    CutOffVm vm;
+    vm.CutOff(mode);
+    REQUIRE(vm.ServedOnce("/pay/x") == kCalls);
+    vm.mFixture.mA.CrashOnTarget("bad");
+    for (int i = 0; !vm.mFixture.mA.Crashed(); i++) {
+      REQUIRE(i < 100);
+      (void)vm.CallAtCutRouter("/pay/bad");
+    }
+    const Counters& counters = vm.mRouter->OwnCounters();
+    CHECK(vm.mFixture.RunUntil(
+        [&counters] { return counters.Value("crashes_seen") == 1; }));
+  }
+}
+
 Test(cut_off_vm, calls_upstreams_itself_once_its_links_are_back) {
   CutOffVm vm;
   vm.CutOff(CutMode::kHang);
--- a/tests/daemons/link_cut.cpp
+++ b/tests/daemons/link_cut.cpp
@@ -12,12 +12,17 @@
       : mLinks(aCut.mLinks),
         mLoop(aLoop),
         mAddress(aOptions.mServer.Text()),
+        mOnRefused(aOptions.mOnRefused),
         mOnEnd(std::move(aOptions.mOnEnd)) {
     mLinks->push_back(this);
     if (aCut.IsCut(mAddress)) {
       const bool hangs = aCut.mMode == CutMode::kHang;
-      mTimer = mLoop.After(hangs ? aOptions.mConnectTimeout : 0,
-                           [this] { End(StreamEnd::kNotSent); });
+      mTimer = mLoop.After(hangs ? aOptions.mConnectTimeout : 0, [this, hangs] {
+        if (!hangs && mOnRefused) {
+          mOnRefused();
+        }
+        End(StreamEnd::kNotSent);
+      });
       return;
     }
     const auto guard = [this](auto aCall) {
@@ -49,6 +54,7 @@
 
   void Abandon() override {
     mTimer.reset();
+    mOnRefused = nullptr;
     mOnEnd = nullptr;
     if (mCall != nullptr) {
       mCall->Abandon();
@@ -84,6 +90,7 @@
   std::shared_ptr<std::list<Link*>> mLinks;
   EventLoop& mLoop;
   std::string mAddress;
+  std::function<void()> mOnRefused;
   std::function<void(StreamEnd)> mOnEnd;
   std::unique_ptr<StreamCall> mCall;
   std::unique_ptr<Timer> mTimer;
--- a/tests/daemons/relay_fixture.cpp
+++ b/tests/daemons/relay_fixture.cpp
@@ -8,10 +8,12 @@
 
 #include <array>
 #include <cstdint>
+#include <cstdlib>
 #include <set>
 #include <string>
 
 #include "spindleweir/core/json_codec.h"
+#include "spindleweir/core/log.h"
 #include "spindleweir/daemons/sync_messages.h"
 #include "spindleweir/drivers/rpc_channel.h"
 #include "standins/plain_protocol.h"
@@ -98,6 +100,9 @@
       mRetries(aRetries),
       mMaxLocalHeartbeats(aMaxLocalHeartbeats),
       mMaxLearners(aMaxLearners) {
+  if (getenv("TEST_LOG") != nullptr) {
+    StartLog(getenv("TEST_LOG"), "test");
+  }
   StartControl();
   StartRouter();
 }
