A route that states no target by an empty split or service is refused

Looked for again in each list of the document, 44 odd documents by a program: "split": [] beside a service, "service": "" beside a split, and a target whose weight is null were acknowledged, and the route went by the other field. Weights that add up to 0 and unknown services make a document invalid on the users' pages.

Null stays as left out where a field is optional.

Test: platform a_new_document_is_checked_as_text, a section that fails before.

--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -139,6 +139,28 @@
     document["services"][1]["engine"] = Json::Value();
     CHECK(code(DumpJson(document)) == ResultCode::kOk);
   }
+  SECTION("a stated split or service that names no target") {
+    const auto route = [&code](const char* aTargets) {
+      Json::Value document = ParseJson(kDocument);
+      Json::Value& first = document["routes"][0];
+      first.removeMember("service");
+      first.removeMember("split");
+      const Json::Value targets = ParseJson(aTargets);
+      for (const std::string& name : targets.getMemberNames()) {
+        first[name] = targets[name];
+      }
+      return code(DumpJson(document));
+    };
+    CHECK(route(R"({"service":"a"})") == ResultCode::kOk);
+    CHECK(route(R"({"service":"a","split":null})") == ResultCode::kOk);
+    CHECK(route(R"({"service":"a","split":[]})") ==
+          ResultCode::kBadConfiguration);
+    CHECK(route(R"({"service":"","split":[{"service":"a","weight":1}]})") ==
+          ResultCode::kBadConfiguration);
+    CHECK(route(R"({"split":[{"service":"a","weight":null},
+                             {"service":"b","weight":1}]})") ==
+          ResultCode::kBadField);
+  }
   SECTION("text that other readers refuse") {
     CHECK(
         code("{\"version\":7,\"routes\":[],\"services\":[],\"x\":\"\xff\"}") ==
