--- a/tests/daemons/operator_test.cpp
+++ b/tests/daemons/operator_test.cpp
@@ -119,3 +119,18 @@
     CHECK(answer->Text() == Deployment::Expected("x", 3));
   }
 }
+
+/// Guards against a voter that holds no log, and may not even run: until it has
+/// the log, a majority needs all but one of the others.
+Test(operators, a_control_without_the_log_becomes_no_voter) {
+  Deployment deployment;
+  deployment.Begin();
+  deployment.mControls.push_back(nullptr);
+  deployment.mDelays.push_back(nullptr);
+  deployment.WriteEntryVms();
+  deployment.RunFor(2000);
+  const HttpResult answer = deployment.Operator(
+      "POST", "/v1/voters",
+      R"({"voters":["control-0","control-1","control-2","control-3"]})");
+  CHECK_FOUND(answer.mStatus == 409, std::to_string(answer.mStatus));
+}
