--- a/tests/daemons/restart_test.cpp
+++ b/tests/daemons/restart_test.cpp
@@ -185,7 +185,8 @@
   story.StartControl();
   story.StartRouter();
   SECTION("the request is served, and the decision is counted") {
-    CHECK(story.Call("/stream/x").mStatus == 200);
+    const Answer answer = story.Call("/stream/x");
+    CHECK_FOUND(answer.mStatus == 200, std::to_string(answer.mStatus));
     CHECK(story.mRouter->OwnCounters().Value("opening", "outcome=\"let_in\"") ==
           1);
   }
