--- a/include/spindleweir/servers/limits/router_count.h
+++ b/include/spindleweir/servers/limits/router_count.h
@@ -15,8 +15,8 @@
   /// spent its share of that window's retries. Control processes that have just
   /// started know only some of the routers, for a shorter time than this.
   Millis mRetention = 10000;
-  /// Reports that are further apart show that the process was out of contact, or
-  /// stood still. It counts as this long: the first report after it may come
+  /// Reports that are further apart show that the process was out of contact,
+  /// or stood still. It counts as this long: the first report after it may come
   /// from a control that not all routers have reached again.
   Millis mMaxGap = 1000;
 };
