Answers whose head has a broken line end as no answer

Cause: http_parser reads more than the standard's heads. It lets blanks stand in names, joins a line that begins with a blank to the field before it (a length or a coding in that line is gone then), skips empty lines before the status line, and takes statuses such as 0200 and 600. Nothing else looked at the bytes.

Change: AnswerHeadReader reads the head of an answer by the grammar of RFC 9112, 4 and 5, byte by byte, so that a broken one is known with its first wrong byte. The parser gets a head only once it is complete and sound. Interim answers are checked alike. A section of http_message asked that an answer loses a blank before its colon; it now asks that such an answer is bad, as a request is, which is as strict: a length behind such a name was read as none.

--- /dev/null
+++ b/drivers/answer_head_reader.h
@@ -0,0 +1,50 @@
+/// The head of an answer, checked before any parser reads it. The parsers pass
+/// heads that they understand differently from the next reader: a name with a
+/// blank in it, a line that goes on in the next one, a coding that is not
+/// known. Whoever believes such a head takes other bytes for the body.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace spindleweir {
+
+/// Progress of reading a head.
+enum class HeadState {
+  kIncomplete,  ///< More bytes are needed.
+  kSound,       ///< The head of the final answer is complete.
+  kBroken,      ///< The bytes are not the head of an answer.
+};
+
+/// Reads one answer's head by RFC 9112, 4 to 6. Interim answers (1xx) before it
+/// are checked alike and left out.
+class AnswerHeadReader {
+ public:
+  /// Reads bytes up to the end of the head; returns how many belong to it.
+  std::size_t Read(std::string_view aBytes);
+  HeadState State() const { return mState; }
+  /// The complete head, each line ended by CR and LF.
+  const std::string& Text() const { return mText; }
+
+ private:
+  /// What of a line is being read.
+  enum class Part { kStatusLine, kName, kValue };
+
+  void ReadByte(char aByte);
+  bool MayFollow(char aByte);
+  void EndLine();
+  bool ReadStatusLine();
+  bool ReadField();
+  void EndHead();
+
+  HeadState mState = HeadState::kIncomplete;
+  Part mPart = Part::kStatusLine;
+  std::size_t mBytes = 0;
+  bool mAfterReturn = false;  ///< The last byte was a CR.
+  std::string mLine;
+  int mStatus = 0;
+  std::string mText;
+};
+
+}  // namespace spindleweir
--- a/drivers/http_message.cpp
+++ b/drivers/http_message.cpp
@@ -6,8 +6,21 @@
 #include <algorithm>
 #include <cctype>
 
+#include "drivers/answer_head_reader.h"
+
 namespace spindleweir {
 
+bool IsHeaderName(std::string_view aText) {
+  constexpr std::string_view kOthers = "!#$%&'*+-.^_`|~";
+  return !aText.empty() &&
+         std::all_of(aText.begin(), aText.end(),
+                     [kOthers](unsigned char aByte) {
+                       return std::isalnum(aByte) != 0 ||
+                              kOthers.find(static_cast<char>(aByte)) !=
+                                  std::string_view::npos;
+                     });
+}
+
 bool SameHeaderName(std::string_view aLeft, std::string_view aRight) {
   return aLeft.size() == aRight.size() &&
          strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
@@ -119,27 +132,6 @@
 constexpr int kHasNoBody = 1;
 constexpr int kIsBad = 3;
 
-constexpr int kMinStatus = 100;
-
-/// Whether a name has the characters of a header's name only (RFC 9110, 5.6.2).
-/// http_parser lets blanks pass.
-bool IsToken(std::string_view aName) {
-  constexpr std::string_view kOthers = "!#$%&'*+-.^_`|~";
-  return !aName.empty() &&
-         std::all_of(aName.begin(), aName.end(),
-                     [kOthers](unsigned char aByte) {
-                       return std::isalnum(aByte) != 0 ||
-                              kOthers.find(static_cast<char>(aByte)) !=
-                                  std::string_view::npos;
-                     });
-}
-
-/// Removes blanks between a name and its colon.
-void TrimRight(std::string& aName) {
-  const std::size_t last = aName.find_last_not_of(" \t");
-  aName.erase(last == std::string::npos ? 0 : last + 1);
-}
-
 }  // namespace
 
 struct HttpMessageReader::Impl {
@@ -206,23 +198,14 @@
     return hasNoBody ? kHasNoBody : kReadsBody;
   }
 
-  /// Checks what the parser lets pass. A blank before the colon hides a header
-  /// from one reader and not from the next, so that a request with one is bad
-  /// and an answer loses the blank (RFC 9112, 5.1).
+  /// Checks what the parser lets pass. A blank in a name hides a header from
+  /// one reader and not from the next (RFC 9112, 5.1).
   bool AcceptsHead() {
     mIsOtherVersion = mParser.http_major != 1;
-    if (mIsOtherVersion) {
-      return false;
-    }
-    if (!mIsRequest) {
-      for (HttpHeader& header : mHeaders) {
-        TrimRight(header.mName);
-      }
-      return static_cast<int>(mParser.status_code) >= kMinStatus;
-    }
-    return std::all_of(
-        mHeaders.begin(), mHeaders.end(),
-        [](const HttpHeader& aHeader) { return IsToken(aHeader.mName); });
+    return !mIsOtherVersion && std::all_of(mHeaders.begin(), mHeaders.end(),
+                                           [](const HttpHeader& aHeader) {
+                                             return IsHeaderName(aHeader.mName);
+                                           });
   }
 
   static int HandleBody(http_parser* aParser, const char* aAt, std::size_t aN) {
@@ -232,19 +215,41 @@
 
   static int HandleComplete(http_parser* aParser) {
     Impl& self = Of(aParser);
-    const bool interim = !self.mIsRequest && self.mAnswer.mStatus >= 100 &&
-                         self.mAnswer.mStatus < 200;
-    if (interim) {
-      self.mInBody = false;
-      self.mState = ReadState::kHead;
-      self.mAnswer = {};
-      return 0;
-    }
     self.mState = ReadState::kComplete;
     http_parser_pause(aParser, 1);
     return 0;
   }
 
+  /// Reads bytes of an answer's head; the parser gets it once it is complete
+  /// and sound. Returns how many bytes belong to the head.
+  std::size_t ReadAnswerHead(std::string_view aBytes) {
+    const std::size_t n = mHeadReader.Read(aBytes);
+    if (mHeadReader.State() == HeadState::kBroken) {
+      mState = ReadState::kBad;
+    } else if (mHeadReader.State() == HeadState::kSound) {
+      Parse(mHeadReader.Text());
+    }
+    return n;
+  }
+
+  /// Lets the parser read bytes; returns how many belong to the message.
+  std::size_t Parse(std::string_view aBytes) {
+    if (aBytes.empty()) {
+      return 0;  // The parser takes no bytes for the end of the connection.
+    }
+    const bool inHead = mState == ReadState::kHead;
+    const std::size_t n = http_parser_execute(&mParser, &Settings(),
+                                              aBytes.data(), aBytes.size());
+    const http_errno error = HTTP_PARSER_ERRNO(&mParser);
+    if (error != HPE_OK && error != HPE_PAUSED) {
+      mState = ReadState::kBad;
+    }
+    if (inHead) {
+      mHeadBytes += n;
+    }
+    return n;
+  }
+
   static bool EndsWithConnection(const http_parser* aParser) {
     return aParser->type == HTTP_RESPONSE &&
            (aParser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
@@ -266,6 +271,7 @@
   }
 
   http_parser mParser{};
+  AnswerHeadReader mHeadReader;
   bool mIsRequest = false;
   bool mInField = false;
   bool mInBody = false;
@@ -288,21 +294,15 @@
 
 std::size_t HttpMessageReader::Read(std::string_view aBytes) {
   Impl& impl = *mImpl;
-  if (impl.mState == ReadState::kComplete || impl.mState == ReadState::kBad ||
-      aBytes.empty()) {
+  if (impl.mState == ReadState::kComplete || impl.mState == ReadState::kBad) {
     return 0;
   }
-  const bool inHead = impl.mState == ReadState::kHead;
-  const std::size_t n = http_parser_execute(&impl.mParser, &Impl::Settings(),
-                                            aBytes.data(), aBytes.size());
-  const http_errno error = HTTP_PARSER_ERRNO(&impl.mParser);
-  if (error != HPE_OK && error != HPE_PAUSED) {
-    impl.mState = ReadState::kBad;
-  }
-  if (inHead) {
-    impl.mHeadBytes += n;
+  const bool inAnswerHead = !impl.mIsRequest && impl.mState == ReadState::kHead;
+  if (!inAnswerHead) {
+    return impl.Parse(aBytes);
   }
-  return n;
+  const std::size_t n = impl.ReadAnswerHead(aBytes);
+  return impl.mState == ReadState::kBody ? n + impl.Parse(aBytes.substr(n)) : n;
 }
 
 void HttpMessageReader::ReadEnd() {
--- a/include/spindleweir/drivers/http_message.h
+++ b/include/spindleweir/drivers/http_message.h
@@ -1,7 +1,8 @@
 /// Heads of HTTP/1.1 messages, and a message parser based on http_parser.
 /// evhttp accepts conflicting lengths in heads and cannot distinguish a reset
 /// answer from a completed one, so forwarded requests use this parser instead
-/// (docs/design/platform.md).
+/// (docs/design/platform.md). The head of an answer is checked before the
+/// parser reads it.
 #pragma once
 
 #include <cstddef>
@@ -18,6 +19,8 @@
 /// Headers in the order received.
 using HttpHeaders = std::vector<HttpHeader>;
 
+/// Whether a text has the characters of a header's name only (RFC 9110, 5.6.2).
+bool IsHeaderName(std::string_view aText);
 /// Compares two header names, ignoring case.
 bool SameHeaderName(std::string_view aLeft, std::string_view aRight);
 /// The first header of that name, or nullptr.
--- a/tests/drivers/http_message_test.cpp
+++ b/tests/drivers/http_message_test.cpp
@@ -1,4 +1,5 @@
 #include "spindleweir/drivers/http_message.h"
+#include "standins/answer_forms.h"
 #include "tests/test_tools.h"
 
 using namespace spindleweir;
@@ -114,11 +115,11 @@
                         " X\r\nContent-Length: 0\r\n\r\n") == ReadState::kBad);
     }
   }
-  SECTION("an answer loses a blank before the colon") {
+  SECTION("a blank before the colon makes an answer bad, as a request") {
     HttpMessageReader reader(MessageSide::kAnswers);
     reader.Read("HTTP/1.1 200 OK\r\nX-A : 1\r\nContent-Length: 0\r\n\r\n");
-    CHECK(reader.State() == ReadState::kComplete);
-    CHECK(reader.Answer().mHeaders[0].mName == "X-A");
+    CHECK(reader.State() == ReadState::kBad);
+    CHECK(reader.Answer().mHeaders.empty());
   }
   SECTION("bytes that are not HTTP are bad") {
     CHECK(StateOf(MessageSide::kAnswers, "\x16\x03garbage\r\n\r\n") ==
@@ -153,6 +154,44 @@
   }
 }
 
+namespace {
+
+/// Checks that all of these answers are bad, and that nothing of them is read.
+void CheckBad(const std::vector<AnswerForm>& aForms) {
+  for (const AnswerForm& form : aForms) {
+    std::string body;
+    const ReadState state = StateOf(MessageSide::kAnswers, form.mBytes, &body);
+    CHECK_FOUND(state == ReadState::kBad, form.mWhat);
+    CHECK_FOUND(body.empty(), form.mWhat);
+  }
+}
+
+}  // namespace
+
+// Guards against answers with a broken head that were read as answers, with
+// that line passed on or with a body of another length.
+Test(http_message, an_answer_with_a_broken_field_is_bad) {
+  CheckBad(AnswersWithBrokenFields());
+}
+
+// Guards against answers that were taken though their status line was broken.
+Test(http_message, an_answer_with_a_broken_status_line_is_bad) {
+  CheckBad(AnswersWithBrokenStatusLines());
+}
+
+// Guards against checks that refuse what the standard allows.
+Test(http_message, sound_answers_are_read_whole) {
+  for (const AnswerForm& form : SoundAnswers()) {
+    HttpMessageReader whole(MessageSide::kAnswers);
+    whole.Read(form.mBytes);
+    whole.ReadEnd();
+    CHECK_FOUND(whole.State() == ReadState::kComplete, form.mWhat);
+    CHECK_FOUND(whole.Answer().mStatus == form.mStatus, form.mWhat);
+    CHECK_FOUND(whole.TakeBody() == form.mBody, form.mWhat);
+    StateOf(MessageSide::kAnswers, form.mBytes);
+  }
+}
+
 Test(http_message, hop_by_hop_headers_are_recognized) {
   const HttpHeaders headers = {
       {"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"X-End", "2"}};
