Answers with a transfer coding that is not known end as no answer

What callers saw: an answer whose coding is not "chunked" (another one, none, listed twice, "chunked" not last) arrived as an answer: with the sizes of its chunks as body, or with half of it as a whole body.

Cause: http_parser takes a coding that it does not know for none, so that the answer ends with its connection, and the router, which does not pass the field on, hides from the caller that the body is coded.

Change: AnswerHeadReader takes an answer's length and coding only if one of them is stated, once; a length only as a number, a coding only as "chunked" and in no HTTP/1.0 answer (RFC 9112, 6.1 to 6.3).

--- a/drivers/answer_head_reader.cpp
+++ b/drivers/answer_head_reader.cpp
@@ -1,6 +1,7 @@
 #include "drivers/answer_head_reader.h"
 
 #include <charconv>
+#include <cstdint>
 
 #include "spindleweir/drivers/http_message.h"
 
@@ -10,6 +11,7 @@
 
 /// How a status line begins; # stands for a digit.
 constexpr std::string_view kStatusLineStart = "HTTP/1.# ###";
+constexpr std::size_t kMinorVersionAt = 7;
 constexpr std::size_t kStatusAt = 9;
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 599;
@@ -28,6 +30,24 @@
   return byte == '\t' || (byte >= ' ' && byte != kDelete);
 }
 
+/// Removes the blanks around a value.
+std::string_view Trimmed(std::string_view aText) {
+  constexpr std::string_view kBlanks = " \t";
+  const std::size_t first = aText.find_first_not_of(kBlanks);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(kBlanks) + 1 - first);
+}
+
+bool IsNumber(std::string_view aText) {
+  std::uint64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const std::from_chars_result result =
+      std::from_chars(aText.data(), end, number);
+  return result.ec == std::errc() && result.ptr == end;
+}
+
 }  // namespace
 
 std::size_t AnswerHeadReader::Read(std::string_view aBytes) {
@@ -79,6 +99,7 @@
       if (aByte != ':' || mLine.empty()) {
         return IsHeaderName({&aByte, 1});
       }
+      mNameBytes = mLine.size();
       mPart = Part::kValue;
       return true;
     case Part::kValue:
@@ -111,6 +132,8 @@
   (void)std::from_chars(mLine.data() + kStatusAt,
                         mLine.data() + kStatusLineStart.size(), mStatus);
   mText = mLine + "\r\n";
+  mHasLength = false;
+  mIsChunked = false;
   return mStatus >= kMinStatus && mStatus <= kMaxStatus;
 }
 
@@ -119,7 +142,28 @@
     return false;
   }
   mText += mLine + "\r\n";
-  return true;
+  const std::string_view line = mLine;
+  const std::string_view name = line.substr(0, mNameBytes);
+  const std::string_view value = Trimmed(line.substr(mNameBytes + 1));
+  if (SameHeaderName(name, "Content-Length")) {
+    return ReadLength(value);
+  }
+  return !SameHeaderName(name, "Transfer-Encoding") || ReadCoding(value);
+}
+
+bool AnswerHeadReader::ReadLength(std::string_view aValue) {
+  const bool isOnly = !mHasLength && !mIsChunked;
+  mHasLength = true;
+  return isOnly && IsNumber(aValue);
+}
+
+bool AnswerHeadReader::ReadCoding(std::string_view aValue) {
+  // Another coding would reach the caller in the body, without its name.
+  const bool isOnly = !mHasLength && !mIsChunked;
+  const bool isKnown =
+      mText[kMinorVersionAt] != '0' && SameHeaderName(aValue, "chunked");
+  mIsChunked = true;
+  return isOnly && isKnown;
 }
 
 void AnswerHeadReader::EndHead() {
--- a/drivers/answer_head_reader.h
+++ b/drivers/answer_head_reader.h
@@ -17,8 +17,9 @@
   kBroken,      ///< The bytes are not the head of an answer.
 };
 
-/// Reads one answer's head by RFC 9112, 4 to 6. Interim answers (1xx) before it
-/// are checked alike and left out.
+/// Reads one answer's head by RFC 9112, 4 to 6, of whose transfer codings it
+/// knows "chunked" alone. Interim answers (1xx) before it are checked alike and
+/// left out.
 class AnswerHeadReader {
  public:
   /// Reads bytes up to the end of the head; returns how many belong to it.
@@ -36,6 +37,9 @@
   void EndLine();
   bool ReadStatusLine();
   bool ReadField();
+  /// What tells where the body ends is stated once, and in one way.
+  bool ReadLength(std::string_view aValue);
+  bool ReadCoding(std::string_view aValue);
   void EndHead();
 
   HeadState mState = HeadState::kIncomplete;
@@ -43,7 +47,10 @@
   std::size_t mBytes = 0;
   bool mAfterReturn = false;  ///< The last byte was a CR.
   std::string mLine;
+  std::size_t mNameBytes = 0;
   int mStatus = 0;
+  bool mHasLength = false;
+  bool mIsChunked = false;
   std::string mText;
 };
 
--- a/standins/answer_forms.cpp
+++ b/standins/answer_forms.cpp
@@ -143,6 +143,50 @@
   return forms;
 }
 
+std::vector<AnswerForm> AnswersWithBrokenFraming() {
+  std::vector<AnswerForm> forms;
+  for (const char* length :
+       {"", "x", "4x", "x4", "-4", "+4", "0x4", "4.0", "4 4", "4,4", "4, 5",
+        "4;", "\"4\"", "99999999999999999999999"}) {
+    forms.push_back(Broken(
+        std::string("length ") + length,
+        Answer(kOk, std::string("Content-Length: ") + length + "\r\n", kBody)));
+  }
+  const std::string lengthTwice = std::string(kLength) + kLength;
+  forms.push_back(
+      Broken("the same length twice", Answer(kOk, lengthTwice, kBody)));
+  forms.push_back(Broken(
+      "two lengths",
+      Answer(kOk, std::string(kLength) + "Content-Length: 5\r\n", kBody)));
+  forms.push_back(Broken("a coding beside a length",
+                         Answer(kOk, std::string(kLength) + kCoding, kChunks)));
+  forms.push_back(Broken("a length beside a coding",
+                         Answer(kOk, std::string(kCoding) + kLength, kChunks)));
+  for (const char* coding :
+       {"", "x", "gzip", "identity", "chunke", "chunkedd", "chunked, chunked",
+        "chunked, gzip", "gzip, chunked", "x, chunked", "chunked; a=1",
+        "chun ked"}) {
+    const std::string field =
+        std::string("Transfer-Encoding: ") + coding + "\r\n";
+    const std::string what = std::string("coding ") + coding;
+    forms.push_back(Broken(what, Answer(kOk, field, kChunks)));
+    forms.push_back(Broken(what + ", half", Answer(kOk, field, "4\r\nbo")));
+    forms.push_back(
+        Broken(what + ", stream",
+               Answer(kOk, "Content-Type: text/event-stream\r\n" + field,
+                      "id: 1\ndata: x\n\n")));
+  }
+  forms.push_back(Broken("the coding twice",
+                         Answer(kOk, std::string(kCoding) + kCoding, kChunks)));
+  forms.push_back(
+      Broken("another coding beside it",
+             Answer(kOk, std::string(kCoding) + "Transfer-Encoding: gzip\r\n",
+                    kChunks)));
+  forms.push_back(Broken("a coding in HTTP/1.0",
+                         Answer("HTTP/1.0 200 OK", kCoding, kChunks)));
+  return forms;
+}
+
 std::vector<AnswerForm> SoundAnswers() {
   std::vector<AnswerForm> forms;
   for (const char* length :
--- a/standins/answer_forms.h
+++ b/standins/answer_forms.h
@@ -20,6 +20,8 @@
 std::vector<AnswerForm> AnswersWithBrokenFields();
 /// Lines that are no status line.
 std::vector<AnswerForm> AnswersWithBrokenStatusLines();
+/// Lengths and codings that leave open where the body ends.
+std::vector<AnswerForm> AnswersWithBrokenFraming();
 /// Sound ones, some after interim answers.
 std::vector<AnswerForm> SoundAnswers();
 
--- a/tests/daemons/broken_answer_test.cpp
+++ b/tests/daemons/broken_answer_test.cpp
@@ -109,6 +109,9 @@
   SECTION("a status line that is none, with 000 too") {
     fixture.CheckNoAnswer(AnswersWithBrokenStatusLines());
   }
+  SECTION("a length or a coding that is none") {
+    fixture.CheckNoAnswer(AnswersWithBrokenFraming());
+  }
 }
 
 // Guards against a check that keeps sound answers from callers.
--- a/tests/drivers/http_message_test.cpp
+++ b/tests/drivers/http_message_test.cpp
@@ -179,6 +179,11 @@
   CheckBad(AnswersWithBrokenStatusLines());
 }
 
+// Guards against answers that were read though nothing says where they end.
+Test(http_message, an_answer_with_a_broken_length_or_coding_is_bad) {
+  CheckBad(AnswersWithBrokenFraming());
+}
+
 // Guards against checks that refuse what the standard allows.
 Test(http_message, sound_answers_are_read_whole) {
   for (const AnswerForm& form : SoundAnswers()) {
