Answers whose length or coding stands between tabs are read as sound

What callers saw: 502 for an answer with "Content-Length: 4" and a tab after it, and the sizes of the chunks as body where a tab stood beside "chunked".

Cause: http_parser knows blanks around these values, and no tabs (RFC 9110, 5.6.3 allows both).

Change: AnswerHeadReader gives the parser each field without blanks and tabs around its value.

--- a/drivers/answer_head_reader.cpp
+++ b/drivers/answer_head_reader.cpp
@@ -141,10 +141,10 @@
   if (mPart != Part::kValue) {
     return false;
   }
-  mText += mLine + "\r\n";
   const std::string_view line = mLine;
   const std::string_view name = line.substr(0, mNameBytes);
   const std::string_view value = Trimmed(line.substr(mNameBytes + 1));
+  mText.append(name).append(": ").append(value).append("\r\n");
   if (SameHeaderName(name, "Content-Length")) {
     return ReadLength(value);
   }
--- a/drivers/answer_head_reader.h
+++ b/drivers/answer_head_reader.h
@@ -25,7 +25,8 @@
   /// Reads bytes up to the end of the head; returns how many belong to it.
   std::size_t Read(std::string_view aBytes);
   HeadState State() const { return mState; }
-  /// The complete head, each line ended by CR and LF.
+  /// The complete head, each line ended by CR and LF, each field as
+  /// "NAME: VALUE" without blanks around the value.
   const std::string& Text() const { return mText; }
 
  private:
--- a/standins/answer_forms.cpp
+++ b/standins/answer_forms.cpp
@@ -191,14 +191,15 @@
   std::vector<AnswerForm> forms;
   for (const char* length :
        {"Content-Length: 4", "Content-Length:4", "Content-Length: 4 ",
-        "content-length: 4", "CONTENT-LENGTH: 0004"}) {
+        "Content-Length: 4\t", "Content-Length:\t 4 \t", "content-length: 4",
+        "CONTENT-LENGTH: 0004"}) {
     forms.push_back({.mWhat = length,
                      .mBytes = Answer(kOk, std::string(length) + "\r\n", kBody),
                      .mBody = kBody});
   }
   for (const char* coding :
        {"Transfer-Encoding: chunked", "transfer-encoding:chunked",
-        "Transfer-Encoding: Chunked"}) {
+        "Transfer-Encoding: Chunked", "Transfer-Encoding: \tchunked\t"}) {
     forms.push_back(
         {.mWhat = coding,
          .mBytes = Answer(kOk, std::string(coding) + "\r\n", kChunks),
