Calls of the own interface take no answer whose head is broken

What callers saw: on the product's own interface an answer with a broken head arrived as an answer, was kept for the resends of a keyed call, and a broken refusal got a call that may not be repeated run a second time.

Cause: these calls, and those between our processes, read answers with evhttp, which takes blanks and control bytes in names, lines that go on in the next one, codings and statuses that it does not know. Only the reader of forwarded requests checked the head.

Change: AnswerHeadReader sees the bytes of each answer as they arrive, before evhttp does; a call ends as failed at the first wrong byte, and gives out nothing of an answer whose head is not known to be sound.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <cerrno>
 
+#include "drivers/answer_head_reader.h"
+
 namespace spindleweir {
 
 class EvhttpCall;
@@ -17,6 +19,7 @@
 namespace {
 
 constexpr int kHttpOk = 200;
+constexpr int kMinFinalStatus = 200;
 constexpr std::size_t kIdleConnectionsPerServer = 8;
 
 evhttp_cmd_type CommandOf(const std::string& aMethod) {
@@ -234,8 +237,28 @@
 
   static void HandleInput(evbuffer*, const evbuffer_cb_info* aInfo,
                           void* aSelf) {
-    static_cast<EvhttpCall*>(aSelf)->mResult.mReceivedBytes +=
-        static_cast<std::int64_t>(aInfo->n_added);
+    auto* self = static_cast<EvhttpCall*>(aSelf);
+    self->mResult.mReceivedBytes += static_cast<std::int64_t>(aInfo->n_added);
+    self->CheckHead(aInfo->n_added);
+  }
+
+  /// Checks the bytes that have just arrived, before evhttp reads them: it
+  /// takes many broken heads for answers.
+  void CheckHead(std::size_t aArrived) {
+    if (aArrived == 0 || mHead.State() != HeadState::kIncomplete) {
+      return;
+    }
+    evbuffer_ptr start;
+    (void)evbuffer_ptr_set(mInput, &start,
+                           evbuffer_get_length(mInput) - aArrived,
+                           EVBUFFER_PTR_SET);
+    std::string bytes(aArrived, '\0');
+    (void)evbuffer_copyout_from(mInput, &start, bytes.data(), aArrived);
+    mHead.Read(bytes);
+    if (mHead.State() == HeadState::kBroken) {
+      // evhttp may wait for more, or go on reading on the stack.
+      mTimer = mLoop.After(0, [this] { Finish(false); });
+    }
   }
 
   void RemoveBufferCallbacks() {
@@ -245,7 +268,7 @@
 
   static void HandleChunk(evhttp_request* aRequest, void* aLink) {
     EvhttpCall* self = static_cast<CallLink*>(aLink)->mCall;
-    if (self == nullptr) {
+    if (self == nullptr || self->mHead.State() != HeadState::kSound) {
       return;
     }
     evbuffer* buf = evhttp_request_get_input_buffer(aRequest);
@@ -270,7 +293,10 @@
     }
     const int status =
         aRequest == nullptr ? 0 : evhttp_request_get_response_code(aRequest);
-    if (status == 0) {
+    // evhttp takes some interim answers for final ones.
+    const bool isAnswer =
+        status >= kMinFinalStatus && self->mHead.State() == HeadState::kSound;
+    if (!isAnswer) {
       self->Finish(false);
       return;
     }
@@ -325,6 +351,7 @@
   std::string mServer;
   std::shared_ptr<CallLink> mLink;
   HttpResult mResult;
+  AnswerHeadReader mHead;
   evhttp_connection* mConnection = nullptr;
   evbuffer* mOutput = nullptr;
   evbuffer_cb_entry* mOutputCallback = nullptr;
--- a/standins/answer_forms.cpp
+++ b/standins/answer_forms.cpp
@@ -1,5 +1,6 @@
 #include "standins/answer_forms.h"
 
+#include <iterator>
 #include <string_view>
 
 namespace spindleweir {
@@ -57,6 +58,11 @@
   return {.mWhat = aWhat, .mBytes = std::move(aBytes)};
 }
 
+void Append(std::vector<AnswerForm>& aForms, std::vector<AnswerForm> aMore) {
+  aForms.insert(aForms.end(), std::make_move_iterator(aMore.begin()),
+                std::make_move_iterator(aMore.end()));
+}
+
 }  // namespace
 
 std::vector<AnswerForm> AnswersWithBrokenFields() {
@@ -187,7 +193,14 @@
   return forms;
 }
 
-std::vector<AnswerForm> SoundAnswers() {
+std::vector<AnswerForm> BrokenAnswers() {
+  std::vector<AnswerForm> forms = AnswersWithBrokenFields();
+  Append(forms, AnswersWithBrokenStatusLines());
+  Append(forms, AnswersWithBrokenFraming());
+  return forms;
+}
+
+std::vector<AnswerForm> SoundFinalAnswers() {
   std::vector<AnswerForm> forms;
   for (const char* length :
        {"Content-Length: 4", "Content-Length:4", "Content-Length: 4 ",
@@ -240,6 +253,11 @@
   forms.push_back({.mWhat = "304 with the length of its page",
                    .mBytes = Answer("HTTP/1.1 304 Not Modified", kLength, ""),
                    .mStatus = 304});
+  return forms;
+}
+
+std::vector<AnswerForm> SoundAnswersAfterInterimOnes() {
+  std::vector<AnswerForm> forms;
   for (const char* interim :
        {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100\r\n\r\n",
         "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
@@ -251,4 +269,10 @@
   return forms;
 }
 
+std::vector<AnswerForm> SoundAnswers() {
+  std::vector<AnswerForm> forms = SoundFinalAnswers();
+  Append(forms, SoundAnswersAfterInterimOnes());
+  return forms;
+}
+
 }  // namespace spindleweir
--- a/standins/answer_forms.h
+++ b/standins/answer_forms.h
@@ -22,7 +22,13 @@
 std::vector<AnswerForm> AnswersWithBrokenStatusLines();
 /// Lengths and codings that leave open where the body ends.
 std::vector<AnswerForm> AnswersWithBrokenFraming();
-/// Sound ones, some after interim answers.
+/// All of the above.
+std::vector<AnswerForm> BrokenAnswers();
+
+/// Sound ones without interim answers before them.
+std::vector<AnswerForm> SoundFinalAnswers();
+std::vector<AnswerForm> SoundAnswersAfterInterimOnes();
+/// Both.
 std::vector<AnswerForm> SoundAnswers();
 
 }  // namespace spindleweir
--- a/tests/drivers/http_test.cpp
+++ b/tests/drivers/http_test.cpp
@@ -9,6 +9,7 @@
 #include "spindleweir/drivers/http_client.h"
 #include "spindleweir/drivers/http_server.h"
 #include "spindleweir/drivers/stream_server.h"
+#include "standins/answer_forms.h"
 #include "standins/raw_upstream.h"
 #include "tests/test_tools.h"
 
@@ -330,6 +331,75 @@
   }
 }
 
+namespace {
+
+/// A client, and a server that sends what a test says.
+struct RawPair {
+  /// Sends a call and waits for its end.
+  HttpResult Call(const AnswerForm& aForm) {
+    mServer.SetAnswers({aForm.mBytes});
+    mStreamed.clear();
+    std::optional<HttpResult> result;
+    const auto call = mClient.Start(
+        {.mServer = ParseEndpoint(mServer.Address(), "server"),
+         .mTimeout = kCallTimeout,
+         .mOnData = [this](std::string_view aBytes) { mStreamed += aBytes; },
+         .mOnDone =
+             [&result](const HttpResult& aResult) { result = aResult; }});
+    REQUIRE(RunLoopUntil(mLoop, [&result] { return result.has_value(); }));
+    return *result;
+  }
+
+  EventLoop mLoop;
+  HttpClient mClient{mLoop};
+  RawUpstream mServer{mLoop, "raw"};
+  std::string mStreamed;  ///< By the last call.
+};
+
+}  // namespace
+
+// Guards against answers with a broken head that calls of the own interface
+// took, with a body of another length or with none.
+Test(http, an_answer_with_a_broken_head_fails_the_call) {
+  RawPair pair;
+  for (const AnswerForm& form : BrokenAnswers()) {
+    const Millis begun = SteadyNow();
+    const HttpResult result = pair.Call(form);
+    CHECK_FOUND(!result.mComplete && result.mStatus == 0, form.mWhat);
+    CHECK_FOUND(result.mSent, form.mWhat);
+    CHECK_FOUND(result.mBody.empty() && result.mHeaders.empty(), form.mWhat);
+    CHECK_FOUND(pair.mStreamed.empty(), form.mWhat);
+    CHECK_FOUND(SteadyNow() - begun < kCallTimeout / 2, form.mWhat);
+  }
+}
+
+namespace {
+
+/// Checks that calls take all of these answers.
+void CheckTaken(const std::vector<AnswerForm>& aForms) {
+  RawPair pair;
+  for (const AnswerForm& form : aForms) {
+    const HttpResult result = pair.Call(form);
+    CHECK_FOUND(result.mComplete && result.mStatus == form.mStatus, form.mWhat);
+    const std::string& body =
+        form.mStatus == 200 ? pair.mStreamed : result.mBody;
+    CHECK_FOUND(body == form.mBody, form.mWhat);
+  }
+}
+
+}  // namespace
+
+// Guards against a check that fails calls whose answers are sound.
+Test(http, sound_answers_are_taken_whole) {
+  CheckTaken(SoundFinalAnswers());
+}
+
+// Guards against interim answers that are taken for final ones, or that fail
+// the call.
+Test(http, answers_after_interim_ones_are_taken_whole) {
+  CheckTaken(SoundAnswersAfterInterimOnes());
+}
+
 // Guards against bytes beyond an answer that are taken for the answer to the
 // next call on a kept connection.
 Test(http, bytes_beyond_an_answer_do_not_answer_the_next_call) {
