A test that orders and reports take nothing of a broken answer

What callers saw: nothing of their own; but an order to an engine counts as answered by its status alone, and a report is read by its body alone, both of answers that the stream client reads.

Change: a test of that client over all broken forms: no head and no body is given out, and the end says "malformed".

--- a/tests/drivers/stream_test.cpp
+++ b/tests/drivers/stream_test.cpp
@@ -5,10 +5,13 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <thread>
 
 #include "spindleweir/drivers/stream_client.h"
 #include "spindleweir/drivers/stream_server.h"
+#include "standins/answer_forms.h"
+#include "standins/raw_upstream.h"
 #include "tests/drivers/raw_socket_caller.h"
 #include "tests/test_tools.h"
 
@@ -556,3 +559,23 @@
     CHECK(complete == 2);
   }
 }
+
+// Guards against broken answers that are believed where only their status
+// counts, as of orders, or only their body, as of reports.
+Test(stream, a_broken_answer_gives_out_neither_head_nor_body) {
+  EventLoop loop;
+  RawUpstream upstream(loop, "raw");
+  for (const AnswerForm& form : BrokenAnswers()) {
+    upstream.SetAnswers({form.mBytes});
+    bool gaveOut = false;
+    std::optional<StreamEnd> end;
+    const auto call = StartStreamCall(
+        loop, {.mServer = ParseEndpoint(upstream.Address(), "upstream"),
+               .mOnHead = [&gaveOut](const AnswerHead&) { gaveOut = true; },
+               .mOnData = [&gaveOut](std::string_view) { gaveOut = true; },
+               .mOnEnd = [&end](StreamEnd aEnd) { end = aEnd; }});
+    REQUIRE(RunLoopUntil(loop, [&end] { return end.has_value(); }));
+    CHECK_FOUND(end == StreamEnd::kMalformed, form.mWhat);
+    CHECK_FOUND(!gaveOut, form.mWhat);
+  }
+}
