--- a/drivers/answer_head_reader.cpp
+++ b/drivers/answer_head_reader.cpp
@@ -15,7 +15,6 @@
 constexpr std::size_t kStatusAt = 9;
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 599;
-constexpr int kMinFinalStatus = 200;
 /// Of all heads of one answer together, so that interim ones without end end.
 constexpr std::size_t kMaxHeadBytes = std::size_t{80} * 1024;
 
--- a/drivers/answer_head_reader.h
+++ b/drivers/answer_head_reader.h
@@ -7,9 +7,13 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace spindleweir {
 
+/// Answers with a lower status are interim ones.
+inline constexpr int kMinFinalStatus = 200;
+
 /// Progress of reading a head.
 enum class HeadState {
   kIncomplete,  ///< More bytes are needed.
@@ -26,8 +30,8 @@
   std::size_t Read(std::string_view aBytes);
   HeadState State() const { return mState; }
   /// The complete head, each line ended by CR and LF, each field as
-  /// "NAME: VALUE" without blanks around the value.
-  const std::string& Text() const { return mText; }
+  /// "NAME: VALUE" without blanks around the value. Can be taken once.
+  std::string TakeText() { return std::move(mText); }
 
  private:
   /// What of a line is being read.
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -19,7 +19,6 @@
 namespace {
 
 constexpr int kHttpOk = 200;
-constexpr int kMinFinalStatus = 200;
 constexpr std::size_t kIdleConnectionsPerServer = 8;
 
 evhttp_cmd_type CommandOf(const std::string& aMethod) {
--- a/drivers/http_message.cpp
+++ b/drivers/http_message.cpp
@@ -227,7 +227,7 @@
     if (mHeadReader.State() == HeadState::kBroken) {
       mState = ReadState::kBad;
     } else if (mHeadReader.State() == HeadState::kSound) {
-      Parse(mHeadReader.Text());
+      Parse(mHeadReader.TakeText());
     }
     return n;
   }
