--- a/standins/raw_upstream.cpp
+++ b/standins/raw_upstream.cpp
@@ -62,6 +62,14 @@
          "X-Signature: raw\r\n\r\n";
 }
 
+std::string RawUpstream::Events(int aFrom, int aTo) {
+  std::string events;
+  for (int id = aFrom; id <= aTo; id++) {
+    events += "id: " + std::to_string(id) + "\ndata: x\n\n";
+  }
+  return events;
+}
+
 void RawUpstream::HandleAccept(evconnlistener*, evutil_socket_t aSocket,
                                sockaddr*, int, void* aSelf) {
   auto& self = *static_cast<RawUpstream*>(aSelf);
--- a/standins/raw_upstream.h
+++ b/standins/raw_upstream.h
@@ -33,6 +33,8 @@
   std::size_t Open() const { return mConnections.size(); }
   /// The head of a signed stream that ends with its connection.
   static std::string StreamHead();
+  /// The events of a stream with these ids, the last one included.
+  static std::string Events(int aFrom, int aTo);
   const std::string& Instance() const { return mInstance; }
   std::string Address() const;
   int Answered() const { return mAnswered; }
--- a/tests/daemons/broken_answer_test.cpp
+++ b/tests/daemons/broken_answer_test.cpp
@@ -16,28 +16,10 @@
 /// Time for the routers to hear of each other.
 constexpr Millis kAcquaintance = 1500;
 
-std::string Events(int aFrom, int aTo) {
-  std::string events;
-  for (int id = aFrom; id <= aTo; id++) {
-    events += "id: " + std::to_string(id) + "\ndata: x\n\n";
-  }
-  return events;
-}
-
 /// A router whose only upstream sends what a test says.
 struct BrokenFixture {
   explicit BrokenFixture(Millis aWarmUp = kShortWarmUp) : mFixture(aWarmUp) {
-    REQUIRE(mFixture.Publish(Document(Traffic(7))).mCode == ResultCode::kOk);
-    mFixture.SendHeartbeat({.mInstance = mUpstream.Instance(),
-                            .mService = "counter",
-                            .mAddress = mUpstream.Address(),
-                            .mZone = "z",
-                            .mSlots = 6});
-    REQUIRE(mFixture.RunUntil([this] {
-      mFixture.mRouter->RefreshGauges();
-      return mFixture.mRouter->Ready() &&
-             mFixture.mRouter->OwnCounters().Value("upstreams_ready") > 0;
-    }));
+    mFixture.BeginRaw(mUpstream);
   }
 
   Answer Call(const std::string& aTarget, std::vector<std::string> aAnswers) {
@@ -92,8 +74,9 @@
       mFixture.MakeRouter("cut", mCut.Hook());
 };
 
-std::string Unsound(const std::string& aStatus, const std::string& aField,
-                    const std::string& aBody) {
+/// An answer with one more field, which ends with CR and LF.
+std::string AnswerWith(const std::string& aStatus, const std::string& aField,
+                       const std::string& aBody) {
   return "HTTP/1.1 " + aStatus + "\r\nX-Signature: raw\r\n" + aField +
          "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
 }
@@ -131,10 +114,10 @@
 // Guards against a broken answer that uses up a request which may be repeated,
 // and against a second run of one that may not.
 Test(broken_answer, is_retried_where_a_repetition_is_allowed) {
-  const std::string sound = Unsound("200 OK", "", "body");
+  const std::string sound = AnswerWith("200 OK", "", "body");
   for (const char* field : kBrokenFields) {
     BrokenFixture fixture;
-    const std::string broken = Unsound("200 OK", field, "body");
+    const std::string broken = AnswerWith("200 OK", field, "body");
     const Answer read = fixture.Call("/look/x", {broken, sound});
     CHECK_FOUND(read.mStatus == 200 && read.mBody == "body",
                 std::string(field));
@@ -152,7 +135,7 @@
   for (const char* field : kBrokenFields) {
     for (const char* status : {"503 Busy", "429 Many", "421 Other", "200 OK"}) {
       const std::string refusal =
-          Unsound(status, std::string("X-Ran: no\r\n") + field, "");
+          AnswerWith(status, std::string("X-Ran: no\r\n") + field, "");
       BrokenFixture::CheckUnknown(fixture.Call("/pay/x", {refusal}),
                                   std::string(status) + field);
       CHECK(fixture.mUpstream.Answered() == 1);
@@ -164,16 +147,16 @@
 Test(broken_answer, does_not_go_on_with_a_stream) {
   BrokenFixture fixture;
   const std::string cut =
-      RawUpstream::StreamHead() + Events(1, 2) + "id: 3\nda";
+      RawUpstream::StreamHead() + RawUpstream::Events(1, 2) + "id: 3\nda";
   for (const char* field : kBrokenFields) {
     const std::string broken = std::string(
                                    "HTTP/1.1 200 OK\r\nX-Signature: raw\r\n"
                                    "Content-Type: text/event-stream\r\n") +
-                               field + "\r\n" + Events(3, 5);
+                               field + "\r\n" + RawUpstream::Events(3, 5);
     const Answer answer = fixture.Call("/stream/x", {cut, broken});
     CHECK_FOUND(answer.mStatus == 200, std::string(field));
     CHECK_FOUND(answer.mEnd != StreamEnd::kComplete, std::string(field));
-    CHECK_FOUND(answer.mBody == Events(1, 2), answer.mBody);
+    CHECK_FOUND(answer.mBody == RawUpstream::Events(1, 2), answer.mBody);
   }
 }
 
@@ -183,7 +166,7 @@
   ForwardedFixture fixture;
   SECTION("sound answers come through") {
     const Answer answer = fixture.CallAtCutRouter(
-        "/pay/x", Unsound("200 OK", "X-A: 1\r\n", "body"));
+        "/pay/x", AnswerWith("200 OK", "X-A: 1\r\n", "body"));
     CHECK(answer.mStatus == 200 && answer.mBody == "body");
     CHECK(fixture.Forwarded() >= 1);
   }
@@ -193,7 +176,7 @@
         const std::int64_t before = fixture.Forwarded();
         const Answer answer = fixture.CallAtCutRouter(
             "/pay/x",
-            Unsound(status, std::string("X-Ran: no\r\n") + field, "body"));
+            AnswerWith(status, std::string("X-Ran: no\r\n") + field, "body"));
         BrokenFixture::CheckUnknown(answer, std::string(status) + field);
         CHECK_FOUND(fixture.mUpstream.Answered() == 1, std::string(field));
         CHECK(fixture.Forwarded() > before);
--- a/tests/daemons/endless_answer_test.cpp
+++ b/tests/daemons/endless_answer_test.cpp
@@ -20,17 +20,7 @@
   EndlessFixture() {
     mFixture.mMemoryBytes = kMemoryBytes;
     mFixture.StartRouter();
-    REQUIRE(mFixture.Publish(Document(Traffic(7))).mCode == ResultCode::kOk);
-    mFixture.SendHeartbeat({.mInstance = mUpstream.Instance(),
-                            .mService = "counter",
-                            .mAddress = mUpstream.Address(),
-                            .mZone = "z",
-                            .mSlots = 6});
-    REQUIRE(mFixture.RunUntil([this] {
-      mFixture.mRouter->RefreshGauges();
-      return mFixture.mRouter->Ready() &&
-             mFixture.mRouter->OwnCounters().Value("upstreams_ready") > 0;
-    }));
+    mFixture.BeginRaw(mUpstream);
   }
 
   /// The answer that a caller gets; the upstream's connections are closed then.
--- a/tests/daemons/relay_fixture.cpp
+++ b/tests/daemons/relay_fixture.cpp
@@ -17,6 +17,7 @@
 #include "spindleweir/daemons/sync_messages.h"
 #include "spindleweir/drivers/rpc_channel.h"
 #include "standins/plain_protocol.h"
+#include "standins/raw_upstream.h"
 
 namespace spindleweir {
 
@@ -383,4 +384,18 @@
   }
 }
 
+void RelayFixture::BeginRaw(const RawUpstream& aUpstream) {
+  REQUIRE(Publish(Document(Traffic(7))).mCode == ResultCode::kOk);
+  SendHeartbeat({.mInstance = aUpstream.Instance(),
+                 .mService = "counter",
+                 .mAddress = aUpstream.Address(),
+                 .mZone = "z",
+                 .mSlots = 6});
+  REQUIRE(RunUntil([this] {
+    mRouter->RefreshGauges();
+    return mRouter->Ready() &&
+           mRouter->OwnCounters().Value("upstreams_ready") > 0;
+  }));
+}
+
 }  // namespace spindleweir
--- a/tests/daemons/relay_fixture.h
+++ b/tests/daemons/relay_fixture.h
@@ -14,6 +14,8 @@
 
 namespace spindleweir {
 
+class RawUpstream;
+
 /// How long a starting router holds requests that it can't serve yet. Long: the
 /// missing data arrives on any machine; short: for tests in which none arrives.
 inline constexpr Millis kLongWarmUp = 30000;
@@ -135,6 +137,8 @@
 
   /// Publishes a configuration and waits until both upstreams get calls.
   void Begin();
+  /// The same with this upstream alone.
+  void BeginRaw(const RawUpstream& aUpstream);
 
   TemporaryFolder mFolder;
   EventLoop mLoop;
--- a/tests/daemons/surplus_bytes_test.cpp
+++ b/tests/daemons/surplus_bytes_test.cpp
@@ -22,19 +22,7 @@
 
 /// A router with one upstream, and a caller that keeps its connection.
 struct SurplusFixture {
-  SurplusFixture() {
-    REQUIRE(mFixture.Publish(Document(Traffic(7))).mCode == ResultCode::kOk);
-    mFixture.SendHeartbeat({.mInstance = mUpstream.Instance(),
-                            .mService = "counter",
-                            .mAddress = mUpstream.Address(),
-                            .mZone = "z",
-                            .mSlots = 6});
-    REQUIRE(mFixture.RunUntil([this] {
-      mFixture.mRouter->RefreshGauges();
-      return mFixture.mRouter->Ready() &&
-             mFixture.mRouter->OwnCounters().Value("upstreams_ready") > 0;
-    }));
-  }
+  SurplusFixture() { mFixture.BeginRaw(mUpstream); }
 
   /// Sends a request that gets this answer of the upstream and a second one on
   /// the same connection. Returns the head of the first answer; checks that it
