--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,132 +1,124 @@
-"""All replicas of a plain service crash together and come back. From then on a
-request that each of them was running is refused, though nothing is wrong with
-it."""
+"""A router stands still for 3.5 s while desired states come in quick
+succession. Afterwards it never gets the newest one: the answer that holds what
+it lacks is larger than it reads."""
 
 import asyncio
+import json
 import os
 import random
+import signal
+import string
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tools2"))
-from harness import (CONFIG_APPLY_S, CONTACT_S, Channel, CouldNotRun, Deployment, Replica, ZONES,
-                     client_headers, document, main, plain_route)
-
-DOWN_S = 4.5
-JUDGED_S = 25
-MIN_REQUESTS = 20
-
-
-async def one_request(router, path):
-    """The status of an answer, or the name of what came in its place."""
-    channel = Channel(router)
+from harness import (CONFIG_APPLY_S, CONTACT_S, FRONT_PORT, CouldNotRun, Deployment, Replica, ZONES,
+                     call, client_headers, document, is_ready, main, plain_route)
+
+FREEZE_S = 3.5
+STORM_GAP_S = 0.22
+STORM_S = 4.0
+TENANTS = 10
+KEYS_EACH = 2400
+KEY_LENGTH = 32
+JUDGED_S = 24
+
+
+class Operator:
+    """Sends desired states in which each version replaces one key."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.random = random.Random(83)
+        self.version = 1
+        self.tenants = [{"name": "t%d" % i, "priority": 1,
+                         "apiKeys": [self.key() for _ in range(KEYS_EACH)]}
+                        for i in range(TENANTS)]
+        self.tenants[0]["apiKeys"].append("n2ctnfzs989anu6wsjnb")
+
+    def key(self):
+        return "".join(self.random.choices(string.ascii_lowercase + string.digits, k=KEY_LENGTH))
+
+    async def send_next(self, open_service):
+        self.version += 2
+        self.tenants[self.version % TENANTS]["apiKeys"][0] = self.key()
+        routes = [plain_route("open", "/open/", open_service) | {"public": True},
+                  plain_route("keyed", "/keyed/", "old-api")]
+        state = document(self.version, routes, ["old-api", "new-api"])
+        state["tenants"] = self.tenants
+        if self.version == 3:
+            self.deployment.record("a desired state has", len(json.dumps(state)), "bytes")
+        if await self.deployment.publish(state) != 200:
+            raise CouldNotRun("version %d was refused" % self.version)
+
+    async def storm(self, open_service):
+        end = time.monotonic() + STORM_S
+        while time.monotonic() < end:
+            begun = time.monotonic()
+            await self.send_next(open_service)
+            await asyncio.sleep(max(0, STORM_GAP_S - (time.monotonic() - begun)))
+
+
+async def one_request(router, path, ran):
+    """What became of a request: the service that ran it, or the status."""
+    headers = client_headers(1500)
     try:
-        answer = await channel.request("GET", path, client_headers(1500), timeout=2.5)
-        return str(answer.status)
+        answer = await call(router.ip, FRONT_PORT, "GET", path, headers, timeout=2.5)
+        end = str(answer.status)
     except (OSError, EOFError, asyncio.TimeoutError) as error:
-        return type(error).__name__
-    finally:
-        channel.close()
-
-
-class Counts:
-    """Ends of requests, by the part of the run in which they were sent."""
-
-    def __init__(self):
-        self.part = "before"
-        self.ends = {}
+        end = type(error).__name__
+    return ran.get(headers["Spindleweir-Request-Id"], end)
 
-    def add(self, part, route, end):
-        ends = self.ends.setdefault((part, route), {})
-        ends[end] = ends.get(end, 0) + 1
 
-    def served(self, part, route):
-        ends = self.ends.get((part, route), {})
-        return ends.get("200", 0), sum(ends.values())
-
-
-async def client(counts, router, route, next_path, stop):
-    while not stop.is_set():
-        part = counts.part
-        counts.add(part, route, await one_request(router, next_path()))
-        await asyncio.sleep(random.uniform(0.05, 0.25))
-
-
-async def busy_moment(replicas):
-    """Waits until each replica runs a request for the notice, as a busy service
-    nearly always does."""
-    end = time.monotonic() + 5
-    while time.monotonic() < end:
-        if all("/notices/today" in replica.running.values() for replica in replicas):
-            return
-        await asyncio.sleep(0.001)
-    raise CouldNotRun("the replicas were not all busy at one time")
+async def freeze(router):
+    router.signal(signal.SIGSTOP)
+    await asyncio.sleep(FREEZE_S)
+    router.signal(signal.SIGCONT)
 
 
 async def case(record, trouble):
     deployment = Deployment(record)
-    tasks = []
     try:
         deployment.start()
-        replicas = [Replica(deployment, "kaunter-api", zone) for zone in ZONES]
-        # Of another service, so that routers know that their links are good.
-        others = [Replica(deployment, "katalog", zone) for zone in ZONES]
-        for replica in replicas + others:
-            await replica.start()
-        services = ["kaunter-api", "katalog"]
-        first = [plain_route("receipts", "/receipts/", "kaunter-api"),
-                 plain_route("catalogue", "/catalogue/", "katalog")]
-        later = first + [plain_route("notices", "/notices/", "kaunter-api")]
-        if await deployment.publish(document(3, first, services)) != 200:
-            raise CouldNotRun("version 3 was refused")
+        ran = {}
+
+        def on_run(replica, request, *_):
+            ran[request] = replica.service
+
+        for service in ("old-api", "new-api"):
+            for zone in ZONES:
+                await Replica(deployment, service, zone, work_s=0.01, on_run=on_run).start()
+        operator = Operator(deployment)
+        await operator.send_next("old-api")
         await deployment.await_ready()
-        if await deployment.publish(document(7, later, services)) != 200:
-            raise CouldNotRun("version 7 was refused")
-        await asyncio.sleep(CONFIG_APPLY_S + 1)
-
-        counts = Counts()
-        stop = asyncio.Event()
-        numbers = iter(range(1, 1000000))
-        for i in range(24):
-            # All ask for the same notice, as many clients do.
-            tasks.append(asyncio.create_task(client(
-                counts, deployment.routers[i % 3], "notices", lambda: "/notices/today", stop)))
-        for i in range(6):
-            tasks.append(asyncio.create_task(client(
-                counts, deployment.routers[i % 3], "receipts",
-                lambda: "/receipts/%d" % next(numbers), stop)))
-        await asyncio.sleep(6)
-        await busy_moment(replicas)
-        counts.part = "down"
+        await asyncio.sleep(CONFIG_APPLY_S + CONTACT_S)
+
+        work = [operator.storm("old-api")]
         if trouble:
-            for replica in replicas:
-                await replica.crash()
-            await asyncio.sleep(DOWN_S)
-            for replica in replicas:
-                await replica.start()
-        counts.part = "back"
+            work.append(freeze(deployment.routers[0]))
+        await asyncio.gather(*work)
+        # From now on the open route leads to another service.
+        await operator.send_next("new-api")
+        record("version", operator.version, "is acknowledged: /open/ leads to new-api")
         # Nothing happens any more: twice contactMs until all are in touch.
         await asyncio.sleep(2 * CONTACT_S)
-        counts.part = "calm"
-        await asyncio.sleep(JUDGED_S)
-        stop.set()
-        await asyncio.gather(*tasks)
-        for (part, route), ends in counts.ends.items():
-            record("sent", part + ", route", route + ":", ends)
+        by_old = {router.name: 0 for router in deployment.routers}
+        end = time.monotonic() + JUDGED_S
+        while time.monotonic() < end:
+            for router in deployment.routers:
+                open_end = await one_request(router, "/open/x", ran)
+                keyed_end = await one_request(router, "/keyed/x", ran)
+                ready = await asyncio.to_thread(is_ready, router.ip)
+                record(router.name, "/open/x:", open_end, "| /keyed/x:", keyed_end, "| ready:", ready)
+                by_old[router.name] += open_end == "old-api"
+            await asyncio.sleep(2)
         for router in deployment.routers:
-            record(router.name, "logged code 2011 (CrashesUpstreams)",
-                   router.log().count('"code":2011'), "times")
-        later_served, later_asked = counts.served("calm", "notices")
-        first_served, first_asked = counts.served("calm", "receipts")
-        record("calm: served", later_served, "of", later_asked, "on the route added later,",
-               first_served, "of", first_asked, "on a first route")
-        if not first_served or later_asked < MIN_REQUESTS:
-            raise CouldNotRun("too few requests to judge")
-        # Less than a quarter as often as requests on the first routes.
-        return 4 * later_served / later_asked < first_served / first_asked
+            versions = [json.loads(line)["version"] for line in router.log().splitlines()
+                        if '"event":"configuration_in_force"' in line]
+            record(router.name, "put in force last: version", versions[-1],
+                   "| /open/x run by the old service:", by_old[router.name], "times")
+        return any(by_old.values())
     finally:
-        for task in tasks:
-            task.cancel()
         for replica in deployment.replicas:
             await replica.end()
         deployment.end()
